--- /dev/null
+++ b/src/node/front/backend-connections.ts
@@ -0,0 +1,81 @@
+/**
+ * Connections to backend servers. The number of connections follows the calls in flight, which the
+ * call engine bounds; idle ones close after `idleMilliseconds`.
+ */
+import {Client, Pool} from 'undici';
+import {type BackendServerIdentity, type CallEffect} from '../../common/calls/types.ts';
+import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
+import {type Milliseconds} from '../../common/model/units.ts';
+
+type Target = Pick<CallEffect & {type: 'start-attempt'}, 'identity' | 'address' | 'port'>;
+
+/** Settings of connections to backend servers. */
+export type ConnectionSettings = {
+	readonly connectMilliseconds: Milliseconds;
+	readonly idleMilliseconds: Milliseconds;
+};
+
+/** Base URL of an address; IPv6 numbers stand in brackets. */
+export function originOf(address: string, port: number): string {
+	return address.includes(':') ? `http://[${address}]:${port}` : `http://${address}:${port}`;
+}
+
+/** One pool for each backend server identity. */
+export class BackendConnections extends Disposable {
+	private readonly _pools = new Map<BackendServerIdentity, Pool>();
+	private readonly _settings: ConnectionSettings;
+
+	constructor(settings: ConnectionSettings) {
+		super();
+		this._settings = settings;
+		this._register(toDisposable(() => {
+			for (const pool of this._pools.values()) {
+				void pool.destroy();
+			}
+
+			this._pools.clear();
+		}));
+	}
+
+	/** The shared pool of a backend server. */
+	pool(target: Target): Pool {
+		const known = this._pools.get(target.identity);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const pool = new Pool(originOf(target.address, target.port), this._options());
+		this._pools.set(target.identity, pool);
+		return pool;
+	}
+
+	/** A connection of its own, used for one attempt and then closed. */
+	fresh(target: Target): Client {
+		return new Client(originOf(target.address, target.port), this._options());
+	}
+
+	/** Ends the pools of backend servers that are no longer declared, after their calls in flight. */
+	retain(identities: ReadonlySet<BackendServerIdentity>): void {
+		for (const [identity, pool] of this._pools) {
+			if (!identities.has(identity)) {
+				this._pools.delete(identity);
+				void pool.close();
+			}
+		}
+	}
+
+	private _options(): Client.Options {
+		return {
+			// One call a connection: a pipelined call behind a slow one would wait unseen, and undici
+			// would send it again by itself after a reset.
+			pipelining: 1,
+			allowH2: false,
+			connect: {timeout: this._settings.connectMilliseconds},
+			keepAliveTimeout: this._settings.idleMilliseconds,
+			keepAliveMaxTimeout: this._settings.idleMilliseconds,
+			// Deadlines belong to the call engine; these only bound what it cannot see.
+			headersTimeout: 0,
+			bodyTimeout: 0,
+		};
+	}
+}
--- /dev/null
+++ b/src/node/front/caller-server.ts
@@ -0,0 +1,183 @@
+/** The callers' door: calls to services, and the answer to which VMs to use. */
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {getRequestListener, type HttpBindings} from '@hono/node-server';
+import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
+import {Hono} from 'hono';
+import {type CallRequest} from '../../common/calls/types.ts';
+import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
+import {type Milliseconds} from '../../common/model/units.ts';
+import {
+	addressesPath, callPathPrefix, callerHeader, idempotencyKeyHeader, outcomeHeader, problemTypePrefix, retryHeader, timeoutHeader,
+} from '../../common/protocol/headers.ts';
+import {type BackendConnections} from './backend-connections.ts';
+import {type CallLoop} from './call-loop.ts';
+import {LiveCall} from './live-call.ts';
+import {RequestBody} from './request-body.ts';
+
+/** An answer to "which VMs shall I use for this service". */
+export type AddressAnswer = {
+	readonly vms: ReadonlyArray<{readonly address: string; readonly port: number; readonly weight: number}>;
+	readonly keepForMilliseconds: Milliseconds;
+};
+
+/** What the door needs of the rest. */
+export type CallerServerParts = {
+	readonly loop: CallLoop;
+	readonly connections: BackendConnections;
+	readonly addresses: (service: string) => AddressAnswer | undefined;
+	/** 64-bit digest of a call's method, path and body start. */
+	readonly fingerprint: (method: string, path: string, body: Uint8Array) => string;
+};
+
+/** Limits of the door; each keeps one caller from holding what others need. */
+export type CallerServerLimits = {
+	/** Largest head in bytes: a larger one is answered with 431. */
+	readonly headBytes: number;
+	/** Time for a whole head to come in: a caller that sends byte by byte holds a connection no longer. */
+	readonly headMilliseconds: Milliseconds;
+	/** How long an idle connection of a caller is kept. */
+	readonly idleMilliseconds: Milliseconds;
+};
+
+const largestTimeout = 86_400_000;
+const largestCallerName = 128;
+const largestKey = 255;
+
+function single(value: string | string[] | undefined): string | undefined {
+	return typeof value === 'string' ? value : undefined;
+}
+
+/** A whole number of milliseconds, or undefined; `false` if it is there and cannot be read. */
+function parseTimeout(text: string | undefined): number | undefined | false {
+	if (text === undefined) {
+		return undefined;
+	}
+
+	const value = Number(text);
+	return /^\d{1,8}$/v.test(text) && value > 0 && value <= largestTimeout ? value : false;
+}
+
+/** Serves callers on one port. */
+export class CallerServer extends Disposable {
+	private readonly _parts: CallerServerParts;
+	private readonly _server: Server;
+	private _lastCallId = 0;
+	private _isClosingIdle = false;
+
+	constructor(parts: CallerServerParts, limits: CallerServerLimits) {
+		super();
+		this._parts = parts;
+		// The call path reads the body itself; the adaptor must not drain or cut it.
+		const listener = getRequestListener(this._application().fetch, {autoCleanupIncoming: false, overrideGlobalObjects: false});
+		this._server = createServer({
+			maxHeaderSize: limits.headBytes,
+			headersTimeout: limits.headMilliseconds,
+			requestTimeout: 0,
+			keepAliveTimeout: limits.idleMilliseconds,
+			noDelay: true,
+		}, (incoming, outgoing) => {
+			void listener(incoming, outgoing);
+		});
+		this._register(toDisposable(() => {
+			this._server.close();
+			this._server.closeAllConnections();
+		}));
+	}
+
+	/** Starts to listen; resolves with the port. */
+	async listen(port: number, address: string): Promise<number> {
+		return new Promise((resolve, reject) => {
+			this._server.once('error', reject);
+			this._server.listen(port, address, () => {
+				const bound = this._server.address();
+				resolve(typeof bound === 'object' && bound !== null ? bound.port : port);
+			});
+		});
+	}
+
+	/** Number of open connections of callers. */
+	async countConnections(): Promise<number> {
+		return new Promise(resolve => {
+			this._server.getConnections((_error, count) => {
+				resolve(count);
+			});
+		});
+	}
+
+	/** From now on idle connections end, and others after their current answer. Nothing is cut. */
+	closeIdle(): void {
+		this._isClosingIdle = true;
+		this._server.closeIdleConnections();
+	}
+
+	private _application(): Hono<{Bindings: HttpBindings}> {
+		const application = new Hono<{Bindings: HttpBindings}>();
+		application.get(addressesPath, context => {
+			const service = context.req.query('service') ?? '';
+			const answer = this._parts.addresses(service);
+			return answer === undefined
+				? context.json({
+					type: `${problemTypePrefix}unknown-service`, title: 'unknown service', status: 404, service,
+				}, 404, {'content-type': 'application/problem+json'})
+				: context.json(answer);
+		});
+		application.all(`${callPathPrefix}:service/*`, context => {
+			this._accept(context.env.incoming, context.env.outgoing);
+			return RESPONSE_ALREADY_SENT;
+		});
+		return application;
+	}
+
+	private _accept(incoming: IncomingMessage, outgoing: ServerResponse): void {
+		const url = incoming.url!;
+		const slash = url.indexOf('/', callPathPrefix.length);
+		const service = url.slice(callPathPrefix.length, slash);
+		const path = url.slice(slash);
+		const timeoutMilliseconds = parseTimeout(single(incoming.headers[timeoutHeader]));
+		if (timeoutMilliseconds === false) {
+			this._refuseField(outgoing, timeoutHeader);
+			return;
+		}
+
+		const key = single(incoming.headers[idempotencyKeyHeader]);
+		if (key !== undefined && (key.length === 0 || key.length > largestKey)) {
+			this._refuseField(outgoing, idempotencyKeyHeader);
+			return;
+		}
+
+		if (this._isClosingIdle) {
+			outgoing.setHeader('connection', 'close');
+		}
+
+		const body = new RequestBody(incoming);
+		body.read(() => {
+			this._lastCallId += 1;
+			const request: CallRequest = {
+				callId: this._lastCallId,
+				service,
+				caller: single(incoming.headers[callerHeader])?.slice(0, largestCallerName) ?? incoming.socket.remoteAddress ?? '',
+				method: incoming.method!,
+				fingerprint: this._parts.fingerprint(incoming.method!, url, body.kept),
+				timeoutMilliseconds,
+				bodyBytes: body.isReplayable ? body.kept.length : undefined,
+				idempotencyKey: key,
+				mayRetry: incoming.headers[retryHeader] !== 'none',
+			};
+			const call = new LiveCall(request, {
+				incoming, outgoing, path, body,
+			}, this._parts.loop, this._parts.connections);
+			this._parts.loop.admit(call, {type: 'call-arrived', request});
+		});
+	}
+
+	/** Bad input from a caller: the field is named, and nothing ran. */
+	private _refuseField(outgoing: ServerResponse, field: string): void {
+		const body = JSON.stringify({
+			type: `${problemTypePrefix}invalid-field`, title: 'invalid field', status: 400, field, outcome: 'not-run',
+		});
+		outgoing.writeHead(400, {'content-type': 'application/problem+json', 'content-length': Buffer.byteLength(body), [outcomeHeader]: 'not-run'});
+		outgoing.end(body);
+	}
+}
--- /dev/null
+++ b/src/node/front/request-body.ts
@@ -0,0 +1,90 @@
+/** Takes in a caller's request body: the start is kept, so that a call proven not run can be sent again. */
+import {type IncomingMessage} from 'node:http';
+import {Readable} from 'node:stream';
+
+/**
+ * Bodies up to this size are read whole before the call is placed, so that a slow caller holds no slot of
+ * a backend server, and can be sent again after a proof that nothing ran. Larger ones stream.
+ */
+export const keptBodyBytes = 65_536;
+
+/** The start of a body, perhaps all of it. */
+export class RequestBody {
+	private readonly _incoming: IncomingMessage;
+	private readonly _chunks: Uint8Array[] = [];
+	private _bytes = 0;
+	private _isWhole = false;
+	private _isStreaming = false;
+
+	constructor(incoming: IncomingMessage) {
+		this._incoming = incoming;
+	}
+
+	/** True while the body is held whole, so that another attempt can send all of it. */
+	get isReplayable(): boolean {
+		return this._isWhole;
+	}
+
+	/** What is held: the whole body, or its start. */
+	get kept(): Uint8Array {
+		return this._chunks.length === 1 ? this._chunks[0]! : Buffer.concat(this._chunks);
+	}
+
+	/** Reads until the end or until the limit; then calls back once. Nothing is called if the caller goes away. */
+	read(onReady: () => void): void {
+		const {headers} = this._incoming;
+		if (headers['transfer-encoding'] === undefined && (headers['content-length'] ?? '0') === '0') {
+			this._isWhole = true;
+			onReady();
+			return;
+		}
+
+		const onData = (chunk: Uint8Array) => {
+			this._chunks.push(chunk);
+			this._bytes += chunk.length;
+			if (this._bytes > keptBodyBytes) {
+				stop();
+				this._incoming.pause();
+				onReady();
+			}
+		};
+
+		const onEnd = () => {
+			stop();
+			this._isWhole = true;
+			onReady();
+		};
+
+		const stop = () => {
+			this._incoming.off('data', onData);
+			this._incoming.off('end', onEnd);
+		};
+
+		this._incoming.on('data', onData);
+		this._incoming.on('end', onEnd);
+	}
+
+	/** The body to send: bytes if whole, else a stream that can be taken once. */
+	toSend(): Uint8Array | Readable | undefined {
+		if (this._isWhole) {
+			return this._bytes === 0 ? undefined : this.kept;
+		}
+
+		this._isStreaming = true;
+		return Readable.from(this._stream(), {objectMode: false});
+	}
+
+	/** Lets go of what the caller still sends; the connection can then carry its next call. */
+	discard(): void {
+		if (!this._isStreaming) {
+			this._incoming.resume();
+		}
+	}
+
+	private async * _stream(): AsyncGenerator<Uint8Array> {
+		yield this.kept;
+		this._chunks.length = 0;
+		const rest: AsyncIterable<Uint8Array> = this._incoming;
+		yield * rest;
+	}
+}
