--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -41,6 +41,8 @@
 	/** Who calls, for fairness: the caller's declared name, else its address. */
 	readonly caller: string;
 	readonly method: string;
+	/** Path of the call on the backend server, without its query: calls of one pattern cost alike. */
+	readonly path?: string;
 	/** Digest of method, path and the body's start: the same call sent again has the same one. */
 	readonly fingerprint: string;
 	/** Time left as its caller said; undefined = the service's own limit. Remaining time, never wall-clock. */
@@ -82,6 +84,8 @@
 			readonly isDeclaredNotRun: boolean;
 			/** Strong validator of the answer (ETag without W/), for a resumed download. */
 			readonly validator: string | undefined;
+			/** The body is kept whole and can be sent again; without it only bodiless methods count as such. */
+			readonly isReplayable?: boolean;
 		}
 	/** The whole answer has been passed on. */
 		| {readonly type: 'attempt-done'; readonly attemptId: AttemptId}
@@ -103,12 +107,12 @@
 	/** What peers have learnt. */
 		| {readonly type: 'peer-news'; readonly news: readonly LoadNews[]}
 	/** A backend server has begun to leave, as any VM noticed: this process of it gets no new work. */
-	| {readonly type: 'backend-server-leaving'; readonly identity: BackendServerIdentity; readonly instance: string | undefined}
+		| {readonly type: 'backend-server-leaving'; readonly identity: BackendServerIdentity; readonly instance: string | undefined}
 	/**
 	 * This VM hears neither from the platform's service nor from any other VM, so its configuration may be
 	 * old. While it lasts only idempotent calls are placed; others are refused as not run (`not-ready`).
 	 */
-	| {readonly type: 'cut-off'; readonly isCutOff: boolean}
+		| {readonly type: 'cut-off'; readonly isCutOff: boolean}
 	/** The time asked for by `nextWakeUp` has come. */
 		| {readonly type: 'tick'};
 
@@ -192,7 +196,13 @@
 	/** Stop the attempt and cancel it at the backend server. */
 	| {readonly type: 'cancel-attempt'; readonly attemptId: AttemptId}
 	/** Pass the attempt's answer on to the caller, from its head. */
-	| {readonly type: 'pass-on'; readonly callId: CallId; readonly attemptId: AttemptId}
+	| {
+		readonly type: 'pass-on';
+		readonly callId: CallId;
+		readonly attemptId: AttemptId;
+		/** For the `jaydale-outcome` header: a bare 5xx does not say whether the call ran. */
+		readonly outcome: CallOutcome;
+	}
 	/** Break the half-passed-on answer off so that its caller can tell. */
 	| {readonly type: 'break-off'; readonly callId: CallId}
 	/** The final answer of a call that jaydale gave up on; sent at once. */
