Compare deciders in virtual time: 17 loads and faults, five baselines

Cause: placing, measuring and refusing have to show their worth in figures before they are kept. Ruled out: a cluster of processes (slow, noisy, no seeds); a model without queues (nothing to wait for). Change: benchmark/policy drives the engines of 16 VMs through an event heap against backend servers with slots, queues, changing speed, lagging and false reports; arrivals are the same for every policy of a seed.

--- /dev/null
+++ b/benchmark/policy/baseline-engine.ts
@@ -0,0 +1,299 @@
+/** Baselines: engines that only place, each by one plain rule. */
+import {type BackendServer} from '../../src/common/model/resources.ts';
+import {type Instant, type RandomSource} from '../../src/common/model/units.ts';
+import {
+	type CallConfiguration, type CallEffect, type CallEngine, type CallEngineStatus, type CallEvent, type CallRequest,
+	type FleetShares, type LoadNews, type LoadReport,
+} from '../../src/common/calls/types.ts';
+import {TimerQueue} from '../../src/common/calls/timer-queue.ts';
+
+/** What a baseline knows of a backend server. */
+export type BaselineServer = {
+	readonly identity: string;
+	readonly declared: BackendServer;
+	inFlight: number;
+	/** Calls reported by the latest measurement of any VM, and own calls started since. */
+	measured: number;
+	startedSince: number;
+};
+
+/** Chooses a backend server. */
+export type BaselineRule = {
+	readonly measures: boolean;
+	choose(servers: readonly BaselineServer[], random: RandomSource): BaselineServer;
+};
+
+function draw(servers: readonly BaselineServer[], random: RandomSource): BaselineServer {
+	return servers[Math.floor(random.next() * servers.length)]!;
+}
+
+/** The rules of the baselines by name. Each is made anew for each VM, for those with a state. */
+export const baselineRules: Readonly<Record<string, () => BaselineRule>> = {
+	random: () => ({measures: false, choose: draw}),
+	'round-robin'() {
+		const nextOf = new Map<readonly BaselineServer[], number>();
+		return {
+			measures: false,
+			choose(servers, random) {
+				const next = nextOf.get(servers) ?? Math.floor(random.next() * servers.length);
+				nextOf.set(servers, (next + 1) % servers.length);
+				return servers[next]!;
+			},
+		};
+	},
+	'least-in-flight': () => ({
+		measures: false,
+		choose(servers, random) {
+			let least = Infinity;
+			for (const server of servers) {
+				least = Math.min(least, server.inFlight);
+			}
+
+			return draw(servers.filter(server => server.inFlight === least), random);
+		},
+	}),
+	'two-choices': () => ({
+		measures: false,
+		choose(servers, random) {
+			const [first, second] = [draw(servers, random), draw(servers, random)];
+			return second.inFlight < first.inFlight ? second : first;
+		},
+	}),
+	'two-choices-measured': () => ({
+		measures: true,
+		choose(servers, random) {
+			const [first, second] = [draw(servers, random), draw(servers, random)];
+			return second.measured + second.startedSince < first.measured + first.startedSince ? second : first;
+		},
+	}),
+};
+
+type BaselineCall = {readonly request: CallRequest; readonly deadline: Instant; server: BaselineServer; attemptId: number; isPassedOn: boolean; isOver: boolean};
+
+/** Starts each call once, at once; passes the answer on; gives up at the deadline. */
+export class BaselineEngine implements CallEngine {
+	private readonly _rule: BaselineRule;
+	private readonly _random: RandomSource;
+	private readonly _servers = new Map<string, BaselineServer>();
+	private readonly _serversOfService = new Map<string, BaselineServer[]>();
+	private readonly _calls = new Map<number, BaselineCall>();
+	private readonly _deadlines = new TimerQueue<BaselineCall>();
+	private readonly _measurements = new Map<number, BaselineServer>();
+	private readonly _nextMeasure = new TimerQueue<BaselineServer>();
+	private _shares: FleetShares | undefined;
+	private _configuration: CallConfiguration | undefined;
+	private _nextId = 1;
+	private _effects: CallEffect[] = [];
+
+	constructor(rule: BaselineRule, random: RandomSource) {
+		this._rule = rule;
+		this._random = random;
+	}
+
+	handle(event: CallEvent, now: Instant): readonly CallEffect[] {
+		this._effects = [];
+		switch (event.type) {
+			case 'configured': {
+				this._configure(event.configuration, now);
+				break;
+			}
+
+			case 'shares': {
+				this._shares = event.shares;
+				break;
+			}
+
+			case 'call-arrived': {
+				this._start(event.request, now);
+				break;
+			}
+
+			case 'attempt-head': {
+				this._head(event, now);
+				break;
+			}
+
+			case 'attempt-done': {
+				this._end(event.attemptId, now, undefined);
+				break;
+			}
+
+			case 'attempt-failed': {
+				this._end(event.attemptId, now, 'backend-server-failed');
+				break;
+			}
+
+			case 'measured': {
+				this._measured(event.measurementId, event.report);
+				break;
+			}
+
+			case 'peer-news': {
+				this._takeNews(event.news);
+				break;
+			}
+
+			case 'tick': {
+				this._tick(now);
+				break;
+			}
+
+			case 'attempt-sent':
+			case 'backend-server-leaving':
+			case 'caller-gone':
+			case 'cut-off':
+			case 'key-claimed': {
+				break;
+			}
+		}
+
+		return this._effects;
+	}
+
+	nextWakeUp(): Instant | undefined {
+		const deadline = this._deadlines.earliest ?? Infinity;
+		const measure = this._nextMeasure.earliest ?? Infinity;
+		const earliest = Math.min(deadline, measure);
+		return earliest === Infinity ? undefined : earliest;
+	}
+
+	status(): CallEngineStatus {
+		return {
+			configurationVersion: 1, callsInFlight: this._calls.size, callsQueued: 0, backendServers: [], quarantined: [],
+		};
+	}
+
+	private _configure(configuration: CallConfiguration, now: Instant): void {
+		this._configuration = configuration;
+		for (const [identity, declared] of configuration.backendServers) {
+			const server: BaselineServer = {
+				identity, declared, inFlight: 0, measured: 0, startedSince: 0,
+			};
+			this._servers.set(identity, server);
+			this._serversOfService.set(declared.service, [...(this._serversOfService.get(declared.service) ?? []), server]);
+			if (this._rule.measures) {
+				this._nextMeasure.add(Math.max(now, this._shares?.measuringFrom ?? 0) + (this._random.next() * this._spacing(server)), server);
+			}
+		}
+	}
+
+	private _spacing(server: BaselineServer): number {
+		const {callsPerWindow, windowMilliseconds} = this._configuration!.services.get(server.declared.service)!.measuring;
+		const calls = Math.floor((this._shares?.measuringPart ?? 0) * callsPerWindow);
+		return (windowMilliseconds + 20) / calls;
+	}
+
+	private _start(request: CallRequest, now: Instant): void {
+		const server = this._rule.choose(this._serversOfService.get(request.service)!, this._random);
+		const call: BaselineCall = {
+			request, deadline: now + request.timeoutMilliseconds!, server, attemptId: this._nextId++, isPassedOn: false, isOver: false,
+		};
+		server.inFlight++;
+		server.startedSince++;
+		this._calls.set(call.attemptId, call);
+		this._deadlines.add(call.deadline, call);
+		this._effects.push({
+			type: 'start-attempt',
+			callId: request.callId,
+			attemptId: call.attemptId,
+			identity: server.identity,
+			address: server.declared.address,
+			port: server.declared.port,
+			timeoutMilliseconds: request.timeoutMilliseconds!,
+			needsFreshConnection: false,
+			connectionLimit: 250,
+			resume: undefined,
+		});
+	}
+
+	private _head(event: Extract<CallEvent, {type: 'attempt-head'}>, now: Instant): void {
+		const call = this._calls.get(event.attemptId);
+		if (call === undefined) {
+			return;
+		}
+
+		if (event.isDeclaredNotRun) {
+			this._end(event.attemptId, now, 'overloaded');
+			return;
+		}
+
+		call.isPassedOn = true;
+		this._effects.push({
+			type: 'pass-on', callId: call.request.callId, attemptId: call.attemptId, outcome: event.status < 500 ? 'ran' : 'unknown',
+		});
+	}
+
+	private _end(attemptId: number, now: Instant, reason: 'backend-server-failed' | 'overloaded' | 'deadline-exceeded' | undefined): void {
+		const call = this._calls.get(attemptId);
+		if (call === undefined) {
+			return;
+		}
+
+		this._calls.delete(attemptId);
+		call.isOver = true;
+		call.server.inFlight--;
+		const {callId} = call.request;
+		if (reason !== undefined) {
+			this._effects.push({
+				type: 'refuse', callId, status: 503, reason, outcome: 'unknown', retryAfterMilliseconds: undefined,
+			});
+		}
+
+		this._effects.push({
+			type: 'call-ended',
+			callId,
+			summary: {
+				service: call.request.service, outcome: 'ran', reason, attempts: 1, milliseconds: now, queuedMilliseconds: 0, isGood: true,
+			},
+		});
+	}
+
+	private _measured(measurementId: number, report: LoadReport | undefined): void {
+		const server = this._measurements.get(measurementId);
+		this._measurements.delete(measurementId);
+		if (server === undefined || report === undefined) {
+			return;
+		}
+
+		server.measured = report.inFlight + report.queued;
+		server.startedSince = 0;
+		this._effects.push({
+			type: 'tell-peers',
+			news: {
+				identity: server.identity, report, ageMilliseconds: 0, suspects: [], crash: undefined,
+			},
+		});
+	}
+
+	private _takeNews(newsList: readonly LoadNews[]): void {
+		for (const {identity, report} of newsList) {
+			const server = this._servers.get(identity);
+			if (server !== undefined && report !== undefined) {
+				server.measured = report.inFlight + report.queued;
+				server.startedSince = 0;
+			}
+		}
+	}
+
+	private _tick(now: Instant): void {
+		for (let call = this._deadlines.takeDue(now); call !== undefined; call = this._deadlines.takeDue(now)) {
+			if (!call.isOver && !call.isPassedOn) {
+				this._effects.push({type: 'cancel-attempt', attemptId: call.attemptId});
+				this._end(call.attemptId, now, 'deadline-exceeded');
+			}
+		}
+
+		for (let server = this._nextMeasure.takeDue(now); server !== undefined; server = this._nextMeasure.takeDue(now)) {
+			if (this._shares === undefined || this._shares.measuringPart === 0) {
+				continue;
+			}
+
+			const measurementId = this._nextId++;
+			this._measurements.set(measurementId, server);
+			this._nextMeasure.add(now + this._spacing(server), server);
+			this._effects.push({
+				type: 'measure', measurementId, identity: server.identity, address: server.declared.address, port: server.declared.port, timeoutMilliseconds: 20,
+			});
+		}
+	}
+}
--- /dev/null
+++ b/benchmark/policy/scenarios.ts
@@ -0,0 +1,183 @@
+/** The loads and faults that policies are compared under. */
+import {type Instant} from '../../src/common/model/units.ts';
+import {
+	type CallKind, type Scenario, type ScenarioControl,
+} from './types.ts';
+
+/** A quote: short, and stale when late. */
+const read: CallKind = {
+	path: '/spectrum/spans/17', method: 'GET', share: 1, work: 10, timeout: 250,
+};
+
+const plain: Scenario = {
+	name: 'plain',
+	services: [{name: 'spectrum', servers: 20, load: 0.7}],
+	kinds: [read],
+	factorAt: () => 1,
+	heavyCallerPart: 0,
+	hasReportsOnAnswers: true,
+	reportLag: 0,
+	isOverloaded: false,
+	prepare() {
+		// Nothing fails.
+	},
+	milliseconds: 3000,
+};
+
+function loaded(load: number): Scenario {
+	return {
+		...plain,
+		name: `load-${load}`,
+		services: [{name: 'spectrum', servers: 20, load}],
+		isOverloaded: load > 1,
+	};
+}
+
+/** Each backend server of the list switches between full speed and a slow phase of its own. */
+function swing(control: ScenarioControl, mean: {readonly full: number; readonly slow: number; readonly speed: number}): void {
+	for (const server of control.servers) {
+		const change = (at: Instant, isSlow: boolean): void => {
+			control.at(at, () => {
+				server.setSpeed(isSlow ? mean.speed : 1);
+				const span = -Math.log(1 - control.random.next()) * (isSlow ? mean.slow : mean.full);
+				if (at < plain.milliseconds) {
+					change(at + span, !isSlow);
+				}
+			});
+		};
+
+		change(-Math.log(1 - control.random.next()) * mean.full, true);
+	}
+}
+
+/** All scenarios, in the order of the table. */
+export const scenarios: readonly Scenario[] = [
+	loaded(0.7),
+	loaded(0.9),
+	loaded(1.2),
+	loaded(2),
+	{
+		...plain,
+		name: 'bursts',
+		services: [{name: 'spectrum', servers: 20, load: 0.5}],
+		// A rush of 60 ms at 1.5 times capacity, twice a second.
+		factorAt: instant => instant % 500 < 60 ? 3 : 1,
+	},
+	{
+		...plain,
+		name: 'skewed-callers',
+		services: [{name: 'spectrum', servers: 20, load: 0.8}],
+		heavyCallerPart: 0.4,
+	},
+	{
+		...plain,
+		name: 'greedy-caller',
+		services: [{name: 'spectrum', servers: 20, load: 1.3}],
+		heavyCallerPart: 0.6,
+		isOverloaded: true,
+	},
+	{
+		...plain,
+		name: 'skewed-services',
+		services: [
+			{name: 'spectrum', servers: 20, load: 0.3},
+			{name: 'ordering', servers: 10, load: 0.9},
+			{name: 'documents', servers: 6, load: 0.5},
+		],
+	},
+	{
+		...plain,
+		name: 'slow',
+		prepare(control) {
+			control.at(700, () => {
+				control.servers[3]!.setSpeed(0.1);
+			});
+		},
+	},
+	{
+		...plain,
+		name: 'fail-fast',
+		prepare(control) {
+			control.at(700, () => {
+				control.servers[3]!.setFailingFast(true);
+			});
+		},
+	},
+	{
+		...plain,
+		name: 'swinging',
+		services: [{name: 'spectrum', servers: 20, load: 0.5}],
+		prepare(control) {
+			swing(control, {full: 400, slow: 60, speed: 0.1});
+		},
+	},
+	{
+		...plain,
+		name: 'swinging-silent',
+		services: [{name: 'spectrum', servers: 20, load: 0.5}],
+		hasReportsOnAnswers: false,
+		prepare(control) {
+			swing(control, {full: 1500, slow: 400, speed: 0.25});
+		},
+	},
+	{
+		...plain,
+		name: 'long-and-short',
+		kinds: [
+			{...read, share: 0.98},
+			{
+				path: '/reports/88/file', method: 'GET', share: 0.02, work: 400, timeout: 10_000,
+			},
+		],
+	},
+	{
+		...plain,
+		name: 'rolling',
+		prepare(control) {
+			for (let index = 0; index < 16; index++) {
+				control.at(700 + (index * 130), () => {
+					control.replaceVm(index);
+				});
+			}
+		},
+	},
+	{
+		...plain,
+		name: 'cold-start',
+		prepare(control) {
+			control.at(800, () => {
+				control.servers[5]!.crash();
+			});
+			control.at(1200, () => {
+				control.servers[5]!.restart();
+				control.servers[5]!.setSpeed(0.15);
+			});
+			for (let step = 1; step <= 17; step++) {
+				control.at(1200 + (step * 60), () => {
+					control.servers[5]!.setSpeed(0.15 + (step * 0.05));
+				});
+			}
+		},
+	},
+	{
+		...plain,
+		name: 'lagging',
+		reportLag: 300,
+		prepare(control) {
+			swing(control, {full: 1500, slow: 300, speed: 0.25});
+		},
+		services: [{name: 'spectrum', servers: 20, load: 0.6}],
+	},
+	{
+		...plain,
+		name: 'misleading',
+		prepare(control) {
+			for (const index of [4, 11]) {
+				control.servers[index]!.setReport(truth => ({...truth, inFlight: 0, queued: 0}));
+				control.at(700, () => {
+					control.servers[index]!.setSpeed(0.2);
+				});
+			}
+		},
+	},
+];
--- /dev/null
+++ b/benchmark/policy/summary.ts
@@ -0,0 +1,144 @@
+/** Several seeds of one scenario and policy as one row: the median and the spread. */
+import {baselineNames} from './policies.ts';
+import {type RunFigures} from './types.ts';
+
+type Figure = Exclude<keyof RunFigures, 'scenario' | 'policy' | 'seed'>;
+
+/** Median, least and most over the seeds. */
+export type Spread = {readonly median: number; readonly least: number; readonly most: number};
+
+/** One row. */
+export type Summary = {readonly scenario: string; readonly policy: string; readonly seeds: number; readonly figures: Readonly<Record<Figure, Spread>>};
+
+/** One row for each scenario and policy. */
+export function summarise(runs: readonly RunFigures[]): Summary[] {
+	const groups = groupBy(runs, run => `${run.scenario}\n${run.policy}`);
+	return Array.from(groups.values(), group => ({
+		scenario: group[0]!.scenario,
+		policy: group[0]!.policy,
+		seeds: group.length,
+		figures: spreadsOf(group),
+	}));
+}
+
+/** Node 20 has no `Map.groupBy`. */
+function groupBy<T>(items: readonly T[], keyOf: (item: T) => string): Map<string, T[]> {
+	const groups = new Map<string, T[]>();
+	for (const item of items) {
+		const key = keyOf(item);
+		const group = groups.get(key) ?? [];
+		group.push(item);
+		groups.set(key, group);
+	}
+
+	return groups;
+}
+
+function spreadsOf(group: readonly RunFigures[]): Record<Figure, Spread> {
+	const of = (figure: Figure): Spread => spread(group.map(run => run[figure]));
+	return {
+		calls: of('calls'),
+		p50: of('p50'),
+		p99: of('p99'),
+		p999: of('p999'),
+		goodP99: of('goodP99'),
+		goodput: of('goodput'),
+		goodPart: of('goodPart'),
+		refusedPart: of('refusedPart'),
+		promptRefusals: of('promptRefusals'),
+		refusalP99: of('refusalP99'),
+		wastedWork: of('wastedWork'),
+		measuringRate: of('measuringRate'),
+		measuringPeak: of('measuringPeak'),
+		worstShare: of('worstShare'),
+		newsRate: of('newsRate'),
+		lightGoodPart: of('lightGoodPart'),
+		microsecondsPerCall: of('microsecondsPerCall'),
+	};
+}
+
+function spread(values: number[]): Spread {
+	const sorted = values.toSorted((a, b) => a - b);
+	return {median: sorted[Math.floor(sorted.length / 2)]!, least: sorted[0]!, most: sorted.at(-1)!};
+}
+
+type Column = {readonly title: string; readonly figure: Figure; readonly digits: number; readonly isPercent?: boolean; readonly hasSpread?: boolean};
+
+const columns: readonly Column[] = [
+	{title: 'p50 ms', figure: 'p50', digits: 1},
+	{
+		title: 'p99 ms (spread)', figure: 'p99', digits: 1, hasSpread: true,
+	},
+	{title: 'p99.9', figure: 'p999', digits: 1},
+	{title: 'good p99', figure: 'goodP99', digits: 1},
+	{
+		title: 'goodput %', figure: 'goodput', digits: 1, isPercent: true,
+	},
+	{
+		title: 'good %', figure: 'goodPart', digits: 2, isPercent: true,
+	},
+	{
+		title: 'refused %', figure: 'refusedPart', digits: 1, isPercent: true,
+	},
+	{
+		title: 'prompt %', figure: 'promptRefusals', digits: 1, isPercent: true,
+	},
+	{
+		title: 'wasted %', figure: 'wastedWork', digits: 2, isPercent: true,
+	},
+	{title: 'meas/s', figure: 'measuringRate', digits: 2},
+	{
+		title: 'peak %', figure: 'measuringPeak', digits: 0, isPercent: true,
+	},
+	{title: 'worst', figure: 'worstShare', digits: 2},
+	{title: 'news/s', figure: 'newsRate', digits: 0},
+	{
+		title: 'light %', figure: 'lightGoodPart', digits: 1, isPercent: true,
+	},
+	{title: 'µs/call', figure: 'microsecondsPerCall', digits: 0},
+];
+
+/** A table for people. */
+export function renderTable(summaries: readonly Summary[]): string {
+	const rows = [['scenario', 'policy', ...columns.map(column => column.title)]];
+	for (const summary of summaries) {
+		rows.push([summary.scenario, summary.policy, ...columns.map(column => cell(summary, column))]);
+	}
+
+	const widths = rows[0]!.map((_, index) => Math.max(...rows.map(row => row[index]!.length)));
+	return rows.map(row => row.map((text, index) => index < 2 ? text.padEnd(widths[index]!) : text.padStart(widths[index]!)).join('  ')).join('\n') + '\n\n';
+}
+
+function cell(summary: Summary, column: Column): string {
+	const {median, least, most} = summary.figures[column.figure];
+	const scale = column.isPercent ? 100 : 1;
+	const text = (value: number): string => (value * scale).toFixed(column.digits);
+	return column.hasSpread ? `${text(median)} (${text(least)}-${text(most)})` : text(median);
+}
+
+/** Scenarios in which the tail may be at most half of the best baseline's. */
+const halvedScenarios = new Set(['slow', 'fail-fast', 'swinging', 'misleading']);
+
+/** The goals and by how much each is met or missed. */
+export function checkGoals(summaries: readonly Summary[]): string {
+	const lines: string[] = [];
+	for (const [scenario, rows] of groupBy(summaries, summary => summary.scenario)) {
+		const own = rows.find(row => row.policy === 'jaydale');
+		const best = rows.filter(row => baselineNames.has(row.policy)).toSorted((a, b) => a.figures.p99.median - b.figures.p99.median)[0];
+		if (own === undefined || best === undefined) {
+			continue;
+		}
+
+		const ratio = own.figures.p99.median / best.figures.p99.median;
+		const goal = halvedScenarios.has(scenario) ? 0.5 : 1;
+		const verdict = ratio <= goal ? 'met   ' : 'MISSED';
+		const [ownTail, bestTail] = [own.figures.p99.median.toFixed(1), best.figures.p99.median.toFixed(1)];
+		lines.push(`${verdict} ${scenario}: p99 ${ownTail} ms is ${ratio.toFixed(2)} of ${best.policy}'s ${bestTail} ms (goal ${goal})`);
+		const peak = Math.max(...rows.map(row => row.figures.measuringPeak.most));
+		if (peak > 1) {
+			lines.push(`MISSED ${scenario}: measuring peak ${(100 * peak).toFixed(0)}% of the budget`);
+		}
+	}
+
+	return `${lines.join('\n')}\n`;
+}
