--- a/benchmark/policy/baseline-engine.ts
+++ b/benchmark/policy/baseline-engine.ts
@@ -92,34 +92,65 @@
 
 	handle(event: CallEvent, now: Instant): readonly CallEffect[] {
 		this._effects = [];
+		if ('attemptId' in event) {
+			this._attemptEvent(event, now);
+		} else {
+			this._otherEvent(event, now);
+		}
+
+		return this._effects;
+	}
+
+	nextWakeUp(): Instant | undefined {
+		const deadline = this._deadlines.earliest ?? Infinity;
+		const measure = this._nextMeasure.earliest ?? Infinity;
+		const earliest = Math.min(deadline, measure);
+		return earliest === Infinity ? undefined : earliest;
+	}
+
+	status(): CallEngineStatus {
+		return {
+			configurationVersion: 1, callsInFlight: this._calls.size, callsQueued: 0, backendServers: [], quarantined: [],
+		};
+	}
+
+	private _attemptEvent(event: Extract<CallEvent, {attemptId: number}>, now: Instant): void {
 		switch (event.type) {
-			case 'configured': {
-				this._configure(event.configuration, now);
+			case 'attempt-head': {
+				this._head(event, now);
 				break;
 			}
 
-			case 'shares': {
-				this._shares = event.shares;
+			case 'attempt-done': {
+				this._end(event.attemptId, now, undefined);
 				break;
 			}
 
-			case 'call-arrived': {
-				this._start(event.request, now);
+			case 'attempt-failed': {
+				this._end(event.attemptId, now, 'backend-server-failed');
 				break;
 			}
 
-			case 'attempt-head': {
-				this._head(event, now);
+			case 'attempt-sent': {
 				break;
 			}
+		}
+	}
 
-			case 'attempt-done': {
-				this._end(event.attemptId, now, undefined);
+	private _otherEvent(event: Exclude<CallEvent, {attemptId: number}>, now: Instant): void {
+		switch (event.type) {
+			case 'configured': {
+				this._configure(event.configuration, now);
 				break;
 			}
 
-			case 'attempt-failed': {
-				this._end(event.attemptId, now, 'backend-server-failed');
+			case 'shares': {
+				this._shares = event.shares;
+				break;
+			}
+
+			case 'call-arrived': {
+				this._start(event.request, now);
 				break;
 			}
 
@@ -138,29 +169,14 @@
 				break;
 			}
 
-			case 'attempt-sent':
 			case 'backend-server-leaving':
 			case 'caller-gone':
 			case 'cut-off':
-			case 'key-claimed': {
+			case 'key-claimed':
+			case 'quarantine-lifted': {
 				break;
 			}
 		}
-
-		return this._effects;
-	}
-
-	nextWakeUp(): Instant | undefined {
-		const deadline = this._deadlines.earliest ?? Infinity;
-		const measure = this._nextMeasure.earliest ?? Infinity;
-		const earliest = Math.min(deadline, measure);
-		return earliest === Infinity ? undefined : earliest;
-	}
-
-	status(): CallEngineStatus {
-		return {
-			configurationVersion: 1, callsInFlight: this._calls.size, callsQueued: 0, backendServers: [], quarantined: [],
-		};
 	}
 
 	private _configure(configuration: CallConfiguration, now: Instant): void {
--- a/benchmark/policy/main.ts
+++ b/benchmark/policy/main.ts
@@ -3,7 +3,7 @@
 import process from 'node:process';
 import sade from 'sade';
 import {renderChart} from './chart.ts';
-import {policies} from './policies.ts';
+import {extraPolicies, policies} from './policies.ts';
 import {scenarios} from './scenarios.ts';
 import {Simulation} from './simulation.ts';
 import {checkGoals, renderTable, summarise} from './summary.ts';
@@ -22,7 +22,9 @@
 function run(options: Options): void {
 	const firstSeed = Number(options.seed);
 	const wanted = scenarios.filter(scenario => options.scenario === undefined || options.scenario.split(',').includes(scenario.name));
-	const compared = policies.filter(policy => options.policy === undefined || options.policy.split(',').includes(policy.name));
+	const compared = options.policy === undefined
+		? policies
+		: [...policies, ...extraPolicies].filter(policy => options.policy!.split(',').some(wish => policy.name.startsWith(wish)));
 	const all: RunFigures[] = [];
 	const startedAt = performance.now();
 	for (const scenario of wanted) {
--- a/benchmark/policy/model-vm.ts
+++ b/benchmark/policy/model-vm.ts
@@ -117,7 +117,8 @@
 			}
 
 			case 'break-off':
-			case 'claim-key': {
+			case 'claim-key':
+			case 'release-key': {
 				break;
 			}
 		}
--- a/benchmark/policy/policies.ts
+++ b/benchmark/policy/policies.ts
@@ -1,13 +1,14 @@
 /** What is compared: the engine, the engine with single mechanisms off, and baselines. */
 import {DefaultCallEngine} from '../../src/common/calls/call-engine.ts';
+import {type CallTuning} from '../../src/common/calls/tuning.ts';
 import {baselineRules, BaselineEngine} from './baseline-engine.ts';
 import {type Policy} from './types.ts';
 
-function engine(name: string, tailWeight: number): Policy {
+function engine(name: string, tailWeight: number, tuning: Partial<CallTuning> = {}): Policy {
 	return {
 		name,
 		tailWeight,
-		makeEngine: (random, dataCentre) => new DefaultCallEngine({random, settings: {dataCentre}}),
+		makeEngine: (random, dataCentre) => new DefaultCallEngine({random, settings: {dataCentre}, tuning}),
 	};
 }
 
@@ -17,6 +18,30 @@
 	makeEngine: random => new BaselineEngine(makeRule(), random),
 }));
 
+/** The engine with one mechanism set to its neutral value. */
+const withouts: Policy[] = Object.entries<Partial<CallTuning>>({
+	reports: {reportTrust: 0},
+	'aging-of-reports': {reportTrust: 1e6},
+	slowness: {slownessMemoryMilliseconds: 0.001},
+	overdue: {overdueFactor: Infinity},
+	'failure-penalty': {failurePenalty: 0},
+	spread: {choiceSpread: 0},
+	'local-first': {remoteMilliseconds: 0, remoteReluctance: 0},
+	'slow-start': {warmingMilliseconds: 0},
+	ejection: {failuresToEject: Infinity},
+	hedges: {hedgeQuantile: 1},
+	limit: {queuedPerSlot: Infinity},
+	'short-standing-queue': {standingMilliseconds: Infinity},
+	fairness: {isFair: false},
+	news: {newsDifference: Infinity},
+}).map(([name, tuning]) => engine(`without-${name}`, 1, tuning));
+
+/** The engine at other weights of the tail, for the chart. */
+const weights: Policy[] = [0.25, 0.5, 0.75].map(weight => engine(`weight-${weight}`, weight));
+
+/** Single mechanisms off and other weights: run on demand, since they take three times as long as the rest. */
+export const extraPolicies: readonly Policy[] = [...withouts, ...weights];
+
 /** All policies, in the order of the table. */
 export const policies: readonly Policy[] = [
 	...baselines,
--- /dev/null
+++ b/src/common/calls/attempt-runner.ts
@@ -0,0 +1,353 @@
+/** Starts attempts and follows them to their end: retries, hedges, resumed downloads. */
+import {type Instant} from '../model/units.ts';
+import {type BackendServerState} from './backend-server-state.ts';
+import {
+	type Attempt, type AttemptPurpose, type Call, isBodiless, outcomeSoFar,
+} from './call.ts';
+import {type CallEndings} from './call-endings.ts';
+import {type EngineContext} from './engine-context.ts';
+import {type HealthJudge} from './health-judge.ts';
+import {type Placement, type Placer, connectionLimit} from './placer.ts';
+import {
+	type AttemptFailure, type AttemptId, type CallEvent, type CallOutcome, type LoadReport, type RefusalReason,
+} from './types.ts';
+
+/** Most attempts of one call, whatever the budget says: three backend servers that fail it are no accident. */
+const mostAttempts = 3;
+
+/** Most attempts that may end in a reset connection: more would let one call crash one backend server after another. */
+const mostResets = 2;
+
+/** From this status on an answer does not say whether the call ran. */
+const firstServerError = 500;
+
+/** Errors that say that this backend server, and not the call, is at fault. */
+const retryableStatuses = new Set([502, 503, 504]);
+
+/** An internal error is retried only where this part of the backend server's latest calls failed. */
+const failingEnough = 0.3;
+
+/** Answer to a range of a download. */
+const partialContent = 206;
+
+/** Answers of a class before its quantile is good enough to hedge by. */
+const samplesToHedge = 50;
+
+/** Failures that prove that nothing ran. */
+const notRunFailures = new Set<AttemptFailure>(['connection-refused', 'not-sent']);
+
+type HeadEvent = Extract<CallEvent, {type: 'attempt-head'}>;
+type FailedEvent = Extract<CallEvent, {type: 'attempt-failed'}>;
+
+/** What the runner needs from its surroundings. */
+export type AttemptRunnerOptions = {
+	readonly context: EngineContext;
+	readonly attempts: Map<AttemptId, Attempt>;
+	readonly placer: Placer;
+	readonly health: HealthJudge;
+	/** Takes a report in and tells peers what is worth telling. */
+	readonly onReport: (server: BackendServerState, report: LoadReport, now: Instant) => void;
+};
+
+/** Runs attempts. */
+export class AttemptRunner {
+	private readonly _context: EngineContext;
+	private readonly _attempts: Map<AttemptId, Attempt>;
+	private readonly _placer: Placer;
+	private readonly _health: HealthJudge;
+	private readonly _onReport: AttemptRunnerOptions['onReport'];
+	private _endings: CallEndings | undefined;
+	private _nextId = 1;
+
+	constructor(options: AttemptRunnerOptions) {
+		this._context = options.context;
+		this._attempts = options.attempts;
+		this._placer = options.placer;
+		this._health = options.health;
+		this._onReport = options.onReport;
+	}
+
+	/** Endings cancel attempts, and attempts end calls: the second of the two is handed over later. */
+	setEndings(endings: CallEndings): void {
+		this._endings = endings;
+	}
+
+	/** Starts an attempt; false = no backend server may take it now. */
+	start(call: Call, purpose: AttemptPurpose, now: Instant, resume?: {readonly offset: number; readonly validator: string}): boolean {
+		const placement = this._placer.place(call, now);
+		if (placement === undefined) {
+			return false;
+		}
+
+		const attempt = this._record(call, purpose, placement, now);
+		const {server} = placement;
+		this._context.effects.push({
+			type: 'start-attempt',
+			callId: call.request.callId,
+			attemptId: attempt.id,
+			identity: server.identity,
+			address: server.declared.address,
+			port: server.declared.port,
+			timeoutMilliseconds: Math.max(1, call.deadline - now),
+			needsFreshConnection: server.health === 'doubted',
+			connectionLimit: connectionLimit(this._context, server.declared),
+			resume,
+		});
+		if (purpose === 'first') {
+			this._planHedge(attempt, now);
+		}
+
+		return true;
+	}
+
+	/** Forgets an attempt that has ended or is given up. */
+	drop(attempt: Attempt): void {
+		if (!this._attempts.delete(attempt.id)) {
+			return;
+		}
+
+		const {call, server} = attempt;
+		call.attempts.delete(attempt);
+		server.attempts.delete(attempt);
+		server.suspectsInFlight -= attempt.isSuspect ? 1 : 0;
+		call.serviceState.noteEnded(call.request.caller);
+		this._context.freed.add(call.serviceState);
+	}
+
+	onHead(attempt: Attempt, event: HeadEvent, now: Instant): void {
+		attempt.isSent = true;
+		const {call, server} = attempt;
+		if (event.report !== undefined) {
+			this._onReport(server, event.report, now);
+		}
+
+		if (event.isDeclaredNotRun) {
+			call.serviceState.limit.onShed();
+			this._giveUp(attempt, event.isReplayable ?? isBodiless(call.request), 'overloaded', now);
+			return;
+		}
+
+		if (attempt.purpose === 'resume') {
+			this._continueDownload(attempt, event, now);
+			return;
+		}
+
+		const hasFailed = event.status >= firstServerError;
+		this._learn(attempt, hasFailed, event.report, now);
+		if (hasFailed && this._isWorthAnother(attempt, event)) {
+			call.mayHaveRun = true;
+			this._context.effects.push({type: 'cancel-attempt', attemptId: attempt.id});
+			this.drop(attempt);
+			call.failedOn.add(server);
+			if (call.attempts.size > 0 || this.start(call, 'retry', now)) {
+				return;
+			}
+
+			this._end().refuse(call, 'backend-server-failed', now);
+			return;
+		}
+
+		this._passOn(attempt, event, hasFailed ? 'unknown' : 'ran');
+	}
+
+	onDone(attempt: Attempt, now: Instant): void {
+		const {call} = attempt;
+		call.class.addHold(now - attempt.startedAt);
+		call.serviceState.classes.all.addHold(now - attempt.startedAt);
+		this.drop(attempt);
+		this._context.suspects.clear(call.request.fingerprint, now);
+		this._end().end(call, outcomeSoFar(call), undefined, now);
+	}
+
+	onFailed(attempt: Attempt, event: FailedEvent, now: Instant): void {
+		const {call} = attempt;
+		call.serviceState.noteAnswer(true);
+		this._health.onAttemptFailed(attempt, event.failure, now);
+		if (call.answering?.attempt === attempt || attempt.purpose === 'resume') {
+			this.drop(attempt);
+			call.failedOn.add(attempt.server);
+			this._resumeOrBreakOff(call, event, now);
+			return;
+		}
+
+		const hasProof = notRunFailures.has(event.failure);
+		call.mayHaveRun ||= !hasProof;
+		call.resets += event.failure === 'reset-after-sending' ? 1 : 0;
+		this.drop(attempt);
+		call.failedOn.add(attempt.server);
+		this._retryOrRefuse(call, event.isReplayable, call.mayHaveRun ? 'outcome-unknown' : 'backend-server-failed', now);
+	}
+
+	/** A read that is slower than nearly all of its class gets a second chance elsewhere. */
+	hedge(attempt: Attempt, now: Instant): void {
+		const {call} = attempt;
+		const service = call.serviceState;
+		const hasRoom = service.queue.size === 0 && service.inFlight < service.limit.value;
+		if (hasRoom && call.attempts.size === 1 && !this._isQuarantined(call, now) && service.retryBudget.isOpen) {
+			call.failedOn.add(attempt.server);
+			if (this.start(call, 'hedge', now)) {
+				service.retryBudget.tryTake();
+			}
+		}
+	}
+
+	private _record(call: Call, purpose: AttemptPurpose, placement: Placement, now: Instant): Attempt {
+		const {server, isExperiment} = placement;
+		const isSuspect = this._context.suspects.isSuspect(call.request.fingerprint);
+		const attempt: Attempt = {
+			id: this._nextId++,
+			call,
+			server,
+			purpose,
+			startedAt: now,
+			instance: server.report?.instance,
+			isExperiment,
+			isSuspect,
+			isSent: false,
+			hasHead: false,
+		};
+		call.state = purpose === 'resume' ? 'answering' : 'running';
+		call.attemptCount++;
+		call.firstStartedAt ??= now;
+		call.attempts.add(attempt);
+		this._attempts.set(attempt.id, attempt);
+		server.attempts.add(attempt);
+		server.suspectsInFlight += isSuspect ? 1 : 0;
+		call.serviceState.noteStarted(call.request.caller);
+		return attempt;
+	}
+
+	/**
+	 * Hedging is for single slow backend servers and lost connections; its limit is the retry budget, and
+	 * it rests while calls wait, since in a rush a second attempt takes the slot of somebody's first.
+	 */
+	private _planHedge(attempt: Attempt, now: Instant): void {
+		const {call} = attempt;
+		const {hedgeQuantile} = this._context.tuning;
+		const isRead = call.request.method === 'GET' || call.request.method === 'HEAD';
+		const times = call.class.answerTimes;
+		if (hedgeQuantile >= 1 || !isRead || !call.isIdempotent || !call.request.mayRetry || times.count < samplesToHedge) {
+			return;
+		}
+
+		const at = now + times.quantile(hedgeQuantile)!;
+		if (at < call.deadline) {
+			this._context.timers.add(at, {type: 'hedge', attempt});
+		}
+	}
+
+	private _learn(attempt: Attempt, hasFailed: boolean, report: LoadReport | undefined, now: Instant): void {
+		const {call, server} = attempt;
+		call.serviceState.noteAnswer(hasFailed);
+		if (hasFailed) {
+			this._health.onServerError(attempt, now);
+			return;
+		}
+
+		const time = now - attempt.startedAt;
+		server.onAnswer(time, call.class.answerMean, now);
+		call.class.addAnswer(time);
+		call.serviceState.classes.all.addAnswer(time);
+		const {answerMean} = call.class;
+		call.serviceState.limit.onAnswer({
+			inFlight: call.serviceState.inFlight,
+			queuedPerSlot: report === undefined ? Math.max(0, (time / Math.max(0.01, answerMean)) - 1) / 2 : report.queued / report.slots,
+		});
+	}
+
+	private _passOn(attempt: Attempt, event: HeadEvent, outcome: CallOutcome): void {
+		const {call} = attempt;
+		attempt.hasHead = true;
+		this._health.beforeCancel(call, attempt);
+		this._end().cancelAttempts(call, attempt);
+		call.state = 'answering';
+		call.answering = {
+			attempt, status: event.status, outcome, validator: event.validator,
+		};
+		this._context.effects.push({
+			type: 'pass-on', callId: call.request.callId, attemptId: attempt.id, outcome,
+		});
+	}
+
+	private _isWorthAnother(attempt: Attempt, event: HeadEvent): boolean {
+		const {call, server} = attempt;
+		const isServersFault = retryableStatuses.has(event.status) || server.failuresInRow >= 2 || call.serviceState.failing < failingEnough;
+		return isServersFault && call.isIdempotent && (call.attempts.size > 1 || this._mayRetry(call, event.isReplayable ?? isBodiless(call.request)));
+	}
+
+	/** A shed attempt is proof that nothing ran there. */
+	private _giveUp(attempt: Attempt, isReplayable: boolean, reason: RefusalReason, now: Instant): void {
+		const {call} = attempt;
+		this._context.effects.push({type: 'cancel-attempt', attemptId: attempt.id});
+		this.drop(attempt);
+		call.failedOn.add(attempt.server);
+		if (attempt.purpose === 'resume') {
+			this._end().breakOff(call, now);
+			return;
+		}
+
+		this._retryOrRefuse(call, isReplayable, reason, now);
+	}
+
+	private _retryOrRefuse(call: Call, isReplayable: boolean, reason: RefusalReason, now: Instant): void {
+		if (call.attempts.size > 0) {
+			return;
+		}
+
+		const isSafe = call.isIdempotent || !call.mayHaveRun;
+		const isWanted = isSafe && now < call.deadline && !this._isQuarantined(call, now) && this._mayRetry(call, isReplayable);
+		if (isWanted && this.start(call, 'retry', now)) {
+			return;
+		}
+
+		this._end().refuse(call, this._isQuarantined(call, now) ? 'quarantined' : reason, now);
+	}
+
+	/** Whether rules and budget allow one more attempt; takes it off the budget. */
+	private _mayRetry(call: Call, isReplayable: boolean): boolean {
+		return isReplayable && call.request.mayRetry && call.attemptCount < mostAttempts && call.resets < mostResets
+			&& call.serviceState.retryBudget.tryTake();
+	}
+
+	/**
+	 * A download that broke off goes on at another backend server only if that has the same version: a
+	 * strong validator and a partial answer prove it. Anything else would join halves of two files.
+	 */
+	private _resumeOrBreakOff(call: Call, event: FailedEvent, now: Instant): void {
+		const {answering} = call;
+		const isResumable = answering?.status === 200 && answering.validator !== undefined && call.isIdempotent && call.request.method === 'GET';
+		if (isResumable && this._mayRetry(call, true)) {
+			const resume = {offset: event.bytesPassedOn, validator: answering.validator};
+			if (this.start(call, 'resume', now, resume)) {
+				return;
+			}
+		}
+
+		this._end().breakOff(call, now);
+	}
+
+	private _continueDownload(attempt: Attempt, event: HeadEvent, now: Instant): void {
+		const {call} = attempt;
+		const before = call.answering!;
+		if (event.status !== partialContent || event.validator !== before.validator) {
+			this._end().cancelAttempts(call);
+			this._end().breakOff(call, now);
+			return;
+		}
+
+		attempt.hasHead = true;
+		attempt.server.lastAnswerAt = now;
+		call.answering = {...before, attempt};
+		this._context.effects.push({
+			type: 'pass-on', callId: call.request.callId, attemptId: attempt.id, outcome: before.outcome,
+		});
+	}
+
+	private _isQuarantined(call: Call, now: Instant): boolean {
+		return this._context.suspects.isQuarantined(call.request.fingerprint, now);
+	}
+
+	private _end(): CallEndings {
+		return this._endings!;
+	}
+}
--- a/src/common/calls/backend-server-state.ts
+++ b/src/common/calls/backend-server-state.ts
@@ -1,46 +1,240 @@
-/** What this VM knows of one backend server. */
+/** What this VM knows of one backend server: its load, its speed, its failures, its health. */
 import {type BackendServer} from '../model/resources.ts';
-import {type Instant} from '../model/units.ts';
+import {type Instant, type Milliseconds} from '../model/units.ts';
+import {type Attempt} from './call.ts';
+import {
+	type Health, type HealthEvent, initialHealth, nextHealth,
+} from './health-chart.ts';
+import {MeasuringSchedule} from './measuring-schedule.ts';
+import {type CallTuning} from './tuning.ts';
 import {type BackendServerIdentity, type LoadReport} from './types.ts';
 
+/** Part of a new answer time in the mean of the latest ones: swings are over after a few calls. */
+const slownessGain = 0.3;
+
+/** The same for failures: the first one must show, since the second may follow within the millisecond. */
+const failureGain = 0.4;
+
+/** Processes of this backend server that are gone; a late answer of one must not count as news. */
+const rememberedInstances = 4;
+
+/** What a report changed. */
+export type ReportEffect = {
+	readonly isTaken: boolean;
+	/** A new process answers: the one named here is gone. */
+	readonly goneInstance: string | undefined;
+	/** First sign of leaving. */
+	readonly beganToLeave: boolean;
+};
+
+const nothingChanged: ReportEffect = {isTaken: false, goneInstance: undefined, beganToLeave: false};
+
 /** Knowledge of one backend server, kept across changes of its declared fields. */
 export class BackendServerState {
-	/** Attempts of this VM that have neither ended nor been given up. */
-	inFlight = 0;
-	report: LoadReport | undefined;
-	reportedAt: Instant = 0;
-	/** It, or an operator, has said that it leaves. */
-	isLeavingByReport = false;
 	readonly identity: BackendServerIdentity;
 	declared: BackendServer;
+	/** Attempts of this VM that have neither ended nor been given up. */
+	readonly attempts = new Set<Attempt>();
+	readonly schedule = new MeasuringSchedule();
+	/** Calls placed here that may crash it. */
+	suspectsInFlight = 0;
+	report: LoadReport | undefined;
+	reportedAt: Instant = -Infinity;
+	lastAnswerAt: Instant = -Infinity;
+	private readonly _tuning: CallTuning;
+	private readonly _pastInstances: string[] = [];
+	private _health: Health = initialHealth;
+	private _healthSince: Instant;
+	private _ownAtReport = 0;
+	private _slowness = 1;
+	private _slownessAt: Instant = 0;
+	private _failing = 0;
+	private _failingAt: Instant = 0;
+	private _failuresInRow = 0;
+	private _ejections = 0;
+	private _ejectedUntil: Instant = 0;
 
-	constructor(identity: BackendServerIdentity, declared: BackendServer) {
+	constructor(identity: BackendServerIdentity, declared: BackendServer, tuning: CallTuning, now: Instant) {
 		this.identity = identity;
 		this.declared = declared;
+		this._tuning = tuning;
+		this._healthSince = now;
+	}
+
+	get health(): Health {
+		return this._health;
 	}
 
 	get isLeaving(): boolean {
-		return this.declared.isLeaving || this.isLeavingByReport;
+		return this._health === 'leaving' || this.declared.isLeaving;
+	}
+
+	get failuresInRow(): number {
+		return this._failuresInRow;
+	}
+
+	/** Brings the health up to the present and gives it. */
+	healthAt(now: Instant): Health {
+		if (this._health === 'warming' && now - this._healthSince >= this._tuning.warmingMilliseconds) {
+			this.move('WARM', now);
+		} else if (this._health === 'ejected' && now >= this._ejectedUntil) {
+			this.move('PROBE', now);
+		}
+
+		return this._health;
+	}
+
+	/** Slots it may be counted on for: a cold one gets few calls at first, more as it warms up. */
+	slotsAt(now: Instant): number {
+		const {slots} = this.declared;
+		if (this.healthAt(now) !== 'warming') {
+			return slots;
+		}
+
+		const warmth = (now - this._healthSince) / this._tuning.warmingMilliseconds;
+		return Math.max(1, slots * Math.min(1, Math.max(this._tuning.warmingStart, warmth)));
+	}
+
+	/** Answer time against the mean of the class; remembered less and less, so that a recovered one is tried again. */
+	slownessAt(now: Instant): number {
+		const memory = Math.exp((this._slownessAt - now) / this._tuning.slownessMemoryMilliseconds);
+		return Math.max(1 + ((this._slowness - 1) * memory), this._overdueSlowness(now));
+	}
+
+	/** Part of its latest calls that it failed. */
+	failingAt(now: Instant): number {
+		return this._failing * Math.exp((this._failingAt - now) / this._tuning.failureMemoryMilliseconds);
+	}
+
+	/**
+	 * Calls believed to be there. Own ones are certain. Those of other VMs come from the latest report,
+	 * which fades into the service's usual number: after a mean answer time most of what it counted
+	 * has left, and only chance would make a choice by it right.
+	 */
+	loadAt(now: Instant, usual: number, holdMean: Milliseconds): number {
+		const own = this.attempts.size;
+		if (this.report === undefined || this._tuning.reportTrust === 0) {
+			return own + usual;
+		}
+
+		const counted = this.report.inFlight + this.report.queued;
+		const lifetime = this._tuning.reportTrust * holdMean * (1 + (this.report.queued / this.report.slots));
+		const trust = Math.exp((this.reportedAt - now) / lifetime);
+		return own + (trust * Math.max(0, counted - this._ownAtReport)) + ((1 - trust) * usual);
+	}
+
+	/** Calls of other VMs that the latest report counted. */
+	get reportedOthers(): number | undefined {
+		return this.report === undefined ? undefined : Math.max(0, this.report.inFlight + this.report.queued - this._ownAtReport);
+	}
+
+	onAnswer(time: Milliseconds, classMean: Milliseconds, now: Instant): void {
+		const ratio = time / Math.max(classMean, 0.01);
+		const before = this._rememberedSlowness(now);
+		this._slowness = before + ((ratio - before) * slownessGain);
+		this._slownessAt = now;
+		this.lastAnswerAt = now;
+		this._noteFailure(0, now);
+		this._failuresInRow = 0;
+		this.move('ANSWERED', now);
+		if (this._health === 'active') {
+			this._ejections = 0;
+		}
+	}
+
+	/** An attempt failed, or was answered with a server error, through the backend server's fault. */
+	onFailure(now: Instant): void {
+		this._failuresInRow++;
+		this._noteFailure(1, now);
+	}
+
+	/** Takes it out for a while; the time doubles with each probe that fails. */
+	eject(event: 'FAILING' | 'SILENT', now: Instant): void {
+		this.move(event, now);
+		if (this._health === 'ejected') {
+			const time = this._tuning.ejectionMilliseconds * (2 ** this._ejections);
+			this._ejectedUntil = now + Math.min(time, this._tuning.longestEjectionMilliseconds);
+			this._ejections = Math.min(this._ejections + 1, 10);
+		}
+	}
+
+	move(event: HealthEvent, now: Instant): void {
+		const next = nextHealth(this._health, event);
+		if (next !== this._health || event === 'RETURN') {
+			this._health = next;
+			this._healthSince = now;
+		}
 	}
 
 	/** Takes a sign of leaving; one of an earlier process under this identity says nothing of the present one. */
-	takeLeaving(instance: string | undefined): void {
+	takeLeaving(instance: string | undefined, now: Instant): void {
 		const present = this.report?.instance;
-		if (instance === undefined || present === undefined || instance === present) {
-			this.isLeavingByReport = true;
+		const isOfPast = instance !== undefined && this._pastInstances.includes(instance);
+		if (!isOfPast && (instance === undefined || present === undefined || instance === present)) {
+			this.move('LEAVE', now);
 		}
 	}
 
-	/** Takes in a report made at `madeAt`; an older one than the present one is dropped. */
-	takeReport(report: LoadReport, madeAt: Instant): void {
-		if (this.report !== undefined && madeAt < this.reportedAt) {
-			return;
+	/** Takes in a report made at `madeAt`. Older ones and those of an earlier process are dropped. */
+	takeReport(report: LoadReport, madeAt: Instant, now: Instant): ReportEffect {
+		const isOfPast = report.instance !== undefined && this._pastInstances.includes(report.instance);
+		if (madeAt < this.reportedAt || isOfPast) {
+			return nothingChanged;
+		}
+
+		const goneInstance = this._instanceReplacedBy(report.instance);
+		if (goneInstance !== undefined) {
+			this._forgetProcess(goneInstance, now);
+		}
+
+		const beganToLeave = report.isLeaving && this._health !== 'leaving';
+		if (report.isLeaving) {
+			this.move('LEAVE', now);
 		}
 
-		// A returned backend server has a new instance: the old one's leaving does not bind it.
-		const isReturned = report.instance !== undefined && report.instance !== this.report?.instance;
-		this.isLeavingByReport = report.isLeaving || (this.isLeavingByReport && !isReturned);
 		this.report = report;
 		this.reportedAt = madeAt;
+		this._ownAtReport = this.attempts.size;
+		return {isTaken: true, goneInstance, beganToLeave};
+	}
+
+	private _instanceReplacedBy(instance: string | undefined): string | undefined {
+		const present = this.report?.instance;
+		return instance !== undefined && present !== undefined && instance !== present ? present : undefined;
+	}
+
+	/** What was learnt of a process that is gone binds nothing of the new one: not its leaving, load or failures. */
+	private _forgetProcess(instance: string, now: Instant): void {
+		this._pastInstances.push(instance);
+		if (this._pastInstances.length > rememberedInstances) {
+			this._pastInstances.shift();
+		}
+
+		this._slowness = 1;
+		this._failing = 0;
+		this._failuresInRow = 0;
+		this.move('RETURN', now);
+	}
+
+	private _rememberedSlowness(now: Instant): number {
+		return 1 + ((this._slowness - 1) * Math.exp((this._slownessAt - now) / this._tuning.slownessMemoryMilliseconds));
+	}
+
+	private _noteFailure(value: number, now: Instant): void {
+		const before = this.failingAt(now);
+		this._failing = before + ((value - before) * failureGain);
+		this._failingAt = now;
+	}
+
+	/** The oldest attempt without an answer tells of a slow phase before any answer can. */
+	private _overdueSlowness(now: Instant): number {
+		for (const attempt of this.attempts) {
+			if (!attempt.hasHead) {
+				const ratio = (now - attempt.startedAt) / Math.max(attempt.call.class.answerMean, 0.01);
+				return ratio > this._tuning.overdueFactor ? ratio : 0;
+			}
+		}
+
+		return 0;
 	}
 }
--- /dev/null
+++ b/src/common/calls/call-classes.ts
@@ -0,0 +1,90 @@
+/** What calls cost, learnt by class: a service's calls of one method and path pattern cost alike. */
+import {type Milliseconds} from '../model/units.ts';
+import {DecayingHistogram} from './decaying-histogram.ts';
+import {type CallRequest} from './types.ts';
+
+/** Most classes of a service: paths are made by callers, so their number must not grow with them. */
+const mostClasses = 32;
+
+/** Samples over which means and quantiles are taken. */
+const memory = 500;
+
+/** Parts of a path that name one thing and not a kind of thing: with a digit, or long. */
+const identifierPattern = /^(?:.*\d.*|.{24,})$/v;
+
+/** Segments of a path that tell classes apart. */
+const significantSegments = 3;
+
+/** Cost of one class. */
+export class CallClass {
+	/** Mean time to the head of the answer. */
+	answerMean: Milliseconds;
+	/** Mean time that a slot is held: to the end of the answer. */
+	holdMean: Milliseconds;
+	readonly answerTimes = new DecayingHistogram(memory);
+	private _count = 0;
+
+	/** Before the first answer the mean of the whole service stands in. */
+	constructor(guess: Milliseconds) {
+		this.answerMean = guess;
+		this.holdMean = guess;
+	}
+
+	addAnswer(time: Milliseconds): void {
+		this._count++;
+		this.answerMean += (time - this.answerMean) / Math.min(this._count, memory);
+		this.answerTimes.add(time);
+	}
+
+	addHold(time: Milliseconds): void {
+		this.holdMean += (time - this.holdMean) / Math.min(Math.max(1, this._count), memory);
+	}
+}
+
+/** All classes of one service. */
+export class CallClasses {
+	private readonly _classes = new Map<string, CallClass>();
+	private readonly _patterns = new Map<string, string>();
+	private readonly _all: CallClass;
+
+	constructor(guess: Milliseconds) {
+		this._all = new CallClass(guess);
+	}
+
+	/** Mean over all calls of the service. */
+	get all(): CallClass {
+		return this._all;
+	}
+
+	/** The class of a call; calls beyond the number of classes share the service's mean. */
+	classOf(request: CallRequest): CallClass {
+		const key = request.path === undefined ? request.method : `${request.method} ${this._patternOf(request.path)}`;
+		const known = this._classes.get(key);
+		if (known !== undefined) {
+			return known;
+		}
+
+		if (this._classes.size >= mostClasses) {
+			return this._all;
+		}
+
+		const made = new CallClass(this._all.answerMean);
+		this._classes.set(key, made);
+		return made;
+	}
+
+	private _patternOf(path: string): string {
+		const remembered = this._patterns.get(path);
+		if (remembered !== undefined) {
+			return remembered;
+		}
+
+		if (this._patterns.size >= mostClasses * 16) {
+			this._patterns.clear();
+		}
+
+		const pattern = path.split('/', significantSegments + 1).map(segment => identifierPattern.test(segment) ? '*' : segment).join('/');
+		this._patterns.set(path, pattern);
+		return pattern;
+	}
+}
--- a/src/common/calls/call.ts
+++ b/src/common/calls/call.ts
@@ -1,62 +1,104 @@
 /** What the engine keeps of a call and of its attempts while they live. */
 import {type Service} from '../model/resources.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
-import {type AttemptId, type CallOutcome, type CallRequest} from './types.ts';
 import {type BackendServerState} from './backend-server-state.ts';
+import {type CallClass} from './call-classes.ts';
+import {type ServiceState} from './service-state.ts';
+import {type AttemptId, type CallOutcome, type CallRequest} from './types.ts';
 
 /** Where a call stands. */
 export type CallState = 'claiming' | 'queued' | 'running' | 'answering' | 'ended';
 
+/** Why an attempt was started. */
+export type AttemptPurpose = 'first' | 'retry' | 'hedge' | 'resume';
+
 /** One attempt to run a call on one backend server. */
 export type Attempt = {
 	readonly id: AttemptId;
 	readonly call: Call;
 	readonly server: BackendServerState;
+	readonly purpose: AttemptPurpose;
 	readonly startedAt: Instant;
+	/** Process of the backend server as known at the start: the crash it may die in. */
+	readonly instance: string | undefined;
+	/** The one call that a backend server in doubt gets. */
+	readonly isExperiment: boolean;
+	/** It may crash its backend server: nothing else is placed beside it. */
+	readonly isSuspect: boolean;
 	/** The first byte has left: from here on it may run. */
 	isSent: boolean;
 	hasHead: boolean;
 };
 
+/** The answer that is being passed on. */
+export type Answering = {
+	readonly attempt: Attempt;
+	readonly status: number;
+	readonly outcome: CallOutcome;
+	readonly validator: string | undefined;
+};
+
 /** One call. */
 export type Call = {
 	readonly request: CallRequest;
+	/** As declared when the call arrived: its rules hold to its end. */
 	readonly service: Service;
+	readonly serviceState: ServiceState;
+	readonly class: CallClass;
 	readonly arrivedAt: Instant;
 	/** After it nobody waits for the head of an answer. */
 	readonly deadline: Instant;
 	readonly isIdempotent: boolean;
 	state: CallState;
+	/** It holds a granted claim of its idempotency key. */
+	hasKey: boolean;
 	/** Attempts that have neither ended nor been given up. */
 	readonly attempts: Set<Attempt>;
 	attemptCount: number;
 	/** An attempt that is over may have run: a call that is not idempotent must not start again. */
 	mayHaveRun: boolean;
-	/** An answer's head has come: it ran. */
-	hasRun: boolean;
-	/** What the passed-on answer says of the call. */
-	answerOutcome: CallOutcome;
+	answering: Answering | undefined;
 	firstStartedAt: Instant | undefined;
 	/** Backend servers that have failed this call. */
 	readonly failedOn: Set<BackendServerState>;
+	/** Attempts whose connection was reset after sending: a second one makes the call a suspect at two crashes. */
+	resets: number;
 };
 
 /** A fresh record of a call. */
-export function newCall(request: CallRequest, service: Service, now: Instant): Call {
-	const timeout: Milliseconds = Math.min(request.timeoutMilliseconds ?? service.timeoutMilliseconds, service.timeoutMilliseconds);
+export function newCall(request: CallRequest, serviceState: ServiceState, now: Instant): Call {
+	const {declared} = serviceState;
+	const timeout: Milliseconds = Math.min(request.timeoutMilliseconds ?? declared.timeoutMilliseconds, declared.timeoutMilliseconds);
 	return {
 		request,
-		service,
+		service: declared,
+		serviceState,
+		class: serviceState.classes.classOf(request),
 		arrivedAt: now,
 		deadline: now + timeout,
-		isIdempotent: service.idempotentMethods.includes(request.method),
+		isIdempotent: declared.idempotentMethods.includes(request.method),
 		state: 'queued',
+		hasKey: false,
 		attempts: new Set(),
 		attemptCount: 0,
 		mayHaveRun: false,
-		hasRun: false,
-		answerOutcome: 'ran',
+		answering: undefined,
 		firstStartedAt: undefined,
 		failedOn: new Set(),
+		resets: 0,
 	};
 }
+
+/** What is known of whether a call ran, from attempts that are over and those that are not. */
+export function outcomeSoFar(call: Call): CallOutcome {
+	if (call.answering !== undefined) {
+		return call.answering.outcome;
+	}
+
+	return call.mayHaveRun ? 'unknown' : 'not-run';
+}
+
+/** A call without a body to keep: it can be sent again as it is. */
+export function isBodiless(request: CallRequest): boolean {
+	return request.method === 'GET' || request.method === 'HEAD' || request.bodyBytes === 0;
+}
--- /dev/null
+++ b/src/common/calls/measuring-schedule.ts
@@ -0,0 +1,80 @@
+/** When this VM may measure one backend server, and when that is worth it. */
+import {type Instant, type Milliseconds} from '../model/units.ts';
+import {type FleetShares} from './types.ts';
+
+/** What an operator allows for a backend server, for all VMs together. */
+export type MeasuringBudget = {
+	readonly callsPerWindow: number;
+	readonly windowMilliseconds: Milliseconds;
+	/** 0 = as little as possible, 1 = the whole budget. */
+	readonly tailWeight: number;
+};
+
+/** Longest a measuring call may be under way; also the margin by which windows are stretched. */
+export const measuringTimeout: Milliseconds = 50;
+
+/** Part of the budget spent at a tail weight of 0: an idle service must not lose all knowledge. */
+const leastPart = 0.05;
+
+/**
+ * Paces measuring calls by time, so that a rush cannot raise their number. Sent at least
+ * (window + timeout) / allowed apart, no window of that length at the sender holds more than `allowed`;
+ * a call arrives within its timeout of being sent or not at all, so no window at the backend server does
+ * either. The parts of all VMs add up to at most 1, hence so do their calls.
+ */
+export class MeasuringSchedule {
+	private _lastAt: Instant = -Infinity;
+	private readonly _spentAt: Instant[] = [];
+
+	/** Calls that this VM may send in a window under its present share. */
+	static allowed(budget: MeasuringBudget, shares: FleetShares | undefined, now: Instant): number {
+		if (shares === undefined || now < shares.measuringFrom || now >= shares.measuringUntil) {
+			return 0;
+		}
+
+		// A part of less than one call gives none: rounded up, sixteen VMs would spend sixteen calls.
+		return Math.floor((shares.measuringPart * budget.callsPerWindow) + 1e-9);
+	}
+
+	/** Time between two calls that the operator wants, never below what the budget demands. */
+	static spacing(budget: MeasuringBudget, allowed: number): Milliseconds {
+		const part = leastPart + ((1 - leastPart) * budget.tailWeight);
+		return (budget.windowMilliseconds + measuringTimeout) / allowed / part;
+	}
+
+	/**
+	 * When to look at this backend server again: not before the spacing has passed, and not while what
+	 * is known is younger than a spacing, since free knowledge makes a measuring call a waste.
+	 * Undefined while nothing may be spent.
+	 */
+	dueAt(budget: MeasuringBudget, shares: FleetShares | undefined, knownAt: Instant, now: Instant): Instant | undefined {
+		const allowed = MeasuringSchedule.allowed(budget, shares, now);
+		if (allowed === 0) {
+			return undefined;
+		}
+
+		const spacing = MeasuringSchedule.spacing(budget, allowed);
+		return Math.max(this._lastAt, knownAt) + spacing;
+	}
+
+	/** Notes a measuring call; false = the budget forbids it now, whoever asked for it. */
+	trySpend(budget: MeasuringBudget, shares: FleetShares | undefined, now: Instant): boolean {
+		const allowed = MeasuringSchedule.allowed(budget, shares, now);
+		if (allowed === 0 || now < this._lastAt + ((budget.windowMilliseconds + measuringTimeout) / allowed)) {
+			return false;
+		}
+
+		this._lastAt = now;
+		this._spentAt.push(now);
+		return true;
+	}
+
+	/** Calls sent in the window that ends now. */
+	spent(budget: MeasuringBudget, now: Instant): number {
+		while (this._spentAt.length > 0 && this._spentAt[0]! <= now - budget.windowMilliseconds) {
+			this._spentAt.shift();
+		}
+
+		return this._spentAt.length;
+	}
+}
--- /dev/null
+++ b/src/common/calls/placer.ts
@@ -0,0 +1,145 @@
+/** Chooses the backend server for an attempt. */
+import {type BackendServer} from '../model/resources.ts';
+import {type Instant} from '../model/units.ts';
+import {type BackendServerState} from './backend-server-state.ts';
+import {type Call, isBodiless} from './call.ts';
+import {type EngineContext, vmCountOf} from './engine-context.ts';
+
+/** A choice. */
+export type Placement = {
+	readonly server: BackendServerState;
+	/** The one call that a backend server in doubt gets. */
+	readonly isExperiment: boolean;
+};
+
+/** Chooses backend servers. */
+export type Placer = {
+	/** Undefined = no backend server may take this call now. */
+	place(call: Call, now: Instant): Placement | undefined;
+};
+
+/** Width of the bend between "a slot is free" and "it waits", in calls: the load is only estimated. */
+const bend = 1.5;
+
+/** Part of a new value in the estimate of local load. */
+const loadGain = 0.1;
+
+/** At least one, else a small part of a small limit would leave the backend server without calls. */
+export function connectionLimit(context: EngineContext, server: BackendServer): number {
+	return Math.max(1, Math.floor((context.shares?.connectionPart ?? 0) * server.connectionLimit));
+}
+
+/**
+ * Places by the time that the answer is expected to take: the class's mean, times the backend server's
+ * slowness and failures, and the wait for a slot. Made for loads that change within milliseconds under
+ * reports that are old: what is known fades with its age, and when nothing fresh is known all look alike
+ * and chance decides, so that many VMs with the same old news do not choose the same backend server.
+ */
+export class ExpectedTimePlacer implements Placer {
+	private readonly _context: EngineContext;
+
+	constructor(context: EngineContext) {
+		this._context = context;
+	}
+
+	place(call: Call, now: Instant): Placement | undefined {
+		const experiment = this._experiment(call, now);
+		if (experiment !== undefined) {
+			return {server: experiment, isExperiment: true};
+		}
+
+		const server = this._cheapest(call, now, true) ?? this._cheapest(call, now, false);
+		return server === undefined ? undefined : {server, isExperiment: false};
+	}
+
+	/**
+	 * A backend server in doubt gets one call at a time, and only one that can be sent again: its answer
+	 * tells whether a connection or the backend server was at fault, at the price of one call.
+	 */
+	private _experiment(call: Call, now: Instant): BackendServerState | undefined {
+		if (!call.isIdempotent || !isBodiless(call.request) || !call.request.mayRetry || call.attemptCount > 0) {
+			return undefined;
+		}
+
+		for (const server of call.serviceState.servers) {
+			const health = server.healthAt(now);
+			if ((health === 'doubted' || health === 'probing') && server.attempts.size === 0 && !server.isLeaving) {
+				return server;
+			}
+		}
+
+		return undefined;
+	}
+
+	/**
+	 * The second pass, for the case that all look bad, lets health aside: refusing everything because of
+	 * suspicions of its own would turn a common cause into an outage.
+	 */
+	private _cheapest(call: Call, now: Instant, isCareful: boolean): BackendServerState | undefined {
+		const service = call.serviceState;
+		const usual = service.usualOthers(vmCountOf(this._context));
+		const {holdMean} = service.classes.all;
+		let best: BackendServerState | undefined;
+		let least = Infinity;
+		let localLoad = 0;
+		let localCount = 0;
+		for (const server of service.servers) {
+			if (!this._mayTake(server, call, now, isCareful)) {
+				continue;
+			}
+
+			const load = server.loadAt(now, usual, holdMean);
+			const isLocal = server.declared.dataCentre === this._context.settings.dataCentre;
+			if (isLocal) {
+				localLoad += load / server.declared.slots;
+				localCount++;
+			}
+
+			const cost = this._cost(server, call, now, load) + (isLocal ? 0 : this._remoteCost(call));
+			const spread = cost * (1 + (this._context.tuning.choiceSpread * this._context.random.next()));
+			if (spread < least) {
+				least = spread;
+				best = server;
+			}
+		}
+
+		service.localLoad += ((localCount === 0 ? 1 : localLoad / localCount) - service.localLoad) * loadGain;
+		return best;
+	}
+
+	private _mayTake(server: BackendServerState, call: Call, now: Instant, isCareful: boolean): boolean {
+		if (server.isLeaving || call.failedOn.has(server) || server.attempts.size >= connectionLimit(this._context, server.declared)) {
+			return false;
+		}
+
+		// Beside a call that may crash it, an innocent one would be lost and look guilty too.
+		const isSuspect = server.suspectsInFlight > 0;
+		if (isSuspect && (isCareful || this._context.suspects.isSuspect(call.request.fingerprint))) {
+			return false;
+		}
+
+		const health = server.healthAt(now);
+		return !isCareful || health === 'active' || health === 'warming';
+	}
+
+	private _cost(server: BackendServerState, call: Call, now: Instant, load: number): number {
+		const slots = server.slotsAt(now);
+		const excess = load + 1 - slots;
+		const wait = bend * Math.log1p(Math.exp(Math.min(50, excess / bend))) * call.serviceState.classes.all.holdMean / slots;
+		const failing = 1 + (this._context.tuning.failurePenalty * server.failingAt(now));
+		return ((call.class.answerMean + wait) * server.slownessAt(now)) * failing;
+	}
+
+	/**
+	 * Local first: another data centre costs the way, and looks dearer still while local load is below the
+	 * operator's mark. Above it the reluctance shrinks with the load and not at a stroke, and each VM
+	 * goes by its own estimate, so that not all calls of a data centre move at once.
+	 */
+	private _remoteCost(call: Call): number {
+		const {overflowAt} = call.serviceState.sharing;
+		const over = (call.serviceState.localLoad - overflowAt) / Math.max(0.01, 1 - overflowAt);
+		const reluctance = 1 - Math.min(1, Math.max(0, over));
+		const {remoteMilliseconds, remoteReluctance} = this._context.tuning;
+		return remoteMilliseconds + (reluctance * remoteReluctance * call.class.answerMean);
+	}
+}
--- /dev/null
+++ b/src/common/calls/service-directory.ts
@@ -0,0 +1,249 @@
+/** The services and backend servers in force, and what is learnt of them besides calls. */
+import {type BackendServer} from '../model/resources.ts';
+import {type Instant} from '../model/units.ts';
+import {BackendServerState} from './backend-server-state.ts';
+import {CrashSuspects} from './crash-suspects.ts';
+import {type EngineContext, vmCountOf} from './engine-context.ts';
+import {MeasuringSchedule, measuringTimeout} from './measuring-schedule.ts';
+import {ServiceState} from './service-state.ts';
+import {TimerQueue} from './timer-queue.ts';
+import {
+	type BackendServerIdentity, type BackendServerStatus, type CallConfiguration, type FleetShares, type LoadNews, type LoadReport, type MeasurementId,
+} from './types.ts';
+
+/** Without a share, or with a fresh report, a backend server is looked at again after this time at most. */
+const longestLook = 1000;
+
+/** Knows services and backend servers. */
+export class ServiceDirectory {
+	private readonly _context: EngineContext;
+	private readonly _services = new Map<string, ServiceState>();
+	private readonly _servers = new Map<BackendServerIdentity, BackendServerState>();
+	private readonly _measurements = new Map<MeasurementId, BackendServerState>();
+	private readonly _looks = new TimerQueue<BackendServerState>();
+	private _version: number | undefined;
+	private _nextMeasurementId = 1;
+
+	constructor(context: EngineContext) {
+		this._context = context;
+	}
+
+	/** Configuration version in force; undefined before the first. */
+	get version(): number | undefined {
+		return this._version;
+	}
+
+	/** When a backend server has to be looked at, for measuring. */
+	get nextLook(): Instant | undefined {
+		return this._looks.earliest;
+	}
+
+	service(name: string): ServiceState | undefined {
+		return this._services.get(name);
+	}
+
+	allServices(): Iterable<ServiceState> {
+		return this._services.values();
+	}
+
+	configure(configuration: CallConfiguration, now: Instant): void {
+		// An older version never replaces a newer one, whoever brings it.
+		if (this._version !== undefined && configuration.version < this._version) {
+			return;
+		}
+
+		this._version = configuration.version;
+		this._configureServers(configuration, now);
+		for (const [name, declared] of configuration.services) {
+			const service = this._services.get(name) ?? new ServiceState(declared, this._context.tuning);
+			service.declared = declared;
+			service.sharing = configuration.sharingRules.find(rule => rule.service === name) ?? service.sharing;
+			service.setServers([...this._servers.values()].filter(server => server.declared.service === name), vmCountOf(this._context));
+			this._services.set(name, service);
+		}
+
+		for (const name of this._services.keys()) {
+			if (!configuration.services.has(name)) {
+				this._services.delete(name);
+			}
+		}
+	}
+
+	setShares(shares: FleetShares): void {
+		this._context.shares = shares;
+		for (const service of this._services.values()) {
+			service.setVmCount(vmCountOf(this._context));
+		}
+	}
+
+	takeLeaving(identity: BackendServerIdentity, instance: string | undefined, now: Instant): void {
+		this._servers.get(identity)?.takeLeaving(instance, now);
+	}
+
+	takeNews(newsList: readonly LoadNews[], now: Instant): void {
+		for (const news of newsList) {
+			const server = this._servers.get(news.identity);
+			if (server !== undefined && news.report !== undefined) {
+				this._takeReport(server, news.report, now - Math.max(0, news.ageMilliseconds), now);
+			}
+
+			if (news.crash !== undefined) {
+				this._context.suspects.accuse(news.crash, news.suspects, now);
+			}
+		}
+	}
+
+	/** Takes a report that came with an answer. */
+	takeAnswerReport(server: BackendServerState, report: LoadReport, now: Instant): void {
+		this._takeReport(server, report, now, now);
+		const others = server.reportedOthers;
+		if (others !== undefined) {
+			this._services.get(server.declared.service)?.noteOthers(others);
+		}
+	}
+
+	takeMeasurement(measurementId: MeasurementId, report: LoadReport | undefined, now: Instant): void {
+		const server = this._measurements.get(measurementId);
+		this._measurements.delete(measurementId);
+		if (server === undefined || report === undefined) {
+			return;
+		}
+
+		const service = this._services.get(server.declared.service);
+		if (service === undefined) {
+			return;
+		}
+
+		const believed = server.loadAt(now, service.usualOthers(vmCountOf(this._context)), service.classes.all.holdMean);
+		this.takeAnswerReport(server, report, now);
+		if (server.health === 'doubted') {
+			server.move('ANSWERED', now);
+		}
+
+		if (Math.abs(report.inFlight + report.queued - believed) >= this._context.tuning.newsDifference) {
+			this._tell(server, report);
+		}
+	}
+
+	/** Measures what is due, within the budget. */
+	measure(now: Instant): void {
+		for (let server = this._looks.takeDue(now); server !== undefined; server = this._looks.takeDue(now)) {
+			if (this._servers.get(server.identity) === server) {
+				this._look(server, now);
+			}
+		}
+	}
+
+	statuses(now: Instant): BackendServerStatus[] {
+		return Array.from(this._servers.values(), server => this._status(server, now));
+	}
+
+	private _configureServers(configuration: CallConfiguration, now: Instant): void {
+		for (const [identity, declared] of configuration.backendServers) {
+			const known = this._servers.get(identity);
+			if (known === undefined) {
+				const server = new BackendServerState(identity, declared, this._context.tuning, now);
+				this._servers.set(identity, server);
+				// Spread over the spacing: engines that start together must not measure together.
+				this._looks.add(now + (this._context.random.next() * longestLook), server);
+			} else {
+				redeclare(known, declared, now);
+			}
+		}
+
+		for (const identity of this._servers.keys()) {
+			if (!configuration.backendServers.has(identity)) {
+				this._servers.delete(identity);
+			}
+		}
+	}
+
+	private _takeReport(server: BackendServerState, report: LoadReport, madeAt: Instant, now: Instant): void {
+		const effect = server.takeReport(report, madeAt, now);
+		if (effect.goneInstance !== undefined) {
+			this._context.suspects.confirm(CrashSuspects.crashIdentity(server.identity, effect.goneInstance), now);
+		}
+
+		if (effect.beganToLeave) {
+			this._tell(server, report);
+		}
+	}
+
+	private _tell(server: BackendServerState, report: LoadReport): void {
+		this._context.effects.push({
+			type: 'tell-peers',
+			news: {
+				identity: server.identity, report, ageMilliseconds: 0, suspects: [], crash: undefined,
+			},
+		});
+	}
+
+	private _look(server: BackendServerState, now: Instant): void {
+		const service = this._services.get(server.declared.service);
+		const {shares} = this._context;
+		const dueAt = service === undefined ? undefined : server.schedule.dueAt(service.declared.measuring, shares, server.reportedAt, now);
+		if (service === undefined || dueAt === undefined) {
+			this._looks.add(now + longestLook, server);
+			return;
+		}
+
+		if (dueAt <= now && server.schedule.trySpend(service.declared.measuring, shares, now)) {
+			this._startMeasuring(server);
+		}
+
+		const next = server.schedule.dueAt(service.declared.measuring, shares, server.reportedAt, now) ?? now + longestLook;
+		this._looks.add(Math.max(next, now + 1), server);
+	}
+
+	private _startMeasuring(server: BackendServerState): void {
+		const measurementId = this._nextMeasurementId++;
+		this._measurements.set(measurementId, server);
+		this._context.effects.push({
+			type: 'measure',
+			measurementId,
+			identity: server.identity,
+			address: server.declared.address,
+			port: server.declared.port,
+			timeoutMilliseconds: measuringTimeout,
+		});
+	}
+
+	private _status(server: BackendServerState, now: Instant): BackendServerStatus {
+		const budget = this._services.get(server.declared.service)?.declared.measuring;
+		return {
+			identity: server.identity,
+			name: server.declared.name,
+			service: server.declared.service,
+			state: statusState(server, now),
+			inFlight: server.attempts.size,
+			reportedInFlight: server.report?.inFlight,
+			reportAgeMilliseconds: server.report === undefined ? undefined : now - server.reportedAt,
+			measuringSpent: budget === undefined ? 0 : server.schedule.spent(budget, now),
+			measuringAllowed: budget === undefined ? 0 : MeasuringSchedule.allowed(budget, this._context.shares, now),
+		};
+	}
+}
+
+/** A changed declaration; an order to leave that is taken back makes it a returned one. */
+function redeclare(server: BackendServerState, declared: BackendServer, now: Instant): void {
+	const hasReturned = server.declared.isLeaving && !declared.isLeaving;
+	server.declared = declared;
+	if (declared.isLeaving) {
+		server.move('LEAVE', now);
+	} else if (hasReturned) {
+		server.move('RETURN', now);
+	}
+}
+
+function statusState(server: BackendServerState, now: Instant): BackendServerStatus['state'] {
+	const health = server.healthAt(now);
+	if (server.isLeaving) {
+		return 'leaving';
+	}
+
+	if (health === 'doubted') {
+		return 'active';
+	}
+
+	return health === 'probing' ? 'ejected' : health;
+}
--- /dev/null
+++ b/src/common/calls/service-state.ts
@@ -0,0 +1,101 @@
+/** What this VM keeps of one service. */
+import {type Service, type SharingRule} from '../model/resources.ts';
+import {type Instant} from '../model/units.ts';
+import {type BackendServerState} from './backend-server-state.ts';
+import {CallClasses} from './call-classes.ts';
+import {ArrivalOrderQueue, type CallQueue, FairCallQueue} from './caller-queue.ts';
+import {AdaptiveConcurrencyLimit, type ConcurrencyLimit} from './concurrency-limit.ts';
+import {RetryBudget} from './retry-budget.ts';
+import {type CallTuning} from './tuning.ts';
+
+/** Answer time assumed before the first answer. */
+const firstGuess = 20;
+
+/** Part of a new sample in means over all of a service's calls. */
+const meanGain = 0.02;
+
+/** Sharing where the operator has declared no rule. */
+const defaultSharing = {callerShare: 0.5, overflowAt: 0.8};
+
+/** State of one service. */
+export class ServiceState {
+	declared: Service;
+	sharing: Pick<SharingRule, 'callerShare' | 'overflowAt'> = defaultSharing;
+	servers: BackendServerState[] = [];
+	readonly classes = new CallClasses(firstGuess);
+	readonly retryBudget = new RetryBudget();
+	readonly limit: ConcurrencyLimit;
+	readonly queue: CallQueue;
+	/** Attempts in flight. */
+	inFlight = 0;
+	/** Since when calls have been waiting without a break; undefined while none waits. */
+	standingSince: Instant | undefined;
+	/** Part of the local slots believed to be in use: what overflow to other data centres goes by. */
+	localLoad = 0;
+	private readonly _callersInFlight = new Map<string, number>();
+	private _othersMean: number | undefined;
+	private _failing = 0;
+
+	constructor(declared: Service, tuning: CallTuning) {
+		this.declared = declared;
+		this.limit = new AdaptiveConcurrencyLimit(tuning.queuedPerSlot);
+		this.queue = tuning.isFair ? new FairCallQueue() : new ArrivalOrderQueue();
+	}
+
+	/** Failing part of all its latest calls. */
+	get failing(): number {
+		return this._failing;
+	}
+
+	/** Takes the backend servers that are in force. */
+	setServers(servers: BackendServerState[], vmCount: number): void {
+		this.servers = servers;
+		this.setVmCount(vmCount);
+	}
+
+	setVmCount(vmCount: number): void {
+		let slots = 0;
+		for (const server of this.servers) {
+			slots += server.isLeaving ? 0 : server.declared.slots;
+		}
+
+		this.limit.setBounds({slots, vmCount});
+	}
+
+	/** Calls of other VMs that a backend server usually has: from reports, else as many as own calls suggest. */
+	usualOthers(vmCount: number): number {
+		return this._othersMean ?? (this.inFlight / Math.max(1, this.servers.length)) * (vmCount - 1);
+	}
+
+	noteOthers(others: number): void {
+		this._othersMean = this._othersMean === undefined ? others : this._othersMean + ((others - this._othersMean) * meanGain);
+	}
+
+	noteAnswer(hasFailed: boolean): void {
+		this._failing += ((hasFailed ? 1 : 0) - this._failing) * meanGain;
+	}
+
+	callerInFlight(caller: string): number {
+		return this._callersInFlight.get(caller) ?? 0;
+	}
+
+	noteStarted(caller: string): void {
+		this.inFlight++;
+		this._callersInFlight.set(caller, this.callerInFlight(caller) + 1);
+	}
+
+	noteEnded(caller: string): void {
+		this.inFlight--;
+		const left = this.callerInFlight(caller) - 1;
+		if (left <= 0) {
+			this._callersInFlight.delete(caller);
+		} else {
+			this._callersInFlight.set(caller, left);
+		}
+	}
+
+	/** Time that `ahead` calls take to start when one starts with each that ends. */
+	waitFor(ahead: number): number {
+		return ahead * this.classes.all.holdMean / Math.max(1, Math.min(this.limit.value, this.inFlight));
+	}
+}
--- a/src/common/calls/timer-queue.ts
+++ b/src/common/calls/timer-queue.ts
@@ -52,6 +52,13 @@
 		return first.value;
 	}
 
+	/** Takes out values from the front that no longer mean anything, so that nobody wakes up for them. */
+	dropWhile(isDead: (value: T) => boolean): void {
+		for (let first = this._heap[0]; first !== undefined && isDead(first.value); first = this._heap[0]) {
+			this.takeDue(first.at);
+		}
+	}
+
 	private _sinkFromTop(entry: Entry<T>): void {
 		const heap = this._heap;
 		let index = 0;
--- /dev/null
+++ b/src/common/calls/tuning.ts
@@ -0,0 +1,82 @@
+/**
+ * Numbers that the decisions use and no resource declares. Each names the load that it is made for and
+ * the reason for its limit; the figures with and without each mechanism are in docs/design/placing.md.
+ */
+import {type Milliseconds} from '../model/units.ts';
+
+/** The numbers; a benchmark sets single ones to a neutral value to show what a mechanism brings. */
+export type CallTuning = {
+	/**
+	 * How long a backend server's slowness is remembered once nothing more is heard of it. Longer keeps
+	 * calls away from one that has recovered; shorter sends more calls to learn that it has not.
+	 */
+	readonly slownessMemoryMilliseconds: Milliseconds;
+	/** The same for its failures. */
+	readonly failureMemoryMilliseconds: Milliseconds;
+	/** Times longer that a wholly failing backend server looks, so that answering fast does not attract calls. */
+	readonly failurePenalty: number;
+	/** Factor on how long a report is trusted, in mean answer times: what it counted has left by then. 0 = never. */
+	readonly reportTrust: number;
+	/** An attempt still unanswered after this many mean answer times says that its backend server is slow. */
+	readonly overdueFactor: number;
+	/** Random spread of a choice's cost, so that VMs with the same news do not all choose the same. */
+	readonly choiceSpread: number;
+	/** What a call to another data centre costs at least: a way there and back. */
+	readonly remoteMilliseconds: Milliseconds;
+	/** While local load is low, a remote backend server looks longer by this part of the answer time. */
+	readonly remoteReluctance: number;
+	/** A new or returned backend server gets its full part only after this time: caches are cold. 0 = at once. */
+	readonly warmingMilliseconds: Milliseconds;
+	/** Part of its calls that a new backend server gets at first, or it would never warm up. */
+	readonly warmingStart: number;
+	/** Failures in a row after which a backend server is ejected: two may be chance. Infinity = never. */
+	readonly failuresToEject: number;
+	/** First time out of a backend server; doubles with each failed probe. */
+	readonly ejectionMilliseconds: Milliseconds;
+	/** Longest time out: an ejected backend server is tried this often at least. */
+	readonly longestEjectionMilliseconds: Milliseconds;
+	/** Most of a service's backend servers out at once: the rest has to carry the load. */
+	readonly ejectablePart: number;
+	/** Failing part of all a service's calls from which on the cause is taken to be common: nobody is ejected. */
+	readonly commonFailurePart: number;
+	/** Quantile of the answer time after which an idempotent read is tried a second time. 1 = never. */
+	readonly hedgeQuantile: number;
+	/** Queued calls a slot at the backend servers that the concurrency limit aims at. Infinity = no limit. */
+	readonly queuedPerSlot: number;
+	/** A queue that has stood this long is no burst: from then on only short waits are accepted. */
+	readonly standingMilliseconds: Milliseconds;
+	/** Part of its remaining time that a call may wait in a standing queue. */
+	readonly standingWaitPart: number;
+	/** Calls queued by turns of callers; false = in order of arrival. */
+	readonly isFair: boolean;
+	/** Difference in calls between what a report says and what was believed, from which on peers are told. */
+	readonly newsDifference: number;
+	/** How long a fingerprint stays suspected or quarantined: a repaired backend server must get it again. */
+	readonly suspicionMilliseconds: Milliseconds;
+};
+
+/** Defaults, chosen by the benchmark `policy`. */
+export const defaultTuning: CallTuning = {
+	slownessMemoryMilliseconds: 1500,
+	failureMemoryMilliseconds: 3000,
+	failurePenalty: 30,
+	reportTrust: 1,
+	overdueFactor: 1.5,
+	choiceSpread: 0.05,
+	remoteMilliseconds: 2,
+	remoteReluctance: 0.5,
+	warmingMilliseconds: 5000,
+	warmingStart: 0.1,
+	failuresToEject: 3,
+	ejectionMilliseconds: 1000,
+	longestEjectionMilliseconds: 30_000,
+	ejectablePart: 0.3,
+	commonFailurePart: 0.5,
+	hedgeQuantile: 0.95,
+	queuedPerSlot: 0.4,
+	standingMilliseconds: 400,
+	standingWaitPart: 0.25,
+	isFair: true,
+	newsDifference: 3,
+	suspicionMilliseconds: 600_000,
+};
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -113,6 +113,8 @@
 	 * old. While it lasts only idempotent calls are placed; others are refused as not run (`not-ready`).
 	 */
 		| {readonly type: 'cut-off'; readonly isCutOff: boolean}
+	/** An operator lets a quarantined call run again. */
+		| {readonly type: 'quarantine-lifted'; readonly fingerprint: string}
 	/** The time asked for by `nextWakeUp` has come. */
 		| {readonly type: 'tick'};
 
@@ -224,6 +226,8 @@
 		readonly timeoutMilliseconds: Milliseconds;
 	}
 	| {readonly type: 'claim-key'; readonly callId: CallId; readonly service: string; readonly key: string}
+	/** The call did not run after its key was claimed: the key is free for the caller's next sending. */
+	| {readonly type: 'release-key'; readonly service: string; readonly key: string}
 	/** Worth telling peers soon. */
 	| {readonly type: 'tell-peers'; readonly news: LoadNews}
 	/** One call has ended, for metrics, burn and logs. */
