Trust reports as far as they prove right; let short rushes through

Change: a regression of answer times on the reported load sets the trust; own calls in flight count as a sample of what other VMs placed; the limit rests at four even parts and closes only when congestion outlasts 100 ms; a hedge's loser teaches its backend server's slowness; load counts from 0.4 of the slots on.

--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -5,7 +5,7 @@
 	type Attempt, type AttemptPurpose, type Call, isBodiless, outcomeSoFar,
 } from './call.ts';
 import {type CallEndings} from './call-endings.ts';
-import {type EngineContext} from './engine-context.ts';
+import {type EngineContext, vmCountOf} from './engine-context.ts';
 import {type HealthJudge} from './health-judge.ts';
 import {type Placement, type Placer, connectionLimit} from './placer.ts';
 import {
@@ -147,7 +147,7 @@
 			return;
 		}
 
-		this._passOn(attempt, event, hasFailed ? 'unknown' : 'ran');
+		this._passOn(attempt, event, hasFailed ? 'unknown' : 'ran', now);
 	}
 
 	onDone(attempt: Attempt, now: Instant): void {
@@ -182,7 +182,7 @@
 	hedge(attempt: Attempt, now: Instant): void {
 		const {call} = attempt;
 		const service = call.serviceState;
-		const hasRoom = service.queue.size === 0 && service.inFlight < service.limit.value;
+		const hasRoom = service.queue.size === 0 && !service.limit.isCongested && service.inFlight < service.limit.value;
 		if (hasRoom && call.attempts.size === 1 && !this._isQuarantined(call, now) && service.retryBudget.isOpen) {
 			call.failedOn.add(attempt.server);
 			if (this.start(call, 'hedge', now)) {
@@ -200,6 +200,7 @@
 			server,
 			purpose,
 			startedAt: now,
+			signal: server.signalAt(now, call.serviceState.usualOthers(vmCountOf(this._context)), call.serviceState.classes.all.holdMean),
 			instance: server.report?.instance,
 			isExperiment,
 			isSuspect,
@@ -246,19 +247,23 @@
 
 		const time = now - attempt.startedAt;
 		server.onAnswer(time, call.class.answerMean, now);
+		if (server.report !== undefined) {
+			call.serviceState.reportTrust.add(attempt.signal, time / Math.max(0.01, call.class.answerMean));
+		}
+
 		call.class.addAnswer(time);
 		call.serviceState.classes.all.addAnswer(time);
 		const {answerMean} = call.class;
 		call.serviceState.limit.onAnswer({
 			inFlight: call.serviceState.inFlight,
 			queuedPerSlot: report === undefined ? Math.max(0, (time / Math.max(0.01, answerMean)) - 1) / 2 : report.queued / report.slots,
-		});
+		}, now);
 	}
 
-	private _passOn(attempt: Attempt, event: HeadEvent, outcome: CallOutcome): void {
+	private _passOn(attempt: Attempt, event: HeadEvent, outcome: CallOutcome, now: Instant): void {
 		const {call} = attempt;
 		attempt.hasHead = true;
-		this._health.beforeCancel(call, attempt);
+		this._health.beforeCancel(call, attempt, now);
 		this._end().cancelAttempts(call, attempt);
 		call.state = 'answering';
 		call.answering = {
--- a/src/common/calls/backend-server-state.ts
+++ b/src/common/calls/backend-server-state.ts
@@ -54,11 +54,12 @@
 	private _ejections = 0;
 	private _ejectedUntil: Instant = 0;
 
-	constructor(identity: BackendServerIdentity, declared: BackendServer, tuning: CallTuning, now: Instant) {
+	/** `isKnown` = it was there before this VM began to serve, so that it is not cold for being new here. */
+	constructor(identity: BackendServerIdentity, declared: BackendServer, tuning: CallTuning, start: {readonly now: Instant; readonly isKnown: boolean}) {
 		this.identity = identity;
 		this.declared = declared;
 		this._tuning = tuning;
-		this._healthSince = now;
+		this._healthSince = start.isKnown ? -Infinity : start.now;
 	}
 
 	get health(): Health {
@@ -107,20 +108,26 @@
 	}
 
 	/**
-	 * Calls believed to be there. Own ones are certain. Those of other VMs come from the latest report,
-	 * which fades into the service's usual number: after a mean answer time most of what it counted
-	 * has left, and only chance would make a choice by it right.
+	 * Calls of other VMs there beyond the usual number, by the latest report. It fades into the usual:
+	 * after a mean answer time most of what it counted has left, and only chance would make a choice by
+	 * it right.
 	 */
-	loadAt(now: Instant, usual: number, holdMean: Milliseconds): number {
-		const own = this.attempts.size;
+	signalAt(now: Instant, usual: number, holdMean: Milliseconds): number {
 		if (this.report === undefined || this._tuning.reportTrust === 0) {
-			return own + usual;
+			return 0;
 		}
 
-		const counted = this.report.inFlight + this.report.queued;
+		const others = Math.max(0, this.report.inFlight + this.report.queued - this._ownAtReport);
 		const lifetime = this._tuning.reportTrust * holdMean * (1 + (this.report.queued / this.report.slots));
-		const trust = Math.exp((this.reportedAt - now) / lifetime);
-		return own + (trust * Math.max(0, counted - this._ownAtReport)) + ((1 - trust) * usual);
+		return (others - usual) * Math.exp((this.reportedAt - now) / lifetime);
+	}
+
+	/** An attempt was given up unanswered: it would have taken at least this long. */
+	onGivenUp(time: Milliseconds, classMean: Milliseconds, now: Instant): void {
+		const ratio = time / Math.max(classMean, 0.01);
+		if (ratio > this._rememberedSlowness(now)) {
+			this._noteRatio(ratio, now);
+		}
 	}
 
 	/** Calls of other VMs that the latest report counted. */
@@ -129,10 +136,7 @@
 	}
 
 	onAnswer(time: Milliseconds, classMean: Milliseconds, now: Instant): void {
-		const ratio = time / Math.max(classMean, 0.01);
-		const before = this._rememberedSlowness(now);
-		this._slowness = before + ((ratio - before) * slownessGain);
-		this._slownessAt = now;
+		this._noteRatio(time / Math.max(classMean, 0.01), now);
 		this.lastAnswerAt = now;
 		this._noteFailure(0, now);
 		this._failuresInRow = 0;
@@ -216,6 +220,12 @@
 		this.move('RETURN', now);
 	}
 
+	private _noteRatio(ratio: number, now: Instant): void {
+		const before = this._rememberedSlowness(now);
+		this._slowness = before + ((ratio - before) * slownessGain);
+		this._slownessAt = now;
+	}
+
 	private _rememberedSlowness(now: Instant): number {
 		return 1 + ((this._slowness - 1) * Math.exp((this._slownessAt - now) / this._tuning.slownessMemoryMilliseconds));
 	}
--- a/src/common/calls/call.ts
+++ b/src/common/calls/call.ts
@@ -19,6 +19,8 @@
 	readonly server: BackendServerState;
 	readonly purpose: AttemptPurpose;
 	readonly startedAt: Instant;
+	/** Calls more than usual that were reported there when it was chosen. */
+	readonly signal: number;
 	/** Process of the backend server as known at the start: the crash it may die in. */
 	readonly instance: string | undefined;
 	/** The one call that a backend server in doubt gets. */
--- a/src/common/calls/concurrency-limit.ts
+++ b/src/common/calls/concurrency-limit.ts
@@ -1,4 +1,5 @@
 /** How many attempts of one service this VM keeps at backend servers at once. */
+import {type Instant, type Milliseconds} from '../model/units.ts';
 
 /** Signs of congestion and calls in flight as an answer comes in. */
 export type LimitSample = {
@@ -18,33 +19,51 @@
 /** Decides how many attempts may be in flight. */
 export type ConcurrencyLimit = {
 	readonly value: number;
+	/** Calls are waiting at backend servers for longer than chance makes them. */
+	readonly isCongested: boolean;
 	setBounds(bounds: LimitBounds): void;
-	onAnswer(sample: LimitSample): void;
+	onAnswer(sample: LimitSample, now: Instant): void;
 	/** A backend server has shed an attempt. */
 	onShed(): void;
 };
 
-/** Part of the limit that must be in use before it grows: an idle service must not drift upwards. */
+/** Part of the limit that must be in use before it grows beyond its resting value. */
 const usedPart = 0.8;
 
 /** Largest part that one answer takes off the limit: one slow backend server must not close it. */
-const largestCut = 0.02;
+const largestCut = 0.01;
 
-/** The limit starts at this many times the VM's even part of the slots: a VM may get more than its part. */
-const startFactor = 1.5;
+/** In calm the limit rests at this many times the VM's even part of the slots: callers' choice of VMs is uneven. */
+const restFactor = 4;
+
+/** How fast it comes back to rest, for each answer without congestion. */
+const recovery = 0.25;
+
+/** Part of a new answer in the mean queue: one backend server's empty queue is no end of congestion. */
+const smoothing = 0.05;
+
+/** Congestion shorter than this is a rush: it is over before its queue costs a caller its deadline. */
+const rushMilliseconds: Milliseconds = 100;
+
+/** Queued calls a slot that a rush may bring: three answer times of waiting. */
+const rushTarget = 3;
 
 /**
  * Additive increase, multiplicative decrease on the queue that answers report. Made for a load above
  * capacity: calls that wait at backend servers cannot be refused, reordered or moved any more, and work
- * whose caller has gone fills the slots. VMs that share backend servers come to fair parts without
- * talking, since all see the same queues and the larger one gives up more.
+ * whose caller has gone fills the slots. A rush is let through up to a point, since calls held back on
+ * one VM cannot use the slots that another VM's calls leave free. VMs that share backend servers come to
+ * fair parts without talking: all see the same queues, and the larger one gives up more.
  */
 export class AdaptiveConcurrencyLimit implements ConcurrencyLimit {
 	private readonly _target: number;
 	private _value = 1;
 	private _least = 1;
+	private _rest = 1;
 	private _most = Infinity;
 	private _hasBounds = false;
+	private _smoothed = 0;
+	private _congestedSince: Instant | undefined;
 
 	/** `target` = queued calls a slot that are aimed at; enough to keep slots busy between two answers. */
 	constructor(target: number) {
@@ -55,27 +74,33 @@
 		return this._target === Infinity ? Infinity : this._value;
 	}
 
+	get isCongested(): boolean {
+		return this._congestedSince !== undefined;
+	}
+
 	setBounds(bounds: LimitBounds): void {
 		const even = bounds.slots / Math.max(1, bounds.vmCount);
 		this._least = Math.max(1, even / 4);
+		this._rest = Math.max(1, restFactor * even);
 		// One VM may come to carry a whole service; more than all slots and as many queued is never of use.
-		this._most = Math.max(1, 2 * bounds.slots);
+		this._most = Math.max(this._rest, 2 * bounds.slots);
 		if (!this._hasBounds) {
-			this._value = startFactor * even;
+			this._value = this._rest;
 			this._hasBounds = true;
 		}
 
 		this._clamp();
 	}
 
-	onAnswer(sample: LimitSample): void {
-		const excess = sample.queuedPerSlot - this._target;
+	onAnswer(sample: LimitSample, now: Instant): void {
+		this._smoothed += (sample.queuedPerSlot - this._smoothed) * smoothing;
+		const excess = sample.queuedPerSlot - this._targetAt(now);
 		if (excess > 0) {
 			this._value *= 1 - (largestCut * Math.min(1, excess));
+		} else if (this._value < this._rest) {
+			this._value += this._smoothed < this._target / 2 ? recovery : 1 / this._value;
 		} else if (sample.inFlight >= usedPart * this._value) {
-			// With empty queues it doubles in the time of a few answers, near the target it feels its way.
-			const room = -excess / this._target;
-			this._value += room > 0.9 ? 0.25 : 1 / this._value;
+			this._value += 1 / this._value;
 		}
 
 		this._clamp();
@@ -86,6 +111,16 @@
 		this._clamp();
 	}
 
+	private _targetAt(now: Instant): number {
+		if (this._smoothed <= this._target / 2) {
+			this._congestedSince = undefined;
+			return this._target;
+		}
+
+		this._congestedSince ??= now;
+		return now - this._congestedSince < rushMilliseconds ? Math.max(rushTarget, this._target) : this._target;
+	}
+
 	private _clamp(): void {
 		this._value = Math.min(this._most, Math.max(this._least, this._value));
 	}
--- a/src/common/calls/health-judge.ts
+++ b/src/common/calls/health-judge.ts
@@ -48,10 +48,10 @@
 	}
 
 	/** Attempts that lost against another one may have been silent. */
-	beforeCancel(call: Call, winner: Attempt): void {
+	beforeCancel(call: Call, winner: Attempt, now: Instant): void {
 		for (const attempt of call.attempts) {
 			if (attempt !== winner) {
-				this.onGivenUp(attempt, winner.server.lastAnswerAt);
+				this.onGivenUp(attempt, now);
 			}
 		}
 	}
@@ -59,7 +59,12 @@
 	/** An attempt is given up without an answer: at its deadline, or because another one was faster. */
 	onGivenUp(attempt: Attempt, now: Instant): void {
 		const waited = now - attempt.startedAt;
-		if (attempt.isSent && !attempt.hasHead && waited > silentFactor * attempt.call.class.answerMean) {
+		if (!attempt.isSent || attempt.hasHead) {
+			return;
+		}
+
+		attempt.server.onGivenUp(waited, attempt.call.class.answerMean, now);
+		if (waited > silentFactor * attempt.call.class.answerMean) {
 			this._onSilence(attempt, now);
 		}
 	}
--- a/src/common/calls/placer.ts
+++ b/src/common/calls/placer.ts
@@ -77,8 +77,7 @@
 	 */
 	private _cheapest(call: Call, now: Instant, isCareful: boolean): BackendServerState | undefined {
 		const service = call.serviceState;
-		const usual = service.usualOthers(vmCountOf(this._context));
-		const {holdMean} = service.classes.all;
+		const vmCount = vmCountOf(this._context);
 		let best: BackendServerState | undefined;
 		let least = Infinity;
 		let localLoad = 0;
@@ -88,7 +87,7 @@
 				continue;
 			}
 
-			const load = server.loadAt(now, usual, holdMean);
+			const load = service.loadOf(server, vmCount, now);
 			const isLocal = server.declared.dataCentre === this._context.settings.dataCentre;
 			if (isLocal) {
 				localLoad += load / server.declared.slots;
@@ -123,7 +122,7 @@
 	}
 
 	private _cost(server: BackendServerState, call: Call, now: Instant, load: number): number {
-		const slots = server.slotsAt(now);
+		const slots = server.slotsAt(now) * this._context.tuning.comfortablePart;
 		const excess = load + 1 - slots;
 		const wait = bend * Math.log1p(Math.exp(Math.min(50, excess / bend))) * call.serviceState.classes.all.holdMean / slots;
 		const failing = 1 + (this._context.tuning.failurePenalty * server.failingAt(now));
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -52,8 +52,9 @@
 			return;
 		}
 
+		const isFirst = this._version === undefined;
 		this._version = configuration.version;
-		this._configureServers(configuration, now);
+		this._configureServers(configuration, now, isFirst);
 		for (const [name, declared] of configuration.services) {
 			const service = this._services.get(name) ?? new ServiceState(declared, this._context.tuning);
 			service.declared = declared;
@@ -114,7 +115,7 @@
 			return;
 		}
 
-		const believed = server.loadAt(now, service.usualOthers(vmCountOf(this._context)), service.classes.all.holdMean);
+		const believed = service.loadOf(server, vmCountOf(this._context), now);
 		this.takeAnswerReport(server, report, now);
 		if (server.health === 'doubted') {
 			server.move('ANSWERED', now);
@@ -138,11 +139,11 @@
 		return Array.from(this._servers.values(), server => this._status(server, now));
 	}
 
-	private _configureServers(configuration: CallConfiguration, now: Instant): void {
+	private _configureServers(configuration: CallConfiguration, now: Instant, isFirst: boolean): void {
 		for (const [identity, declared] of configuration.backendServers) {
 			const known = this._servers.get(identity);
 			if (known === undefined) {
-				const server = new BackendServerState(identity, declared, this._context.tuning, now);
+				const server = new BackendServerState(identity, declared, this._context.tuning, {now, isKnown: isFirst});
 				this._servers.set(identity, server);
 				// Spread over the spacing: engines that start together must not measure together.
 				this._looks.add(now + (this._context.random.next() * longestLook), server);
--- a/src/common/calls/service-state.ts
+++ b/src/common/calls/service-state.ts
@@ -5,6 +5,7 @@
 import {CallClasses} from './call-classes.ts';
 import {ArrivalOrderQueue, type CallQueue, FairCallQueue} from './caller-queue.ts';
 import {AdaptiveConcurrencyLimit, type ConcurrencyLimit} from './concurrency-limit.ts';
+import {ReportTrust} from './report-trust.ts';
 import {RetryBudget} from './retry-budget.ts';
 import {type CallTuning} from './tuning.ts';
 
@@ -23,6 +24,7 @@
 	sharing: Pick<SharingRule, 'callerShare' | 'overflowAt'> = defaultSharing;
 	servers: BackendServerState[] = [];
 	readonly classes = new CallClasses(firstGuess);
+	readonly reportTrust = new ReportTrust();
 	readonly retryBudget = new RetryBudget();
 	readonly limit: ConcurrencyLimit;
 	readonly queue: CallQueue;
@@ -35,9 +37,11 @@
 	private readonly _callersInFlight = new Map<string, number>();
 	private _othersMean: number | undefined;
 	private _failing = 0;
+	private readonly _tuning: CallTuning;
 
 	constructor(declared: Service, tuning: CallTuning) {
 		this.declared = declared;
+		this._tuning = tuning;
 		this.limit = new AdaptiveConcurrencyLimit(tuning.queuedPerSlot);
 		this.queue = tuning.isFair ? new FairCallQueue() : new ArrivalOrderQueue();
 	}
@@ -67,6 +71,15 @@
 		return this._othersMean ?? (this.inFlight / Math.max(1, this.servers.length)) * (vmCount - 1);
 	}
 
+	/**
+	 * Calls believed to be at a backend server: own ones are certain, those of other VMs are the usual
+	 * number and, as far as reports are trusted, what the latest one said beyond it.
+	 */
+	loadOf(server: BackendServerState, vmCount: number, now: Instant): number {
+		const usual = this.usualOthers(vmCount);
+		return (server.attempts.size * (1 + (this._tuning.ownAsSample * (vmCount - 1)))) + usual + (this.reportTrust.value * server.signalAt(now, usual, this.classes.all.holdMean));
+	}
+
 	noteOthers(others: number): void {
 		this._othersMean = this._othersMean === undefined ? others : this._othersMean + ((others - this._othersMean) * meanGain);
 	}
--- a/src/common/calls/tuning.ts
+++ b/src/common/calls/tuning.ts
@@ -17,6 +17,16 @@
 	readonly failurePenalty: number;
 	/** Factor on how long a report is trusted, in mean answer times: what it counted has left by then. 0 = never. */
 	readonly reportTrust: number;
+	/**
+	 * Part of a backend server's slots up to which its load costs little. Below 1, since the load is an
+	 * estimate and other VMs are placing calls by the same one.
+	 */
+	readonly comfortablePart: number;
+	/**
+	 * How far own calls in flight are taken as a sample of other VMs' calls: those go by similar news and
+	 * will have chosen likewise. 0 = not at all, 1 = all VMs have sent as many.
+	 */
+	readonly ownAsSample: number;
 	/** An attempt still unanswered after this many mean answer times says that its backend server is slow. */
 	readonly overdueFactor: number;
 	/** Random spread of a choice's cost, so that VMs with the same news do not all choose the same. */
@@ -61,10 +71,12 @@
 	failureMemoryMilliseconds: 3000,
 	failurePenalty: 30,
 	reportTrust: 1,
+	comfortablePart: 0.4,
+	ownAsSample: 0.25,
 	overdueFactor: 1.5,
 	choiceSpread: 0.05,
 	remoteMilliseconds: 2,
-	remoteReluctance: 0.5,
+	remoteReluctance: 0.3,
 	warmingMilliseconds: 5000,
 	warmingStart: 0.1,
 	failuresToEject: 3,
