Read a daemon's settings from TOML and tell every fault at once

A daemon needs its addresses, data centre and limits before it can do anything, and an operator who learns of one fault per restart pays for each with a rollout.

The zod schema is the only description: types and defaults come from it, and every issue becomes a failure with the key path, what was found and what is allowed; mistyped keys get a suggestion, tokens are never shown. Ruled out: printing zod's own messages (they name regular expressions and leave out what was found).

The pattern of names in the resource schema did not compile on Node 20 (a bare dash in a class under the v flag): escaped, and addresses are now checked as real IP numbers.

--- a/src/common/model/resources.ts
+++ b/src/common/model/resources.ts
@@ -5,7 +5,10 @@
 import {z} from 'zod';
 
 /** A name: lower-case letters, digits and dashes, 1 to 63 characters (RFC 1123 label). */
-export const nameSchema = z.string().regex(/^[a-z\d](?:[a-z\d-]{0,61}[a-z\d])?$/v);
+export const nameSchema = z.string().regex(
+	/^[a-z\d](?:[a-z\d\-]{0,61}[a-z\d])?$/v,
+	'1 to 63 lower-case letters, digits and dashes, no dash at either end',
+);
 
 /** Measuring: what the operator allows to be spent on each backend server by the whole fleet. */
 export const measuringSchema = z.strictObject({
@@ -52,7 +55,7 @@
 	name: nameSchema,
 	service: nameSchema,
 	/** IP number and port. */
-	address: z.string().regex(/^(?:\d{1,3}\.){3}\d{1,3}$|^[\da-f:]+$/v),
+	address: z.union([z.ipv4(), z.ipv6()], 'an IP number such as 10.0.0.1 or fd00::1'),
 	port: z.int().min(1).max(65_535),
 	dataCentre: nameSchema,
 	/** Calls that it runs at once. */
--- /dev/null
+++ b/src/node/settings/load-settings.test.ts
@@ -0,0 +1,102 @@
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {expect} from 'earl';
+import {describeFailure} from '../../common/errors/failure.ts';
+import {loadSettings, loadTokens} from './load-settings.ts';
+
+const validTokens = '[[operator]]\nname = "hanna"\nrole = "write"\ntoken = "0123456789-0123456789"\n';
+
+const shortest = `
+[vm]
+name = "vm-1"
+dataCentre = "gdansk-1"
+region = "gdansk"
+address = "10.0.0.1"
+[callers]
+port = 7001
+[operators]
+port = 7002
+tokensFile = "tokens.toml"
+[peers]
+port = 7003
+plain = true
+[platform]
+url = "http://10.0.0.9:7000"
+`;
+
+describe('loading settings', () => {
+	let folder: string;
+
+	beforeEach(() => {
+		folder = mkdtempSync(join(tmpdir(), 'jaydale-settings-'));
+		writeFileSync(join(folder, 'tokens.toml'), validTokens);
+	});
+
+	afterEach(() => {
+		rmSync(folder, {recursive: true});
+	});
+
+	function faults(text: string): string[] {
+		const path = join(folder, 'vm.toml');
+		writeFileSync(path, text);
+		return loadSettings(path).match(() => [], failures => failures.map(value => describeFailure(value).replaceAll(folder, 'FOLDER')));
+	}
+
+	it('fills in every default', function () {
+		const path = join(folder, 'vm.toml');
+		writeFileSync(path, shortest);
+		const settings = loadSettings(path)._unsafeUnwrap();
+		expect(JSON.stringify(settings, undefined, '\t').replaceAll(folder, 'FOLDER')).toMatchSnapshot(this);
+	});
+
+	// An operator fixes one fault, restarts, meets the next, and so on through a rollout.
+	// Cause: a check that ends at its first finding.
+	it('tells every fault at once, with place, finding and what is allowed', function () {
+		expect(faults(`
+[vm]
+name = "VM 1"
+datacentre = "gdansk-1"
+region = "gdansk"
+address = "localhost"
+[callers]
+port = 70010
+[operators]
+port = "7002"
+tokensFile = ""
+[peers]
+port = 7003
+seeds = ["10.0.0.2:7003", "vm-2:7003"]
+[platform]
+url = "ftp://10.0.0.9"
+[log]
+level = "loud"
+[metrics]
+enabled = 1
+[answer]
+keepForMilliseconds = 1
+`)).toMatchSnapshot(this);
+	});
+
+	it('names line and column of a fault in syntax', function () {
+		expect(faults('[vm]\nname = "vm-1\n')).toMatchSnapshot(this);
+	});
+
+	it('finds lacking files before the daemon starts', function () {
+		const text = shortest.replace('plain = true', '[peers.tls]\ncertificateFile = "a.pem"\nkeyFile = "tokens.toml"\nauthorityFile = "c.pem"')
+			.replace('"tokens.toml"', '"none.toml"');
+		expect(faults(text)).toMatchSnapshot(this);
+	});
+
+	// A mistyped tokens file is printed with its secret to a terminal or a log that others read.
+	// Cause: messages that show what was found.
+	it('never shows a token', function () {
+		const path = join(folder, 'tokens.toml');
+		writeFileSync(path, `${validTokens}${validTokens}[[operator]]\nname = "x"\nrole = "admin"\ntoken = "hunter2"\n`);
+		const first = loadTokens(path)._unsafeUnwrapErr().map(value => describeFailure(value));
+		writeFileSync(path, `${validTokens}${validTokens}`);
+		const second = loadTokens(path)._unsafeUnwrapErr().map(value => describeFailure(value));
+		expect([...first, ...second]).toMatchSnapshot(this);
+		expect(first.join('\n').includes('hunter2')).toEqual(false);
+	});
+});
