--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -103,12 +103,12 @@
 	/** What peers have learnt. */
 		| {readonly type: 'peer-news'; readonly news: readonly LoadNews[]}
 	/** A backend server has begun to leave, as any VM noticed: this process of it gets no new work. */
-	| {readonly type: 'backend-server-leaving'; readonly identity: BackendServerIdentity; readonly instance: string | undefined}
+		| {readonly type: 'backend-server-leaving'; readonly identity: BackendServerIdentity; readonly instance: string | undefined}
 	/**
 	 * This VM hears neither from the platform's service nor from any other VM, so its configuration may be
 	 * old. While it lasts only idempotent calls are placed; others are refused as not run (`not-ready`).
 	 */
-	| {readonly type: 'cut-off'; readonly isCutOff: boolean}
+		| {readonly type: 'cut-off'; readonly isCutOff: boolean}
 	/** The time asked for by `nextWakeUp` has come. */
 		| {readonly type: 'tick'};
 
--- /dev/null
+++ b/src/daemon/identity.ts
@@ -0,0 +1,30 @@
+/** Fresh identities and digests of one process. */
+import {randomBytes} from 'node:crypto';
+import xxhash from 'xxhash-wasm';
+
+const identityBytes = 16;
+
+/** 128 random bits in base64url: never made twice, so it tells a process or resource from its successor. */
+export function freshIdentity(): string {
+	return randomBytes(identityBytes).toString('base64url');
+}
+
+/** Hash functions of the process; the library sets itself up asynchronously. */
+export type Hashes = {
+	readonly hash32: (text: string) => number;
+	readonly digest: (text: string) => string;
+	readonly fingerprint: (method: string, path: string, body: Uint8Array) => string;
+};
+
+/** Loads the hash library. */
+export async function loadHashes(): Promise<Hashes> {
+	const library = await xxhash();
+	return {
+		hash32: text => library.h32(text),
+		digest: text => library.h64ToString(text),
+		fingerprint(method, path, body) {
+			const head = library.h64(`${method} ${path}`);
+			return (body.length === 0 ? head : library.h64Raw(body, head)).toString(36);
+		},
+	};
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -29,6 +29,8 @@
 			'capitalized-comments': 'off',
 			'max-params': ['error', 5],
 			complexity: ['error', 15],
+			// A `default` that hands the rest on is a decision, not an omission.
+			'@typescript-eslint/switch-exhaustiveness-check': ['error', {considerDefaultExhaustiveForUnions: true}],
 			'import-x/extensions': 'off',
 			'unicorn/prefer-event-target': 'off',
 			'@typescript-eslint/no-unnecessary-condition': 'off',
