Add stand-ins for the platform, backend servers and callers

Cause: the path of a call needs its neighbours as processes of their own, with faults on order and with records that an oracle can count.

Ruled out: hashing bodies with xxhash-wasm, since its start is asynchronous and mocha loads modules without top-level await; node:zlib's crc32 does. Ending the process with process.exit on a crash mark, since it runs exit handlers; SIGKILL does not.

Change: each stand-in is a class that a test starts in its own process and a small process entry that prints its port. Bodies are cut from one table of random bytes and stamped by call and block, so that every byte can be checked.

--- /dev/null
+++ b/src/stand-ins/backend-server/backend-server-stand-in.ts
@@ -0,0 +1,256 @@
+/** Stand-in backend server: few slots, few connections, a load report that may lag, faults on order. */
+import {randomBytes} from 'node:crypto';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {performance} from 'node:perf_hooks';
+import {type Socket} from 'node:net';
+import process from 'node:process';
+import {Buffer} from 'node:buffer';
+import {getRequestListener} from '@hono/node-server';
+import {Hono} from 'hono';
+import {type Result} from 'neverthrow';
+import {type LoadReport} from '../../common/calls/types.ts';
+import {Disposable} from '../../common/lifecycle/disposable.ts';
+import {
+	declaredNotRunHeader, healthPath, leavingHeader, loadPath, loadReportHeader,
+} from '../../common/protocol/headers.ts';
+import {crashHeader} from '../headers.ts';
+import {HttpListener, type ListenFailure} from '../http-listener.ts';
+import {type CallHost, CallRun} from './call-run.ts';
+import {formatLoadReport, LoadReporter} from './load-reporter.ts';
+import {SlotQueue} from './slot-queue.ts';
+import {
+	type BackendServerCounts, type BackendServerMode, type BackendServerOrder, backendServerOrderSchema, type BackendServerSettings,
+	type CallRecord, defaultBackendServerSettings,
+} from './types.ts';
+
+const retryAfterSeconds = 1;
+
+/** Can be started in a test's process, or as a process by `main.ts`. */
+export class BackendServerStandIn extends Disposable implements CallHost {
+	readonly settings: BackendServerSettings;
+	private readonly _slots: SlotQueue;
+	private readonly _listener: HttpListener;
+	private readonly _instance = randomBytes(4).toString('hex');
+	private readonly _records: CallRecord[] = [];
+	private readonly _reporter: LoadReporter;
+	private readonly _answerControl: ReturnType<typeof getRequestListener>;
+	private readonly _counts: BackendServerCounts = {
+		started: 0, finished: 0, cancelled: 0, timedOut: 0, shed: 0, measured: 0, mostConnections: 0,
+	};
+
+	private _silent = new WeakSet<Socket>();
+	private _mode: BackendServerMode = 'normal';
+	private _slowFactor = 10;
+	private _drainingSince: number | undefined;
+	private _reportLag = 0;
+	private _work: number;
+	private _startedAt = 0;
+
+	constructor(settings: Partial<BackendServerSettings> = {}) {
+		super();
+		this.settings = {...defaultBackendServerSettings, ...settings};
+		this._work = this.settings.workMilliseconds;
+		this._slots = new SlotQueue(this.settings.slots, this.settings.queueLimit);
+		this._reporter = new LoadReporter(() => this._trueLoad());
+		this._answerControl = getRequestListener(this._controlRoutes().fetch, {overrideGlobalObjects: false});
+		this._listener = this._register(new HttpListener(this.settings, (request, response) => {
+			this._handleRequest(request, response);
+		}));
+	}
+
+	get defaultWork(): number {
+		return this._work;
+	}
+
+	get defaultBytes(): number {
+		return this.settings.answerBytes;
+	}
+
+	/** Starts to listen; the value is the port. */
+	async start(): Promise<Result<number, ListenFailure>> {
+		this._startedAt = performance.now();
+		return this._listener.listen();
+	}
+
+	/** Every call it ran, for an oracle. */
+	calls(): readonly CallRecord[] {
+		return this._records;
+	}
+
+	/** Counts since the start. */
+	counts(): Readonly<BackendServerCounts> {
+		return this._counts;
+	}
+
+	/** Changes what the order names. */
+	order(order: BackendServerOrder): void {
+		this._mode = order.mode ?? this._mode;
+		this._slowFactor = order.slowFactor ?? this._slowFactor;
+		this._reportLag = order.reportLagMilliseconds ?? this._reportLag;
+		this._work = order.workMilliseconds ?? this._work;
+		if (order.isDraining !== undefined) {
+			this._drainingSince = order.isDraining ? (this._drainingSince ?? performance.now()) : undefined;
+		}
+
+		if (order.mode === 'silent') {
+			this._silent = new WeakSet(this._listener.openSockets());
+		}
+	}
+
+	answerHeaders(): Record<string, string> {
+		const report = this._report();
+		return {
+			[loadReportHeader]: formatLoadReport(report),
+			...(report.isLeaving && {[leavingHeader]: 'true'}),
+		};
+	}
+
+	workTime(work: number): number {
+		const age = performance.now() - this._startedAt;
+		const cold = age < this.settings.coldMilliseconds ? 1 + ((this.settings.coldFactor - 1) * (1 - (age / this.settings.coldMilliseconds))) : 1;
+		return work * cold * (this._mode === 'slow' ? this._slowFactor : 1);
+	}
+
+	started(run: CallRun): CallRecord {
+		const now = performance.now();
+		const record: CallRecord = {
+			callId: run.callId,
+			method: run.request.method ?? 'GET',
+			path: run.path,
+			startedAt: now,
+			millisecondsIntoDrain: this._drainingSince === undefined ? undefined : now - this._drainingSince,
+			state: 'running',
+		};
+		this._counts.started++;
+		if (this.settings.recordsCalls) {
+			this._records.push(record);
+		}
+
+		return record;
+	}
+
+	ended(_run: CallRun, record: CallRecord): void {
+		const counted = {
+			finished: 'finished', cancelled: 'cancelled', 'timed-out': 'timedOut', running: 'cancelled',
+		} as const;
+		this._counts[counted[record.state]]++;
+		this._slots.release();
+	}
+
+	private _trueLoad(): LoadReport {
+		return {
+			inFlight: this._slots.taken,
+			queued: this._slots.queued,
+			slots: this.settings.slots,
+			instance: this._instance,
+			isLeaving: this._drainingSince !== undefined,
+		};
+	}
+
+	private _report(): LoadReport {
+		return this._reporter.report(performance.now(), this._reportLag, this._mode === 'misleading' || this._mode === 'fail-fast');
+	}
+
+	private _controlRoutes(): Hono {
+		const routes = new Hono();
+		routes.get(loadPath, context => {
+			this._counts.measured++;
+			return context.json(this._report());
+		});
+		routes.get(healthPath, context => {
+			this._counts.measured++;
+			const report = this._report();
+			return context.json(report, report.isLeaving ? 503 : 200);
+		});
+		routes.get('/admin/calls', context => context.json({calls: this._records}));
+		routes.get('/admin/counts', context => context.json(this._counts));
+		routes.post('/admin', async context => {
+			const order = backendServerOrderSchema.safeParse(await context.req.json());
+			if (!order.success) {
+				return context.json({message: order.error.message}, 400);
+			}
+
+			this.order(order.data);
+			return context.json({mode: this._mode});
+		});
+		return routes;
+	}
+
+	private _handleRequest(request: IncomingMessage, response: ServerResponse): void {
+		this._counts.mostConnections = Math.max(this._counts.mostConnections, this._listener.connections);
+		// The path between the two ends has lost track of this connection: nothing comes back, ever.
+		if (this._silent.has(request.socket)) {
+			return;
+		}
+
+		const path = request.url ?? '/';
+		if (path === loadPath || path === healthPath || path === '/admin' || path.startsWith('/admin/')) {
+			void this._answerControl(request, response);
+			return;
+		}
+
+		if (this._mode === 'fail-fast') {
+			request.resume();
+			response.writeHead(500, {...this.answerHeaders(), 'content-length': 0}).end();
+			return;
+		}
+
+		this._readBody(request, body => {
+			this._enter(new CallRun(request, response, this), body);
+		});
+	}
+
+	private _readBody(request: IncomingMessage, done: (body: Uint8Array) => void): void {
+		const chunks: Uint8Array[] = [];
+		request.on('data', (chunk: Uint8Array) => {
+			chunks.push(chunk);
+		});
+		request.on('end', () => {
+			done(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+		});
+	}
+
+	private _enter(run: CallRun, body: Uint8Array): void {
+		if (this._mode === 'crash-on-mark' && run.request.headers[crashHeader] === 'true') {
+			this.started(run);
+			this._crash();
+			return;
+		}
+
+		const start = (): void => {
+			const remaining = run.remaining();
+			if (remaining !== undefined && remaining <= 0) {
+				this._shed(run);
+				this._slots.release();
+				return;
+			}
+
+			run.start(body);
+		};
+
+		if (!this._slots.enter(start)) {
+			this._shed(run);
+			return;
+		}
+
+		run.response.once('close', () => {
+			this._slots.leaveQueue(start);
+		});
+	}
+
+	/** Its word that nothing of the call ran or will run. */
+	private _shed(run: CallRun): void {
+		this._counts.shed++;
+		run.response.writeHead(503, {
+			...this.answerHeaders(), [declaredNotRunHeader]: 'not-run', 'retry-after': String(retryAfterSeconds), 'content-length': '0',
+		}).end();
+	}
+
+	private _crash(): void {
+		if (this.settings.crash === 'exit') {
+			process.kill(process.pid, 'SIGKILL');
+		}
+
+		this._listener.destroySockets();
+	}
+}
--- /dev/null
+++ b/src/stand-ins/backend-server/call-run.ts
@@ -0,0 +1,132 @@
+/** One call on a backend server: waits for a slot, works, answers, and stops when its caller goes. */
+import {performance} from 'node:perf_hooks';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Buffer} from 'node:buffer';
+import {AnswerBody, bodyDigest} from '../answer-body.ts';
+import {bytesHeader, callIdHeader, workHeader} from '../headers.ts';
+import {timeoutHeader} from '../../common/protocol/headers.ts';
+import {type CallRecord} from './types.ts';
+import {selectRange} from './range.ts';
+
+/** What a run needs of its server. */
+export type CallHost = {
+	/** Headers that every answer carries: the load report and the mark of leaving. */
+	answerHeaders(): Record<string, string>;
+	/** Milliseconds that `work` takes here and now. */
+	workTime(work: number): number;
+	readonly defaultWork: number;
+	readonly defaultBytes: number;
+	/** The call begins to run. */
+	started(run: CallRun): CallRecord;
+	/** The call has left its slot. */
+	ended(run: CallRun, record: CallRecord): void;
+};
+
+function numberHeader(request: IncomingMessage, name: string): number | undefined {
+	const text = request.headers[name];
+	const value = typeof text === 'string' ? Number(text) : Number.NaN;
+	return Number.isFinite(value) && value >= 0 ? value : undefined;
+}
+
+/** Holds a slot from `start` to its end. */
+export class CallRun {
+	readonly callId: string;
+	readonly path: string;
+	private _record: CallRecord | undefined;
+	private _timer: NodeJS.Timeout | undefined;
+	private _isOver = false;
+	private readonly _arrivedAt = performance.now();
+
+	constructor(readonly request: IncomingMessage, readonly response: ServerResponse, private readonly _host: CallHost) {
+		this.path = request.url ?? '/';
+		this.callId = String(request.headers[callIdHeader] ?? '');
+	}
+
+	/** Milliseconds that the caller still waits; undefined = it did not say. */
+	remaining(): number | undefined {
+		const timeout = numberHeader(this.request, timeoutHeader);
+		return timeout === undefined ? undefined : timeout - (performance.now() - this._arrivedAt);
+	}
+
+	/** Has its slot: the work begins. */
+	start(body: Uint8Array): void {
+		this._record = this._host.started(this);
+		this.response.once('close', () => {
+			this._end(this.response.writableFinished ? 'finished' : 'cancelled');
+		});
+		const work = this._host.workTime(numberHeader(this.request, workHeader) ?? this._host.defaultWork);
+		const remaining = this.remaining();
+		if (remaining !== undefined && remaining < work) {
+			this._timer = setTimeout(() => {
+				this._timeOut();
+			}, remaining);
+		} else if (work > 0) {
+			this._timer = setTimeout(() => {
+				this._answer(body);
+			}, work);
+		} else {
+			this._answer(body);
+		}
+	}
+
+	private _end(state: CallRecord['state']): void {
+		if (this._isOver || this._record === undefined) {
+			return;
+		}
+
+		this._isOver = true;
+		clearTimeout(this._timer);
+		this._record.state = state;
+		this._host.ended(this, this._record);
+	}
+
+	/** Work that nobody waits for any more is stopped; it has run in part, so no word of "not run". */
+	private _timeOut(): void {
+		this.response.writeHead(504, {...this._host.answerHeaders(), 'content-length': 0});
+		this._end('timed-out');
+		this.response.end();
+	}
+
+	private _answer(requestBody: Uint8Array): void {
+		const length = numberHeader(this.request, bytesHeader) ?? this._host.defaultBytes;
+		const body = new AnswerBody({
+			method: this.request.method ?? 'GET', path: this.path, callId: this.callId, requestDigest: bodyDigest(requestBody),
+		}, length);
+		const range = selectRange(this.request.headers, body.validator, length);
+		this.response.writeHead(range.status, {
+			...this._host.answerHeaders(),
+			etag: body.validator,
+			'accept-ranges': 'bytes',
+			'content-type': 'application/octet-stream',
+			'content-length': range.end - range.start,
+			...(range.status === 206 && {'content-range': `bytes ${range.start}-${range.end - 1}/${length}`}),
+			...(range.status === 416 && {'content-range': `bytes */${length}`}),
+		});
+		this._write(body, range.start, range.end);
+	}
+
+	/** Writes as fast as the socket drains, so that a download of any length needs the memory of one block. */
+	private _write(body: AnswerBody, from: number, end: number): void {
+		let offset = from;
+		while (offset < end && !this.response.destroyed) {
+			const chunk: Buffer = body.chunk(offset).subarray(0, end - offset);
+			offset += chunk.length;
+			if (offset >= end) {
+				this.response.end(chunk);
+				return;
+			}
+
+			if (!this.response.write(chunk)) {
+				const next = offset;
+				this.response.once('drain', () => {
+					this._write(body, next, end);
+				});
+				return;
+			}
+		}
+
+		if (from >= end) {
+			this.response.end();
+		}
+	}
+}
--- /dev/null
+++ b/src/stand-ins/caller/caller-load.ts
@@ -0,0 +1,132 @@
+/** An open loop of calls to one service: calls are due at fixed times, whether earlier ones have ended or not. */
+import {Buffer} from 'node:buffer';
+import {performance} from 'node:perf_hooks';
+import {build, type Histogram} from 'hdr-histogram-js';
+import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
+import {type Caller} from './caller.ts';
+import {type CallerReport, type CallResult, type OutgoingCall} from './types.ts';
+
+/** What the calls look like. */
+export type CallerLoadSettings = {
+	readonly name: string;
+	readonly service: string;
+	readonly callsPerSecond: number;
+	/** Share of the calls that are orders (POST with a body, never repeated blindly). */
+	readonly orderShare: number;
+	readonly answerBytes: number;
+	/** Every so many calls one is a download of `downloadBytes`; 0 = none. */
+	readonly downloadEvery: number;
+	readonly downloadBytes: number;
+	readonly workMilliseconds: number | undefined;
+	readonly timeoutMilliseconds: number;
+};
+
+const tickMilliseconds = 5;
+const highestMicroseconds = 600_000_000;
+const orderBody = Buffer.from(JSON.stringify({order: 'fibre pair', spans: [1, 2, 3], quantity: 1}));
+const faultsKept = 20;
+
+/** Latencies count from the moment a call was due, so that a stalled loop shows (coordinated omission). */
+export class CallerLoad extends Disposable {
+	private readonly _histogram: Histogram = build({lowestDiscernibleValue: 1, highestTrackableValue: highestMicroseconds, numberOfSignificantValueDigits: 3});
+	private readonly _nonIdempotent: Array<Pick<CallResult, 'callId' | 'outcome'>> = [];
+	private readonly _faults: CallResult[] = [];
+	private readonly _counts = {
+		right: 0, refused: 0, unknown: 0, lost: 0, wrong: 0,
+	};
+
+	private readonly _timer: NodeJS.Timeout;
+	private readonly _startedAt = performance.now();
+	private _sent = 0;
+	private _ended = 0;
+
+	constructor(private readonly _settings: CallerLoadSettings, private readonly _caller: Caller) {
+		super();
+		this._timer = setInterval(() => {
+			this._sendDue();
+		}, tickMilliseconds);
+		this._register(toDisposable(() => {
+			this.stop();
+		}));
+	}
+
+	/** No new calls; those in flight go on. */
+	stop(): void {
+		clearInterval(this._timer);
+	}
+
+	/** Counts and latencies so far. */
+	report(): CallerReport {
+		const percentile = (share: number): number => this._histogram.getValueAtPercentile(share) / 1000;
+		return {
+			service: this._settings.service,
+			calls: this._sent,
+			inFlight: this._sent - this._ended,
+			...this._counts,
+			p50: percentile(50),
+			p99: percentile(99),
+			p999: percentile(99.9),
+			nonIdempotent: this._nonIdempotent,
+			faults: this._faults,
+		};
+	}
+
+	private _sendDue(): void {
+		const due = Math.floor((performance.now() - this._startedAt) / 1000 * this._settings.callsPerSecond);
+		while (this._sent < due) {
+			const dueAt = this._startedAt + (this._sent * 1000 / this._settings.callsPerSecond);
+			void this._sendOne(this._makeCall(this._sent), dueAt);
+			this._sent++;
+		}
+	}
+
+	private _makeCall(index: number): OutgoingCall {
+		const {service, name, orderShare, downloadEvery, downloadBytes, answerBytes, workMilliseconds, timeoutMilliseconds} = this._settings;
+		const isOrder = Math.floor((index + 1) * orderShare) > Math.floor(index * orderShare);
+		const isDownload = !isOrder && downloadEvery > 0 && index % downloadEvery === 0;
+		return {
+			callId: `${name}-${service}-${index}`,
+			service,
+			method: isOrder ? 'POST' : 'GET',
+			path: isOrder ? '/orders' : `/items/${index % 100}`,
+			body: isOrder ? orderBody : undefined,
+			answerBytes: isDownload ? downloadBytes : answerBytes,
+			workMilliseconds,
+			timeoutMilliseconds,
+		};
+	}
+
+	private async _sendOne(call: OutgoingCall, dueAt: number): Promise<void> {
+		const result = await this._caller.call(call);
+		this._ended++;
+		if (result.isRight) {
+			this._histogram.recordValue(Math.max(1, Math.round((performance.now() - dueAt) * 1000)));
+		}
+
+		this._count(result);
+		if (call.method === 'POST') {
+			this._nonIdempotent.push({callId: result.callId, outcome: result.outcome});
+		}
+	}
+
+	private _count(result: CallResult): void {
+		if (result.isRight) {
+			this._counts.right++;
+			return;
+		}
+
+		if (this._faults.length < faultsKept) {
+			this._faults.push(result);
+		}
+
+		if (result.isWrong) {
+			this._counts.wrong++;
+		} else if (result.outcome === 'not-run') {
+			this._counts.refused++;
+		} else if (result.outcome === 'lost') {
+			this._counts.lost++;
+		} else {
+			this._counts.unknown++;
+		}
+	}
+}
--- /dev/null
+++ b/src/stand-ins/caller/caller-stand-in.ts
@@ -0,0 +1,47 @@
+/** A caller with its load behind an admin endpoint: `GET /admin/report`, `POST /admin/stop`. */
+import {getRequestListener} from '@hono/node-server';
+import {Hono} from 'hono';
+import {type Result} from 'neverthrow';
+import {Disposable} from '../../common/lifecycle/disposable.ts';
+import {seededRandom} from '../../common/random/random.ts';
+import {HttpListener, type ListenFailure} from '../http-listener.ts';
+import {CallerLoad, type CallerLoadSettings} from './caller-load.ts';
+import {Caller, type CallerSettings} from './caller.ts';
+
+/** Can be started in a test's process, or as a process by `main.ts`. The load begins with `start`. */
+export class CallerStandIn extends Disposable {
+	private readonly _caller: Caller;
+	private readonly _listener: HttpListener;
+	private _load: CallerLoad | undefined;
+
+	constructor(
+		callerSettings: CallerSettings,
+		private readonly _loadSettings: CallerLoadSettings,
+		address: string,
+		port: number,
+		seed: number,
+	) {
+		super();
+		this._caller = this._register(new Caller(callerSettings, seededRandom(seed)));
+		const routes = new Hono();
+		routes.get('/admin/report', context => context.json(this._load?.report()));
+		routes.post('/admin/stop', context => {
+			this._load?.stop();
+			return context.json({});
+		});
+		const answer = getRequestListener(routes.fetch, {overrideGlobalObjects: false});
+		this._listener = this._register(new HttpListener({address, port}, (request, response) => {
+			void answer(request, response);
+		}));
+	}
+
+	/** Listens, then begins to call; the value is the port. */
+	async start(): Promise<Result<number, ListenFailure>> {
+		const listening = await this._listener.listen();
+		if (listening.isOk()) {
+			this._load = this._register(new CallerLoad(this._loadSettings, this._caller));
+		}
+
+		return listening;
+	}
+}
--- /dev/null
+++ b/src/stand-ins/caller/caller.ts
@@ -0,0 +1,183 @@
+/**
+ * A caller as the brief describes it: asks which addresses to use, connects there itself, checks
+ * every byte, and never sends a non-idempotent call again unless it is known not to have run.
+ */
+import {setTimeout as delay} from 'node:timers/promises';
+import {Agent, type Dispatcher} from 'undici';
+import {type CallOutcome} from '../../common/calls/types.ts';
+import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
+import {type RandomSource} from '../../common/model/units.ts';
+import {
+	callerHeader, callPathPrefix, outcomeHeader, timeoutHeader,
+} from '../../common/protocol/headers.ts';
+import {AnswerBody, bodyDigest} from '../answer-body.ts';
+import {bytesHeader, callIdHeader, workHeader} from '../headers.ts';
+import {AddressBook} from './address-book.ts';
+import {type CallResult, type OutgoingCall, type VmAddress} from './types.ts';
+
+/** What a caller is made with. */
+export type CallerSettings = {
+	/** Its name, for fair sharing. */
+	readonly name: string;
+	/** `address:port` of some VMs, to ask for addresses. */
+	readonly seeds: readonly string[];
+	/** Times that one call may be sent in all. */
+	readonly triesLimit: number;
+	/** Connections to each VM. */
+	readonly connectionsPerVm: number;
+};
+
+/** One try: what came of sending the call once. */
+type Try = {
+	readonly outcome: CallOutcome | 'lost';
+	readonly status: number | undefined;
+	readonly isRight: boolean;
+	readonly isWrong: boolean;
+	readonly retryAfterMilliseconds: number | undefined;
+	readonly detail: string | undefined;
+};
+
+/** Errors of undici that prove that no byte of the call has left. */
+const neverSentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+const connectTimeoutMilliseconds = 1000;
+
+function errorCode(error: unknown): string {
+	return error instanceof Error && 'code' in error ? String(error.code) : String(error);
+}
+
+function isIdempotent(call: OutgoingCall): boolean {
+	return call.method !== 'POST';
+}
+
+/** undici without any interceptor: it sends nothing again by itself. */
+export class Caller extends Disposable {
+	readonly addresses: AddressBook;
+	private readonly _agent: Agent;
+
+	constructor(private readonly _settings: CallerSettings, random: RandomSource) {
+		super();
+		this._agent = new Agent({
+			connections: _settings.connectionsPerVm,
+			pipelining: 1,
+			connect: {timeout: connectTimeoutMilliseconds},
+			headersTimeout: 0,
+			bodyTimeout: 0,
+		});
+		this._register(toDisposable(() => {
+			void this._agent.destroy();
+		}));
+		this.addresses = new AddressBook(this._agent, _settings.seeds, random);
+	}
+
+	/** Makes the call, again where that is safe and worth it, and tells what became of it. */
+	async call(call: OutgoingCall): Promise<CallResult> {
+		const deadline = performance.now() + call.timeoutMilliseconds;
+		let last: Try | undefined;
+		for (let tries = 1; tries <= this._settings.triesLimit; tries++) {
+			last = await this._tryOnce(call, deadline - performance.now());
+			const pause = last.retryAfterMilliseconds ?? 0;
+			const remaining = deadline - performance.now();
+			const isSafe = last.outcome === 'not-run' || isIdempotent(call);
+			const isFinal = last.isRight || last.isWrong || !isSafe || (last.status !== undefined && last.status < 500);
+			if (isFinal || tries === this._settings.triesLimit || pause >= remaining) {
+				return this._result(call, last, tries);
+			}
+
+			await delay(pause);
+		}
+
+		return this._result(call, last, this._settings.triesLimit);
+	}
+
+	private _result(call: OutgoingCall, last: Try | undefined, tries: number): CallResult {
+		return {
+			callId: call.callId,
+			method: call.method,
+			outcome: last?.outcome ?? 'not-run',
+			status: last?.status,
+			isRight: last?.isRight ?? false,
+			isWrong: last?.isWrong ?? false,
+			tries,
+			detail: last?.detail,
+		};
+	}
+
+	private async _tryOnce(call: OutgoingCall, remaining: number): Promise<Try> {
+		const vm = await this.addresses.choose(call.service);
+		if (vm === undefined) {
+			return this._failed('not-run', 'no VM answers which addresses to use');
+		}
+
+		try {
+			return await this._send(call, vm, remaining);
+		} catch (error: unknown) {
+			const code = errorCode(error);
+			if (code !== 'ABORT_ERR' && code !== 'UND_ERR_ABORTED') {
+				this.addresses.avoid(vm);
+			}
+
+			return this._failed(neverSentCodes.has(code) ? 'not-run' : 'lost', `${vm.address}:${vm.port}: ${String(error)}`);
+		}
+	}
+
+	private _failed(outcome: Try['outcome'], detail: string): Try {
+		return {
+			outcome, detail, status: undefined, isRight: false, isWrong: false, retryAfterMilliseconds: undefined,
+		};
+	}
+
+	private async _send(call: OutgoingCall, vm: VmAddress, remaining: number): Promise<Try> {
+		const response = await this._agent.request({
+			origin: `http://${vm.address}:${vm.port}`,
+			path: `${callPathPrefix}${call.service}${call.path}`,
+			method: call.method,
+			body: call.body ?? null,
+			signal: AbortSignal.timeout(Math.max(1, Math.ceil(remaining))),
+			headers: {
+				...call.headers,
+				[callerHeader]: this._settings.name,
+				[callIdHeader]: call.callId,
+				[bytesHeader]: String(call.answerBytes),
+				[timeoutHeader]: String(Math.max(1, Math.floor(remaining))),
+				...(call.workMilliseconds !== undefined && {[workHeader]: String(call.workMilliseconds)}),
+			},
+		});
+		return this._readAnswer(call, response);
+	}
+
+	/** A body that ends early makes undici throw: a fragment is never taken for an answer. */
+	private async _readAnswer(call: OutgoingCall, response: Dispatcher.ResponseData): Promise<Try> {
+		const expected = new AnswerBody({
+			method: call.method, path: call.path, callId: call.callId, requestDigest: bodyDigest(call.body ?? new Uint8Array()),
+		}, call.answerBytes);
+		const {length, areRight} = await this._readBody(response.body, expected);
+		const outcome = this._outcome(response);
+		const isSuccess = response.statusCode === 200;
+		const isRight = isSuccess && areRight && length === call.answerBytes;
+		const retryAfter = Number(response.headers['retry-after']);
+		return {
+			outcome,
+			status: response.statusCode,
+			isRight,
+			isWrong: isSuccess && !isRight,
+			retryAfterMilliseconds: Number.isFinite(retryAfter) ? retryAfter * 1000 : undefined,
+			detail: isRight ? undefined : `status ${response.statusCode}, ${length} of ${call.answerBytes} bytes`,
+		};
+	}
+
+	private async _readBody(body: AsyncIterable<Uint8Array>, expected: AnswerBody): Promise<{length: number; areRight: boolean}> {
+		let length = 0;
+		let areRight = true;
+		for await (const bytes of body) {
+			areRight &&= expected.matches(bytes, length);
+			length += bytes.length;
+		}
+
+		return {length, areRight};
+	}
+
+	private _outcome(response: Dispatcher.ResponseData): CallOutcome {
+		const outcome = response.headers[outcomeHeader];
+		return outcome === 'ran' || outcome === 'not-run' ? outcome : 'unknown';
+	}
+}
--- /dev/null
+++ b/src/stand-ins/platform/key-value-store.ts
@@ -0,0 +1,169 @@
+/** The key-value service's state: revisions, compare-and-swap, leases, tombstones for watches. */
+import {type Instant, type Milliseconds} from '../../common/model/units.ts';
+import {
+	type Revision, type StoreEntry, type StoreOperation, type StoreReply,
+} from '../../common/platform/types.ts';
+
+/** Values beyond this are refused by the platform. */
+export const valueLimitBytes = 1_048_576;
+
+type Lease = {readonly milliseconds: Milliseconds; until: Instant; readonly keys: Set<string>};
+
+type ImmediateOperation = Exclude<StoreOperation, {type: 'watch'}>;
+
+/** No clock of its own: `now` is passed in. Leases lapse whenever it is told the time. */
+export class KeyValueStore {
+	private _entries = new Map<string, StoreEntry>();
+	private _deleted = new Map<string, Revision>();
+	private readonly _leases = new Map<string, Lease>();
+	private _revision: Revision = 0;
+	private _nextLease = 1;
+
+	/** Revision of the latest write. */
+	get revision(): Revision {
+		return this._revision;
+	}
+
+	/** A copy that no later write changes: what a lagging replica still knows. */
+	copy(): KeyValueStore {
+		const copied = new KeyValueStore();
+		copied._entries = new Map(this._entries);
+		copied._deleted = new Map(this._deleted);
+		copied._revision = this._revision;
+		return copied;
+	}
+
+	/** Carries out everything but a watch. A value that is too long answers `undefined`. */
+	handle(operation: ImmediateOperation, now: Instant): StoreReply | undefined {
+		this.expireLeases(now);
+		switch (operation.type) {
+			case 'get': {
+				return {type: 'entry', entry: this._entries.get(operation.key), revision: this._revision};
+			}
+
+			case 'list': {
+				return {type: 'entries', entries: this._under(operation.prefix, 0), revision: this._revision};
+			}
+
+			case 'compare-and-swap': {
+				return this._compareAndSwap(operation);
+			}
+
+			case 'delete': {
+				return this._delete(operation);
+			}
+
+			case 'grant-lease': {
+				const leaseId = `lease-${this._nextLease++}`;
+				this._leases.set(leaseId, {milliseconds: operation.milliseconds, until: now + operation.milliseconds, keys: new Set()});
+				return {type: 'lease', leaseId, milliseconds: operation.milliseconds};
+			}
+
+			case 'keep-lease': {
+				return this._keepLease(operation.leaseId, now);
+			}
+
+			case 'revoke-lease': {
+				return this._endLease(operation.leaseId) ? {type: 'written', revision: this._revision} : {type: 'lease-lost'};
+			}
+		}
+	}
+
+	/** What changed under the prefix after the revision; undefined = nothing yet. */
+	changes(prefix: string, after: Revision): Extract<StoreReply, {type: 'changes'}> | undefined {
+		const entries = this._under(prefix, after);
+		const deleted = [...this._deleted].filter(([key, revision]) => revision > after && key.startsWith(prefix)).map(([key]) => key);
+		return entries.length + deleted.length === 0
+			? undefined
+			: {
+				type: 'changes', entries, deleted, revision: this._revision,
+			};
+	}
+
+	/** Removes the keys of leases that have lapsed; true if a key went. */
+	expireLeases(now: Instant): boolean {
+		const before = this._revision;
+		for (const [leaseId, lease] of this._leases) {
+			if (lease.until <= now) {
+				this._endLease(leaseId);
+			}
+		}
+
+		return this._revision !== before;
+	}
+
+	private _under(prefix: string, after: Revision): StoreEntry[] {
+		return [...this._entries.values()]
+			.filter(entry => entry.revision > after && entry.key.startsWith(prefix))
+			.toSorted((first, second) => first.key < second.key ? -1 : 1);
+	}
+
+	private _compareAndSwap(operation: Extract<StoreOperation, {type: 'compare-and-swap'}>): StoreReply | undefined {
+		const {key, expected, value, leaseId} = operation;
+		if (value.length > valueLimitBytes) {
+			return undefined;
+		}
+
+		const present = this._entries.get(key);
+		if ((present?.revision ?? 0) !== expected) {
+			return {type: 'conflict', entry: present};
+		}
+
+		const lease = leaseId === undefined ? undefined : this._leases.get(leaseId);
+		if (leaseId !== undefined && lease === undefined) {
+			return {type: 'lease-lost'};
+		}
+
+		// A write without the lease takes the key out of it, or the old lease's end would remove a new value.
+		for (const other of this._leases.values()) {
+			other.keys.delete(key);
+		}
+
+		this._revision++;
+		this._deleted.delete(key);
+		this._entries.set(key, {key, value, revision: this._revision});
+		lease?.keys.add(key);
+		return {type: 'written', revision: this._revision};
+	}
+
+	private _delete(operation: Extract<StoreOperation, {type: 'delete'}>): StoreReply {
+		const present = this._entries.get(operation.key);
+		if ((present?.revision ?? 0) !== operation.expected) {
+			return {type: 'conflict', entry: present};
+		}
+
+		this._remove(operation.key);
+		return {type: 'written', revision: this._revision};
+	}
+
+	private _remove(key: string): void {
+		if (this._entries.delete(key)) {
+			this._revision++;
+			this._deleted.set(key, this._revision);
+		}
+	}
+
+	private _keepLease(leaseId: string, now: Instant): StoreReply {
+		const lease = this._leases.get(leaseId);
+		if (lease === undefined) {
+			return {type: 'lease-lost'};
+		}
+
+		lease.until = now + lease.milliseconds;
+		return {type: 'lease', leaseId, milliseconds: lease.milliseconds};
+	}
+
+	private _endLease(leaseId: string): boolean {
+		const lease = this._leases.get(leaseId);
+		if (lease === undefined) {
+			return false;
+		}
+
+		this._leases.delete(leaseId);
+		for (const key of lease.keys) {
+			this._remove(key);
+		}
+
+		return true;
+	}
+}
--- /dev/null
+++ b/src/stand-ins/stand-ins.test.ts
@@ -0,0 +1,268 @@
+import {Buffer} from 'node:buffer';
+import {setTimeout as delay} from 'node:timers/promises';
+import {expect} from 'earl';
+import {Agent, request} from 'undici';
+import {DisposableStore, toDisposable} from '../common/lifecycle/disposable.ts';
+import {type StoreOperation} from '../common/platform/types.ts';
+import {seededRandom} from '../common/random/random.ts';
+import {AnswerBody, blockBytes} from './answer-body.ts';
+import {BackendServerStandIn} from './backend-server/backend-server-stand-in.ts';
+import {Caller} from './caller/caller.ts';
+import {type OutgoingCall} from './caller/types.ts';
+import {
+	bytesHeader, callIdHeader, crashHeader, workHeader,
+} from './headers.ts';
+import {HttpListener} from './http-listener.ts';
+import {PlatformStandIn} from './platform/platform-stand-in.ts';
+
+describe('stand-ins', () => {
+	let store: DisposableStore;
+	beforeEach(() => {
+		store = new DisposableStore();
+	});
+	afterEach(() => {
+		store.dispose();
+	});
+
+	async function startPlatform(): Promise<{platform: PlatformStandIn; ask: (operation: StoreOperation) => Promise<unknown>}> {
+		const platform = store.add(new PlatformStandIn());
+		const started = await platform.start();
+		const port = started._unsafeUnwrap();
+		const ask = async (operation: StoreOperation): Promise<unknown> => {
+			try {
+				const answer = await request(`http://127.0.0.1:${port}/kv`, {method: 'POST', body: JSON.stringify(operation)});
+				return await answer.body.json();
+			} catch {
+				return 'cut';
+			}
+		};
+
+		return {platform, ask};
+	}
+
+	async function startBackendServer(settings: ConstructorParameters<typeof BackendServerStandIn>[0] = {}): Promise<{server: BackendServerStandIn; origin: string}> {
+		const server = store.add(new BackendServerStandIn(settings));
+		const started = await server.start();
+		const port = started._unsafeUnwrap();
+		return {server, origin: `http://127.0.0.1:${port}`};
+	}
+
+	describe('platform', () => {
+		it('writes by compare-and-swap, wakes watches, counts calls, forgets the keys of a lapsed lease', async function () {
+			const {platform, ask} = await startPlatform();
+			const waiting = ask({
+				type: 'watch', prefix: 'a/', after: 0, milliseconds: 5000,
+			});
+			const log = [
+				await ask({
+					type: 'compare-and-swap', key: 'a/1', expected: 0, value: 'one',
+				}),
+				await waiting,
+				await ask({
+					type: 'compare-and-swap', key: 'a/1', expected: 0, value: 'two',
+				}),
+				await ask({type: 'grant-lease', milliseconds: 60}),
+				await ask({
+					type: 'compare-and-swap', key: 'a/2', expected: 0, value: 'leased', leaseId: 'lease-1',
+				}),
+				await ask({
+					type: 'watch', prefix: 'a/', after: 2, milliseconds: 5000,
+				}),
+				await ask({type: 'keep-lease', leaseId: 'lease-1'}),
+				await ask({type: 'list', prefix: 'a/'}),
+				platform.counts(),
+			];
+			expect(log).toMatchSnapshot(this);
+		});
+
+		// A user sees a change refused that is in force: the write takes effect, the connection is cut
+		// before the answer, and the writer that takes the cut for "nothing happened" is wrong.
+		it('loses the answer of a write that took effect, answers from an old copy, goes down', async function () {
+			const {platform, ask} = await startPlatform();
+			platform.setFaults({loseAnswers: 1});
+			const log = [
+				await ask({
+					type: 'compare-and-swap', key: 'k', expected: 0, value: 'taken',
+				}),
+				await ask({type: 'get', key: 'k'}),
+			];
+			platform.setFaults({stale: true});
+			await ask({
+				type: 'compare-and-swap', key: 'k', expected: 1, value: 'newer',
+			});
+			log.push(await ask({type: 'get', key: 'k'}));
+			platform.setFaults({stale: false, mode: 'down'});
+			log.push(await ask({
+				type: 'compare-and-swap', key: 'k', expected: 2, value: 'never',
+			}));
+			platform.setFaults({mode: 'refusing'});
+			log.push(await ask({type: 'get', key: 'k'}));
+			platform.setFaults({mode: 'up'});
+			log.push(await ask({type: 'get', key: 'k'}), await ask({
+				type: 'compare-and-swap', key: 'k', expected: 2, value: 'x'.repeat(1_048_577),
+			}));
+			expect(log.map(entry => typeof entry === 'object' && entry !== null && 'message' in entry ? 'refused' : entry)).toMatchSnapshot(this);
+		});
+
+		it('shows a change of the VM list only after the lag', async () => {
+			const platform = store.add(new PlatformStandIn());
+			const started = await platform.start();
+			const port = started._unsafeUnwrap();
+			const list = async (): Promise<unknown> => {
+				const answer = await request(`http://127.0.0.1:${port}/vms`);
+				return answer.body.json();
+			};
+
+			platform.setVms([{address: '127.0.0.1', dataCentre: 'a', state: 'live'}]);
+			platform.setVmLag(100);
+			platform.setVms([]);
+			const lagging = await list();
+			expect(lagging).toEqual([{address: '127.0.0.1', dataCentre: 'a', state: 'live'}]);
+			await delay(150);
+			expect(await list()).toEqual([]);
+		});
+	});
+
+	describe('backend server', () => {
+		const headers = (callId: string, work: number, bytes = 20): Record<string, string> => ({[callIdHeader]: callId, [workHeader]: String(work), [bytesHeader]: String(bytes)});
+
+		it('sheds when slots and queue are full, and its record shows that shed calls never ran', async () => {
+			const {server, origin} = await startBackendServer({slots: 1, queueLimit: 1});
+			const answers = await Promise.all(['a', 'b', 'c'].map(async callId => {
+				const answer = await request(`${origin}/x`, {headers: headers(callId, 30)});
+				await answer.body.dump();
+				return `${answer.statusCode} ${String(answer.headers['jaydale-not-run'])}`;
+			}));
+			expect(answers.toSorted((first, second) => first < second ? -1 : 1)).toEqual(['200 undefined', '200 undefined', '503 not-run']);
+			expect(server.counts()).toLooseEqual({...server.counts(), started: 2, shed: 1});
+		});
+
+		it('stops the work of a caller that has gone or whose time is up', async () => {
+			const {server, origin} = await startBackendServer();
+			const control = new AbortController();
+			const gone = request(`${origin}/x`, {headers: headers('gone', 10_000), signal: control.signal}).catch(() => 'aborted');
+			while (server.counts().started === 0) {
+				await delay(2);
+			}
+
+			control.abort();
+			expect(await gone).toEqual('aborted');
+			const late = await request(`${origin}/x`, {headers: {...headers('late', 10_000), 'jaydale-timeout-milliseconds': '10'}});
+			expect(late.statusCode).toEqual(504);
+			await late.body.dump();
+			while (server.calls()[0]!.state === 'running') {
+				await delay(2);
+			}
+
+			expect(server.calls().map(call => [call.callId, call.state])).toEqual([['gone', 'cancelled'], ['late', 'timed-out']]);
+		});
+
+		it('answers a range of the same version only, and marks answers while it drains', async () => {
+			const {server, origin} = await startBackendServer();
+			const length = blockBytes + 100;
+			const whole = await request(`${origin}/film`, {headers: headers('r', 0, length)});
+			const bytes = Buffer.from(await whole.body.arrayBuffer());
+			const part = await request(`${origin}/film`, {headers: {...headers('r', 0, length), range: 'bytes=65000-', 'if-range': String(whole.headers.etag)}});
+			expect(part.statusCode).toEqual(206);
+			expect(Buffer.from(await part.body.arrayBuffer()).equals(bytes.subarray(65_000))).toEqual(true);
+			const other = await request(`${origin}/film`, {headers: {...headers('r', 0, length), range: 'bytes=65000-', 'if-range': '"other"'}});
+			expect(other.statusCode).toEqual(200);
+			await other.body.dump();
+			server.order({isDraining: true});
+			const marked = await request(`${origin}/film`, {headers: headers('d', 0)});
+			await marked.body.dump();
+			expect(marked.headers['jaydale-leaving']).toEqual('true');
+			const health = await request(`${origin}/health`);
+			await health.body.dump();
+			expect(health.statusCode).toEqual(503);
+		});
+
+		// A caller waits for ever on a connection that the path has forgotten, while new ones work.
+		it('falls silent on open connections, and cuts all of them when a marked call crashes it', async () => {
+			const {server, origin} = await startBackendServer();
+			const held = new Agent({connections: 1});
+			store.add(toDisposable(() => {
+				void held.destroy();
+			}));
+			const first = await request(`${origin}/x`, {headers: headers('first', 0), dispatcher: held});
+			await first.body.dump();
+			server.order({mode: 'silent'});
+			const silent = await request(`${origin}/x`, {headers: headers('silent', 0), dispatcher: held, signal: AbortSignal.timeout(50)}).catch(() => 'silence');
+			expect(silent).toEqual('silence');
+			const fresh = await request(`${origin}/x`, {headers: headers('fresh', 0)});
+			await fresh.body.dump();
+			expect(fresh.statusCode).toEqual(200);
+			server.order({mode: 'crash-on-mark'});
+			const crashed = await request(`${origin}/x`, {headers: {...headers('crash', 0), [crashHeader]: 'true'}}).catch(() => 'cut');
+			expect(crashed).toEqual('cut');
+		});
+	});
+
+	describe('answer bodies', () => {
+		it('tells a swapped, shortened or foreign block', () => {
+			const origin = {
+				method: 'GET', path: '/a', callId: '1', requestDigest: '',
+			};
+			const body = new AnswerBody(origin, blockBytes * 3);
+			const second = body.chunk(blockBytes);
+			expect([
+				body.matches(second, blockBytes),
+				body.matches(second, 2 * blockBytes),
+				body.matches(second.subarray(1), blockBytes),
+				new AnswerBody({...origin, callId: '2'}, blockBytes * 3).matches(second, blockBytes),
+				body.matches(Buffer.concat([body.chunk(100), second]), 100),
+			]).toEqual([true, false, false, false, true]);
+		});
+	});
+
+	describe('caller', () => {
+		const order = (callId: string): OutgoingCall => ({
+			callId, service: 's', method: 'POST', path: '/orders', body: Buffer.from('order'), answerBytes: 8, workMilliseconds: 0, timeoutMilliseconds: 2000,
+		});
+
+		/** A VM that answers for addresses, and to calls as told; counts how often each call came. */
+		async function startVm(answerCall: (count: number) => {status: number; outcome: string} | 'cut'): Promise<{caller: Caller; count: () => number}> {
+			let calls = 0;
+			let port = 0;
+			const listener = store.add(new HttpListener({address: '127.0.0.1', port: 0}, (incoming, outgoing) => {
+				if (incoming.url?.startsWith('/jaydale/addresses') === true) {
+					outgoing.end(JSON.stringify({vms: [{address: '127.0.0.1', port, weight: 1}], keepForMilliseconds: 1000}));
+					return;
+				}
+
+				calls++;
+				const answer = answerCall(calls);
+				incoming.resume().once('end', () => {
+					if (answer === 'cut') {
+						incoming.socket.destroy();
+						return;
+					}
+
+					outgoing.writeHead(answer.status, {'jaydale-outcome': answer.outcome, 'retry-after': '0'}).end();
+				});
+			}));
+			const listening = await listener.listen();
+			port = listening._unsafeUnwrap();
+			const caller = store.add(new Caller({
+				name: 'c', seeds: [`127.0.0.1:${port}`], triesLimit: 3, connectionsPerVm: 4,
+			}, seededRandom(1)));
+			return {caller, count: () => calls};
+		}
+
+		// A customer is billed twice: the first answer is lost on the way, and the caller sends again.
+		it('sends a non-idempotent call again only after "not run"', async () => {
+			const cut = await startVm(() => 'cut');
+			const first = await cut.caller.call(order('1'));
+			expect(first.outcome).toEqual('lost');
+			expect(cut.count()).toEqual(1);
+			const unknown = await startVm(() => ({status: 502, outcome: 'unknown'}));
+			const second = await unknown.caller.call(order('2'));
+			expect(second.outcome).toEqual('unknown');
+			expect(unknown.count()).toEqual(1);
+			const refused = await startVm(() => ({status: 503, outcome: 'not-run'}));
+			const third = await refused.caller.call(order('3'));
+			expect(third.outcome).toEqual('not-run');
+			expect(refused.count()).toEqual(3);
+		});
+	});
+});
