Prove the callers' door against a raw backend server

Cause: the border of 'not run' is only as good as what the HTTP library does at it. Ruled out: a resend inside undici (pipelining 1, idempotent false, a second start is aborted); a retry on a reset. Change: bounds for bodies and connections; tests for a half answer, a reset payment, a refused connection, bad input.

--- /dev/null
+++ b/src/node/front/caller-server.test.ts
@@ -0,0 +1,202 @@
+import {createServer, type Server, type Socket} from 'node:net';
+import {expect} from 'earl';
+import {request} from 'undici';
+import {DefaultCallEngine} from '../../common/calls/call-engine.ts';
+import {type CallSummary} from '../../common/calls/types.ts';
+import {DisposableStore, toDisposable} from '../../common/lifecycle/disposable.ts';
+import {backendServerSchema, serviceSchema} from '../../common/model/resources.ts';
+import {seededRandom} from '../../common/random/random.ts';
+import {BackendServerStandIn} from '../../stand-ins/backend-server/backend-server-stand-in.ts';
+import {ProcessClock} from '../clock.ts';
+import {BackendConnections} from './backend-connections.ts';
+import {CallLoop} from './call-loop.ts';
+import {CallerServer} from './caller-server.ts';
+import {LoadMeasurer} from './load-measurer.ts';
+
+const limits = {
+	headBytes: 16_384, headMilliseconds: 5000, idleMilliseconds: 5000, bodyBytes: 200_000, keptBodyBytes: 65_536, connections: 100,
+};
+
+/** No service of these tests asks for keys. */
+const noKeys = {claim: () => undefined};
+
+type Front = {readonly url: string; readonly ended: CallSummary[]};
+
+/** The callers' door with a real engine in front of the given ports. */
+async function startFront(store: DisposableStore, ports: readonly number[]): Promise<Front> {
+	const connections = store.add(new BackendConnections({connectMilliseconds: 1000, idleMilliseconds: 5000}));
+	const engine = new DefaultCallEngine({random: seededRandom(1), settings: {dataCentre: 'north'}});
+	const loop = store.add(new CallLoop(engine, new ProcessClock(), new LoadMeasurer(connections), noKeys));
+	const server = store.add(new CallerServer({
+		loop,
+		connections,
+		addresses: () => undefined,
+		fingerprint: (method, path) => `${method} ${path}`,
+	}, limits));
+	const ended: CallSummary[] = [];
+	store.add(loop.onCallEnded(summary => ended.push(summary)));
+	const service = serviceSchema.parse({
+		kind: 'service', name: 'orders', timeoutMilliseconds: 2000, retryShare: 1,
+	});
+	const servers = ports.map((port, index) => backendServerSchema.parse({
+		kind: 'backend-server', name: `orders-${index}`, service: 'orders', address: '127.0.0.1', port, dataCentre: 'north',
+	}));
+	loop.feed({
+		type: 'configured',
+		configuration: {
+			version: 1,
+			services: new Map([['orders', service]]),
+			backendServers: new Map(servers.map(item => [`identity-of-${item.name}`, item])),
+			sharingRules: [],
+		},
+	});
+	const port = await server.listen(0, '127.0.0.1');
+	return {url: `http://127.0.0.1:${port}/services/orders`, ended};
+}
+
+async function startBackend(backend: BackendServerStandIn): Promise<number> {
+	const started = await backend.start();
+	return started._unsafeUnwrap();
+}
+
+/** A backend server of raw bytes: does what no well-behaved one does. */
+async function startRaw(store: DisposableStore, onSocket: (socket: Socket) => void): Promise<number> {
+	const server: Server = createServer(socket => {
+		socket.on('error', () => undefined);
+		onSocket(socket);
+	});
+	const sockets = new Set<Socket>();
+	server.on('connection', socket => sockets.add(socket));
+	store.add(toDisposable(() => {
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	}));
+	return new Promise(resolve => {
+		server.listen(0, '127.0.0.1', () => {
+			const address = server.address();
+			resolve(typeof address === 'object' && address !== null ? address.port : 0);
+		});
+	});
+}
+
+async function ask(url: string, options: Parameters<typeof request>[1] = {}) {
+	const answer = await request(url, options);
+	const body = await answer.body.text().then(text => text, () => 'BROKEN OFF');
+	return {
+		status: answer.statusCode, outcome: answer.headers['jaydale-outcome'], retryAfter: answer.headers['retry-after'], body,
+	};
+}
+
+describe('CallerServer', () => {
+	let store: DisposableStore;
+
+	beforeEach(() => {
+		store = new DisposableStore();
+	});
+
+	afterEach(() => {
+		store.dispose();
+	});
+
+	it('hands a whole answer on and says that the call ran', async function () {
+		const backend = store.add(new BackendServerStandIn());
+		const port = await startBackend(backend);
+		const front = await startFront(store, [port]);
+		const answer = await ask(`${front.url}/spans/7`, {headers: {'stand-in-call-id': 'a', 'stand-in-bytes': '5', 'jaydale-outcome': 'forged'}});
+		expect({...answer, body: answer.body.length}).toMatchSnapshot(this);
+	});
+
+	/*
+	 * A landing crew's map stops in the middle and looks whole. Order: the head and half the body are passed on,
+	 * then the backend server dies. Cause: an answer without a visible end. The caller must see a broken body.
+	 */
+	it('breaks a half answer off visibly', async () => {
+		const port = await startRaw(store, socket => {
+			socket.once('data', () => {
+				socket.write('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n');
+				setTimeout(() => socket.destroy(), 20);
+			});
+		});
+		const front = await startFront(store, [port]);
+		const answer = await ask(`${front.url}/map`);
+		expect(answer.body).toEqual('BROKEN OFF');
+		expect(front.ended.map(summary => summary.isGood)).toEqual([false]);
+	});
+
+	/*
+	 * A member pays dues twice. Order: the payment is sent, the backend server reads it and cuts the connection
+	 * without an answer; a second backend server stands ready. Cause: a reset taken for "not run".
+	 */
+	it('never sends a payment again after a reset, and says that the outcome is unknown', async () => {
+		let received = 0;
+		const rawHandler = (socket: Socket) => {
+			socket.once('data', () => {
+				received += 1;
+				socket.destroy();
+			});
+		};
+
+		const ports = [await startRaw(store, rawHandler), await startRaw(store, rawHandler)];
+		const front = await startFront(store, ports);
+		const answer = await ask(`${front.url}/dues`, {method: 'POST', body: 'pay'});
+		expect(received).toEqual(1);
+		expect({status: answer.status, outcome: answer.outcome}).toEqual({status: 502, outcome: 'unknown'});
+	});
+
+	/*
+	 * A festival registration is refused although a backend server was free. Order: the chosen one refuses the
+	 * connection, so nothing ran. Cause: giving up on a failure that proves it is safe to go elsewhere.
+	 */
+	it('sends a call elsewhere, body and all, when the connection was refused', async () => {
+		const closedPort = await startRaw(store, () => undefined);
+		store.dispose();
+		store = new DisposableStore();
+		const backend = store.add(new BackendServerStandIn());
+		const port = await startBackend(backend);
+		const front = await startFront(store, [closedPort, port]);
+		const answers = [];
+		for (let index = 0; index < 6; index += 1) {
+			const headers = {'stand-in-call-id': `r${index}`, 'stand-in-bytes': '5'};
+			answers.push(await ask(`${front.url}/register`, {method: 'POST', body: 'x'.repeat(1000), headers}));
+		}
+
+		expect(answers.map(answer => answer.status)).toEqual([200, 200, 200, 200, 200, 200]);
+		expect(new Set(backend.calls().map(call => call.callId)).size).toEqual(6);
+	});
+
+	/*
+	 * An attacker smuggles a second call behind one whose length can be read in two ways. Both readings are in
+	 * the head; the answer is 400 and no backend server sees anything. Cause: guessing which length is meant.
+	 */
+	it('refuses bad input and runs nothing', async function () {
+		const backend = store.add(new BackendServerStandIn());
+		const port = await startBackend(backend);
+		const front = await startFront(store, [port]);
+		const twoLengths = await rawExchange(front.url, 'POST /services/orders/x HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n');
+		expect({
+			twoLengths: twoLengths.split('\r\n')[0],
+			timeout: await ask(`${front.url}/x`, {headers: {'jaydale-timeout-milliseconds': 'soon'}}),
+			key: await ask(`${front.url}/x`, {method: 'POST', headers: {'idempotency-key': 'k'.repeat(300)}}),
+			large: await ask(`${front.url}/x`, {method: 'POST', body: Buffer.alloc(300_000)}),
+			service: await ask(front.url.replace('orders', 'nothing') + '/x'),
+			ran: backend.calls().length,
+		}).toMatchSnapshot(this);
+	});
+});
+
+async function rawExchange(url: string, text: string): Promise<string> {
+	const {port} = new URL(url);
+	const {connect} = await import('node:net');
+	return new Promise(resolve => {
+		const socket = connect(Number(port), '127.0.0.1', () => socket.write(text));
+		let answer = '';
+		socket.on('data', chunk => {
+			answer += chunk.toString();
+		});
+		socket.on('close', () => {
+			resolve(answer);
+		});
+	});
+}
--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -14,7 +14,7 @@
 import {type BackendConnections} from './backend-connections.ts';
 import {type CallLoop} from './call-loop.ts';
 import {LiveCall} from './live-call.ts';
-import {RequestBody} from './request-body.ts';
+import {type BodyLimits, RequestBody} from './request-body.ts';
 
 /** An answer to "which VMs shall I use for this service". */
 export type AddressAnswer = {
@@ -32,7 +32,9 @@
 };
 
 /** Limits of the door; each keeps one caller from holding what others need. */
-export type CallerServerLimits = {
+export type CallerServerLimits = BodyLimits & {
+	/** Most open connections; one more is closed at once. */
+	readonly connections: number;
 	/** Largest head in bytes: a larger one is answered with 431. */
 	readonly headBytes: number;
 	/** Time for a whole head to come in: a caller that sends byte by byte holds a connection no longer. */
@@ -62,6 +64,7 @@
 /** Serves callers on one port. */
 export class CallerServer extends Disposable {
 	private readonly _parts: CallerServerParts;
+	private readonly _limits: CallerServerLimits;
 	private readonly _server: Server;
 	private _lastCallId = 0;
 	private _isClosingIdle = false;
@@ -69,6 +72,7 @@
 	constructor(parts: CallerServerParts, limits: CallerServerLimits) {
 		super();
 		this._parts = parts;
+		this._limits = limits;
 		// The call path reads the body itself; the adaptor must not drain or cut it.
 		const listener = getRequestListener(this._application().fetch, {autoCleanupIncoming: false, overrideGlobalObjects: false});
 		this._server = createServer({
@@ -80,6 +84,7 @@
 		}, (incoming, outgoing) => {
 			void listener(incoming, outgoing);
 		});
+		this._server.maxConnections = limits.connections;
 		this._register(toDisposable(() => {
 			this._server.close();
 			this._server.closeAllConnections();
@@ -137,13 +142,13 @@
 		const path = url.slice(slash);
 		const timeoutMilliseconds = parseTimeout(single(incoming.headers[timeoutHeader]));
 		if (timeoutMilliseconds === false) {
-			this._refuseField(outgoing, timeoutHeader);
+			this._refuseField(outgoing, 400, timeoutHeader);
 			return;
 		}
 
 		const key = single(incoming.headers[idempotencyKeyHeader]);
 		if (key !== undefined && (key.length === 0 || key.length > largestKey)) {
-			this._refuseField(outgoing, idempotencyKeyHeader);
+			this._refuseField(outgoing, 400, idempotencyKeyHeader);
 			return;
 		}
 
@@ -151,7 +156,13 @@
 			outgoing.setHeader('connection', 'close');
 		}
 
-		const body = new RequestBody(incoming);
+		const body = new RequestBody(incoming, this._limits);
+		if (body.isTooLarge) {
+			outgoing.setHeader('connection', 'close');
+			this._refuseField(outgoing, 413, 'content-length');
+			return;
+		}
+
 		body.read(() => {
 			this._lastCallId += 1;
 			const request: CallRequest = {
@@ -173,11 +184,11 @@
 	}
 
 	/** Bad input from a caller: the field is named, and nothing ran. */
-	private _refuseField(outgoing: ServerResponse, field: string): void {
+	private _refuseField(outgoing: ServerResponse, status: number, field: string): void {
 		const body = JSON.stringify({
-			type: `${problemTypePrefix}invalid-field`, title: 'invalid field', status: 400, field, outcome: 'not-run',
+			type: `${problemTypePrefix}invalid-field`, title: 'invalid field', status, field, outcome: 'not-run',
 		});
-		outgoing.writeHead(400, {'content-type': 'application/problem+json', 'content-length': Buffer.byteLength(body), [outcomeHeader]: 'not-run'});
+		outgoing.writeHead(status, {'content-type': 'application/problem+json', 'content-length': Buffer.byteLength(body), [outcomeHeader]: 'not-run'});
 		outgoing.end(body);
 	}
 }
--- a/src/node/front/request-body.ts
+++ b/src/node/front/request-body.ts
@@ -2,22 +2,39 @@
 import {type IncomingMessage} from 'node:http';
 import {Readable} from 'node:stream';
 
-/**
- * Bodies up to this size are read whole before the call is placed, so that a slow caller holds no slot of
- * a backend server, and can be sent again after a proof that nothing ran. Larger ones stream.
- */
-export const keptBodyBytes = 65_536;
+/** Bounds of bodies in bytes. */
+export type BodyLimits = {
+	/**
+	 * Bodies up to this size are read whole before the call is placed, so that a slow caller holds no slot
+	 * of a backend server, and can be sent again after a proof that nothing ran. Larger ones stream.
+	 */
+	readonly keptBodyBytes: number;
+	/** Larger bodies are refused, or cut off where their head did not tell their size. */
+	readonly bodyBytes: number;
+};
+
+/** A body grew beyond the limit while it streamed. */
+class BodyTooLarge extends Error {
+	override readonly name = 'BodyTooLarge';
+}
 
 /** The start of a body, perhaps all of it. */
 export class RequestBody {
 	private readonly _incoming: IncomingMessage;
+	private readonly _limits: BodyLimits;
 	private readonly _chunks: Uint8Array[] = [];
 	private _bytes = 0;
 	private _isWhole = false;
 	private _isStreaming = false;
 
-	constructor(incoming: IncomingMessage) {
+	constructor(incoming: IncomingMessage, limits: BodyLimits) {
 		this._incoming = incoming;
+		this._limits = limits;
+	}
+
+	/** True if the head already tells that the body is too large. */
+	get isTooLarge(): boolean {
+		return Number(this._incoming.headers['content-length'] ?? 0) > this._limits.bodyBytes;
 	}
 
 	/** True while the body is held whole, so that another attempt can send all of it. */
@@ -42,7 +59,7 @@
 		const onData = (chunk: Uint8Array) => {
 			this._chunks.push(chunk);
 			this._bytes += chunk.length;
-			if (this._bytes > keptBodyBytes) {
+			if (this._bytes > this._limits.keptBodyBytes) {
 				stop();
 				this._incoming.pause();
 				onReady();
@@ -85,6 +102,13 @@
 		yield this.kept;
 		this._chunks.length = 0;
 		const rest: AsyncIterable<Uint8Array> = this._incoming;
-		yield * rest;
+		for await (const chunk of rest) {
+			this._bytes += chunk.length;
+			if (this._bytes > this._limits.bodyBytes) {
+				throw new BodyTooLarge();
+			}
+
+			yield chunk;
+		}
 	}
 }
