Serve the resource API and write logs

Operators need one interface that says exactly what became of a change: accepted with its version, lost to another one (which, whose), refused with the field at fault, or unknown with the operation to ask about.

The API is hono over an interface of its own, OperatorGateway, so that it is tested without sockets and the daemon decides how to answer. Writes name the version they saw (If-Match, 428 without), changes of many resources go together, and each carries an operation identity, so that a repetition is recognised. Tokens are compared as digests in constant time, before the body is read. Watching is a long poll by version, not server-sent events: a poll is bounded, so a connection that falls silent is noticed, and it resumes by version at any VM.

--- a/src/common/settings/schema-failures.ts
+++ b/src/common/settings/schema-failures.ts
@@ -48,7 +48,7 @@
 	}
 
 	const shown = issue.path.some(step => secretKeys.has(step)) ? '(a secret)' : shorten(JSON.stringify(found));
-	return [failure('not-allowed', `found ${shown}; allowed: ${allowed}`, {field})];
+	return [failure('not-allowed', `found ${shown}; allowed: ${allowed}${suggestWord(issue, found)}`, {field})];
 }
 
 function unknownKey(path: Path, key: string, known: readonly string[]): InputFailure {
@@ -79,7 +79,7 @@
 		}
 
 		case 'invalid_value': {
-			return issue.values.map(value => JSON.stringify(value)).join(' or ');
+			return describeChoices(issue.values);
 		}
 
 		case 'invalid_format': {
@@ -100,7 +100,30 @@
 	}
 }
 
+function describeChoices(values: readonly unknown[]): string {
+	return values.map(value => typeof value === 'string' ? JSON.stringify(value) : String(value)).join(' or ');
+}
+
+/** A hint for a mistyped word where the allowed words are listed. */
+function suggestWord(issue: Issue, found: unknown): string {
+	const choices = choicesOf(issue);
+	const suggestion = typeof found === 'string' ? closestName(found, choices.filter(choice => typeof choice === 'string')) : undefined;
+	return suggestion === undefined ? '' : `; did you mean "${suggestion}"?`;
+}
+
+function choicesOf(issue: Issue): readonly unknown[] {
+	if (issue.code === 'invalid_value') {
+		return issue.values;
+	}
+
+	return issue.code === 'invalid_union' && 'options' in issue ? issue.options ?? [] : [];
+}
+
 function describeUnion(issue: z.core.$ZodIssueInvalidUnion): string {
+	if ('options' in issue && issue.options !== undefined) {
+		return describeChoices(issue.options);
+	}
+
 	const choices = issue.errors.flatMap(branch => branch.slice(0, 1).map(first => describeAllowed(first)));
 	return choices.length === 0 ? issue.message : [...new Set(choices)].join(', or ');
 }
@@ -118,7 +141,7 @@
 }
 
 function describeBound(origin: string, bound: string, limit: number): string {
-	const units: Record<string, string> = {string: ' characters', array: ' entries'};
+	const units: Record<string, string> = {string: limit === 1 ? ' character' : ' characters', array: limit === 1 ? ' entry' : ' entries'};
 	return `${bound} ${limit}${units[origin] ?? ''}`;
 }
 
--- /dev/null
+++ b/src/node/api/operator-directory.ts
@@ -0,0 +1,42 @@
+/** Who may use the resource API. */
+import {createHash, timingSafeEqual} from 'node:crypto';
+import {Maybe} from 'true-myth';
+import {type OperatorRole, type OperatorToken} from '../../common/settings/settings.ts';
+
+/** An operator whose token was recognised. */
+export type Operator = {
+	readonly name: string;
+	readonly role: OperatorRole;
+};
+
+type Entry = Operator & {readonly digest: Buffer};
+
+/** Recognises operators by their bearer tokens; keeps only digests of them. */
+export class OperatorDirectory {
+	private readonly _entries: readonly Entry[];
+
+	constructor(tokens: readonly OperatorToken[]) {
+		this._entries = tokens.map(({name, role, token}) => ({name, role, digest: digestOf(token)}));
+	}
+
+	/**
+	 * The operator whose token stands in an Authorization header.
+	 *
+	 * Guards against guessing a token byte by byte from how long a comparison takes: digests of one
+	 * length are compared in constant time, and every entry is compared whether or not one matched.
+	 */
+	recognise(authorization: string | undefined): Maybe<Operator> {
+		const token = /^Bearer +(?<token>\S+)$/iv.exec(authorization ?? '')?.groups?.token;
+		if (token === undefined) {
+			return Maybe.nothing();
+		}
+
+		const digest = digestOf(token);
+		const match = this._entries.find(entry => timingSafeEqual(entry.digest, digest));
+		return Maybe.of(match).map(({name, role}) => ({name, role}));
+	}
+}
+
+function digestOf(token: string): Buffer {
+	return createHash('sha256').update(token).digest();
+}
--- /dev/null
+++ b/src/node/api/problems.ts
@@ -0,0 +1,89 @@
+/** Typed answers for everything that can go wrong at the resource API (RFC 9457). */
+import {problemTypePrefix} from '../../common/protocol/headers.ts';
+import {type InputFailure} from '../../common/settings/schema-failures.ts';
+import {type GatewayFailure, type Problem} from './types.ts';
+
+/** The word after the prefix of a problem's type. Programs decide by it; sentences may change. */
+export type ProblemWord
+	= | 'invalid-input'
+		| 'unauthorised'
+		| 'forbidden'
+		| 'not-found'
+		| 'conflict'
+		| 'precondition-required'
+		| 'too-large'
+		| 'unsupported-media-type'
+		| 'outcome-unknown'
+		| 'unavailable'
+		| 'not-ready'
+		| 'internal';
+
+const catalogue: Readonly<Record<ProblemWord, {readonly status: number; readonly title: string}>> = {
+	'invalid-input': {status: 400, title: 'The input is not allowed; nothing was changed'},
+	unauthorised: {status: 401, title: 'No known operator'},
+	forbidden: {status: 403, title: 'The operator may not do this'},
+	'not-found': {status: 404, title: 'No such thing'},
+	conflict: {status: 409, title: 'Another change came first; nothing was changed'},
+	'precondition-required': {status: 428, title: 'The expected version is lacking; nothing was changed'},
+	'too-large': {status: 413, title: 'The body is too large; nothing was changed'},
+	'unsupported-media-type': {status: 415, title: 'The body must be application/json; nothing was changed'},
+	'outcome-unknown': {status: 504, title: 'The change may or may not have been accepted'},
+	unavailable: {status: 503, title: 'The platform\'s service did not take part; nothing was changed'},
+	'not-ready': {status: 503, title: 'This VM has no configuration yet'},
+	internal: {status: 500, title: 'A fault of this VM'},
+};
+
+type ProblemExtras = Pick<Problem, 'faults' | 'winner' | 'operation'> & {readonly status?: number};
+
+/** A problem with its fixed title and status. */
+export function problem(word: ProblemWord, detail: string, extras: ProblemExtras = {}): Problem {
+	const entry = catalogue[word];
+	return {
+		type: `${problemTypePrefix}${word}`,
+		title: entry.title,
+		status: entry.status,
+		detail,
+		...extras,
+	};
+}
+
+/** The answer that carries a problem. */
+export function problemResponse(value: Problem): Response {
+	const headers = new Headers({'content-type': 'application/problem+json', 'cache-control': 'no-store'});
+	if (value.status === catalogue.unauthorised.status) {
+		headers.set('www-authenticate', 'Bearer');
+	}
+
+	return Response.json(value, {status: value.status, headers});
+}
+
+/** A problem that lists every fault of an input. */
+export function invalidInput(faults: readonly InputFailure[]): Problem {
+	return problem('invalid-input', `${faults.length} ${faults.length === 1 ? 'fault' : 'faults'}`, {
+		faults: faults.map(fault => ({field: fault.field.unwrapOr(''), kind: fault.kind, message: fault.message})),
+	});
+}
+
+/** The problem for what the system could not do. `hasPrecondition`: the request named a version in If-Match. */
+export function gatewayProblem(value: GatewayFailure, hasPrecondition = false): Problem {
+	switch (value.kind) {
+		case 'conflict': {
+			// RFC 9110, 13.1.1: a false If-Match is answered with 412.
+			return problem('conflict', value.message, {winner: value.winner, ...(hasPrecondition && {status: 412})});
+		}
+
+		case 'outcome-unknown': {
+			return problem('outcome-unknown', value.message, {operation: value.operation});
+		}
+
+		case 'invalid': {
+			return invalidInput(value.faults);
+		}
+
+		case 'unavailable':
+		case 'not-found':
+		case 'not-ready': {
+			return problem(value.kind, value.message);
+		}
+	}
+}
--- /dev/null
+++ b/src/node/api/request-input.ts
@@ -0,0 +1,95 @@
+/** Reads and checks what a request to the resource API brings; every fault names its field. */
+import {randomUUID} from 'node:crypto';
+import {type Context} from 'hono';
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+import {failure} from '../../common/errors/failure.ts';
+import {nameSchema, resourceKey, type ResourceKey} from '../../common/model/resources.ts';
+import {inputFailures, type InputFailure} from '../../common/settings/schema-failures.ts';
+import {invalidInput, problem} from './problems.ts';
+import {operationSchema, resourceKindSchema, type Problem} from './types.ts';
+
+/** The version that a write expects: a number, 0 = absent, undefined = whatever stands there. */
+export type Precondition = {readonly expected: number | undefined};
+
+const pathSchema = z.strictObject({kind: resourceKindSchema, name: nameSchema});
+
+/** The JSON body, checked against a schema. */
+export async function readBody<Schema extends z.ZodType>(context: Context, schema: Schema): Promise<Result<z.infer<Schema>, Problem>> {
+	const mediaType = context.req.header('content-type')?.split(';', 1)[0]?.trim().toLowerCase();
+	if (mediaType !== 'application/json') {
+		return err(problem('unsupported-media-type', `found ${mediaType === undefined ? 'no content-type' : `content-type ${mediaType}`}; allowed: application/json`));
+	}
+
+	const text = await context.req.text();
+	return parseJson(text).andThen(input => checkInput(schema, input));
+}
+
+/** Checks any input against a schema. */
+export function checkInput<Schema extends z.ZodType>(schema: Schema, input: unknown): Result<z.infer<Schema>, Problem> {
+	const parsed = schema.safeParse(input);
+	return parsed.success ? ok(parsed.data) : err(invalidInput(inputFailures(parsed.error, input, schema)));
+}
+
+/** The resource that the path names. */
+export function readKey(context: Context): Result<ResourceKey, Problem> {
+	return checkInput(pathSchema, {kind: context.req.param('kind'), name: context.req.param('name')}).map(resourceKey);
+}
+
+/** A whole number from the query. */
+export function readNumber(context: Context, name: string, fallback: number, most: number): Result<number, Problem> {
+	const text = context.req.query(name);
+	if (text === undefined) {
+		return ok(fallback);
+	}
+
+	const range = `a whole number from 0 to ${most}`;
+	const schema = z.strictObject({[name]: z.string().regex(/^\d{1,15}$/v, range).transform(Number).refine(value => value <= most, range)});
+	return checkInput(schema, {[name]: text}).map(value => Number(value[name]));
+}
+
+/** The expected version from If-Match or If-None-Match; one of the two is needed, so that no write is blind by accident. */
+export function readPrecondition(context: Context): Result<Precondition, Problem> {
+	const ifMatch = context.req.header('if-match');
+	if (ifMatch === '*') {
+		return ok({expected: undefined});
+	}
+
+	if (ifMatch !== undefined) {
+		const version = /^"(?<version>[1-9]\d{0,15})"$/v.exec(ifMatch)?.groups?.version;
+		return version === undefined
+			? err(invalidInput([headerFault('if-match', ifMatch, 'the ETag of the resource, such as "17", or *')]))
+			: ok({expected: Number(version)});
+	}
+
+	const ifNoneMatch = context.req.header('if-none-match');
+	if (ifNoneMatch === undefined) {
+		return err(problem('precondition-required', 'allowed: If-Match with the ETag that was read (* = whatever stands there), or If-None-Match: * to create'));
+	}
+
+	return ifNoneMatch === '*' ? ok({expected: 0}) : err(invalidInput([headerFault('if-none-match', ifNoneMatch, '*')]));
+}
+
+/** The operation's identity from Idempotency-Key; a fresh one where the client brought none. */
+export function readOperation(context: Context): Result<string, Problem> {
+	const header = context.req.header('idempotency-key');
+	if (header === undefined) {
+		return ok(randomUUID());
+	}
+
+	return operationSchema.safeParse(header).success
+		? ok(header)
+		: err(invalidInput([headerFault('idempotency-key', header, '8 to 64 letters, digits, dashes and underscores')]));
+}
+
+function headerFault(field: string, found: string, allowed: string): InputFailure {
+	return failure('not-allowed', `found ${JSON.stringify(found.slice(0, 80))}; allowed: ${allowed}`, {field});
+}
+
+function parseJson(text: string): Result<unknown, Problem> {
+	try {
+		return ok(JSON.parse(text));
+	} catch (error) {
+		return err(invalidInput([failure('not-allowed', `found a body that is not JSON: ${error instanceof Error ? error.message : String(error)}`, {field: 'body'})]));
+	}
+}
--- /dev/null
+++ b/src/node/api/resource-api.test.ts
@@ -0,0 +1,143 @@
+import {expect} from 'earl';
+import {Logging} from '../logging/logging.ts';
+import {FakeGateway} from './fake-gateway.test.ts';
+import {OperatorDirectory} from './operator-directory.ts';
+import {ResourceApi} from './resource-api.ts';
+
+const writeToken = 'write-token-of-hanna-123';
+const readToken = 'read-token-of-jan-123456';
+const bodyBytes = 4096;
+
+const {logger} = new Logging({level: 'error', format: 'json'}, {}, () => undefined);
+
+type Send = {
+	readonly token?: string;
+	readonly headers?: Readonly<Record<string, string>>;
+	readonly body?: unknown;
+	readonly raw?: string;
+};
+
+describe('resource API', () => {
+	let gateway: FakeGateway;
+	let api: ResourceApi;
+
+	beforeEach(() => {
+		gateway = new FakeGateway();
+		const directory = new OperatorDirectory([
+			{name: 'hanna', role: 'write', token: writeToken},
+			{name: 'jan', role: 'read', token: readToken},
+		]);
+		api = new ResourceApi({
+			gateway, directory, logger, bodyBytes,
+		});
+	});
+
+	async function send(method: string, path: string, options: Send = {}): Promise<{status: number; etag: string | null; body: unknown}> {
+		const {token = writeToken, headers = {}, body, raw} = options;
+		const text = raw ?? (body === undefined ? undefined : JSON.stringify(body));
+		const answer = await api.handle(new Request(`http://vm${path}`, {
+			method,
+			headers: {
+				...(token !== '' && {authorization: `Bearer ${token}`}),
+				...(text !== undefined && {'content-type': 'application/json'}),
+				...headers,
+			},
+			body: text,
+		}));
+		const answerText = await answer.text();
+		return {status: answer.status, etag: answer.headers.get('etag'), body: answerText === '' ? undefined : JSON.parse(answerText)};
+	}
+
+	const service = {kind: 'service', name: 'ordering'};
+
+	it('creates, reads, replaces with the expected version, and deletes', async function () {
+		const answers = [
+			await send('POST', '/v1/resources', {body: service, headers: {'idempotency-key': 'operation-1'}}),
+			await send('GET', '/v1/resources/service/ordering', {token: readToken}),
+			await send('PUT', '/v1/resources/service/ordering', {body: {...service, priority: 9}, headers: {'if-match': '"1"', 'idempotency-key': 'operation-2'}}),
+			await send('GET', '/v1/resources?kind=backend-server'),
+			await send('DELETE', '/v1/resources/service/ordering', {headers: {'if-match': '"2"', 'idempotency-key': 'operation-3'}}),
+			await send('GET', '/v1/resources/service/ordering'),
+			await send('GET', '/v1/history?limit=2'),
+			await send('GET', '/v1/watch?after=2'),
+		];
+		expect(answers).toMatchSnapshot(this);
+	});
+
+	// Two operators read version 1 of a service and both replace it. The second one must learn that it
+	// lost, to whom, and against which version. Cause: both writes name the version that they saw.
+	it('tells the loser of two changes who won', async function () {
+		await send('POST', '/v1/resources', {body: service, headers: {'idempotency-key': 'operation-1'}});
+		await send('PUT', '/v1/resources/service/ordering', {body: {...service, priority: 9}, headers: {'if-match': '"1"', 'idempotency-key': 'operation-2'}});
+		const loser = await send('PUT', '/v1/resources/service/ordering', {body: {...service, priority: 1}, headers: {'if-match': '"1"'}});
+		const creator = await send('POST', '/v1/resources', {body: service});
+		expect([loser, creator]).toMatchSnapshot(this);
+		expect(gateway.version).toEqual(2);
+	});
+
+	// The store accepts a change and its answer is lost. The operator must not read "refused", and a
+	// repetition must not make the change twice. Cause: only the operation's identity tells.
+	it('says that an outcome is unknown, resolves it, and makes a repeated change once', async function () {
+		const change = {operation: 'operation-1', mutations: [{type: 'put', resource: service, expected: 0}]};
+		gateway.mood = 'loses-answers';
+		const lost = await send('POST', '/v1/changes', {body: change});
+		const asked = await send('GET', '/v1/operations/operation-1');
+		gateway.mood = 'well';
+		const repeated = await send('POST', '/v1/changes', {body: change});
+		const other = await send('GET', '/v1/operations/operation-9');
+		expect([lost, asked, repeated, other]).toMatchSnapshot(this);
+		expect(gateway.version).toEqual(1);
+	});
+
+	it('refuses every bad input with the field at fault and changes nothing', async function () {
+		const json = {'content-type': 'application/json'};
+		const answers = [
+			await send('POST', '/v1/resources', {
+				body: {
+					kind: 'service', name: 'Ordering', prioritty: 3, measuring: {tailWeight: 2},
+				},
+			}),
+			await send('POST', '/v1/resources', {body: {kind: 'servce', name: 'a'}}),
+			await send('POST', '/v1/resources', {raw: '{"kind":'}),
+			await send('POST', '/v1/resources', {raw: 'null'}),
+			await send('POST', '/v1/resources', {body: service, headers: {'content-type': 'text/plain'}}),
+			await send('POST', '/v1/resources', {body: service, headers: {'idempotency-key': 'x'}}),
+			await send('POST', '/v1/resources', {raw: JSON.stringify({...service, note: 'x'.repeat(bodyBytes)})}),
+			await send('PUT', '/v1/resources/service/ordering', {body: service}),
+			await send('PUT', '/v1/resources/service/ordering', {body: service, headers: {...json, 'if-match': '1'}}),
+			await send('PUT', '/v1/resources/service/ordering', {body: {...service, name: 'other'}, headers: {'if-none-match': '*'}}),
+			await send('PUT', '/v1/resources/servicio/ordering', {body: service, headers: {'if-none-match': '*'}}),
+			await send('DELETE', '/v1/resources/service/ordering'),
+			await send('POST', '/v1/changes', {body: {operation: 'operation-1', mutations: []}}),
+			await send('POST', '/v1/changes', {body: {operation: 'operation-1', mutations: [{type: 'put', resource: service}, {type: 'put', resource: {kind: 'backend-server', name: 'b'}}]}}),
+			await send('GET', '/v1/resources?kind=thing'),
+			await send('GET', '/v1/watch?after=-1'),
+			await send('GET', '/v1/history?limit=many'),
+			await send('PUT', '/v1/log-level', {body: {level: 'loud'}}),
+			await send('POST', '/v1/vms/vm-9/drain'),
+			await send('GET', '/v2'),
+		];
+		expect(answers.map(({status, body}) => ({status, body}))).toMatchSnapshot(this);
+		expect(gateway.version).toEqual(0);
+		expect(gateway.logLevel()).toEqual('info');
+	});
+
+	it('lets in known operators only, and only those with the role write change anything', async function () {
+		const answers = [
+			await send('GET', '/v1/status', {token: ''}),
+			await send('GET', '/v1/status', {token: `${writeToken}x`}),
+			await send('GET', '/v1/status', {headers: {authorization: 'Basic aGFubmE='}}),
+			await send('POST', '/v1/resources', {token: readToken, body: service}),
+			await send('POST', '/v1/vms/vm-2/drain', {token: readToken}),
+		];
+		expect(answers).toMatchSnapshot(this);
+		const allowed = await send('GET', '/v1/status', {token: readToken});
+		expect(allowed.status).toEqual(200);
+		expect(gateway.version).toEqual(0);
+	});
+
+	it('says "unavailable" and not "unknown" when the store took no part', async function () {
+		gateway.mood = 'out';
+		expect(await send('POST', '/v1/resources', {body: service})).toMatchSnapshot(this);
+	});
+});
--- /dev/null
+++ b/src/node/api/resource-api.ts
@@ -0,0 +1,67 @@
+/** The operators' HTTP interface: who may enter, how much they may send, and where it goes. */
+import {Hono, type MiddlewareHandler} from 'hono';
+import {bodyLimit} from 'hono/body-limit';
+import {type Logger} from '../logging/types.ts';
+import {type OperatorDirectory} from './operator-directory.ts';
+import {problem, problemResponse} from './problems.ts';
+import {resourceRoutes, type ApiEnvironment} from './resource-routes.ts';
+import {vmRoutes} from './vm-routes.ts';
+import {type OperatorGateway} from './types.ts';
+
+/** What the API is built from. */
+export type ResourceApiParts = {
+	readonly gateway: OperatorGateway;
+	readonly directory: OperatorDirectory;
+	readonly logger: Logger;
+	/** Largest body of a request. */
+	readonly bodyBytes: number;
+};
+
+const readingMethods: ReadonlySet<string> = new Set(['GET', 'HEAD']);
+
+/** The resource API as a function from request to answer; a server or a test feeds it. */
+export class ResourceApi {
+	private readonly _application = new Hono<ApiEnvironment>();
+
+	constructor(private readonly _parts: ResourceApiParts) {
+		const application = this._application;
+		application.use(this._authenticate());
+		application.use(bodyLimit({
+			maxSize: _parts.bodyBytes,
+			onError: () => problemResponse(problem('too-large', `allowed: at most ${_parts.bodyBytes} bytes`)),
+		}));
+		application.route('/v1', resourceRoutes(_parts.gateway));
+		application.route('/v1', vmRoutes(_parts.gateway));
+		application.notFound(context => problemResponse(problem('not-found', `no ${context.req.method} ${context.req.path} in this interface`)));
+		application.onError(error => this._answerFault(error));
+	}
+
+	/** Answers one request. */
+	async handle(request: Request): Promise<Response> {
+		return this._application.fetch(request);
+	}
+
+	/** Runs before the body is read: who is unknown costs no memory. */
+	private _authenticate(): MiddlewareHandler<ApiEnvironment> {
+		return async (context, next) => {
+			const operator = this._parts.directory.recognise(context.req.header('authorization'));
+			if (operator.isNothing) {
+				return problemResponse(problem('unauthorised', 'allowed: an Authorization header with the bearer token of an operator'));
+			}
+
+			if (operator.value.role !== 'write' && !readingMethods.has(context.req.method)) {
+				return problemResponse(problem('forbidden', `${operator.value.name} has the role read; allowed: role write`));
+			}
+
+			context.set('operator', operator.value);
+			await next();
+			return undefined;
+		};
+	}
+
+	/** A fault of our own never shows its inside to a client; the log has it. */
+	private _answerFault(error: Error): Response {
+		this._parts.logger.error('resource API failed', {error: error.message, stack: error.stack});
+		return problemResponse(problem('internal', 'the log of this VM says more'));
+	}
+}
--- /dev/null
+++ b/src/node/api/resource-routes.ts
@@ -0,0 +1,151 @@
+/** Routes for the declared resources: list, get, create, replace, delete, apply together, watch, history. */
+import {type Context, Hono} from 'hono';
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+import {failure} from '../../common/errors/failure.ts';
+import {
+	resourceKey, resourceSchema, type ResourceKey, type StoredResource,
+} from '../../common/model/resources.ts';
+import {type Operator} from './operator-directory.ts';
+import {
+	gatewayProblem, invalidInput, problem, problemResponse,
+} from './problems.ts';
+import {
+	checkInput, readBody, readKey, readNumber, readOperation, readPrecondition,
+} from './request-input.ts';
+import {
+	changeRequestSchema, resourceKindSchema, type ChangeAccepted, type ChangeRequest, type Mutation, type OperatorGateway, type Problem,
+} from './types.ts';
+
+/** What the middleware leaves for the routes. */
+export type ApiEnvironment = {Variables: {operator: Operator}};
+type ApiContext = Context<ApiEnvironment>;
+
+/** Longest wait of one watch: short enough that a silent connection is noticed. */
+const longestWatchMilliseconds = 60_000;
+const usualWatchMilliseconds = 25_000;
+const longestHistory = 1000;
+const usualHistory = 20;
+
+const listQuerySchema = z.strictObject({kind: resourceKindSchema.optional()});
+
+/** The routes under `/v1` that concern resources. */
+export function resourceRoutes(gateway: OperatorGateway): Hono<ApiEnvironment> {
+	const routes = new Hono<ApiEnvironment>();
+	routes.get('/resources', context => listResources(gateway, context));
+	routes.post('/resources', async context => createResource(gateway, context));
+	routes.get('/resources/:kind/:name', context => getResource(gateway, context));
+	routes.put('/resources/:kind/:name', async context => replaceResource(gateway, context));
+	routes.delete('/resources/:kind/:name', async context => deleteResource(gateway, context));
+	routes.post('/changes', async context => applyTogether(gateway, context));
+	routes.get('/operations/:operation', async context => {
+		const state = await gateway.operation(context.req.param('operation'));
+		return state.match(value => context.json(value), cause => problemResponse(gatewayProblem(cause)));
+	});
+	routes.get('/watch', async context => watch(gateway, context));
+	routes.get('/history', context => history(gateway, context));
+	return routes;
+}
+
+function listResources(gateway: OperatorGateway, context: ApiContext): Response {
+	return checkInput(listQuerySchema, {kind: context.req.query('kind')})
+		.andThen(({kind}) => gateway.list(kind).mapErr(cause => gatewayProblem(cause)))
+		.match(list => context.json(list), problemResponse);
+}
+
+function getResource(gateway: OperatorGateway, context: ApiContext): Response {
+	return readKey(context)
+		.andThen(key => findResource(gateway, key))
+		.match(stored => context.json(stored, 200, {etag: entityTag(stored.metadata.version)}), problemResponse);
+}
+
+function findResource(gateway: OperatorGateway, key: ResourceKey): Result<StoredResource, Problem> {
+	return gateway.get(key)
+		.mapErr(cause => gatewayProblem(cause))
+		.andThen(found => found.isJust ? ok(found.value) : err(problem('not-found', `no ${key} is in force`)));
+}
+
+async function createResource(gateway: OperatorGateway, context: ApiContext): Promise<Response> {
+	const body = await readBody(context, resourceSchema);
+	const request = body.andThen(resource => requestOf(context, {type: 'put', resource, expected: 0}));
+	return sendChange(gateway, context, request, {isCreation: true, hasPrecondition: false});
+}
+
+async function replaceResource(gateway: OperatorGateway, context: ApiContext): Promise<Response> {
+	const precondition = readPrecondition(context);
+	if (precondition.isErr()) {
+		return problemResponse(precondition.error);
+	}
+
+	const body = await readBody(context, resourceSchema);
+	const {expected} = precondition.value;
+	const request = readKey(context)
+		.andThen(key => body.andThen(resource => resourceKey(resource) === key ? ok(resource) : err(nameDiffers(key, resourceKey(resource)))))
+		.andThen(resource => requestOf(context, {type: 'put', resource, expected}));
+	return sendChange(gateway, context, request, {isCreation: expected === 0, hasPrecondition: true});
+}
+
+async function deleteResource(gateway: OperatorGateway, context: ApiContext): Promise<Response> {
+	const request = readPrecondition(context).andThen(({expected}) => expected === 0
+		? err(problem('precondition-required', 'allowed for deletion: If-Match'))
+		: readKey(context).andThen(key => requestOf(context, {type: 'delete', key, expected})));
+	return sendChange(gateway, context, request, {isCreation: false, hasPrecondition: true});
+}
+
+async function applyTogether(gateway: OperatorGateway, context: ApiContext): Promise<Response> {
+	const body = await readBody(context, changeRequestSchema);
+	return sendChange(gateway, context, body, {isCreation: false, hasPrecondition: false});
+}
+
+/** One resource's change as a request; the identity comes from the client, so that a repetition is recognised. */
+function requestOf(context: ApiContext, mutation: Mutation): Result<ChangeRequest, Problem> {
+	return readOperation(context).andThen(operation => checkInput(changeRequestSchema, {
+		operation,
+		note: context.req.query('note') ?? '',
+		mutations: [mutation],
+	}));
+}
+
+type ChangeShape = {readonly isCreation: boolean; readonly hasPrecondition: boolean};
+
+async function sendChange(gateway: OperatorGateway, context: ApiContext, request: Result<ChangeRequest, Problem>, shape: ChangeShape): Promise<Response> {
+	if (request.isErr()) {
+		return problemResponse(request.error);
+	}
+
+	const outcome = await gateway.change(request.value, context.var.operator.name);
+	return outcome.match(
+		accepted => acceptedResponse(context, accepted, shape),
+		cause => problemResponse(gatewayProblem(cause, shape.hasPrecondition)),
+	);
+}
+
+function acceptedResponse(context: ApiContext, accepted: ChangeAccepted, shape: ChangeShape): Response {
+	return context.json(accepted, shape.isCreation ? 201 : 200, {etag: entityTag(accepted.version)});
+}
+
+async function watch(gateway: OperatorGateway, context: ApiContext): Promise<Response> {
+	const after = readNumber(context, 'after', 0, Number.MAX_SAFE_INTEGER);
+	const wait = readNumber(context, 'milliseconds', usualWatchMilliseconds, longestWatchMilliseconds);
+	if (after.isErr() || wait.isErr()) {
+		return problemResponse(after.isErr() ? after.error : wait._unsafeUnwrapErr());
+	}
+
+	const news = await gateway.watch(after.value, wait.value, context.req.raw.signal);
+	return news.match(value => context.json(value), cause => problemResponse(gatewayProblem(cause)));
+}
+
+function history(gateway: OperatorGateway, context: ApiContext): Response {
+	return readNumber(context, 'limit', usualHistory, longestHistory)
+		.andThen(limit => gateway.history(limit).mapErr(cause => gatewayProblem(cause)))
+		.match(records => context.json({records}), problemResponse);
+}
+
+/** RFC 9110, 8.8.3: a strong validator, made of the version of the resource's latest change. */
+function entityTag(version: number): string {
+	return `"${version}"`;
+}
+
+function nameDiffers(expected: ResourceKey, found: ResourceKey): Problem {
+	return invalidInput([failure('not-allowed', `found ${found}; allowed: ${expected}, as in the path`, {field: 'name'})]);
+}
--- /dev/null
+++ b/src/node/api/types.ts
@@ -0,0 +1,216 @@
+/**
+ * What the resource API and its neighbours share: the bodies that cross the wire (as schemas) and the
+ * interface by which the API asks the system. Whoever wires the daemon implements `OperatorGateway`.
+ */
+import {type Result} from 'neverthrow';
+import {type Maybe} from 'true-myth';
+import {z} from 'zod';
+import {type BurnReport} from '../../common/burn/types.ts';
+import {type Failure} from '../../common/errors/failure.ts';
+import {
+	resourceSchema, storedResourceSchema, type ResourceKey, type ResourceKind, type StoredResource,
+} from '../../common/model/resources.ts';
+import {type InputFailure} from '../../common/settings/schema-failures.ts';
+import {settingsSchema, type LogLevel} from '../../common/settings/settings.ts';
+
+/** Kinds of resources as they stand in paths, keys and files. */
+export const resourceKindSchema = z.enum(['service', 'backend-server', 'sharing-rule']);
+
+/** Names a change for good: sent again, the same change is recognised and not made twice. */
+export const operationSchema = z.string().regex(/^[\w\-]{8,64}$/v, '8 to 64 letters, digits, dashes and underscores');
+
+const resourceKeySchema = z.templateLiteral([resourceKindSchema, '/', z.string()]);
+
+const putMutationSchema = z.strictObject({
+	type: z.literal('put'),
+	resource: resourceSchema,
+	/** Version that the writer saw; 0 = only if absent; left out = whatever stands there. */
+	expected: z.int().min(0).optional(),
+});
+
+const deleteMutationSchema = z.strictObject({
+	type: z.literal('delete'),
+	key: resourceKeySchema,
+	/** Version that the writer saw; left out = whatever stands there. */
+	expected: z.int().min(1).optional(),
+});
+
+/** One step of a change. */
+export const mutationSchema = z.discriminatedUnion('type', [putMutationSchema, deleteMutationSchema]);
+export type Mutation = z.infer<typeof mutationSchema>;
+
+/** Most steps in one change: with 0.5 KB a step, a change stays well under the store's megabyte. */
+const mostMutations = 1000;
+
+/** Steps that come into force together or not at all. */
+export const changeRequestSchema = z.strictObject({
+	operation: operationSchema,
+	/** Why, for the history. */
+	note: z.string().max(500).default(''),
+	mutations: z.array(mutationSchema).min(1).max(mostMutations),
+});
+export type ChangeRequest = z.infer<typeof changeRequestSchema>;
+
+/** An accepted change: the platform's service has it, and that is known. */
+export const changeAcceptedSchema = z.strictObject({
+	version: z.int().min(1),
+	operation: operationSchema,
+	/** True when the change had been accepted before and this was a repetition. */
+	isRepeated: z.boolean(),
+});
+export type ChangeAccepted = z.infer<typeof changeAcceptedSchema>;
+
+/** A change as the history keeps it. */
+export const changeRecordSchema = z.strictObject({
+	version: z.int().min(1),
+	operation: z.string(),
+	operator: z.string(),
+	note: z.string(),
+	mutations: z.array(mutationSchema),
+});
+export type ChangeRecord = z.infer<typeof changeRecordSchema>;
+
+/** What became of an operation. */
+export const operationStateSchema = z.discriminatedUnion('state', [
+	z.strictObject({state: z.literal('accepted'), operation: z.string(), version: z.int().min(1)}),
+	/** Not among the changes from `oldestVersion` to `newestVersion`, read from the store just now. */
+	z.strictObject({
+		state: z.literal('not-found'), operation: z.string(), oldestVersion: z.int().min(0), newestVersion: z.int().min(0),
+	}),
+]);
+export type OperationState = z.infer<typeof operationStateSchema>;
+
+/** Resources in force on the answering VM, all as of one version. */
+export const resourceListSchema = z.strictObject({
+	version: z.int().min(0),
+	items: z.array(storedResourceSchema),
+});
+export type ResourceList = z.infer<typeof resourceListSchema>;
+
+/** Changes that came into force on the answering VM. */
+export const watchNewsSchema = z.strictObject({
+	/** Version to name next time. */
+	version: z.int().min(0),
+	records: z.array(changeRecordSchema),
+	/** The changes since the version asked for are no longer kept: list again. */
+	isReset: z.boolean(),
+});
+export type WatchNews = z.infer<typeof watchNewsSchema>;
+
+/** The latest changes, the newest first. */
+export const historySchema = z.strictObject({records: z.array(changeRecordSchema)});
+
+/** One VM as the answering VM knows it. */
+export const vmStatusSchema = z.strictObject({
+	name: z.string(),
+	dataCentre: z.string(),
+	address: z.string(),
+	state: z.enum(['starting', 'active', 'leaving', 'stopped', 'unreachable']),
+	/** Configuration version in force there, as last heard. */
+	version: z.int().min(0),
+	/** Milliseconds since it was last heard; 0 for the answering VM itself. */
+	heardAgoMilliseconds: z.number().min(0),
+	/** Its slot of the fleet's budgets; null = none, so it makes no measuring calls. */
+	slot: z.int().min(0).nullable(),
+});
+export type VmStatus = z.infer<typeof vmStatusSchema>;
+export const vmListSchema = z.strictObject({vms: z.array(vmStatusSchema)});
+
+/** One backend server as the answering VM knows it. */
+export const backendServerReportSchema = z.strictObject({
+	name: z.string(),
+	service: z.string(),
+	state: z.enum(['warming', 'active', 'ejected', 'leaving']),
+	inFlight: z.number(),
+	reportedInFlight: z.number().nullable(),
+	reportAgeMilliseconds: z.number().nullable(),
+	measuringSpent: z.number(),
+	measuringAllowed: z.number(),
+});
+
+/** The answering VM's own state. */
+export const statusSchema = z.strictObject({
+	vm: vmStatusSchema,
+	/** Whether the platform's service answers; without it nothing can be changed, and calls go on. */
+	store: z.enum(['reachable', 'unreachable']),
+	callsInFlight: z.int().min(0),
+	callsQueued: z.int().min(0),
+	backendServers: z.array(backendServerReportSchema),
+});
+export type Status = z.infer<typeof statusSchema>;
+
+/** A call that is refused because it crashed the backend servers that ran it. */
+export const quarantineEntrySchema = z.strictObject({
+	fingerprint: z.string(),
+	crashes: z.int().min(0),
+	remainingMilliseconds: z.number().min(0),
+});
+export type QuarantineEntry = z.infer<typeof quarantineEntrySchema>;
+export const quarantineSchema = z.strictObject({entries: z.array(quarantineEntrySchema)});
+
+/** The level below which nothing is logged. */
+export const logLevelSchema = z.strictObject({level: settingsSchema.shape.log.unwrap().shape.level.unwrap()});
+
+/** The change that stands where another was to be made. */
+export const winnerSchema = z.strictObject({
+	key: z.string(),
+	/** Version that stands there now; 0 = the resource is gone. */
+	version: z.int().min(0),
+	operator: z.string(),
+	operation: z.string(),
+});
+export type Winner = z.infer<typeof winnerSchema>;
+
+/** Why the system did not do what an operator asked. */
+export type GatewayFailure
+	/** Another change came first; nothing was changed. */
+	= | (Failure<'conflict'> & {readonly winner: Winner})
+	/** The change may or may not be accepted; ask for the operation, or send the same again. */
+		| (Failure<'outcome-unknown'> & {readonly operation: string})
+	/** The change contradicts what is in force, such as a backend server of no service; nothing was changed. */
+		| (Failure<'invalid'> & {readonly faults: readonly InputFailure[]})
+	/** The store did not take part; nothing was changed. */
+		| Failure<'unavailable'>
+		| Failure<'not-found'>
+	/** This VM has no configuration yet. */
+		| Failure<'not-ready'>;
+
+/** What the resource API asks of the system. Reads answer with what is in force on this VM. */
+export type OperatorGateway = {
+	list(kind: ResourceKind | undefined): Result<ResourceList, GatewayFailure>;
+	get(key: ResourceKey): Result<Maybe<StoredResource>, GatewayFailure>;
+	/** Makes a change; the answer comes once its outcome is known or the wait for it has ended. */
+	change(request: ChangeRequest, operator: string): Promise<Result<ChangeAccepted, GatewayFailure>>;
+	/** Reads the store for an operation. */
+	operation(operation: string): Promise<Result<OperationState, GatewayFailure>>;
+	/** Waits until a version above `after` is in force, at most for the time given or until the signal. */
+	watch(after: number, milliseconds: number, signal: AbortSignal): Promise<Result<WatchNews, GatewayFailure>>;
+	/** The latest changes in force, the newest first. */
+	history(limit: number): Result<readonly ChangeRecord[], GatewayFailure>;
+	status(): Status;
+	vms(): readonly VmStatus[];
+	/** Tells a VM to leave: out of the answers, then a planned stop that cuts off no call. */
+	drain(vm: string, operator: string): Promise<Result<VmStatus, GatewayFailure>>;
+	/** Gathers the counts of all VMs. */
+	burn(): Promise<BurnReport>;
+	quarantine(): readonly QuarantineEntry[];
+	/** Lets a quarantined call run again on all VMs that hear of it. */
+	liftQuarantine(fingerprint: string, operator: string): Promise<Result<void, GatewayFailure>>;
+	logLevel(): LogLevel;
+	setLogLevel(level: LogLevel): void;
+};
+
+/** The body of an answer that tells of a failure (RFC 9457). */
+export const problemSchema = z.looseObject({
+	type: z.string(),
+	title: z.string(),
+	status: z.int(),
+	detail: z.string(),
+	/** Faults of the input, each with the path of its field. */
+	faults: z.array(z.strictObject({field: z.string(), kind: z.string(), message: z.string()})).optional(),
+	/** For a conflict: what stands there now, and whose it is. */
+	winner: winnerSchema.optional(),
+	/** For an unknown outcome: the operation to ask about. */
+	operation: z.string().optional(),
+});
+export type Problem = z.infer<typeof problemSchema>;
--- /dev/null
+++ b/src/node/logging/trace-context.ts
@@ -0,0 +1,22 @@
+/** The identifier that follows a call through all its log lines (W3C Trace Context, level 1). */
+import {randomBytes} from 'node:crypto';
+
+/** A call's place in its trace. */
+export type TraceContext = {
+	/** 32 hexadecimal digits: the same in every line about the call, on every VM and level it passes. */
+	readonly traceId: string;
+	/** Value of `traceparent` for the call to the backend server, with a span of this VM. */
+	readonly traceparent: string;
+};
+
+const traceparentPattern = /^(?!ff)[\da-f]{2}-(?!0{32})(?<traceId>[\da-f]{32})-(?!0{16})[\da-f]{16}-(?<flags>[\da-f]{2})(?:-|$)/v;
+const spanBytes = 8;
+const traceBytes = 16;
+
+/** Continues the trace of the caller's header; a lacking or malformed one begins a new trace. */
+export function continueTrace(header: string | undefined): TraceContext {
+	const found = traceparentPattern.exec(header ?? '')?.groups;
+	const traceId = found?.traceId ?? randomBytes(traceBytes).toString('hex');
+	const flags = found?.flags ?? '00';
+	return {traceId, traceparent: `00-${traceId}-${randomBytes(spanBytes).toString('hex')}-${flags}`};
+}
