Fit the resource API to what the fleet engine can tell

The engine names VMs by process identity and address, keeps summaries of changes, and settles an unknown outcome when the same operation is sent again; the API had assumed names, whole mutations and a read of the store. A search for an operation now says "not in force here" and not "not found": the write may still be under way, and only sending it again settles it.

--- a/src/node/api/resource-routes.ts
+++ b/src/node/api/resource-routes.ts
@@ -38,8 +38,8 @@
 	routes.put('/resources/:kind/:name', async context => replaceResource(gateway, context));
 	routes.delete('/resources/:kind/:name', async context => deleteResource(gateway, context));
 	routes.post('/changes', async context => applyTogether(gateway, context));
-	routes.get('/operations/:operation', async context => {
-		const state = await gateway.operation(context.req.param('operation'));
+	routes.get('/operations/:operation', context => {
+		const state = gateway.operation(context.req.param('operation'));
 		return state.match(value => context.json(value), cause => problemResponse(gatewayProblem(cause)));
 	});
 	routes.get('/watch', async context => watch(gateway, context));
--- a/src/node/api/types.ts
+++ b/src/node/api/types.ts
@@ -55,8 +55,6 @@
 export const changeAcceptedSchema = z.strictObject({
 	version: z.int().min(1),
 	operation: operationSchema,
-	/** True when the change had been accepted before and this was a repetition. */
-	isRepeated: z.boolean(),
 });
 export type ChangeAccepted = z.infer<typeof changeAcceptedSchema>;
 
@@ -65,18 +63,24 @@
 	version: z.int().min(1),
 	operation: z.string(),
 	operator: z.string(),
+	/** Wall-clock time of the VM that took the change, RFC 3339. */
+	when: z.string(),
 	note: z.string(),
-	mutations: z.array(mutationSchema),
+	changes: z.array(z.strictObject({action: z.enum(['created', 'replaced', 'deleted']), key: z.string()})),
+	/** VMs on which it is in force, and those known to be behind, as the answering VM sees them. */
+	inForceOn: z.array(z.string()),
+	behindOn: z.array(z.string()),
 });
 export type ChangeRecord = z.infer<typeof changeRecordSchema>;
 
-/** What became of an operation. */
+/** What the answering VM knows of an operation. */
 export const operationStateSchema = z.discriminatedUnion('state', [
 	z.strictObject({state: z.literal('accepted'), operation: z.string(), version: z.int().min(1)}),
-	/** Not among the changes from `oldestVersion` to `newestVersion`, read from the store just now. */
-	z.strictObject({
-		state: z.literal('not-found'), operation: z.string(), oldestVersion: z.int().min(0), newestVersion: z.int().min(0),
-	}),
+	/**
+	 * Not among the changes in force here. It may still be under way: sending the same change again with
+	 * its identity is safe and settles it.
+	 */
+	z.strictObject({state: z.literal('not-in-force'), operation: z.string()}),
 ]);
 export type OperationState = z.infer<typeof operationStateSchema>;
 
@@ -102,16 +106,18 @@
 
 /** One VM as the answering VM knows it. */
 export const vmStatusSchema = z.strictObject({
-	name: z.string(),
-	dataCentre: z.string(),
+	/** Identity of the process; new after a restart. */
+	identity: z.string(),
+	/** Where callers reach it: `IP:PORT`. */
 	address: z.string(),
-	state: z.enum(['starting', 'active', 'leaving', 'stopped', 'unreachable']),
+	dataCentre: z.string(),
+	state: z.enum(['live', 'suspected', 'leaving', 'dead']),
 	/** Configuration version in force there, as last heard. */
 	version: z.int().min(0),
 	/** Milliseconds since it was last heard; 0 for the answering VM itself. */
 	heardAgoMilliseconds: z.number().min(0),
-	/** Its slot of the fleet's budgets; null = none, so it makes no measuring calls. */
-	slot: z.int().min(0).nullable(),
+	/** Why its version is older than the newest known one; null if it is not. */
+	behind: z.enum(['suspected', 'dead', 'catching-up']).nullable(),
 });
 export type VmStatus = z.infer<typeof vmStatusSchema>;
 export const vmListSchema = z.strictObject({vms: z.array(vmStatusSchema)});
@@ -130,9 +136,20 @@
 
 /** The answering VM's own state. */
 export const statusSchema = z.strictObject({
-	vm: vmStatusSchema,
-	/** Whether the platform's service answers; without it nothing can be changed, and calls go on. */
-	store: z.enum(['reachable', 'unreachable']),
+	name: z.string(),
+	identity: z.string(),
+	dataCentre: z.string(),
+	stage: z.enum(['starting', 'serving', 'leaving', 'closing-idle', 'draining', 'ended']),
+	/** No word from the platform's service nor from any other VM: the configuration may be old. */
+	isCutOff: z.boolean(),
+	/** Configuration version in force here. */
+	version: z.int().min(0),
+	/** Newest version heard of; above `version` while it is being fetched. */
+	newestKnownVersion: z.int().min(0),
+	/** Milliseconds since the platform's service last answered this VM; null = never. */
+	storeContactAgeMilliseconds: z.number().min(0).nullable(),
+	/** Its slot of the fleet's budgets; null = none, so it makes no measuring calls. */
+	shareSlot: z.int().min(0).nullable(),
 	callsInFlight: z.int().min(0),
 	callsQueued: z.int().min(0),
 	backendServers: z.array(backendServerReportSchema),
@@ -156,8 +173,8 @@
 	key: z.string(),
 	/** Version that stands there now; 0 = the resource is gone. */
 	version: z.int().min(0),
-	operator: z.string(),
-	operation: z.string(),
+	/** Who made it; null if the history no longer reaches back to it. */
+	operator: z.string().nullable(),
 });
 export type Winner = z.infer<typeof winnerSchema>;
 
@@ -181,15 +198,15 @@
 	get(key: ResourceKey): Result<Maybe<StoredResource>, GatewayFailure>;
 	/** Makes a change; the answer comes once its outcome is known or the wait for it has ended. */
 	change(request: ChangeRequest, operator: string): Promise<Result<ChangeAccepted, GatewayFailure>>;
-	/** Reads the store for an operation. */
-	operation(operation: string): Promise<Result<OperationState, GatewayFailure>>;
-	/** Waits until a version above `after` is in force, at most for the time given or until the signal. */
+	/** What became of an operation, as far as it is known here. */
+	operation(operation: string): Result<OperationState, GatewayFailure>;
+	/** Answers once a version above `after` is in force, or with no records when the time or the signal ends. */
 	watch(after: number, milliseconds: number, signal: AbortSignal): Promise<Result<WatchNews, GatewayFailure>>;
 	/** The latest changes in force, the newest first. */
 	history(limit: number): Result<readonly ChangeRecord[], GatewayFailure>;
 	status(): Status;
 	vms(): readonly VmStatus[];
-	/** Tells a VM to leave: out of the answers, then a planned stop that cuts off no call. */
+	/** Tells a VM, by identity or address, to leave: out of the answers, then a planned stop that cuts off no call. */
 	drain(vm: string, operator: string): Promise<Result<VmStatus, GatewayFailure>>;
 	/** Gathers the counts of all VMs. */
 	burn(): Promise<BurnReport>;
