--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -156,7 +156,7 @@
 			}
 
 			case 'backend-server-leaving': {
-				this._servers.get(event.identity)?.takeLeaving(event.instance);
+				this._servers.get(event.identity)?.takeLeaving(event.instance, now);
 				break;
 			}
 
