Write the demo's course, its processes and its oracle

Cause: a new user should see the whole path with one command, and be told by an oracle whether anything was wrong, lost or run twice.

Ruled out: one process for each of the 72 backend servers of the examples (72 node processes for a demo); a service's backend servers share a process, but for the one that leaves. Fixed ports of the examples: two demos on one machine would collide.

Change: src/demo reads the examples, starts platform, daemons, backend servers and callers by their process entries, declares everything in one change through the operators' API, plays the two stops and compares callers' reports with backend servers' records. It waits for src/daemon/main; until that is there only its oracle is tested.

--- /dev/null
+++ b/src/demo/demo-run.ts
@@ -0,0 +1,170 @@
+/** The course of the demo: calls run, a backend server leaves, a daemon stops, the oracle counts. */
+import {setTimeout as delay} from 'node:timers/promises';
+import {type CallRecord} from '../stand-ins/backend-server/types.ts';
+import {type CallerReport} from '../stand-ins/caller/types.ts';
+import {standInClient} from '../stand-ins/stand-in-client.ts';
+import {type DemoBackendServer, type DemoFleet} from './demo-fleet.ts';
+import {type ServiceFigures, serviceTable, verdictLine} from './demo-report.ts';
+import {judge, type Verdict} from './oracle.ts';
+
+/** What the user asked for. */
+export type DemoOptions = {
+	readonly seconds: number;
+	readonly killsPlatform: boolean;
+	readonly print: (line: string) => void;
+};
+
+/** Parts of the run after which something happens. */
+const leavingAt = 0.3;
+const platformKilledAt = 0.4;
+const stopAt = 0.5;
+const progressMilliseconds = 1000;
+const lastCallsMilliseconds = 15_000;
+const stopLimitMilliseconds = 30_000;
+
+type Step = {readonly at: number; readonly run: () => Promise<void>};
+
+/** Runs on a fleet that is set up. */
+export class DemoRun {
+	private readonly _fleet: DemoFleet;
+	private readonly _options: DemoOptions;
+	private readonly _startedAt = performance.now();
+	private readonly _steps: Step[];
+	private _stopping: Promise<void> | undefined;
+
+	constructor(fleet: DemoFleet, options: DemoOptions) {
+		this._fleet = fleet;
+		this._options = options;
+		this._steps = [
+			{at: leavingAt, run: async () => this._beginToLeave()},
+			{at: stopAt, run: async () => this._stopDaemon()},
+		];
+		if (options.killsPlatform) {
+			this._steps.push({at: platformKilledAt, run: async () => this._killPlatform()});
+		}
+	}
+
+	/** The whole course; true = nothing wrong, lost or run twice. */
+	async run(): Promise<boolean> {
+		while (this._share() < 1) {
+			await delay(Math.min(progressMilliseconds, Math.max(1, (1 - this._share()) * this._options.seconds * 1000)));
+			await this._runDueSteps();
+			await this._printProgress();
+		}
+
+		await this._runDueSteps();
+		await this._endCalls();
+		await this._stopping;
+		return this._report();
+	}
+
+	private _share(): number {
+		return (performance.now() - this._startedAt) / (this._options.seconds * 1000);
+	}
+
+	private async _runDueSteps(): Promise<void> {
+		const share = this._share();
+		for (const step of this._steps.filter(({at}) => at <= share)) {
+			this._steps.splice(this._steps.indexOf(step), 1);
+			await step.run();
+		}
+	}
+
+	private get _leaving(): DemoBackendServer {
+		return this._fleet.backendServers[0]!;
+	}
+
+	private async _beginToLeave(): Promise<void> {
+		this._options.print(`backend server ${this._leaving.resource.name} begins to leave`);
+		await standInClient.orderBackendServer(this._leaving.port, {isDraining: true});
+	}
+
+	private async _killPlatform(): Promise<void> {
+		const before = await this._callsSoFar();
+		this._fleet.killPlatform();
+		this._options.print(`the platform's service is gone after ${before} calls`);
+	}
+
+	/** The stop takes as long as callers may keep an answer; the calls go on meanwhile. */
+	private async _stopDaemon(): Promise<void> {
+		const vm = this._fleet.vms.at(-1)!;
+		this._options.print(`${vm.plan.name} is told to stop`);
+		const since = performance.now();
+		this._stopping = (async () => {
+			const code = await vm.program.stop(stopLimitMilliseconds);
+			const seconds = ((performance.now() - since) / 1000).toFixed(1);
+			this._options.print(code === undefined ? `${vm.plan.name} did not end in time and was killed` : `${vm.plan.name} ended with ${code} after ${seconds} s`);
+		})();
+	}
+
+	private async _reports(): Promise<readonly CallerReport[]> {
+		return Promise.all(this._fleet.callers.map(async caller => standInClient.callerReport(caller.port)));
+	}
+
+	private async _callsSoFar(): Promise<number> {
+		const reports = await this._reports();
+		return reports.reduce((sum, report) => sum + report.calls, 0);
+	}
+
+	private async _printProgress(): Promise<void> {
+		const reports = await this._reports();
+		const sum = (pick: (report: CallerReport) => number): number => reports.reduce((total, report) => total + pick(report), 0);
+		const seconds = Math.min(this._options.seconds, (performance.now() - this._startedAt) / 1000).toFixed(0);
+		const calls = `${sum(report => report.calls)} calls, ${sum(report => report.right)} whole`;
+		const others = `${sum(report => report.refused)} refused, ${sum(report => report.inFlight)} in flight`;
+		this._options.print(`${seconds}/${this._options.seconds} s: ${calls}, ${others}`);
+	}
+
+	private async _endCalls(): Promise<void> {
+		await Promise.all(this._fleet.callers.map(async caller => standInClient.stopCaller(caller.port)));
+		const deadline = performance.now() + lastCallsMilliseconds;
+		while (performance.now() < deadline) {
+			const reports = await this._reports();
+			if (reports.every(report => report.inFlight === 0)) {
+				return;
+			}
+
+			await delay(progressMilliseconds / 10);
+		}
+	}
+
+	private async _report(): Promise<boolean> {
+		const seconds = (performance.now() - this._startedAt) / 1000;
+		const reports = await this._reports();
+		const counts = await Promise.all(this._fleet.backendServers.map(async server => standInClient.backendServerCounts(server.port)));
+		const records = await Promise.all(this._fleet.backendServers.map(async server => standInClient.calls(server.port)));
+		const figures = this._fleet.services.map((service): ServiceFigures => {
+			const indices = this._fleet.backendServers.flatMap(({resource}, index) => resource.service === service.name ? [index] : []);
+			return {
+				service,
+				report: reports.find(report => report.service === service.name)!,
+				backendServerCount: indices.length,
+				measured: indices.reduce((sum, index) => sum + counts[index]!.measured, 0),
+				seconds,
+			};
+		});
+		const verdict = judge(reports, records.flat());
+		this._options.print(`\n${serviceTable(figures)}\n`);
+		this._printLeaving(records[0]!);
+		this._printFindings(verdict);
+		this._options.print(verdictLine(verdict));
+		return verdict.wrong === 0 && verdict.lost === 0 && verdict.runTwice === 0;
+	}
+
+	private _printLeaving(records: readonly CallRecord[]): void {
+		const late = records.flatMap(record => record.millisecondsIntoDrain ?? []);
+		this._options.print(late.length === 0
+			? `${this._leaving.resource.name} got no new call after it began to leave`
+			: `${this._leaving.resource.name} got ${late.length} new calls after it began to leave, the last after ${Math.max(...late).toFixed(0)} ms`);
+	}
+
+	private _printFindings(verdict: Verdict): void {
+		for (const finding of verdict.findings) {
+			this._options.print(`finding: ${finding}`);
+		}
+
+		if (verdict.findings.length > 0) {
+			this._options.print(this._fleet.daemonErrors());
+		}
+	}
+}
--- /dev/null
+++ b/src/demo/operator-client.ts
@@ -0,0 +1,75 @@
+/** An operator's few requests to the resource API. */
+import {randomUUID} from 'node:crypto';
+import {setTimeout as delay} from 'node:timers/promises';
+import {err, ok, type Result} from 'neverthrow';
+import {request} from 'undici';
+import {z} from 'zod';
+import {failure, type Failure} from '../common/errors/failure.ts';
+import {type Resource} from '../common/model/resources.ts';
+
+/** Why the operator got no accepted change. */
+export type OperatorFailure = Failure<'refused' | 'no-answer'>;
+
+const acceptedSchema = z.object({version: z.int()});
+const listSchema = z.object({version: z.int()});
+const pauseMilliseconds = 100;
+
+/** Speaks to one VM's operators' port. */
+export class OperatorClient {
+	private readonly _origin: string;
+	private readonly _token: string;
+
+	constructor(origin: string, token: string) {
+		this._origin = origin;
+		this._token = token;
+	}
+
+	/**
+	 * Puts all resources together. The same operation is sent until its outcome is known: sent again, it
+	 * is recognised and made once.
+	 */
+	async putAll(resources: readonly Resource[], note: string, limitMilliseconds: number): Promise<Result<number, OperatorFailure>> {
+		const body = JSON.stringify({
+			operation: randomUUID(), note, mutations: resources.map(resource => ({type: 'put', resource})),
+		});
+		const deadline = performance.now() + limitMilliseconds;
+		let last = 'no answer';
+		while (performance.now() < deadline) {
+			const answer = await this._ask('POST', '/v1/changes', body);
+			const accepted = acceptedSchema.safeParse(answer?.body);
+			if (answer?.status === 200 && accepted.success) {
+				return ok(accepted.data.version);
+			}
+
+			last = answer === undefined ? 'no answer' : `${answer.status} ${JSON.stringify(answer.body)}`;
+			if (answer !== undefined && answer.status < 500) {
+				return err(failure('refused', `the change was refused: ${last}`));
+			}
+
+			await delay(pauseMilliseconds);
+		}
+
+		return err(failure('no-answer', `the change was not accepted in time: ${last}`));
+	}
+
+	/** Version in force on this VM; undefined = it does not say. */
+	async versionInForce(): Promise<number | undefined> {
+		const answer = await this._ask('GET', '/v1/resources');
+		return answer?.status === 200 ? listSchema.safeParse(answer.body).data?.version : undefined;
+	}
+
+	private async _ask(method: 'GET' | 'POST', path: string, body?: string): Promise<{status: number; body: unknown} | undefined> {
+		try {
+			const answer = await request(`${this._origin}${path}`, {
+				method,
+				headers: {authorization: `Bearer ${this._token}`, ...(body !== undefined && {'content-type': 'application/json'})},
+				...(body !== undefined && {body}),
+				signal: AbortSignal.timeout(5000),
+			});
+			const text = await answer.body.text();
+			return {status: answer.statusCode, body: JSON.parse(text)};
+		} catch {
+			return undefined;
+		}
+	}
+}
--- a/src/stand-ins/backend-server/main.ts
+++ b/src/stand-ins/backend-server/main.ts
@@ -2,11 +2,12 @@
 import process from 'node:process';
 import sade from 'sade';
 import {runAsProcess} from '../process-entry.ts';
-import {BackendServerStandIn} from './backend-server-stand-in.ts';
+import {BackendServerGroup} from './backend-server-group.ts';
 import {defaultBackendServerSettings as defaults} from './types.ts';
 
 type Options = {
 	readonly port: number;
+	readonly count: number;
 	readonly address: string;
 	readonly slots: number;
 	readonly connections: number;
@@ -18,6 +19,7 @@
 
 sade('backend-server-stand-in', true)
 	.option('--port', 'Port to listen on; 0 = any', 0)
+	.option('--count', 'Backend servers in this process, each on a port of its own', 1)
 	.option('--address', 'IP number to listen on', defaults.address)
 	.option('--slots', 'Calls run at once', defaults.slots)
 	.option('--connections', 'Connections accepted', defaults.connectionLimit)
@@ -26,7 +28,7 @@
 	.option('--bytes', 'Bytes of an answer', defaults.answerBytes)
 	.option('--record', 'Record every call (--no-record for benchmarks)', true)
 	.action(async (options: Options) => {
-		await runAsProcess(new BackendServerStandIn({
+		await runAsProcess(new BackendServerGroup(options.count, {
 			port: options.port,
 			address: options.address,
 			slots: options.slots,
--- a/src/stand-ins/backend-server/types.ts
+++ b/src/stand-ins/backend-server/types.ts
@@ -67,24 +67,27 @@
 };
 
 /** One run of one call, as `GET /admin/calls` lists it. A call that was shed has no record. */
-export type CallRecord = {
-	readonly callId: string;
-	readonly method: string;
-	readonly path: string;
-	readonly startedAt: number;
+export const callRecordSchema = z.object({
+	callId: z.string(),
+	method: z.string(),
+	path: z.string(),
+	/** On the backend server's own monotonic clock. */
+	startedAt: z.number(),
 	/** It was started after the drain had begun by this many milliseconds. */
-	readonly millisecondsIntoDrain: number | undefined;
-	state: 'running' | 'finished' | 'cancelled' | 'timed-out';
-};
+	millisecondsIntoDrain: z.number().optional(),
+	state: z.enum(['running', 'finished', 'cancelled', 'timed-out']),
+});
+export type CallRecord = z.infer<typeof callRecordSchema>;
 
 /** Counts since the start, `GET /admin/counts`. */
-export type BackendServerCounts = {
-	started: number;
-	finished: number;
-	cancelled: number;
-	timedOut: number;
-	shed: number;
+export const backendServerCountsSchema = z.object({
+	started: z.number(),
+	finished: z.number(),
+	cancelled: z.number(),
+	timedOut: z.number(),
+	shed: z.number(),
 	/** Requests for `/load` and `/health`: measuring calls. */
-	measured: number;
-	mostConnections: number;
-};
+	measured: z.number(),
+	mostConnections: z.number(),
+});
+export type BackendServerCounts = z.infer<typeof backendServerCountsSchema>;
--- a/src/stand-ins/caller/types.ts
+++ b/src/stand-ins/caller/types.ts
@@ -1,6 +1,5 @@
 /** What a caller sends, gets and counts. */
 import {z} from 'zod';
-import {type CallOutcome} from '../../common/calls/types.ts';
 
 /** Answer to "which addresses": one VM with its share of the caller's calls. */
 export const addressAnswerSchema = z.object({
@@ -28,39 +27,41 @@
 };
 
 /** What became of a call, as its caller sees it. */
-export type CallResult = {
-	readonly callId: string;
-	readonly method: string;
+export const callResultSchema = z.object({
+	callId: z.string(),
+	method: z.string(),
 	/** `lost`: no final answer came, and it may not be sent again. */
-	readonly outcome: CallOutcome | 'lost';
+	outcome: z.enum(['ran', 'not-run', 'unknown', 'lost']),
 	/** Status of the last answer; undefined = none came. */
-	readonly status: number | undefined;
+	status: z.int().optional(),
 	/** A whole answer came, and every byte of it is right. */
-	readonly isRight: boolean;
+	isRight: z.boolean(),
 	/** An answer that looked whole had wrong bytes. */
-	readonly isWrong: boolean;
-	readonly tries: number;
+	isWrong: z.boolean(),
+	tries: z.int(),
 	/** Why the last try failed, for people. */
-	readonly detail: string | undefined;
-};
+	detail: z.string().optional(),
+});
+export type CallResult = z.infer<typeof callResultSchema>;
 
 /** Counts and latencies of one service at one caller. */
-export type CallerReport = {
-	readonly service: string;
-	readonly calls: number;
+export const callerReportSchema = z.object({
+	service: z.string(),
+	calls: z.int(),
 	/** Whole and right answers. */
-	readonly right: number;
+	right: z.int(),
 	/** Not run, with a final answer that says so. */
-	readonly refused: number;
-	readonly unknown: number;
-	readonly lost: number;
-	readonly wrong: number;
-	readonly inFlight: number;
+	refused: z.int(),
+	unknown: z.int(),
+	lost: z.int(),
+	wrong: z.int(),
+	inFlight: z.int(),
 	/** Latencies of right answers in milliseconds, from the moment at which the call was due. */
-	readonly p50: number;
-	readonly p99: number;
-	readonly p999: number;
+	p50: z.number(),
+	p99: z.number(),
+	p999: z.number(),
 	/** Every non-idempotent call with its outcome, for the oracle; and what went wrong with others. */
-	readonly nonIdempotent: ReadonlyArray<Pick<CallResult, 'callId' | 'outcome'>>;
-	readonly faults: readonly CallResult[];
-};
+	nonIdempotent: z.array(callResultSchema.pick({callId: true, outcome: true})),
+	faults: z.array(callResultSchema),
+});
+export type CallerReport = z.infer<typeof callerReportSchema>;
--- /dev/null
+++ b/src/stand-ins/child-program.ts
@@ -0,0 +1,127 @@
+/** A program of ours as a process of its own, ended by its process id. */
+import {type ChildProcess, spawn} from 'node:child_process';
+import {once} from 'node:events';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+import {failure, type Failure} from '../common/errors/failure.ts';
+import {Disposable, toDisposable} from '../common/lifecycle/disposable.ts';
+import {packageRoot, programArguments} from './program-files.ts';
+
+/** Why a program is not there. */
+export type ProgramFailure = Failure<'not-started'>;
+
+/** The ready line of the stand-ins. */
+const readySchema = z.object({listening: z.int(), ports: z.array(z.int()).optional()});
+export type ReadyLine = z.infer<typeof readySchema>;
+
+const keptErrorLines = 20;
+const startLimitMilliseconds = 30_000;
+
+/** What to run. */
+export type ProgramSettings = {
+	/** Path without ending, such as `src/stand-ins/platform/main`. */
+	readonly program: string;
+	readonly parameters: readonly string[];
+	/** Options for node itself, such as `--cpu-prof`. */
+	readonly nodeOptions?: readonly string[];
+};
+
+/** Started at construction; a disposal kills it if it still runs. */
+export class ChildProgram extends Disposable {
+	private readonly _child: ChildProcess;
+	private readonly _errors: string[] = [];
+	private readonly _ready: Promise<Result<ReadyLine, ProgramFailure>>;
+	private readonly _exit: Promise<number | undefined>;
+
+	constructor(settings: ProgramSettings) {
+		super();
+		this._child = spawn(process.execPath, [...(settings.nodeOptions ?? []), ...programArguments(settings.program), ...settings.parameters], {
+			cwd: packageRoot,
+			stdio: ['ignore', 'pipe', 'pipe'],
+		});
+		this._register(toDisposable(() => {
+			this._child.kill('SIGKILL');
+		}));
+		this._exit = this._waitForExit();
+		this._ready = this._waitForReady(settings.program);
+		this._keepErrors();
+	}
+
+	/** Process id. */
+	get pid(): number {
+		return this._child.pid ?? 0;
+	}
+
+	/** Exit code so far; undefined while it runs. */
+	get exitCode(): number | undefined {
+		return this._child.exitCode ?? undefined;
+	}
+
+	/** The latest lines that it wrote for people. */
+	get lastErrors(): string {
+		return this._errors.join('\n');
+	}
+
+	/** Resolves with the ready line of a stand-in. */
+	async ready(): Promise<Result<ReadyLine, ProgramFailure>> {
+		return this._ready;
+	}
+
+	/** Asks it to end and waits, at most for the time given; then it is killed. Undefined = killed. */
+	async stop(limitMilliseconds: number): Promise<number | undefined> {
+		this._child.kill('SIGTERM');
+		const timer = setTimeout(() => {
+			this._child.kill('SIGKILL');
+		}, limitMilliseconds);
+		const code = await this._exit;
+		clearTimeout(timer);
+		return code;
+	}
+
+	/** Kills it at once, as a crash of its VM would. */
+	kill(): void {
+		this._child.kill('SIGKILL');
+	}
+
+	private async _waitForExit(): Promise<number | undefined> {
+		if (this._child.exitCode === null) {
+			await once(this._child, 'exit');
+		}
+
+		return this._child.exitCode ?? undefined;
+	}
+
+	private async _waitForReady(program: string): Promise<Result<ReadyLine, ProgramFailure>> {
+		return new Promise(resolve => {
+			const fail = (reason: string): void => {
+				resolve(err(failure('not-started', `${program}: ${reason}: ${this.lastErrors}`)));
+			};
+
+			const timer = setTimeout(fail, startLimitMilliseconds, 'no ready line in time');
+			this._child.once('exit', code => {
+				fail(`ended with ${String(code)}`);
+			});
+			createInterface({input: this._child.stdout!}).on('line', line => {
+				const ready = line.startsWith('{"listening"') ? readySchema.safeParse(JSON.parse(line)) : undefined;
+				if (ready?.success === true) {
+					clearTimeout(timer);
+					resolve(ok(ready.data));
+				}
+			});
+			this._register(toDisposable(() => {
+				clearTimeout(timer);
+			}));
+		});
+	}
+
+	private _keepErrors(): void {
+		createInterface({input: this._child.stderr!}).on('line', line => {
+			this._errors.push(line);
+			if (this._errors.length > keptErrorLines) {
+				this._errors.shift();
+			}
+		});
+	}
+}
--- a/src/stand-ins/process-entry.ts
+++ b/src/stand-ins/process-entry.ts
@@ -8,14 +8,16 @@
 /** A stand-in that can be run as a process. */
 export type RunnableStandIn = DisposableLike & {
 	start(): Promise<Result<number, ListenFailure>>;
+	/** All its ports, where it has several. */
+	readonly ports?: readonly number[];
 };
 
-/** Starts the stand-in, prints `{"listening": port}` when it is ready, and ends it on SIGTERM or SIGINT. */
+/** Starts the stand-in, prints `{"listening": port}` (with `ports` of a group) when it is ready, and ends it on SIGTERM or SIGINT. */
 export async function runAsProcess(standIn: RunnableStandIn): Promise<void> {
 	const started = await standIn.start();
 	started.match(
 		port => {
-			console.log(JSON.stringify({listening: port}));
+			console.log(JSON.stringify({listening: port, ports: standIn.ports}));
 		},
 		startFailure => {
 			console.error(describeFailure(startFailure));
--- /dev/null
+++ b/src/stand-ins/text-table.ts
@@ -0,0 +1,11 @@
+/** Plain tables for terminals: the first column to the left, numbers to the right. */
+
+/** Lays out a header and rows; all rows have as many cells as the header. */
+export function textTable(header: readonly string[], rows: ReadonlyArray<readonly string[]>): string {
+	const widths = header.map((title, column) => Math.max(title.length, ...rows.map(row => row[column]?.length ?? 0)));
+	const line = (cells: readonly string[]): string => cells
+		.map((cell, column) => column === 0 ? cell.padEnd(widths[column]!) : cell.padStart(widths[column]!))
+		.join('  ')
+		.trimEnd();
+	return [line(header), line(widths.map(width => '-'.repeat(width))), ...rows.map(row => line(row))].join('\n');
+}
