--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -113,6 +113,8 @@
 	 * old. While it lasts only idempotent calls are placed; others are refused as not run (`not-ready`).
 	 */
 		| {readonly type: 'cut-off'; readonly isCutOff: boolean}
+	/** An operator lets a quarantined call run again. */
+		| {readonly type: 'quarantine-lifted'; readonly fingerprint: string}
 	/** The time asked for by `nextWakeUp` has come. */
 		| {readonly type: 'tick'};
 
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,194 @@
+/** The life of one daemon: its doors open, its engines run, and it ends when the fleet engine says so. */
+import {type EventLoopUtilization, performance} from 'node:perf_hooks';
+import {err, ok, type Result} from 'neverthrow';
+import {type CallEngine} from '../common/calls/types.ts';
+import {describeFailure, failure, type Failure} from '../common/errors/failure.ts';
+import {type FleetStage} from '../common/fleet/types.ts';
+import {Disposable, type DisposableLike, MutableDisposable} from '../common/lifecycle/disposable.ts';
+import {Emitter} from '../common/lifecycle/emitter.ts';
+import {type Milliseconds} from '../common/model/units.ts';
+import {type Settings} from '../common/settings/settings.ts';
+import {type OperatorServer} from '../node/api/operator-server.ts';
+import {type Clock} from '../node/clock.ts';
+import {type FleetLoop, type OutwardEffect} from '../node/fleet/fleet-loop.ts';
+import {type BackendConnections} from '../node/front/backend-connections.ts';
+import {type CallLoop} from '../node/front/call-loop.ts';
+import {type CallerServer} from '../node/front/caller-server.ts';
+import {type Logger} from '../node/logging/types.ts';
+import {type PauseWatch} from './pause-watch.ts';
+
+/** The parts of a daemon, made by the wiring. */
+export type DaemonParts = {
+	readonly settings: Settings;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly callEngine: CallEngine;
+	readonly callLoop: CallLoop;
+	readonly fleetLoop: FleetLoop;
+	readonly connections: BackendConnections;
+	readonly callerServer: CallerServer;
+	readonly operatorServer: OperatorServer;
+	readonly peerServer: {listen(): Promise<Result<number, Failure<string>>>};
+	readonly pauseWatch: PauseWatch;
+};
+
+/** Ports that the daemon listens on. */
+export type DaemonPorts = {
+	readonly callers: number;
+	readonly operators: number;
+	readonly peers: number;
+};
+
+export type StartFailure = Failure<'cannot-listen'>;
+
+/** How often the fleet engine hears of this VM's load and connections. */
+const loadEvery: Milliseconds = 500;
+
+/** One running daemon. */
+export class Daemon extends Disposable {
+	private readonly _parts: DaemonParts;
+	private readonly _loadTimer = this._register(new MutableDisposable<DisposableLike>());
+	private readonly _onEnded = this._register(new Emitter<void>());
+	private _utilisation: EventLoopUtilization = performance.eventLoopUtilization();
+
+	/** The planned stop is over: the process may end. */
+	readonly onEnded = this._onEnded.event;
+
+	constructor(parts: DaemonParts, owned: readonly DisposableLike[]) {
+		super();
+		this._parts = parts;
+		for (const item of owned) {
+			this._register(item);
+		}
+
+		this._register(parts.fleetLoop.onEffect(effect => {
+			this._carryOut(effect);
+		}));
+		this._register(parts.callLoop.onNews(news => {
+			parts.fleetLoop.feed({type: 'load-news', news});
+			if (news.report?.isLeaving === true) {
+				parts.fleetLoop.feed({type: 'leaving-sign', sign: {identity: news.identity, instance: news.report.instance, source: 'answer'}});
+			}
+		}));
+		this._register(parts.pauseWatch.onWoke(milliseconds => {
+			parts.fleetLoop.feed({type: 'woke', milliseconds});
+		}));
+	}
+
+	/** Opens the doors, the callers' last: by then there are peers and operators to learn from. */
+	async start(): Promise<Result<DaemonPorts, StartFailure>> {
+		const {settings, fleetLoop, callerServer, operatorServer, peerServer, pauseWatch} = this._parts;
+		const peers = await peerServer.listen();
+		if (peers.isErr()) {
+			return err(failure('cannot-listen', describeFailure(peers.error), {field: 'peers', cause: peers.error}));
+		}
+
+		const operators = await operatorServer.listen(settings.operators.address, settings.operators.port);
+		if (operators.isErr()) {
+			return err(operators.error);
+		}
+
+		const callers = await callerServer.listen(settings.callers.port, settings.callers.address);
+		if (callers.isErr()) {
+			return err(callers.error);
+		}
+
+		pauseWatch.start();
+		fleetLoop.start(settings.platform.pollMilliseconds);
+		this._tellLoad();
+		return ok({callers: callers.value, operators: operators.value, peers: peers.value});
+	}
+
+	/** Begins the planned stop; `onEnded` tells when it is over. */
+	stop(): void {
+		this._parts.fleetLoop.feed({type: 'stop-requested', by: 'signal'});
+	}
+
+	private _carryOut(effect: OutwardEffect): void {
+		const {callLoop, connections, logger} = this._parts;
+		switch (effect.type) {
+			case 'configured': {
+				callLoop.feed({type: 'configured', configuration: effect.configuration});
+				connections.retain(new Set(effect.configuration.backendServers.keys()));
+				break;
+			}
+
+			case 'shares': {
+				callLoop.feed({type: 'shares', shares: effect.shares});
+				break;
+			}
+
+			case 'peer-news': {
+				callLoop.feed({type: 'peer-news', news: effect.news});
+				break;
+			}
+
+			case 'backend-server-leaving': {
+				callLoop.feed({type: 'backend-server-leaving', identity: effect.sign.identity, instance: effect.sign.instance});
+				break;
+			}
+
+			case 'cut-off': {
+				callLoop.feed({type: 'cut-off', isCutOff: effect.isCutOff});
+				break;
+			}
+
+			case 'stage': {
+				this._enter(effect.stage);
+				break;
+			}
+
+			case 'log': {
+				logger[effect.level](effect.message, effect.details);
+				break;
+			}
+		}
+	}
+
+	private _enter(stage: FleetStage): void {
+		this._parts.logger.info('stage entered', {stage});
+		switch (stage) {
+			case 'closing-idle': {
+				this._parts.callerServer.closeIdle();
+				break;
+			}
+
+			case 'draining': {
+				this._parts.callerServer.stopListening();
+				break;
+			}
+
+			case 'ended': {
+				this._onEnded.fire();
+				break;
+			}
+
+			default:
+		}
+	}
+
+	private _tellLoad(): void {
+		void this._parts.callerServer.countConnections().then(openConnections => {
+			const callsInFlight = this._parts.callLoop.size;
+			const idleConnections = Math.max(0, openConnections - callsInFlight);
+			this._parts.fleetLoop.feed({type: 'traffic', traffic: {openConnections, idleConnections, callsInFlight}});
+		});
+		const latest = performance.eventLoopUtilization();
+		const {utilization} = performance.eventLoopUtilization(latest, this._utilisation);
+		this._utilisation = latest;
+		this._parts.fleetLoop.feed({type: 'own-load', utilisation: utilization, services: this._callsOfServices()});
+		this._loadTimer.value = this._parts.clock.after(loadEvery, () => {
+			this._tellLoad();
+		});
+	}
+
+	/** Calls in flight of each service. */
+	private _callsOfServices(): ReadonlyMap<string, number> {
+		const counts = new Map<string, number>();
+		for (const server of this._parts.callEngine.status(this._parts.clock.now()).backendServers) {
+			counts.set(server.service, (counts.get(server.service) ?? 0) + server.inFlight);
+		}
+
+		return counts;
+	}
+}
--- a/src/node/front/caller-server.test.ts
+++ b/src/node/front/caller-server.test.ts
@@ -51,7 +51,7 @@
 		},
 	});
 	const port = await server.listen(0, '127.0.0.1');
-	return {url: `http://127.0.0.1:${port}/services/orders`, ended};
+	return {url: `http://127.0.0.1:${port._unsafeUnwrap()}/services/orders`, ended};
 }
 
 async function startBackend(backend: BackendServerStandIn): Promise<number> {
--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -5,7 +5,9 @@
 import {getRequestListener, type HttpBindings} from '@hono/node-server';
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import {Hono} from 'hono';
+import {err, ok, type Result} from 'neverthrow';
 import {type CallRequest} from '../../common/calls/types.ts';
+import {failure, type Failure} from '../../common/errors/failure.ts';
 import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 import {
@@ -92,12 +94,17 @@
 	}
 
 	/** Starts to listen; resolves with the port. */
-	async listen(port: number, address: string): Promise<number> {
-		return new Promise((resolve, reject) => {
-			this._server.once('error', reject);
+	async listen(port: number, address: string): Promise<Result<number, Failure<'cannot-listen'>>> {
+		return new Promise(resolve => {
+			const onError = (error: Error) => {
+				resolve(err(failure('cannot-listen', `${address}:${port} cannot be listened on: ${error.message}`, {field: 'callers.port'})));
+			};
+
+			this._server.once('error', onError);
 			this._server.listen(port, address, () => {
+				this._server.off('error', onError);
 				const bound = this._server.address();
-				resolve(typeof bound === 'object' && bound !== null ? bound.port : port);
+				resolve(ok(typeof bound === 'object' && bound !== null ? bound.port : port));
 			});
 		});
 	}
@@ -117,6 +124,12 @@
 		this._server.closeIdleConnections();
 	}
 
+	/** Takes no new connections; those open go on until their answers are out, however long that takes. */
+	stopListening(): void {
+		this.closeIdle();
+		this._server.close();
+	}
+
 	private _application(): Hono<{Bindings: HttpBindings}> {
 		const application = new Hono<{Bindings: HttpBindings}>();
 		application.get(addressesPath, context => {
