Add the fleet engine: configuration, membership, shares, leaving, planned stop

Cause: promises that no single VM can keep need one deterministic decider that the wiring can run.

Ruled out: trusting a read after a lost answer (it could still take effect): an unchanged head is written again with the same operation, so at most one of the two succeeds. Negative answers from an unconfirmed read: a compare-and-swap of the head's own content proves it the newest first.

--- /dev/null
+++ b/src/common/fleet/addresses/address-book.ts
@@ -0,0 +1,100 @@
+/**
+ * The answer to "which addresses": which VMs a caller should use for a service. It is the lever that decides
+ * which VMs carry which services: at the target size each carries only some, and so knows only their servers.
+ */
+import {type RandomSource} from '../../model/units.ts';
+import {
+	type AddressAnswer, type AddressChoice, type FleetSettings, type HashFunction,
+} from '../types.ts';
+
+/** A VM that may be named. */
+export type AddressCandidate = {
+	readonly identity: string;
+	readonly callAddress: string;
+	readonly dataCentre: string;
+	/** 0 to 1. */
+	readonly utilisation: number;
+};
+
+/** VMs in one answer: enough to survive the loss of a data centre, few enough that a caller keeps connections to all. */
+const mostChoices = 8;
+
+/** A full VM still gets this part of the weight of an idle one: loads in answers are old, and all callers act on them. */
+const leastWeight = 0.25;
+
+/** Utilisation of the caller's own data centre above which others begin to get its callers; at 1 they get all alike. */
+const overflowAt = 0.8;
+
+/** Weight of VMs in other data centres while the own one has room: enough to keep connections to them warm. */
+const awayWeight = 0.05;
+
+/** Load of a service that one VM should carry at most, as calls in flight, before the subset grows. */
+const callsInFlightPerVm = 200;
+
+/** The subset is this much larger than its load needs, so that losing a data centre of three leaves enough. */
+const spareFactor = 1.5;
+
+/** Answers expire at different times, so that callers who came together do not ask again together. */
+const keepSpread = 0.2;
+
+export class AddressBook {
+	private readonly _hash: HashFunction;
+
+	constructor(private readonly _settings: FleetSettings, private readonly _random: RandomSource, hash: HashFunction) {
+		this._hash = hash;
+	}
+
+	/** @param callsInFlight of the service in the whole fleet, an estimate */
+	answer(service: string, candidates: readonly AddressCandidate[], callsInFlight: number, dataCentre: string | undefined): AddressAnswer {
+		const subset = this._subset(service, candidates, callsInFlight);
+		const away = this._awayFactor(subset, dataCentre);
+		const weighted = subset.map(candidate => ({
+			address: candidate.callAddress,
+			dataCentre: candidate.dataCentre,
+			weight: (1 - ((1 - leastWeight) * candidate.utilisation)) * (dataCentre === undefined || candidate.dataCentre === dataCentre ? 1 : away),
+		}));
+		return {
+			service,
+			addresses: this._sample(weighted),
+			keepForMilliseconds: Math.round(this._settings.answerKeepMilliseconds * (1 - (keepSpread * this._random.next()))),
+		};
+	}
+
+	/**
+	 * Rendezvous hashing: all VMs choose the same subset without a word between them, and one VM more or less
+	 * moves only its own part. The size grows with the service's load, never below what the settings ask for.
+	 */
+	private _subset(service: string, candidates: readonly AddressCandidate[], callsInFlight: number): readonly AddressCandidate[] {
+		const size = Math.max(this._settings.smallestSubset, Math.ceil(callsInFlight * spareFactor / callsInFlightPerVm));
+		if (candidates.length <= size) {
+			return candidates;
+		}
+
+		return candidates
+			.map(candidate => ({candidate, rank: this._hash(`${service} ${candidate.identity}`)}))
+			.toSorted((a, b) => b.rank - a.rank)
+			.slice(0, size)
+			.map(({candidate}) => candidate);
+	}
+
+	/** Smooth, so that not all callers of a data centre change their mind at the same load. */
+	private _awayFactor(subset: readonly AddressCandidate[], dataCentre: string | undefined): number {
+		const local = subset.filter(candidate => candidate.dataCentre === dataCentre);
+		if (local.length === 0) {
+			return 1;
+		}
+
+		const utilisation = local.reduce((sum, candidate) => sum + candidate.utilisation, 0) / local.length;
+		const overflow = Math.min(1, Math.max(0, (utilisation - overflowAt) / (1 - overflowAt)));
+		return awayWeight + ((1 - awayWeight) * overflow);
+	}
+
+	/** A random order by weight (Efraimidis and Spirakis 2006): callers that use the first one only still spread. */
+	private _sample(choices: readonly AddressChoice[]): AddressChoice[] {
+		return choices
+			.map(choice => ({choice, key: this._random.next() ** (1 / choice.weight)}))
+			.toSorted((a, b) => b.key - a.key)
+			.slice(0, mostChoices)
+			.map(({choice}) => choice);
+	}
+}
--- /dev/null
+++ b/src/common/fleet/chart.ts
@@ -0,0 +1,92 @@
+/** Runs a state chart from a JSON file by xstate's pure transitions; what is done on entry is handed in. */
+import {
+	type AnyMachineSnapshot, type AnyStateMachine, createMachine, initialTransition, transition,
+} from 'xstate';
+
+/** A chart as its file holds it. */
+export type ChartDefinition = {
+	readonly id: string;
+	readonly initial: string;
+	readonly states: Readonly<Record<string, {
+		readonly entry?: string;
+		readonly on?: Readonly<Record<string, string>>;
+		readonly type?: string;
+	}>>;
+};
+
+const machines = new Map<ChartDefinition, AnyStateMachine>();
+
+function compile({id, initial, states}: ChartDefinition): AnyStateMachine {
+	return createMachine({
+		id,
+		initial,
+		states: Object.fromEntries(Object.entries(states).map(([name, state]) => [name, {
+			entry: state.entry,
+			on: {...state.on},
+			type: state.type === 'final' ? 'final' as const : undefined,
+		}])),
+	});
+}
+
+function machineOf(definition: ChartDefinition): AnyStateMachine {
+	const machine = machines.get(definition) ?? compile(definition);
+	machines.set(definition, machine);
+	return machine;
+}
+
+/** One run of a chart. An action may itself send an event: it is taken when the present step is done. */
+export class Chart<Action extends string, Event extends string> {
+	private readonly _actions: ReadonlyMap<string, () => void>;
+	private readonly _machine: AnyStateMachine;
+	private _snapshot: AnyMachineSnapshot | undefined;
+	private readonly _queue: Event[] = [];
+	private _isRunning = false;
+
+	constructor(definition: ChartDefinition, actions: Readonly<Record<Action, () => void>>) {
+		this._machine = machineOf(definition);
+		this._actions = new Map(Object.entries(actions));
+	}
+
+	/** Name of the present state; empty before the start. */
+	get state(): string {
+		return String(this._snapshot?.value ?? '');
+	}
+
+	/** Enters the first state. */
+	start(): void {
+		const [snapshot, actions] = initialTransition(this._machine);
+		this._snapshot = snapshot;
+		this._run(actions);
+	}
+
+	/** Events that the present state does not know are dropped: late news of a step that is over. */
+	send(event: Event): void {
+		this._queue.push(event);
+		if (!this._isRunning) {
+			this._drain();
+		}
+	}
+
+	private _drain(): void {
+		for (let event = this._queue.shift(); event !== undefined; event = this._queue.shift()) {
+			if (this._snapshot) {
+				const [snapshot, actions] = transition(this._machine, this._snapshot, {type: event});
+				this._snapshot = snapshot;
+				this._run(actions);
+			}
+		}
+	}
+
+	private _run(actions: ReadonlyArray<{readonly type: string}>): void {
+		const wasRunning = this._isRunning;
+		this._isRunning = true;
+		for (const {type} of actions) {
+			this._actions.get(type)?.();
+		}
+
+		this._isRunning = wasRunning;
+		if (!wasRunning) {
+			this._drain();
+		}
+	}
+}
--- /dev/null
+++ b/src/common/fleet/configuration/change-attempt.ts
@@ -0,0 +1,342 @@
+/** One operator's change on its way into the platform's service; steps and order are in charts/configuration-change.json. */
+import chartDefinition from '../../../../charts/configuration-change.json' with {type: 'json'};
+import {failure} from '../../errors/failure.ts';
+import {type Instant} from '../../model/units.ts';
+import {type StoreReply} from '../../platform/types.ts';
+import {Chart} from '../chart.ts';
+import {type FleetContext} from '../fleet-context.ts';
+import {type ChangeRecord} from '../peer-messages.ts';
+import {type ChangeFailureKind, type OperatorAnswer, type OperatorChange} from '../types.ts';
+import {type ConfigurationReader, type HeadBase} from './configuration-reader.ts';
+import {applyMutations, type ConfigurationState} from './configuration-state.ts';
+import {
+	type ConfigurationHead, encodeHead, encodeShards, fitsHead, headKey, historyCharacters, type ShardReference, shardPrefix, trimRecords,
+} from './head.ts';
+import {planChange} from './plan-change.ts';
+
+type Action = 'begin' | 'readHead' | 'plan' | 'catchUp' | 'writeShards' | 'commit' | 'confirm' | 'waitInDoubt' | 'readBack' | 'answer';
+type Event = 'HAS_BASE' | 'NO_BASE' | 'READ' | 'FAILED' | 'BEHIND' | 'CAUGHT_UP' | 'SMALL' | 'LARGE' | 'UNCERTAIN' | 'SETTLED'
+	| 'WRITTEN' | 'LOST' | 'UNAVAILABLE' | 'UNKNOWN' | 'RETRY' | 'DEADLINE' | 'FOUND' | 'UNCHANGED' | 'MOVED_ON';
+
+/** How long an operator waits at most for a certain answer. Past it the answer is "unknown". */
+const answerMilliseconds = 10_000;
+const firstDoubtMilliseconds = 100;
+const longestDoubtMilliseconds = 1000;
+
+/** Tries against other writers; each failed one means that another change got in, so the store as a whole moves on. */
+const mostPlans = 32;
+
+/** What is to be committed: the head to write, and what it brings into force. */
+type Commit = {readonly base: HeadBase; readonly record: ChangeRecord; readonly head: ConfigurationHead};
+
+export class ChangeAttempt {
+	private readonly _chart = new Chart<Action, Event>(chartDefinition, {
+		begin: () => {
+			this._begin();
+		},
+		readHead: () => {
+			this._readHead();
+		},
+		plan: () => {
+			this._plan();
+		},
+		catchUp: () => {
+			this._catchUp();
+		},
+		writeShards: () => {
+			this._writeShards();
+		},
+		commit: () => {
+			this._commitHead();
+		},
+		confirm: () => {
+			this._confirm();
+		},
+		waitInDoubt: () => {
+			this._waitInDoubt();
+		},
+		readBack: () => {
+			this._readBack();
+		},
+		answer: () => {
+			this._onAnswer(this._answer);
+		},
+	});
+
+	private readonly _deadline: Instant;
+	private _answer: OperatorAnswer;
+	private _base: HeadBase | undefined;
+	private _record: ChangeRecord | undefined;
+	private _commit: Commit | undefined;
+	private _plans = 0;
+	private _doubts = 0;
+
+	constructor(
+		private readonly _context: FleetContext,
+		private readonly _state: ConfigurationState,
+		private readonly _reader: ConfigurationReader,
+		private readonly _change: OperatorChange,
+		private readonly _onAnswer: (answer: OperatorAnswer) => void,
+	) {
+		this._deadline = _context.now + answerMilliseconds;
+		this._answer = this._refused('store-unavailable', 'The platform\'s service could not be reached; nothing was changed.');
+	}
+
+	start(): void {
+		this._chart.start();
+	}
+
+	private _refused(kind: ChangeFailureKind, message: string): OperatorAnswer {
+		return {type: 'refused', failure: failure(kind, message)};
+	}
+
+	private _begin(): void {
+		this._base = this._reader.base;
+		this._chart.send(this._base ? 'HAS_BASE' : 'NO_BASE');
+	}
+
+	private _readHead(): void {
+		this._reader.readHead((outcome, base) => {
+			this._base = base;
+			this._chart.send(outcome === 'read' ? 'READ' : 'FAILED');
+		});
+	}
+
+	private _plan(): void {
+		const base = this._base!;
+		this._plans += 1;
+		// The same operation may have been sent before, through another VM, and its answer lost.
+		const earlier = base.head.records.find(record => record.operationId === this._change.operationId);
+		if (earlier) {
+			this._settle({type: 'accepted', version: earlier.version});
+		} else if (this._isDoubtBeyondHistory(base)) {
+			this._settle({type: 'unknown', operationId: this._change.operationId});
+		} else if (this._plans > mostPlans) {
+			this._settle(this._refused('contended', 'Other changes came first each time; nothing was changed.'));
+		} else if (base.head.version > this._state.version || !this._state.isKnown) {
+			this._chart.send('BEHIND');
+		} else if (base.head.version < this._state.version) {
+			this._answer = this._refused('store-lost-configuration', 'The platform\'s service holds an older configuration than the one in force; nothing was changed.');
+			this._uncertain();
+		} else {
+			this._planOnState(base);
+		}
+	}
+
+	/**
+	 * Guard: after a lost answer the proof that the write never took effect is a history without it. A
+	 * history that no longer reaches back so far proves nothing; "not accepted" could be a falsehood.
+	 */
+	private _isDoubtBeyondHistory(base: HeadBase): boolean {
+		const doubtful = this._doubts > 0 ? this._commit?.record.version : undefined;
+		const oldest = base.head.records[0]?.version ?? base.head.version + 1;
+		return doubtful !== undefined && base.head.version >= doubtful && oldest > doubtful;
+	}
+
+	private _planOnState(base: HeadBase): void {
+		const planned = planChange({version: this._state.version, resources: this._state.resources, records: base.head.records}, this._change);
+		if (planned.isErr()) {
+			this._answer = planned.error;
+			this._uncertain();
+			return;
+		}
+
+		this._record = planned.value;
+		const records = [...base.head.records, planned.value];
+		if (fitsHead(records)) {
+			this._commit = {base, record: planned.value, head: {...base.head, version: planned.value.version, records}};
+			this._chart.send('SMALL');
+		} else {
+			this._chart.send('LARGE');
+		}
+	}
+
+	/**
+	 * A negative answer may rest on a stale replica. Before it is given, a compare-and-swap that writes the
+	 * head's own content proves that this head is the newest; if it is not, the change is planned again.
+	 */
+	private _uncertain(): void {
+		this._chart.send(this._base?.isConfirmed ? 'SETTLED' : 'UNCERTAIN');
+	}
+
+	private _settle(answer: OperatorAnswer): void {
+		this._answer = answer;
+		this._chart.send('SETTLED');
+	}
+
+	private _catchUp(): void {
+		this._reader.catchUp(outcome => {
+			const isUp = outcome === 'read' && this._state.isKnown && this._state.version >= (this._base?.head.version ?? 0);
+			this._base = this._reader.base;
+			this._chart.send(isUp ? 'CAUGHT_UP' : 'FAILED');
+		});
+	}
+
+	/** Too much for the head: everything goes into a new snapshot, and the head keeps a shorter history. */
+	private _writeShards(): void {
+		const base = this._base!;
+		const record = this._record!;
+		const isLarge = JSON.stringify(record).length > historyCharacters / 4;
+		const resources = new Map(this._state.resources);
+		if (isLarge) {
+			applyMutations(resources, record);
+		}
+
+		const version = isLarge ? record.version : base.head.version;
+		const kept: ChangeRecord = isLarge ? {...record, mutations: [], isInSnapshotOnly: true} : record;
+		const texts = encodeShards(resources.values());
+		this._writeShard(texts, version, [], shards => {
+			this._commit = {
+				base,
+				record: kept,
+				head: {
+					format: 1, version: record.version, snapshot: {version, shards: [...shards]}, records: [...trimRecords(base.head.records), kept],
+				},
+			};
+			this._chart.send('WRITTEN');
+		});
+	}
+
+	private _writeShard(texts: readonly string[], version: number, written: readonly ShardReference[], onDone: (shards: readonly ShardReference[]) => void): void {
+		const text = texts[written.length];
+		if (text === undefined) {
+			onDone(written);
+			return;
+		}
+
+		const key = `${shardPrefix}${version}-${this._change.operationId}-${written.length}`;
+		this._context.requestStore({
+			type: 'compare-and-swap', key, expected: 0, value: text,
+		}, reply => {
+			// A conflict is this very shard, written by an earlier try whose answer was lost: its key says its content.
+			const revision = reply.type === 'written' ? reply.revision : (reply.type === 'conflict' ? reply.entry?.revision : undefined);
+			if (revision === undefined) {
+				this._chart.send('FAILED');
+			} else {
+				this._writeShard(texts, version, [...written, {key, revision}], onDone);
+			}
+		});
+	}
+
+	private _commitHead(): void {
+		const {base, head} = this._commit!;
+		this._context.requestStore({
+			type: 'compare-and-swap', key: headKey, expected: base.revision, value: encodeHead(head),
+		}, reply => {
+			this._takeCommitReply(reply);
+		});
+	}
+
+	private _takeCommitReply(reply: StoreReply): void {
+		if (reply.type === 'written') {
+			this._accept(reply.revision);
+		} else if (reply.type === 'conflict') {
+			this._takeWinner(reply);
+		} else {
+			const isUntouched = reply.type === 'unavailable';
+			if (!isUntouched) {
+				this._doubts += 1;
+			}
+
+			this._chart.send(isUntouched ? 'UNAVAILABLE' : 'UNKNOWN');
+		}
+	}
+
+	private _accept(revision: number): void {
+		const {base, record, head} = this._commit!;
+		this._answer = {type: 'accepted', version: record.version};
+		if (record.isInSnapshotOnly) {
+			const resources = new Map(this._state.resources);
+			applyMutations(resources, this._record!);
+			this._state.replace(record.version, resources.values(), head.records);
+		}
+
+		this._reader.observeBase({revision, head, isConfirmed: true});
+		this._dropOldShards(base.head, head);
+		this._chart.send('WRITTEN');
+	}
+
+	/** A reader of the old snapshot that finds a shard gone reads the head again. */
+	private _dropOldShards(before: ConfigurationHead, after: ConfigurationHead): void {
+		if (before.snapshot.version !== after.snapshot.version) {
+			for (const {key, revision} of before.snapshot.shards) {
+				this._context.requestStore({type: 'delete', key, expected: revision}, () => undefined);
+			}
+		}
+	}
+
+	private _takeWinner(reply: StoreReply & {readonly type: 'conflict'}): void {
+		this._base = this._reader.observe(reply.entry, true);
+		if (this._base) {
+			this._chart.send('LOST');
+		} else {
+			this._answer = this._refused('store-lost-configuration', 'The configuration in the platform\'s service can\'t be read; nothing was changed.');
+			this._chart.send('UNAVAILABLE');
+		}
+	}
+
+	private _confirm(): void {
+		const {revision, head} = this._base!;
+		const isAbsent = revision === 0;
+		if (isAbsent && this._state.version === 0) {
+			// Nothing was ever declared as far as anyone knows: there is nothing to confirm, and nothing is written.
+			this._chart.send('WRITTEN');
+			return;
+		}
+
+		this._context.requestStore({
+			type: 'compare-and-swap', key: headKey, expected: revision, value: encodeHead(head),
+		}, reply => {
+			this._takeConfirmation(reply, head);
+		});
+	}
+
+	private _takeConfirmation(reply: StoreReply, head: ConfigurationHead): void {
+		if (reply.type === 'written') {
+			this._reader.observeBase({revision: reply.revision, head, isConfirmed: true});
+			this._chart.send('WRITTEN');
+		} else if (reply.type === 'conflict') {
+			this._takeWinner(reply);
+		} else {
+			this._answer = this._refused('store-unavailable', 'The platform\'s service could not be reached; nothing was changed.');
+			this._chart.send('FAILED');
+		}
+	}
+
+	private _waitInDoubt(): void {
+		this._answer = {type: 'unknown', operationId: this._change.operationId};
+		if (this._context.now >= this._deadline) {
+			this._chart.send('DEADLINE');
+			return;
+		}
+
+		const wait = Math.min(longestDoubtMilliseconds, firstDoubtMilliseconds * (2 ** Math.min(this._doubts, 8)));
+		this._context.timers.set(`change-${this._change.operationId}`, this._context.now + this._context.jitter(wait), () => {
+			this._chart.send('RETRY');
+		});
+	}
+
+	/**
+	 * Guard against a lost answer: the write may have taken effect, or may yet. Reading alone never proves
+	 * that it did not, as it could still be on its way. So if the head is unchanged the same compare-and-swap
+	 * is sent again: at most one of the two can succeed, and whichever does is this same change. Once the
+	 * revision has moved on without the change in its history, the first write can't succeed any more.
+	 */
+	private _readBack(): void {
+		const {base, record} = this._commit!;
+		this._reader.readHead((outcome, read) => {
+			if (outcome === 'failed' || !read || read.revision < base.revision) {
+				this._doubts += 1;
+				this._chart.send('FAILED');
+			} else if (read.revision === base.revision) {
+				this._chart.send('UNCHANGED');
+			} else if (read.head.records.some(({operationId}) => operationId === record.operationId)) {
+				this._answer = {type: 'accepted', version: read.head.records.find(({operationId}) => operationId === record.operationId)!.version};
+				this._chart.send('FOUND');
+			} else {
+				this._base = read;
+				this._chart.send('MOVED_ON');
+			}
+		});
+	}
+}
--- /dev/null
+++ b/src/common/fleet/configuration/configuration-state.ts
@@ -0,0 +1,115 @@
+/** The configuration in force on this VM. It only moves forward, a whole change at a time. */
+import {type CallConfiguration} from '../../calls/types.ts';
+import {
+	type BackendServer, type ResourceKey, resourceKey, type Service, type SharingRule, type StoredResource,
+} from '../../model/resources.ts';
+import {type ChangeRecord} from '../peer-messages.ts';
+import {type ConfigurationVersion} from '../types.ts';
+import {historyRecords} from './head.ts';
+
+/** Keys a record touches. */
+export function mutationKey(mutation: ChangeRecord['mutations'][number]): ResourceKey {
+	return mutation.type === 'put' ? resourceKey(mutation.resource) : resourceKey(mutation);
+}
+
+/** Applies a record's mutations to a map of resources. */
+export function applyMutations(resources: Map<ResourceKey, StoredResource>, record: ChangeRecord): void {
+	for (const mutation of record.mutations) {
+		if (mutation.type === 'put') {
+			resources.set(mutationKey(mutation), {resource: mutation.resource, metadata: mutation.metadata});
+		} else {
+			resources.delete(mutationKey(mutation));
+		}
+	}
+}
+
+/**
+ * Guard against going back: an old copy may come from a late watch event, a stale replica, a peer that
+ * was paused. It would show as a withdrawn rule that is in force again. Both ways in compare versions and
+ * take nothing that is not newer, and a record only directly after its predecessor.
+ */
+export class ConfigurationState {
+	private _version: ConfigurationVersion = 0;
+	private _isKnown = false;
+	private _resources = new Map<ResourceKey, StoredResource>();
+	private _records: ChangeRecord[] = [];
+
+	get version(): ConfigurationVersion {
+		return this._version;
+	}
+
+	/** False until a first configuration was taken over, be it an empty one. */
+	get isKnown(): boolean {
+		return this._isKnown;
+	}
+
+	get resources(): ReadonlyMap<ResourceKey, StoredResource> {
+		return this._resources;
+	}
+
+	/** Latest changes, oldest first, without gaps. */
+	get records(): readonly ChangeRecord[] {
+		return this._records;
+	}
+
+	/** Applies the records that follow on from what is in force; true if anything changed. */
+	adopt(records: readonly ChangeRecord[]): boolean {
+		const before = this._version;
+		const isFirst = !this._isKnown && records[0]?.version === 1;
+		for (const record of records) {
+			const isNext = record.version === this._version + 1 && (this._isKnown || isFirst);
+			if (isNext && !record.isInSnapshotOnly) {
+				applyMutations(this._resources, record);
+				this._version = record.version;
+				this._isKnown = true;
+				this._records.push(record);
+			}
+		}
+
+		if (this._records.length > historyRecords) {
+			this._records = this._records.slice(-historyRecords);
+		}
+
+		return this._version > before;
+	}
+
+	/** Takes over a whole configuration if it is newer than what is in force, or the first. */
+	replace(version: ConfigurationVersion, resources: Iterable<StoredResource>, records: readonly ChangeRecord[]): boolean {
+		if (this._isKnown && version <= this._version) {
+			return false;
+		}
+
+		this._resources = new Map([...resources].map(stored => [resourceKey(stored.resource), stored]));
+		this._version = version;
+		this._isKnown = true;
+		this._records = records.filter(record => record.version <= version);
+		return true;
+	}
+
+	/** Records after a version, or undefined if the history does not reach back so far. */
+	recordsAfter(version: ConfigurationVersion): readonly ChangeRecord[] | undefined {
+		const following = this._records.filter(record => record.version > version);
+		const isWhole = following.length === this._version - version && following.every(record => !record.isInSnapshotOnly);
+		return isWhole ? following : undefined;
+	}
+
+	/** What calls depend on; a new object, safe to keep. */
+	callConfiguration(): CallConfiguration {
+		const services = new Map<string, Service>();
+		const backendServers = new Map<string, BackendServer>();
+		const sharingRules: SharingRule[] = [];
+		for (const {resource, metadata} of this._resources.values()) {
+			if (resource.kind === 'service') {
+				services.set(resource.name, resource);
+			} else if (resource.kind === 'backend-server') {
+				backendServers.set(metadata.identity, resource);
+			} else {
+				sharingRules.push(resource);
+			}
+		}
+
+		return {
+			version: this._version, services, backendServers, sharingRules,
+		};
+	}
+}
--- /dev/null
+++ b/src/common/fleet/configuration/configuration-writer.ts
@@ -0,0 +1,41 @@
+/** Takes operators' changes, one at a time: two changes through one VM need no compare-and-swap to fight over. */
+import {type FleetContext} from '../fleet-context.ts';
+import {type OperatorAnswer, type OperatorChange} from '../types.ts';
+import {ChangeAttempt} from './change-attempt.ts';
+import {type ConfigurationReader} from './configuration-reader.ts';
+import {type ConfigurationState} from './configuration-state.ts';
+
+type Waiting = {readonly change: OperatorChange; readonly onAnswer: (answer: OperatorAnswer) => void};
+
+export class ConfigurationWriter {
+	private readonly _reader: ConfigurationReader;
+	private readonly _waiting: Waiting[] = [];
+	private _isBusy = false;
+
+	constructor(
+		private readonly _context: FleetContext,
+		private readonly _state: ConfigurationState,
+		reader: ConfigurationReader,
+	) {
+		this._reader = reader;
+	}
+
+	submit(change: OperatorChange, onAnswer: (answer: OperatorAnswer) => void): void {
+		this._waiting.push({change, onAnswer});
+		this._startNext();
+	}
+
+	private _startNext(): void {
+		const next = this._isBusy ? undefined : this._waiting.shift();
+		if (!next) {
+			return;
+		}
+
+		this._isBusy = true;
+		new ChangeAttempt(this._context, this._state, this._reader, next.change, answer => {
+			this._isBusy = false;
+			next.onAnswer(answer);
+			this._startNext();
+		}).start();
+	}
+}
--- /dev/null
+++ b/src/common/fleet/leaving/leaving-signs.ts
@@ -0,0 +1,119 @@
+/**
+ * Signs that backend servers leave, on their way to all VMs. The first sign that any VM has is pushed at once and
+ * passed on by each VM at its first receipt; it needs no store, so an outage does not hold it up.
+ */
+import {type Instant, type Milliseconds} from '../../model/units.ts';
+import {type FleetContext} from '../fleet-context.ts';
+import {type LeavingRumour} from '../peer-messages.ts';
+import {type LeavingSign} from '../types.ts';
+
+/** Largest number of signs kept; each is about 100 bytes. Past it the oldest goes: its server was told of long ago. */
+const mostSigns = 10_000;
+
+/** A sign not renewed for so long is forgotten; a server that still leaves says so on each answer. */
+const signMilliseconds: Milliseconds = 600_000;
+
+/**
+ * A sign that names no process could bind a later one under the same resource. It holds only this long:
+ * enough for every VM to stop new work, short enough for a server that returned at once.
+ */
+const namelessSignMilliseconds: Milliseconds = 15_000;
+
+/** Sends of one sign on probes, after the first push. */
+const mostSends = 10;
+
+type Sign = {readonly sign: LeavingSign; readonly firstAt: Instant; timesSent: number};
+
+export class LeavingSigns {
+	private readonly _signs = new Map<string, Sign>();
+	/** The process last seen not leaving: a sign for another one comes from before its start. */
+	private readonly _returned = new Map<string, string>();
+	private readonly _onFirst: (sign: LeavingSign) => void;
+
+	constructor(private readonly _context: FleetContext, onFirst: (sign: LeavingSign) => void) {
+		this._onFirst = onFirst;
+	}
+
+	get signs(): readonly LeavingSign[] {
+		this._forgetOld();
+		return [...this._signs.values()].map(({sign}) => sign);
+	}
+
+	/** A sign seen by this VM or told by another; `ageMilliseconds` since the first. */
+	take(sign: LeavingSign, ageMilliseconds: Milliseconds): void {
+		this._forgetOld();
+		const key = this._key(sign);
+		const returned = this._returned.get(sign.identity);
+		// Guard: an old sign of a server that has come back as a new process must not stop the new one.
+		const isOld = returned !== undefined && sign.instance !== returned && sign.source === 'peer';
+		if (isOld || this._signs.has(key) || ageMilliseconds > this._lifetime(sign)) {
+			return;
+		}
+
+		this._returned.delete(sign.identity);
+		this._signs.set(key, {sign, firstAt: this._context.now - ageMilliseconds, timesSent: 0});
+		if (this._signs.size > mostSigns) {
+			this._signs.delete(this._signs.keys().next().value!);
+		}
+
+		this._onFirst(sign);
+	}
+
+	/** A report from a process that does not leave: signs of other processes of this resource are void. */
+	takeReturn(identity: string, instance: string): void {
+		const isVoid = (sign: LeavingSign): boolean => sign.identity === identity && sign.instance !== instance;
+		const old = [...this._signs].filter(([, {sign}]) => isVoid(sign));
+		for (const [key] of old) {
+			this._signs.delete(key);
+		}
+
+		if (old.length > 0) {
+			this._returned.set(identity, instance);
+		}
+	}
+
+	/** Drops what belongs to resources that are no longer declared. */
+	keepOnly(isDeclared: (identity: string) => boolean): void {
+		for (const [key, {sign}] of this._signs) {
+			if (!isDeclared(sign.identity)) {
+				this._signs.delete(key);
+			}
+		}
+
+		for (const identity of this._returned.keys()) {
+			if (!isDeclared(identity)) {
+				this._returned.delete(identity);
+			}
+		}
+	}
+
+	/** Signs worth sending, the least sent first. */
+	takeRumours(most: number): LeavingRumour[] {
+		this._forgetOld();
+		const waiting = [...this._signs.values()].filter(({timesSent}) => timesSent < mostSends).toSorted((a, b) => a.timesSent - b.timesSent).slice(0, most);
+		return waiting.map(entry => {
+			entry.timesSent += 1;
+			return {
+				identity: entry.sign.identity,
+				...(entry.sign.instance === undefined ? {} : {instance: entry.sign.instance}),
+				ageMilliseconds: this._context.now - entry.firstAt,
+			};
+		});
+	}
+
+	private _key({identity, instance}: LeavingSign): string {
+		return `${identity} ${instance ?? ''}`;
+	}
+
+	private _lifetime({instance}: LeavingSign): Milliseconds {
+		return instance === undefined ? namelessSignMilliseconds : signMilliseconds;
+	}
+
+	private _forgetOld(): void {
+		for (const [key, {sign, firstAt}] of this._signs) {
+			if (this._context.now - firstAt > this._lifetime(sign)) {
+				this._signs.delete(key);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/common/fleet/membership/prober.ts
@@ -0,0 +1,185 @@
+/**
+ * Finds out which members answer, as SWIM does: each VM probes one other at a time, so what a VM spends on it
+ * does not grow with the fleet. Also looks for members at addresses that no known member holds.
+ */
+import {type Instant, type Milliseconds} from '../../model/units.ts';
+import {type FleetContext} from '../fleet-context.ts';
+import {type MemberRecord, type PeerBody} from '../peer-messages.ts';
+import {type PeerAddress, type VmIdentity} from '../types.ts';
+import {type Member, type Membership} from './membership.ts';
+
+/** One probe each half second: 2 messages a second out and about 2 back, whatever the size of the fleet. */
+const probeMilliseconds: Milliseconds = 500;
+
+/** Round trips take 1 to 3 ms; past this the probed VM is asked for through others. */
+const directAnswerMilliseconds: Milliseconds = 250;
+
+/** Others asked to probe in our stead: a cut between two VMs only must not look like a death. */
+const indirectProbes = 2;
+
+/** A relayed probe that nobody answered is forgotten after this. */
+const relayMemoryMilliseconds: Milliseconds = 3000;
+
+/** Addresses that answer nobody's probes are tried for members this often: cuts heal, seeds come up. */
+const joinMilliseconds: Milliseconds = 2000;
+const joinTargets = 3;
+
+type Probe = {readonly nonce: number; readonly identity: VmIdentity; readonly address: PeerAddress; isIndirect: boolean};
+
+export class Prober {
+	private readonly _send: (to: PeerAddress, body: PeerBody) => void;
+	private readonly _listed = new Set<PeerAddress>();
+	private readonly _relayed = new Map<number, {readonly for: PeerAddress; readonly nonce: number; readonly at: Instant}>();
+	private _probeOrder: VmIdentity[] = [];
+	private _nonce = 0;
+	private _probe: Probe | undefined;
+
+	constructor(
+		private readonly _context: FleetContext,
+		private readonly _membership: Membership,
+		send: (to: PeerAddress, body: PeerBody) => void,
+	) {
+		this._send = send;
+	}
+
+	start(): void {
+		this._join();
+		this._scheduleProbe();
+	}
+
+	/** Addresses from the platform's list: a hint of whom to ask, no word on who lives. */
+	setListed(addresses: readonly PeerAddress[]): void {
+		this._listed.clear();
+		for (const address of addresses) {
+			this._listed.add(address);
+		}
+	}
+
+	get listed(): ReadonlySet<PeerAddress> {
+		return this._listed;
+	}
+
+	takePing(from: MemberRecord, nonce: number): void {
+		this._send(from.peerAddress, {type: 'ping-answer', nonce});
+	}
+
+	takePingRequest(from: MemberRecord, nonce: number, target: PeerAddress): void {
+		this._nonce += 1;
+		this._relayed.set(this._nonce, {for: from.peerAddress, nonce, at: this._context.now});
+		this._send(target, {type: 'ping', nonce: this._nonce});
+	}
+
+	takeAnswer(nonce: number): void {
+		if (this._probe?.nonce === nonce) {
+			this._probe = undefined;
+			return;
+		}
+
+		const relayed = this._relayed.get(nonce);
+		this._relayed.delete(nonce);
+		if (relayed) {
+			this._send(relayed.for, {type: 'ping-answer', nonce: relayed.nonce});
+		}
+
+		for (const [key, {at}] of this._relayed) {
+			if (this._context.now - at > relayMemoryMilliseconds) {
+				this._relayed.delete(key);
+			}
+		}
+	}
+
+	/** A message could not be delivered: ask others at once in place of waiting. */
+	takeUnreachable(to: PeerAddress): void {
+		if (this._probe?.address === to) {
+			this._probeIndirectly(this._probe.nonce);
+		}
+	}
+
+	/**
+	 * Guard: after a pause of this VM every probe looks unanswered and every suspicion overdue. Without this it
+	 * would call the whole fleet dead on waking. What was pending is forgotten and judged anew.
+	 */
+	forgetPending(): void {
+		this._probe = undefined;
+		this._membership.prolongSuspicions();
+	}
+
+	private _scheduleProbe(): void {
+		this._context.timers.set('probe', this._context.now + this._context.jitter(probeMilliseconds), () => {
+			this._endProbe();
+			this._startProbe();
+			this._scheduleProbe();
+		});
+	}
+
+	private _endProbe(): void {
+		const probe = this._probe;
+		this._probe = undefined;
+		if (probe) {
+			this._membership.suspect(probe.identity);
+		}
+	}
+
+	private _startProbe(): void {
+		const member = this._nextTarget();
+		if (!member) {
+			return;
+		}
+
+		this._nonce += 1;
+		const nonce = this._nonce;
+		const {identity, peerAddress} = member.record;
+		this._probe = {
+			nonce, identity, address: peerAddress, isIndirect: false,
+		};
+		this._send(peerAddress, {type: 'ping', nonce});
+		this._context.timers.set('probe-indirect', this._context.now + directAnswerMilliseconds, () => {
+			this._probeIndirectly(nonce);
+		});
+	}
+
+	/** Round robin in a random order, so that every member is probed once before any is probed twice. */
+	private _nextTarget(): Member | undefined {
+		for (let tries = this._probeOrder.length + 1; tries > 0; tries -= 1) {
+			const identity = this._probeOrder.shift();
+			const member = identity === undefined ? undefined : this._membership.members.get(identity);
+			if (member && member.verdict !== 'dead') {
+				return member;
+			}
+
+			if (this._probeOrder.length === 0) {
+				const all = [...this._membership.members].filter(([, {verdict}]) => verdict !== 'dead').map(([key]) => key);
+				this._probeOrder = this._context.pick(all, all.length);
+			}
+		}
+
+		return undefined;
+	}
+
+	private _probeIndirectly(nonce: number): void {
+		const probe = this._probe;
+		if (probe?.nonce !== nonce || probe.isIndirect) {
+			return;
+		}
+
+		probe.isIndirect = true;
+		const helpers = this._membership.live.filter(({record}) => record.identity !== probe.identity);
+		for (const {record} of this._context.pick(helpers, indirectProbes)) {
+			this._send(record.peerAddress, {type: 'ping-request', nonce, target: probe.address});
+		}
+	}
+
+	private _join(): void {
+		const known = new Set(this._membership.live.map(({record}) => record.peerAddress));
+		const dead = [...this._membership.members.values()].filter(({verdict}) => verdict === 'dead').map(({record}) => record.peerAddress);
+		const candidates = [...new Set([...this._context.settings.seeds, ...this._listed, ...dead])]
+			.filter(address => address !== this._context.settings.peerAddress && !known.has(address));
+		for (const address of this._context.pick(candidates, joinTargets)) {
+			this._send(address, {type: 'join'});
+		}
+
+		this._context.timers.set('join', this._context.now + this._context.jitter(joinMilliseconds), () => {
+			this._join();
+		});
+	}
+}
--- a/src/common/fleet/peer-messages.ts
+++ b/src/common/fleet/peer-messages.ts
@@ -19,6 +19,8 @@
 	isLeaving: z.boolean(),
 	/** False until it has a configuration; such a VM is in no answer to callers. */
 	isServing: z.boolean(),
+	/** Holds a share slot: a stopping VM looks for one that does not. */
+	holdsShare: z.boolean(),
 	configurationVersion: z.int().min(0),
 	/** 0 to 1. */
 	utilisation: z.number().min(0).max(1),
@@ -52,7 +54,7 @@
 		isLeaving: z.boolean(),
 	}).optional(),
 	ageMilliseconds: z.number().min(0),
-	suspects: z.array(z.string().max(128)).max(64),
+	suspects: z.array(z.string().max(128)).max(64).readonly(),
 	crash: z.string().max(128).optional(),
 });
 
@@ -63,6 +65,8 @@
 	who: z.string().max(256),
 	when: z.string().max(64),
 	note: z.string().max(4096),
+	/** Too large for a record: the mutations are only in the snapshot of this version. */
+	isInSnapshotOnly: z.literal(true).optional(),
 	mutations: z.array(z.discriminatedUnion('type', [
 		z.strictObject({type: z.literal('put'), resource: resourceSchema, metadata: resourceMetadataSchema}),
 		z.strictObject({type: z.literal('delete'), kind: z.enum(['service', 'backend-server', 'sharing-rule']), name: z.string().max(63)}),
@@ -82,7 +86,7 @@
 	z.strictObject({type: z.literal('members')}),
 	/** Rumours that can't wait for the next ping. */
 	z.strictObject({type: z.literal('rumours')}),
-	z.strictObject({type: z.literal('changes-request'), after: z.int().min(0)}),
+	z.strictObject({type: z.literal('changes-request'), after: z.int().min(-1)}),
 	z.strictObject({type: z.literal('changes'), records: z.array(changeRecordSchema).min(1).max(1000)}),
 	/** One page of the whole configuration, for a VM that is too far behind. */
 	z.strictObject({
--- /dev/null
+++ b/src/common/fleet/test-utilities.test.ts
@@ -0,0 +1,417 @@
+/** Fakes for tests of the fleet engine: an in-memory key-value service and message passing in virtual time. */
+import {type CallConfiguration, type FleetShares} from '../calls/types.ts';
+import {type Resource, resourceSchema} from '../model/resources.ts';
+import {type Instant} from '../model/units.ts';
+import {type StoreEntry, type StoreOperation, type StoreReply} from '../platform/types.ts';
+import {seededRandom} from '../random/random.ts';
+import {FleetCoordinator} from './fleet-coordinator.ts';
+import {
+	type FleetEffect, type FleetEvent, type FleetSettings, type FleetStage, type OperatorAnswer, type OperatorChange,
+} from './types.ts';
+
+/** A polynomial hash modulo a prime: enough spread for tests, and no set-up. */
+export function testHash(text: string): number {
+	let hash = 7;
+	for (const character of text) {
+		hash = ((hash * 48_271) + character.codePointAt(0)!) % 2_147_483_647;
+	}
+
+	return (hash * 48_271) % 2_147_483_647;
+}
+
+/** The key-value service in memory. Watches wait in the fake fleet. */
+export class FakeStore {
+	revision = 0;
+	calls = 0;
+	readonly entries = new Map<string, StoreEntry & {readonly leaseId?: string}>();
+	private readonly _leases = new Map<string, Instant>();
+	private _nextLease = 1;
+
+	expire(now: Instant): void {
+		for (const [leaseId, until] of this._leases) {
+			if (until <= now) {
+				this._dropLease(leaseId);
+			}
+		}
+	}
+
+	execute(operation: StoreOperation, now: Instant): StoreReply {
+		this.expire(now);
+		switch (operation.type) {
+			case 'get': {
+				return {type: 'entry', entry: this.entries.get(operation.key), revision: this.revision};
+			}
+
+			case 'list': {
+				return {type: 'entries', entries: [...this.entries.values()].filter(({key}) => key.startsWith(operation.prefix)), revision: this.revision};
+			}
+
+			case 'compare-and-swap': {
+				return this._swap(operation);
+			}
+
+			case 'delete': {
+				this.entries.delete(operation.key);
+				this.revision += 1;
+				return {type: 'written', revision: this.revision};
+			}
+
+			case 'watch': {
+				const entries = [...this.entries.values()].filter(({key, revision}) => key.startsWith(operation.prefix) && revision > operation.after);
+				return {
+					type: 'changes', entries, deleted: [], revision: this.revision,
+				};
+			}
+
+			case 'grant-lease':
+			case 'keep-lease':
+			case 'revoke-lease': {
+				return this._lease(operation, now);
+			}
+		}
+	}
+
+	private _swap(operation: StoreOperation & {readonly type: 'compare-and-swap'}): StoreReply {
+		const {key, value, leaseId} = operation;
+		const entry = this.entries.get(key);
+		if ((entry?.revision ?? 0) !== operation.expected) {
+			return {type: 'conflict', entry};
+		}
+
+		if (leaseId !== undefined && !this._leases.has(leaseId)) {
+			return {type: 'lease-lost'};
+		}
+
+		this.revision += 1;
+		this.entries.set(key, {
+			key, value, revision: this.revision, leaseId,
+		});
+		return {type: 'written', revision: this.revision};
+	}
+
+	private _lease(operation: StoreOperation, now: Instant): StoreReply {
+		if (operation.type === 'grant-lease') {
+			const leaseId = `lease-${this._nextLease}`;
+			this._nextLease += 1;
+			this._leases.set(leaseId, now + operation.milliseconds);
+			return {type: 'lease', leaseId, milliseconds: operation.milliseconds};
+		}
+
+		if (operation.type === 'revoke-lease') {
+			this._dropLease(operation.leaseId);
+			return {type: 'written', revision: this.revision};
+		}
+
+		if (operation.type === 'keep-lease' && this._leases.has(operation.leaseId)) {
+			this._leases.set(operation.leaseId, now + testLeaseMilliseconds);
+			return {type: 'lease', leaseId: operation.leaseId, milliseconds: testLeaseMilliseconds};
+		}
+
+		return {type: 'lease-lost'};
+	}
+
+	private _dropLease(leaseId: string): void {
+		this._leases.delete(leaseId);
+		for (const [key, entry] of this.entries) {
+			if (entry.leaseId === leaseId) {
+				this.entries.delete(key);
+				this.revision += 1;
+			}
+		}
+	}
+}
+
+export const testLeaseMilliseconds = 9000;
+
+/** What one VM of the fake fleet has done. */
+export class FakeVm {
+	readonly engine: FleetCoordinator;
+	readonly address: string;
+	readonly versions: number[] = [];
+	readonly stages: FleetStage[] = [];
+	readonly answers: OperatorAnswer[] = [];
+	readonly signs: Array<{readonly identity: string; readonly instance: string | undefined; readonly at: Instant}> = [];
+	configuration: CallConfiguration | undefined;
+	configuredAt: Instant = 0;
+	shares: FleetShares | undefined;
+	isCutOff = false;
+	isPaused = false;
+	isGone = false;
+	messagesSent = 0;
+
+	constructor(readonly name: string, readonly settings: FleetSettings, seed: number) {
+		this.address = settings.peerAddress;
+		this.engine = new FleetCoordinator(settings, seededRandom(seed), testHash);
+	}
+
+	get isRunning(): boolean {
+		return !this.isPaused && !this.isGone;
+	}
+}
+
+/** How the service behaves towards a VM. `lost` = takes effect, answer lost; `stale` = reads come from an old copy. */
+export type StoreMode = 'up' | 'down' | 'lost' | 'stale';
+
+type Step = {readonly at: Instant; readonly order: number; readonly run: () => void};
+
+/** Several engines, one service, messages with a delay. */
+export class FakeFleet {
+	now: Instant = 0;
+	readonly store = new FakeStore();
+	readonly vms: FakeVm[] = [];
+	readonly log: string[] = [];
+	mode: StoreMode = 'up';
+	/** Decides for one operation; undefined = by `mode`. */
+	modeOf: (vm: FakeVm, operation: StoreOperation) => StoreMode | undefined = () => undefined;
+	/** Pairs `from>to` of VM names between which messages are dropped. */
+	readonly cuts = new Set<string>();
+	/** Copy of the service that stale reads come from. */
+	staleEntries: ReadonlyMap<string, StoreEntry> = new Map();
+	onStep: () => void = () => undefined;
+	private _steps: Step[] = [];
+	private _order = 0;
+	private readonly _watches: Array<{readonly vm: FakeVm; readonly requestId: number; readonly operation: StoreOperation & {readonly type: 'watch'}; readonly until: Instant}> = [];
+
+	constructor(private readonly _seed = 1, private readonly _overrides: Partial<FleetSettings> = {}) {
+		this._random = seededRandom(_seed);
+	}
+
+	private readonly _random: ReturnType<typeof seededRandom>;
+
+	add(name: string, dataCentre = 'dc-1', overrides: Partial<FleetSettings> = {}): FakeVm {
+		const vm = new FakeVm(name, {
+			identity: name,
+			peerAddress: `${name}:1`,
+			callAddress: `${name}:2`,
+			dataCentre,
+			seeds: this.vms.slice(0, 3).map(({address}) => address),
+			defaultPeerPort: 1,
+			shareSlots: 24,
+			shareLeaseMilliseconds: testLeaseMilliseconds,
+			answerKeepMilliseconds: 3000,
+			smallestSubset: 16,
+			...this._overrides,
+			...overrides,
+		}, this._seed + this.vms.length + 1);
+		this.vms.push(vm);
+		this.tell(vm, {type: 'started'});
+		return vm;
+	}
+
+	tell(vm: FakeVm, event: FleetEvent): void {
+		if (vm.isRunning) {
+			for (const effect of vm.engine.handle(event, this.now)) {
+				this._carryOut(vm, effect);
+			}
+		}
+	}
+
+	after(milliseconds: number, run: () => void): void {
+		this._order += 1;
+		this._steps.push({at: this.now + milliseconds, order: this._order, run});
+	}
+
+	/** A paused VM gets what came meanwhile when it wakes, as a stopped process does. */
+	pause(vm: FakeVm, milliseconds: number): void {
+		vm.isPaused = true;
+		this.after(milliseconds, () => {
+			vm.isPaused = false;
+		});
+	}
+
+	kill(vm: FakeVm): void {
+		vm.isGone = true;
+	}
+
+	run(milliseconds: number): void {
+		const end = this.now + milliseconds;
+		for (let at = this._nextAt(); at !== undefined && at <= end; at = this._nextAt()) {
+			this.now = Math.max(this.now, at);
+			this._runSteps();
+			this._runWatches();
+			for (const vm of this.vms) {
+				const wakeUp = vm.isRunning ? vm.engine.nextWakeUp() : undefined;
+				if (wakeUp !== undefined && wakeUp <= this.now) {
+					this.tell(vm, {type: 'tick'});
+				}
+			}
+
+			this.onStep();
+		}
+
+		this.now = end;
+	}
+
+	private _nextAt(): Instant | undefined {
+		let earliest = Number.POSITIVE_INFINITY;
+		for (const {at} of this._steps) {
+			earliest = Math.min(earliest, at);
+		}
+
+		for (const {until} of this._watches) {
+			earliest = Math.min(earliest, until);
+		}
+
+		for (const vm of this.vms) {
+			if (vm.isRunning) {
+				earliest = Math.min(earliest, vm.engine.nextWakeUp() ?? earliest);
+			}
+		}
+
+		return earliest === Number.POSITIVE_INFINITY ? undefined : earliest;
+	}
+
+	private _runSteps(): void {
+		const due = this._steps.filter(({at}) => at <= this.now).toSorted((a, b) => a.at - b.at || a.order - b.order);
+		this._steps = this._steps.filter(({at}) => at > this.now);
+		for (const step of due) {
+			step.run();
+		}
+	}
+
+	private _runWatches(): void {
+		for (const watch of this._watches.splice(0)) {
+			const mode = this.modeOf(watch.vm, watch.operation) ?? this.mode;
+			const reply = this.store.execute(watch.operation, this.now);
+			if (mode === 'down') {
+				this._deliverReply(watch.vm, watch.requestId, {type: 'unavailable'});
+			} else if (this.now >= watch.until || (reply.type === 'changes' && reply.entries.length > 0)) {
+				this._deliverReply(watch.vm, watch.requestId, reply);
+			} else {
+				this._watches.push(watch);
+			}
+		}
+	}
+
+	private _carryOut(vm: FakeVm, effect: FleetEffect): void {
+		switch (effect.type) {
+			case 'store': {
+				this._execute(vm, effect.requestId, effect.operation);
+				break;
+			}
+
+			case 'send': {
+				vm.messagesSent += 1;
+				this._deliver(vm, effect);
+				break;
+			}
+
+			case 'configured': {
+				vm.configuration = effect.configuration;
+				vm.configuredAt = this.now;
+				vm.versions.push(effect.configuration.version);
+				break;
+			}
+
+			case 'shares': {
+				vm.shares = effect.shares;
+				break;
+			}
+
+			case 'backend-server-leaving': {
+				vm.signs.push({identity: effect.sign.identity, instance: effect.sign.instance, at: this.now});
+				break;
+			}
+
+			case 'operator-answer': {
+				vm.answers.push(effect.answer);
+				break;
+			}
+
+			case 'stage': {
+				vm.stages.push(effect.stage);
+				vm.isGone = effect.stage === 'ended';
+				break;
+			}
+
+			case 'cut-off': {
+				vm.isCutOff = effect.isCutOff;
+				break;
+			}
+
+			case 'peer-news':
+			case 'log': {
+				break;
+			}
+		}
+	}
+
+	private _execute(vm: FakeVm, requestId: number, operation: StoreOperation): void {
+		this.store.calls += 1;
+		const mode = this.modeOf(vm, operation) ?? this.mode;
+		if (operation.type === 'watch' && mode !== 'down') {
+			this._watches.push({
+				vm, requestId, operation, until: this.now + operation.milliseconds,
+			});
+			return;
+		}
+
+		if (mode === 'down') {
+			this._deliverReply(vm, requestId, {type: 'unavailable'});
+			return;
+		}
+
+		// Half of the delay on the way there, half on the way back: a pause may lie between.
+		this.after(this._delay(), () => {
+			const isRead = operation.type === 'get' || operation.type === 'list';
+			const reply = mode === 'stale' && operation.type === 'get'
+				? {type: 'entry' as const, entry: this.staleEntries.get(operation.key), revision: 0}
+				: this.store.execute(operation, this.now);
+			this._deliverReply(vm, requestId, mode === 'lost' ? {type: isRead ? 'unavailable' : 'unknown'} : reply);
+		});
+	}
+
+	private _deliverReply(vm: FakeVm, requestId: number, reply: StoreReply): void {
+		this._arrive(vm, this._delay(), {type: 'store-replied', requestId, reply});
+	}
+
+	private _deliver(vm: FakeVm, {to, message}: FleetEffect & {readonly type: 'send'}): void {
+		const target = this.vms.findLast(({address, isGone}) => address === to && !isGone);
+		if (!target || this.cuts.has(`${vm.name}>${target.name}`)) {
+			this._arrive(vm, 300, {type: 'peer-unreachable', to});
+			return;
+		}
+
+		// A copy, as after a wire: no VM may change what another holds.
+		this._arrive(target, this._delay(), {type: 'peer-message', message: structuredClone(message)});
+	}
+
+	/** Events for a paused VM wait until it runs again. */
+	private _arrive(vm: FakeVm, milliseconds: number, event: FleetEvent): void {
+		this.after(milliseconds, () => {
+			if (vm.isPaused) {
+				this._arrive(vm, 10, event);
+			} else {
+				this.tell(vm, event);
+			}
+		});
+	}
+
+	private _delay(): number {
+		return 0.5 + (2 * this._random.next());
+	}
+}
+
+/** A resource from its schema's defaults. */
+export function testService(name: string): Resource {
+	return resourceSchema.parse({kind: 'service', name});
+}
+
+export function testBackendServer(name: string, service: string): Resource {
+	return resourceSchema.parse({
+		kind: 'backend-server', name, service, address: '10.0.0.1', port: 80, dataCentre: 'dc-1',
+	});
+}
+
+/** A change that puts resources, whatever is there unless a version is expected. */
+export function testChange(operationId: string, resources: readonly Resource[], expectedVersion?: number): OperatorChange {
+	return {
+		operationId,
+		who: `operator of ${operationId}`,
+		note: '',
+		when: '2026-01-01T00:00:00Z',
+		mutations: resources.map((resource, index) => ({
+			type: 'put', resource, expectedVersion, freshIdentity: `${operationId}-${index}`.padEnd(22, '_').slice(0, 22),
+		})),
+	};
+}
--- a/src/common/fleet/types.ts
+++ b/src/common/fleet/types.ts
@@ -80,6 +80,8 @@
 		| 'not-found'
 		| 'too-large'
 		| 'empty-change'
+		| 'repeated-resource'
+		| 'contended'
 		| 'store-lost-configuration';
 
 /** The answer to an operator. */
@@ -90,8 +92,10 @@
 		| {
 			readonly type: 'conflict';
 			readonly key: ResourceKey;
-			/** Version that stands there now (0 = the resource is gone), made by this change of the configuration. */
+			/** Version of the change that won; 0 if the history no longer reaches back to it. */
 			readonly winningVersion: ConfigurationVersion;
+			/** The winning change deleted the resource. */
+			readonly isGone: boolean;
 			/** Who made the winning change; undefined if the history no longer reaches back to it. */
 			readonly who: string | undefined;
 		}
