Add gRPC between VMs and the platform's client over HTTP

Cause: the fleet engine's messages and store requests need carriers whose failures are told apart.

Ruled out: one long stream for each pair of VMs (a silent connection would hold every message; a unary call has its own deadline, and one that passes gives the connection up); TLS server names that are IP numbers (RFC 6066), so the number is checked against the certificate by itself.

Change: src/node/peers (proto/peers.proto, codec checked by the engine's schema, mutual TLS from files that are read again), src/node/platform (a write whose answer is lost is unknown, a refused connection is unavailable).

--- /dev/null
+++ b/src/node/peers/grpc-peer-transport.ts
@@ -0,0 +1,243 @@
+/** Messages between VMs over gRPC: one unary call each way, so that every message has a deadline of its own. */
+import assert from 'node:assert/strict';
+import {existsSync} from 'node:fs';
+import {fileURLToPath} from 'node:url';
+import {
+	Client, type MethodDefinition, Server, status, type sendUnaryData, type ServerUnaryCall,
+} from '@grpc/grpc-js';
+import {loadSync} from '@grpc/proto-loader';
+import {err, ok, type Result} from 'neverthrow';
+import {failure, type Failure} from '../../common/errors/failure.ts';
+import {type PeerMessage} from '../../common/fleet/peer-messages.ts';
+import {type PeerAddress} from '../../common/fleet/types.ts';
+import {
+	Disposable, type DisposableLike, DisposableStore, toDisposable,
+} from '../../common/lifecycle/disposable.ts';
+import {Emitter} from '../../common/lifecycle/emitter.ts';
+import {type PeerTransport} from '../fleet/types.ts';
+import {fromWire, toWire, type WireMessage} from './peer-codec.ts';
+import {certificateFailure, type PeerCredentials, type PeerCredentialsFailureKind} from './peer-credentials.ts';
+
+export type PeerTransportFailureKind = 'cannot-listen' | PeerCredentialsFailureKind;
+
+/** What went wrong between this VM and another. */
+export type PeerTrouble = {
+	readonly address: PeerAddress;
+	readonly failure: Failure<PeerCredentialsFailureKind | 'malformed-message' | 'unreachable'>;
+};
+
+/** Bytes and messages since the start; gRPC's own framing and headers are not in them. */
+export type PeerTraffic = {
+	readonly messagesOut: number;
+	readonly bytesOut: number;
+	readonly messagesIn: number;
+	readonly bytesIn: number;
+};
+
+/** A message not taken within this time counts as undeliverable: it is far above any round trip of today's. */
+const deadlineMilliseconds = 1000;
+
+/** A connection to a VM not spoken to for so long is closed: at the target size nobody keeps one to everybody. */
+const idleMilliseconds = 60_000;
+
+/** How often the own certificate is looked at. */
+const fileCheckMilliseconds = 60_000;
+
+/** Largest message: a page of resources or a list of changes with room to spare. */
+const messageBytes = 4 * 1024 * 1024;
+
+const clientOptions = {
+	'grpc.initial_reconnect_backoff_ms': 100,
+	'grpc.max_reconnect_backoff_ms': 1000,
+	'grpc.max_receive_message_length': messageBytes,
+	// Each address its own pool, so that closing a silent connection really opens a new one.
+	'grpc.use_local_subchannel_pool': 1,
+};
+
+type Peer = DisposableLike & {readonly client: Client; usedAt: number};
+
+/** The file lies beside `src`; the built program runs one folder deeper. */
+function protoFile(): string {
+	const files = ['../../../proto/peers.proto', '../../../../proto/peers.proto'].map(path => fileURLToPath(new URL(path, import.meta.url)));
+	return files.find(file => existsSync(file)) ?? files[0]!;
+}
+
+type DeliverMethod = MethodDefinition<WireMessage, WireMessage>;
+
+/** IP number of `IP:PORT`, without the brackets of IPv6. */
+function hostOf(address: PeerAddress): string {
+	return address.slice(0, address.lastIndexOf(':')).replaceAll(/[\[\]]/gv, '');
+}
+
+function isService(definition: unknown): definition is {readonly Deliver: DeliverMethod} {
+	return typeof definition === 'object' && definition !== null && 'Deliver' in definition;
+}
+
+function loadDeliver(): DeliverMethod {
+	const definitions = loadSync(protoFile(), {
+		longs: Number, enums: String, defaults: true, arrays: true, oneofs: true,
+	});
+	const service: unknown = definitions['jaydale.peers.v1.Peers'];
+	assert.ok(isService(service), 'proto/peers.proto holds no service Peers');
+	return service.Deliver;
+}
+
+export class GrpcPeerTransport extends Disposable implements PeerTransport {
+	private readonly _onMessage = this._register(new Emitter<PeerMessage>());
+	private readonly _onUnreachable = this._register(new Emitter<PeerAddress>());
+	private readonly _onTrouble = this._register(new Emitter<PeerTrouble>());
+	private readonly _peers = new Map<PeerAddress, Peer>();
+	private readonly _clients = this._register(new DisposableStore());
+	private readonly _deliver: DeliverMethod;
+	private _messagesOut = 0;
+	private _bytesOut = 0;
+	private _messagesIn = 0;
+	private _bytesIn = 0;
+
+	readonly onMessage = this._onMessage.event;
+	readonly onUnreachable = this._onUnreachable.event;
+	/** For logs and metrics. */
+	readonly onTrouble = this._onTrouble.event;
+
+	/** @param _listenAddress `IP:PORT` to listen on; port 0 takes a free one */
+	constructor(
+		private readonly _listenAddress: string,
+		private readonly _credentials: PeerCredentials,
+		private readonly _now: () => number,
+	) {
+		super();
+		this._deliver = loadDeliver();
+	}
+
+	/** Traffic counted since the start. */
+	get traffic(): PeerTraffic {
+		return {
+			messagesOut: this._messagesOut, bytesOut: this._bytesOut, messagesIn: this._messagesIn, bytesIn: this._bytesIn,
+		};
+	}
+
+	/** Opens the listener; answers with its port. */
+	async listen(): Promise<Result<number, Failure<PeerTransportFailureKind>>> {
+		const checked = this._credentials.check();
+		if (checked.isErr()) {
+			return err(checked.error);
+		}
+
+		this._checkFilesLater();
+		const server = new Server({'grpc.max_receive_message_length': messageBytes});
+		this._register(toDisposable(() => {
+			server.forceShutdown();
+		}));
+		const requestDeserialize = (bytes: Buffer): WireMessage => {
+			this._bytesIn += bytes.length;
+			return this._deliver.requestDeserialize(bytes);
+		};
+
+		server.addService({Deliver: {...this._deliver, requestDeserialize}}, {
+			Deliver: (call: ServerUnaryCall<WireMessage, WireMessage>, answer: sendUnaryData<WireMessage>) => {
+				this._take(call, answer);
+			},
+		});
+		return new Promise(resolve => {
+			server.bindAsync(this._listenAddress, this._credentials.server, (error, port) => {
+				resolve(error ? err(failure('cannot-listen', `Can't listen on ${this._listenAddress}: ${error.message}`)) : ok(port));
+			});
+		});
+	}
+
+	send(to: PeerAddress, message: PeerMessage): void {
+		const {path, requestSerialize, responseDeserialize} = this._deliver;
+		const serialize = (wire: WireMessage): Buffer => {
+			const bytes = requestSerialize(wire);
+			this._bytesOut += bytes.length;
+			return bytes;
+		};
+
+		this._messagesOut += 1;
+		const peer = this._peer(to);
+		const options = {deadline: Date.now() + deadlineMilliseconds};
+		peer.client.makeUnaryRequest(path, serialize, responseDeserialize, toWire(message), options, error => {
+			if (error && !this._store.isDisposed) {
+				this._takeError(to, peer, error);
+			}
+		});
+	}
+
+	/** A certificate runs out while the process runs: other VMs only drop the connection, so this one says why. */
+	private _checkFilesLater(): void {
+		const timer = setInterval(() => {
+			const checked = this._credentials.check();
+			if (checked.isErr()) {
+				this._onTrouble.fire({address: this._listenAddress, failure: checked.error});
+			}
+		}, fileCheckMilliseconds);
+		this._register(toDisposable(() => {
+			clearInterval(timer);
+		}));
+	}
+
+	private _peer(to: PeerAddress): Peer {
+		const now = this._now();
+		this._closeIdle(now);
+		const known = this._peers.get(to);
+		if (known) {
+			known.usedAt = now;
+			return known;
+		}
+
+		const client = new Client(to, this._credentials.channelTo(hostOf(to)), {...clientOptions, ...this._credentials.channelOptions});
+		const peer: Peer = {
+			client,
+			usedAt: now,
+			dispose() {
+				client.close();
+			},
+		};
+		this._clients.add(peer);
+		this._peers.set(to, peer);
+		return peer;
+	}
+
+	private _close(to: PeerAddress, peer: Peer): void {
+		if (this._peers.get(to) === peer) {
+			this._peers.delete(to);
+		}
+
+		this._clients.delete(peer);
+	}
+
+	private _closeIdle(now: number): void {
+		for (const [to, peer] of this._peers) {
+			if (now - peer.usedAt > idleMilliseconds) {
+				this._close(to, peer);
+			}
+		}
+	}
+
+	/**
+	 * Guard: a connection can go silent for good while new ones to the same VM work. It shows as a deadline that
+	 * passes without an error; the connection is given up, and the next message opens another. A dead VM costs
+	 * one attempt a message that way, and those are bounded by the probing.
+	 */
+	private _takeError(to: PeerAddress, peer: Peer, error: {readonly code: number; readonly details: string}): void {
+		if (error.code === Number(status.DEADLINE_EXCEEDED)) {
+			this._close(to, peer);
+		}
+
+		this._onTrouble.fire({address: to, failure: certificateFailure(error.details) ?? failure('unreachable', error.details)});
+		this._onUnreachable.fire(to);
+	}
+
+	private _take(call: ServerUnaryCall<WireMessage, WireMessage>, answer: sendUnaryData<WireMessage>): void {
+		const message = fromWire(call.request);
+		this._messagesIn += 1;
+		if (message.isErr()) {
+			this._onTrouble.fire({address: call.getPeer(), failure: message.error});
+			answer({code: status.INVALID_ARGUMENT, details: message.error.message});
+			return;
+		}
+
+		answer(null, {});
+		this._onMessage.fire(message.value);
+	}
+}
--- /dev/null
+++ b/src/node/peers/peer-codec.ts
@@ -0,0 +1,117 @@
+/** Between the engine's messages and their protobuf form. What comes in is checked by the engine's schema. */
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+import {failure, type Failure} from '../../common/errors/failure.ts';
+import {type PeerBody, type PeerMessage, peerMessageSchema} from '../../common/fleet/peer-messages.ts';
+
+export type PeerCodecFailureKind = 'malformed-message';
+
+/** A message as the protobuf library takes and gives it. */
+export type WireMessage = Readonly<Record<string, unknown>>;
+
+/** Names of the bodies in the .proto file; `members` there is the list of rumours. */
+const bodyFields: Readonly<Record<PeerBody['type'], string>> = {
+	ping: 'ping',
+	'ping-answer': 'pingAnswer',
+	'ping-request': 'pingRequest',
+	join: 'join',
+	members: 'membersAnswer',
+	rumours: 'rumours',
+	'changes-request': 'changesRequest',
+	changes: 'changes',
+	'snapshot-page': 'snapshotPage',
+	'share-offer': 'shareOffer',
+	'share-accept': 'shareAccept',
+	'share-grant': 'shareGrant',
+	drain: 'drain',
+};
+
+const bodyTypes: ReadonlyMap<string, string> = new Map(Object.entries(bodyFields).map(([type, field]) => [field, type]));
+
+const objectSchema = z.record(z.string(), z.unknown());
+const listSchema = z.array(objectSchema);
+
+function texts(values: readonly unknown[]): string[] {
+	return values.map(value => JSON.stringify(value));
+}
+
+function bodyToWire(body: PeerBody): WireMessage {
+	const {type, ...fields} = body;
+	if (body.type === 'changes') {
+		return {changes: {records: texts(body.records)}};
+	}
+
+	if (body.type === 'snapshot-page') {
+		return {snapshotPage: {...fields, resources: texts(body.resources), records: texts(body.records)}};
+	}
+
+	return {[bodyFields[type]]: fields};
+}
+
+/** The protobuf form of a message. */
+export function toWire(message: PeerMessage): WireMessage {
+	const {body, members, ...rest} = message;
+	return {
+		...rest,
+		members: members.map(({record, verdict}) => ({record, verdict: verdict.toUpperCase()})),
+		...bodyToWire(body),
+	};
+}
+
+/** The library marks which optional field is set by a property of its own; those begin with an underscore. */
+function withoutMarks(value: unknown): Record<string, unknown> {
+	const parsed = objectSchema.safeParse(value);
+	return parsed.success ? Object.fromEntries(Object.entries(parsed.data).filter(([name, field]) => !name.startsWith('_') && field !== undefined && field !== null)) : {};
+}
+
+function parsedTexts(value: unknown): unknown[] {
+	return z.array(z.string()).parse(value).map((text): unknown => JSON.parse(text));
+}
+
+function bodyFromWire(wire: Record<string, unknown>): unknown {
+	const field = typeof wire.body === 'string' ? wire.body : '';
+	const type = bodyTypes.get(field);
+	const fields = withoutMarks(wire[field]);
+	if (type === 'changes') {
+		return {type, records: parsedTexts(fields.records)};
+	}
+
+	return type === 'snapshot-page'
+		? {
+			...fields, type, resources: parsedTexts(fields.resources), records: parsedTexts(fields.records),
+		}
+		: {...fields, type};
+}
+
+function newsFromWire(value: Record<string, unknown>): unknown {
+	const news = withoutMarks(value);
+	return news.report === undefined ? news : {...news, report: withoutMarks(news.report)};
+}
+
+function messageFromWire(wire: Record<string, unknown>): unknown {
+	const {protocol, sender, storeContactAgeMilliseconds} = withoutMarks(wire);
+	return {
+		protocol,
+		sender,
+		storeContactAgeMilliseconds,
+		body: bodyFromWire(wire),
+		members: listSchema.parse(wire.members).map(({record, verdict}) => ({record, verdict: String(verdict).toLowerCase()})),
+		leaving: listSchema.parse(wire.leaving).map(rumour => withoutMarks(rumour)),
+		news: listSchema.parse(wire.news).map(news => newsFromWire(news)),
+	};
+}
+
+/** Checks what came over the wire. Nothing of a message that does not fit is used. */
+export function fromWire(wire: unknown): Result<PeerMessage, Failure<PeerCodecFailureKind>> {
+	try {
+		const parsed = peerMessageSchema.safeParse(messageFromWire(objectSchema.parse(wire)));
+		if (parsed.success) {
+			return ok(parsed.data);
+		}
+
+		const issue = parsed.error.issues[0];
+		return err(failure('malformed-message', `A message from another VM does not fit: ${issue?.message ?? 'no detail'}.`, {field: issue?.path.join('.')}));
+	} catch {
+		return err(failure('malformed-message', 'A message from another VM does not fit: it holds a part that is not JSON.'));
+	}
+}
--- /dev/null
+++ b/src/node/peers/peer-credentials.ts
@@ -0,0 +1,148 @@
+/** Mutual TLS between VMs from files, read again when they change; and a clear word on what is wrong with them. */
+import {X509Certificate, createPrivateKey} from 'node:crypto';
+import {readFileSync} from 'node:fs';
+import {checkServerIdentity} from 'node:tls';
+import {
+	type ChannelCredentials, type ChannelOptions, credentials, experimental, type ServerCredentials, ServerCredentials as Credentials,
+} from '@grpc/grpc-js';
+import {err, ok, type Result} from 'neverthrow';
+import {failure, type Failure} from '../../common/errors/failure.ts';
+
+export type PeerCredentialsFailureKind
+	= | 'unreadable-file'
+		| 'malformed-certificate'
+		| 'malformed-key'
+		| 'key-mismatch'
+		| 'certificate-expired'
+		| 'certificate-not-yet-valid'
+		| 'certificate-untrusted'
+		| 'certificate-wrong-address';
+
+/** Paths of PEM files. */
+export type TlsFiles = {
+	readonly certificateFile: string;
+	readonly keyFile: string;
+	readonly authorityFile: string;
+};
+
+/** What gRPC takes for both directions. */
+export type PeerCredentials = {
+	readonly server: ServerCredentials;
+	/** For connections to one IP number: its certificate must be for that number. */
+	channelTo(host: string): ChannelCredentials;
+	/** Options that such a channel needs. */
+	readonly channelOptions: ChannelOptions;
+	/** Looks at the files of this VM as they are now. */
+	check(): Result<void, Failure<PeerCredentialsFailureKind>>;
+};
+
+/** TLS forbids IP numbers as server names (RFC 6066), so all VMs are called alike and the number is checked against the certificate. */
+const serverName = 'vm.jaydale.internal';
+
+/** How soon a changed file is noticed. */
+const refreshMilliseconds = 5000;
+
+type Read = Result<string, Failure<PeerCredentialsFailureKind>>;
+
+function read(path: string, field: string): Read {
+	try {
+		return ok(readFileSync(path, 'utf8'));
+	} catch {
+		return err(failure('unreadable-file', `The file ${path} can't be read.`, {field}));
+	}
+}
+
+function parseCertificate(text: string, field: string): Result<X509Certificate, Failure<PeerCredentialsFailureKind>> {
+	try {
+		return ok(new X509Certificate(text));
+	} catch {
+		return err(failure('malformed-certificate', 'The file holds no certificate in PEM form.', {field}));
+	}
+}
+
+function checkTime(certificate: X509Certificate, now: Date, field: string): Result<X509Certificate, Failure<PeerCredentialsFailureKind>> {
+	if (new Date(certificate.validTo) < now) {
+		return err(failure('certificate-expired', `The certificate expired at ${certificate.validTo}.`, {field}));
+	}
+
+	return new Date(certificate.validFrom) > now
+		? err(failure('certificate-not-yet-valid', `The certificate is valid only from ${certificate.validFrom}.`, {field}))
+		: ok(certificate);
+}
+
+function checkKey(certificate: X509Certificate, text: string): Result<X509Certificate, Failure<PeerCredentialsFailureKind>> {
+	try {
+		return certificate.checkPrivateKey(createPrivateKey(text))
+			? ok(certificate)
+			: err(failure('key-mismatch', 'The private key is not that of the certificate.', {field: 'peers.tls.keyFile'}));
+	} catch {
+		return err(failure('malformed-key', 'The file holds no private key in PEM form.', {field: 'peers.tls.keyFile'}));
+	}
+}
+
+/** Looks at the files as they are now. `address` is the IP number by which other VMs reach this one. */
+export function checkTlsFiles(files: TlsFiles, address: string, now: Date): Result<void, Failure<PeerCredentialsFailureKind>> {
+	const authority = read(files.authorityFile, 'peers.tls.authorityFile')
+		.andThen(text => parseCertificate(text, 'peers.tls.authorityFile'))
+		.andThen(certificate => checkTime(certificate, now, 'peers.tls.authorityFile'));
+	const certificate = read(files.certificateFile, 'peers.tls.certificateFile')
+		.andThen(text => parseCertificate(text, 'peers.tls.certificateFile'))
+		.andThen(own => checkTime(own, now, 'peers.tls.certificateFile'))
+		.andThen(own => read(files.keyFile, 'peers.tls.keyFile').andThen(text => checkKey(own, text)));
+	return authority.andThen(issuer => certificate.andThen(own => checkTrust(own, issuer, address)));
+}
+
+function checkTrust(own: X509Certificate, issuer: X509Certificate, address: string): Result<void, Failure<PeerCredentialsFailureKind>> {
+	const field = 'peers.tls.certificateFile';
+	if (!own.verify(issuer.publicKey)) {
+		return err(failure('certificate-untrusted', 'The certificate is not signed by the authority of the other VMs.', {field}));
+	}
+
+	return own.checkIP(address) === undefined
+		? err(failure('certificate-wrong-address', `The certificate is not for the address ${address}.`, {field}))
+		: ok(undefined);
+}
+
+/**
+ * Credentials that follow the files: a renewed certificate is in use for new connections within seconds.
+ * @param address IP number by which other VMs reach this one
+ */
+export function watchTlsFiles(files: TlsFiles, address: string, refreshEvery = refreshMilliseconds): PeerCredentials {
+	const provider = new experimental.FileWatcherCertificateProvider({
+		certificateFile: files.certificateFile,
+		privateKeyFile: files.keyFile,
+		caCertificateFile: files.authorityFile,
+		refreshIntervalMs: refreshEvery,
+	});
+	return {
+		server: experimental.createCertificateProviderServerCredentials(provider, provider, true),
+		channelTo: host => experimental.createCertificateProviderChannelCredentials(provider, provider, {
+			checkServerIdentity: (_name, certificate) => checkServerIdentity(host, certificate),
+		}),
+		channelOptions: {'grpc.ssl_target_name_override': serverName},
+		check: () => checkTlsFiles(files, address, new Date()),
+	};
+}
+
+/** No TLS: only where the settings say so. */
+export function plainCredentials(): PeerCredentials {
+	return {
+		server: Credentials.createInsecure(),
+		channelTo: () => credentials.createInsecure(),
+		channelOptions: {},
+		check: () => ok(undefined),
+	};
+}
+
+const transportSigns: ReadonlyArray<readonly [RegExp, PeerCredentialsFailureKind, string]> = [
+	[/certificate has expired/v, 'certificate-expired', 'Its certificate has expired.'],
+	[/certificate is not yet valid/v, 'certificate-not-yet-valid', 'Its certificate is not yet valid.'],
+	[/self.signed|unable to (?:get local issuer|verify)|unknown ca|signature failure/iv, 'certificate-untrusted', 'Its certificate is not signed by this VM\'s authority, or the other way round.'],
+	[/altnames|does not match certificate/iv, 'certificate-wrong-address', 'Its certificate is not for the address by which it is reached.'],
+];
+
+/** What is wrong with the certificates, if an error of the transport tells of that. */
+export function certificateFailure(details: string): Failure<PeerCredentialsFailureKind> | undefined {
+	const sign = transportSigns.find(([pattern]) => pattern.test(details));
+	return sign && failure(sign[1], sign[2]);
+}
--- a/src/node/platform/http-platform-client.ts
+++ b/src/node/platform/http-platform-client.ts
@@ -1,14 +1,10 @@
 /** The platform's service over HTTP: `POST /kv` with an operation, `GET /vms` for the list of VMs. */
-import {err, ok, type Result} from 'neverthrow';
 import {Agent} from 'undici';
 import {z} from 'zod';
-import {type Failure, failure} from '../../common/errors/failure.ts';
 import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
+import {type Milliseconds} from '../../common/model/units.ts';
 import {type ListedVm, type StoreOperation, type StoreReply} from '../../common/platform/types.ts';
-import {type PlatformClient, type PlatformFailureKind} from './types.ts';
-
-/** The service answers in milliseconds; after this long an answer counts as lost. */
-const replyMilliseconds = 2000;
+import {type PlatformClient} from '../fleet/types.ts';
 
 /** Time beyond a watch's own in which its answer may come. */
 const watchGraceMilliseconds = 2000;
@@ -20,10 +16,10 @@
 
 const entrySchema = z.object({key: z.string(), value: z.string(), revision: z.int()});
 const replySchema = z.discriminatedUnion('type', [
-	z.object({type: z.literal('entry'), entry: entrySchema.or(z.undefined()), revision: z.int()}),
+	z.object({type: z.literal('entry'), entry: entrySchema.optional(), revision: z.int()}),
 	z.object({type: z.literal('entries'), entries: z.array(entrySchema), revision: z.int()}),
 	z.object({type: z.literal('written'), revision: z.int()}),
-	z.object({type: z.literal('conflict'), entry: entrySchema.or(z.undefined())}),
+	z.object({type: z.literal('conflict'), entry: entrySchema.optional()}),
 	z.object({type: z.literal('lease'), leaseId: z.string(), milliseconds: z.number()}),
 	z.object({type: z.literal('lease-lost')}),
 	z.object({
@@ -43,11 +39,23 @@
 	return operation.type === 'get' || operation.type === 'list' || operation.type === 'watch';
 }
 
+/** JSON has no `undefined`: an absent entry is a member left out. */
+function toReply(parsed: z.infer<typeof replySchema>): StoreReply {
+	if (parsed.type === 'entry') {
+		return {type: 'entry', entry: parsed.entry, revision: parsed.revision};
+	}
+
+	return parsed.type === 'conflict' ? {type: 'conflict', entry: parsed.entry} : parsed;
+}
+
 export class HttpPlatformClient extends Disposable implements PlatformClient {
 	private readonly _agent: Agent;
 
-	/** @param _base where the service is reached, such as `http://127.0.0.1:7000`, without a final slash */
-	constructor(private readonly _base: string) {
+	/**
+	 * @param _base where the service is reached, such as `http://127.0.0.1:7000`
+	 * @param _timeout milliseconds after which an answer counts as lost; a watch gets its own time besides
+	 */
+	constructor(private readonly _base: string, private readonly _timeout: Milliseconds) {
 		super();
 		// No pipelining: a lost answer must be the answer of one operation only.
 		this._agent = new Agent({pipelining: 1, connections, connect: {timeout: connectMilliseconds}});
@@ -57,7 +65,7 @@
 	}
 
 	async execute(operation: StoreOperation): Promise<StoreReply> {
-		const limit = operation.type === 'watch' ? operation.milliseconds + watchGraceMilliseconds : replyMilliseconds;
+		const limit = operation.type === 'watch' ? operation.milliseconds + watchGraceMilliseconds : this._timeout;
 		try {
 			const {statusCode, body} = await this._agent.request({
 				origin: this._base,
@@ -66,28 +74,30 @@
 				headers: {'content-type': 'application/json'},
 				body: JSON.stringify(operation),
 				headersTimeout: limit,
-				bodyTimeout: replyMilliseconds,
-				signal: AbortSignal.timeout(limit + replyMilliseconds),
+				bodyTimeout: this._timeout,
+				signal: AbortSignal.timeout(limit + this._timeout),
 			});
 			const parsed = replySchema.safeParse(await body.json());
-			return statusCode === 200 && parsed.success ? parsed.data : this._lost(operation);
+			if (parsed.success && (statusCode === 200 || parsed.data.type === 'unavailable')) {
+				return toReply(parsed.data);
+			}
+
+			return this._lost(operation);
 		} catch (error) {
 			const code = errorCodeSchema.safeParse(error);
 			return code.success && unsentCodes.has(code.data.code) ? {type: 'unavailable'} : this._lost(operation);
 		}
 	}
 
-	async listVms(): Promise<Result<readonly ListedVm[], Failure<PlatformFailureKind>>> {
+	async listVms(): Promise<readonly ListedVm[] | undefined> {
 		try {
 			const {statusCode, body} = await this._agent.request({
-				origin: this._base, path: '/vms', method: 'GET', headersTimeout: replyMilliseconds, bodyTimeout: replyMilliseconds,
+				origin: this._base, path: '/vms', method: 'GET', headersTimeout: this._timeout, bodyTimeout: this._timeout,
 			});
 			const parsed = listSchema.safeParse(await body.json());
-			return statusCode === 200 && parsed.success
-				? ok(parsed.data)
-				: err(failure('malformed-list', `The platform's list of VMs came with status ${statusCode} or in an unknown form.`));
+			return statusCode === 200 && parsed.success ? parsed.data : undefined;
 		} catch {
-			return err(failure('list-unavailable', 'The platform\'s list of VMs could not be read.'));
+			return undefined;
 		}
 	}
 
