Let a woken VM hear the news before it decides on calls

Cause: a VM that was paused goes on with knowledge as old as the pause, and the calls in its sockets come before the news there; it gave work to a backend server 5001 ms after that had begun to leave.

Change: WakeGuard round any call engine. A gap of 1.5 s is a pause; for 300 ms after it news and 'attempt-sent' pass, the rest waits and follows one by one.

The wiring must wrap its engine: new WakeGuard(new DefaultCallEngine(...)).

--- /dev/null
+++ b/src/common/calls/wake-guard.test.ts
@@ -0,0 +1,78 @@
+import {expect} from 'earl';
+import {
+	type CallEngine, type CallEngineStatus, type CallEvent, type CallRequest,
+} from './types.ts';
+import {WakeGuard} from './wake-guard.ts';
+
+const request: CallRequest = {
+	callId: 1,
+	service: 'reads',
+	caller: 'portal',
+	method: 'GET',
+	fingerprint: 'print',
+	timeoutMilliseconds: 1000,
+	bodyBytes: 0,
+	idempotencyKey: undefined,
+	mayRetry: true,
+};
+
+/** Notes what it is told and when. */
+class NotingEngine implements CallEngine {
+	readonly log: string[] = [];
+
+	handle(event: CallEvent, now: number): [] {
+		this.log.push(`${event.type} at ${now}`);
+		return [];
+	}
+
+	nextWakeUp(): undefined {
+		return undefined;
+	}
+
+	status(): CallEngineStatus {
+		return {
+			configurationVersion: 1, callsInFlight: 0, callsQueued: 0, backendServers: [], quarantined: [],
+		};
+	}
+}
+
+describe('wake guard', () => {
+	it('lets a woken VM hear what happened before it decides on calls', function () {
+		// A VM is paused for ten seconds. Meanwhile a backend server begins to leave, and a call comes in.
+		// When the VM goes on, the call lies before the news in its sockets: it would be given to the
+		// backend server that left long ago. Cause: knowledge as old as the pause.
+		const engine = new NotingEngine();
+		const guard = new WakeGuard(engine);
+		guard.handle({type: 'tick'}, 0);
+		guard.handle({type: 'call-arrived', request}, 10_000);
+		guard.handle({type: 'backend-server-leaving', identity: 'identity-1', instance: 'first'}, 10_001);
+		guard.handle({type: 'attempt-done', attemptId: 1}, 10_002);
+		expect(guard.nextWakeUp()).toEqual(10_300);
+		for (let due = guard.nextWakeUp(); due === 10_300; due = guard.nextWakeUp()) {
+			guard.handle({type: 'tick'}, due);
+		}
+
+		expect(engine.log).toMatchSnapshot(this);
+	});
+
+	it('never keeps back that a call has been sent', function () {
+		// The VM is paused while it opens a connection. When it goes on, the call leaves, and its deadline is
+		// over. Told of the deadline first, the engine would say "not run" of a call that runs.
+		const engine = new NotingEngine();
+		const guard = new WakeGuard(engine);
+		guard.handle({type: 'tick'}, 0);
+		guard.handle({type: 'tick'}, 10_000);
+		guard.handle({type: 'attempt-sent', attemptId: 1}, 10_000);
+		guard.handle({type: 'tick'}, 10_300);
+		expect(engine.log).toMatchSnapshot(this);
+	});
+
+	it('holds nothing back from a VM that runs on, busy or idle', function () {
+		const engine = new NotingEngine();
+		const guard = new WakeGuard(engine);
+		guard.handle({type: 'tick'}, 0);
+		guard.handle({type: 'tick'}, guard.nextWakeUp());
+		guard.handle({type: 'call-arrived', request}, 1400);
+		expect(engine.log).toMatchSnapshot(this);
+	});
+});
--- /dev/null
+++ b/src/common/calls/wake-guard.ts
@@ -0,0 +1,73 @@
+/**
+ * Guards against decisions of a VM that was paused (suspended, frozen, or starved of processor time).
+ * The failure: it goes on with knowledge as old as the pause, and the calls in its sockets come before
+ * the news in its sockets. It shows as work given to a backend server that began to leave long ago.
+ * The guard: after a gap news passes at once; what leads to decisions on calls waits for a moment, in order.
+ */
+import {type Instant, type Milliseconds} from '../model/units.ts';
+import {
+	type CallEffect, type CallEngine, type CallEngineStatus, type CallEvent,
+} from './types.ts';
+
+/** An idle engine is asked at least so often, so that a gap is seen. One event in that time costs nothing. */
+const longestQuietMilliseconds: Milliseconds = 500;
+
+/** A gap longer than this is a pause. A busy loop or a garbage collection stays far below it. */
+const pauseMilliseconds: Milliseconds = 1500;
+
+/** Time for peers or the store to tell what is new: many round trips, and short beside the pause itself. */
+const catchUpMilliseconds: Milliseconds = 300;
+
+/**
+ * What passes at once: what is in force or known, and that a call's first byte has left. The latter kept back
+ * behind a deadline, the call would be given up as "not run" while the backend server runs it.
+ */
+const passingTypes = new Set<CallEvent['type']>(['configured', 'shares', 'peer-news', 'backend-server-leaving', 'cut-off', 'attempt-sent']);
+
+/** A call engine behind the guard. */
+export class WakeGuard implements CallEngine {
+	private readonly _engine: CallEngine;
+	private readonly _held: CallEvent[] = [];
+	private _lastAt: Instant | undefined;
+	private _holdUntil: Instant = Number.NEGATIVE_INFINITY;
+
+	constructor(engine: CallEngine) {
+		this._engine = engine;
+	}
+
+	handle(event: CallEvent, now: Instant): readonly CallEffect[] {
+		if (this._lastAt !== undefined && now - this._lastAt > pauseMilliseconds) {
+			this._holdUntil = now + catchUpMilliseconds;
+		}
+
+		this._lastAt = now;
+		if (passingTypes.has(event.type)) {
+			return this._engine.handle(event, now);
+		}
+
+		// A tick only asks for what is due; while events are held, the next of them is due.
+		if (event.type !== 'tick') {
+			this._held.push(event);
+		}
+
+		if (now < this._holdUntil) {
+			return [];
+		}
+
+		// One at a time: each event's effects are carried out before the next event, as without the guard.
+		return this._engine.handle(this._held.shift() ?? event, now);
+	}
+
+	nextWakeUp(): Instant {
+		const lastAt = this._lastAt ?? 0;
+		if (this._held.length > 0 || lastAt < this._holdUntil) {
+			return Math.max(lastAt, this._holdUntil);
+		}
+
+		return Math.min(this._engine.nextWakeUp() ?? Number.POSITIVE_INFINITY, lastAt + longestQuietMilliseconds);
+	}
+
+	status(now: Instant): CallEngineStatus {
+		return this._engine.status(now);
+	}
+}
