Fuzz call engines of several VMs against the oracle

Cause: the promises must hold under faults that overlap and repeat, in orders that nobody thinks of.

Ruled out: real processes for this (some 100 times fewer histories a second, not repeatable); a model of the engine's own decisions (it would repeat them).

Three call engines with clocks of their own, eight plain backend servers, a plain fake of the fleet and store, cuts, silent connections, pauses, crashes, killers. The work counts as given when it left the VM: a frozen backend server reads it late.

--- /dev/null
+++ b/src/proof/fuzz/call-world.ts
@@ -0,0 +1,253 @@
+/** Several call engines, fake backend servers, a fake fleet and store: one deterministic world from one seed. */
+import {type CallEngine, type CallConfiguration} from '../../common/calls/types.ts';
+import {
+	type BackendServer, type Service, backendServerSchema, serviceSchema,
+} from '../../common/model/resources.ts';
+import {type RandomSource} from '../../common/model/units.ts';
+import {seededRandom} from '../../common/random/random.ts';
+import {judge} from '../oracle/oracle.ts';
+import {type HistoryEvent, type Violation} from '../oracle/types.ts';
+import {CallVm} from './call-vm.ts';
+import {type CallSurroundings, type FuzzedCall, type VmHost} from './types.ts';
+import {FakeBackendServer} from './fake-backend-server.ts';
+import {type FaultCoverage, type FaultName} from './fault-coverage.ts';
+import {FakeFleet, storeName} from './fake-fleet.ts';
+import {Network} from './network.ts';
+import {Timeline} from './timeline.ts';
+
+/** Makes the engine under test. */
+export type CallEngineFactory = (random: RandomSource) => CallEngine;
+
+const vmCount = 3;
+const serversOfService = 4;
+const firstPort = 9000;
+/** A crash or a lost answer has its effects for about so long. */
+const momentMilliseconds = 3000;
+const settleMilliseconds = 60_000;
+const leavingStopMilliseconds = 8000;
+const serviceNames = ['orders', 'reads'] as const;
+
+export class CallWorld {
+	readonly timeline = new Timeline();
+	readonly network = new Network();
+	readonly history: HistoryEvent[] = [];
+	readonly servers: FakeBackendServer[] = [];
+	readonly calls: FuzzedCall[] = [];
+	readonly fleet: FakeFleet;
+	private readonly _lasting = new Set<FaultName>();
+	private readonly _random: RandomSource;
+	private readonly _leavingIdentities = new Set<string>();
+	private readonly _surroundings: CallSurroundings;
+	private _isBusyLoop = false;
+	private _vmNumber = 0;
+	private _identityNumber = 0;
+
+	constructor(seed: number, private readonly _makeEngine: CallEngineFactory, private readonly _coverage: FaultCoverage) {
+		this._random = seededRandom(seed);
+		const record = (event: HistoryEvent): void => {
+			this.history.push(event);
+		};
+
+		this.fleet = new FakeFleet(this._firstConfiguration(), this.timeline, this.network, record);
+		for (const {name} of this.fleet.configuration.backendServers.values()) {
+			this.servers.push(new FakeBackendServer(name, this.timeline, record));
+		}
+
+		this._surroundings = {
+			timeline: this.timeline,
+			record,
+			chance: () => this._random.next(),
+			backendServerAt: port => this.servers[port - firstPort]!,
+			canPass: (from, to) => this.network.canPass(from, to),
+			claimKey: (vm, key, answer) => {
+				this.fleet.claimKey(vm, key, answer);
+			},
+			tellPeers: (vm, news) => {
+				this.fleet.tellPeers(vm, news);
+			},
+			sawLeaving: (vm, identity, instance) => {
+				this._sawLeaving(vm, identity, instance);
+			},
+		};
+		for (let vm = 0; vm < vmCount; vm++) {
+			this.addVm();
+		}
+
+		_coverage.countHistory();
+	}
+
+	get vms(): readonly CallVm[] {
+		return this.fleet.vms;
+	}
+
+	/** A new process under test, with a clock of its own. */
+	addVm(): void {
+		const name = `vm-${++this._vmNumber}`;
+		const vm = new CallVm(name, this._makeEngine(seededRandom(this._vmNumber)), Math.floor(this._random.next() * 1e6), this._surroundings);
+		this.history.push({type: 'vm-serves', at: this.timeline.now, vm: name});
+		this.fleet.add(vm);
+	}
+
+	/** A fault begins and lasts until it is healed, a momentary one for a while. */
+	fault(name: FaultName, isMomentary = false): void {
+		this._coverage.meet(name, this._lasting);
+		this._lasting.add(name);
+		if (isMomentary) {
+			this.timeline.after(momentMilliseconds, () => {
+				this._lasting.delete(name);
+			});
+		}
+	}
+
+	faultEnds(name: FaultName): void {
+		this._lasting.delete(name);
+	}
+
+	mark(party: string, fault: string, isBegin: boolean): void {
+		this.history.push({
+			type: isBegin ? 'fault-began' : 'fault-ended', at: this.timeline.now, party, fault,
+		});
+	}
+
+	send(vm: CallVm, call: FuzzedCall): void {
+		this.calls.push(call);
+		this.history.push({
+			type: 'call-sent',
+			at: this.timeline.now,
+			call: call.name,
+			vm: vm.name,
+			isIdempotent: call.isIdempotent,
+			...(call.key !== undefined && {key: `${call.service}/${call.key}`}),
+			// The deadline bounds the head; a body may take its time and one stall.
+			due: this.timeline.now + call.timeoutMilliseconds + call.bodyMilliseconds + 4000,
+		});
+		vm.accept(call);
+	}
+
+	advance(milliseconds: number): void {
+		this._isBusyLoop ||= !this.timeline.advance(milliseconds);
+	}
+
+	/** An operator's change of a backend server; a new identity is a deletion and a new declaration. */
+	redeclare(through: CallVm, position: number, change: Partial<BackendServer>, isNewIdentity: boolean): void {
+		const backendServers = new Map(this.fleet.configuration.backendServers);
+		const [identity, declared] = [...backendServers].find(([, {port}]) => port === firstPort + position)!;
+		const changed = {...declared, ...change};
+		const next = isNewIdentity ? `identity-${++this._identityNumber}` : identity;
+		backendServers.delete(identity);
+		backendServers.set(next, changed);
+		if (!this.fleet.declare(through, {...this.fleet.configuration, version: this.fleet.configuration.version + 1, backendServers})) {
+			return;
+		}
+
+		if (isNewIdentity) {
+			this._recordBudget(next, changed);
+			this.history.push({type: 'leaving-began', at: this.timeline.now, backendServer: identity});
+		}
+
+		if (change.isLeaving !== undefined && change.isLeaving !== declared.isLeaving) {
+			this.history.push({type: change.isLeaving ? 'leaving-began' : 'leaving-ended', at: this.timeline.now, backendServer: next});
+		}
+	}
+
+	/** The process begins to leave by its own word, and stops some time later. */
+	leave(server: FakeBackendServer): void {
+		server.isLeaving = true;
+		const {instance} = server.report();
+		this.timeline.after(leavingStopMilliseconds, () => {
+			if (server.isLeaving && server.report().instance === instance) {
+				server.kill();
+			}
+		});
+	}
+
+	restart(server: FakeBackendServer): void {
+		server.restart();
+		const [identity, declared] = [...this.fleet.configuration.backendServers].find(([, {name}]) => name === server.name)!;
+		if (this._leavingIdentities.delete(identity) && !declared.isLeaving) {
+			this.history.push({type: 'leaving-ended', at: this.timeline.now, backendServer: identity});
+		}
+	}
+
+	/** Ends every fault, waits, and gives all that was wrong. */
+	settle(): readonly string[] {
+		this.heal();
+		this.advance(settleMilliseconds);
+		const left = this.vms.flatMap(vm => {
+			const {callsInFlight, callsQueued} = vm.engine.status(vm.now);
+			return callsInFlight + callsQueued === 0 ? [] : [`${vm.name} still holds ${callsInFlight} calls in flight and ${callsQueued} queued`];
+		});
+		return [
+			...judge(this.history).map(({promise, at, message}: Violation) => `${promise} at ${at}: ${message}`),
+			...left,
+			...(this._isBusyLoop ? ['an engine asks for ticks without end'] : []),
+		];
+	}
+
+	heal(): void {
+		this.network.heal();
+		this.fleet.isStoreUp = true;
+		this.fleet.isStoreSlow = false;
+		for (const vm of this.vms.filter(({isPaused}) => isPaused)) {
+			this.mark(vm.name, 'paused', false);
+			vm.resume(true);
+		}
+
+		for (const server of this.servers) {
+			server.thaw();
+			server.treatment = 'normal';
+			if (!server.isUp) {
+				this.restart(server);
+			}
+		}
+
+		this._lasting.clear();
+	}
+
+	/** A party of the network by number: VMs first, then the store, then backend servers. */
+	party(position: number): string {
+		const parties = [...this.vms.map(({name}) => name), storeName, ...this.servers.map(({name}) => name)];
+		return parties[position % parties.length]!;
+	}
+
+	private _sawLeaving(vm: VmHost, identity: string, instance: string): void {
+		if (this.fleet.configuration.backendServers.has(identity) && !this._leavingIdentities.has(identity)) {
+			this._leavingIdentities.add(identity);
+			this.history.push({type: 'leaving-began', at: this.timeline.now, backendServer: identity});
+		}
+
+		this.fleet.saw(vm, {identity, instance});
+	}
+
+	private _firstConfiguration(): CallConfiguration {
+		const services = new Map<string, Service>(serviceNames.map(name => [name, serviceSchema.parse({
+			kind: 'service',
+			name,
+			timeoutMilliseconds: 5000,
+			claimsIdempotencyKeys: name === 'orders',
+			retryShare: 0.5,
+			measuring: {callsPerWindow: 20, windowMilliseconds: 2000},
+		})]));
+		const backendServers = new Map<string, BackendServer>();
+		for (const service of serviceNames) {
+			for (let server = 0; server < serversOfService; server++) {
+				const declared = backendServerSchema.parse({
+					kind: 'backend-server', name: `${service}-${server}`, service, address: '127.0.0.1', port: firstPort + backendServers.size, dataCentre: 'north',
+				});
+				const identity = `identity-${++this._identityNumber}`;
+				backendServers.set(identity, declared);
+				this._recordBudget(identity, declared);
+			}
+		}
+
+		return {
+			version: 1, services, backendServers, sharingRules: [],
+		};
+	}
+
+	private _recordBudget(identity: string, _declared: BackendServer): void {
+		this.history.push({
+			type: 'budget', at: this.timeline.now, backendServer: identity, calls: 20, windowMilliseconds: 2000,
+		});
+	}
+}
--- /dev/null
+++ b/src/proof/fuzz/network.ts
@@ -0,0 +1,22 @@
+/** Which party can send to which. A cut loses what is sent; it may be one-way. */
+
+export class Network {
+	private readonly _cuts = new Set<string>();
+
+	cut(from: string, to: string): void {
+		this._cuts.add(`${from}>${to}`);
+	}
+
+	heal(): void {
+		this._cuts.clear();
+	}
+
+	canPass(from: string, to: string): boolean {
+		return !this._cuts.has(`${from}>${to}`);
+	}
+
+	/** Both ways. */
+	canTalk(one: string, other: string): boolean {
+		return this.canPass(one, other) && this.canPass(other, one);
+	}
+}
--- a/src/proof/oracle/types.ts
+++ b/src/proof/oracle/types.ts
@@ -35,22 +35,32 @@
 	| {readonly type: 'answer-broken'; readonly at: ObserverTime; readonly call: string}
 	| {readonly type: 'caller-gone'; readonly at: ObserverTime; readonly call: string};
 
-/** What backend servers did. `backendServer` names one declared identity: a returned one is another. */
+/** What backend servers did. `backendServer` names one declared identity. */
 export type BackendServerEvent
-	= | {readonly type: 'run-began'; readonly at: ObserverTime; readonly run: string; readonly call: string; readonly backendServer: string}
+	= | {
+		readonly type: 'run-began';
+		readonly at: ObserverTime;
+		readonly run: string;
+		readonly call: string;
+		readonly backendServer: string;
+		/** When the call was handed over, where that can be seen: a frozen backend server reads it later. */
+		readonly givenAt?: ObserverTime;
+	}
 	/** The whole body that this run would give, also where only its end was asked for. */
-		| {readonly type: 'answer-made'; readonly at: ObserverTime; readonly run: string; readonly call: string; readonly body: string}
-		| {readonly type: 'measured'; readonly at: ObserverTime; readonly backendServer: string}
+	| {readonly type: 'answer-made'; readonly at: ObserverTime; readonly run: string; readonly call: string; readonly body: string}
+	| {readonly type: 'measured'; readonly at: ObserverTime; readonly backendServer: string}
 	/** The agreed budget: so many measuring calls in any window of this length. */
-		| {
-			readonly type: 'budget';
-			readonly at: ObserverTime;
-			readonly backendServer: string;
-			readonly calls: number;
-			readonly windowMilliseconds: number;
-		}
+	| {
+		readonly type: 'budget';
+		readonly at: ObserverTime;
+		readonly backendServer: string;
+		readonly calls: number;
+		readonly windowMilliseconds: number;
+	}
 	/** The first sign of leaving that any VM could see. */
-		| {readonly type: 'leaving-began'; readonly at: ObserverTime; readonly backendServer: string};
+	| {readonly type: 'leaving-began'; readonly at: ObserverTime; readonly backendServer: string}
+	/** It is back: a new process, or the operator's order was taken back. */
+	| {readonly type: 'leaving-ended'; readonly at: ObserverTime; readonly backendServer: string};
 
 /** What operators were told. A change is one request of an operator, known by its identity. */
 export type OperatorEvent
