Wire the daemon: callers' door, call engine, fleet engine, gRPC, platform, operators' API

Cause: the parts stood alone. Fuzzing of the merged engines failed for two causes: (1) a process that had outlived the sign of another was counted as returned twice, so its warm-up began again; (2) the fake backend server of the fuzzer restarted after a crash without telling its world, so that the oracle took the new process for the leaving one. Ruled out: a fault in passing signs on (the log of every sign and report showed each VM bound to the right process).

--- a/src/common/calls/process-history.ts
+++ b/src/common/calls/process-history.ts
@@ -51,7 +51,12 @@
 
 		this._remember(former);
 		this._present = instance;
-		return instance === this._leaving ? 'present' : 'replaced';
+		if (instance === this._leaving) {
+			return 'present';
+		}
+
+		this._leavingSince = undefined;
+		return 'replaced';
 	}
 
 	/**
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -4,7 +4,9 @@
 import {type CallEngine} from '../common/calls/types.ts';
 import {describeFailure, failure, type Failure} from '../common/errors/failure.ts';
 import {type FleetStage} from '../common/fleet/types.ts';
-import {Disposable, type DisposableLike, MutableDisposable} from '../common/lifecycle/disposable.ts';
+import {
+	Disposable, type DisposableLike, type DisposableStore, MutableDisposable,
+} from '../common/lifecycle/disposable.ts';
 import {Emitter} from '../common/lifecycle/emitter.ts';
 import {type Milliseconds} from '../common/model/units.ts';
 import {type Settings} from '../common/settings/settings.ts';
@@ -54,13 +56,10 @@
 	/** The planned stop is over: the process may end. */
 	readonly onEnded = this._onEnded.event;
 
-	constructor(parts: DaemonParts, owned: readonly DisposableLike[]) {
+	constructor(parts: DaemonParts, owned: DisposableStore) {
 		super();
 		this._parts = parts;
-		for (const item of owned) {
-			this._register(item);
-		}
-
+		this._register(owned);
 		this._register(parts.fleetLoop.onEffect(effect => {
 			this._carryOut(effect);
 		}));
--- /dev/null
+++ b/src/daemon/wiring.ts
@@ -0,0 +1,152 @@
+/** The one place where the parts of a daemon are made. */
+import {randomInt} from 'node:crypto';
+import {err, ok, type Result} from 'neverthrow';
+import {DefaultCallEngine} from '../common/calls/call-engine.ts';
+import {describeFailure, type Failure} from '../common/errors/failure.ts';
+import {FleetCoordinator} from '../common/fleet/fleet-coordinator.ts';
+import {type AddressAnswer as FleetAnswer, type FleetSettings} from '../common/fleet/types.ts';
+import {DisposableStore} from '../common/lifecycle/disposable.ts';
+import {seededRandom} from '../common/random/random.ts';
+import {type OperatorToken, type Settings} from '../common/settings/settings.ts';
+import {OperatorDirectory} from '../node/api/operator-directory.ts';
+import {OperatorServer} from '../node/api/operator-server.ts';
+import {ResourceApi} from '../node/api/resource-api.ts';
+import {ProcessClock} from '../node/clock.ts';
+import {FleetLoop} from '../node/fleet/fleet-loop.ts';
+import {BackendConnections} from '../node/front/backend-connections.ts';
+import {CallLoop} from '../node/front/call-loop.ts';
+import {type AddressAnswer, CallerServer} from '../node/front/caller-server.ts';
+import {LoadMeasurer} from '../node/front/load-measurer.ts';
+import {StoreKeyClaimer} from '../node/front/store-key-claimer.ts';
+import {type Logging} from '../node/logging/logging.ts';
+import {GrpcPeerTransport} from '../node/peers/grpc-peer-transport.ts';
+import {
+	checkTlsFiles, type PeerCredentials, plainCredentials, watchTlsFiles,
+} from '../node/peers/peer-credentials.ts';
+import {HttpPlatformClient} from '../node/platform/http-platform-client.ts';
+import {Daemon} from './daemon.ts';
+import {FleetGateway} from './fleet-gateway.ts';
+import {freshIdentity, type Hashes} from './identity.ts';
+import {PauseWatch} from './pause-watch.ts';
+
+/** Time for a new connection to a backend server: 1 ms is usual, a lost packet costs 1 s more. */
+const connectMilliseconds = 1500;
+
+/** Idle connections to backend servers close after this long: they count against the 250 shared by all VMs. */
+const backendIdleMilliseconds = 30_000;
+
+/** A caller's whole head must be there after this long. */
+const headMilliseconds = 10_000;
+
+/** Idle connections of callers; longer than the usual gap between two calls of one caller. */
+const callerIdleMilliseconds = 60_000;
+
+/** Number of VMs that carry one service at least: two may fail, and the answers still spread. */
+const smallestSubset = 16;
+
+const largestSeed = 2 ** 31;
+
+function joinAddress(address: string, port: number): string {
+	return address.includes(':') ? `[${address}]:${port}` : `${address}:${port}`;
+}
+
+function splitAddress(text: string): {address: string; port: number} {
+	const colon = text.lastIndexOf(':');
+	return {address: text.slice(0, colon).replaceAll(/[\[\]]/gv, ''), port: Number(text.slice(colon + 1))};
+}
+
+function toCallerAnswer(answer: FleetAnswer): AddressAnswer | undefined {
+	if (answer.addresses.length === 0) {
+		return undefined;
+	}
+
+	const vms = answer.addresses.map(choice => ({...splitAddress(choice.address), weight: choice.weight}));
+	return {vms, keepForMilliseconds: answer.keepForMilliseconds};
+}
+
+function fleetSettings(settings: Settings, identity: string): FleetSettings {
+	return {
+		identity,
+		peerAddress: joinAddress(settings.vm.address, settings.peers.port),
+		callAddress: joinAddress(settings.vm.address, settings.callers.port),
+		dataCentre: settings.vm.dataCentre,
+		seeds: settings.peers.seeds,
+		defaultPeerPort: settings.peers.port,
+		shareSlots: settings.shares.slots,
+		shareLeaseMilliseconds: settings.shares.leaseMilliseconds,
+		answerKeepMilliseconds: settings.answers.keepForMilliseconds,
+		smallestSubset,
+	};
+}
+
+function peerCredentials(settings: Settings, now: Date): Result<PeerCredentials, Failure<string>> {
+	const {tls} = settings.peers;
+	return tls === undefined ? ok(plainCredentials()) : checkTlsFiles(tls, settings.vm.address, now).map(() => watchTlsFiles(tls, settings.vm.address));
+}
+
+/** Makes a daemon from checked settings. Nothing listens yet. */
+export function wireDaemon(settings: Settings, tokens: readonly OperatorToken[], logging: Logging, hashes: Hashes): Result<Daemon, Failure<string>> {
+	const credentials = peerCredentials(settings, new Date());
+	return credentials.isErr() ? err(credentials.error) : ok(makeDaemon(settings, tokens, {logging, hashes, credentials: credentials.value}));
+}
+
+type Made = {readonly logging: Logging; readonly hashes: Hashes; readonly credentials: PeerCredentials};
+
+function makeDaemon(settings: Settings, tokens: readonly OperatorToken[], {logging, hashes, credentials}: Made): Daemon {
+	const owned = new DisposableStore();
+	const clock = new ProcessClock();
+	const {logger} = logging;
+	const identity = freshIdentity();
+	const random = seededRandom(randomInt(largestSeed));
+
+	const platform = owned.add(new HttpPlatformClient(settings.platform.url, settings.platform.requestTimeoutMilliseconds));
+	const peers = owned.add(new GrpcPeerTransport(joinAddress(settings.peers.address, settings.peers.port), credentials, () => clock.now()));
+	owned.add(peers.onTrouble(trouble => {
+		logger.debug('message to another VM failed', {peer: trouble.address, failure: describeFailure(trouble.failure)});
+	}));
+	const fleetEngine = new FleetCoordinator(fleetSettings(settings, identity), random, hashes.hash32);
+	const fleetLoop = owned.add(new FleetLoop(fleetEngine, clock, platform, peers));
+
+	const connections = owned.add(new BackendConnections({connectMilliseconds, idleMilliseconds: backendIdleMilliseconds}));
+	const callEngine = new DefaultCallEngine({random, settings: {dataCentre: settings.vm.dataCentre}});
+	const keyClaimer = new StoreKeyClaimer(platform, clock, identity, hashes.digest);
+	const callLoop = owned.add(new CallLoop(callEngine, clock, new LoadMeasurer(connections), keyClaimer));
+	const callerServer = owned.add(new CallerServer({
+		loop: callLoop,
+		connections,
+		addresses: service => toCallerAnswer(fleetEngine.addresses(service, clock.now())),
+		fingerprint: hashes.fingerprint,
+	}, {
+		headBytes: settings.limits.headBytes,
+		headMilliseconds,
+		idleMilliseconds: callerIdleMilliseconds,
+		bodyBytes: settings.limits.bodyBytes,
+		keptBodyBytes: settings.limits.replayBytes,
+		connections: settings.limits.connections,
+	}));
+
+	const gateway = new FleetGateway({
+		vmName: settings.vm.name,
+		dataCentre: settings.vm.dataCentre,
+		clock,
+		fleet: fleetEngine,
+		fleetLoop,
+		calls: callEngine,
+		callLoop,
+		burn: async () => ({
+			services: [], vmsCounted: [], vmsMissing: [], copiesCounted: 0,
+		}),
+		logger,
+		logControl: logging,
+		wallClock: () => new Date(),
+	});
+	const api = new ResourceApi({
+		gateway, directory: new OperatorDirectory(tokens), logger, bodyBytes: settings.limits.operatorBodyBytes,
+	});
+	const operatorServer = owned.add(new OperatorServer(api));
+	const pauseWatch = owned.add(new PauseWatch(clock, () => Date.now()));
+	return new Daemon({
+		settings, clock, logger, callEngine, callLoop, fleetLoop, connections, callerServer, operatorServer, peerServer: peers, pauseWatch,
+	}, owned);
+}
+
--- a/src/node/front/call-loop.ts
+++ b/src/node/front/call-loop.ts
@@ -17,6 +17,7 @@
 /** Claims idempotency keys; the answer comes back as a `key-claimed` event. */
 export type KeyClaimer = {
 	claim(effect: CallEffect & {type: 'claim-key'}, sink: CallEventSink): void;
+	release(effect: CallEffect & {type: 'release-key'}): Promise<void>;
 };
 
 /** The loop round one call engine. */
@@ -97,7 +98,7 @@
 			}
 
 			case 'pass-on': {
-				this._calls.get(effect.callId)?.passOn(effect.attemptId);
+				this._calls.get(effect.callId)?.passOn(effect.attemptId, effect.outcome);
 				break;
 			}
 
@@ -111,6 +112,21 @@
 				break;
 			}
 
+			case 'call-ended': {
+				this._end(effect.callId);
+				this._onCallEnded.fire(effect.summary);
+				break;
+			}
+
+			default: {
+				this._carryOutBeside(effect);
+			}
+		}
+	}
+
+	/** Effects that go to the world beside calls. */
+	private _carryOutBeside(effect: CallEffect & {type: 'measure' | 'claim-key' | 'release-key' | 'tell-peers'}): void {
+		switch (effect.type) {
 			case 'measure': {
 				this._measurer.measure(effect, this);
 				break;
@@ -121,14 +137,13 @@
 				break;
 			}
 
-			case 'tell-peers': {
-				this._onNews.fire(effect.news);
+			case 'release-key': {
+				void this._keyClaimer.release(effect);
 				break;
 			}
 
-			case 'call-ended': {
-				this._end(effect.callId);
-				this._onCallEnded.fire(effect.summary);
+			case 'tell-peers': {
+				this._onNews.fire(effect.news);
 				break;
 			}
 		}
--- a/src/node/front/caller-server.test.ts
+++ b/src/node/front/caller-server.test.ts
@@ -18,7 +18,7 @@
 };
 
 /** No service of these tests asks for keys. */
-const noKeys = {claim: () => undefined};
+const noKeys = {claim: () => undefined, release: async () => undefined};
 
 type Front = {readonly url: string; readonly ended: CallSummary[]};
 
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -1,7 +1,7 @@
 /** One call on this VM: carries out what the call engine decides and tells it what happened. */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
-	type AttemptFailure, type CallEffect, type CallId, type CallRequest, type LoadReport,
+	type AttemptFailure, type CallEffect, type CallId, type CallOutcome, type CallRequest, type LoadReport,
 } from '../../common/calls/types.ts';
 import {forwardedHeaders} from '../../common/protocol/forwarding.ts';
 import {
@@ -87,7 +87,7 @@
 	}
 
 	/** Sends the head of the attempt's answer on; its body follows as it comes. */
-	passOn(attemptId: number): void {
+	passOn(attemptId: number, outcome: CallOutcome): void {
 		const head = this._heads.get(attemptId);
 		const attempt = this._attempts.get(attemptId);
 		if (head === undefined || attempt === undefined) {
@@ -101,7 +101,7 @@
 		}
 
 		const headers = forwardedHeaders(head.headers);
-		headers.push(outcomeHeader, 'ran');
+		headers.push(outcomeHeader, outcome);
 		this._outgoing.writeHead(head.status, headers);
 	}
 
--- a/src/node/front/store-key-claimer.ts
+++ b/src/node/front/store-key-claimer.ts
@@ -40,13 +40,29 @@
 		});
 	}
 
+	/**
+	 * Frees the key of a call that did not run. The entry is read first, so that only a claim of this VM is
+	 * ever removed; a release that fails leaves the key taken, which refuses a call and runs none.
+	 */
+	async release(effect: CallEffect & {type: 'release-key'}): Promise<void> {
+		const key = this._keyOf(effect);
+		const reply = await this._platform.execute({type: 'get', key});
+		if (reply.type === 'entry' && reply.entry?.value.startsWith(`${this._vmIdentity}/`)) {
+			await this._platform.execute({type: 'delete', key, expected: reply.entry.revision});
+		}
+	}
+
+	private _keyOf(effect: {readonly service: string; readonly key: string}): string {
+		return `${keyPrefix}${effect.service}/${this._digest(effect.key)}`;
+	}
+
 	private async _claim(effect: CallEffect & {type: 'claim-key'}): Promise<KeyClaim> {
 		const lease = await this._usableLease();
 		if (lease === undefined) {
 			return {type: 'unavailable'};
 		}
 
-		const key = `${keyPrefix}${effect.service}/${this._digest(effect.key)}`;
+		const key = this._keyOf(effect);
 		const value = `${this._vmIdentity}/${effect.callId}`;
 		const reply = await this._platform.execute({
 			type: 'compare-and-swap', key, expected: 0, value, leaseId: lease.id,
--- a/src/proof/fuzz/call-vm.ts
+++ b/src/proof/fuzz/call-vm.ts
@@ -193,6 +193,11 @@
 				break;
 			}
 
+			case 'release-key': {
+				this._world.releaseKey(this, `${effect.service}/${effect.key}`);
+				break;
+			}
+
 			case 'tell-peers': {
 				this._world.tellPeers(this, effect.news);
 				break;
--- a/src/proof/fuzz/call-world.ts
+++ b/src/proof/fuzz/call-world.ts
@@ -50,7 +50,9 @@
 
 		this.fleet = new FakeFleet(this._firstConfiguration(), this.timeline, this.network, record);
 		for (const {name} of this.fleet.configuration.backendServers.values()) {
-			this.servers.push(new FakeBackendServer(name, this.timeline, record));
+			this.servers.push(new FakeBackendServer(name, this.timeline, record, server => {
+				this.restart(server);
+			}));
 		}
 
 		this._surroundings = {
@@ -62,6 +64,9 @@
 			claimKey: (vm, key, answer) => {
 				this.fleet.claimKey(vm, key, answer);
 			},
+			releaseKey: (vm, key) => {
+				this.fleet.releaseKey(vm, key);
+			},
 			tellPeers: (vm, news) => {
 				this.fleet.tellPeers(vm, news);
 			},
--- a/src/proof/fuzz/fake-backend-server.ts
+++ b/src/proof/fuzz/fake-backend-server.ts
@@ -48,13 +48,16 @@
 	contentVersion = 1;
 	private readonly _timeline: Timeline;
 	private readonly _record: (event: HistoryEvent) => void;
+	private readonly _onCrashOver: (server: FakeBackendServer) => void;
 	private readonly _work = new Set<Work>();
 	private _frozen: Array<() => void> | undefined;
 	private _instance = 1;
 	private _isUp = true;
 	private _runs = 0;
 
-	constructor(name: string, timeline: Timeline, record: (event: HistoryEvent) => void) {
+	/** `onCrashOver` restarts it, so that the world knows of the new process. */
+	constructor(name: string, timeline: Timeline, record: (event: HistoryEvent) => void, onCrashOver: (server: FakeBackendServer) => void) {
+		this._onCrashOver = onCrashOver;
 		this.name = name;
 		this._timeline = timeline;
 		this._record = record;
@@ -167,7 +170,9 @@
 			this._later(work, killerMilliseconds, () => {
 				this.kill();
 				this._timeline.after(1000, () => {
-					this.restart();
+					if (!this._isUp) {
+						this._onCrashOver(this);
+					}
 				});
 			});
 			return;
--- a/src/proof/fuzz/fake-fleet.ts
+++ b/src/proof/fuzz/fake-fleet.ts
@@ -115,6 +115,12 @@
 		});
 	}
 
+	releaseKey(vm: VmHost, key: string): void {
+		if (this._canUseStore(vm)) {
+			this._claimed.delete(key);
+		}
+	}
+
 	private _storeMilliseconds(): number {
 		return this.isStoreSlow ? slowStoreMilliseconds : storeMilliseconds;
 	}
--- a/src/proof/fuzz/types.ts
+++ b/src/proof/fuzz/types.ts
@@ -27,6 +27,7 @@
 	/** False if what goes from one party to the other is lost. */
 	canPass(from: string, to: string): boolean;
 	claimKey(vm: VmHost, key: string, answer: (claim: 'granted' | 'taken' | 'unavailable') => void): void;
+	releaseKey(vm: VmHost, key: string): void;
 	tellPeers(vm: VmHost, news: LoadNews): void;
 	sawLeaving(vm: VmHost, identity: string, instance: string): void;
 };
