Give operators a command line

A new user needs one command that tells what it did, and a program needs exit codes that never change their meaning.

Commands are data (usage, options, examples, action); sade writes the help and parses, and our own check runs before it, because sade ends the process with code 1 at its first fault and knows no suggestions. A change names the versions it was planned against, carries an operation identity, and is sent again, to another VM if need be, while its outcome is unknown; a lost answer is never called a refusal (exit 5). `edit` sets fields and opens no editor: the program starts no other process.

Not tried yet: `serve`, which needs the daemon.

--- /dev/null
+++ b/bin/jaydale.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+await import('../dist/src/cli/main.js');
--- /dev/null
+++ b/src/cli/api-client.ts
@@ -0,0 +1,127 @@
+/** Talks to the resource API of one of several VMs. */
+import {err, ok, type Result} from 'neverthrow';
+import {type z} from 'zod';
+import {failure, type Failure} from '../common/errors/failure.ts';
+import {problemTypePrefix} from '../common/protocol/headers.ts';
+import {problemSchema, type Problem} from '../node/api/types.ts';
+import {type HttpAnswer, type Terminal} from './types.ts';
+
+/** Why a request came to nothing. */
+export type ClientFailure
+	/** No VM could be reached: nothing was sent, nothing was changed. */
+	= | Failure<'unreachable'>
+	/** The request was sent and no answer came. */
+		| Failure<'no-answer'>
+	/** Something answered that is no resource API. */
+		| Failure<'not-jaydale'>
+	/** The API's own refusal. */
+		| (Failure<'problem'> & {readonly problem: Problem});
+
+type RequestParts = {
+	readonly body?: unknown;
+	/** Time to wait for the answer. */
+	readonly milliseconds?: number;
+};
+
+/** A VM answers a change within seconds even while the platform's service is slow. */
+const usualWaitMilliseconds = 15_000;
+
+/** The codes by which Node and undici say that no connection came about, so nothing was sent. */
+const notSentCodes: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'EAI_AGAIN', 'UND_ERR_CONNECT_TIMEOUT']);
+
+/** Sends requests to the first VM that takes them. */
+export class ApiClient {
+	/** In the order of trying; one that left a request without answer goes to the end. */
+	private _servers: readonly string[];
+	private readonly _token: string;
+	private readonly _terminal: Terminal;
+
+	constructor(servers: readonly string[], token: string, terminal: Terminal) {
+		this._servers = servers;
+		this._token = token;
+		this._terminal = terminal;
+	}
+
+	/** A request whose answer has a body. */
+	async request<Schema extends z.ZodType>(method: string, path: string, schema: Schema, parts: RequestParts = {}): Promise<Result<z.infer<Schema>, ClientFailure>> {
+		const answer = await this.send(method, path, parts);
+		return answer.andThen(text => readAnswer(text, schema));
+	}
+
+	/** A request whose answer's body does not matter. Reads go on to the next VM when one does not answer. */
+	async send(method: string, path: string, parts: RequestParts = {}): Promise<Result<string, ClientFailure>> {
+		let latest: ClientFailure = failure('unreachable', 'no server is named');
+		for (const server of this._servers) {
+			const outcome = await this._exchange(server, method, path, parts);
+			if (outcome.isOk()) {
+				return outcome;
+			}
+
+			latest = outcome.error;
+			if (latest.kind === 'no-answer') {
+				this._servers = [...this._servers.filter(other => other !== server), server];
+			}
+
+			const mayTryNext = latest.kind === 'unreachable' || (latest.kind === 'no-answer' && method === 'GET');
+			if (!mayTryNext) {
+				break;
+			}
+		}
+
+		return err(latest);
+	}
+
+	private async _exchange(server: string, method: string, path: string, parts: RequestParts): Promise<Result<string, ClientFailure>> {
+		const {body, milliseconds = usualWaitMilliseconds} = parts;
+		try {
+			const answer = await this._terminal.exchange(`${server}${path}`, {
+				method,
+				headers: {
+					authorization: `Bearer ${this._token}`,
+					...(body !== undefined && {'content-type': 'application/json'}),
+				},
+				...(body !== undefined && {body: JSON.stringify(body)}),
+				signal: AbortSignal.any([AbortSignal.timeout(milliseconds), this._terminal.signal]),
+			});
+			return await interpret(answer);
+		} catch (error) {
+			return err(describeError(server, error));
+		}
+	}
+}
+
+async function interpret(answer: HttpAnswer): Promise<Result<string, ClientFailure>> {
+	const text = await answer.text();
+	if (answer.status < 400) {
+		return ok(text);
+	}
+
+	const parsed = problemSchema.safeParse(parseJson(text));
+	if (!parsed.success || !parsed.data.type.startsWith(problemTypePrefix)) {
+		return err(failure('not-jaydale', `the answer has status ${answer.status} and is none of jaydale's; is the address right?`));
+	}
+
+	return err({...failure('problem', `${parsed.data.title}: ${parsed.data.detail}`), problem: parsed.data});
+}
+
+function readAnswer<Schema extends z.ZodType>(text: string, schema: Schema): Result<z.infer<Schema>, ClientFailure> {
+	const parsed = schema.safeParse(parseJson(text));
+	return parsed.success ? ok(parsed.data) : err(failure('not-jaydale', 'the answer is not in the form of this version of jaydale'));
+}
+
+function parseJson(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+}
+
+function describeError(server: string, error: unknown): ClientFailure {
+	const cause: unknown = error instanceof Error ? error.cause ?? error : error;
+	const code = cause instanceof Error && 'code' in cause ? String(cause.code) : '';
+	const reason = cause instanceof Error ? cause.message : String(cause);
+	return notSentCodes.has(code)
+		? failure('unreachable', `${server} cannot be reached: ${code}`)
+		: failure('no-answer', `${server} did not answer: ${reason === '' ? code : reason}`);
+}
--- /dev/null
+++ b/src/cli/check-arguments.ts
@@ -0,0 +1,157 @@
+/**
+ * Checks the arguments before sade sees them. sade ends the process with exit code 1 and its own words
+ * at the first fault; operators get every exit code as documented and a suggestion for a mistyped word.
+ */
+import {err, ok, type Result} from 'neverthrow';
+import {failure, type Failure} from '../common/errors/failure.ts';
+import {closestName} from '../common/settings/closest-name.ts';
+import {type CommandDefinition, type OptionDefinition} from './types.ts';
+
+export type ArgumentFailure = Failure<'no-command' | 'unknown-command' | 'unknown-option' | 'lacking-value' | 'wrong-value' | 'wrong-parameters'>;
+
+/** Options that every command has, sade's own. */
+const helpOptions: readonly OptionDefinition[] = [
+	{name: 'help', short: 'h', describe: ''},
+	{name: 'version', short: 'v', describe: ''},
+];
+
+/** The words of a command, without its parameters. */
+export function commandName(definition: CommandDefinition): string {
+	return parts(definition).filter(part => !/^[<\[]/v.test(part)).join(' ');
+}
+
+/** Whether the arguments only ask for help or the version, which sade answers. */
+export function asksForHelp(given: readonly string[]): boolean {
+	return given.some(word => ['-h', '--help', '-v', '--version'].includes(word));
+}
+
+/** The command that the arguments name, if they fit it. */
+export function checkArguments(given: readonly string[], definitions: readonly CommandDefinition[]): Result<CommandDefinition, ArgumentFailure> {
+	return findCommand(plainWords(given, definitions.flatMap(definition => definition.options)), definitions)
+		.andThen(definition => checkOptions(given, definition))
+		.andThen(definition => checkParameters(plainWords(given, definition.options), definition));
+}
+
+/** The command that the words begin with. */
+export function findCommand(words: readonly string[], definitions: readonly CommandDefinition[]): Result<CommandDefinition, ArgumentFailure> {
+	const names = definitions.map(definition => commandName(definition));
+	if (words.length === 0) {
+		return err(failure('no-command', `no command given; allowed: ${names.join(', ')}`));
+	}
+
+	const found = definitions.find(definition => commandName(definition).split(' ').every((word, index) => words[index] === word));
+	return found === undefined ? err(unknownCommand(words, names)) : ok(found);
+}
+
+/** The words that are neither options nor their values. */
+export function plainWords(given: readonly string[], options: readonly OptionDefinition[]): string[] {
+	const words: string[] = [];
+	for (let index = 0; index < given.length; index++) {
+		const word = given[index]!;
+		if (!isOption(word)) {
+			words.push(word);
+		} else if (!word.includes('=') && findOption(word, options)?.value !== undefined) {
+			index++;
+		}
+	}
+
+	return words;
+}
+
+function unknownCommand(words: readonly string[], names: readonly string[]): ArgumentFailure {
+	const family = names.filter(name => name.startsWith(`${words[0]} `));
+	if (family.length > 0) {
+		const found = words.slice(0, 2).join(' ');
+		const suggestion = words.length > 1 ? closestName(found, family) : undefined;
+		const hint = suggestion === undefined ? `allowed: ${family.join(', ')}` : `did you mean "${suggestion}"?`;
+		return failure('unknown-command', `"${found}" is no command; ${hint}`);
+	}
+
+	const suggestion = closestName(words.slice(0, 2).join(' '), names) ?? closestName(words[0]!, names);
+	return failure('unknown-command', suggestion === undefined
+		? `"${words[0]}" is no command; allowed: ${names.join(', ')}`
+		: `"${words[0]}" is no command; did you mean "${suggestion}"?`);
+}
+
+function checkOptions(given: readonly string[], definition: CommandDefinition): Result<CommandDefinition, ArgumentFailure> {
+	const known = [...definition.options, ...helpOptions];
+	for (const [index, word] of given.entries()) {
+		const isValue = index > 0 && isOption(given[index - 1]!) && !given[index - 1]!.includes('=') && findOption(given[index - 1]!, known)?.value !== undefined;
+		if (!isOption(word) || isValue) {
+			continue;
+		}
+
+		const option = findOption(word, known);
+		if (option === undefined) {
+			return err(unknownOption(word, known, definition));
+		}
+
+		if (option.value !== undefined && !hasValue(word, given[index + 1])) {
+			return err(failure('lacking-value', `--${option.name} needs a value: --${option.name} ${option.value}`));
+		}
+
+		const value = word.includes('=') ? word.slice(word.indexOf('=') + 1) : given[index + 1];
+		const fault = value === undefined ? undefined : wrongValue(option, value);
+		if (fault !== undefined) {
+			return err(fault);
+		}
+	}
+
+	return ok(definition);
+}
+
+function unknownOption(word: string, known: readonly OptionDefinition[], definition: CommandDefinition): ArgumentFailure {
+	const names = known.map(option => `--${option.name}`);
+	const suggestion = closestName(word.split('=', 1)[0]!, names);
+	const hint = suggestion === undefined ? `allowed: ${names.join(', ')}` : `did you mean ${suggestion}?`;
+	return failure('unknown-option', `"jaydale ${commandName(definition)}" has no option ${word.split('=', 1)[0]}; ${hint}`);
+}
+
+function wrongValue(option: OptionDefinition, found: string): ArgumentFailure | undefined {
+	const {name, choices, most} = option;
+	if (choices !== undefined && !choices.includes(found)) {
+		return wrongChoice(name, found, choices);
+	}
+
+	const isNumber = most === undefined || (/^\d{1,15}$/v.test(found) && Number(found) <= most);
+	return isNumber ? undefined : failure('wrong-value', `--${name}: found ${JSON.stringify(found)}; allowed: a whole number from 0 to ${most}`);
+}
+
+function wrongChoice(name: string, found: string, choices: readonly string[]): ArgumentFailure {
+	const suggestion = closestName(found, choices);
+	const hint = suggestion === undefined ? '' : `; did you mean "${suggestion}"?`;
+	return failure('wrong-value', `--${name}: found ${JSON.stringify(found)}; allowed: ${choices.join(', ')}${hint}`);
+}
+
+function checkParameters(words: readonly string[], definition: CommandDefinition): Result<CommandDefinition, ArgumentFailure> {
+	const name = commandName(definition);
+	const found = words.slice(name.split(' ').length);
+	const declared = parts(definition).filter(part => /^[<\[]/v.test(part));
+	const lacking = declared.filter(part => part.startsWith('<')).slice(found.length);
+	if (lacking.length > 0) {
+		return err(failure('wrong-parameters', `${lacking.join(' ')} ${lacking.length === 1 ? 'is' : 'are'} lacking; usage: jaydale ${definition.usage}`));
+	}
+
+	return found.length > declared.length
+		? err(failure('wrong-parameters', `"${found[declared.length]}" is one parameter too many; usage: jaydale ${definition.usage}`))
+		: ok(definition);
+}
+
+function parts(definition: CommandDefinition): string[] {
+	return definition.usage.split(' ');
+}
+
+/** Whether a word is an option; a lone dash stands for standard input. */
+export function isOption(word: string): boolean {
+	return word.startsWith('-') && word !== '-';
+}
+
+function hasValue(word: string, next: string | undefined): boolean {
+	return word.includes('=') ? !word.endsWith('=') : next !== undefined && !isOption(next);
+}
+
+/** The option that a word such as `--file=a` or `-f` names. */
+export function findOption(word: string, options: readonly OptionDefinition[]): OptionDefinition | undefined {
+	const name = word.replace(/^--?/v, '').split('=', 1)[0]!;
+	return options.find(option => word.startsWith('--') ? option.name === name : option.short === name);
+}
--- /dev/null
+++ b/src/cli/commands/apply.ts
@@ -0,0 +1,88 @@
+/** `jaydale apply`: makes what files declare be in force, all of it together. */
+import {isDeepStrictEqual} from 'node:util';
+import {failure} from '../../common/errors/failure.ts';
+import {resourceKey, type Resource, type StoredResource} from '../../common/model/resources.ts';
+import {resourceListSchema, type Mutation} from '../../node/api/types.ts';
+import {type ApiClient} from '../api-client.ts';
+import {changeOptions, sendChange} from '../change-sender.ts';
+import {exitCodes, type ExitCode} from '../exit-codes.ts';
+import {readResourceFiles} from '../resource-files.ts';
+import {
+	formatOption, inSession, sessionOptions, tellReadFailure,
+} from '../session.ts';
+import {type CommandCall, type CommandDefinition} from '../types.ts';
+import {tellWrongInput} from './tell-wrong-input.ts';
+
+type Step = {readonly action: 'create' | 'replace' | 'unchanged'; readonly resource: Resource; readonly expected: number};
+
+export const applyCommand: CommandDefinition = {
+	usage: 'apply',
+	describe: 'Put resources from TOML files in force, all in one change. Resources that are not in the files stay as they are.',
+	options: [
+		{
+			name: 'file', short: 'f', value: 'FILE', describe: 'A TOML file, - for standard input; may stand several times',
+		},
+		{name: 'dry-run', describe: 'Only show what would change'},
+		...changeOptions,
+		formatOption,
+		...sessionOptions,
+	],
+	examples: [
+		'apply -f services.toml -f backend-servers.toml --note "spring capacity"',
+		'apply -f services.toml --dry-run',
+		'apply -f services.toml --wait 5',
+	],
+	async run(call) {
+		const paths = call.options.texts('file');
+		if (paths.length === 0) {
+			return tellWrongInput(call.terminal, failure('wrong-parameter', 'nothing to apply; allowed: -f FILE, once or several times', {field: '--file'}));
+		}
+
+		const resources = await readResourceFiles(call.terminal, paths);
+		return resources.isErr()
+			? tellWrongInput(call.terminal, ...resources.error)
+			: inSession(call, async client => apply(call, client, resources.value));
+	},
+};
+
+async function apply(call: CommandCall, client: ApiClient, resources: readonly Resource[]): Promise<ExitCode> {
+	const {terminal, options} = call;
+	const present = await client.request('GET', '/v1/resources', resourceListSchema);
+	if (present.isErr()) {
+		return tellReadFailure(terminal, present.error);
+	}
+
+	const steps = planSteps(resources, present.value.items);
+	const changed = steps.filter(step => step.action !== 'unchanged');
+	for (const step of steps) {
+		terminal.complain(`${step.action} ${resourceKey(step.resource)}`);
+	}
+
+	// An earlier try may have been accepted: sending it again tells its version.
+	const isRepetition = options.text('operation') !== undefined;
+	if (options.isSet('dry-run') || (changed.length === 0 && !isRepetition)) {
+		terminal.complain(changed.length === 0 ? 'nothing to change' : `${changed.length} to change; nothing was changed (--dry-run)`);
+		return exitCodes.done;
+	}
+
+	const sent = isRepetition ? steps : changed;
+	return sendChange(call, client, sent.map(toMutation), `${sent.length} ${sent.length === 1 ? 'resource' : 'resources'}`);
+}
+
+/** Each step names the version it was planned against, so that a change that comes between is not overwritten. */
+function planSteps(resources: readonly Resource[], present: readonly StoredResource[]): Step[] {
+	const byKey = new Map(present.map(item => [resourceKey(item.resource), item]));
+	return resources.map(resource => {
+		const found = byKey.get(resourceKey(resource));
+		if (found === undefined) {
+			return {action: 'create', resource, expected: 0};
+		}
+
+		const isSame = isDeepStrictEqual(found.resource, resource);
+		return {action: isSame ? 'unchanged' : 'replace', resource, expected: found.metadata.version};
+	});
+}
+
+function toMutation(step: Step): Mutation {
+	return {type: 'put', resource: step.resource, expected: step.expected};
+}
--- /dev/null
+++ b/src/cli/commands/edit.ts
@@ -0,0 +1,108 @@
+/**
+ * `jaydale edit`: changes single fields of a resource. Fields are set on the command line and no editor
+ * is opened: the program starts no other process, and what was changed can be repeated from a script.
+ */
+import {err, ok, type Result} from 'neverthrow';
+import {failure} from '../../common/errors/failure.ts';
+import {
+	resourceKey, resourceSchema, storedResourceSchema, type Resource, type ResourceKey,
+} from '../../common/model/resources.ts';
+import {inputFailures, type InputFailure} from '../../common/settings/schema-failures.ts';
+import {parseToml} from '../../node/settings/load-settings.ts';
+import {type ApiClient} from '../api-client.ts';
+import {changeOptions, sendChange} from '../change-sender.ts';
+import {type ExitCode} from '../exit-codes.ts';
+import {
+	formatOption, inSession, sessionOptions, tellReadFailure,
+} from '../session.ts';
+import {type CommandCall, type CommandDefinition} from '../types.ts';
+import {readResourceKey} from './parameters.ts';
+import {tellWrongInput} from './tell-wrong-input.ts';
+
+export const editCommand: CommandDefinition = {
+	usage: 'edit <kind> <name>',
+	describe: 'Set single fields of a resource. If somebody changes it in between, nothing is changed.',
+	options: [
+		{name: 'set', value: 'FIELD=VALUE', describe: 'A field by its path and a value as in TOML; may stand several times'},
+		...changeOptions,
+		formatOption,
+		...sessionOptions,
+	],
+	examples: [
+		'edit service ordering --set priority=9',
+		'edit service archive --set measuring.tailWeight=0.2 --set objective.successShare=0.995',
+		'edit backend-server ordering-3 --set isLeaving=true --wait 5',
+	],
+	async run(call) {
+		const [kind = '', name = ''] = call.parameters;
+		const key = readResourceKey(kind, name);
+		if (key.isErr()) {
+			return tellWrongInput(call.terminal, key.error);
+		}
+
+		return call.options.texts('set').length === 0
+			? tellWrongInput(call.terminal, failure('wrong-parameter', 'nothing to set; allowed: --set FIELD=VALUE, once or several times', {field: '--set'}))
+			: inSession(call, async client => edit(call, client, key.value));
+	},
+};
+
+async function edit(call: CommandCall, client: ApiClient, key: ResourceKey): Promise<ExitCode> {
+	const present = await client.request('GET', `/v1/resources/${key}`, storedResourceSchema);
+	if (present.isErr()) {
+		return tellReadFailure(call.terminal, present.error);
+	}
+
+	const {resource, metadata} = present.value;
+	const edited = setFields(resource, call.options.texts('set'));
+	return edited.isErr()
+		? tellWrongInput(call.terminal, ...edited.error)
+		: sendChange(call, client, [{type: 'put', resource: edited.value, expected: metadata.version}], key);
+}
+
+/** The resource with the fields set, checked as a whole. */
+export function setFields(resource: Resource, assignments: readonly string[]): Result<Resource, InputFailure[]> {
+	const draft: unknown = structuredClone(resource);
+	const faults = assignments.flatMap(assignment => setField(draft, assignment));
+	if (faults.length > 0) {
+		return err(faults);
+	}
+
+	const parsed = resourceSchema.safeParse(draft);
+	if (!parsed.success) {
+		return err(inputFailures(parsed.error, draft, resourceSchema));
+	}
+
+	return resourceKey(parsed.data) === resourceKey(resource)
+		? ok(parsed.data)
+		: err([failure('not-allowed', 'a resource keeps its kind and name; allowed: delete it and apply another', {field: 'name'})]);
+}
+
+function setField(draft: unknown, assignment: string): InputFailure[] {
+	const [path = '', ...rest] = assignment.split('=');
+	const value = parseToml(`value = ${rest.join('=')}`).unwrapOr(undefined);
+	if (rest.length === 0 || !isTable(value)) {
+		return [failure('not-allowed', `found ${JSON.stringify(assignment)}; allowed: FIELD=VALUE with a value as in TOML, such as priority=9 or name="a"`, {field: '--set'})];
+	}
+
+	const steps = path.split('.');
+	const last = steps.pop() ?? '';
+	let table: unknown = draft;
+	for (const step of steps) {
+		table = isTable(table) && Object.hasOwn(table, step) ? table[step] : undefined;
+	}
+
+	if (!isTable(table) || last === '') {
+		return [failure('unknown-key', `found ${JSON.stringify(path)}; allowed: a field of the resource, such as measuring.tailWeight`, {field: '--set'})];
+	}
+
+	// Defined, not assigned: a path such as __proto__ must become an own key, which the schema then refuses.
+	Object.defineProperty(table, last, {
+		value: value.value, enumerable: true, configurable: true, writable: true,
+	});
+	return [];
+}
+
+function isTable(value: unknown): value is Record<string, unknown> {
+	return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
--- /dev/null
+++ b/src/cli/commands/parameters.ts
@@ -0,0 +1,40 @@
+/** Parameters that several commands take. */
+import {err, ok, type Result} from 'neverthrow';
+import {failure, type Failure} from '../../common/errors/failure.ts';
+import {nameSchema, type ResourceKey, type ResourceKind} from '../../common/model/resources.ts';
+import {closestName} from '../../common/settings/closest-name.ts';
+import {resourceKindSchema} from '../../node/api/types.ts';
+
+export type ParameterFailure = Failure<'wrong-parameter'>;
+
+/** A kind of resource; the plural is understood too. */
+export function readKind(word: string): Result<ResourceKind, ParameterFailure> {
+	const kinds = resourceKindSchema.options;
+	const found = kinds.find(kind => word === kind || word === `${kind}s`);
+	if (found !== undefined) {
+		return ok(found);
+	}
+
+	const suggestion = closestName(word, kinds);
+	const hint = suggestion === undefined ? '' : `; did you mean "${suggestion}"?`;
+	return err(failure('wrong-parameter', `found ${JSON.stringify(word)}; allowed: ${kinds.join(', ')}${hint}`, {field: 'kind'}));
+}
+
+/** A resource by kind and name. */
+export function readResourceKey(kind: string, name: string): Result<ResourceKey, ParameterFailure> {
+	return readKind(kind).andThen(value => nameSchema.safeParse(name).success
+		? ok<ResourceKey, ParameterFailure>(`${value}/${name}`)
+		: err(failure('wrong-parameter', `found ${JSON.stringify(name)}; allowed: 1 to 63 lower-case letters, digits and dashes`, {field: 'name'})));
+}
+
+/** One of a few words. */
+export function readWord<Word extends string>(field: string, found: string | undefined, words: readonly Word[]): Result<Word, ParameterFailure> {
+	const word = words.find(candidate => candidate === found);
+	if (word !== undefined) {
+		return ok(word);
+	}
+
+	const suggestion = closestName(found ?? '', words);
+	const hint = suggestion === undefined ? '' : `; did you mean "${suggestion}"?`;
+	return err(failure('wrong-parameter', `found ${JSON.stringify(found)}; allowed: ${words.join(', ')}${hint}`, {field}));
+}
--- /dev/null
+++ b/src/cli/commands/serve.ts
@@ -0,0 +1,31 @@
+/** `jaydale serve`: runs the balancer of one VM. */
+import {failure} from '../../common/errors/failure.ts';
+import {type Settings} from '../../common/settings/settings.ts';
+import {loadSettings} from '../../node/settings/load-settings.ts';
+import {type ExitCode} from '../exit-codes.ts';
+import {type CommandDefinition} from '../types.ts';
+import {tellWrongInput} from './tell-wrong-input.ts';
+
+/** Runs the daemon until its planned stop has ended. Loaded when needed: the other commands start faster without it. */
+export type RunDaemon = (settings: Settings) => Promise<ExitCode>;
+
+/** The command, for a way to run the daemon. */
+export function serveCommand(runDaemon: RunDaemon): CommandDefinition {
+	return {
+		usage: 'serve',
+		describe: 'Run the balancer of one VM. SIGTERM or SIGINT begins the planned stop, which cuts off no call.',
+		options: [{name: 'settings', value: 'FILE', describe: 'The VM\'s settings (TOML)'}],
+		examples: ['serve --settings /etc/jaydale/vm.toml'],
+		async run(call) {
+			const file = call.options.text('settings');
+			if (file === undefined) {
+				return tellWrongInput(call.terminal, failure('wrong-parameter', 'no settings; allowed: --settings FILE', {field: '--settings'}));
+			}
+
+			const settings = loadSettings(file);
+			return settings.isErr()
+				? tellWrongInput(call.terminal, ...settings.error)
+				: runDaemon(settings.value);
+		},
+	};
+}
--- /dev/null
+++ b/src/cli/run.ts
@@ -0,0 +1,138 @@
+/** The command line as a function: arguments and a terminal in, an exit code out. */
+import sade from 'sade';
+import {
+	asksForHelp, checkArguments, findCommand, findOption, isOption, plainWords,
+} from './check-arguments.ts';
+import {applyCommand} from './commands/apply.ts';
+import {burnCommand} from './commands/burn.ts';
+import {deleteCommand} from './commands/delete.ts';
+import {editCommand} from './commands/edit.ts';
+import {getCommand} from './commands/get.ts';
+import {historyCommand} from './commands/history.ts';
+import {logLevelCommand} from './commands/log-level.ts';
+import {quarantineLiftCommand, quarantineListCommand} from './commands/quarantine.ts';
+import {serveCommand, type RunDaemon} from './commands/serve.ts';
+import {settingsCheckCommand} from './commands/settings-check.ts';
+import {statusCommand} from './commands/status.ts';
+import {tellWrongInput} from './commands/tell-wrong-input.ts';
+import {vmDrainCommand, vmListCommand} from './commands/vm.ts';
+import {watchCommand} from './commands/watch.ts';
+import {exitCodes, type ExitCode} from './exit-codes.ts';
+import {Options} from './options.ts';
+import {type CommandDefinition, type OptionDefinition, type Terminal} from './types.ts';
+
+const programName = 'jaydale';
+
+/** All subcommands, in the order of the help. */
+export function allCommands(runDaemon: RunDaemon): CommandDefinition[] {
+	return [
+		serveCommand(runDaemon),
+		settingsCheckCommand,
+		getCommand,
+		applyCommand,
+		editCommand,
+		deleteCommand,
+		watchCommand,
+		statusCommand,
+		historyCommand,
+		vmListCommand,
+		vmDrainCommand,
+		burnCommand,
+		quarantineListCommand,
+		quarantineLiftCommand,
+		logLevelCommand,
+	];
+}
+
+/** Runs the command that the arguments name; `given` leaves out the names of node and the program. */
+export async function runCommandLine(given: readonly string[], version: string, terminal: Terminal, runDaemon: RunDaemon): Promise<ExitCode> {
+	const definitions = allCommands(runDaemon);
+	if (asksForHelp(given)) {
+		return help(given, definitions, version, terminal);
+	}
+
+	const checked = checkArguments(given, definitions);
+	if (checked.isErr()) {
+		terminal.complain(`${programName}: ${checked.error.message}`);
+		terminal.complain(`"${programName} --help" tells more`);
+		return exitCodes.wrongInput;
+	}
+
+	const definition = checked.value;
+	const {parameters, values} = parse(given, definition, describeProgram(definitions, version));
+	return definition.run({parameters, options: new Options(values), terminal});
+}
+
+/** sade writes the help; a word that is no command is told here, because sade would end the process. */
+function help(given: readonly string[], definitions: readonly CommandDefinition[], version: string, terminal: Terminal): ExitCode {
+	const words = plainWords(given, definitions.flatMap(definition => definition.options));
+	if (words.length > 0) {
+		const found = findCommand(words, definitions);
+		if (found.isErr()) {
+			return tellWrongInput(terminal, found.error);
+		}
+	}
+
+	describeProgram(definitions, version).parse(['node', programName, ...given]);
+	return exitCodes.done;
+}
+
+function describeProgram(definitions: readonly CommandDefinition[], version: string): sade.Sade {
+	const program = sade(programName).version(version);
+	for (const definition of definitions) {
+		program.command(definition.usage, definition.describe);
+		for (const option of definition.options) {
+			program.option(flagsOf(option), `${option.describe}${option.value === undefined ? '' : ` [${option.value}]`}`, option.fallback);
+		}
+
+		for (const example of definition.examples) {
+			program.example(example);
+		}
+
+		// sade only parses: the command is run by whoever called.
+		program.action(() => undefined);
+	}
+
+	return program;
+}
+
+function flagsOf(option: OptionDefinition): string {
+	return option.short === undefined ? `--${option.name}` : `-${option.short}, --${option.name}`;
+}
+
+type Parsed = {readonly parameters: ReadonlyArray<string | undefined>; readonly values: ConstructorParameters<typeof Options>[0]};
+
+function parse(given: readonly string[], definition: CommandDefinition, program: sade.Sade): Parsed {
+	const withValue = definition.options.filter(option => option.value !== undefined).flatMap(namesOf);
+	const switches = definition.options.filter(option => option.value === undefined).flatMap(namesOf);
+	const lazy = program.parse(['node', programName, ...joinValues(given, definition.options)], {lazy: true, string: withValue, boolean: switches});
+	const [values, ...reversed] = [...lazy.args].toReversed();
+	return {parameters: reversed.toReversed(), values: asValues(values)};
+}
+
+/** Writes `-f VALUE` as `--file=VALUE`: sade's parser takes no value that begins with a dash, such as `-f -`. */
+function joinValues(given: readonly string[], options: readonly OptionDefinition[]): string[] {
+	const joined: string[] = [];
+	for (let index = 0; index < given.length; index++) {
+		const word = given[index]!;
+		const option = isOption(word) && !word.includes('=') ? findOption(word, options) : undefined;
+		if (option?.value === undefined) {
+			joined.push(word);
+		} else {
+			index++;
+			joined.push(`--${option.name}=${given[index]}`);
+		}
+	}
+
+	return joined;
+}
+
+function namesOf(option: OptionDefinition): string[] {
+	return option.short === undefined ? [option.name] : [option.name, option.short];
+}
+
+/** sade's types call every argument a string; the last one is the table of options. */
+function asValues(values: unknown): Parsed['values'] {
+	return typeof values === 'object' && values !== null ? {...values} : {};
+}
+
--- /dev/null
+++ b/src/cli/table.ts
@@ -0,0 +1,21 @@
+/** Tables for people. */
+
+/** Lays rows out under their headings, two spaces apart; columns of numbers stand to the right. */
+export function formatTable(headings: readonly string[], rows: ReadonlyArray<readonly string[]>): string[] {
+	const lines = [headings, ...rows];
+	const widths = headings.map((_, column) => Math.max(...lines.map(line => line[column]!.length)));
+	const isNumeric = headings.map((_, column) => rows.length > 0 && rows.every(row => /^(?:[\d.\-]+(?:%|x| ms)?|-)$/v.test(row[column]!)));
+	return lines.map(line => line
+		.map((cell, column) => isNumeric[column] ? cell.padStart(widths[column]!) : cell.padEnd(widths[column]!))
+		.join('  ')
+		.trimEnd());
+}
+
+/** A span of time for people: `42 ms`, `3.4 s`, `12 min`. */
+export function formatMilliseconds(value: number): string {
+	if (value < 1000) {
+		return `${Math.round(value)} ms`;
+	}
+
+	return value < 120_000 ? `${(value / 1000).toFixed(1)} s` : `${Math.round(value / 60_000)} min`;
+}
--- /dev/null
+++ b/src/cli/version.ts
@@ -0,0 +1,2 @@
+/** The version that `jaydale --version` tells; a test holds it against package.json. */
+export const version = '0.1.0';
--- a/src/common/settings/closest-name.ts
+++ b/src/common/settings/closest-name.ts
@@ -2,10 +2,12 @@
 
 /** More edits than this and a suggestion would be a guess. */
 const mostEdits = 3;
+/** One edit in so many letters is a slip; more of them make another word. */
+const lettersForAnEdit = 3;
 
 /** The candidate that is fewest edits away from the word; undefined if none is near. */
 export function closestName(word: string, candidates: readonly string[]): string | undefined {
-	const allowed = Math.min(mostEdits, Math.floor(word.length / 2));
+	const allowed = Math.min(mostEdits, Math.max(1, Math.floor(word.length / lettersForAnEdit)));
 	let best: string | undefined;
 	let bestEdits = allowed + 1;
 	for (const candidate of candidates) {
@@ -19,16 +21,20 @@
 	return best;
 }
 
-/** Levenshtein distance, one row at a time. */
+/** Insertions, deletions, replacements and swaps of neighbours (optimal string alignment), row by row. */
 function editDistance(from: string, to: string): number {
+	let before: number[] = [];
 	let row = Array.from({length: to.length + 1}, (_, index) => index);
 	for (let line = 1; line <= from.length; line++) {
 		const next = [line];
 		for (let column = 1; column <= to.length; column++) {
 			const replaced = row[column - 1]! + (from[line - 1] === to[column - 1] ? 0 : 1);
-			next.push(Math.min(replaced, row[column]! + 1, next[column - 1]! + 1));
+			const isSwap = line > 1 && column > 1 && from[line - 1] === to[column - 2] && from[line - 2] === to[column - 1];
+			const swapped = isSwap ? before[column - 2]! + 1 : replaced;
+			next.push(Math.min(replaced, swapped, row[column]! + 1, next[column - 1]! + 1));
 		}
 
+		before = row;
 		row = next;
 	}
 
--- a/src/common/settings/settings.ts
+++ b/src/common/settings/settings.ts
@@ -53,8 +53,14 @@
 	when: () => true,
 });
 
-function isTlsDecided(peers: {readonly plain?: unknown; readonly tls?: unknown}): boolean {
-	return (peers.plain === true) !== (peers.tls !== undefined);
+/** Sees the input as it came: a lacking or malformed table is told by the schema itself. */
+function isTlsDecided(peers: unknown): boolean {
+	if (typeof peers !== 'object' || peers === null) {
+		return true;
+	}
+
+	const isPlain = 'plain' in peers && peers.plain === true;
+	return isPlain !== ('tls' in peers && peers.tls !== undefined);
 }
 
 const platformSchema = z.strictObject({
--- a/src/node/api/resource-routes.ts
+++ b/src/node/api/resource-routes.ts
@@ -1,6 +1,6 @@
 /** Routes for the declared resources: list, get, create, replace, delete, apply together, watch, history. */
 import {type Context, Hono} from 'hono';
-import {err, ok, type Result} from 'neverthrow';
+import {err, ok, Result} from 'neverthrow';
 import {z} from 'zod';
 import {failure} from '../../common/errors/failure.ts';
 import {
@@ -125,13 +125,16 @@
 }
 
 async function watch(gateway: OperatorGateway, context: ApiContext): Promise<Response> {
-	const after = readNumber(context, 'after', 0, Number.MAX_SAFE_INTEGER);
-	const wait = readNumber(context, 'milliseconds', usualWatchMilliseconds, longestWatchMilliseconds);
-	if (after.isErr() || wait.isErr()) {
-		return problemResponse(after.isErr() ? after.error : wait._unsafeUnwrapErr());
+	const query = Result.combine([
+		readNumber(context, 'after', 0, Number.MAX_SAFE_INTEGER),
+		readNumber(context, 'milliseconds', usualWatchMilliseconds, longestWatchMilliseconds),
+	]);
+	if (query.isErr()) {
+		return problemResponse(query.error);
 	}
 
-	const news = await gateway.watch(after.value, wait.value, context.req.raw.signal);
+	const [after, milliseconds] = query.value;
+	const news = await gateway.watch(after, milliseconds, context.req.raw.signal);
 	return news.match(value => context.json(value), cause => problemResponse(gatewayProblem(cause)));
 }
 
