Count service-level burn and merge it over VMs

Operators need to see how fast each service spends its error budget, and the VMs keep nothing on disk.

Each process counts good and bad calls in rings of buckets for 5 minutes, 1 hour, 6 hours and 30 days. Counts of different processes are added; a process is counted once, by its newest word, so copies kept by others stand in for the dead without counting the living twice, and they age. Verdicts need a short and a long window to agree (thresholds of the SRE workbook). The budget left counts the known part of the window only. Ruled out: cumulative counters (a copy could not age), one ring of fine buckets (259,200 buckets for 30 days at 10 s), and percentiles (an objective asks for shares).

`serve` hands the tokens on.

--- a/src/cli/commands/serve.ts
+++ b/src/cli/commands/serve.ts
@@ -1,13 +1,13 @@
 /** `jaydale serve`: runs the balancer of one VM. */
 import {failure} from '../../common/errors/failure.ts';
-import {type Settings} from '../../common/settings/settings.ts';
-import {loadSettings} from '../../node/settings/load-settings.ts';
+import {type OperatorToken, type Settings} from '../../common/settings/settings.ts';
+import {loadSettings, loadTokens} from '../../node/settings/load-settings.ts';
 import {type ExitCode} from '../exit-codes.ts';
 import {type CommandDefinition} from '../types.ts';
 import {tellWrongInput} from './tell-wrong-input.ts';
 
 /** Runs the daemon until its planned stop has ended. Loaded when needed: the other commands start faster without it. */
-export type RunDaemon = (settings: Settings) => Promise<ExitCode>;
+export type RunDaemon = (settings: Settings, tokens: readonly OperatorToken[]) => Promise<ExitCode>;
 
 /** The command, for a way to run the daemon. */
 export function serveCommand(runDaemon: RunDaemon): CommandDefinition {
@@ -22,10 +22,10 @@
 				return tellWrongInput(call.terminal, failure('wrong-parameter', 'no settings; allowed: --settings FILE', {field: '--settings'}));
 			}
 
-			const settings = loadSettings(file);
-			return settings.isErr()
-				? tellWrongInput(call.terminal, ...settings.error)
-				: runDaemon(settings.value);
+			const loaded = loadSettings(file).andThen(settings => loadTokens(settings.operators.tokensFile).map(tokens => ({settings, tokens})));
+			return loaded.isErr()
+				? tellWrongInput(call.terminal, ...loaded.error)
+				: runDaemon(loaded.value.settings, loaded.value.tokens);
 		},
 	};
 }
--- a/src/cli/run-daemon.ts
+++ b/src/cli/run-daemon.ts
@@ -11,16 +11,16 @@
 }
 
 /** Runs the daemon; its planned stop ends it. */
-export const runDaemon: RunDaemon = async settings => {
+export const runDaemon: RunDaemon = async (settings, tokens) => {
 	const module: unknown = await import(daemonUrl());
 	if (!hasServe(module)) {
 		return exitCodes.failed;
 	}
 
-	return asExitCode(await module.serve(settings));
+	return asExitCode(await module.serve(settings, tokens));
 };
 
-type DaemonModule = {serve(settings: Parameters<RunDaemon>[0]): Promise<unknown>};
+type DaemonModule = {serve(...parameters: Parameters<RunDaemon>): Promise<unknown>};
 
 function hasServe(module: unknown): module is DaemonModule {
 	return typeof module === 'object' && module !== null && 'serve' in module && typeof module.serve === 'function';
--- /dev/null
+++ b/src/common/burn/burn-report.ts
@@ -0,0 +1,145 @@
+/** Merges what processes counted into the report over all VMs. */
+import {type BackendServer, type Service} from '../model/resources.ts';
+import {burnWindows, type BurnWindow} from './burn-windows.ts';
+import {
+	type BurnReport, type BurnVerdict, type BurnWindowName, type ProcessCounts, type ServiceBuckets, type ServiceBurn, type WindowBurn, type WindowCounts,
+} from './types.ts';
+
+/**
+ * Burn rates from which an operator should act, by Google's SRE workbook (chapter 5): at 14.4 two
+ * percent of a 30-day budget go in one hour, at 6 five percent in six. Each needs a short window to
+ * agree, so that the verdict ends soon after its cause has.
+ */
+const fastBurnRate = 14.4;
+const slowBurnRate = 6;
+const longestWindow = burnWindows.at(-1)!;
+
+/** What a report is made from. */
+export type BurnInput = {
+	readonly services: readonly Service[];
+	readonly backendServers: readonly BackendServer[];
+	/** Counts told by the processes themselves. */
+	readonly told: readonly ProcessCounts[];
+	/** Copies of any process; of several copies, and beside the process's own word, only the newest counts. */
+	readonly copies: readonly ProcessCounts[];
+	/** Addresses of the VMs that told, and of those that should have. */
+	readonly vmsCounted: readonly string[];
+	readonly vmsMissing: readonly string[];
+};
+
+/** The report. Counts of different processes are added: each call was counted by exactly one. */
+export function makeBurnReport(input: BurnInput): BurnReport {
+	const newest = newestOfEach(input);
+	const told = new Set(input.told.map(counts => counts.identity));
+	return {
+		services: input.services.map(service => serviceBurn(service, input.backendServers, newest)),
+		vmsCounted: [...input.vmsCounted],
+		vmsMissing: [...input.vmsMissing],
+		copiesCounted: newest.filter(counts => !told.has(counts.identity)).length,
+	};
+}
+
+/**
+ * One account for each process. A process that told its counts itself and whose copy lies elsewhere
+ * would otherwise be counted twice, and look twice as busy.
+ */
+function newestOfEach(input: BurnInput): ProcessCounts[] {
+	const newest = new Map<string, ProcessCounts>();
+	for (const counts of [...input.copies, ...input.told]) {
+		const known = newest.get(counts.identity);
+		if (known === undefined || counts.ageMilliseconds <= known.ageMilliseconds) {
+			newest.set(counts.identity, counts);
+		}
+	}
+
+	return [...newest.values()];
+}
+
+function serviceBurn(service: Service, backendServers: readonly BackendServer[], processes: readonly ProcessCounts[]): ServiceBurn {
+	const windows = burnWindows.map(window => windowBurn(window, service, processes));
+	const servers = backendServers.filter(server => server.service === service.name).length;
+	return {
+		service: service.name,
+		objective: {...service.objective},
+		windows,
+		budgetLeft: budgetLeft(longestWindow, windows.at(-1)),
+		verdict: verdictOf(windows),
+		measuring: {
+			spent: sum(processes.flatMap(counts => accountsOf(counts, service.name).map(account => account.measuringSpent))),
+			allowed: service.measuring.callsPerWindow * servers,
+		},
+	};
+}
+
+function windowBurn(window: BurnWindow, service: Service, processes: readonly ProcessCounts[]): WindowBurn {
+	const parts = processes.flatMap(counts => accountsOf(counts, service.name).map(account => countsIn(window, account, counts.ageMilliseconds)));
+	const counts: WindowCounts = {
+		window: window.name,
+		good: sum(parts.map(part => part.good)),
+		bad: sum(parts.map(part => part.bad)),
+		coveredMilliseconds: Math.max(0, ...parts.map(part => part.coveredMilliseconds)),
+	};
+	return {...counts, burnRate: burnRate(counts, service.objective.successShare)};
+}
+
+function accountsOf(counts: ProcessCounts, service: string): ServiceBuckets[] {
+	return counts.services.filter(account => account.service === service);
+}
+
+/** The buckets that still lie in the window, now that they are older than when they were told. */
+function countsIn(window: BurnWindow, account: ServiceBuckets, ageMilliseconds: number): WindowCounts {
+	const buckets = account.windows.find(item => item.window === window.name)?.buckets ?? [];
+	const inside = buckets.filter(([age]) => (age * window.bucketMilliseconds) + ageMilliseconds <= window.milliseconds);
+	return {
+		window: window.name,
+		good: sum(inside.map(bucket => bucket[1])),
+		bad: sum(inside.map(bucket => bucket[2])),
+		coveredMilliseconds: Math.min(window.milliseconds, account.coveredMilliseconds + ageMilliseconds),
+	};
+}
+
+function burnRate({good, bad}: WindowCounts, successShare: number): number | null {
+	const calls = good + bad;
+	if (calls === 0) {
+		return null;
+	}
+
+	if (bad === 0) {
+		return 0;
+	}
+
+	const allowedShare = 1 - successShare;
+	return allowedShare <= 0 ? null : bad / calls / allowedShare;
+}
+
+/**
+ * A rate of 1 over the whole window spends its budget. Where less of the window is known, the rate is
+ * taken for the known part only: one bad call among the first hundred must not look like a month's.
+ */
+function budgetLeft(window: BurnWindow, burn: WindowBurn | undefined): number | null {
+	return burn === undefined || burn.burnRate === null ? null : 1 - (burn.burnRate * burn.coveredMilliseconds / window.milliseconds);
+}
+
+function verdictOf(windows: readonly WindowBurn[]): BurnVerdict {
+	if (windows.every(window => window.good + window.bad === 0)) {
+		return 'no-calls';
+	}
+
+	if (isBurning(windows, ['5m', '1h'], fastBurnRate)) {
+		return 'fast-burn';
+	}
+
+	return isBurning(windows, ['1h', '6h'], slowBurnRate) || isBurning(windows, ['30d'], 1) ? 'slow-burn' : 'within-objective';
+}
+
+/** A bad call where the objective allows none has no rate and burns in any case. */
+function isBurning(windows: readonly WindowBurn[], names: readonly BurnWindowName[], rate: number): boolean {
+	return names.every(name => {
+		const window = windows.find(item => item.window === name);
+		return window !== undefined && (window.burnRate === null ? window.bad > 0 : window.burnRate > rate);
+	});
+}
+
+function sum(values: readonly number[]): number {
+	return values.reduce((total, value) => total + value, 0);
+}
--- a/src/common/burn/types.ts
+++ b/src/common/burn/types.ts
@@ -7,7 +7,7 @@
 export const burnWindowNameSchema = z.enum(burnWindowNames);
 export type BurnWindowName = z.infer<typeof burnWindowNameSchema>;
 
-/** Good and bad calls of one service in one window. */
+/** Good and bad calls in one window. */
 export const windowCountsSchema = z.strictObject({
 	window: burnWindowNameSchema,
 	good: z.int().min(0),
@@ -17,48 +17,64 @@
 });
 export type WindowCounts = z.infer<typeof windowCountsSchema>;
 
-/** Measuring calls made against those allowed, in the present measuring window. */
-export const measuringSpendSchema = z.strictObject({
-	spent: z.number().min(0),
-	allowed: z.number().min(0),
-});
-export type MeasuringSpend = z.infer<typeof measuringSpendSchema>;
+/** One bucket on its way to another VM: its age in whole buckets, good and bad calls. */
+export const bucketSchema = z.tuple([z.int().min(0), z.int().min(0), z.int().min(0)]);
+export type Bucket = z.infer<typeof bucketSchema>;
+
+/** Most buckets of one window in a copy. */
+const mostBuckets = 512;
+/** Most services in a copy: all that the target size has. */
+const mostServices = 2000;
 
-/** What one VM's process counted for one service. */
-export const serviceCountsSchema = z.strictObject({
+/** What one process counted for one service, bucket by bucket, so that a copy can age. */
+export const serviceBucketsSchema = z.strictObject({
 	service: nameSchema,
-	windows: z.array(windowCountsSchema),
-	measuring: measuringSpendSchema,
+	/** How long the process has counted. */
+	coveredMilliseconds: z.number().min(0),
+	windows: z.array(z.strictObject({window: burnWindowNameSchema, buckets: z.array(bucketSchema).max(mostBuckets)})).max(burnWindowNames.length),
+	/** Measuring calls in the present measuring window; 0 once the process has ended. */
+	measuringSpent: z.number().min(0),
 });
-export type ServiceCounts = z.infer<typeof serviceCountsSchema>;
+export type ServiceBuckets = z.infer<typeof serviceBucketsSchema>;
 
-/** What one VM's process counted, told by itself or by a peer that kept a copy. */
-export const instanceCountsSchema = z.strictObject({
+/** What one process counted, told by itself or by a VM that keeps a copy. */
+export const processCountsSchema = z.strictObject({
 	/** Identity of the process that counted. */
-	instance: z.string().min(1).max(64),
+	identity: z.string().min(1).max(64),
 	vm: nameSchema,
-	/** Age of the counts at the moment of telling; 0 when told by the process itself. */
+	/** Milliseconds since the process itself told this, at the moment of sending. */
 	ageMilliseconds: z.number().min(0),
-	services: z.array(serviceCountsSchema),
+	services: z.array(serviceBucketsSchema).max(mostServices),
 });
-export type InstanceCounts = z.infer<typeof instanceCountsSchema>;
+export type ProcessCounts = z.infer<typeof processCountsSchema>;
+
+/** Measuring calls made by all VMs in the present window against those that the operator allows. */
+export const measuringSpendSchema = z.strictObject({
+	spent: z.number().min(0),
+	allowed: z.number().min(0),
+});
+export type MeasuringSpend = z.infer<typeof measuringSpendSchema>;
 
 /** How fast a service spends its error budget. */
 export const burnVerdictSchema = z.enum(['no-calls', 'within-objective', 'slow-burn', 'fast-burn']);
 export type BurnVerdict = z.infer<typeof burnVerdictSchema>;
 
+/** Counts of one window with the rate that follows from them. */
+export const windowBurnSchema = windowCountsSchema.extend({
+	/**
+	 * Share of bad calls divided by the share that the objective allows: 1 spends the budget exactly.
+	 * null = no calls, or a bad call where the objective allows none.
+	 */
+	burnRate: z.number().nullable(),
+});
+export type WindowBurn = z.infer<typeof windowBurnSchema>;
+
 /** One line of the report. */
 export const serviceBurnSchema = z.strictObject({
 	service: nameSchema,
 	objective: z.strictObject({successShare: z.number(), latencyMilliseconds: z.number()}),
-	windows: z.array(windowCountsSchema.extend({
-		/**
-		 * Share of bad calls divided by the share that the objective allows: 1 spends the budget exactly.
-		 * null = no calls, or a bad call where the objective allows none.
-		 */
-		burnRate: z.number().nullable(),
-	})),
-	/** Part of the error budget of the longest window that is left; below 0 = overspent; null as above. */
+	windows: z.array(windowBurnSchema),
+	/** Part of the error budget of the longest window that is left, as far as its counts are known; below 0 = overspent; null as above. */
 	budgetLeft: z.number().nullable(),
 	verdict: burnVerdictSchema,
 	measuring: measuringSpendSchema,
@@ -68,11 +84,11 @@
 /** The report over all VMs. */
 export const burnReportSchema = z.strictObject({
 	services: z.array(serviceBurnSchema),
-	/** VMs whose own counts are in the report. */
-	vmsCounted: z.array(nameSchema),
-	/** VMs known to serve that did not answer; the newest copy that a peer kept stands in where there is one. */
-	vmsMissing: z.array(nameSchema),
-	/** Processes that ended and are counted by a peer's copy. */
+	/** Processes that told their counts themselves, by address. */
+	vmsCounted: z.array(z.string()),
+	/** VMs that should serve and did not answer; the newest copy kept elsewhere stands in where there is one. */
+	vmsMissing: z.array(z.string()),
+	/** Processes that are counted by a copy. */
 	copiesCounted: z.int().min(0),
 });
 export type BurnReport = z.infer<typeof burnReportSchema>;
