Fuzz fleet engines against the oracle: configuration, shares, leaving

Cause: membership, configuration, shares and signs of leaving decide together; their faults show in orders that single tests do not bring about.

Ruled out: the engine's own fakes for this (they share its author's view).

Four fleet engines, a store that loses answers and writes, lags and stops, cuts, pauses with running and with stopped clocks, planned and unplanned replacements, two operators at once.

--- a/src/proof/fuzz/call-commands.ts
+++ b/src/proof/fuzz/call-commands.ts
@@ -1,40 +1,9 @@
 /** Commands of the fuzzed callers, operators and faults over a `CallWorld`. */
-import fc from 'fast-check';
 import {type CallWorld} from './call-world.ts';
-import {type FuzzedCall} from './types.ts';
+import {type FaultName} from './fault-coverage.ts';
 import {type Treatment} from './fake-backend-server.ts';
-import {type FaultCoverage, type FaultName} from './fault-coverage.ts';
-
-/** The world checks itself at the end; no model is needed between commands. */
-export type NoModel = Record<string, never>;
-
-/** One command with its numbers, printed as it can be read. */
-export class WorldCommand<World> implements fc.Command<NoModel, World> {
-	private readonly _label: string;
-	private readonly _numbers: readonly number[];
-	private readonly _coverage: FaultCoverage;
-	private readonly _apply: (world: World, numbers: readonly number[]) => void;
-
-	constructor(label: string, numbers: readonly number[], coverage: FaultCoverage, apply: (world: World, numbers: readonly number[]) => void) {
-		this._label = label;
-		this._numbers = numbers;
-		this._coverage = coverage;
-		this._apply = apply;
-	}
-
-	check(): boolean {
-		return true;
-	}
-
-	run(_model: NoModel, world: World): void {
-		this._coverage.countCommand();
-		this._apply(world, this._numbers);
-	}
-
-	toString(): string {
-		return `${this._label}(${this._numbers.join(', ')})`;
-	}
-}
+import {type FuzzedCall} from './types.ts';
+import {type Apply, type CommandKind, pick} from './world-command.ts';
 
 /** Faults that a `CallWorld` can bring about. */
 export const callFaults: readonly FaultName[] = [
@@ -58,9 +27,7 @@
 	'store answer lost',
 ];
 
-type Apply = (world: CallWorld, numbers: readonly number[]) => void;
-
-const pick = <T>(items: readonly T[], position: number): T | undefined => items[position % Math.max(1, items.length)];
+type CallApply = Apply<CallWorld>;
 
 type CallKind = Pick<FuzzedCall, 'service' | 'method' | 'timeoutMilliseconds' | 'workMilliseconds' | 'bodyMilliseconds'>;
 
@@ -89,7 +56,7 @@
 	};
 }
 
-const sendCalls: Apply = (world, [vm = 0, kind = 0, count = 0]) => {
+const sendCalls: CallApply = (world, [vm = 0, kind = 0, count = 0]) => {
 	for (let sent = 0; sent <= count; sent++) {
 		const target = pick(world.vms, vm + sent);
 		if (target !== undefined) {
@@ -98,17 +65,17 @@
 	}
 };
 
-const sendWithKey: Apply = (world, [vm = 0, key = 0]) => {
+const sendWithKey: CallApply = (world, [vm = 0, key = 0]) => {
 	const target = pick(world.vms, vm);
 	if (target !== undefined) {
 		world.send(target, newCall(world, kinds[0]!, {key: `key-${key}`, fingerprint: `key-${key}`}));
 	}
 };
 
-const sendKiller: Apply = (world, [vm = 0, killer = 0]) => {
+const sendKiller: CallApply = (world, [vm = 0, killer = 0]) => {
 	const target = pick(world.vms, vm);
 	if (target !== undefined) {
-		world.fault('killer call', true);
+		world.faults.begin('killer call', true);
 		world.send(target, newCall(world, kinds[1]!, {isKiller: true, fingerprint: `killer-${killer % 2}`}));
 	}
 };
@@ -122,40 +89,40 @@
 	['misleads', 'misleading health'],
 ];
 
-const treat: Apply = (world, [server = 0, treatment = 0]) => {
+const treat: CallApply = (world, [server = 0, treatment = 0]) => {
 	const [name, fault] = pick(treatments, treatment)!;
 	pick(world.servers, server)!.treatment = name;
 	if (fault !== undefined) {
-		world.fault(fault);
+		world.faults.begin(fault);
 	}
 };
 
-const killServer: Apply = (world, [server = 0]) => {
-	world.fault('backend server killed', true);
+const killServer: CallApply = (world, [server = 0]) => {
+	world.faults.begin('backend server killed', true);
 	pick(world.servers, server)!.kill();
 };
 
-const restartServer: Apply = (world, [server = 0]) => {
+const restartServer: CallApply = (world, [server = 0]) => {
 	const target = pick(world.servers, server)!;
 	if (!target.isUp) {
-		world.fault('backend server returns', true);
+		world.faults.begin('backend server returns', true);
 		world.restart(target);
 	}
 };
 
-const freezeServer: Apply = (world, [server = 0]) => {
+const freezeServer: CallApply = (world, [server = 0]) => {
 	const target = pick(world.servers, server)!;
 	if (target.isFrozen) {
 		target.thaw();
 	} else if (target.isUp) {
-		world.fault('backend server frozen');
+		world.faults.begin('backend server frozen');
 		target.freeze();
 	}
 };
 
-const leaveServer: Apply = (world, [server = 0, way = 0, vm = 0]) => {
+const leaveServer: CallApply = (world, [server = 0, way = 0, vm = 0]) => {
 	const target = pick(world.servers, server)!;
-	world.fault('backend server leaves');
+	world.faults.begin('backend server leaves');
 	if (way % 2 === 0) {
 		world.redeclare(pick(world.vms, vm)!, world.servers.indexOf(target), {isLeaving: true}, false);
 	} else if (target.isUp) {
@@ -163,25 +130,25 @@
 	}
 };
 
-const returnServer: Apply = (world, [server = 0, way = 0, vm = 0]) => {
+const returnServer: CallApply = (world, [server = 0, way = 0, vm = 0]) => {
 	const target = pick(world.servers, server)!;
-	world.fault('backend server returns', true);
+	world.faults.begin('backend server returns', true);
 	world.redeclare(pick(world.vms, vm)!, world.servers.indexOf(target), {isLeaving: false}, way % 2 === 0);
 };
 
-const killVm: Apply = (world, [vm = 0]) => {
+const killVm: CallApply = (world, [vm = 0]) => {
 	const target = pick(world.vms, vm);
 	if (target !== undefined) {
-		world.fault('VM killed', true);
+		world.faults.begin('VM killed', true);
 		world.mark(target.name, 'killed', true);
 		world.history.push({type: 'vm-ended', at: world.timeline.now, vm: target.name});
 		target.kill();
-		world.fault('VM replaced', true);
+		world.faults.begin('VM replaced', true);
 		world.addVm();
 	}
 };
 
-const pauseVm: Apply = (world, [vm = 0, order = 0]) => {
+const pauseVm: CallApply = (world, [vm = 0, order = 0]) => {
 	const target = pick(world.vms, vm);
 	if (target === undefined) {
 		return;
@@ -191,51 +158,51 @@
 	if (target.isPaused) {
 		target.resume(order % 2 === 0);
 	} else {
-		world.fault('VM paused');
+		world.faults.begin('VM paused');
 		target.pause();
 	}
 };
 
-const cut: Apply = (world, [one = 0, other = 0, ways = 0]) => {
+const cut: CallApply = (world, [one = 0, other = 0, ways = 0]) => {
 	const [from, to] = [world.party(one), world.party(other)];
 	world.network.cut(from, to);
 	if (ways % 2 === 0) {
 		world.network.cut(to, from);
 	}
 
-	world.fault(ways % 2 === 0 ? 'cut' : 'one-way cut');
+	world.faults.begin(ways % 2 === 0 ? 'cut' : 'one-way cut');
 };
 
-const healCuts: Apply = world => {
+const healCuts: CallApply = world => {
 	world.network.heal();
-	world.faultEnds('cut');
-	world.faultEnds('one-way cut');
+	world.faults.end('cut');
+	world.faults.end('one-way cut');
 };
 
-const silence: Apply = (world, [vm = 0]) => {
-	world.fault('silent connections', true);
+const silence: CallApply = (world, [vm = 0]) => {
+	world.faults.begin('silent connections', true);
 	pick(world.vms, vm)?.attempts.silenceConnections();
 };
 
-const troubleStore: Apply = (world, [kind = 0]) => {
+const troubleStore: CallApply = (world, [kind = 0]) => {
 	const {fleet} = world;
 	const faults: readonly FaultName[] = ['store down', 'store slow', 'store answer lost'];
 	if (kind % 4 === 3) {
 		fleet.isStoreUp = true;
 		fleet.isStoreSlow = false;
-		world.faultEnds('store down');
-		world.faultEnds('store slow');
+		world.faults.end('store down');
+		world.faults.end('store slow');
 		return;
 	}
 
-	world.fault(faults[kind % 4]!, kind % 4 === 2);
+	world.faults.begin(faults[kind % 4]!, kind % 4 === 2);
 	fleet.isStoreUp &&= kind % 4 !== 0;
 	fleet.isStoreSlow ||= kind % 4 === 1;
 	fleet.answersToLose += kind % 4 === 2 ? 1 : 0;
 };
 
 /** How often each command is drawn. */
-const table: ReadonlyArray<{readonly label: string; readonly weight: number; readonly most: readonly number[]; readonly apply: Apply}> = [
+export const callTable: ReadonlyArray<CommandKind<CallWorld>> = [
 	{
 		label: 'send', weight: 10, most: [9, 9, 12], apply: sendCalls,
 	},
@@ -295,12 +262,3 @@
 		label: 'troubleStore', weight: 3, most: [3], apply: troubleStore,
 	},
 ];
-
-/** Lists of commands, at most `most` long. */
-export function callCommands(coverage: FaultCoverage, most: number): fc.Arbitrary<Iterable<fc.Command<NoModel, CallWorld>>> {
-	const one = fc.oneof(...table.map(({label, weight, most: limits, apply}) => ({
-		weight,
-		arbitrary: fc.tuple(...limits.map(limit => fc.nat(limit))).map((numbers: readonly number[]) => new WorldCommand(label, numbers, coverage, apply)),
-	})));
-	return fc.commands([one], {maxCommands: most, size: 'max'});
-}
--- a/src/proof/fuzz/call-world.ts
+++ b/src/proof/fuzz/call-world.ts
@@ -10,7 +10,8 @@
 import {CallVm} from './call-vm.ts';
 import {type CallSurroundings, type FuzzedCall, type VmHost} from './types.ts';
 import {FakeBackendServer} from './fake-backend-server.ts';
-import {type FaultCoverage, type FaultName} from './fault-coverage.ts';
+import {type FaultCoverage} from './fault-coverage.ts';
+import {FaultLog} from './fault-log.ts';
 import {FakeFleet, storeName} from './fake-fleet.ts';
 import {Network} from './network.ts';
 import {Timeline} from './timeline.ts';
@@ -21,8 +22,6 @@
 const vmCount = 3;
 const serversOfService = 4;
 const firstPort = 9000;
-/** A crash or a lost answer has its effects for about so long. */
-const momentMilliseconds = 3000;
 const settleMilliseconds = 60_000;
 const leavingStopMilliseconds = 8000;
 const serviceNames = ['orders', 'reads'] as const;
@@ -34,7 +33,7 @@
 	readonly servers: FakeBackendServer[] = [];
 	readonly calls: FuzzedCall[] = [];
 	readonly fleet: FakeFleet;
-	private readonly _lasting = new Set<FaultName>();
+	readonly faults: FaultLog;
 	private readonly _random: RandomSource;
 	private readonly _leavingIdentities = new Set<string>();
 	private readonly _surroundings: CallSurroundings;
@@ -42,7 +41,8 @@
 	private _vmNumber = 0;
 	private _identityNumber = 0;
 
-	constructor(seed: number, private readonly _makeEngine: CallEngineFactory, private readonly _coverage: FaultCoverage) {
+	constructor(seed: number, private readonly _makeEngine: CallEngineFactory, coverage: FaultCoverage) {
+		this.faults = new FaultLog(coverage, this.timeline);
 		this._random = seededRandom(seed);
 		const record = (event: HistoryEvent): void => {
 			this.history.push(event);
@@ -73,7 +73,7 @@
 			this.addVm();
 		}
 
-		_coverage.countHistory();
+		coverage.countHistory();
 	}
 
 	get vms(): readonly CallVm[] {
@@ -88,21 +88,6 @@
 		this.fleet.add(vm);
 	}
 
-	/** A fault begins and lasts until it is healed, a momentary one for a while. */
-	fault(name: FaultName, isMomentary = false): void {
-		this._coverage.meet(name, this._lasting);
-		this._lasting.add(name);
-		if (isMomentary) {
-			this.timeline.after(momentMilliseconds, () => {
-				this._lasting.delete(name);
-			});
-		}
-	}
-
-	faultEnds(name: FaultName): void {
-		this._lasting.delete(name);
-	}
-
 	mark(party: string, fault: string, isBegin: boolean): void {
 		this.history.push({
 			type: isBegin ? 'fault-began' : 'fault-ended', at: this.timeline.now, party, fault,
@@ -201,7 +186,7 @@
 			}
 		}
 
-		this._lasting.clear();
+		this.faults.clear();
 	}
 
 	/** A party of the network by number: VMs first, then the store, then backend servers. */
--- /dev/null
+++ b/src/proof/fuzz/fleet-commands.ts
@@ -0,0 +1,224 @@
+/** Commands of operators and faults over a `FleetWorld`. */
+import {type FaultName} from './fault-coverage.ts';
+import {type FleetVm} from './fleet-vm.ts';
+import {type FleetWorld} from './fleet-world.ts';
+import {type Apply, type CommandKind, pick} from './world-command.ts';
+
+/** Faults that a `FleetWorld` can bring about. */
+export const fleetFaults: readonly FaultName[] = [
+	'VM killed',
+	'VM paused',
+	'VM suspended',
+	'VM replaced',
+	'VM stops as planned',
+	'cut',
+	'one-way cut',
+	'store down',
+	'store slow',
+	'store answer lost',
+	'store write lost',
+	'store stale',
+	'lagging list',
+	'two operators',
+	'backend server leaves',
+];
+
+type FleetApply = Apply<FleetWorld>;
+
+const names = ['reads-0', 'reads-1', 'reads-2'];
+
+const declare: FleetApply = (world, [vm = 0, name = 0, kind = 0]) => {
+	const through = pick(world.vms, vm);
+	const server = pick(names, name)!;
+	if (through === undefined) {
+		return;
+	}
+
+	if (kind === 0) {
+		world.remove(through, `backend-server/${server}`);
+	} else if (kind < 3) {
+		world.faults.begin('backend server leaves', true);
+		world.submit(through, [world.backendServer(server, true)]);
+	} else {
+		world.submit(through, [world.service('reads'), world.backendServer(server, false)]);
+	}
+};
+
+/** Two operators change the same resource at once, both on top of the version that they see. */
+const declareTwice: FleetApply = (world, [one = 0, other = 0, apart = 0]) => {
+	const [first, second] = [pick(world.vms, one), pick(world.vms, other)];
+	if (first === undefined || second === undefined) {
+		return;
+	}
+
+	world.faults.begin('two operators', true);
+	world.submit(first, [world.service('reads')], seenVersion(first));
+	world.advance(apart);
+	world.submit(second, [world.service('reads')], seenVersion(second));
+};
+
+const seenVersion = (vm: FleetVm): number => vm.engine.resource('service/reads')?.metadata.version ?? 0;
+
+const sendAgain: FleetApply = (world, [vm = 0, which = 0]) => {
+	const change = pick(world.unknown, which);
+	const through = pick(world.vms, vm);
+	if (change !== undefined && through !== undefined) {
+		world.resubmit(through, change);
+	}
+};
+
+const seeLeaving: FleetApply = (world, [vm = 0, server = 0]) => {
+	const seer = pick(world.vms, vm);
+	const identity = pick([...seer?.configuration?.backendServers.keys() ?? []], server);
+	if (seer !== undefined && identity !== undefined) {
+		world.faults.begin('backend server leaves', true);
+		world.seeLeaving(seer, identity);
+	}
+};
+
+const kill: FleetApply = (world, [vm = 0, isReplaced = 0]) => {
+	const target = pick(world.vms, vm);
+	if (target === undefined || (world.vms.length < 3 && isReplaced === 0)) {
+		return;
+	}
+
+	world.faults.begin('VM killed', true);
+	target.kill();
+	if (isReplaced === 1) {
+		world.faults.begin('VM replaced', true);
+		world.addVm();
+	}
+};
+
+const replaceAsPlanned: FleetApply = (world, [vm = 0]) => {
+	const target = pick(world.vms, vm);
+	world.faults.begin('VM stops as planned', true);
+	world.faults.begin('VM replaced', true);
+	world.addVm();
+	target?.feed({type: 'stop-requested', by: 'signal'});
+};
+
+const pauseOrResume: FleetApply = (world, [vm = 0, kind = 0]) => {
+	const target = pick(world.vms, vm);
+	if (target === undefined) {
+		return;
+	}
+
+	world.mark(target.name, 'paused', !target.isPaused);
+	if (target.isPaused) {
+		target.resume(kind === 1);
+	} else {
+		world.faults.begin(kind === 1 ? 'VM suspended' : 'VM paused');
+		target.pause();
+	}
+};
+
+const cut: FleetApply = (world, [one = 0, other = 0, ways = 0]) => {
+	const [from, to] = [world.party(one), world.party(other)];
+	world.faults.begin(ways === 0 ? 'cut' : 'one-way cut');
+	world.network.cut(from, to);
+	if (ways === 0) {
+		world.network.cut(to, from);
+	}
+};
+
+const healCuts: FleetApply = world => {
+	world.network.heal();
+	world.faults.end('cut');
+	world.faults.end('one-way cut');
+};
+
+const troubleStore: FleetApply = (world, [kind = 0]) => {
+	const {store, faults} = world;
+	const troubles: ReadonlyArray<() => void> = [
+		() => {
+			faults.begin('store down');
+			store.isUp = false;
+		},
+		() => {
+			faults.begin('store slow');
+			store.isSlow = true;
+		},
+		() => {
+			faults.begin('store answer lost', true);
+			store.answersToLose += 2;
+		},
+		() => {
+			faults.begin('store write lost', true);
+			store.writesToLose += 2;
+		},
+		() => {
+			faults.begin('store stale');
+			store.stopReplica();
+		},
+	];
+	troubles[kind]?.();
+};
+
+const healStore: FleetApply = world => {
+	const {store, faults} = world;
+	store.isUp = true;
+	store.isSlow = false;
+	store.resumeReplica();
+	for (const fault of ['store down', 'store slow', 'store stale'] as const) {
+		faults.end(fault);
+	}
+};
+
+const lagList: FleetApply = (world, [isLagging = 0]) => {
+	world.isListLagging = isLagging === 1;
+	if (world.isListLagging) {
+		world.faults.begin('lagging list');
+	} else {
+		world.faults.end('lagging list');
+	}
+};
+
+export const fleetTable: ReadonlyArray<CommandKind<FleetWorld>> = [
+	{
+		label: 'declare', weight: 6, most: [9, 2, 4], apply: declare,
+	},
+	{
+		label: 'declareTwice', weight: 3, most: [9, 9, 5], apply: declareTwice,
+	},
+	{
+		label: 'sendAgain', weight: 2, most: [9, 9], apply: sendAgain,
+	},
+	{
+		label: 'seeLeaving', weight: 2, most: [9, 2], apply: seeLeaving,
+	},
+	{
+		label: 'wait', weight: 8, most: [1000], apply(world, [milliseconds = 0]) {
+			world.advance(milliseconds);
+		},
+	},
+	{
+		label: 'waitLong', weight: 4, most: [15], apply(world, [seconds = 0]) {
+			world.advance(1000 * seconds);
+		},
+	},
+	{
+		label: 'kill', weight: 2, most: [9, 1], apply: kill,
+	},
+	{
+		label: 'replaceAsPlanned', weight: 1, most: [9], apply: replaceAsPlanned,
+	},
+	{
+		label: 'pauseOrResume', weight: 4, most: [9, 1], apply: pauseOrResume,
+	},
+	{
+		label: 'cut', weight: 3, most: [9, 9, 1], apply: cut,
+	},
+	{
+		label: 'healCuts', weight: 2, most: [], apply: healCuts,
+	},
+	{
+		label: 'troubleStore', weight: 4, most: [4], apply: troubleStore,
+	},
+	{
+		label: 'healStore', weight: 3, most: [], apply: healStore,
+	},
+	{
+		label: 'lagList', weight: 1, most: [1], apply: lagList,
+	},
+];
--- a/src/proof/fuzz/main.ts
+++ b/src/proof/fuzz/main.ts
@@ -8,15 +8,20 @@
 import {callFaults} from './call-commands.ts';
 import {callProperty} from './call-fuzz.ts';
 import {FaultCoverage} from './fault-coverage.ts';
+import {fleetFaults} from './fleet-commands.ts';
+import {fleetProperty} from './fleet-fuzz.ts';
 
 const historiesOfRound = 100;
 const longestHistory = 150;
 
 type Options = {readonly seconds: number; readonly seed: number; readonly only?: string};
 
-const parts = {calls: {property: callProperty, faults: callFaults}};
+const parts = {
+	calls: {property: callProperty, faults: callFaults},
+	fleet: {property: fleetProperty, faults: fleetFaults},
+};
 type PartName = keyof typeof parts;
-const partNames: readonly PartName[] = ['calls'];
+const partNames: readonly PartName[] = ['calls', 'fleet'];
 
 function runOne(name: PartName, options: Options): boolean {
 	const {property, faults} = parts[name];
--- a/src/proof/oracle/fleet-promises.ts
+++ b/src/proof/oracle/fleet-promises.ts
@@ -4,6 +4,7 @@
 
 type ActsOn = Extract<HistoryEvent, {type: 'vm-acts-on'}>;
 type LeavingSign = Extract<HistoryEvent, {type: 'leaving-began' | 'leaving-ended'}>;
+type Seen = Extract<HistoryEvent, {type: 'version-seen'}>;
 type Accepted = Extract<HistoryEvent, {type: 'change-accepted'}>;
 
 /** In any window, a backend server gets no more measuring calls from all VMs than the largest budget agreed in it. */
@@ -65,10 +66,13 @@
 /** What was accepted is in force everywhere within seconds, whole, and never reverts; who was refused did not win. */
 export function checkConfiguration(index: HistoryIndex, limits: OracleLimits): Violation[] {
 	const acted = index.ofType('vm-acts-on');
+	const seen = index.ofType('version-seen');
 	const accepted = index.ofType('change-accepted');
 	return [
-		...checkVersionsAgree(acted, accepted),
-		...checkRefusals(index, acted),
+		...checkOneChangeOfVersion([...accepted, ...seen]),
+		...checkOneContentOfVersion(acted),
+		...checkOneWinner(accepted),
+		...checkRefusals(index, seen),
 		...checkNeverReverts(acted),
 		...accepted.flatMap(change => checkInForce(index, change, acted, limits)),
 	].map(({at, message}) => ({promise: 'configuration', at, message}));
@@ -76,34 +80,44 @@
 
 type Finding = {readonly at: number; readonly message: string};
 
-/** One version is one change and one content, for operators and on all VMs. */
-function checkVersionsAgree(acted: readonly ActsOn[], accepted: readonly Accepted[]): Finding[] {
+/** One version is one change, for operators and on all VMs. */
+function checkOneChangeOfVersion(events: ReadonlyArray<Accepted | Seen>): Finding[] {
 	const changeOf = new Map<number, string>();
+	return events.flatMap(({at, version, change}) => {
+		const known = changeOf.get(version) ?? change;
+		changeOf.set(version, known);
+		return known === change ? [] : [{at, message: `version ${version} is both ${known} and ${change}`}];
+	});
+}
+
+/** One version is one content on all VMs: half a change is never in force. */
+function checkOneContentOfVersion(acted: readonly ActsOn[]): Finding[] {
 	const contentOf = new Map<number, string>();
-	const findings: Finding[] = [];
-	for (const event of [...accepted, ...acted]) {
-		const change = changeOf.get(event.version) ?? event.change;
-		changeOf.set(event.version, change);
-		if (change !== event.change) {
-			findings.push({at: event.at, message: `version ${event.version} is both ${change} and ${event.change}`});
-		}
+	return acted.flatMap(({at, vm, version, content}) => {
+		const known = contentOf.get(version) ?? content;
+		contentOf.set(version, known);
+		return known === content ? [] : [{at, message: `${vm} acts on another content of version ${version}`}];
+	});
+}
 
-		if (event.type === 'vm-acts-on') {
-			const content = contentOf.get(event.version) ?? event.content;
-			contentOf.set(event.version, content);
-			if (content !== event.content) {
-				findings.push({at: event.at, message: `${event.vm} acts on another content of version ${event.version}`});
-			}
+/** Of the changes made on top of the same version of a resource one wins. */
+function checkOneWinner(accepted: readonly Accepted[]): Finding[] {
+	const winnerOf = new Map<string, string>();
+	return accepted.flatMap(({at, change, replaces}) => {
+		if (replaces === undefined) {
+			return [];
 		}
-	}
 
-	return findings;
+		const winner = winnerOf.get(replaces) ?? change;
+		winnerOf.set(replaces, winner);
+		return winner === change ? [] : [{at, message: `${winner} and ${change} both replaced ${replaces}`}];
+	});
 }
 
-function checkRefusals(index: HistoryIndex, acted: readonly ActsOn[]): Finding[] {
+function checkRefusals(index: HistoryIndex, seen: readonly Seen[]): Finding[] {
 	return index.ofType('change-refused').flatMap(refused => {
-		const found = acted.find(({change}) => change === refused.change);
-		return found === undefined ? [] : [{at: refused.at, message: `${refused.change} was refused, and ${found.vm} acts on it`}];
+		const found = seen.find(({change}) => change === refused.change);
+		return found === undefined ? [] : [{at: refused.at, message: `${refused.change} was refused, and ${found.vm} has it in force`}];
 	});
 }
 
--- a/src/proof/oracle/oracle.test.ts
+++ b/src/proof/oracle/oracle.test.ts
@@ -14,10 +14,10 @@
 	{type: 'vm-serves', at: 0, vm: 'v1'},
 	{type: 'vm-serves', at: 0, vm: 'v2'},
 	{
-		type: 'vm-acts-on', at: 1, vm: 'v1', version: 1, change: 'first', content: 'a',
+		type: 'vm-acts-on', at: 1, vm: 'v1', version: 1, content: 'a',
 	},
 	{
-		type: 'vm-acts-on', at: 1, vm: 'v2', version: 1, change: 'first', content: 'a',
+		type: 'vm-acts-on', at: 1, vm: 'v2', version: 1, content: 'a',
 	},
 	{type: 'measured', at: 10, backendServer: 's1'},
 	{type: 'measured', at: 900, backendServer: 's1'},
@@ -46,13 +46,16 @@
 		type: 'change-accepted', at: 100, change: 'second', version: 2,
 	},
 	{
-		type: 'vm-acts-on', at: 200, vm: 'v1', version: 2, change: 'second', content: 'b',
+		type: 'vm-acts-on', at: 200, vm: 'v1', version: 2, content: 'b',
 	},
 	{
-		type: 'vm-acts-on', at: 3000, vm: 'v2', version: 2, change: 'second', content: 'b',
+		type: 'version-seen', at: 200, vm: 'v1', version: 2, change: 'second',
 	},
 	{
-		type: 'vm-acts-on', at: 20_000, vm: 'v1', version: 3, change: 'third', content: 'c',
+		type: 'vm-acts-on', at: 3000, vm: 'v2', version: 2, content: 'b',
+	},
+	{
+		type: 'vm-acts-on', at: 20_000, vm: 'v1', version: 3, content: 'c',
 	},
 ];
 
@@ -87,15 +90,22 @@
 	'a paused VM sends work to a backend server that left': [...sound, run(5026, 'old read', 's1')],
 	'a planned stop cuts an answer off': [...unanswered, {type: 'answer-broken', at: 32, call: 'order'}],
 	'an old copy replaces the new configuration': [...sound, {
-		type: 'vm-acts-on', at: 21_000, vm: 'v1', version: 2, change: 'second', content: 'b',
+		type: 'vm-acts-on', at: 21_000, vm: 'v1', version: 2, content: 'b',
 	}],
 	'a VM never hears of an accepted change': without('vm-acts-on', {vm: 'v2', version: 2}),
 	'two operators both believe they won': [...sound, {
 		type: 'change-accepted', at: 101, change: 'rival', version: 2,
 	}],
+	'two operators both replace the same version': [...sound, {
+		type: 'change-accepted', at: 101, change: 'fourth', version: 4, replaces: 'reads of version 1',
+	}, {
+		type: 'change-accepted', at: 102, change: 'fifth', version: 5, replaces: 'reads of version 1',
+	}, ...['v1', 'v2'].map((vm): HistoryEvent => ({
+		type: 'vm-acts-on', at: 25_000, vm, version: 5, content: 'd',
+	}))],
 	'an operator is told refused, and the change is in force': [...sound, {type: 'change-refused', at: 150, change: 'second'}],
 	'half of a change is in force': [...sound, {
-		type: 'vm-acts-on', at: 4000, vm: 'v2', version: 2, change: 'second', content: 'half of b',
+		type: 'vm-acts-on', at: 4000, vm: 'v2', version: 2, content: 'half of b',
 	}],
 };
 
--- a/src/proof/oracle/types.ts
+++ b/src/proof/oracle/types.ts
@@ -64,8 +64,15 @@
 
 /** What operators were told. A change is one request of an operator, known by its identity. */
 export type OperatorEvent
-	= | {readonly type: 'change-accepted'; readonly at: ObserverTime; readonly change: string; readonly version: number}
-		| {readonly type: 'change-refused'; readonly at: ObserverTime; readonly change: string};
+	= | {
+		readonly type: 'change-accepted';
+		readonly at: ObserverTime;
+		readonly change: string;
+		readonly version: number;
+		/** What it was made on top of, where its operator said so: only one change can replace that. */
+		readonly replaces?: string;
+	}
+	| {readonly type: 'change-refused'; readonly at: ObserverTime; readonly change: string};
 
 /** What a VM acts on. `content` is everything in force, in one canonical text. */
 export type VmEvent
@@ -74,9 +81,10 @@
 		readonly at: ObserverTime;
 		readonly vm: string;
 		readonly version: number;
-		readonly change: string;
 		readonly content: string;
 	}
+	/** A VM shows in its history that a version was made by this change. */
+	| {readonly type: 'version-seen'; readonly at: ObserverTime; readonly vm: string; readonly version: number; readonly change: string}
 	| {readonly type: 'vm-serves'; readonly at: ObserverTime; readonly vm: string}
 	| {readonly type: 'vm-ended'; readonly at: ObserverTime; readonly vm: string};
 
