Measure what a call costs, direct and through jaydale in turns

Cause: the added tail of a call and the rate of one thread are promises of the project, and nothing measured them.

Change: benchmark/path with a load process, a data path without control, and the daemon as targets. Bodies are checked without a copy.

--- /dev/null
+++ b/benchmark/path/front-only.ts
@@ -0,0 +1,78 @@
+/**
+ * The data path alone as a process: callers' door, call engine, attempts; one service `bench`, a fixed
+ * configuration, no control. What it costs less than the daemon is what control costs a call.
+ */
+import process from 'node:process';
+import sade from 'sade';
+import {DefaultCallEngine} from '../../src/common/calls/call-engine.ts';
+import {describeFailure} from '../../src/common/errors/failure.ts';
+import {type BackendServer, serviceSchema, backendServerSchema} from '../../src/common/model/resources.ts';
+import {seededRandom} from '../../src/common/random/random.ts';
+import {loadHashes} from '../../src/daemon/identity.ts';
+import {ProcessClock} from '../../src/node/clock.ts';
+import {BackendConnections} from '../../src/node/front/backend-connections.ts';
+import {CallLoop} from '../../src/node/front/call-loop.ts';
+import {CallerServer} from '../../src/node/front/caller-server.ts';
+import {LoadMeasurer} from '../../src/node/front/load-measurer.ts';
+
+type Options = {readonly 'backend-servers': string};
+
+const distant = 1e12;
+
+function declaredServers(ports: readonly number[]): Map<string, BackendServer> {
+	return new Map(ports.map(port => [`identity-${port}`, backendServerSchema.parse({
+		kind: 'backend-server', name: `bench-${port}`, service: 'bench', address: '127.0.0.1', port, dataCentre: 'bench-1',
+	})]));
+}
+
+async function main(options: Options): Promise<void> {
+	const clock = new ProcessClock();
+	const hashes = await loadHashes();
+	const connections = new BackendConnections({connectMilliseconds: 1000, idleMilliseconds: 30_000});
+	const engine = new DefaultCallEngine({random: seededRandom(1), settings: {dataCentre: 'bench-1'}});
+	const loop = new CallLoop(engine, clock, new LoadMeasurer(connections), {
+		claim(effect, sink) {
+			sink.feed({type: 'key-claimed', callId: effect.callId, claim: {type: 'unavailable'}});
+		},
+	});
+	loop.feed({
+		type: 'configured',
+		configuration: {
+			version: 1,
+			services: new Map([['bench', serviceSchema.parse({kind: 'service', name: 'bench', timeoutMilliseconds: 600_000})]]),
+			backendServers: declaredServers(options['backend-servers'].split(',').map(Number)),
+			sharingRules: [],
+		},
+	});
+	loop.feed({
+		type: 'shares',
+		shares: {
+			measuringPart: 1, measuringFrom: 0, measuringUntil: distant, connectionPart: 1, vmCount: 1,
+		},
+	});
+	const server = new CallerServer({
+		loop, connections, addresses: () => undefined, fingerprint: hashes.fingerprint,
+	}, {
+		headBytes: 16_384, headMilliseconds: 10_000, idleMilliseconds: 60_000, keptBodyBytes: 65_536, bodyBytes: 1_073_741_824, connections: 10_000,
+	});
+	const listening = await server.listen(0, '127.0.0.1');
+	listening.match(
+		port => {
+			console.log(JSON.stringify({listening: port}));
+		},
+		cause => {
+			console.error(describeFailure(cause));
+			process.exitCode = 1;
+		},
+	);
+	process.once('SIGTERM', () => {
+		loop.dispose();
+		connections.dispose();
+		server.dispose();
+	});
+}
+
+sade('front-only', true)
+	.option('--backend-servers', 'Ports of backend servers: PORT,PORT', '')
+	.action(main)
+	.parse(process.argv);
--- /dev/null
+++ b/benchmark/path/path-benchmark.ts
@@ -0,0 +1,163 @@
+/** The course of the benchmark: direct and through jaydale in turns, then memory. */
+import {setTimeout as delay} from 'node:timers/promises';
+import {loadClient} from './load-client.ts';
+import {type MeasuredTarget} from './measured-target.ts';
+import {processorMilliseconds, residentBytes, waitingMilliseconds} from './process-figures.ts';
+import {
+	type GarbageCollection, type LoadOrder, type LoadResult, type PairedResult, type PathResults,
+} from './types.ts';
+
+/** The kinds of calls. */
+export type CallShape = Pick<LoadOrder, 'answerBytes' | 'bodyBytes' | 'concurrency'>;
+
+const servicePrefix = '/services/bench';
+export const smallRead: CallShape = {answerBytes: 256, bodyBytes: 0, concurrency: 32};
+export const smallOrder: CallShape = {answerBytes: 256, bodyBytes: 512, concurrency: 32};
+export const download: CallShape = {answerBytes: 100_000_000, bodyBytes: 0, concurrency: 2};
+const heldConnections = 500;
+const pausedDownloads = 20;
+const settleMilliseconds = 1000;
+
+function median(values: readonly number[]): number {
+	const sorted = values.toSorted((first, second) => first - second);
+	const middle = Math.floor(sorted.length / 2);
+	return sorted.length % 2 === 1 ? sorted[middle]! : (sorted[middle - 1]! + sorted[middle]!) / 2;
+}
+
+function medianResult(results: readonly LoadResult[]): LoadResult {
+	const pick = (read: (result: LoadResult) => number): number => median(results.map(result => read(result)));
+	return {
+		calls: results.reduce((sum, result) => sum + result.calls, 0),
+		failed: results.reduce((sum, result) => sum + result.failed, 0),
+		callsPerSecond: pick(result => result.callsPerSecond),
+		p50: pick(result => result.p50),
+		p99: pick(result => result.p99),
+		p999: pick(result => result.p999),
+		maximum: pick(result => result.maximum),
+	};
+}
+
+type Through = {readonly result: LoadResult; readonly processorMilliseconds: number; readonly waitingMilliseconds: number; readonly garbageCollection: GarbageCollection};
+
+/** Runs against one set of processes. */
+export class PathBenchmark {
+	private readonly _target: MeasuredTarget;
+	private readonly _seconds: number;
+	private readonly _warmUpSeconds: number;
+	private readonly _print: (line: string) => void;
+
+	constructor(target: MeasuredTarget, seconds: number, print: (line: string) => void) {
+		this._target = target;
+		this._seconds = seconds;
+		this._warmUpSeconds = seconds / 3;
+		this._print = print;
+	}
+
+	/** Direct and through in turns, so that what changes on the machine meets both. */
+	async paired(name: string, shape: CallShape, callsPerSecond: number, rounds: number): Promise<PairedResult> {
+		const direct: LoadResult[] = [];
+		const through: Through[] = [];
+		for (let round = 0; round < rounds; round++) {
+			direct.push(await this._runDirect(shape, callsPerSecond));
+			through.push(await this._runThrough(shape, callsPerSecond));
+		}
+
+		const added = (read: (result: LoadResult) => number): number => median(through.map(({result}, round) => read(result) - read(direct[round]!)));
+		const calls = through.reduce((sum, {result}) => sum + result.calls, 0);
+		const processor = through.reduce((sum, run) => sum + run.processorMilliseconds, 0);
+		const paired: PairedResult = {
+			name,
+			callsPerSecond,
+			rounds,
+			direct: medianResult(direct),
+			through: medianResult(through.map(({result}) => result)),
+			added: {p50: added(result => result.p50), p99: added(result => result.p99), p999: added(result => result.p999)},
+			leastAddedP99: Math.min(...through.map(({result}, round) => result.p99 - direct[round]!.p99)),
+			processorMicrosecondsPerCall: processor * 1000 / calls,
+			waitingShare: through.reduce((sum, run) => sum + run.waitingMilliseconds, 0) / (rounds * (this._seconds + this._warmUpSeconds) * 1000),
+			garbageCollection: {
+				pauses: through.reduce((sum, run) => sum + run.garbageCollection.pauses, 0),
+				totalMilliseconds: through.reduce((sum, run) => sum + run.garbageCollection.totalMilliseconds, 0),
+				longestMilliseconds: Math.max(...through.map(run => run.garbageCollection.longestMilliseconds)),
+			},
+		};
+		this._print(`${name}: ${paired.through.callsPerSecond.toFixed(0)} calls a second through, ${paired.direct.callsPerSecond.toFixed(0)} direct`);
+		return paired;
+	}
+
+	/** Memory of connections and downloads, and whether back pressure holds. */
+	async memory(growthInDownloadsBytes: number): Promise<PathResults['memory']> {
+		const startBytes = await this._settled();
+		const bytesPerIdleConnection = await this._held(heldConnections, 1, false) / heldConnections;
+		const beforeDownloads = await this._settled();
+		await loadClient.hold(this._target.loadPort, {
+			port: this._target.callPort, path: `${servicePrefix}/film`, count: pausedDownloads, answerBytes: download.answerBytes, isPaused: true,
+		});
+		const early = await this._settled();
+		const late = await this._settled();
+		await loadClient.release(this._target.loadPort);
+		return {
+			startBytes,
+			bytesPerIdleConnection,
+			bytesPerPausedDownload: (early - beforeDownloads) / pausedDownloads,
+			growthWhilePausedBytes: late - early,
+			growthInDownloadsBytes,
+		};
+	}
+
+	/** Downloads in turns; also how far memory rises meanwhile. */
+	async downloads(): Promise<{result: PairedResult; growthBytes: number}> {
+		const before = residentBytes(this._target.pid);
+		let highest = before;
+		const timer = setInterval(() => {
+			highest = Math.max(highest, residentBytes(this._target.pid));
+		}, 50);
+		const result = await this.paired('downloads of 100 MB', download, 0, 1);
+		clearInterval(timer);
+		return {result, growthBytes: highest - before};
+	}
+
+	private async _held(count: number, answerBytes: number, isPaused: boolean): Promise<number> {
+		const before = residentBytes(this._target.pid);
+		await loadClient.hold(this._target.loadPort, {
+			port: this._target.callPort, path: `${servicePrefix}/held`, count, answerBytes, isPaused,
+		});
+		const after = await this._settled();
+		await loadClient.release(this._target.loadPort);
+		return after - before;
+	}
+
+	private async _settled(): Promise<number> {
+		await delay(settleMilliseconds);
+		return residentBytes(this._target.pid);
+	}
+
+	private _order(shape: CallShape, callsPerSecond: number): LoadOrder {
+		return {
+			...shape,
+			callsPerSecond,
+			seconds: this._seconds,
+			warmUpSeconds: this._warmUpSeconds,
+			workMilliseconds: 0,
+			ports: [this._target.callPort],
+			pathPrefix: servicePrefix,
+		};
+	}
+
+	private async _runDirect(shape: CallShape, callsPerSecond: number): Promise<LoadResult> {
+		return loadClient.run(this._target.loadPort, {...this._order(shape, callsPerSecond), ports: [...this._target.backendPorts], pathPrefix: ''});
+	}
+
+	private async _runThrough(shape: CallShape, callsPerSecond: number): Promise<Through> {
+		await this._target.garbageCollection();
+		const before = processorMilliseconds(this._target.pid);
+		const waitingBefore = waitingMilliseconds(this._target.pid);
+		const result = await loadClient.run(this._target.loadPort, this._order(shape, callsPerSecond));
+		return {
+			result,
+			processorMilliseconds: processorMilliseconds(this._target.pid) - before,
+			waitingMilliseconds: waitingMilliseconds(this._target.pid) - waitingBefore,
+			garbageCollection: await this._target.garbageCollection(),
+		};
+	}
+}
--- a/src/stand-ins/answer-body.ts
+++ b/src/stand-ins/answer-body.ts
@@ -30,6 +30,10 @@
 	return body.length === 0 ? '' : crc32(body).toString(16);
 }
 
+function stampByte(stamp: number, index: number): number {
+	return Math.floor(stamp / (256 ** index)) % 256;
+}
+
 /** What decides the bytes of an answer. */
 export type BodyOrigin = {
 	readonly method: string;
@@ -55,34 +59,56 @@
 	/** The bytes from `offset` to the end of its block or of the body. */
 	chunk(offset: number): Buffer {
 		const block = Math.floor(offset / blockBytes);
-		const start = offset - (block * blockBytes);
-		const size = Math.min(blockBytes, this.length - (block * blockBytes));
+		const blockStart = block * blockBytes;
+		const size = Math.min(blockBytes, this.length - blockStart);
 		const place = this._hash % blockBytes;
 		const bytes = Buffer.from(table.subarray(place, place + size));
-		const stamp = Buffer.alloc(stampBytes);
-		// Blocks of one body differ in the stamp alone; 2^32 blocks would be 256 TiB.
-		stamp.writeUInt32LE((this._hash + block) % (2 ** 32));
-		stamp.copy(bytes, 0, 0, Math.min(stampBytes, size));
-		return bytes.subarray(start);
+		const stamp = this._stamp(block);
+		for (let index = 0; index < Math.min(stampBytes, size); index++) {
+			bytes[index] = stampByte(stamp, index);
+		}
+
+		return bytes.subarray(offset - blockStart);
 	}
 
-	/** True if `bytes` are what stands at `offset`. */
+	/** True if `bytes` are what stands at `offset`. Copies nothing, so that checking costs a caller little. */
 	matches(bytes: Uint8Array, offset: number): boolean {
+		if (offset + bytes.length > this.length) {
+			return false;
+		}
+
 		let position = 0;
 		while (position < bytes.length) {
-			if (offset + position >= this.length) {
+			const inBlock = (offset + position) % blockBytes;
+			const size = Math.min(blockBytes - inBlock, bytes.length - position);
+			const block = Math.floor((offset + position) / blockBytes);
+			if (!this._matchesInBlock(bytes.subarray(position, position + size), block, inBlock)) {
 				return false;
 			}
 
-			const expected = this.chunk(offset + position);
-			const size = Math.min(expected.length, bytes.length - position);
-			if (!expected.subarray(0, size).equals(bytes.subarray(position, position + size))) {
+			position += size;
+		}
+
+		return true;
+	}
+
+	private _matchesInBlock(bytes: Uint8Array, block: number, inBlock: number): boolean {
+		const stamp = this._stamp(block);
+		let position = 0;
+		while (inBlock + position < stampBytes && position < bytes.length) {
+			if (bytes[position] !== stampByte(stamp, inBlock + position)) {
 				return false;
 			}
 
-			position += size;
+			position++;
 		}
 
-		return true;
+		const place = (this._hash % blockBytes) + inBlock;
+		return table.compare(bytes, position, bytes.length, place + position, place + bytes.length) === 0;
+	}
+
+	/** Blocks of one body differ in the stamp alone; 2^32 of them would be 256 TiB. */
+	private _stamp(block: number): number {
+		return (this._hash + block) % (2 ** 32);
 	}
 }
--- a/src/stand-ins/child-program.ts
+++ b/src/stand-ins/child-program.ts
@@ -7,6 +7,7 @@
 import {z} from 'zod';
 import {failure, type Failure} from '../common/errors/failure.ts';
 import {Disposable, toDisposable} from '../common/lifecycle/disposable.ts';
+import {Emitter} from '../common/lifecycle/emitter.ts';
 import {packageRoot, programArguments} from './program-files.ts';
 
 /** Why a program is not there. */
@@ -32,12 +33,18 @@
 export class ChildProgram extends Disposable {
 	private readonly _child: ChildProcess;
 	private readonly _errors: string[] = [];
+	private readonly _onErrorLine = this._register(new Emitter<string>());
 	private readonly _ready: Promise<Result<ReadyLine, ProgramFailure>>;
 	private readonly _exit: Promise<number | undefined>;
 
+	/** A line on its stream for errors. */
+	readonly onErrorLine = this._onErrorLine.event;
+
 	constructor(settings: ProgramSettings) {
 		super();
-		this._child = spawn(process.execPath, [...(settings.nodeOptions ?? []), ...programArguments(settings.program), ...settings.parameters], {
+		const [path = '', ...loader] = programArguments(settings.program).toReversed();
+		// The loader of TypeScript comes first: what an option imports may be TypeScript too.
+		this._child = spawn(process.execPath, [...loader, ...(settings.nodeOptions ?? []), path, ...settings.parameters], {
 			cwd: packageRoot,
 			stdio: ['ignore', 'pipe', 'pipe'],
 		});
@@ -80,6 +87,11 @@
 		return code;
 	}
 
+	/** Sends it a signal. */
+	signal(name: NodeJS.Signals): void {
+		this._child.kill(name);
+	}
+
 	/** Kills it at once, as a crash of its VM would. */
 	kill(): void {
 		this._child.kill('SIGKILL');
@@ -118,6 +130,7 @@
 
 	private _keepErrors(): void {
 		createInterface({input: this._child.stderr!}).on('line', line => {
+			this._onErrorLine.fire(line);
 			this._errors.push(line);
 			if (this._errors.length > keptErrorLines) {
 				this._errors.shift();
