--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -226,6 +226,8 @@
 		readonly timeoutMilliseconds: Milliseconds;
 	}
 	| {readonly type: 'claim-key'; readonly callId: CallId; readonly service: string; readonly key: string}
+	/** The call did not run after its key was claimed: the key is free for the caller's next sending. */
+	| {readonly type: 'release-key'; readonly service: string; readonly key: string}
 	/** Worth telling peers soon. */
 	| {readonly type: 'tell-peers'; readonly news: LoadNews}
 	/** One call has ended, for metrics, burn and logs. */
