--- a/benchmark/path/front-only.ts
+++ b/benchmark/path/front-only.ts
@@ -34,6 +34,7 @@
 		claim(effect, sink) {
 			sink.feed({type: 'key-claimed', callId: effect.callId, claim: {type: 'unavailable'}});
 		},
+		release: async () => undefined,
 	});
 	loop.feed({
 		type: 'configured',
