Start the demo's daemons with their subcommand

Cause: the demo's daemons ended at once, 'No command specified', and setting up timed out after 30 s. Ruled out: the wiring (the same daemons had served by hand).

--- a/src/demo/demo-fleet.ts
+++ b/src/demo/demo-fleet.ts
@@ -167,7 +167,7 @@
 			});
 			this.vms.push({
 				plan,
-				program: this._register(new ChildProgram({program: 'src/daemon/main', parameters: ['--settings', settingsFile]})),
+				program: this._register(new ChildProgram({program: 'src/daemon/main', parameters: ['serve', '--settings', settingsFile]})),
 				operator: new OperatorClient(`http://127.0.0.1:${plan.operatorPort}`, exampleToken),
 			});
 		}
