Send metrics over StatsD from one typed list

Names and tags of metrics drift apart from their page unless one list makes both.

A catalogue holds every metric with type, tags and meaning; the sender's methods are typed by it, a test sends each over UDP and compares the set, and another compares the operators' page line by line. Callers and keys are never tags. Counts of ended calls are summed up before they reach the library, and times are sent for one call in ten.

--- /dev/null
+++ b/src/node/metrics/catalogue.ts
@@ -0,0 +1,49 @@
+/** Every metric that a VM sends. The operators' page is checked against this list by a test. */
+
+/** A metric's StatsD type. */
+export type MetricType = 'counter' | 'timing' | 'gauge';
+
+export type MetricDefinition = {
+	readonly type: MetricType;
+	/** Tags besides `vm` and `data_centre`, which all metrics have. */
+	readonly tags: readonly string[];
+	readonly describe: string;
+};
+
+/**
+ * Tags are services, outcomes and the like, whose number the operator decides. Callers, keys and
+ * fingerprints are never tags: their number is the callers' to decide, and each value costs the metrics
+ * system a series.
+ */
+export const metricCatalogue = {
+	'calls.ended': {
+		type: 'counter',
+		tags: ['service', 'outcome', 'reason', 'good'],
+		describe: 'Calls that ended. `outcome` is ran, not-run or unknown; `reason` is why jaydale gave up, or none; `good` = within the objective.',
+	},
+	'calls.milliseconds': {type: 'timing', tags: ['service'], describe: 'From a call\'s arrival to the end of its answer. One in ten calls is sampled.'},
+	'calls.queued_milliseconds': {type: 'timing', tags: ['service'], describe: 'Time a call waited for a backend server. One in ten calls is sampled.'},
+	'calls.further_attempts': {type: 'counter', tags: ['service'], describe: 'Attempts beyond the first: retries and hedges.'},
+	'calls.in_flight': {type: 'gauge', tags: [], describe: 'Calls that have not ended.'},
+	'calls.queued': {type: 'gauge', tags: [], describe: 'Calls that wait for a backend server.'},
+	'measuring.calls': {type: 'counter', tags: ['service'], describe: 'Calls made only to learn a backend server\'s load; each is paid from the service\'s budget.'},
+	'measuring.part': {type: 'gauge', tags: [], describe: 'Part of the fleet\'s measuring budgets that this VM may spend, 0 to 1.'},
+	'configuration.version': {type: 'gauge', tags: [], describe: 'Configuration version in force. VMs that differ for more than some seconds are worth a look.'},
+	'connections.callers': {type: 'gauge', tags: [], describe: 'Open connections of callers.'},
+	'vm.utilisation': {type: 'gauge', tags: [], describe: 'Part of the time that the event loop was busy, 0 to 1.'},
+	'platform.calls': {type: 'counter', tags: ['operation', 'reply'], describe: 'Requests to the platform\'s service.'},
+	'platform.milliseconds': {type: 'timing', tags: ['operation'], describe: 'Time that the platform\'s service took to answer.'},
+	'peers.messages': {type: 'counter', tags: ['direction'], describe: 'Messages between VMs.'},
+	'peers.bytes': {type: 'counter', tags: ['direction'], describe: 'Bytes of the messages between VMs, without gRPC\'s framing.'},
+	'operators.requests': {type: 'counter', tags: ['method', 'status'], describe: 'Requests to the resource API.'},
+} as const satisfies Readonly<Record<string, MetricDefinition>>;
+
+export type MetricName = keyof typeof metricCatalogue;
+
+/** Names of one type. */
+export type MetricNameOf<Type extends MetricType> = {
+	[Name in MetricName]: (typeof metricCatalogue)[Name]['type'] extends Type ? Name : never;
+}[MetricName];
+
+/** The tags that a metric must carry. */
+export type TagsOf<Name extends MetricName> = Readonly<Record<(typeof metricCatalogue)[Name]['tags'][number], string>>;
--- /dev/null
+++ b/src/node/metrics/metrics.test.ts
@@ -0,0 +1,95 @@
+import {createSocket, type Socket} from 'node:dgram';
+import {once} from 'node:events';
+import {readFileSync} from 'node:fs';
+import {expect} from 'earl';
+import {settingsSchema, type Settings} from '../../common/settings/settings.ts';
+import {metricCatalogue, type MetricDefinition} from './catalogue.ts';
+import {StatsdMetrics} from './statsd-metrics.ts';
+
+function settingsFor(port: number): Settings {
+	return settingsSchema.parse({
+		vm: {
+			name: 'vm-1', dataCentre: 'gdansk-1', region: 'gdansk', address: '127.0.0.1',
+		},
+		callers: {port: 7001},
+		operators: {port: 7002, tokensFile: 'tokens.toml'},
+		peers: {port: 7003, plain: true},
+		platform: {url: 'http://127.0.0.1:7000'},
+		metrics: {enabled: true, host: '127.0.0.1', port},
+	});
+}
+
+/** The lines of the metrics page's table. */
+function documented(): string[] {
+	const page = readFileSync('docs/operators/metrics.md', 'utf8');
+	return page.split('\n').filter(line => line.startsWith('| `'));
+}
+
+function documentLine(name: string, {type, tags, describe}: MetricDefinition): string {
+	return `| \`${name}\` | ${type} | ${tags.join(', ')} | ${describe} |`;
+}
+
+describe('metrics', () => {
+	let socket: Socket;
+
+	beforeEach(async () => {
+		socket = createSocket('udp4');
+		socket.bind(0, '127.0.0.1');
+		await once(socket, 'listening');
+	});
+
+	afterEach(() => {
+		socket.close();
+	});
+
+	it('sends each metric of the list with its tags, and no other', async function () {
+		const metrics = new StatsdMetrics(settingsFor(socket.address().port), () => undefined, {bufferFlushInterval: 20, aggregation: {flushInterval: 20}});
+		const lines = new Set<string>();
+		const names = Object.keys(metricCatalogue);
+		socket.on('message', datagram => {
+			for (const line of datagram.toString().trim().split('\n')) {
+				lines.add(line);
+			}
+		});
+		const summary = {
+			service: 'ordering', outcome: 'ran', reason: undefined, attempts: 2, milliseconds: 12, queuedMilliseconds: 3, isGood: true,
+		} as const;
+		metrics.measured('ordering');
+		metrics.platformCalled('get', 'entry', 4);
+		metrics.peerTraffic('out', 2, 600);
+		metrics.operatorAnswered('GET', 200);
+		metrics.gauges({
+			callsInFlight: 1, callsQueued: 2, connections: 3, configurationVersion: 4, utilisation: 0.5, measuringPart: 0.25,
+		});
+		for (let call = 0; call < 10; call++) {
+			metrics.callEnded(summary);
+		}
+
+		const sent = () => new Set([...lines].map(line => line.slice('jaydale.'.length, line.indexOf(':'))));
+		while (sent().size < names.length) {
+			await once(socket, 'message');
+		}
+
+		metrics.dispose();
+		expect([...lines].toSorted()).toMatchSnapshot(this);
+		expect([...sent()].toSorted()).toEqual(names.toSorted());
+	});
+
+	// The metrics server is down for an hour. Calls must go on as if nothing were.
+	// Cause: an error of the UDP socket that nobody handles ends the process.
+	it('survives a server that is not there', async () => {
+		const {port} = socket.address();
+		socket.close();
+		const metrics = new StatsdMetrics(settingsFor(port), () => undefined, {bufferFlushInterval: 1, aggregation: {flushInterval: 1}});
+		metrics.operatorAnswered('GET', 200);
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+		metrics.dispose();
+		socket = createSocket('udp4');
+	});
+
+	it('is documented line by line', () => {
+		expect(documented()).toEqual(Object.entries(metricCatalogue).map(([name, definition]) => documentLine(name, definition)));
+	});
+});
--- /dev/null
+++ b/src/node/metrics/statsd-metrics.ts
@@ -0,0 +1,141 @@
+/** Metrics over StatsD (UDP). */
+import {StatsD, type ClientOptions} from 'hot-shots';
+import {type CallSummary} from '../../common/calls/types.ts';
+import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
+import {type Milliseconds} from '../../common/model/units.ts';
+import {type Settings} from '../../common/settings/settings.ts';
+import {type MetricNameOf, type TagsOf} from './catalogue.ts';
+import {type Metrics, type VmGauges} from './types.ts';
+
+/** A datagram that fits an Ethernet frame with room for tunnels' headers. */
+const datagramBytes = 1400;
+const flushMilliseconds = 1000;
+
+/**
+ * Times of one call in so many are sent. Counters are summed up before they are sent, times cannot be: at
+ * 10,000 calls a second each would be 20,000 lines, and one in ten still gives the 99.9th percentile of
+ * a minute from 60,000 values.
+ */
+const callsPerTiming = 10;
+
+/** Ended calls of one kind since the latest flush. */
+type CallTally = {readonly tags: TagsOf<'calls.ended'>; calls: number};
+
+/** Sends what happens to a StatsD server; a server that is down loses metrics and nothing else. */
+export class StatsdMetrics extends Disposable implements Metrics {
+	private readonly _client: StatsD;
+	/** Summed up here, as the client takes 3 µs for each count with tags. */
+	private readonly _ended = new Map<string, CallTally>();
+	private _calls = 0;
+
+	/**
+	 * @param onTrouble told when a datagram could not be sent
+	 * @param overrides for tests
+	 */
+	constructor(settings: Settings, onTrouble: (message: string) => void, overrides: ClientOptions = {}) {
+		super();
+		this._client = new StatsD({
+			host: settings.metrics.host,
+			port: settings.metrics.port,
+			prefix: settings.metrics.prefix,
+			globalTags: {vm: settings.vm.name, data_centre: settings.vm.dataCentre},
+			maxBufferSize: datagramBytes,
+			bufferFlushInterval: flushMilliseconds,
+			aggregation: {flushInterval: flushMilliseconds},
+			includeDataDogTags: false,
+			errorHandler(error) {
+				onTrouble(error.message);
+			},
+			...overrides,
+		});
+		const timer = setInterval(() => {
+			this._flushCalls();
+		}, overrides.bufferFlushInterval ?? flushMilliseconds);
+		timer.unref();
+		this._register(toDisposable(() => {
+			clearInterval(timer);
+			this._flushCalls();
+			this._client.close(() => undefined);
+		}));
+	}
+
+	callEnded(summary: CallSummary): void {
+		const {service} = summary;
+		this._tallyOf(summary).calls += 1;
+		this._calls += 1;
+		if (this._calls % callsPerTiming === 0) {
+			this._time('calls.milliseconds', summary.milliseconds, {service});
+			this._time('calls.queued_milliseconds', summary.queuedMilliseconds, {service});
+		}
+
+		if (summary.attempts > 1) {
+			this._count('calls.further_attempts', summary.attempts - 1, {service});
+		}
+	}
+
+	measured(service: string): void {
+		this._count('measuring.calls', 1, {service});
+	}
+
+	platformCalled(operation: string, reply: string, milliseconds: Milliseconds): void {
+		this._count('platform.calls', 1, {operation, reply});
+		this._time('platform.milliseconds', milliseconds, {operation});
+	}
+
+	peerTraffic(direction: 'in' | 'out', messages: number, bytes: number): void {
+		this._count('peers.messages', messages, {direction});
+		this._count('peers.bytes', bytes, {direction});
+	}
+
+	operatorAnswered(method: string, status: number): void {
+		this._count('operators.requests', 1, {method, status: String(status)});
+	}
+
+	gauges(values: VmGauges): void {
+		this._gauge('calls.in_flight', values.callsInFlight);
+		this._gauge('calls.queued', values.callsQueued);
+		this._gauge('connections.callers', values.connections);
+		this._gauge('configuration.version', values.configurationVersion);
+		this._gauge('vm.utilisation', values.utilisation);
+		this._gauge('measuring.part', values.measuringPart);
+	}
+
+	private _tallyOf(summary: CallSummary): CallTally {
+		const {service, outcome, isGood} = summary;
+		const reason = summary.reason ?? 'none';
+		const key = `${service}/${outcome}/${reason}/${isGood}`;
+		const known = this._ended.get(key);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const tally: CallTally = {
+			tags: {
+				service, outcome, reason, good: String(isGood),
+			},
+			calls: 0,
+		};
+		this._ended.set(key, tally);
+		return tally;
+	}
+
+	private _flushCalls(): void {
+		for (const {tags, calls} of this._ended.values()) {
+			this._count('calls.ended', calls, tags);
+		}
+
+		this._ended.clear();
+	}
+
+	private _count<Name extends MetricNameOf<'counter'>>(name: Name, value: number, tags: TagsOf<Name>): void {
+		this._client.increment(name, value, {...tags});
+	}
+
+	private _time<Name extends MetricNameOf<'timing'>>(name: Name, value: number, tags: TagsOf<Name>): void {
+		this._client.timing(name, value, {...tags});
+	}
+
+	private _gauge<Name extends MetricNameOf<'gauge'>>(name: Name, value: number): void {
+		this._client.gauge(name, value);
+	}
+}
