Gather burn counts over gRPC and leave copies with two other VMs

Cause: a report from one VM shows a sixteenth of the calls; a VM that crashes takes its counts with it. Ruled out: the operators' port of other VMs (loopback by default, needs tokens); rumours (a report is asked for rarely, and 1,100 services of buckets would cost every message). Change: service jaydale.burn.v1.Burn on the listener of the peers; counts and copies checked against their schemas.

--- /dev/null
+++ b/src/node/peers/burn-codec.ts
@@ -0,0 +1,65 @@
+/** Burn counts as they cross gRPC. */
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+import {burnWindowNameSchema, processCountsSchema, type ProcessCounts} from '../../common/burn/types.ts';
+import {failure, type Failure} from '../../common/errors/failure.ts';
+
+const numbersABucket = 3;
+
+const wireWindowSchema = z.object({window: burnWindowNameSchema, buckets: z.array(z.number())});
+const wireServiceSchema = z.object({
+	service: z.string(), coveredMilliseconds: z.number(), windows: z.array(wireWindowSchema), measuringSpent: z.number(),
+});
+const wireCountsSchema = z.object({
+	identity: z.string(), vm: z.string(), ageMilliseconds: z.number(), services: z.array(wireServiceSchema),
+});
+const wireToldSchema = z.object({own: wireCountsSchema, copies: z.array(wireCountsSchema)});
+
+/** Counts in the form of `proto/burn.proto`. */
+export type WireCounts = z.infer<typeof wireCountsSchema>;
+export type WireTold = z.infer<typeof wireToldSchema>;
+
+/** What one VM told. */
+export type Told = {readonly own: ProcessCounts; readonly copies: readonly ProcessCounts[]};
+
+export function countsToWire(counts: ProcessCounts): WireCounts {
+	return {
+		...counts,
+		services: counts.services.map(service => ({
+			...service,
+			windows: service.windows.map(({window, buckets}) => ({window, buckets: buckets.flat()})),
+		})),
+	};
+}
+
+export function countsFromWire(input: unknown): Result<ProcessCounts, Failure<'malformed-message'>> {
+	const wire = wireCountsSchema.safeParse(input);
+	const parsed = wire.success ? processCountsSchema.safeParse(unfold(wire.data)) : wire;
+	return parsed.success ? ok(parsed.data) : err(failure('malformed-message', 'The counts are not of the agreed form.'));
+}
+
+export function toldFromWire(input: unknown): Result<Told, Failure<'malformed-message'>> {
+	const wire = wireToldSchema.safeParse(input);
+	if (!wire.success) {
+		return err(failure('malformed-message', 'The counts are not of the agreed form.'));
+	}
+
+	// A copy that is not of the agreed form is left out; the rest still counts.
+	const copies = wire.data.copies.flatMap(copy => countsFromWire(copy).match(value => [value], () => []));
+	return countsFromWire(wire.data.own).map(own => ({own, copies}));
+}
+
+function unfold(wire: WireCounts): unknown {
+	return {
+		...wire,
+		services: wire.services.map(service => ({
+			...service,
+			windows: service.windows.map(({window, buckets}) => ({window, buckets: triples(buckets)})),
+		})),
+	};
+}
+
+function triples(numbers: readonly number[]): number[][] {
+	return Array.from({length: Math.ceil(numbers.length / numbersABucket)}, (_, index) =>
+		numbers.slice(index * numbersABucket, (index + 1) * numbersABucket));
+}
--- /dev/null
+++ b/src/node/peers/burn-exchange.ts
@@ -0,0 +1,102 @@
+/** Gathers the counts of all VMs, and leaves copies of this one's with others. */
+import {type sendUnaryData, type ServerUnaryCall, status} from '@grpc/grpc-js';
+import {type BurnCopies} from '../../common/burn/burn-copies.ts';
+import {type ProcessCounts} from '../../common/burn/types.ts';
+import {type PeerAddress} from '../../common/fleet/types.ts';
+import {Disposable, type DisposableLike, MutableDisposable} from '../../common/lifecycle/disposable.ts';
+import {type Milliseconds} from '../../common/model/units.ts';
+import {type Clock} from '../clock.ts';
+import {
+	countsFromWire, countsToWire, type Told, toldFromWire,
+} from './burn-codec.ts';
+import {type GrpcPeerTransport} from './grpc-peer-transport.ts';
+import {loadService, type UntypedService} from './proto-file.ts';
+
+/** A copy lies with this many other VMs: one may go together with its owner. */
+const copyHolders = 2;
+
+/** What a crash loses at most of the counts. */
+const copyEvery: Milliseconds = 30_000;
+
+/** What the other VMs answered. */
+export type GatheredCounts = {
+	readonly told: readonly ProcessCounts[];
+	readonly copies: readonly ProcessCounts[];
+	readonly answered: readonly PeerAddress[];
+	readonly silent: readonly PeerAddress[];
+};
+
+/** What the exchange works with. */
+export type BurnExchangeParts = {
+	readonly transport: GrpcPeerTransport;
+	readonly clock: Clock;
+	readonly copies: BurnCopies;
+	readonly own: () => ProcessCounts;
+	/** Other VMs that serve, in an order of their own that is stable for this VM. */
+	readonly peers: () => readonly PeerAddress[];
+};
+
+/** One VM's side of the exchange. */
+export class BurnExchange extends Disposable {
+	private readonly _parts: BurnExchangeParts;
+	private readonly _service: UntypedService = loadService('burn.proto', 'jaydale.burn.v1.Burn');
+	private readonly _timer = this._register(new MutableDisposable<DisposableLike>());
+
+	constructor(parts: BurnExchangeParts) {
+		super();
+		this._parts = parts;
+		parts.transport.addService(this._service, {
+			Tell(_call: ServerUnaryCall<object, object>, answer: sendUnaryData<object>) {
+				const copies = parts.copies.all(parts.clock.now()).map(copy => countsToWire(copy));
+				answer(null, {own: countsToWire(parts.own()), copies});
+			},
+			Keep: (call: ServerUnaryCall<object, object>, answer: sendUnaryData<object>) => {
+				this._keep(call.request, answer);
+			},
+		});
+	}
+
+	/** Asks all other VMs at once; one that does not answer in time is named. */
+	async gather(): Promise<GatheredCounts> {
+		const peers = this._parts.peers();
+		const answers = await Promise.all(peers.map(async address => ({address, told: await this._ask(address)})));
+		const heard = answers.flatMap(({told}) => told === undefined ? [] : [told]);
+		return {
+			told: heard.map(({own}) => own),
+			copies: [...heard.flatMap(({copies}) => copies), ...this._parts.copies.all(this._parts.clock.now())],
+			answered: answers.filter(({told}) => told !== undefined).map(({address}) => address),
+			silent: answers.filter(({told}) => told === undefined).map(({address}) => address),
+		};
+	}
+
+	/** Leaves copies with other VMs from now on. */
+	start(): void {
+		this._timer.value = this._parts.clock.after(copyEvery, () => {
+			void this.leaveCopies();
+			this.start();
+		});
+	}
+
+	/** Leaves a copy of the present counts; also the last act of a planned stop. */
+	async leaveCopies(): Promise<void> {
+		const counts = countsToWire(this._parts.own());
+		const holders = this._parts.peers().slice(0, copyHolders);
+		await Promise.all(holders.map(async address => this._parts.transport.ask(address, this._service.Keep!, counts)));
+	}
+
+	private async _ask(address: PeerAddress): Promise<Told | undefined> {
+		const answer = await this._parts.transport.ask(address, this._service.Tell!, {});
+		return answer.andThen(told => toldFromWire(told)).unwrapOr(undefined as never);
+	}
+
+	private _keep(request: object, answer: sendUnaryData<object>): void {
+		const counts = countsFromWire(request);
+		if (counts.isErr()) {
+			answer({code: status.INVALID_ARGUMENT, details: counts.error.message});
+			return;
+		}
+
+		this._parts.copies.keep(counts.value, this._parts.clock.now());
+		answer(null, {});
+	}
+}
--- a/src/node/peers/grpc-peer-transport.ts
+++ b/src/node/peers/grpc-peer-transport.ts
@@ -1,11 +1,7 @@
 /** Messages between VMs over gRPC: one unary call each way, so that every message has a deadline of its own. */
-import assert from 'node:assert/strict';
-import {existsSync} from 'node:fs';
-import {fileURLToPath} from 'node:url';
 import {
-	Client, type MethodDefinition, Server, status, type sendUnaryData, type ServerUnaryCall,
+	Client, type MethodDefinition, Server, type ServiceDefinition, status, type sendUnaryData, type ServerUnaryCall, type UntypedServiceImplementation,
 } from '@grpc/grpc-js';
-import {loadSync} from '@grpc/proto-loader';
 import {err, ok, type Result} from 'neverthrow';
 import {failure, type Failure} from '../../common/errors/failure.ts';
 import {type PeerMessage} from '../../common/fleet/peer-messages.ts';
@@ -16,6 +12,7 @@
 import {Emitter} from '../../common/lifecycle/emitter.ts';
 import {type PeerTransport} from '../fleet/types.ts';
 import {fromWire, toWire, type WireMessage} from './peer-codec.ts';
+import {loadService, type UntypedMethod} from './proto-file.ts';
 import {certificateFailure, type PeerCredentials, type PeerCredentialsFailureKind} from './peer-credentials.ts';
 
 export type PeerTransportFailureKind = 'cannot-listen' | PeerCredentialsFailureKind;
@@ -56,12 +53,6 @@
 
 type Peer = DisposableLike & {readonly client: Client; usedAt: number};
 
-/** The file lies beside `src`; the built program runs one folder deeper. */
-function protoFile(): string {
-	const files = ['../../../proto/peers.proto', '../../../../proto/peers.proto'].map(path => fileURLToPath(new URL(path, import.meta.url)));
-	return files.find(file => existsSync(file)) ?? files[0]!;
-}
-
 type DeliverMethod = MethodDefinition<WireMessage, WireMessage>;
 
 /** IP number of `IP:PORT`, without the brackets of IPv6. */
@@ -69,18 +60,8 @@
 	return address.slice(0, address.lastIndexOf(':')).replaceAll(/[\[\]]/gv, '');
 }
 
-function isService(definition: unknown): definition is {readonly Deliver: DeliverMethod} {
-	return typeof definition === 'object' && definition !== null && 'Deliver' in definition;
-}
-
-function loadDeliver(): DeliverMethod {
-	const definitions = loadSync(protoFile(), {
-		longs: Number, enums: String, defaults: true, arrays: true, oneofs: true,
-	});
-	const service: unknown = definitions['jaydale.peers.v1.Peers'];
-	assert.ok(isService(service), 'proto/peers.proto holds no service Peers');
-	return service.Deliver;
-}
+/** Services beside the messages, on the same listener. */
+type FurtherService = {readonly definition: ServiceDefinition; readonly implementation: UntypedServiceImplementation};
 
 export class GrpcPeerTransport extends Disposable implements PeerTransport {
 	private readonly _onMessage = this._register(new Emitter<PeerMessage>());
@@ -89,6 +70,7 @@
 	private readonly _peers = new Map<PeerAddress, Peer>();
 	private readonly _clients = this._register(new DisposableStore());
 	private readonly _deliver: DeliverMethod;
+	private readonly _further: FurtherService[] = [];
 	private _messagesOut = 0;
 	private _bytesOut = 0;
 	private _messagesIn = 0;
@@ -106,7 +88,7 @@
 		private readonly _now: () => number,
 	) {
 		super();
-		this._deliver = loadDeliver();
+		this._deliver = loadService('peers.proto', 'jaydale.peers.v1.Peers').Deliver!;
 	}
 
 	/** Traffic counted since the start. */
@@ -116,6 +98,22 @@
 		};
 	}
 
+	/** Serves further methods on the same listener; to be called before `listen`. */
+	addService(definition: ServiceDefinition, implementation: UntypedServiceImplementation): void {
+		this._further.push({definition, implementation});
+	}
+
+	/** Asks another VM and waits for its answer, at most for the time of a message. */
+	async ask(to: PeerAddress, method: UntypedMethod, request: object): Promise<Result<object, Failure<'unreachable'>>> {
+		const peer = this._peer(to);
+		return new Promise(resolve => {
+			const options = {deadline: Date.now() + deadlineMilliseconds};
+			peer.client.makeUnaryRequest(method.path, method.requestSerialize, method.responseDeserialize, request, options, (error, answer) => {
+				resolve(answer === undefined ? err(failure('unreachable', error?.details ?? 'no answer')) : ok(answer));
+			});
+		});
+	}
+
 	/** Opens the listener; answers with its port. */
 	async listen(): Promise<Result<number, Failure<PeerTransportFailureKind>>> {
 		const checked = this._credentials.check();
@@ -138,6 +136,10 @@
 				this._take(call, answer);
 			},
 		});
+		for (const {definition, implementation} of this._further) {
+			server.addService(definition, implementation);
+		}
+
 		return new Promise(resolve => {
 			server.bindAsync(this._listenAddress, this._credentials.server, (error, port) => {
 				resolve(error ? err(failure('cannot-listen', `Can't listen on ${this._listenAddress}: ${error.message}`)) : ok(port));
