--- a/src/common/calls/backend-server-state.ts
+++ b/src/common/calls/backend-server-state.ts
@@ -6,6 +6,7 @@
 	type Health, type HealthEvent, initialHealth, nextHealth,
 } from './health-chart.ts';
 import {MeasuringSchedule} from './measuring-schedule.ts';
+import {ProcessHistory} from './process-history.ts';
 import {type CallTuning} from './tuning.ts';
 import {type BackendServerIdentity, type LoadReport} from './types.ts';
 
@@ -15,9 +16,6 @@
 /** The same for failures: the first one must show, since the second may follow within the millisecond. */
 const failureGain = 0.4;
 
-/** Processes of this backend server that are gone; a late answer of one must not count as news. */
-const rememberedInstances = 4;
-
 /** What a report changed. */
 export type ReportEffect = {
 	readonly isTaken: boolean;
@@ -42,7 +40,7 @@
 	reportedAt: Instant = -Infinity;
 	lastAnswerAt: Instant = -Infinity;
 	private readonly _tuning: CallTuning;
-	private readonly _pastInstances: string[] = [];
+	private readonly _processes = new ProcessHistory();
 	private _health: Health = initialHealth;
 	private _healthSince: Instant;
 	private _ownAtReport = 0;
@@ -170,50 +168,42 @@
 		}
 	}
 
-	/** Takes a sign of leaving; one of an earlier process under this identity says nothing of the present one. */
+	/** Takes a sign of leaving; one of a process that is gone says nothing of the present one. */
 	takeLeaving(instance: string | undefined, now: Instant): void {
-		const present = this.report?.instance;
-		const isOfPast = instance !== undefined && this._pastInstances.includes(instance);
-		if (!isOfPast && (instance === undefined || present === undefined || instance === present)) {
+		if (this._processes.takeSign(instance, now)) {
 			this.move('LEAVE', now);
 		}
 	}
 
 	/** Takes in a report made at `madeAt`. Older ones and those of an earlier process are dropped. */
 	takeReport(report: LoadReport, madeAt: Instant, now: Instant): ReportEffect {
-		const isOfPast = report.instance !== undefined && this._pastInstances.includes(report.instance);
-		if (madeAt < this.reportedAt || isOfPast) {
+		if (madeAt < this.reportedAt) {
 			return nothingChanged;
 		}
 
-		const goneInstance = this._instanceReplacedBy(report.instance);
-		if (goneInstance !== undefined) {
-			this._forgetProcess(goneInstance, now);
+		const former = this._processes.present;
+		const news = this._processes.takeReport(report.instance, madeAt);
+		if (news === 'of-past') {
+			return nothingChanged;
+		}
+
+		if (news !== 'present') {
+			this._forgetProcess(now);
 		}
 
 		const beganToLeave = report.isLeaving && this._health !== 'leaving';
 		if (report.isLeaving) {
-			this.move('LEAVE', now);
+			this.takeLeaving(report.instance, now);
 		}
 
 		this.report = report;
 		this.reportedAt = madeAt;
 		this._ownAtReport = this.attempts.size;
-		return {isTaken: true, goneInstance, beganToLeave};
-	}
-
-	private _instanceReplacedBy(instance: string | undefined): string | undefined {
-		const present = this.report?.instance;
-		return instance !== undefined && present !== undefined && instance !== present ? present : undefined;
+		return {isTaken: true, goneInstance: news === 'replaced' ? former : undefined, beganToLeave};
 	}
 
 	/** What was learnt of a process that is gone binds nothing of the new one: not its leaving, load or failures. */
-	private _forgetProcess(instance: string, now: Instant): void {
-		this._pastInstances.push(instance);
-		if (this._pastInstances.length > rememberedInstances) {
-			this._pastInstances.shift();
-		}
-
+	private _forgetProcess(now: Instant): void {
 		this._slowness = 1;
 		this._failing = 0;
 		this._failuresInRow = 0;
--- /dev/null
+++ b/src/stand-ins/answer-body.ts
@@ -0,0 +1,114 @@
+/**
+ * Bodies that can be checked byte for byte by whoever knows the call. Every 64 KiB block of a body
+ * is a cut from one table of random bytes at a place that depends on the call, and begins with a stamp
+ * of call and block number: a missing, swapped or foreign block shows, and 100 MB cost one copy.
+ */
+import {Buffer} from 'node:buffer';
+import {crc32} from 'node:zlib';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+/** Length of a block in bytes. */
+export const blockBytes = 65_536;
+const stampBytes = 4;
+const tableSeed = 20_261;
+
+function makeTable(): Buffer {
+	const table = Buffer.alloc(blockBytes * 2);
+	const generator = xoroshiro128plus(tableSeed);
+	for (let offset = 0; offset < blockBytes; offset += stampBytes) {
+		table.writeInt32LE(generator.next(), offset);
+	}
+
+	table.copy(table, blockBytes, 0, blockBytes);
+	return table;
+}
+
+const table = makeTable();
+
+/** Digest of a request body, so that an answer proves that the whole of it arrived. */
+export function bodyDigest(body: Uint8Array): string {
+	return body.length === 0 ? '' : crc32(body).toString(16);
+}
+
+function stampByte(stamp: number, index: number): number {
+	return Math.floor(stamp / (256 ** index)) % 256;
+}
+
+/** What decides the bytes of an answer. */
+export type BodyOrigin = {
+	readonly method: string;
+	/** Path and query on the backend server. */
+	readonly path: string;
+	readonly callId: string;
+	readonly requestDigest: string;
+};
+
+/** The body of one call's answer. */
+export class AnswerBody {
+	private readonly _hash: number;
+
+	constructor(origin: BodyOrigin, readonly length: number) {
+		this._hash = crc32(`${origin.method} ${origin.path} ${origin.callId} ${origin.requestDigest} ${length}`);
+	}
+
+	/** Strong validator: equal for equal bytes. */
+	get validator(): string {
+		return `"${this._hash.toString(16)}-${this.length}"`;
+	}
+
+	/** The bytes from `offset` to the end of its block or of the body. */
+	chunk(offset: number): Buffer {
+		const block = Math.floor(offset / blockBytes);
+		const blockStart = block * blockBytes;
+		const size = Math.min(blockBytes, this.length - blockStart);
+		const place = this._hash % blockBytes;
+		const bytes = Buffer.from(table.subarray(place, place + size));
+		const stamp = this._stamp(block);
+		for (let index = 0; index < Math.min(stampBytes, size); index++) {
+			bytes[index] = stampByte(stamp, index);
+		}
+
+		return bytes.subarray(offset - blockStart);
+	}
+
+	/** True if `bytes` are what stands at `offset`. Copies nothing, so that checking costs a caller little. */
+	matches(bytes: Uint8Array, offset: number): boolean {
+		if (offset + bytes.length > this.length) {
+			return false;
+		}
+
+		let position = 0;
+		while (position < bytes.length) {
+			const inBlock = (offset + position) % blockBytes;
+			const size = Math.min(blockBytes - inBlock, bytes.length - position);
+			const block = Math.floor((offset + position) / blockBytes);
+			if (!this._matchesInBlock(bytes.subarray(position, position + size), block, inBlock)) {
+				return false;
+			}
+
+			position += size;
+		}
+
+		return true;
+	}
+
+	private _matchesInBlock(bytes: Uint8Array, block: number, inBlock: number): boolean {
+		const stamp = this._stamp(block);
+		let position = 0;
+		while (inBlock + position < stampBytes && position < bytes.length) {
+			if (bytes[position] !== stampByte(stamp, inBlock + position)) {
+				return false;
+			}
+
+			position++;
+		}
+
+		const place = (this._hash % blockBytes) + inBlock;
+		return table.compare(bytes, position, bytes.length, place + position, place + bytes.length) === 0;
+	}
+
+	/** Blocks of one body differ in the stamp alone; 2^32 of them would be 256 TiB. */
+	private _stamp(block: number): number {
+		return (this._hash + block) % (2 ** 32);
+	}
+}
