--- a/src/common/calls/backend-server-state.ts
+++ b/src/common/calls/backend-server-state.ts
@@ -53,11 +53,11 @@
 	private _ejectedUntil: Instant = 0;
 
 	/** `isKnown` = it was there before this VM began to serve, so that it is not cold for being new here. */
-	constructor(identity: BackendServerIdentity, declared: BackendServer, tuning: CallTuning, start: {readonly now: Instant; readonly isKnown: boolean}) {
+	constructor(identity: BackendServerIdentity, declared: BackendServer, tuning: CallTuning, now: Instant, isKnown = false) {
 		this.identity = identity;
 		this.declared = declared;
 		this._tuning = tuning;
-		this._healthSince = start.isKnown ? -Infinity : start.now;
+		this._healthSince = isKnown ? -Infinity : now;
 	}
 
 	get health(): Health {
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -143,7 +143,7 @@
 		for (const [identity, declared] of configuration.backendServers) {
 			const known = this._servers.get(identity);
 			if (known === undefined) {
-				const server = new BackendServerState(identity, declared, this._context.tuning, {now, isKnown: isFirst});
+				const server = new BackendServerState(identity, declared, this._context.tuning, now, isFirst);
 				this._servers.set(identity, server);
 				// Spread over the spacing: engines that start together must not measure together.
 				this._looks.add(now + (this._context.random.next() * longestLook), server);
