--- a/src/common/calls/crash-suspects.ts
+++ b/src/common/calls/crash-suspects.ts
@@ -10,10 +10,14 @@
 /** Distinct crashes that accuse: one crash accuses all calls in flight alike. */
 const crashesToConvict = 2;
 
+/** A process that is seen to be gone later than this after a reset may have been stopped for another reason. */
+const confirmationMilliseconds: Milliseconds = 10_000;
+
 type Crash = {
 	readonly suspects: Set<string>;
 	/** The process is known to have died: two connections were reset, or it refuses connections, or a new one answers. */
 	isConfirmed: boolean;
+	readonly since: Instant;
 	readonly until: Instant;
 };
 
@@ -42,6 +46,11 @@
 		return `${server}/${instance ?? ''}`;
 	}
 
+	/** Fingerprints under suspicion. */
+	get size(): number {
+		return this._crashesOf.size;
+	}
+
 	/** Takes in that these calls were in flight at a crash, seen here or by a peer; true = it is news. */
 	accuse(crashIdentity: string, fingerprints: readonly string[], now: Instant): boolean {
 		const crash = this._crashOf(crashIdentity, now);
@@ -67,7 +76,7 @@
 	/** The process of this crash is gone for certain. */
 	confirm(crashIdentity: string, now: Instant): void {
 		const crash = this._crashes.get(crashIdentity);
-		if (crash !== undefined && !crash.isConfirmed) {
+		if (crash !== undefined && !crash.isConfirmed && now - crash.since <= confirmationMilliseconds) {
 			crash.isConfirmed = true;
 			this._judgeAll(crash, now);
 		}
@@ -133,10 +142,18 @@
 
 		const isOnlyOne = [...crashes[0]!.suspects].every(other => other === fingerprint || !crashes.every(crash => crash!.suspects.has(other)));
 		if (isOnlyOne) {
-			this._quarantined.set(fingerprint, {crashes: crashes.length, until: now + this._memory});
+			this._quarantine(fingerprint, crashes.length, now);
 		}
 	}
 
+	private _quarantine(fingerprint: string, crashes: number, now: Instant): void {
+		if (this._quarantined.size >= mostCrashes) {
+			this._quarantined.delete(this._quarantined.keys().next().value!);
+		}
+
+		this._quarantined.set(fingerprint, {crashes, until: now + this._memory});
+	}
+
 	private _crashOf(identity: string, now: Instant): Crash {
 		const known = this._crashes.get(identity);
 		if (known !== undefined && known.until > now) {
@@ -149,7 +166,9 @@
 			this._forget(this._crashes.keys().next().value!);
 		}
 
-		const crash: Crash = {suspects: new Set(), isConfirmed: false, until: now + this._memory};
+		const crash: Crash = {
+			suspects: new Set(), isConfirmed: false, since: now, until: now + this._memory,
+		};
 		this._crashes.set(identity, crash);
 		return crash;
 	}
--- /dev/null
+++ b/src/common/calls/measuring-schedule.test.ts
@@ -0,0 +1,112 @@
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {backendServerSchema, serviceSchema} from '../model/resources.ts';
+import {seededRandom} from '../random/random.ts';
+import {DefaultCallEngine} from './call-engine.ts';
+import {type CallConfiguration, type FleetShares} from './types.ts';
+
+const seed = 20_261_203;
+const windowMilliseconds = 1000;
+const slots = 6;
+
+type Budget = {readonly callsPerWindow: number; readonly tailWeight: number};
+
+function configurationOf({callsPerWindow, tailWeight}: Budget): CallConfiguration {
+	const service = serviceSchema.parse({kind: 'service', name: 'reads', measuring: {callsPerWindow, windowMilliseconds, tailWeight}});
+	const server = backendServerSchema.parse({
+		kind: 'backend-server', name: 'reads-1', service: 'reads', address: '127.0.0.1', port: 9000, dataCentre: 'north',
+	});
+	return {
+		version: 1, services: new Map([['reads', service]]), backendServers: new Map([['identity-1', server]]), sharingRules: [],
+	};
+}
+
+/** One VM that starts before its slot is free, and is asked at odd times, also after pauses. */
+function measuringTimes(configuration: CallConfiguration, shares: FleetShares, seedOfVm: number, pauses: readonly number[]): number[] {
+	const random = seededRandom(seedOfVm);
+	const engine = new DefaultCallEngine({random, settings: {dataCentre: 'north'}});
+	const startedAt = Math.max(0, shares.measuringFrom - 1400);
+	engine.handle({type: 'shares', shares}, startedAt);
+	engine.handle({type: 'configured', configuration}, startedAt);
+	const times: number[] = [];
+	let callId = 1;
+	for (let now = startedAt, turn = 0; now < shares.measuringUntil + 2500; now += pauses[turn++ % pauses.length]!) {
+		for (const effect of engine.handle({type: 'tick'}, now)) {
+			if (effect.type === 'measure') {
+				// It arrives within its time limit or not at all.
+				times.push(now + (random.next() * effect.timeoutMilliseconds));
+			}
+		}
+
+		// A rush of calls must not raise the spend.
+		engine.handle({
+			type: 'call-arrived', request: {
+				callId: callId++, service: 'reads', caller: 'a', method: 'GET', fingerprint: 'f', timeoutMilliseconds: 50, bodyBytes: 0, idempotencyKey: undefined, mayRetry: true,
+			},
+		}, now);
+	}
+
+	return times;
+}
+
+function mostInWindow(times: readonly number[]): number {
+	const sorted = times.toSorted((a, b) => a - b);
+	let most = 0;
+	for (let first = 0, last = 0; last < sorted.length; last++) {
+		while (sorted[last]! - sorted[first]! > windowMilliseconds) {
+			first++;
+		}
+
+		most = Math.max(most, last - first + 1);
+	}
+
+	return most;
+}
+
+/** Mostly short turns of the loop, some pauses. */
+const turnArbitrary = fc.oneof(
+	{weight: 9, arbitrary: fc.integer({min: 1, max: 40})},
+	{weight: 1, arbitrary: fc.integer({min: 300, max: 1500})},
+);
+const pausesArbitrary = fc.array(turnArbitrary, {minLength: 5, maxLength: 30});
+
+describe('budget of measuring', () => {
+	it('is kept in every window by the sum of all VMs, while they are replaced, paused and in a rush', function () {
+		// Old and new VMs stand side by side, some are paused and wake, all measure the same backend server
+		// as a rush begins. Each holds one of six slots, the next holder only after a whole window. In no
+		// window, wherever it begins, does the backend server get more calls than declared.
+		this.timeout(60_000);
+		fc.assert(
+			fc.property(
+				fc.integer({min: 0, max: 100}),
+				fc.constantFrom(1, 1, 0.5),
+				fc.array(fc.tuple(fc.integer({min: 0, max: 1500}), pausesArbitrary), {minLength: slots, maxLength: slots}),
+				(callsPerWindow, tailWeight, vms) => {
+					const configuration = configurationOf({callsPerWindow, tailWeight});
+					const times = vms.flatMap(([handover, pauses], index) => {
+						const shares = {measuringPart: 1 / slots, connectionPart: 1 / slots, vmCount: slots};
+						const former = measuringTimes(configuration, {...shares, measuringFrom: 0, measuringUntil: 1500 + handover}, index, pauses);
+						const next = measuringTimes(configuration, {
+							...shares, measuringFrom: 1500 + handover + windowMilliseconds + 50, measuringUntil: 6000,
+						}, index + 100, pauses);
+						return [...former, ...next];
+					});
+					expect(mostInWindow(times)).toBeLessThanOrEqual(callsPerWindow);
+				},
+			),
+			{seed, numRuns: 300},
+		);
+	});
+
+	it('is used, and by the smaller weight at most a tenth of what the larger one uses', () => {
+		// Two operators declare the same budget, one for the shortest tail and one for small, crowded
+		// backend servers. A budget that nobody ever spends would pass the first test too.
+		const shares = {
+			measuringPart: 0.5, connectionPart: 0.5, vmCount: 2, measuringFrom: 0, measuringUntil: 60_000,
+		};
+		const spent = [1, 0].map(tailWeight => measuringTimes(configurationOf({callsPerWindow: 20, tailWeight}), shares, 1, [7]).length);
+		expect(spent[0]!).toBeGreaterThanOrEqual(500);
+		expect(spent[1]!).toBeGreaterThanOrEqual(1);
+		expect(spent[1]!).toBeLessThanOrEqual(spent[0]! / 10);
+	});
+});
