Test what callers get under load against the benchmark's model

Ruled out: timed tests with sockets (they fail by chance on a busy machine). Change: seven stories in virtual time, each judged by what callers get, most against a plain rule in the same run.

--- /dev/null
+++ b/src/common/calls/outcomes-under-load.test.ts
@@ -0,0 +1,71 @@
+/** What callers get under load: the engines of 16 VMs against the benchmark's model, in virtual time. */
+import {expect} from 'earl';
+import {selectPolicies} from '../../../benchmark/policy/policies.ts';
+import {scenarios} from '../../../benchmark/policy/scenarios.ts';
+import {Simulation} from '../../../benchmark/policy/simulation.ts';
+import {type RunFigures} from '../../../benchmark/policy/types.ts';
+
+const seed = 5;
+
+function run(scenarioName: string, policyName: string): RunFigures {
+	const scenario = scenarios.find(one => one.name === scenarioName)!;
+	const policy = selectPolicies(policyName).find(one => one.name === policyName)!;
+	return new Simulation(scenario, policy, seed).run();
+}
+
+describe('outcomes under load', () => {
+	it('answers everybody in a rush, no later than the best plain rule', () => {
+		// Registration opens: for 60 ms calls come at one and a half times what the backend servers can do.
+		// Nobody may be refused, since the backlog is gone long before any deadline.
+		const own = run('bursts', 'jaydale');
+		expect(own.goodPart).toEqual(1);
+		expect(own.p99).toBeLessThanOrEqual(1.05 * run('bursts', 'least-in-flight').p99);
+	});
+
+	it('keeps one greedy caller from the slots of the others', () => {
+		// One portal sends three times as much as all others together, and in all more than can be done.
+		// The others' calls are answered; what is refused is the greedy one's, at once.
+		const own = run('greedy-caller', 'jaydale');
+		expect(own.lightGoodPart).toBeGreaterThanOrEqual(0.99);
+		expect(own.promptRefusals).toBeGreaterThanOrEqual(0.99);
+		expect(run('greedy-caller', 'two-choices').lightGoodPart).toBeLessThanOrEqual(0.7);
+	});
+
+	it('answers as much as can be done at twice the load, and refuses the rest at once', () => {
+		// Twice as many calls as slots, for seconds. Queued without a limit every call would be too late,
+		// and the slots full of work that nobody waits for.
+		const own = run('load-2', 'jaydale');
+		expect(own.goodput).toBeGreaterThanOrEqual(0.95);
+		expect(own.promptRefusals).toBeGreaterThanOrEqual(0.99);
+		expect(own.wastedWork).toBeLessThanOrEqual(0.01);
+	});
+
+	it('keeps calls away from one slow backend server before its reports say so', () => {
+		// A neighbour takes nine tenths of a machine. Its backend server still reports a low load, being
+		// too slow to take much. Callers see quotes that come late or not at all.
+		const own = run('slow', 'jaydale');
+		expect(own.p99).toBeLessThanOrEqual(1.2 * own.floorP99);
+		expect(own.goodPart).toEqual(1);
+	});
+
+	it('is not drawn to a backend server that reports no load and is slow', () => {
+		// Two backend servers say that they are idle, whatever they do, and run five times slower. Placed
+		// by reports, a sixth of all calls would end there too late.
+		const own = run('misleading', 'jaydale');
+		expect(own.p99).toBeLessThanOrEqual(0.5 * run('misleading', 'least-in-flight').p99);
+	});
+
+	it('does not swing to and fro on reports that are old', () => {
+		// Reports show the load of 300 ms ago, thirty answer times. Where it was low then, all VMs send at
+		// once, and it is the highest now.
+		const own = run('lagging', 'jaydale');
+		expect(own.p99).toBeLessThanOrEqual(run('lagging', 'least-in-flight').p99);
+	});
+
+	it('answers short calls beside long downloads as fast as without them', () => {
+		// Judges download footage, 400 ms in a slot, while members look up schedules, 10 ms each.
+		const own = run('long-and-short', 'jaydale');
+		expect(own.goodPart).toEqual(1);
+		expect(own.p50).toBeLessThanOrEqual(1.15 * run('load-0.7', 'jaydale').p50);
+	});
+});
