Refuse the least important service first where services share backend servers

Cause: two services on the same backend servers lost alike above capacity. Ruled out: reserved slots (idle while the important service is), talk between VMs about it. Change: the queue a service tolerates at the backend servers grows by 1.4 with each step of its priority; the limit that sees more gives way. A scenario with both services on twenty backend servers at 1.5 times capacity.

--- a/benchmark/policy/figures.ts
+++ b/benchmark/policy/figures.ts
@@ -31,11 +31,12 @@
 	const refused = counted.filter(record => record.isRefused);
 	const refusalTimes = sorted(refused.map(record => record.endedAt! - record.planned.at));
 	const seconds = run.scenario.milliseconds / 1000;
-	const slotTime = run.servers.reduce((sum, {server}) => sum + server.slotTime, 0);
-	const slots = run.servers.reduce((sum, {server}) => sum + server.slots, 0);
+	const slotTime = [...new Set(run.servers.map(({server}) => server))].reduce((sum, server) => sum + server.slotTime, 0);
+	const slots = [...new Set(run.servers.map(({server}) => server))].reduce((sum, server) => sum + server.slots, 0);
 	const goodWork = good.reduce((sum, record) => sum + record.planned.work, 0);
 	const measured = run.servers.reduce((sum, {measuredAt}) => sum + measuredAt.filter(at => at < run.scenario.milliseconds).length, 0);
-	const light = counted.filter(record => record.planned.caller !== 'heavy');
+	const first = run.scenario.services.toSorted((a, b) => (b.priority ?? 0) - (a.priority ?? 0))[0]!.name;
+	const light = counted.filter(record => record.planned.caller !== 'heavy' && record.planned.service === first);
 	return {
 		scenario: run.scenario.name,
 		policy: run.policy,
--- a/benchmark/policy/policies.ts
+++ b/benchmark/policy/policies.ts
@@ -30,6 +30,7 @@
 	'slow-start': {warmingMilliseconds: 0},
 	hedges: {hedgeQuantile: 1},
 	limit: {queuedPerSlot: Infinity},
+	priorities: {priorityFactor: 1},
 	'short-standing-queue': {standingMilliseconds: Infinity},
 	fairness: {isFair: false},
 	news: {newsDifference: Infinity},
--- a/benchmark/policy/scenarios.ts
+++ b/benchmark/policy/scenarios.ts
@@ -141,6 +141,20 @@
 		heavyCallerPart: 0.6,
 		isOverloaded: true,
 	},
+	{
+		...plain,
+		name: 'priorities',
+		services: [
+			{
+				name: 'ordering', servers: 20, load: 0.5, priority: 8,
+			},
+			{
+				name: 'spectrum', servers: 20, load: 1, priority: 3,
+			},
+		],
+		sharesServers: true,
+		isOverloaded: true,
+	},
 	{
 		...plain,
 		name: 'skewed-services',
--- a/benchmark/policy/simulation.ts
+++ b/benchmark/policy/simulation.ts
@@ -105,16 +105,21 @@
 				identity,
 				service: service.name,
 				dataCentre: dataCentres[index % dataCentres.length]!,
-				server: new ModelServer(this._time, identity, slotsOfServer, this._scenario.reportLag),
+				server: this._shared(index) ?? new ModelServer(this._time, identity, slotsOfServer, this._scenario.reportLag),
 			};
 			this._servers.push(placed);
 			this._serverByIdentity.set(identity, placed);
 		}
 	}
 
+	/** The first service's backend server, where a scenario lets services share them. */
+	private _shared(index: number): ModelServer | undefined {
+		return this._scenario.sharesServers ? this._servers[index % this._scenario.services[0]!.servers]?.server : undefined;
+	}
+
 	private _declare(): CallConfiguration {
 		const services = this._scenario.services.map(service => serviceSchema.parse({
-			kind: 'service', name: service.name, measuring: {...measuringBudget, tailWeight: this._policy.tailWeight},
+			kind: 'service', name: service.name, priority: service.priority, measuring: {...measuringBudget, tailWeight: this._policy.tailWeight},
 		}));
 		return {
 			version: 1,
--- a/benchmark/policy/types.ts
+++ b/benchmark/policy/types.ts
@@ -33,6 +33,7 @@
 	readonly servers: number;
 	/** Part of the scenario's calls; the load is meant per service where `load` is given. */
 	readonly load: number;
+	readonly priority?: number;
 };
 
 /** One kind of call. */
@@ -78,6 +79,8 @@
 	readonly factorAt: (instant: Instant) => number;
 	/** Part of the calls that come from one caller through one VM; 0 = all spread alike. */
 	readonly heavyCallerPart: number;
+	/** All services are carried by the backend servers of the first. */
+	readonly sharesServers?: boolean;
 	readonly hasReportsOnAnswers: boolean;
 	/** Age of the truth when a report is made of it. */
 	readonly reportLag: Milliseconds;
@@ -127,7 +130,7 @@
 	readonly worstShare: number;
 	/** News to peers a second from all VMs together. */
 	readonly newsRate: number;
-	/** Worst part of good answers among callers other than the heavy one. */
+	/** Good answers' part of the calls of the most important service, the heavy caller's left out. */
 	readonly lightGoodPart: number;
 	/** Clock time of the run for each call, all 16 VMs and the model included, in microseconds. */
 	readonly microsecondsPerCall: number;
--- a/src/common/calls/concurrency-limit.ts
+++ b/src/common/calls/concurrency-limit.ts
@@ -22,6 +22,8 @@
 	/** Calls are waiting at backend servers for longer than chance makes them. */
 	readonly isCongested: boolean;
 	setBounds(bounds: LimitBounds): void;
+	/** Queued calls a slot that are aimed at; enough to keep slots busy between two answers. */
+	setTarget(target: number): void;
 	onAnswer(sample: LimitSample, now: Instant): void;
 	/** A backend server has shed an attempt. */
 	onShed(): void;
@@ -56,7 +58,7 @@
  * fair parts without talking: all see the same queues, and the larger one gives up more.
  */
 export class AdaptiveConcurrencyLimit implements ConcurrencyLimit {
-	private readonly _target: number;
+	private _target: number;
 	private _value = 1;
 	private _least = 1;
 	private _rest = 1;
@@ -65,7 +67,6 @@
 	private _smoothed = 0;
 	private _congestedSince: Instant | undefined;
 
-	/** `target` = queued calls a slot that are aimed at; enough to keep slots busy between two answers. */
 	constructor(target: number) {
 		this._target = target;
 	}
@@ -92,6 +93,10 @@
 		this._clamp();
 	}
 
+	setTarget(target: number): void {
+		this._target = target;
+	}
+
 	onAnswer(sample: LimitSample, now: Instant): void {
 		this._smoothed += (sample.queuedPerSlot - this._smoothed) * smoothing;
 		const excess = sample.queuedPerSlot - this._targetAt(now);
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -57,7 +57,7 @@
 		this._configureServers(configuration, now, isFirst);
 		for (const [name, declared] of configuration.services) {
 			const service = this._services.get(name) ?? new ServiceState(declared, this._context.tuning);
-			service.declared = declared;
+			service.redeclare(declared);
 			service.sharing = configuration.sharingRules.find(rule => rule.service === name) ?? service.sharing;
 			service.setServers([...this._servers.values()].filter(server => server.declared.service === name), vmCountOf(this._context));
 			this._services.set(name, service);
--- a/src/common/calls/service-state.ts
+++ b/src/common/calls/service-state.ts
@@ -21,6 +21,9 @@
 /** Good answers assumed before the first: two failures at the start are no common cause. */
 const assumedGood = 5;
 
+/** Priority of a service whose operator has named none. */
+const middlePriority = 5;
+
 /** Sharing where the operator has declared no rule. */
 const defaultSharing = {callerShare: 0.5, overflowAt: 0.8};
 
@@ -49,7 +52,7 @@
 	constructor(declared: Service, tuning: CallTuning) {
 		this.declared = declared;
 		this._tuning = tuning;
-		this.limit = new AdaptiveConcurrencyLimit(tuning.queuedPerSlot);
+		this.limit = new AdaptiveConcurrencyLimit(this._queueTarget());
 		this.queue = tuning.isFair ? new FairCallQueue() : new ArrivalOrderQueue();
 	}
 
@@ -64,6 +67,12 @@
 		this.setVmCount(vmCount);
 	}
 
+	/** Takes a changed declaration. */
+	redeclare(declared: Service): void {
+		this.declared = declared;
+		this.limit.setTarget(this._queueTarget());
+	}
+
 	setVmCount(vmCount: number): void {
 		let slots = 0;
 		for (const server of this.servers) {
@@ -115,6 +124,15 @@
 		}
 	}
 
+	/**
+	 * Services on the same backend servers all see the same queues there. The one that tolerates longer
+	 * ones keeps its concurrency while the others give theirs up, so that the least important is refused
+	 * first without any talk between VMs.
+	 */
+	private _queueTarget(): number {
+		return this._tuning.queuedPerSlot * (this._tuning.priorityFactor ** (this.declared.priority - middlePriority));
+	}
+
 	/** Time that `ahead` calls take to start when one starts with each that ends. */
 	waitFor(ahead: number): number {
 		return ahead * this.classes.all.holdMean / Math.max(1, Math.min(this.limit.value, this.inFlight));
--- a/src/common/calls/tuning.ts
+++ b/src/common/calls/tuning.ts
@@ -51,6 +51,8 @@
 	readonly hedgeQuantile: number;
 	/** Queued calls a slot at the backend servers that the concurrency limit aims at. Infinity = no limit. */
 	readonly queuedPerSlot: number;
+	/** Factor on that for each step of a service's priority. 1 = priorities do not matter. */
+	readonly priorityFactor: number;
 	/** A queue that has stood this long is no burst: from then on only short waits are accepted. */
 	readonly standingMilliseconds: Milliseconds;
 	/** Part of its remaining time that a call may wait in a standing queue. */
@@ -83,6 +85,7 @@
 	commonFailurePart: 0.5,
 	hedgeQuantile: 0.95,
 	queuedPerSlot: 0.4,
+	priorityFactor: 1.4,
 	standingMilliseconds: 400,
 	standingWaitPart: 0.25,
 	isFair: true,
