Show what classes of calls bring: p99 of short calls beside downloads

Cause: nothing showed whether costs learnt by path are worth their memory. Ruled out: the p99 of all calls, which is the downloads' own work.

--- a/benchmark/policy/figures.ts
+++ b/benchmark/policy/figures.ts
@@ -26,7 +26,9 @@
 	const counted = run.records.filter(record => record.planned.at >= run.from);
 	const good = counted.filter(record => record.isGood);
 	const goodTimes = sorted(good.map(record => record.endedAt! - record.planned.at));
-	const allTimes = sorted(counted.map(record => record.isGood ? record.endedAt! - record.planned.at : record.planned.timeout));
+	const short = run.scenario.kinds.toSorted((a, b) => a.work - b.work)[0]!.path;
+	const timeOf = (record: CallRecord): number => record.isGood ? record.endedAt! - record.planned.at : record.planned.timeout;
+	const allTimes = sorted(counted.map(timeOf));
 	const times = run.scenario.isOverloaded ? goodTimes : allTimes;
 	const refused = counted.filter(record => record.isRefused);
 	const refusalTimes = sorted(refused.map(record => record.endedAt! - record.planned.at));
@@ -46,6 +48,7 @@
 		p99: quantile(times, 0.99),
 		p999: quantile(times, 0.999),
 		floorP99: quantile(sorted(counted.map(record => record.planned.work + (2 * localLatency))), 0.99),
+		shortP99: quantile(sorted(counted.filter(record => record.planned.path === short).map(timeOf)), 0.99),
 		goodP99: quantile(goodTimes, 0.99),
 		goodput: goodWork / (slots * (run.scenario.milliseconds - run.from)),
 		goodPart: good.length / counted.length,
--- a/benchmark/policy/summary.ts
+++ b/benchmark/policy/summary.ts
@@ -42,6 +42,7 @@
 		p99: of('p99'),
 		p999: of('p999'),
 		floorP99: of('floorP99'),
+		shortP99: of('shortP99'),
 		goodP99: of('goodP99'),
 		goodput: of('goodput'),
 		goodPart: of('goodPart'),
@@ -72,6 +73,7 @@
 	},
 	{title: 'p99.9', figure: 'p999', digits: 1},
 	{title: 'floor p99', figure: 'floorP99', digits: 1},
+	{title: 'short p99', figure: 'shortP99', digits: 1},
 	{title: 'good p99', figure: 'goodP99', digits: 1},
 	{
 		title: 'goodput %', figure: 'goodput', digits: 1, isPercent: true,
--- a/benchmark/policy/types.ts
+++ b/benchmark/policy/types.ts
@@ -110,6 +110,8 @@
 	readonly p999: number;
 	/** p99 that no policy can get below: the calls' own work and the shortest way. */
 	readonly floorP99: number;
+	/** p99 of the kind with the least work. */
+	readonly shortP99: number;
 	/** p99 over good answers alone. */
 	readonly goodP99: number;
 	/** Good answers as a part of what all backend servers could carry in the time. */
--- a/src/common/calls/call-classes.ts
+++ b/src/common/calls/call-classes.ts
@@ -3,8 +3,8 @@
 import {DecayingHistogram} from './decaying-histogram.ts';
 import {type CallRequest} from './types.ts';
 
-/** Most classes of a service: paths are made by callers, so their number must not grow with them. */
-const mostClasses = 32;
+/** Paths whose pattern is remembered. */
+const rememberedPaths = 512;
 
 /** Samples over which means and quantiles are taken. */
 const memory = 500;
@@ -46,9 +46,12 @@
 	private readonly _classes = new Map<string, CallClass>();
 	private readonly _patterns = new Map<string, string>();
 	private readonly _all: CallClass;
+	private readonly _most: number;
 
-	constructor(guess: Milliseconds) {
+	/** `most` = most classes kept: paths are made by callers, so their number must not grow with them. */
+	constructor(guess: Milliseconds, most: number) {
 		this._all = new CallClass(guess);
+		this._most = most;
 	}
 
 	/** Mean over all calls of the service. */
@@ -64,7 +67,7 @@
 			return known;
 		}
 
-		if (this._classes.size >= mostClasses) {
+		if (this._classes.size >= this._most) {
 			return this._all;
 		}
 
@@ -79,7 +82,7 @@
 			return remembered;
 		}
 
-		if (this._patterns.size >= mostClasses * 16) {
+		if (this._patterns.size >= rememberedPaths) {
 			this._patterns.clear();
 		}
 
--- a/src/common/calls/service-state.ts
+++ b/src/common/calls/service-state.ts
@@ -32,7 +32,7 @@
 	declared: Service;
 	sharing: Pick<SharingRule, 'callerShare' | 'overflowAt'> = defaultSharing;
 	servers: BackendServerState[] = [];
-	readonly classes = new CallClasses(firstGuess);
+	readonly classes: CallClasses;
 	readonly reportTrust = new ReportTrust();
 	readonly retryBudget = new RetryBudget();
 	readonly limit: ConcurrencyLimit;
@@ -52,6 +52,7 @@
 	constructor(declared: Service, tuning: CallTuning) {
 		this.declared = declared;
 		this._tuning = tuning;
+		this.classes = new CallClasses(firstGuess, tuning.callClasses);
 		this.limit = new AdaptiveConcurrencyLimit(this._queueTarget());
 		this.queue = tuning.isFair ? new FairCallQueue() : new ArrivalOrderQueue();
 	}
--- a/src/common/calls/tuning.ts
+++ b/src/common/calls/tuning.ts
@@ -57,6 +57,8 @@
 	readonly standingMilliseconds: Milliseconds;
 	/** Part of its remaining time that a call may wait in a standing queue. */
 	readonly standingWaitPart: number;
+	/** Classes of calls of one service whose cost is learnt apart. 0 = all calls cost alike. */
+	readonly callClasses: number;
 	/** Calls queued by turns of callers; false = in order of arrival. */
 	readonly isFair: boolean;
 	/** Difference in calls between what a report says and what was believed, from which on peers are told. */
@@ -88,6 +90,7 @@
 	priorityFactor: 1.4,
 	standingMilliseconds: 400,
 	standingWaitPart: 0.25,
+	callClasses: 32,
 	isFair: true,
 	newsDifference: 3,
 	suspicionMilliseconds: 600_000,
