--- a/src/common/calls/placer.ts
+++ b/src/common/calls/placer.ts
@@ -85,7 +85,11 @@
 		let least = Infinity;
 		let localLoad = 0;
 		let localCount = 0;
-		for (const server of service.servers) {
+		const {servers} = service;
+		// Begun anywhere, so that VMs that know nothing yet do not all choose the first.
+		const offset = Math.floor(this._context.random.next() * servers.length);
+		for (let index = 0; index < servers.length; index++) {
+			const server = servers[(index + offset) % servers.length]!;
 			if (!this._mayTake(server, call, now, isCareful)) {
 				continue;
 			}
@@ -98,9 +102,8 @@
 			}
 
 			const cost = this._cost(server, call, now, load) + (isLocal ? 0 : this._remoteCost(call));
-			const spread = cost * (1 + (this._context.tuning.choiceSpread * this._context.random.next()));
-			if (spread < least) {
-				least = spread;
+			if (cost < least) {
+				least = cost;
 				best = server;
 			}
 		}
@@ -125,7 +128,7 @@
 	}
 
 	private _cost(server: BackendServerState, call: Call, now: Instant, load: number): number {
-		const slots = server.slotsAt(now) * this._context.tuning.comfortablePart;
+		const slots = server.slotsAt(now);
 		const excess = load + 1 - slots;
 		const wait = bend * Math.log1p(Math.exp(Math.min(50, excess / bend))) * call.serviceState.classes.all.holdMean / slots;
 		const failing = 1 + (this._context.tuning.failurePenalty * server.failingAt(now));
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -110,20 +110,10 @@
 			return;
 		}
 
-		const service = this._services.get(server.declared.service);
-		if (service === undefined) {
-			return;
-		}
-
-		const believed = service.loadOf(server, vmCountOf(this._context), now);
 		this.takeAnswerReport(server, report, now);
 		if (server.health === 'doubted') {
 			server.move('ANSWERED', now);
 		}
-
-		if (Math.abs(report.inFlight + report.queued - believed) >= this._context.tuning.newsDifference) {
-			this._tell(server, report);
-		}
 	}
 
 	/** Measures what is due, within the budget. */
--- a/src/common/calls/tuning.ts
+++ b/src/common/calls/tuning.ts
@@ -17,11 +17,6 @@
 	readonly failurePenalty: number;
 	/** Factor on how long a report is trusted, in mean answer times: what it counted has left by then. 0 = never. */
 	readonly reportTrust: number;
-	/**
-	 * Part of a backend server's slots up to which its load costs little. Below 1, since the load is an
-	 * estimate and other VMs are placing calls by the same one.
-	 */
-	readonly comfortablePart: number;
 	/**
 	 * How far own calls in flight are taken as a sample of other VMs' calls: those go by similar news and
 	 * will have chosen likewise. 0 = not at all, 1 = all VMs have sent as many.
@@ -29,8 +24,6 @@
 	readonly ownAsSample: number;
 	/** An attempt still unanswered after this many mean answer times says that its backend server is slow. */
 	readonly overdueFactor: number;
-	/** Random spread of a choice's cost, so that VMs with the same news do not all choose the same. */
-	readonly choiceSpread: number;
 	/** What a call to another data centre costs at least: a way there and back. */
 	readonly remoteMilliseconds: Milliseconds;
 	/** While local load is low, a remote backend server looks longer by this part of the answer time. */
@@ -61,8 +54,6 @@
 	readonly callClasses: number;
 	/** Calls queued by turns of callers; false = in order of arrival. */
 	readonly isFair: boolean;
-	/** Difference in calls between what a report says and what was believed, from which on peers are told. */
-	readonly newsDifference: number;
 	/** How long a fingerprint stays suspected or quarantined: a repaired backend server must get it again. */
 	readonly suspicionMilliseconds: Milliseconds;
 };
@@ -73,10 +64,8 @@
 	failureMemoryMilliseconds: 3000,
 	failurePenalty: 30,
 	reportTrust: 1,
-	comfortablePart: 0.4,
 	ownAsSample: 0.25,
 	overdueFactor: 1.5,
-	choiceSpread: 0.05,
 	remoteMilliseconds: 2,
 	remoteReluctance: 0.3,
 	warmingMilliseconds: 2000,
@@ -92,6 +81,5 @@
 	standingWaitPart: 0.25,
 	callClasses: 32,
 	isFair: true,
-	newsDifference: 3,
 	suspicionMilliseconds: 600_000,
 };
