Count answers, not calls, before a VM ends; carry a trace through each call

Cause: a call ends with the last byte from its backend server, while a slow caller may still take its answer from this VM's buffers; and the planned stop believed a count up to 500 ms old. Ruled out: waiting for all connections to close (an idle caller would hold the VM for as long as it likes). Change: the door counts answers not handed to the system yet; the stop looks only at counts told after the listener was closed; traceparent is continued or begun, and rewritten on the way down.

--- a/src/common/fleet/stopping/vm-life.ts
+++ b/src/common/fleet/stopping/vm-life.ts
@@ -48,8 +48,9 @@
 				this._after('idle-closed', closingMilliseconds, 'IDLE_CLOSED');
 			},
 			drain: () => {
+				// The count at hand is up to half a second old, and a call may have come since: only one that is
+				// told from now on, with the listener closed, may end the process.
 				this._enter('draining');
-				this._checkDrained();
 			},
 			handOver: () => {
 				parts.handOver(() => {
--- a/src/common/protocol/forwarding.ts
+++ b/src/common/protocol/forwarding.ts
@@ -13,6 +13,9 @@
 	'expect',
 ]);
 
+/** Passed on with a value of this VM's own. */
+const rewrittenName = 'traceparent';
+
 const internalPrefix = 'jaydale-';
 
 type HeaderValue = string | string[] | undefined;
@@ -38,7 +41,7 @@
 	const forwarded: string[] = [];
 	for (const name of Object.keys(headers)) {
 		const value = headers[name];
-		if (value === undefined || hopByHopNames.has(name) || name.startsWith(internalPrefix) || declared.has(name)) {
+		if (value === undefined || hopByHopNames.has(name) || name === rewrittenName || name.startsWith(internalPrefix) || declared.has(name)) {
 			continue;
 		}
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -168,7 +168,7 @@
 
 	private _tellLoad(): void {
 		void this._parts.callerServer.countConnections().then(openConnections => {
-			const callsInFlight = this._parts.callLoop.size;
+			const callsInFlight = this._parts.callerServer.unfinishedAnswers;
 			const idleConnections = Math.max(0, openConnections - callsInFlight);
 			this._parts.fleetLoop.feed({type: 'traffic', traffic: {openConnections, idleConnections, callsInFlight}});
 		});
--- a/src/node/front/call-loop.ts
+++ b/src/node/front/call-loop.ts
@@ -20,6 +20,9 @@
 	release(effect: CallEffect & {type: 'release-key'}): Promise<void>;
 };
 
+/** A call that has ended, with the identifier of its log lines. */
+export type EndedCall = {readonly summary: CallSummary; readonly traceId: string | undefined};
+
 /** The loop round one call engine. */
 export class CallLoop extends Disposable implements CallEventSink {
 	private readonly _engine: CallEngine;
@@ -30,7 +33,7 @@
 	private readonly _callOfAttempt = new Map<number, CallId>();
 	private readonly _pending: CallEvent[] = [];
 	private readonly _timer = this._register(new MutableDisposable<DisposableLike>());
-	private readonly _onCallEnded = this._register(new Emitter<CallSummary>());
+	private readonly _onCallEnded = this._register(new Emitter<EndedCall>());
 	private readonly _onNews = this._register(new Emitter<LoadNews>());
 	private _isRunning = false;
 	private _wakeUpAt: Instant | undefined;
@@ -113,8 +116,8 @@
 			}
 
 			case 'call-ended': {
+				this._onCallEnded.fire({summary: effect.summary, traceId: this._calls.get(effect.callId)?.traceId});
 				this._end(effect.callId);
-				this._onCallEnded.fire(effect.summary);
 				break;
 			}
 
--- a/src/node/front/caller-server.test.ts
+++ b/src/node/front/caller-server.test.ts
@@ -20,7 +20,7 @@
 /** No service of these tests asks for keys. */
 const noKeys = {claim: () => undefined, release: async () => undefined};
 
-type Front = {readonly url: string; readonly ended: CallSummary[]};
+type Front = {readonly url: string; readonly ended: CallSummary[]; readonly server: CallerServer};
 
 /** The callers' door with a real engine in front of the given ports. */
 async function startFront(store: DisposableStore, ports: readonly number[]): Promise<Front> {
@@ -34,7 +34,7 @@
 		fingerprint: (method, path) => `${method} ${path}`,
 	}, limits));
 	const ended: CallSummary[] = [];
-	store.add(loop.onCallEnded(summary => ended.push(summary)));
+	store.add(loop.onCallEnded(({summary}) => ended.push(summary)));
 	const service = serviceSchema.parse({
 		kind: 'service', name: 'orders', timeoutMilliseconds: 2000, retryShare: 1,
 	});
@@ -51,7 +51,7 @@
 		},
 	});
 	const port = await server.listen(0, '127.0.0.1');
-	return {url: `http://127.0.0.1:${port._unsafeUnwrap()}/services/orders`, ended};
+	return {url: `http://127.0.0.1:${port._unsafeUnwrap()}/services/orders`, ended, server};
 }
 
 async function startBackend(backend: BackendServerStandIn): Promise<number> {
@@ -108,6 +108,25 @@
 		expect({...answer, body: answer.body.length}).toMatchSnapshot(this);
 	});
 
+	/*
+	 * A map arrives without its end because the VM stopped. Order: the last bytes have come from the backend
+	 * server, the caller reads slowly, the VM counts no call in flight and ends. Cause: counting calls, not answers.
+	 */
+	it('counts an answer until its caller has taken it', async () => {
+		const backend = store.add(new BackendServerStandIn());
+		const port = await startBackend(backend);
+		const front = await startFront(store, [port]);
+		const {body} = await request(`${front.url}/map`, {headers: {'stand-in-call-id': 'm', 'stand-in-bytes': '20000000'}});
+		expect(front.server.unfinishedAnswers).toEqual(1);
+		const bytes = await body.arrayBuffer();
+		expect(bytes.byteLength).toEqual(20_000_000);
+		while (front.server.unfinishedAnswers > 0) {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+	});
+
 	/*
 	 * A landing crew's map stops in the middle and looks whole. Order: the head and half the body are passed on,
 	 * then the backend server dies. Cause: an answer without a visible end. The caller must see a broken body.
--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -11,8 +11,9 @@
 import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 import {
-	addressesPath, callPathPrefix, callerHeader, idempotencyKeyHeader, outcomeHeader, problemTypePrefix, retryHeader, timeoutHeader,
+	addressesPath, callPathPrefix, callerHeader, idempotencyKeyHeader, outcomeHeader, problemTypePrefix, retryHeader, timeoutHeader, traceHeader,
 } from '../../common/protocol/headers.ts';
+import {continueTrace} from '../logging/trace-context.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {type CallLoop} from './call-loop.ts';
 import {LiveCall} from './live-call.ts';
@@ -70,6 +71,7 @@
 	private readonly _server: Server;
 	private _lastCallId = 0;
 	private _isClosingIdle = false;
+	private _unfinishedAnswers = 0;
 
 	constructor(parts: CallerServerParts, limits: CallerServerLimits) {
 		super();
@@ -109,6 +111,14 @@
 		});
 	}
 
+	/**
+	 * Answers not wholly handed to the operating system yet. A call has ended once its last bytes came from
+	 * the backend server; a slow caller may still have to take them.
+	 */
+	get unfinishedAnswers(): number {
+		return this._unfinishedAnswers;
+	}
+
 	/** Number of open connections of callers. */
 	async countConnections(): Promise<number> {
 		return new Promise(resolve => {
@@ -149,6 +159,10 @@
 	}
 
 	private _accept(incoming: IncomingMessage, outgoing: ServerResponse): void {
+		this._unfinishedAnswers += 1;
+		outgoing.once('close', () => {
+			this._unfinishedAnswers -= 1;
+		});
 		const url = incoming.url!;
 		const slash = url.indexOf('/', callPathPrefix.length);
 		const service = url.slice(callPathPrefix.length, slash);
@@ -190,7 +204,7 @@
 				mayRetry: incoming.headers[retryHeader] !== 'none',
 			};
 			const call = new LiveCall(request, {
-				incoming, outgoing, path, body,
+				incoming, outgoing, path, body, trace: continueTrace(single(incoming.headers[traceHeader])),
 			}, this._parts.loop, this._parts.connections);
 			this._parts.loop.admit(call, {type: 'call-arrived', request});
 		});
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -5,9 +5,10 @@
 } from '../../common/calls/types.ts';
 import {forwardedHeaders} from '../../common/protocol/forwarding.ts';
 import {
-	declaredNotRunHeader, leavingHeader, loadReportHeader, outcomeHeader, problemTypePrefix, retryHeader, timeoutHeader,
+	declaredNotRunHeader, leavingHeader, loadReportHeader, outcomeHeader, problemTypePrefix, retryHeader, timeoutHeader, traceHeader,
 } from '../../common/protocol/headers.ts';
 import {parseLoadHeader} from '../../common/protocol/load-report.ts';
+import {type TraceContext} from '../logging/trace-context.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {BackendAttempt} from './backend-attempt.ts';
 import {type RequestBody} from './request-body.ts';
@@ -23,6 +24,7 @@
 	private readonly _outgoing: ServerResponse;
 	private readonly _body: RequestBody;
 	private readonly _path: string;
+	private readonly _trace: TraceContext;
 	private readonly _sink: CallEventSink;
 	private readonly _connections: BackendConnections;
 	private readonly _attempts = new Map<number, BackendAttempt>();
@@ -34,7 +36,7 @@
 
 	constructor(
 		request: CallRequest,
-		exchange: {readonly incoming: IncomingMessage; readonly outgoing: ServerResponse; readonly path: string; readonly body: RequestBody},
+		exchange: {readonly incoming: IncomingMessage; readonly outgoing: ServerResponse; readonly path: string; readonly body: RequestBody; readonly trace: TraceContext},
 		sink: CallEventSink,
 		connections: BackendConnections,
 	) {
@@ -42,6 +44,7 @@
 		this._incoming = exchange.incoming;
 		this._outgoing = exchange.outgoing;
 		this._path = exchange.path;
+		this._trace = exchange.trace;
 		this._body = exchange.body;
 		this._sink = sink;
 		this._connections = connections;
@@ -50,6 +53,11 @@
 		});
 	}
 
+	/** Identifies the call in all log lines, here and below. */
+	get traceId(): string {
+		return this._trace.traceId;
+	}
+
 	get callId(): CallId {
 		return this._request.callId;
 	}
@@ -194,7 +202,7 @@
 
 	private _requestHeaders(effect: Start): string[] {
 		const headers = forwardedHeaders(this._incoming.headers);
-		headers.push(timeoutHeader, String(Math.max(1, Math.floor(effect.timeoutMilliseconds))), retryHeader, 'none');
+		headers.push(timeoutHeader, String(Math.max(1, Math.floor(effect.timeoutMilliseconds))), retryHeader, 'none', traceHeader, this._trace.traceparent);
 		if (effect.resume !== undefined) {
 			headers.push('range', `bytes=${effect.resume.offset}-`, 'if-range', effect.resume.validator);
 		}
--- /dev/null
+++ b/src/node/metrics/counted-parts.ts
@@ -0,0 +1,53 @@
+/** Wraps parts so that what passes through them is counted. */
+import {type CallEffect} from '../../common/calls/types.ts';
+import {type StoreOperation, type StoreReply} from '../../common/platform/types.ts';
+import {type Clock} from '../clock.ts';
+import {type PlatformClient} from '../fleet/types.ts';
+import {type Measurer} from '../front/call-loop.ts';
+import {type CallEventSink} from '../front/types.ts';
+import {type Metrics} from './types.ts';
+
+/** Counts requests to the platform's service, each with its reply and time. */
+export class CountedPlatformClient implements PlatformClient {
+	private readonly _client: PlatformClient;
+	private readonly _clock: Clock;
+	private readonly _metrics: Metrics;
+
+	constructor(client: PlatformClient, clock: Clock, metrics: Metrics) {
+		this._client = client;
+		this._clock = clock;
+		this._metrics = metrics;
+	}
+
+	async execute(operation: StoreOperation): Promise<StoreReply> {
+		const begin = this._clock.now();
+		const reply = await this._client.execute(operation);
+		this._metrics.platformCalled(operation.type, reply.type, this._clock.now() - begin);
+		return reply;
+	}
+
+	async listVms(): ReturnType<PlatformClient['listVms']> {
+		const begin = this._clock.now();
+		const vms = await this._client.listVms();
+		this._metrics.platformCalled('list-vms', vms === undefined ? 'unavailable' : 'entries', this._clock.now() - begin);
+		return vms;
+	}
+}
+
+/** Counts measuring calls by service. */
+export class CountedMeasurer implements Measurer {
+	private readonly _measurer: Measurer;
+	private readonly _metrics: Metrics;
+	private readonly _serviceOf: (identity: string) => string | undefined;
+
+	constructor(measurer: Measurer, metrics: Metrics, serviceOf: (identity: string) => string | undefined) {
+		this._measurer = measurer;
+		this._metrics = metrics;
+		this._serviceOf = serviceOf;
+	}
+
+	measure(effect: CallEffect & {type: 'measure'}, sink: CallEventSink): void {
+		this._metrics.measured(this._serviceOf(effect.identity) ?? 'unknown');
+		this._measurer.measure(effect, sink);
+	}
+}
--- a/src/node/peers/burn-exchange.ts
+++ b/src/node/peers/burn-exchange.ts
@@ -86,7 +86,8 @@
 
 	private async _ask(address: PeerAddress): Promise<Told | undefined> {
 		const answer = await this._parts.transport.ask(address, this._service.Tell!, {});
-		return answer.andThen(told => toldFromWire(told)).unwrapOr(undefined as never);
+		const told = answer.andThen(message => toldFromWire(message));
+		return told.isOk() ? told.value : undefined;
 	}
 
 	private _keep(request: object, answer: sendUnaryData<object>): void {
