Take the timers of a call out of the queue when it ends

Cause: a timer stayed in the queue until it was due or stood at the front and was dead. With hedges there is nearly always a live one at the front, so the deadlines of all calls answered in the last seconds stayed behind it, each with its call: memory that grows with the rate times the time-out, copied by every collection.

Change: every entry knows its place in the heap and is taken out in logarithmic time; a call holds its entries and its end removes them.

--- a/src/common/calls/admission.ts
+++ b/src/common/calls/admission.ts
@@ -80,7 +80,7 @@
 		}
 
 		if (call.state === 'queued') {
-			this._context.timers.add(Math.max(now, call.deadline - call.class.answerMean), {type: 'latest-start', call});
+			call.timers.push(this._context.timers.add(Math.max(now, call.deadline - call.class.answerMean), {type: 'latest-start', call}));
 		}
 	}
 
--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -233,7 +233,7 @@
 
 		const at = now + times.quantile(hedgeQuantile)!;
 		if (at < call.deadline) {
-			this._context.timers.add(at, {type: 'hedge', attempt});
+			call.timers.push(this._context.timers.add(at, {type: 'hedge', attempt}));
 		}
 	}
 
--- a/src/common/calls/call-endings.ts
+++ b/src/common/calls/call-endings.ts
@@ -98,6 +98,11 @@
 		}
 
 		call.state = 'ended';
+		for (const timer of call.timers) {
+			this._context.timers.remove(timer);
+		}
+
+		call.timers.length = 0;
 		this._calls.delete(call.request.callId);
 		const milliseconds = now - call.arrivedAt;
 		const isWhole = outcome === 'ran' && reason === undefined;
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -229,7 +229,7 @@
 
 		const call = newCall(request, service, now);
 		this._calls.set(request.callId, call);
-		this._context.timers.add(call.deadline, {type: 'deadline', call});
+		call.timers.push(this._context.timers.add(call.deadline, {type: 'deadline', call}));
 		if (this._context.suspects.isQuarantined(request.fingerprint, now)) {
 			this._endings.refuse(call, 'quarantined', now);
 			return;
--- a/src/common/calls/call.ts
+++ b/src/common/calls/call.ts
@@ -4,6 +4,7 @@
 import {type BackendServerState} from './backend-server-state.ts';
 import {type CallClass} from './call-classes.ts';
 import {type ServiceState} from './service-state.ts';
+import {type TimerEntry} from './timer-queue.ts';
 import {type AttemptId, type CallOutcome, type CallRequest} from './types.ts';
 
 /** Where a call stands. */
@@ -52,6 +53,8 @@
 	readonly deadline: Instant;
 	readonly isIdempotent: boolean;
 	state: CallState;
+	/** Everything that is to become due for it; taken out of the queue when it ends. */
+	readonly timers: Array<TimerEntry<unknown>>;
 	/** It holds a granted claim of its idempotency key. */
 	hasKey: boolean;
 	/** Attempts that have neither ended nor been given up. */
@@ -80,6 +83,7 @@
 		deadline: now + timeout,
 		isIdempotent: declared.idempotentMethods.includes(request.method),
 		state: 'queued',
+		timers: [],
 		hasKey: false,
 		attempts: new Set(),
 		attemptCount: 0,
--- a/src/common/calls/timer-queue.ts
+++ b/src/common/calls/timer-queue.ts
@@ -1,14 +1,24 @@
 /** Instants with a payload, the earliest first: a binary heap, since a VM holds thousands of deadlines. */
 import {type Instant} from '../model/units.ts';
 
-type Entry<T> = {readonly at: Instant; readonly value: T};
+/** An entry of the queue, to take it out by. */
+export type TimerEntry<T> = {
+	readonly at: Instant;
+	readonly value: T;
+	/** Place in the heap; `outside` once it has left. */
+	index: number;
+};
+
+const outside = -1;
 
 /**
- * A priority queue by instant. Entries are never removed early: who takes one out checks whether it
- * still means something, which is cheaper than finding it in the heap for each call that ends.
+ * A priority queue by instant. Every entry knows its place, so that the timers of a call that has ended
+ * leave at once. Left to lapse, each would keep its call in memory until its deadline, though the call
+ * took a millisecond and the deadline is seconds away: thousands of calls a second make that the
+ * largest part of the heap, and every collection copies it.
  */
 export class TimerQueue<T> {
-	private readonly _heap: Array<Entry<T>> = [];
+	private readonly _heap: Array<TimerEntry<T>> = [];
 
 	get size(): number {
 		return this._heap.length;
@@ -19,22 +29,30 @@
 		return this._heap[0]?.at;
 	}
 
-	add(at: Instant, value: T): void {
-		const heap = this._heap;
-		let index = heap.length;
-		const entry = {at, value};
-		heap.push(entry);
-		while (index > 0) {
-			const parent = Math.floor((index - 1) / 2);
-			if (heap[parent]!.at <= at) {
-				break;
-			}
+	add(at: Instant, value: T): TimerEntry<T> {
+		const entry: TimerEntry<T> = {at, value, index: this._heap.length};
+		this._heap.push(entry);
+		this._rise(entry);
+		return entry;
+	}
 
-			heap[index] = heap[parent]!;
-			index = parent;
+	/** Takes an entry out; one that has left already is let be. */
+	remove(entry: TimerEntry<unknown>): void {
+		const {index} = entry;
+		if (index === outside) {
+			return;
 		}
 
-		heap[index] = entry;
+		entry.index = outside;
+		const last = this._heap.pop()!;
+		if (last === entry) {
+			return;
+		}
+
+		last.index = index;
+		this._heap[index] = last;
+		this._rise(last);
+		this._sink(last);
 	}
 
 	/** Takes out the earliest value that is due at `now`. */
@@ -44,11 +62,7 @@
 			return undefined;
 		}
 
-		const last = this._heap.pop()!;
-		if (this._heap.length > 0) {
-			this._sinkFromTop(last);
-		}
-
+		this.remove(first);
 		return first.value;
 	}
 
@@ -59,27 +73,43 @@
 		}
 	}
 
-	private _sinkFromTop(entry: Entry<T>): void {
+	private _rise(entry: TimerEntry<T>): void {
 		const heap = this._heap;
-		let index = 0;
-		for (;;) {
-			let child = (2 * index) + 1;
-			if (child >= heap.length) {
+		let {index} = entry;
+		while (index > 0) {
+			const parent = heap[Math.floor((index - 1) / 2)]!;
+			if (parent.at <= entry.at) {
 				break;
 			}
 
-			if (child + 1 < heap.length && heap[child + 1]!.at < heap[child]!.at) {
-				child++;
-			}
+			const parentIndex = parent.index;
+			this._put(parent, index);
+			index = parentIndex;
+		}
 
-			if (heap[child]!.at >= entry.at) {
+		this._put(entry, index);
+	}
+
+	private _sink(entry: TimerEntry<T>): void {
+		const heap = this._heap;
+		let {index} = entry;
+		for (let child = (2 * index) + 1; child < heap.length; child = (2 * index) + 1) {
+			const right = heap[child + 1];
+			const earlier = right !== undefined && right.at < heap[child]!.at ? right : heap[child]!;
+			if (earlier.at >= entry.at) {
 				break;
 			}
 
-			heap[index] = heap[child]!;
-			index = child;
+			const earlierIndex = earlier.index;
+			this._put(earlier, index);
+			index = earlierIndex;
 		}
 
-		heap[index] = entry;
+		this._put(entry, index);
+	}
+
+	private _put(entry: TimerEntry<T>, index: number): void {
+		this._heap[index] = entry;
+		entry.index = index;
 	}
 }
