Wire burn, metrics and the log of calls into the daemon

Cause: the ledger, the metrics and the exchange of counts stood ready without a user; the report was empty. Change: each ended call is counted for burn and metrics and logged with its trace (debug; trace if it was good); requests to the platform, measuring calls and traffic between VMs are counted; copies of counts are left with two other VMs every 30 s and at the end of a planned stop.

--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -201,6 +201,7 @@
 		this._measurements.set(measurementId, server);
 		this._context.effects.push({
 			type: 'measure',
+			service: server.declared.service,
 			measurementId,
 			identity: server.identity,
 			address: server.declared.address,
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -220,6 +220,7 @@
 	| {
 		readonly type: 'measure';
 		readonly measurementId: MeasurementId;
+		readonly service: string;
 		readonly identity: BackendServerIdentity;
 		readonly address: string;
 		readonly port: number;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -3,7 +3,8 @@
 import {err, ok, type Result} from 'neverthrow';
 import {type CallEngine} from '../common/calls/types.ts';
 import {describeFailure, failure, type Failure} from '../common/errors/failure.ts';
-import {type FleetStage} from '../common/fleet/types.ts';
+import {type BurnLedger} from '../common/burn/burn-ledger.ts';
+import {type FleetEngine, type FleetStage} from '../common/fleet/types.ts';
 import {
 	Disposable, type DisposableLike, type DisposableStore, MutableDisposable,
 } from '../common/lifecycle/disposable.ts';
@@ -14,9 +15,12 @@
 import {type Clock} from '../node/clock.ts';
 import {type FleetLoop, type OutwardEffect} from '../node/fleet/fleet-loop.ts';
 import {type BackendConnections} from '../node/front/backend-connections.ts';
-import {type CallLoop} from '../node/front/call-loop.ts';
+import {type CallLoop, type EndedCall} from '../node/front/call-loop.ts';
 import {type CallerServer} from '../node/front/caller-server.ts';
 import {type Logger} from '../node/logging/types.ts';
+import {type Metrics} from '../node/metrics/types.ts';
+import {type BurnExchange} from '../node/peers/burn-exchange.ts';
+import {type GrpcPeerTransport, type PeerTraffic} from '../node/peers/grpc-peer-transport.ts';
 import {type PauseWatch} from './pause-watch.ts';
 
 /** The parts of a daemon, made by the wiring. */
@@ -26,12 +30,16 @@
 	readonly logger: Logger;
 	readonly callEngine: CallEngine;
 	readonly callLoop: CallLoop;
+	readonly fleetEngine: FleetEngine;
 	readonly fleetLoop: FleetLoop;
 	readonly connections: BackendConnections;
 	readonly callerServer: CallerServer;
 	readonly operatorServer: OperatorServer;
-	readonly peerServer: {listen(): Promise<Result<number, Failure<string>>>};
+	readonly peers: GrpcPeerTransport;
 	readonly pauseWatch: PauseWatch;
+	readonly metrics: Metrics;
+	readonly ledger: BurnLedger;
+	readonly burnExchange: BurnExchange;
 };
 
 /** Ports that the daemon listens on. */
@@ -52,6 +60,8 @@
 	private readonly _loadTimer = this._register(new MutableDisposable<DisposableLike>());
 	private readonly _onEnded = this._register(new Emitter<void>());
 	private _utilisation: EventLoopUtilization = performance.eventLoopUtilization();
+	private _lastUtilisation = 0;
+	private _traffic: PeerTraffic;
 
 	/** The planned stop is over: the process may end. */
 	readonly onEnded = this._onEnded.event;
@@ -59,6 +69,7 @@
 	constructor(parts: DaemonParts, owned: DisposableStore) {
 		super();
 		this._parts = parts;
+		this._traffic = parts.peers.traffic;
 		this._register(owned);
 		this._register(parts.fleetLoop.onEffect(effect => {
 			this._carryOut(effect);
@@ -69,6 +80,9 @@
 				parts.fleetLoop.feed({type: 'leaving-sign', sign: {identity: news.identity, instance: news.report.instance, source: 'answer'}});
 			}
 		}));
+		this._register(parts.callLoop.onCallEnded(call => {
+			this._countCall(call);
+		}));
 		this._register(parts.pauseWatch.onWoke(milliseconds => {
 			parts.fleetLoop.feed({type: 'woke', milliseconds});
 		}));
@@ -76,8 +90,8 @@
 
 	/** Opens the doors, the callers' last: by then there are peers and operators to learn from. */
 	async start(): Promise<Result<DaemonPorts, StartFailure>> {
-		const {settings, fleetLoop, callerServer, operatorServer, peerServer, pauseWatch} = this._parts;
-		const peers = await peerServer.listen();
+		const {settings, fleetLoop, callerServer, operatorServer, pauseWatch} = this._parts;
+		const peers = await this._parts.peers.listen();
 		if (peers.isErr()) {
 			return err(failure('cannot-listen', describeFailure(peers.error), {field: 'peers', cause: peers.error}));
 		}
@@ -93,6 +107,7 @@
 		}
 
 		pauseWatch.start();
+		this._parts.burnExchange.start();
 		fleetLoop.start(settings.platform.pollMilliseconds);
 		this._tellLoad();
 		return ok({callers: callers.value, operators: operators.value, peers: peers.value});
@@ -109,6 +124,7 @@
 			case 'configured': {
 				callLoop.feed({type: 'configured', configuration: effect.configuration});
 				connections.retain(new Set(effect.configuration.backendServers.keys()));
+				this._parts.ledger.retain(new Set(effect.configuration.services.keys()));
 				break;
 			}
 
@@ -144,6 +160,24 @@
 		}
 	}
 
+	private _countCall({summary, traceId}: EndedCall): void {
+		const {ledger, metrics, logger, clock} = this._parts;
+		ledger.count(summary.service, summary.isGood, clock.now());
+		metrics.callEnded(summary);
+		const level = summary.isGood ? 'trace' : 'debug';
+		if (logger.isEnabled(level)) {
+			logger[level]('call ended', {
+				traceId,
+				service: summary.service,
+				outcome: summary.outcome,
+				reason: summary.reason,
+				attempts: summary.attempts,
+				milliseconds: summary.milliseconds,
+				queuedMilliseconds: summary.queuedMilliseconds,
+			});
+		}
+	}
+
 	private _enter(stage: FleetStage): void {
 		this._parts.logger.info('stage entered', {stage});
 		switch (stage) {
@@ -158,7 +192,9 @@
 			}
 
 			case 'ended': {
-				this._onEnded.fire();
+				void this._parts.burnExchange.leaveCopies().then(() => {
+					this._onEnded.fire();
+				});
 				break;
 			}
 
@@ -171,16 +207,37 @@
 			const callsInFlight = this._parts.callerServer.unfinishedAnswers;
 			const idleConnections = Math.max(0, openConnections - callsInFlight);
 			this._parts.fleetLoop.feed({type: 'traffic', traffic: {openConnections, idleConnections, callsInFlight}});
+			this._reportGauges(openConnections);
 		});
 		const latest = performance.eventLoopUtilization();
 		const {utilization} = performance.eventLoopUtilization(latest, this._utilisation);
 		this._utilisation = latest;
+		this._lastUtilisation = utilization;
 		this._parts.fleetLoop.feed({type: 'own-load', utilisation: utilization, services: this._callsOfServices()});
 		this._loadTimer.value = this._parts.clock.after(loadEvery, () => {
 			this._tellLoad();
 		});
 	}
 
+	private _reportGauges(connections: number): void {
+		const {metrics, fleetEngine, callEngine, clock} = this._parts;
+		const now = clock.now();
+		const calls = callEngine.status(now);
+		const fleet = fleetEngine.status(now);
+		metrics.gauges({
+			callsInFlight: calls.callsInFlight,
+			callsQueued: calls.callsQueued,
+			connections,
+			configurationVersion: fleet.configurationVersion,
+			utilisation: this._lastUtilisation,
+			measuringPart: fleet.shares.measuringPart,
+		});
+		const {traffic} = this._parts.peers;
+		metrics.peerTraffic('in', traffic.messagesIn - this._traffic.messagesIn, traffic.bytesIn - this._traffic.bytesIn);
+		metrics.peerTraffic('out', traffic.messagesOut - this._traffic.messagesOut, traffic.bytesOut - this._traffic.bytesOut);
+		this._traffic = traffic;
+	}
+
 	/** Calls in flight of each service. */
 	private _callsOfServices(): ReadonlyMap<string, number> {
 		const counts = new Map<string, number>();
--- a/src/daemon/wiring.ts
+++ b/src/daemon/wiring.ts
@@ -24,6 +24,13 @@
 	checkTlsFiles, type PeerCredentials, plainCredentials, watchTlsFiles,
 } from '../node/peers/peer-credentials.ts';
 import {HttpPlatformClient} from '../node/platform/http-platform-client.ts';
+import {CountedMeasurer, CountedPlatformClient} from '../node/metrics/counted-parts.ts';
+import {noMetrics} from '../node/metrics/no-metrics.ts';
+import {StatsdMetrics} from '../node/metrics/statsd-metrics.ts';
+import {BurnExchange} from '../node/peers/burn-exchange.ts';
+import {BurnCopies} from '../common/burn/burn-copies.ts';
+import {BurnLedger} from '../common/burn/burn-ledger.ts';
+import {BurnReporter} from './burn-reporter.ts';
 import {Daemon} from './daemon.ts';
 import {FleetGateway} from './fleet-gateway.ts';
 import {freshIdentity, type Hashes} from './identity.ts';
@@ -99,18 +106,26 @@
 	const identity = freshIdentity();
 	const random = seededRandom(randomInt(largestSeed));
 
-	const platform = owned.add(new HttpPlatformClient(settings.platform.url, settings.platform.requestTimeoutMilliseconds));
+	const metrics = settings.metrics.enabled
+		? owned.add(new StatsdMetrics(settings, message => {
+			logger.debug('metrics were not sent', {reason: message});
+		}))
+		: noMetrics;
+	const httpClient = owned.add(new HttpPlatformClient(settings.platform.url, settings.platform.requestTimeoutMilliseconds));
+	const platform = new CountedPlatformClient(httpClient, clock, metrics);
 	const peers = owned.add(new GrpcPeerTransport(joinAddress(settings.peers.address, settings.peers.port), credentials, () => clock.now()));
 	owned.add(peers.onTrouble(trouble => {
 		logger.debug('message to another VM failed', {peer: trouble.address, failure: describeFailure(trouble.failure)});
 	}));
-	const fleetEngine = new FleetCoordinator(fleetSettings(settings, identity), random, hashes.hash32);
+	const fleet = fleetSettings(settings, identity);
+	const fleetEngine = new FleetCoordinator(fleet, random, hashes.hash32);
 	const fleetLoop = owned.add(new FleetLoop(fleetEngine, clock, platform, peers));
 
 	const connections = owned.add(new BackendConnections({connectMilliseconds, idleMilliseconds: backendIdleMilliseconds}));
 	const callEngine = new DefaultCallEngine({random, settings: {dataCentre: settings.vm.dataCentre}});
+	const measurer = new CountedMeasurer(new LoadMeasurer(connections), metrics);
 	const keyClaimer = new StoreKeyClaimer(platform, clock, identity, hashes.digest);
-	const callLoop = owned.add(new CallLoop(callEngine, clock, new LoadMeasurer(connections), keyClaimer));
+	const callLoop = owned.add(new CallLoop(callEngine, clock, measurer, keyClaimer));
 	const callerServer = owned.add(new CallerServer({
 		loop: callLoop,
 		connections,
@@ -125,6 +140,15 @@
 		connections: settings.limits.connections,
 	}));
 
+	const ledger = new BurnLedger();
+	const copies = new BurnCopies();
+	const burnReporter = new BurnReporter({
+		identity, vmName: settings.vm.name, callAddress: fleet.callAddress, clock, fleet: fleetEngine, calls: callEngine, ledger, copies,
+	});
+	const burnExchange = owned.add(new BurnExchange({
+		transport: peers, clock, copies, own: () => burnReporter.own(), peers: () => burnReporter.peers(),
+	}));
+
 	const gateway = new FleetGateway({
 		vmName: settings.vm.name,
 		dataCentre: settings.vm.dataCentre,
@@ -133,9 +157,7 @@
 		fleetLoop,
 		calls: callEngine,
 		callLoop,
-		burn: async () => ({
-			services: [], vmsCounted: [], vmsMissing: [], copiesCounted: 0,
-		}),
+		burn: async () => burnReporter.report(burnExchange),
 		logger,
 		logControl: logging,
 		wallClock: () => new Date(),
@@ -146,7 +168,7 @@
 	const operatorServer = owned.add(new OperatorServer(api));
 	const pauseWatch = owned.add(new PauseWatch(clock, () => Date.now()));
 	return new Daemon({
-		settings, clock, logger, callEngine, callLoop, fleetLoop, connections, callerServer, operatorServer, peerServer: peers, pauseWatch,
+		settings, clock, logger, callEngine, callLoop, fleetEngine, fleetLoop, connections, callerServer, operatorServer, peers, pauseWatch, metrics, ledger, burnExchange,
 	}, owned);
 }
 
--- a/src/node/metrics/counted-parts.ts
+++ b/src/node/metrics/counted-parts.ts
@@ -38,16 +38,14 @@
 export class CountedMeasurer implements Measurer {
 	private readonly _measurer: Measurer;
 	private readonly _metrics: Metrics;
-	private readonly _serviceOf: (identity: string) => string | undefined;
 
-	constructor(measurer: Measurer, metrics: Metrics, serviceOf: (identity: string) => string | undefined) {
+	constructor(measurer: Measurer, metrics: Metrics) {
 		this._measurer = measurer;
 		this._metrics = metrics;
-		this._serviceOf = serviceOf;
 	}
 
 	measure(effect: CallEffect & {type: 'measure'}, sink: CallEventSink): void {
-		this._metrics.measured(this._serviceOf(effect.identity) ?? 'unknown');
+		this._metrics.measured(effect.service);
 		this._measurer.measure(effect, sink);
 	}
 }
