Measure how control grows with services, backend servers and VMs

Cause: the design has to be judged at a size that no machine here can run, and only slopes can be measured.

Bytes of JSON: messages go through the codec and the protobuf library as in service.

--- /dev/null
+++ b/benchmark/capacity/observed-vm.ts
@@ -0,0 +1,346 @@
+/**
+ * One VM's fleet engine in virtual time, with as many made-up peers as wanted and the platform's service
+ * in memory. Processor time is taken round the engine's own work and round the codec of its messages.
+ */
+import {Buffer} from 'node:buffer';
+import {performance} from 'node:perf_hooks';
+import {FleetCoordinator} from '../../src/common/fleet/fleet-coordinator.ts';
+import {
+	encodeHead, encodeShards, headKey, shardPrefix,
+} from '../../src/common/fleet/configuration/head.ts';
+import {type ChangeRecord, type MemberRecord, type PeerMessage} from '../../src/common/fleet/peer-messages.ts';
+import {type FleetEffect, type FleetEvent, type HashFunction} from '../../src/common/fleet/types.ts';
+import {type StoredResource} from '../../src/common/model/resources.ts';
+import {type StoreOperation} from '../../src/common/platform/types.ts';
+import {seededRandom} from '../../src/common/random/random.ts';
+import {fromWire, toWire} from '../../src/node/peers/peer-codec.ts';
+import {loadService} from '../../src/node/peers/proto-file.ts';
+import {KeyValueStore} from '../../src/stand-ins/platform/key-value-store.ts';
+import {
+	backendServerOf, dataCentreOf, daySeconds, identityOf, target,
+} from './sizes.ts';
+import {type SteadyState} from './types.ts';
+
+/** What surrounds the VM. */
+export type Surroundings = {
+	readonly vms: number;
+	readonly resources: readonly StoredResource[];
+	/** Whether it is one of those that watch the platform's service. */
+	readonly isWatcher: boolean;
+	readonly hash: HashFunction;
+};
+
+const probeSeconds = 0.5;
+const loadSeconds = 0.5;
+const listSeconds = 5;
+const answerSeconds = 0.002;
+/** Copies of each change that reach a VM: every VM pushes to 4. */
+const changeCopies = 4;
+const memberCharacters = 1200;
+const membersInMessage = 256;
+const deliver = loadService('peers.proto', 'jaydale.peers.v1.Peers').Deliver!;
+
+type Due = {readonly at: number; readonly run: () => void};
+
+/** Made, joined and configured by its constructor; `run` lets time pass. */
+export class ObservedVm {
+	readonly engine: FleetCoordinator;
+	private readonly _surroundings: Surroundings;
+	private readonly _random = seededRandom(7);
+	private readonly _store = new KeyValueStore();
+	private readonly _peers: MemberRecord[];
+	private readonly _due: Due[] = [];
+	private _now = 0;
+	private _version = 1;
+	private _engineMilliseconds = 0;
+	private _codecMilliseconds = 0;
+	private _messagesOut = 0;
+	private _bytesOut = 0;
+	private _messagesIn = 0;
+	private _bytesIn = 0;
+	private _storeCalls = 0;
+	private _rumours: number[] = [];
+
+	constructor(surroundings: Surroundings) {
+		this._surroundings = surroundings;
+		// A VM alone in its data centre is a watcher; one among others is none, but for the chance of the hash.
+		const own = surroundings.isWatcher ? 'dc-own' : 'dc-0';
+		this._peers = Array.from({length: surroundings.vms - 1}, (_, index) => this._peer(index));
+		this._storeConfiguration(surroundings.resources);
+		this.engine = new FleetCoordinator({
+			identity: identityOf('own', 0),
+			peerAddress: '10.250.0.1:7003',
+			callAddress: '10.250.0.1:7001',
+			dataCentre: own,
+			seeds: [],
+			defaultPeerPort: 7003,
+			shareSlots: Math.ceil(surroundings.vms * 1.5),
+			shareLeaseMilliseconds: 15_000,
+			answerKeepMilliseconds: 5000,
+			smallestSubset: 16,
+		}, seededRandom(3), surroundings.hash);
+		this._feed({type: 'started'});
+		this._join();
+	}
+
+	/** Lets seconds pass and tells what happened in them. */
+	run(seconds: number): SteadyState {
+		this._runUntil(this._now + 5000);
+		this._resetCounts();
+		const until = this._now + (seconds * 1000);
+		this._schedule();
+		this._runUntil(until);
+		const status = this.engine.status(this._now);
+		return {
+			vms: this._surroundings.vms,
+			isWatcher: status.isWatchingStore,
+			messagesOutPerSecond: this._messagesOut / seconds,
+			bytesOutPerSecond: this._bytesOut / seconds,
+			messagesInPerSecond: this._messagesIn / seconds,
+			bytesInPerSecond: this._bytesIn / seconds,
+			engineCoreShare: this._engineMilliseconds / 1000 / seconds,
+			codecCoreShare: this._codecMilliseconds / 1000 / seconds,
+			storeCallsPerSecond: this._storeCalls / seconds,
+			isKeepingUp: this._rumours.length < this._peers.length,
+			membersBehind: status.members.filter(({configurationVersion}) => configurationVersion < this._version).length,
+		};
+	}
+
+	/** Processor microseconds of one answer to a caller. */
+	addressMicroseconds(answers: number): number {
+		const startedAt = performance.now();
+		for (let index = 0; index < answers; index++) {
+			this.engine.addresses(`service-${index % target.services}`, this._now, 'dc-0');
+		}
+
+		return (performance.now() - startedAt) * 1000 / answers;
+	}
+
+	/** Processor milliseconds to bring one change into force, all parts of the fleet engine. */
+	changeMilliseconds(changes: number): number {
+		this._runUntil(this._now + 5000);
+		this._resetCounts();
+		for (let index = 0; index < changes; index++) {
+			this._change();
+		}
+
+		return this._engineMilliseconds / changes;
+	}
+
+	private _peer(index: number): MemberRecord {
+		return {
+			identity: identityOf('vm', index),
+			peerAddress: `10.251.${Math.floor(index / 250)}.${index % 250}:7003`,
+			callAddress: `10.251.${Math.floor(index / 250)}.${index % 250}:7001`,
+			dataCentre: dataCentreOf(index),
+			sequence: 1,
+			isLeaving: false,
+			isServing: true,
+			holdsShare: true,
+			configurationVersion: 1,
+			utilisation: 0.5,
+		};
+	}
+
+	private _storeConfiguration(resources: readonly StoredResource[]): void {
+		const shards = encodeShards(resources).map((value, index) => {
+			const key = `${shardPrefix}1-${index}`;
+			this._store.handle({
+				type: 'compare-and-swap', key, expected: 0, value,
+			}, 0);
+			return {key, revision: index + 1};
+		});
+		this._store.handle({
+			type: 'compare-and-swap',
+			key: headKey,
+			expected: 0,
+			value: encodeHead({
+				format: 1, version: 1, snapshot: {version: 1, shards}, records: [],
+			}),
+		}, 0);
+	}
+
+	private _join(): void {
+		for (let start = 0; start < this._peers.length; start += membersInMessage) {
+			const members = this._peers.slice(start, start + membersInMessage).map(record => ({record, verdict: 'live' as const}));
+			this._receive({...this._message(this._peers[0]!, {type: 'members'}), members});
+		}
+	}
+
+	private _message(sender: MemberRecord, body: PeerMessage['body']): PeerMessage {
+		return {
+			protocol: 1, sender, storeContactAgeMilliseconds: 500, body, members: [], leaving: [], news: [],
+		};
+	}
+
+	private _schedule(): void {
+		const every = (seconds: number, run: () => void): void => {
+			const again = (): void => {
+				run();
+				this._after(seconds * 1000 * (0.5 + this._random.next()), again);
+			};
+
+			this._after(seconds * 1000 * this._random.next(), again);
+		};
+
+		every(probeSeconds, () => {
+			this._receive({...this._message(this._randomPeer(), {type: 'ping', nonce: 1}), members: this._takeRumours()});
+		});
+		every(loadSeconds, () => {
+			this._feed({type: 'own-load', utilisation: this._random.next(), services: new Map()});
+		});
+		every(listSeconds, () => {
+			this._feed({type: 'vm-list', vms: this._peers.map(({peerAddress, dataCentre}) => ({address: peerAddress, dataCentre, state: 'live' as const}))});
+		});
+		every(daySeconds / target.changesPerDay, () => {
+			this._change();
+		});
+	}
+
+	/** A change reaches this VM from several peers; afterwards every VM's record carries the new version. */
+	private _change(): void {
+		this._version++;
+		const resource = backendServerOf(this._version % target.backendServers, target.services);
+		const record: ChangeRecord = {
+			version: this._version,
+			operationId: `operation-${this._version}`,
+			who: 'operator',
+			when: '2026-01-01T00:00:00.000Z',
+			note: '',
+			mutations: [{
+				type: 'put',
+				resource: {...resource, isLeaving: this._version % 2 === 0},
+				metadata: {
+					identity: identityOf('b', this._version % target.backendServers), createdAt: 1, version: this._version, generation: 2,
+				},
+			}],
+		};
+		for (let copy = 0; copy < Math.min(changeCopies, this._peers.length); copy++) {
+			const peer = this._randomPeer();
+			peer.configurationVersion = this._version;
+			peer.sequence++;
+			this._receive(this._message(peer, {type: 'changes', records: [record]}));
+		}
+
+		for (const [index, peer] of this._peers.entries()) {
+			if (peer.configurationVersion < this._version) {
+				peer.configurationVersion = this._version;
+				peer.sequence++;
+				this._rumours.push(index);
+			}
+		}
+
+		this._rumours = [...new Set(this._rumours)];
+	}
+
+	/** As many rumours as ride along with one message. */
+	private _takeRumours(): PeerMessage['members'] {
+		const size = JSON.stringify({record: this._peers[0], verdict: 'live'}).length;
+		return this._rumours.splice(0, Math.floor(memberCharacters / size)).map(index => ({record: {...this._peers[index]!}, verdict: 'live' as const}));
+	}
+
+	private _randomPeer(): MemberRecord {
+		return this._peers[Math.floor(this._random.next() * this._peers.length)]!;
+	}
+
+	private _after(milliseconds: number, run: () => void): void {
+		this._due.push({at: this._now + milliseconds, run});
+	}
+
+	private _firstDue(): Due | undefined {
+		let first: Due | undefined;
+		for (const due of this._due) {
+			first = first === undefined || due.at < first.at ? due : first;
+		}
+
+		return first;
+	}
+
+	private _runUntil(until: number): void {
+		for (;;) {
+			const next = this._firstDue();
+			const wakeUp = this.engine.nextWakeUp() ?? Infinity;
+			const at = Math.min(next?.at ?? Infinity, wakeUp);
+			if (at > until) {
+				break;
+			}
+
+			this._now = Math.max(this._now, at);
+			if (next !== undefined && next.at <= wakeUp) {
+				this._due.splice(this._due.indexOf(next), 1);
+				next.run();
+			} else {
+				this._feed({type: 'tick'});
+			}
+		}
+
+		this._now = until;
+	}
+
+	private _feed(event: FleetEvent): void {
+		const startedAt = performance.now();
+		const effects = this.engine.handle(event, this._now);
+		this._engineMilliseconds += performance.now() - startedAt;
+		for (const effect of effects) {
+			this._carryOut(effect);
+		}
+	}
+
+	private _carryOut(effect: FleetEffect): void {
+		if (effect.type === 'store') {
+			this._storeCalls++;
+			this._answerStore(effect.requestId, effect.operation);
+		} else if (effect.type === 'send') {
+			this._send(effect.message);
+		}
+	}
+
+	/** A watch waits for its whole time: changes come from peers here. */
+	private _answerStore(requestId: number, operation: StoreOperation): void {
+		const wait = operation.type === 'watch' ? operation.milliseconds : answerSeconds * 1000;
+		this._after(wait, () => {
+			const reply = operation.type === 'watch'
+				? {
+					type: 'changes' as const, entries: [], deleted: [], revision: this._store.revision,
+				}
+				: this._store.handle(operation, this._now)!;
+			this._feed({type: 'store-replied', requestId, reply});
+		});
+	}
+
+	private _send(message: PeerMessage): void {
+		const startedAt = performance.now();
+		const bytes = deliver.requestSerialize(toWire(message));
+		this._codecMilliseconds += performance.now() - startedAt;
+		this._messagesOut++;
+		this._bytesOut += bytes.length;
+		if (message.body.type === 'ping') {
+			const {nonce} = message.body;
+			this._after(answerSeconds * 1000, () => {
+				this._receive({...this._message(this._randomPeer(), {type: 'ping-answer', nonce}), members: this._takeRumours()});
+			});
+		}
+	}
+
+	private _receive(message: PeerMessage): void {
+		const bytes = Buffer.from(deliver.requestSerialize(toWire(message)));
+		const startedAt = performance.now();
+		const decoded = fromWire(deliver.requestDeserialize(bytes));
+		this._codecMilliseconds += performance.now() - startedAt;
+		this._messagesIn++;
+		this._bytesIn += bytes.length;
+		if (decoded.isOk()) {
+			this._feed({type: 'peer-message', message: decoded.value});
+		}
+	}
+
+	private _resetCounts(): void {
+		this._engineMilliseconds = 0;
+		this._codecMilliseconds = 0;
+		this._messagesOut = 0;
+		this._bytesOut = 0;
+		this._messagesIn = 0;
+		this._bytesIn = 0;
+		this._storeCalls = 0;
+	}
+}
