Join a resumed download only at the byte asked for; tell the engine whether a body can be sent again

Cause: read through the runner of attempts: a partial answer was trusted by status and version alone, and a shed order with a body was never placed elsewhere, since the head's event did not say that the body was kept. Change: LiveCall checks the range's first byte and reports isReplayable with the head.

--- a/src/node/front/caller-server.test.ts
+++ b/src/node/front/caller-server.test.ts
@@ -164,6 +164,19 @@
 		expect({status: answer.status, outcome: answer.outcome}).toEqual({status: 502, outcome: 'unknown'});
 	});
 
+	/*
+	 * A judge's footage is joined from two halves that do not fit. Order: the first backend server dies in the middle,
+	 * the second answers the range with the right version but from another byte. Cause: trusting status and version
+	 * alone. The answer must break off.
+	 */
+	it('breaks a resumed download off that goes on at another byte', async () => {
+		expect(await downloadInTwoHalves(store, 'bytes 3-9/10')).toEqual('BROKEN OFF');
+	});
+
+	it('joins a resumed download that goes on at the byte asked for', async () => {
+		expect(await downloadInTwoHalves(store, 'bytes 5-9/10')).toEqual('helloworld');
+	});
+
 	/*
 	 * A festival registration is refused although a backend server was free. Order: the chosen one refuses the
 	 * connection, so nothing ran. Cause: giving up on a failure that proves it is safe to go elsewhere.
@@ -205,6 +218,25 @@
 	});
 });
 
+/** Both backend servers give half of a download and die; asked for the other half, they give this range. */
+async function downloadInTwoHalves(store: DisposableStore, contentRange: string): Promise<string> {
+	const answer = (socket: Socket) => {
+		socket.on('data', chunk => {
+			if (chunk.toString().includes('range: bytes=5-')) {
+				socket.write(`HTTP/1.1 206 Partial Content\r\netag: "v1"\r\ncontent-range: ${contentRange}\r\ncontent-length: 5\r\n\r\nworld`);
+				return;
+			}
+
+			socket.write('HTTP/1.1 200 OK\r\netag: "v1"\r\ncontent-length: 10\r\n\r\nhello');
+			setTimeout(() => socket.destroy(), 20);
+		});
+	};
+
+	const front = await startFront(store, [await startRaw(store, answer), await startRaw(store, answer)]);
+	const {body} = await ask(`${front.url}/footage`);
+	return body;
+}
+
 async function rawExchange(url: string, text: string): Promise<string> {
 	const {port} = new URL(url);
 	const {connect} = await import('node:net');
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -29,6 +29,7 @@
 	private readonly _connections: BackendConnections;
 	private readonly _attempts = new Map<number, BackendAttempt>();
 	private readonly _startedAttempts: number[] = [];
+	private readonly _resumeOffsets = new Map<number, number>();
 	private readonly _heads = new Map<number, AnswerHead>();
 	private _passedOn: BackendAttempt | undefined;
 	private _bytesPassedOn = 0;
@@ -155,7 +156,8 @@
 			status: head.status,
 			report: this._report(head),
 			isDeclaredNotRun: head.headers[declaredNotRunHeader] === 'not-run',
-			validator: etag?.startsWith('"') ? etag : undefined,
+			isReplayable: this._body.isReplayable,
+			validator: this._isExpectedRange(attempt.id, head) && etag?.startsWith('"') ? etag : undefined,
 		});
 	}
 
@@ -200,10 +202,20 @@
 		});
 	}
 
+	/**
+	 * Guards a resumed download against a partial answer that begins elsewhere than asked for: joined to
+	 * what was passed on it would look whole and be wrong. Without a validator the engine breaks it off.
+	 */
+	private _isExpectedRange(attemptId: number, head: AnswerHead): boolean {
+		const offset = this._resumeOffsets.get(attemptId);
+		return offset === undefined || (head.headers['content-range'] ?? '').startsWith(`bytes ${offset}-`);
+	}
+
 	private _requestHeaders(effect: Start): string[] {
 		const headers = forwardedHeaders(this._incoming.headers);
 		headers.push(timeoutHeader, String(Math.max(1, Math.floor(effect.timeoutMilliseconds))), retryHeader, 'none', traceHeader, this._trace.traceparent);
 		if (effect.resume !== undefined) {
+			this._resumeOffsets.set(effect.attemptId, effect.resume.offset);
 			headers.push('range', `bytes=${effect.resume.offset}-`, 'if-range', effect.resume.validator);
 		}
 
