Write the operators' pages and hold them against the code

Pages for settings, command line, API, burn and logs, and a glossary.

Writing them showed: the setting platform.watchMilliseconds had no effect (the engine sets the length of a watch), so it is gone; the spend on measuring of an ended VM would have been counted for as long as its copy was kept, and that of a service without calls not at all: both mended in the burn counts.

--- /dev/null
+++ b/src/cli/command-line-page.test.ts
@@ -0,0 +1,21 @@
+import {readFileSync} from 'node:fs';
+import {expect} from 'earl';
+import {exitCodes} from './exit-codes.ts';
+import {allCommands} from './run.ts';
+
+describe('the command line\'s page', () => {
+	const page = readFileSync('docs/operators/command-line.md', 'utf8');
+
+	it('names every command, every option of its own, and every exit code', () => {
+		const commands = allCommands(async () => 0);
+		const common = new Set(['server', 'token-file', 'format', 'note', 'operation', 'wait']);
+		const lacking = commands.flatMap(({usage, options}) => {
+			const line = page.split('\n').find(candidate => candidate.startsWith(`| \`${usage === 'settings check <file>' ? 'settings check FILE' : usage}`));
+			const lackingOptions = options.filter(option => common.has(option.name) ? !page.includes(`--${option.name}`) : !line?.includes(`--${option.name}`));
+			return [...lackingOptions.map(option => `${usage} --${option.name}`), ...(line === undefined ? [usage] : [])];
+		});
+		expect(lacking).toEqual([]);
+		const codes = [...page.matchAll(/^\| (?<code>\d) \|/gmv)].map(match => Number(match.groups!.code));
+		expect(codes).toEqual(Object.values(exitCodes).toSorted((first, second) => first - second));
+	});
+});
--- a/src/common/burn/burn-copies.ts
+++ b/src/common/burn/burn-copies.ts
@@ -22,7 +22,9 @@
 			return;
 		}
 
-		this._copies.set(counts.identity, {counts, receivedAt: now});
+		// What a process spends on measuring is of the moment; a copy of it would be counted for good.
+		const services = counts.services.map(account => ({...account, measuringSpent: 0}));
+		this._copies.set(counts.identity, {counts: {...counts, services}, receivedAt: now});
 		if (this._copies.size > mostCopies) {
 			this._dropOldest(now);
 		}
--- a/src/common/burn/burn-ledger.ts
+++ b/src/common/burn/burn-ledger.ts
@@ -26,12 +26,16 @@
 	 * @param measuringSpent measuring calls that this VM made in the present window, by service
 	 */
 	buckets(now: Instant, measuringSpent: ReadonlyMap<string, number> = new Map()): ServiceBuckets[] {
-		return [...this._accounts].map(([service, account]) => ({
-			service,
-			coveredMilliseconds: now - account.since,
-			windows: burnWindows.map((window, index) => ({window: window.name, buckets: account.rings[index]!.buckets(now)})),
-			measuringSpent: measuringSpent.get(service) ?? 0,
-		}));
+		// A service is measured before its first call: what that cost belongs into the report too.
+		return [...new Set([...this._accounts.keys(), ...measuringSpent.keys()])].map(service => {
+			const account = this._accounts.get(service);
+			return {
+				service,
+				coveredMilliseconds: account === undefined ? 0 : now - account.since,
+				windows: burnWindows.map((window, index) => ({window: window.name, buckets: account?.rings[index]!.buckets(now) ?? []})),
+				measuringSpent: measuringSpent.get(service) ?? 0,
+			};
+		});
 	}
 
 	/** Forgets services that are declared no more, so that memory follows the configuration. */
--- a/src/common/burn/burn.test.ts
+++ b/src/common/burn/burn.test.ts
@@ -133,6 +133,7 @@
 		fill(ledger, 0, minute, 2);
 		const copies = new BurnCopies();
 		copies.keep(told('ended', ledger, minute), 1000);
+		expect(reportOf({copies: copies.all(1000)}).services[0]!.measuring).toEqual({spent: 0, allowed: 480});
 		const badIn = (now: number) => reportOf({copies: copies.all(now)}).services[0]!.windows.map(window => window.bad);
 		expect(badIn(1000)).toEqual([5000, 5000, 5000, 5000]);
 		expect(badIn(1000 + (20 * minute))).toEqual([0, 5000, 5000, 5000]);
@@ -156,6 +157,11 @@
 		expect(copies.all(3000).length).toEqual(64);
 	});
 
+	it('reports measuring calls of a service that nobody has called', () => {
+		const [line] = reportOf({told: [told('a', new BurnLedger(), 0)]}).services;
+		expect([line!.verdict, line!.measuring]).toEqual(['no-calls', {spent: 7, allowed: 480}]);
+	});
+
 	it('forgets services that are declared no more', () => {
 		const ledger = new BurnLedger();
 		ledger.count('ordering', true, 0);
--- a/src/common/settings/settings.ts
+++ b/src/common/settings/settings.ts
@@ -19,7 +19,7 @@
 const vmSchema = z.strictObject({
 	name: nameSchema.describe('Name of this VM in tables and logs: lower-case letters, digits and dashes.'),
 	dataCentre: nameSchema.describe('Data centre of this VM; calls stay in it while it has room.'),
-	region: nameSchema.describe('Region of the data centre.'),
+	region: nameSchema.describe('Region of the data centre. Nothing is decided by it yet.'),
 	address: addressSchema.describe('IP number by which callers and other VMs reach this VM.'),
 });
 
@@ -66,7 +66,6 @@
 const platformSchema = z.strictObject({
 	url: z.url({protocol: /^https?$/v, error: 'an address that begins with http:// or https://'}).describe('Address of the platform\'s service, http:// or https://.'),
 	requestTimeoutMilliseconds: z.int().min(10).max(60_000).default(2000).describe('How long a request to it may take; later its outcome is unknown.'),
-	watchMilliseconds: z.int().min(1000).max(600_000).default(30_000).describe('How long one watch waits for a change.'),
 	pollMilliseconds: z.int().min(100).max(600_000).default(5000).describe('How often the list of VMs is read.'),
 });
 
