Compare every operator's token in constant time

Cause: read against its comment: the search stopped at the first match, so the time told which entry matched. Change: all entries are compared.

--- a/src/node/api/operator-directory.ts
+++ b/src/node/api/operator-directory.ts
@@ -32,8 +32,8 @@
 		}
 
 		const digest = digestOf(token);
-		const match = this._entries.find(entry => timingSafeEqual(entry.digest, digest));
-		return Maybe.of(match).map(({name, role}) => ({name, role}));
+		const matches = this._entries.filter(entry => timingSafeEqual(entry.digest, digest));
+		return Maybe.of(matches[0]).map(({name, role}) => ({name, role}));
 	}
 }
 
