--- a/src/node/api/operator-directory.ts
+++ b/src/node/api/operator-directory.ts
@@ -32,8 +32,8 @@
 		}
 
 		const digest = digestOf(token);
-		const matches = this._entries.filter(entry => timingSafeEqual(entry.digest, digest));
-		return Maybe.of(matches[0]).map(({name, role}) => ({name, role}));
+		const areSame = this._entries.map(entry => timingSafeEqual(entry.digest, digest));
+		return Maybe.of(this._entries[areSame.indexOf(true)]).map(({name, role}) => ({name, role}));
 	}
 }
 
