Make a whole entry VM one deterministic object; one loop for every decider

The guard for woken VMs was proved by the fuzzer but not wired. Ruled out: keeping two loops with shared glue (what is proved would not be what runs). Change: EntryVm in src/common (inner events are handled before the next outer one), DeciderLoop, CallCarrier, FleetCarrier; the daemon runs the call engine behind WakeGuard.

--- a/benchmark/path/front-only.ts
+++ b/benchmark/path/front-only.ts
@@ -11,7 +11,8 @@
 import {loadHashes} from '../../src/daemon/identity.ts';
 import {ProcessClock} from '../../src/node/clock.ts';
 import {BackendConnections} from '../../src/node/front/backend-connections.ts';
-import {CallLoop} from '../../src/node/front/call-loop.ts';
+import {DeciderLoop} from '../../src/node/decider-loop.ts';
+import {CallCarrier} from '../../src/node/front/call-carrier.ts';
 import {CallerServer} from '../../src/node/front/caller-server.ts';
 import {LoadMeasurer} from '../../src/node/front/load-measurer.ts';
 
@@ -32,12 +33,18 @@
 	const hashes = await loadHashes();
 	const connections = new BackendConnections({connectMilliseconds: 1000, idleMilliseconds: 30_000});
 	const engine = new DefaultCallEngine({random: seededRandom(1), settings: {dataCentre: 'bench-1'}});
-	const loop = new CallLoop(engine, clock, new LoadMeasurer(connections), {
+	const loop = new DeciderLoop(engine, clock);
+	const calls = new CallCarrier(loop, new LoadMeasurer(connections), {
 		claim(effect, sink) {
 			sink.feed({type: 'key-claimed', callId: effect.callId, claim: {type: 'unavailable'}});
 		},
 		release: async () => undefined,
 	});
+	loop.setCarrier(effect => {
+		if (effect.type !== 'tell-peers') {
+			calls.carryOut(effect);
+		}
+	});
 	loop.feed({
 		type: 'configured',
 		configuration: {
@@ -54,7 +61,7 @@
 		},
 	});
 	const server = new CallerServer({
-		loop, connections, addresses: () => undefined, fingerprint: hashes.fingerprint,
+		sink: loop, calls, connections, addresses: () => undefined, fingerprint: hashes.fingerprint,
 	}, {
 		headBytes: 16_384, headMilliseconds: 10_000, idleMilliseconds: 60_000, keptBodyBytes: 65_536, bodyBytes: 1_073_741_824, connections: 10_000,
 	});
--- /dev/null
+++ b/src/common/entry-vm/entry-vm.ts
@@ -0,0 +1,180 @@
+/** A whole entry VM: the call engine and the fleet engine, and what each must know of the other. */
+import {
+	type CallEffect, type CallEngine, type CallEvent, type LoadNews,
+} from '../calls/types.ts';
+import {type FleetEffect, type FleetEngine, type FleetEvent} from '../fleet/types.ts';
+import {type Instant} from '../model/units.ts';
+import {
+	type Decider, type EntryVmEffect, type EntryVmEvent, type OuterCallEffect, type OuterFleetEvent,
+} from './types.ts';
+
+const fleetEventTypes: ReadonlySet<EntryVmEvent['type']> = new Set<OuterFleetEvent['type']>([
+	'started',
+	'store-replied',
+	'peer-message',
+	'peer-unreachable',
+	'vm-list',
+	'operator-change',
+	'operator-drain',
+	'returned',
+	'traffic',
+	'stop-requested',
+	'woke',
+]);
+
+function isFleetEvent(event: EntryVmEvent): event is OuterFleetEvent {
+	return fleetEventTypes.has(event.type);
+}
+
+const callEffectTypes: ReadonlySet<EntryVmEffect['type']> = new Set<OuterCallEffect['type']>([
+	'start-attempt', 'cancel-attempt', 'pass-on', 'break-off', 'refuse', 'measure', 'claim-key', 'release-key', 'call-ended',
+]);
+
+/** True for the effects that concern calls; the others concern the fleet. */
+export function isCallEffect(effect: EntryVmEffect): effect is OuterCallEffect {
+	return callEffectTypes.has(effect.type);
+}
+
+/** An event on its way to one of the engines. */
+type Inner = {readonly to: 'calls'; readonly event: CallEvent} | {readonly to: 'fleet'; readonly event: FleetEvent};
+
+/**
+ * Decides everything that happens on one VM. What one engine tells the other is handled before the next
+ * event from outside, so that a list of outer events with a seed replays the whole VM.
+ */
+export class EntryVm implements Decider<EntryVmEvent, EntryVmEffect> {
+	readonly calls: CallEngine;
+	readonly fleet: FleetEngine;
+	private readonly _inner: Inner[] = [];
+	private _effects: EntryVmEffect[] = [];
+
+	constructor(calls: CallEngine, fleet: FleetEngine) {
+		this.calls = calls;
+		this.fleet = fleet;
+	}
+
+	handle(event: EntryVmEvent, now: Instant): readonly EntryVmEffect[] {
+		this._effects = [];
+		this._route(event, now);
+		for (let next = this._inner.shift(); next !== undefined; next = this._inner.shift()) {
+			if (next.to === 'calls') {
+				this._tellCalls(next.event, now);
+			} else {
+				this._tellFleet(next.event, now);
+			}
+		}
+
+		return this._effects;
+	}
+
+	nextWakeUp(): Instant | undefined {
+		const calls = this.calls.nextWakeUp();
+		const fleet = this.fleet.nextWakeUp();
+		if (calls === undefined || fleet === undefined) {
+			return calls ?? fleet;
+		}
+
+		return Math.min(calls, fleet);
+	}
+
+	private _route(event: EntryVmEvent, now: Instant): void {
+		if (event.type === 'tick') {
+			this._tick(now);
+		} else if (event.type === 'utilisation') {
+			this._tellFleet({type: 'own-load', utilisation: event.utilisation, services: this._callsOfServices(now)}, now);
+		} else if (isFleetEvent(event)) {
+			this._tellFleet(event, now);
+		} else {
+			this._tellCalls(event, now);
+		}
+	}
+
+	/** Each engine is woken only when it asked for it: a tick of the fleet would cost every busy millisecond of calls. */
+	private _tick(now: Instant): void {
+		if ((this.fleet.nextWakeUp() ?? Number.POSITIVE_INFINITY) <= now) {
+			this._tellFleet({type: 'tick'}, now);
+		}
+
+		if ((this.calls.nextWakeUp() ?? Number.POSITIVE_INFINITY) <= now) {
+			this._tellCalls({type: 'tick'}, now);
+		}
+	}
+
+	private _tellCalls(event: CallEvent, now: Instant): void {
+		for (const effect of this.calls.handle(event, now)) {
+			this._takeCallEffect(effect);
+		}
+	}
+
+	private _takeCallEffect(effect: CallEffect): void {
+		if (effect.type === 'tell-peers') {
+			this._shareNews(effect.news);
+		} else {
+			this._effects.push(effect);
+		}
+	}
+
+	/** A sign of leaving goes ahead of other news: it must reach all within 2 s. */
+	private _shareNews(news: LoadNews): void {
+		if (news.report?.isLeaving === true) {
+			this._inner.push({
+				to: 'fleet',
+				event: {type: 'leaving-sign', sign: {identity: news.identity, instance: news.report.instance, source: 'answer'}},
+			});
+		}
+
+		this._inner.push({to: 'fleet', event: {type: 'load-news', news}});
+	}
+
+	private _tellFleet(event: FleetEvent, now: Instant): void {
+		for (const effect of this.fleet.handle(event, now)) {
+			this._takeFleetEffect(effect);
+		}
+	}
+
+	private _takeFleetEffect(effect: FleetEffect): void {
+		switch (effect.type) {
+			case 'shares': {
+				this._inner.push({to: 'calls', event: {type: 'shares', shares: effect.shares}});
+				break;
+			}
+
+			case 'peer-news': {
+				this._inner.push({to: 'calls', event: {type: 'peer-news', news: effect.news}});
+				break;
+			}
+
+			case 'backend-server-leaving': {
+				const {identity, instance} = effect.sign;
+				this._inner.push({to: 'calls', event: {type: 'backend-server-leaving', identity, instance}});
+				break;
+			}
+
+			case 'configured': {
+				this._inner.push({to: 'calls', event: {type: 'configured', configuration: effect.configuration}});
+				this._effects.push(effect);
+				break;
+			}
+
+			case 'cut-off': {
+				this._inner.push({to: 'calls', event: {type: 'cut-off', isCutOff: effect.isCutOff}});
+				this._effects.push(effect);
+				break;
+			}
+
+			default: {
+				this._effects.push(effect);
+			}
+		}
+	}
+
+	/** Calls in flight of each service: what the answers to callers are sized by. */
+	private _callsOfServices(now: Instant): ReadonlyMap<string, number> {
+		const counts = new Map<string, number>();
+		for (const server of this.calls.status(now).backendServers) {
+			counts.set(server.service, (counts.get(server.service) ?? 0) + server.inFlight);
+		}
+
+		return counts;
+	}
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,10 +1,11 @@
 /** The life of one daemon: its doors open, its engines run, and it ends when the fleet engine says so. */
 import {type EventLoopUtilization, performance} from 'node:perf_hooks';
 import {err, ok, type Result} from 'neverthrow';
-import {type CallEngine} from '../common/calls/types.ts';
 import {describeFailure, failure, type Failure} from '../common/errors/failure.ts';
 import {type BurnLedger} from '../common/burn/burn-ledger.ts';
-import {type FleetEngine, type FleetStage} from '../common/fleet/types.ts';
+import {type EntryVm} from '../common/entry-vm/entry-vm.ts';
+import {type EntryVmEffect, type EntryVmEvent} from '../common/entry-vm/types.ts';
+import {type FleetStage} from '../common/fleet/types.ts';
 import {
 	Disposable, type DisposableLike, type DisposableStore, MutableDisposable,
 } from '../common/lifecycle/disposable.ts';
@@ -13,9 +14,10 @@
 import {type Settings} from '../common/settings/settings.ts';
 import {type OperatorServer} from '../node/api/operator-server.ts';
 import {type Clock} from '../node/clock.ts';
-import {type FleetLoop, type OutwardEffect} from '../node/fleet/fleet-loop.ts';
+import {type DeciderLoop} from '../node/decider-loop.ts';
+import {type FleetCarrier, type OutwardEffect} from '../node/fleet/fleet-carrier.ts';
 import {type BackendConnections} from '../node/front/backend-connections.ts';
-import {type CallLoop, type EndedCall} from '../node/front/call-loop.ts';
+import {type CallCarrier, type EndedCall} from '../node/front/call-carrier.ts';
 import {type CallerServer} from '../node/front/caller-server.ts';
 import {type Logger} from '../node/logging/types.ts';
 import {type Metrics} from '../node/metrics/types.ts';
@@ -28,10 +30,10 @@
 	readonly settings: Settings;
 	readonly clock: Clock;
 	readonly logger: Logger;
-	readonly callEngine: CallEngine;
-	readonly callLoop: CallLoop;
-	readonly fleetEngine: FleetEngine;
-	readonly fleetLoop: FleetLoop;
+	readonly entryVm: EntryVm;
+	readonly loop: DeciderLoop<EntryVmEvent, EntryVmEffect>;
+	readonly callCarrier: CallCarrier;
+	readonly fleetCarrier: FleetCarrier;
 	readonly connections: BackendConnections;
 	readonly callerServer: CallerServer;
 	readonly operatorServer: OperatorServer;
@@ -71,26 +73,20 @@
 		this._parts = parts;
 		this._traffic = parts.peers.traffic;
 		this._register(owned);
-		this._register(parts.fleetLoop.onEffect(effect => {
+		this._register(parts.fleetCarrier.onEffect(effect => {
 			this._carryOut(effect);
 		}));
-		this._register(parts.callLoop.onNews(news => {
-			parts.fleetLoop.feed({type: 'load-news', news});
-			if (news.report?.isLeaving === true) {
-				parts.fleetLoop.feed({type: 'leaving-sign', sign: {identity: news.identity, instance: news.report.instance, source: 'answer'}});
-			}
-		}));
-		this._register(parts.callLoop.onCallEnded(call => {
+		this._register(parts.callCarrier.onCallEnded(call => {
 			this._countCall(call);
 		}));
 		this._register(parts.pauseWatch.onWoke(milliseconds => {
-			parts.fleetLoop.feed({type: 'woke', milliseconds});
+			parts.loop.feed({type: 'woke', milliseconds});
 		}));
 	}
 
 	/** Opens the doors, the callers' last: by then there are peers and operators to learn from. */
 	async start(): Promise<Result<DaemonPorts, StartFailure>> {
-		const {settings, fleetLoop, callerServer, operatorServer, pauseWatch} = this._parts;
+		const {settings, fleetCarrier, callerServer, operatorServer, pauseWatch} = this._parts;
 		const peers = await this._parts.peers.listen();
 		if (peers.isErr()) {
 			return err(failure('cannot-listen', describeFailure(peers.error), {field: 'peers', cause: peers.error}));
@@ -108,43 +104,27 @@
 
 		pauseWatch.start();
 		this._parts.burnExchange.start();
-		fleetLoop.start(settings.platform.pollMilliseconds);
+		fleetCarrier.start(settings.platform.pollMilliseconds);
 		this._tellLoad();
 		return ok({callers: callers.value, operators: operators.value, peers: peers.value});
 	}
 
 	/** Begins the planned stop; `onEnded` tells when it is over. */
 	stop(): void {
-		this._parts.fleetLoop.feed({type: 'stop-requested', by: 'signal'});
+		this._parts.loop.feed({type: 'stop-requested', by: 'signal'});
 	}
 
 	private _carryOut(effect: OutwardEffect): void {
-		const {callLoop, connections, logger} = this._parts;
+		const {connections, logger} = this._parts;
 		switch (effect.type) {
 			case 'configured': {
-				callLoop.feed({type: 'configured', configuration: effect.configuration});
 				connections.retain(new Set(effect.configuration.backendServers.keys()));
 				this._parts.ledger.retain(new Set(effect.configuration.services.keys()));
 				break;
 			}
 
-			case 'shares': {
-				callLoop.feed({type: 'shares', shares: effect.shares});
-				break;
-			}
-
-			case 'peer-news': {
-				callLoop.feed({type: 'peer-news', news: effect.news});
-				break;
-			}
-
-			case 'backend-server-leaving': {
-				callLoop.feed({type: 'backend-server-leaving', identity: effect.sign.identity, instance: effect.sign.instance});
-				break;
-			}
-
 			case 'cut-off': {
-				callLoop.feed({type: 'cut-off', isCutOff: effect.isCutOff});
+				logger.warn(effect.isCutOff ? 'cut off from the platform and all other VMs' : 'in contact again');
 				break;
 			}
 
@@ -206,24 +186,24 @@
 		void this._parts.callerServer.countConnections().then(openConnections => {
 			const callsInFlight = this._parts.callerServer.unfinishedAnswers;
 			const idleConnections = Math.max(0, openConnections - callsInFlight);
-			this._parts.fleetLoop.feed({type: 'traffic', traffic: {openConnections, idleConnections, callsInFlight}});
+			this._parts.loop.feed({type: 'traffic', traffic: {openConnections, idleConnections, callsInFlight}});
 			this._reportGauges(openConnections);
 		});
 		const latest = performance.eventLoopUtilization();
 		const {utilization} = performance.eventLoopUtilization(latest, this._utilisation);
 		this._utilisation = latest;
 		this._lastUtilisation = utilization;
-		this._parts.fleetLoop.feed({type: 'own-load', utilisation: utilization, services: this._callsOfServices()});
+		this._parts.loop.feed({type: 'utilisation', utilisation: utilization});
 		this._loadTimer.value = this._parts.clock.after(loadEvery, () => {
 			this._tellLoad();
 		});
 	}
 
 	private _reportGauges(connections: number): void {
-		const {metrics, fleetEngine, callEngine, clock} = this._parts;
+		const {metrics, entryVm, clock} = this._parts;
 		const now = clock.now();
-		const calls = callEngine.status(now);
-		const fleet = fleetEngine.status(now);
+		const calls = entryVm.calls.status(now);
+		const fleet = entryVm.fleet.status(now);
 		metrics.gauges({
 			callsInFlight: calls.callsInFlight,
 			callsQueued: calls.callsQueued,
@@ -237,14 +217,4 @@
 		metrics.peerTraffic('out', traffic.messagesOut - this._traffic.messagesOut, traffic.bytesOut - this._traffic.bytesOut);
 		this._traffic = traffic;
 	}
-
-	/** Calls in flight of each service. */
-	private _callsOfServices(): ReadonlyMap<string, number> {
-		const counts = new Map<string, number>();
-		for (const server of this._parts.callEngine.status(this._parts.clock.now()).backendServers) {
-			counts.set(server.service, (counts.get(server.service) ?? 0) + server.inFlight);
-		}
-
-		return counts;
-	}
 }
--- a/src/daemon/fleet-gateway.ts
+++ b/src/daemon/fleet-gateway.ts
@@ -3,6 +3,7 @@
 import {Maybe} from 'true-myth';
 import {type BurnReport} from '../common/burn/types.ts';
 import {type CallEngine} from '../common/calls/types.ts';
+import {type EntryVmEvent} from '../common/entry-vm/types.ts';
 import {failure} from '../common/errors/failure.ts';
 import {
 	type ChangeSummary, type FleetEngine, type MemberStatus, type OperatorAnswer,
@@ -14,8 +15,8 @@
 	type QuarantineEntry, type ResourceList, type Status, type VmStatus, type WatchNews,
 } from '../node/api/types.ts';
 import {type Clock} from '../node/clock.ts';
-import {type FleetLoop} from '../node/fleet/fleet-loop.ts';
-import {type CallLoop} from '../node/front/call-loop.ts';
+import {type EventSink} from '../node/decider-loop.ts';
+import {type FleetCarrier} from '../node/fleet/fleet-carrier.ts';
 import {type LogControl, type Logger} from '../node/logging/types.ts';
 import {freshIdentity} from './identity.ts';
 
@@ -25,9 +26,9 @@
 	readonly dataCentre: string;
 	readonly clock: Clock;
 	readonly fleet: FleetEngine;
-	readonly fleetLoop: FleetLoop;
+	readonly fleetCarrier: FleetCarrier;
 	readonly calls: CallEngine;
-	readonly callLoop: CallLoop;
+	readonly sink: EventSink<EntryVmEvent>;
 	readonly burn: () => Promise<BurnReport>;
 	readonly logger: Logger;
 	readonly logControl: LogControl;
@@ -82,7 +83,7 @@
 	}
 
 	async change(request: ChangeRequest, operator: string): Promise<Result<ChangeAccepted, GatewayFailure>> {
-		const answer = await this._parts.fleetLoop.change({
+		const answer = await this._parts.fleetCarrier.change({
 			operationId: request.operation,
 			who: operator,
 			note: request.note,
@@ -156,7 +157,7 @@
 		}
 
 		this._parts.logger.info('drain asked for', {operator, vm: member.address});
-		this._parts.fleetLoop.feed({type: 'operator-drain', identity: member.identity});
+		this._parts.fleetCarrier.drain(member.identity);
 		return ok({...member, state: 'leaving'});
 	}
 
@@ -174,7 +175,7 @@
 		}
 
 		this._parts.logger.info('quarantine lifted', {operator, fingerprint});
-		this._parts.callLoop.feed({type: 'quarantine-lifted', fingerprint});
+		this._parts.sink.feed({type: 'quarantine-lifted', fingerprint});
 		return ok(undefined);
 	}
 
@@ -203,7 +204,7 @@
 				resolve();
 			};
 
-			const subscription = this._parts.fleetLoop.onEffect(effect => {
+			const subscription = this._parts.fleetCarrier.onEffect(effect => {
 				if (effect.type === 'configured') {
 					finish();
 				}
--- a/src/daemon/wiring.ts
+++ b/src/daemon/wiring.ts
@@ -2,6 +2,9 @@
 import {randomInt} from 'node:crypto';
 import {err, ok, type Result} from 'neverthrow';
 import {DefaultCallEngine} from '../common/calls/call-engine.ts';
+import {WakeGuard} from '../common/calls/wake-guard.ts';
+import {EntryVm, isCallEffect} from '../common/entry-vm/entry-vm.ts';
+import {type EntryVmEffect, type EntryVmEvent} from '../common/entry-vm/types.ts';
 import {describeFailure, type Failure} from '../common/errors/failure.ts';
 import {FleetCoordinator} from '../common/fleet/fleet-coordinator.ts';
 import {type AddressAnswer as FleetAnswer, type FleetSettings} from '../common/fleet/types.ts';
@@ -12,9 +15,10 @@
 import {OperatorServer} from '../node/api/operator-server.ts';
 import {ResourceApi} from '../node/api/resource-api.ts';
 import {ProcessClock} from '../node/clock.ts';
-import {FleetLoop} from '../node/fleet/fleet-loop.ts';
+import {DeciderLoop} from '../node/decider-loop.ts';
+import {FleetCarrier} from '../node/fleet/fleet-carrier.ts';
 import {BackendConnections} from '../node/front/backend-connections.ts';
-import {CallLoop} from '../node/front/call-loop.ts';
+import {CallCarrier} from '../node/front/call-carrier.ts';
 import {type AddressAnswer, CallerServer} from '../node/front/caller-server.ts';
 import {LoadMeasurer} from '../node/front/load-measurer.ts';
 import {StoreKeyClaimer} from '../node/front/store-key-claimer.ts';
@@ -119,15 +123,25 @@
 	}));
 	const fleet = fleetSettings(settings, identity);
 	const fleetEngine = new FleetCoordinator(fleet, random, hashes.hash32);
-	const fleetLoop = owned.add(new FleetLoop(fleetEngine, clock, platform, peers));
 
 	const connections = owned.add(new BackendConnections({connectMilliseconds, idleMilliseconds: backendIdleMilliseconds}));
-	const callEngine = new DefaultCallEngine({random, settings: {dataCentre: settings.vm.dataCentre}});
+	const callEngine = new WakeGuard(new DefaultCallEngine({random, settings: {dataCentre: settings.vm.dataCentre}}));
+	const entryVm = new EntryVm(callEngine, fleetEngine);
+	const loop = owned.add(new DeciderLoop<EntryVmEvent, EntryVmEffect>(entryVm, clock));
+	const fleetCarrier = owned.add(new FleetCarrier(loop, clock, platform, peers));
 	const measurer = new CountedMeasurer(new LoadMeasurer(connections), metrics);
 	const keyClaimer = new StoreKeyClaimer(platform, clock, identity, hashes.digest);
-	const callLoop = owned.add(new CallLoop(callEngine, clock, measurer, keyClaimer));
+	const callCarrier = owned.add(new CallCarrier(loop, measurer, keyClaimer));
+	loop.setCarrier(effect => {
+		if (isCallEffect(effect)) {
+			callCarrier.carryOut(effect);
+		} else {
+			fleetCarrier.carryOut(effect);
+		}
+	});
 	const callerServer = owned.add(new CallerServer({
-		loop: callLoop,
+		sink: loop,
+		calls: callCarrier,
 		connections,
 		addresses: service => toCallerAnswer(fleetEngine.addresses(service, clock.now())),
 		fingerprint: hashes.fingerprint,
@@ -154,9 +168,9 @@
 		dataCentre: settings.vm.dataCentre,
 		clock,
 		fleet: fleetEngine,
-		fleetLoop,
+		fleetCarrier,
 		calls: callEngine,
-		callLoop,
+		sink: loop,
 		burn: async () => burnReporter.report(burnExchange),
 		logger,
 		logControl: logging,
@@ -168,7 +182,7 @@
 	const operatorServer = owned.add(new OperatorServer(api));
 	const pauseWatch = owned.add(new PauseWatch(clock, () => Date.now()));
 	return new Daemon({
-		settings, clock, logger, callEngine, callLoop, fleetEngine, fleetLoop, connections, callerServer, operatorServer, peers, pauseWatch, metrics, ledger, burnExchange,
+		settings, clock, logger, entryVm, loop, callCarrier, fleetCarrier, connections, callerServer, operatorServer, peers, pauseWatch, metrics, ledger, burnExchange,
 	}, owned);
 }
 
--- a/src/node/fleet/fleet-loop.ts
+++ b/src/node/fleet/fleet-carrier.ts
@@ -1,55 +1,55 @@
-/** Feeds the fleet engine one event at a time and carries out its effects. */
+/** Carries out what the fleet engine decides: requests to the platform, messages between VMs, answers to operators. */
+import {type OuterFleetEffect} from '../../common/entry-vm/types.ts';
 import {
-	type FleetEffect, type FleetEngine, type FleetEvent, type FleetStage, type OperatorAnswer, type OperatorChange,
+	type FleetEvent, type FleetStage, type OperatorAnswer, type OperatorChange,
 } from '../../common/fleet/types.ts';
 import {Disposable, type DisposableLike, MutableDisposable} from '../../common/lifecycle/disposable.ts';
 import {Emitter} from '../../common/lifecycle/emitter.ts';
-import {type Instant, type Milliseconds} from '../../common/model/units.ts';
+import {type Milliseconds} from '../../common/model/units.ts';
 import {type Clock} from '../clock.ts';
+import {type EventSink} from '../decider-loop.ts';
 import {type PeerTransport, type PlatformClient} from './types.ts';
 
-/** Effects that concern the call engine, the front or the logs. */
-export type OutwardEffect = Exclude<FleetEffect, {type: 'store' | 'send' | 'operator-answer'}>;
+/** Effects that concern the front or the logs. */
+export type OutwardEffect = Exclude<OuterFleetEffect, {type: 'store' | 'send' | 'operator-answer'}>;
 
-/** The loop round one fleet engine. */
-export class FleetLoop extends Disposable {
-	private readonly _engine: FleetEngine;
+type OuterFleetEvent = Extract<FleetEvent, {type: 'started' | 'store-replied' | 'peer-message' | 'peer-unreachable' | 'vm-list' | 'operator-change' | 'operator-drain'}>;
+
+/** The fleet engine's hands. */
+export class FleetCarrier extends Disposable {
+	private readonly _sink: EventSink<OuterFleetEvent>;
 	private readonly _clock: Clock;
 	private readonly _platform: PlatformClient;
 	private readonly _peers: PeerTransport;
-	private readonly _pending: FleetEvent[] = [];
 	private readonly _waitingOperators = new Map<number, (answer: OperatorAnswer) => void>();
-	private readonly _timer = this._register(new MutableDisposable<DisposableLike>());
 	private readonly _listTimer = this._register(new MutableDisposable<DisposableLike>());
 	private readonly _onEffect = this._register(new Emitter<OutwardEffect>());
 	private readonly _onStage = this._register(new Emitter<FleetStage>());
 	private _lastRequestId = 0;
-	private _isRunning = false;
 	private _isDisposed = false;
-	private _wakeUpAt: Instant | undefined;
 
-	/** Something for the call engine, the front or the logs. */
+	/** Something for the front or the logs. */
 	readonly onEffect = this._onEffect.event;
 	/** The VM has come to another stage of its life. */
 	readonly onStage = this._onStage.event;
 
-	constructor(engine: FleetEngine, clock: Clock, platform: PlatformClient, peers: PeerTransport) {
+	constructor(sink: EventSink<OuterFleetEvent>, clock: Clock, platform: PlatformClient, peers: PeerTransport) {
 		super();
-		this._engine = engine;
+		this._sink = sink;
 		this._clock = clock;
 		this._platform = platform;
 		this._peers = peers;
 		this._register(this._peers.onMessage(message => {
-			this.feed({type: 'peer-message', message});
+			this._sink.feed({type: 'peer-message', message});
 		}));
 		this._register(this._peers.onUnreachable(to => {
-			this.feed({type: 'peer-unreachable', to});
+			this._sink.feed({type: 'peer-unreachable', to});
 		}));
 	}
 
 	/** Starts the engine and the reading of the platform's list of VMs. */
 	start(listEveryMilliseconds: Milliseconds): void {
-		this.feed({type: 'started'});
+		this._sink.feed({type: 'started'});
 		void this._readList(listEveryMilliseconds);
 	}
 
@@ -64,32 +64,17 @@
 		const requestId = this._lastRequestId;
 		return new Promise(resolve => {
 			this._waitingOperators.set(requestId, resolve);
-			this.feed({type: 'operator-change', requestId, change});
+			this._sink.feed({type: 'operator-change', requestId, change});
 		});
 	}
 
-	/** Events caused while an effect is carried out wait until the present one is done. */
-	feed(event: FleetEvent): void {
-		this._pending.push(event);
-		if (this._isRunning || this._isDisposed) {
-			return;
-		}
-
-		this._isRunning = true;
-		try {
-			for (let next = this._pending.shift(); next !== undefined; next = this._pending.shift()) {
-				for (const effect of this._engine.handle(next, this._clock.now())) {
-					this._carryOut(effect);
-				}
-			}
-		} finally {
-			this._isRunning = false;
-		}
-
-		this._schedule();
+	/** An operator orders a VM to stop in the planned way. */
+	drain(identity: string): void {
+		this._sink.feed({type: 'operator-drain', identity});
 	}
 
-	private _carryOut(effect: FleetEffect): void {
+	/** Carries out one effect of the fleet engine. */
+	carryOut(effect: OuterFleetEffect): void {
 		switch (effect.type) {
 			case 'store': {
 				void this._ask(effect);
@@ -119,9 +104,9 @@
 		}
 	}
 
-	private async _ask(effect: FleetEffect & {type: 'store'}): Promise<void> {
+	private async _ask(effect: OuterFleetEffect & {type: 'store'}): Promise<void> {
 		const reply = await this._platform.execute(effect.operation);
-		this.feed({type: 'store-replied', requestId: effect.requestId, reply});
+		this._sink.feed({type: 'store-replied', requestId: effect.requestId, reply});
 	}
 
 	private async _readList(every: Milliseconds): Promise<void> {
@@ -131,24 +116,11 @@
 		}
 
 		if (vms !== undefined) {
-			this.feed({type: 'vm-list', vms});
+			this._sink.feed({type: 'vm-list', vms});
 		}
 
 		this._listTimer.value = this._clock.after(every, () => {
 			void this._readList(every);
 		});
 	}
-
-	private _schedule(): void {
-		const wakeUpAt = this._engine.nextWakeUp();
-		if (wakeUpAt === undefined || (this._wakeUpAt !== undefined && this._wakeUpAt <= wakeUpAt)) {
-			return;
-		}
-
-		this._wakeUpAt = wakeUpAt;
-		this._timer.value = this._clock.after(wakeUpAt - this._clock.now(), () => {
-			this._wakeUpAt = undefined;
-			this.feed({type: 'tick'});
-		});
-	}
 }
--- a/src/node/front/call-loop.ts
+++ b/src/node/front/call-carrier.ts
@@ -1,11 +1,10 @@
-/** Feeds the call engine one event at a time and carries out its effects. */
-import {Emitter} from '../../common/lifecycle/emitter.ts';
+/** Carries out what the call engine decides, on sockets. */
 import {
-	type CallEffect, type CallEngine, type CallEvent, type CallId, type CallSummary, type LoadNews,
+	type CallEffect, type CallEvent, type CallId, type CallSummary,
 } from '../../common/calls/types.ts';
-import {Disposable, MutableDisposable, type DisposableLike} from '../../common/lifecycle/disposable.ts';
-import {type Instant} from '../../common/model/units.ts';
-import {type Clock} from '../clock.ts';
+import {type OuterCallEffect} from '../../common/entry-vm/types.ts';
+import {Disposable} from '../../common/lifecycle/disposable.ts';
+import {Emitter} from '../../common/lifecycle/emitter.ts';
 import {type LiveCall} from './live-call.ts';
 import {type CallEventSink} from './types.ts';
 
@@ -23,70 +22,33 @@
 /** A call that has ended, with the identifier of its log lines. */
 export type EndedCall = {readonly summary: CallSummary; readonly traceId: string | undefined};
 
-/** The loop round one call engine. */
-export class CallLoop extends Disposable implements CallEventSink {
-	private readonly _engine: CallEngine;
-	private readonly _clock: Clock;
+/** Calls of this VM and what is done for them. */
+export class CallCarrier extends Disposable {
+	private readonly _sink: CallEventSink;
 	private readonly _measurer: Measurer;
 	private readonly _keyClaimer: KeyClaimer;
 	private readonly _calls = new Map<CallId, LiveCall>();
 	private readonly _callOfAttempt = new Map<number, CallId>();
-	private readonly _pending: CallEvent[] = [];
-	private readonly _timer = this._register(new MutableDisposable<DisposableLike>());
 	private readonly _onCallEnded = this._register(new Emitter<EndedCall>());
-	private readonly _onNews = this._register(new Emitter<LoadNews>());
-	private _isRunning = false;
-	private _wakeUpAt: Instant | undefined;
 
 	/** One call has ended. */
 	readonly onCallEnded = this._onCallEnded.event;
-	/** The engine has learnt something that peers should know. */
-	readonly onNews = this._onNews.event;
 
-	constructor(engine: CallEngine, clock: Clock, measurer: Measurer, keyClaimer: KeyClaimer) {
+	constructor(sink: CallEventSink, measurer: Measurer, keyClaimer: KeyClaimer) {
 		super();
-		this._engine = engine;
-		this._clock = clock;
+		this._sink = sink;
 		this._measurer = measurer;
 		this._keyClaimer = keyClaimer;
 	}
 
-	/** Calls that have not ended. */
-	get size(): number {
-		return this._calls.size;
-	}
-
 	/** Takes a call in and lets the engine decide on it. */
 	admit(call: LiveCall, event: CallEvent & {type: 'call-arrived'}): void {
 		this._calls.set(call.callId, call);
-		this.feed(event);
-	}
-
-	/**
-	 * Effects can cause events at once (a refused connection, a caller that is gone); those wait here,
-	 * so that the engine never sees an event in the middle of another.
-	 */
-	feed(event: CallEvent): void {
-		this._pending.push(event);
-		if (this._isRunning) {
-			return;
-		}
-
-		this._isRunning = true;
-		try {
-			for (let next = this._pending.shift(); next !== undefined; next = this._pending.shift()) {
-				for (const effect of this._engine.handle(next, this._clock.now())) {
-					this._carryOut(effect);
-				}
-			}
-		} finally {
-			this._isRunning = false;
-		}
-
-		this._schedule();
+		this._sink.feed(event);
 	}
 
-	private _carryOut(effect: CallEffect): void {
+	/** Carries out one effect of the call engine. */
+	carryOut(effect: OuterCallEffect): void {
 		switch (effect.type) {
 			case 'start-attempt': {
 				this._callOfAttempt.set(effect.attemptId, effect.callId);
@@ -128,15 +90,15 @@
 	}
 
 	/** Effects that go to the world beside calls. */
-	private _carryOutBeside(effect: CallEffect & {type: 'measure' | 'claim-key' | 'release-key' | 'tell-peers'}): void {
+	private _carryOutBeside(effect: OuterCallEffect & {type: 'measure' | 'claim-key' | 'release-key'}): void {
 		switch (effect.type) {
 			case 'measure': {
-				this._measurer.measure(effect, this);
+				this._measurer.measure(effect, this._sink);
 				break;
 			}
 
 			case 'claim-key': {
-				this._keyClaimer.claim(effect, this);
+				this._keyClaimer.claim(effect, this._sink);
 				break;
 			}
 
@@ -144,11 +106,6 @@
 				void this._keyClaimer.release(effect);
 				break;
 			}
-
-			case 'tell-peers': {
-				this._onNews.fire(effect.news);
-				break;
-			}
 		}
 	}
 
@@ -164,21 +121,4 @@
 			this._callOfAttempt.delete(attemptId);
 		}
 	}
-
-	/**
-	 * A timer that is early enough stays: most events move the next wake-up to later, and resetting a
-	 * timer with each of them costs more than one wake-up for nothing.
-	 */
-	private _schedule(): void {
-		const wakeUpAt = this._engine.nextWakeUp();
-		if (wakeUpAt === undefined || (this._wakeUpAt !== undefined && this._wakeUpAt <= wakeUpAt)) {
-			return;
-		}
-
-		this._wakeUpAt = wakeUpAt;
-		this._timer.value = this._clock.after(wakeUpAt - this._clock.now(), () => {
-			this._wakeUpAt = undefined;
-			this.feed({type: 'tick'});
-		});
-	}
 }
--- a/src/node/front/caller-server.test.ts
+++ b/src/node/front/caller-server.test.ts
@@ -8,8 +8,9 @@
 import {seededRandom} from '../../common/random/random.ts';
 import {BackendServerStandIn} from '../../stand-ins/backend-server/backend-server-stand-in.ts';
 import {ProcessClock} from '../clock.ts';
+import {DeciderLoop} from '../decider-loop.ts';
 import {BackendConnections} from './backend-connections.ts';
-import {CallLoop} from './call-loop.ts';
+import {CallCarrier} from './call-carrier.ts';
 import {CallerServer} from './caller-server.ts';
 import {LoadMeasurer} from './load-measurer.ts';
 
@@ -26,15 +27,22 @@
 async function startFront(store: DisposableStore, ports: readonly number[]): Promise<Front> {
 	const connections = store.add(new BackendConnections({connectMilliseconds: 1000, idleMilliseconds: 5000}));
 	const engine = new DefaultCallEngine({random: seededRandom(1), settings: {dataCentre: 'north'}});
-	const loop = store.add(new CallLoop(engine, new ProcessClock(), new LoadMeasurer(connections), noKeys));
+	const loop = store.add(new DeciderLoop(engine, new ProcessClock()));
+	const calls = store.add(new CallCarrier(loop, new LoadMeasurer(connections), noKeys));
+	loop.setCarrier(effect => {
+		if (effect.type !== 'tell-peers') {
+			calls.carryOut(effect);
+		}
+	});
 	const server = store.add(new CallerServer({
-		loop,
+		sink: loop,
+		calls,
 		connections,
 		addresses: () => undefined,
 		fingerprint: (method, path) => `${method} ${path}`,
 	}, limits));
 	const ended: CallSummary[] = [];
-	store.add(loop.onCallEnded(({summary}) => ended.push(summary)));
+	store.add(calls.onCallEnded(({summary}) => ended.push(summary)));
 	const service = serviceSchema.parse({
 		kind: 'service', name: 'orders', timeoutMilliseconds: 2000, retryShare: 1,
 	});
--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -15,9 +15,10 @@
 } from '../../common/protocol/headers.ts';
 import {continueTrace} from '../logging/trace-context.ts';
 import {type BackendConnections} from './backend-connections.ts';
-import {type CallLoop} from './call-loop.ts';
+import {type CallCarrier} from './call-carrier.ts';
 import {LiveCall} from './live-call.ts';
 import {type BodyLimits, RequestBody} from './request-body.ts';
+import {type CallEventSink} from './types.ts';
 
 /** An answer to "which VMs shall I use for this service". */
 export type AddressAnswer = {
@@ -27,7 +28,8 @@
 
 /** What the door needs of the rest. */
 export type CallerServerParts = {
-	readonly loop: CallLoop;
+	readonly sink: CallEventSink;
+	readonly calls: CallCarrier;
 	readonly connections: BackendConnections;
 	readonly addresses: (service: string) => AddressAnswer | undefined;
 	/** 64-bit digest of a call's method, path and body start. */
@@ -205,8 +207,8 @@
 			};
 			const call = new LiveCall(request, {
 				incoming, outgoing, path, body, trace: continueTrace(single(incoming.headers[traceHeader])),
-			}, this._parts.loop, this._parts.connections);
-			this._parts.loop.admit(call, {type: 'call-arrived', request});
+			}, this._parts.sink, this._parts.connections);
+			this._parts.calls.admit(call, {type: 'call-arrived', request});
 		});
 	}
 
--- a/src/node/front/load-measurer.ts
+++ b/src/node/front/load-measurer.ts
@@ -4,7 +4,7 @@
 import {loadPath} from '../../common/protocol/headers.ts';
 import {parseLoadBody} from '../../common/protocol/load-report.ts';
 import {type BackendConnections, originOf} from './backend-connections.ts';
-import {type Measurer} from './call-loop.ts';
+import {type Measurer} from './call-carrier.ts';
 import {type CallEventSink} from './types.ts';
 
 const largestLoadBody = 4096;
--- a/src/node/front/types.ts
+++ b/src/node/front/types.ts
@@ -1,12 +1,12 @@
 /** What the parts of the data path say to one another. */
 import {type IncomingHttpHeaders} from 'node:http';
-import {type AttemptFailure, type CallEvent} from '../../common/calls/types.ts';
+import {type AttemptFailure} from '../../common/calls/types.ts';
+import {type OuterCallEvent} from '../../common/entry-vm/types.ts';
+import {type EventSink} from '../decider-loop.ts';
 import {type BackendAttempt} from './backend-attempt.ts';
 
 /** Takes events for the call engine; the loop hands them over one at a time. */
-export type CallEventSink = {
-	feed(event: CallEvent): void;
-};
+export type CallEventSink = EventSink<OuterCallEvent>;
 
 /** Head of a backend server's answer. */
 export type AnswerHead = {
--- a/src/node/metrics/counted-parts.ts
+++ b/src/node/metrics/counted-parts.ts
@@ -3,7 +3,7 @@
 import {type StoreOperation, type StoreReply} from '../../common/platform/types.ts';
 import {type Clock} from '../clock.ts';
 import {type PlatformClient} from '../fleet/types.ts';
-import {type Measurer} from '../front/call-loop.ts';
+import {type Measurer} from '../front/call-carrier.ts';
 import {type CallEventSink} from '../front/types.ts';
 import {type Metrics} from './types.ts';
 
