Compare all tokens in a loop that no linter rewrites

The linter's fix had turned the filter over all entries into a find, which ends at the first match and so tells by time which entry it was; a loop without an early end says what it is for and stays.

--- a/src/node/api/operator-directory.ts
+++ b/src/node/api/operator-directory.ts
@@ -32,8 +32,14 @@
 		}
 
 		const digest = digestOf(token);
-		const matches = this._entries.filter(entry => timingSafeEqual(entry.digest, digest));
-		return Maybe.of(matches[0]).map(({name, role}) => ({name, role}));
+		let found: Operator | undefined;
+		for (const entry of this._entries) {
+			if (timingSafeEqual(entry.digest, digest)) {
+				found = {name: entry.name, role: entry.role};
+			}
+		}
+
+		return Maybe.of(found);
 	}
 }
 
