--- a/src/node/api/operator-directory.ts
+++ b/src/node/api/operator-directory.ts
@@ -32,14 +32,8 @@
 		}
 
 		const digest = digestOf(token);
-		let found: Operator | undefined;
-		for (const entry of this._entries) {
-			if (timingSafeEqual(entry.digest, digest)) {
-				found = {name: entry.name, role: entry.role};
-			}
-		}
-
-		return Maybe.of(found);
+		const areSame = this._entries.map(entry => timingSafeEqual(entry.digest, digest));
+		return Maybe.of(this._entries[areSame.indexOf(true)]).map(({name, role}) => ({name, role}));
 	}
 }
 
