Test the fleet under pauses, cuts, outages and replacement

Found on the way: a suspicion's timer compared a difference of instants; in floating point it could stay below its own span at its own instant, and the engine asked to be woken at once for ever (the shares' property test hung). It compares instants now.

--- /dev/null
+++ b/src/common/fleet/membership/membership.test.ts
@@ -0,0 +1,144 @@
+import {expect} from 'earl';
+import {
+	FakeFleet, type FakeVm, testChange, testService,
+} from '../test-utilities.test.ts';
+
+function fleetOf(count: number): FakeFleet {
+	const fleet = new FakeFleet(3);
+	for (let index = 0; index < count; index += 1) {
+		fleet.add(`vm-${index}`, `dc-${index % 3}`);
+	}
+
+	fleet.run(8000);
+	return fleet;
+}
+
+function seenBy(vm: FakeVm, fleet: FakeFleet): string {
+	return vm.engine.status(fleet.now).members.map(({identity, state}) => `${identity} ${state}`).toSorted((a, b) => a.localeCompare(b)).join(', ');
+}
+
+function views(fleet: FakeFleet): Record<string, string> {
+	return Object.fromEntries(fleet.vms.filter(({isGone}) => !isGone).map(vm => [vm.name, seenBy(vm, fleet)]));
+}
+
+function cut(fleet: FakeFleet, from: FakeVm, to: FakeVm): void {
+	fleet.cuts.add(`${from.name}>${to.name}`);
+}
+
+describe('membership', () => {
+	it('all VMs come to know one another from a few seeds', function () {
+		const fleet = fleetOf(16);
+		expect(views(fleet)).toMatchSnapshot(this);
+	});
+
+	// A VM dies without a word. Callers must not be sent to it for longer than a few seconds.
+	it('a dead VM is suspected, then dead, and out of the answers from the suspicion on', function () {
+		const fleet = fleetOf(5);
+		fleet.kill(fleet.vms[2]!);
+		const named: string[] = [];
+		for (let second = 1; second <= 10; second += 1) {
+			fleet.run(1000);
+			const answers = fleet.vms.filter(({isGone}) => !isGone).filter(vm => vm.engine.addresses('orders', fleet.now).addresses.some(({address}) => address === 'vm-2:2'));
+			named.push(`${second} s: named by ${answers.length}`);
+		}
+
+		expect({named, views: views(fleet)}).toMatchSnapshot(this);
+	});
+
+	// Packets from one VM to another are lost in one direction only; both reach everybody else. Taken for a death,
+	// a VM in good health would lose its callers.
+	it('a cut between two VMs, one way or both, is no death', function () {
+		const fleet = fleetOf(5);
+		cut(fleet, fleet.vms[1]!, fleet.vms[2]!);
+		fleet.run(20_000);
+		const oneWay = views(fleet);
+		cut(fleet, fleet.vms[2]!, fleet.vms[1]!);
+		fleet.run(20_000);
+		expect({oneWay, bothWays: views(fleet)}).toMatchSnapshot(this);
+	});
+
+	// A VM is frozen longer than it takes to be called dead, then runs again, and takes all others for dead as its
+	// probes went unanswered. Neither verdict may last.
+	it('a VM that was paused is taken back, and takes nobody for dead', function () {
+		const fleet = fleetOf(5);
+		fleet.pause(fleet.vms[3]!, 12_000);
+		fleet.run(11_000);
+		const during = seenBy(fleet.vms[0]!, fleet);
+		fleet.run(1100);
+		const atWaking = seenBy(fleet.vms[3]!, fleet);
+		fleet.run(3000);
+		expect({during, atWaking, after: views(fleet)}).toMatchSnapshot(this);
+	});
+
+	// A process ends and another starts under its address. Old rumours about the first must not bind the second.
+	it('a new process under an old address is another member', function () {
+		const fleet = fleetOf(4);
+		const old = fleet.vms[1]!;
+		fleet.kill(old);
+		fleet.add('fresh', 'dc-1', {peerAddress: old.settings.peerAddress, callAddress: old.settings.callAddress});
+		fleet.run(10_000);
+		expect(views(fleet)).toMatchSnapshot(this);
+	});
+
+	// All VMs are cut from one and the store is out too. It can't know what is accepted elsewhere, so it must say
+	// so, name itself to nobody, and be back in force with the newest version before it counts again.
+	it('a VM cut off from everybody says so, and lifts it only with the newest configuration', function () {
+		const fleet = fleetOf(4);
+		const lonely = fleet.vms[3]!;
+		for (const vm of fleet.vms) {
+			cut(fleet, vm, lonely);
+			cut(fleet, lonely, vm);
+		}
+
+		fleet.modeOf = vm => (vm === lonely ? 'down' : undefined);
+		fleet.run(4000);
+		const early = lonely.isCutOff;
+		fleet.run(4000);
+		const late = lonely.isCutOff;
+		const answer = lonely.engine.addresses('orders', fleet.now).addresses.length;
+		fleet.tell(fleet.vms[0]!, {type: 'operator-change', requestId: 1, change: testChange('meanwhile', [testService('orders')])});
+		fleet.run(500);
+		fleet.cuts.clear();
+		const lifted: number[] = [];
+		fleet.onStep = () => {
+			if (!lonely.isCutOff) {
+				lifted.push(lonely.configuration!.version);
+			}
+		};
+
+		fleet.run(5000);
+		expect({
+			early, late, answer, versionWhenLifted: lifted[0], others: fleet.vms.slice(0, 3).map(({isCutOff}) => isCutOff),
+		}).toMatchSnapshot(this);
+	});
+
+	// The store is out for everybody; the VMs still have one another. Nobody may take itself for cut off, or the
+	// outage would stop the service.
+	it('an outage of the store alone cuts nobody off', function () {
+		const fleet = fleetOf(4);
+		fleet.mode = 'down';
+		fleet.run(120_000);
+		expect(fleet.vms.map(({isCutOff}) => isCutOff)).toEqual([false, false, false, false]);
+	});
+
+	// The load on the store must not grow with the fleet: each waiting watch counts as a call.
+	it('few VMs of each data centre watch the store, whoever comes and goes', function () {
+		const fleet = fleetOf(16);
+		const watchers = (): string[] => fleet.vms.filter(({isGone}) => !isGone).filter(vm => vm.engine.status(fleet.now).isWatchingStore).map(({name}) => name);
+		const before = watchers();
+		fleet.kill(fleet.vms.find(({name}) => name === before[0])!);
+		fleet.run(8000);
+		expect({before, after: watchers()}).toMatchSnapshot(this);
+	});
+
+	it('what a VM sends does not grow with the fleet', function () {
+		const rates = [4, 8, 16, 32].map(count => {
+			const fleet = fleetOf(count);
+			const before = fleet.vms.reduce((sum, {messagesSent}) => sum + messagesSent, 0);
+			fleet.run(20_000);
+			const after = fleet.vms.reduce((sum, {messagesSent}) => sum + messagesSent, 0);
+			return `${count} VMs: ${((after - before) / count / 20).toFixed(0)} messages a second each`;
+		});
+		expect(rates).toMatchSnapshot(this);
+	});
+});
--- a/src/common/fleet/membership/membership.ts
+++ b/src/common/fleet/membership/membership.ts
@@ -256,7 +256,7 @@
 		this._context.timers.set(name, member.judgedAt + wait, () => {
 			if (member.verdict === 'dead') {
 				this._members.delete(identity);
-			} else if (this._context.now - member.judgedAt < suspicionMilliseconds) {
+			} else if (this._context.now < member.judgedAt + suspicionMilliseconds) {
 				this._watchSuspicion(member);
 			} else {
 				this._judge(member, 'dead');
