--- /dev/null
+++ b/src/cli/run-daemon.ts
@@ -0,0 +1,10 @@
+/** Loads the daemon when it is to run: the other commands start faster without it. */
+import {type RunDaemon} from './commands/serve.ts';
+import {exitCodes} from './exit-codes.ts';
+
+/** Runs the daemon until its planned stop is over. */
+export const runDaemon: RunDaemon = async (settings, tokens) => {
+	const {serve} = await import('../daemon/serve.ts');
+	const code = await serve(settings, tokens);
+	return code === 0 ? exitCodes.done : exitCodes.failed;
+};
--- a/src/common/protocol/forwarding.ts
+++ b/src/common/protocol/forwarding.ts
@@ -13,6 +13,9 @@
 	'expect',
 ]);
 
+/** Passed on with a value of this VM's own. */
+const rewrittenName = 'traceparent';
+
 const internalPrefix = 'jaydale-';
 
 type HeaderValue = string | string[] | undefined;
@@ -36,12 +39,18 @@
 export function forwardedHeaders(headers: HeaderMap): string[] {
 	const declared = declaredHopByHop(headers);
 	const forwarded: string[] = [];
-	for (const [name, value] of Object.entries(headers)) {
-		if (value === undefined || hopByHopNames.has(name) || name.startsWith(internalPrefix) || declared.has(name)) {
+	for (const name of Object.keys(headers)) {
+		const value = headers[name];
+		if (value === undefined || hopByHopNames.has(name) || name === rewrittenName || name.startsWith(internalPrefix) || declared.has(name)) {
+			continue;
+		}
+
+		if (typeof value === 'string') {
+			forwarded.push(name, value);
 			continue;
 		}
 
-		for (const single of Array.isArray(value) ? value : [value]) {
+		for (const single of value) {
 			forwarded.push(name, single);
 		}
 	}
--- a/src/node/api/operator-directory.ts
+++ b/src/node/api/operator-directory.ts
@@ -32,8 +32,8 @@
 		}
 
 		const digest = digestOf(token);
-		const match = this._entries.find(entry => timingSafeEqual(entry.digest, digest));
-		return Maybe.of(match).map(({name, role}) => ({name, role}));
+		const areSame = this._entries.map(entry => timingSafeEqual(entry.digest, digest));
+		return Maybe.of(this._entries[areSame.indexOf(true)]).map(({name, role}) => ({name, role}));
 	}
 }
 
--- a/src/node/api/resource-routes.ts
+++ b/src/node/api/resource-routes.ts
@@ -1,24 +1,22 @@
 /** Routes for the declared resources: list, get, create, replace, delete, apply together, watch, history. */
 import {type Context, Hono} from 'hono';
-import {err, ok, type Result} from 'neverthrow';
+import {err, ok, Result} from 'neverthrow';
 import {z} from 'zod';
 import {failure} from '../../common/errors/failure.ts';
 import {
 	resourceKey, resourceSchema, type ResourceKey, type StoredResource,
 } from '../../common/model/resources.ts';
-import {type Operator} from './operator-directory.ts';
 import {
 	gatewayProblem, invalidInput, problem, problemResponse,
 } from './problems.ts';
 import {
 	checkInput, readBody, readKey, readNumber, readOperation, readPrecondition,
+	type ApiEnvironment,
 } from './request-input.ts';
 import {
 	changeRequestSchema, resourceKindSchema, type ChangeAccepted, type ChangeRequest, type Mutation, type OperatorGateway, type Problem,
 } from './types.ts';
 
-/** What the middleware leaves for the routes. */
-export type ApiEnvironment = {Variables: {operator: Operator}};
 type ApiContext = Context<ApiEnvironment>;
 
 /** Longest wait of one watch: short enough that a silent connection is noticed. */
@@ -125,13 +123,16 @@
 }
 
 async function watch(gateway: OperatorGateway, context: ApiContext): Promise<Response> {
-	const after = readNumber(context, 'after', 0, Number.MAX_SAFE_INTEGER);
-	const wait = readNumber(context, 'milliseconds', usualWatchMilliseconds, longestWatchMilliseconds);
-	if (after.isErr() || wait.isErr()) {
-		return problemResponse(after.isErr() ? after.error : wait._unsafeUnwrapErr());
+	const query = Result.combine([
+		readNumber(context, 'after', 0, Number.MAX_SAFE_INTEGER),
+		readNumber(context, 'milliseconds', usualWatchMilliseconds, longestWatchMilliseconds),
+	]);
+	if (query.isErr()) {
+		return problemResponse(query.error);
 	}
 
-	const news = await gateway.watch(after.value, wait.value, context.req.raw.signal);
+	const [after, milliseconds] = query.value;
+	const news = await gateway.watch(after, milliseconds, context.req.raw.signal);
 	return news.match(value => context.json(value), cause => problemResponse(gatewayProblem(cause)));
 }
 
--- a/src/node/front/caller-server.test.ts
+++ b/src/node/front/caller-server.test.ts
@@ -8,8 +8,9 @@
 import {seededRandom} from '../../common/random/random.ts';
 import {BackendServerStandIn} from '../../stand-ins/backend-server/backend-server-stand-in.ts';
 import {ProcessClock} from '../clock.ts';
+import {DeciderLoop} from '../decider-loop.ts';
 import {BackendConnections} from './backend-connections.ts';
-import {CallLoop} from './call-loop.ts';
+import {CallCarrier} from './call-carrier.ts';
 import {CallerServer} from './caller-server.ts';
 import {LoadMeasurer} from './load-measurer.ts';
 
@@ -18,23 +19,30 @@
 };
 
 /** No service of these tests asks for keys. */
-const noKeys = {claim: () => undefined};
+const noKeys = {claim: () => undefined, release: async () => undefined};
 
-type Front = {readonly url: string; readonly ended: CallSummary[]};
+type Front = {readonly url: string; readonly ended: CallSummary[]; readonly server: CallerServer};
 
 /** The callers' door with a real engine in front of the given ports. */
 async function startFront(store: DisposableStore, ports: readonly number[]): Promise<Front> {
 	const connections = store.add(new BackendConnections({connectMilliseconds: 1000, idleMilliseconds: 5000}));
 	const engine = new DefaultCallEngine({random: seededRandom(1), settings: {dataCentre: 'north'}});
-	const loop = store.add(new CallLoop(engine, new ProcessClock(), new LoadMeasurer(connections), noKeys));
+	const loop = store.add(new DeciderLoop(engine, new ProcessClock()));
+	const calls = store.add(new CallCarrier(loop, new LoadMeasurer(connections), noKeys));
+	loop.setCarrier(effect => {
+		if (effect.type !== 'tell-peers') {
+			calls.carryOut(effect);
+		}
+	});
 	const server = store.add(new CallerServer({
-		loop,
+		sink: loop,
+		calls,
 		connections,
 		addresses: () => undefined,
 		fingerprint: (method, path) => `${method} ${path}`,
 	}, limits));
 	const ended: CallSummary[] = [];
-	store.add(loop.onCallEnded(summary => ended.push(summary)));
+	store.add(calls.onCallEnded(({summary}) => ended.push(summary)));
 	const service = serviceSchema.parse({
 		kind: 'service', name: 'orders', timeoutMilliseconds: 2000, retryShare: 1,
 	});
@@ -51,7 +59,7 @@
 		},
 	});
 	const port = await server.listen(0, '127.0.0.1');
-	return {url: `http://127.0.0.1:${port._unsafeUnwrap()}/services/orders`, ended};
+	return {url: `http://127.0.0.1:${port._unsafeUnwrap()}/services/orders`, ended, server};
 }
 
 async function startBackend(backend: BackendServerStandIn): Promise<number> {
@@ -108,6 +116,25 @@
 		expect({...answer, body: answer.body.length}).toMatchSnapshot(this);
 	});
 
+	/*
+	 * A map arrives without its end because the VM stopped. Order: the last bytes have come from the backend
+	 * server, the caller reads slowly, the VM counts no call in flight and ends. Cause: counting calls, not answers.
+	 */
+	it('counts an answer until its caller has taken it', async () => {
+		const backend = store.add(new BackendServerStandIn());
+		const port = await startBackend(backend);
+		const front = await startFront(store, [port]);
+		const {body} = await request(`${front.url}/map`, {headers: {'stand-in-call-id': 'm', 'stand-in-bytes': '20000000'}});
+		expect(front.server.unfinishedAnswers).toEqual(1);
+		const bytes = await body.arrayBuffer();
+		expect(bytes.byteLength).toEqual(20_000_000);
+		while (front.server.unfinishedAnswers > 0) {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+	});
+
 	/*
 	 * A landing crew's map stops in the middle and looks whole. Order: the head and half the body are passed on,
 	 * then the backend server dies. Cause: an answer without a visible end. The caller must see a broken body.
@@ -145,6 +172,19 @@
 		expect({status: answer.status, outcome: answer.outcome}).toEqual({status: 502, outcome: 'unknown'});
 	});
 
+	/*
+	 * A judge's footage is joined from two halves that do not fit. Order: the first backend server dies in the middle,
+	 * the second answers the range with the right version but from another byte. Cause: trusting status and version
+	 * alone. The answer must break off.
+	 */
+	it('breaks a resumed download off that goes on at another byte', async () => {
+		expect(await downloadInTwoHalves(store, 'bytes 3-9/10')).toEqual('BROKEN OFF');
+	});
+
+	it('joins a resumed download that goes on at the byte asked for', async () => {
+		expect(await downloadInTwoHalves(store, 'bytes 5-9/10')).toEqual('helloworld');
+	});
+
 	/*
 	 * A festival registration is refused although a backend server was free. Order: the chosen one refuses the
 	 * connection, so nothing ran. Cause: giving up on a failure that proves it is safe to go elsewhere.
@@ -186,6 +226,25 @@
 	});
 });
 
+/** Both backend servers give half of a download and die; asked for the other half, they give this range. */
+async function downloadInTwoHalves(store: DisposableStore, contentRange: string): Promise<string> {
+	const answer = (socket: Socket) => {
+		socket.on('data', chunk => {
+			if (chunk.toString().includes('range: bytes=5-')) {
+				socket.write(`HTTP/1.1 206 Partial Content\r\netag: "v1"\r\ncontent-range: ${contentRange}\r\ncontent-length: 5\r\n\r\nworld`);
+				return;
+			}
+
+			socket.write('HTTP/1.1 200 OK\r\netag: "v1"\r\ncontent-length: 10\r\n\r\nhello');
+			setTimeout(() => socket.destroy(), 20);
+		});
+	};
+
+	const front = await startFront(store, [await startRaw(store, answer), await startRaw(store, answer)]);
+	const {body} = await ask(`${front.url}/footage`);
+	return body;
+}
+
 async function rawExchange(url: string, text: string): Promise<string> {
 	const {port} = new URL(url);
 	const {connect} = await import('node:net');
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -1,13 +1,14 @@
 /** One call on this VM: carries out what the call engine decides and tells it what happened. */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
-	type AttemptFailure, type CallEffect, type CallId, type CallRequest, type LoadReport,
+	type AttemptFailure, type CallEffect, type CallId, type CallOutcome, type CallRequest, type LoadReport,
 } from '../../common/calls/types.ts';
 import {forwardedHeaders} from '../../common/protocol/forwarding.ts';
 import {
-	declaredNotRunHeader, leavingHeader, loadReportHeader, outcomeHeader, problemTypePrefix, retryHeader, timeoutHeader,
+	declaredNotRunHeader, leavingHeader, loadReportHeader, outcomeHeader, problemTypePrefix, retryHeader, timeoutHeader, traceHeader,
 } from '../../common/protocol/headers.ts';
 import {parseLoadHeader} from '../../common/protocol/load-report.ts';
+import {type TraceContext} from '../logging/trace-context.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {BackendAttempt} from './backend-attempt.ts';
 import {type RequestBody} from './request-body.ts';
@@ -23,10 +24,12 @@
 	private readonly _outgoing: ServerResponse;
 	private readonly _body: RequestBody;
 	private readonly _path: string;
+	private readonly _trace: TraceContext;
 	private readonly _sink: CallEventSink;
 	private readonly _connections: BackendConnections;
 	private readonly _attempts = new Map<number, BackendAttempt>();
 	private readonly _startedAttempts: number[] = [];
+	private readonly _resumeOffsets = new Map<number, number>();
 	private readonly _heads = new Map<number, AnswerHead>();
 	private _passedOn: BackendAttempt | undefined;
 	private _bytesPassedOn = 0;
@@ -34,7 +37,7 @@
 
 	constructor(
 		request: CallRequest,
-		exchange: {readonly incoming: IncomingMessage; readonly outgoing: ServerResponse; readonly path: string; readonly body: RequestBody},
+		exchange: {readonly incoming: IncomingMessage; readonly outgoing: ServerResponse; readonly path: string; readonly body: RequestBody; readonly trace: TraceContext},
 		sink: CallEventSink,
 		connections: BackendConnections,
 	) {
@@ -42,15 +45,18 @@
 		this._incoming = exchange.incoming;
 		this._outgoing = exchange.outgoing;
 		this._path = exchange.path;
+		this._trace = exchange.trace;
 		this._body = exchange.body;
 		this._sink = sink;
 		this._connections = connections;
 		this._outgoing.on('close', () => {
 			this._onCallerClosed();
 		});
-		this._outgoing.on('drain', () => {
-			this._passedOn?.resume();
-		});
+	}
+
+	/** Identifies the call in all log lines, here and below. */
+	get traceId(): string {
+		return this._trace.traceId;
 	}
 
 	get callId(): CallId {
@@ -87,7 +93,7 @@
 	}
 
 	/** Sends the head of the attempt's answer on; its body follows as it comes. */
-	passOn(attemptId: number): void {
+	passOn(attemptId: number, outcome: CallOutcome): void {
 		const head = this._heads.get(attemptId);
 		const attempt = this._attempts.get(attemptId);
 		if (head === undefined || attempt === undefined) {
@@ -101,7 +107,7 @@
 		}
 
 		const headers = forwardedHeaders(head.headers);
-		headers.push(outcomeHeader, 'ran');
+		headers.push(outcomeHeader, outcome);
 		this._outgoing.writeHead(head.status, headers);
 	}
 
@@ -150,7 +156,8 @@
 			status: head.status,
 			report: this._report(head),
 			isDeclaredNotRun: head.headers[declaredNotRunHeader] === 'not-run',
-			validator: etag?.startsWith('"') ? etag : undefined,
+			isReplayable: this._body.isReplayable,
+			validator: this._isExpectedRange(attempt.id, head) && etag?.startsWith('"') ? etag : undefined,
 		});
 	}
 
@@ -160,7 +167,14 @@
 		}
 
 		this._bytesPassedOn += chunk.length;
-		return this._outgoing.write(chunk);
+		if (this._outgoing.write(chunk)) {
+			return true;
+		}
+
+		this._outgoing.once('drain', () => {
+			this._passedOn?.resume();
+		});
+		return false;
 	}
 
 	onEnd(attempt: BackendAttempt): void {
@@ -188,10 +202,20 @@
 		});
 	}
 
+	/**
+	 * Guards a resumed download against a partial answer that begins elsewhere than asked for: joined to
+	 * what was passed on it would look whole and be wrong. Without a validator the engine breaks it off.
+	 */
+	private _isExpectedRange(attemptId: number, head: AnswerHead): boolean {
+		const offset = this._resumeOffsets.get(attemptId);
+		return offset === undefined || (head.headers['content-range'] ?? '').startsWith(`bytes ${offset}-`);
+	}
+
 	private _requestHeaders(effect: Start): string[] {
 		const headers = forwardedHeaders(this._incoming.headers);
-		headers.push(timeoutHeader, String(Math.max(1, Math.floor(effect.timeoutMilliseconds))), retryHeader, 'none');
+		headers.push(timeoutHeader, String(Math.max(1, Math.floor(effect.timeoutMilliseconds))), retryHeader, 'none', traceHeader, this._trace.traceparent);
 		if (effect.resume !== undefined) {
+			this._resumeOffsets.set(effect.attemptId, effect.resume.offset);
 			headers.push('range', `bytes=${effect.resume.offset}-`, 'if-range', effect.resume.validator);
 		}
 
--- a/src/proof/oracle/types.ts
+++ b/src/proof/oracle/types.ts
@@ -35,27 +35,44 @@
 	| {readonly type: 'answer-broken'; readonly at: ObserverTime; readonly call: string}
 	| {readonly type: 'caller-gone'; readonly at: ObserverTime; readonly call: string};
 
-/** What backend servers did. `backendServer` names one declared identity: a returned one is another. */
+/** What backend servers did. `backendServer` names one declared identity. */
 export type BackendServerEvent
-	= | {readonly type: 'run-began'; readonly at: ObserverTime; readonly run: string; readonly call: string; readonly backendServer: string}
+	= | {
+		readonly type: 'run-began';
+		readonly at: ObserverTime;
+		readonly run: string;
+		readonly call: string;
+		readonly backendServer: string;
+		/** When the call was handed over, where that can be seen: a frozen backend server reads it later. */
+		readonly givenAt?: ObserverTime;
+	}
 	/** The whole body that this run would give, also where only its end was asked for. */
-		| {readonly type: 'answer-made'; readonly at: ObserverTime; readonly run: string; readonly call: string; readonly body: string}
-		| {readonly type: 'measured'; readonly at: ObserverTime; readonly backendServer: string}
+	| {readonly type: 'answer-made'; readonly at: ObserverTime; readonly run: string; readonly call: string; readonly body: string}
+	| {readonly type: 'measured'; readonly at: ObserverTime; readonly backendServer: string}
 	/** The agreed budget: so many measuring calls in any window of this length. */
-		| {
-			readonly type: 'budget';
-			readonly at: ObserverTime;
-			readonly backendServer: string;
-			readonly calls: number;
-			readonly windowMilliseconds: number;
-		}
+	| {
+		readonly type: 'budget';
+		readonly at: ObserverTime;
+		readonly backendServer: string;
+		readonly calls: number;
+		readonly windowMilliseconds: number;
+	}
 	/** The first sign of leaving that any VM could see. */
-		| {readonly type: 'leaving-began'; readonly at: ObserverTime; readonly backendServer: string};
+	| {readonly type: 'leaving-began'; readonly at: ObserverTime; readonly backendServer: string}
+	/** It is back: a new process, or the operator's order was taken back. */
+	| {readonly type: 'leaving-ended'; readonly at: ObserverTime; readonly backendServer: string};
 
 /** What operators were told. A change is one request of an operator, known by its identity. */
 export type OperatorEvent
-	= | {readonly type: 'change-accepted'; readonly at: ObserverTime; readonly change: string; readonly version: number}
-		| {readonly type: 'change-refused'; readonly at: ObserverTime; readonly change: string};
+	= | {
+		readonly type: 'change-accepted';
+		readonly at: ObserverTime;
+		readonly change: string;
+		readonly version: number;
+		/** What it was made on top of, where its operator said so: only one change can replace that. */
+		readonly replaces?: string;
+	}
+	| {readonly type: 'change-refused'; readonly at: ObserverTime; readonly change: string};
 
 /** What a VM acts on. `content` is everything in force, in one canonical text. */
 export type VmEvent
@@ -64,9 +81,10 @@
 		readonly at: ObserverTime;
 		readonly vm: string;
 		readonly version: number;
-		readonly change: string;
 		readonly content: string;
 	}
+	/** A VM shows in its history that a version was made by this change. */
+	| {readonly type: 'version-seen'; readonly at: ObserverTime; readonly vm: string; readonly version: number; readonly change: string}
 	| {readonly type: 'vm-serves'; readonly at: ObserverTime; readonly vm: string}
 	| {readonly type: 'vm-ended'; readonly at: ObserverTime; readonly vm: string};
 
