Tell traffic in the fleet's fake as the front does, twice a second

Cause: a stop believes only counts told after its listener closed; the fake told them once. Ruled out: believing the last count before (the fault that the daemon's stop was mended for).

--- a/src/common/fleet/stopping/stopping.test.ts
+++ b/src/common/fleet/stopping/stopping.test.ts
@@ -14,6 +14,7 @@
 }
 
 function traffic(fleet: FakeFleet, vm: FakeVm, callsInFlight: number): void {
+	vm.callsInFlight = callsInFlight;
 	fleet.tell(vm, {type: 'traffic', traffic: {openConnections: callsInFlight, idleConnections: 0, callsInFlight}});
 }
 
--- a/src/common/fleet/test-utilities.test.ts
+++ b/src/common/fleet/test-utilities.test.ts
@@ -137,6 +137,7 @@
 	isCutOff = false;
 	isPaused = false;
 	isGone = false;
+	callsInFlight = 0;
 	messagesSent = 0;
 
 	constructor(readonly name: string, readonly settings: FleetSettings, seed: number) {
@@ -283,6 +284,17 @@
 		}
 	}
 
+	/** The front tells its traffic twice a second. */
+	private _tellTraffic(vm: FakeVm): void {
+		this.after(500, () => {
+			const {callsInFlight} = vm;
+			this.tell(vm, {type: 'traffic', traffic: {openConnections: callsInFlight, idleConnections: 0, callsInFlight}});
+			if (!vm.isGone) {
+				this._tellTraffic(vm);
+			}
+		});
+	}
+
 	private _carryOut(vm: FakeVm, effect: FleetEffect): void {
 		switch (effect.type) {
 			case 'store': {
@@ -321,6 +333,10 @@
 			case 'stage': {
 				vm.stages.push(effect.stage);
 				vm.isGone = effect.stage === 'ended';
+				if (effect.stage === 'draining') {
+					this._tellTraffic(vm);
+				}
+
 				break;
 			}
 
