Tell every VM of a leaving backend server, however late it comes

Cause: a rumour of leaving is sent ten times by each VM and then never again. A VM that joined later, or was paused or cut off meanwhile, never heard of it and gave the leaving server work until the sign was forgotten. A VM that woke also pulled the configuration from a VM that had died, and 400 ms later from the same one again: it was up to date after 800 ms only.

Ruled out: repeating rumours without end (bytes grow with the signs, and a miss stays possible); adding them to 'join' alone (a short pause leads to no join).

Change: the answer to a join carries all signs; messages with rumours carry a digest of the signs of the last minute, and VMs that differ tell each other all, at most once a second.

--- a/src/common/fleet/configuration/configuration-exchange.ts
+++ b/src/common/fleet/configuration/configuration-exchange.ts
@@ -15,8 +15,11 @@
  */
 const pushTargets = 4;
 
-/** A pull that nobody answered is tried again elsewhere after this. */
-const pullMilliseconds: Milliseconds = 400;
+/**
+ * A pull that nobody answered, or that brings no further page, is tried again elsewhere after this: many round
+ * trips, and short enough for a VM that wakes beside two dead ones to be up to date before it places calls.
+ */
+const pullMilliseconds: Milliseconds = 150;
 
 /** Resources on one page of a snapshot: about 100 KB, far below what a message may hold. */
 const resourcesOnPage = 250;
@@ -30,6 +33,7 @@
 	private readonly _onAdopted: () => void;
 	private _newestKnown: ConfigurationVersion = 0;
 	private _incoming: Pages | undefined;
+	private _asked: PeerAddress | undefined;
 
 	constructor(
 		private readonly _context: FleetContext,
@@ -68,6 +72,7 @@
 		const {pages} = this._incoming;
 		pages.set(body.page, body);
 		if (pages.size < body.pages) {
+			this._awaitPull();
 			return;
 		}
 
@@ -105,8 +110,13 @@
 	}
 
 	private _pull(from: PeerAddress): void {
+		this._asked = from;
 		// -1 asks for anything at all, even an empty configuration; versions start at 0.
 		this._send(from, {type: 'changes-request', after: this._state.isKnown ? this._state.version : -1});
+		this._awaitPull();
+	}
+
+	private _awaitPull(): void {
 		this._context.timers.set('pull', this._context.now + pullMilliseconds, () => {
 			this._pullAgain();
 		});
@@ -114,7 +124,9 @@
 
 	private _pullAgain(): void {
 		const ahead = this._membership.live.filter(({record}) => record.configurationVersion > this._state.version || (!this._state.isKnown && record.isServing));
-		const [member] = this._context.pick(ahead, 1);
+		// The one that did not answer may be dead and not known to be: it is asked again only if it is the only one.
+		const others = ahead.filter(({record}) => record.peerAddress !== this._asked);
+		const [member] = this._context.pick(others.length > 0 ? others : ahead, 1);
 		if (member) {
 			this._pull(member.record.peerAddress);
 		}
--- a/src/common/fleet/leaving/leaving-signs.ts
+++ b/src/common/fleet/leaving/leaving-signs.ts
@@ -22,6 +22,10 @@
 /** Sends of one sign on probes, after the first push. */
 const mostSends = 10;
 
+/** Older signs reach a VM that was away so long with its join; about them VMs may differ for good. */
+const digestMilliseconds: Milliseconds = 60_000;
+const digestModulus = 2_147_483_647;
+
 type Sign = {readonly sign: LeavingSign; readonly firstAt: Instant; timesSent: number};
 
 export class LeavingSigns {
@@ -93,14 +97,35 @@
 		const waiting = [...this._signs.values()].filter(({timesSent}) => timesSent < mostSends).toSorted((a, b) => a.timesSent - b.timesSent).slice(0, most);
 		return waiting.map(entry => {
 			entry.timesSent += 1;
-			return {
-				identity: entry.sign.identity,
-				...(entry.sign.instance === undefined ? {} : {instance: entry.sign.instance}),
-				ageMilliseconds: this._context.now - entry.firstAt,
-			};
+			return this._rumour(entry);
 		});
 	}
 
+	/** The latest signs, for a VM that was not there when they went round. */
+	all(most: number): LeavingRumour[] {
+		this._forgetOld();
+		return [...this._signs.values()].slice(-most).map(entry => this._rumour(entry));
+	}
+
+	/** The same on two VMs that know the same signs of the last minute; a difference is settled by telling all. */
+	digest(): number {
+		const young = [...this._signs].filter(([, {firstAt}]) => this._context.now - firstAt < digestMilliseconds);
+		let sum = 0;
+		for (const [key] of young) {
+			sum = (sum + this._context.hash(key)) % digestModulus;
+		}
+
+		return sum;
+	}
+
+	private _rumour({sign, firstAt}: Sign): LeavingRumour {
+		return {
+			identity: sign.identity,
+			...(sign.instance === undefined ? {} : {instance: sign.instance}),
+			ageMilliseconds: this._context.now - firstAt,
+		};
+	}
+
 	private _key({identity, instance}: LeavingSign): string {
 		return `${identity} ${instance ?? ''}`;
 	}
--- a/src/common/fleet/peer-mailbox.ts
+++ b/src/common/fleet/peer-mailbox.ts
@@ -13,12 +13,17 @@
 const memberCharacters = 1200;
 const newsCharacters = 1000;
 const mostLeaving = 8;
+const mostLeavingInAnswer = 512;
+
+/** VMs that differ tell each other all signs at most this often: while a sign spreads, all differ for a moment. */
+const leavingAnswerMilliseconds = 1000;
 
 const carriers: ReadonlySet<PeerBody['type']> = new Set(['ping', 'ping-answer', 'rumours', 'members']);
 
 export class PeerMailbox {
 	messagesSent = 0;
 	messagesReceived = 0;
+	private _isTellingAll = false;
 	private readonly _news: LoadNewsExchange;
 
 	constructor(
@@ -40,13 +45,30 @@
 			...(storeContactAt === undefined ? {} : {storeContactAgeMilliseconds: now - storeContactAt}),
 			body,
 			members: isCarrier ? this._members(to, body) : [],
-			leaving: isCarrier ? this._signs.takeRumours(mostLeaving) : [],
+			leaving: isCarrier ? this._leaving(body) : [],
+			...(isCarrier && {leavingDigest: this._signs.digest()}),
 			news: isCarrier ? this._news.takeNews(newsCharacters) : [],
 		};
 		this.messagesSent += 1;
 		this._context.emit({type: 'send', to, message});
 	};
 
+	/**
+	 * Guard: rumours go out a few times only, so a VM that was paused or cut off meanwhile would never hear of a
+	 * server that left; it would give it work. Whoever hears another digest than its own tells all it knows.
+	 */
+	compareLeaving(from: PeerAddress, digest: number | undefined): void {
+		const timer = `leaving-${from}`;
+		if (digest === undefined || digest === this._signs.digest() || this._context.timers.has(timer)) {
+			return;
+		}
+
+		this._context.timers.set(timer, this._context.now + leavingAnswerMilliseconds, () => undefined);
+		this._isTellingAll = true;
+		this.send(from, {type: 'rumours'});
+		this._isTellingAll = false;
+	}
+
 	/** Sends what can't wait for the next probe to some live members. */
 	push(targets: number): void {
 		for (const {record} of this._context.pick(this._membership.live, targets)) {
@@ -54,6 +76,14 @@
 		}
 	}
 
+	/**
+	 * Guard: rumours go out a few times only, so a VM that joins later would never hear of a server that left
+	 * before; it would give it work. It gets all signs with the members.
+	 */
+	private _leaving(body: PeerBody): PeerMessage['leaving'] {
+		return body.type === 'members' || this._isTellingAll ? this._signs.all(mostLeavingInAnswer) : this._signs.takeRumours(mostLeaving);
+	}
+
 	private _members(to: PeerAddress, body: PeerBody): PeerMessage['members'] {
 		return body.type === 'members' ? this._membership.allUpdates() : [...this._membership.verdictAgainst(to), ...this._membership.takeRumours(memberCharacters)];
 	}
--- a/src/common/fleet/peer-messages.ts
+++ b/src/common/fleet/peer-messages.ts
@@ -125,6 +125,8 @@
 	body: peerBodySchema,
 	members: z.array(memberUpdateSchema).max(512),
 	leaving: z.array(leavingRumourSchema).max(512),
+	/** Of the signs of leaving that the sender knows, these included; absent = none known. */
+	leavingDigest: z.int().min(0).optional(),
 	news: z.array(loadNewsSchema).max(512),
 });
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
--- a/src/common/fleet/peer-receiver.ts
+++ b/src/common/fleet/peer-receiver.ts
@@ -46,6 +46,7 @@
 			this._parts.signs.take({identity, instance, source: 'peer'}, ageMilliseconds);
 		}
 
+		this._parts.mailbox.compareLeaving(sender.peerAddress, message.leavingDigest);
 		if (message.news.length > 0) {
 			this._parts.news.takePeers(message.news.map(piece => ({
 				...piece, crash: piece.crash, report: piece.report && {...piece.report, instance: piece.report.instance},
