Put the guard against pauses round the daemon's call engine

Cause: without it a daemon that was stopped for a while places calls by old news. The time for news is now 500 ms: a pull that meets two dead VMs takes 300.

--- a/src/common/calls/wake-guard.ts
+++ b/src/common/calls/wake-guard.ts
@@ -16,7 +16,7 @@
 const pauseMilliseconds: Milliseconds = 1500;
 
 /** Time for peers or the store to tell what is new: many round trips, and short beside the pause itself. */
-const catchUpMilliseconds: Milliseconds = 300;
+const catchUpMilliseconds: Milliseconds = 500;
 
 /**
  * What passes at once: what is in force or known, and that a call's first byte has left. The latter kept back
--- a/src/daemon/wiring.ts
+++ b/src/daemon/wiring.ts
@@ -2,6 +2,7 @@
 import {randomInt} from 'node:crypto';
 import {err, ok, type Result} from 'neverthrow';
 import {DefaultCallEngine} from '../common/calls/call-engine.ts';
+import {WakeGuard} from '../common/calls/wake-guard.ts';
 import {describeFailure, type Failure} from '../common/errors/failure.ts';
 import {FleetCoordinator} from '../common/fleet/fleet-coordinator.ts';
 import {type AddressAnswer as FleetAnswer, type FleetSettings} from '../common/fleet/types.ts';
@@ -122,7 +123,7 @@
 	const fleetLoop = owned.add(new FleetLoop(fleetEngine, clock, platform, peers));
 
 	const connections = owned.add(new BackendConnections({connectMilliseconds, idleMilliseconds: backendIdleMilliseconds}));
-	const callEngine = new DefaultCallEngine({random, settings: {dataCentre: settings.vm.dataCentre}});
+	const callEngine = new WakeGuard(new DefaultCallEngine({random, settings: {dataCentre: settings.vm.dataCentre}}));
 	const measurer = new CountedMeasurer(new LoadMeasurer(connections), metrics);
 	const keyClaimer = new StoreKeyClaimer(platform, clock, identity, hashes.digest);
 	const callLoop = owned.add(new CallLoop(callEngine, clock, measurer, keyClaimer));
