--- a/src/proof/fuzz/main.ts
+++ b/src/proof/fuzz/main.ts
@@ -11,20 +11,21 @@
 import {fleetFaults} from './fleet-commands.ts';
 import {fleetProperty} from './fleet-fuzz.ts';
 
-const historiesOfRound = 100;
-const longestHistory = 150;
-
 type Options = {readonly seconds: number; readonly seed: number; readonly only?: string};
 
 const parts = {
-	calls: {property: callProperty, faults: callFaults},
-	fleet: {property: fleetProperty, faults: fleetFaults},
+	calls: {
+		property: callProperty, faults: callFaults, longestHistory: 150, historiesOfRound: 100,
+	},
+	fleet: {
+		property: fleetProperty, faults: fleetFaults, longestHistory: 60, historiesOfRound: 10,
+	},
 };
 type PartName = keyof typeof parts;
 const partNames: readonly PartName[] = ['calls', 'fleet'];
 
 function runOne(name: PartName, options: Options): boolean {
-	const {property, faults} = parts[name];
+	const {property, faults, longestHistory, historiesOfRound} = parts[name];
 	const coverage = new FaultCoverage(faults);
 	const end = performance.now() + (1000 * options.seconds);
 	for (let {seed} = options; performance.now() < end; seed++) {
