--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -5,7 +5,7 @@
 import {CrashSuspects} from './crash-suspects.ts';
 import {type EngineContext, vmCountOf} from './engine-context.ts';
 import {MeasuringSchedule, measuringTimeout} from './measuring-schedule.ts';
-import {ServiceState} from './service-state.ts';
+import {defaultSharing, ServiceState} from './service-state.ts';
 import {TimerQueue} from './timer-queue.ts';
 import {
 	type BackendServerIdentity, type BackendServerStatus, type CallConfiguration, type FleetShares, type LoadNews, type LoadReport, type MeasurementId,
@@ -59,8 +59,9 @@
 		const rules = new Map(configuration.sharingRules.map(rule => [rule.service, rule]));
 		for (const [name, declared] of configuration.services) {
 			const service = this._services.get(name) ?? new ServiceState(declared, this._context.tuning);
-			service.declared = declared;
-			service.sharing = rules.get(name) ?? service.sharing;
+			service.redeclare(declared);
+			// A rule that was deleted is no longer in force.
+			service.sharing = rules.get(name) ?? defaultSharing;
 			service.setServers(servers.get(name) ?? [], vmCountOf(this._context));
 			this._services.set(name, service);
 		}
