Put a large change in force on the VM that took it

Ruled out: lost messages (the two others had it within the first look) and the store (its watch had answered).

The writer now hands the configuration to the reader, which tells of it like of any other step. The new test failed before with version 0 on the writer and 1 on the others.

--- a/src/common/fleet/configuration/change-attempt.ts
+++ b/src/common/fleet/configuration/change-attempt.ts
@@ -248,7 +248,7 @@
 		if (record.isInSnapshotOnly) {
 			const resources = new Map(this._state.resources);
 			applyMutations(resources, this._record!);
-			this._state.replace(record.version, resources.values(), head.records);
+			this._reader.adoptWritten(record.version, resources.values(), head.records);
 		}
 
 		this._reader.observeBase({revision, head, isConfirmed: true});
--- a/src/common/fleet/configuration/configuration-reader.ts
+++ b/src/common/fleet/configuration/configuration-reader.ts
@@ -110,6 +110,13 @@
 		}
 	}
 
+	/** Takes over a whole configuration that this VM has just written, and tells so like any other step forward. */
+	adoptWritten(version: number, resources: Iterable<StoredResource>, records: ConfigurationHead['records']): void {
+		if (this._state.replace(version, resources, records)) {
+			this._onAdopted();
+		}
+	}
+
 	/** Brings the configuration in force up to the newest head seen. */
 	catchUp(onDone: (outcome: ReadOutcome) => void): void {
 		const head = this._base?.head;
--- /dev/null
+++ b/src/common/fleet/configuration/large-change.test.ts
@@ -0,0 +1,25 @@
+import {expect} from 'earl';
+import {FakeFleet, testChange, testService} from '../test-utilities.test.ts';
+
+/** Resources whose change is too large for the history in the head, so that it goes into a snapshot at once. */
+const manyServices = 1000;
+
+describe('large change', () => {
+	// An operator applies 1,000 services through one VM and is told "accepted". All other VMs act on them, but
+	// the very VM that took the change does not, until the next change: for hours, perhaps.
+	// Cause: it moved its state forward by itself, so the reader saw nothing new and told nobody.
+	it('is in force on the VM that took it, as on all others', () => {
+		const fleet = new FakeFleet(1);
+		for (let index = 0; index < 3; index += 1) {
+			fleet.add(`vm-${index}`, `dc-${index}`);
+		}
+
+		fleet.run(6000);
+		const services = Array.from({length: manyServices}, (_, index) => testService(`service-${index}`));
+		const writer = fleet.vms[1]!;
+		fleet.tell(writer, {type: 'operator-change', requestId: 1, change: testChange('large', services)});
+		fleet.run(5000);
+		expect(writer.answers.map(answer => answer.type)).toEqual(['accepted']);
+		expect(fleet.vms.map(vm => [vm.configuration?.version, vm.configuration?.services.size])).toEqual(fleet.vms.map(() => [1, manyServices]));
+	});
+});
