--- a/src/stand-ins/child-program.ts
+++ b/src/stand-ins/child-program.ts
@@ -66,6 +66,11 @@
 		return this._child.exitCode ?? undefined;
 	}
 
+	/** True until it has ended, by itself or by a signal. */
+	get isRunning(): boolean {
+		return this._child.exitCode === null && this._child.signalCode === null;
+	}
+
 	/** The latest lines that it wrote for people. */
 	get lastErrors(): string {
 		return this._errors.join('\n');
