Give a download up whose caller takes no byte for two minutes

Cause: a caller's connection that goes silent for good pauses its download, and with it holds a slot of a backend server for good. Ruled out: a limit on the whole download (it would cut slow callers); TCP's own time-out (15 minutes). Change: the wait for a caller ends after 120 s without a byte taken; each byte counts as life.

--- a/benchmark/path/front-only.ts
+++ b/benchmark/path/front-only.ts
@@ -63,7 +63,7 @@
 	const server = new CallerServer({
 		sink: loop, calls, connections, addresses: () => undefined, fingerprint: hashes.fingerprint,
 	}, {
-		headBytes: 16_384, headMilliseconds: 10_000, idleMilliseconds: 60_000, keptBodyBytes: 65_536, bodyBytes: 1_073_741_824, connections: 10_000,
+		headBytes: 16_384, headMilliseconds: 10_000, stallMilliseconds: 120_000, idleMilliseconds: 60_000, keptBodyBytes: 65_536, bodyBytes: 1_073_741_824, connections: 10_000,
 	});
 	const listening = await server.listen(0, '127.0.0.1');
 	listening.match(
--- a/src/daemon/wiring.ts
+++ b/src/daemon/wiring.ts
@@ -49,6 +49,9 @@
 /** A caller's whole head must be there after this long. */
 const headMilliseconds = 10_000;
 
+/** A caller that takes no byte for this long is gone: TCP alone tells only after a quarter of an hour. */
+const stallMilliseconds = 120_000;
+
 /** Idle connections of callers; longer than the usual gap between two calls of one caller. */
 const callerIdleMilliseconds = 60_000;
 
@@ -148,6 +151,7 @@
 	}, {
 		headBytes: settings.limits.headBytes,
 		headMilliseconds,
+		stallMilliseconds,
 		idleMilliseconds: callerIdleMilliseconds,
 		bodyBytes: settings.limits.bodyBytes,
 		keptBodyBytes: settings.limits.replayBytes,
--- a/src/node/front/caller-server.test.ts
+++ b/src/node/front/caller-server.test.ts
@@ -1,4 +1,7 @@
-import {createServer, type Server, type Socket} from 'node:net';
+import {
+	connect, createServer, type Server, type Socket,
+} from 'node:net';
+import {Readable} from 'node:stream';
 import {expect} from 'earl';
 import {request} from 'undici';
 import {DefaultCallEngine} from '../../common/calls/call-engine.ts';
@@ -15,7 +18,7 @@
 import {LoadMeasurer} from './load-measurer.ts';
 
 const limits = {
-	headBytes: 16_384, headMilliseconds: 5000, idleMilliseconds: 5000, bodyBytes: 200_000, keptBodyBytes: 65_536, connections: 100,
+	headBytes: 16_384, headMilliseconds: 5000, stallMilliseconds: 300, idleMilliseconds: 5000, bodyBytes: 200_000, keptBodyBytes: 65_536, connections: 100,
 };
 
 /** No service of these tests asks for keys. */
@@ -24,7 +27,7 @@
 type Front = {readonly url: string; readonly ended: CallSummary[]; readonly server: CallerServer};
 
 /** The callers' door with a real engine in front of the given ports. */
-async function startFront(store: DisposableStore, ports: readonly number[]): Promise<Front> {
+async function startFront(store: DisposableStore, ports: readonly number[], bodyBytes = limits.bodyBytes): Promise<Front> {
 	const connections = store.add(new BackendConnections({connectMilliseconds: 1000, idleMilliseconds: 5000}));
 	const engine = new DefaultCallEngine({random: seededRandom(1), settings: {dataCentre: 'north'}});
 	const loop = store.add(new DeciderLoop(engine, new ProcessClock()));
@@ -40,7 +43,7 @@
 		connections,
 		addresses: () => undefined,
 		fingerprint: (method, path) => `${method} ${path}`,
-	}, limits));
+	}, {...limits, bodyBytes}));
 	const ended: CallSummary[] = [];
 	store.add(calls.onCallEnded(({summary}) => ended.push(summary)));
 	const service = serviceSchema.parse({
@@ -185,6 +188,61 @@
 		expect(await downloadInTwoHalves(store, 'bytes 5-9/10')).toEqual('helloworld');
 	});
 
+	/*
+	 * A crew uploads a large report; its backend server dies in the middle. Order: more of the body than is kept has
+	 * been sent, the connection is reset, the caller still sends. Cause: the caller's connection was ended together
+	 * with the attempt. The caller must be told that the outcome is unknown.
+	 */
+	it('gives the final answer when a large upload is cut off below', async () => {
+		const port = await startRaw(store, socket => {
+			let bytes = 0;
+			socket.on('data', chunk => {
+				bytes += chunk.length;
+				if (bytes > 100_000) {
+					socket.destroy();
+				}
+			});
+		});
+		const front = await startFront(store, [port], 100_000_000);
+		const answer = await ask(`${front.url}/report`, {method: 'POST', body: Buffer.alloc(50_000_000)});
+		expect({status: answer.status, outcome: answer.outcome}).toEqual({status: 502, outcome: 'unknown'});
+	});
+
+	/*
+	 * A caller sends more than is allowed without saying so in its head. Order: the body streams to a backend server, the
+	 * limit is passed, the attempt is given up. Cause: ending the caller's connection with it. The caller must be told.
+	 */
+	it('gives the final answer when a body without a length passes the limit', async () => {
+		const port = await startRaw(store, socket => {
+			socket.resume();
+		});
+		const front = await startFront(store, [port]);
+		const answer = await ask(`${front.url}/report`, {method: 'POST', body: Readable.from(Array.from({length: 40}, () => Buffer.alloc(20_000)))});
+		expect({status: answer.status, outcome: answer.outcome}).toEqual({status: 502, outcome: 'unknown'});
+	});
+
+	/*
+	 * A backend server runs out of slots although nobody reads. Order: a caller begins a download, its connection goes
+	 * silent without an end, the download waits for it. Cause: waiting without limit for a caller that has gone.
+	 */
+	it('gives a download up whose caller takes no byte any more', async () => {
+		const backend = store.add(new BackendServerStandIn());
+		const port = await startBackend(backend);
+		const front = await startFront(store, [port]);
+		const {port: frontPort} = new URL(front.url);
+		const socket = connect(Number(frontPort), '127.0.0.1');
+		store.add(toDisposable(() => socket.destroy()));
+		socket.pause();
+		socket.write('GET /services/orders/map HTTP/1.1\r\nhost: a\r\nstand-in-call-id: silent\r\nstand-in-bytes: 50000000\r\n\r\n');
+		while (front.ended.length === 0) {
+			await new Promise(resolve => {
+				setTimeout(resolve, 20);
+			});
+		}
+
+		expect(front.ended.map(summary => summary.isGood)).toEqual([false]);
+	});
+
 	/*
 	 * A festival registration is refused although a backend server was free. Order: the chosen one refuses the
 	 * connection, so nothing ran. Cause: giving up on a failure that proves it is safe to go elsewhere.
@@ -247,7 +305,6 @@
 
 async function rawExchange(url: string, text: string): Promise<string> {
 	const {port} = new URL(url);
-	const {connect} = await import('node:net');
 	return new Promise(resolve => {
 		const socket = connect(Number(port), '127.0.0.1', () => socket.write(text));
 		let answer = '';
--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -44,6 +44,8 @@
 	readonly headBytes: number;
 	/** Time for a whole head to come in: a caller that sends byte by byte holds a connection no longer. */
 	readonly headMilliseconds: Milliseconds;
+	/** A caller that takes no byte of its answer for this long is taken for gone. */
+	readonly stallMilliseconds: Milliseconds;
 	/** How long an idle connection of a caller is kept. */
 	readonly idleMilliseconds: Milliseconds;
 };
@@ -206,7 +208,7 @@
 				mayRetry: incoming.headers[retryHeader] !== 'none',
 			};
 			const call = new LiveCall(request, {
-				incoming, outgoing, path, body, trace: continueTrace(single(incoming.headers[traceHeader])),
+				incoming, outgoing, path, body, trace: continueTrace(single(incoming.headers[traceHeader])), stallMilliseconds: this._limits.stallMilliseconds,
 			}, this._parts.sink, this._parts.connections);
 			this._parts.calls.admit(call, {type: 'call-arrived', request});
 		});
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -3,6 +3,7 @@
 import {
 	type AttemptFailure, type CallEffect, type CallId, type CallOutcome, type CallRequest, type LoadReport,
 } from '../../common/calls/types.ts';
+import {type Milliseconds} from '../../common/model/units.ts';
 import {forwardedHeaders} from '../../common/protocol/forwarding.ts';
 import {
 	declaredNotRunHeader, leavingHeader, loadReportHeader, outcomeHeader, problemTypePrefix, retryHeader, timeoutHeader, traceHeader,
@@ -17,6 +18,18 @@
 type Start = CallEffect & {type: 'start-attempt'};
 type Refusal = CallEffect & {type: 'refuse'};
 
+/** The caller's side of a call. */
+export type Exchange = {
+	readonly incoming: IncomingMessage;
+	readonly outgoing: ServerResponse;
+	/** Path on the backend server. */
+	readonly path: string;
+	readonly body: RequestBody;
+	readonly trace: TraceContext;
+	/** A caller that takes no byte for this long is taken for gone. */
+	readonly stallMilliseconds: Milliseconds;
+};
+
 /** A call and its attempts. Ends itself when its answer is out or its caller has gone. */
 export class LiveCall implements AttemptListener {
 	private readonly _request: CallRequest;
@@ -25,6 +38,7 @@
 	private readonly _body: RequestBody;
 	private readonly _path: string;
 	private readonly _trace: TraceContext;
+	private readonly _stallMilliseconds: Milliseconds;
 	private readonly _sink: CallEventSink;
 	private readonly _connections: BackendConnections;
 	private readonly _attempts = new Map<number, BackendAttempt>();
@@ -37,7 +51,7 @@
 
 	constructor(
 		request: CallRequest,
-		exchange: {readonly incoming: IncomingMessage; readonly outgoing: ServerResponse; readonly path: string; readonly body: RequestBody; readonly trace: TraceContext},
+		exchange: Exchange,
 		sink: CallEventSink,
 		connections: BackendConnections,
 	) {
@@ -46,6 +60,7 @@
 		this._outgoing = exchange.outgoing;
 		this._path = exchange.path;
 		this._trace = exchange.trace;
+		this._stallMilliseconds = exchange.stallMilliseconds;
 		this._body = exchange.body;
 		this._sink = sink;
 		this._connections = connections;
@@ -171,9 +186,7 @@
 			return true;
 		}
 
-		this._outgoing.once('drain', () => {
-			this._passedOn?.resume();
-		});
+		this._waitForCaller();
 		return false;
 	}
 
@@ -211,6 +224,24 @@
 		return offset === undefined || (head.headers['content-range'] ?? '').startsWith(`bytes ${offset}-`);
 	}
 
+	/**
+	 * Guards a backend server's slot against a caller whose connection has gone silent: it takes no byte and
+	 * sends no end, and a download to it would hold the slot for good. Any byte that it takes counts as life,
+	 * so that a slow caller is never cut.
+	 */
+	private _waitForCaller(): void {
+		const onStall = () => {
+			this._outgoing.destroy();
+		};
+
+		this._outgoing.setTimeout(this._stallMilliseconds, onStall);
+		this._outgoing.once('drain', () => {
+			this._outgoing.off('timeout', onStall);
+			this._outgoing.setTimeout(0);
+			this._passedOn?.resume();
+		});
+	}
+
 	private _requestHeaders(effect: Start): string[] {
 		const headers = forwardedHeaders(this._incoming.headers);
 		headers.push(timeoutHeader, String(Math.max(1, Math.floor(effect.timeoutMilliseconds))), retryHeader, 'none', traceHeader, this._trace.traceparent);
--- a/src/node/front/request-body.ts
+++ b/src/node/front/request-body.ts
@@ -25,7 +25,6 @@
 	private readonly _chunks: Uint8Array[] = [];
 	private _bytes = 0;
 	private _isWhole = false;
-	private _isStreaming = false;
 
 	constructor(incoming: IncomingMessage, limits: BodyLimits) {
 		this._incoming = incoming;
@@ -87,15 +86,12 @@
 			return this._bytes === 0 ? undefined : this.kept;
 		}
 
-		this._isStreaming = true;
 		return Readable.from(this._stream(), {objectMode: false});
 	}
 
 	/** Lets go of what the caller still sends; the connection can then carry its next call. */
 	discard(): void {
-		if (!this._isStreaming) {
-			this._incoming.resume();
-		}
+		this._incoming.resume();
 	}
 
 	private async * _stream(): AsyncGenerator<Uint8Array> {
