Tell operators no refusal that another try or an old head gave

A head confirmed by an earlier change was taken for the newest, so a VM that peers had told of a newer one said 'store-lost-configuration'; and a later failure told the verdict of an earlier try.

Ruled out: the store's fake (the shrunk run has no fault at all: two VMs, four changes).

Change: a head from before the question is unconfirmed, a head older than the one in force is always proved by a write, each try begins with its own verdict. The property also has writes that take effect 3 s after their answer was given up.

--- /dev/null
+++ b/src/common/fleet/addresses/address-book.test.ts
@@ -0,0 +1,96 @@
+import {expect} from 'earl';
+import {seededRandom} from '../../random/random.ts';
+import {testHash} from '../test-utilities.test.ts';
+import {AddressBook, type AddressCandidate} from './address-book.ts';
+
+const settings = {
+	identity: 'vm', peerAddress: 'vm:1', callAddress: 'vm:2', dataCentre: 'dc-0', seeds: [], defaultPeerPort: 1, shareSlots: 24,
+	shareLeaseMilliseconds: 9000, answerKeepMilliseconds: 5000, smallestSubset: 16,
+};
+
+function vms(count: number, utilisation: (index: number) => number = () => 0): AddressCandidate[] {
+	return Array.from({length: count}, (_, index) => ({
+		identity: `vm-${index}`, callAddress: `vm-${index}`, dataCentre: `dc-${index % 3}`, utilisation: utilisation(index),
+	}));
+}
+
+function book(seed: number): AddressBook {
+	return new AddressBook(settings, seededRandom(seed), testHash);
+}
+
+/** Where 3,000 callers go that ask once each and use the first address named. */
+function firstChoices(candidates: readonly AddressCandidate[], dataCentre?: string): Map<string, number> {
+	const answers = book(1);
+	const counts = new Map<string, number>();
+	for (let caller = 0; caller < 3000; caller += 1) {
+		const first = answers.answer('reads', candidates, 0, dataCentre).addresses[0]!.address;
+		counts.set(first, (counts.get(first) ?? 0) + 1);
+	}
+
+	return counts;
+}
+
+function shareOf(counts: ReadonlyMap<string, number>, isCounted: (index: number) => boolean): number {
+	let sum = 0;
+	for (const [address, count] of counts) {
+		sum += isCounted(Number(address.slice(3))) ? count : 0;
+	}
+
+	return sum / 3000;
+}
+
+describe('answers to "which addresses"', () => {
+	// All callers ask at once and take the first address. Gathered on one VM they would overload it while others idle.
+	it('spread callers over all VMs, whoever asks first', () => {
+		const counts = firstChoices(vms(16));
+		expect(counts.size).toEqual(16);
+		expect(Math.max(...counts.values())).toBeLessThan(3000 / 16 * 1.4);
+	});
+
+	it('prefer the caller\'s data centre while it has room, and spread as it fills up', function () {
+		const share = (load: number): string => shareOf(firstChoices(vms(15, index => (index % 3 === 0 ? load : 0.2)), 'dc-0'), index => index % 3 === 0).toFixed(1);
+		expect({
+			idle: share(0), busy: share(0.8), busier: share(0.9), full: share(1), unknownCaller: shareOf(firstChoices(vms(15)), index => index % 3 === 0).toFixed(1),
+		}).toMatchSnapshot(this);
+	});
+
+	it('send fewer to a busy VM, and some still: its load in the answer is old', () => {
+		const counts = firstChoices(vms(16, index => (index === 5 ? 1 : 0)));
+		const part = counts.get('vm-5')! / (3000 / 16);
+		expect(part > 0.15 && part < 0.4).toEqual(true);
+	});
+
+	// At the target size no VM can carry every service. If two VMs named different subsets, more VMs than planned
+	// would carry each; if a lost VM changed all subsets, all would have to learn new services at once.
+	it('name the same subset of many VMs wherever asked, grow it with the load, and keep it when one is lost', () => {
+		const all = vms(200);
+		const subsetOf = (candidates: readonly AddressCandidate[], calls: number, seed: number): Set<string> => {
+			const named = new Set<string>();
+			const answers = book(seed);
+			for (let time = 0; time < 400; time += 1) {
+				for (const {address} of answers.answer('reads', candidates, calls, undefined).addresses) {
+					named.add(address);
+				}
+			}
+
+			return named;
+		};
+
+		const small = subsetOf(all, 0, 1);
+		const elsewhere = subsetOf(all.toReversed(), 0, 2);
+		const large = subsetOf(all, 6000, 3);
+		const lost = [...small][0]!;
+		const without = subsetOf(all.filter(({callAddress}) => callAddress !== lost), 0, 4);
+		expect([small.size, elsewhere.size, large.size, without.size]).toEqual([16, 16, 45, 16]);
+		expect([...small].every(address => elsewhere.has(address) && large.has(address))).toEqual(true);
+		expect([...small].filter(address => !without.has(address))).toEqual([lost]);
+	});
+
+	it('expire at different times, never later than the setting', () => {
+		const answers = book(9);
+		const times = Array.from({length: 200}, () => answers.answer('reads', vms(3), 0, undefined).keepForMilliseconds);
+		expect(Math.max(...times)).toBeLessThanOrEqual(5000);
+		expect(Math.min(...times)).toBeGreaterThan(3999);
+		expect(new Set(times).size).toBeGreaterThan(100);
+	});
+});
--- a/src/common/fleet/configuration/change-attempt.ts
+++ b/src/common/fleet/configuration/change-attempt.ts
@@ -91,10 +91,16 @@
 	}
 
 	private _begin(): void {
-		this._base = this._reader.base;
+		this._base = this._knownBase();
 		this._chart.send(this._base ? 'HAS_BASE' : 'NO_BASE');
 	}
 
+	/** The newest head that this VM has seen. It was the newest once; that says nothing about now. */
+	private _knownBase(): HeadBase | undefined {
+		const {base} = this._reader;
+		return base && {...base, isConfirmed: false};
+	}
+
 	private _readHead(): void {
 		this._reader.readHead((outcome, base) => {
 			this._base = base;
@@ -105,6 +111,8 @@
 	private _plan(): void {
 		const base = this._base!;
 		this._plans += 1;
+		// Whatever stops this try before its own answer: an earlier try's verdict must not be told.
+		this._answer = this._refused('store-unavailable', 'The platform\'s service could not be reached; nothing was changed.');
 		// The same operation may have been sent before, through another VM, and its answer lost.
 		const earlier = base.head.records.find(record => record.operationId === this._change.operationId);
 		if (earlier) {
@@ -117,7 +125,8 @@
 			this._chart.send('BEHIND');
 		} else if (base.head.version < this._state.version) {
 			this._answer = this._refused('store-lost-configuration', 'The platform\'s service holds an older configuration than the one in force; nothing was changed.');
-			this._uncertain();
+			// Peers may have told of a newer version than even a fresh reply holds: only a write proves the loss.
+			this._chart.send('UNCERTAIN');
 		} else {
 			this._planOnState(base);
 		}
@@ -167,7 +176,7 @@
 	private _catchUp(): void {
 		this._reader.catchUp(outcome => {
 			const isUp = outcome === 'read' && this._state.isKnown && this._state.version >= (this._base?.head.version ?? 0);
-			this._base = this._reader.base;
+			this._base = this._knownBase();
 			this._chart.send(isUp ? 'CAUGHT_UP' : 'FAILED');
 		});
 	}
--- /dev/null
+++ b/src/common/fleet/configuration/configuration-property.test.ts
@@ -0,0 +1,131 @@
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {type ResourceKey} from '../../model/resources.ts';
+import {
+	FakeFleet, type StoreMode, testChange, testService,
+} from '../test-utilities.test.ts';
+import {type ChangeSummary} from '../types.ts';
+
+/** One step of a run: an operator's change, or a fault, then some time. */
+type Step
+	= | {readonly kind: 'change'; readonly vm: number; readonly service: number; readonly isChecked: boolean; readonly milliseconds: number}
+		| {readonly kind: 'store'; readonly mode: StoreMode; readonly share: number; readonly milliseconds: number}
+		| {readonly kind: 'pause' | 'kill' | 'add'; readonly vm: number; readonly milliseconds: number};
+
+const time = fc.integer({min: 1, max: 4000});
+const steps: fc.Arbitrary<Step[]> = fc.array(fc.oneof(
+	{
+		weight: 4, arbitrary: fc.record({
+			kind: fc.constant('change' as const), vm: fc.nat(9), service: fc.nat(2), isChecked: fc.boolean(), milliseconds: fc.integer({min: 1, max: 600}),
+		}),
+	},
+	{
+		weight: 2, arbitrary: fc.record({
+			kind: fc.constant('store' as const), mode: fc.constantFrom<StoreMode>('up', 'down', 'lost', 'late', 'stale'), share: fc.nat(2), milliseconds: fc.integer({min: 1, max: 15_000}),
+		}),
+	},
+	{weight: 1, arbitrary: fc.record({kind: fc.constantFrom('pause' as const, 'kill' as const, 'add' as const), vm: fc.nat(9), milliseconds: time})},
+), {minLength: 5, maxLength: 25});
+
+/** What an operator asked, and the version that the service held at that moment. */
+type Question = {readonly key: ResourceKey; readonly expected: number | undefined; readonly headVersion: number};
+
+class ConfigurationRun {
+	readonly fleet: FakeFleet;
+	readonly questions = new Map<number, Question>();
+
+	constructor(seed: number) {
+		this.fleet = new FakeFleet(seed);
+		for (const name of ['vm-0', 'vm-1', 'vm-2']) {
+			this.fleet.add(name);
+		}
+
+		this.fleet.run(3000);
+	}
+
+	take(step: Step, index: number): void {
+		const running = this.fleet.vms.filter(({isRunning}) => isRunning);
+		const vm = step.kind === 'store' ? undefined : running[step.vm % Math.max(1, running.length)];
+		if (step.kind === 'store') {
+			this.fleet.staleEntries = step.mode === 'stale' ? new Map(this.fleet.store.entries) : this.fleet.staleEntries;
+			// One in `share + 1` operations meets the fault.
+			let count = 0;
+			this.fleet.modeOf = () => {
+				count += 1;
+				return count % (step.share + 1) === 0 ? step.mode : undefined;
+			};
+		} else if (step.kind === 'add') {
+			this.fleet.add(`added-${index}`);
+		} else if (vm && step.kind === 'change') {
+			const name = `service-${step.service}`;
+			const operationId = `operation-${index}`;
+			const expected = step.isChecked ? vm.engine.resource(`service/${name}`)?.metadata.version ?? 0 : undefined;
+			this.questions.set(index, {key: `service/${name}`, expected, headVersion: this.fleet.headVersion()});
+			this.fleet.tell(vm, {type: 'operator-change', requestId: index, change: testChange(operationId, [testService(name)], expected)});
+		} else if (vm && step.kind === 'pause') {
+			this.fleet.pause(vm, step.milliseconds);
+		} else if (vm && running.length > 1) {
+			this.fleet.kill(vm);
+		}
+
+		this.fleet.run(step.milliseconds);
+	}
+
+	/** Everything heals; whoever is left comes to one configuration. */
+	heal(): void {
+		this.fleet.modeOf = () => undefined;
+		this.fleet.run(45_000);
+	}
+}
+
+/** Version of a resource in a version of the configuration, by the history. */
+function versionAt(history: readonly ChangeSummary[], key: ResourceKey, headVersion: number): number {
+	return Math.max(0, ...history.filter(({version, changes}) => version <= headVersion && changes.some(change => change.key === key)).map(({version}) => version));
+}
+
+describe('configuration under faults', () => {
+	// Operators change the same services through several VMs while the store is out, loses answers or shows an old
+	// copy, and VMs are paused, killed and started. If one is told a falsehood, or a VM goes back, an order may run
+	// by a rule that was withdrawn.
+	it('no operator is told a falsehood, no VM goes back, and all come to the same', () => {
+		const counts: Record<string, number> = {};
+		fc.assert(fc.property(steps, fc.nat(1000), (list, seed) => {
+			const run = new ConfigurationRun(seed);
+			for (const [index, step] of list.entries()) {
+				run.take(step, index);
+			}
+
+			run.heal();
+			const {fleet} = run;
+			const survivors = fleet.vms.filter(({isGone}) => !isGone);
+			const history = survivors[0]!.engine.history(1000);
+			const versionOf = new Map(history.map(({operationId, version}) => [operationId, version]));
+			for (const vm of fleet.vms) {
+				for (const {requestId, answer, headVersion} of vm.answered) {
+					const operationId = `operation-${requestId}`;
+					counts[answer.type] = (counts[answer.type] ?? 0) + 1;
+					if (answer.type === 'accepted') {
+						expect([operationId, versionOf.get(operationId)]).toEqual([operationId, answer.version]);
+					} else if (answer.type !== 'unknown') {
+						expect([operationId, answer.type, versionOf.has(operationId)]).toEqual([operationId, answer.type, false]);
+					}
+
+					if (answer.type === 'conflict') {
+						// False if the resource stood at the expected version from the question to the answer.
+						const {key, expected, headVersion: askedAt} = run.questions.get(requestId)!;
+						expect([versionAt(history, key, askedAt), versionAt(history, key, headVersion)]).not.toEqual([expected!, expected!]);
+					} else if (answer.type === 'refused') {
+						expect(['store-unavailable', 'contended']).toInclude(answer.failure.kind);
+					}
+				}
+
+				expect(vm.versions).toEqual(vm.versions.toSorted((a, b) => a - b));
+			}
+
+			expect(new Set(history.map(({operationId}) => operationId)).size).toEqual(history.length);
+			expect(new Set(survivors.map(({engine}) => JSON.stringify(engine.resources()))).size).toEqual(1);
+			expect(survivors.every(({isCutOff, configuration}) => !isCutOff && configuration !== undefined)).toEqual(true);
+		}), {seed: 21, numRuns: 120});
+		expect(Object.keys(counts).toSorted((a, b) => a.localeCompare(b))).toEqual(['accepted', 'conflict', 'refused', 'unknown']);
+	});
+});
--- a/src/common/fleet/test-utilities.test.ts
+++ b/src/common/fleet/test-utilities.test.ts
@@ -130,6 +130,7 @@
 	readonly versions: number[] = [];
 	readonly stages: FleetStage[] = [];
 	readonly answers: OperatorAnswer[] = [];
+	readonly answered: Array<{readonly requestId: number; readonly answer: OperatorAnswer; readonly headVersion: number}> = [];
 	readonly signs: Array<{readonly identity: string; readonly instance: string | undefined; readonly at: Instant}> = [];
 	configuration: CallConfiguration | undefined;
 	configuredAt: Instant = 0;
@@ -150,8 +151,13 @@
 	}
 }
 
-/** How the service behaves towards a VM. `lost` = takes effect, answer lost; `stale` = reads come from an old copy. */
-export type StoreMode = 'up' | 'down' | 'lost' | 'stale';
+/**
+ * How the service behaves towards a VM. `lost` = takes effect, answer lost; `late` = takes effect seconds after its
+ * answer was given up; `stale` = reads come from an old copy.
+ */
+export type StoreMode = 'up' | 'down' | 'lost' | 'late' | 'stale';
+
+const lateMilliseconds = 3000;
 
 type Step = {readonly at: Instant; readonly order: number; readonly run: () => void};
 
@@ -199,6 +205,12 @@
 		return vm;
 	}
 
+	/** Version of the configuration that the service holds in truth. */
+	headVersion(): number {
+		const entry = this.store.entries.get('jaydale/configuration/head');
+		return entry ? Number(/"version":(?<version>\d+)/v.exec(entry.value)!.groups!.version) : 0;
+	}
+
 	tell(vm: FakeVm, event: FleetEvent): void {
 		if (vm.isRunning) {
 			for (const effect of vm.engine.handle(event, this.now)) {
@@ -327,6 +339,7 @@
 
 			case 'operator-answer': {
 				vm.answers.push(effect.answer);
+				vm.answered.push({requestId: effect.requestId, answer: effect.answer, headVersion: this.headVersion()});
 				break;
 			}
 
@@ -367,6 +380,14 @@
 			return;
 		}
 
+		if (mode === 'late' && operation.type !== 'get' && operation.type !== 'list') {
+			this._deliverReply(vm, requestId, {type: 'unknown'});
+			this.after(lateMilliseconds, () => {
+				this.store.execute(operation, this.now);
+			});
+			return;
+		}
+
 		// Half of the delay on the way there, half on the way back: a pause may lie between.
 		this.after(this._delay(), () => {
 			const isRead = operation.type === 'get' || operation.type === 'list';
