--- a/src/common/fleet/leaving/leaving-signs.ts
+++ b/src/common/fleet/leaving/leaving-signs.ts
@@ -22,12 +22,21 @@
 /** Sends of one sign on probes, after the first push. */
 const mostSends = 10;
 
+/** Older signs reach a VM that was away so long with its join; about them VMs may differ for good. */
+const digestMilliseconds: Milliseconds = 60_000;
+const digestModulus = 2_147_483_647;
+
+/** Replaced processes remembered for each resource: more restarts than this within a sign's lifetime are rare. */
+const rememberedProcesses = 4;
+
 type Sign = {readonly sign: LeavingSign; readonly firstAt: Instant; timesSent: number};
 
 export class LeavingSigns {
 	private readonly _signs = new Map<string, Sign>();
 	/** The process last seen not leaving: a sign for another one comes from before its start. */
 	private readonly _returned = new Map<string, string>();
+	/** Processes that left and were replaced, the latest last: a VM that was away may still tell of them. */
+	private readonly _replaced = new Map<string, readonly string[]>();
 	private readonly _onFirst: (sign: LeavingSign) => void;
 
 	constructor(private readonly _context: FleetContext, onFirst: (sign: LeavingSign) => void) {
@@ -45,7 +54,8 @@
 		const key = this._key(sign);
 		const returned = this._returned.get(sign.identity);
 		// Guard: an old sign of a server that has come back as a new process must not stop the new one.
-		const isOld = returned !== undefined && sign.instance !== returned && sign.source === 'peer';
+		const isReplaced = sign.instance !== undefined && this._replaced.get(sign.identity)?.includes(sign.instance) === true;
+		const isOld = sign.source === 'peer' && (isReplaced || (returned !== undefined && sign.instance !== returned));
 		if (isOld || this._signs.has(key) || ageMilliseconds > this._lifetime(sign)) {
 			return;
 		}
@@ -68,6 +78,8 @@
 		}
 
 		if (old.length > 0) {
+			const gone = old.flatMap(([, {sign}]) => sign.instance ?? []);
+			this._replaced.set(identity, [...this._replaced.get(identity) ?? [], ...gone].slice(-rememberedProcesses));
 			this._returned.set(identity, instance);
 		}
 	}
@@ -80,8 +92,9 @@
 			}
 		}
 
-		for (const identity of this._returned.keys()) {
+		for (const identity of this._replaced.keys()) {
 			if (!isDeclared(identity)) {
+				this._replaced.delete(identity);
 				this._returned.delete(identity);
 			}
 		}
@@ -93,14 +106,35 @@
 		const waiting = [...this._signs.values()].filter(({timesSent}) => timesSent < mostSends).toSorted((a, b) => a.timesSent - b.timesSent).slice(0, most);
 		return waiting.map(entry => {
 			entry.timesSent += 1;
-			return {
-				identity: entry.sign.identity,
-				...(entry.sign.instance === undefined ? {} : {instance: entry.sign.instance}),
-				ageMilliseconds: this._context.now - entry.firstAt,
-			};
+			return this._rumour(entry);
 		});
 	}
 
+	/** The latest signs, for a VM that was not there when they went round. */
+	all(most: number): LeavingRumour[] {
+		this._forgetOld();
+		return [...this._signs.values()].slice(-most).map(entry => this._rumour(entry));
+	}
+
+	/** The same on two VMs that know the same signs of the last minute; a difference is settled by telling all. */
+	digest(): number {
+		const young = [...this._signs].filter(([, {firstAt}]) => this._context.now - firstAt < digestMilliseconds);
+		let sum = 0;
+		for (const [key] of young) {
+			sum = (sum + this._context.hash(key)) % digestModulus;
+		}
+
+		return sum;
+	}
+
+	private _rumour({sign, firstAt}: Sign): LeavingRumour {
+		return {
+			identity: sign.identity,
+			...(sign.instance === undefined ? {} : {instance: sign.instance}),
+			ageMilliseconds: this._context.now - firstAt,
+		};
+	}
+
 	private _key({identity, instance}: LeavingSign): string {
 		return `${identity} ${instance ?? ''}`;
 	}
