--- a/src/proof/faults/relay.ts
+++ b/src/proof/faults/relay.ts
@@ -25,7 +25,7 @@
 /** One connection, with the call that is on it. */
 export class RelayedConnection {
 	call: string | undefined;
-	isSlow = false;
+	private _isSlow = false;
 	private readonly _relay: Relay;
 	private readonly _vm: Socket;
 	private readonly _backend: Socket | undefined;
@@ -75,6 +75,11 @@
 		this._isSilent = true;
 	}
 
+	/** Everything takes its time from now on. */
+	slowDown(): void {
+		this._isSlow = true;
+	}
+
 	private _close(): void {
 		if (!this._isSilent) {
 			this._vm.destroy();
@@ -86,7 +91,7 @@
 			return;
 		}
 
-		if (this.isSlow) {
+		if (this._isSlow) {
 			setTimeout(() => {
 				to.write(bytes);
 			}, slowMilliseconds);
--- a/src/proof/faults/row-runner.ts
+++ b/src/proof/faults/row-runner.ts
@@ -169,10 +169,7 @@
 			}
 
 			case 'slow': {
-				if (connection !== undefined) {
-					connection.isSlow = true;
-				}
-
+				connection?.slowDown();
 				break;
 			}
 
--- a/src/proof/fuzz/fake-attempts.ts
+++ b/src/proof/fuzz/fake-attempts.ts
@@ -14,9 +14,7 @@
 	isOver: boolean;
 	hasHead: boolean;
 	isPassedOn: boolean;
-	isEnded: boolean;
 	passedOn: string;
-	buffered: string;
 	lastWordAt: number;
 	cancelAtServer: () => void;
 	head: AnswerHead | undefined;
@@ -70,9 +68,7 @@
 			isOver: false,
 			hasHead: false,
 			isPassedOn: false,
-			isEnded: false,
 			passedOn: '',
-			buffered: '',
 			lastWordAt: this._world.timeline.now,
 			cancelAtServer() {
 				// Nothing has been sent yet.
@@ -225,20 +221,14 @@
 			return;
 		}
 
-		attempt.buffered += text;
-		this._flush(attempt);
-	}
-
-	private _flush(attempt: Attempt): void {
+		// As in the product's adapter: what comes before the head is passed on is lost.
 		const open = this._vm.openCall(attempt.effect.callId);
 		if (attempt.isPassedOn && open !== undefined) {
-			open.received += attempt.buffered;
-			attempt.buffered = '';
+			open.received += text;
 		}
 	}
 
 	private _end(attempt: Attempt): void {
-		attempt.isEnded = true;
 		if (attempt.isOver) {
 			if (this._world.chance() < lateNewsShare) {
 				this._vm.feed({type: 'attempt-done', attemptId: attempt.effect.attemptId});
@@ -270,10 +260,6 @@
 
 		attempt.isPassedOn = true;
 		open.outcome ??= outcome;
-		this._flush(attempt);
-		if (attempt.isEnded) {
-			this._complete(attempt);
-		}
 	}
 
 	private _fail(attempt: Attempt, failure: AttemptFailure): void {
