--- a/src/common/fleet/leaving/leaving-signs.ts
+++ b/src/common/fleet/leaving/leaving-signs.ts
@@ -26,12 +26,17 @@
 const digestMilliseconds: Milliseconds = 60_000;
 const digestModulus = 2_147_483_647;
 
+/** Replaced processes remembered for each resource: more restarts than this within a sign's lifetime are rare. */
+const rememberedProcesses = 4;
+
 type Sign = {readonly sign: LeavingSign; readonly firstAt: Instant; timesSent: number};
 
 export class LeavingSigns {
 	private readonly _signs = new Map<string, Sign>();
 	/** The process last seen not leaving: a sign for another one comes from before its start. */
 	private readonly _returned = new Map<string, string>();
+	/** Processes that left and were replaced, the latest last: a VM that was away may still tell of them. */
+	private readonly _replaced = new Map<string, readonly string[]>();
 	private readonly _onFirst: (sign: LeavingSign) => void;
 
 	constructor(private readonly _context: FleetContext, onFirst: (sign: LeavingSign) => void) {
@@ -49,7 +54,8 @@
 		const key = this._key(sign);
 		const returned = this._returned.get(sign.identity);
 		// Guard: an old sign of a server that has come back as a new process must not stop the new one.
-		const isOld = returned !== undefined && sign.instance !== returned && sign.source === 'peer';
+		const isReplaced = sign.instance !== undefined && this._replaced.get(sign.identity)?.includes(sign.instance) === true;
+		const isOld = sign.source === 'peer' && (isReplaced || (returned !== undefined && sign.instance !== returned));
 		if (isOld || this._signs.has(key) || ageMilliseconds > this._lifetime(sign)) {
 			return;
 		}
@@ -72,6 +78,8 @@
 		}
 
 		if (old.length > 0) {
+			const gone = old.flatMap(([, {sign}]) => sign.instance ?? []);
+			this._replaced.set(identity, [...this._replaced.get(identity) ?? [], ...gone].slice(-rememberedProcesses));
 			this._returned.set(identity, instance);
 		}
 	}
@@ -84,8 +92,9 @@
 			}
 		}
 
-		for (const identity of this._returned.keys()) {
+		for (const identity of this._replaced.keys()) {
 			if (!isDeclared(identity)) {
+				this._replaced.delete(identity);
 				this._returned.delete(identity);
 			}
 		}
