--- a/src/proof/fuzz/fleet-world.ts
+++ b/src/proof/fuzz/fleet-world.ts
@@ -166,6 +166,9 @@
 				});
 			} else if (answer.type === 'unknown') {
 				this.unknown.push(change);
+			} else if (answer.type === 'refused' && answer.failure.kind === 'store-unavailable' && this.unknown.includes(change)) {
+				// Of a change sent again this tells that it could not be looked up: it is as unknown as before.
+
 			} else {
 				this.history.push({type: 'change-refused', at, change: change.operationId});
 			}
