Work out the target size from measured slopes

Change: docs/CAPACITY.md with size, roles, limits, data path, spreading, load of the platform's service and what happens when; whole fleets of engines in virtual time tell how long a change takes to be in force everywhere.

--- /dev/null
+++ b/benchmark/capacity/fleet-simulation.ts
@@ -0,0 +1,237 @@
+/**
+ * Whole fleets of the fleet engine in virtual time: how long until an accepted change is in force on every
+ * VM. Messages take as long as between data centres; the platform's service answers in milliseconds.
+ */
+import {
+	encodeHead, encodeShards, headKey, shardPrefix,
+} from '../../src/common/fleet/configuration/head.ts';
+import {FleetCoordinator} from '../../src/common/fleet/fleet-coordinator.ts';
+import {type PeerMessage} from '../../src/common/fleet/peer-messages.ts';
+import {type FleetEffect, type FleetEvent, type HashFunction} from '../../src/common/fleet/types.ts';
+import {TimerQueue} from '../../src/common/calls/timer-queue.ts';
+import {type StoreOperation} from '../../src/common/platform/types.ts';
+import {seededRandom} from '../../src/common/random/random.ts';
+import {KeyValueStore} from '../../src/stand-ins/platform/key-value-store.ts';
+import {
+	backendServerOf, dataCentreOf, identityOf, storedResources,
+} from './sizes.ts';
+
+const services = 6;
+const backendServers = 72;
+const storeMilliseconds = 5;
+const nearMilliseconds = 0.5;
+/** Between regions: assumed. */
+const farMilliseconds = 40;
+const settleMilliseconds = 12_000;
+const betweenChanges = 6000;
+const membersInMessage = 256;
+
+type SimulatedVm = {readonly index: number; readonly engine: FleetCoordinator; readonly address: string; version: number; versionAt: number; wakeUpAt: number};
+type Watch = {readonly vm: SimulatedVm; readonly requestId: number; readonly prefix: string; readonly after: number};
+
+/** Made with all VMs knowing each other, as after a quiet hour. */
+export class FleetSimulation {
+	private readonly _store = new KeyValueStore();
+	private readonly _vms: SimulatedVm[];
+	private readonly _byAddress: Map<string, SimulatedVm>;
+	private readonly _due = new TimerQueue<() => void>();
+	private readonly _watches = new Set<Watch>();
+	private readonly _random = seededRandom(11);
+	private _now = 0;
+
+	constructor(count: number, hash: HashFunction) {
+		const shards = encodeShards(storedResources(services, backendServers)).map((value, index) => {
+			const key = `${shardPrefix}1-${index}`;
+			this._store.handle({
+				type: 'compare-and-swap', key, expected: 0, value,
+			}, 0);
+			return {key, revision: index + 1};
+		});
+		this._store.handle({
+			type: 'compare-and-swap',
+			key: headKey,
+			expected: 0,
+			value: encodeHead({
+				format: 1, version: 1, snapshot: {version: 1, shards}, records: [],
+			}),
+		}, 0);
+		this._vms = Array.from({length: count}, (_, index) => this._vm(index, count, hash));
+		this._byAddress = new Map(this._vms.map(vm => [vm.address, vm]));
+		this._introduce();
+		for (const vm of this._vms) {
+			this._after(this._random.next() * 1000, () => {
+				this._feed(vm, {type: 'started'});
+			});
+		}
+	}
+
+	/** Milliseconds from the operator's request until the last VM acts on it; the longest of several changes. */
+	changeMilliseconds(changes: number): number {
+		this._runUntil(settleMilliseconds);
+		let longest = 0;
+		for (let change = 0; change < changes; change++) {
+			const startedAt = this._now;
+			this._change(change);
+			this._runUntil(startedAt + betweenChanges);
+			const last = Math.max(...this._vms.map(vm => vm.version === change + 2 ? vm.versionAt : Infinity));
+			longest = Math.max(longest, last - startedAt);
+		}
+
+		return longest;
+	}
+
+	private _vm(index: number, count: number, hash: HashFunction): SimulatedVm {
+		const address = `10.251.${Math.floor(index / 250)}.${index % 250}`;
+		const engine = new FleetCoordinator({
+			identity: identityOf('vm', index),
+			peerAddress: `${address}:7003`,
+			callAddress: `${address}:7001`,
+			dataCentre: dataCentreOf(index),
+			seeds: [],
+			defaultPeerPort: 7003,
+			shareSlots: Math.ceil(count * 1.5),
+			shareLeaseMilliseconds: 15_000,
+			answerKeepMilliseconds: 5000,
+			smallestSubset: 16,
+		}, seededRandom(index + 1), hash);
+		return {
+			index, engine, address: `${address}:7003`, version: 0, versionAt: 0, wakeUpAt: Infinity,
+		};
+	}
+
+	private _introduce(): void {
+		const members = this._vms.map(({index, address}) => ({
+			record: {
+				identity: identityOf('vm', index),
+				peerAddress: address,
+				callAddress: address.replace(':7003', ':7001'),
+				dataCentre: dataCentreOf(index),
+				sequence: 1,
+				isLeaving: false,
+				isServing: true,
+				holdsShare: false,
+				configurationVersion: 0,
+				utilisation: 0.5,
+			},
+			verdict: 'live' as const,
+		}));
+		for (const vm of this._vms) {
+			for (let start = 0; start < members.length; start += membersInMessage) {
+				const message: PeerMessage = {
+					protocol: 1,
+					sender: members[(vm.index + 1) % members.length]!.record,
+					body: {type: 'members'},
+					members: members.slice(start, start + membersInMessage),
+					leaving: [],
+					news: [],
+				};
+				this._feed(vm, {type: 'peer-message', message});
+			}
+		}
+	}
+
+	private _change(change: number): void {
+		const vm = this._vms[Math.floor(this._random.next() * this._vms.length)]!;
+		this._feed(vm, {
+			type: 'operator-change',
+			requestId: change,
+			change: {
+				operationId: `operation-${change}`,
+				who: 'operator',
+				note: '',
+				when: '2026-01-01T00:00:00.000Z',
+				mutations: [{
+					type: 'put', resource: {...backendServerOf(change, services), isLeaving: true}, expectedVersion: undefined, freshIdentity: identityOf('new', change),
+				}],
+			},
+		});
+	}
+
+	private _feed(vm: SimulatedVm, event: FleetEvent): void {
+		for (const effect of vm.engine.handle(event, this._now)) {
+			this._carryOut(vm, effect);
+		}
+
+		const wakeUp = vm.engine.nextWakeUp();
+		if (wakeUp !== undefined && wakeUp < vm.wakeUpAt) {
+			vm.wakeUpAt = wakeUp;
+			this._due.add(Math.max(wakeUp, this._now), () => {
+				vm.wakeUpAt = Infinity;
+				this._feed(vm, {type: 'tick'});
+			});
+		}
+	}
+
+	private _carryOut(vm: SimulatedVm, effect: FleetEffect): void {
+		if (effect.type === 'send') {
+			const target = this._byAddress.get(effect.to);
+			if (target !== undefined) {
+				const isNear = target.index % 2 === vm.index % 2;
+				this._after(isNear ? nearMilliseconds : farMilliseconds, () => {
+					this._feed(target, {type: 'peer-message', message: effect.message});
+				});
+			}
+		} else if (effect.type === 'store') {
+			this._ask(vm, effect.requestId, effect.operation);
+		} else if (effect.type === 'configured' && effect.configuration.version > vm.version) {
+			vm.version = effect.configuration.version;
+			vm.versionAt = this._now;
+		}
+	}
+
+	private _ask(vm: SimulatedVm, requestId: number, operation: StoreOperation): void {
+		this._after(storeMilliseconds, () => {
+			if (operation.type === 'watch') {
+				this._watch({
+					vm, requestId, prefix: operation.prefix, after: operation.after,
+				}, operation.milliseconds);
+				return;
+			}
+
+			const reply = this._store.handle(operation, this._now)!;
+			this._feed(vm, {type: 'store-replied', requestId, reply});
+			this._answerWatches();
+		});
+	}
+
+	private _watch(watch: Watch, milliseconds: number): void {
+		this._watches.add(watch);
+		this._after(milliseconds, () => {
+			if (this._watches.delete(watch)) {
+				this._feed(watch.vm, {
+					type: 'store-replied',
+					requestId: watch.requestId,
+					reply: {
+						type: 'changes', entries: [], deleted: [], revision: this._store.revision,
+					},
+				});
+			}
+		});
+		this._answerWatches();
+	}
+
+	private _answerWatches(): void {
+		for (const watch of this._watches) {
+			const reply = this._store.changes(watch.prefix, watch.after);
+			if (reply !== undefined) {
+				this._watches.delete(watch);
+				this._after(storeMilliseconds, () => {
+					this._feed(watch.vm, {type: 'store-replied', requestId: watch.requestId, reply});
+				});
+			}
+		}
+	}
+
+	private _after(milliseconds: number, run: () => void): void {
+		this._due.add(this._now + milliseconds, run);
+	}
+
+	private _runUntil(until: number): void {
+		for (let at = this._due.earliest; at !== undefined && at <= until; at = this._due.earliest) {
+			this._now = Math.max(this._now, at);
+			this._due.takeDue(at)?.();
+		}
+
+		this._now = until;
+	}
+}
--- a/benchmark/capacity/fleet-slopes.ts
+++ b/benchmark/capacity/fleet-slopes.ts
@@ -1,5 +1,6 @@
 /** Slopes of what VMs do together: against VMs and against declared resources. */
 import {type HashFunction} from '../../src/common/fleet/types.ts';
+import {FleetSimulation} from './fleet-simulation.ts';
 import {heldBytes} from './heap.ts';
 import {ObservedVm} from './observed-vm.ts';
 import {storedResources, target} from './sizes.ts';
@@ -8,6 +9,7 @@
 
 const addressAnswers = 2000;
 const measuredChanges = 20;
+const simulatedChanges = 3;
 
 function vmOf(vms: number, services: number, backendServers: number, isWatcher: boolean, hash: HashFunction): ObservedVm {
 	return new ObservedVm({
@@ -49,6 +51,12 @@
 	};
 }
 
+/** Time until a change is in force on every VM, in whole fleets of engines; gossip takes rounds, hence the logarithm. */
+export function slopeOfChanges(fleetSizes: readonly number[], hash: HashFunction): Slope {
+	const points = fleetSizes.map((vms): Point => ({size: Math.log2(vms), value: new FleetSimulation(vms, hash).changeMilliseconds(simulatedChanges)}));
+	return fitSlope({name: 'configuration.inForceMilliseconds', against: 'log2(VMs)', unit: 'ms'}, points);
+}
+
 /** Against the number of backend servers, in the proportion of the target (17 a service), among 16 VMs. */
 export function slopesAgainstResources(sizes: readonly number[], hash: HashFunction): Slope[] {
 	const memory: Point[] = [];
--- a/benchmark/capacity/main.ts
+++ b/benchmark/capacity/main.ts
@@ -5,7 +5,7 @@
 import {loadHashes} from '../../src/daemon/identity.ts';
 import {textTable} from '../../src/stand-ins/text-table.ts';
 import {slopeOfActiveServices, slopeOfDecisions, slopesOfState} from './call-slopes.ts';
-import {slopesAgainstResources, slopesAgainstVms} from './fleet-slopes.ts';
+import {slopeOfChanges, slopesAgainstResources, slopesAgainstVms} from './fleet-slopes.ts';
 import {measureTransport} from './transport-cost.ts';
 import {type CapacityResults, type Slope, type SteadyState} from './types.ts';
 
@@ -13,6 +13,7 @@
 
 const resourceSizes = [190, 1900, 19_000];
 const serviceSizes = [11, 110, 1100];
+const fleetSizes = [16, 64, 250, 600];
 const choiceSizes = [6, 17, 64, 256];
 
 function slopeTable(slopes: readonly Slope[]): string {
@@ -46,7 +47,14 @@
 	const sizes = options.vms.split(',').map(Number);
 	const fleet = slopesAgainstVms(sizes, options.seconds, hashes.hash32);
 	console.log(`${stateTable(fleet.steadyStates)}\n`);
-	const slopes = [...fleet.slopes, ...slopesAgainstResources(resourceSizes, hashes.hash32), ...slopesOfState(resourceSizes), slopeOfActiveServices(serviceSizes), slopeOfDecisions(choiceSizes)];
+	const slopes = [
+		...fleet.slopes,
+		slopeOfChanges(fleetSizes, hashes.hash32),
+		...slopesAgainstResources(resourceSizes, hashes.hash32),
+		...slopesOfState(resourceSizes),
+		slopeOfActiveServices(serviceSizes),
+		slopeOfDecisions(choiceSizes),
+	];
 	console.log(slopeTable(slopes));
 	const transport = await measureTransport() ?? {overheadBytesPerMessage: 0, processorMicrosecondsPerMessage: 0};
 	console.log(`\ngRPC adds ${transport.overheadBytesPerMessage.toFixed(0)} bytes and ${transport.processorMicrosecondsPerMessage.toFixed(0)} µs of processor time to a message, at one end`);
--- /dev/null
+++ b/scripts/capacity-page.ts
@@ -0,0 +1,268 @@
+/**
+ * Writes the figures of docs/CAPACITY.md from the stored results, between its markers:
+ * `node --import=tsx scripts/capacity-page.ts`. A test checks that the page holds what this makes.
+ */
+import {readFileSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import process from 'node:process';
+import {daySeconds, target} from '../benchmark/capacity/sizes.ts';
+import {capacityResultsSchema} from '../benchmark/capacity/types.ts';
+import {pathResultsSchema} from '../benchmark/path/types.ts';
+import {historyCharacters, keptCharacters} from '../src/common/fleet/configuration/head.ts';
+import {packageRoot} from '../src/stand-ins/program-files.ts';
+import {
+	loadedPart, Projection, smallestSubset, statusReadsPerSecond, type StoredResults,
+} from './capacity-projection.ts';
+
+/** Limits of the letter for control on one VM, and for what a call is added. */
+const limits = {
+	coreShare: 0.012, bytes: 128e6, bytesPerSecond: 13_000, changeMilliseconds: 5000, addedMilliseconds: 1.9,
+};
+
+const listSeconds = 5;
+const headPollSeconds = 30;
+const watchersInDataCentre = 2;
+const shardBytes = 450_000;
+const replacedPerDay = 1700;
+const failedPerDay = 48;
+const megabyte = 1e6;
+
+function readResults(): StoredResults {
+	const read = (name: string): unknown => JSON.parse(readFileSync(join(packageRoot, 'docs', 'results', name), 'utf8'));
+	return {path: pathResultsSchema.parse(read('path.json')), capacity: capacityResultsSchema.parse(read('capacity.json'))};
+}
+
+function table(header: readonly string[], rows: ReadonlyArray<readonly string[]>): string {
+	const line = (cells: readonly string[]): string => `| ${cells.join(' | ')} |`;
+	return [line(header), line(header.map(() => '---')), ...rows.map(row => line(row))].join('\n');
+}
+
+function percent(share: number): string {
+	return `${(share * 100).toPrecision(2)} %`;
+}
+
+function megabytes(bytes: number): string {
+	return `${(bytes / megabyte).toPrecision(3)} MB`;
+}
+
+function kilobytes(bytes: number): string {
+	return `${(bytes / 1000).toPrecision(3)} KB/s`;
+}
+
+function verdict(value: number, limit: number): string {
+	return value <= limit ? `met (${percent(value / limit)} of it)` : `missed ${(value / limit).toPrecision(2)} times`;
+}
+
+function size(projection: Projection): string {
+	const saturation = projection.paired('reads, saturation');
+	return table(['quantity', 'formula', 'value'], [
+		['calls a second of one VM', `${loadedPart} × saturation of ${saturation.through.callsPerSecond.toFixed(0)}/s`, projection.rateOfVm.toFixed(0)],
+		['VMs', `${target.callsPerSecond} / calls a second of one VM`, String(projection.vms)],
+		['services carried by a VM, at least', `${target.services} × ${smallestSubset} / VMs`, projection.carriedServices.toPrecision(3)],
+		[
+			'backend servers known to a VM, at least', `services carried × ${target.backendServers} / ${target.services}`, projection.carriedBackendServers.toFixed(0),
+		],
+		['added to a call 21 deep, at p50', '21 × added p50 of one level', `${(21 * projection.paired('reads, 60%').added.p50).toPrecision(3)} ms`],
+		['slots of fleet-wide budgets', '1.5 × VMs, assumed as today', projection.shareSlots.toFixed(0)],
+		['a slot allows a measuring call to one backend server every', 'slots / (240 calls / 10 s)', `${projection.measuringSeconds.toPrecision(2)} s`],
+		['a slot allows connections to one backend server', '0.8 × 250 / slots', projection.connectionsOfSlot.toPrecision(2)],
+		['changes a second', `${target.changesPerDay} / ${daySeconds}`, projection.changesPerSecond.toPrecision(3)],
+	]);
+}
+
+function path(projection: Projection): string {
+	return table(
+		[
+			'calls', 'direct/s', 'through/s', 'share', 'added p50', 'added p99', 'least added p99', 'added p99.9', 'CPU a call', 'waiting for a processor', 'longest GC',
+		],
+		projection.results.path.paired.map(result => [
+			result.name,
+			result.direct.callsPerSecond.toFixed(0),
+			result.through.callsPerSecond.toFixed(0),
+			(result.through.callsPerSecond / result.direct.callsPerSecond).toFixed(2),
+			`${result.added.p50.toFixed(2)} ms`,
+			`${result.added.p99.toFixed(2)} ms`,
+			`${result.leastAddedP99.toFixed(2)} ms`,
+			`${result.added.p999.toFixed(2)} ms`,
+			`${result.processorMicrosecondsPerCall.toFixed(0)} µs`,
+			percent(result.waitingShare),
+			`${result.garbageCollection.longestMilliseconds.toFixed(1)} ms`,
+		]),
+	);
+}
+
+function pathMemory(projection: Projection): string {
+	const {memory} = projection.results.path;
+	return table(['memory of a daemon', 'value'], [
+		['resident, just started', megabytes(memory.startBytes)],
+		['an idle connection of a caller', `${(memory.bytesPerIdleConnection / 1000).toPrecision(2)} KB`],
+		['a paused download', `${(memory.bytesPerPausedDownload / 1000).toPrecision(2)} KB`],
+		['growth while 20 downloads stay paused', megabytes(memory.growthWhilePausedBytes)],
+		...memory.growthInDownloads.map(({answerBytes, growthBytes}) => [`growth while downloads of ${answerBytes / megabyte} MB run, two at a time`, megabytes(growthBytes)]),
+	]);
+}
+
+/** A cost that depends on how many backend servers a VM knows, for both cases. */
+function costRow(projection: Projection, role: string, line: string, cost: (backendServers: number) => string): string[] {
+	return [role, line, cost(target.backendServers), cost(projection.carriedBackendServers)];
+}
+
+function membershipRows(projection: Projection): string[][] {
+	const {transport} = projection.results.capacity;
+	const {vms, messagesOut} = projection;
+	const grpc = `${transport.overheadBytesPerMessage.toFixed(0)} a message for gRPC`;
+	const row = (role: string, line: string, value: string): string[] => [role, line, value, 'the same'];
+	return [
+		row('membership: memory', `${projection.formula('membership.bytes')} bytes`, megabytes(projection.at('membership.bytes', vms))),
+		row('membership: messages out', `${projection.formula('membership.messagesOutPerSecond')} a second`, `${messagesOut.toPrecision(3)}/s`),
+		row('membership, relay of changes: bytes out', `${projection.formula('membership.bytesOutPerSecond')} + ${grpc}`, kilobytes(projection.membershipBytesOut)),
+		row('membership, relay of changes: bytes in', `${projection.formula('membership.bytesInPerSecond')} + ${grpc}`, kilobytes(projection.membershipBytesIn)),
+		row(
+			'membership: processor',
+			`engine ${projection.formula('membership.engineCoreShare')} cores; gRPC ${transport.processorMicrosecondsPerMessage.toFixed(0)} µs a message`,
+			percent(projection.membershipCore),
+		),
+		row('watcher: bytes in besides', `changes × (${keptCharacters} to ${historyCharacters} bytes of the head)`, kilobytes(projection.watcherBytesPerSecond)),
+	];
+}
+
+function configurationRows(projection: Projection): string[][] {
+	const milliseconds = `${projection.formula('configuration.changeMilliseconds')} and ${projection.formula('calls.configureMilliseconds')} ms`;
+	return [
+		costRow(projection, 'configuration: memory', `${projection.formula('configuration.bytes')} bytes`, servers => megabytes(Math.max(0, projection.at('configuration.bytes', servers)))),
+		costRow(projection, 'configuration: processor', `changes × (${milliseconds})`, servers => percent(projection.changeCore(servers))),
+		costRow(projection, 'configuration: a snapshot', `${projection.formula('configuration.snapshotBytes')} bytes`, servers => megabytes(projection.at('configuration.snapshotBytes', servers))),
+	];
+}
+
+function entryRows(projection: Projection): string[][] {
+	const upkeep = `${projection.formula('calls.idleCoreShare')} cores, and ${statusReadsPerSecond}/s × (${projection.formula('calls.statusMilliseconds')} ms)`;
+	const ofService = target.backendServers / target.services;
+	return [
+		costRow(
+			projection,
+			'entry VM, call engine: memory',
+			`${projection.formula('calls.stateBytes')} and ${projection.formula('calls.activeServiceBytes')} bytes`,
+			servers => megabytes(projection.callEngineBytes(servers)),
+		),
+		costRow(projection, 'entry VM, upkeep: processor', upkeep, servers => percent(projection.upkeepCore(servers))),
+		[
+			'entry VM, decisions of a call',
+			`${projection.formula('calls.decisionMicroseconds')} µs`,
+			`${projection.at('calls.decisionMicroseconds', ofService).toPrecision(3)} µs`,
+			'the same',
+		],
+		[
+			'address answers: processor',
+			`answers × (${projection.formula('addresses.microseconds')} µs); ${projection.answersPerSecond.toFixed(0)} answers/s assumed`,
+			percent(projection.answersCore),
+			'the same until a subset is kept between answers',
+		],
+	];
+}
+
+function roles(projection: Projection): string {
+	return table(
+		['role', 'measured line', 'a VM that knows everything (stands)', 'a VM that knows what it carries (designed)'],
+		[...membershipRows(projection), ...configurationRows(projection), ...entryRows(projection)],
+	);
+}
+
+function againstLimits(projection: Projection): string {
+	const read = projection.paired('reads, 60%');
+	const everything = target.backendServers;
+	const subset = projection.carriedBackendServers;
+	const bytesPerSecond = projection.membershipBytesOut + projection.membershipBytesIn;
+	const judged = (value: number, limit: number, format: (amount: number) => string): string[] => [format(value), verdict(value, limit)];
+	const same = ['the same', ''];
+	const milliseconds = (value: number): string => `${value.toFixed(2)} ms`;
+	return table(['limit', 'a VM that knows everything', 'verdict', 'a VM that knows what it carries', 'verdict'], [
+		[
+			'1.2 % of a core for control',
+			...judged(projection.controlCore(everything), limits.coreShare, percent),
+			...judged(projection.controlCore(subset), limits.coreShare, percent),
+		],
+		[
+			'128 MB for control, heap of its state',
+			...judged(projection.controlBytes(everything), limits.bytes, megabytes),
+			...judged(projection.controlBytes(subset), limits.bytes, megabytes),
+		],
+		['13 KB a second for control, both ways', ...judged(bytesPerSecond, limits.bytesPerSecond, kilobytes), ...same],
+		['13 KB a second, a watcher', ...judged(bytesPerSecond + projection.watcherBytesPerSecond, limits.bytesPerSecond, kilobytes), ...same],
+		[
+			'5 s until a change is in force everywhere, fleets of engines',
+			...judged(projection.at('configuration.inForceMilliseconds', Math.log2(projection.vms)), limits.changeMilliseconds, milliseconds),
+			...same,
+		],
+		['1.9 ms added at p99, 60 % load, median of rounds', ...judged(read.added.p99, limits.addedMilliseconds, milliseconds), ...same],
+		['1.9 ms added at p99, 60 % load, quietest round', ...judged(read.leastAddedP99, limits.addedMilliseconds, milliseconds), ...same],
+	]);
+}
+
+function platform(projection: Projection): string {
+	const {vms} = projection;
+	const leases = vms * projection.at('platform.callsPerSecondOfAVm', vms);
+	const shards = Math.ceil(projection.at('configuration.snapshotBytes', target.backendServers) / shardBytes);
+	return table(['calls of the platform\'s service', 'formula', 'a second', 'grows with'], [
+		[
+			'leases of share slots, and reads of the head', `VMs × ${projection.at('platform.callsPerSecondOfAVm', vms).toPrecision(2)} (measured)`, leases.toFixed(0), 'the fleet',
+		],
+		['of these, reads of the head', `VMs / ${headPollSeconds}`, (vms / headPollSeconds).toFixed(0), 'the fleet'],
+		['reads of the VM list', `VMs / ${listSeconds}`, (vms / listSeconds).toFixed(0), 'the fleet'],
+		[
+			'waiting watches, at any moment', `${target.dataCentres} data centres × ${watchersInDataCentre}`, String(target.dataCentres * watchersInDataCentre), 'data centres',
+		],
+		['writes of changes', 'changes', projection.changesPerSecond.toPrecision(2), 'changes'],
+		[
+			'bytes out to watchers', 'watchers × bytes of a watcher', kilobytes(target.dataCentres * watchersInDataCentre * projection.watcherBytesPerSecond), 'data centres × changes',
+		],
+		[
+			'reads by replaced VMs', `${replacedPerDay} a day × shards of a snapshot`, (replacedPerDay * shards / daySeconds).toPrecision(2), 'VMs replaced',
+		],
+	]);
+}
+
+function dissemination(projection: Projection): string {
+	const steady = projection.results.capacity.steadyStates.filter(({isWatcher}) => !isWatcher);
+	const rows = steady.map(state => [
+		String(state.vms),
+		state.messagesOutPerSecond.toFixed(2),
+		state.bytesOutPerSecond.toFixed(0),
+		state.bytesInPerSecond.toFixed(0),
+		percent(state.engineCoreShare),
+		String(state.membersBehind),
+	]);
+	const perSecond = (projection.changesPerSecond * projection.vms).toFixed(0);
+	const replaced = (replacedPerDay * 2) + failedPerDay;
+	const inForce = projection.results.capacity.slopes.find(({name}) => name === 'configuration.inForceMilliseconds')!;
+	const fleets = inForce.points.map(({size, value}) => `${(2 ** size).toFixed(0)} VMs ${value.toFixed(0)} ms`).join(', ');
+	const changes = `Longest time until a change was in force on every VM of a simulated fleet: ${fleets}.`;
+	const perChange = `At ${projection.vms} VMs every change makes ${projection.vms} new records, ${perSecond} a second at ${projection.changesPerSecond.toPrecision(3)} changes a second.`;
+	const perDay = `VMs that are replaced or fail (${replacedPerDay} and ${failedPerDay} a day) make ${replaced} a day, ${(replaced / daySeconds).toPrecision(2)} a second.`;
+	const states = table(['VMs', 'messages out/s', 'bytes out/s', 'bytes in/s', 'engine', 'members whose version is not known here yet'], rows);
+	return `${states}\n\n${changes}\n\n${perChange} ${perDay}`;
+}
+
+const sections: Readonly<Record<string, (projection: Projection) => string>> = {
+	size, path, 'path-memory': pathMemory, roles, limits: againstLimits, platform, dissemination,
+};
+
+/** The page with its figures made anew. */
+export function renderPage(page: string, results: StoredResults): string {
+	const projection = new Projection(results);
+	return page.replaceAll(/<!-- figures:(?<name>[a-z\-]+) -->\n.*?<!-- end -->/gsv, (found, name: string) => {
+		const render = sections[name];
+		return render === undefined ? found : `<!-- figures:${name} -->\n\n${render(projection)}\n\n<!-- end -->`;
+	});
+}
+
+/** The page as it lies in the repository, and as the stored results make it. */
+export function checkPage(): {readonly present: string; readonly expected: string; readonly results: StoredResults} {
+	const present = readFileSync(join(packageRoot, 'docs', 'CAPACITY.md'), 'utf8');
+	const results = readResults();
+	return {present, expected: renderPage(present, results), results};
+}
+
+if (process.argv[1] === import.meta.filename) {
+	writeFileSync(join(packageRoot, 'docs', 'CAPACITY.md'), checkPage().expected);
+}
