--- a/src/stand-ins/caller/caller-load.ts
+++ b/src/stand-ins/caller/caller-load.ts
@@ -21,7 +21,7 @@
 	readonly timeoutMilliseconds: number;
 };
 
-const tickMilliseconds = 5;
+const tickMilliseconds = 1;
 const highestMicroseconds = 600_000_000;
 const orderBody = Buffer.from(JSON.stringify({order: 'fibre pair', spans: [1, 2, 3], quantity: 1}));
 const faultsKept = 20;
