Read calls in flight from counts, not from a page of all backend servers

Ruled out: reading more seldom (answers to callers would follow load late). Change: CallEngine.load(), whose cost grows with services.

--- a/benchmark/capacity/call-slopes.ts
+++ b/benchmark/capacity/call-slopes.ts
@@ -14,7 +14,7 @@
 const inFlight = 32;
 const callMilliseconds = 2;
 const configurations = 5;
-const statusReads = 20;
+const loadReads = 20;
 const idleMilliseconds = 5000;
 const callsToActivate = 10;
 
@@ -154,7 +154,7 @@
 export function slopesOfState(sizes: readonly number[]): Slope[] {
 	const memory: Point[] = [];
 	const configure: Point[] = [];
-	const status: Point[] = [];
+	const load: Point[] = [];
 	const idle: Point[] = [];
 	for (const backendServers of sizes) {
 		const services = Math.max(1, Math.round(backendServers * target.services / target.backendServers));
@@ -168,18 +168,18 @@
 
 		configure.push({size: backendServers, value: (performance.now() - startedAt) / configurations});
 		startedAt = performance.now();
-		for (let read = 0; read < statusReads; read++) {
-			made.status(100);
+		for (let read = 0; read < loadReads; read++) {
+			made.load();
 		}
 
-		status.push({size: backendServers, value: (performance.now() - startedAt) / statusReads});
+		load.push({size: backendServers, value: (performance.now() - startedAt) / loadReads});
 		idle.push({size: backendServers, value: idleCoreShare(engineOf(configuration))});
 	}
 
 	return [
 		fitSlope({name: 'calls.stateBytes', against: 'backend servers', unit: 'bytes'}, memory),
 		fitSlope({name: 'calls.configureMilliseconds', against: 'backend servers', unit: 'ms'}, configure),
-		fitSlope({name: 'calls.statusMilliseconds', against: 'backend servers', unit: 'ms'}, status),
+		fitSlope({name: 'calls.loadMilliseconds', against: 'backend servers', unit: 'ms'}, load),
 		fitSlope({name: 'calls.idleCoreShare', against: 'backend servers', unit: 'cores'}, idle),
 	];
 }
--- a/benchmark/policy/baseline-engine.ts
+++ b/benchmark/policy/baseline-engine.ts
@@ -2,7 +2,7 @@
 import {type BackendServer} from '../../src/common/model/resources.ts';
 import {type Instant, type RandomSource} from '../../src/common/model/units.ts';
 import {
-	type CallConfiguration, type CallEffect, type CallEngine, type CallEngineStatus, type CallEvent, type CallRequest,
+	type CallConfiguration, type CallEffect, type CallEngine, type CallEngineStatus, type CallEvent, type CallLoad, type CallRequest,
 	type FleetShares, type LoadNews, type LoadReport,
 } from '../../src/common/calls/types.ts';
 import {TimerQueue} from '../../src/common/calls/timer-queue.ts';
@@ -108,6 +108,10 @@
 		return earliest === Infinity ? undefined : earliest;
 	}
 
+	load(): CallLoad {
+		return {callsInFlight: 0, callsQueued: 0, inFlightOfServices: new Map()};
+	}
+
 	status(): CallEngineStatus {
 		return {
 			configurationVersion: 1, callsInFlight: this._calls.size, callsQueued: 0, backendServers: [], quarantined: [],
--- a/scripts/capacity-page.ts
+++ b/scripts/capacity-page.ts
@@ -11,7 +11,7 @@
 import {historyCharacters, keptCharacters} from '../src/common/fleet/configuration/head.ts';
 import {packageRoot} from '../src/stand-ins/program-files.ts';
 import {
-	loadedPart, Projection, smallestSubset, statusReadsPerSecond, type StoredResults,
+	loadedPart, Projection, smallestSubset, loadReadsPerSecond, type StoredResults,
 } from './capacity-projection.ts';
 
 /** Limits of the letter for control on one VM, and for what a call is added. */
@@ -136,7 +136,7 @@
 }
 
 function entryRows(projection: Projection): string[][] {
-	const upkeep = `${projection.formula('calls.idleCoreShare')} cores, and ${statusReadsPerSecond}/s × (${projection.formula('calls.statusMilliseconds')} ms)`;
+	const upkeep = `${projection.formula('calls.idleCoreShare')} cores, and ${loadReadsPerSecond}/s × (${projection.formula('calls.loadMilliseconds')} ms)`;
 	const ofService = target.backendServers / target.services;
 	return [
 		costRow(
--- a/scripts/capacity-projection.ts
+++ b/scripts/capacity-projection.ts
@@ -16,8 +16,8 @@
 /** How long a caller keeps an answer (default of the settings). */
 const keepSeconds = 5;
 
-/** Reads of the engine's status for gauges and loads: two each half second (src/daemon/daemon.ts). */
-export const statusReadsPerSecond = 4;
+/** Reads of the engine's load for gauges and answers: two each half second (src/daemon/daemon.ts). */
+export const loadReadsPerSecond = 4;
 
 /** Today's 24 slots for 16 VMs. */
 const slotsPerVm = 1.5;
@@ -96,9 +96,9 @@
 		return this.changesPerSecond * (this.at('configuration.changeMilliseconds', backendServers) + this.at('calls.configureMilliseconds', backendServers)) / 1000;
 	}
 
-	/** Looks at backend servers that might be measured, and status for gauges. */
+	/** Looks at backend servers that might be measured, and load for gauges. */
 	upkeepCore(backendServers: number): number {
-		return Math.max(0, this.at('calls.idleCoreShare', backendServers)) + (statusReadsPerSecond * Math.max(0, this.at('calls.statusMilliseconds', backendServers)) / 1000);
+		return Math.max(0, this.at('calls.idleCoreShare', backendServers)) + (loadReadsPerSecond * Math.max(0, this.at('calls.loadMilliseconds', backendServers)) / 1000);
 	}
 
 	get answersPerSecond(): number {
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -14,7 +14,7 @@
 import {TimerQueue} from './timer-queue.ts';
 import {type CallTuning, defaultTuning} from './tuning.ts';
 import {
-	type AttemptId, type CallEffect, type CallEngine, type CallEngineStatus, type CallEvent, type CallId, type CallRequest, type KeyClaim,
+	type AttemptId, type CallEffect, type CallEngine, type CallEngineStatus, type CallLoad, type CallEvent, type CallId, type CallRequest, type KeyClaim,
 } from './types.ts';
 
 /** Events that bring knowledge and belong to no call. */
@@ -92,15 +92,24 @@
 		return earliest === Infinity ? undefined : earliest;
 	}
 
-	status(now: Instant): CallEngineStatus {
+	load(): CallLoad {
 		let callsQueued = 0;
+		const inFlightOfServices = new Map<string, number>();
 		for (const service of this._directory.allServices()) {
 			callsQueued += service.queue.size;
+			if (service.inFlight > 0) {
+				inFlightOfServices.set(service.declared.name, service.inFlight);
+			}
 		}
 
+		return {callsInFlight: this._calls.size - callsQueued, callsQueued, inFlightOfServices};
+	}
+
+	status(now: Instant): CallEngineStatus {
+		const {callsInFlight, callsQueued} = this.load();
 		return {
 			configurationVersion: this._directory.version ?? 0,
-			callsInFlight: this._calls.size - callsQueued,
+			callsInFlight,
 			callsQueued,
 			backendServers: this._directory.statuses(now),
 			quarantined: this._context.suspects.quarantined(now),
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -252,10 +252,20 @@
 	handle(event: CallEvent, now: Instant): readonly CallEffect[];
 	/** When the engine wants a `tick`; undefined = not before another event. */
 	nextWakeUp(): Instant | undefined;
-	/** What is known and counted, for status pages. */
+	/** Calls counted now; made for reading several times a second, its cost grows with services only. */
+	load(): CallLoad;
+	/** What is known and counted, for status pages: its cost grows with backend servers. */
 	status(now: Instant): CallEngineStatus;
 };
 
+/** Calls that have not ended. */
+export type CallLoad = {
+	readonly callsInFlight: number;
+	readonly callsQueued: number;
+	/** Calls in flight of each service that has any. */
+	readonly inFlightOfServices: ReadonlyMap<string, number>;
+};
+
 /** A page of what the engine knows. */
 export type CallEngineStatus = {
 	readonly configurationVersion: number;
--- a/src/common/calls/wake-guard.test.ts
+++ b/src/common/calls/wake-guard.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'earl';
 import {
-	type CallEngine, type CallEngineStatus, type CallEvent, type CallRequest,
+	type CallEngine, type CallEngineStatus, type CallLoad, type CallEvent, type CallRequest,
 } from './types.ts';
 import {WakeGuard} from './wake-guard.ts';
 
@@ -29,6 +29,10 @@
 		return undefined;
 	}
 
+	load(): CallLoad {
+		return {callsInFlight: 0, callsQueued: 0, inFlightOfServices: new Map()};
+	}
+
 	status(): CallEngineStatus {
 		return {
 			configurationVersion: 1, callsInFlight: 0, callsQueued: 0, backendServers: [], quarantined: [],
--- a/src/common/calls/wake-guard.ts
+++ b/src/common/calls/wake-guard.ts
@@ -6,7 +6,7 @@
  */
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {
-	type CallEffect, type CallEngine, type CallEngineStatus, type CallEvent,
+	type CallEffect, type CallEngine, type CallEngineStatus, type CallEvent, type CallLoad,
 } from './types.ts';
 
 /** An idle engine is asked at least so often, so that a gap is seen. One event in that time costs nothing. */
@@ -69,6 +69,10 @@
 		return Math.min(this._engine.nextWakeUp() ?? Number.POSITIVE_INFINITY, lastAt + longestQuietMilliseconds);
 	}
 
+	load(): CallLoad {
+		return this._engine.load();
+	}
+
 	status(now: Instant): CallEngineStatus {
 		return this._engine.status(now);
 	}
--- a/src/common/entry-vm/entry-vm.ts
+++ b/src/common/entry-vm/entry-vm.ts
@@ -81,7 +81,7 @@
 		if (event.type === 'tick') {
 			this._tick(now);
 		} else if (event.type === 'utilisation') {
-			this._tellFleet({type: 'own-load', utilisation: event.utilisation, services: this._callsOfServices(now)}, now);
+			this._tellFleet({type: 'own-load', utilisation: event.utilisation, services: this.calls.load().inFlightOfServices}, now);
 		} else if (isFleetEvent(event)) {
 			this._tellFleet(event, now);
 		} else {
@@ -167,14 +167,4 @@
 			}
 		}
 	}
-
-	/** Calls in flight of each service: what the answers to callers are sized by. */
-	private _callsOfServices(now: Instant): ReadonlyMap<string, number> {
-		const counts = new Map<string, number>();
-		for (const server of this.calls.status(now).backendServers) {
-			counts.set(server.service, (counts.get(server.service) ?? 0) + server.inFlight);
-		}
-
-		return counts;
-	}
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -202,7 +202,7 @@
 	private _reportGauges(connections: number): void {
 		const {metrics, entryVm, clock} = this._parts;
 		const now = clock.now();
-		const calls = entryVm.calls.status(now);
+		const calls = entryVm.calls.load();
 		const fleet = entryVm.fleet.status(now);
 		metrics.gauges({
 			callsInFlight: calls.callsInFlight,
