--- a/src/cli/run.test.ts
+++ b/src/cli/run.test.ts
@@ -11,6 +11,7 @@
 import {problem, problemResponse} from '../node/api/problems.ts';
 import {ResourceApi} from '../node/api/resource-api.ts';
 import {Logging} from '../node/logging/logging.ts';
+import {noMetrics} from '../node/metrics/no-metrics.ts';
 import {allCommands, runCommandLine} from './run.ts';
 import {type HttpExchange, type Terminal} from './types.ts';
 import {version} from './version.ts';
@@ -54,6 +55,7 @@
 				{name: 'jan', role: 'read', token: 'read-token-of-jan-123456'},
 			]),
 			logger: new Logging({level: 'error', format: 'json'}, {}, () => undefined).logger,
+			metrics: noMetrics,
 			bodyBytes: 1_000_000,
 		});
 	}
--- a/src/daemon/wiring.ts
+++ b/src/daemon/wiring.ts
@@ -177,7 +177,7 @@
 		wallClock: () => new Date(),
 	});
 	const api = new ResourceApi({
-		gateway, directory: new OperatorDirectory(tokens), logger, bodyBytes: settings.limits.operatorBodyBytes,
+		gateway, directory: new OperatorDirectory(tokens), logger, metrics, bodyBytes: settings.limits.operatorBodyBytes,
 	});
 	const operatorServer = owned.add(new OperatorServer(api));
 	const pauseWatch = owned.add(new PauseWatch(clock, () => Date.now()));
--- a/src/node/api/operator-server.test.ts
+++ b/src/node/api/operator-server.test.ts
@@ -2,6 +2,7 @@
 import {expect} from 'earl';
 import {request, type Dispatcher} from 'undici';
 import {Logging} from '../logging/logging.ts';
+import {noMetrics} from '../metrics/no-metrics.ts';
 import {FakeGateway} from './fake-gateway.test.ts';
 import {OperatorDirectory} from './operator-directory.ts';
 import {OperatorServer} from './operator-server.ts';
@@ -34,7 +35,7 @@
 		const directory = new OperatorDirectory([{name: 'hanna', role: 'write', token}]);
 		const {logger} = new Logging({level: 'error', format: 'json'}, {}, () => undefined);
 		return new OperatorServer(new ResourceApi({
-			gateway, directory, logger, bodyBytes,
+			gateway, directory, logger, metrics: noMetrics, bodyBytes,
 		}));
 	}
 
--- a/src/node/api/resource-api.test.ts
+++ b/src/node/api/resource-api.test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'earl';
 import * as fastCheck from 'fast-check';
 import {Logging} from '../logging/logging.ts';
+import {noMetrics} from '../metrics/no-metrics.ts';
 import {resourceKey} from '../../common/model/resources.ts';
 import {FakeGateway} from './fake-gateway.test.ts';
 import {OperatorDirectory} from './operator-directory.ts';
@@ -22,16 +23,18 @@
 
 describe('resource API', () => {
 	let gateway: FakeGateway;
+	let answered: string[];
 	let api: ResourceApi;
 
 	beforeEach(() => {
 		gateway = new FakeGateway();
+		answered = [];
 		const directory = new OperatorDirectory([
 			{name: 'hanna', role: 'write', token: writeToken},
 			{name: 'jan', role: 'read', token: readToken},
 		]);
 		api = new ResourceApi({
-			gateway, directory, logger, bodyBytes,
+			gateway, directory, logger, bodyBytes, metrics: {...noMetrics, operatorAnswered: (method, status) => answered.push(`${method} ${status}`)},
 		});
 	});
 
@@ -210,5 +213,6 @@
 	it('says "unavailable" and not "unknown" when the store took no part', async function () {
 		gateway.mood = 'out';
 		expect(await send('POST', '/v1/resources', {body: service})).toMatchSnapshot(this);
+		expect(answered).toEqual(['POST 503']);
 	});
 });
--- a/src/node/api/resource-api.ts
+++ b/src/node/api/resource-api.ts
@@ -1,6 +1,7 @@
 /** The operators' HTTP interface: who may enter, how much they may send, and where it goes. */
 import {Hono, type MiddlewareHandler} from 'hono';
 import {type Logger} from '../logging/types.ts';
+import {type Metrics} from '../metrics/types.ts';
 import {type OperatorDirectory} from './operator-directory.ts';
 import {problem, problemResponse} from './problems.ts';
 import {type ApiEnvironment} from './request-input.ts';
@@ -13,6 +14,7 @@
 	readonly gateway: OperatorGateway;
 	readonly directory: OperatorDirectory;
 	readonly logger: Logger;
+	readonly metrics: Metrics;
 	/** Largest body of a request. */
 	readonly bodyBytes: number;
 };
@@ -34,7 +36,9 @@
 
 	/** Answers one request. */
 	async handle(request: Request): Promise<Response> {
-		return this._application.fetch(request);
+		const answer = await this._application.fetch(request);
+		this._parts.metrics.operatorAnswered(request.method, answer.status);
+		return answer;
 	}
 
 	/** Runs before the body is read: who is unknown costs no memory. */
