--- a/src/proof/faults/proof-operator.ts
+++ b/src/proof/faults/proof-operator.ts
@@ -47,8 +47,10 @@
 
 	/** What the VM acts on and by which changes, as its resource API shows it. */
 	async show(vm: string): Promise<HistoryEvent[]> {
-		const list = listSchema.safeParse((await this._ask('GET', '/v1/resources'))?.body);
-		const past = historySchema.safeParse((await this._ask('GET', '/v1/history?limit=20'))?.body);
+		const listed = await this._ask('GET', '/v1/resources');
+		const told = await this._ask('GET', '/v1/history?limit=20');
+		const list = listSchema.safeParse(listed?.body);
+		const past = historySchema.safeParse(told?.body);
 		const at = performance.now();
 		return [
 			...(list.success
