Shorten what watch tells of a large change, and mend small words

A watched change of 42 resources was one line of all keys; it now names five and counts the rest, JSON tells all. A service without calls is known for "-" and not for 0 ms.

--- a/src/cli/commands/burn.ts
+++ b/src/cli/commands/burn.ts
@@ -39,7 +39,7 @@
 		`${Number((service.objective.successShare * 100).toFixed(4))}% in ${formatMilliseconds(service.objective.latencyMilliseconds)}`,
 		...burnWindowNames.map(name => formatRate(service, name)),
 		service.budgetLeft === null ? '-' : `${(service.budgetLeft * 100).toFixed(1)}%`,
-		longest === undefined ? '-' : formatMilliseconds(longest.coveredMilliseconds),
+		longest === undefined || longest.coveredMilliseconds === 0 ? '-' : formatMilliseconds(longest.coveredMilliseconds),
 		service.verdict,
 		String(Math.round(service.measuring.spent)),
 		String(Math.round(service.measuring.allowed)),
--- a/src/cli/commands/history.ts
+++ b/src/cli/commands/history.ts
@@ -1,6 +1,7 @@
 /** `jaydale history`: the latest changes. */
 import {historySchema, operationStateSchema, type ChangeRecord} from '../../node/api/types.ts';
 import {type ApiClient} from '../api-client.ts';
+import {describeChanges} from '../describe-changes.ts';
 import {exitCodes, type ExitCode} from '../exit-codes.ts';
 import {
 	formatOption, inSession, sessionOptions, tellAnswer, tellReadFailure,
@@ -59,14 +60,8 @@
 		String(record.version),
 		record.when,
 		record.operator,
-		describeChanges(record),
+		describeChanges(record, mostKeys),
 		`${record.inForceOn.length} of ${record.inForceOn.length + record.behindOn.length} VMs`,
 		record.note,
 	]));
 }
-
-function describeChanges(record: ChangeRecord): string {
-	const {changes} = record;
-	const listed = changes.slice(0, mostKeys).map(({action, key}) => `${action} ${key}`).join(', ');
-	return changes.length > mostKeys ? `${listed} and ${changes.length - mostKeys} more` : listed;
-}
--- a/src/cli/commands/watch.ts
+++ b/src/cli/commands/watch.ts
@@ -1,6 +1,7 @@
 /** `jaydale watch`: changes as they come into force. */
 import {watchNewsSchema, type ChangeRecord, type WatchNews} from '../../node/api/types.ts';
 import {type ApiClient} from '../api-client.ts';
+import {describeChanges} from '../describe-changes.ts';
 import {exitCodes, type ExitCode} from '../exit-codes.ts';
 import {
 	formatOption, inSession, sessionOptions, tellReadFailure,
@@ -13,6 +14,9 @@
 const pauseAfterFailure = 1000;
 const mostFailures = 10;
 
+/** More keys than this are counted, not listed. */
+const mostKeys = 5;
+
 export const watchCommand: CommandDefinition = {
 	usage: 'watch',
 	describe: 'Show changes as they come into force on the VM that answers, until Ctrl-C. Goes on at another VM if that one stops.',
@@ -111,6 +115,5 @@
 
 /** A change as one line. */
 function describeRecord(record: ChangeRecord): string {
-	const changes = record.changes.map(({action, key}) => `${action} ${key}`).join(', ');
-	return `version ${record.version} by ${record.operator}: ${changes}${record.note === '' ? '' : ` (${record.note})`}`;
+	return `version ${record.version} by ${record.operator}: ${describeChanges(record, mostKeys)}${record.note === '' ? '' : ` (${record.note})`}`;
 }
--- /dev/null
+++ b/src/cli/describe-changes.ts
@@ -0,0 +1,9 @@
+/** Changes of resources as one short text. */
+import {type ChangeRecord} from '../node/api/types.ts';
+
+/** The first keys with what became of them, and how many more there are; `--format json` tells all. */
+export function describeChanges(record: ChangeRecord, most: number): string {
+	const {changes} = record;
+	const listed = changes.slice(0, most).map(({action, key}) => `${action} ${key}`).join(', ');
+	return changes.length > most ? `${listed} and ${changes.length - most} more` : listed;
+}
