End answers that fall silent in the middle

Cause: no deadline ends an answer that has begun, and nothing watched for silence: a connection that was lost track of in the middle of an answer kept its caller waiting without end. Found by the fault matrix: 'read, half the answer, silent': broken off by the caller itself after 20001 ms.

Ruled out: the call's deadline for bodies (it would cut long downloads).

Change: ten seconds without a byte, while the caller reads, fail the attempt as 'silent'; the engine resumes the download elsewhere or breaks it off.

--- a/src/node/front/backend-attempt.ts
+++ b/src/node/front/backend-attempt.ts
@@ -144,6 +144,10 @@
 				: 'not-sent';
 		}
 
+		if (error instanceof errors.BodyTimeoutError) {
+			return 'silent';
+		}
+
 		return this._hasHead ? 'reset-during-answer' : 'reset-after-sending';
 	}
 }
--- a/src/node/front/backend-connections.ts
+++ b/src/node/front/backend-connections.ts
@@ -13,8 +13,17 @@
 export type ConnectionSettings = {
 	readonly connectMilliseconds: Milliseconds;
 	readonly idleMilliseconds: Milliseconds;
+	/** Longest time without a byte of an answer that has begun. */
+	readonly silenceMilliseconds?: Milliseconds;
 };
 
+/**
+ * Guards callers against a connection that goes silent in the middle of an answer: no deadline ends an answer
+ * that has begun, so its caller would wait without end. Time in which the caller itself reads slowly does not
+ * count. Ten seconds leave room for a backend server that pauses; what breaks off may be resumed elsewhere.
+ */
+const usualSilenceMilliseconds: Milliseconds = 10_000;
+
 /** Base URL of an address; IPv6 numbers stand in brackets. */
 export function originOf(address: string, port: number): string {
 	return address.includes(':') ? `http://[${address}]:${port}` : `http://${address}:${port}`;
@@ -75,7 +84,7 @@
 			keepAliveMaxTimeout: this._settings.idleMilliseconds,
 			// Deadlines belong to the call engine; these only bound what it cannot see.
 			headersTimeout: 0,
-			bodyTimeout: 0,
+			bodyTimeout: this._settings.silenceMilliseconds ?? usualSilenceMilliseconds,
 		};
 	}
 }
--- a/src/proof/faults/proof-caller.ts
+++ b/src/proof/faults/proof-caller.ts
@@ -21,13 +21,14 @@
 /** What the caller saw. */
 export type ProofAnswer = {readonly isWhole: boolean; readonly status: number | undefined; readonly outcome: string | undefined; readonly hash: string};
 
-const path = '/run';
+/** Each call has a path of its own: calls that look alike share the blame for a crash. */
+const pathOf = (call: ProofCall): string => `/run/${call.name}`;
 const giveUpMilliseconds = 20_000;
 
 /** Digest of the body that a run of the call makes. */
 export function expectedHash(call: ProofCall): string {
 	const origin = {
-		method: call.method, path, callId: call.name, requestDigest: bodyDigest(Buffer.alloc(call.bodyBytes, 'x')),
+		method: call.method, path: pathOf(call), callId: call.name, requestDigest: bodyDigest(Buffer.alloc(call.bodyBytes, 'x')),
 	};
 	const body = new AnswerBody(origin, call.answerBytes);
 	const hash = createHash('sha256');
@@ -56,7 +57,7 @@
 			host: '127.0.0.1',
 			port: call.port,
 			method: call.method,
-			path: `${callPathPrefix}${call.service}${path}`,
+			path: `${callPathPrefix}${call.service}${pathOf(call)}`,
 			agent: false,
 			headers: {
 				[callIdHeader]: call.name,
--- a/src/proof/faults/proof-fleet.ts
+++ b/src/proof/faults/proof-fleet.ts
@@ -31,10 +31,13 @@
 	readonly backendServers: ProofBackendServer[] = [];
 	platformPort = 0;
 	private readonly _folder = mkdtempSync(join(tmpdir(), 'jaydale-proof-'));
+	private readonly _vmOptions: readonly string[];
 	private _probes = 0;
 
-	constructor() {
+	/** Takes options for the VMs' processes, such as a module to load. */
+	constructor(vmOptions: readonly string[] = []) {
 		super();
+		this._vmOptions = vmOptions;
 		this._register(toDisposable(() => {
 			rmSync(this._folder, {recursive: true});
 		}));
@@ -150,10 +153,10 @@
 	}
 
 	private _runVm(settingsFile: string): ChildProgram {
-		return this._run('src/daemon/main', ['serve', '--settings', settingsFile]);
+		return this._run('src/daemon/main', ['serve', '--settings', settingsFile], this._vmOptions);
 	}
 
-	private _run(program: string, parameters: readonly string[]): ChildProgram {
-		return this._register(new ChildProgram({program, parameters}));
+	private _run(program: string, parameters: readonly string[], nodeOptions: readonly string[] = []): ChildProgram {
+		return this._register(new ChildProgram({program, parameters, nodeOptions}));
 	}
 }
--- a/src/proof/faults/relay.ts
+++ b/src/proof/faults/relay.ts
@@ -194,7 +194,11 @@
 
 	async listen(): Promise<number> {
 		const server = createServer(socket => {
-			this._connections.add(new RelayedConnection(this, socket, this.backendPort));
+			const connection = new RelayedConnection(this, socket, this.backendPort);
+			this._connections.add(connection);
+			socket.on('close', () => {
+				this._connections.delete(connection);
+			});
 		});
 		this._register(toDisposable(() => {
 			this.cutAll();
@@ -226,6 +230,13 @@
 		}
 	}
 
+	/** What is open now passes nothing on any more; new connections do. */
+	silenceAll(): void {
+		for (const connection of this._connections) {
+			connection.silence();
+		}
+	}
+
 	cutAll(): void {
 		for (const connection of this._connections) {
 			connection.cut();
