Carry the digest of leaving signs over the wire

Cause: the digest by which VMs notice that they know different signs of leaving was in the schema of messages, not in the protobuf file nor in the codec: real daemons never compared. Found by reading the codec for the tests of bad input.

--- a/src/node/peers/grpc-peer-transport.test.ts
+++ b/src/node/peers/grpc-peer-transport.test.ts
@@ -64,6 +64,7 @@
 
 const rumours: Partial<PeerMessage> = {
 	storeContactAgeMilliseconds: 3,
+	leavingDigest: 2_147_483_646,
 	members: [{record: message({type: 'join'}).sender, verdict: 'suspected'}],
 	leaving: [{identity: 'server', ageMilliseconds: 1}, {identity: 'server', instance: 'p1', ageMilliseconds: 1}],
 	news: [
--- a/src/node/peers/peer-codec.ts
+++ b/src/node/peers/peer-codec.ts
@@ -89,11 +89,14 @@
 }
 
 function messageFromWire(wire: Record<string, unknown>): unknown {
-	const {protocol, sender, storeContactAgeMilliseconds} = withoutMarks(wire);
+	const {
+		protocol, sender, storeContactAgeMilliseconds, leavingDigest,
+	} = withoutMarks(wire);
 	return {
 		protocol,
 		sender,
 		storeContactAgeMilliseconds,
+		leavingDigest,
 		body: bodyFromWire(wire),
 		members: listSchema.parse(wire.members).map(({record, verdict}) => ({record, verdict: String(verdict).toLowerCase()})),
 		leaving: listSchema.parse(wire.leaving).map(rumour => withoutMarks(rumour)),
