--- a/src/proof/soak/main.ts
+++ b/src/proof/soak/main.ts
@@ -113,7 +113,8 @@
 				handles: open,
 			};
 			samples.push(sample);
-			console.log(`${String(sample.second).padStart(4)} s ${sample.vm}: resident ${sample.rss.toFixed(1)} MB, heap ${sample.heap.toFixed(1)} MB, ${sample.files} open files, ${timers} timers, ${open} handles`);
+			const memory = `resident ${sample.rss.toFixed(1)} MB, heap ${sample.heap.toFixed(1)} MB`;
+			console.log(`${String(sample.second).padStart(4)} s ${sample.vm}: ${memory}, ${sample.files} open files, ${timers} timers, ${open} handles`);
 		});
 	}
 }
