--- a/src/node/front/backend-attempt.ts
+++ b/src/node/front/backend-attempt.ts
@@ -3,11 +3,18 @@
 import {type Readable} from 'node:stream';
 import {type Dispatcher, errors} from 'undici';
 import {type AttemptFailure, type AttemptId} from '../../common/calls/types.ts';
+import {type Milliseconds} from '../../common/model/units.ts';
 import {type AttemptListener} from './types.ts';
 
 /** An unwanted answer up to this size is read to its end, so that its connection stays usable. */
 const discardLimitBytes = 65_536;
 
+/**
+ * Guards against a decision as old as a pause: a VM that was stopped while a connection was being opened would go
+ * on to send the call to a backend server that began to leave meanwhile. Opening takes half of this at most.
+ */
+const usualLatestStartMilliseconds: Milliseconds = 3000;
+
 /** Why a controller was aborted by this side. */
 class AttemptCancelled extends Error {
 	override readonly name = 'AttemptCancelled';
@@ -29,6 +36,7 @@
 export class BackendAttempt implements Dispatcher.DispatchHandler {
 	readonly id: AttemptId;
 	private readonly _listener: AttemptListener;
+	private readonly _latestStart: number;
 	private _controller: Dispatcher.DispatchController | undefined;
 	private _isSent = false;
 	private _hasHead = false;
@@ -36,9 +44,10 @@
 	private _isDiscarding = false;
 	private _bytes = 0;
 
-	constructor(id: AttemptId, listener: AttemptListener) {
+	constructor(id: AttemptId, listener: AttemptListener, latestStartMilliseconds: Milliseconds = usualLatestStartMilliseconds) {
 		this.id = id;
 		this._listener = listener;
+		this._latestStart = performance.now() + latestStartMilliseconds;
 	}
 
 	/** Bytes of the answer's body that came in. */
@@ -90,6 +99,13 @@
 			return;
 		}
 
+		if (performance.now() > this._latestStart) {
+			this._isEnded = true;
+			controller.abort(new AttemptCancelled());
+			this._listener.onFailure(this, 'not-sent');
+			return;
+		}
+
 		this._controller = controller;
 		this._isSent = true;
 		this._listener.onSent(this);
