--- a/src/node/front/caller-server.test.ts
+++ b/src/node/front/caller-server.test.ts
@@ -1,93 +1,9 @@
-import {createServer, type Server, type Socket} from 'node:net';
+import {type Socket} from 'node:net';
 import {expect} from 'earl';
 import {request} from 'undici';
-import {DefaultCallEngine} from '../../common/calls/call-engine.ts';
-import {type CallSummary} from '../../common/calls/types.ts';
-import {DisposableStore, toDisposable} from '../../common/lifecycle/disposable.ts';
-import {backendServerSchema, serviceSchema} from '../../common/model/resources.ts';
-import {seededRandom} from '../../common/random/random.ts';
+import {DisposableStore} from '../../common/lifecycle/disposable.ts';
 import {BackendServerStandIn} from '../../stand-ins/backend-server/backend-server-stand-in.ts';
-import {ProcessClock} from '../clock.ts';
-import {DeciderLoop} from '../decider-loop.ts';
-import {BackendConnections} from './backend-connections.ts';
-import {CallCarrier} from './call-carrier.ts';
-import {CallerServer} from './caller-server.ts';
-import {LoadMeasurer} from './load-measurer.ts';
-
-const limits = {
-	headBytes: 16_384, headMilliseconds: 5000, idleMilliseconds: 5000, bodyBytes: 200_000, keptBodyBytes: 65_536, connections: 100,
-};
-
-/** No service of these tests asks for keys. */
-const noKeys = {claim: () => undefined, release: async () => undefined};
-
-type Front = {readonly url: string; readonly ended: CallSummary[]; readonly server: CallerServer};
-
-/** The callers' door with a real engine in front of the given ports. */
-async function startFront(store: DisposableStore, ports: readonly number[]): Promise<Front> {
-	const connections = store.add(new BackendConnections({connectMilliseconds: 1000, idleMilliseconds: 5000}));
-	const engine = new DefaultCallEngine({random: seededRandom(1), settings: {dataCentre: 'north'}});
-	const loop = store.add(new DeciderLoop(engine, new ProcessClock()));
-	const calls = store.add(new CallCarrier(loop, new LoadMeasurer(connections), noKeys));
-	loop.setCarrier(effect => {
-		if (effect.type !== 'tell-peers') {
-			calls.carryOut(effect);
-		}
-	});
-	const server = store.add(new CallerServer({
-		sink: loop,
-		calls,
-		connections,
-		addresses: () => undefined,
-		fingerprint: (method, path) => `${method} ${path}`,
-	}, limits));
-	const ended: CallSummary[] = [];
-	store.add(calls.onCallEnded(({summary}) => ended.push(summary)));
-	const service = serviceSchema.parse({
-		kind: 'service', name: 'orders', timeoutMilliseconds: 2000, retryShare: 1,
-	});
-	const servers = ports.map((port, index) => backendServerSchema.parse({
-		kind: 'backend-server', name: `orders-${index}`, service: 'orders', address: '127.0.0.1', port, dataCentre: 'north',
-	}));
-	loop.feed({
-		type: 'configured',
-		configuration: {
-			version: 1,
-			services: new Map([['orders', service]]),
-			backendServers: new Map(servers.map(item => [`identity-of-${item.name}`, item])),
-			sharingRules: [],
-		},
-	});
-	const port = await server.listen(0, '127.0.0.1');
-	return {url: `http://127.0.0.1:${port._unsafeUnwrap()}/services/orders`, ended, server};
-}
-
-async function startBackend(backend: BackendServerStandIn): Promise<number> {
-	const started = await backend.start();
-	return started._unsafeUnwrap();
-}
-
-/** A backend server of raw bytes: does what no well-behaved one does. */
-async function startRaw(store: DisposableStore, onSocket: (socket: Socket) => void): Promise<number> {
-	const server: Server = createServer(socket => {
-		socket.on('error', () => undefined);
-		onSocket(socket);
-	});
-	const sockets = new Set<Socket>();
-	server.on('connection', socket => sockets.add(socket));
-	store.add(toDisposable(() => {
-		server.close();
-		for (const socket of sockets) {
-			socket.destroy();
-		}
-	}));
-	return new Promise(resolve => {
-		server.listen(0, '127.0.0.1', () => {
-			const address = server.address();
-			resolve(typeof address === 'object' && address !== null ? address.port : 0);
-		});
-	});
-}
+import {startBackend, startFront, startRaw} from './test-utilities.test.ts';
 
 async function ask(url: string, options: Parameters<typeof request>[1] = {}) {
 	const answer = await request(url, options);
--- /dev/null
+++ b/src/node/front/test-utilities.test.ts
@@ -0,0 +1,90 @@
+/** What tests of the callers' door share: a door with a real engine, and backend servers of raw bytes. */
+import {createServer, type Server, type Socket} from 'node:net';
+import {DefaultCallEngine} from '../../common/calls/call-engine.ts';
+import {type CallSummary} from '../../common/calls/types.ts';
+import {type DisposableStore, toDisposable} from '../../common/lifecycle/disposable.ts';
+import {backendServerSchema, serviceSchema} from '../../common/model/resources.ts';
+import {seededRandom} from '../../common/random/random.ts';
+import {type BackendServerStandIn} from '../../stand-ins/backend-server/backend-server-stand-in.ts';
+import {ProcessClock} from '../clock.ts';
+import {DeciderLoop} from '../decider-loop.ts';
+import {BackendConnections} from './backend-connections.ts';
+import {CallCarrier} from './call-carrier.ts';
+import {CallerServer} from './caller-server.ts';
+import {LoadMeasurer} from './load-measurer.ts';
+
+export const limits = {
+	headBytes: 16_384, headMilliseconds: 5000, idleMilliseconds: 5000, bodyBytes: 200_000, keptBodyBytes: 65_536, connections: 100,
+};
+
+/** No service of these tests asks for keys. */
+const noKeys = {claim: () => undefined, release: async () => undefined};
+
+export type Front = {readonly url: string; readonly ended: CallSummary[]; readonly server: CallerServer};
+
+/** The callers' door with a real engine in front of the given ports. */
+export async function startFront(store: DisposableStore, ports: readonly number[], ownLimits: Partial<typeof limits> = {}): Promise<Front> {
+	const connections = store.add(new BackendConnections({connectMilliseconds: 1000, idleMilliseconds: 5000}));
+	const engine = new DefaultCallEngine({random: seededRandom(1), settings: {dataCentre: 'north'}});
+	const loop = store.add(new DeciderLoop(engine, new ProcessClock()));
+	const calls = store.add(new CallCarrier(loop, new LoadMeasurer(connections), noKeys));
+	loop.setCarrier(effect => {
+		if (effect.type !== 'tell-peers') {
+			calls.carryOut(effect);
+		}
+	});
+	const server = store.add(new CallerServer({
+		sink: loop,
+		calls,
+		connections,
+		addresses: () => undefined,
+		fingerprint: (method, path) => `${method} ${path}`,
+	}, {...limits, ...ownLimits}));
+	const ended: CallSummary[] = [];
+	store.add(calls.onCallEnded(({summary}) => ended.push(summary)));
+	const service = serviceSchema.parse({
+		kind: 'service', name: 'orders', timeoutMilliseconds: 2000, retryShare: 1,
+	});
+	const servers = ports.map((port, index) => backendServerSchema.parse({
+		kind: 'backend-server', name: `orders-${index}`, service: 'orders', address: '127.0.0.1', port, dataCentre: 'north',
+	}));
+	loop.feed({
+		type: 'configured',
+		configuration: {
+			version: 1,
+			services: new Map([['orders', service]]),
+			backendServers: new Map(servers.map(item => [`identity-of-${item.name}`, item])),
+			sharingRules: [],
+		},
+	});
+	const port = await server.listen(0, '127.0.0.1');
+	return {url: `http://127.0.0.1:${port._unsafeUnwrap()}/services/orders`, ended, server};
+}
+
+export async function startBackend(backend: BackendServerStandIn): Promise<number> {
+	const started = await backend.start();
+	return started._unsafeUnwrap();
+}
+
+/** A backend server of raw bytes: does what no well-behaved one does. */
+export async function startRaw(store: DisposableStore, onSocket: (socket: Socket) => void): Promise<number> {
+	const server: Server = createServer(socket => {
+		socket.on('error', () => undefined);
+		onSocket(socket);
+	});
+	const sockets = new Set<Socket>();
+	server.on('connection', socket => sockets.add(socket));
+	store.add(toDisposable(() => {
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	}));
+	return new Promise(resolve => {
+		server.listen(0, '127.0.0.1', () => {
+			const address = server.address();
+			resolve(typeof address === 'object' && address !== null ? address.port : 0);
+		});
+	});
+}
+
