--- a/src/node/front/back-pressure.test.ts
+++ b/src/node/front/back-pressure.test.ts
@@ -7,6 +7,8 @@
 const filmBytes = 200_000_000;
 /** What sockets of both hops may hold on Linux at most, with room: far less than the film. */
 const heldBytes = 64_000_000;
+/** Longer than the test: who takes nothing is waited for here. */
+const patience = 60_000;
 const chunk = Buffer.alloc(65_536, 'f');
 const quietPolls = 25;
 const pollMilliseconds = 20;
@@ -93,7 +95,7 @@
 				film = pour(socket);
 			});
 		});
-		const front = await startFront(store, [port]);
+		const front = await startFront(store, [port], {stallMilliseconds: patience});
 		const {socket, path} = open(store, front.url);
 		socket.write(`GET ${path}/film HTTP/1.1\r\nhost: test\r\n\r\n`);
 		const head = await firstBytes(socket);
@@ -121,7 +123,7 @@
 				socket.pause();
 			});
 		});
-		const front = await startFront(store, [port], {bodyBytes: filmBytes});
+		const front = await startFront(store, [port], {bodyBytes: filmBytes, stallMilliseconds: patience});
 		const {socket, path} = open(store, front.url);
 		socket.write(`PUT ${path}/film HTTP/1.1\r\nhost: test\r\njaydale-timeout-milliseconds: 60000\r\ncontent-length: ${filmBytes}\r\n\r\n`);
 		const film = pour(socket);
--- a/src/node/front/test-utilities.test.ts
+++ b/src/node/front/test-utilities.test.ts
@@ -14,7 +14,7 @@
 import {LoadMeasurer} from './load-measurer.ts';
 
 export const limits = {
-	headBytes: 16_384, headMilliseconds: 5000, idleMilliseconds: 5000, bodyBytes: 200_000, keptBodyBytes: 65_536, connections: 100,
+	headBytes: 16_384, headMilliseconds: 5000, stallMilliseconds: 300, idleMilliseconds: 5000, bodyBytes: 200_000, keptBodyBytes: 65_536, connections: 100,
 };
 
 /** No service of these tests asks for keys. */
