Measure the daemon as it is built

Cause: the loader of TypeScript held 48 MB of the measured process: a fresh daemon has 145 MB resident by tsx and 97 MB from dist (trial with /proc/PID/status), and only the second runs in service.

Change: the path benchmark builds first and runs the daemon from dist; what preloads in it, the observer of garbage collection, is built with it. Programs of ours are named by path and run by their sources or built.

--- a/benchmark/path/main.ts
+++ b/benchmark/path/main.ts
@@ -2,11 +2,14 @@
  * What a call costs: `node --import=tsx benchmark/path/main.ts [--json FILE] [--seconds N]`. Real
  * processes on loopback, direct and through jaydale in one run.
  */
+import {spawnSync} from 'node:child_process';
 import {writeFileSync} from 'node:fs';
+import {join} from 'node:path';
 import {cpus} from 'node:os';
 import process from 'node:process';
 import sade from 'sade';
 import {describeFailure} from '../../src/common/errors/failure.ts';
+import {packageRoot} from '../../src/stand-ins/program-files.ts';
 import {textTable} from '../../src/stand-ins/text-table.ts';
 import {MeasuredTarget, type TargetKind} from './measured-target.ts';
 import {
@@ -85,6 +88,12 @@
 	return [saturation, fixed];
 }
 
+/** The daemon is measured as it runs in service: built, without the loader of TypeScript. */
+function isBuilt(): boolean {
+	const build = spawnSync(join(packageRoot, 'node_modules', '.bin', 'tsc'), ['-p', join(packageRoot, 'tsconfig.build.json')], {stdio: 'inherit'});
+	return build.status === 0;
+}
+
 async function isStarted(target: MeasuredTarget, logLevel: string): Promise<boolean> {
 	const started = await target.startMeasured(logLevel);
 	if (started.isErr()) {
@@ -127,6 +136,11 @@
 async function main(options: Options): Promise<void> {
 	const kind: TargetKind = options['front-only'] === true ? 'front-only' : 'daemon';
 	const profileOptions = options.profile === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${options.profile}`];
+	if (kind === 'daemon' && !isBuilt()) {
+		process.exitCode = 1;
+		return;
+	}
+
 	const target = new MeasuredTarget(kind, [...profileOptions, ...(options['node-options']?.split(' ') ?? [])]);
 	process.once('exit', () => {
 		target.dispose();
--- a/benchmark/path/measured-target.ts
+++ b/benchmark/path/measured-target.ts
@@ -9,8 +9,9 @@
 import {backendServerSchema, type Resource, serviceSchema} from '../../src/common/model/resources.ts';
 import {OperatorClient} from '../../src/demo/operator-client.ts';
 import {exampleToken, exampleTokensFile, writeVmSettings} from '../../src/demo/vm-settings.ts';
-import {ChildProgram, type ReadyLine} from '../../src/stand-ins/child-program.ts';
+import {ChildProgram, type ProgramSettings, type ReadyLine} from '../../src/stand-ins/child-program.ts';
 import {freePorts} from '../../src/stand-ins/free-ports.ts';
+import {builtFiles} from '../../src/stand-ins/program-files.ts';
 import {standInClient} from '../../src/stand-ins/stand-in-client.ts';
 import {type GarbageCollection, garbageCollectionSchema} from './types.ts';
 
@@ -23,7 +24,7 @@
 const backendServerCount = 8;
 const setUpLimitMilliseconds = 30_000;
 const pollMilliseconds = 50;
-const observer = './benchmark/path/garbage-collection-observer.ts';
+const observer = 'src/stand-ins/garbage-collection-observer';
 
 /** Owns the processes; a disposal kills them. */
 export class MeasuredTarget extends Disposable {
@@ -38,7 +39,7 @@
 	constructor(kind: TargetKind, nodeOptions: readonly string[] = []) {
 		super();
 		this._kind = kind;
-		this._nodeOptions = [`--import=${observer}`, ...nodeOptions];
+		this._nodeOptions = nodeOptions;
 		this._register(toDisposable(() => {
 			rmSync(this._folder, {recursive: true});
 		}));
@@ -90,7 +91,7 @@
 	async startMeasured(logLevel: string): Promise<Result<void, TargetFailure>> {
 		this._program?.dispose();
 		if (this._kind === 'front-only') {
-			const front = await this._start('benchmark/path/front-only', ['--backend-servers', this._backendPorts.join(',')], this._nodeOptions);
+			const front = await this._start('benchmark/path/front-only', ['--backend-servers', this._backendPorts.join(',')], {nodeOptions: this._nodeOptions, preloads: [observer]});
 			return front.andThen(({program, ready}) => {
 				this._program = program;
 				this._callPort = ready.listening;
@@ -142,7 +143,13 @@
 			platformUrl: `http://127.0.0.1:${platformPort}`, tokensFile: exampleTokensFile, keepForMilliseconds: 1000, logLevel,
 		});
 		this._callPort = plan.callPort;
-		this._program = this._register(new ChildProgram({program: 'src/daemon/main', parameters: ['serve', '--settings', settingsFile], nodeOptions: this._nodeOptions}));
+		this._program = this._register(new ChildProgram({
+			program: 'src/daemon/main',
+			parameters: ['serve', '--settings', settingsFile],
+			nodeOptions: this._nodeOptions,
+			preloads: [observer],
+			files: builtFiles,
+		}));
 		return this._declare(new OperatorClient(`http://127.0.0.1:${plan.operatorPort}`, exampleToken));
 	}
 
@@ -175,9 +182,9 @@
 	private async _start(
 		program: string,
 		parameters: readonly string[],
-		nodeOptions: readonly string[] = [],
+		options: Pick<ProgramSettings, 'nodeOptions' | 'preloads'> = {},
 	): Promise<Result<{program: ChildProgram; ready: ReadyLine}, TargetFailure>> {
-		const child = this._register(new ChildProgram({program, parameters, nodeOptions}));
+		const child = this._register(new ChildProgram({program, parameters, ...options}));
 		const ready = await child.ready();
 		return ready.map(line => ({program: child, ready: line})).mapErr(cause => failure('not-set-up', cause.message, {cause}));
 	}
--- a/src/stand-ins/child-program.ts
+++ b/src/stand-ins/child-program.ts
@@ -8,7 +8,7 @@
 import {failure, type Failure} from '../common/errors/failure.ts';
 import {Disposable, toDisposable} from '../common/lifecycle/disposable.ts';
 import {Emitter} from '../common/lifecycle/emitter.ts';
-import {packageRoot, programArguments} from './program-files.ts';
+import {type ModuleFiles, ownFiles, packageRoot} from './program-files.ts';
 
 /** Why a program is not there. */
 export type ProgramFailure = Failure<'not-started'>;
@@ -25,6 +25,10 @@
 	/** Path without ending, such as `src/stand-ins/platform/main`. */
 	readonly program: string;
 	readonly parameters: readonly string[];
+	/** Modules of ours that are loaded first, by path. */
+	readonly preloads?: readonly string[];
+	/** Sources or built files; as this process runs, if not given. */
+	readonly files?: ModuleFiles;
 	/** Options for node itself, such as `--cpu-prof`. */
 	readonly nodeOptions?: readonly string[];
 };
@@ -42,9 +46,10 @@
 
 	constructor(settings: ProgramSettings) {
 		super();
-		const [path = '', ...loader] = programArguments(settings.program).toReversed();
+		const {loader, file} = settings.files ?? ownFiles;
+		const preloaded = (settings.preloads ?? []).map(module => `--import=${file(module)}`);
 		// The loader of TypeScript comes first: what an option imports may be TypeScript too.
-		this._child = spawn(process.execPath, [...loader, ...(settings.nodeOptions ?? []), path, ...settings.parameters], {
+		this._child = spawn(process.execPath, [...loader, ...preloaded, ...(settings.nodeOptions ?? []), file(settings.program), ...settings.parameters], {
 			cwd: packageRoot,
 			stdio: ['ignore', 'pipe', 'pipe'],
 		});
--- a/src/stand-ins/program-files.ts
+++ b/src/stand-ins/program-files.ts
@@ -17,9 +17,24 @@
 /** Folder of `package.json`. */
 export const packageRoot = findRoot();
 
-/** Arguments for node that run a program of ours; `path` such as `src/stand-ins/platform/main`. */
-export function programArguments(path: string): string[] {
-	return isSource
-		? ['--import=tsx', join(packageRoot, `${path}.ts`)]
-		: [join(packageRoot, 'dist', `${path}.js`)];
-}
+/** Arguments for node to load modules of ours by path, such as `src/stand-ins/platform/main`. */
+export type ModuleFiles = {
+	/** What node needs before it can load them. */
+	readonly loader: readonly string[];
+	readonly file: (path: string) => string;
+};
+
+/** By the sources, through tsx. */
+export const sourceFiles: ModuleFiles = {
+	loader: ['--import=tsx'],
+	file: path => join(packageRoot, `${path}.ts`),
+};
+
+/** As built into `dist`: what runs in service, with less memory. */
+export const builtFiles: ModuleFiles = {
+	loader: [],
+	file: path => join(packageRoot, 'dist', `${path}.js`),
+};
+
+/** In the way in which this very module runs. */
+export const ownFiles: ModuleFiles = isSource ? sourceFiles : builtFiles;
