Say of an unreachable store only what is known; copy what the guards' tests need

The guards' copies lacked a folder that tests import, so their tests failed with all guards in place and nothing could be told.

--- a/src/common/fleet/configuration/change-attempt.ts
+++ b/src/common/fleet/configuration/change-attempt.ts
@@ -79,7 +79,7 @@
 		private readonly _onAnswer: (answer: OperatorAnswer) => void,
 	) {
 		this._deadline = _context.now + answerMilliseconds;
-		this._answer = this._refused('store-unavailable', 'The platform\'s service could not be reached; nothing was changed.');
+		this._answer = this._refused('store-unavailable', 'The platform\'s service could not be reached; this request changed nothing, an earlier sending of it may have.');
 	}
 
 	start(): void {
@@ -298,7 +298,7 @@
 		} else if (reply.type === 'conflict') {
 			this._takeWinner(reply);
 		} else {
-			this._answer = this._refused('store-unavailable', 'The platform\'s service could not be reached; nothing was changed.');
+			this._answer = this._refused('store-unavailable', 'The platform\'s service could not be reached; this request changed nothing, an earlier sending of it may have.');
 			this._chart.send('FAILED');
 		}
 	}
--- a/src/proof/guards/guards.ts
+++ b/src/proof/guards/guards.ts
@@ -12,7 +12,7 @@
 
 const calls = 'src/common/calls';
 const fleet = 'src/common/fleet';
-const callTests = [`${calls}/*.test.ts`, 'src/proof/fuzz/call-fuzz.test.ts'];
+const callTests = [`${calls}/{backend,call,crash,measuring,wake}*.test.ts`, 'src/proof/fuzz/call-fuzz.test.ts'];
 const fleetTests = [`${fleet}/**/*.test.ts`, 'src/proof/fuzz/fleet-fuzz.test.ts'];
 const frontTests = ['src/node/front/*.test.ts', 'src/proof/bad-input.test.ts'];
 
--- a/src/proof/guards/main.ts
+++ b/src/proof/guards/main.ts
@@ -17,7 +17,7 @@
 
 /** Copies of the sources that work at one time. */
 const mostAtOnce = 3;
-const copied = ['src', 'charts', 'proto', 'examples', 'package.json', 'tsconfig.json'];
+const copied = ['src', 'benchmark', 'charts', 'proto', 'examples', 'package.json', 'tsconfig.json'];
 const testMilliseconds = 120_000;
 
 function makeCopy(): string {
