--- a/src/node/peers/peer-codec.ts
+++ b/src/node/peers/peer-codec.ts
@@ -89,9 +89,7 @@
 }
 
 function messageFromWire(wire: Record<string, unknown>): unknown {
-	const {
-		protocol, sender, storeContactAgeMilliseconds, leavingDigest,
-	} = withoutMarks(wire);
+	const {protocol, sender, storeContactAgeMilliseconds, leavingDigest} = withoutMarks(wire);
 	return {
 		protocol,
 		sender,
