Drop the sign of a backend server that was replaced, on all VMs

Cause: nobody told the fleet engine that another process answers, so signs of processes long replaced went on to VMs that started later; those took them for signs of the present one.

Ruled out: telling of each report (a storm); only those worth telling are used.

Change: an entry VM tells its fleet engine of such reports, peers' news count too, and the call engine tells peers when another process answers. VMs that left in the planned way are not asked to join.

--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -183,7 +183,8 @@
 			this._context.suspects.confirm(CrashSuspects.crashIdentity(server.identity, effect.goneInstance), now);
 		}
 
-		if (effect.beganToLeave) {
+		// That another process answers is worth telling too: the fleet then drops the sign of the one that left.
+		if (effect.beganToLeave || effect.goneInstance !== undefined) {
 			this._tell(server, report);
 		}
 	}
--- a/src/common/entry-vm/entry-vm.ts
+++ b/src/common/entry-vm/entry-vm.ts
@@ -121,6 +121,9 @@
 				to: 'fleet',
 				event: {type: 'leaving-sign', sign: {identity: news.identity, instance: news.report.instance, source: 'answer'}},
 			});
+		} else if (news.report?.instance !== undefined) {
+			// Without it the fleet would pass on the sign of a process that was replaced, and bind its successor with it.
+			this._inner.push({to: 'fleet', event: {type: 'returned', identity: news.identity, instance: news.report.instance}});
 		}
 
 		this._inner.push({to: 'fleet', event: {type: 'load-news', news}});
--- a/src/common/fleet/fleet-coordinator.ts
+++ b/src/common/fleet/fleet-coordinator.ts
@@ -221,7 +221,7 @@
 			}
 
 			case 'returned': {
-				this._signs.takeReturn(event.identity, event.instance);
+				this._signs.takeReturn(event.identity, event.instance, 0);
 				break;
 			}
 
--- a/src/common/fleet/leaving/leaving-signs.ts
+++ b/src/common/fleet/leaving/leaving-signs.ts
@@ -26,6 +26,9 @@
 const digestMilliseconds: Milliseconds = 60_000;
 const digestModulus = 2_147_483_647;
 
+/** How late the words of a process that has gone may come in: longer than any way through the fleet. */
+const lateWordMilliseconds: Milliseconds = 1000;
+
 /** Replaced processes remembered for each resource: more restarts than this within a sign's lifetime are rare. */
 const rememberedProcesses = 4;
 
@@ -69,10 +72,14 @@
 		this._onFirst(sign);
 	}
 
-	/** A report from a process that does not leave: signs of other processes of this resource are void. */
-	takeReturn(identity: string, instance: string): void {
-		const isVoid = (sign: LeavingSign): boolean => sign.identity === identity && sign.instance !== instance;
-		const old = [...this._signs].filter(([, {sign}]) => isVoid(sign));
+	/**
+	 * A report from a process that does not leave: signs of other processes of this resource are void. Guard: the
+	 * last words of a forerunner come late; taken for a return they would void the sign of the one that leaves now.
+	 * So a report counts only if it was made well after the sign.
+	 */
+	takeReturn(identity: string, instance: string, ageMilliseconds: Milliseconds): void {
+		const madeAt = this._context.now - ageMilliseconds;
+		const old = [...this._signs].filter(([, {sign, firstAt}]) => sign.identity === identity && sign.instance !== instance && madeAt >= firstAt + lateWordMilliseconds);
 		for (const [key] of old) {
 			this._signs.delete(key);
 		}
--- a/src/common/fleet/membership/prober.ts
+++ b/src/common/fleet/membership/prober.ts
@@ -171,7 +171,7 @@
 
 	private _join(): void {
 		const known = new Set(this._membership.live.map(({record}) => record.peerAddress));
-		const dead = [...this._membership.members.values()].filter(({verdict}) => verdict === 'dead').map(({record}) => record.peerAddress);
+		const dead = [...this._membership.members.values()].filter(({record, verdict}) => verdict === 'dead' && !record.isLeaving).map(({record}) => record.peerAddress);
 		const candidates = [...new Set([...this._context.settings.seeds, ...this._listed, ...dead])]
 			.filter(address => address !== this._context.settings.peerAddress && !known.has(address));
 		for (const address of this._context.pick(candidates, joinTargets)) {
--- a/src/common/fleet/peer-receiver.ts
+++ b/src/common/fleet/peer-receiver.ts
@@ -47,6 +47,12 @@
 		}
 
 		this._parts.mailbox.compareLeaving(sender.peerAddress, message.leavingDigest);
+		for (const {identity, report, ageMilliseconds} of message.news) {
+			if (report?.instance !== undefined && !report.isLeaving) {
+				this._parts.signs.takeReturn(identity, report.instance, ageMilliseconds);
+			}
+		}
+
 		if (message.news.length > 0) {
 			this._parts.news.takePeers(message.news.map(piece => ({
 				...piece, crash: piece.crash, report: piece.report && {...piece.report, instance: piece.report.instance},
