Place nothing from a queue or by a retry before a woken VM has heard the news

Cause: the guard against pauses held back new calls only. What ended during a pause made room, and a queued call was placed by knowledge as old as the pause: 5001 ms after its backend server had begun to leave.

Ruled out: holding back the ends of attempts (the adapter depends on them at once).

Change: the guard tells the engine that placing is held; the queue waits, a retry is refused as what it is. When it ends every service looks at its queue.

--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -74,7 +74,7 @@
 
 	/** Starts an attempt; false = no backend server may take it now. */
 	start(call: Call, purpose: AttemptPurpose, now: Instant, resume?: {readonly offset: number; readonly validator: string}): boolean {
-		const placement = this._placer.place(call, now);
+		const placement = this._context.isPlacingHeld ? undefined : this._placer.place(call, now);
 		if (placement === undefined) {
 			return false;
 		}
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -53,6 +53,7 @@
 			timers: new TimerQueue<Timer>(),
 			suspects: new CrashSuspects(tuning.suspicionMilliseconds),
 			freed: new Set(),
+			isPlacingHeld: false,
 			shares: undefined,
 			effects: [],
 		};
@@ -137,6 +138,11 @@
 				break;
 			}
 
+			case 'placing-held': {
+				this._holdPlacing(event.isHeld);
+				break;
+			}
+
 			case 'key-claimed': {
 				this._keyClaimed(event.callId, event.claim, now);
 				break;
@@ -262,6 +268,14 @@
 		this._admission.admit(call, now);
 	}
 
+	/** Once it may go on, every service looks at its queue. */
+	private _holdPlacing(isHeld: boolean): void {
+		this._context.isPlacingHeld = isHeld;
+		for (const service of isHeld ? [] : this._directory.allServices()) {
+			this._context.freed.add(service);
+		}
+	}
+
 	private _keyClaimed(callId: CallId, claim: KeyClaim, now: Instant): void {
 		const call = this._claims.get(callId);
 		this._claims.delete(callId);
--- a/src/common/calls/engine-context.ts
+++ b/src/common/calls/engine-context.ts
@@ -32,6 +32,8 @@
 	/** Services whose concurrency has become free in this event. */
 	readonly freed: Set<ServiceState>;
 	shares: FleetShares | undefined;
+	/** Nothing is placed now: what is known may be as old as a pause. */
+	isPlacingHeld: boolean;
 	effects: CallEffect[];
 };
 
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -115,6 +115,8 @@
 		| {readonly type: 'cut-off'; readonly isCutOff: boolean}
 	/** An operator lets a quarantined call run again. */
 		| {readonly type: 'quarantine-lifted'; readonly fingerprint: string}
+	/** Nothing new is placed while it holds: after a pause, until the news has been heard. */
+		| {readonly type: 'placing-held'; readonly isHeld: boolean}
 	/** The time asked for by `nextWakeUp` has come. */
 		| {readonly type: 'tick'};
 
--- a/src/common/calls/wake-guard.ts
+++ b/src/common/calls/wake-guard.ts
@@ -30,6 +30,7 @@
 	private readonly _engine: CallEngine;
 	private readonly _held: CallEvent[] = [];
 	private _lastAt: Instant | undefined;
+	private _isHolding = false;
 	private _holdUntil: Instant = Number.NEGATIVE_INFINITY;
 
 	constructor(engine: CallEngine) {
@@ -37,27 +38,22 @@
 	}
 
 	handle(event: CallEvent, now: Instant): readonly CallEffect[] {
-		if (this._lastAt !== undefined && now - this._lastAt > pauseMilliseconds) {
-			this._holdUntil = now + catchUpMilliseconds;
-		}
-
+		const isWoken = this._lastAt !== undefined && now - this._lastAt > pauseMilliseconds;
 		this._lastAt = now;
-		const isWaiting = waitingTypes.has(event.type);
-		// A tick only asks for what is due; while events are held, the next of them is due.
-		if (!isWaiting && event.type !== 'tick') {
-			return this._engine.handle(event, now);
-		}
-
-		if (isWaiting) {
-			this._held.push(event);
+		if (isWoken) {
+			this._holdUntil = now + catchUpMilliseconds;
+			this._isHolding = true;
+			return [...this._engine.handle({type: 'placing-held', isHeld: true}, now), ...this._take(event, now)];
 		}
 
-		if (now < this._holdUntil) {
-			return [];
+		if (this._isHolding && now >= this._holdUntil) {
+			this._isHolding = false;
+			const begun = this._engine.handle({type: 'placing-held', isHeld: false}, now);
+			// A deadline must not end a call whose attempt has not been carried out yet.
+			return event.type === 'tick' ? begun : [...begun, ...this._take(event, now)];
 		}
 
-		// One at a time: each event's effects are carried out before the next event, as without the guard.
-		return this._engine.handle(this._held.shift() ?? event, now);
+		return this._take(event, now);
 	}
 
 	nextWakeUp(): Instant {
@@ -76,4 +72,23 @@
 	status(now: Instant): CallEngineStatus {
 		return this._engine.status(now);
 	}
+
+	private _take(event: CallEvent, now: Instant): readonly CallEffect[] {
+		const isWaiting = waitingTypes.has(event.type);
+		// A tick only asks for what is due; while events are held, the next of them is due.
+		if (!isWaiting && event.type !== 'tick') {
+			return this._engine.handle(event, now);
+		}
+
+		if (isWaiting) {
+			this._held.push(event);
+		}
+
+		if (now < this._holdUntil) {
+			return [];
+		}
+
+		// One at a time: each event's effects are carried out before the next event, as without the guard.
+		return this._engine.handle(this._held.shift() ?? event, now);
+	}
 }
--- a/src/proof/faults/proof-fleet.ts
+++ b/src/proof/faults/proof-fleet.ts
@@ -18,7 +18,7 @@
 import {Relay} from './relay.ts';
 
 export type ProofVm = {readonly plan: VmPlan; readonly settingsFile: string; readonly operator: OperatorClient; program: ChildProgram};
-export type ProofBackendServer = {readonly name: string; readonly relay: Relay; program: ChildProgram};
+export type ProofBackendServer = {readonly name: string; readonly relay: Relay; program: ChildProgram; hasLeft: boolean};
 
 export const serviceName = 'proof';
 const setUpLimitMilliseconds = 20_000;
@@ -102,12 +102,16 @@
 
 		for (const server of this.backendServers) {
 			server.program.signal('SIGCONT');
+			// A process that has begun to leave does not come back: another one does.
+			if (server.hasLeft) {
+				await server.program.stop(0);
+			}
+
 			if (!server.program.isRunning) {
+				server.hasLeft = false;
 				server.program = this._runBackendServer(server.relay.backendPort);
 				await server.program.ready();
 			}
-
-			await standInClient.orderBackendServer(server.relay.backendPort, {mode: 'normal', isDraining: false});
 		}
 
 		return this.waitUntilWell();
@@ -145,7 +149,9 @@
 		const program = this._runBackendServer(port);
 		const relay = this._register(new Relay(port));
 		await Promise.all([relay.listen(), program.ready()]);
-		this.backendServers.push({name, relay, program});
+		this.backendServers.push({
+			name, relay, program, hasLeft: false,
+		});
 	}
 
 	private _runBackendServer(port: number): ChildProgram {
--- a/src/proof/faults/row-runner.ts
+++ b/src/proof/faults/row-runner.ts
@@ -316,6 +316,7 @@
 			stopped = server;
 			this._record({type: 'planned-stop-began', at, party: server.name});
 			this._record({type: 'leaving-began', at, backendServer: server.name});
+			server.hasLeft = true;
 			await standInClient.orderBackendServer(server.relay.backendPort, {isDraining: true});
 		});
 		if (answer.status !== 200) {
--- a/src/proof/guards/guards.ts
+++ b/src/proof/guards/guards.ts
@@ -92,8 +92,8 @@
 	{
 		name: 'a sign about a process not met yet binds',
 		file: `${calls}/process-history.ts`,
-		text: 'instance !== undefined && this._past.includes(instance)',
-		replacement: 'instance !== undefined && this._present !== undefined && instance !== this._present',
+		text: 'if (instance !== undefined && this._past.includes(instance)) {\n\t\t\treturn false;',
+		replacement: 'if (instance !== undefined && this._present !== undefined && instance !== this._present) {\n\t\t\treturn false;',
 		tests: callTests,
 	},
 	{
