Let a silent backend server come back where callers send nothing but orders

Cause: only a read could try a fresh connection; a service of orders without a measuring share lost a backend server for good when one connection fell silent. Ruled out: sending an order at once (one more unknown outcome for each silent connection). Change: after 5 s in doubt any call may be the one that tells. Measured: the new test failed before (1 failing) and passes now; 41 tests of src/common/calls pass.

--- a/src/common/calls/backend-server-state.ts
+++ b/src/common/calls/backend-server-state.ts
@@ -78,6 +78,11 @@
 		return this._failuresInRow;
 	}
 
+	/** Time since its health last changed. */
+	healthAge(now: Instant): Milliseconds {
+		return now - this._healthSince;
+	}
+
 	/** Brings the health up to the present and gives it. */
 	healthAt(now: Instant): Health {
 		if (this._health === 'warming' && now - this._healthSince >= this._tuning.warmingMilliseconds) {
--- a/src/common/calls/call-engine.test.ts
+++ b/src/common/calls/call-engine.test.ts
@@ -187,6 +187,22 @@
 		}
 	});
 
+	it('lets a silent backend server come back where callers send nothing but orders', () => {
+		// A service takes orders only. One backend server's connection fell silent. No read will ever come
+		// to try a fresh one, and no measuring share is held: without an order the backend server would
+		// stay without work for good.
+		const driver = new EngineDriver(configurationOf(5));
+		const silent = driver.start(requestOf(1))!;
+		driver.sent(silent.attemptId);
+		driver.passTime(500);
+		driver.fail(silent.attemptId, 'silent');
+		const soon = Array.from({length: 20}, (_, index) => driver.start(requestOf(10 + index))!.identity);
+		expect(soon.includes(silent.identity)).toEqual(false);
+		driver.passTime(6000);
+		const trial = driver.start(requestOf(100))!;
+		expect([trial.identity, trial.needsFreshConnection]).toEqual([silent.identity, true]);
+	});
+
 	it('sends few orders to a backend server that fails fast, and spreads them when all fail', () => {
 		// One backend server answers 500 at once: with the shortest answer time and the lowest load it
 		// would draw all orders. When all answer 500 the cause is common: no backend server is worse than
--- a/src/common/calls/placer.ts
+++ b/src/common/calls/placer.ts
@@ -24,6 +24,9 @@
 /** Answers faster than the clock can tell would make all costs nothing, and failures with them. */
 const shortestAnswer: Milliseconds = 0.1;
 
+/** Time after which any call may tell whether a backend server in doubt works. */
+const longestDoubt: Milliseconds = 5000;
+
 /** Part of a new value in the estimate of local load. */
 const loadGain = 0.1;
 
@@ -57,16 +60,19 @@
 
 	/**
 	 * A backend server in doubt gets one call at a time, and only one that can be sent again: its answer
-	 * tells whether a connection or the backend server was at fault, at the price of one call.
+	 * tells whether a connection or the backend server was at fault, at the price of one call. Where a
+	 * service has no such calls it gets any one after a while, or it would never come back.
 	 */
 	private _experiment(call: Call, now: Instant): BackendServerState | undefined {
-		if (!call.isIdempotent || !isBodiless(call.request) || !call.request.mayRetry || call.attemptCount > 0) {
+		if (call.attemptCount > 0) {
 			return undefined;
 		}
 
+		const isHarmless = call.isIdempotent && isBodiless(call.request) && call.request.mayRetry;
 		for (const server of call.serviceState.servers) {
 			const health = server.healthAt(now);
-			if ((health === 'doubted' || health === 'probing') && server.attempts.size === 0 && !server.isLeaving) {
+			const isInDoubt = (health === 'doubted' || health === 'probing') && server.attempts.size === 0 && !server.isLeaving;
+			if (isInDoubt && (isHarmless || server.healthAge(now) >= longestDoubt)) {
 				return server;
 			}
 		}
