Hand the path of a call to the engine

Cause: calls are costed by method and path pattern, and the daemon's door did not pass the path on, so that a map download and a quote were of one class there. Change: one field.

--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -201,6 +201,7 @@
 				service,
 				caller: single(incoming.headers[callerHeader])?.slice(0, largestCallerName) ?? incoming.socket.remoteAddress ?? '',
 				method: incoming.method!,
+				path,
 				fingerprint: this._parts.fingerprint(incoming.method!, url, body.kept),
 				timeoutMilliseconds,
 				bodyBytes: body.isReplayable ? body.kept.length : undefined,
