--- a/src/node/peers/grpc-peer-transport.test.ts
+++ b/src/node/peers/grpc-peer-transport.test.ts
@@ -155,7 +155,8 @@
 		writeFileSync(this._path('ca.cnf'), ['[ca]', 'default_ca=d', '[d]', ...section, '[p]', 'commonName=supplied', ''].join('\n'));
 		writeFileSync(this._path('index.txt'), '');
 		writeFileSync(this._path('serial'), '01');
-		this._openssl('ca', '-batch', '-notext', '-config', 'ca.cnf', '-cert', `${authority}.pem`, '-keyfile', `${authority}.key`, '-extfile', `${name}.ext`, '-startdate', from, '-enddate', until, '-in', `${name}.csr`, '-out', `${name}.pem`);
+		const signed = ['-cert', `${authority}.pem`, '-keyfile', `${authority}.key`, '-extfile', `${name}.ext`, '-startdate', from, '-enddate', until];
+		this._openssl('ca', '-batch', '-notext', '-config', 'ca.cnf', ...signed, '-in', `${name}.csr`, '-out', `${name}.pem`);
 	}
 
 	copy(from: string, to: string): void {
