--- a/src/common/entry-vm/entry-vm.test.ts
+++ b/src/common/entry-vm/entry-vm.test.ts
@@ -1,7 +1,8 @@
 import {expect} from 'earl';
 import {DefaultCallEngine} from '../calls/call-engine.ts';
 import {FleetCoordinator} from '../fleet/fleet-coordinator.ts';
-import {FakeStore, testHash} from '../fleet/test-utilities.test.ts';
+import {FakeStore} from '../fleet/fake-store.test.ts';
+import {testHash} from '../fleet/test-utilities.test.ts';
 import {type FleetSettings} from '../fleet/types.ts';
 import {resourceSchema} from '../model/resources.ts';
 import {type Instant} from '../model/units.ts';
--- a/src/common/fleet/shares/shares.test.ts
+++ b/src/common/fleet/shares/shares.test.ts
@@ -2,8 +2,9 @@
 import fc from 'fast-check';
 import {seededRandom} from '../../random/random.ts';
 import {
-	FakeFleet, type FakeVm, testChange, testLeaseMilliseconds, testService,
+	FakeFleet, type FakeVm, testChange, testService,
 } from '../test-utilities.test.ts';
+import {testLeaseMilliseconds} from '../fake-store.test.ts';
 
 const slots = 4;
 const windowMilliseconds = 10_000;
