--- a/scripts/capacity-page.ts
+++ b/scripts/capacity-page.ts
@@ -187,6 +187,11 @@
 			...judged(projection.controlBytes(everything), limits.bytes, megabytes),
 			...judged(projection.controlBytes(subset), limits.bytes, megabytes),
 		],
+		[
+			'128 MB, with the whole process just started',
+			...judged(projection.processBytes(everything), limits.bytes, megabytes),
+			...judged(projection.processBytes(subset), limits.bytes, megabytes),
+		],
 		['13 KB a second for control, both ways', ...judged(bytesPerSecond, limits.bytesPerSecond, kilobytes), ...same],
 		['13 KB a second, a watcher', ...judged(bytesPerSecond + projection.watcherBytesPerSecond, limits.bytesPerSecond, kilobytes), ...same],
 		[
--- a/scripts/capacity-projection.ts
+++ b/scripts/capacity-projection.ts
@@ -117,6 +117,11 @@
 		return this.at('membership.bytes', this.vms) + Math.max(0, this.at('configuration.bytes', backendServers)) + this.callEngineBytes(backendServers);
 	}
 
+	/** With the process itself: its code, libraries and what it holds at the start. */
+	processBytes(backendServers: number): number {
+		return this._results.path.memory.startBytes + this.controlBytes(backendServers);
+	}
+
 	/** State of declared backend servers and of services that are called. */
 	callEngineBytes(backendServers: number): number {
 		const services = backendServers * target.services / target.backendServers;
