--- a/src/common/calls/engine-context.ts
+++ b/src/common/calls/engine-context.ts
@@ -18,7 +18,9 @@
 	= | {readonly type: 'deadline'; readonly call: Call}
 	/** Started later than this, a queued call would not be answered in time. */
 		| {readonly type: 'latest-start'; readonly call: Call}
-		| {readonly type: 'hedge'; readonly attempt: Attempt};
+		| {readonly type: 'hedge'; readonly attempt: Attempt}
+	/** A resumed download whose head has not come by then comes to nothing. */
+		| {readonly type: 'resume'; readonly attempt: Attempt};
 
 /** Shared by the parts of one engine. */
 export type EngineContext = {
@@ -30,6 +32,8 @@
 	/** Services whose concurrency has become free in this event. */
 	readonly freed: Set<ServiceState>;
 	shares: FleetShares | undefined;
+	/** Nothing is placed now: what is known may be as old as a pause. */
+	isPlacingHeld: boolean;
 	effects: CallEffect[];
 };
 
@@ -44,7 +48,8 @@
 			return timer.call.state === 'queued';
 		}
 
-		case 'hedge': {
+		case 'hedge':
+		case 'resume': {
 			return timer.attempt.call.attempts.has(timer.attempt) && !timer.attempt.hasHead;
 		}
 	}
--- a/src/proof/faults/proof-fleet.ts
+++ b/src/proof/faults/proof-fleet.ts
@@ -18,7 +18,7 @@
 import {Relay} from './relay.ts';
 
 export type ProofVm = {readonly plan: VmPlan; readonly settingsFile: string; readonly operator: OperatorClient; program: ChildProgram};
-export type ProofBackendServer = {readonly name: string; readonly relay: Relay; program: ChildProgram};
+export type ProofBackendServer = {readonly name: string; readonly relay: Relay; program: ChildProgram; hasLeft: boolean};
 
 export const serviceName = 'proof';
 const setUpLimitMilliseconds = 20_000;
@@ -31,10 +31,13 @@
 	readonly backendServers: ProofBackendServer[] = [];
 	platformPort = 0;
 	private readonly _folder = mkdtempSync(join(tmpdir(), 'jaydale-proof-'));
+	private readonly _vmOptions: readonly string[];
 	private _probes = 0;
 
-	constructor() {
+	/** Takes options for the VMs' processes, such as a module to load. */
+	constructor(vmOptions: readonly string[] = []) {
 		super();
+		this._vmOptions = vmOptions;
 		this._register(toDisposable(() => {
 			rmSync(this._folder, {recursive: true});
 		}));
@@ -99,12 +102,16 @@
 
 		for (const server of this.backendServers) {
 			server.program.signal('SIGCONT');
+			// A process that has begun to leave does not come back: another one does.
+			if (server.hasLeft) {
+				await server.program.stop(0);
+			}
+
 			if (!server.program.isRunning) {
+				server.hasLeft = false;
 				server.program = this._runBackendServer(server.relay.backendPort);
 				await server.program.ready();
 			}
-
-			await standInClient.orderBackendServer(server.relay.backendPort, {mode: 'normal', isDraining: false});
 		}
 
 		return this.waitUntilWell();
@@ -142,7 +149,9 @@
 		const program = this._runBackendServer(port);
 		const relay = this._register(new Relay(port));
 		await Promise.all([relay.listen(), program.ready()]);
-		this.backendServers.push({name, relay, program});
+		this.backendServers.push({
+			name, relay, program, hasLeft: false,
+		});
 	}
 
 	private _runBackendServer(port: number): ChildProgram {
@@ -150,10 +159,10 @@
 	}
 
 	private _runVm(settingsFile: string): ChildProgram {
-		return this._run('src/daemon/main', ['serve', '--settings', settingsFile]);
+		return this._run('src/daemon/main', ['serve', '--settings', settingsFile], this._vmOptions);
 	}
 
-	private _run(program: string, parameters: readonly string[]): ChildProgram {
-		return this._register(new ChildProgram({program, parameters}));
+	private _run(program: string, parameters: readonly string[], nodeOptions: readonly string[] = []): ChildProgram {
+		return this._register(new ChildProgram({program, parameters, nodeOptions}));
 	}
 }
