Show on the capacity page what real daemons did

Cause: control.json was stored but stood on no page; the limits were compared with slopes of engines only.

--- /dev/null
+++ b/benchmark/control/types.ts
@@ -0,0 +1,21 @@
+/** Results of the control benchmark as they are stored. */
+import {z} from 'zod';
+
+/** Times in milliseconds of a number of runs. */
+export const spreadSchema = z.object({
+	runs: z.int(), missed: z.int(), p50: z.number(), p99: z.number(), worst: z.number(),
+});
+
+/** What one VM spends at rest; calls to the store are those of the whole fleet. */
+export const costSchema = z.object({
+	bytesOutPerSecond: z.number(), messagesOutPerSecond: z.number(), processorPercent: z.number(), memoryMegabytes: z.number(), storeCallsPerSecond: z.number(),
+});
+
+export const controlResultsSchema = z.object({
+	command: z.string(),
+	vms: z.array(z.object({
+		vms: z.int(), atRest: costSchema, inForceCalm: spreadSchema, inForceStoreOut: spreadSchema, inForceReplaced: spreadSchema, leaving: spreadSchema,
+	})),
+	resources: z.array(z.object({resources: z.int(), atRest: costSchema, inForce: spreadSchema})),
+});
+export type ControlResults = z.infer<typeof controlResultsSchema>;
--- a/scripts/capacity-page.ts
+++ b/scripts/capacity-page.ts
@@ -7,6 +7,7 @@
 import process from 'node:process';
 import {daySeconds, target} from '../benchmark/capacity/sizes.ts';
 import {capacityResultsSchema} from '../benchmark/capacity/types.ts';
+import {controlResultsSchema} from '../benchmark/control/types.ts';
 import {pathResultsSchema} from '../benchmark/path/types.ts';
 import {historyCharacters, keptCharacters} from '../src/common/fleet/configuration/head.ts';
 import {packageRoot} from '../src/stand-ins/program-files.ts';
@@ -29,7 +30,7 @@
 
 function readResults(): StoredResults {
 	const read = (name: string): unknown => JSON.parse(readFileSync(join(packageRoot, 'docs', 'results', name), 'utf8'));
-	return {path: pathResultsSchema.parse(read('path.json')), capacity: capacityResultsSchema.parse(read('capacity.json'))};
+	return {path: pathResultsSchema.parse(read('path.json')), capacity: capacityResultsSchema.parse(read('capacity.json')), control: controlResultsSchema.parse(read('control.json'))};
 }
 
 function table(header: readonly string[], rows: ReadonlyArray<readonly string[]>): string {
@@ -248,8 +249,41 @@
 	return `${states}\n\n${changes}\n\n${perChange} ${perDay}`;
 }
 
+/** What real daemons on one machine did. */
+function control(projection: Projection): string {
+	const {vms, resources} = projection.results.control;
+	const byVms = table(
+		[
+			'VMs',
+			'in force, p50 and worst',
+			'store out after acceptance, worst',
+			'a VM replaced, worst',
+			'last new call after leaving began, worst',
+			'processor at rest',
+			'memory',
+			'bytes out/s',
+			'store calls/s of the fleet',
+		],
+		vms.map(({vms: count, atRest, inForceCalm, inForceStoreOut, inForceReplaced, leaving}) => [
+			String(count),
+			`${inForceCalm.p50} and ${inForceCalm.worst} ms`,
+			`${inForceStoreOut.worst} ms`,
+			`${inForceReplaced.worst} ms`,
+			`${leaving.worst} ms`,
+			`${atRest.processorPercent} %`,
+			`${atRest.memoryMegabytes} MB`,
+			String(atRest.bytesOutPerSecond),
+			String(atRest.storeCallsPerSecond),
+		]),
+	);
+	const byResources = table(['resources, 3 VMs', 'in force, p50 and worst', 'processor at rest', 'memory'], resources.map(({resources: count, inForce, atRest}) => [
+		String(count), `${inForce.p50} and ${inForce.worst} ms`, `${atRest.processorPercent} %`, `${atRest.memoryMegabytes} MB`,
+	]));
+	return `${byVms}\n\n${byResources}`;
+}
+
 const sections: Readonly<Record<string, (projection: Projection) => string>> = {
-	size, path, 'path-memory': pathMemory, roles, limits: againstLimits, platform, dissemination,
+	size, path, 'path-memory': pathMemory, roles, limits: againstLimits, platform, dissemination, control,
 };
 
 /** The page with its figures made anew. */
--- a/scripts/capacity-projection.ts
+++ b/scripts/capacity-projection.ts
@@ -1,4 +1,5 @@
 /** Lays the measured slopes on the sizes of the target. */
+import {type ControlResults} from '../benchmark/control/types.ts';
 import {daySeconds, target} from '../benchmark/capacity/sizes.ts';
 import {type CapacityResults} from '../benchmark/capacity/types.ts';
 import {type PairedResult, type PathResults} from '../benchmark/path/types.ts';
@@ -29,7 +30,7 @@
 const connectionsForSlots = 200;
 
 /** Both stored results. */
-export type StoredResults = {readonly path: PathResults; readonly capacity: CapacityResults};
+export type StoredResults = {readonly path: PathResults; readonly capacity: CapacityResults; readonly control: ControlResults};
 
 /** One set of results at the size of the target. */
 export class Projection {
