--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -125,7 +125,7 @@
 	= | {readonly type: 'granted'}
 	/** Another call with this key runs or ran. */
 		| {readonly type: 'taken'}
-	/** The service could not say: the call is refused as not run. */
+	/** The service could not say: this sending does not run, but one before it under the same key may have. */
 		| {readonly type: 'unavailable'};
 
 /** Everything declared that calls depend on. */
