Lift a quarantine on all VMs, not only on the one that was asked

Cause: read as an operator would: 'lets a quarantined call run again' ended on the answering VM; the club's calls through other VMs stayed refused until the suspicion ran out. Ruled out: rumours (a lift is rare and wanted at once). Change: jaydale.quarantine.v1.Lift to all known VMs; those that could not be told are logged.

--- a/src/daemon/fleet-gateway.ts
+++ b/src/daemon/fleet-gateway.ts
@@ -3,7 +3,6 @@
 import {Maybe} from 'true-myth';
 import {type BurnReport} from '../common/burn/types.ts';
 import {type CallEngine} from '../common/calls/types.ts';
-import {type EntryVmEvent} from '../common/entry-vm/types.ts';
 import {failure} from '../common/errors/failure.ts';
 import {
 	type ChangeSummary, type FleetEngine, type MemberStatus, type OperatorAnswer,
@@ -15,7 +14,6 @@
 	type QuarantineEntry, type ResourcesInForce, type Status, type VmStatus, type WatchNews,
 } from '../node/api/types.ts';
 import {type Clock} from '../node/clock.ts';
-import {type EventSink} from '../node/decider-loop.ts';
 import {type FleetCarrier} from '../node/fleet/fleet-carrier.ts';
 import {type LogControl, type Logger} from '../node/logging/types.ts';
 import {freshIdentity} from './identity.ts';
@@ -28,7 +26,8 @@
 	readonly fleet: FleetEngine;
 	readonly fleetCarrier: FleetCarrier;
 	readonly calls: CallEngine;
-	readonly sink: EventSink<EntryVmEvent>;
+	/** Lifts on all VMs; answers with those that could not be told. */
+	readonly liftEverywhere: (fingerprint: string) => Promise<readonly string[]>;
 	readonly burn: () => Promise<BurnReport>;
 	readonly logger: Logger;
 	readonly logControl: LogControl;
@@ -174,8 +173,8 @@
 			return err(failure('not-found', `no call ${fingerprint} is quarantined here`, {field: 'fingerprint'}));
 		}
 
-		this._parts.logger.info('quarantine lifted', {operator, fingerprint});
-		this._parts.sink.feed({type: 'quarantine-lifted', fingerprint});
+		const silent = await this._parts.liftEverywhere(fingerprint);
+		this._parts.logger.info('quarantine lifted', {operator, fingerprint, notTold: silent.join(' ')});
 		return ok(undefined);
 	}
 
--- a/src/daemon/wiring.ts
+++ b/src/daemon/wiring.ts
@@ -31,6 +31,7 @@
 import {CountedMeasurer, CountedPlatformClient} from '../node/metrics/counted-parts.ts';
 import {noMetrics} from '../node/metrics/no-metrics.ts';
 import {StatsdMetrics} from '../node/metrics/statsd-metrics.ts';
+import {QuarantineExchange} from '../node/peers/quarantine-exchange.ts';
 import {BurnExchange} from '../node/peers/burn-exchange.ts';
 import {BurnCopies} from '../common/burn/burn-copies.ts';
 import {BurnLedger} from '../common/burn/burn-ledger.ts';
@@ -167,6 +168,11 @@
 		transport: peers, clock, copies, own: () => burnReporter.own(), peers: () => burnReporter.peers(),
 	}));
 
+	const quarantine = owned.add(new QuarantineExchange(peers));
+	owned.add(quarantine.onLifted(fingerprint => {
+		loop.feed({type: 'quarantine-lifted', fingerprint});
+	}));
+
 	const gateway = new FleetGateway({
 		vmName: settings.vm.name,
 		dataCentre: settings.vm.dataCentre,
@@ -174,7 +180,7 @@
 		fleet: fleetEngine,
 		fleetCarrier,
 		calls: callEngine,
-		sink: loop,
+		liftEverywhere: async fingerprint => quarantine.lift(fingerprint, burnReporter.peers()),
 		burn: async () => burnReporter.report(burnExchange),
 		logger,
 		logControl: logging,
