Make the parts of a daemon in short steps

Cause: read as a newcomer: one function of 85 lines made everything, its imports stood in the order of their arrival.

--- a/benchmark/capacity/sizes.ts
+++ b/benchmark/capacity/sizes.ts
@@ -3,7 +3,7 @@
 	type BackendServer, backendServerSchema, type Service, serviceSchema, type StoredResource,
 } from '../../src/common/model/resources.ts';
 
-/** Of the letter: in about two years. */
+/** The target, in about two years. */
 export const target = {
 	services: 1100, backendServers: 19_000, dataCentres: 15, changesPerDay: 20_000, callsPerSecond: 7_200_000,
 };
--- a/scripts/capacity-page.ts
+++ b/scripts/capacity-page.ts
@@ -15,7 +15,7 @@
 	loadedPart, Projection, smallestSubset, loadReadsPerSecond, type StoredResults,
 } from './capacity-projection.ts';
 
-/** Limits of the letter for control on one VM, and for what a call is added. */
+/** Limits of the target for control on one VM, and for what a call is added. */
 const limits = {
 	coreShare: 0.012, bytes: 128e6, bytesPerSecond: 13_000, changeMilliseconds: 5000, addedMilliseconds: 1.9,
 };
--- a/src/common/entry-vm/types.ts
+++ b/src/common/entry-vm/types.ts
@@ -7,7 +7,7 @@
 import {type Instant} from '../model/units.ts';
 
 /** What the two engines tell each other; it never leaves the VM. */
-type InnerCallEvent = 'configured' | 'shares' | 'peer-news' | 'backend-server-leaving' | 'cut-off' | 'tick';
+type InnerCallEvent = 'configured' | 'shares' | 'peer-news' | 'backend-server-leaving' | 'cut-off' | 'placing-held' | 'tick';
 type InnerFleetEvent = 'load-news' | 'leaving-sign' | 'own-load' | 'tick';
 type InnerFleetEffect = 'shares' | 'peer-news' | 'backend-server-leaving';
 
--- a/src/daemon/wiring.ts
+++ b/src/daemon/wiring.ts
@@ -1,6 +1,8 @@
 /** The one place where the parts of a daemon are made. */
 import {randomInt} from 'node:crypto';
 import {err, ok, type Result} from 'neverthrow';
+import {BurnCopies} from '../common/burn/burn-copies.ts';
+import {BurnLedger} from '../common/burn/burn-ledger.ts';
 import {DefaultCallEngine} from '../common/calls/call-engine.ts';
 import {WakeGuard} from '../common/calls/wake-guard.ts';
 import {EntryVm, isCallEffect} from '../common/entry-vm/entry-vm.ts';
@@ -14,7 +16,7 @@
 import {OperatorDirectory} from '../node/api/operator-directory.ts';
 import {OperatorServer} from '../node/api/operator-server.ts';
 import {ResourceApi} from '../node/api/resource-api.ts';
-import {ProcessClock} from '../node/clock.ts';
+import {type Clock, ProcessClock} from '../node/clock.ts';
 import {DeciderLoop} from '../node/decider-loop.ts';
 import {FleetCarrier} from '../node/fleet/fleet-carrier.ts';
 import {BackendConnections} from '../node/front/backend-connections.ts';
@@ -23,18 +25,18 @@
 import {LoadMeasurer} from '../node/front/load-measurer.ts';
 import {StoreKeyClaimer} from '../node/front/store-key-claimer.ts';
 import {type Logging} from '../node/logging/logging.ts';
+import {type Logger} from '../node/logging/types.ts';
+import {CountedMeasurer, CountedPlatformClient} from '../node/metrics/counted-parts.ts';
+import {noMetrics} from '../node/metrics/no-metrics.ts';
+import {StatsdMetrics} from '../node/metrics/statsd-metrics.ts';
+import {type Metrics} from '../node/metrics/types.ts';
+import {BurnExchange} from '../node/peers/burn-exchange.ts';
 import {GrpcPeerTransport} from '../node/peers/grpc-peer-transport.ts';
 import {
 	checkTlsFiles, type PeerCredentials, plainCredentials, watchTlsFiles,
 } from '../node/peers/peer-credentials.ts';
-import {HttpPlatformClient} from '../node/platform/http-platform-client.ts';
-import {CountedMeasurer, CountedPlatformClient} from '../node/metrics/counted-parts.ts';
-import {noMetrics} from '../node/metrics/no-metrics.ts';
-import {StatsdMetrics} from '../node/metrics/statsd-metrics.ts';
 import {QuarantineExchange} from '../node/peers/quarantine-exchange.ts';
-import {BurnExchange} from '../node/peers/burn-exchange.ts';
-import {BurnCopies} from '../common/burn/burn-copies.ts';
-import {BurnLedger} from '../common/burn/burn-ledger.ts';
+import {HttpPlatformClient} from '../node/platform/http-platform-client.ts';
 import {BurnReporter} from './burn-reporter.ts';
 import {Daemon} from './daemon.ts';
 import {FleetGateway} from './fleet-gateway.ts';
@@ -107,47 +109,67 @@
 
 type Made = {readonly logging: Logging; readonly hashes: Hashes; readonly credentials: PeerCredentials};
 
-function makeDaemon(settings: Settings, tokens: readonly OperatorToken[], {logging, hashes, credentials}: Made): Daemon {
+/** What every part may need. */
+type Base = {
+	readonly settings: Settings;
+	readonly owned: DisposableStore;
+	readonly clock: Clock;
+	readonly logging: Logging;
+	readonly logger: Logger;
+	readonly hashes: Hashes;
+	readonly metrics: Metrics;
+	readonly identity: string;
+};
+
+function makeBase(settings: Settings, {logging, hashes}: Made): Base {
 	const owned = new DisposableStore();
-	const clock = new ProcessClock();
 	const {logger} = logging;
-	const identity = freshIdentity();
-	const random = seededRandom(randomInt(largestSeed));
-
 	const metrics = settings.metrics.enabled
 		? owned.add(new StatsdMetrics(settings, message => {
 			logger.debug('metrics were not sent', {reason: message});
 		}))
 		: noMetrics;
-	const httpClient = owned.add(new HttpPlatformClient(settings.platform.url, settings.platform.requestTimeoutMilliseconds));
-	const platform = new CountedPlatformClient(httpClient, clock, metrics);
+	return {
+		settings, owned, clock: new ProcessClock(), logging, logger, hashes, metrics, identity: freshIdentity(),
+	};
+}
+
+/** The deciders and the loop round them. */
+function makeDeciders({settings, owned, clock, hashes, identity}: Base) {
+	const random = seededRandom(randomInt(largestSeed));
+	const fleet = fleetSettings(settings, identity);
+	const calls = new WakeGuard(new DefaultCallEngine({random, settings: {dataCentre: settings.vm.dataCentre}}));
+	const entryVm = new EntryVm(calls, new FleetCoordinator(fleet, random, hashes.hash32));
+	const loop = owned.add(new DeciderLoop<EntryVmEvent, EntryVmEffect>(entryVm, clock));
+	return {callAddress: fleet.callAddress, entryVm, loop};
+}
+
+type Deciders = ReturnType<typeof makeDeciders>;
+
+/** Connections to the platform's service and to other VMs. */
+function makeOutside({settings, owned, clock, logger, metrics}: Base, credentials: PeerCredentials) {
+	const client = owned.add(new HttpPlatformClient(settings.platform.url, settings.platform.requestTimeoutMilliseconds));
+	const platform = new CountedPlatformClient(client, clock, metrics);
 	const peers = owned.add(new GrpcPeerTransport(joinAddress(settings.peers.address, settings.peers.port), credentials, () => clock.now()));
 	owned.add(peers.onTrouble(trouble => {
 		logger.debug('message to another VM failed', {peer: trouble.address, failure: describeFailure(trouble.failure)});
 	}));
-	const fleet = fleetSettings(settings, identity);
-	const fleetEngine = new FleetCoordinator(fleet, random, hashes.hash32);
+	return {platform, peers};
+}
+
+type Outside = ReturnType<typeof makeOutside>;
 
+/** The path of a call: callers' door, attempts, measuring, claims of keys. */
+function makeFront({settings, owned, clock, hashes, metrics, identity}: Base, {entryVm, loop}: Deciders, {platform}: Outside) {
 	const connections = owned.add(new BackendConnections({connectMilliseconds, idleMilliseconds: backendIdleMilliseconds}));
-	const callEngine = new WakeGuard(new DefaultCallEngine({random, settings: {dataCentre: settings.vm.dataCentre}}));
-	const entryVm = new EntryVm(callEngine, fleetEngine);
-	const loop = owned.add(new DeciderLoop<EntryVmEvent, EntryVmEffect>(entryVm, clock));
-	const fleetCarrier = owned.add(new FleetCarrier(loop, clock, platform, peers));
 	const measurer = new CountedMeasurer(new LoadMeasurer(connections), metrics);
 	const keyClaimer = new StoreKeyClaimer(platform, clock, identity, hashes.digest);
 	const callCarrier = owned.add(new CallCarrier(loop, measurer, keyClaimer));
-	loop.setCarrier(effect => {
-		if (isCallEffect(effect)) {
-			callCarrier.carryOut(effect);
-		} else {
-			fleetCarrier.carryOut(effect);
-		}
-	});
 	const callerServer = owned.add(new CallerServer({
 		sink: loop,
 		calls: callCarrier,
 		connections,
-		addresses: service => toCallerAnswer(fleetEngine.addresses(service, clock.now())),
+		addresses: service => toCallerAnswer(entryVm.fleet.addresses(service, clock.now())),
 		fingerprint: hashes.fingerprint,
 	}, {
 		headBytes: settings.limits.headBytes,
@@ -158,30 +180,47 @@
 		keptBodyBytes: settings.limits.replayBytes,
 		connections: settings.limits.connections,
 	}));
+	return {connections, callCarrier, callerServer};
+}
 
+/** Counts for the report on burn, and their exchange between VMs. */
+function makeBurn({settings, owned, clock, identity}: Base, {callAddress, entryVm}: Deciders, {peers}: Outside) {
 	const ledger = new BurnLedger();
 	const copies = new BurnCopies();
 	const burnReporter = new BurnReporter({
-		identity, vmName: settings.vm.name, callAddress: fleet.callAddress, clock, fleet: fleetEngine, calls: callEngine, ledger, copies,
+		identity, vmName: settings.vm.name, callAddress, clock, fleet: entryVm.fleet, calls: entryVm.calls, ledger, copies,
 	});
 	const burnExchange = owned.add(new BurnExchange({
 		transport: peers, clock, copies, own: () => burnReporter.own(), peers: () => burnReporter.peers(),
 	}));
+	return {ledger, burnReporter, burnExchange};
+}
+
+type Burn = ReturnType<typeof makeBurn>;
 
+/** Every VM hears when an operator lifts a quarantine. */
+function makeQuarantine({owned}: Base, {loop}: Deciders, {peers}: Outside): QuarantineExchange {
 	const quarantine = owned.add(new QuarantineExchange(peers));
 	owned.add(quarantine.onLifted(fingerprint => {
 		loop.feed({type: 'quarantine-lifted', fingerprint});
 	}));
+	return quarantine;
+}
 
+type GatewayNeeds = {readonly fleetCarrier: FleetCarrier; readonly burn: Burn; readonly quarantine: QuarantineExchange};
+
+/** The operators' door. */
+function makeOperatorServer(base: Base, tokens: readonly OperatorToken[], {entryVm}: Deciders, {fleetCarrier, burn, quarantine}: GatewayNeeds): OperatorServer {
+	const {settings, owned, clock, logging, logger, metrics} = base;
 	const gateway = new FleetGateway({
 		vmName: settings.vm.name,
 		dataCentre: settings.vm.dataCentre,
 		clock,
-		fleet: fleetEngine,
+		fleet: entryVm.fleet,
 		fleetCarrier,
-		calls: callEngine,
-		liftEverywhere: async fingerprint => quarantine.lift(fingerprint, burnReporter.peers()),
-		burn: async () => burnReporter.report(burnExchange),
+		calls: entryVm.calls,
+		liftEverywhere: async fingerprint => quarantine.lift(fingerprint, burn.burnReporter.peers()),
+		burn: async () => burn.burnReporter.report(burn.burnExchange),
 		logger,
 		logControl: logging,
 		wallClock: () => new Date(),
@@ -189,10 +228,27 @@
 	const api = new ResourceApi({
 		gateway, directory: new OperatorDirectory(tokens), logger, metrics, bodyBytes: settings.limits.operatorBodyBytes,
 	});
-	const operatorServer = owned.add(new OperatorServer(api));
-	const pauseWatch = owned.add(new PauseWatch(clock, () => Date.now()));
-	return new Daemon({
-		settings, clock, logger, entryVm, loop, callCarrier, fleetCarrier, connections, callerServer, operatorServer, peers, pauseWatch, metrics, ledger, burnExchange,
-	}, owned);
+	return owned.add(new OperatorServer(api));
 }
 
+function makeDaemon(settings: Settings, tokens: readonly OperatorToken[], made: Made): Daemon {
+	const base = makeBase(settings, made);
+	const deciders = makeDeciders(base);
+	const outside = makeOutside(base, made.credentials);
+	const fleetCarrier = base.owned.add(new FleetCarrier(deciders.loop, base.clock, outside.platform, outside.peers));
+	const front = makeFront(base, deciders, outside);
+	const burn = makeBurn(base, deciders, outside);
+	const quarantine = makeQuarantine(base, deciders, outside);
+	const operatorServer = makeOperatorServer(base, tokens, deciders, {fleetCarrier, burn, quarantine});
+	const pauseWatch = base.owned.add(new PauseWatch(base.clock, () => Date.now()));
+	deciders.loop.setCarrier(effect => {
+		if (isCallEffect(effect)) {
+			front.callCarrier.carryOut(effect);
+		} else {
+			fleetCarrier.carryOut(effect);
+		}
+	});
+	return new Daemon({
+		...base, ...deciders, ...front, ...burn, fleetCarrier, operatorServer, peers: outside.peers, pauseWatch,
+	}, base.owned);
+}
