--- a/src/common/calls/measuring-schedule.test.ts
+++ b/src/common/calls/measuring-schedule.test.ts
@@ -3,6 +3,7 @@
 import {backendServerSchema, serviceSchema} from '../model/resources.ts';
 import {seededRandom} from '../random/random.ts';
 import {DefaultCallEngine} from './call-engine.ts';
+import {MeasuringSchedule} from './measuring-schedule.ts';
 import {type CallConfiguration, type FleetShares} from './types.ts';
 
 const seed = 20_261_203;
@@ -141,4 +142,17 @@
 		expect(counts.idle).toBeLessThanOrEqual(20);
 		expect(counts.called).toBeGreaterThanOrEqual(400);
 	});
+
+	it('refuses a measuring call out of turn, whoever asks for it', () => {
+		// A second reason to measure is added, and each backend server gets twice the agreed calls. Cause: the budget
+		// was kept only by when the first reason asked.
+		const schedule = new MeasuringSchedule();
+		const budget = {callsPerWindow: 60, windowMilliseconds, tailWeight: 1};
+		const shares: FleetShares = {
+			measuringPart: 1 / slots, measuringFrom: 0, measuringUntil: 10_000, connectionPart: 1, vmCount: slots,
+		};
+		const answers = Array.from({length: 1000}, (_, now) => schedule.trySpend(budget, shares, now));
+		expect(answers.filter(Boolean).length).toEqual(10);
+		expect(schedule.trySpend(budget, shares, 10_000)).toEqual(false);
+	});
 });
