--- /dev/null
+++ b/benchmark/capacity/first-configuration.ts
@@ -0,0 +1,25 @@
+/** The platform's service as it stands after the first accepted change: a snapshot in shards, and the head. */
+import {
+	encodeHead, encodeShards, headKey, shardPrefix,
+} from '../../src/common/fleet/configuration/head.ts';
+import {type StoredResource} from '../../src/common/model/resources.ts';
+import {type KeyValueStore} from '../../src/stand-ins/platform/key-value-store.ts';
+
+/** Writes version 1, shards before the head that points to them. */
+export function storeFirstConfiguration(store: KeyValueStore, resources: readonly StoredResource[]): void {
+	const shards = encodeShards(resources).map((value, index) => {
+		const key = `${shardPrefix}1-${index}`;
+		store.handle({
+			type: 'compare-and-swap', key, expected: 0, value,
+		}, 0);
+		return {key, revision: index + 1};
+	});
+	store.handle({
+		type: 'compare-and-swap',
+		key: headKey,
+		expected: 0,
+		value: encodeHead({
+			format: 1, version: 1, snapshot: {version: 1, shards}, records: [],
+		}),
+	}, 0);
+}
--- a/benchmark/capacity/fleet-simulation.ts
+++ b/benchmark/capacity/fleet-simulation.ts
@@ -2,9 +2,6 @@
  * Whole fleets of the fleet engine in virtual time: how long until an accepted change is in force on every
  * VM. Messages take as long as between data centres; the platform's service answers in milliseconds.
  */
-import {
-	encodeHead, encodeShards, headKey, shardPrefix,
-} from '../../src/common/fleet/configuration/head.ts';
 import {FleetCoordinator} from '../../src/common/fleet/fleet-coordinator.ts';
 import {type PeerMessage} from '../../src/common/fleet/peer-messages.ts';
 import {type FleetEffect, type FleetEvent, type HashFunction} from '../../src/common/fleet/types.ts';
@@ -12,6 +9,7 @@
 import {type StoreOperation} from '../../src/common/platform/types.ts';
 import {seededRandom} from '../../src/common/random/random.ts';
 import {KeyValueStore} from '../../src/stand-ins/platform/key-value-store.ts';
+import {storeFirstConfiguration} from './first-configuration.ts';
 import {
 	backendServerOf, dataCentreOf, identityOf, storedResources,
 } from './sizes.ts';
@@ -40,21 +38,7 @@
 	private _now = 0;
 
 	constructor(count: number, hash: HashFunction) {
-		const shards = encodeShards(storedResources(services, backendServers)).map((value, index) => {
-			const key = `${shardPrefix}1-${index}`;
-			this._store.handle({
-				type: 'compare-and-swap', key, expected: 0, value,
-			}, 0);
-			return {key, revision: index + 1};
-		});
-		this._store.handle({
-			type: 'compare-and-swap',
-			key: headKey,
-			expected: 0,
-			value: encodeHead({
-				format: 1, version: 1, snapshot: {version: 1, shards}, records: [],
-			}),
-		}, 0);
+		storeFirstConfiguration(this._store, storedResources(services, backendServers));
 		this._vms = Array.from({length: count}, (_, index) => this._vm(index, count, hash));
 		this._byAddress = new Map(this._vms.map(vm => [vm.address, vm]));
 		this._introduce();
--- a/benchmark/capacity/observed-vm.ts
+++ b/benchmark/capacity/observed-vm.ts
@@ -5,9 +5,6 @@
 import {Buffer} from 'node:buffer';
 import {performance} from 'node:perf_hooks';
 import {FleetCoordinator} from '../../src/common/fleet/fleet-coordinator.ts';
-import {
-	encodeHead, encodeShards, headKey, shardPrefix,
-} from '../../src/common/fleet/configuration/head.ts';
 import {type ChangeRecord, type MemberRecord, type PeerMessage} from '../../src/common/fleet/peer-messages.ts';
 import {type FleetEffect, type FleetEvent, type HashFunction} from '../../src/common/fleet/types.ts';
 import {type StoredResource} from '../../src/common/model/resources.ts';
@@ -19,6 +16,7 @@
 import {
 	backendServerOf, dataCentreOf, daySeconds, identityOf, target,
 } from './sizes.ts';
+import {storeFirstConfiguration} from './first-configuration.ts';
 import {type SteadyState} from './types.ts';
 
 /** What surrounds the VM. */
@@ -66,7 +64,7 @@
 		// A VM alone in its data centre is a watcher; one among others is none, but for the chance of the hash.
 		const own = surroundings.isWatcher ? 'dc-own' : 'dc-0';
 		this._peers = Array.from({length: surroundings.vms - 1}, (_, index) => this._peer(index));
-		this._storeConfiguration(surroundings.resources);
+		storeFirstConfiguration(this._store, surroundings.resources);
 		this.engine = new FleetCoordinator({
 			identity: identityOf('own', 0),
 			peerAddress: '10.250.0.1:7003',
@@ -142,24 +140,6 @@
 		};
 	}
 
-	private _storeConfiguration(resources: readonly StoredResource[]): void {
-		const shards = encodeShards(resources).map((value, index) => {
-			const key = `${shardPrefix}1-${index}`;
-			this._store.handle({
-				type: 'compare-and-swap', key, expected: 0, value,
-			}, 0);
-			return {key, revision: index + 1};
-		});
-		this._store.handle({
-			type: 'compare-and-swap',
-			key: headKey,
-			expected: 0,
-			value: encodeHead({
-				format: 1, version: 1, snapshot: {version: 1, shards}, records: [],
-			}),
-		}, 0);
-	}
-
 	private _join(): void {
 		for (let start = 0; start < this._peers.length; start += membersInMessage) {
 			const members = this._peers.slice(start, start + membersInMessage).map(record => ({record, verdict: 'live' as const}));
