--- a/benchmark/path/front-only.ts
+++ b/benchmark/path/front-only.ts
@@ -7,6 +7,7 @@
 import {DefaultCallEngine} from '../../src/common/calls/call-engine.ts';
 import {describeFailure} from '../../src/common/errors/failure.ts';
 import {type BackendServer, serviceSchema, backendServerSchema} from '../../src/common/model/resources.ts';
+import {JaydaleDialect} from '../../src/common/protocol/jaydale-dialect.ts';
 import {seededRandom} from '../../src/common/random/random.ts';
 import {loadHashes} from '../../src/daemon/identity.ts';
 import {ProcessClock} from '../../src/node/clock.ts';
@@ -34,7 +35,7 @@
 	const connections = new BackendConnections({connectMilliseconds: 1000, idleMilliseconds: 30_000});
 	const engine = new DefaultCallEngine({random: seededRandom(1), settings: {dataCentre: 'bench-1'}});
 	const loop = new DeciderLoop(engine, clock);
-	const calls = new CallCarrier(loop, new LoadMeasurer(connections), {
+	const calls = new CallCarrier(loop, new LoadMeasurer(connections, new JaydaleDialect()), {
 		claim(effect, sink) {
 			sink.feed({type: 'key-claimed', callId: effect.callId, claim: {type: 'unavailable'}});
 		},
--- a/benchmark/policy/baseline-engine.ts
+++ b/benchmark/policy/baseline-engine.ts
@@ -313,7 +313,7 @@
 			this._measurements.set(measurementId, server);
 			this._nextMeasure.add(now + this._spacing(server), server);
 			this._effects.push({
-				type: 'measure', measurementId, service: server.declared.service, identity: server.identity, address: server.declared.address, port: server.declared.port, timeoutMilliseconds: 20,
+				type: 'measure', measurementId, service: server.declared.service, path: '/load', identity: server.identity, address: server.declared.address, port: server.declared.port, timeoutMilliseconds: 20,
 			});
 		}
 	}
--- a/src/common/calls/admission.ts
+++ b/src/common/calls/admission.ts
@@ -1,11 +1,17 @@
 /** Decides whether a call starts, waits or is refused. */
-import {type Instant} from '../model/units.ts';
+import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type AttemptRunner} from './attempt-runner.ts';
 import {type Call} from './call.ts';
 import {type CallEndings} from './call-endings.ts';
 import {type EngineContext} from './engine-context.ts';
 import {type ServiceState} from './service-state.ts';
 
+/** Calls that one look for room may take out of the queue: each asks several backend servers. */
+const callsALook = 2;
+
+/** Pause between two looks for room: an eighth of the shortest usual answer, and ten measuring calls at most. */
+const queueLookMilliseconds: Milliseconds = 20;
+
 /**
  * Admits within the service's concurrency limit; beyond it calls wait here, where they can still be
  * refused, cancelled and placed by the latest news. A call is refused at the moment when it is known
@@ -22,6 +28,9 @@
 		this._context = context;
 		this._runner = runner;
 		this._endings = endings;
+		runner.setQueue((call, now) => {
+			this._enqueue(call, now);
+		});
 	}
 
 	admit(call: Call, now: Instant): void {
@@ -42,7 +51,9 @@
 
 	/** Starts waiting calls as far as the limit allows. */
 	drain(service: ServiceState, now: Instant): void {
-		while (service.queue.size > 0 && service.inFlight < service.limit.value) {
+		let left = service.isMeasuredOnDemand ? callsALook : Infinity;
+		while (service.queue.size > 0 && service.inFlight < service.limit.value && left > 0) {
+			left--;
 			const call = service.queue.take(caller => this._mayStart(service, caller)) ?? service.queue.take(() => true);
 			if (call === undefined) {
 				break;
@@ -56,6 +67,8 @@
 
 		if (service.queue.size === 0) {
 			service.standingSince = undefined;
+		} else {
+			this._lookAgain(service, now);
 		}
 	}
 
@@ -73,8 +86,10 @@
 			return;
 		}
 
+		call.state = 'queued';
 		service.queue.add(call);
 		service.standingSince ??= now;
+		this._lookAgain(service, now);
 		if (service.queue.size > service.declared.queueLimit) {
 			this._endings.refuse(service.queue.latestOfGreediest()!, 'queue-full', now);
 		}
@@ -84,6 +99,14 @@
 		}
 	}
 
+	/** Room at backend servers that other VMs share comes without an event here: it is looked for by the clock. */
+	private _lookAgain(service: ServiceState, now: Instant): void {
+		if (service.isMeasuredOnDemand && !service.isLookPlanned) {
+			service.isLookPlanned = true;
+			this._context.timers.add(now + queueLookMilliseconds, {type: 'queue-look', service});
+		}
+	}
+
 	private _acceptableWait(call: Call, remaining: number, now: Instant): number {
 		const {standingSince} = call.serviceState;
 		const {standingMilliseconds, standingWaitPart} = this._context.tuning;
--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -7,7 +7,9 @@
 import {type CallEndings} from './call-endings.ts';
 import {type EngineContext, vmCountOf} from './engine-context.ts';
 import {type HealthJudge} from './health-judge.ts';
+import {type DemandPlacer} from './demand-placer.ts';
 import {type Placement, type Placer, connectionLimit} from './placer.ts';
+import {Scout, type Scouting} from './scouting.ts';
 import {
 	type AttemptFailure, type AttemptId, type CallEvent, type CallOutcome, type LoadReport, type RefusalReason,
 } from './types.ts';
@@ -47,6 +49,10 @@
 	readonly health: HealthJudge;
 	/** Takes a report in and tells peers what is worth telling. */
 	readonly onReport: (server: BackendServerState, report: LoadReport, now: Instant) => void;
+	/** Chooses where measuring is on demand. */
+	readonly demandPlacer: DemandPlacer;
+	/** Sends a measuring call. */
+	readonly measure: (server: BackendServerState) => void;
 };
 
 /** Runs attempts. */
@@ -56,7 +62,11 @@
 	private readonly _placer: Placer;
 	private readonly _health: HealthJudge;
 	private readonly _onReport: AttemptRunnerOptions['onReport'];
+	private readonly _demandPlacer: DemandPlacer;
+	/** Fetches reports before attempts of services that are measured on demand. */
+	readonly scout: Scout;
 	private _endings: CallEndings | undefined;
+	private _queueCall: ((call: Call, now: Instant) => void) | undefined;
 	private _nextId = 1;
 
 	constructor(options: AttemptRunnerOptions) {
@@ -65,6 +75,15 @@
 		this._placer = options.placer;
 		this._health = options.health;
 		this._onReport = options.onReport;
+		this._demandPlacer = options.demandPlacer;
+		this.scout = new Scout({
+			context: options.context,
+			placer: options.demandPlacer,
+			measure: options.measure,
+			onReady: (call, scouting, now) => {
+				this._startScouted(call, scouting, now);
+			},
+		});
 	}
 
 	/** Endings cancel attempts, and attempts end calls: the second of the two is handed over later. */
@@ -72,9 +91,47 @@
 		this._endings = endings;
 	}
 
-	/** Starts an attempt; false = no backend server may take it now. */
-	start(call: Call, purpose: AttemptPurpose, now: Instant, resume?: {readonly offset: number; readonly validator: string}): boolean {
-		const placement = this._context.isPlacingHeld ? undefined : this._placer.place(call, now);
+	/** Calls for which no backend server was found wait in the queue: the admission hands that over. */
+	setQueue(queueCall: (call: Call, now: Instant) => void): void {
+		this._queueCall = queueCall;
+	}
+
+	/**
+	 * Starts an attempt, or the fetching of reports for it; false = no backend server may take it now. `reason`
+	 * is what the call is refused with if no backend server is found once the reports are there.
+	 */
+	start(call: Call, purpose: AttemptPurpose, now: Instant, reason: RefusalReason = 'overloaded'): boolean {
+		if (!call.serviceState.isMeasuredOnDemand) {
+			return this._launch(call, purpose, now);
+		}
+
+		if (call.scouting !== undefined) {
+			// A hedge was being prepared: it takes the place of the attempt that has failed meanwhile.
+			call.scouting = {...call.scouting, purpose, reason};
+			return true;
+		}
+
+		call.state = call.state === 'queued' ? 'running' : call.state;
+		this.scout.begin(call, {purpose, reason}, now);
+		return true;
+	}
+
+	private _startScouted(call: Call, {purpose, reason}: Scouting, now: Instant): void {
+		const isWanted = purpose === 'hedge' ? call.state === 'running' && call.attempts.size > 0 : call.state !== 'ended' && call.state !== 'answering';
+		if (!isWanted || this._launch(call, purpose, now) || purpose === 'hedge') {
+			return;
+		}
+
+		if (purpose === 'first') {
+			this._queueCall!(call, now);
+		} else {
+			this._end().refuse(call, reason, now);
+		}
+	}
+
+	private _launch(call: Call, purpose: AttemptPurpose, now: Instant, resume?: {readonly offset: number; readonly validator: string}): boolean {
+		const placer = call.serviceState.isMeasuredOnDemand ? this._demandPlacer : this._placer;
+		const placement = this._context.isPlacingHeld ? undefined : placer.place(call, now);
 		if (placement === undefined) {
 			return false;
 		}
@@ -141,7 +198,7 @@
 			this._context.effects.push({type: 'cancel-attempt', attemptId: attempt.id});
 			this.drop(attempt);
 			call.failedOn.add(server);
-			if (call.attempts.size > 0 || this.start(call, 'retry', now)) {
+			if (call.attempts.size > 0 || this.start(call, 'retry', now, 'backend-server-failed')) {
 				return;
 			}
 
@@ -149,6 +206,13 @@
 			return;
 		}
 
+		// Guards the caller against a promise that nobody made: it would take the bare status for "not run".
+		if (this._context.settings.notRunStatuses?.has(event.status) === true) {
+			call.mayHaveRun = true;
+			this._end().refuse(call, 'outcome-unknown', now);
+			return;
+		}
+
 		this._passOn(attempt, event, hasFailed ? 'unknown' : 'ran', now);
 	}
 
@@ -185,7 +249,8 @@
 		const {call} = attempt;
 		const service = call.serviceState;
 		const hasRoom = service.queue.size === 0 && !service.limit.isCongested && service.inFlight < service.limit.value;
-		if (hasRoom && call.attempts.size === 1 && !this._isQuarantined(call, now) && service.retryBudget.isOpen) {
+		const mayTry = call.scouting === undefined && call.attemptCount < (call.request.rule?.mostAttempts ?? mostAttempts);
+		if (hasRoom && mayTry && call.attempts.size === 1 && !this._isQuarantined(call, now) && service.retryBudget.isOpen) {
 			call.failedOn.add(attempt.server);
 			if (this.start(call, 'hedge', now)) {
 				service.retryBudget.tryTake();
@@ -237,7 +302,7 @@
 	private _planHedge(attempt: Attempt, now: Instant): void {
 		const {call} = attempt;
 		const {hedgeQuantile, hedgeFloorMilliseconds} = this._context.tuning;
-		const isRead = call.request.method === 'GET' || call.request.method === 'HEAD';
+		const isRead = isBodiless(call.request);
 		const times = call.class.answerTimes;
 		if (hedgeQuantile >= 1 || !isRead || !call.isIdempotent || !call.request.mayRetry || times.count < samplesToHedge) {
 			return;
@@ -313,7 +378,7 @@
 
 		const isSafe = call.isIdempotent || !call.mayHaveRun;
 		const isWanted = isSafe && now < call.deadline && !this._isQuarantined(call, now) && this._mayRetry(call, isReplayable);
-		if (isWanted && this.start(call, 'retry', now)) {
+		if (isWanted && this.start(call, 'retry', now, reason)) {
 			return;
 		}
 
@@ -322,7 +387,7 @@
 
 	/** Whether rules and budget allow one more attempt; takes it off the budget. */
 	private _mayRetry(call: Call, isReplayable: boolean): boolean {
-		return isReplayable && call.request.mayRetry && call.attemptCount < mostAttempts && call.resets < mostResets
+		return isReplayable && call.request.mayRetry && call.attemptCount < Math.min(mostAttempts, call.request.rule?.mostAttempts ?? mostAttempts) && call.resets < mostResets
 			&& call.serviceState.retryBudget.tryTake();
 	}
 
@@ -335,7 +400,7 @@
 		const isResumable = answering?.status === 200 && answering.validator !== undefined && call.isIdempotent && call.request.method === 'GET';
 		if (isResumable && this._mayRetry(call, true)) {
 			const resume = {offset: event.bytesPassedOn, validator: answering.validator};
-			if (this.start(call, 'resume', now, resume)) {
+			if (this._launch(call, 'resume', now, resume)) {
 				return;
 			}
 		}
--- a/src/common/calls/backend-server-state.ts
+++ b/src/common/calls/backend-server-state.ts
@@ -5,6 +5,7 @@
 import {
 	type Health, type HealthEvent, initialHealth, nextHealth,
 } from './health-chart.ts';
+import {DemandAllowance} from './demand-allowance.ts';
 import {MeasuringSchedule} from './measuring-schedule.ts';
 import {ProcessHistory} from './process-history.ts';
 import {type TimerEntry} from './timer-queue.ts';
@@ -48,6 +49,11 @@
 	report: LoadReport | undefined;
 	reportedAt: Instant = -Infinity;
 	lastAnswerAt: Instant = -Infinity;
+	/** A measuring call on demand is under way since then. */
+	measuringSince: Instant | undefined;
+	/** Measuring calls on demand in a row that brought no report. */
+	unansweredMeasurings = 0;
+	readonly demandAllowance = new DemandAllowance();
 	private readonly _tuning: CallTuning;
 	private readonly _processes = new ProcessHistory();
 	private _health: Health = initialHealth;
@@ -86,9 +92,16 @@
 		return now - this._healthSince;
 	}
 
+	/** Calls believed to be there now: those of the latest report, and own ones sent since. */
+	get reportedLoad(): number {
+		return this.report === undefined
+			? this.attempts.size
+			: this.report.inFlight + this.report.queued + Math.max(0, this.attempts.size - this._ownAtReport);
+	}
+
 	/** Brings the health up to the present and gives it. */
 	healthAt(now: Instant): Health {
-		if (this._health === 'warming' && now - this._healthSince >= this._tuning.warmingMilliseconds) {
+		if (this._health === 'warming' && now - this._healthSince >= this._warmingMilliseconds) {
 			this.move('WARM', now);
 		} else if (this._health === 'ejected' && now >= this._ejectedUntil) {
 			this.move('PROBE', now);
@@ -104,7 +117,7 @@
 			return slots;
 		}
 
-		const warmth = (now - this._healthSince) / this._tuning.warmingMilliseconds;
+		const warmth = (now - this._healthSince) / this._warmingMilliseconds;
 		return Math.max(1, slots * Math.min(1, Math.max(this._tuning.warmingStart, warmth)));
 	}
 
@@ -224,6 +237,10 @@
 		this.move('RETURN', now);
 	}
 
+	private get _warmingMilliseconds(): Milliseconds {
+		return this.declared.warmingMilliseconds ?? this._tuning.warmingMilliseconds;
+	}
+
 	private _noteRatio(ratio: number, now: Instant): void {
 		const before = this._rememberedSlowness(now);
 		this._slowness = before + ((ratio - before) * slownessGain);
--- a/src/common/calls/call-endings.ts
+++ b/src/common/calls/call-endings.ts
@@ -1,6 +1,8 @@
 /** Ends calls: each exactly once, with an outcome that is true. */
 import {type Instant, type Milliseconds} from '../model/units.ts';
-import {type Attempt, type Call, outcomeSoFar} from './call.ts';
+import {
+	type Attempt, type Call, objectiveOf, outcomeSoFar,
+} from './call.ts';
 import {type EngineContext} from './engine-context.ts';
 import {
 	type CallId, type CallOutcome, type CallRequest, type RefusalReason,
@@ -98,6 +100,7 @@
 		}
 
 		call.state = 'ended';
+		call.scouting = undefined;
 		for (const timer of call.timers) {
 			this._context.timers.remove(timer);
 		}
@@ -116,7 +119,7 @@
 				attempts: call.attemptCount,
 				milliseconds,
 				queuedMilliseconds: (call.firstStartedAt ?? now) - call.arrivedAt,
-				isGood: isWhole && milliseconds <= call.service.objective.latencyMilliseconds,
+				isGood: isWhole && milliseconds <= objectiveOf(call),
 			},
 		});
 	}
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -8,6 +8,7 @@
 import {
 	type CallEngineSettings, type EngineContext, type Timer, isTimerLive,
 } from './engine-context.ts';
+import {DemandPlacer} from './demand-placer.ts';
 import {HealthJudge} from './health-judge.ts';
 import {ExpectedTimePlacer} from './placer.ts';
 import {ServiceDirectory} from './service-directory.ts';
@@ -63,6 +64,10 @@
 			context: this._context,
 			attempts: this._attempts,
 			placer: new ExpectedTimePlacer(this._context),
+			demandPlacer: new DemandPlacer(this._context),
+			measure: server => {
+				this._directory.measureNow(server);
+			},
 			health: this._health,
 			onReport: (server, report, now) => {
 				this._directory.takeAnswerReport(server, report, now);
@@ -194,7 +199,11 @@
 			}
 
 			case 'measured': {
-				this._directory.takeMeasurement(event.measurementId, event.report, now);
+				const server = this._directory.takeMeasurement(event.measurementId, event.report, now);
+				if (server !== undefined) {
+					this._runner.scout.onMeasured(server, now);
+				}
+
 				break;
 			}
 
@@ -331,6 +340,17 @@
 				break;
 			}
 
+			case 'scouting': {
+				this._runner.scout.expire(timer.call, timer.scouting, now);
+				break;
+			}
+
+			case 'queue-look': {
+				timer.service.isLookPlanned = false;
+				this._context.freed.add(timer.service);
+				break;
+			}
+
 			case 'hedge': {
 				this._runner.hedge(timer.attempt, now);
 				break;
--- a/src/common/calls/call.ts
+++ b/src/common/calls/call.ts
@@ -3,6 +3,7 @@
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type BackendServerState} from './backend-server-state.ts';
 import {type CallClass} from './call-classes.ts';
+import {type Scouting} from './scouting.ts';
 import {type ServiceState} from './service-state.ts';
 import {type TimerEntry} from './timer-queue.ts';
 import {type AttemptId, type CallOutcome, type CallRequest} from './types.ts';
@@ -66,6 +67,8 @@
 	firstStartedAt: Instant | undefined;
 	/** Backend servers that have failed this call. */
 	readonly failedOn: Set<BackendServerState>;
+	/** Reports are being fetched for its next attempt. */
+	scouting: Scouting | undefined;
 	/** Attempts whose connection was reset after sending: a second one makes the call a suspect at two crashes. */
 	resets: number;
 };
@@ -73,7 +76,9 @@
 /** A fresh record of a call. */
 export function newCall(request: CallRequest, serviceState: ServiceState, now: Instant): Call {
 	const {declared} = serviceState;
-	const timeout: Milliseconds = Math.min(request.timeoutMilliseconds ?? declared.timeoutMilliseconds, declared.timeoutMilliseconds);
+	const {rule} = request;
+	const longest = rule?.timeoutMilliseconds ?? declared.timeoutMilliseconds;
+	const timeout: Milliseconds = Math.min(request.timeoutMilliseconds ?? longest, longest);
 	return {
 		request,
 		service: declared,
@@ -81,7 +86,7 @@
 		class: serviceState.classes.classOf(request),
 		arrivedAt: now,
 		deadline: now + timeout,
-		isIdempotent: declared.idempotentMethods.includes(request.method),
+		isIdempotent: rule?.isIdempotent ?? declared.idempotentMethods.includes(request.method),
 		state: 'queued',
 		timers: [],
 		hasKey: false,
@@ -91,6 +96,7 @@
 		answering: undefined,
 		firstStartedAt: undefined,
 		failedOn: new Set(),
+		scouting: undefined,
 		resets: 0,
 	};
 }
@@ -104,6 +110,11 @@
 	return call.mayHaveRun ? 'unknown' : 'not-run';
 }
 
+/** Time within which the answer of a call is worth most. */
+export function objectiveOf(call: Call): Milliseconds {
+	return call.request.rule?.objectiveMilliseconds ?? call.service.objective.latencyMilliseconds;
+}
+
 /** A call without a body to keep: it can be sent again as it is. */
 export function isBodiless(request: CallRequest): boolean {
 	return request.method === 'GET' || request.method === 'HEAD' || request.bodyBytes === 0;
--- a/src/common/calls/engine-context.ts
+++ b/src/common/calls/engine-context.ts
@@ -2,6 +2,7 @@
 import {type Instant, type RandomSource} from '../model/units.ts';
 import {type Attempt, type Call} from './call.ts';
 import {type CrashSuspects} from './crash-suspects.ts';
+import {type Scouting} from './scouting.ts';
 import {type ServiceState} from './service-state.ts';
 import {type TimerQueue} from './timer-queue.ts';
 import {type CallTuning} from './tuning.ts';
@@ -11,6 +12,11 @@
 export type CallEngineSettings = {
 	/** This VM's data centre: calls stay in it while it can carry them. */
 	readonly dataCentre: string;
+	/**
+	 * Statuses that callers read as "has not run and never will". A backend server's bare answer with one of them
+	 * proves nothing, so it is not passed on. Empty where callers are told the outcome in a header of its own.
+	 */
+	readonly notRunStatuses?: ReadonlySet<number>;
 };
 
 /** Something that becomes due. */
@@ -19,6 +25,10 @@
 	/** Started later than this, a queued call would not be answered in time. */
 		| {readonly type: 'latest-start'; readonly call: Call}
 		| {readonly type: 'hedge'; readonly attempt: Attempt}
+	/** Reports that have not come by then are not waited for. */
+		| {readonly type: 'scouting'; readonly call: Call; readonly scouting: Scouting}
+	/** Backend servers may have room again, which no event of this VM would tell. */
+		| {readonly type: 'queue-look'; readonly service: ServiceState}
 	/** A resumed download whose head has not come by then comes to nothing. */
 		| {readonly type: 'resume'; readonly attempt: Attempt};
 
@@ -48,6 +58,14 @@
 			return timer.call.state === 'queued';
 		}
 
+		case 'scouting': {
+			return timer.call.scouting === timer.scouting;
+		}
+
+		case 'queue-look': {
+			return true;
+		}
+
 		case 'hedge':
 		case 'resume': {
 			return timer.attempt.call.attempts.has(timer.attempt) && !timer.attempt.hasHead;
--- a/src/common/calls/health-judge.ts
+++ b/src/common/calls/health-judge.ts
@@ -37,6 +37,11 @@
 				break;
 			}
 
+			case 'wrong-answer': {
+				this._fail(attempt, now);
+				break;
+			}
+
 			case 'not-sent': {
 				break;
 			}
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -1,6 +1,6 @@
 /** The services and backend servers in force, and what is learnt of them besides calls. */
 import {type BackendServer} from '../model/resources.ts';
-import {type Instant} from '../model/units.ts';
+import {type Instant, type Milliseconds} from '../model/units.ts';
 import {BackendServerState} from './backend-server-state.ts';
 import {CrashSuspects} from './crash-suspects.ts';
 import {type EngineContext, vmCountOf} from './engine-context.ts';
@@ -14,6 +14,12 @@
 /** Without a share, or with a fresh report, a backend server is looked at again after this time at most. */
 const longestLook = 1000;
 
+/**
+ * Longest that a measuring call on demand may be under way. No call waits for it so long; ending it ends its
+ * connection, which a VM that was busy for a moment would otherwise open anew.
+ */
+const demandTimeout: Milliseconds = 250;
+
 /** A service without a call for this long is idle here: longer than the gaps between a portal's polls. */
 const idleAfter = 5000;
 
@@ -109,17 +115,31 @@
 		}
 	}
 
-	takeMeasurement(measurementId: MeasurementId, report: LoadReport | undefined, now: Instant): void {
+	/** Takes the end of a measuring call in; the backend server that it went to, if it is still known. */
+	takeMeasurement(measurementId: MeasurementId, report: LoadReport | undefined, now: Instant): BackendServerState | undefined {
 		const server = this._measurements.get(measurementId);
 		this._measurements.delete(measurementId);
-		if (server === undefined || report === undefined) {
-			return;
+		if (server === undefined) {
+			return undefined;
 		}
 
+		if (report === undefined) {
+			server.unansweredMeasurings++;
+			return server;
+		}
+
+		server.unansweredMeasurings = 0;
 		this.takeAnswerReport(server, report, now);
 		if (server.health === 'doubted') {
 			server.move('ANSWERED', now);
 		}
+
+		return server;
+	}
+
+	/** Sends a measuring call at once. */
+	measureNow(server: BackendServerState): void {
+		this._startMeasuring(server);
 	}
 
 	/**
@@ -129,7 +149,7 @@
 	noteCall(service: ServiceState, now: Instant): void {
 		const wasIdle = now - service.lastCallAt > idleAfter;
 		service.lastCallAt = now;
-		if (!wasIdle) {
+		if (!wasIdle || service.isMeasuredOnDemand) {
 			return;
 		}
 
@@ -210,6 +230,11 @@
 
 	private _look(server: BackendServerState, now: Instant): void {
 		const service = this._services.get(server.declared.service);
+		if (service?.isMeasuredOnDemand === true) {
+			server.look = undefined;
+			return;
+		}
+
 		const {shares} = this._context;
 		const isIdle = service === undefined || now - service.lastCallAt > idleAfter;
 		const need = {at: server.reportedAt, isIdle};
@@ -238,15 +263,17 @@
 
 	private _startMeasuring(server: BackendServerState): void {
 		const measurementId = this._nextMeasurementId++;
+		const measuring = this._services.get(server.declared.service)?.declared.measuring;
 		this._measurements.set(measurementId, server);
 		this._context.effects.push({
 			type: 'measure',
 			service: server.declared.service,
+			path: measuring?.path ?? '/load',
 			measurementId,
 			identity: server.identity,
 			address: server.declared.address,
 			port: server.declared.port,
-			timeoutMilliseconds: measuringTimeout,
+			timeoutMilliseconds: measuring?.mode === 'on-demand' ? demandTimeout : measuringTimeout,
 		});
 	}
 
--- a/src/common/calls/service-state.ts
+++ b/src/common/calls/service-state.ts
@@ -43,6 +43,8 @@
 	inFlight = 0;
 	/** Since when calls have been waiting without a break; undefined while none waits. */
 	standingSince: Instant | undefined;
+	/** A look at the queue is planned. */
+	isLookPlanned = false;
 	/** Part of the local slots believed to be in use: what overflow to other data centres goes by. */
 	localLoad = 0;
 	private readonly _callersInFlight = new Map<string, number>();
@@ -59,6 +61,11 @@
 		this.queue = tuning.isFair ? new FairCallQueue() : new ArrivalOrderQueue();
 	}
 
+	/** Reports are fetched before each attempt, and not by the clock. */
+	get isMeasuredOnDemand(): boolean {
+		return this.declared.measuring.mode === 'on-demand';
+	}
+
 	/** Failing part of all its latest calls. */
 	get failing(): number {
 		return this._failing;
--- a/src/common/calls/tuning.ts
+++ b/src/common/calls/tuning.ts
@@ -59,6 +59,15 @@
 	readonly callClasses: number;
 	/** Calls queued by turns of callers; false = in order of arrival. */
 	readonly isFair: boolean;
+	/**
+	 * Backend servers asked before an attempt where measuring is on demand. Where a third of them is slowed by
+	 * neighbours, four leave one call in eighty without a quiet one; a fifth would cost a quarter more for one in 230.
+	 */
+	readonly demandCandidates: number;
+	/** A report this young needs no new one: neighbours change in pieces of some hundred milliseconds. */
+	readonly demandFreshMilliseconds: Milliseconds;
+	/** Longest wait for reports: a way to another data centre and back is 3 ms, a busy event loop adds some. */
+	readonly demandWaitMilliseconds: Milliseconds;
 	/** How long a fingerprint stays suspected or quarantined: a repaired backend server must get it again. */
 	readonly suspicionMilliseconds: Milliseconds;
 };
@@ -87,5 +96,8 @@
 	standingWaitPart: 0.25,
 	callClasses: 32,
 	isFair: true,
+	demandCandidates: 4,
+	demandFreshMilliseconds: 40,
+	demandWaitMilliseconds: 15,
 	suspicionMilliseconds: 600_000,
 };
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -4,6 +4,7 @@
  */
 import {type BackendServer, type Service, type SharingRule} from '../model/resources.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
+import {type Routing} from '../routing/types.ts';
 
 /** Names one call on one VM; never used again by this process. */
 export type CallId = number;
@@ -32,6 +33,22 @@
 	readonly instance: string | undefined;
 	/** True once it has begun to leave. */
 	readonly isLeaving: boolean;
+	/** How long work takes on its VM at the moment, against the usual (1 = as usual); undefined where it does not say. */
+	readonly workTimeFactor?: number;
+};
+
+/** What the route of a call says of it. It goes before the service's own rules. */
+export type CallRule = {
+	/** The call may run more than once. */
+	readonly isIdempotent: boolean;
+	/** Longest that its caller is kept waiting. */
+	readonly timeoutMilliseconds: Milliseconds;
+	/** Time within which its answer is worth most. */
+	readonly objectiveMilliseconds: Milliseconds;
+	/** Most backend servers that the call may be sent to. */
+	readonly mostAttempts: number;
+	/** Rank among the calls of a service; 0 = most urgent. */
+	readonly priority: number;
 };
 
 /** A call as it arrived. */
@@ -52,6 +69,8 @@
 	readonly idempotencyKey: string | undefined;
 	/** False when a level above has kept retrying for itself: only one level may multiply calls. */
 	readonly mayRetry: boolean;
+	/** Rules of the route by which it came; undefined = the service's. */
+	readonly rule?: CallRule;
 };
 
 /** Why an attempt ended without a whole answer. */
@@ -65,7 +84,9 @@
 	/** Cut after the head of the answer: it ran, and the answer is not whole. */
 		| 'reset-during-answer'
 	/** The connection was silent for longer than the attempt may take. */
-		| 'silent';
+		| 'silent'
+	/** What came back is not the answer of this call: another call's, or one that lacks its proof. It may have run. */
+		| 'wrong-answer';
 
 /** Events that the call engine is told. */
 export type CallEvent
@@ -134,6 +155,8 @@
 	readonly services: ReadonlyMap<string, Service>;
 	readonly backendServers: ReadonlyMap<BackendServerIdentity, BackendServer>;
 	readonly sharingRules: readonly SharingRule[];
+	/** Routes by host and path, where the operators declare any. */
+	readonly routing?: Routing;
 };
 
 /** The part of the fleet's budgets that this VM may spend. The sum over all VMs never exceeds them. */
@@ -223,6 +246,8 @@
 		readonly type: 'measure';
 		readonly measurementId: MeasurementId;
 		readonly service: string;
+		/** Path of the load endpoint. */
+		readonly path: string;
 		readonly identity: BackendServerIdentity;
 		readonly address: string;
 		readonly port: number;
--- a/src/common/entry-vm/entry-vm.ts
+++ b/src/common/entry-vm/entry-vm.ts
@@ -35,6 +35,9 @@
 	return callEffectTypes.has(effect.type);
 }
 
+/** What any fleet engine is to its VM. */
+export type FleetDecider = Pick<FleetEngine, 'handle' | 'nextWakeUp'>;
+
 /** An event on its way to one of the engines. */
 type Inner = {readonly to: 'calls'; readonly event: CallEvent} | {readonly to: 'fleet'; readonly event: FleetEvent};
 
@@ -42,13 +45,13 @@
  * Decides everything that happens on one VM. What one engine tells the other is handled before the next
  * event from outside, so that a list of outer events with a seed replays the whole VM.
  */
-export class EntryVm implements Decider<EntryVmEvent, EntryVmEffect> {
+export class EntryVm<Fleet extends FleetDecider = FleetEngine> implements Decider<EntryVmEvent, EntryVmEffect> {
 	readonly calls: CallEngine;
-	readonly fleet: FleetEngine;
+	readonly fleet: Fleet;
 	private readonly _inner: Inner[] = [];
 	private _effects: EntryVmEffect[] = [];
 
-	constructor(calls: CallEngine, fleet: FleetEngine) {
+	constructor(calls: CallEngine, fleet: Fleet) {
 		this.calls = calls;
 		this.fleet = fleet;
 	}
--- a/src/common/model/resources.ts
+++ b/src/common/model/resources.ts
@@ -21,6 +21,13 @@
 	 * two the share of the budget that may be spent grows linearly.
 	 */
 	tailWeight: z.number().min(0).max(1).default(1),
+	/**
+	 * `paced` = by the clock, in shares that VMs claim. `on-demand` = a few candidates before each attempt, for load
+	 * that shifts faster than any clock could follow; the budget is then split evenly over the VMs.
+	 */
+	mode: z.enum(['paced', 'on-demand']).default('paced'),
+	/** Path of the load endpoint at the backend servers. */
+	path: z.string().regex(/^\/[\u0021-\u007E]*$/v, 'a path such as /load').default('/load'),
 });
 
 /** A service: a set of backend servers and the rules for calls to it. */
@@ -62,6 +69,8 @@
 	slots: z.int().min(1).max(10_000).default(6),
 	/** Connections it accepts from all VMs together. */
 	connectionLimit: z.int().min(1).max(100_000).default(250),
+	/** Milliseconds from its first appearance in which it is slower than usual; undefined = the engine's own guess. */
+	warmingMilliseconds: z.number().min(0).max(3_600_000).optional(),
 	/** The operator's order to leave: no new work, calls in flight finish. */
 	isLeaving: z.boolean().default(false),
 });
--- a/src/common/platform/types.ts
+++ b/src/common/platform/types.ts
@@ -41,6 +41,8 @@
 		| {readonly type: 'lease-lost'}
 	/** What changed; deleted keys are named. No change within the time: both lists empty. */
 		| {readonly type: 'changes'; readonly entries: readonly StoreEntry[]; readonly deleted: readonly string[]; readonly revision: Revision}
+	/** The changes after the revision are no longer kept: everything must be listed again. */
+		| {readonly type: 'history-lost'}
 	/** The request did not reach the service: it had no effect. */
 		| {readonly type: 'unavailable'}
 	/** The answer was lost or late: a write may or may not have taken effect. */
--- /dev/null
+++ b/src/common/protocol/jaydale-dialect.ts
@@ -0,0 +1,64 @@
+/** jaydale's own way of speaking: the `jaydale-` headers, problem bodies (RFC 9457) and the load endpoint. */
+import {type BackendServerIdentity, type CallOutcome, type LoadReport} from '../calls/types.ts';
+import {
+	type AnswerReading, type AttemptFacts, type Dialect, type HeaderMap, type OwnAnswer, type Refusal,
+} from './dialect.ts';
+import {forwardedHeaders} from './forwarding.ts';
+import {
+	declaredNotRunHeader, leavingHeader, loadReportHeader, outcomeHeader, problemTypePrefix, retryHeader, timeoutHeader, traceHeader,
+} from './headers.ts';
+import {parseLoadBody, parseLoadHeader} from './load-report.ts';
+
+const largestLoadBody = 4096;
+
+export class JaydaleDialect implements Dialect {
+	/** Every answer passes on as it comes: a broken one is resumed by its validator. */
+	readonly heldAnswerBytes = 0;
+
+	attemptHeaders(ofCaller: HeaderMap, {timeoutMilliseconds, traceparent}: AttemptFacts): string[] {
+		const headers = forwardedHeaders(ofCaller);
+		headers.push(timeoutHeader, String(Math.max(1, Math.floor(timeoutMilliseconds))), retryHeader, 'none');
+		if (traceparent !== undefined) {
+			headers.push(traceHeader, traceparent);
+		}
+
+		return headers;
+	}
+
+	readAnswer(_status: number, headers: HeaderMap): AnswerReading {
+		const header = headers[loadReportHeader];
+		return {
+			isOwn: true,
+			isDeclaredNotRun: headers[declaredNotRunHeader] === 'not-run',
+			report: parseLoadHeader(typeof header === 'string' ? header : undefined, headers[leavingHeader] === 'true'),
+		};
+	}
+
+	answerHeaders(headers: HeaderMap, outcome: CallOutcome): string[] {
+		const forwarded = forwardedHeaders(headers);
+		forwarded.push(outcomeHeader, outcome);
+		return forwarded;
+	}
+
+	refusal({status, reason, outcome, retryAfterMilliseconds}: Refusal): OwnAnswer {
+		const body = JSON.stringify({
+			type: problemTypePrefix + reason,
+			title: reason.replaceAll('-', ' '),
+			status,
+			outcome,
+			...(retryAfterMilliseconds === undefined ? {} : {retryAfterMilliseconds: Math.ceil(retryAfterMilliseconds)}),
+		});
+		return {
+			headers: {
+				'content-type': 'application/problem+json',
+				[outcomeHeader]: outcome,
+				...(retryAfterMilliseconds === undefined ? {} : {'retry-after': String(Math.max(1, Math.ceil(retryAfterMilliseconds / 1000)))}),
+			},
+			body,
+		};
+	}
+
+	readMeasurement(_identity: BackendServerIdentity, _status: number, _headers: HeaderMap, body: string): LoadReport | undefined {
+		return body.length > largestLoadBody ? undefined : parseLoadBody(JSON.parse(body));
+	}
+}
--- /dev/null
+++ b/src/common/registry/doubtful-removals.ts
@@ -0,0 +1,55 @@
+/** Entries whose disappearance may be a lapse and no leaving. */
+import {type Instant, type Milliseconds} from '../model/units.ts';
+import {type RegistryContext} from './registry-context.ts';
+
+/**
+ * Guards against entries that lapse while the store is away: their owners cannot renew them, and when the store
+ * returns, its first word is that all are gone. It shows as a service without backend servers on every VM at once.
+ * Entries that disappear in the first moments after an outage long enough for a lapse are held for `holdMilliseconds`;
+ * owners that live are back by then, and what is still missing is gone.
+ */
+export class DoubtfulRemovals {
+	private readonly _context: RegistryContext;
+	private readonly _name: string;
+	private readonly _onGone: (keys: readonly string[]) => void;
+	private readonly _missing = new Set<string>();
+	private _doubtUntil: Instant = Number.NEGATIVE_INFINITY;
+
+	/** `name` tells its timer from those of others. */
+	constructor(context: RegistryContext, name: string, onGone: (keys: readonly string[]) => void) {
+		this._context = context;
+		this._name = name;
+		this._onGone = onGone;
+	}
+
+	/** The store is back after an outage in which entries may have lapsed. */
+	beginDoubt(holdMilliseconds: Milliseconds): void {
+		this._doubtUntil = this._context.now + holdMilliseconds;
+		this._context.timers.set(`doubt-${this._name}`, this._doubtUntil, () => {
+			this._settle();
+		});
+	}
+
+	/** An entry has disappeared; true = it counts as there for the time being. */
+	hold(key: string): boolean {
+		if (this._context.now >= this._doubtUntil) {
+			return false;
+		}
+
+		this._missing.add(key);
+		return true;
+	}
+
+	/** An entry is there, or there again. */
+	noteThere(key: string): void {
+		this._missing.delete(key);
+	}
+
+	private _settle(): void {
+		const gone = [...this._missing];
+		this._missing.clear();
+		if (gone.length > 0) {
+			this._onGone(gone);
+		}
+	}
+}
--- /dev/null
+++ b/src/common/registry/own-entry.ts
@@ -0,0 +1,151 @@
+/** This VM's own entry in the store, held by a lease. */
+import {type Milliseconds} from '../model/units.ts';
+import {type StoreReply} from '../platform/types.ts';
+import {type RegistryContext} from './registry-context.ts';
+import {type DocumentReader} from './types.ts';
+
+/** Renewals in one term of the lease: two may be lost before it lapses. */
+const renewalsATerm = 3;
+
+/** Pause before a step that failed is tried again. */
+const retryMilliseconds: Milliseconds = 700;
+
+export class OwnEntry {
+	private readonly _context: RegistryContext;
+	private readonly _documents: DocumentReader;
+	private _leaseId: string | undefined;
+	private _isWanted = false;
+
+	constructor(context: RegistryContext, documents: DocumentReader) {
+		this._context = context;
+		this._documents = documents;
+	}
+
+	/** Writes the entry, and writes it again whenever it is lost. */
+	publish(): void {
+		if (!this._isWanted) {
+			this._isWanted = true;
+			this._grant();
+		}
+	}
+
+	/** Takes the entry back at once: callers must not be sent here any more. */
+	withdraw(): void {
+		this._isWanted = false;
+		this._context.timers.clear('own-entry');
+		if (this._leaseId !== undefined) {
+			this._context.ask({type: 'revoke-lease', leaseId: this._leaseId}, () => undefined);
+			this._leaseId = undefined;
+		}
+	}
+
+	/**
+	 * The store says that the entry is gone. Guards against a lease that lapses or is taken away under a living
+	 * holder: it shows as a VM that serves and gets no callers.
+	 */
+	onRemoved(): void {
+		if (this._isWanted && this._leaseId !== undefined) {
+			this._context.log('warn', 'the own entry was removed; it is written again');
+			this._leaseId = undefined;
+			this._grant();
+		}
+	}
+
+	private get _key(): string {
+		return this._context.settings.layout.vmPrefix + this._context.settings.identity;
+	}
+
+	private _grant(): void {
+		this._context.timers.clear('own-entry');
+		this._context.ask({type: 'grant-lease', milliseconds: this._context.settings.leaseMilliseconds}, reply => {
+			if (!this._isWanted) {
+				return;
+			}
+
+			if (reply.type === 'lease') {
+				this._write(reply.leaseId, 0);
+			} else {
+				this._again(() => {
+					this._grant();
+				});
+			}
+		});
+	}
+
+	private _write(leaseId: string, expected: number): void {
+		const value = this._documents.writeVm(this._context.settings.own);
+		this._context.ask({
+			type: 'compare-and-swap', key: this._key, expected, value, leaseId,
+		}, reply => {
+			if (this._isWanted) {
+				this._takeWritten(reply, leaseId);
+			}
+		});
+	}
+
+	private _takeWritten(reply: StoreReply, leaseId: string): void {
+		switch (reply.type) {
+			case 'written': {
+				this._leaseId = leaseId;
+				this._planRenewal();
+
+				break;
+			}
+
+			case 'conflict': {
+			// An earlier write whose answer was lost, perhaps under a lease that nobody renews: it is replaced.
+				this._write(leaseId, reply.entry?.revision ?? 0);
+
+				break;
+			}
+
+			case 'lease-lost': {
+				this._grant();
+
+				break;
+			}
+
+			default: {
+				this._again(() => {
+					this._write(leaseId, 0);
+				});
+			}
+		}
+	}
+
+	private _planRenewal(): void {
+		const {leaseMilliseconds} = this._context.settings;
+		this._context.timers.set('own-entry', this._context.now + (leaseMilliseconds / renewalsATerm), () => {
+			this._renew();
+		});
+	}
+
+	private _renew(): void {
+		const leaseId = this._leaseId;
+		if (leaseId === undefined) {
+			return;
+		}
+
+		this._context.ask({type: 'keep-lease', leaseId}, reply => {
+			if (!this._isWanted || this._leaseId !== leaseId) {
+				return;
+			}
+
+			if (reply.type === 'lease-lost') {
+				this._context.log('warn', 'the lease on the own entry has lapsed; it is written again');
+				this._leaseId = undefined;
+				this._grant();
+			} else if (reply.type === 'lease') {
+				this._planRenewal();
+			} else {
+				this._again(() => {
+					this._renew();
+				});
+			}
+		});
+	}
+
+	private _again(action: () => void): void {
+		this._context.timers.set('own-entry', this._context.now + retryMilliseconds, action);
+	}
+}
--- /dev/null
+++ b/src/common/settings/entry-settings.ts
@@ -0,0 +1,69 @@
+/**
+ * Settings of an entry VM whose fleet is led by the platform's store. The schema is the only description of them:
+ * types, defaults, checks and the operators' reference come from it.
+ */
+import {z} from 'zod';
+
+const endpointSchema = z.string().regex(
+	/^(?:(?:\d{1,3}\.){3}\d{1,3}|\[[\da-f:]+\]):\d{1,5}$/v,
+	'an IP number and port such as 10.0.0.2:7003 or [fd00::2]:7003',
+);
+const textSchema = z.string().min(1).max(255);
+const secondsSchema = z.number().positive().max(86_400);
+
+const vmSchema = z.strictObject({
+	name: textSchema.describe('Name of this VM in logs.'),
+	dataCentre: textSchema.describe('Data centre of this VM; calls stay in it while it has room.'),
+});
+
+const listenSchema = z.strictObject({
+	callers: endpointSchema.describe('Where callers reach this VM.'),
+	readiness: endpointSchema.describe('Where the platform asks whether this VM is ready.'),
+	directory: endpointSchema.describe('Where callers ask which VMs to use.'),
+	peers: endpointSchema.describe('Where other VMs ask this one; also the page of counters.'),
+});
+
+const storeSchema = z.strictObject({
+	address: endpointSchema.describe('The platform\'s key-value service.'),
+	requestTimeoutSeconds: secondsSchema.default(2).describe('How long a request to it may take; later its outcome is unknown.'),
+	watchPauseSeconds: z.number().min(0).max(60).default(0.8)
+		.describe('Pause between two watches. Each watch is a call that costs; a change waits at most this long more.'),
+	heartbeatSeconds: secondsSchema.describe('How often backend servers renew their entries; after three such times without one they lapse.'),
+	leaseSeconds: secondsSchema.default(4).describe('Term of the lease on this VM\'s own entry: a VM that dies is out of the answers after it.'),
+});
+
+const callsSchema = z.strictObject({
+	measuringPerSecond: z.number().min(0).max(100_000).describe('Measuring calls that one backend server may get a second, from all VMs together.'),
+	tailWeight: z.number().min(0).max(1).default(1).describe('0 = measure as little as possible, 1 = spend the budget for the best tail latency.'),
+	retryShare: z.number().min(0).max(1).describe('Retries and hedges allowed as a share of a service\'s calls, for all VMs together.'),
+	heldAnswerBytes: z.int().min(0).max(16_777_216).default(262_144)
+		.describe('Answers up to this size are held until they are whole, so that one that breaks off can be had elsewhere.'),
+	replayBytes: z.int().min(0).max(16_777_216).default(65_536).describe('A body up to this size is kept so that the call can be sent again.'),
+	connections: z.int().min(1).max(1_000_000).default(3000).describe('Most connections of callers to this VM.'),
+});
+
+const directorySchema = z.strictObject({
+	keepForSeconds: secondsSchema.default(2).describe('How long callers may keep the answer to "which addresses".'),
+});
+
+const stopSchema = z.strictObject({
+	graceSeconds: secondsSchema.describe('Time from the order to stop until the process is killed.'),
+});
+
+const logSchema = z.strictObject({
+	level: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info').describe('Least important level that is written.'),
+});
+
+/** Everything that an entry VM reads from its settings file. */
+export const entrySettingsSchema = z.strictObject({
+	vm: vmSchema,
+	listen: listenSchema,
+	seeds: z.array(endpointSchema).default([]).describe('Other VMs to ask for the configuration while the store does not answer.'),
+	store: storeSchema,
+	calls: callsSchema,
+	directory: directorySchema.prefault({}),
+	stop: stopSchema,
+	log: logSchema.prefault({}),
+});
+
+export type EntrySettings = z.infer<typeof entrySettingsSchema>;
--- /dev/null
+++ b/src/daemon/entry-wiring.ts
@@ -0,0 +1,114 @@
+/**
+ * The one place where the parts of a store-led entry VM are made. It stands beside `wiring.ts`, which makes the VM of a
+ * self-led fleet, because what a process imports it pays for: gRPC, the resource API and membership are no part of it.
+ */
+import {randomInt} from 'node:crypto';
+import {DefaultCallEngine} from '../common/calls/call-engine.ts';
+import {EntryVm, isCallEffect} from '../common/entry-vm/entry-vm.ts';
+import {type EntryVmEffect, type EntryVmEvent} from '../common/entry-vm/types.ts';
+import {DisposableStore} from '../common/lifecycle/disposable.ts';
+import {type RoutedDialect} from '../common/protocol/dialect.ts';
+import {seededRandom} from '../common/random/random.ts';
+import {RegistryFleet} from '../common/registry/registry-fleet.ts';
+import {type DocumentReader, type RegistrySettings, type StoreLayout} from '../common/registry/types.ts';
+import {RouteTable} from '../common/routing/route-table.ts';
+import {type EntrySettings} from '../common/settings/entry-settings.ts';
+import {ProcessClock} from '../node/clock.ts';
+import {DeciderLoop} from '../node/decider-loop.ts';
+import {StoreCarrier} from '../node/fleet/store-carrier.ts';
+import {type PlatformClient} from '../node/fleet/types.ts';
+import {BackendConnections} from '../node/front/backend-connections.ts';
+import {CallCarrier} from '../node/front/call-carrier.ts';
+import {LoadMeasurer} from '../node/front/load-measurer.ts';
+import {type Page, PageServer} from '../node/front/page-server.ts';
+import {RoutedServer} from '../node/front/routed-server.ts';
+import {type Logging} from '../node/logging/logging.ts';
+import {EntryDaemon} from './entry-daemon.ts';
+import {freshIdentity, type Hashes} from './identity.ts';
+
+/** Opening a connection takes about 1 ms, and 3 ms to another data centre; a tenth of a call's time is lost with one that hangs. */
+const connectMilliseconds = 300;
+
+/** Below the time after which backend servers close idle connections, which they tell in a header of their answers. */
+const backendIdleMilliseconds = 9000;
+
+/** A caller that takes no byte for this long has gone: its connection is silent. */
+const stallMilliseconds = 5000;
+
+/** How long an idle connection to the directory is kept: as long as callers wait between two questions. */
+const pageIdleMilliseconds = 6000;
+
+const largestSeed = 2 ** 32;
+
+/** What the platform brings: its store, its documents, its way of speaking. */
+export type PlatformParts = {
+	readonly store: PlatformClient & {dispose(): void};
+	readonly documents: DocumentReader;
+	readonly layout: StoreLayout;
+	readonly dialect: RoutedDialect;
+	/** Statuses that callers read as "has not run". */
+	readonly notRunStatuses: ReadonlySet<number>;
+	/** The directory's page for a URL. */
+	readonly directoryPage: (url: string, answer: (service: string, dataCentre: string | undefined) => {readonly addresses: readonly string[]; readonly keepForMilliseconds: number}) => Page | undefined;
+	/** The page by which the platform learns whether this VM is ready. */
+	readonly readinessPath: string;
+};
+
+function registrySettings(settings: EntrySettings, layout: StoreLayout): RegistrySettings {
+	return {
+		identity: freshIdentity(),
+		own: {callAddress: settings.listen.callers, peerAddress: settings.listen.peers, dataCentre: settings.vm.dataCentre},
+		layout,
+		leaseMilliseconds: settings.store.leaseSeconds * 1000,
+		watchPauseMilliseconds: settings.store.watchPauseSeconds * 1000,
+		heartbeatMilliseconds: settings.store.heartbeatSeconds * 1000,
+		answerKeepMilliseconds: settings.directory.keepForSeconds * 1000,
+		graceMilliseconds: settings.stop.graceSeconds * 1000,
+	};
+}
+
+/** Makes an entry VM from checked settings. Nothing listens yet. */
+export function wireEntryDaemon(settings: EntrySettings, platform: PlatformParts, logging: Logging, hashes: Hashes): EntryDaemon {
+	const owned = new DisposableStore();
+	const {logger} = logging;
+	const clock = new ProcessClock();
+	const random = seededRandom(randomInt(largestSeed));
+	owned.add(platform.store);
+	const calls = new DefaultCallEngine({
+		random,
+		settings: {dataCentre: settings.vm.dataCentre, notRunStatuses: platform.notRunStatuses},
+	});
+	const fleet = new RegistryFleet(registrySettings(settings, platform.layout), platform.documents, random);
+	const entryVm = new EntryVm(calls, fleet);
+	const loop = owned.add(new DeciderLoop<EntryVmEvent, EntryVmEffect>(entryVm, clock));
+	const storeCarrier = owned.add(new StoreCarrier(loop, platform.store));
+	const connections = owned.add(new BackendConnections({connectMilliseconds, idleMilliseconds: backendIdleMilliseconds}));
+	const callCarrier = owned.add(new CallCarrier(loop, new LoadMeasurer(connections, platform.dialect), noKeys));
+	const routedServer = owned.add(new RoutedServer({
+		sink: loop, calls: callCarrier, connections, dialect: platform.dialect, routes: new RouteTable(random), fingerprint: hashes.fingerprint,
+	}, {
+		keptBodyBytes: settings.calls.replayBytes, connections: settings.calls.connections, stallMilliseconds,
+	}));
+	const readinessServer = owned.add(new PageServer(url => {
+		const isReady = fleet.status(clock.now()).stage === 'serving';
+		return url === platform.readinessPath ? {status: isReady ? 200 : 503} : undefined;
+	}, pageIdleMilliseconds));
+	const directoryServer = owned.add(new PageServer(url => platform.directoryPage(url, (service, dataCentre) => {
+		const {addresses, keepForMilliseconds} = fleet.addresses(service, dataCentre);
+		return {addresses: addresses.map(({address}) => address), keepForMilliseconds};
+	}), pageIdleMilliseconds));
+	const peerServer = owned.add(new PageServer(() => undefined, pageIdleMilliseconds));
+	loop.setCarrier(effect => {
+		if (isCallEffect(effect)) {
+			callCarrier.carryOut(effect);
+		} else {
+			storeCarrier.carryOut(effect);
+		}
+	});
+	return new EntryDaemon({
+		settings, clock, logger, entryVm, loop, callCarrier, storeCarrier, connections, routedServer, readinessServer, directoryServer, peerServer,
+	}, owned);
+}
+
+/** No route asks for keys: what may run twice is declared by its kind. */
+const noKeys = {claim: () => undefined, release: async () => undefined};
--- a/src/daemon/wiring.ts
+++ b/src/daemon/wiring.ts
@@ -11,6 +11,7 @@
 import {FleetCoordinator} from '../common/fleet/fleet-coordinator.ts';
 import {type AddressAnswer as FleetAnswer, type FleetSettings} from '../common/fleet/types.ts';
 import {DisposableStore} from '../common/lifecycle/disposable.ts';
+import {JaydaleDialect} from '../common/protocol/jaydale-dialect.ts';
 import {seededRandom} from '../common/random/random.ts';
 import {type OperatorToken, type Settings} from '../common/settings/settings.ts';
 import {OperatorDirectory} from '../node/api/operator-directory.ts';
@@ -162,7 +163,7 @@
 /** The path of a call: callers' door, attempts, measuring, claims of keys. */
 function makeFront({settings, owned, clock, hashes, metrics, identity}: Base, {entryVm, loop}: Deciders, {platform}: Outside) {
 	const connections = owned.add(new BackendConnections({connectMilliseconds, idleMilliseconds: backendIdleMilliseconds}));
-	const measurer = new CountedMeasurer(new LoadMeasurer(connections), metrics);
+	const measurer = new CountedMeasurer(new LoadMeasurer(connections, new JaydaleDialect()), metrics);
 	const keyClaimer = new StoreKeyClaimer(platform, clock, identity, hashes.digest);
 	const callCarrier = owned.add(new CallCarrier(loop, measurer, keyClaimer));
 	const callerServer = owned.add(new CallerServer({
--- /dev/null
+++ b/src/node/fleet/store-carrier.ts
@@ -0,0 +1,38 @@
+/** Carries out what the decider of a store-led fleet asks for: requests to the store; all else goes to the daemon. */
+import {type OuterFleetEffect} from '../../common/entry-vm/types.ts';
+import {type FleetEvent} from '../../common/fleet/types.ts';
+import {Disposable} from '../../common/lifecycle/disposable.ts';
+import {Emitter} from '../../common/lifecycle/emitter.ts';
+import {type EventSink} from '../decider-loop.ts';
+import {type OutwardEffect} from './fleet-carrier.ts';
+import {type PlatformClient} from './types.ts';
+
+export type {OutwardEffect} from './fleet-carrier.ts';
+
+export class StoreCarrier extends Disposable {
+	private readonly _sink: EventSink<Extract<FleetEvent, {type: 'store-replied'}>>;
+	private readonly _client: Pick<PlatformClient, 'execute'>;
+	private readonly _onEffect = this._register(new Emitter<OutwardEffect>());
+
+	/** Something for the front or the logs. */
+	readonly onEffect = this._onEffect.event;
+
+	constructor(sink: StoreCarrier['_sink'], store: Pick<PlatformClient, 'execute'>) {
+		super();
+		this._sink = sink;
+		this._client = store;
+	}
+
+	carryOut(effect: OuterFleetEffect): void {
+		if (effect.type === 'store') {
+			void this._ask(effect);
+		} else if (effect.type !== 'send' && effect.type !== 'operator-answer') {
+			this._onEffect.fire(effect);
+		}
+	}
+
+	private async _ask({requestId, operation}: OuterFleetEffect & {type: 'store'}): Promise<void> {
+		const reply = await this._client.execute(operation);
+		this._sink.feed({type: 'store-replied', requestId, reply});
+	}
+}
--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -13,6 +13,7 @@
 import {
 	addressesPath, callPathPrefix, callerHeader, idempotencyKeyHeader, outcomeHeader, problemTypePrefix, retryHeader, timeoutHeader, traceHeader,
 } from '../../common/protocol/headers.ts';
+import {JaydaleDialect} from '../../common/protocol/jaydale-dialect.ts';
 import {continueTrace} from '../logging/trace-context.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {type CallCarrier} from './call-carrier.ts';
@@ -72,6 +73,7 @@
 export class CallerServer extends Disposable {
 	private readonly _parts: CallerServerParts;
 	private readonly _limits: CallerServerLimits;
+	private readonly _dialect = new JaydaleDialect();
 	private readonly _server: Server;
 	private _lastCallId = 0;
 	private _isClosingIdle = false;
@@ -208,8 +210,9 @@
 				idempotencyKey: key,
 				mayRetry: incoming.headers[retryHeader] !== 'none',
 			};
+			const {traceId, traceparent} = continueTrace(single(incoming.headers[traceHeader]));
 			const call = new LiveCall(request, {
-				incoming, outgoing, path, body, trace: continueTrace(single(incoming.headers[traceHeader])), stallMilliseconds: this._limits.stallMilliseconds,
+				incoming, outgoing, path, body, traceId, traceparent, dialect: this._dialect, stallMilliseconds: this._limits.stallMilliseconds,
 			}, this._parts.sink, this._parts.connections);
 			this._parts.calls.admit(call, {type: 'call-arrived', request});
 		});
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -1,17 +1,13 @@
 /** One call on this VM: carries out what the call engine decides and tells it what happened. */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
-	type AttemptFailure, type CallEffect, type CallId, type CallOutcome, type CallRequest, type LoadReport,
+	type AttemptFailure, type CallEffect, type CallId, type CallOutcome, type CallRequest,
 } from '../../common/calls/types.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
-import {forwardedHeaders} from '../../common/protocol/forwarding.ts';
-import {
-	declaredNotRunHeader, leavingHeader, loadReportHeader, outcomeHeader, problemTypePrefix, retryHeader, timeoutHeader, traceHeader,
-} from '../../common/protocol/headers.ts';
-import {parseLoadHeader} from '../../common/protocol/load-report.ts';
-import {type TraceContext} from '../logging/trace-context.ts';
+import {type AnswerReading, type Dialect} from '../../common/protocol/dialect.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {BackendAttempt} from './backend-attempt.ts';
+import {HeldAnswer} from './held-answer.ts';
 import {type RequestBody} from './request-body.ts';
 import {type AnswerHead, type AttemptListener, type CallEventSink} from './types.ts';
 
@@ -25,19 +21,25 @@
 	/** Path on the backend server. */
 	readonly path: string;
 	readonly body: RequestBody;
-	readonly trace: TraceContext;
+	/** Identifies the call in all log lines, here and at its caller. */
+	readonly traceId: string;
+	/** W3C trace context to pass on, where the dialect has one. */
+	readonly traceparent?: string;
+	readonly dialect: Dialect;
 	/** A caller that takes no byte for this long is taken for gone. */
 	readonly stallMilliseconds: Milliseconds;
 };
 
 /** A call and its attempts. Ends itself when its answer is out or its caller has gone. */
 export class LiveCall implements AttemptListener {
+	readonly traceId: string;
 	private readonly _request: CallRequest;
 	private readonly _incoming: IncomingMessage;
 	private readonly _outgoing: ServerResponse;
 	private readonly _body: RequestBody;
 	private readonly _path: string;
-	private readonly _trace: TraceContext;
+	private readonly _traceparent: string | undefined;
+	private readonly _dialect: Dialect;
 	private readonly _stallMilliseconds: Milliseconds;
 	private readonly _sink: CallEventSink;
 	private readonly _connections: BackendConnections;
@@ -45,6 +47,7 @@
 	private readonly _startedAttempts: number[] = [];
 	private readonly _resumeOffsets = new Map<number, number>();
 	private readonly _heads = new Map<number, AnswerHead>();
+	private readonly _held = new Map<number, HeldAnswer>();
 	private _passedOn: BackendAttempt | undefined;
 	private _bytesPassedOn = 0;
 	private _isAnswered = false;
@@ -59,7 +62,9 @@
 		this._incoming = exchange.incoming;
 		this._outgoing = exchange.outgoing;
 		this._path = exchange.path;
-		this._trace = exchange.trace;
+		this._traceparent = exchange.traceparent;
+		this._dialect = exchange.dialect;
+		this.traceId = exchange.traceId;
 		this._stallMilliseconds = exchange.stallMilliseconds;
 		this._body = exchange.body;
 		this._sink = sink;
@@ -69,11 +74,6 @@
 		});
 	}
 
-	/** Identifies the call in all log lines, here and below. */
-	get traceId(): string {
-		return this._trace.traceId;
-	}
-
 	get callId(): CallId {
 		return this._request.callId;
 	}
@@ -121,9 +121,16 @@
 			return;
 		}
 
-		const headers = forwardedHeaders(head.headers);
-		headers.push(outcomeHeader, outcome);
+		const held = this._held.get(attemptId);
+		const headers = this._dialect.answerHeaders(head.headers, outcome);
+		if (held?.isWhole === true && head.headers['content-length'] === undefined) {
+			headers.push('content-length', String(held.bytes));
+		}
+
 		this._outgoing.writeHead(head.status, headers);
+		if (held !== undefined) {
+			this._passHeldOn(attempt, held);
+		}
 	}
 
 	/** Cuts the answer off so that its caller can tell: no last chunk, fewer bytes than promised. */
@@ -141,20 +148,8 @@
 			return;
 		}
 
-		const retryAfter = effect.retryAfterMilliseconds;
-		const body = JSON.stringify({
-			type: problemTypePrefix + effect.reason,
-			title: effect.reason.replaceAll('-', ' '),
-			status: effect.status,
-			outcome: effect.outcome,
-			...(retryAfter === undefined ? {} : {retryAfterMilliseconds: Math.ceil(retryAfter)}),
-		});
-		this._outgoing.writeHead(effect.status, {
-			'content-type': 'application/problem+json',
-			'content-length': Buffer.byteLength(body),
-			[outcomeHeader]: effect.outcome,
-			...(retryAfter === undefined ? {} : {'retry-after': String(Math.max(1, Math.ceil(retryAfter / 1000)))}),
-		});
+		const {headers, body} = this._dialect.refusal(effect);
+		this._outgoing.writeHead(effect.status, {...headers, 'content-length': Buffer.byteLength(body)});
 		this._outgoing.end(body);
 	}
 
@@ -163,20 +158,33 @@
 	}
 
 	onHead(attempt: BackendAttempt, head: AnswerHead): void {
+		const reading = this._dialect.readAnswer(head.status, head.headers, this._incoming.headers);
+		if (!reading.isOwn) {
+			// The connection goes too: what else comes on it may belong to anybody.
+			attempt.cancel();
+			this.onFailure(attempt, 'wrong-answer');
+			return;
+		}
+
 		this._heads.set(attempt.id, head);
-		const {etag} = head.headers;
-		this._sink.feed({
-			type: 'attempt-head',
-			attemptId: attempt.id,
-			status: head.status,
-			report: this._report(head),
-			isDeclaredNotRun: head.headers[declaredNotRunHeader] === 'not-run',
-			isReplayable: this._body.isReplayable,
-			validator: this._isExpectedRange(attempt.id, head) && etag?.startsWith('"') ? etag : undefined,
-		});
+		if (this._dialect.heldAnswerBytes > 0) {
+			this._held.set(attempt.id, new HeldAnswer(this._dialect.heldAnswerBytes, reading));
+			return;
+		}
+
+		this._tellHead(attempt, head, reading);
 	}
 
 	onData(attempt: BackendAttempt, chunk: Uint8Array): boolean {
+		const held = this._held.get(attempt.id);
+		if (held !== undefined && attempt !== this._passedOn) {
+			if (!held.add(chunk)) {
+				this._tellHead(attempt, this._heads.get(attempt.id)!, held.reading);
+			}
+
+			return true;
+		}
+
 		if (attempt !== this._passedOn || this._isAnswered) {
 			return true;
 		}
@@ -191,7 +199,11 @@
 	}
 
 	onEnd(attempt: BackendAttempt): void {
-		if (attempt === this._passedOn && !this._isAnswered) {
+		const held = this._held.get(attempt.id);
+		if (held !== undefined && attempt !== this._passedOn) {
+			held.isWhole = true;
+			this._tellHead(attempt, this._heads.get(attempt.id)!, held.reading);
+		} else if (attempt === this._passedOn && !this._isAnswered) {
 			this._isAnswered = true;
 			this._outgoing.end();
 		}
@@ -242,9 +254,38 @@
 		});
 	}
 
+	private _tellHead(attempt: BackendAttempt, head: AnswerHead, reading: AnswerReading): void {
+		const {etag} = head.headers;
+		this._sink.feed({
+			type: 'attempt-head',
+			attemptId: attempt.id,
+			status: head.status,
+			report: reading.report,
+			isDeclaredNotRun: reading.isDeclaredNotRun,
+			isReplayable: this._body.isReplayable,
+			validator: this._isExpectedRange(attempt.id, head) && etag?.startsWith('"') ? etag : undefined,
+		});
+	}
+
+	private _passHeldOn(attempt: BackendAttempt, held: HeldAnswer): void {
+		for (const chunk of held.take()) {
+			this._bytesPassedOn += chunk.length;
+			this._outgoing.write(chunk);
+		}
+
+		if (held.isWhole) {
+			this._isAnswered = true;
+			this._outgoing.end();
+		} else if (this._outgoing.writableNeedDrain) {
+			attempt.pause();
+			this._waitForCaller();
+		}
+	}
+
 	private _requestHeaders(effect: Start): string[] {
-		const headers = forwardedHeaders(this._incoming.headers);
-		headers.push(timeoutHeader, String(Math.max(1, Math.floor(effect.timeoutMilliseconds))), retryHeader, 'none', traceHeader, this._trace.traceparent);
+		const headers = this._dialect.attemptHeaders(this._incoming.headers, {
+			timeoutMilliseconds: effect.timeoutMilliseconds, identity: effect.identity, traceparent: this._traceparent,
+		});
 		if (effect.resume !== undefined) {
 			this._resumeOffsets.set(effect.attemptId, effect.resume.offset);
 			headers.push('range', `bytes=${effect.resume.offset}-`, 'if-range', effect.resume.validator);
@@ -253,15 +294,10 @@
 		return headers;
 	}
 
-	private _report(head: AnswerHead): LoadReport | undefined {
-		const header = head.headers[loadReportHeader];
-		const isLeaving = head.headers[leavingHeader] === 'true';
-		return parseLoadHeader(typeof header === 'string' ? header : undefined, isLeaving);
-	}
-
 	private _forget(attemptId: number): void {
 		this._attempts.delete(attemptId);
 		this._heads.delete(attemptId);
+		this._held.delete(attemptId);
 	}
 
 	private _onCallerClosed(): void {
--- /dev/null
+++ b/src/node/front/page-server.ts
@@ -0,0 +1,58 @@
+/** The pages beside the callers' door: which VMs to use, whether this one is ready, and its counters. */
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {err, ok, type Result} from 'neverthrow';
+import {failure, type Failure} from '../../common/errors/failure.ts';
+import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
+
+/** An answer of a page. */
+export type Page = {
+	readonly status: number;
+	readonly contentType?: string;
+	readonly body?: string;
+};
+
+/** Answers a GET; undefined = there is no such page. */
+export type PageHandler = (url: string) => Page | undefined;
+
+/**
+ * Small pages on a port of their own, straight on node:http. The directory is asked as often as calls come, and through
+ * a router and web streams each answer cost twice the processor time and the process 3 MB more.
+ */
+export class PageServer extends Disposable {
+	private readonly _server: Server;
+
+	constructor(handler: PageHandler, idleMilliseconds: number) {
+		super();
+		this._server = createServer({keepAliveTimeout: idleMilliseconds, noDelay: true}, (incoming, outgoing) => {
+			answer(handler, incoming, outgoing);
+		});
+		this._register(toDisposable(() => {
+			this._server.close();
+			this._server.closeAllConnections();
+		}));
+	}
+
+	async listen(port: number, address: string): Promise<Result<number, Failure<'cannot-listen'>>> {
+		return new Promise(resolve => {
+			this._server.once('error', error => {
+				resolve(err(failure('cannot-listen', `${address}:${port} cannot be listened on: ${error.message}`)));
+			});
+			this._server.listen(port, address, () => {
+				resolve(ok(port));
+			});
+		});
+	}
+}
+
+function answer(handler: PageHandler, incoming: IncomingMessage, outgoing: ServerResponse): void {
+	incoming.resume();
+	const page = incoming.method === 'GET' ? handler(incoming.url ?? '') : undefined;
+	const body = page?.body ?? '';
+	outgoing.writeHead(page?.status ?? 404, {
+		...(page?.contentType === undefined ? {} : {'content-type': page.contentType}),
+		'content-length': Buffer.byteLength(body),
+	});
+	outgoing.end(body);
+}
--- /dev/null
+++ b/src/node/front/routed-server.ts
@@ -0,0 +1,205 @@
+/** The callers' door where calls are told apart by host and path, and go to services as routes say. */
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {err, ok, type Result} from 'neverthrow';
+import {type CallRequest, type RefusalReason} from '../../common/calls/types.ts';
+import {failure, type Failure} from '../../common/errors/failure.ts';
+import {type FleetStage} from '../../common/fleet/types.ts';
+import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
+import {type Milliseconds} from '../../common/model/units.ts';
+import {type RoutedDialect} from '../../common/protocol/dialect.ts';
+import {type RoutedCall, type RouteTable} from '../../common/routing/route-table.ts';
+import {type CallerLimits, type Routing} from '../../common/routing/types.ts';
+import {type BackendConnections} from './backend-connections.ts';
+import {type CallCarrier} from './call-carrier.ts';
+import {LiveCall} from './live-call.ts';
+import {RequestBody} from './request-body.ts';
+import {type CallEventSink} from './types.ts';
+
+/** What the door needs of the rest. */
+export type RoutedServerParts = {
+	readonly sink: CallEventSink;
+	readonly calls: CallCarrier;
+	readonly connections: BackendConnections;
+	readonly dialect: RoutedDialect;
+	readonly routes: RouteTable;
+	/** 64-bit digest of a call's method, path and body start. */
+	readonly fingerprint: (method: string, path: string, body: Uint8Array) => string;
+};
+
+/** Limits that the operators' routes do not set. */
+export type RoutedServerLimits = {
+	/** Bodies up to this size are read whole before the call is placed, and can be sent again. */
+	readonly keptBodyBytes: number;
+	/** Most open connections; one more is closed at once. */
+	readonly connections: number;
+	/** A caller that takes no byte of its answer for this long is taken for gone. */
+	readonly stallMilliseconds: Milliseconds;
+};
+
+/** In force until the operators' own are known. */
+const firstLimits: CallerLimits = {
+	headBytes: 16_384, bodyBytes: 67_108_864, headMilliseconds: 5000, idleMilliseconds: 15_000,
+};
+
+/** When to come back to a VM that has no configuration yet: it reads one within a moment, others have it now. */
+const notReadyRetry: Milliseconds = 200;
+
+/** When to come back after a stopping VM has sent a caller away: at once, to another one. */
+const stoppingRetry: Milliseconds = 20;
+
+/** New connections that may wait for this thread: a full queue costs a caller a second, a rush brings hundreds. */
+const listenBacklog = 1024;
+
+/** Where an answer is made without a call. */
+type Early = {readonly status: number; readonly reason: RefusalReason; readonly retryAfterMilliseconds?: Milliseconds};
+
+/** Serves callers on one port. */
+export class RoutedServer extends Disposable {
+	private readonly _parts: RoutedServerParts;
+	private readonly _limits: RoutedServerLimits;
+	private readonly _server: Server;
+	private _callerLimits = firstLimits;
+	private _stage: FleetStage = 'starting';
+	private _hasRoutes = false;
+	private _lastCallId = 0;
+	private _unfinishedAnswers = 0;
+
+	constructor(parts: RoutedServerParts, limits: RoutedServerLimits) {
+		super();
+		this._parts = parts;
+		this._limits = limits;
+		this._server = createServer({
+			maxHeaderSize: firstLimits.headBytes,
+			headersTimeout: firstLimits.headMilliseconds,
+			requestTimeout: 0,
+			keepAliveTimeout: firstLimits.idleMilliseconds,
+			noDelay: true,
+		}, (incoming, outgoing) => {
+			this._take(incoming, outgoing);
+		});
+		this._server.maxConnections = limits.connections;
+		this._register(toDisposable(() => {
+			this._server.close();
+			this._server.closeAllConnections();
+		}));
+	}
+
+	/** Answers not wholly handed to the operating system yet. */
+	get unfinishedAnswers(): number {
+		return this._unfinishedAnswers;
+	}
+
+	/** Starts to listen; resolves with the port. */
+	async listen(port: number, address: string): Promise<Result<number, Failure<'cannot-listen'>>> {
+		return new Promise(resolve => {
+			const onError = (error: Error) => {
+				resolve(err(failure('cannot-listen', `${address}:${port} cannot be listened on: ${error.message}`, {field: 'callers'})));
+			};
+
+			this._server.once('error', onError);
+			this._server.listen(port, address, listenBacklog, () => {
+				this._server.off('error', onError);
+				const bound = this._server.address();
+				resolve(ok(typeof bound === 'object' && bound !== null ? bound.port : port));
+			});
+		});
+	}
+
+	/** Puts routes and limits in force for calls that come from now on. */
+	configure({routes, limits}: Routing): void {
+		this._parts.routes.replace(routes);
+		this._callerLimits = limits;
+		this._server.headersTimeout = limits.headMilliseconds;
+		this._server.keepAliveTimeout = limits.idleMilliseconds;
+		this._hasRoutes = true;
+	}
+
+	/** The VM's life goes on; from `leaving` on each connection ends after its answer, from `draining` on no call is taken. */
+	enter(stage: FleetStage): void {
+		this._stage = stage;
+		if (stage === 'leaving') {
+			this._server.closeIdleConnections();
+		}
+	}
+
+	private _take(incoming: IncomingMessage, outgoing: ServerResponse): void {
+		this._unfinishedAnswers++;
+		outgoing.once('close', () => {
+			this._unfinishedAnswers--;
+		});
+		if (this._stage !== 'serving') {
+			outgoing.setHeader('connection', 'close');
+		}
+
+		if (this._stage === 'draining' || this._stage === 'ended') {
+			this._answerEarly(incoming, outgoing, {status: 503, reason: 'stopping', retryAfterMilliseconds: stoppingRetry});
+			return;
+		}
+
+		if (!this._hasRoutes) {
+			this._answerEarly(incoming, outgoing, {status: 503, reason: 'not-ready', retryAfterMilliseconds: notReadyRetry});
+			return;
+		}
+
+		const routed = this._parts.routes.match(incoming.headers.host ?? '', incoming.url ?? '');
+		if (routed === undefined) {
+			this._answerEarly(incoming, outgoing, {status: 404, reason: 'unknown-service'});
+			return;
+		}
+
+		this._read(incoming, outgoing, routed);
+	}
+
+	private _read(incoming: IncomingMessage, outgoing: ServerResponse, routed: RoutedCall): void {
+		const body = new RequestBody(incoming, {bodyBytes: this._callerLimits.bodyBytes, keptBodyBytes: this._limits.keptBodyBytes});
+		if (body.isTooLarge) {
+			outgoing.setHeader('connection', 'close');
+			this._answerEarly(incoming, outgoing, {status: 413, reason: 'unknown-service'});
+			return;
+		}
+
+		const arrivedAt = performance.now();
+		body.read(() => {
+			if (!outgoing.destroyed) {
+				this._admit(incoming, outgoing, {routed, body, arrivedAt});
+			}
+		});
+	}
+
+	private _admit(incoming: IncomingMessage, outgoing: ServerResponse, {routed, body, arrivedAt}: {routed: RoutedCall; body: RequestBody; arrivedAt: number}): void {
+		const {dialect, sink, connections, calls, fingerprint} = this._parts;
+		this._lastCallId += 1;
+		const method = incoming.method!;
+		const path = incoming.url!;
+		const {traceId, timeoutMilliseconds} = dialect.readRequest(incoming.headers);
+		const read = performance.now() - arrivedAt;
+		const request: CallRequest = {
+			callId: this._lastCallId,
+			service: routed.service,
+			caller: incoming.socket.remoteAddress ?? '',
+			method,
+			path,
+			fingerprint: fingerprint(method, path, body.kept),
+			timeoutMilliseconds: timeoutMilliseconds === undefined ? undefined : Math.max(1, timeoutMilliseconds - read),
+			bodyBytes: body.isReplayable ? body.kept.length : undefined,
+			idempotencyKey: undefined,
+			mayRetry: true,
+			rule: routed.route.rule,
+		};
+		const call = new LiveCall(request, {
+			incoming, outgoing, path, body, traceId, dialect, stallMilliseconds: this._limits.stallMilliseconds,
+		}, sink, connections);
+		calls.admit(call, {type: 'call-arrived', request});
+	}
+
+	private _answerEarly(incoming: IncomingMessage, outgoing: ServerResponse, {status, reason, retryAfterMilliseconds}: Early): void {
+		incoming.resume();
+		const {headers, body} = this._parts.dialect.refusal({
+			status, reason, outcome: 'not-run', retryAfterMilliseconds,
+		});
+		outgoing.writeHead(status, {...headers, 'content-length': Buffer.byteLength(body)});
+		outgoing.end(body);
+	}
+}
--- a/src/node/front/test-utilities.test.ts
+++ b/src/node/front/test-utilities.test.ts
@@ -4,6 +4,7 @@
 import {type CallSummary} from '../../common/calls/types.ts';
 import {type DisposableStore, toDisposable} from '../../common/lifecycle/disposable.ts';
 import {backendServerSchema, serviceSchema} from '../../common/model/resources.ts';
+import {JaydaleDialect} from '../../common/protocol/jaydale-dialect.ts';
 import {seededRandom} from '../../common/random/random.ts';
 import {type BackendServerStandIn} from '../../stand-ins/backend-server/backend-server-stand-in.ts';
 import {ProcessClock} from '../clock.ts';
@@ -27,7 +28,7 @@
 	const connections = store.add(new BackendConnections({connectMilliseconds: 1000, idleMilliseconds: 5000}));
 	const engine = new DefaultCallEngine({random: seededRandom(1), settings: {dataCentre: 'north'}});
 	const loop = store.add(new DeciderLoop(engine, new ProcessClock()));
-	const calls = store.add(new CallCarrier(loop, new LoadMeasurer(connections), noKeys));
+	const calls = store.add(new CallCarrier(loop, new LoadMeasurer(connections, new JaydaleDialect()), noKeys));
 	loop.setCarrier(effect => {
 		if (effect.type !== 'tell-peers') {
 			calls.carryOut(effect);
--- a/src/node/settings/load-settings.ts
+++ b/src/node/settings/load-settings.ts
@@ -57,7 +57,8 @@
 	}
 }
 
-function checkAgainst<Schema extends z.ZodType>(schema: Schema, input: unknown): Result<z.infer<Schema>, SettingsFailure[]> {
+/** Checks input against a schema; every fault names its field. */
+export function checkAgainst<Schema extends z.ZodType>(schema: Schema, input: unknown): Result<z.infer<Schema>, SettingsFailure[]> {
 	const parsed = schema.safeParse(input);
 	return parsed.success ? ok(parsed.data) : err(inputFailures(parsed.error, input, schema));
 }
--- a/src/proof/bad-input.test.ts
+++ b/src/proof/bad-input.test.ts
@@ -8,6 +8,7 @@
 import {DisposableStore, toDisposable} from '../common/lifecycle/disposable.ts';
 import {backendServerSchema, serviceSchema} from '../common/model/resources.ts';
 import {forwardedHeaders} from '../common/protocol/forwarding.ts';
+import {JaydaleDialect} from '../common/protocol/jaydale-dialect.ts';
 import {parseLoadBody, parseLoadHeader} from '../common/protocol/load-report.ts';
 import {seededRandom} from '../common/random/random.ts';
 import {ProcessClock} from '../node/clock.ts';
@@ -57,7 +58,7 @@
 	});
 	const connections = store.add(new BackendConnections({connectMilliseconds: 500, idleMilliseconds: 500, silenceMilliseconds: 300}));
 	const loop = store.add(new DeciderLoop(new DefaultCallEngine({random: seededRandom(1), settings: {dataCentre: 'north'}}), new ProcessClock()));
-	const calls = store.add(new CallCarrier(loop, new LoadMeasurer(connections), {claim: () => undefined, release: async () => undefined}));
+	const calls = store.add(new CallCarrier(loop, new LoadMeasurer(connections, new JaydaleDialect()), {claim: () => undefined, release: async () => undefined}));
 	loop.setCarrier(effect => {
 		if (effect.type !== 'tell-peers') {
 			calls.carryOut(effect);
