Place by the objective; refuse early what cannot be served; pass lengthless answers on as they came

Ruled out: a reset taken for an end (the trace shows a plain end); the learnt concurrency limit, which knows a rush only after it.

Change: a call goes where it is answered within its objective, waits a quarter of it for such a place, then takes the slowest that still answers before its deadline or is refused; work times are learnt from quiet backend servers; bytes between data centres decide between places, not whether one is in time; answers without a length end with the connection.

--- a/src/common/calls/admission.ts
+++ b/src/common/calls/admission.ts
@@ -1,11 +1,18 @@
 /** Decides whether a call starts, waits or is refused. */
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type AttemptRunner} from './attempt-runner.ts';
-import {type Call} from './call.ts';
+import {type Call, objectiveOf} from './call.ts';
 import {type CallEndings} from './call-endings.ts';
+import {isImpatient} from './demand-placer.ts';
 import {type EngineContext} from './engine-context.ts';
 import {type ServiceState} from './service-state.ts';
 
+/**
+ * Part of its objective that a call waits at most where measuring is on demand. A caller that is told to come back within
+ * a third of its objective can still be answered in time; one that is held longer cannot.
+ */
+const longestWaitPart = 0.33;
+
 /** Calls that one look for room may take out of the queue: each asks several backend servers. */
 const callsALook = 2;
 
@@ -42,7 +49,7 @@
 		}
 
 		service.retryBudget.deposit(service.declared.retryShare);
-		if (service.queue.size === 0 && service.inFlight < service.limit.value && this._runner.start(call, 'first', now)) {
+		if (service.queue.size === 0 && hasConcurrency(service) && this._runner.start(call, 'first', now)) {
 			return;
 		}
 
@@ -52,7 +59,7 @@
 	/** Starts waiting calls as far as the limit allows. */
 	drain(service: ServiceState, now: Instant): void {
 		let left = service.isMeasuredOnDemand ? callsALook : Infinity;
-		while (service.queue.size > 0 && service.inFlight < service.limit.value && left > 0) {
+		while (service.queue.size > 0 && hasConcurrency(service) && left > 0) {
 			left--;
 			const call = service.queue.take(caller => this._mayStart(service, caller)) ?? service.queue.take(() => true);
 			if (call === undefined) {
@@ -79,6 +86,11 @@
 
 	private _enqueue(call: Call, now: Instant): void {
 		const service = call.serviceState;
+		if (service.isMeasuredOnDemand && isImpatient(call, now)) {
+			this._endings.refuse(call, 'overloaded', now);
+			return;
+		}
+
 		const remaining = call.deadline - now;
 		const wait = service.waitFor(service.queue.aheadOf(call.request.caller) + 1);
 		if (wait > this._acceptableWait(call, remaining, now)) {
@@ -95,7 +107,7 @@
 		}
 
 		if (call.state === 'queued') {
-			call.timers.push(this._context.timers.add(Math.max(now, call.deadline - call.class.answerMean), {type: 'latest-start', call}));
+			call.timers.push(this._context.timers.add(Math.max(now, latestStart(call)), {type: 'latest-start', call}));
 		}
 	}
 
@@ -110,6 +122,10 @@
 	private _acceptableWait(call: Call, remaining: number, now: Instant): number {
 		const {standingSince} = call.serviceState;
 		const {standingMilliseconds, standingWaitPart} = this._context.tuning;
+		if (call.serviceState.isMeasuredOnDemand) {
+			return call.arrivedAt + (longestWaitPart * objectiveOf(call)) - now;
+		}
+
 		const isStanding = standingSince !== undefined && now - standingSince > standingMilliseconds;
 		return (remaining - call.class.answerMean) * (isStanding ? standingWaitPart : 1);
 	}
@@ -119,3 +135,16 @@
 		return service.callerInFlight(caller) < Math.max(1, service.sharing.callerShare * service.limit.value);
 	}
 }
+
+/**
+ * Where measuring is on demand, the reports of the backend servers themselves say whether there is room: the limit that
+ * is learnt from their queues would only know it later.
+ */
+function hasConcurrency(service: ServiceState): boolean {
+	return service.isMeasuredOnDemand || service.inFlight < service.limit.value;
+}
+
+/** Started later, a call would not be answered in time; where measuring is on demand, it would miss its objective. */
+function latestStart(call: Call): Instant {
+	return call.serviceState.isMeasuredOnDemand ? call.arrivedAt + (longestWaitPart * objectiveOf(call)) : call.deadline - call.class.answerMean;
+}
--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -1,8 +1,8 @@
 /** Starts attempts and follows them to their end: retries, hedges, resumed downloads. */
-import {type Instant} from '../model/units.ts';
+import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type BackendServerState} from './backend-server-state.ts';
 import {
-	type Attempt, type AttemptPurpose, type Call, isBodiless, objectiveOf, outcomeSoFar,
+	type Attempt, type AttemptPurpose, type Call, isBodiless, objectiveOf, outcomeSoFar, workEstimate,
 } from './call.ts';
 import {type CallEndings} from './call-endings.ts';
 import {type EngineContext, vmCountOf} from './engine-context.ts';
@@ -35,15 +35,18 @@
 /** Answers of a class before its quantile is good enough to hedge by. */
 const samplesToHedge = 50;
 
-/** Quantile that stands for a usual answer: slow phases reach less than half of all calls. */
-const usualQuantile = 0.5;
-
 /** Usual answer times that a hedge is given before the objective: nine in ten answers of a quiet backend server fit. */
 const hedgeReserve = 1.35;
 
 /** No hedge before this many usual answer times: three in four calls have been answered by then. */
 const leastHedgeDelay = 1.25;
 
+/** Work time, against the usual, up to which a backend server's VM counts as quiet. */
+const quietFactor = 1.2;
+
+/** Part of its slots up to which a backend server does not slow itself down. */
+const quietLoad = 0.8;
+
 /** Failures that prove that nothing ran. */
 const notRunFailures = new Set<AttemptFailure>(['connection-refused', 'not-sent']);
 
@@ -64,6 +67,20 @@
 	readonly measure: (server: BackendServerState) => void;
 };
 
+/** Nothing slows the backend server down: neither neighbours nor its own load. */
+function isQuiet({workTimeFactor = 1, inFlight, queued, slots}: LoadReport): boolean {
+	return workTimeFactor <= quietFactor && inFlight + queued <= quietLoad * slots;
+}
+
+/**
+ * Where measuring is on demand, slow phases hit a tenth of all calls and more, so that a high quantile is itself the time
+ * of a slow one. A call is then tried again as long as a usual answer still comes within its objective.
+ */
+function hedgeDelay(call: Call, now: Instant): Milliseconds {
+	const usual = workEstimate(call);
+	return Math.max(call.arrivedAt + objectiveOf(call) - (usual * hedgeReserve) - now, usual * leastHedgeDelay);
+}
+
 /** Runs attempts. */
 export class AttemptRunner {
 	private readonly _context: EngineContext;
@@ -140,7 +157,7 @@
 
 	private _launch(call: Call, purpose: AttemptPurpose, now: Instant, resume?: {readonly offset: number; readonly validator: string}): boolean {
 		const placer = call.serviceState.isMeasuredOnDemand ? this._demandPlacer : this._placer;
-		const placement = this._context.isPlacingHeld ? undefined : placer.place(call, now);
+		const placement = this._context.isPlacingHeld ? undefined : placer.place(call, now, purpose);
 		if (placement === undefined) {
 			return false;
 		}
@@ -314,30 +331,18 @@
 		const {hedgeQuantile, hedgeFloorMilliseconds} = this._context.tuning;
 		const isRead = isBodiless(call.request);
 		const times = call.class.answerTimes;
-		if (hedgeQuantile >= 1 || !isRead || !call.isIdempotent || !call.request.mayRetry || times.count < samplesToHedge) {
+		const isOnDemand = call.serviceState.isMeasuredOnDemand;
+		if (hedgeQuantile >= 1 || !isRead || !call.isIdempotent || !call.request.mayRetry || (!isOnDemand && times.count < samplesToHedge)) {
 			return;
 		}
 
-		const at = now + Math.max(this._hedgeDelay(call, times.quantile(hedgeQuantile)!), hedgeFloorMilliseconds);
+		const delay = isOnDemand ? hedgeDelay(call, now) : times.quantile(hedgeQuantile)!;
+		const at = now + Math.max(delay, hedgeFloorMilliseconds);
 		if (at < call.deadline) {
 			call.timers.push(this._context.timers.add(at, {type: 'hedge', attempt}));
 		}
 	}
 
-	/**
-	 * Where measuring is on demand, slow phases hit a tenth of all calls and more, so that a high quantile is itself the
-	 * time of a slow one. A call is then tried again as long as a usual answer still comes within its objective.
-	 */
-	private _hedgeDelay(call: Call, byQuantile: number): number {
-		if (!call.serviceState.isMeasuredOnDemand) {
-			return byQuantile;
-		}
-
-		const usual = call.class.answerTimes.quantile(usualQuantile)!;
-		const latest = objectiveOf(call) - (usual * hedgeReserve);
-		return Math.min(byQuantile, Math.max(latest, usual * leastHedgeDelay));
-	}
-
 	private _learn(attempt: Attempt, hasFailed: boolean, report: LoadReport | undefined, now: Instant): void {
 		const {call, server} = attempt;
 		call.serviceState.noteAnswer(hasFailed);
@@ -353,6 +358,10 @@
 		}
 
 		call.class.addAnswer(time);
+		if (report !== undefined && isQuiet(report)) {
+			call.class.addWork(time);
+		}
+
 		call.serviceState.classes.all.addAnswer(time);
 		const {answerMean} = call.class;
 		call.serviceState.limit.onAnswer({
--- a/src/common/calls/call-classes.ts
+++ b/src/common/calls/call-classes.ts
@@ -21,15 +21,19 @@
 	answerMean: Milliseconds;
 	/** Mean time that a slot is held: to the end of the answer. */
 	holdMean: Milliseconds;
+	/** Mean time of an answer at a backend server that nothing slows down; the mean of all until one was seen. */
+	workMean: Milliseconds;
 	/** Mean size of a whole answer in bytes. */
 	answerBytesMean = 0;
 	readonly answerTimes = new DecayingHistogram(memory);
 	private _count = 0;
+	private _workCount = 0;
 
 	/** Before the first answer the mean of the whole service stands in. */
 	constructor(guess: Milliseconds) {
 		this.answerMean = guess;
 		this.holdMean = guess;
+		this.workMean = guess;
 	}
 
 	addAnswer(time: Milliseconds): void {
@@ -38,6 +42,17 @@
 		this.answerTimes.add(time);
 	}
 
+	/** An answer of a backend server with free slots and a quiet VM. */
+	addWork(time: Milliseconds): void {
+		this._workCount++;
+		this.workMean += (time - this.workMean) / Math.min(this._workCount, memory);
+	}
+
+	/** An answer has told how long the work takes. */
+	get hasWork(): boolean {
+		return this._workCount > 0;
+	}
+
 	addBytes(bytes: number): void {
 		this.answerBytesMean += (bytes - this.answerBytesMean) / Math.min(Math.max(1, this._count), memory);
 	}
--- a/src/common/calls/call.ts
+++ b/src/common/calls/call.ts
@@ -115,6 +115,14 @@
 	return call.request.rule?.objectiveMilliseconds ?? call.service.objective.latencyMilliseconds;
 }
 
+/** Part of its objective that a call's work is taken to need until an answer has told. */
+const assumedWorkPart = 0.35;
+
+/** Time that the work of a call takes at a backend server that nothing slows down. */
+export function workEstimate(call: Call): Milliseconds {
+	return call.class.hasWork ? call.class.workMean : assumedWorkPart * objectiveOf(call);
+}
+
 /** A call without a body to keep: it can be sent again as it is. */
 export function isBodiless(request: CallRequest): boolean {
 	return request.method === 'GET' || request.method === 'HEAD' || request.bodyBytes === 0;
--- a/src/common/calls/demand-placer.ts
+++ b/src/common/calls/demand-placer.ts
@@ -1,7 +1,9 @@
 /** Chooses candidates to measure, and among them the backend server that will answer soonest. */
 import {type Instant} from '../model/units.ts';
 import {type BackendServerState} from './backend-server-state.ts';
-import {type Call} from './call.ts';
+import {
+	type AttemptPurpose, type Call, objectiveOf, workEstimate,
+} from './call.ts';
 import {type EngineContext} from './engine-context.ts';
 import {type Placement, type Placer, connectionLimit} from './placer.ts';
 
@@ -32,7 +34,21 @@
 /** How long a report of the work time holds, in milliseconds: neighbours come and go in pieces of half a second. */
 const factorMemory = 350;
 
-/** Places by reports that were fetched for the attempt, or are as young. */
+/** Times are estimates of a mean; nine in ten answers come within this many of it. */
+const reserve = 1.25;
+
+/**
+ * Part of its objective for which a call waits for a backend server that will answer within it. Later a refusal would
+ * leave its caller no time to come back within the objective.
+ */
+const patience = 0.25;
+
+/**
+ * Places by reports that were fetched for the attempt, or are as young. Answers the pattern "overload of backend servers
+ * that slow down when they are full": a call goes where it will be answered within its objective, and waits for such a
+ * place for a moment. One that can no longer be answered in time must not take a quick place from one that can: it goes
+ * to the slowest backend server that still answers before its deadline, or is refused.
+ */
 export class DemandPlacer implements Placer {
 	private readonly _context: EngineContext;
 
@@ -46,7 +62,7 @@
 		for (const server of call.serviceState.servers) {
 			if (this._mayTake(server, call) && !this._isLeftOut(server)) {
 				const chance = 1 + ((this._context.random.next() - 0.5) * candidateSpread);
-				scored.push({server, score: this._cost(server, call, now) * chance});
+				scored.push({server, score: (this._answerTime(server, call, now) + this._bytesCost(server, call)) * chance});
 			}
 		}
 
@@ -54,22 +70,37 @@
 		return scored.slice(0, count).map(({server}) => server);
 	}
 
-	place(call: Call, now: Instant): Placement | undefined {
+	place(call: Call, now: Instant, purpose: AttemptPurpose = 'first'): Placement | undefined {
+		const untilObjective = call.arrivedAt + objectiveOf(call) - now;
+		const untilDeadline = call.deadline - now;
+		const isPatient = purpose === 'first' && !isImpatient(call, now);
 		let best: BackendServerState | undefined;
 		let least = Infinity;
+		let slowest: BackendServerState | undefined;
+		let most = 0;
 		for (const server of call.serviceState.servers) {
 			if (!this._mayTake(server, call) || !hasRoom(server)) {
 				continue;
 			}
 
-			const cost = this._cost(server, call, now);
-			if (cost < least) {
+			const time = this._answerTime(server, call, now);
+			const cost = time + this._bytesCost(server, call);
+			if (cost < least && time * reserve <= untilObjective) {
 				least = cost;
 				best = server;
 			}
+
+			if (time > most && time * reserve <= untilDeadline && server.reportedLoad < server.declared.slots) {
+				most = time;
+				slowest = server;
+			}
 		}
 
-		return best === undefined ? undefined : {server: best, isExperiment: false};
+		if (best !== undefined) {
+			return placementOf(best);
+		}
+
+		return isPatient || purpose === 'hedge' ? undefined : placementOf(slowest);
 	}
 
 	/** One that does not answer its measuring calls is asked by few calls only, so that its silence delays few. */
@@ -86,15 +117,15 @@
 	}
 
 	/** Milliseconds until the answer, as far as is known. */
-	private _cost(server: BackendServerState, call: Call, now: Instant): number {
+	private _answerTime(server: BackendServerState, call: Call, now: Instant): number {
 		const slots = Math.max(1, server.slotsAt(now));
 		const load = server.reportedLoad + 1;
-		const work = Math.max(1, call.class.answerMean) * this._workTimeFactor(server, now);
+		const work = workEstimate(call) * this._workTimeFactor(server, now);
 		const knee = load > kneeAt * server.declared.slots ? kneeFactor : 1;
 		const wait = Math.max(0, load - slots) / slots;
 		const silence = server.unansweredMeasurings >= silentAfter ? this._context.tuning.failurePenalty : 1;
 		const failing = 1 + (this._context.tuning.failurePenalty * server.failingAt(now));
-		return (work * (knee + wait) * failing * silence) + this._remoteCost(server, call);
+		return (work * (knee + wait) * failing * silence) + (this._isLocal(server) ? 0 : this._context.tuning.remoteMilliseconds);
 	}
 
 	private _workTimeFactor(server: BackendServerState, now: Instant): number {
@@ -107,16 +138,25 @@
 		return unknownFactor + ((known - unknownFactor) * trust);
 	}
 
-	private _remoteCost(server: BackendServerState, call: Call): number {
-		if (server.declared.dataCentre === this._context.settings.dataCentre) {
-			return 0;
-		}
+	private _isLocal(server: BackendServerState): boolean {
+		return server.declared.dataCentre === this._context.settings.dataCentre;
+	}
 
-		const {remoteMilliseconds, remoteMillisecondsPerKilobyte} = this._context.tuning;
-		return remoteMilliseconds + (remoteMillisecondsPerKilobyte * call.class.answerBytesMean / 1024);
+	/** What the way of the answer's bytes costs, as time; it decides between backend servers, not whether one is in time. */
+	private _bytesCost(server: BackendServerState, call: Call): number {
+		return this._isLocal(server) ? 0 : this._context.tuning.remoteMillisecondsPerKilobyte * call.class.answerBytesMean / 1024;
 	}
 }
 
+function placementOf(server: BackendServerState | undefined): Placement | undefined {
+	return server === undefined ? undefined : {server, isExperiment: false};
+}
+
+/** A call has waited for a backend server that answers within its objective as long as that makes sense. */
+export function isImpatient(call: Call, now: Instant): boolean {
+	return now - call.arrivedAt >= patience * objectiveOf(call);
+}
+
 /** Room by what was reported; a backend server that reports nothing is bounded by its connections. */
 function hasRoom(server: BackendServerState): boolean {
 	return server.report === undefined || server.reportedLoad < server.declared.slots + queueRoom;
--- a/src/common/calls/placer.ts
+++ b/src/common/calls/placer.ts
@@ -2,7 +2,7 @@
 import {type BackendServer} from '../model/resources.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type BackendServerState} from './backend-server-state.ts';
-import {type Call, isBodiless} from './call.ts';
+import {type AttemptPurpose, type Call, isBodiless} from './call.ts';
 import {type EngineContext, vmCountOf} from './engine-context.ts';
 
 /** A choice. */
@@ -15,7 +15,7 @@
 /** Chooses backend servers. */
 export type Placer = {
 	/** Undefined = no backend server may take this call now. */
-	place(call: Call, now: Instant): Placement | undefined;
+	place(call: Call, now: Instant, purpose?: AttemptPurpose): Placement | undefined;
 };
 
 /** Width of the bend between "a slot is free" and "it waits", in calls: the load is only estimated. */
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -14,6 +14,14 @@
 type Start = CallEffect & {type: 'start-attempt'};
 type Refusal = CallEffect & {type: 'refuse'};
 
+/** Statuses whose answers have no body, so that nothing tells its length. */
+const bodilessStatuses = new Set([204, 304]);
+
+/** An answer that tells no length ends with its connection (RFC 9112, 6.3). */
+function isEndedByConnection({status, headers}: AnswerHead): boolean {
+	return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined && !bodilessStatuses.has(status);
+}
+
 /** The caller's side of a call. */
 export type Exchange = {
 	readonly incoming: IncomingMessage;
@@ -123,7 +131,9 @@
 
 		const held = this._held.get(attemptId);
 		const headers = this._dialect.answerHeaders(head.headers, outcome);
-		if (held?.isWhole === true && head.headers['content-length'] === undefined) {
+		if (isEndedByConnection(head)) {
+			this._endByConnection(headers);
+		} else if (held?.isWhole === true && head.headers['content-length'] === undefined) {
 			headers.push('content-length', String(held.bytes));
 		}
 
@@ -254,6 +264,17 @@
 		});
 	}
 
+	/**
+	 * Guards against vouching for an answer whose length nobody told: a backend server that dies in the middle of it
+	 * closes its connection just as at its end. Passed on with a length or in chunks it would look whole; so it ends as it
+	 * came, with the connection.
+	 */
+	private _endByConnection(headers: string[]): void {
+		headers.push('connection', 'close');
+		this._outgoing.removeHeader('transfer-encoding');
+		this._outgoing.shouldKeepAlive = false;
+	}
+
 	private _tellHead(attempt: BackendAttempt, head: AnswerHead, reading: AnswerReading): void {
 		const {etag} = head.headers;
 		this._sink.feed({
--- a/src/node/front/unframed-answer.test.ts
+++ b/src/node/front/unframed-answer.test.ts
@@ -1,9 +1,9 @@
-import {type Socket} from 'node:net';
+import {connect, type Socket} from 'node:net';
 import {expect} from 'earl';
 import {DisposableStore} from '../../common/lifecycle/disposable.ts';
 import {BackendAttempt} from './backend-attempt.ts';
 import {BackendConnections} from './backend-connections.ts';
-import {startRaw} from './test-utilities.test.ts';
+import {startFront, startRaw} from './test-utilities.test.ts';
 import {type AttemptListener} from './types.ts';
 
 /** What becomes of one attempt against a backend server that answers so. */
@@ -69,3 +69,39 @@
 		expect(outcome).toEqual('reset-during-answer');
 	});
 });
+
+describe('a call whose answer has no length', () => {
+	// Story: a backend server dies in the middle of an answer that has no length; its connection closes as at the end of
+	// one. The caller gets the half that came, with a length that jaydale counted: it looks whole.
+	// Cause: jaydale framed what nobody had framed. Passed on as it came, the answer ends with the connection.
+	it('is answered without a length too', async () => {
+		const store = new DisposableStore();
+		const port = await startRaw(store, socket => {
+			socket.once('data', () => {
+				socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf');
+			});
+		});
+		const front = await startFront(store, [port]);
+		const answer = await rawAnswer(new URL(front.url).port, `${new URL(front.url).pathname}/a`);
+		store.dispose();
+		expect(answer.toLowerCase().includes('content-length')).toEqual(false);
+		expect(answer.toLowerCase().includes('transfer-encoding')).toEqual(false);
+		expect(answer.endsWith('\r\n\r\nhalf')).toEqual(true);
+	});
+});
+
+/** Everything that comes back on one connection until it is closed. */
+async function rawAnswer(port: string, path: string): Promise<string> {
+	return new Promise(resolve => {
+		const socket = connect(Number(port), '127.0.0.1', () => {
+			socket.write(`GET ${path} HTTP/1.1\r\nHost: one\r\n\r\n`);
+		});
+		let text = '';
+		socket.on('data', chunk => {
+			text += chunk.toString();
+		});
+		socket.on('close', () => {
+			resolve(text);
+		});
+	});
+}
