Test the platform's whole path, its store, documents and headers, and placing on demand

Found by them: a call was refused at once where its VM had nothing in flight, since the wait was reckoned from own calls; a call with a short objective was refused though a slow backend server had room; with nothing known, calls waited though waiting could teach nothing.

--- a/src/common/calls/admission.ts
+++ b/src/common/calls/admission.ts
@@ -81,6 +81,13 @@
 
 	/** The latest start of a queued call has passed: it could only become work that nobody waits for. */
 	expire(call: Call, now: Instant): void {
+		if (call.serviceState.isMeasuredOnDemand) {
+			call.serviceState.queue.remove(call);
+			if (this._runner.startUnscouted(call, now)) {
+				return;
+			}
+		}
+
 		this._endings.refuse(call, 'overloaded', now);
 	}
 
@@ -91,9 +98,7 @@
 			return;
 		}
 
-		const remaining = call.deadline - now;
-		const wait = service.waitFor(service.queue.aheadOf(call.request.caller) + 1);
-		if (wait > this._acceptableWait(call, remaining, now)) {
+		if (this._isTooLong(call, now)) {
 			this._endings.refuse(call, 'overloaded', now);
 			return;
 		}
@@ -119,13 +124,20 @@
 		}
 	}
 
+	/** Whether the backlog says that a call's turn would come too late. */
+	private _isTooLong(call: Call, now: Instant): boolean {
+		const service = call.serviceState;
+		if (service.isMeasuredOnDemand) {
+			return service.queue.size >= callsALook * (latestStart(call) - now) / queueLookMilliseconds;
+		}
+
+		const wait = service.waitFor(service.queue.aheadOf(call.request.caller) + 1);
+		return wait > this._acceptableWait(call, call.deadline - now, now);
+	}
+
 	private _acceptableWait(call: Call, remaining: number, now: Instant): number {
 		const {standingSince} = call.serviceState;
 		const {standingMilliseconds, standingWaitPart} = this._context.tuning;
-		if (call.serviceState.isMeasuredOnDemand) {
-			return call.arrivedAt + (longestWaitPart * objectiveOf(call)) - now;
-		}
-
 		const isStanding = standingSince !== undefined && now - standingSince > standingMilliseconds;
 		return (remaining - call.class.answerMean) * (isStanding ? standingWaitPart : 1);
 	}
--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -142,6 +142,11 @@
 		return true;
 	}
 
+	/** Starts the first attempt by what is known already; false = no backend server may take it now. */
+	startUnscouted(call: Call, now: Instant): boolean {
+		return this._launch(call, 'first', now);
+	}
+
 	private _startScouted(call: Call, {purpose, reason}: Scouting, now: Instant): void {
 		const isWanted = purpose === 'hedge' ? call.state === 'running' && call.attempts.size > 0 : call.state !== 'ended' && call.state !== 'answering';
 		if (!isWanted || this._launch(call, purpose, now) || purpose === 'hedge') {
--- a/src/common/calls/demand-placer.ts
+++ b/src/common/calls/demand-placer.ts
@@ -28,8 +28,11 @@
 /** Work at the knee takes about this much longer. */
 const kneeFactor = 1.6;
 
-/** Work time assumed where nothing young is known: two thirds of backend servers are quiet, the others several times slower. */
-const unknownFactor = 2.5;
+/**
+ * Work time assumed where nothing young is known. Two thirds of backend servers are quiet and the others several times
+ * slower: worse than any quiet one, and good enough to be tried when reports do not come.
+ */
+const unknownFactor = 1.7;
 
 /** How long a report of the work time holds, in milliseconds: neighbours come and go in pieces of half a second. */
 const factorMemory = 350;
--- /dev/null
+++ b/src/common/calls/demand-placing.test.ts
@@ -0,0 +1,183 @@
+import {expect} from 'earl';
+import {
+	configurationOf, EngineDriver, linesOf, reportOf, requestOf, type Start, startIn,
+} from './engine-driver.test.ts';
+import {type CallEffect, type CallRule, type LoadReport} from './types.ts';
+
+type Measure = CallEffect & {type: 'measure'};
+
+const rule: CallRule = {
+	isIdempotent: true, timeoutMilliseconds: 1200, objectiveMilliseconds: 300, mostAttempts: 3, priority: 0,
+};
+
+/** An engine whose only service is measured on demand; it may send as many measuring calls as a test needs. */
+function driverOf(serverCount: number, callsPerWindow = 10_000): EngineDriver {
+	return new EngineDriver(configurationOf(serverCount, {retryShare: 1, measuring: {mode: 'on-demand', callsPerWindow}}));
+}
+
+function readOf(callId: number, changes: Partial<CallRule> = {}) {
+	return requestOf(callId, {
+		method: 'GET', bodyBytes: 0, timeoutMilliseconds: 1200, rule: {...rule, ...changes},
+	});
+}
+
+function measuresOf(effects: readonly CallEffect[]): Measure[] {
+	return effects.filter((effect): effect is Measure => effect.type === 'measure');
+}
+
+/** Answers measuring calls by what is known of each backend server; the effects that follow. */
+function answer(driver: EngineDriver, measures: readonly Measure[], reportFor: (identity: string) => LoadReport | undefined): CallEffect[] {
+	return measures.flatMap(({measurementId, identity}) => [...driver.handle({type: 'measured', measurementId, report: reportFor(identity)})]);
+}
+
+const quiet = () => reportOf('p', {workTimeFactor: 1});
+const slow = () => reportOf('p', {workTimeFactor: 7});
+
+describe('placing by measuring on demand', () => {
+	// Story: neighbours make work on a third of the backend servers seven times as long, for half a second at a time. Placed
+	// by reports that came with old answers, every third call is late.
+	it('asks a few backend servers and takes the one that is quiet now', () => {
+		const driver = driverOf(10);
+		const measures = measuresOf(driver.handle({type: 'call-arrived', request: readOf(1)}));
+		expect(measures.length).toEqual(4);
+		const quietOne = measures[2]!.identity;
+		const start = startIn(answer(driver, measures, identity => identity === quietOne ? quiet() : slow()));
+		expect(start?.identity).toEqual(quietOne);
+	});
+
+	it('asks nobody again whose report is young, and shares one measuring call between calls', () => {
+		const driver = driverOf(4);
+		const first = measuresOf(driver.handle({type: 'call-arrived', request: readOf(1)}));
+		const second = measuresOf(driver.handle({type: 'call-arrived', request: readOf(2)}));
+		const starts = answer(driver, first, quiet).filter(effect => effect.type === 'start-attempt');
+		driver.now += 20;
+		const third = driver.handle({type: 'call-arrived', request: readOf(3)});
+		expect([first.length, second.length, starts.length, measuresOf(third).length, startIn(third) === undefined]).toEqual([4, 0, 2, 0, false]);
+	});
+
+	// Story: backend servers fall silent, or a VM is busy: reports do not come. A call that waits for them to its deadline
+	// is lost though any backend server could have run it.
+	it('waits for reports some milliseconds only', () => {
+		const driver = driverOf(3);
+		driver.handle({type: 'call-arrived', request: readOf(1)});
+		const effects = driver.passTime(40);
+		expect(startIn(effects) === undefined).toEqual(false);
+	});
+
+	// Story: a rush brings a hundred calls at once, and each asks four backend servers: measuring takes more of them than
+	// the calls.
+	it('stays within the budget in a rush, and places all the same', () => {
+		const driver = driverOf(4, 100);
+		let measured = 0;
+		let started = 0;
+		for (let call = 1; call <= 200; call++) {
+			const effects = driver.handle({type: 'call-arrived', request: readOf(call)});
+			const measures = measuresOf(effects);
+			measured += measures.length;
+			const all = [...effects, ...answer(driver, measures, quiet), ...driver.passTime(50)];
+			const starts = all.filter((effect): effect is Start => effect.type === 'start-attempt');
+			started += starts.length;
+			for (const start of starts) {
+				driver.answer(start.attemptId, quiet());
+			}
+		}
+
+		expect([measured <= 4 * (100 + 12), started]).toEqual([true, 200]);
+	});
+
+	// Story: all backend servers are several times slower than usual for a moment. A call that is sent to one of them at
+	// once ends late; one that waits a moment meets a quiet one.
+	it('waits a moment when nobody can answer within the objective', () => {
+		const driver = driverOf(4);
+		const measures = measuresOf(driver.handle({type: 'call-arrived', request: readOf(1)}));
+		const atOnce = answer(driver, measures, slow);
+		const later = driver.passTime(65);
+		const placed = answer(driver, measuresOf(later), quiet);
+		expect([startIn(atOnce) === undefined, startIn(later) === undefined, startIn(placed) === undefined]).toEqual([true, true, false]);
+	});
+
+	// Story: twice as many calls come as can be served. Held to their deadlines, refused callers cannot come back; they
+	// are told at once, with a time, and nothing of theirs has run.
+	it('refuses within a third of the objective when all backend servers are full', () => {
+		const driver = driverOf(4);
+		const full = () => reportOf('p', {inFlight: 6, queued: 4, workTimeFactor: 1});
+		const effects = [...driver.handle({type: 'call-arrived', request: readOf(1)})];
+		let refusal: (CallEffect & {type: 'refuse'}) | undefined;
+		while (refusal === undefined && driver.now < 1000) {
+			effects.push(...answer(driver, measuresOf(effects.splice(0)), full), ...driver.passTime(5));
+			refusal = effects.find((effect): effect is CallEffect & {type: 'refuse'} => effect.type === 'refuse');
+		}
+
+		expect([refusal?.status, refusal?.outcome, refusal?.retryAfterMilliseconds === undefined, driver.now <= 110]).toEqual([503, 'not-run', false, true]);
+	});
+
+	// Story: a call that is already late takes the only quiet backend server; the next one, which could have been in time
+	// there, is late as well.
+	it('sends a call that is late anyway to a slow backend server and leaves the quick one to others', () => {
+		const driver = driverOf(2);
+		const request = readOf(1, {objectiveMilliseconds: 40});
+		const effects = [...driver.handle({type: 'call-arrived', request})];
+		let start: Start | undefined;
+		while (start === undefined && driver.now < 500) {
+			effects.push(
+				...answer(driver, measuresOf(effects.splice(0)), identity => identity === 'identity-0' ? reportOf('p', {workTimeFactor: 7}) : reportOf('p', {workTimeFactor: 3})),
+				...driver.passTime(5),
+			);
+			start = startIn(effects);
+		}
+
+		expect(start?.identity).toEqual('identity-0');
+	});
+
+	// Story: a neighbour comes in the middle of a call, which would now take seven times as long. Waited for, it misses its
+	// objective; tried elsewhere while a usual answer still fits, it does not.
+	it('tries an idempotent call again in time for its objective', () => {
+		const driver = driverOf(4);
+		startIn(answer(driver, measuresOf(driver.handle({type: 'call-arrived', request: readOf(1)})), quiet));
+		const effects = driver.passTime(160);
+		const second = startIn([...effects, ...answer(driver, measuresOf(effects), quiet)]);
+		expect(second === undefined).toEqual(false);
+	});
+
+	it('does not try a call again that may run once only', () => {
+		const driver = driverOf(4);
+		answer(driver, measuresOf(driver.handle({type: 'call-arrived', request: readOf(1, {isIdempotent: false})})), quiet);
+		expect(measuresOf(driver.passTime(400))).toEqual([]);
+	});
+});
+
+describe('the rule of a route', () => {
+	it('ends a call at the route\'s timeout', () => {
+		const driver = driverOf(1);
+		const start = startIn(answer(driver, measuresOf(driver.handle({type: 'call-arrived', request: readOf(1, {timeoutMilliseconds: 500, isIdempotent: false})})), quiet))!;
+		driver.sent(start.attemptId);
+		driver.passTime(490);
+		expect(linesOf(driver.passTime(20))).toEqual(['cancel-attempt', 'refuse deadline-exceeded unknown 504', 'call-ended']);
+	});
+
+	// Story: a route allows two backend servers a call. Two fail it, and a third is hit by a call that breaks them.
+	it('bounds the backend servers that a call is sent to', () => {
+		const driver = driverOf(6);
+		const seen: string[] = [];
+		let start = startIn(answer(driver, measuresOf(driver.handle({type: 'call-arrived', request: readOf(1, {mostAttempts: 2})})), quiet));
+		while (start !== undefined) {
+			seen.push(start.identity);
+			driver.sent(start.attemptId);
+			const effects = driver.fail(start.attemptId, 'reset-after-sending');
+			start = startIn([...effects, ...answer(driver, measuresOf(effects), quiet)]);
+		}
+
+		expect(seen.length).toEqual(2);
+	});
+});
+
+describe('a status that callers read as "not run"', () => {
+	// Story: a backend server answers a payment with a bare 503 after it has run. Passed on, the caller reads "not run",
+	// sends it again, and pays twice.
+	it('is not passed on without the backend server\'s word', () => {
+		const driver = new EngineDriver(configurationOf(1), {}, 1, {notRunStatuses: new Set([503])});
+		const start = driver.start(requestOf(1))!;
+		driver.sent(start.attemptId);
+		expect(linesOf(driver.head(start.attemptId, {status: 503}))).toEqual(['cancel-attempt', 'refuse outcome-unknown unknown 502', 'call-ended']);
+	});
+});
--- a/src/common/calls/engine-driver.test.ts
+++ b/src/common/calls/engine-driver.test.ts
@@ -2,6 +2,7 @@
 import {backendServerSchema, serviceSchema} from '../model/resources.ts';
 import {seededRandom} from '../random/random.ts';
 import {DefaultCallEngine} from './call-engine.ts';
+import {type CallEngineSettings} from './engine-context.ts';
 import {type CallTuning} from './tuning.ts';
 import {
 	type AttemptFailure, type CallConfiguration, type CallEffect, type CallEvent, type CallRequest, type LoadReport,
@@ -56,8 +57,8 @@
 	readonly engine: DefaultCallEngine;
 	now = 0;
 
-	constructor(configuration: CallConfiguration, tuning: Partial<CallTuning> = {}, seed = 1) {
-		this.engine = new DefaultCallEngine({random: seededRandom(seed), settings: {dataCentre: 'north'}, tuning});
+	constructor(configuration: CallConfiguration, tuning: Partial<CallTuning> = {}, seed = 1, settings: Partial<CallEngineSettings> = {}) {
+		this.engine = new DefaultCallEngine({random: seededRandom(seed), settings: {dataCentre: 'north', ...settings}, tuning});
 		this.handle({
 			type: 'shares', shares: {
 				measuringPart: 0, measuringFrom: 0, measuringUntil: 0, connectionPart: 0.2, vmCount: 1,
--- /dev/null
+++ b/src/common/registry/registry-driver.test.ts
@@ -0,0 +1,147 @@
+/** What the tests of the registry engine share: an engine, its virtual time, and a store that answers when told to. */
+import {err, ok} from 'neverthrow';
+import {type CallConfiguration} from '../calls/types.ts';
+import {failure} from '../errors/failure.ts';
+import {type FleetEffect, type FleetEvent} from '../fleet/types.ts';
+import {backendServerSchema, serviceSchema} from '../model/resources.ts';
+import {type StoreEntry, type StoreOperation, type StoreReply} from '../platform/types.ts';
+import {seededRandom} from '../random/random.ts';
+import {RegistryFleet} from './registry-fleet.ts';
+import {type DocumentReader, type RegistrySettings} from './types.ts';
+
+const settings: RegistrySettings = {
+	identity: 'own',
+	own: {callAddress: '10.0.0.1:80', peerAddress: '10.0.0.1:90', dataCentre: 'north'},
+	layout: {
+		configurationKey: 'configuration', serverPrefix: 'servers/', vmPrefix: 'vms/', commonPrefix: '',
+	},
+	leaseMilliseconds: 3000,
+	watchPauseMilliseconds: 500,
+	heartbeatMilliseconds: 1500,
+	answerKeepMilliseconds: 2000,
+	graceMilliseconds: 6000,
+};
+
+/** Documents in a form of the tests' own: `version`, `service address state`, or an address. */
+const documents: DocumentReader = {
+	configuration(value) {
+		const version = Number(value);
+		return Number.isNaN(version)
+			? err(failure('invalid-document', 'no version'))
+			: ok({
+				version,
+				services: [serviceSchema.parse({kind: 'service', name: 'orders'})],
+				routing: {
+					routes: [{
+						name: 'all', host: 'one', prefix: '/', parts: [{service: 'orders', weight: 1}],
+						rule: {
+							isIdempotent: true, timeoutMilliseconds: 1500, objectiveMilliseconds: 300, mostAttempts: 2, priority: 0,
+						},
+					}],
+					limits: {
+						headBytes: 1000, bodyBytes: 1000, headMilliseconds: 1000, idleMilliseconds: 1000,
+					},
+				},
+			});
+	},
+	server(key, value) {
+		const [service, address, state] = value.split(' ');
+		const instance = key.slice('servers/'.length);
+		return ok({
+			instance, declared: backendServerSchema.parse({
+				kind: 'backend-server', name: instance, service, address, port: 80, dataCentre: 'north', isLeaving: state === 'leaving',
+			}),
+		});
+	},
+	vm: value => ok({callAddress: value, peerAddress: value, dataCentre: value.startsWith('10.0.0') ? 'north' : 'south'}),
+	writeVm: entry => entry.callAddress,
+};
+
+/** An entry as the store holds it. */
+export function entryOf(key: string, value: string, revision = 1): StoreEntry {
+	return {key, value, revision};
+}
+
+type Asked = {readonly requestId: number; readonly operation: StoreOperation};
+
+/** An engine whose store answers one request at a time. */
+export class RegistryDriver {
+	readonly fleet = new RegistryFleet(settings, documents, seededRandom(1));
+	/** Everything that the engine asked the store for and that is not answered. */
+	asked: Asked[] = [];
+	readonly effects: FleetEffect[] = [];
+	now = 0;
+
+	handle(event: FleetEvent): void {
+		for (const effect of this.fleet.handle(event, this.now)) {
+			if (effect.type === 'store') {
+				this.asked.push(effect);
+			} else {
+				this.effects.push(effect);
+			}
+		}
+	}
+
+	/** Answers the oldest request of this type. */
+	reply(type: StoreOperation['type'], reply: StoreReply): void {
+		const request = this.asked.find(({operation}) => operation.type === type)!;
+		this.asked = this.asked.filter(one => one !== request);
+		this.handle({type: 'store-replied', requestId: request.requestId, reply});
+	}
+
+	/** Lets time pass, with the ticks that the engine asks for. */
+	passTime(milliseconds: number): void {
+		const end = this.now + milliseconds;
+		for (let next = this.fleet.nextWakeUp(); next !== undefined && next <= end; next = this.fleet.nextWakeUp()) {
+			this.now = Math.max(this.now, next);
+			this.handle({type: 'tick'});
+		}
+
+		this.now = end;
+	}
+
+	/** The engine has read these entries and watches on. */
+	start(entries: readonly StoreEntry[]): void {
+		this.handle({type: 'started'});
+		this.reply('list', {type: 'entries', entries, revision: 10});
+		this.passTime(500);
+	}
+
+	/** The watch that waits brings these changes; the next one begins. */
+	change(entries: readonly StoreEntry[], deleted: readonly string[] = [], revision = 20): void {
+		while (!this.asked.some(({operation}) => operation.type === 'watch')) {
+			this.passTime(100);
+		}
+
+		this.reply('watch', {
+			type: 'changes', entries, deleted, revision,
+		});
+		this.passTime(500);
+	}
+
+	/** The store does not answer for this long. */
+	lose(milliseconds: number): void {
+		const end = this.now + milliseconds;
+		while (this.now < end) {
+			if (this.asked.some(({operation}) => operation.type === 'watch')) {
+				this.reply('watch', {type: 'unavailable'});
+			}
+
+			this.passTime(100);
+		}
+	}
+
+	/** The configuration that calls go by now. */
+	get inForce(): CallConfiguration | undefined {
+		return this.effects.findLast((effect): effect is FleetEffect & {type: 'configured'} => effect.type === 'configured')?.configuration;
+	}
+
+	/** Backend servers that calls may go to now. */
+	get usable(): string[] {
+		return [...this.inForce?.backendServers ?? []].filter(([, server]) => !server.isLeaving).map(([identity]) => identity).toSorted();
+	}
+
+	get stages(): string[] {
+		return this.effects.filter(effect => effect.type === 'stage').map(effect => effect.stage);
+	}
+}
--- /dev/null
+++ b/src/common/registry/registry-fleet.test.ts
@@ -0,0 +1,185 @@
+import {expect} from 'earl';
+import {entryOf, RegistryDriver} from './registry-driver.test.ts';
+
+const twoServers = [entryOf('configuration', '1'), entryOf('servers/a', 'orders 10.0.1.1 ready'), entryOf('servers/b', 'orders 10.0.1.2 ready')];
+
+describe('a fleet that the store leads', () => {
+	it('reads everything once, then watches', () => {
+		const driver = new RegistryDriver();
+		driver.start(twoServers);
+		expect({stages: driver.stages, usable: driver.usable, asked: driver.asked.map(({operation}) => operation.type)}).toEqual({
+			stages: ['starting', 'serving'], usable: ['a', 'b'], asked: ['grant-lease', 'watch'],
+		});
+	});
+
+	it('does not serve before it has a configuration', () => {
+		const driver = new RegistryDriver();
+		driver.start([entryOf('servers/a', 'orders 10.0.1.1 ready')]);
+		expect(driver.stages).toEqual(['starting']);
+	});
+
+	// Story: an old copy of the store, or a slow answer, brings a configuration that was replaced. Calls would be handled
+	// by rules that operators have taken back.
+	it('never goes back to an older configuration', () => {
+		const driver = new RegistryDriver();
+		driver.start(twoServers);
+		driver.change([entryOf('configuration', '5')]);
+		driver.change([entryOf('configuration', '4')], [], 21);
+		expect(driver.inForce?.version).toEqual(5);
+	});
+
+	// Story: a document that is cut short arrives. Adopted, it would leave calls without routes; read as none, the VM
+	// would stop serving.
+	it('keeps the configuration in force when the next one cannot be read', () => {
+		const driver = new RegistryDriver();
+		driver.start(twoServers);
+		driver.change([entryOf('configuration', 'cut sho')]);
+		expect(driver.inForce?.version).toEqual(1);
+		expect(driver.effects.some(effect => effect.type === 'log' && effect.level === 'error')).toEqual(true);
+	});
+
+	it('gives no new work to a backend server that says it leaves, and to one whose entry is gone', () => {
+		const driver = new RegistryDriver();
+		driver.start(twoServers);
+		driver.change([entryOf('servers/a', 'orders 10.0.1.1 leaving')]);
+		expect(driver.usable).toEqual(['b']);
+		driver.change([], ['servers/b'], 21);
+		expect(driver.usable).toEqual([]);
+	});
+
+	it('does not disturb calls for a mere heartbeat', () => {
+		const driver = new RegistryDriver();
+		driver.start(twoServers);
+		const before = driver.effects.length;
+		driver.change([entryOf('servers/a', 'orders 10.0.1.1 ready', 3)]);
+		expect(driver.effects.length).toEqual(before);
+	});
+
+	// Story: the store is away for ten seconds. Backend servers cannot renew their entries, which lapse; the first word of
+	// the returned store is that all are gone, and every VM refuses every call for a second.
+	// Cause: a lapse and a leaving look alike. The living are back within two seconds.
+	it('holds on to backend servers whose entries may have lapsed while the store was away', () => {
+		const driver = new RegistryDriver();
+		driver.start(twoServers);
+		driver.lose(10_000);
+		driver.change([], ['servers/a', 'servers/b']);
+		expect(driver.usable).toEqual(['a', 'b']);
+		driver.change([entryOf('servers/a', 'orders 10.0.1.1 ready', 22)], [], 22);
+		driver.passTime(2000);
+		expect(driver.usable).toEqual(['a']);
+	});
+
+	it('believes a removal at once after an outage too short for a lapse', () => {
+		const driver = new RegistryDriver();
+		driver.start(twoServers);
+		driver.lose(1000);
+		driver.change([], ['servers/a']);
+		expect(driver.usable).toEqual(['b']);
+	});
+
+	// Story: the store falls silent and returns; a change is made right after. The VM's watch was sent into the silence
+	// and hangs on a dead connection for its whole time, so the VM acts on the old configuration seconds too long.
+	// Cause: watches sent while the store is lost waited as long as others.
+	it('asks with short watches while the store is lost', () => {
+		const driver = new RegistryDriver();
+		driver.start(twoServers);
+		driver.lose(700);
+		driver.passTime(700);
+		const watch = driver.asked.find(({operation}) => operation.type === 'watch')?.operation;
+		expect(watch?.type === 'watch' && watch.milliseconds < 100).toEqual(true);
+	});
+
+	it('reads everything again when the store has dropped its history, and notices what has gone', () => {
+		const driver = new RegistryDriver();
+		driver.start(twoServers);
+		driver.reply('watch', {type: 'history-lost'});
+		driver.reply('list', {type: 'entries', entries: twoServers.slice(0, 2), revision: 50});
+		expect(driver.usable).toEqual(['a']);
+	});
+});
+
+describe('the entry of a VM', () => {
+	function published(): RegistryDriver {
+		const driver = new RegistryDriver();
+		driver.start(twoServers);
+		driver.reply('grant-lease', {type: 'lease', leaseId: '7', milliseconds: 3000});
+		driver.reply('compare-and-swap', {type: 'written', revision: 12});
+		return driver;
+	}
+
+	it('is written under a lease and renewed', () => {
+		const driver = published();
+		driver.passTime(1000);
+		expect(driver.asked.map(({operation}) => operation.type)).toEqual(['watch', 'keep-lease']);
+	});
+
+	// Story: the answer to the write is lost. The VM writes again, finds its own entry there, and would go on without a
+	// lease that it renews: seconds later it is out of all answers though it serves.
+	it('replaces an earlier write whose answer was lost', () => {
+		const driver = new RegistryDriver();
+		driver.start(twoServers);
+		driver.reply('grant-lease', {type: 'lease', leaseId: '7', milliseconds: 3000});
+		driver.reply('compare-and-swap', {type: 'unknown'});
+		driver.passTime(700);
+		driver.reply('compare-and-swap', {type: 'conflict', entry: entryOf('vms/own', 'x', 12)});
+		const swap = driver.asked.find(({operation}) => operation.type === 'compare-and-swap')?.operation;
+		expect(swap?.type === 'compare-and-swap' ? swap.expected : undefined).toEqual(12);
+	});
+
+	// Story: the store takes leases away and tells no holder. The VM serves on, and no caller is sent to it.
+	it('is written again when it was removed', () => {
+		const driver = published();
+		driver.change([], ['vms/own']);
+		expect(driver.asked.some(({operation}) => operation.type === 'grant-lease')).toEqual(true);
+	});
+
+	it('is taken back at once by the order to stop', () => {
+		const driver = published();
+		driver.handle({type: 'stop-requested', by: 'signal'});
+		expect(driver.asked.some(({operation}) => operation.type === 'revoke-lease')).toEqual(true);
+		expect(driver.fleet.addresses('orders', 'north').addresses).toEqual([]);
+	});
+});
+
+describe('the answer to which VMs', () => {
+	it('names VMs near the caller, this one among them', () => {
+		const driver = new RegistryDriver();
+		driver.start([...twoServers, entryOf('vms/x', '10.0.0.2:80'), entryOf('vms/y', '10.1.0.2:80'), entryOf('vms/z', '10.1.0.3:80')]);
+		expect(driver.fleet.addresses('orders', 'north').addresses.map(({address}) => address)).toEqual(['10.0.0.2:80', '10.0.0.1:80']);
+	});
+
+	// Story: a data centre loses most of its VMs. Its callers all go to the one that is left, which drowns.
+	it('names all where too few are near', () => {
+		const driver = new RegistryDriver();
+		driver.start([...twoServers, ...[1, 2, 3, 4, 5].map(index => entryOf(`vms/${index}`, `10.1.0.${index}:80`))]);
+		expect(driver.fleet.addresses('orders', 'north').addresses.length).toEqual(6);
+	});
+});
+
+describe('a stop with a fixed grace time', () => {
+	function stopping(callsInFlight: number): RegistryDriver {
+		const driver = new RegistryDriver();
+		driver.start(twoServers);
+		driver.handle({type: 'traffic', traffic: {openConnections: 1, idleConnections: 0, callsInFlight}});
+		driver.handle({type: 'stop-requested', by: 'signal'});
+		return driver;
+	}
+
+	// Story: a VM is told to stop and killed six seconds later. A call that it takes in the last second is cut.
+	// Callers keep old answers for seconds, so it cannot refuse from the start either.
+	it('takes calls as long as they can end in time, and no longer', () => {
+		const driver = stopping(1);
+		driver.passTime(4200);
+		expect(driver.stages.at(-1)).toEqual('leaving');
+		driver.passTime(100);
+		expect(driver.stages.at(-1)).toEqual('draining');
+		driver.passTime(1500);
+		expect(driver.stages.at(-1)).toEqual('ended');
+	});
+
+	it('ends early when nothing is in flight', () => {
+		const driver = stopping(0);
+		driver.passTime(4600);
+		expect(driver.stages.at(-1)).toEqual('ended');
+	});
+});
