Log each decision, serve counters, take settings again; survive an end met while paused

Cause: on-call had no line for a call that went well and no word on why a backend server was chosen; SIGHUP would have ended the process; standard output blocks the thread when nobody reads.

Ruled out: catching the assertion (the parser's state is lost with it); pausing the socket instead (undici resumes it).

Change: one line a call with each attempt, its ground and the age of the news, at most 30 good and 100 bad lines a second with the count of those left out; a writer that never waits; counters by prom-client on the peers' port; SIGHUP reads the settings again; answers that end with their connection are never paused.

--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -306,6 +306,15 @@
 			isSent: false,
 			hasHead: false,
 		};
+		call.trail?.push({
+			backendServer: server.identity,
+			purpose,
+			atMilliseconds: now - call.arrivedAt,
+			load: server.reportedLoad,
+			slots: server.declared.slots,
+			workTimeFactor: server.report?.workTimeFactor,
+			reportAgeMilliseconds: server.report === undefined ? undefined : now - server.reportedAt,
+		});
 		call.state = purpose === 'resume' ? 'answering' : 'running';
 		call.attemptCount++;
 		call.firstStartedAt ??= now;
--- a/src/common/calls/call-endings.ts
+++ b/src/common/calls/call-endings.ts
@@ -119,6 +119,7 @@
 				attempts: call.attemptCount,
 				milliseconds,
 				queuedMilliseconds: (call.firstStartedAt ?? now) - call.arrivedAt,
+				...(call.trail === undefined ? {} : {trail: call.trail}),
 				isGood: isWhole && milliseconds <= objectiveOf(call),
 			},
 		});
--- a/src/common/calls/call.ts
+++ b/src/common/calls/call.ts
@@ -6,7 +6,9 @@
 import {type Scouting} from './scouting.ts';
 import {type ServiceState} from './service-state.ts';
 import {type TimerEntry} from './timer-queue.ts';
-import {type AttemptId, type CallOutcome, type CallRequest} from './types.ts';
+import {
+	type AttemptId, type AttemptRecord, type CallOutcome, type CallRequest,
+} from './types.ts';
 
 /** Where a call stands. */
 export type CallState = 'claiming' | 'queued' | 'running' | 'answering' | 'ended';
@@ -67,6 +69,8 @@
 	firstStartedAt: Instant | undefined;
 	/** Backend servers that have failed this call. */
 	readonly failedOn: Set<BackendServerState>;
+	/** Its attempts and what decided on them; undefined where measuring is by the clock. */
+	readonly trail: AttemptRecord[] | undefined;
 	/** Reports are being fetched for its next attempt. */
 	scouting: Scouting | undefined;
 	/** Attempts whose connection was reset after sending: a second one makes the call a suspect at two crashes. */
@@ -96,6 +100,7 @@
 		answering: undefined,
 		firstStartedAt: undefined,
 		failedOn: new Set(),
+		trail: serviceState.isMeasuredOnDemand ? [] : undefined,
 		scouting: undefined,
 		resets: 0,
 	};
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -261,8 +261,25 @@
 	/** One call has ended, for metrics, burn and logs. */
 	| {readonly type: 'call-ended'; readonly callId: CallId; readonly summary: CallSummary};
 
+/** Why an attempt went where it went: what was known when it was placed. */
+export type AttemptRecord = {
+	readonly backendServer: BackendServerIdentity;
+	readonly purpose: string;
+	/** Milliseconds since the call arrived. */
+	readonly atMilliseconds: Milliseconds;
+	/** Calls believed to be there, of its slots. */
+	readonly load: number;
+	readonly slots: number;
+	/** Work time against the usual, as reported; undefined = never reported. */
+	readonly workTimeFactor: number | undefined;
+	/** Age of that report; undefined = there was none. */
+	readonly reportAgeMilliseconds: Milliseconds | undefined;
+};
+
 /** What a call came to. */
 export type CallSummary = {
+	/** Its attempts in order, where measuring is on demand. */
+	readonly trail?: readonly AttemptRecord[];
 	readonly service: string;
 	readonly outcome: CallOutcome;
 	readonly reason: RefusalReason | undefined;
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -1,5 +1,7 @@
 /** The life of an entry VM whose fleet the platform's store leads: its doors open, its deciders run, and it ends in time. */
-import {type Failure} from '../common/errors/failure.ts';
+import {type Result} from 'neverthrow';
+import {type AttemptRecord} from '../common/calls/types.ts';
+import {describeFailure, type Failure} from '../common/errors/failure.ts';
 import {type EntryVm} from '../common/entry-vm/entry-vm.ts';
 import {type EntryVmEffect, type EntryVmEvent} from '../common/entry-vm/types.ts';
 import {type FleetStage} from '../common/fleet/types.ts';
@@ -17,13 +19,17 @@
 import {type CallCarrier, type EndedCall} from '../node/front/call-carrier.ts';
 import {type PageServer} from '../node/front/page-server.ts';
 import {type RoutedServer} from '../node/front/routed-server.ts';
-import {type Logger} from '../node/logging/types.ts';
+import {LineBudget} from '../node/logging/line-budget.ts';
+import {type LogControl, type Logger} from '../node/logging/types.ts';
+import {type Metrics} from '../node/metrics/types.ts';
 
 /** The parts of the daemon, made by the wiring. */
 export type EntryDaemonParts = {
 	readonly settings: EntrySettings;
 	readonly clock: Clock;
 	readonly logger: Logger;
+	readonly logControl: LogControl;
+	readonly metrics: Metrics;
 	readonly entryVm: EntryVm<RegistryFleet>;
 	readonly loop: DeciderLoop<EntryVmEvent, EntryVmEffect>;
 	readonly callCarrier: CallCarrier;
@@ -38,6 +44,18 @@
 /** How often the decider of the stop hears of calls in flight: a stop has seconds, and only a stop needs it. */
 const trafficEvery: Milliseconds = 100;
 
+/** Lines a second for calls that went well: half of a usual day's; each costs a tenth of a millisecond. */
+const goodLinesASecond = 30;
+
+/** Lines a second for calls that came to nothing or late: what explains a failure is left out last. */
+const badLinesASecond = 100;
+
+/** One attempt as a reader of logs wants it: where, why, by which news and how old. */
+function describeAttempt({backendServer, purpose, atMilliseconds, load, slots, workTimeFactor, reportAgeMilliseconds}: AttemptRecord): string {
+	const news = reportAgeMilliseconds === undefined ? 'no report' : `report ${Math.round(reportAgeMilliseconds)} ms old`;
+	return `${purpose} at ${Math.round(atMilliseconds)} ms to ${backendServer}: ${load}/${slots} calls, work time ${workTimeFactor ?? '?'}, ${news}`;
+}
+
 /** Splits `IP:PORT`. */
 export function splitEndpoint(endpoint: string): {readonly address: string; readonly port: number} {
 	const colon = endpoint.lastIndexOf(':');
@@ -49,6 +67,8 @@
 	private readonly _parts: EntryDaemonParts;
 	private readonly _trafficTimer = this._register(new MutableDisposable<DisposableLike>());
 	private readonly _onEnded = this._register(new Emitter<void>());
+	private readonly _goodLines = new LineBudget(goodLinesASecond);
+	private readonly _badLines = new LineBudget(badLinesASecond);
 
 	/** The planned stop is over: the process may end. */
 	readonly onEnded = this._onEnded.event;
@@ -95,6 +115,20 @@
 		this._tellTraffic();
 	}
 
+	/** The settings file has changed: what can change while calls run does, the rest is told. */
+	reload(loaded: Result<EntrySettings, ReadonlyArray<Failure<string>>>): void {
+		const {logger, logControl, settings} = this._parts;
+		if (loaded.isErr()) {
+			logger.error('settings rejected; those in force stay', {failures: loaded.error.map(problem => describeFailure(problem)).join('; ')});
+			return;
+		}
+
+		logControl.setLevel(loaded.value.log.level);
+		const before = new Map(Object.entries(settings).map(([table, value]) => [table, JSON.stringify(value)]));
+		const changed = Object.entries(loaded.value).filter(([table, value]) => table !== 'log' && before.get(table) !== JSON.stringify(value)).map(([table]) => table);
+		logger.info('settings read again', {level: loaded.value.log.level, takenAtNextStart: changed.join(',')});
+	}
+
 	private _carryOut(effect: OutwardEffect): void {
 		const {connections, logger, routedServer} = this._parts;
 		switch (effect.type) {
@@ -129,20 +163,28 @@
 		}
 	}
 
+	/** Calls that came to nothing are written whenever a line is left in the budget; of the others only as many as fit beside. */
 	private _logCall({summary, traceId}: EndedCall): void {
-		const {logger} = this._parts;
-		const level = summary.reason === undefined ? 'debug' : 'info';
-		if (logger.isEnabled(level)) {
-			logger[level]('call ended', {
-				traceId,
-				service: summary.service,
-				outcome: summary.outcome,
-				reason: summary.reason,
-				attempts: summary.attempts,
-				milliseconds: Math.round(summary.milliseconds),
-				queuedMilliseconds: Math.round(summary.queuedMilliseconds),
-			});
+		const {logger, clock, metrics} = this._parts;
+		metrics.callEnded(summary);
+		const budget = summary.isGood ? this._goodLines : this._badLines;
+		const {isWritten, leftOut} = budget.take(clock.now());
+		if (!isWritten || !logger.isEnabled('info')) {
+			return;
 		}
+
+		const {service, outcome, reason, attempts, milliseconds, queuedMilliseconds, trail = []} = summary;
+		logger.info('call ended', {
+			traceId,
+			service,
+			outcome,
+			reason,
+			attempts,
+			milliseconds: Math.round(milliseconds),
+			queuedMilliseconds: Math.round(queuedMilliseconds),
+			trail: trail.map(record => describeAttempt(record)).join('; '),
+			...(leftOut === 0 ? {} : {leftOut}),
+		});
 	}
 
 	private _tellTraffic(): void {
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -23,6 +23,8 @@
 import {type Page, PageServer} from '../node/front/page-server.ts';
 import {RoutedServer} from '../node/front/routed-server.ts';
 import {type Logging} from '../node/logging/logging.ts';
+import {CountedMeasurer, CountedPlatformClient} from '../node/metrics/counted-parts.ts';
+import {PageMetrics} from '../node/metrics/page-metrics.ts';
 import {EntryDaemon} from './entry-daemon.ts';
 import {freshIdentity, type Hashes} from './identity.ts';
 
@@ -38,6 +40,9 @@
 /** How long an idle connection to the directory is kept: as long as callers wait between two questions. */
 const pageIdleMilliseconds = 6000;
 
+/** The page of counters, on the peers' port. */
+const metricsPath = '/metrics';
+
 const largestSeed = 2 ** 32;
 
 /** What the platform brings: its store, its documents, its way of speaking. */
@@ -54,6 +59,10 @@
 	readonly readinessPath: string;
 };
 
+async function metricsPage(metrics: PageMetrics): Promise<Page> {
+	return {status: 200, contentType: 'text/plain; version=0.0.4', body: await metrics.text()};
+}
+
 function registrySettings(settings: EntrySettings, layout: StoreLayout): RegistrySettings {
 	return {
 		identity: freshIdentity(),
@@ -73,6 +82,7 @@
 	const {logger} = logging;
 	const clock = new ProcessClock();
 	const random = seededRandom(randomInt(largestSeed));
+	const metrics = new PageMetrics();
 	owned.add(platform.store);
 	const calls = new DefaultCallEngine({
 		random,
@@ -81,9 +91,9 @@
 	const fleet = new RegistryFleet(registrySettings(settings, platform.layout), platform.documents, random);
 	const entryVm = new EntryVm(calls, fleet);
 	const loop = owned.add(new DeciderLoop<EntryVmEvent, EntryVmEffect>(entryVm, clock));
-	const storeCarrier = owned.add(new StoreCarrier(loop, platform.store));
+	const storeCarrier = owned.add(new StoreCarrier(loop, new CountedPlatformClient(platform.store, clock, metrics)));
 	const connections = owned.add(new BackendConnections({connectMilliseconds, idleMilliseconds: backendIdleMilliseconds}));
-	const callCarrier = owned.add(new CallCarrier(loop, new LoadMeasurer(connections, platform.dialect), noKeys));
+	const callCarrier = owned.add(new CallCarrier(loop, new CountedMeasurer(new LoadMeasurer(connections, platform.dialect), metrics), noKeys));
 	const routedServer = owned.add(new RoutedServer({
 		sink: loop, calls: callCarrier, connections, dialect: platform.dialect, routes: new RouteTable(random), fingerprint: hashes.fingerprint,
 	}, {
@@ -97,7 +107,7 @@
 		const {addresses, keepForMilliseconds} = fleet.addresses(service, dataCentre);
 		return {addresses: addresses.map(({address}) => address), keepForMilliseconds};
 	}), pageIdleMilliseconds));
-	const peerServer = owned.add(new PageServer(() => undefined, pageIdleMilliseconds));
+	const peerServer = owned.add(new PageServer(async url => url === metricsPath ? metricsPage(metrics) : undefined, pageIdleMilliseconds));
 	loop.setCarrier(effect => {
 		if (isCallEffect(effect)) {
 			callCarrier.carryOut(effect);
@@ -106,7 +116,7 @@
 		}
 	});
 	return new EntryDaemon({
-		settings, clock, logger, entryVm, loop, callCarrier, storeCarrier, connections, routedServer, readinessServer, directoryServer, peerServer,
+		settings, clock, logger, logControl: logging, metrics, entryVm, loop, callCarrier, storeCarrier, connections, routedServer, readinessServer, directoryServer, peerServer,
 	}, owned);
 }
 
--- a/src/node/front/backend-attempt.ts
+++ b/src/node/front/backend-attempt.ts
@@ -20,6 +20,16 @@
 	override readonly name = 'AttemptCancelled';
 }
 
+/**
+ * Whether the connection is kept after the answer. Guards the process against an assertion in undici: an answer that ends
+ * with its connection must not be paused when that ends, or the whole VM dies. Such an answer is taken in as it comes, at
+ * the price of memory for what its caller has not taken yet; its size is bounded by what backend servers send.
+ */
+function outlivesAnswer({connection = '', ...headers}: IncomingHttpHeaders): boolean {
+	const hasLength = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+	return hasLength && !connection.toLowerCase().includes('close');
+}
+
 /** What is sent. */
 export type AttemptRequest = {
 	readonly method: string;
@@ -42,6 +52,7 @@
 	private _hasHead = false;
 	private _isEnded = false;
 	private _isDiscarding = false;
+	private _mayPause = true;
 	private _bytes = 0;
 
 	constructor(id: AttemptId, listener: AttemptListener, latestStartMilliseconds: Milliseconds = usualLatestStartMilliseconds) {
@@ -84,7 +95,9 @@
 	}
 
 	pause(): void {
-		this._controller?.pause();
+		if (this._mayPause) {
+			this._controller?.pause();
+		}
 	}
 
 	resume(): void {
@@ -117,6 +130,7 @@
 		}
 
 		this._hasHead = true;
+		this._mayPause = outlivesAnswer(headers);
 		this._listener.onHead(this, {status, headers});
 	}
 
@@ -131,7 +145,7 @@
 		}
 
 		if (!this._isEnded && !this._listener.onData(this, chunk)) {
-			controller.pause();
+			this.pause();
 		}
 	}
 
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -59,6 +59,7 @@
 	private _passedOn: BackendAttempt | undefined;
 	private _bytesPassedOn = 0;
 	private _isAnswered = false;
+	private _isWaiting = false;
 
 	constructor(
 		request: CallRequest,
@@ -252,12 +253,18 @@
 	 * so that a slow caller is never cut.
 	 */
 	private _waitForCaller(): void {
+		if (this._isWaiting) {
+			return;
+		}
+
+		this._isWaiting = true;
 		const onStall = () => {
 			this._outgoing.destroy();
 		};
 
 		this._outgoing.setTimeout(this._stallMilliseconds, onStall);
 		this._outgoing.once('drain', () => {
+			this._isWaiting = false;
 			this._outgoing.off('timeout', onStall);
 			this._outgoing.setTimeout(0);
 			this._passedOn?.resume();
--- a/src/node/front/page-server.ts
+++ b/src/node/front/page-server.ts
@@ -14,7 +14,7 @@
 };
 
 /** Answers a GET; undefined = there is no such page. */
-export type PageHandler = (url: string) => Page | undefined;
+export type PageHandler = (url: string) => Page | undefined | Promise<Page | undefined>;
 
 /**
  * Small pages on a port of their own, straight on node:http. The directory is asked as often as calls come, and through
@@ -26,7 +26,7 @@
 	constructor(handler: PageHandler, idleMilliseconds: number) {
 		super();
 		this._server = createServer({keepAliveTimeout: idleMilliseconds, noDelay: true}, (incoming, outgoing) => {
-			answer(handler, incoming, outgoing);
+			void answer(handler, incoming, outgoing);
 		});
 		this._register(toDisposable(() => {
 			this._server.close();
@@ -46,9 +46,10 @@
 	}
 }
 
-function answer(handler: PageHandler, incoming: IncomingMessage, outgoing: ServerResponse): void {
+async function answer(handler: PageHandler, incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
 	incoming.resume();
-	const page = incoming.method === 'GET' ? handler(incoming.url ?? '') : undefined;
+	const made = incoming.method === 'GET' ? handler(incoming.url ?? '') : undefined;
+	const page = made instanceof Promise ? await made : made;
 	const body = page?.body ?? '';
 	outgoing.writeHead(page?.status ?? 404, {
 		...(page?.contentType === undefined ? {} : {'content-type': page.contentType}),
--- a/src/node/front/unframed-answer.test.ts
+++ b/src/node/front/unframed-answer.test.ts
@@ -7,7 +7,7 @@
 import {type AttemptListener} from './types.ts';
 
 /** What becomes of one attempt against a backend server that answers so. */
-async function outcomeOf(answer: (socket: Socket) => void): Promise<string> {
+async function outcomeOf(answer: (socket: Socket) => void, onData = () => true): Promise<string> {
 	const store = new DisposableStore();
 	const port = await startRaw(store, socket => {
 		socket.once('data', () => {
@@ -19,7 +19,7 @@
 		const listener: AttemptListener = {
 			onSent: () => undefined,
 			onHead: () => undefined,
-			onData: () => true,
+			onData,
 			onEnd() {
 				resolve('whole');
 			},
@@ -70,6 +70,20 @@
 	});
 });
 
+describe('an answer that its reader makes wait', () => {
+	// Story: a caller reads slowly, so the attempt pauses; the backend server has sent everything and closes. The library
+	// asserts that nobody pauses at such an end, and the whole process dies with every call on it.
+	// Cause: an end that stands for the end of the answer, met while paused.
+	for (const head of ['Connection: close', 'Connection: close\r\nContent-Length: 3', 'X: y']) {
+		it(`ends well when its connection does (${head.replaceAll('\r\n', ', ')})`, async () => {
+			const outcome = await outcomeOf(socket => {
+				socket.end(`HTTP/1.1 200 OK\r\n${head}\r\n\r\nabc`);
+			}, () => false);
+			expect(outcome).toEqual('whole');
+		});
+	}
+});
+
 describe('a call whose answer has no length', () => {
 	// Story: a backend server dies in the middle of an answer that has no length; its connection closes as at the end of
 	// one. The caller gets the half that came, with a length that jaydale counted: it looks whole.
--- /dev/null
+++ b/src/node/logging/bounded-writer.ts
@@ -0,0 +1,93 @@
+/** Writes log lines to standard output without ever waiting for whoever reads it. */
+import {write, writeSync} from 'node:fs';
+import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
+import {type Milliseconds} from '../../common/model/units.ts';
+
+/** Standard output. */
+const descriptor = 1;
+
+/** Lines gathered for this long go out together: a write costs more than ten lines. */
+const gatherMilliseconds: Milliseconds = 50;
+
+/** Most bytes that wait for a reader; a second of the fullest log. More is dropped and counted. */
+const mostWaitingBytes = 262_144;
+
+/**
+ * Guards calls against a log that nobody reads: Node's own standard output blocks the thread once a pipe is full, and
+ * every call on the VM waits with it. Here a write is under way at most once, on a helper thread; what does not fit
+ * beside it is counted and left out, and the count is written as soon as there is room again.
+ */
+export class BoundedWriter extends Disposable {
+	private _lines: string[] = [];
+	private _bytes = 0;
+	private _dropped = 0;
+	private _isWriting = false;
+	private _timer: NodeJS.Timeout | undefined;
+
+	constructor() {
+		super();
+		this._register(toDisposable(() => {
+			clearTimeout(this._timer);
+			this._flushAtEnd();
+		}));
+	}
+
+	/** Takes one line with its line end. */
+	readonly write = (line: string): void => {
+		if (this._bytes + line.length > mostWaitingBytes) {
+			this._dropped++;
+			return;
+		}
+
+		this._lines.push(line);
+		this._bytes += line.length;
+		this._timer ??= setTimeout(() => {
+			this._flush();
+		}, gatherMilliseconds).unref();
+	};
+
+	private _flush(): void {
+		this._timer = undefined;
+		if (this._isWriting || this._lines.length === 0) {
+			return;
+		}
+
+		this._isWriting = true;
+		this._writeAll(Buffer.from(this._take()));
+	}
+
+	private _take(): string {
+		const text = this._lines.join('');
+		const summary = this._dropped === 0 ? '' : `${JSON.stringify({level: 'warn', message: 'log lines left out', count: this._dropped})}\n`;
+		this._lines = [];
+		this._bytes = 0;
+		this._dropped = 0;
+		return text + summary;
+	}
+
+	private _writeAll(bytes: Uint8Array): void {
+		write(descriptor, bytes, 0, bytes.length, undefined, (error, written) => {
+			if (error === null && written < bytes.length) {
+				this._writeAll(bytes.subarray(written));
+				return;
+			}
+
+			// A closed standard output leaves nowhere to tell of it; calls go on.
+			this._isWriting = false;
+			this._flush();
+		});
+	}
+
+	/** The last lines of a process; skipped while a reader blocks, since the end must not wait for it. */
+	private _flushAtEnd(): void {
+		if (this._isWriting || this._lines.length === 0) {
+			return;
+		}
+
+		try {
+			writeSync(descriptor, this._take());
+		} catch {
+			// The reader has gone, and with it the only place to say so.
+		}
+	}
+}
--- /dev/null
+++ b/src/node/logging/bounds.test.ts
@@ -0,0 +1,55 @@
+import {spawn} from 'node:child_process';
+import {expect} from 'earl';
+import {LineBudget} from './line-budget.ts';
+
+describe('the budget of log lines', () => {
+	// Story: a rush brings ten times the usual calls. Writing a line for each takes processor time from the calls just when
+	// it is short, so lines beyond a budget are left out, and the next one says how many.
+	it('writes so many a second and counts the rest', () => {
+		const budget = new LineBudget(2);
+		const written = [0, 1, 2, 3, 1000, 1001].map(now => budget.take(now));
+		expect(written).toEqual([
+			{isWritten: true, leftOut: 0},
+			{isWritten: true, leftOut: 0},
+			{isWritten: false, leftOut: 1},
+			{isWritten: false, leftOut: 2},
+			{isWritten: true, leftOut: 2},
+			{isWritten: true, leftOut: 0},
+		]);
+	});
+});
+
+describe('the writer of log lines', () => {
+	// Story: whoever reads the log stops reading, and the pipe fills up. The VM's only thread waits for room in it, and all
+	// calls wait with it; from outside the VM looks frozen.
+	it('goes on when nobody reads, and tells what was left out', async () => {
+		const program = String.raw`
+			import {BoundedWriter} from ${JSON.stringify(new URL('bounded-writer.ts', import.meta.url).href)};
+			const writer = new BoundedWriter();
+			const line = 'x'.repeat(999) + '\n';
+			for (let index = 0; index < 100; index++) {
+				await new Promise(resolve => setTimeout(resolve, 5));
+				for (let count = 0; count < 50; count++) writer.write(line);
+			}
+			process.stderr.write('still running');
+			await new Promise(resolve => setTimeout(resolve, 300));
+			writer.dispose();
+		`;
+		const child = spawn(process.execPath, ['--import=tsx', '--input-type=module', '-e', program], {stdio: ['ignore', 'pipe', 'pipe']});
+		await new Promise<void>(resolve => {
+			child.stderr.once('data', () => {
+				resolve();
+			});
+		});
+		let text = '';
+		child.stdout.on('data', (chunk: Uint8Array) => {
+			text += chunk.toString();
+		});
+		await new Promise<void>(resolve => {
+			child.once('close', () => {
+				resolve();
+			});
+		});
+		expect(text.includes('log lines left out')).toEqual(true);
+	});
+});
--- /dev/null
+++ b/src/node/metrics/page-metrics.test.ts
@@ -0,0 +1,17 @@
+import {expect} from 'earl';
+import {PageMetrics} from './page-metrics.ts';
+
+describe('the page of metrics', () => {
+	it('counts calls and their times', async function () {
+		const metrics = new PageMetrics();
+		for (const milliseconds of [40, 140, 20_000]) {
+			metrics.callEnded({
+				service: 'orders', outcome: 'ran', reason: undefined, attempts: 1, milliseconds, queuedMilliseconds: 0, isGood: milliseconds < 1000,
+			});
+		}
+
+		metrics.measured('orders');
+		metrics.platformCalled('watch', 'changes', 12);
+		expect(await metrics.text()).toMatchSnapshot(this);
+	});
+});
--- /dev/null
+++ b/src/node/metrics/page-metrics.ts
@@ -0,0 +1,78 @@
+/**
+ * Counters and histograms as a page of text in the Prometheus format, for operators who fetch metrics instead of
+ * receiving them. Its memory is bounded: times fall into fixed bounds, and labels are those of declared services.
+ */
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+import {type CallSummary} from '../../common/calls/types.ts';
+import {type Milliseconds} from '../../common/model/units.ts';
+import {type Metrics, type VmGauges} from './types.ts';
+
+/** Upper bounds in milliseconds: steps of about two around the objectives, 50 ms to 10 s. */
+const buckets: Milliseconds[] = [50, 100, 150, 200, 300, 400, 600, 800, 1200, 2500, 5000, 10_000];
+
+export class PageMetrics implements Metrics {
+	private readonly _registry = new Registry();
+	private readonly _calls = this._counter('jaydale_calls_total', 'Calls that have ended.', ['service', 'outcome', 'reason', 'good']);
+	private readonly _attempts = this._counter('jaydale_attempts_total', 'Attempts at backend servers.', ['service']);
+	private readonly _measurings = this._counter('jaydale_measuring_calls_total', 'Calls made to learn a load.', ['service']);
+	private readonly _storeCalls = this._counter('jaydale_store_calls_total', 'Requests to the store.', ['operation', 'reply']);
+	private readonly _peerBytes = this._counter('jaydale_peer_bytes_total', 'Bytes between VMs.', ['direction']);
+	private readonly _operatorAnswers = this._counter('jaydale_operator_answers_total', 'Answers to operators.', ['method', 'status']);
+	private readonly _callTimes = this._histogram('jaydale_call_milliseconds', 'From the arrival of a call to its end.', ['service']);
+	private readonly _queueTimes = this._histogram('jaydale_queued_milliseconds', 'From the arrival of a call to its first attempt.', ['service']);
+	private readonly _storeTimes = this._histogram('jaydale_store_milliseconds', 'Requests to the store.', ['operation']);
+	private readonly _gauges = new Map<string, Gauge>();
+
+	callEnded({service, outcome, reason, attempts, milliseconds, queuedMilliseconds, isGood}: CallSummary): void {
+		this._calls.inc({
+			service, outcome, reason: reason ?? '', good: String(isGood),
+		});
+		this._attempts.inc({service}, attempts);
+		this._callTimes.observe({service}, milliseconds);
+		this._queueTimes.observe({service}, queuedMilliseconds);
+	}
+
+	measured(service: string): void {
+		this._measurings.inc({service});
+	}
+
+	platformCalled(operation: string, reply: string, milliseconds: Milliseconds): void {
+		this._storeCalls.inc({operation, reply});
+		this._storeTimes.observe({operation}, milliseconds);
+	}
+
+	peerTraffic(direction: 'in' | 'out', _messages: number, bytes: number): void {
+		this._peerBytes.inc({direction}, bytes);
+	}
+
+	operatorAnswered(method: string, status: number): void {
+		this._operatorAnswers.inc({method, status: String(status)});
+	}
+
+	gauges(values: VmGauges): void {
+		for (const [name, value] of Object.entries(values)) {
+			const gauge = this._gauges.get(name) ?? new Gauge({name: `jaydale_${name}`, help: name, registers: [this._registry]});
+			this._gauges.set(name, gauge);
+			gauge.set(value);
+		}
+	}
+
+	/** The whole page. */
+	async text(): Promise<string> {
+		return this._registry.metrics();
+	}
+
+	private _counter<Label extends string>(name: string, help: string, labelNames: Label[]): Counter<Label> {
+		return new Counter({
+			name, help, labelNames, registers: [this._registry],
+		});
+	}
+
+	private _histogram<Label extends string>(name: string, help: string, labelNames: Label[]): Histogram<Label> {
+		return new Histogram({
+			name, help, labelNames, buckets, registers: [this._registry],
+		});
+	}
+}
