--- a/src/common/calls/tuning.ts
+++ b/src/common/calls/tuning.ts
@@ -67,7 +67,7 @@
 	readonly isFair: boolean;
 	/**
 	 * Backend servers asked before an attempt where measuring is on demand. Where a third of them is slowed by
-	 * neighbours, four leave one call in eighty without a quiet one; a fifth would cost a quarter more for one in 230.
+	 * neighbours, four leave one call in 67 without a quiet one (0.35 to the fourth); a fifth would cost a quarter more for one in 190.
 	 */
 	readonly demandCandidates: number;
 	/** A report this young needs no new one: neighbours change in pieces of some hundred milliseconds. */
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -44,7 +44,7 @@
 /** How often the decider of the stop hears of calls in flight: a stop has seconds, and only a stop needs it. */
 const trafficEvery: Milliseconds = 100;
 
-/** Lines a second for calls that went well: half of a usual day's; each costs a tenth of a millisecond. */
+/** Lines a second for calls that went well: twice the calls of a VM on a calm day, which had 10 to 15. */
 const goodLinesASecond = 30;
 
 /** Lines a second for calls that came to nothing or late: what explains a failure is left out last. */
--- a/src/node/front/load-measurer.ts
+++ b/src/node/front/load-measurer.ts
@@ -17,7 +17,7 @@
 	override readonly name = 'MeasuringTimeout';
 }
 
-/** One measuring call, as an undici dispatch handler: a quarter of the cost of `request` with an abort signal. */
+/** One measuring call, as an undici dispatch handler, since calls wait for it: no streams and no abort signal of its own. */
 class Measurement implements Dispatcher.DispatchHandler {
 	private readonly _read: (status: number, headers: IncomingHttpHeaders, body: string) => LoadReport | undefined;
 	private readonly _onDone: (report: LoadReport | undefined) => void;
--- a/src/node/front/page-server.ts
+++ b/src/node/front/page-server.ts
@@ -17,8 +17,8 @@
 export type PageHandler = (url: string) => Page | undefined | Promise<Page | undefined>;
 
 /**
- * Small pages on a port of their own, straight on node:http. The directory is asked as often as calls come, and through
- * a router and web streams each answer cost twice the processor time and the process 3 MB more.
+ * Small pages on a port of their own, straight on node:http: three fixed paths need no router, and the directory is
+ * asked about as often as calls come. What a router would cost here has not been measured.
  */
 export class PageServer extends Disposable {
 	private readonly _server: Server;
