Place by what was just learnt, leave a slot free, and know callers that come back

A trace of answers in the model: of 1600 callers that came back after a refusal 4 were in time, yet all took quick places, since their objective was counted from their return; late calls took the slowest backend server with a slot, often a quiet full one; and in a large fleet placing went by reports seconds old. Change: objectives count from the first sending, by the time that callers have left; only young reports place; the last slot is taken after the wait; late calls go only where a fresh one could not be in time.

--- a/benchmark/policy/model-server.ts
+++ b/benchmark/policy/model-server.ts
@@ -41,6 +41,23 @@
 /** Calls it holds, running or queued, before it sheds: its connections. */
 const callLimit = 250;
 
+/** How a backend server behaves when it fills up. */
+export type ServerBehaviour = {
+	/** Calls that wait beyond its slots; one more is shed. */
+	readonly queueLimit: number;
+	/** It never answers a call that it has no room for, instead of shedding it. */
+	readonly isSilentWhenFull: boolean;
+	/** Part of its slots in use from which on all its work takes `kneeFactor` times as long. */
+	readonly kneeAt: number;
+	readonly kneeFactor: number;
+	/** Its reports say how long work takes there at this moment. */
+	readonly tellsWorkTime: boolean;
+};
+
+const plainBehaviour: ServerBehaviour = {
+	queueLimit: Infinity, isSilentWhenFull: false, kneeAt: 1, kneeFactor: 1, tellsWorkTime: false,
+};
+
 /** How long a fail-fast answer takes. */
 const failFastTime: Milliseconds = 0.2;
 
@@ -53,6 +70,7 @@
 	private readonly _time: VirtualTime;
 	private readonly _lag: Milliseconds;
 	private readonly _name: string;
+	private readonly _behaviour: ServerBehaviour;
 	private _running: Work[] = [];
 	private _queue: Work[] = [];
 	private _speed = 1;
@@ -64,11 +82,12 @@
 	private _lie: ((truth: LoadReport) => LoadReport) | undefined;
 	private readonly _history: Array<{readonly at: Instant; readonly inFlight: number; readonly queued: number}> = [];
 
-	constructor(time: VirtualTime, name: string, slots: number, lag: Milliseconds) {
+	constructor(time: VirtualTime, name: string, slots: number, lag: Milliseconds, behaviour: ServerBehaviour = plainBehaviour) {
 		this._time = time;
 		this._name = name;
 		this.slots = slots;
 		this._lag = lag;
+		this._behaviour = behaviour;
 	}
 
 	/** What it says of its load; undefined while its process is down. */
@@ -84,6 +103,7 @@
 			slots: this.slots,
 			instance: `${this._name}-${this._incarnation}`,
 			isLeaving: false,
+			...(this._behaviour.tellsWorkTime ? {workTimeFactor: 1 / this._speed} : {}),
 		};
 		return this._lie === undefined ? truth : this._lie(truth);
 	}
@@ -104,9 +124,13 @@
 			return;
 		}
 
-		if (this._running.length + this._queue.length >= callLimit) {
-			work.isOver = true;
-			work.onEnd('shed');
+		const {queueLimit, isSilentWhenFull} = this._behaviour;
+		if (this._running.length + this._queue.length >= Math.min(callLimit, this.slots + queueLimit)) {
+			if (!isSilentWhenFull) {
+				work.isOver = true;
+				work.onEnd('shed');
+			}
+
 			return;
 		}
 
@@ -196,6 +220,12 @@
 		this._plan();
 	}
 
+	/** Work done in a millisecond of each slot in use. */
+	private get _rate(): number {
+		const {kneeAt, kneeFactor} = this._behaviour;
+		return this._running.length > kneeAt * this.slots ? this._speed / kneeFactor : this._speed;
+	}
+
 	/** Brings what runs up to the present. */
 	private _progress(): void {
 		const passed = this._time.now - this._updatedAt;
@@ -204,8 +234,9 @@
 			return;
 		}
 
+		const rate = this._rate;
 		for (const work of this._running) {
-			work.remaining -= passed * this._speed;
+			work.remaining -= passed * rate;
 			work.spent += passed;
 		}
 
@@ -219,8 +250,9 @@
 			least = Math.min(least, work.remaining);
 		}
 
-		if (least < Infinity && this._speed > 0) {
-			this._time.at(this._time.now + (Math.max(0, least) / this._speed), () => {
+		const rate = this._rate;
+		if (least < Infinity && rate > 0) {
+			this._time.at(this._time.now + (Math.max(0, least) / rate), () => {
 				if (version === this._version) {
 					this._finish();
 				}
--- a/benchmark/policy/model-vm.ts
+++ b/benchmark/policy/model-vm.ts
@@ -27,6 +27,7 @@
 	private readonly _engine: CallEngine;
 	private readonly _around: VmSurroundings;
 	private readonly _records = new Map<number, CallRecord>();
+	private readonly _listeners = new Map<number, (record: CallRecord) => void>();
 	private readonly _attempts = new Map<number, Running>();
 	private readonly _passedOn = new Map<number, {attemptId: number; isGood: boolean}>();
 	private _wakeUpAt: Instant | undefined;
@@ -36,8 +37,13 @@
 		this._around = around;
 	}
 
-	arrive(callId: number, record: CallRecord): void {
+	/** `onEnded` is told once the call has come to its end. */
+	arrive(callId: number, record: CallRecord, onEnded?: (record: CallRecord) => void): void {
 		this._records.set(callId, record);
+		if (onEnded !== undefined) {
+			this._listeners.set(callId, onEnded);
+		}
+
 		const {planned} = record;
 		this.feed({
 			type: 'call-arrived',
@@ -52,6 +58,7 @@
 				bodyBytes: 0,
 				idempotencyKey: undefined,
 				mayRetry: true,
+				...(planned.rule === undefined ? {} : {rule: planned.rule}),
 			},
 		});
 	}
@@ -94,15 +101,12 @@
 			case 'refuse': {
 				const record = this._records.get(effect.callId)!;
 				record.isRefused = true;
+				record.retryAfter = effect.outcome === 'not-run' ? effect.retryAfterMilliseconds : undefined;
 				break;
 			}
 
 			case 'call-ended': {
-				const record = this._records.get(effect.callId)!;
-				record.endedAt = now;
-				record.isGood = !record.isRefused && this._passedOn.get(effect.callId)?.isGood === true && now <= record.planned.at + record.planned.timeout;
-				this._records.delete(effect.callId);
-				this._passedOn.delete(effect.callId);
+				this._end(effect.callId, now);
 				break;
 			}
 
@@ -124,6 +128,16 @@
 		}
 	}
 
+	private _end(callId: number, now: Instant): void {
+		const record = this._records.get(callId)!;
+		record.endedAt = now;
+		record.isGood = !record.isRefused && this._passedOn.get(callId)?.isGood === true && now <= record.planned.at + record.planned.timeout;
+		this._records.delete(callId);
+		this._passedOn.delete(callId);
+		this._listeners.get(callId)?.(record);
+		this._listeners.delete(callId);
+	}
+
 	private _start(effect: CallEffect & {type: 'start-attempt'}, now: Instant): void {
 		const {time} = this._around;
 		const server = this._around.serverOf(effect.identity);
--- a/benchmark/policy/types.ts
+++ b/benchmark/policy/types.ts
@@ -1,5 +1,5 @@
 /** What the parts of the policy benchmark tell one another. */
-import {type CallEngine, type LoadReport} from '../../src/common/calls/types.ts';
+import {type CallEngine, type CallRule, type LoadReport} from '../../src/common/calls/types.ts';
 import {type Service} from '../../src/common/model/resources.ts';
 import {type Instant, type Milliseconds, type RandomSource} from '../../src/common/model/units.ts';
 
@@ -14,6 +14,8 @@
 	/** Time it takes in one slot of a backend server at full speed. */
 	readonly work: Milliseconds;
 	readonly timeout: Milliseconds;
+	/** What its route says; undefined where the service decides. */
+	readonly rule?: CallRule;
 };
 
 /** What one call came to. */
@@ -23,6 +25,8 @@
 	/** A whole answer without a server error, within the caller's time. */
 	isGood: boolean;
 	isRefused: boolean;
+	/** Refused as not run, with the time after which to come back. */
+	retryAfter?: Milliseconds;
 	/** Times it was begun on a backend server; more than one counts as wasted work. */
 	starts: number;
 };
--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -2,7 +2,7 @@
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type BackendServerState} from './backend-server-state.ts';
 import {
-	type Attempt, type AttemptPurpose, type Call, isBodiless, objectiveOf, outcomeSoFar, workEstimate,
+	type Attempt, type AttemptPurpose, type Call, isBodiless, outcomeSoFar, workEstimate,
 } from './call.ts';
 import {type CallEndings} from './call-endings.ts';
 import {type EngineContext, vmCountOf} from './engine-context.ts';
@@ -78,7 +78,7 @@
  */
 function hedgeDelay(call: Call, now: Instant): Milliseconds {
 	const usual = workEstimate(call);
-	return Math.max(call.arrivedAt + objectiveOf(call) - (usual * hedgeReserve) - now, usual * leastHedgeDelay);
+	return Math.max(call.objectiveAt - (usual * hedgeReserve) - now, usual * leastHedgeDelay);
 }
 
 /** Runs attempts. */
--- a/src/common/calls/call.ts
+++ b/src/common/calls/call.ts
@@ -52,6 +52,8 @@
 	readonly serviceState: ServiceState;
 	readonly class: CallClass;
 	readonly arrivedAt: Instant;
+	/** Until then its answer is worth most. A caller that comes back has used part of that time before. */
+	readonly objectiveAt: Instant;
 	/** After it nobody waits for the head of an answer. */
 	readonly deadline: Instant;
 	readonly isIdempotent: boolean;
@@ -83,12 +85,15 @@
 	const {rule} = request;
 	const longest = rule?.timeoutMilliseconds ?? declared.timeoutMilliseconds;
 	const timeout: Milliseconds = Math.min(request.timeoutMilliseconds ?? longest, longest);
+	const callClass = serviceState.classes.classOf(request);
+	const objective: Milliseconds = rule?.objectiveMilliseconds ?? declared.objective.latencyMilliseconds;
 	return {
 		request,
 		service: declared,
 		serviceState,
-		class: serviceState.classes.classOf(request),
+		class: callClass,
 		arrivedAt: now,
+		objectiveAt: now + objective - callClass.spentOf(request.timeoutMilliseconds),
 		deadline: now + timeout,
 		isIdempotent: rule?.isIdempotent ?? declared.idempotentMethods.includes(request.method),
 		state: 'queued',
--- a/src/common/calls/demand-placer.ts
+++ b/src/common/calls/demand-placer.ts
@@ -37,6 +37,9 @@
 /** How long a report of the work time holds, in milliseconds: neighbours come and go in pieces of half a second. */
 const factorMemory = 350;
 
+/** A report this young tells of the present: most neighbours that it saw are still there. */
+const youngMilliseconds = 150;
+
 /** Times are estimates of a mean; nine in ten answers come within this many of it. */
 const reserve = 1.25;
 
@@ -49,8 +52,11 @@
 /**
  * Places by reports that were fetched for the attempt, or are as young. Answers the pattern "overload of backend servers
  * that slow down when they are full": a call goes where it will be answered within its objective, and waits for such a
- * place for a moment. One that can no longer be answered in time must not take a quick place from one that can: it goes
- * to the slowest backend server that still answers before its deadline, or is refused.
+ * place for a moment. It leaves a slot free, since others choose by the same report within the same millisecond and a
+ * full backend server is slower for all; after its wait it takes the last slot too. One that can no longer be answered in
+ * time must not take a quick place from one that can: it goes to the slowest backend server that still answers before
+ * its deadline and is of no use to a fresh call, or is refused.
+ * At 1.3 times what quiet backend servers carry, 0.61 of all worth is earned instead of 0.34 (benchmark `demand`, `over`).
  */
 export class DemandPlacer implements Placer {
 	private readonly _context: EngineContext;
@@ -74,36 +80,42 @@
 	}
 
 	place(call: Call, now: Instant, purpose: AttemptPurpose = 'first'): Placement | undefined {
-		const untilObjective = call.arrivedAt + objectiveOf(call) - now;
+		const isPatient = purpose === 'hedge' || (purpose === 'first' && !isImpatient(call, now));
+		const untilObjective = call.objectiveAt - now;
 		const untilDeadline = call.deadline - now;
-		const isPatient = purpose === 'first' && !isImpatient(call, now);
-		let best: BackendServerState | undefined;
-		let least = Infinity;
-		let slowest: BackendServerState | undefined;
-		let most = 0;
-		for (const server of call.serviceState.servers) {
-			if (!this._mayTake(server, call) || !hasRoom(server)) {
-				continue;
-			}
-
+		const spare = new Cheapest();
+		const last = new Cheapest();
+		const slow = new Cheapest();
+		for (const server of this._known(call, now)) {
 			const time = this._answerTime(server, call, now);
 			const cost = time + this._bytesCost(server, call);
-			if (cost < least && time * reserve <= untilObjective) {
-				least = cost;
-				best = server;
+			const load = server.reportedLoad + 1;
+			if (time * reserve <= untilObjective) {
+				(load < server.declared.slots ? spare : last).offer(server, cost);
 			}
 
-			if (time > most && time * reserve <= untilDeadline && server.reportedLoad < server.declared.slots) {
-				most = time;
-				slowest = server;
+			if (this._isUseless(server, call, now) && load <= server.declared.slots && time * reserve <= untilDeadline) {
+				slow.offer(server, -time);
 			}
 		}
 
-		if (best !== undefined) {
-			return placementOf(best);
-		}
+		return placementOf(spare.server ?? (isPatient ? undefined : last.server ?? slow.server));
+	}
 
-		return isPatient || purpose === 'hedge' ? undefined : placementOf(slowest);
+	/**
+	 * Backend servers with room of which something young is known. Guards against placing blindly in a large fleet: each
+	 * VM asks a few of its many backend servers, and an old report of the others looks better than the young ones of
+	 * those that are full. Where no report is young, since none was allowed or none came, all count.
+	 */
+	private _known(call: Call, now: Instant): BackendServerState[] {
+		const able = call.serviceState.servers.filter(server => this._mayTake(server, call) && hasRoom(server));
+		const young = able.filter(server => now - server.reportedAt <= youngMilliseconds);
+		return young.length > 0 ? young : able;
+	}
+
+	/** Its neighbours slow it down so much that a fresh call would not be answered there within its objective. */
+	private _isUseless(server: BackendServerState, call: Call, now: Instant): boolean {
+		return workEstimate(call) * this._workTimeFactor(server, now) * reserve > objectiveOf(call);
 	}
 
 	/** One that does not answer its measuring calls is asked by few calls only, so that its silence delays few. */
@@ -151,13 +163,26 @@
 	}
 }
 
+/** The cheapest of the backend servers that were offered. */
+class Cheapest {
+	server: BackendServerState | undefined;
+	private _cost = Infinity;
+
+	offer(server: BackendServerState, cost: number): void {
+		if (cost < this._cost) {
+			this._cost = cost;
+			this.server = server;
+		}
+	}
+}
+
 function placementOf(server: BackendServerState | undefined): Placement | undefined {
 	return server === undefined ? undefined : {server, isExperiment: false};
 }
 
 /** A call has waited for a backend server that answers within its objective as long as that makes sense. */
 export function isImpatient(call: Call, now: Instant): boolean {
-	return now - call.arrivedAt >= patience * objectiveOf(call);
+	return now >= Math.min(call.arrivedAt + (patience * objectiveOf(call)), call.objectiveAt - workEstimate(call));
 }
 
 /** Room by what was reported; a backend server that reports nothing is bounded by its connections. */
--- a/src/common/calls/demand-placing.test.ts
+++ b/src/common/calls/demand-placing.test.ts
@@ -129,6 +129,49 @@
 		expect(start?.identity).toEqual('identity-0');
 	});
 
+	// Story: a member is refused in a rush, comes back a third of a second later and is taken for a fresh caller. It gets a
+	// quick place and is late all the same; a fresh call, which would have been in time there, is not.
+	it('knows a caller that comes back by the time that it has left, and spares it the quick places', () => {
+		const driver = driverOf(2);
+		const first = measuresOf(driver.handle({type: 'call-arrived', request: readOf(1)}));
+		startIn(answer(driver, first, quiet));
+		driver.now += 200;
+		const effects = [...driver.handle({type: 'call-arrived', request: {...readOf(2), timeoutMilliseconds: 850}})];
+		const start = startIn(answer(driver, measuresOf(effects), identity => reportOf('p', {workTimeFactor: identity === 'identity-0' ? 4 : 1})));
+		expect(start?.identity).toEqual('identity-0');
+	});
+
+	// Story: sixteen VMs see the same backend server with one free slot, and each sends it a call in the same millisecond.
+	// It is full beyond its queue, slower for all, and those calls are late.
+	it('leaves the last slot of a backend server while another has room, and takes it after a wait', () => {
+		const driver = driverOf(2);
+		const nearlyFull = () => reportOf('p', {inFlight: 5, workTimeFactor: 1});
+		const effects = driver.handle({type: 'call-arrived', request: readOf(1)});
+		const atOnce = startIn(answer(driver, measuresOf(effects), nearlyFull));
+		let start: Start | undefined;
+		while (start === undefined && driver.now < 200) {
+			const passed = driver.passTime(5);
+			start = startIn([...passed, ...answer(driver, measuresOf(passed), nearlyFull)]);
+		}
+
+		expect([atOnce, start === undefined, driver.now >= 75]).toEqual([undefined, false, true]);
+	});
+
+	// Story: a VM has many backend servers and asks four for each call. All four are full, and a report of two seconds ago
+	// says that a fifth is free. Every VM believes its own old report of another one, and most of them are wrong.
+	it('prefers what it has just learnt over an old report that looks better', () => {
+		const driver = driverOf(5);
+		const before = measuresOf(driver.handle({type: 'call-arrived', request: readOf(1)}));
+		answer(driver, before, quiet);
+		driver.now += 2000;
+		const measures = measuresOf(driver.handle({type: 'call-arrived', request: readOf(2)}));
+		const asked = new Set(measures.map(({identity}) => identity));
+		const start = startIn([
+			...answer(driver, measures, () => reportOf('p', {inFlight: 4, workTimeFactor: 1.2})), ...driver.passTime(1),
+		]);
+		expect([start === undefined, start !== undefined && asked.has(start.identity)]).toEqual([false, true]);
+	});
+
 	// Story: a neighbour comes in the middle of a call, which would now take seven times as long. Waited for, it misses its
 	// objective; tried elsewhere while a usual answer still fits, it does not.
 	it('tries an idempotent call again in time for its objective', () => {
--- a/src/common/calls/outcomes-under-load.test.ts
+++ b/src/common/calls/outcomes-under-load.test.ts
@@ -1,5 +1,7 @@
 /** What callers get under load: the engines of 16 VMs against the benchmark's model, in virtual time. */
 import {expect} from 'earl';
+import {DemandRun, type DemandFigures} from '../../../benchmark/demand/demand-run.ts';
+import {type DemandScenario, demandScenarios} from '../../../benchmark/demand/scenarios.ts';
 import {selectPolicies} from '../../../benchmark/policy/policies.ts';
 import {scenarios} from '../../../benchmark/policy/scenarios.ts';
 import {Simulation} from '../../../benchmark/policy/simulation.ts';
@@ -13,6 +15,39 @@
 	return new Simulation(scenario, policy, seed).run();
 }
 
+/** The customers' kind of load, of which a test needs a few seconds only. */
+function runOnDemand(scenarioName: string, changes: Partial<DemandScenario> = {}): DemandFigures {
+	const scenario = demandScenarios.find(one => one.name === scenarioName)!;
+	return new DemandRun({...scenario, milliseconds: 5000, ...changes}, {}, seed).run();
+}
+
+describe('outcomes under load, measured on demand', () => {
+	it('answers nearly all in time while neighbours slow a third of the backend servers down', () => {
+		// At any moment a third of the backend servers take seven times as long, in pieces of half a second. Placed
+		// without a look, every third call would be late; a neighbour that comes during a call still makes some so.
+		const own = runOnDemand('calm');
+		expect(own.earned).toBeGreaterThanOrEqual(0.93);
+		expect(own.served).toBeGreaterThanOrEqual(0.99);
+	});
+
+	it('serves on in time at 1.3 times what quiet backend servers carry', () => {
+		// Registration opens, and callers that are refused come back. Taken for fresh, they fill the quick slots with
+		// answers that are late; queued, they make everybody late.
+		const own = runOnDemand('over');
+		expect(own.earned).toBeGreaterThanOrEqual(0.52);
+		expect(own.late).toBeLessThanOrEqual(0.15);
+		expect(own.attemptsACall).toBeLessThanOrEqual(1);
+	});
+
+	it('bears the same with 126 VMs that each know little', () => {
+		// Each VM sees a dozen calls a second and asks a few of 177 backend servers for each.
+		const own = runOnDemand('large-over', {milliseconds: 3000});
+		expect(own.earned).toBeGreaterThanOrEqual(0.5);
+		// The budget of 60 measuring calls a second and backend server comes to 8.3 a call, and what was saved up.
+		expect(own.measuringsACall).toBeLessThanOrEqual(9);
+	});
+});
+
 describe('outcomes under load', () => {
 	it('answers everybody in a rush, no later than the best plain rule', () => {
 		// Registration opens: for 60 ms calls come at one and a half times what the backend servers can do.
