--- a/src/common/calls/demand-placer.ts
+++ b/src/common/calls/demand-placer.ts
@@ -59,7 +59,7 @@
  * more, and queues there only after its wait. One that can no longer be answered in time must not take a quick place
  * from one that can: it goes to the slowest backend server that still answers before its deadline and is of no use to a
  * fresh call, else to one that is half empty, or is refused. Benchmark `demand`, earned part of worth with the plain rule
- * and with this one, 3 seeds: at 1.3 times what quiet backend servers carry 0.33 and 0.58, in bursts 0.57 and 0.68.
+ * (2 seeds) and with this one (3 seeds): at 1.3 times what quiet backend servers carry 0.33 and 0.58, in bursts 0.57 and 0.68.
  */
 export class DemandPlacer implements Placer {
 	private readonly _context: EngineContext;
--- a/src/common/registry/vm-directory.ts
+++ b/src/common/registry/vm-directory.ts
@@ -16,7 +16,7 @@
 /** VMs that live have written their entries anew this long after the store is back. */
 const holdMilliseconds: Milliseconds = 3000;
 
-/** VMs of a data centre that one reader tells its news: forty short messages twice a second cost it 1% of half a core. */
+/** VMs of a data centre that one reader tells its news: after each look, at most 1.25 times a second, 40 lines of 83 bytes. */
 const followersAReader = 40;
 
 /** A VM as it stands in the store. */
--- a/src/node/fleet/news-frame.ts
+++ b/src/node/fleet/news-frame.ts
@@ -10,7 +10,7 @@
 
 /**
  * From here on a frame is compressed. Forty VMs that follow one with a link of 7 Mbit/s would wait four seconds for a
- * configuration of 90 KB; such documents shrink to a tenth.
+ * configuration of 90 KB. 350 routes of chance names shrink from 54,918 to 5581 bytes.
  */
 const compressFromBytes = 1000;
 
