Know a process that starts again under its identity; use no entry that cannot be read

Cause: backend servers may start again under their id, which only the start in their entries tells; calls went on by the reports, failures and connections of the process before. An entry that could not be read left the last readable one in use. Change: the start goes with the backend server into the call engine; a later one gets a record and a pool of connections of its own, reads of the old one are tried again at once, what may not run twice waits. Earlier starts never come back, also after the entry is gone. An unreadable entry takes its backend server out of new work until it can be read. Ruled out: comparing the start with this VM's clock, which may jump; telling the processes apart by headers, which hold the id alone.

--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -176,6 +176,7 @@
 			identity: server.identity,
 			address: server.declared.address,
 			port: server.declared.port,
+			processStartedAt: server.declared.processStartedAt,
 			timeoutMilliseconds: purpose === 'resume' ? call.deadline - call.arrivedAt : Math.max(1, call.deadline - now),
 			needsFreshConnection: server.health === 'doubted',
 			connectionLimit: connectionLimit(this._context, server.declared),
@@ -276,6 +277,20 @@
 		this._retryOrRefuse(call, event.isReplayable, call.mayHaveRun ? 'outcome-unknown' : 'backend-server-failed', now);
 	}
 
+	/**
+	 * Another process has taken the backend server's identity: the one that had these calls has lost them, and its
+	 * connections may be silent for good. Reads go elsewhere at once. What may not run twice waits for its answer or its
+	 * timeout: it may have run, or may be running in the new process.
+	 */
+	onReplaced(server: BackendServerState, now: Instant): void {
+		for (const attempt of server.attempts) {
+			const {call} = attempt;
+			if (!attempt.hasHead && attempt.purpose !== 'resume' && call.isIdempotent && isBodiless(call.request) && call.request.mayRetry) {
+				this.hedge(attempt, now);
+			}
+		}
+	}
+
 	/** A read that is slower than nearly all of its class gets a second chance elsewhere. */
 	hedge(attempt: Attempt, now: Instant): void {
 		const {call} = attempt;
@@ -300,7 +315,7 @@
 			purpose,
 			startedAt: now,
 			signal: server.signalAt(now, call.serviceState.usualOthers(vmCountOf(this._context)), call.serviceState.classes.all.holdMean),
-			instance: server.report?.instance,
+			instance: server.process,
 			isExperiment,
 			isSuspect,
 			isSent: false,
--- a/src/common/calls/backend-server-state.ts
+++ b/src/common/calls/backend-server-state.ts
@@ -1,5 +1,4 @@
 /** What this VM knows of one backend server: its load, its speed, its failures, its health. */
-import {type BackendServer} from '../model/resources.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type Attempt} from './call.ts';
 import {
@@ -10,7 +9,7 @@
 import {ProcessHistory} from './process-history.ts';
 import {type TimerEntry} from './timer-queue.ts';
 import {type CallTuning} from './tuning.ts';
-import {type BackendServerIdentity, type LoadReport} from './types.ts';
+import {type BackendServerIdentity, type BackendServerInForce, type LoadReport} from './types.ts';
 
 /** Part of a new answer time in the mean of the latest ones: swings are over after a few calls. */
 const slownessGain = 0.3;
@@ -38,7 +37,7 @@
 /** Knowledge of one backend server, kept across changes of its declared fields. */
 export class BackendServerState {
 	readonly identity: BackendServerIdentity;
-	declared: BackendServer;
+	declared: BackendServerInForce;
 	/** Attempts of this VM that have neither ended nor been given up. */
 	readonly attempts = new Set<Attempt>();
 	readonly schedule = new MeasuringSchedule();
@@ -68,7 +67,7 @@
 	private _ejectedUntil: Instant = 0;
 
 	/** `isKnown` = it was there before this VM began to serve, so that it is not cold for being new here. */
-	constructor(identity: BackendServerIdentity, declared: BackendServer, tuning: CallTuning, now: Instant, isKnown = false) {
+	constructor(identity: BackendServerIdentity, declared: BackendServerInForce, tuning: CallTuning, now: Instant, isKnown = false) {
 		this.identity = identity;
 		this.declared = declared;
 		this._tuning = tuning;
@@ -87,6 +86,13 @@
 		return this._failuresInRow;
 	}
 
+	/** Names its process as well as is known: by what reports say, and by its start; undefined = neither is known. */
+	get process(): string | undefined {
+		const {processStartedAt} = this.declared;
+		const instance = this.report?.instance;
+		return processStartedAt === undefined ? instance : `${instance ?? ''}@${processStartedAt}`;
+	}
+
 	/** Time since its health last changed. */
 	healthAge(now: Instant): Milliseconds {
 		return now - this._healthSince;
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -54,6 +54,7 @@
 			timers: new TimerQueue<Timer>(),
 			suspects: new CrashSuspects(tuning.suspicionMilliseconds),
 			freed: new Set(),
+			replaced: [],
 			isPlacingHeld: false,
 			shares: undefined,
 			effects: [],
@@ -175,6 +176,10 @@
 		switch (event.type) {
 			case 'configured': {
 				this._directory.configure(event.configuration, now);
+				for (const server of this._context.replaced.splice(0)) {
+					this._runner.onReplaced(server, now);
+				}
+
 				break;
 			}
 
--- a/src/common/calls/engine-context.ts
+++ b/src/common/calls/engine-context.ts
@@ -1,5 +1,6 @@
 /** What the parts of the engine share while they handle an event. */
 import {type Instant, type RandomSource} from '../model/units.ts';
+import {type BackendServerState} from './backend-server-state.ts';
 import {type Attempt, type Call} from './call.ts';
 import {type CrashSuspects} from './crash-suspects.ts';
 import {type Scouting} from './scouting.ts';
@@ -41,6 +42,8 @@
 	readonly suspects: CrashSuspects;
 	/** Services whose concurrency has become free in this event. */
 	readonly freed: Set<ServiceState>;
+	/** Records of processes that another one has replaced in this event; their attempts are still open. */
+	readonly replaced: BackendServerState[];
 	shares: FleetShares | undefined;
 	/** Nothing is placed now: what is known may be as old as a pause. */
 	isPlacingHeld: boolean;
--- /dev/null
+++ b/src/common/calls/process-restart.test.ts
@@ -0,0 +1,70 @@
+import {expect} from 'earl';
+import {
+	configurationOf, EngineDriver, reportOf, requestOf,
+} from './engine-driver.test.ts';
+import {type CallConfiguration} from './types.ts';
+
+/** One backend server, whose process started at this time. */
+function startedAt(processStartedAt: number, version: number, changes: {readonly isLeaving?: boolean} = {}): CallConfiguration {
+	const configuration = configurationOf(1);
+	return {
+		...configuration,
+		version,
+		backendServers: new Map(Array.from(configuration.backendServers, ([identity, server]) => [identity, {...server, processStartedAt, ...changes}])),
+	};
+}
+
+describe('a process that starts again under its identity', () => {
+	// Story: a backend server that was full and was leaving crashes and starts again under its id. It is empty, but by the
+	// old reports it is full, and by the old sign it gets nothing for as long as it lives.
+	it('is judged by nothing that was known of the one before', () => {
+		const driver = new EngineDriver(startedAt(1000, 1));
+		const first = driver.start(requestOf(1))!;
+		driver.answer(first.attemptId, reportOf('identity-0', {inFlight: 6, queued: 9, isLeaving: true}));
+		const whileLeaving = driver.start(requestOf(2));
+		driver.handle({type: 'configured', configuration: startedAt(2000, 2)});
+		expect([whileLeaving, driver.engine.status(driver.now).backendServers.map(({state, reportedInFlight}) => `${state} ${reportedInFlight}`)])
+			.toEqual([undefined, ['warming undefined']]);
+		expect(driver.start(requestOf(3))?.processStartedAt).toEqual(2000);
+	});
+
+	// Story: an older declaration is still on its way through the fleet and arrives after that of the new process.
+	it('stays when an older word of its predecessor comes', () => {
+		const driver = new EngineDriver(startedAt(2000, 1));
+		const first = driver.start(requestOf(1))!;
+		driver.answer(first.attemptId, reportOf('identity-0', {inFlight: 2}));
+		driver.handle({type: 'configured', configuration: startedAt(2000, 2)});
+		expect(driver.engine.status(driver.now).backendServers[0]?.reportedInFlight).toEqual(2);
+	});
+
+	// Story: a cut hides the crash of a backend server. Its new process registers, while an order sent to the old one
+	// hangs on a connection that will never say anything. Sent again it might run twice; counted as not run it might have.
+	it('leaves an order of the old one open, which may have run', () => {
+		const driver = new EngineDriver(startedAt(1000, 1));
+		const order = driver.start(requestOf(1))!;
+		driver.sent(order.attemptId);
+		const effects = driver.handle({type: 'configured', configuration: startedAt(2000, 2)});
+		expect([effects.length, driver.fail(order.attemptId, 'reset-after-sending').map(({type}) => type)]).toEqual([0, ['tell-peers', 'refuse', 'call-ended']]);
+	});
+
+	// Story: the same with a read. Waiting for the silent connection would use up its caller's time.
+	it('has reads of the old one tried again at once', () => {
+		const driver = new EngineDriver(startedAt(1000, 1));
+		for (let call = 10; call < 80; call++) {
+			driver.answer(driver.start(requestOf(call, {method: 'GET', bodyBytes: 0}))!.attemptId);
+		}
+
+		const read = driver.start(requestOf(1, {method: 'GET', bodyBytes: 0}))!;
+		driver.sent(read.attemptId);
+		const effects = driver.handle({type: 'configured', configuration: startedAt(2000, 2)});
+		expect(effects.map(effect => effect.type === 'start-attempt' ? [effect.callId, effect.processStartedAt] : effect.type)).toEqual([[1, 2000]]);
+	});
+
+	it('says nothing by a late answer of the old one', () => {
+		const driver = new EngineDriver(startedAt(1000, 1));
+		const order = driver.start(requestOf(1))!;
+		driver.handle({type: 'configured', configuration: startedAt(2000, 2)});
+		driver.answer(order.attemptId, reportOf('identity-0', {inFlight: 6, queued: 9}));
+		expect(driver.engine.status(driver.now).backendServers[0]?.reportedInFlight).toEqual(undefined);
+	});
+});
--- a/src/common/calls/service-directory.test.ts
+++ b/src/common/calls/service-directory.test.ts
@@ -14,7 +14,7 @@
 	it('goes back to the default when a sharing rule is deleted', () => {
 		const directory = new ServiceDirectory({
 			random: seededRandom(1), tuning: defaultTuning, settings: {dataCentre: 'north'}, timers: new TimerQueue(),
-			suspects: new CrashSuspects(1000), freed: new Set(), shares: undefined,
+			suspects: new CrashSuspects(1000), freed: new Set(), replaced: [], shares: undefined,
 			isPlacingHeld: false, effects: [],
 		});
 		const services = new Map([['dues', serviceSchema.parse({kind: 'service', name: 'dues'})]]);
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -1,5 +1,4 @@
 /** The services and backend servers in force, and what is learnt of them besides calls. */
-import {type BackendServer} from '../model/resources.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {BackendServerState} from './backend-server-state.ts';
 import {CrashSuspects} from './crash-suspects.ts';
@@ -8,7 +7,7 @@
 import {defaultSharing, ServiceState} from './service-state.ts';
 import {TimerQueue} from './timer-queue.ts';
 import {
-	type BackendServerIdentity, type BackendServerStatus, type CallConfiguration, type FleetShares, type LoadNews, type LoadReport, type MeasurementId,
+	type BackendServerIdentity, type BackendServerInForce, type BackendServerStatus, type CallConfiguration, type FleetShares, type LoadNews, type LoadReport, type MeasurementId,
 } from './types.ts';
 
 /** Without a share, or with a fresh report, a backend server is looked at again after this time at most. */
@@ -191,10 +190,9 @@
 		for (const [identity, declared] of configuration.backendServers) {
 			const known = this._servers.get(identity);
 			if (known === undefined) {
-				const server = new BackendServerState(identity, declared, this._context.tuning, now, isFirst);
-				this._servers.set(identity, server);
-				server.schedule.start(now, this._context.random.next());
-				this._lookAt(server, now);
+				this._add(identity, declared, now, isFirst);
+			} else if (isLaterProcess(known.declared, declared)) {
+				this._restart(known, declared, now);
 			} else {
 				redeclare(known, declared, now);
 			}
@@ -207,6 +205,28 @@
 		}
 	}
 
+	private _add(identity: BackendServerIdentity, declared: BackendServerInForce, now: Instant, isKnown: boolean): void {
+		const server = new BackendServerState(identity, declared, this._context.tuning, now, isKnown);
+		this._servers.set(identity, server);
+		server.schedule.start(now, this._context.random.next());
+		this._lookAt(server, now);
+	}
+
+	/**
+	 * Guards a process that starts again under its predecessor's identity: judged by that one's reports, failures and
+	 * open attempts it would look full, failing or leaving, and a late report of the old one would speak for the new.
+	 * It gets a record of its own; what belongs to the old one ends with the attempts and measuring calls that hold it.
+	 */
+	private _restart(former: BackendServerState, declared: BackendServerInForce, now: Instant): void {
+		this._context.suspects.confirm(CrashSuspects.crashIdentity(former.identity, former.process), now);
+		if (former.look !== undefined) {
+			this._looks.remove(former.look);
+		}
+
+		this._add(former.identity, declared, now, false);
+		this._context.replaced.push(former);
+	}
+
 	private _takeReport(server: BackendServerState, report: LoadReport, madeAt: Instant, now: Instant): void {
 		const effect = server.takeReport(report, madeAt, now);
 		if (effect.goneInstance !== undefined) {
@@ -273,6 +293,7 @@
 			identity: server.identity,
 			address: server.declared.address,
 			port: server.declared.port,
+			processStartedAt: server.declared.processStartedAt,
 			timeoutMilliseconds: measuring?.mode === 'on-demand' ? demandTimeout : measuringTimeout,
 		});
 	}
@@ -293,8 +314,13 @@
 	}
 }
 
+/** Whether this declaration is of a process that started after the one known under the identity. */
+function isLaterProcess(known: BackendServerInForce, declared: BackendServerInForce): boolean {
+	return declared.processStartedAt !== undefined && declared.processStartedAt > (known.processStartedAt ?? Infinity);
+}
+
 /** A changed declaration; an order to leave that is taken back makes it a returned one. */
-function redeclare(server: BackendServerState, declared: BackendServer, now: Instant): void {
+function redeclare(server: BackendServerState, declared: BackendServerInForce, now: Instant): void {
 	const hasReturned = server.declared.isLeaving && !declared.isLeaving;
 	server.declared = declared;
 	if (declared.isLeaving) {
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -149,11 +149,20 @@
 	/** The service could not say: this sending does not run, but one before it under the same key may have. */
 		| {readonly type: 'unavailable'};
 
+/** A backend server as it is in force: as declared, and which process of it is meant where that is known. */
+export type BackendServerInForce = BackendServer & {
+	/**
+	 * Unix milliseconds of the process's start by the backend server's own clock; compared only with other starts under
+	 * the same identity. A later one is another process, which holds and knows nothing of the one before.
+	 */
+	readonly processStartedAt?: number;
+};
+
 /** Everything declared that calls depend on. */
 export type CallConfiguration = {
 	readonly version: number;
 	readonly services: ReadonlyMap<string, Service>;
-	readonly backendServers: ReadonlyMap<BackendServerIdentity, BackendServer>;
+	readonly backendServers: ReadonlyMap<BackendServerIdentity, BackendServerInForce>;
 	readonly sharingRules: readonly SharingRule[];
 	/** Routes by host and path, where the operators declare any. */
 	readonly routing?: Routing;
@@ -211,6 +220,8 @@
 		readonly identity: BackendServerIdentity;
 		readonly address: string;
 		readonly port: number;
+		/** Start of the process that is meant; connections to an earlier one are not used for it. */
+		readonly processStartedAt?: number | undefined;
 		/** Time left for this attempt; passed on to the backend server. */
 		readonly timeoutMilliseconds: Milliseconds;
 		/** Do not use a kept-alive connection: one fell silent, and a new one tells whom to blame. */
@@ -251,6 +262,8 @@
 		readonly identity: BackendServerIdentity;
 		readonly address: string;
 		readonly port: number;
+		/** Start of the process that is meant. */
+		readonly processStartedAt?: number | undefined;
 		readonly timeoutMilliseconds: Milliseconds;
 	}
 	| {readonly type: 'claim-key'; readonly callId: CallId; readonly service: string; readonly key: string}
--- a/src/common/registry/registry-driver.test.ts
+++ b/src/common/registry/registry-driver.test.ts
@@ -26,7 +26,7 @@
 	graceMilliseconds: 6000,
 };
 
-/** Documents in a form of the tests' own: `version`, `service address state`, or an address. */
+/** Documents in a form of the tests' own: `version`, `service address state [start]`, or an address. */
 const documents: DocumentReader = {
 	configuration(value) {
 		const version = Number(value);
@@ -50,13 +50,16 @@
 			});
 	},
 	server(key, value) {
-		const [service, address, state] = value.split(' ');
+		const [service, address, state, start] = value.split(' ');
 		const instance = key.slice('servers/'.length);
-		return ok({
-			instance, declared: backendServerSchema.parse({
-				kind: 'backend-server', name: instance, service, address, port: 80, dataCentre: 'north', isLeaving: state === 'leaving',
-			}),
+		if (state !== 'ready' && state !== 'leaving') {
+			return err(failure('invalid-document', `no state: ${value}`));
+		}
+
+		const declared = backendServerSchema.parse({
+			kind: 'backend-server', name: instance, service, address, port: 80, dataCentre: 'north', isLeaving: state === 'leaving',
 		});
+		return ok({instance, declared: {...declared, ...(start === undefined ? {} : {processStartedAt: Number(start)})}});
 	},
 	vm(value) {
 		const [address, link] = value.split(' ');
@@ -187,6 +190,11 @@
 		return [...this.inForce?.backendServers ?? []].filter(([, server]) => !server.isLeaving).map(([identity]) => identity).toSorted();
 	}
 
+	/** Messages logged so far. */
+	get logged(): string[] {
+		return this.effects.filter(effect => effect.type === 'log').map(effect => effect.message);
+	}
+
 	get stages(): string[] {
 		return this.effects.filter(effect => effect.type === 'stage').map(effect => effect.stage);
 	}
--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -274,9 +274,12 @@
 		}
 
 		if (key.startsWith(layout.serverPrefix)) {
-			const isChanged = this._servers.put(key, value);
-			this._news.put(entry, isChanged);
-			return isChanged;
+			const effect = this._servers.put(key, value);
+			if (effect !== 'outdated') {
+				this._news.put(entry, effect === 'changed');
+			}
+
+			return effect === 'changed';
 		}
 
 		if (key.startsWith(layout.vmPrefix)) {
--- /dev/null
+++ b/src/common/registry/server-entries.test.ts
@@ -0,0 +1,88 @@
+import {expect} from 'earl';
+import {entryOf, RegistryDriver} from './registry-driver.test.ts';
+
+/** An engine that watches a store with two backend servers, of which `a` tells when its process started. */
+function watching(): RegistryDriver {
+	const driver = new RegistryDriver();
+	driver.start([entryOf('configuration', '1'), entryOf('servers/a', 'orders 10.0.1.1 ready 1000'), entryOf('servers/b', 'orders 10.0.1.2 ready')]);
+	return driver;
+}
+
+function startOf(driver: RegistryDriver, identity: string): number | undefined {
+	return driver.inForce?.backendServers.get(identity)?.processStartedAt;
+}
+
+describe('a backend server that starts again under its identity', () => {
+	it('is told to calls as another process', () => {
+		const driver = watching();
+		driver.change([entryOf('servers/a', 'orders 10.0.1.1 ready 2000', 20)]);
+		expect([startOf(driver, 'a'), driver.logged.at(-1)]).toEqual([2000, 'backend server started again']);
+	});
+
+	// Story: a backend server crashes and starts again at once. The last heartbeat of the process that died was on its
+	// way to a slow store and is written after the first one of the new process. Calls would be judged by the dead one.
+	it('is not undone by a late heartbeat of the process before', () => {
+		const driver = watching();
+		driver.change([entryOf('servers/a', 'orders 10.0.1.1 ready 2000', 20)]);
+		driver.change([entryOf('servers/a', 'orders 10.0.1.1 leaving 1000', 21)], [], 21);
+		expect([startOf(driver, 'a'), driver.usable]).toEqual([2000, ['a', 'b']]);
+	});
+
+	// Story: the same, and the new process is stopped a moment later. Its entry goes; the late heartbeat of the first
+	// process then brings a backend server back that nobody runs.
+	it('is not brought back by such a heartbeat after its entry is gone', () => {
+		const driver = watching();
+		driver.change([entryOf('servers/a', 'orders 10.0.1.1 ready 2000', 20)]);
+		driver.change([], ['servers/a'], 21);
+		driver.change([entryOf('servers/a', 'orders 10.0.1.1 ready 1000', 22)], [], 22);
+		expect(driver.usable).toEqual(['b']);
+	});
+
+	// Story: a VM that joins later learns from another one. Told the late heartbeat, it would believe the dead process,
+	// since it has never heard of the new one.
+	it('is told to other VMs by its own word', () => {
+		const driver = watching();
+		driver.change([entryOf('servers/a', 'orders 10.0.1.1 ready 2000', 20)]);
+		driver.change([entryOf('servers/a', 'orders 10.0.1.1 ready 1000', 21)], [], 21);
+		expect(driver.fleet.news(driver.now).entries.find(({key}) => key === 'servers/a')?.revision).toEqual(20);
+	});
+});
+
+describe('an entry that another writer has spoilt', () => {
+	// Story: something other than the backend server writes its entry, with fields missing or in bytes that mean nothing.
+	// Calls went on to what the entry had named before, although nobody vouches for it any more.
+	it('names no backend server to use, and others hold', () => {
+		const driver = watching();
+		driver.change([entryOf('servers/a', '\uFFFD\u0000', 20), entryOf('servers/c', 'orders 10.0.1.3 ready', 20)]);
+		expect([driver.usable, [...driver.inForce!.backendServers.keys()]]).toEqual([['b', 'c'], ['a', 'b', 'c']]);
+	});
+
+	it('is used again once it can be read', () => {
+		const driver = watching();
+		driver.change([entryOf('servers/a', 'orders', 20)]);
+		driver.change([entryOf('servers/a', 'orders 10.0.1.1 ready 1000', 21)], [], 21);
+		expect(driver.usable).toEqual(['a', 'b']);
+	});
+
+	it('is spoilt too when it no longer tells the start of its process', () => {
+		const driver = watching();
+		driver.change([entryOf('servers/a', 'orders 10.0.1.1 ready', 20)]);
+		expect(driver.usable).toEqual(['b']);
+	});
+
+	// Story: the writer goes on with a heartbeat every second; its lines bury all others in the log.
+	it('is logged once, and not with each heartbeat', () => {
+		const driver = watching();
+		for (let revision = 20; revision < 30; revision++) {
+			driver.change([entryOf('servers/a', 'orders', revision)], [], revision);
+		}
+
+		expect(driver.logged.filter(message => message.includes('cannot be read')).length).toEqual(1);
+	});
+
+	it('is told to other VMs, which leave it out as well', () => {
+		const driver = watching();
+		driver.change([entryOf('servers/a', 'orders', 20)]);
+		expect(driver.told.at(-1)?.entries.map(({key}) => key)).toEqual(['servers/a']);
+	});
+});
--- a/src/common/registry/server-registry.ts
+++ b/src/common/registry/server-registry.ts
@@ -1,15 +1,27 @@
 /** Backend servers as they have registered themselves. */
-import {type BackendServerIdentity} from '../calls/types.ts';
-import {describeFailure} from '../errors/failure.ts';
-import {type BackendServer} from '../model/resources.ts';
+import {err, ok, type Result} from 'neverthrow';
+import {type BackendServerIdentity, type BackendServerInForce} from '../calls/types.ts';
+import {describeFailure, failure} from '../errors/failure.ts';
 import {type Milliseconds} from '../model/units.ts';
 import {DoubtfulRemovals} from './doubtful-removals.ts';
 import {type RegistryContext} from './registry-context.ts';
-import {type DocumentReader, type ServerEntry} from './types.ts';
+import {type DocumentFailure, type DocumentReader, type ServerEntry} from './types.ts';
 
 /** Heartbeats that an entry outlives its owner by. */
 const heartbeatsToLapse = 3;
 
+/** Starts of processes that are gone and are still remembered; a late heartbeat follows within seconds. */
+const mostRememberedStarts = 1024;
+
+/** What an entry meant. */
+export type EntryEffect
+	/** Calls are to be handled in another way. */
+	= | 'changed'
+	/** It says what was known; its heartbeat counts. */
+		| 'unchanged'
+	/** A word of a process that another one has replaced: as if it had not been written. */
+		| 'outdated';
+
 /** Owners that live are back this long after the store is; the rest is gone. */
 const holdMilliseconds: Milliseconds = 2000;
 
@@ -17,6 +29,10 @@
 	private readonly _context: RegistryContext;
 	private readonly _documents: DocumentReader;
 	private readonly _entries = new Map<string, ServerEntry>();
+	/** Why an entry cannot be read, by key: each reason is logged once, and not with each heartbeat. */
+	private readonly _unreadable = new Map<string, string>();
+	/** Latest start of a process told under each key. */
+	private readonly _starts = new Map<string, number>();
 	private readonly _doubts: DoubtfulRemovals;
 	private readonly _onGone: (key: string) => void;
 
@@ -42,7 +58,7 @@
 	 * All backend servers by process; those of services that nobody declares are among them. `connectionLimits` = what the
 	 * configuration in force says of their services; an entry may have been read before it.
 	 */
-	declared(connectionLimits: ReadonlyMap<string, number>): Map<BackendServerIdentity, BackendServer> {
+	declared(connectionLimits: ReadonlyMap<string, number>): Map<BackendServerIdentity, BackendServerInForce> {
 		return new Map(Array.from(this._entries.values(), ({instance, declared}) => [
 			instance, {...declared, connectionLimit: connectionLimits.get(declared.service) ?? declared.connectionLimit},
 		]));
@@ -55,27 +71,32 @@
 		}
 	}
 
-	/** Takes an entry in; true = more than its heartbeat has changed. */
-	put(key: string, value: string): boolean {
-		const read = this._documents.server(key, value);
+	/** Takes an entry in. */
+	put(key: string, value: string): EntryEffect {
+		this._doubts.noteThere(key);
+		const read = this._documents.server(key, value).andThen(entry => this._withItsStart(key, entry));
 		if (read.isErr()) {
-			this._context.log('warn', 'a backend server\'s entry cannot be read and is left as it was', {key, failure: describeFailure(read.error)});
-			return false;
+			return this._withhold(key, read.error);
 		}
 
-		this._doubts.noteThere(key);
 		const entry = read.value;
+		const {processStartedAt} = entry.declared;
+		const latest = this._starts.get(key);
+		if (processStartedAt !== undefined && latest !== undefined && processStartedAt < latest) {
+			this._context.log('info', 'a word of a backend server\'s earlier process is passed over', {backendServer: entry.instance, processStartedAt, latest});
+			return 'outdated';
+		}
+
+		this._rememberStart(key, processStartedAt);
+		const wasUnreadable = this._unreadable.delete(key);
 		const known = this._entries.get(key);
-		if (known !== undefined && isSame(known.declared, entry.declared)) {
-			return false;
+		if (known !== undefined && !wasUnreadable && isSame(known.declared, entry.declared)) {
+			return 'unchanged';
 		}
 
 		this._entries.set(key, entry);
-		const {service, isLeaving, address, port} = entry.declared;
-		this._context.log('info', known === undefined ? 'backend server registered' : 'backend server changed', {
-			backendServer: entry.instance, service, address: `${address}:${port}`, isLeaving,
-		});
-		return true;
+		this._logTaken(entry, known);
+		return 'changed';
 	}
 
 	/**
@@ -98,7 +119,60 @@
 		return isChanged;
 	}
 
+	/** An entry that once told its process's start and tells none now is of another writer: it names no process. */
+	private _withItsStart(key: string, entry: ServerEntry): Result<ServerEntry, DocumentFailure> {
+		return entry.declared.processStartedAt === undefined && this._starts.has(key)
+			? err(failure('invalid-document', 'the start of the process is missing, which was told before'))
+			: ok(entry);
+	}
+
+	/**
+	 * Guards calls against an entry that another writer has spoilt: what it names cannot be known, and the backend server
+	 * that was read there before may be gone. It gets no new work, as one that leaves, until its entry can be read again;
+	 * calls in flight finish there.
+	 */
+	private _withhold(key: string, problem: DocumentFailure): EntryEffect {
+		const reason = describeFailure(problem);
+		const isNew = this._unreadable.get(key) !== reason;
+		this._unreadable.set(key, reason);
+		if (isNew) {
+			this._context.log('warn', 'a backend server\'s entry cannot be read; it gets no new work', {key, failure: reason});
+		}
+
+		const known = this._entries.get(key);
+		if (known === undefined || known.declared.isLeaving) {
+			return 'unchanged';
+		}
+
+		this._entries.set(key, {...known, declared: {...known.declared, isLeaving: true}});
+		return 'changed';
+	}
+
+	/** Remembered beyond the entry's end, since the last heartbeat of the earlier process may come after that. */
+	private _rememberStart(key: string, processStartedAt: number | undefined): void {
+		if (processStartedAt === undefined) {
+			return;
+		}
+
+		this._starts.delete(key);
+		this._starts.set(key, processStartedAt);
+		if (this._starts.size > mostRememberedStarts + this._entries.size) {
+			const [oldest] = this._starts.keys();
+			this._starts.delete(oldest!);
+		}
+	}
+
+	private _logTaken({instance, declared}: ServerEntry, known: ServerEntry | undefined): void {
+		const {service, isLeaving, address, port, processStartedAt} = declared;
+		const isRestart = known !== undefined && known.declared.processStartedAt !== processStartedAt;
+		const message = known === undefined ? 'backend server registered' : (isRestart ? 'backend server started again' : 'backend server changed');
+		this._context.log('info', message, {
+			backendServer: instance, service, address: `${address}:${port}`, isLeaving, ...(processStartedAt === undefined ? {} : {processStartedAt}),
+		});
+	}
+
 	private _drop(key: string): boolean {
+		this._unreadable.delete(key);
 		const entry = this._entries.get(key);
 		if (entry !== undefined) {
 			this._context.log('info', 'backend server gone', {backendServer: entry.instance, service: entry.declared.service});
@@ -110,7 +184,7 @@
 }
 
 /** Whether two declarations mean the same to calls; the time left to warm up only counts when first seen. */
-function isSame(one: BackendServer, other: BackendServer): boolean {
+function isSame(one: BackendServerInForce, other: BackendServerInForce): boolean {
 	return one.service === other.service && one.address === other.address && one.port === other.port && one.dataCentre === other.dataCentre
-		&& one.slots === other.slots && one.isLeaving === other.isLeaving;
+		&& one.slots === other.slots && one.isLeaving === other.isLeaving && one.processStartedAt === other.processStartedAt;
 }
--- a/src/common/registry/types.ts
+++ b/src/common/registry/types.ts
@@ -4,9 +4,10 @@
  * what it reads; how documents are written is the affair of a `DocumentReader`.
  */
 import {type Result} from 'neverthrow';
+import {type BackendServerInForce} from '../calls/types.ts';
 import {type Failure} from '../errors/failure.ts';
 import {type PeerAddress} from '../fleet/types.ts';
-import {type BackendServer, type Service} from '../model/resources.ts';
+import {type Service} from '../model/resources.ts';
 import {type Milliseconds} from '../model/units.ts';
 import {type Revision, type StoreEntry} from '../platform/types.ts';
 import {type Routing} from '../routing/types.ts';
@@ -23,10 +24,10 @@
 
 /** A backend server's own entry. */
 export type ServerEntry = {
-	/** Its process: a restart makes another one. It is also the identity in the call engine. */
+	/** Names it; also the identity in the call engine. A restart makes another one, or keeps it and tells a later start. */
 	readonly instance: string;
 	/** As declared to the call engine, but for the connections, which its service declares. */
-	readonly declared: BackendServer;
+	readonly declared: BackendServerInForce;
 };
 
 /** A VM's own entry. */
--- a/src/common/registry/vm-directory.ts
+++ b/src/common/registry/vm-directory.ts
@@ -90,8 +90,10 @@
 		this._doubts.noteThere(key);
 		const read = this._documents.vm(value);
 		if (read.isErr()) {
-			this._context.log('warn', 'the entry of a VM cannot be read', {key, failure: describeFailure(read.error)});
-			return false;
+			this._context.log('warn', 'the entry of a VM cannot be read; callers are not sent there', {key, failure: describeFailure(read.error)});
+			this._entries.delete(key);
+			this._ranks = undefined;
+			return true;
 		}
 
 		if (!this._entries.has(key)) {
--- a/src/node/front/backend-connections.ts
+++ b/src/node/front/backend-connections.ts
@@ -7,7 +7,10 @@
 import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 
-type Target = Pick<CallEffect & {type: 'start-attempt'}, 'identity' | 'address' | 'port'>;
+type Target = Pick<CallEffect & {type: 'start-attempt'}, 'identity' | 'address' | 'port' | 'processStartedAt'>;
+
+/** Connections to one process of a backend server. */
+type ProcessPool = {readonly pool: Pool; readonly origin: string; readonly processStartedAt: number | undefined};
 
 /** Settings of connections to backend servers. */
 export type ConnectionSettings = {
@@ -51,9 +54,9 @@
 	};
 }
 
-/** One pool for each backend server identity. */
+/** One pool for each backend server. */
 export class BackendConnections extends Disposable {
-	private readonly _pools = new Map<BackendServerIdentity, Pool>();
+	private readonly _pools = new Map<BackendServerIdentity, ProcessPool>();
 	private readonly _settings: ConnectionSettings;
 	private readonly _connect: buildConnector.connector;
 
@@ -62,7 +65,7 @@
 		this._settings = settings;
 		this._connect = resetAware(buildConnector({timeout: settings.connectMilliseconds}));
 		this._register(toDisposable(() => {
-			for (const pool of this._pools.values()) {
+			for (const {pool} of this._pools.values()) {
 				void pool.destroy();
 			}
 
@@ -70,15 +73,20 @@
 		}));
 	}
 
-	/** The shared pool of a backend server. */
-	pool(target: Target): Pool {
-		const known = this._pools.get(target.identity);
-		if (known !== undefined) {
-			return known;
+	/**
+	 * The shared pool of a backend server's process. Guards calls against connections to a process that another one has
+	 * replaced under its identity: they may be silent for good, or lead to an address that is no longer its own.
+	 */
+	pool({identity, address, port, processStartedAt}: Target): Pool {
+		const origin = originOf(address, port);
+		const known = this._pools.get(identity);
+		if (known?.origin === origin && known.processStartedAt === processStartedAt) {
+			return known.pool;
 		}
 
-		const pool = new Pool(originOf(target.address, target.port), this._options());
-		this._pools.set(target.identity, pool);
+		void known?.pool.close();
+		const pool = new Pool(origin, this._options());
+		this._pools.set(identity, {pool, origin, processStartedAt});
 		return pool;
 	}
 
@@ -89,7 +97,7 @@
 
 	/** Ends the pools of backend servers that are no longer declared, after their calls in flight. */
 	retain(identities: ReadonlySet<BackendServerIdentity>): void {
-		for (const [identity, pool] of this._pools) {
+		for (const [identity, {pool}] of this._pools) {
 			if (!identities.has(identity)) {
 				this._pools.delete(identity);
 				void pool.close();
