--- /dev/null
+++ b/src/common/calls/answer-time-model.test.ts
@@ -0,0 +1,105 @@
+import {expect} from 'earl';
+import {seededRandom} from '../random/random.ts';
+import {AnswerTimeModel, type Prospect} from './answer-time-model.ts';
+import {Roominess} from './roominess.ts';
+
+const work = 160;
+const quiet: Prospect = {
+	load: 1, slots: 3, workTimeFactor: 1, age: 0,
+};
+const lastSlot: Prospect = {...quiet, load: 3};
+const neighbours: Prospect = {...quiet, workTimeFactor: 4};
+
+/** Answers of a server whose last slot takes this many times longer, with a lognormal rest of this spread. */
+function taught(slowdown: number, spread: number, samples: number): AnswerTimeModel {
+	const random = seededRandom(3);
+	const model = new AnswerTimeModel();
+	for (let index = 0; index < samples; index++) {
+		const normal = Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
+		const rest = Math.exp((spread * normal) - (spread * spread / 2));
+		model.addAnswer(work, lastSlot, work * slowdown * rest);
+		model.addAnswer(work, quiet, work * Math.exp((spread * normal) - (spread * spread / 2)));
+	}
+
+	return model;
+}
+
+/** Part of a lognormal distribution of this mean and spread below a value, by chance. */
+function partBelow(mean: number, spread: number, within: number): number {
+	const random = seededRandom(11);
+	const count = 20_000;
+	let below = 0;
+	for (let index = 0; index < count; index++) {
+		const normal = Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
+		below += mean * Math.exp((spread * normal) - (spread * spread / 2)) <= within ? 1 : 0;
+	}
+
+	return below / count;
+}
+
+describe('the model of answer times', () => {
+	// Story: a VM has just started in a rush. Judged by nothing it would refuse calls that a quiet server answers in time,
+	// or send them to one that neighbours slow down.
+	it('is sound before anything was seen', () => {
+		const model = new AnswerTimeModel();
+		const chances = [quiet, lastSlot, neighbours].map(prospect => model.chance(work, prospect, 400));
+		expect([chances[0]! > 0.97, chances[1]! > 0.85 && chances[1]! < 0.97, chances[2]! < 0.15]).toEqual([true, true, true]);
+	});
+
+	for (const [slowdown, spread] of [[1, 0.2], [1.5, 0.3], [2.2, 0.4]] as const) {
+		it(`comes within 0.08 of the true part where the last slot takes ${slowdown} times as long and the spread is ${spread}`, () => {
+			const model = taught(slowdown, spread, 200);
+			for (const within of [200, 300, 400]) {
+				const difference = Math.abs(model.chance(work, lastSlot, within) - partBelow(work * slowdown, spread, within));
+				expect(difference).toBeLessThanOrEqual(0.08);
+			}
+		});
+	}
+
+	it('has moved half of the way after a dozen answers', () => {
+		const mean = taught(3, 0.1, 12).mean(work, lastSlot) / work;
+		expect(mean).toBeGreaterThanOrEqual(2);
+		expect(mean).toBeLessThanOrEqual(2.6);
+	});
+
+	// Story: neighbours stay for 300 ms. A report of 300 ms ago says "quiet", and the call that trusts it is late.
+	it('learns how long reports hold, and trusts older ones less', () => {
+		const model = new AnswerTimeModel();
+		for (let index = 0; index < 400; index++) {
+			// Reports 100 ms apart, of which one in eight differs: changes every 300 ms at a quarter of slow ones.
+			model.addReport(index % 4 === 0 ? 4 : 1, index % 8 === 0 ? 1 : (index % 4 === 0 ? 4 : 1), 100);
+		}
+
+		const fresh = model.chance(work, quiet, 400);
+		const old = model.chance(work, {...quiet, age: 300}, 400);
+		expect([fresh - old > 0.08, model.chance(work, {...quiet, age: 3000}, 400) >= 0.65]).toEqual([true, true]);
+	});
+
+	it('is not spoilt by answers that a fault delayed', () => {
+		const model = new AnswerTimeModel();
+		const before = model.chance(work, quiet, 400);
+		for (let index = 0; index < 50; index++) {
+			model.addAnswer(work, quiet, 60 * work);
+		}
+
+		expect(model.chance(work, quiet, 400)).toEqual(before);
+	});
+});
+
+describe('how many backend servers are asked', () => {
+	const roomy = {
+		inFlight: 0, queued: 0, slots: 3, instance: undefined, isLeaving: false, workTimeFactor: 1,
+	};
+
+	// Story: on a calm day three in four have room. Four questions for each call are paid, two of them for nothing.
+	it('is two where most have room, and all that may be asked where few have', () => {
+		const calm = new Roominess();
+		const full = new Roominess();
+		for (let report = 0; report < 60; report++) {
+			calm.add(report % 4 === 0 ? {...roomy, workTimeFactor: 4} : roomy);
+			full.add(report % 4 === 0 ? roomy : {...roomy, inFlight: 3});
+		}
+
+		expect([new Roominess().questions(4), calm.questions(4), full.questions(4)]).toEqual([4, 2, 4]);
+	});
+});
--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -41,6 +41,18 @@
 /** No hedge before this many usual answer times: three in four calls have been answered by then. */
 const leastHedgeDelay = 1.25;
 
+/** Chance of an answer in time, among attempts without one so far, above which a second attempt is not worth its slot. */
+const likelyEnough = 0.8;
+
+/**
+ * Part of attempts whose answer does not come for reasons that no answer time tells: lost connections, backend servers
+ * that hang, neighbours that come in the middle. It decides how soon silence counts as such.
+ */
+const lostPart = 0.03;
+
+/** Pause until a hedge that was not worth it is looked at again: an eighth of the shortest usual answer. */
+const hedgeLookMilliseconds: Milliseconds = 20;
+
 /** Work time, against the usual, up to which a backend server's VM counts as quiet. */
 const quietFactor = 1.2;
 
@@ -214,6 +226,8 @@
 
 		if (event.isDeclaredNotRun) {
 			call.serviceState.limit.onShed();
+			server.noteTaken(false, now);
+			call.wasShedWithRoom ||= attempt.prospect.load <= attempt.prospect.slots;
 			this._giveUp(attempt, event.isReplayable ?? isBodiless(call.request), 'overloaded', now);
 			return;
 		}
@@ -295,6 +309,11 @@
 	hedge(attempt: Attempt, now: Instant): void {
 		const {call} = attempt;
 		const service = call.serviceState;
+		if (this._isStillLikely(attempt, now)) {
+			this._hedgeLater(attempt, now);
+			return;
+		}
+
 		const hasRoom = service.queue.size === 0 && !service.limit.isCongested && service.inFlight < service.limit.value;
 		const mayTry = call.scouting === undefined && call.attemptCount < (call.request.rule?.mostAttempts ?? mostAttempts);
 		if (hasRoom && mayTry && call.attempts.size === 1 && !this._isQuarantined(call, now) && service.retryBudget.isOpen) {
@@ -305,6 +324,29 @@
 		}
 	}
 
+	/**
+	 * Guards slots in a rush: a call in the last slot of a backend server takes half as long again, and a second attempt
+	 * after the usual time would take a slot from somebody else for an answer that is on its way.
+	 */
+	private _isStillLikely({call, prospect, startedAt}: Attempt, now: Instant): boolean {
+		if (!call.serviceState.isMeasuredOnDemand) {
+			return false;
+		}
+
+		const {answerTimes} = call.serviceState;
+		const soFar = answerTimes.chance(workEstimate(call), prospect, now - startedAt);
+		const inTime = answerTimes.chance(workEstimate(call), prospect, call.objectiveAt - startedAt);
+		return (1 - lostPart) * (inTime - soFar) >= likelyEnough * (((1 - lostPart) * (1 - soFar)) + lostPart);
+	}
+
+	private _hedgeLater(attempt: Attempt, now: Instant): void {
+		const {call} = attempt;
+		const at = now + hedgeLookMilliseconds;
+		if (at < call.objectiveAt - workEstimate(call)) {
+			call.timers.push(this._context.timers.add(at, {type: 'hedge', attempt}));
+		}
+	}
+
 	private _record(call: Call, purpose: AttemptPurpose, placement: Placement, now: Instant): Attempt {
 		const {server, isExperiment} = placement;
 		const isSuspect = this._context.suspects.isSuspect(call.request.fingerprint);
@@ -315,6 +357,7 @@
 			purpose,
 			startedAt: now,
 			signal: server.signalAt(now, call.serviceState.usualOthers(vmCountOf(this._context)), call.serviceState.classes.all.holdMean),
+			prospect: this._demandPlacer.prospect(server, now),
 			instance: server.process,
 			isExperiment,
 			isSuspect,
@@ -380,7 +423,12 @@
 			return;
 		}
 
+		server.noteTaken(true, now);
 		const time = now - attempt.startedAt;
+		if (call.class.hasWork) {
+			call.serviceState.answerTimes.addAnswer(call.class.workMean, attempt.prospect, time);
+		}
+
 		server.onAnswer(time, call.class.answerMean, now);
 		if (server.report !== undefined) {
 			call.serviceState.reportTrust.add(attempt.signal, time / Math.max(0.01, call.class.answerMean));
--- a/src/common/calls/backend-server-state.ts
+++ b/src/common/calls/backend-server-state.ts
@@ -62,6 +62,8 @@
 	private _slownessAt: Instant = 0;
 	private _failing = 0;
 	private _failingAt: Instant = 0;
+	private _shedding = 0;
+	private _sheddingAt: Instant = 0;
 	private _failuresInRow = 0;
 	private _ejections = 0;
 	private _ejectedUntil: Instant = 0;
@@ -138,6 +140,18 @@
 		return this._failing * Math.exp((this._failingAt - now) / this._tuning.failureMemoryMilliseconds);
 	}
 
+	/** Part of its latest attempts that it turned away unrun. */
+	sheddingAt(now: Instant): number {
+		return this._shedding * Math.exp((this._sheddingAt - now) / this._tuning.failureMemoryMilliseconds);
+	}
+
+	/** It took an attempt, or turned it away unrun. */
+	noteTaken(isTaken: boolean, now: Instant): void {
+		const before = this.sheddingAt(now);
+		this._shedding = before + (((isTaken ? 0 : 1) - before) * slownessGain);
+		this._sheddingAt = now;
+	}
+
 	/**
 	 * Calls of other VMs there beyond the usual number, by the latest report. It fades into the usual:
 	 * after a mean answer time most of what it counted has left, and only chance would make a choice by
--- a/src/common/calls/call-endings.ts
+++ b/src/common/calls/call-endings.ts
@@ -33,6 +33,12 @@
 /** Shortest time after which a refused caller is asked to come back: below it, refusing costs more than serving. */
 const shortestRetryAfter: Milliseconds = 100;
 
+/**
+ * The same where backend servers with free slots turned the call away: the next attempt is as good as any, and its
+ * caller still has time for an answer within its objective.
+ */
+const shedRetryAfter: Milliseconds = 5;
+
 /** Time after which to come back when something is broken. */
 const faultRetryAfter: Milliseconds = 1000;
 
@@ -148,6 +154,10 @@
 	private _retryAfter(call: Call, reason: RefusalReason): Milliseconds | undefined {
 		if (backlogReasons.has(reason)) {
 			const service = call.serviceState;
+			if (call.wasShedWithRoom && service.queue.size === 0) {
+				return this._spread(shedRetryAfter);
+			}
+
 			return this._spread(Math.max(shortestRetryAfter, service.waitFor(service.queue.size + 1)));
 		}
 
--- a/src/common/calls/call.ts
+++ b/src/common/calls/call.ts
@@ -1,6 +1,7 @@
 /** What the engine keeps of a call and of its attempts while they live. */
 import {type Service} from '../model/resources.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
+import {type Prospect} from './answer-time-model.ts';
 import {type BackendServerState} from './backend-server-state.ts';
 import {type CallClass} from './call-classes.ts';
 import {type Scouting} from './scouting.ts';
@@ -25,6 +26,8 @@
 	readonly startedAt: Instant;
 	/** Calls more than usual that were reported there when it was chosen. */
 	readonly signal: number;
+	/** What was known of the backend server when it was chosen. */
+	readonly prospect: Prospect;
 	/** Process of the backend server as known at the start: the crash it may die in. */
 	readonly instance: string | undefined;
 	/** The one call that a backend server in doubt gets. */
@@ -75,6 +78,8 @@
 	readonly trail: AttemptRecord[] | undefined;
 	/** Reports are being fetched for its next attempt. */
 	scouting: Scouting | undefined;
+	/** A backend server that had a free slot turned it away: it fails, and is not full. */
+	wasShedWithRoom: boolean;
 	/** Attempts whose connection was reset after sending: a second one makes the call a suspect at two crashes. */
 	resets: number;
 };
@@ -106,6 +111,7 @@
 		failedOn: new Set(),
 		trail: serviceState.isMeasuredOnDemand ? [] : undefined,
 		scouting: undefined,
+		wasShedWithRoom: false,
 		resets: 0,
 	};
 }
--- a/src/common/calls/demand-placer.ts
+++ b/src/common/calls/demand-placer.ts
@@ -1,5 +1,6 @@
-/** Chooses candidates to measure, and among them the backend server that will answer soonest. */
-import {type Instant} from '../model/units.ts';
+/** Chooses candidates to measure, and among them the backend server where an attempt is worth most. */
+import {type Instant, type Milliseconds} from '../model/units.ts';
+import {type Prospect} from './answer-time-model.ts';
 import {type BackendServerState} from './backend-server-state.ts';
 import {
 	type AttemptPurpose, type Call, objectiveOf, workEstimate,
@@ -7,7 +8,7 @@
 import {type EngineContext} from './engine-context.ts';
 import {type Placement, type Placer, connectionLimit} from './placer.ts';
 
-/** Spread of chance over estimates, so that VMs with like knowledge do not all ask the same few. */
+/** Spread of chance over expected worths, so that VMs with like knowledge do not all ask the same few. */
 const candidateSpread = 0.6;
 
 /** Measuring calls in a row without a report after which a backend server is asked only in the background. */
@@ -16,50 +17,63 @@
 /** A silent backend server is asked again with one call in this many that come by: enough to see its return within a second. */
 const silentTurns = 6;
 
+/** Part of the worth that is left where a backend server did not answer its measuring calls: it is taken where all are silent. */
+const silentPart = 0.05;
+
 /**
  * Calls that one backend server may have beyond its slots. Several VMs may choose it within the same millisecond;
  * beyond its own queue it falls silent on the connection for good, so the guard stays far below that.
  */
 const queueRoom = 2;
 
-/** A backend server whose load is this part of its slots begins to slow down. */
-const kneeAt = 0.8;
-
-/** Work at the knee takes about this much longer. */
-const kneeFactor = 1.6;
-
-/**
- * Work time assumed where nothing young is known. Two thirds of backend servers are quiet and the others several times
- * slower: worse than any quiet one, and good enough to be tried when reports do not come.
- */
-const unknownFactor = 1.7;
-
-/** How long a report of the work time holds, in milliseconds: neighbours come and go in pieces of half a second. */
-const factorMemory = 350;
-
 /** Calls that are late anyway may use a backend server up to this part of its slots: fresh ones find the rest. */
 const idlePart = 0.5;
 
 /** A report this young tells of the present: most neighbours that it saw are still there. */
 const youngMilliseconds = 150;
 
-/** Times are estimates of a mean; nine in ten answers come within this many of it. */
-const reserve = 1.25;
-
 /**
  * Part of its objective for which a call waits for a backend server that will answer within it. Later a refusal would
  * leave its caller no time to come back within the objective.
  */
 const patience = 0.25;
 
+/** Chance of an answer in time below which a call that can still wait does so: the next look finds a better one as often. */
+const fairChance = 0.77;
+
+/** The same for a call that has waited as long as makes sense: the alternative is a refusal. */
+const lastChance = 0.72;
+
+/** The same where nothing young is known of any backend server: waiting for better news would be in vain. */
+const blindChance = 0.5;
+
+/** A backend server where a fresh call has less than this chance is of use to late ones only. */
+const uselessChance = 0.35;
+
+/** Chance of an answer before the deadline below which a late call is refused: its caller learns at once. */
+const fairLateChance = 0.85;
+
+/** Bytes of a call and its answer besides the body: heads, and what connections cost. */
+const headBytes = 700;
+
+const kilobyte = 1024;
+
+/** What an attempt is expected to bring. */
+type Expectation = {
+	/** Chance of an answer within the objective, and before the deadline. */
+	readonly inTime: number;
+	readonly atAll: number;
+	/** Worth of these chances less what the attempt costs others; an answer in time is worth 1. */
+	readonly worth: number;
+};
+
 /**
  * Places by reports that were fetched for the attempt, or are as young. Answers the pattern "overload of backend servers
- * that slow down when they are full": a call goes where it will be answered within its objective, and waits for such a
- * place for a moment. It takes free slots first, since a call that is queued at a backend server cannot be moved any
- * more, and queues there only after its wait. One that can no longer be answered in time must not take a quick place
- * from one that can: it goes to the slowest backend server that still answers before its deadline and is of no use to a
- * fresh call, else to one that is half empty, or is refused. Benchmark `demand`, earned part of worth with the plain rule
- * (2 seeds) and with this one (3 seeds): at 1.3 times what quiet backend servers carry 0.33 and 0.58, in bursts 0.57 and 0.68.
+ * that slow down when they are full": an attempt goes where it is worth most, by the chances of its answer, the bytes of
+ * its way and the time for which it takes a slot from others. A call waits for a moment for a place with a fair chance.
+ * It takes free slots first, since a call that is queued at a backend server cannot be moved any more, and queues there
+ * only after its wait. One that can no longer be answered in time must not take a quick place from one that can: it goes
+ * to a slow backend server that is of no use to a fresh call, else to one that is half empty, or is refused.
  */
 export class DemandPlacer implements Placer {
 	private readonly _context: EngineContext;
@@ -68,48 +82,66 @@
 		this._context = context;
 	}
 
-	/** The most promising backend servers for an attempt of this call, at most `count`. */
-	candidates(call: Call, now: Instant, count: number): BackendServerState[] {
-		const scored: Array<{readonly server: BackendServerState; readonly score: number}> = [];
-		for (const server of call.serviceState.servers) {
-			if (this._mayTake(server, call) && !this._isLeftOut(server)) {
-				const chance = 1 + ((this._context.random.next() - 0.5) * candidateSpread);
-				scored.push({server, score: (this._answerTime(server, call, now) + this._bytesCost(server, call)) * chance});
-			}
-		}
+	/**
+	 * Backend servers to ask for an attempt of this call, but for those in `asked`: those of the own data
+	 * centre, or where none of them is left the most promising of all. Questions and answers to others are paid by the byte.
+	 */
+	candidates(call: Call, now: Instant, asked: ReadonlySet<BackendServerState>): BackendServerState[] {
+		const able = call.serviceState.servers.filter(server => !asked.has(server) && this._mayTake(server, call) && !this._isLeftOut(server));
+		const near = able.filter(server => this._isLocal(server));
+		const scored = (near.length > 0 ? near : able).map(server => ({
+			server, score: this._expect(server, call, now).worth + ((this._context.random.next() - 0.5) * candidateSpread),
+		}));
+		scored.sort((one, other) => other.score - one.score);
+		return scored.slice(0, call.serviceState.roominess.questions(this._context.tuning.demandCandidates)).map(({server}) => server);
+	}
 
-		scored.sort((one, other) => one.score - other.score);
-		return scored.slice(0, count).map(({server}) => server);
+	/** Whether a place is known by young news that is as good as any: asking further backend servers would be in vain. */
+	hasGoodPlace(call: Call, now: Instant): boolean {
+		const {demandFreshMilliseconds, demandWaitMilliseconds} = this._context.tuning;
+		return call.serviceState.servers.some(server => this._mayTake(server, call) && now - server.reportedAt <= demandFreshMilliseconds + demandWaitMilliseconds
+			&& isRoomy(server) && this._expect(server, call, now).inTime >= fairChance);
 	}
 
 	place(call: Call, now: Instant, purpose: AttemptPurpose = 'first'): Placement | undefined {
-		const {free, queued, slow, idle} = this._best(call, now);
 		const isPatient = purpose === 'hedge' || (purpose === 'first' && !isImpatient(call, now));
+		const {free, queued, slow, idle} = this._best(call, now, isPatient ? fairChance : lastChance);
 		return placementOf(free.server ?? (isPatient ? undefined : queued.server ?? slow.server ?? idle.server));
 	}
 
+	/** What is known of a backend server for one more call. */
+	prospect(server: BackendServerState, now: Instant): Prospect {
+		return {
+			load: server.reportedLoad + 1,
+			slots: Math.max(1, server.slotsAt(now)),
+			workTimeFactor: server.report?.workTimeFactor,
+			age: now - server.reportedAt,
+		};
+	}
+
 	/** The best backend server for each way of placing the call. */
-	private _best(call: Call, now: Instant): Record<'free' | 'queued' | 'slow' | 'idle', Cheapest> {
+	private _best(call: Call, now: Instant, chance: number): Record<'free' | 'queued' | 'slow' | 'idle', Dearest> {
 		const best = {
-			free: new Cheapest(), queued: new Cheapest(), slow: new Cheapest(), idle: new Cheapest(),
+			free: new Dearest(), queued: new Dearest(), slow: new Dearest(), idle: new Dearest(),
 		};
-		for (const server of this._known(call, now)) {
+		const known = this._known(call, now);
+		const fair = known.isYoung ? chance : blindChance;
+		for (const server of known.servers) {
 			const {slots} = server.declared;
 			const load = server.reportedLoad + 1;
-			const time = this._answerTime(server, call, now);
-			const cost = time + this._bytesCost(server, call);
-			if (time * reserve <= call.objectiveAt - now) {
-				(load <= slots ? best.free : best.queued).offer(server, cost);
+			const {inTime, atAll, worth} = this._expect(server, call, now);
+			if (inTime >= fair) {
+				(load <= slots ? best.free : best.queued).offer(server, worth);
 			}
 
-			if (time * reserve > call.deadline - now || load > slots) {
+			if (atAll < fairLateChance || load > slots) {
 				continue;
 			}
 
 			if (this._isUseless(server, call, now)) {
-				best.slow.offer(server, -time);
+				best.slow.offer(server, worth);
 			} else if (load <= idlePart * slots) {
-				best.idle.offer(server, cost);
+				best.idle.offer(server, worth);
 			}
 		}
 
@@ -121,15 +153,15 @@
 	 * VM asks a few of its many backend servers, and an old report of the others looks better than the young ones of
 	 * those that are full. Where no report is young, since none was allowed or none came, all count.
 	 */
-	private _known(call: Call, now: Instant): BackendServerState[] {
+	private _known(call: Call, now: Instant): {readonly servers: readonly BackendServerState[]; readonly isYoung: boolean} {
 		const able = call.serviceState.servers.filter(server => this._mayTake(server, call) && hasRoom(server));
 		const young = able.filter(server => now - server.reportedAt <= youngMilliseconds);
-		return young.length > 0 ? young : able;
+		return young.length > 0 ? {servers: young, isYoung: true} : {servers: able, isYoung: false};
 	}
 
-	/** Its neighbours slow it down so much that a fresh call would not be answered there within its objective. */
+	/** Its neighbours slow it down so much that a fresh call would hardly be answered there within its objective. */
 	private _isUseless(server: BackendServerState, call: Call, now: Instant): boolean {
-		return workEstimate(call) * this._workTimeFactor(server, now) * reserve > objectiveOf(call);
+		return call.serviceState.answerTimes.chance(workEstimate(call), {...this.prospect(server, now), load: 1}, objectiveOf(call)) < uselessChance;
 	}
 
 	/** One that does not answer its measuring calls is asked by few calls only, so that its silence delays few. */
@@ -145,46 +177,37 @@
 		return server.suspectsInFlight === 0 || !this._context.suspects.isSuspect(call.request.fingerprint);
 	}
 
-	/** Milliseconds until the answer, as far as is known. */
-	private _answerTime(server: BackendServerState, call: Call, now: Instant): number {
-		const slots = Math.max(1, server.slotsAt(now));
-		const load = server.reportedLoad + 1;
-		const work = workEstimate(call) * this._workTimeFactor(server, now);
-		const knee = load > kneeAt * server.declared.slots ? kneeFactor : 1;
-		const wait = Math.max(0, load - slots) / slots;
-		const silence = server.unansweredMeasurings >= silentAfter ? this._context.tuning.failurePenalty : 1;
-		const failing = 1 + (this._context.tuning.failurePenalty * server.failingAt(now));
-		return (work * (knee + wait) * failing * silence) + (this._isLocal(server) ? 0 : this._context.tuning.remoteMilliseconds);
-	}
-
-	private _workTimeFactor(server: BackendServerState, now: Instant): number {
-		const known = server.report?.workTimeFactor;
-		if (known === undefined) {
-			return unknownFactor;
-		}
-
-		const trust = Math.exp((server.reportedAt - now) / factorMemory);
-		return unknownFactor + ((known - unknownFactor) * trust);
+	private _expect(server: BackendServerState, call: Call, now: Instant): Expectation {
+		const {remoteMilliseconds, lateWorth, slotWorth} = this._context.tuning;
+		const {answerTimes} = call.serviceState;
+		const work = workEstimate(call);
+		const prospect = this.prospect(server, now);
+		const way: Milliseconds = this._isLocal(server) ? 0 : remoteMilliseconds;
+		const taken = (1 - server.failingAt(now)) * (1 - server.sheddingAt(now)) * (server.unansweredMeasurings >= silentAfter ? silentPart : 1);
+		const inTime = taken * answerTimes.chance(work, prospect, call.objectiveAt - now - way);
+		const atAll = taken * answerTimes.chance(work, prospect, call.deadline - now - way);
+		const slot = slotWorth * answerTimes.mean(work, prospect) / Math.max(1, work);
+		return {inTime, atAll, worth: inTime + (lateWorth * (atAll - inTime)) - slot - this._bytesWorth(server, call)};
 	}
 
 	private _isLocal(server: BackendServerState): boolean {
 		return server.declared.dataCentre === this._context.settings.dataCentre;
 	}
 
-	/** What the way of the answer's bytes costs, as time; it decides between backend servers, not whether one is in time. */
-	private _bytesCost(server: BackendServerState, call: Call): number {
-		return this._isLocal(server) ? 0 : this._context.tuning.remoteMillisecondsPerKilobyte * call.class.answerBytesMean / 1024;
+	/** What the bytes of a call to another data centre cost. */
+	private _bytesWorth(server: BackendServerState, call: Call): number {
+		return this._isLocal(server) ? 0 : this._context.tuning.remoteKilobyteWorth * (call.class.answerBytesMean + headBytes) / kilobyte;
 	}
 }
 
-/** The cheapest of the backend servers that were offered. */
-class Cheapest {
+/** The one worth most of the backend servers that were offered. */
+class Dearest {
 	server: BackendServerState | undefined;
-	private _cost = Infinity;
+	private _worth = -Infinity;
 
-	offer(server: BackendServerState, cost: number): void {
-		if (cost < this._cost) {
-			this._cost = cost;
+	offer(server: BackendServerState, worth: number): void {
+		if (worth > this._worth) {
+			this._worth = worth;
 			this.server = server;
 		}
 	}
@@ -203,3 +226,8 @@
 function hasRoom(server: BackendServerState): boolean {
 	return server.report === undefined || server.reportedLoad < server.declared.slots + queueRoom;
 }
+
+/** Few calls enough that one more is not slowed down by them. */
+function isRoomy(server: BackendServerState): boolean {
+	return server.reportedLoad + 1 <= 0.8 * server.declared.slots;
+}
--- a/src/common/calls/engine-context.ts
+++ b/src/common/calls/engine-context.ts
@@ -18,6 +18,11 @@
 	 * proves nothing, so it is not passed on. Empty where callers are told the outcome in a header of its own.
 	 */
 	readonly notRunStatuses?: ReadonlySet<number>;
+	/**
+	 * Second attempts of a service's calls that all VMs together may make at once beyond the service's share; undefined =
+	 * each VM saves up a few of its own.
+	 */
+	readonly retryBurst?: number | undefined;
 };
 
 /** Something that becomes due. */
--- /dev/null
+++ b/src/common/calls/fading-mean.ts
@@ -0,0 +1,22 @@
+/** A mean that starts from an assumption and forgets old samples. */
+export class FadingMean {
+	private _value: number;
+	private _weight: number;
+	private readonly _memory: number;
+
+	/** `assumed` counts like `assumedSamples` samples; after `memory` samples an older one counts for a third. */
+	constructor(assumed: number, assumedSamples: number, memory: number) {
+		this._value = assumed;
+		this._weight = assumedSamples;
+		this._memory = memory;
+	}
+
+	get value(): number {
+		return this._value;
+	}
+
+	add(sample: number): void {
+		this._weight = Math.min(this._memory, this._weight + 1);
+		this._value += (sample - this._value) / this._weight;
+	}
+}
--- a/src/common/calls/scouting.ts
+++ b/src/common/calls/scouting.ts
@@ -1,5 +1,5 @@
 /** Fetches fresh reports of a few candidates right before an attempt is placed. */
-import {type Instant, type Milliseconds} from '../model/units.ts';
+import {type Instant} from '../model/units.ts';
 import {type AttemptPurpose, type Call} from './call.ts';
 import {type BackendServerState} from './backend-server-state.ts';
 import {type DemandPlacer} from './demand-placer.ts';
@@ -15,10 +15,19 @@
 	readonly candidates: readonly BackendServerState[];
 	/** Candidates whose report is still to come. */
 	readonly awaited: Set<BackendServerState>;
-	/** First candidates that stayed silent were replaced by others once. */
-	readonly isSecondRound: boolean;
+	/** Backend servers that were asked for this attempt so far, those of earlier rounds among them. */
+	readonly asked: ReadonlySet<BackendServerState>;
+	/** Rounds of questions, this one counted. */
+	readonly round: number;
+	readonly startedAt: Instant;
 };
 
+/**
+ * Most rounds of questions for one attempt: the own data centre, the others, and once more, since those that were asked
+ * may all be slow or full, or a fault may have hit just them.
+ */
+const mostRounds = 3;
+
 /** What an attempt is planned for. */
 export type ScoutingPlan = Pick<Scouting, 'purpose' | 'reason'>;
 
@@ -55,7 +64,7 @@
 
 	/** Begins to fetch reports for an attempt; `onReady` follows, at once where all is known. */
 	begin(call: Call, plan: ScoutingPlan, now: Instant): void {
-		this._start(call, plan, false, now);
+		this._start(call, plan, {round: 1, asked: new Set(), startedAt: now}, now);
 	}
 
 	/** A measuring call on demand has ended, with or without a report. */
@@ -82,10 +91,10 @@
 		}
 	}
 
-	private _start(call: Call, plan: ScoutingPlan, isSecondRound: boolean, now: Instant): void {
-		const candidates = this._placer.candidates(call, now, this._context.tuning.demandCandidates);
+	private _start(call: Call, {purpose, reason}: ScoutingPlan, {round, asked, startedAt}: Pick<Scouting, 'round' | 'asked' | 'startedAt'>, now: Instant): void {
+		const candidates = this._placer.candidates(call, now, asked);
 		const scouting: Scouting = {
-			...plan, candidates, awaited: new Set(), isSecondRound,
+			purpose, reason, candidates, awaited: new Set(), asked: new Set([...asked, ...candidates]), round, startedAt,
 		};
 		call.scouting = scouting;
 		for (const server of candidates) {
@@ -129,20 +138,16 @@
 		this._waiting.set(server, calls);
 	}
 
-	/** None of the first candidates has answered: others are asked once, since a fault may have hit just these. */
+	/** Those that were asked have answered, or the time for it is over: others are asked where these have no good place. */
 	private _finish(call: Call, scouting: Scouting, now: Instant): void {
-		const isFresh = scouting.candidates.some(server => now - server.reportedAt <= this._longestAge);
 		call.scouting = undefined;
-		if (!isFresh && !scouting.isSecondRound && scouting.candidates.length > 0) {
-			this._start(call, scouting, true, now);
+		// Two rounds in which somebody was silent are the longest that a call may be held for reports.
+		const mayAsk = scouting.round < mostRounds && scouting.candidates.length > 0 && now - scouting.startedAt <= this._context.tuning.demandWaitMilliseconds;
+		if (mayAsk && !this._placer.hasGoodPlace(call, now)) {
+			this._start(call, scouting, {...scouting, round: scouting.round + 1}, now);
 			return;
 		}
 
 		this._onReady(call, scouting, now);
 	}
-
-	private get _longestAge(): Milliseconds {
-		const {demandFreshMilliseconds, demandWaitMilliseconds} = this._context.tuning;
-		return demandFreshMilliseconds + demandWaitMilliseconds;
-	}
 }
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -71,6 +71,7 @@
 			// A rule that was deleted is no longer in force.
 			service.sharing = rules.get(name) ?? defaultSharing;
 			service.setServers(servers.get(name) ?? [], vmCountOf(this._context));
+			this._shareRetries(service);
 			this._services.set(name, service);
 		}
 
@@ -85,6 +86,7 @@
 		this._context.shares = shares;
 		for (const service of this._services.values()) {
 			service.setVmCount(vmCountOf(this._context));
+			this._shareRetries(service);
 		}
 	}
 
@@ -171,6 +173,13 @@
 		return Array.from(this._servers.values(), server => this._status(server, now));
 	}
 
+	private _shareRetries(service: ServiceState): void {
+		const {retryBurst} = this._context.settings;
+		if (retryBurst !== undefined) {
+			service.retryBudget.shareBurst(retryBurst, vmCountOf(this._context));
+		}
+	}
+
 	/** One pass over the backend servers: a pass for each service made a change cost the product of the two. */
 	private _serversByService(): Map<string, BackendServerState[]> {
 		const servers = new Map<string, BackendServerState[]>();
@@ -228,7 +237,14 @@
 	}
 
 	private _takeReport(server: BackendServerState, report: LoadReport, madeAt: Instant, now: Instant): void {
+		const former = server.report;
+		const gap = madeAt - server.reportedAt;
 		const effect = server.takeReport(report, madeAt, now);
+		if (effect.isTaken) {
+			this._services.get(server.declared.service)?.answerTimes.addReport(report.workTimeFactor, former?.workTimeFactor, gap);
+			this._services.get(server.declared.service)?.roominess.add(report);
+		}
+
 		if (effect.goneInstance !== undefined) {
 			this._context.suspects.confirm(CrashSuspects.crashIdentity(server.identity, effect.goneInstance), now);
 		}
--- a/src/common/calls/service-state.ts
+++ b/src/common/calls/service-state.ts
@@ -1,6 +1,7 @@
 /** What this VM keeps of one service. */
 import {type Service, type SharingRule} from '../model/resources.ts';
 import {type Instant} from '../model/units.ts';
+import {AnswerTimeModel} from './answer-time-model.ts';
 import {type BackendServerState} from './backend-server-state.ts';
 import {CallClasses} from './call-classes.ts';
 import {ArrivalOrderQueue, type CallQueue, FairCallQueue} from './caller-queue.ts';
@@ -8,6 +9,7 @@
 import {ReportTrust} from './report-trust.ts';
 import {RetryBudget} from './retry-budget.ts';
 import {ReturningCallers} from './returning-callers.ts';
+import {Roominess} from './roominess.ts';
 import {type CallTuning} from './tuning.ts';
 
 /** Answer time assumed before the first answer. */
@@ -37,6 +39,9 @@
 	lastCallAt: Instant = Number.NEGATIVE_INFINITY;
 	readonly classes: CallClasses;
 	readonly reportTrust = new ReportTrust();
+	/** Where measuring is on demand: what its answers and reports have taught. */
+	readonly answerTimes = new AnswerTimeModel();
+	readonly roominess = new Roominess();
 	readonly returning = new ReturningCallers();
 	readonly retryBudget = new RetryBudget();
 	readonly limit: ConcurrencyLimit;
--- a/src/common/calls/tuning.ts
+++ b/src/common/calls/tuning.ts
@@ -27,11 +27,15 @@
 	/** What a call to another data centre costs at least: a way there and back. */
 	readonly remoteMilliseconds: Milliseconds;
 	/**
-	 * Where measuring is on demand: what each kilobyte of an answer from another data centre costs, as time. Bytes
-	 * between data centres are paid for: a download of 90 KB goes there only if the near ones are three times slower,
-	 * an answer of 2 KB whenever it comes a few milliseconds sooner.
+	 * Where measuring is on demand: what a kilobyte to or from another data centre costs, as a part of the worth of an
+	 * answer in time. The three customers pay 0.005 to 0.017: an answer of 5 KB goes there only if that gains it a
+	 * twentieth of its chance, one of 90 KB only if the near ones hardly answer at all.
 	 */
-	readonly remoteMillisecondsPerKilobyte: Milliseconds;
+	readonly remoteKilobyteWorth: number;
+	/** Worth of an answer that comes after its objective, against one in time: users count that they are served at all. */
+	readonly lateWorth: number;
+	/** What a slot is worth to others for the time of a call's usual work, against an answer in time. */
+	readonly slotWorth: number;
 	/** While local load is low, a remote backend server looks longer by this part of the answer time. */
 	readonly remoteReluctance: number;
 	/** A new or returned backend server gets its full part only after this time: caches are cold. 0 = at once. */
@@ -87,7 +91,9 @@
 	ownAsSample: 0.25,
 	overdueFactor: 1.5,
 	remoteMilliseconds: 2,
-	remoteMillisecondsPerKilobyte: 3,
+	remoteKilobyteWorth: 0.01,
+	lateWorth: 0.3,
+	slotWorth: 0.05,
 	remoteReluctance: 0.3,
 	warmingMilliseconds: 2000,
 	warmingStart: 0.1,
--- a/src/common/settings/entry-settings.ts
+++ b/src/common/settings/entry-settings.ts
@@ -38,6 +38,8 @@
 	measuringPerSecond: z.number().min(0).max(100_000).describe('Measuring calls that one backend server may get a second, from all VMs together.'),
 	tailWeight: z.number().min(0).max(1).default(1).describe('0 = measure as little as possible, 1 = spend the budget for the best tail latency.'),
 	retryShare: z.number().min(0).max(1).describe('Retries and hedges allowed as a share of a service\'s calls, for all VMs together.'),
+	retryBurst: z.number().min(0).max(1_000_000).default(60)
+		.describe('Retries and hedges of a service beyond that share which all VMs together may make at once.'),
 	heldAnswerBytes: z.int().min(0).max(16_777_216).default(262_144)
 		.describe('Answers up to this size are held until they are whole, so that one that breaks off can be had elsewhere.'),
 	replayBytes: z.int().min(0).max(16_777_216).default(65_536).describe('A body up to this size is kept so that the call can be sent again.'),
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -14,11 +14,13 @@
 import {type EntrySettings} from '../common/settings/entry-settings.ts';
 import {type Clock} from '../node/clock.ts';
 import {type DeciderLoop} from '../node/decider-loop.ts';
+import {type EarlyDoors} from '../node/early-door.ts';
 import {type NewsTeller} from '../node/fleet/news-teller.ts';
 import {type OutwardEffect, type StoreCarrier} from '../node/fleet/store-carrier.ts';
 import {type BackendConnections} from '../node/front/backend-connections.ts';
 import {type CallCarrier, type EndedCall} from '../node/front/call-carrier.ts';
 import {type PageServer} from '../node/front/page-server.ts';
+import {type StartingHold} from '../node/front/starting-hold.ts';
 import {type RoutedServer} from '../node/front/routed-server.ts';
 import {LineBudget} from '../node/logging/line-budget.ts';
 import {type LogControl, type Logger} from '../node/logging/types.ts';
@@ -38,9 +40,13 @@
 	readonly connections: BackendConnections;
 	readonly routedServer: RoutedServer;
 	readonly readinessServer: PageServer;
+	/** Ends when this VM serves. */
+	readonly hold: StartingHold;
 	readonly directoryServer: PageServer;
 	readonly newsTeller: NewsTeller;
 	readonly metricsServer: PageServer;
+	/** Opened before the program was loaded, by their endpoints. */
+	readonly doors: EarlyDoors;
 };
 
 /** How often the decider of the stop hears of calls in flight: a stop has seconds, and only a stop needs it. */
@@ -89,7 +95,7 @@
 
 	/** Reads the store at once, and opens the doors meanwhile. */
 	async start(): Promise<Failure<'cannot-listen'> | undefined> {
-		const {settings, loop, routedServer, readinessServer, directoryServer, newsTeller, metricsServer} = this._parts;
+		const {settings, loop, routedServer, readinessServer, directoryServer, newsTeller, metricsServer, doors: earlyDoors} = this._parts;
 		loop.feed({type: 'started'});
 		const doors = [
 			[routedServer, settings.listen.callers],
@@ -100,7 +106,7 @@
 		] as const;
 		const opened = await Promise.all(doors.map(async ([door, endpoint]) => {
 			const {address, port} = splitEndpoint(endpoint);
-			return door.listen(port, address);
+			return door.listen(port, address, earlyDoors.get(endpoint));
 		}));
 		for (const result of opened) {
 			if (result.isErr()) {
@@ -161,6 +167,10 @@
 	private _enter(stage: FleetStage): void {
 		this._parts.logger.info('stage entered', {stage, callsInFlight: this._parts.routedServer.unfinishedAnswers});
 		this._parts.routedServer.enter(stage);
+		if (stage !== 'starting') {
+			this._parts.hold.end();
+		}
+
 		if (stage === 'ended') {
 			this._onEnded.fire();
 		}
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -2,7 +2,6 @@
  * The one place where the parts of a store-led entry VM are made. It stands beside `wiring.ts`, which makes the VM of a
  * self-led fleet, because what a process imports it pays for: gRPC, the resource API and membership are no part of it.
  */
-import {randomInt} from 'node:crypto';
 import {DefaultCallEngine} from '../common/calls/call-engine.ts';
 import {EntryVm, isCallEffect} from '../common/entry-vm/entry-vm.ts';
 import {type EntryVmEffect, type EntryVmEvent} from '../common/entry-vm/types.ts';
@@ -15,6 +14,8 @@
 import {type EntrySettings} from '../common/settings/entry-settings.ts';
 import {ProcessClock} from '../node/clock.ts';
 import {DeciderLoop} from '../node/decider-loop.ts';
+import {type EarlyDoors} from '../node/early-door.ts';
+import {entropySeed} from '../node/entropy.ts';
 import {NewsFollower} from '../node/fleet/news-follower.ts';
 import {NewsTeller} from '../node/fleet/news-teller.ts';
 import {StoreCarrier} from '../node/fleet/store-carrier.ts';
@@ -24,6 +25,7 @@
 import {LoadMeasurer} from '../node/front/load-measurer.ts';
 import {type Page, PageServer} from '../node/front/page-server.ts';
 import {RoutedServer} from '../node/front/routed-server.ts';
+import {StartingHold} from '../node/front/starting-hold.ts';
 import {type Logging} from '../node/logging/logging.ts';
 import {CountedMeasurer, CountedPlatformClient} from '../node/metrics/counted-parts.ts';
 import {PageMetrics} from '../node/metrics/page-metrics.ts';
@@ -48,7 +50,8 @@
 /** The page of counters. */
 const metricsPath = '/metrics';
 
-const largestSeed = 2 ** 32;
+/** VMs that a caller may use, and how long it may keep the answer. */
+type AddressList = {readonly addresses: readonly string[]; readonly keepForMilliseconds: number};
 
 /** What the platform brings: its store, its documents, its way of speaking. */
 export type PlatformParts = {
@@ -59,11 +62,22 @@
 	/** Statuses that callers read as "has not run". */
 	readonly notRunStatuses: ReadonlySet<number>;
 	/** The directory's page for a URL. */
-	readonly directoryPage: (url: string, answer: (service: string, dataCentre: string | undefined) => {readonly addresses: readonly string[]; readonly keepForMilliseconds: number}) => Page | undefined;
+	readonly directoryPage: (url: string, answer: (service: string, dataCentre: string | undefined) => AddressList) => Page | undefined;
 	/** The page by which the platform learns whether this VM is ready. */
 	readonly readinessPath: string;
+	/** Doors that were opened before the program was loaded. */
+	readonly doors?: EarlyDoors;
 };
 
+/** An answer that waits for the VM to be ready, if it is just starting. */
+async function held<Answer>(hold: StartingHold, make: () => Answer): Promise<Answer> {
+	return new Promise(resolve => {
+		hold.pass(() => {
+			resolve(make());
+		});
+	});
+}
+
 async function metricsPage(metrics: PageMetrics): Promise<Page> {
 	return {status: 200, contentType: 'text/plain; version=0.0.4', body: await metrics.text()};
 }
@@ -90,12 +104,12 @@
 	const owned = new DisposableStore();
 	const {logger} = logging;
 	const clock = new ProcessClock();
-	const random = seededRandom(randomInt(largestSeed));
+	const random = seededRandom(entropySeed());
 	const metrics = new PageMetrics();
 	owned.add(platform.store);
 	const calls = new DefaultCallEngine({
 		random,
-		settings: {dataCentre: settings.vm.dataCentre, notRunStatuses: platform.notRunStatuses},
+		settings: {dataCentre: settings.vm.dataCentre, notRunStatuses: platform.notRunStatuses, retryBurst: settings.calls.retryBurst},
 	});
 	const fleet = new RegistryFleet(registrySettings(settings, platform.layout), platform.documents, random);
 	const entryVm = new EntryVm(calls, fleet);
@@ -105,8 +119,9 @@
 	const newsTeller = owned.add(new NewsTeller(metrics, {whole: () => fleet.news(clock.now())}));
 	const connections = owned.add(new BackendConnections({connectMilliseconds, idleMilliseconds: backendIdleMilliseconds}));
 	const callCarrier = owned.add(new CallCarrier(loop, new CountedMeasurer(new LoadMeasurer(connections, platform.dialect), metrics), noKeys));
+	const hold = owned.add(new StartingHold());
 	const routedServer = owned.add(new RoutedServer({
-		sink: loop, calls: callCarrier, connections, dialect: platform.dialect, routes: new RouteTable(random), fingerprint: hashes.fingerprint,
+		sink: loop, calls: callCarrier, connections, dialect: platform.dialect, routes: new RouteTable(random), fingerprint: hashes.fingerprint, hold,
 	}, {
 		keptBodyBytes: settings.calls.replayBytes, connections: settings.calls.connections, stallMilliseconds,
 	}));
@@ -114,10 +129,10 @@
 		const isReady = fleet.status(clock.now()).stage === 'serving';
 		return url === platform.readinessPath ? {status: isReady ? 200 : 503} : undefined;
 	}, pageIdleMilliseconds));
-	const directoryServer = owned.add(new PageServer(url => platform.directoryPage(url, (service, dataCentre) => {
+	const directoryServer = owned.add(new PageServer(async url => held(hold, () => platform.directoryPage(url, (service, dataCentre) => {
 		const {addresses, keepForMilliseconds} = fleet.addresses(service, dataCentre);
 		return {addresses: addresses.map(({address}) => address), keepForMilliseconds};
-	}), pageIdleMilliseconds));
+	})), pageIdleMilliseconds));
 	const metricsServer = owned.add(new PageServer(async url => url === metricsPath ? metricsPage(metrics) : undefined, pageIdleMilliseconds));
 	loop.setCarrier(effect => {
 		if (isCallEffect(effect)) {
@@ -131,7 +146,23 @@
 		}
 	});
 	return new EntryDaemon({
-		settings, clock, logger, logControl: logging, metrics, entryVm, loop, callCarrier, storeCarrier, connections, routedServer, readinessServer, directoryServer, newsTeller, metricsServer,
+		settings,
+		clock,
+		logger,
+		logControl: logging,
+		metrics,
+		entryVm,
+		loop,
+		callCarrier,
+		storeCarrier,
+		connections,
+		routedServer,
+		readinessServer,
+		directoryServer,
+		hold,
+		newsTeller,
+		metricsServer,
+		doors: platform.doors ?? new Map(),
 	}, owned);
 }
 
--- a/src/daemon/identity.ts
+++ b/src/daemon/identity.ts
@@ -1,12 +1,12 @@
 /** Fresh identities and digests of one process. */
-import {randomBytes} from 'node:crypto';
 import xxhash from 'xxhash-wasm';
+import {entropyBytes} from '../node/entropy.ts';
 
 const identityBytes = 16;
 
 /** 128 random bits in base64url: never made twice, so it tells a process or resource from its successor. */
 export function freshIdentity(): string {
-	return randomBytes(identityBytes).toString('base64url');
+	return entropyBytes(identityBytes).toString('base64url');
 }
 
 /** Hash functions of the process; the library sets itself up asynchronously. */
--- a/src/daemon/wiring.ts
+++ b/src/daemon/wiring.ts
@@ -1,5 +1,4 @@
 /** The one place where the parts of a daemon are made. */
-import {randomInt} from 'node:crypto';
 import {err, ok, type Result} from 'neverthrow';
 import {BurnCopies} from '../common/burn/burn-copies.ts';
 import {BurnLedger} from '../common/burn/burn-ledger.ts';
@@ -19,6 +18,7 @@
 import {ResourceApi} from '../node/api/resource-api.ts';
 import {type Clock, ProcessClock} from '../node/clock.ts';
 import {DeciderLoop} from '../node/decider-loop.ts';
+import {entropySeed} from '../node/entropy.ts';
 import {FleetCarrier} from '../node/fleet/fleet-carrier.ts';
 import {BackendConnections} from '../node/front/backend-connections.ts';
 import {CallCarrier} from '../node/front/call-carrier.ts';
@@ -62,8 +62,6 @@
 /** Number of VMs that carry one service at least: two may fail, and the answers still spread. */
 const smallestSubset = 16;
 
-const largestSeed = 2 ** 31;
-
 function joinAddress(address: string, port: number): string {
 	return address.includes(':') ? `[${address}]:${port}` : `${address}:${port}`;
 }
@@ -137,7 +135,7 @@
 
 /** The deciders and the loop round them. */
 function makeDeciders({settings, owned, clock, hashes, identity}: Base) {
-	const random = seededRandom(randomInt(largestSeed));
+	const random = seededRandom(entropySeed());
 	const fleet = fleetSettings(settings, identity);
 	const calls = new WakeGuard(new DefaultCallEngine({random, settings: {dataCentre: settings.vm.dataCentre}}));
 	const entryVm = new EntryVm(calls, new FleetCoordinator(fleet, random, hashes.hash32));
--- /dev/null
+++ b/src/node/early-door.test.ts
@@ -0,0 +1,77 @@
+import {createServer} from 'node:http';
+import {expect} from 'earl';
+import {request} from 'undici';
+import {DisposableStore, toDisposable} from '../common/lifecycle/disposable.ts';
+import {freePorts} from '../stand-ins/free-ports.ts';
+import {EarlyDoor} from './early-door.ts';
+import {StartingHold} from './front/starting-hold.ts';
+import {listenOn} from './listening.ts';
+
+describe('a door that is open before its server is there', () => {
+	// Story: all VMs of a customer lose power. Their addresses are there again a tenth of a second before the program is
+	// loaded; callers who try in that moment are refused twice, and have no try left.
+	it('keeps those who come early, and hands them and later ones to the server', async () => {
+		const owned = new DisposableStore();
+		const [port] = await freePorts(1);
+		const door = new EarlyDoor(port!, '127.0.0.1', 16);
+		const early = request(`http://127.0.0.1:${port}/early`);
+		await new Promise(resolve => {
+			setTimeout(resolve, 50);
+		});
+		const server = createServer((incoming, outgoing) => {
+			outgoing.end(incoming.url);
+		});
+		owned.add(toDisposable(() => {
+			server.closeAllConnections();
+			server.close();
+		}));
+		const listening = await listenOn(server, port!, '127.0.0.1', {backlog: 16, early: door});
+		expect(listening.isOk()).toEqual(true);
+		const late = request(`http://127.0.0.1:${port}/late`);
+		const answers = await Promise.all([early, late]);
+		const texts = await Promise.all(answers.map(async answer => answer.body.text()));
+		expect(texts).toEqual(['/early', '/late']);
+		owned.dispose();
+	});
+
+	it('leaves the failure to the server where the address is taken', async () => {
+		const owned = new DisposableStore();
+		const [port] = await freePorts(1);
+		const other = createServer();
+		await listenOn(other, port!, '127.0.0.1');
+		owned.add(toDisposable(() => {
+			other.close();
+		}));
+		const door = new EarlyDoor(port!, '127.0.0.1', 16);
+		await new Promise(resolve => {
+			setTimeout(resolve, 20);
+		});
+		const listening = await listenOn(createServer(), port!, '127.0.0.1', {early: door});
+		expect(listening.isErr()).toEqual(true);
+		owned.dispose();
+	});
+});
+
+describe('the hold of a VM that is starting', () => {
+	// Story: a caller reaches a VM 30 ms before that has read its configuration, and is sent away. It has one try left,
+	// and comes back later than it would have been served.
+	it('keeps those who come until it ends, and nobody afterwards', () => {
+		const hold = new StartingHold();
+		const seen: string[] = [];
+		hold.pass(() => seen.push('kept'));
+		const before = seen.length;
+		hold.end();
+		hold.pass(() => seen.push('at once'));
+		expect([before, seen]).toEqual([0, ['kept', 'at once']]);
+		hold.dispose();
+	});
+
+	// Story: the store is out, and no configuration comes. Nobody may be kept for long in vain.
+	it('lets everybody go after a fifth of a second', async () => {
+		const hold = new StartingHold();
+		await new Promise<void>(resolve => {
+			hold.pass(resolve);
+		});
+		hold.dispose();
+	});
+});
--- /dev/null
+++ b/src/node/early-door.ts
@@ -0,0 +1,44 @@
+/** Doors that open before the program is loaded. */
+import {type Server as HttpServer} from 'node:http';
+import {createServer, type Server, type Socket} from 'node:net';
+
+/**
+ * Guards callers against the moment in which a VM's address is there and its program is not loaded yet: their connections
+ * were refused, and a caller that tries twice has then spent both tries. Connections that come early wait here and are
+ * handed to the server that answers them. Of a start on half a core the program's loading is more than half.
+ */
+export class EarlyDoor {
+	private readonly _door: Server;
+	private readonly _waiting: Socket[] = [];
+
+	/** Opens at once; a failure is told by the server that listens there later. `backlog` = connections that the system keeps. */
+	constructor(port: number, address: string, backlog: number) {
+		this._door = createServer({pauseOnConnect: true, noDelay: true}, socket => {
+			this._waiting.push(socket);
+		});
+		this._door.on('error', () => {
+			// Not listening now, so `listenOn` tries the address again, and tells the failure: it has a log to write to.
+		});
+		this._door.listen(port, address, backlog);
+	}
+
+	/** The server takes the door over, with those who wait; false = the door is not open. */
+	handTo(server: HttpServer, backlog: number | undefined, onListening: () => void): boolean {
+		if (!this._door.listening) {
+			return false;
+		}
+
+		server.listen(this._door, backlog, () => {
+			for (const socket of this._waiting.splice(0)) {
+				server.emit('connection', socket);
+				socket.resume();
+			}
+
+			onListening();
+		});
+		return true;
+	}
+}
+
+/** Early doors by `IP:PORT`. */
+export type EarlyDoors = ReadonlyMap<string, EarlyDoor>;
--- a/src/node/front/page-server.ts
+++ b/src/node/front/page-server.ts
@@ -5,6 +5,7 @@
 import {type Result} from 'neverthrow';
 import {type Failure} from '../../common/errors/failure.ts';
 import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
+import {type EarlyDoor} from '../early-door.ts';
 import {listenOn} from '../listening.ts';
 
 /** An answer of a page. */
@@ -35,8 +36,8 @@
 		}));
 	}
 
-	async listen(port: number, address: string): Promise<Result<number, Failure<'cannot-listen'>>> {
-		return listenOn(this._server, port, address);
+	async listen(port: number, address: string, early?: EarlyDoor): Promise<Result<number, Failure<'cannot-listen'>>> {
+		return listenOn(this._server, port, address, {early});
 	}
 }
 
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -11,11 +11,13 @@
 import {type RoutedDialect} from '../../common/protocol/dialect.ts';
 import {type RoutedCall, type RouteTable} from '../../common/routing/route-table.ts';
 import {type CallerLimits, type Routing} from '../../common/routing/types.ts';
+import {type EarlyDoor} from '../early-door.ts';
 import {listenOn} from '../listening.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {type CallCarrier} from './call-carrier.ts';
 import {LiveCall} from './live-call.ts';
 import {RequestBody} from './request-body.ts';
+import {type StartingHold} from './starting-hold.ts';
 import {type CallEventSink} from './types.ts';
 
 /** What the door needs of the rest. */
@@ -27,6 +29,8 @@
 	readonly routes: RouteTable;
 	/** 64-bit digest of a call's method, path and body start. */
 	readonly fingerprint: (method: string, path: string, body: Uint8Array) => string;
+	/** Keeps callers that come before the first routes. */
+	readonly hold: StartingHold;
 };
 
 /** Limits that the operators' routes do not set. */
@@ -93,8 +97,8 @@
 	}
 
 	/** Starts to listen; resolves with the port. */
-	async listen(port: number, address: string): Promise<Result<number, Failure<'cannot-listen'>>> {
-		return listenOn(this._server, port, address, listenBacklog);
+	async listen(port: number, address: string, early?: EarlyDoor): Promise<Result<number, Failure<'cannot-listen'>>> {
+		return listenOn(this._server, port, address, {backlog: listenBacklog, early});
 	}
 
 	/** Puts routes and limits in force for calls that come from now on. */
@@ -128,6 +132,14 @@
 			return;
 		}
 
+		this._parts.hold.pass(() => {
+			if (!outgoing.destroyed) {
+				this._route(incoming, outgoing);
+			}
+		});
+	}
+
+	private _route(incoming: IncomingMessage, outgoing: ServerResponse): void {
 		if (!this._hasRoutes) {
 			this._answerEarly(incoming, outgoing, {status: 503, reason: 'not-ready', retryAfterMilliseconds: notReadyRetry});
 			return;
--- a/src/node/listening.ts
+++ b/src/node/listening.ts
@@ -2,19 +2,32 @@
 import {type Server} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import {failure, type Failure} from '../common/errors/failure.ts';
+import {type EarlyDoor} from './early-door.ts';
 
-/** Resolves with the port, which the system has chosen where `port` is 0. `backlog` = connections that may wait to be taken. */
-export async function listenOn(server: Server, port: number, address: string, backlog?: number): Promise<Result<number, Failure<'cannot-listen'>>> {
+/** How a door is opened. */
+export type ListenOptions = {
+	/** Connections that may wait to be taken. */
+	readonly backlog?: number | undefined;
+	/** A door at this address that was opened before. */
+	readonly early?: EarlyDoor | undefined;
+};
+
+/** Resolves with the port, which the system has chosen where `port` is 0. */
+export async function listenOn(server: Server, port: number, address: string, {backlog, early}: ListenOptions = {}): Promise<Result<number, Failure<'cannot-listen'>>> {
 	return new Promise(resolve => {
 		const onError = (error: Error) => {
 			resolve(err(failure('cannot-listen', `${address}:${port} cannot be listened on: ${error.message}`)));
 		};
 
 		server.once('error', onError);
-		server.listen(port, address, backlog, () => {
+		const onListening = () => {
 			server.off('error', onError);
 			const bound = server.address();
 			resolve(ok(typeof bound === 'object' && bound !== null ? bound.port : port));
-		});
+		};
+
+		if (early?.handTo(server, backlog, onListening) !== true) {
+			server.listen(port, address, backlog, onListening);
+		}
 	});
 }
