--- a/src/common/calls/demand-placer.ts
+++ b/src/common/calls/demand-placer.ts
@@ -51,7 +51,7 @@
 const uselessChance = 0.35;
 
 /** Chance of an answer before the deadline below which a late call is refused: its caller learns at once. */
-const fairLateChance = 0.85;
+const fairLateChance = 0.93;
 
 /** Bytes of a call and its answer besides the body: heads, and what connections cost. */
 const headBytes = 700;
@@ -60,10 +60,13 @@
 
 /** What an attempt is expected to bring. */
 type Expectation = {
-	/** Chance of an answer within the objective, and before the deadline. */
+	/**
+	 * Chance of an answer within the objective, and before the deadline, against the backend server that takes its
+	 * attempts most reliably: where all fail alike, none is out of the question.
+	 */
 	readonly inTime: number;
 	readonly atAll: number;
-	/** Worth of these chances less what the attempt costs others; an answer in time is worth 1. */
+	/** Worth of the chances less what the attempt costs others; an answer in time is worth 1. */
 	readonly worth: number;
 };
 
@@ -90,7 +93,7 @@
 		const able = call.serviceState.servers.filter(server => !asked.has(server) && this._mayTake(server, call) && !this._isLeftOut(server));
 		const near = able.filter(server => this._isLocal(server));
 		const scored = (near.length > 0 ? near : able).map(server => ({
-			server, score: this._expect(server, call, now).worth + ((this._context.random.next() - 0.5) * candidateSpread),
+			server, score: this._expect(server, call, now, 1).worth + ((this._context.random.next() - 0.5) * candidateSpread),
 		}));
 		scored.sort((one, other) => other.score - one.score);
 		return scored.slice(0, call.serviceState.roominess.questions(this._context.tuning.demandCandidates)).map(({server}) => server);
@@ -99,8 +102,10 @@
 	/** Whether a place is known by young news that is as good as any: asking further backend servers would be in vain. */
 	hasGoodPlace(call: Call, now: Instant): boolean {
 		const {demandFreshMilliseconds, demandWaitMilliseconds} = this._context.tuning;
-		return call.serviceState.servers.some(server => this._mayTake(server, call) && now - server.reportedAt <= demandFreshMilliseconds + demandWaitMilliseconds
-			&& isRoomy(server) && this._expect(server, call, now).inTime >= fairChance);
+		const {servers} = call.serviceState;
+		const reliable = mostTaken(servers, now);
+		return servers.some(server => this._mayTake(server, call) && now - server.reportedAt <= demandFreshMilliseconds + demandWaitMilliseconds
+			&& isRoomy(server) && this._expect(server, call, now, reliable).inTime >= fairChance);
 	}
 
 	place(call: Call, now: Instant, purpose: AttemptPurpose = 'first'): Placement | undefined {
@@ -126,10 +131,11 @@
 		};
 		const known = this._known(call, now);
 		const fair = known.isYoung ? chance : blindChance;
+		const reliable = mostTaken(known.servers, now);
 		for (const server of known.servers) {
 			const {slots} = server.declared;
 			const load = server.reportedLoad + 1;
-			const {inTime, atAll, worth} = this._expect(server, call, now);
+			const {inTime, atAll, worth} = this._expect(server, call, now, reliable);
 			if (inTime >= fair) {
 				(load <= slots ? best.free : best.queued).offer(server, worth);
 			}
@@ -177,17 +183,23 @@
 		return server.suspectsInFlight === 0 || !this._context.suspects.isSuspect(call.request.fingerprint);
 	}
 
-	private _expect(server: BackendServerState, call: Call, now: Instant): Expectation {
+	/** `reliable` = the part of its attempts that the most reliable of the candidates takes. */
+	private _expect(server: BackendServerState, call: Call, now: Instant, reliable: number): Expectation {
 		const {remoteMilliseconds, lateWorth, slotWorth} = this._context.tuning;
 		const {answerTimes} = call.serviceState;
 		const work = workEstimate(call);
 		const prospect = this.prospect(server, now);
 		const way: Milliseconds = this._isLocal(server) ? 0 : remoteMilliseconds;
-		const taken = (1 - server.failingAt(now)) * (1 - server.sheddingAt(now)) * (server.unansweredMeasurings >= silentAfter ? silentPart : 1);
-		const inTime = taken * answerTimes.chance(work, prospect, call.objectiveAt - now - way);
-		const atAll = taken * answerTimes.chance(work, prospect, call.deadline - now - way);
+		const taken = takenPart(server, now);
+		const inTime = answerTimes.chance(work, prospect, call.objectiveAt - now - way);
+		const atAll = answerTimes.chance(work, prospect, call.deadline - now - way);
 		const slot = slotWorth * answerTimes.mean(work, prospect) / Math.max(1, work);
-		return {inTime, atAll, worth: inTime + (lateWorth * (atAll - inTime)) - slot - this._bytesWorth(server, call)};
+		const relative = Math.min(1, taken / reliable);
+		return {
+			inTime: relative * inTime,
+			atAll: relative * atAll,
+			worth: (taken * (inTime + (lateWorth * (atAll - inTime)))) - slot - this._bytesWorth(server, call),
+		};
 	}
 
 	private _isLocal(server: BackendServerState): boolean {
@@ -227,6 +239,16 @@
 	return server.report === undefined || server.reportedLoad < server.declared.slots + queueRoom;
 }
 
+/** Part of its attempts that a backend server is expected to take and to answer. */
+function takenPart(server: BackendServerState, now: Instant): number {
+	return (1 - server.failingAt(now)) * (1 - server.sheddingAt(now)) * (server.unansweredMeasurings >= silentAfter ? silentPart : 1);
+}
+
+/** The same of the most reliable of these; a little above 0, since it is divided by. */
+function mostTaken(servers: readonly BackendServerState[], now: Instant): number {
+	return Math.max(0.01, ...servers.map(server => server.isLeaving ? 0 : takenPart(server, now)));
+}
+
 /** Few calls enough that one more is not slowed down by them. */
 function isRoomy(server: BackendServerState): boolean {
 	return server.reportedLoad + 1 <= 0.8 * server.declared.slots;
--- a/src/common/calls/demand-placing.test.ts
+++ b/src/common/calls/demand-placing.test.ts
@@ -192,6 +192,66 @@
 	});
 });
 
+/** The attempt that follows from these effects, where every backend server says that it is idle. */
+function placed(driver: EngineDriver, effects: readonly CallEffect[]): Start | undefined {
+	const all = [...effects, ...answer(driver, measuresOf(effects), quiet), ...driver.passTime(30)];
+	return startIn([...all, ...answer(driver, measuresOf(all), quiet)]);
+}
+
+describe('backend servers that turn calls away though they have room', () => {
+	// Story: all backend servers of a service shed half of their calls while their reports say that they are idle. Each VM
+	// remembers that, takes no chance for fair any more, and refuses nearly every call without an attempt.
+	it('are tried on where all do so alike', () => {
+		const driver = driverOf(4);
+		let attempts = 0;
+		let refused = 0;
+		for (let call = 1; call <= 60; call++) {
+			const start = placed(driver, driver.handle({type: 'call-arrived', request: readOf(call, {mostAttempts: 1})}));
+			if (start === undefined) {
+				refused++;
+				continue;
+			}
+
+			attempts++;
+			if (call % 2 === 0) {
+				driver.answer(start.attemptId, quiet());
+			} else {
+				driver.head(start.attemptId, {status: 503, isDeclaredNotRun: true, report: quiet()});
+			}
+		}
+
+		expect([attempts >= 58, refused <= 2]).toEqual([true, true]);
+	});
+
+	// Story: a caller is turned away by a backend server that is not full, and is told to come back after a tenth of a
+	// second, as in a rush. By then its objective cannot be kept any more.
+	it('have callers come back at once', () => {
+		const driver = driverOf(2);
+		const start = startIn(answer(driver, measuresOf(driver.handle({type: 'call-arrived', request: readOf(1, {mostAttempts: 1})})), quiet))!;
+		const refusal = driver.head(start.attemptId, {status: 503, isDeclaredNotRun: true, report: quiet()})
+			.find((effect): effect is CallEffect & {type: 'refuse'} => effect.type === 'refuse');
+		expect([refusal?.outcome, refusal !== undefined && refusal.retryAfterMilliseconds! <= 10]).toEqual(['not-run', true]);
+	});
+
+	// Story: one of them does so, the others do not. Its idle reports draw call after call.
+	it('are left to the others where one does so alone', () => {
+		const driver = driverOf(4);
+		let shed = 0;
+		for (let call = 1; call <= 60; call++) {
+			const start = placed(driver, driver.handle({type: 'call-arrived', request: readOf(call)}))!;
+			if (start.identity === 'identity-0') {
+				shed++;
+				const again = placed(driver, driver.head(start.attemptId, {status: 503, isDeclaredNotRun: true, report: quiet()}));
+				driver.answer(again!.attemptId, quiet());
+			} else {
+				driver.answer(start.attemptId, quiet());
+			}
+		}
+
+		expect(shed <= 6).toEqual(true);
+	});
+});
+
 describe('the rule of a route', () => {
 	it('ends a call at the route\'s timeout', () => {
 		const driver = driverOf(1);
--- a/src/common/calls/roominess.ts
+++ b/src/common/calls/roominess.ts
@@ -9,13 +9,16 @@
 const slowFrom = 1.6;
 
 /** Assumed before any report was seen, and the reports that the assumption counts for. */
-const assumedPart = 0.45;
+const assumedPart = 0.3;
 const assumedReports = 12;
 
 /** Reports after which an older one counts for a third: a rush shows within a dozen calls. */
 const memory = 40;
 
-/** Chance that none of those that are asked has room, above which one more is asked. */
+/**
+ * Chance that none of those that are asked has room, above which one more is asked: then a second round follows, which costs
+ * a fraction of a millisecond to two.
+ */
 const inVain = 0.1;
 
 /** Fewest that are asked: two calls at the same moment must not both have only one choice. */
