Test near questions, second attempts in the last slot and the shared burst of retries; measure the start

Change: tests of the loads they answer, without a network; `npm run bench -- start` gives the processor time of a start beside an empty script's.

--- /dev/null
+++ b/benchmark/start/main.ts
@@ -0,0 +1,83 @@
+/**
+ * `npm run bench -- start [--runs N]`: processor time from exec until an entry VM says that it has started, beside that of an
+ * empty script. Build the bundle first (`npm run bundle`). Both figures vary with the machine: compare the least of many.
+ */
+import {spawn} from 'node:child_process';
+import {mkdtempSync, readFileSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {parseToml} from '../../src/node/settings/load-settings.ts';
+import {freePorts} from '../../src/stand-ins/free-ports.ts';
+
+/** Clock ticks a second in which the kernel tells processor times (Linux, `getconf CLK_TCK`). */
+const ticksPerSecond = 100;
+
+/** Fields of /proc/PID/stat after the name in brackets: user and system time. */
+const userField = 11;
+const systemField = 12;
+
+const doors = ['callers', 'readiness', 'directory', 'peers', 'metrics'];
+
+const {values} = parseArgs({options: {runs: {type: 'string', default: '15'}}});
+const root = join(import.meta.dirname, '../..');
+
+/** Flags with which deploy/system.toml runs the program. */
+function flags(): string[] {
+	const system: unknown = parseToml(readFileSync(join(root, 'deploy/system.toml'), 'utf8'))._unsafeUnwrap();
+	const words = /"run":"([^"]*)"/v.exec(JSON.stringify(system));
+	return words![1]!.split(' ').filter(word => word.startsWith('--'));
+}
+
+function processorMilliseconds(pid: number): number {
+	const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]!.split(' ');
+	return (Number(fields[userField]) + Number(fields[systemField])) * 1000 / ticksPerSecond;
+}
+
+/** Runs a script until it writes `started`; its processor time by then in milliseconds. */
+async function measure(script: string, settingsFile: string): Promise<number> {
+	const child = spawn(process.execPath, [...flags(), script], {env: {...process.env, JAYDALE_SETTINGS: settingsFile}, stdio: ['ignore', 'pipe', 'inherit']});
+	return new Promise(resolve => {
+		child.stdout.on('data', (chunk: Uint8Array) => {
+			if (Buffer.from(chunk).toString().includes('started')) {
+				resolve(processorMilliseconds(child.pid!));
+				child.kill('SIGKILL');
+			}
+		});
+	});
+}
+
+async function report(name: string, script: string, settingsFile: string): Promise<void> {
+	const times: number[] = [];
+	for (let run = 0; run < Number(values.runs); run++) {
+		times.push(await measure(script, settingsFile));
+	}
+
+	times.sort((one, other) => one - other);
+	console.log(`${name.padEnd(14)} least ${times[0]} ms, median ${times[Math.floor(times.length / 2)]} ms of processor time (ticks of ${1000 / ticksPerSecond} ms)`);
+}
+
+const folder = mkdtempSync(join(tmpdir(), 'jaydale-start-'));
+const ports = await freePorts(doors.length + 1);
+const settingsFile = join(folder, 'settings.toml');
+writeFileSync(settingsFile, [
+	'[vm]',
+	'name = "start"',
+	'dataCentre = "north"',
+	'[listen]',
+	...doors.map((door, index) => `${door} = "127.0.0.1:${ports[index]}"`),
+	'[store]',
+	`address = "127.0.0.1:${ports.at(-1)}"`,
+	'heartbeatSeconds = 1.5',
+	'[calls]',
+	'measuringPerSecond = 60',
+	'retryShare = 0.2',
+	'[stop]',
+	'graceSeconds = 6',
+	'',
+].join('\n'));
+const empty = join(folder, 'empty.cjs');
+writeFileSync(empty, 'console.log("started"); setTimeout(() => {}, 1000);\n');
+await report('empty script', empty, settingsFile);
+await report('entry VM', join(root, 'target/jaydale.cjs'), settingsFile);
--- a/src/common/calls/demand-placing.test.ts
+++ b/src/common/calls/demand-placing.test.ts
@@ -192,6 +192,55 @@
 	});
 });
 
+/** As many backend servers in the VM's own data centre, `north`, as in `south`; the first half is in `north`. */
+function inTwoDataCentres(serverCount: number): EngineDriver {
+	const configuration = configurationOf(serverCount, {retryShare: 1, measuring: {mode: 'on-demand', callsPerWindow: 10_000}});
+	const backendServers = new Map(Array.from(configuration.backendServers, ([identity, server], index) => [
+		identity, {...server, dataCentre: index < serverCount / 2 ? 'north' : 'south'},
+	]));
+	return new EngineDriver({...configuration, backendServers});
+}
+
+describe('measuring and bytes between data centres', () => {
+	const near = (measures: readonly Measure[]) => measures.map(({identity}) => Number(identity.slice('identity-'.length)) < 3);
+
+	// Story: on a calm day a third of all backend servers is in the own data centre, and most have room. Each question and
+	// answer to another one is paid by the byte: it came to a fortieth of the day's worth.
+	it('ask the own data centre first, and nobody else where that has a good place', () => {
+		const driver = inTwoDataCentres(6);
+		const measures = measuresOf(driver.handle({type: 'call-arrived', request: readOf(1)}));
+		const effects = answer(driver, measures, quiet);
+		expect([near(measures), measuresOf(effects).length, startIn(effects) === undefined]).toEqual([[true, true, true], 0, false]);
+	});
+
+	// Story: the near backend servers are all slowed down by neighbours for a moment, and the far ones are not.
+	it('ask the others where the own one has no good place, and go there', () => {
+		const driver = inTwoDataCentres(6);
+		const second = measuresOf(answer(driver, measuresOf(driver.handle({type: 'call-arrived', request: readOf(1)})), slow));
+		const start = startIn(answer(driver, second, quiet));
+		expect([near(second), start !== undefined && Number(start.identity.slice('identity-'.length)) >= 3]).toEqual([[false, false, false], true]);
+	});
+});
+
+describe('a second attempt where the first is in the last slot', () => {
+	// Story: in a rush calls take the last slot of backend servers, where they need half as long again. At the time of a usual
+	// answer each gets a second attempt, which takes the slot of another call, for an answer that was on its way.
+	it('waits until the first is no longer likely to be in time', () => {
+		const driver = driverOf(4);
+		for (let call = 10; call < 40; call++) {
+			const start = placed(driver, driver.handle({type: 'call-arrived', request: readOf(call)}))!;
+			driver.now += 100;
+			driver.answer(start.attemptId, quiet());
+		}
+
+		driver.now += 1000;
+		const lastSlot = () => reportOf('p', {inFlight: 5, workTimeFactor: 1});
+		const effects = [...driver.handle({type: 'call-arrived', request: readOf(1, {objectiveMilliseconds: 400})})];
+		const first = startIn([...answer(driver, measuresOf(effects), lastSlot), ...driver.passTime(20)]);
+		expect([first === undefined, measuresOf(driver.passTime(140)).length]).toEqual([false, 0]);
+	});
+});
+
 /** The attempt that follows from these effects, where every backend server says that it is idle. */
 function placed(driver: EngineDriver, effects: readonly CallEffect[]): Start | undefined {
 	const all = [...effects, ...answer(driver, measuresOf(effects), quiet), ...driver.passTime(30)];
--- /dev/null
+++ b/src/common/calls/retry-budget.test.ts
@@ -0,0 +1,30 @@
+import {expect} from 'earl';
+import {RetryBudget} from './retry-budget.ts';
+
+/** Second attempts that one VM of so many makes when a fault begins after a quiet hour. */
+function atOnce(burst: number, vmCount: number): number {
+	const budget = new RetryBudget();
+	budget.shareBurst(burst, vmCount);
+	for (let call = 0; call < 1000; call++) {
+		budget.deposit(0.2);
+	}
+
+	let attempts = 0;
+	while (budget.tryTake()) {
+		attempts++;
+	}
+
+	return attempts;
+}
+
+describe('the fleet\'s burst of retries', () => {
+	// Story: a customer has 116 VMs, each with ten retries saved up. A fault of a second brings 1160 second attempts where
+	// 186 are allowed beyond a fifth of the calls, and the backend servers stay down.
+	it('is shared out, so that all VMs together stay within it', () => {
+		expect([14 * atOnce(58, 14) <= 58, 116 * atOnce(186, 116) <= 186, atOnce(58, 14) >= 3]).toEqual([true, true, true]);
+	});
+
+	it('leaves each VM one second attempt', () => {
+		expect(atOnce(60, 1000)).toEqual(1);
+	});
+});
--- a/src/node/entropy.ts
+++ b/src/node/entropy.ts
@@ -7,8 +7,8 @@
 const bytesOfSeed = 4;
 
 /**
- * Unpredictable bytes. Read from the kernel itself: loading node's crypto module for them is a sixth of the processor time
- * of an entry VM's start, and calls fail until it is over (`npm run bench -- start`).
+ * Unpredictable bytes. Read from the kernel itself: loading node's crypto module for them took 8 of the 84 ms of an
+ * entry VM's start by node's profile of it (`--cpu-prof`), and calls wait until it is over.
  */
 export function entropyBytes(count: number): Buffer {
 	const bytes = Buffer.alloc(count);
