--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -1,12 +1,13 @@
 /** Starts attempts and follows them to their end: retries, hedges, resumed downloads. */
-import {type Instant, type Milliseconds} from '../model/units.ts';
+import {type Instant} from '../model/units.ts';
 import {type BackendServerState} from './backend-server-state.ts';
 import {
-	type Attempt, type AttemptPurpose, type Call, isBodiless, outcomeSoFar, workEstimate,
+	type Attempt, type AttemptPurpose, type Call, isBodiless, outcomeSoFar,
 } from './call.ts';
 import {type CallEndings} from './call-endings.ts';
 import {type EngineContext, vmCountOf} from './engine-context.ts';
 import {type HealthJudge} from './health-judge.ts';
+import {Hedging, mostAttempts} from './hedging.ts';
 import {type DemandPlacer} from './demand-placer.ts';
 import {roomyPart} from './load-levels.ts';
 import {type Placement, type Placer, connectionLimit} from './placer.ts';
@@ -15,9 +16,6 @@
 	type AttemptFailure, type AttemptId, type CallEvent, type CallOutcome, type LoadReport, type RefusalReason,
 } from './types.ts';
 
-/** Most attempts of one call, whatever the budget says: three backend servers that fail it are no accident. */
-const mostAttempts = 3;
-
 /** Most attempts that may end in a reset connection: more would let one call crash one backend server after another. */
 const mostResets = 2;
 
@@ -33,27 +31,6 @@
 /** Answer to a range of a download. */
 const partialContent = 206;
 
-/** Answers of a class before its quantile is good enough to hedge by. */
-const samplesToHedge = 50;
-
-/** Usual answer times that a hedge is given before the objective: nine in ten answers of a quiet backend server fit. */
-const hedgeReserve = 1.35;
-
-/** No hedge before this many usual answer times: three in four calls have been answered by then. */
-const leastHedgeDelay = 1.25;
-
-/** Chance of an answer in time, among attempts without one so far, above which a second attempt is not worth its slot. */
-const likelyEnough = 0.8;
-
-/**
- * Part of attempts whose answer does not come for reasons that no answer time tells: lost connections, backend servers
- * that hang, neighbours that come in the middle. It decides how soon silence counts as such.
- */
-const lostPart = 0.03;
-
-/** Pause until a hedge that was not worth it is looked at again: an eighth of the shortest usual answer. */
-const hedgeLookMilliseconds: Milliseconds = 20;
-
 /** Work time, against the usual, up to which a backend server's VM counts as quiet. */
 const quietFactor = 1.2;
 
@@ -82,15 +59,6 @@
 	return workTimeFactor <= quietFactor && inFlight + queued <= roomyPart * slots;
 }
 
-/**
- * Where measuring is on demand, slow phases hit a tenth of all calls and more, so that a high quantile is itself the time
- * of a slow one. A call is then tried again as long as a usual answer still comes within its objective.
- */
-function hedgeDelay(call: Call, now: Instant): Milliseconds {
-	const usual = workEstimate(call);
-	return Math.max(call.objectiveAt - (usual * hedgeReserve) - now, usual * leastHedgeDelay);
-}
-
 /** Runs attempts. */
 export class AttemptRunner {
 	private readonly _context: EngineContext;
@@ -101,6 +69,8 @@
 	private readonly _demandPlacer: DemandPlacer;
 	/** Fetches reports before attempts of services that are measured on demand. */
 	readonly scout: Scout;
+	/** Decides on second attempts beside slow first ones. */
+	readonly hedging: Hedging;
 	private _endings: CallEndings | undefined;
 	private _queueCall: ((call: Call, now: Instant) => void) | undefined;
 	private _nextId = 1;
@@ -112,6 +82,7 @@
 		this._health = options.health;
 		this._onReport = options.onReport;
 		this._demandPlacer = options.demandPlacer;
+		this.hedging = new Hedging(options.context, (call, now) => this.start(call, 'hedge', now));
 		this.scout = new Scout({
 			context: options.context,
 			placer: options.demandPlacer,
@@ -193,7 +164,7 @@
 			resume,
 		});
 		if (purpose === 'first') {
-			this._planHedge(attempt, now);
+			this.hedging.plan(attempt, now);
 		} else if (purpose === 'resume') {
 			this._limitResume(attempt, now);
 		}
@@ -298,53 +269,11 @@
 		for (const attempt of server.attempts) {
 			const {call} = attempt;
 			if (!attempt.hasHead && attempt.purpose !== 'resume' && call.isIdempotent && isBodiless(call.request) && call.request.mayRetry) {
-				this.hedge(attempt, now);
-			}
-		}
-	}
-
-	/** A read that is slower than nearly all of its class gets a second chance elsewhere. */
-	hedge(attempt: Attempt, now: Instant): void {
-		const {call} = attempt;
-		const service = call.serviceState;
-		if (this._isStillLikely(attempt, now)) {
-			this._hedgeLater(attempt, now);
-			return;
-		}
-
-		const hasRoom = service.queue.size === 0 && !service.limit.isCongested && service.inFlight < service.limit.value;
-		const mayTry = call.scouting === undefined && call.attemptCount < (call.request.rule?.mostAttempts ?? mostAttempts);
-		if (hasRoom && mayTry && call.attempts.size === 1 && !this._isQuarantined(call, now) && service.retryBudget.isOpen) {
-			call.failedOn.add(attempt.server);
-			if (this.start(call, 'hedge', now)) {
-				service.retryBudget.tryTake();
+				this.hedging.tryNow(attempt, now);
 			}
 		}
 	}
 
-	/**
-	 * Guards slots in a rush: a call in the last slot of a backend server takes half as long again, and a second attempt
-	 * after the usual time would take a slot from somebody else for an answer that is on its way.
-	 */
-	private _isStillLikely({call, prospect, startedAt}: Attempt, now: Instant): boolean {
-		if (!call.serviceState.isMeasuredOnDemand) {
-			return false;
-		}
-
-		const {answerTimes} = call.serviceState;
-		const soFar = answerTimes.chance(workEstimate(call), prospect, now - startedAt);
-		const inTime = answerTimes.chance(workEstimate(call), prospect, call.objectiveAt - startedAt);
-		return (1 - lostPart) * (inTime - soFar) >= likelyEnough * (((1 - lostPart) * (1 - soFar)) + lostPart);
-	}
-
-	private _hedgeLater(attempt: Attempt, now: Instant): void {
-		const {call} = attempt;
-		const at = now + hedgeLookMilliseconds;
-		if (at < call.objectiveAt - workEstimate(call)) {
-			call.timers.push(this._context.timers.add(at, {type: 'hedge', attempt}));
-		}
-	}
-
 	private _record(call: Call, purpose: AttemptPurpose, placement: Placement, now: Instant): Attempt {
 		const {server, isExperiment} = placement;
 		const isSuspect = this._context.suspects.isSuspect(call.request.fingerprint);
@@ -392,27 +321,6 @@
 		call.timers.push(this._context.timers.add(now + call.deadline - call.arrivedAt, {type: 'resume', attempt}));
 	}
 
-	/**
-	 * Hedging is for single slow backend servers and lost connections; its limit is the retry budget, and
-	 * it rests while calls wait, since in a rush a second attempt takes the slot of somebody's first.
-	 */
-	private _planHedge(attempt: Attempt, now: Instant): void {
-		const {call} = attempt;
-		const {hedgeQuantile, hedgeFloorMilliseconds} = this._context.tuning;
-		const isRead = isBodiless(call.request);
-		const times = call.class.answerTimes;
-		const isOnDemand = call.serviceState.isMeasuredOnDemand;
-		if (hedgeQuantile >= 1 || !isRead || !call.isIdempotent || !call.request.mayRetry || (!isOnDemand && times.count < samplesToHedge)) {
-			return;
-		}
-
-		const delay = isOnDemand ? hedgeDelay(call, now) : times.quantile(hedgeQuantile)!;
-		const at = now + Math.max(delay, hedgeFloorMilliseconds);
-		if (at < call.deadline) {
-			call.timers.push(this._context.timers.add(at, {type: 'hedge', attempt}));
-		}
-	}
-
 	private _learn(attempt: Attempt, hasFailed: boolean, report: LoadReport | undefined, now: Instant): void {
 		const {call, server} = attempt;
 		call.serviceState.noteAnswer(hasFailed);
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -357,7 +357,7 @@
 			}
 
 			case 'hedge': {
-				this._runner.hedge(timer.attempt, now);
+				this._runner.hedging.tryNow(timer.attempt, now);
 				break;
 			}
 
--- a/src/node/early-door.ts
+++ b/src/node/early-door.ts
@@ -5,7 +5,7 @@
 /**
  * Guards callers against the moment in which a VM's address is there and its program is not loaded yet: their connections
  * were refused, and a caller that tries twice has then spent both tries. Connections that come early wait here and are
- * handed to the server that answers them. The loading of the program is half of a start (`npm run bench -- start`).
+ * handed to the server that answers them. The loading of the program is half of a start (`npm run start-time`).
  */
 export class EarlyDoor {
 	private readonly _door: Server;
