Leave removals to the teller while told, and read anew after being told

One that turns to another VM's news meanwhile took out what it held when the hold ended; the entries were back, but to the teller they were as before, so it told nothing, and nothing told the VM again, since heartbeats alone change no entry. A VM that reads on after it was told watched from the told revision, behind the return. Change: what is gone is settled only by a VM that reads; one that reads after it was told reads everything once.

--- a/src/common/registry/doubtful-removals.ts
+++ b/src/common/registry/doubtful-removals.ts
@@ -12,14 +12,19 @@
 	private readonly _context: RegistryContext;
 	private readonly _name: string;
 	private readonly _onGone: (keys: readonly string[]) => void;
+	private readonly _isReading: () => boolean;
 	private readonly _missing = new Set<string>();
 	private _doubtUntil: Instant = Number.NEGATIVE_INFINITY;
 
-	/** `name` tells its timer from those of others. */
-	constructor(context: RegistryContext, name: string, onGone: (keys: readonly string[]) => void) {
+	/**
+	 * `name` tells its timer from those of others. `isReading` = this VM reads the store itself at the moment; one that is
+	 * told leaves it to the teller what is gone.
+	 */
+	constructor(context: RegistryContext, name: string, onGone: (keys: readonly string[]) => void, isReading: () => boolean) {
 		this._context = context;
 		this._name = name;
 		this._onGone = onGone;
+		this._isReading = isReading;
 	}
 
 	/** The store is back after an outage in which entries may have lapsed. */
@@ -45,10 +50,14 @@
 		this._missing.delete(key);
 	}
 
+	/**
+	 * Guards against backend servers that live and are lost for good on a VM that has turned to another one meanwhile: to
+	 * that one an entry that lapsed and is back means nothing new, so nobody tells this VM that it is back.
+	 */
 	private _settle(): void {
 		const gone = [...this._missing];
 		this._missing.clear();
-		if (gone.length > 0) {
+		if (gone.length > 0 && this._isReading()) {
 			this._onGone(gone);
 		}
 	}
--- /dev/null
+++ b/src/common/registry/lapsed-while-turning.test.ts
@@ -0,0 +1,74 @@
+import {expect} from 'earl';
+import {entryOf, RegistryDriver} from './registry-driver.test.ts';
+
+const servers = [entryOf('configuration', '1'), entryOf('servers/a', 'orders 10.0.1.1 ready'), entryOf('servers/b', 'orders 10.0.1.2 ready')];
+const others = [entryOf('vms/x', '10.0.0.2:80', 2), entryOf('vms/y', '10.0.0.3:80', 3)];
+
+/** A VM that read the store itself while it was silent for six seconds, and has just read that both entries have lapsed. */
+function afterLapse(): RegistryDriver {
+	const driver = new RegistryDriver();
+	driver.start([...servers, ...others]);
+	driver.reply('grant-lease', {type: 'lease', leaseId: '7', milliseconds: 3000});
+	driver.reply('compare-and-swap', {type: 'written', revision: 12});
+	driver.lose(6000);
+	while (!driver.asked.some(({operation}) => operation.type === 'watch')) {
+		driver.passTime(20);
+	}
+
+	driver.reply('watch', {
+		type: 'changes', entries: [], deleted: ['servers/a', 'servers/b'], revision: 20,
+	});
+	return driver;
+}
+
+/** What a VM tells that took the return of the two entries for a heartbeat: they stand as they were. */
+const told = {isWhole: true, entries: [...servers, ...others, entryOf('vms/own', '10.0.0.1:80', 12)], revision: 30};
+
+// Story: the store is silent for six seconds and entries lapse. When it is back, most VMs have read for themselves, and
+// turn to the one that reads for all. Half a minute later VMs of two data centres still refuse a sixth of their calls:
+// they know 15 of 33 backend servers. Order: such a VM reads that entries have lapsed and holds them; it turns to another
+// VM; the backend servers write their entries again, which means nothing new to that one, and it does not tell it; the
+// hold ends. Cause: each took out what it held, and nobody ever told it that they were there.
+describe('backend servers that lapse while a VM turns to another for its news', () => {
+	it('stay, since it is for the teller to say what is gone', () => {
+		const driver = afterLapse();
+		driver.news(told);
+		for (let beat = 1; beat <= 30; beat++) {
+			driver.passTime(100);
+			driver.news({revision: 30 + beat});
+		}
+
+		expect([driver.isReading, driver.usable]).toEqual([false, ['a', 'b']]);
+	});
+
+	it('are gone when the teller says so', () => {
+		const driver = afterLapse();
+		driver.news(told);
+		driver.passTime(100);
+		driver.news({revision: 31, deleted: ['servers/a']});
+		expect(driver.usable).toEqual(['b']);
+	});
+
+	// Story: the same VM becomes the one that reads for all again. It watches on from what it was told, and the return of
+	// the entries lies before that.
+	it('are read anew by a VM that reads on after it was told', () => {
+		const driver = afterLapse();
+		driver.news(told);
+		driver.handle({type: 'news-ended', source: driver.source!});
+		while (driver.source !== undefined) {
+			driver.handle({type: 'news-ended', source: driver.source});
+		}
+
+		while (!driver.asked.some(({operation}) => operation.type === 'watch')) {
+			driver.passTime(20);
+		}
+
+		driver.reply('watch', {
+			type: 'changes', entries: [], deleted: [], revision: 40,
+		});
+		driver.passTime(10);
+		driver.reply('list', {type: 'entries', entries: [...servers.slice(0, 2), ...others, entryOf('vms/own', '10.0.0.1:80', 12)], revision: 41});
+		driver.passTime(2500);
+		expect([driver.isReading, driver.usable]).toEqual([true, ['a']]);
+	});
+});
--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -66,10 +66,15 @@
 			this._news.remove(key);
 		};
 
-		this._servers = new ServerRegistry(this._context, documents, onGone, () => {
-			this._configure();
+		const isReading = () => this._source.isReading;
+		this._servers = new ServerRegistry(this._context, documents, {
+			onGone,
+			onChanged: () => {
+				this._configure();
+			},
+			isReading,
 		});
-		this._vms = new VmDirectory(this._context, documents, random, onGone);
+		this._vms = new VmDirectory(this._context, documents, random, {onGone, isReading});
 		this._ownEntry = new OwnEntry(this._context, documents, revision => {
 			this._vms.setOwnRevision(revision);
 			this._source.review();
--- a/src/common/registry/server-registry.ts
+++ b/src/common/registry/server-registry.ts
@@ -25,6 +25,16 @@
 /** Owners that live are back this long after the store is; the rest is gone. */
 const holdMilliseconds: Milliseconds = 2000;
 
+/** What the registry tells and asks its surroundings. */
+export type RegistryListener = {
+	/** An entry is gone. */
+	readonly onGone: (key: string) => void;
+	/** Something has changed with time alone. */
+	readonly onChanged: () => void;
+	/** This VM reads the store itself at the moment. */
+	readonly isReading: () => boolean;
+};
+
 export class ServerRegistry {
 	private readonly _context: RegistryContext;
 	private readonly _documents: DocumentReader;
@@ -36,8 +46,7 @@
 	private readonly _doubts: DoubtfulRemovals;
 	private readonly _onGone: (key: string) => void;
 
-	/** `onGone` is told of each entry that is gone, `onChanged` of changes that come with time alone. */
-	constructor(context: RegistryContext, documents: DocumentReader, onGone: (key: string) => void, onChanged: () => void) {
+	constructor(context: RegistryContext, documents: DocumentReader, {onGone, onChanged, isReading}: RegistryListener) {
 		this._context = context;
 		this._documents = documents;
 		this._onGone = onGone;
@@ -47,7 +56,7 @@
 			}
 
 			onChanged();
-		});
+		}, isReading);
 	}
 
 	get size(): number {
--- a/src/common/registry/store-mirror.ts
+++ b/src/common/registry/store-mirror.ts
@@ -52,6 +52,8 @@
 	private _retry = firstRetry;
 	private _isReading = true;
 	private _isAsking = false;
+	/** What is known up to the revision was told by another VM, in part: that one leaves out what means nothing new to it. */
+	private _isTold = false;
 
 	constructor(context: RegistryContext, listener: MirrorListener) {
 		this._context = context;
@@ -89,6 +91,7 @@
 
 	/** Another VM has told everything up to this revision; the store was in that state `age` milliseconds ago. */
 	noteNews(revision: Revision, age: Milliseconds): void {
+		this._isTold ||= revision > (this._revision ?? 0);
 		this._revision = Math.max(this._revision ?? 0, revision);
 		if (this._context.now - age > this._lastContact) {
 			this._lastContact = this._context.now - age;
@@ -130,6 +133,7 @@
 
 		this._touch();
 		this._revision = reply.revision;
+		this._isTold = false;
 		this._listener.onChanges({entries: reply.entries, deleted: [], isWhole: true});
 		this._readAfter(this._context.settings.watchPauseMilliseconds);
 	}
@@ -155,9 +159,24 @@
 			this._listener.onChanges({entries: reply.entries, deleted: reply.deleted, isWhole: false});
 		}
 
+		if (this._isTold && this._isReading) {
+			this._readAnew();
+			return;
+		}
+
 		this._readAfter(this._context.settings.watchPauseMilliseconds);
 	}
 
+	/**
+	 * Guards a VM that reads on after it was told: an entry that lapsed and came back means nothing new to the teller, which
+	 * does not tell it. Watched on from the told revision, this VM would never hear of it, and take out a backend server
+	 * that lives for as long as that does not change. Everything is read once.
+	 */
+	private _readAnew(): void {
+		this._revision = undefined;
+		this._readAfter(0);
+	}
+
 	private _touch(): void {
 		const silence = this._context.now - this._lastContact;
 		this._lastContact = this._context.now;
--- a/src/common/registry/vm-directory.ts
+++ b/src/common/registry/vm-directory.ts
@@ -5,6 +5,7 @@
 import {type Revision, type StoreEntry} from '../platform/types.ts';
 import {DoubtfulRemovals} from './doubtful-removals.ts';
 import {type RegistryContext} from './registry-context.ts';
+import {type RegistryListener} from './server-registry.ts';
 import {type DocumentReader, type VmEntry} from './types.ts';
 
 /** Most addresses in one answer: a caller uses a few, and each costs bytes at every caller. */
@@ -42,8 +43,7 @@
 	private readonly _doubts: DoubtfulRemovals;
 	private readonly _onGone: (key: string) => void;
 
-	/** `onGone` is told of each VM that is gone. */
-	constructor(context: RegistryContext, documents: DocumentReader, random: RandomSource, onGone: (key: string) => void) {
+	constructor(context: RegistryContext, documents: DocumentReader, random: RandomSource, {onGone, isReading}: Pick<RegistryListener, 'onGone' | 'isReading'>) {
 		this._context = context;
 		this._documents = documents;
 		this._random = random;
@@ -52,7 +52,7 @@
 			for (const key of keys) {
 				this._drop(key);
 			}
-		});
+		}, isReading);
 	}
 
 	/** VMs known to serve, this one not counted. */
