End no connection that still owes bytes of an answer

Cause: the doors took a connection for idle once its answer was written (node's closeIdleConnections asks ServerResponse.finished), and destroyed it with what the system had not taken. node's server.close() does the same.

Change: one class owns a door's connections, GracefulServer. An exchange is over when the system has the answer's last byte; only a connection without one, and with no call half in, is idle. Calls of one connection are handed on one after the other, so that an answer that ends its connection leaves no later call running unanswered. A connection ends its own side first and reads on for a second at most, since closing it with unread bytes resets it and the reset takes what the system holds for the caller. At 'leaving' idle connections stay: the next call on one is answered and ends it; what is idle ends at 'draining'. Both doors use the class; each had its own copy of the counting.

Ruled out: counting answers only at the close (the next pipelined call would still be cut); destroying after a 'writableLength === 0' check (the system's own bytes are lost by a reset all the same).

--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -1,14 +1,12 @@
 /** The callers' door: calls to services, and the answer to which VMs to use. */
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {getRequestListener, type HttpBindings} from '@hono/node-server';
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import {Hono} from 'hono';
 import {err, ok, type Result} from 'neverthrow';
 import {type CallRequest} from '../../common/calls/types.ts';
 import {failure, type Failure} from '../../common/errors/failure.ts';
-import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
+import {Disposable} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 import {
 	addressesPath, callPathPrefix, callerHeader, idempotencyKeyHeader, outcomeHeader, problemTypePrefix, retryHeader, timeoutHeader, traceHeader,
@@ -17,6 +15,7 @@
 import {continueTrace} from '../logging/trace-context.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {type CallCarrier} from './call-carrier.ts';
+import {GracefulServer} from './graceful-server.ts';
 import {LiveCall} from './live-call.ts';
 import {type BodyLimits, RequestBody} from './request-body.ts';
 import {type CallEventSink} from './types.ts';
@@ -74,10 +73,8 @@
 	private readonly _parts: CallerServerParts;
 	private readonly _limits: CallerServerLimits;
 	private readonly _dialect = new JaydaleDialect();
-	private readonly _server: Server;
+	private readonly _server: GracefulServer;
 	private _lastCallId = 0;
-	private _isClosingIdle = false;
-	private _unfinishedAnswers = 0;
 
 	constructor(parts: CallerServerParts, limits: CallerServerLimits) {
 		super();
@@ -85,7 +82,7 @@
 		this._limits = limits;
 		// The call path reads the body itself; the adaptor must not drain or cut it.
 		const listener = getRequestListener(this._application().fetch, {autoCleanupIncoming: false, overrideGlobalObjects: false});
-		this._server = createServer({
+		this._server = this._register(new GracefulServer({
 			maxHeaderSize: limits.headBytes,
 			headersTimeout: limits.headMilliseconds,
 			requestTimeout: 0,
@@ -93,12 +90,8 @@
 			noDelay: true,
 		}, (incoming, outgoing) => {
 			void listener(incoming, outgoing);
-		});
-		this._server.maxConnections = limits.connections;
-		this._register(toDisposable(() => {
-			this._server.close();
-			this._server.closeAllConnections();
 		}));
+		this._server.maxConnections = limits.connections;
 	}
 
 	/** Starts to listen; resolves with the port. */
@@ -122,7 +115,7 @@
 	 * the backend server; a slow caller may still have to take them.
 	 */
 	get unfinishedAnswers(): number {
-		return this._unfinishedAnswers;
+		return this._server.unfinishedAnswers;
 	}
 
 	/** Number of open connections of callers. */
@@ -136,7 +129,7 @@
 
 	/** From now on idle connections end, and others after their current answer. Nothing is cut. */
 	closeIdle(): void {
-		this._isClosingIdle = true;
+		this._server.leave();
 		this._server.closeIdleConnections();
 	}
 
@@ -165,10 +158,6 @@
 	}
 
 	private _accept(incoming: IncomingMessage, outgoing: ServerResponse): void {
-		this._unfinishedAnswers += 1;
-		outgoing.once('close', () => {
-			this._unfinishedAnswers -= 1;
-		});
 		const url = incoming.url!;
 		const slash = url.indexOf('/', callPathPrefix.length);
 		const service = url.slice(callPathPrefix.length, slash);
@@ -185,10 +174,6 @@
 			return;
 		}
 
-		if (this._isClosingIdle) {
-			outgoing.setHeader('connection', 'close');
-		}
-
 		const body = new RequestBody(incoming, this._limits);
 		if (body.isTooLarge) {
 			outgoing.setHeader('connection', 'close');
--- /dev/null
+++ b/src/node/front/graceful-server.ts
@@ -0,0 +1,213 @@
+/** A door of HTTP/1.1 that knows of each connection what is under way on it, and ends none that still owes bytes. */
+import {
+	type IncomingMessage, Server, type ServerOptions, type ServerResponse,
+} from 'node:http';
+import {type Socket} from 'node:net';
+import {type DisposableLike} from '../../common/lifecycle/disposable.ts';
+import {Emitter} from '../../common/lifecycle/emitter.ts';
+import {type Milliseconds} from '../../common/model/units.ts';
+
+/**
+ * How long a connection that has ended its own side goes on reading for the caller's end. A caller in another region
+ * ends within a round trip; one that does not has what the system holds for it, and loses no more when it is closed.
+ */
+const longestLinger: Milliseconds = 1000;
+
+/** A call on a connection and its answer. */
+type Exchange = {readonly incoming: IncomingMessage; readonly outgoing: ServerResponse};
+
+/** An answer whose connection was closed before the system had all of its bytes. */
+export type CutAnswer = {
+	readonly incoming: IncomingMessage;
+	/** Bytes of the answer that were still in this process. */
+	readonly bytesLeft: number;
+	/** All of the answer had been written: nothing was missing but the caller's reading. */
+	readonly isWhole: boolean;
+	/** Who closed the connection: the caller's end, or this one. */
+	readonly closedBy: 'caller' | 'here';
+};
+
+/** What a door knows of one connection. */
+type Connection = {
+	readonly socket: Socket;
+	/** The call that is being answered; it is over when the system has the answer's last byte. */
+	current: Exchange | undefined;
+	/** Calls that came before the answer to the one in front of them was out. */
+	readonly waiting: Exchange[];
+	/** This side has ended, or ends as soon as its last bytes are out: no further call is taken. */
+	isEnding: boolean;
+	/** Bytes that had come in when the connection was last at rest; more of them are the beginning of a call. */
+	bytesAtRest: number;
+};
+
+/**
+ * Guards answers against the end of their connection. A node:http server takes a connection for idle as soon as its
+ * answer is written, though bytes of it wait in the process for a caller that reads slowly: closing what is idle then
+ * cuts a download in the middle, with no fault but a planned stop. Here an exchange is over when the system has its last
+ * byte, and only a connection without one is idle.
+ *
+ * Two more ways in which an end takes answers with it are closed: calls of one connection are handed on one after the
+ * other, so that the end of an earlier answer's connection leaves no later call running unanswered; and a connection
+ * ends its own side first and reads on, since closing one with unread bytes resets it, and a reset throws away what the
+ * system holds for the caller.
+ */
+export class GracefulServer extends Server implements DisposableLike {
+	private readonly _callerConnections = new Map<Socket, Connection>();
+	private readonly _take: (incoming: IncomingMessage, outgoing: ServerResponse) => void;
+	private readonly _onCut = new Emitter<CutAnswer>();
+	private _isLeaving = false;
+	private _endsIdle = false;
+	private _unfinished = 0;
+
+	/** An answer was cut. Each is somebody's loss: a caller's that has gone, or a fault of this side. */
+	readonly onCut = this._onCut.event;
+
+	/** `take` is handed each call, of one connection at a time. */
+	constructor(options: ServerOptions, take: (incoming: IncomingMessage, outgoing: ServerResponse) => void) {
+		super(options);
+		this._take = take;
+		this.on('connection', (socket: Socket) => {
+			this._open(socket);
+		});
+		this.on('request', (incoming: IncomingMessage, outgoing: ServerResponse) => {
+			this._arrive({incoming, outgoing});
+		});
+	}
+
+	/** Answers that the system does not have wholly yet, and connections whose end the caller has not confirmed. */
+	get unfinishedAnswers(): number {
+		return this._unfinished;
+	}
+
+	/** From now on each connection ends after its answer; one that is idle stays for its next call. */
+	leave(): void {
+		this._isLeaving = true;
+		for (const connection of this._callerConnections.values()) {
+			this._announceEnd(connection);
+		}
+	}
+
+	/** Ends the connections on which nothing is under way, now and whenever one comes to rest. `close` does so too. */
+	override closeIdleConnections(): void {
+		this._endsIdle = true;
+		for (const connection of this._callerConnections.values()) {
+			if (connection.current === undefined && connection.socket.bytesRead === connection.bytesAtRest) {
+				this._end(connection);
+			}
+		}
+	}
+
+	dispose(): void {
+		this.close();
+		this.closeAllConnections();
+		this._onCut.dispose();
+	}
+
+	private _open(socket: Socket): void {
+		const connection: Connection = {
+			socket, current: undefined, waiting: [], isEnding: false, bytesAtRest: 0,
+		};
+		this._callerConnections.set(socket, connection);
+		// node:http calls this after an answer that ends its connection, and after a request that it cannot read.
+		socket.destroySoon = () => {
+			this._end(connection);
+		};
+
+		socket.once('close', () => {
+			this._callerConnections.delete(socket);
+			if (connection.isEnding) {
+				this._unfinished--;
+			}
+		});
+	}
+
+	private _arrive(exchange: Exchange): void {
+		const connection = this._callerConnections.get(exchange.incoming.socket);
+		if (connection === undefined || connection.isEnding) {
+			// Behind the last answer of this connection: never taken, so never run.
+			exchange.incoming.resume();
+			return;
+		}
+
+		if (connection.current === undefined) {
+			this._begin(connection, exchange);
+			return;
+		}
+
+		connection.waiting.push(exchange);
+		this._withdrawEnd(connection.current);
+	}
+
+	private _begin(connection: Connection, exchange: Exchange): void {
+		connection.current = exchange;
+		this._unfinished++;
+		exchange.outgoing.once('close', () => {
+			this._finish(connection, exchange);
+		});
+		this._announceEnd(connection);
+		this._take(exchange.incoming, exchange.outgoing);
+	}
+
+	private _finish(connection: Connection, exchange: Exchange): void {
+		this._unfinished--;
+		connection.current = undefined;
+		connection.bytesAtRest = connection.socket.bytesRead;
+		this._tellIfCut(connection, exchange);
+		if (connection.isEnding || connection.socket.destroyed) {
+			return;
+		}
+
+		const next = connection.waiting.shift();
+		if (next !== undefined) {
+			this._begin(connection, next);
+		} else if (this._endsIdle) {
+			this._end(connection);
+		}
+	}
+
+	/** The last answer of a connection says so, while its head is still here. */
+	private _announceEnd({current, waiting}: Connection): void {
+		if (this._isLeaving && current !== undefined && waiting.length === 0 && !current.outgoing.headersSent) {
+			current.outgoing.setHeader('connection', 'close');
+		}
+	}
+
+	/** Another call has come behind this one, and is answered too. */
+	private _withdrawEnd({outgoing}: Exchange): void {
+		if (this._isLeaving && !outgoing.headersSent) {
+			outgoing.removeHeader('connection');
+		}
+	}
+
+	/** Ends this side after the bytes that it owes, and reads on until the caller ends too. */
+	private _end(connection: Connection): void {
+		const {socket} = connection;
+		if (connection.isEnding || socket.destroyed) {
+			return;
+		}
+
+		connection.isEnding = true;
+		this._unfinished++;
+		socket.end(() => {
+			const timer = setTimeout(() => {
+				socket.destroy();
+			}, longestLinger);
+			socket.once('close', () => {
+				clearTimeout(timer);
+			});
+		});
+	}
+
+	private _tellIfCut({socket}: Connection, {incoming, outgoing}: Exchange): void {
+		if (outgoing.writableFinished) {
+			return;
+		}
+
+		this._onCut.fire({
+			incoming,
+			bytesLeft: outgoing.writableLength + socket.writableLength,
+			isWhole: outgoing.writableEnded,
+			closedBy: socket.readableEnded || socket.errored !== null ? 'caller' : 'here',
+		});
+	}
+}
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -1,12 +1,10 @@
 /** The callers' door where calls are told apart by host and path, and go to services as routes say. */
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Result} from 'neverthrow';
 import {type CallRequest, type RefusalReason} from '../../common/calls/types.ts';
 import {type Failure} from '../../common/errors/failure.ts';
 import {type FleetStage} from '../../common/fleet/types.ts';
-import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
+import {Disposable} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 import {type RoutedDialect} from '../../common/protocol/dialect.ts';
 import {type RoutedCall, type RouteTable} from '../../common/routing/route-table.ts';
@@ -15,6 +13,7 @@
 import {listenOn} from '../listening.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {type CallCarrier} from './call-carrier.ts';
+import {GracefulServer} from './graceful-server.ts';
 import {LiveCall} from './live-call.ts';
 import {RequestBody} from './request-body.ts';
 import {type StartingHold} from './starting-hold.ts';
@@ -64,18 +63,17 @@
 export class RoutedServer extends Disposable {
 	private readonly _parts: RoutedServerParts;
 	private readonly _limits: RoutedServerLimits;
-	private readonly _server: Server;
+	private readonly _server: GracefulServer;
 	private _callerLimits = firstLimits;
 	private _stage: FleetStage = 'starting';
 	private _hasRoutes = false;
 	private _lastCallId = 0;
-	private _unfinishedAnswers = 0;
 
 	constructor(parts: RoutedServerParts, limits: RoutedServerLimits) {
 		super();
 		this._parts = parts;
 		this._limits = limits;
-		this._server = createServer({
+		this._server = this._register(new GracefulServer({
 			maxHeaderSize: firstLimits.headBytes,
 			headersTimeout: firstLimits.headMilliseconds,
 			requestTimeout: 0,
@@ -83,17 +81,13 @@
 			noDelay: true,
 		}, (incoming, outgoing) => {
 			this._take(incoming, outgoing);
-		});
-		this._server.maxConnections = limits.connections;
-		this._register(toDisposable(() => {
-			this._server.close();
-			this._server.closeAllConnections();
 		}));
+		this._server.maxConnections = limits.connections;
 	}
 
-	/** Answers not wholly handed to the operating system yet. */
+	/** Answers that callers do not have yet, as far as this side can know. */
 	get unfinishedAnswers(): number {
-		return this._unfinishedAnswers;
+		return this._server.unfinishedAnswers;
 	}
 
 	/** Starts to listen; resolves with the port. */
@@ -110,23 +104,22 @@
 		this._hasRoutes = true;
 	}
 
-	/** The VM's life goes on; from `leaving` on each connection ends after its answer, from `draining` on no call is taken. */
+	/**
+	 * The VM's life goes on. From `leaving` on each connection ends after its answer; idle ones stay, since a call that
+	 * crosses their end would be lost. From `draining` on no call is taken, and what is idle ends.
+	 */
 	enter(stage: FleetStage): void {
 		this._stage = stage;
-		if (stage === 'leaving') {
+		if (stage === 'leaving' || stage === 'draining') {
+			this._server.leave();
+		}
+
+		if (stage === 'draining') {
 			this._server.closeIdleConnections();
 		}
 	}
 
 	private _take(incoming: IncomingMessage, outgoing: ServerResponse): void {
-		this._unfinishedAnswers++;
-		outgoing.once('close', () => {
-			this._unfinishedAnswers--;
-		});
-		if (this._stage !== 'serving') {
-			outgoing.setHeader('connection', 'close');
-		}
-
 		if (this._stage === 'draining' || this._stage === 'ended') {
 			this._answerEarly(incoming, outgoing, {status: 503, reason: 'stopping', retryAfterMilliseconds: stoppingRetry});
 			return;
