Show that the last log lines of a process are left out

Cause to be mended: BoundedWriter writes what is left at the end only where no write is under way. Seen: 250 of 251 lines, "stopped" is missing.

--- /dev/null
+++ b/src/node/logging/last-lines.test.ts
@@ -0,0 +1,37 @@
+import {spawn} from 'node:child_process';
+import {expect} from 'earl';
+
+describe('the last lines of a process', () => {
+	// Story: a VM is stopped as planned, and its log ends with the call before the last one: neither "stage entered" nor
+	// "stopped" is there, so nobody can tell a planned end from a crash.
+	// Cause: a write was under way when the process ended, and the lines that waited behind it were left out.
+	it('are written though a write is under way when it ends', async () => {
+		const program = String.raw`
+			import {BoundedWriter} from ${JSON.stringify(new URL('bounded-writer.ts', import.meta.url).href)};
+			const writer = new BoundedWriter();
+			// More than the system keeps for a reader, so that the write is under way until somebody reads.
+			for (let count = 0; count < 250; count++) writer.write('x'.repeat(999) + '\n');
+			await new Promise(resolve => setTimeout(resolve, 300));
+			writer.write('stopped\n');
+			process.stderr.write('ends');
+			writer.dispose();
+			process.exit(0);
+		`;
+		const child = spawn(process.execPath, ['--import=tsx', '--input-type=module', '-e', program], {stdio: ['ignore', 'pipe', 'pipe']});
+		await new Promise<void>(resolve => {
+			child.stderr.once('data', () => {
+				resolve();
+			});
+		});
+		let text = '';
+		child.stdout.on('data', (chunk: Uint8Array) => {
+			text += chunk.toString();
+		});
+		await new Promise<void>(resolve => {
+			child.once('close', () => {
+				resolve();
+			});
+		});
+		expect({lines: text.split('\n').length - 1, end: text.slice(-8)}).toEqual({lines: 251, end: 'stopped\n'});
+	});
+});
