Write the last log lines though a write is under way at the end

Cause: BoundedWriter left out what waited behind a write under way when the process ended: it did not know when that write would be done. Also, where none was under way, the last write was a blocking one, which a full pipe could hold.

Ruled out: a blocking write at the end (the end would wait for a reader without limit); writing around the write under way (lines out of order, or torn).

--- a/src/node/logging/bounded-writer.ts
+++ b/src/node/logging/bounded-writer.ts
@@ -1,5 +1,5 @@
 /** Writes log lines to standard output without ever waiting for whoever reads it. */
-import {write, writeSync} from 'node:fs';
+import {write} from 'node:fs';
 import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 
@@ -12,6 +12,9 @@
 /** Most bytes that wait for a reader; a second of the fullest log. More is dropped and counted. */
 const mostWaitingBytes = 262_144;
 
+/** Longest that the end of the process waits for a reader: less than a half of what a bounded stop leaves for its last steps. */
+const longestEnd: Milliseconds = 100;
+
 /**
  * Guards calls against a log that nobody reads: Node's own standard output blocks the thread once a pipe is full, and
  * every call on the VM waits with it. Here a write is under way at most once, on a helper thread; what does not fit
@@ -23,12 +26,12 @@
 	private _dropped = 0;
 	private _isWriting = false;
 	private _timer: NodeJS.Timeout | undefined;
+	private _onAllWritten: (() => void) | undefined;
 
 	constructor() {
 		super();
 		this._register(toDisposable(() => {
 			clearTimeout(this._timer);
-			this._flushAtEnd();
 		}));
 	}
 
@@ -46,9 +49,31 @@
 		}, gatherMilliseconds).unref();
 	};
 
+	/**
+	 * The process ends: resolves when all lines are written, or when the longest time for it is over. Guards against a log
+	 * that ends before its process: a write that was under way held the last lines back, and a planned end looked like a crash.
+	 */
+	async end(): Promise<void> {
+		return new Promise(resolve => {
+			const timer = setTimeout(resolve, longestEnd);
+			this._onAllWritten = () => {
+				clearTimeout(timer);
+				resolve();
+			};
+
+			this._flush();
+		});
+	}
+
 	private _flush(): void {
+		clearTimeout(this._timer);
 		this._timer = undefined;
-		if (this._isWriting || this._lines.length === 0) {
+		if (this._isWriting) {
+			return;
+		}
+
+		if (this._lines.length === 0) {
+			this._onAllWritten?.();
 			return;
 		}
 
@@ -85,17 +110,4 @@
 			this._flush();
 		});
 	}
-
-	/** The last lines of a process; skipped while a reader blocks, since the end must not wait for it. */
-	private _flushAtEnd(): void {
-		if (this._isWriting || this._lines.length === 0) {
-			return;
-		}
-
-		try {
-			writeSync(descriptor, this._take());
-		} catch {
-			// The reader has gone, and with it the only place to say so.
-		}
-	}
 }
--- a/src/node/logging/last-lines.test.ts
+++ b/src/node/logging/last-lines.test.ts
@@ -14,7 +14,7 @@
 			await new Promise(resolve => setTimeout(resolve, 300));
 			writer.write('stopped\n');
 			process.stderr.write('ends');
-			writer.dispose();
+			await writer.end();
 			process.exit(0);
 		`;
 		const child = spawn(process.execPath, ['--import=tsx', '--input-type=module', '-e', program], {stdio: ['ignore', 'pipe', 'pipe']});
