--- a/src/node/api/operator-server.test.ts
+++ b/src/node/api/operator-server.test.ts
@@ -1,4 +1,5 @@
 import {Readable} from 'node:stream';
+import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'earl';
 import {request, type Dispatcher} from 'undici';
 import {Logging} from '../logging/logging.ts';
@@ -61,6 +62,25 @@
 		]).toMatchSnapshot(this);
 	});
 
+	// Story: an operator applies a change through a VM that is about to end. The store takes the write, and the operator's
+	// connection is reset before the answer: nobody can say whether the change is in force.
+	it('answers a change that is under way when its VM ends', async () => {
+		const gateway = new FakeGateway();
+		const slow = serverOf(Object.assign(gateway, {
+			async change(...change: Parameters<FakeGateway['change']>) {
+				await delay(200);
+				return FakeGateway.prototype.change.apply(gateway, change);
+			},
+		}));
+		const port = await slow.listen('127.0.0.1', 0);
+		origin = `http://127.0.0.1:${port._unsafeUnwrap()}`;
+		const change = send('POST', '/v1/changes', JSON.stringify({operation: 'operation-1', note: '', mutations: [{type: 'put', resource: {kind: 'service', name: 'ordering'}}]}));
+		await delay(100);
+		slow.dispose();
+		const [status] = await change;
+		expect(status).toEqual(200);
+	});
+
 	it('says so when its port is taken', async () => {
 		const port = Number(new URL(origin).port);
 		const second = serverOf(new FakeGateway());
