Let pages and operators' answers out before a VM ends

Cause: a stop counts the callers' answers only; what the pages and the operators' door still owed was reset when it was over.

Each daemon waits for them before it says that it has ended. Pages tell their askers from 'leaving' on that the connection ends, so that hardly any is idle at the end. The tests' lines that ended the doors call end() as the daemons do; what is checked stays.

Ruled out: counting pages in the decider of the stop (a slow reader of metrics would hold calls' VM up to its time limit); the same for the news (a stream without end: whoever listens takes another VM's whole news when it breaks off).

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -172,7 +172,7 @@
 			}
 
 			case 'ended': {
-				void this._parts.burnExchange.leaveCopies().then(() => {
+				void Promise.all([this._parts.burnExchange.leaveCopies(), this._parts.operatorServer.end()]).then(() => {
 					this._onEnded.fire();
 				});
 				break;
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -171,11 +171,24 @@
 			this._parts.hold.end();
 		}
 
+		if (stage === 'leaving' || stage === 'draining') {
+			for (const pages of this._pageServers) {
+				pages.leave();
+			}
+		}
+
 		if (stage === 'ended') {
-			this._onEnded.fire();
+			void Promise.all(this._pageServers.map(async pages => pages.end())).then(() => {
+				this._onEnded.fire();
+			});
 		}
 	}
 
+	private get _pageServers(): readonly PageServer[] {
+		const {readinessServer, directoryServer, metricsServer} = this._parts;
+		return [readinessServer, directoryServer, metricsServer];
+	}
+
 	/** Calls that came to nothing are written whenever a line is left in the budget; of the others only as many as fit beside. */
 	private _logCall({summary, traceId}: EndedCall): void {
 		const {logger, clock, metrics} = this._parts;
--- a/src/node/api/operator-server.test.ts
+++ b/src/node/api/operator-server.test.ts
@@ -76,6 +76,7 @@
 		origin = `http://127.0.0.1:${port._unsafeUnwrap()}`;
 		const change = send('POST', '/v1/changes', JSON.stringify({operation: 'operation-1', note: '', mutations: [{type: 'put', resource: {kind: 'service', name: 'ordering'}}]}));
 		await delay(100);
+		await slow.end();
 		slow.dispose();
 		const [status] = await change;
 		expect(status).toEqual(200);
--- a/src/node/front/page-server.test.ts
+++ b/src/node/front/page-server.test.ts
@@ -26,7 +26,7 @@
 				received += chunk.length;
 			});
 		});
-		server.dispose();
+		await server.end();
 		await closed;
 		expect(received).toBeGreaterThan(pageBytes);
 		owned.dispose();
--- a/src/node/front/page-server.ts
+++ b/src/node/front/page-server.ts
@@ -1,12 +1,16 @@
 /** The pages beside the callers' door: which VMs to use, whether this one is ready, and its counters. */
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Result} from 'neverthrow';
 import {type Failure} from '../../common/errors/failure.ts';
-import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
+import {Disposable} from '../../common/lifecycle/disposable.ts';
+import {type Milliseconds} from '../../common/model/units.ts';
 import {type EarlyDoor} from '../early-door.ts';
 import {listenOn} from '../listening.ts';
+import {endDoor} from './end-door.ts';
+import {GracefulServer} from './graceful-server.ts';
+
+/** Longest that the end of the process waits for pages: less than a half of what a bounded stop leaves for its last steps. */
+const longestEnd: Milliseconds = 100;
 
 /** An answer of a page. */
 export type Page = {
@@ -23,22 +27,28 @@
  * asked about as often as calls come. What a router would cost here has not been measured.
  */
 export class PageServer extends Disposable {
-	private readonly _server: Server;
+	private readonly _server: GracefulServer;
 
 	constructor(handler: PageHandler, idleMilliseconds: number) {
 		super();
-		this._server = createServer({keepAliveTimeout: idleMilliseconds, noDelay: true}, (incoming, outgoing) => {
+		this._server = this._register(new GracefulServer({keepAliveTimeout: idleMilliseconds, noDelay: true}, (incoming, outgoing) => {
 			void answer(handler, incoming, outgoing);
-		});
-		this._register(toDisposable(() => {
-			this._server.close();
-			this._server.closeAllConnections();
 		}));
 	}
 
 	async listen(port: number, address: string, early?: EarlyDoor): Promise<Result<number, Failure<'cannot-listen'>>> {
 		return listenOn(this._server, port, address, {early});
 	}
+
+	/** From now on each connection ends after its answer, so that none is idle when the process ends. */
+	leave(): void {
+		this._server.leave();
+	}
+
+	/** The process ends: resolves when the pages under way are out, or when the longest time for them is over. */
+	async end(): Promise<void> {
+		return endDoor(this._server, longestEnd);
+	}
 }
 
 async function answer(handler: PageHandler, incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
