Take the own entry back though its write is under way, and again when the store did not confirm it

Cause: the lease was known only from the answer to the entry's write, and a VM that stopped meanwhile passed that answer over; the end of a lease was asked for once, whatever the store said.

The entry is taken back once, not at each stage of the stop, which would drop the waiting try.

Ruled out: deleting the key (the lease would stay, and the revision to expect is not known); waiting with the stop for it (the store may be out; the lease lapses by itself).

--- a/src/common/registry/own-entry.test.ts
+++ b/src/common/registry/own-entry.test.ts
@@ -40,4 +40,17 @@
 			expect(waiting(driver)).toEqual([]);
 		});
 	}
+
+	// Story: as before, and the VM comes to the next stages of its stop while it waits to ask again.
+	it('is taken back again through the stages of the stop', () => {
+		const driver = new RegistryDriver();
+		driver.start(entries);
+		driver.reply('grant-lease', {type: 'lease', leaseId: 'lease-1', milliseconds: 3000});
+		driver.reply('compare-and-swap', {type: 'written', revision: 21});
+		driver.handle({type: 'stop-requested', by: 'signal'});
+		driver.passTime(4000);
+		driver.reply('revoke-lease', {type: 'unavailable'});
+		driver.passTime(1000);
+		expect({stage: driver.stages.at(-1), waiting: waiting(driver)}).toEqual({stage: 'ended', waiting: ['revoke-lease lease-1']});
+	});
 });
--- a/src/common/registry/own-entry.ts
+++ b/src/common/registry/own-entry.ts
@@ -34,11 +34,15 @@
 
 	/** Takes the entry back at once: callers must not be sent here any more. */
 	withdraw(): void {
+		if (!this._isWanted) {
+			return;
+		}
+
 		this._isWanted = false;
 		this._onRevision(undefined);
 		this._context.timers.clear('own-entry');
 		if (this._leaseId !== undefined) {
-			this._context.ask({type: 'revoke-lease', leaseId: this._leaseId}, () => undefined);
+			this._revoke(this._leaseId);
 			this._leaseId = undefined;
 		}
 	}
@@ -82,6 +86,22 @@
 		}, reply => {
 			if (this._isWanted) {
 				this._takeWritten(reply, leaseId);
+			} else {
+				this._revoke(leaseId);
+			}
+		});
+	}
+
+	/**
+	 * Ends the lease, and the entry with it. Guards callers against the address of a VM that has ended: an entry whose
+	 * write was under way when it was taken back, or whose end the store did not confirm, would stand till its lease lapses.
+	 */
+	private _revoke(leaseId: string): void {
+		this._context.ask({type: 'revoke-lease', leaseId}, reply => {
+			if (reply.type === 'unavailable' || reply.type === 'unknown') {
+				this._again(() => {
+					this._revoke(leaseId);
+				});
 			}
 		});
 	}
