--- /dev/null
+++ b/src/node/front/closing-pools.test.ts
@@ -0,0 +1,51 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {expect} from 'earl';
+import {type Pool} from 'undici';
+import {DisposableStore} from '../../common/lifecycle/disposable.ts';
+import {BackendConnections} from './backend-connections.ts';
+import {startRaw} from './test-utilities.test.ts';
+
+const answerBytes = 8_000_000;
+
+describe('connections that are given up while calls take them', () => {
+	const giveUps: ReadonlyArray<readonly [string, (connections: BackendConnections, target: {readonly identity: string; readonly address: string; readonly port: number}) => void]> = [
+		['its backend server is no longer declared', connections => {
+			connections.retain(new Set());
+		}],
+		['another process has its identity', (connections, target) => {
+			connections.pool({...target, processStartedAt: 2});
+		}],
+	];
+	for (const [why, giveUp] of giveUps) {
+		for (const moment of [0, 100]) {
+			// Story: a backend server leaves the configuration, or is replaced, just when a call has been handed to its pool, or
+			// while its answer comes in. Closing the pool then would take the call with it.
+			it(`carry what they have taken to its end: ${why}, ${moment} ms after the call`, async () => {
+				const store = new DisposableStore();
+				const port = await startRaw(store, socket => {
+					socket.on('data', () => {
+						socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${answerBytes}\r\n\r\n`);
+						setTimeout(() => {
+							socket.write(Buffer.alloc(answerBytes, 'a'));
+						}, 200);
+					});
+				});
+				const connections = store.add(new BackendConnections({connectMilliseconds: 1000, idleMilliseconds: 1000}));
+				const target = {
+					identity: 'one', address: '127.0.0.1', port, processStartedAt: 1,
+				};
+				const pool: Pool = connections.pool(target);
+				const answers = Promise.all([0, 1].map(async () => {
+					const answer = await pool.request({method: 'GET', path: '/'});
+					const body = await answer.body.arrayBuffer();
+					return body.byteLength;
+				}));
+				await delay(moment);
+				giveUp(connections, target);
+				expect(await answers).toEqual([answerBytes, answerBytes]);
+				expect(pool.closed).toEqual(true);
+				store.dispose();
+			});
+		}
+	}
+});
--- a/src/node/metrics/metrics.test.ts
+++ b/src/node/metrics/metrics.test.ts
@@ -75,6 +75,20 @@
 		expect([...sent()].toSorted()).toEqual(names.toSorted());
 	});
 
+	// Story: a VM stops as planned, and the calls of its last second are missing from all counts.
+	it('sends what it has counted when it ends', async () => {
+		const metrics = new StatsdMetrics(settingsFor(socket.address().port), () => undefined, {bufferFlushInterval: 60_000, aggregation: {flushInterval: 60_000}});
+		metrics.callEnded({
+			service: 'ordering', outcome: 'ran', reason: undefined, attempts: 1, milliseconds: 12, queuedMilliseconds: 3, isGood: true,
+		});
+		metrics.operatorAnswered('GET', 200);
+		const received = once(socket, 'message');
+		metrics.dispose();
+		const [datagram]: unknown[] = await received;
+		const names = String(datagram).trim().split('\n').map(line => line.slice(0, line.indexOf(':')));
+		expect(names.toSorted()).toEqual(['jaydale.calls.ended', 'jaydale.operators.requests']);
+	});
+
 	// The metrics server is down for an hour. Calls must go on as if nothing were.
 	// Cause: an error of the UDP socket that nobody handles ends the process.
 	it('survives a server that is not there', async () => {
