Refuse calls whose bodies are not whole when the last call is taken

Cause: a call was told apart by its head only; a body that was whole after the last moment at which a call can still end in time was admitted, and cut at the end of the process. Change: the door knows the calls whose bodies it reads, and refuses them with the reason 'stopping' at 'draining'. Ruled out: a timeout of bodies, which bounds callers that stop never.

--- a/src/node/front/request-body.ts
+++ b/src/node/front/request-body.ts
@@ -36,6 +36,12 @@
 		return Number(this._incoming.headers['content-length'] ?? 0) > this._limits.bodyBytes;
 	}
 
+	/** True if the head tells that a body follows. */
+	get isExpected(): boolean {
+		const {headers} = this._incoming;
+		return headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
+	}
+
 	/** True while the body is held whole, so that another attempt can send all of it. */
 	get isReplayable(): boolean {
 		return this._isWhole;
@@ -48,8 +54,7 @@
 
 	/** Reads until the end or until the limit; then calls back once. Nothing is called if the caller goes away. */
 	read(onReady: () => void): void {
-		const {headers} = this._incoming;
-		if (headers['transfer-encoding'] === undefined && (headers['content-length'] ?? '0') === '0') {
+		if (!this.isExpected) {
 			this._isWhole = true;
 			onReady();
 			return;
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -59,6 +59,9 @@
 /** Where an answer is made without a call. */
 type Early = {readonly status: number; readonly reason: RefusalReason; readonly retryAfterMilliseconds?: Milliseconds};
 
+/** What a call gets that comes too late to end before the process does. */
+const stoppingAnswer: Early = {status: 503, reason: 'stopping', retryAfterMilliseconds: stoppingRetry};
+
 /** Serves callers on one port. */
 export class RoutedServer extends Disposable {
 	private readonly _parts: RoutedServerParts;
@@ -67,6 +70,8 @@
 	private _callerLimits = firstLimits;
 	private _stage: FleetStage = 'starting';
 	private _hasRoutes = false;
+	/** Calls of which the body is not whole yet, with what refuses each. */
+	private readonly _incomplete = new Map<ServerResponse, () => void>();
 	private _lastCallId = 0;
 
 	constructor(parts: RoutedServerParts, limits: RoutedServerLimits) {
@@ -115,13 +120,26 @@
 		}
 
 		if (stage === 'draining') {
+			this._refuseIncomplete();
 			this._server.closeIdleConnections();
 		}
 	}
 
+	/**
+	 * Guards callers against a body that comes in while the VM stops: a call that is whole only after the last one was taken
+	 * might not end before the process does, and would be cut. Nothing of it has been sent, so it is refused, truly.
+	 */
+	private _refuseIncomplete(): void {
+		for (const refuse of this._incomplete.values()) {
+			refuse();
+		}
+
+		this._incomplete.clear();
+	}
+
 	private _take(incoming: IncomingMessage, outgoing: ServerResponse): void {
 		if (this._stage === 'draining' || this._stage === 'ended') {
-			this._answerEarly(incoming, outgoing, {status: 503, reason: 'stopping', retryAfterMilliseconds: stoppingRetry});
+			this._answerEarly(incoming, outgoing, stoppingAnswer);
 			return;
 		}
 
@@ -156,8 +174,20 @@
 		}
 
 		const arrivedAt = performance.now();
+		if (body.isExpected) {
+			this._incomplete.set(outgoing, () => {
+				this._answerEarly(incoming, outgoing, stoppingAnswer);
+			});
+			outgoing.once('close', () => {
+				this._incomplete.delete(outgoing);
+			});
+		}
+
 		body.read(() => {
-			if (!outgoing.destroyed) {
+			this._incomplete.delete(outgoing);
+			if (outgoing.writableEnded) {
+				body.discard();
+			} else if (!outgoing.destroyed) {
 				this._admit(incoming, outgoing, {routed, body, arrivedAt});
 			}
 		});
