Tell of answers that are cut on their way out, and of what each stop came to

Cause: 'call ended, ran' says that an answer is in; nothing told that its caller did not get it. Change: a line 'answer cut' (id, stage, bytes left, whether it was whole, who closed) within the budget of bad lines, a counter of them by who closed, and 'stop over' at the end of each stop: calls at its begin, finished, refused, cut, time of each stage. Both daemons write it. Ruled out: ServerResponse.writableFinished and a bare 'finish' as the sign; both say yes for bytes that a closed socket has dropped (tried on a reset and on a destroyed answer of 16 MB).

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -11,6 +11,7 @@
 } from '../common/lifecycle/disposable.ts';
 import {Emitter} from '../common/lifecycle/emitter.ts';
 import {type Milliseconds} from '../common/model/units.ts';
+import {traceHeader} from '../common/protocol/headers.ts';
 import {type Settings} from '../common/settings/settings.ts';
 import {type OperatorServer} from '../node/api/operator-server.ts';
 import {type Clock} from '../node/clock.ts';
@@ -24,6 +25,7 @@
 import {type BurnExchange} from '../node/peers/burn-exchange.ts';
 import {type GrpcPeerTransport, type PeerTraffic} from '../node/peers/grpc-peer-transport.ts';
 import {type PauseWatch} from './pause-watch.ts';
+import {StopReport} from './stop-report.ts';
 
 /** The parts of a daemon, made by the wiring. */
 export type DaemonParts = {
@@ -64,6 +66,7 @@
 	private _utilisation: EventLoopUtilization = performance.eventLoopUtilization();
 	private _lastUtilisation = 0;
 	private _traffic: PeerTraffic;
+	private readonly _stopReport = new StopReport();
 
 	/** The planned stop is over: the process may end. */
 	readonly onEnded = this._onEnded.event;
@@ -79,6 +82,15 @@
 		this._register(parts.callCarrier.onCallEnded(call => {
 			this._countCall(call);
 		}));
+		this._register(parts.callerServer.onAnswerCut(({closedBy, bytesLeft, isWhole, incoming}) => {
+			parts.metrics.answerCut(closedBy);
+			if (closedBy === 'here') {
+				this._stopReport.noteCut();
+				parts.logger.warn('answer cut', {
+					traceparent: String(incoming.headers[traceHeader] ?? ''), bytesLeft, isWhole, closedBy,
+				});
+			}
+		}));
 		this._register(parts.pauseWatch.onWoke(milliseconds => {
 			parts.loop.feed({type: 'woke', milliseconds});
 		}));
@@ -142,6 +154,7 @@
 
 	private _countCall({summary, traceId}: EndedCall): void {
 		const {ledger, metrics, logger, clock} = this._parts;
+		this._stopReport.noteCall(summary);
 		ledger.count(summary.service, summary.isGood, clock.now());
 		metrics.callEnded(summary);
 		const level = summary.isGood ? 'trace' : 'debug';
@@ -159,7 +172,13 @@
 	}
 
 	private _enter(stage: FleetStage): void {
-		this._parts.logger.info('stage entered', {stage});
+		const callsInFlight = this._parts.callerServer.unfinishedAnswers;
+		this._parts.logger.info('stage entered', {stage, callsInFlight});
+		if (stage !== 'starting' && stage !== 'serving') {
+			this._stopReport.begin(callsInFlight);
+			this._stopReport.enter(stage, this._parts.clock.now());
+		}
+
 		switch (stage) {
 			case 'closing-idle': {
 				this._parts.callerServer.closeIdle();
@@ -172,6 +191,7 @@
 			}
 
 			case 'ended': {
+				this._parts.logger.info('stop over', this._stopReport.summary());
 				void this._parts.burnExchange.leaveCopies().then(() => {
 					this._onEnded.fire();
 				});
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -21,10 +21,11 @@
 import {type CallCarrier, type EndedCall} from '../node/front/call-carrier.ts';
 import {type PageServer} from '../node/front/page-server.ts';
 import {type StartingHold} from '../node/front/starting-hold.ts';
-import {type RoutedServer} from '../node/front/routed-server.ts';
+import {type CutCall, type RoutedServer} from '../node/front/routed-server.ts';
 import {LineBudget} from '../node/logging/line-budget.ts';
 import {type LogControl, type Logger} from '../node/logging/types.ts';
 import {type Metrics} from '../node/metrics/types.ts';
+import {StopReport} from './stop-report.ts';
 
 /** The parts of the daemon, made by the wiring. */
 export type EntryDaemonParts = {
@@ -77,6 +78,7 @@
 	private readonly _onEnded = this._register(new Emitter<void>());
 	private readonly _goodLines = new LineBudget(goodLinesASecond);
 	private readonly _badLines = new LineBudget(badLinesASecond);
+	private readonly _stopReport = new StopReport();
 
 	/** The planned stop is over: the process may end. */
 	readonly onEnded = this._onEnded.event;
@@ -91,6 +93,12 @@
 		this._register(parts.callCarrier.onCallEnded(call => {
 			this._logCall(call);
 		}));
+		this._register(parts.routedServer.onAnswerCut(cut => {
+			this._logCut(cut);
+		}));
+		this._register(parts.routedServer.onTurnedAway(() => {
+			this._stopReport.noteRefusal();
+		}));
 	}
 
 	/** Reads the store at once, and opens the doors meanwhile. */
@@ -119,7 +127,9 @@
 
 	/** Begins the planned stop; `onEnded` tells when it is over. */
 	stop(): void {
-		this._parts.logger.info('stop requested', {callsInFlight: this._parts.routedServer.unfinishedAnswers});
+		const callsInFlight = this._parts.routedServer.unfinishedAnswers;
+		this._parts.logger.info('stop requested', {callsInFlight});
+		this._stopReport.begin(callsInFlight);
 		this._parts.loop.feed({type: 'stop-requested', by: 'signal'});
 		this._tellTraffic();
 	}
@@ -166,12 +176,14 @@
 
 	private _enter(stage: FleetStage): void {
 		this._parts.logger.info('stage entered', {stage, callsInFlight: this._parts.routedServer.unfinishedAnswers});
+		this._stopReport.enter(stage, this._parts.clock.now());
 		this._parts.routedServer.enter(stage);
 		if (stage !== 'starting') {
 			this._parts.hold.end();
 		}
 
 		if (stage === 'ended') {
+			this._parts.logger.info('stop over', this._stopReport.summary());
 			this._onEnded.fire();
 		}
 	}
@@ -180,6 +192,7 @@
 	private _logCall({summary, traceId}: EndedCall): void {
 		const {logger, clock, metrics} = this._parts;
 		metrics.callEnded(summary);
+		this._stopReport.noteCall(summary);
 		const budget = summary.isGood ? this._goodLines : this._badLines;
 		const {isWritten, leftOut} = budget.take(clock.now());
 		if (!isWritten || !logger.isEnabled('info')) {
@@ -200,6 +213,20 @@
 		});
 	}
 
+	/** A call that ended well may still be cut on its way out; this line is what tells of it. */
+	private _logCut({closedBy, ...cut}: CutCall): void {
+		const {logger, clock, metrics} = this._parts;
+		metrics.answerCut(closedBy);
+		if (closedBy === 'here') {
+			this._stopReport.noteCut();
+		}
+
+		const {isWritten, leftOut} = this._badLines.take(clock.now());
+		if (isWritten) {
+			logger[closedBy === 'here' ? 'warn' : 'info']('answer cut', {...cut, closedBy, ...(leftOut === 0 ? {} : {leftOut})});
+		}
+	}
+
 	private _tellTraffic(): void {
 		const callsInFlight = this._parts.routedServer.unfinishedAnswers;
 		this._parts.loop.feed({type: 'traffic', traffic: {openConnections: callsInFlight, idleConnections: 0, callsInFlight}});
--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -7,6 +7,7 @@
 import {type CallRequest} from '../../common/calls/types.ts';
 import {failure, type Failure} from '../../common/errors/failure.ts';
 import {Disposable} from '../../common/lifecycle/disposable.ts';
+import {type Event} from '../../common/lifecycle/emitter.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 import {
 	addressesPath, callPathPrefix, callerHeader, idempotencyKeyHeader, outcomeHeader, problemTypePrefix, retryHeader, timeoutHeader, traceHeader,
@@ -15,7 +16,7 @@
 import {continueTrace} from '../logging/trace-context.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {type CallCarrier} from './call-carrier.ts';
-import {GracefulServer} from './graceful-server.ts';
+import {type CutAnswer, GracefulServer} from './graceful-server.ts';
 import {LiveCall} from './live-call.ts';
 import {type BodyLimits, RequestBody} from './request-body.ts';
 import {type CallEventSink} from './types.ts';
@@ -76,6 +77,9 @@
 	private readonly _server: GracefulServer;
 	private _lastCallId = 0;
 
+	/** An answer's connection was closed before the system had all of the answer. */
+	readonly onAnswerCut: Event<CutAnswer>;
+
 	constructor(parts: CallerServerParts, limits: CallerServerLimits) {
 		super();
 		this._parts = parts;
@@ -92,6 +96,7 @@
 			void listener(incoming, outgoing);
 		}));
 		this._server.maxConnections = limits.connections;
+		this.onAnswerCut = this._server.onCut;
 	}
 
 	/** Starts to listen; resolves with the port. */
--- a/src/node/front/graceful-server.ts
+++ b/src/node/front/graceful-server.ts
@@ -38,6 +38,8 @@
 	isEnding: boolean;
 	/** Bytes that had come in when the connection was last at rest; more of them are the beginning of a call. */
 	bytesAtRest: number;
+	/** Bytes that the system had not taken when the connection was closed. */
+	bytesLeft: number;
 };
 
 /**
@@ -105,9 +107,16 @@
 
 	private _open(socket: Socket): void {
 		const connection: Connection = {
-			socket, current: undefined, waiting: [], isEnding: false, bytesAtRest: 0,
+			socket, current: undefined, waiting: [], isEnding: false, bytesAtRest: 0, bytesLeft: 0,
 		};
 		this._callerConnections.set(socket, connection);
+		// A closed socket forgets what it still had to write.
+		const destroy = socket.destroy.bind(socket);
+		socket.destroy = error => {
+			connection.bytesLeft ||= socket.writableLength;
+			return destroy(error);
+		};
+
 		// node:http calls this after an answer that ends its connection, and after a request that it cannot read.
 		socket.destroySoon = () => {
 			this._end(connection);
@@ -141,18 +150,25 @@
 	private _begin(connection: Connection, exchange: Exchange): void {
 		connection.current = exchange;
 		this._unfinished++;
+		let isOut = false;
+		exchange.outgoing.once('finish', () => {
+			// It is told of bytes that a closed socket has dropped, too.
+			isOut = !connection.socket.destroyed;
+		});
 		exchange.outgoing.once('close', () => {
-			this._finish(connection, exchange);
+			this._finish(connection);
+			if (!isOut) {
+				this._tellCut(connection, exchange);
+			}
 		});
 		this._announceEnd(connection);
 		this._take(exchange.incoming, exchange.outgoing);
 	}
 
-	private _finish(connection: Connection, exchange: Exchange): void {
+	private _finish(connection: Connection): void {
 		this._unfinished--;
 		connection.current = undefined;
 		connection.bytesAtRest = connection.socket.bytesRead;
-		this._tellIfCut(connection, exchange);
 		if (connection.isEnding || connection.socket.destroyed) {
 			return;
 		}
@@ -198,14 +214,10 @@
 		});
 	}
 
-	private _tellIfCut({socket}: Connection, {incoming, outgoing}: Exchange): void {
-		if (outgoing.writableFinished) {
-			return;
-		}
-
+	private _tellCut({socket, bytesLeft}: Connection, {incoming, outgoing}: Exchange): void {
 		this._onCut.fire({
 			incoming,
-			bytesLeft: outgoing.writableLength + socket.writableLength,
+			bytesLeft,
 			isWhole: outgoing.writableEnded,
 			closedBy: socket.readableEnded || socket.errored !== null ? 'caller' : 'here',
 		});
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -5,6 +5,7 @@
 import {type Failure} from '../../common/errors/failure.ts';
 import {type FleetStage} from '../../common/fleet/types.ts';
 import {Disposable} from '../../common/lifecycle/disposable.ts';
+import {Emitter} from '../../common/lifecycle/emitter.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 import {type RoutedDialect} from '../../common/protocol/dialect.ts';
 import {type RoutedCall, type RouteTable} from '../../common/routing/route-table.ts';
@@ -13,7 +14,7 @@
 import {listenOn} from '../listening.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {type CallCarrier} from './call-carrier.ts';
-import {GracefulServer} from './graceful-server.ts';
+import {type CutAnswer, GracefulServer} from './graceful-server.ts';
 import {LiveCall} from './live-call.ts';
 import {RequestBody} from './request-body.ts';
 import {type StartingHold} from './starting-hold.ts';
@@ -56,6 +57,9 @@
 /** New connections that may wait for this thread: a full queue costs a caller a second, a rush brings hundreds. */
 const listenBacklog = 1024;
 
+/** An answer that was cut, as a reader of logs wants it. */
+export type CutCall = Omit<CutAnswer, 'incoming'> & {readonly traceId: string; readonly stage: FleetStage};
+
 /** Where an answer is made without a call. */
 type Early = {readonly status: number; readonly reason: RefusalReason; readonly retryAfterMilliseconds?: Milliseconds};
 
@@ -67,6 +71,8 @@
 	private readonly _parts: RoutedServerParts;
 	private readonly _limits: RoutedServerLimits;
 	private readonly _server: GracefulServer;
+	private readonly _onAnswerCut = this._register(new Emitter<CutCall>());
+	private readonly _onTurnedAway = this._register(new Emitter<void>());
 	private _callerLimits = firstLimits;
 	private _stage: FleetStage = 'starting';
 	private _hasRoutes = false;
@@ -74,6 +80,12 @@
 	private readonly _incomplete = new Map<ServerResponse, () => void>();
 	private _lastCallId = 0;
 
+	/** An answer's connection was closed before the system had all of the answer. */
+	readonly onAnswerCut = this._onAnswerCut.event;
+
+	/** A call was refused because the VM stops. */
+	readonly onTurnedAway = this._onTurnedAway.event;
+
 	constructor(parts: RoutedServerParts, limits: RoutedServerLimits) {
 		super();
 		this._parts = parts;
@@ -88,6 +100,9 @@
 			this._take(incoming, outgoing);
 		}));
 		this._server.maxConnections = limits.connections;
+		this._register(this._server.onCut(({incoming, ...cut}) => {
+			this._onAnswerCut.fire({...cut, traceId: parts.dialect.readRequest(incoming.headers).traceId, stage: this._stage});
+		}));
 	}
 
 	/** Answers that callers do not have yet, as far as this side can know. */
@@ -139,7 +154,7 @@
 
 	private _take(incoming: IncomingMessage, outgoing: ServerResponse): void {
 		if (this._stage === 'draining' || this._stage === 'ended') {
-			this._answerEarly(incoming, outgoing, stoppingAnswer);
+			this._turnAway(incoming, outgoing);
 			return;
 		}
 
@@ -176,7 +191,7 @@
 		const arrivedAt = performance.now();
 		if (body.isExpected) {
 			this._incomplete.set(outgoing, () => {
-				this._answerEarly(incoming, outgoing, stoppingAnswer);
+				this._turnAway(incoming, outgoing);
 			});
 			outgoing.once('close', () => {
 				this._incomplete.delete(outgoing);
@@ -219,6 +234,11 @@
 		calls.admit(call, {type: 'call-arrived', request});
 	}
 
+	private _turnAway(incoming: IncomingMessage, outgoing: ServerResponse): void {
+		this._onTurnedAway.fire();
+		this._answerEarly(incoming, outgoing, stoppingAnswer);
+	}
+
 	private _answerEarly(incoming: IncomingMessage, outgoing: ServerResponse, {status, reason, retryAfterMilliseconds}: Early): void {
 		incoming.resume();
 		const {headers, body} = this._parts.dialect.refusal({
--- a/src/node/metrics/no-metrics.ts
+++ b/src/node/metrics/no-metrics.ts
@@ -8,6 +8,7 @@
 /** Takes everything and sends nothing. */
 export const noMetrics: Metrics = {
 	callEnded: ignore,
+	answerCut: ignore,
 	measured: ignore,
 	platformCalled: ignore,
 	peerTraffic: ignore,
--- a/src/node/metrics/page-metrics.test.ts
+++ b/src/node/metrics/page-metrics.test.ts
@@ -10,6 +10,7 @@
 			});
 		}
 
+		metrics.answerCut('caller');
 		metrics.measured('orders');
 		metrics.platformCalled('watch', 'changes', 12);
 		expect(await metrics.text()).toMatchSnapshot(this);
--- a/src/node/metrics/page-metrics.ts
+++ b/src/node/metrics/page-metrics.ts
@@ -15,6 +15,7 @@
 export class PageMetrics implements Metrics {
 	private readonly _registry = new Registry();
 	private readonly _calls = this._counter('jaydale_calls_total', 'Calls that have ended.', ['service', 'outcome', 'reason', 'good']);
+	private readonly _cutAnswers = this._counter('jaydale_cut_answers_total', 'Answers whose connection ended before they were out.', ['closed_by']);
 	private readonly _attempts = this._counter('jaydale_attempts_total', 'Attempts at backend servers.', ['service']);
 	private readonly _measurings = this._counter('jaydale_measuring_calls_total', 'Calls made to learn a load.', ['service']);
 	private readonly _storeCalls = this._counter('jaydale_store_calls_total', 'Requests to the store.', ['operation', 'reply']);
@@ -34,6 +35,10 @@
 		this._queueTimes.observe({service}, queuedMilliseconds);
 	}
 
+	answerCut(closedBy: 'caller' | 'here'): void {
+		this._cutAnswers.inc({closed_by: closedBy});
+	}
+
 	measured(service: string): void {
 		this._measurings.inc({service});
 	}
--- a/src/node/metrics/statsd-metrics.ts
+++ b/src/node/metrics/statsd-metrics.ts
@@ -73,6 +73,10 @@
 		}
 	}
 
+	answerCut(closedBy: 'caller' | 'here'): void {
+		this._count('answers.cut', 1, {closed_by: closedBy});
+	}
+
 	measured(service: string): void {
 		this._count('measuring.calls', 1, {service});
 	}
--- a/src/node/metrics/types.ts
+++ b/src/node/metrics/types.ts
@@ -18,6 +18,8 @@
 export type Metrics = {
 	/** One call has ended. */
 	callEnded(summary: CallSummary): void;
+	/** An answer's connection was closed before the system had all of the answer. */
+	answerCut(closedBy: 'caller' | 'here'): void;
 	/** A call whose only purpose is to learn a backend server's load was made. */
 	measured(service: string): void;
 	/** A request to the platform's service has ended, for instance `get` with `unavailable`. */
