--- a/src/common/calls/call-engine.test.ts
+++ b/src/common/calls/call-engine.test.ts
@@ -243,3 +243,19 @@
 		expect(returned.includes(first.identity)).toEqual(true);
 	});
 });
+
+describe('call engine: the end of the process', () => {
+	it('refuses what waits, truly, and leaves what may run to its answer', () => {
+		// A VM stops. One order is with the only backend server, which takes no more; another waits for it. When the process
+		// ends the first may still be answered in the last moment, the second cannot: it is told now that it has not run.
+		const driver = new EngineDriver(configurationOf(1));
+		const {attemptId} = driver.start(requestOf(1))!;
+		driver.sent(attemptId);
+		for (let callId = 2; driver.start(requestOf(callId)) !== undefined; callId++) {
+			driver.sent(attemptId + callId - 1);
+		}
+
+		expect(linesOf(driver.handle({type: 'process-ending'}))).toEqual(['refuse stopping not-run 503', 'call-ended']);
+		expect(linesOf(driver.head(attemptId))).toEqual(['pass-on']);
+	});
+});
--- a/src/common/registry/registry-fleet.test.ts
+++ b/src/common/registry/registry-fleet.test.ts
@@ -177,6 +177,14 @@
 		expect(driver.stages.at(-1)).toEqual('ended');
 	});
 
+	// Story: a call waits for a place while its VM stops. At the end of the grace time the process goes, and the call's
+	// connection with it: its caller cannot know that it never ran, and a payment is asked about by hand.
+	it('has calls that still wait refused before the process ends', () => {
+		const driver = stopping(1);
+		driver.passTime(5600);
+		expect(driver.stages.slice(-2)).toEqual(['draining', 'refusing']);
+	});
+
 	it('ends early when nothing is in flight', () => {
 		const driver = stopping(0);
 		driver.passTime(4600);
