Refuse calls that never left this VM before its process ends

Cause: at the end of the grace time the process ended with calls that still waited for a place; their connections were cut, and their callers could not know that nothing had run. Change: a stage 'refusing', half a second before the end of the grace time, in the chart of the bounded stop; the call engine then refuses what was not sent (503, not run). What was sent keeps its chance until a quarter of a second before the end, as before. Ruled out: refusing what was sent too, which breaks off work that may still be answered in time.

--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -2,7 +2,9 @@
 import {type Instant, type RandomSource} from '../model/units.ts';
 import {Admission} from './admission.ts';
 import {AttemptRunner} from './attempt-runner.ts';
-import {type Attempt, type Call, newCall} from './call.ts';
+import {
+	type Attempt, type Call, newCall, outcomeSoFar,
+} from './call.ts';
 import {CallEndings} from './call-endings.ts';
 import {CrashSuspects} from './crash-suspects.ts';
 import {
@@ -149,6 +151,11 @@
 				break;
 			}
 
+			case 'process-ending': {
+				this._refuseUnsent(now);
+				break;
+			}
+
 			case 'key-claimed': {
 				this._keyClaimed(event.callId, event.claim, now);
 				break;
@@ -291,6 +298,19 @@
 		}
 	}
 
+	/**
+	 * Guards callers against an end of the process that cuts calls which never left it: each of those is told that it has not
+	 * run, while there is time to tell. A call that was sent keeps its chance of an answer in the last moment.
+	 */
+	private _refuseUnsent(now: Instant): void {
+		for (const call of [...this._calls.values()]) {
+			const isSent = [...call.attempts].some(attempt => attempt.isSent);
+			if (!isSent && call.state !== 'claiming' && outcomeSoFar(call) === 'not-run') {
+				this._endings.refuse(call, 'stopping', now);
+			}
+		}
+	}
+
 	private _keyClaimed(callId: CallId, claim: KeyClaim, now: Instant): void {
 		const call = this._claims.get(callId);
 		this._claims.delete(callId);
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -138,6 +138,8 @@
 		| {readonly type: 'quarantine-lifted'; readonly fingerprint: string}
 	/** Nothing new is placed while it holds: after a pause, until the news has been heard. */
 		| {readonly type: 'placing-held'; readonly isHeld: boolean}
+	/** This process ends within half a second: what has not been sent by now cannot be answered. */
+		| {readonly type: 'process-ending'}
 	/** The time asked for by `nextWakeUp` has come. */
 		| {readonly type: 'tick'};
 
--- a/src/common/entry-vm/entry-vm.ts
+++ b/src/common/entry-vm/entry-vm.ts
@@ -158,6 +158,15 @@
 				break;
 			}
 
+			case 'stage': {
+				if (effect.stage === 'refusing') {
+					this._inner.push({to: 'calls', event: {type: 'process-ending'}});
+				}
+
+				this._effects.push(effect);
+				break;
+			}
+
 			case 'configured': {
 				this._inner.push({to: 'calls', event: {type: 'configured', configuration: effect.configuration}});
 				this._effects.push(effect);
--- a/src/common/fleet/types.ts
+++ b/src/common/fleet/types.ts
@@ -156,9 +156,10 @@
  * - `leaving`: no longer in any answer to callers; serves on as before, because callers keep old answers.
  * - `closing-idle`: as `leaving`; idle connections are closed, the others after their present answer; new ones are still served.
  * - `draining`: no new connections; calls in flight and downloads finish, however long they take.
+ * - `refusing`: the process ends within half a second; calls that wait for a place are refused. Only where the grace time is bounded.
  * - `ended`: the process may end.
  */
-export type FleetStage = 'starting' | 'serving' | 'leaving' | 'closing-idle' | 'draining' | 'ended';
+export type FleetStage = 'starting' | 'serving' | 'leaving' | 'closing-idle' | 'draining' | 'refusing' | 'ended';
 
 /** Effects that the adapters carry out, in order. */
 export type FleetEffect
--- a/src/common/registry/bounded-stop.ts
+++ b/src/common/registry/bounded-stop.ts
@@ -10,11 +10,17 @@
 import {chartTable} from './chart-table.ts';
 
 type State = keyof typeof chart.states;
-type Event = 'CONFIGURED' | 'STOP' | 'TOO_LATE' | 'IDLE' | 'TIME_UP';
+type Event = 'CONFIGURED' | 'STOP' | 'TOO_LATE' | 'IDLE' | 'ENDING' | 'TIME_UP';
 
 /** Time for the last answer to leave and for the process to end before it is killed. */
 const endMargin: Milliseconds = 250;
 
+/**
+ * Time before the end at which calls that still wait for a place are refused: as long again, so that the refusal reaches
+ * its caller. No backend server would answer them within what is left.
+ */
+const refusalMargin: Milliseconds = 500;
+
 /** Part of the grace time in which calls are taken at least, however long they may last: callers keep old answers. */
 const leastTakenPart = 0.5;
 
@@ -25,7 +31,7 @@
 const lingerMilliseconds: Milliseconds = 300;
 
 const stages: Readonly<Record<State, FleetStage>> = {
-	starting: 'starting', serving: 'serving', leaving: 'leaving', draining: 'draining', ended: 'ended',
+	starting: 'starting', serving: 'serving', leaving: 'leaving', draining: 'draining', refusing: 'refusing', ended: 'ended',
 };
 
 const table = chartTable<State>(chart);
@@ -54,7 +60,7 @@
 	}
 
 	get isStopping(): boolean {
-		return this._state === 'leaving' || this._state === 'draining' || this._state === 'ended';
+		return this._state === 'leaving' || this._state === 'draining' || this._state === 'refusing' || this._state === 'ended';
 	}
 
 	takeConfigured(): void {
@@ -76,6 +82,9 @@
 			this._mayEnd = true;
 			this._endIfIdle();
 		});
+		timers.set('ending', now + graceMilliseconds - refusalMargin, () => {
+			this._send('ENDING');
+		});
 		timers.set('time-up', now + graceMilliseconds - endMargin, () => {
 			this._send('TIME_UP');
 		});
--- a/src/node/api/types.ts
+++ b/src/node/api/types.ts
@@ -148,7 +148,7 @@
 	name: z.string(),
 	identity: z.string(),
 	dataCentre: z.string(),
-	stage: z.enum(['starting', 'serving', 'leaving', 'closing-idle', 'draining', 'ended']),
+	stage: z.enum(['starting', 'serving', 'leaving', 'closing-idle', 'draining', 'refusing', 'ended']),
 	/** No word from the platform's service nor from any other VM: the configuration may be old. */
 	isCutOff: z.boolean(),
 	/** Configuration version in force here. */
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -63,6 +63,9 @@
 /** Where an answer is made without a call. */
 type Early = {readonly status: number; readonly reason: RefusalReason; readonly retryAfterMilliseconds?: Milliseconds};
 
+/** From then on a call could not end before the process does. */
+const stagesWithoutCalls = new Set<FleetStage>(['draining', 'refusing', 'ended']);
+
 /** What a call gets that comes too late to end before the process does. */
 const stoppingAnswer: Early = {status: 503, reason: 'stopping', retryAfterMilliseconds: stoppingRetry};
 
@@ -153,7 +156,7 @@
 	}
 
 	private _take(incoming: IncomingMessage, outgoing: ServerResponse): void {
-		if (this._stage === 'draining' || this._stage === 'ended') {
+		if (stagesWithoutCalls.has(this._stage)) {
 			this._turnAway(incoming, outgoing);
 			return;
 		}
