--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -138,11 +138,7 @@
 			}
 
 			case 'caller-gone': {
-				const call = this._calls.get(event.callId);
-				if (call !== undefined) {
-					this._endings.abandon(call, now);
-				}
-
+				this._abandon(event.callId, now);
 				break;
 			}
 
@@ -298,12 +294,19 @@
 		}
 	}
 
+	private _abandon(callId: CallId, now: Instant): void {
+		const call = this._calls.get(callId);
+		if (call !== undefined) {
+			this._endings.abandon(call, now);
+		}
+	}
+
 	/**
 	 * Guards callers against an end of the process that cuts calls which never left it: each of those is told that it has not
 	 * run, while there is time to tell. A call that was sent keeps its chance of an answer in the last moment.
 	 */
 	private _refuseUnsent(now: Instant): void {
-		for (const call of [...this._calls.values()]) {
+		for (const call of this._calls.values()) {
 			const isSent = [...call.attempts].some(attempt => attempt.isSent);
 			if (!isSent && call.state !== 'claiming' && outcomeSoFar(call) === 'not-run') {
 				this._endings.refuse(call, 'stopping', now);
