--- a/src/node/metrics/metrics.test.ts
+++ b/src/node/metrics/metrics.test.ts
@@ -54,6 +54,7 @@
 		const summary = {
 			service: 'ordering', outcome: 'ran', reason: undefined, attempts: 2, milliseconds: 12, queuedMilliseconds: 3, isGood: true,
 		} as const;
+		metrics.answerCut('here');
 		metrics.measured('ordering');
 		metrics.platformCalled('get', 'entry', 4);
 		metrics.peerTraffic('out', 2, 600);
@@ -82,10 +83,14 @@
 			service: 'ordering', outcome: 'ran', reason: undefined, attempts: 1, milliseconds: 12, queuedMilliseconds: 3, isGood: true,
 		});
 		metrics.operatorAnswered('GET', 200);
-		const received = once(socket, 'message');
+		const received = new Promise<string>(resolve => {
+			socket.once('message', datagram => {
+				resolve(datagram.toString());
+			});
+		});
 		metrics.dispose();
-		const [datagram]: unknown[] = await received;
-		const names = String(datagram).trim().split('\n').map(line => line.slice(0, line.indexOf(':')));
+		const text = await received;
+		const names = text.trim().split('\n').map(line => line.slice(0, line.indexOf(':')));
 		expect(names.toSorted()).toEqual(['jaydale.calls.ended', 'jaydale.operators.requests']);
 	});
 
