--- a/src/cli/commands/serve.ts
+++ b/src/cli/commands/serve.ts
@@ -14,7 +14,7 @@
 export function serveCommand(runDaemon: RunDaemon): CommandDefinition {
 	return {
 		usage: 'serve',
-		describe: 'Run the balancer of one VM. SIGTERM or SIGINT begins the planned stop, which cuts off no call.',
+		describe: 'Run the balancer of one VM. SIGTERM, SIGINT or SIGHUP begins the planned stop, which cuts off no call.',
 		options: [{name: 'settings', value: 'FILE', describe: 'The VM\'s settings (TOML)'}],
 		examples: ['serve --settings /etc/jaydale/vm.toml'],
 		async run(call) {
--- a/src/daemon/serve.test.ts
+++ b/src/daemon/serve.test.ts
@@ -15,7 +15,7 @@
 		owned.dispose();
 	});
 
-	/** Runs a daemon, sends it the signal when it has written a word, and tells how it ended. */
+	/** Runs a daemon, sends it the signal when it has written a word, and tells how it ended; if badly, with all that it wrote. */
 	async function endOf(word: string, signal: NodeJS.Signals): Promise<unknown[]> {
 		const folder = mkdtempSync(join(tmpdir(), 'jaydale-serve-'));
 		const [callPort, operatorPort, peerPort, platformPort] = await freePorts(4);
@@ -25,7 +25,7 @@
 		const settings = writeVmSettings(folder, plan, [plan], {
 			platformUrl: `http://127.0.0.1:${platformPort}`, tokensFile: exampleTokensFile, keepForMilliseconds: 1000, logLevel: 'debug',
 		});
-		const child = spawn(process.execPath, ['--import=tsx', join(import.meta.dirname, 'main.ts'), 'serve', '--settings', settings], {stdio: ['ignore', 'pipe', 'inherit']});
+		const child = spawn(process.execPath, ['--import=tsx', join(import.meta.dirname, 'main.ts'), 'serve', '--settings', settings], {stdio: ['ignore', 'pipe', 'pipe']});
 		owned.add(toDisposable(() => {
 			child.kill('SIGKILL');
 			rmSync(folder, {recursive: true});
@@ -39,7 +39,11 @@
 				child.kill(signal);
 			}
 		});
-		return ended;
+		child.stderr.on('data', (chunk: Uint8Array) => {
+			text += Buffer.from(chunk).toString();
+		});
+		const end: unknown[] = await ended;
+		return end[0] === 0 ? end : [...end, text];
 	}
 
 	// Story: the terminal or the connection of whoever started a VM by hand goes away, and all calls on the VM are cut.
