Read what has come in before a connection is ended as idle

Cause: closeIdleConnections knew of the bytes that the process had read, not of those that the system held for it. Change: idle connections end two immediates later, after one more reading, if they are idle then; so does one that comes to rest after its answer. Ruled out: a delay by the clock, which only moves the moment.

--- a/src/node/front/graceful-server.ts
+++ b/src/node/front/graceful-server.ts
@@ -42,6 +42,17 @@
 	bytesLeft: number;
 };
 
+/**
+ * Runs a continuation once this thread has read what the system holds for it now. Guards a call that has just come in
+ * against the end of its connection, which looks idle until the call is read: an immediate runs after the reading that
+ * is under way, and one from there after the next.
+ */
+function afterReading(continuation: () => void): void {
+	setImmediate(() => {
+		setImmediate(continuation);
+	});
+}
+
 /**
  * Guards answers against the end of their connection. A node:http server takes a connection for idle as soon as its
  * answer is written, though bytes of it wait in the process for a caller that reads slowly: closing what is idle then
@@ -92,11 +103,11 @@
 	/** Ends the connections on which nothing is under way, now and whenever one comes to rest. `close` does so too. */
 	override closeIdleConnections(): void {
 		this._endsIdle = true;
-		for (const connection of this._callerConnections.values()) {
-			if (connection.current === undefined && connection.socket.bytesRead === connection.bytesAtRest) {
-				this._end(connection);
+		afterReading(() => {
+			for (const connection of this._callerConnections.values()) {
+				this._endIfIdle(connection);
 			}
-		}
+		});
 	}
 
 	dispose(): void {
@@ -177,6 +188,14 @@
 		if (next !== undefined) {
 			this._begin(connection, next);
 		} else if (this._endsIdle) {
+			afterReading(() => {
+				this._endIfIdle(connection);
+			});
+		}
+	}
+
+	private _endIfIdle(connection: Connection): void {
+		if (connection.current === undefined && connection.socket.bytesRead === connection.bytesAtRest) {
 			this._end(connection);
 		}
 	}
