End the callers' door of a VM as its pages end: what is under way goes out first

Cause: at 'ended' the process closed every connection at once; a refusal that had just been made could go with it. Change: the callers' door stops listening and has a tenth of a second for its last answers, beside the pages. Ruled out: waiting for all of it without a bound: the process is killed at the end of its grace time. Measured: 156 tests of doors, daemons, registry, logs and platform pass.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -189,7 +189,8 @@
 		}
 
 		if (stage === 'ended') {
-			void Promise.all(this._pageServers.map(async pages => pages.end())).then(() => {
+			const doors = [this._parts.routedServer, ...this._pageServers];
+			void Promise.all(doors.map(async door => door.end())).then(() => {
 				this._parts.logger.info('stop over', this._stopReport.summary());
 				this._onEnded.fire();
 			});
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -14,6 +14,7 @@
 import {listenOn} from '../listening.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {type CallCarrier} from './call-carrier.ts';
+import {endDoor} from './end-door.ts';
 import {type CutAnswer, GracefulServer} from './graceful-server.ts';
 import {LiveCall} from './live-call.ts';
 import {RequestBody} from './request-body.ts';
@@ -57,6 +58,9 @@
 /** New connections that may wait for this thread: a full queue costs a caller a second, a rush brings hundreds. */
 const listenBacklog = 1024;
 
+/** Longest that the end of the process waits for them: less than a half of what a bounded stop leaves for its last steps. */
+const longestEnd: Milliseconds = 100;
+
 /** An answer that was cut, as a reader of logs wants it. */
 export type CutCall = Omit<CutAnswer, 'incoming'> & {readonly traceId: string; readonly stage: FleetStage};
 
@@ -143,6 +147,11 @@
 		}
 	}
 
+	/** The process ends: resolves when the last refusals are out, or when the longest time for them is over. */
+	async end(): Promise<void> {
+		return endDoor(this._server, longestEnd);
+	}
+
 	/**
 	 * Guards callers against a body that comes in while the VM stops: a call that is whole only after the last one was taken
 	 * might not end before the process does, and would be cut. Nothing of it has been sent, so it is refused, truly.
