--- a/src/node/front/page-server.ts
+++ b/src/node/front/page-server.ts
@@ -10,7 +10,7 @@
 import {GracefulServer} from './graceful-server.ts';
 
 /** Longest that the end of the process waits for pages: less than a half of what a bounded stop leaves for its last steps. */
-const longestEnd: Milliseconds = 100;
+const usualLongestEnd: Milliseconds = 100;
 
 /** An answer of a page. */
 export type Page = {
@@ -28,9 +28,12 @@
  */
 export class PageServer extends Disposable {
 	private readonly _server: GracefulServer;
+	private readonly _longestEnd: Milliseconds;
 
-	constructor(handler: PageHandler, idleMilliseconds: number) {
+	/** `longestEnd` = longest that the end waits for pages under way. */
+	constructor(handler: PageHandler, idleMilliseconds: number, longestEnd: Milliseconds = usualLongestEnd) {
 		super();
+		this._longestEnd = longestEnd;
 		this._server = this._register(new GracefulServer({keepAliveTimeout: idleMilliseconds, noDelay: true}, (incoming, outgoing) => {
 			void answer(handler, incoming, outgoing);
 		}));
@@ -47,7 +50,7 @@
 
 	/** The process ends: resolves when the pages under way are out, or when the longest time for them is over. */
 	async end(): Promise<void> {
-		return endDoor(this._server, longestEnd);
+		return endDoor(this._server, this._longestEnd);
 	}
 }
 
--- a/src/node/logging/bounded-writer.ts
+++ b/src/node/logging/bounded-writer.ts
@@ -13,7 +13,7 @@
 const mostWaitingBytes = 262_144;
 
 /** Longest that the end of the process waits for a reader: less than a half of what a bounded stop leaves for its last steps. */
-const longestEnd: Milliseconds = 100;
+const usualLongestEnd: Milliseconds = 100;
 
 /**
  * Guards calls against a log that nobody reads: Node's own standard output blocks the thread once a pipe is full, and
@@ -21,6 +21,7 @@
  * beside it is counted and left out, and the count is written as soon as there is room again.
  */
 export class BoundedWriter extends Disposable {
+	private readonly _longestEnd: Milliseconds;
 	private _lines: string[] = [];
 	private _bytes = 0;
 	private _dropped = 0;
@@ -28,8 +29,10 @@
 	private _timer: NodeJS.Timeout | undefined;
 	private _onAllWritten: (() => void) | undefined;
 
-	constructor() {
+	/** `longestEnd` = longest that the end waits for a reader. */
+	constructor(longestEnd: Milliseconds = usualLongestEnd) {
 		super();
+		this._longestEnd = longestEnd;
 		this._register(toDisposable(() => {
 			clearTimeout(this._timer);
 		}));
@@ -55,7 +58,7 @@
 	 */
 	async end(): Promise<void> {
 		return new Promise(resolve => {
-			const timer = setTimeout(resolve, longestEnd);
+			const timer = setTimeout(resolve, this._longestEnd);
 			this._onAllWritten = () => {
 				clearTimeout(timer);
 				resolve();
--- a/src/proof/guards/guards.ts
+++ b/src/proof/guards/guards.ts
@@ -264,4 +264,41 @@
 		replacement: 'false',
 		tests: ['src/node/front/silent-answer.test.ts'],
 	},
+	{
+		name: 'the end of a process waits for its log lines',
+		file: 'src/node/logging/bounded-writer.ts',
+		text: 'const timer = setTimeout(resolve, this._longestEnd);',
+		replacement: 'resolve(); const timer = setTimeout(resolve, this._longestEnd);',
+		tests: ['src/node/logging/last-lines.test.ts'],
+	},
+	{
+		name: 'the end of a process waits for pages and operators',
+		file: 'src/node/front/end-door.ts',
+		text: 'setTimeout(resolve, longest)',
+		replacement: 'setTimeout(resolve, 0)',
+		tests: ['src/node/front/page-server.test.ts', 'src/node/api/operator-server.test.ts'],
+	},
+	{
+		name: 'the end of a lease is asked for again',
+		file: 'src/common/registry/own-entry.ts',
+		text: 'if (reply.type === \'unavailable\' || reply.type === \'unknown\') {',
+		replacement: 'if (reply.type === \'conflict\') {',
+		tests: ['src/common/registry/own-entry.test.ts'],
+	},
+	{
+		name: 'the end of a VM takes back an entry whose write is under way',
+		file: 'src/common/registry/own-entry.ts',
+		text: `			} else {
+				this._revoke(leaseId);
+			}`,
+		replacement: '			}',
+		tests: ['src/common/registry/own-entry.test.ts'],
+	},
+	{
+		name: 'the end of a terminal is an order to stop',
+		file: 'src/daemon/serve.ts',
+		text: ', \'SIGHUP\'] as const',
+		replacement: '] as const',
+		tests: ['src/daemon/serve.test.ts'],
+	},
 ];
