--- a/src/node/front/graceful-server.test.ts
+++ b/src/node/front/graceful-server.test.ts
@@ -1,17 +1,11 @@
 import {once} from 'node:events';
 import {type ServerResponse} from 'node:http';
-import {type AddressInfo, connect, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'earl';
-import {DisposableStore, toDisposable} from '../../common/lifecycle/disposable.ts';
-import {type CutAnswer, GracefulServer} from './graceful-server.ts';
-
-/** More than the system takes in for a caller that does not read. */
-const largeBytes = 16_000_000;
-
-function head(path: string, bodyBytes = 0): string {
-	return `POST ${path} HTTP/1.1\r\nhost: one.example\r\ncontent-length: ${bodyBytes}\r\n\r\n`;
-}
+import {DisposableStore} from '../../common/lifecycle/disposable.ts';
+import {
+	connectTo, getCall, largeBytes, openDoor, postHead, readAll, statusesOf,
+} from './open-door.test.ts';
 
 describe('a door that ends its connections', () => {
 	let store: DisposableStore;
@@ -22,59 +16,20 @@
 		store.dispose();
 	});
 
-	/** One more caller of this server. */
-	async function connectTo(server: GracefulServer): Promise<Socket> {
-		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- a server on a port has such an address.
-		const {port} = server.address() as AddressInfo;
-		const caller = connect(port, '127.0.0.1');
-		caller.on('error', () => undefined);
-		store.add(toDisposable(() => caller.destroy()));
-		await once(caller, 'connect');
-		return caller;
-	}
-
-	async function open(take: (path: string, outgoing: ServerResponse) => void): Promise<{server: GracefulServer; caller: Socket; cuts: CutAnswer[]}> {
-		const server = new GracefulServer({}, (incoming, outgoing) => {
-			incoming.resume();
-			take(incoming.url!, outgoing);
-		});
-		const cuts: CutAnswer[] = [];
-		server.onCut(cut => cuts.push(cut));
-		store.add(server);
-		server.listen(0, '127.0.0.1');
-		await once(server, 'listening');
-		return {server, caller: await connectTo(server), cuts};
-	}
-
-	/** Everything until the connection ends. */
-	async function readAll(caller: Socket): Promise<string> {
-		let text = '';
-		caller.on('data', (chunk: Buffer) => {
-			text += chunk.toString('latin1');
-		});
-		if (!caller.destroyed) {
-			await once(caller, 'close');
-		}
-
-		return text;
-	}
-
 	// Story: a caller sends two payments at once on one connection. The first one's answer ends the connection, since the VM stops;
 	// the second was handed on already, and was made with nobody left to be told.
 	it('answers a call that was sent behind another before it ends the connection', async () => {
-		const taken: string[] = [];
 		const answers: ServerResponse[] = [];
-		const {server, caller} = await open((path, outgoing) => {
-			taken.push(path);
+		const {server, caller, taken} = await openDoor(store, (_path, outgoing) => {
 			answers.push(outgoing);
 		});
-		caller.write(head('/1'));
+		caller.write(postHead('/1'));
 		while (answers.length === 0) {
 			await delay(1);
 		}
 
 		server.leave();
-		caller.write(head('/2'));
+		caller.write(postHead('/2'));
 		await delay(20);
 		expect(taken).toEqual(['/1']);
 		answers[0]!.end('first');
@@ -84,21 +39,19 @@
 
 		answers[1]!.end('second');
 		const text = await readAll(caller);
-		expect([taken, text.split('HTTP/1.1 200').length - 1, text.split(/connection: close/iv).length - 1]).toEqual([['/1', '/2'], 2, 1]);
+		expect([taken, statusesOf(text), text.split(/connection: close/iv).length - 1]).toEqual([['/1', '/2'], ['200', '200'], 1]);
 	});
 
 	it('never takes a call that comes behind the answer which ends its connection', async () => {
-		const taken: string[] = [];
-		const {server, caller} = await open((path, outgoing) => {
-			taken.push(path);
+		const {server, caller, taken} = await openDoor(store, (_path, outgoing) => {
 			outgoing.writeHead(200, {'content-length': 5});
 			outgoing.write('fi');
 			setTimeout(() => outgoing.end('rst'), 50);
 		});
 		server.leave();
-		caller.write(head('/1'));
+		caller.write(postHead('/1'));
 		await once(caller, 'readable');
-		caller.write(head('/2'));
+		caller.write(postHead('/2'));
 		const text = await readAll(caller);
 		expect([taken, text.endsWith('first')]).toEqual([['/1'], true]);
 	});
@@ -106,12 +59,12 @@
 	// Story: a caller is refused while it still sends a large body. The connection is closed with unread bytes of that body, which
 	// resets it, and the reset throws the refusal away: the caller cannot know that its payment was not made.
 	it('lets a refusal arrive while its caller still sends', async () => {
-		const {server, caller} = await open((_path, outgoing) => {
+		const {server, caller} = await openDoor(store, (_path, outgoing) => {
 			outgoing.writeHead(503, {'content-length': 2});
 			outgoing.end('no');
 		});
 		server.leave();
-		caller.write(head('/1', largeBytes));
+		caller.write(postHead('/1', largeBytes));
 		const sending = setInterval(() => caller.write(Buffer.alloc(100_000)), 1);
 		setTimeout(() => {
 			clearInterval(sending);
@@ -122,13 +75,13 @@
 	});
 
 	it('ends idle connections, and neither those with half a call in nor those with an answer to hand over', async () => {
-		const {server, caller: slow, cuts} = await open((_path, outgoing) => {
+		const {server, caller: slow, cuts} = await openDoor(store, (_path, outgoing) => {
 			outgoing.end(Buffer.alloc(largeBytes));
 		});
-		const idle = await connectTo(server);
-		const half = await connectTo(server);
+		const idle = await connectTo(store, server);
+		const half = await connectTo(store, server);
 		half.write('GET /half HTT');
-		slow.write(head('/slow'));
+		slow.write(postHead('/slow'));
 		await delay(50);
 		server.leave();
 		server.closeIdleConnections();
@@ -140,17 +93,17 @@
 
 	it('tells of an answer that its caller leaves, and of one that is broken off here', async () => {
 		const answers: ServerResponse[] = [];
-		const {caller, cuts, server} = await open((_path, outgoing) => {
+		const {caller, cuts, server} = await openDoor(store, (_path, outgoing) => {
 			answers.push(outgoing);
 			outgoing.end(Buffer.alloc(largeBytes));
 		});
-		const other = await connectTo(server);
-		caller.write(head('/1'));
+		const other = await connectTo(store, server);
+		caller.write(postHead('/1'));
 		while (answers.length === 0) {
 			await delay(1);
 		}
 
-		other.write(head('/2'));
+		other.write(postHead('/2'));
 		while (answers.length === 1) {
 			await delay(1);
 		}
@@ -170,4 +123,63 @@
 			{closedBy: 'here', isWhole: true, hasBytesLeft: true},
 		]);
 	});
+
+	it('waits with its end for a caller that reads a refusal only when its body is out', async () => {
+		const {server, caller} = await openDoor(store, (_path, outgoing) => {
+			outgoing.writeHead(503, {'content-length': 2});
+			outgoing.end('no');
+		}, {allowHalfOpen: true});
+		server.leave();
+		caller.write(postHead('/1', largeBytes));
+		for (let count = 0; count < 100; count++) {
+			caller.write(Buffer.alloc(100_000));
+			await delay(2);
+		}
+
+		caller.once('end', () => caller.end());
+		expect(statusesOf(await readAll(caller))).toEqual(['503']);
+	});
+
+	it('counts an end that its caller has not confirmed, and gives it up in the end', async () => {
+		const {server, caller} = await openDoor(store, (_path, outgoing) => {
+			outgoing.end('x');
+		}, {allowHalfOpen: true});
+		server.leave();
+		caller.write(getCall('/1'));
+		await once(caller.resume(), 'end');
+		const counted = server.unfinishedAnswers;
+		while (server.unfinishedAnswers > 0) {
+			await delay(10);
+		}
+
+		expect(counted).toEqual(1);
+	});
+
+	it('ends a connection that comes to rest after idle ones have ended', async () => {
+		const answers: ServerResponse[] = [];
+		const {server, caller} = await openDoor(store, (_path, outgoing) => {
+			outgoing.writeHead(200, {'content-length': 2});
+			outgoing.write('a');
+			answers.push(outgoing);
+		});
+		caller.write(getCall('/1'));
+		await once(caller, 'readable');
+		server.leave();
+		server.closeIdleConnections();
+		await delay(20);
+		answers[0]!.end('b');
+		const text = await readAll(caller);
+		expect(text.endsWith('ab')).toEqual(true);
+	});
+
+	it('never takes a call that crosses the end of its idle connection', async () => {
+		const {server, caller, taken} = await openDoor(store, (_path, outgoing) => {
+			outgoing.end('x');
+		}, {allowHalfOpen: true});
+		server.closeIdleConnections();
+		await once(caller.resume(), 'end');
+		caller.write(getCall('/1'));
+		await delay(50);
+		expect(taken).toEqual([]);
+	});
 });
--- /dev/null
+++ b/src/node/front/open-door.test.ts
@@ -0,0 +1,78 @@
+/** What tests of a bare door share: an open one, callers of raw bytes, and calls as they send them. */
+import {once} from 'node:events';
+import {type ServerOptions, type ServerResponse} from 'node:http';
+import {type AddressInfo, connect, type Socket} from 'node:net';
+import {type DisposableStore, toDisposable} from '../../common/lifecycle/disposable.ts';
+import {type CutAnswer, GracefulServer} from './graceful-server.ts';
+
+/** More than the system takes in for a caller that does not read. */
+export const largeBytes = 16_000_000;
+
+/** An open door, its first caller, and what both saw. */
+export type OpenDoor = {
+	readonly server: GracefulServer;
+	readonly caller: Socket;
+	/** Paths of the calls that were handed on. */
+	readonly taken: string[];
+	readonly cuts: CutAnswer[];
+};
+
+/** A call without a body. */
+export function getCall(path: string): string {
+	return `GET ${path} HTTP/1.1\r\nhost: one.example\r\n\r\n`;
+}
+
+/** The head of a call with a body of this many bytes. */
+export function postHead(path: string, bodyBytes = 0): string {
+	return `POST ${path} HTTP/1.1\r\nhost: one.example\r\ncontent-length: ${bodyBytes}\r\n\r\n`;
+}
+
+/** One more caller of this server. It reads nothing until it is asked to, and ends its side by itself if it may. */
+export async function connectTo(store: DisposableStore, server: GracefulServer, allowHalfOpen = false): Promise<Socket> {
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- a server on a port has such an address.
+	const {port} = server.address() as AddressInfo;
+	const caller = connect({port, host: '127.0.0.1', allowHalfOpen});
+	caller.on('error', () => undefined);
+	store.add(toDisposable(() => caller.destroy()));
+	await once(caller, 'connect');
+	return caller;
+}
+
+/** Opens a door that hands its calls to `take`, with one caller. */
+export async function openDoor(
+	store: DisposableStore,
+	take: (path: string, outgoing: ServerResponse) => void,
+	{options = {}, allowHalfOpen = false}: {readonly options?: ServerOptions; readonly allowHalfOpen?: boolean} = {},
+): Promise<OpenDoor> {
+	const taken: string[] = [];
+	const cuts: CutAnswer[] = [];
+	const server = store.add(new GracefulServer(options, (incoming, outgoing) => {
+		incoming.resume();
+		taken.push(incoming.url!);
+		take(incoming.url!, outgoing);
+	}));
+	server.onCut(cut => cuts.push(cut));
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	return {
+		server, taken, cuts, caller: await connectTo(store, server, allowHalfOpen),
+	};
+}
+
+/** Everything until the connection is closed. */
+export async function readAll(caller: Socket): Promise<string> {
+	let text = '';
+	caller.on('data', (chunk: Buffer) => {
+		text += chunk.toString('latin1');
+	});
+	if (!caller.destroyed) {
+		await once(caller, 'close');
+	}
+
+	return text;
+}
+
+/** Statuses of the answers in what was read. */
+export function statusesOf(text: string): string[] {
+	return Array.from(text.matchAll(/HTTP\/1\.1 (?<status>\d{3}) /gv), match => match.groups!.status!);
+}
--- /dev/null
+++ b/src/node/front/unreadable-calls.test.ts
@@ -0,0 +1,83 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {expect} from 'earl';
+import {DisposableStore} from '../../common/lifecycle/disposable.ts';
+import {
+	getCall, largeBytes, openDoor, postHead, readAll, statusesOf,
+} from './open-door.test.ts';
+
+/** Heads are given up soon, so that a test does not wait for it. */
+const impatient = {headersTimeout: 300, connectionsCheckingInterval: 100, requestTimeout: 0};
+
+describe('bytes that are no call', () => {
+	let store: DisposableStore;
+	beforeEach(() => {
+		store = new DisposableStore();
+	});
+	afterEach(() => {
+		store.dispose();
+	});
+
+	// Story: a caller reads a download slowly, and something follows it on its connection that never becomes a call: half a head, or
+	// bytes of another protocol. The server gives up on these and closes the connection, with the download still in it.
+	for (const [what, bytes] of [['half a head', 'GET /2 HTT'], ['junk', '\0\u0001junk\r\n\r\n']] as const) {
+		it(`cut no answer that is under way: ${what}`, async () => {
+			const {caller} = await openDoor(store, (_path, outgoing) => {
+				outgoing.end(Buffer.alloc(largeBytes));
+			}, {options: impatient});
+			caller.write(getCall('/1'));
+			await delay(50);
+			caller.write(bytes);
+			await delay(800);
+			const text = await readAll(caller);
+			expect(text.length > largeBytes).toEqual(true);
+		});
+	}
+
+	// Story: behind a download that is read slowly a caller sends many calls. The server reads no further for lack of room, in the middle
+	// of a head, gives up on that head later as if its caller were slow, and cuts the download.
+	it('are not made of whole calls that were not read for lack of room', async () => {
+		const {caller} = await openDoor(store, (_path, outgoing) => {
+			outgoing.end(Buffer.alloc(largeBytes));
+		}, {options: impatient});
+		caller.write(getCall('/1'));
+		await delay(50);
+		const padded = `GET /2 HTTP/1.1\r\nhost: one.example\r\npadding: ${'x'.repeat(1000)}\r\n\r\n`;
+		caller.write(padded.repeat(400));
+		await delay(1500);
+		const text = await readAll(caller);
+		expect(text.length > largeBytes).toEqual(true);
+	});
+
+	it('do not answer the call in front of them', async () => {
+		const {caller} = await openDoor(store, (_path, outgoing) => {
+			setTimeout(() => outgoing.end('ran'), 1000);
+		}, {options: impatient});
+		caller.write(`${getCall('/1')}GET /2 HTT`);
+		expect(statusesOf(await readAll(caller))).toEqual(['200']);
+	});
+
+	it('are refused, and the refusal arrives although more of them come', async () => {
+		const {caller} = await openDoor(store, (_path, outgoing) => {
+			outgoing.end();
+		});
+		caller.write('GET / HTTP/1.1\r\nhost: one.example\r\nlong: ');
+		for (let count = 0; count < 100; count++) {
+			caller.write(Buffer.alloc(100_000, 'x'));
+		}
+
+		await delay(300);
+		expect(statusesOf(await readAll(caller))).toEqual(['431']);
+	});
+
+	// Story: of three calls on a connection the second names no host. The server answers that one by itself and ends the connection with
+	// it; the third was handed on, ran, and was never answered, and the VM that waited for its answer did not end before its grace time.
+	it('leave no call behind them running without an answer', async () => {
+		const {server, caller, taken} = await openDoor(store, (path, outgoing) => {
+			setTimeout(() => outgoing.end(path), 50);
+		});
+		caller.write(`${getCall('/1')}GET /2 HTTP/1.1\r\n\r\n${postHead('/3')}`);
+		const statuses = statusesOf(await readAll(caller));
+		await delay(100);
+		expect([taken, statuses, server.unfinishedAnswers]).toEqual([['/1'], ['200', '400'], 0]);
+	});
+});
