--- /dev/null
+++ b/benchmark/stops/fleet-main.ts
@@ -0,0 +1,41 @@
+/** Process entry of one fleet: runs its rounds, the two programs in turns, and writes one line of JSON for each. */
+import process from 'node:process';
+import sade from 'sade';
+import {Fleet} from './fleet.ts';
+import {type Round} from './types.ts';
+
+type Options = {readonly before: string; readonly after: string; readonly ports: string; readonly fleet: number; readonly rounds: number; readonly stops: number; readonly seed: number};
+
+/** Seeds of rounds lie this far apart. */
+const seedStep = 1000;
+
+async function run({before, after, ports, fleet, rounds, stops, seed}: Options): Promise<void> {
+	const programs = {before, after};
+	for (let round = 0; round < rounds; round++) {
+		// Half of the fleets begin with the other one, so that what changes on the machine meets both.
+		const order = (fleet + round) % 2 === 0 ? ['before', 'after'] as const : ['after', 'before'] as const;
+		const roundSeed = seed + (fleet * seedStep) + round;
+		for (const variant of order) {
+			const world = new Fleet({
+				program: programs[variant], ports: ports.split(',').map(Number), stops, seed: roundSeed,
+			});
+			const figures = await world.run();
+			world.dispose();
+			const result: Round = {
+				fleet, round, seed: roundSeed, variant, ...figures,
+			};
+			process.stdout.write(`${JSON.stringify(result)}\n`);
+		}
+	}
+}
+
+sade('fleet', true)
+	.option('--before', 'File of the earlier program', '')
+	.option('--after', 'File of the program', '')
+	.option('--ports', 'Ports of the VMs, in the order of their doors', '')
+	.option('--fleet', 'Number of this fleet', 0)
+	.option('--rounds', 'Rounds with each program', 1)
+	.option('--stops', 'Stops of a round', 32)
+	.option('--seed', 'Seed of the run', 1)
+	.action(run)
+	.parse(process.argv);
--- /dev/null
+++ b/benchmark/stops/main.ts
@@ -0,0 +1,158 @@
+/**
+ * What callers see of planned stops: `npm run bench -- stops --before FOLDER [--after FOLDER] [--json FILE]`. VMs as
+ * processes under load are stopped one after the other, an earlier built program and this one in turns in one run.
+ */
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {existsSync, readFileSync, writeFileSync} from 'node:fs';
+import {cpus} from 'node:os';
+import {join, resolve} from 'node:path';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+import sade from 'sade';
+import {freePorts} from '../../src/stand-ins/free-ports.ts';
+import {packageRoot} from '../../src/stand-ins/program-files.ts';
+import {textTable} from '../../src/stand-ins/text-table.ts';
+import {type Rate, type Spread} from './figures.ts';
+import {portsOfVm} from './fleet.ts';
+import {parameters} from './parameters.ts';
+import {summarise, type Summary} from './summary.ts';
+import {type Round, roundSchema} from './types.ts';
+
+type Options = {readonly before?: string; readonly after: string; readonly vms: number; readonly stops: number; readonly fleets: number; readonly 'round-stops': number; readonly seed: number; readonly json?: string};
+
+const usageExitCode = 2;
+const ticksPerSecond = 100;
+const childUserField = 13;
+const childSystemField = 14;
+
+function programOf(folder: string): string {
+	return join(resolve(folder), 'jaydale.cjs');
+}
+
+/** Seconds of processor time of all ended processes that this one has started, and of theirs. */
+function processorSeconds(): number {
+	const text = readFileSync('/proc/self/stat', 'utf8');
+	const fields = text.slice(text.lastIndexOf(')') + 2).split(' ');
+	return (Number(fields[childUserField]) + Number(fields[childSystemField])) / ticksPerSecond;
+}
+
+function describeRate({count, perThousand, from, to}: Rate): string {
+	return `${count}: ${perThousand} (${from} to ${to})`;
+}
+
+function describeSpread({count, p50, p99, worst}: Spread): string {
+	return `${p50 ?? '-'} / ${p99 ?? '-'} / ${worst ?? '-'} of ${count}`;
+}
+
+function describeCounts(counts: Readonly<Record<string, number>>): string {
+	return Object.entries(counts).map(([key, count]) => `${key} ${count}`).join(', ') || 'none';
+}
+
+function table(summaries: readonly Summary[]): string {
+	const rows: ReadonlyArray<readonly [string, (summary: Summary) => string]> = [
+		['stops', summary => String(summary.stops)],
+		['calls cut, in 1,000 stops (exact Poisson 95%)', summary => describeRate(summary.cut)],
+		['  in the middle of the answer', summary => describeRate(summary.cutByKind['middle']!)],
+		['  no answer, but run', summary => describeRate(summary.cutByKind['run']!)],
+		['  no answer, not run: crossed the close', summary => describeRate(summary.cutByKind['not-run']!)],
+		['  by caller', summary => describeCounts(summary.cutByCaller)],
+		['  by moment', summary => describeCounts(summary.cutByMoment)],
+		['calls cut without a stop', summary => String(summary.cutOutside)],
+		['connections refused, in 1,000 stops', summary => describeRate(summary.refused)],
+		['sent to another VM, by status', summary => describeCounts(summary.sentAway)],
+		['other ends', summary => describeCounts(summary.others)],
+		['whole answers', summary => describeCounts(summary.whole)],
+		['ms sent during a stop: p50 / p99 / worst', summary => describeSpread(summary.times.during)],
+		['ms in flight at the order', summary => describeSpread(summary.times['in-flight'])],
+		['ms outside stops', summary => describeSpread(summary.times.outside)],
+		['ms beyond work during a stop', summary => describeSpread(summary.beyondWork.during)],
+		['ms beyond work in flight at the order', summary => describeSpread(summary.beyondWork['in-flight'])],
+		['ms beyond work outside stops', summary => describeSpread(summary.beyondWork.outside)],
+		['ms of the stage leaving', summary => describeSpread(summary.lengths.leaving)],
+		['ms of the stage draining', summary => describeSpread(summary.lengths.draining)],
+		['ms from stop requested to stopped', summary => describeSpread(summary.lengths.whole)],
+		['ms from the signal to the end', summary => describeSpread(summary.lengths.untilExit)],
+		['ends of processes', summary => describeCounts(summary.exits)],
+		['ends without an order', summary => summary.strayEnds.join('; ') || 'none'],
+		['longest hold-up of callers, ms', summary => String(summary.longestOwnDelay)],
+	];
+	return textTable(['', ...summaries.map(({variant}) => variant)], rows.map(([name, read]) => [name, ...summaries.map(summary => read(summary))]));
+}
+
+async function runFleet(parameterList: readonly string[], take: (round: Round) => void): Promise<void> {
+	const child = spawn(process.execPath, ['--import=tsx', join(import.meta.dirname, 'fleet-main.ts'), ...parameterList], {stdio: ['ignore', 'pipe', 'inherit']});
+	createInterface({input: child.stdout}).on('line', line => {
+		take(roundSchema.parse(JSON.parse(line)));
+	});
+	const [code] = await once(child, 'close') as [number | null];
+	if (code !== 0) {
+		console.error(`a fleet ended with ${code}`);
+		process.exitCode = 1;
+	}
+}
+
+async function main(options: Options): Promise<void> {
+	const programs = {before: programOf(options.before ?? ''), after: programOf(options.after)};
+	const missing = Object.values(programs).filter(file => !existsSync(file));
+	if (options.before === undefined || missing.length > 0) {
+		console.error(`no built program: ${missing.join(', ')}; build one in each tree by npm run bundle`);
+		process.exitCode = usageExitCode;
+		return;
+	}
+
+	const rounds = Math.ceil(options.stops / (options.fleets * options['round-stops']));
+	// All ports at once, so that no two fleets are given the same.
+	const ports = await freePorts(options.fleets * options.vms * portsOfVm);
+	const startedAt = performance.now();
+	const seen: Round[] = [];
+	const store = (): void => {
+		if (options.json !== undefined) {
+			const seconds = (performance.now() - startedAt) / 1000;
+			writeFileSync(options.json, `${JSON.stringify({
+				command: 'npm run bench -- stops',
+				options: {
+					vms: options.vms, stops: options.stops, fleets: options.fleets, roundStops: options['round-stops'], seed: options.seed,
+				},
+				parameters,
+				node: process.version,
+				processors: cpus()[0]?.model ?? '',
+				seconds: Math.round(seconds),
+				meanCores: Math.round(processorSeconds() / seconds * 10) / 10,
+				roundsAsked: rounds * options.fleets,
+				summaries: [summarise('before', seen), summarise('after', seen)],
+				cutsAfter: seen.filter(({variant}) => variant === 'after').flatMap(({fleet, round, seed, cuts}) => cuts.map(cut => ({
+					fleet, round, seed, ...cut,
+				}))),
+			}, undefined, '\t')}\n`);
+		}
+	};
+
+	await Promise.all(Array.from({length: options.fleets}, async (_, fleet) => runFleet([
+		'--before', programs.before, '--after', programs.after, '--ports', ports.slice(fleet * options.vms * portsOfVm, (fleet + 1) * options.vms * portsOfVm).join(','),
+		'--fleet', String(fleet), '--rounds', String(rounds), '--stops', String(options['round-stops']), '--seed', String(options.seed),
+	], round => {
+		seen.push(round);
+		store();
+		console.log(`fleet ${round.fleet} round ${round.round} ${round.variant} seed ${round.seed}: ${round.stops.length} stops, ${round.cuts.length} cut`);
+		for (const cut of round.cuts) {
+			console.log(`  ${cut.kind} ${cut.moment} ${cut.caller} ${cut.call} at ${cut.vm}: ${cut.received} of ${cut.expected} bytes, ${cut.error || 'no error'}; sent ${cut.sentAfterOrder}, cut ${cut.cutAfterOrder}, VM ended ${cut.endAfterOrder} ms after the order; ${cut.runs.join(' | ')}`);
+		}
+	})));
+	store();
+	console.log(table([summarise('before', seen), summarise('after', seen)]));
+	console.log(`${Math.round((performance.now() - startedAt) / 1000)} s, ${(processorSeconds() * 1000 / (performance.now() - startedAt)).toFixed(1)} cores on average`);
+}
+
+sade('stops', true)
+	.describe('Planned stops of VMs under load, an earlier program and this one in turns. Build both first: npm run bundle')
+	.option('--before', 'Folder of the earlier built program')
+	.option('--after', 'Folder of the built program', join(packageRoot, 'target'))
+	.option('--vms', 'VMs of a fleet', 16)
+	.option('--stops', 'Stops with each program, in all fleets together', 64)
+	.option('--fleets', 'Fleets side by side', 1)
+	.option('--round-stops', 'Stops of one round of a fleet', 32)
+	.option('--seed', 'Seed of the run', 1)
+	.option('--json', 'File for the results')
+	.action(main)
+	.parse(process.argv);
--- /dev/null
+++ b/benchmark/stops/vm-process.ts
@@ -0,0 +1,175 @@
+/** One VM as a process of a built program: it is stopped by a signal and started again by whoever rolls the fleet. */
+import {type ChildProcess, spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {readFileSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+import {setTimeout as delay} from 'node:timers/promises';
+import {request} from 'undici';
+import * as z from 'zod';
+import {Disposable, toDisposable} from '../../src/common/lifecycle/disposable.ts';
+import {parseToml} from '../../src/node/settings/load-settings.ts';
+import {packageRoot} from '../../src/stand-ins/program-files.ts';
+import {doors} from '../../platform/bundle/loopback-settings.ts';
+import {parameters} from './parameters.ts';
+import {type StopLengths} from './types.ts';
+
+const pollMilliseconds = 20;
+
+/** Lines of the log that are kept of one process after the order to stop, as evidence. */
+const mostLines = 2000;
+
+const roleSchema = z.object({roles: z.object({entry: z.object({run: z.string()})})});
+
+const lineSchema = z.object({message: z.string(), stage: z.string().optional()});
+
+/** Flags of the role as the platform runs it. */
+function nodeFlags(): string[] {
+	const system = roleSchema.parse(parseToml(readFileSync(join(packageRoot, 'deploy/system.toml'), 'utf8'))._unsafeUnwrap());
+	return system.roles.entry.run.split(' ').filter(word => word.startsWith('--'));
+}
+
+/** One process of a VM. */
+export class VmLife {
+	readonly vm: string;
+	orderedAt: number | undefined;
+	endedAt: number | undefined;
+	exit = '';
+	/** Those from the order on. */
+	readonly lines: string[] = [];
+	private readonly _stageTimes = new Map<string, number>();
+
+	constructor(vm: string) {
+		this.vm = vm;
+	}
+
+	take(line: string): void {
+		if (this.orderedAt === undefined) {
+			return;
+		}
+
+		if (this.lines.length < mostLines) {
+			this.lines.push(line);
+		}
+
+		if (/"(?:stop requested|stage entered|stopped)"/v.test(line)) {
+			const {message, stage} = lineSchema.parse(JSON.parse(line));
+			// The line comes through a pipe at once; its delay is far below that of a stage.
+			this._stageTimes.set(stage ?? message, performance.now());
+		}
+	}
+
+	lengths(): StopLengths {
+		const between = (first: string, second: string): number | undefined => {
+			const from = this._stageTimes.get(first);
+			const to = this._stageTimes.get(second);
+			return from === undefined || to === undefined ? undefined : Math.round(to - from);
+		};
+
+		return {
+			leaving: between('leaving', 'draining'),
+			draining: between('draining', 'ended'),
+			whole: between('stop requested', 'stopped'),
+			untilExit: Math.round((this.endedAt ?? Number.NaN) - (this.orderedAt ?? Number.NaN)),
+			exit: this.exit,
+		};
+	}
+}
+
+/** What a VM is made from. */
+export type VmPlan = {readonly name: string; readonly ports: readonly number[]; readonly seeds: readonly string[]; readonly store: string; readonly folder: string; readonly program: string};
+
+export class VmProcess extends Disposable {
+	readonly name: string;
+	readonly port: number;
+	life: VmLife;
+	/** Its process is ready or stopping: callers may use it. */
+	isUp = false;
+	private readonly _settingsFile: string;
+	private readonly _program: string;
+	private readonly _readiness: string;
+	private _child: ChildProcess | undefined;
+	private _isOver = false;
+
+	constructor({name, ports, seeds, store, folder, program}: VmPlan) {
+		super();
+		this.name = name;
+		this.port = ports[0]!;
+		this._readiness = `http://127.0.0.1:${ports[1]}/readyz`;
+		this._program = program;
+		this._settingsFile = join(folder, `${name}.toml`);
+		this.life = new VmLife(name);
+		writeFileSync(this._settingsFile, [
+			`seeds = [${seeds.map(seed => `"${seed}"`).join(', ')}]`,
+			'[vm]',
+			`name = "${name}"`,
+			'dataCentre = "north"',
+			'[listen]',
+			...doors.map((door, index) => `${door} = "127.0.0.1:${ports[index]}"`),
+			'[store]',
+			`address = "${store}"`,
+			`heartbeatSeconds = ${parameters.heartbeatSeconds}`,
+			'[calls]',
+			'measuringPerSecond = 1000',
+			'retryShare = 0.2',
+			'[stop]',
+			`graceSeconds = ${parameters.graceSeconds}`,
+			'',
+		].join('\n'));
+		this._register(toDisposable(() => {
+			this._isOver = true;
+			this.isUp = false;
+			this._child?.kill('SIGKILL');
+		}));
+	}
+
+	/** Starts a process and waits until it says that it is ready; false = it has ended before. */
+	async start(): Promise<boolean> {
+		const life = new VmLife(this.name);
+		const child = spawn(process.execPath, [...nodeFlags(), this._program], {
+			env: {...process.env, JAYDALE_SETTINGS: this._settingsFile}, stdio: ['ignore', 'pipe', 'inherit'],
+		});
+		this.life = life;
+		this._child = child;
+		createInterface({input: child.stdout}).on('line', line => {
+			life.take(line);
+		});
+		child.once('exit', (code, signal) => {
+			life.endedAt = performance.now();
+			life.exit = String(signal ?? code);
+			this.isUp = false;
+		});
+		while (!this._isOver && life.endedAt === undefined) {
+			if (await this._isReady()) {
+				this.isUp = life.endedAt === undefined;
+				return this.isUp;
+			}
+
+			await delay(pollMilliseconds);
+		}
+
+		return false;
+	}
+
+	/** Orders the stop and waits for the end of the process. */
+	async stop(): Promise<VmLife> {
+		const {life} = this;
+		const child = this._child!;
+		const hasEnded = child.exitCode === null && child.signalCode === null ? once(child, 'close') : undefined;
+		life.orderedAt = performance.now();
+		child.kill('SIGTERM');
+		await hasEnded;
+		return life;
+	}
+
+	private async _isReady(): Promise<boolean> {
+		try {
+			const answer = await request(this._readiness, {signal: AbortSignal.timeout(500)});
+			await answer.body.dump();
+			return answer.statusCode === 200;
+		} catch {
+			return false;
+		}
+	}
+}
