--- a/benchmark/stops/journal.ts
+++ b/benchmark/stops/journal.ts
@@ -80,6 +80,7 @@
 			caller,
 			call,
 			vm: life.vm,
+			stage: life.stageAt(sentAt),
 			isFirst,
 			received: reader.bodyBytes,
 			expected,
--- a/benchmark/stops/summary.ts
+++ b/benchmark/stops/summary.ts
@@ -3,7 +3,7 @@
 	type Rate, ratePerThousand, type Spread, spread,
 } from './figures.ts';
 import {
-	callerKinds, type Cut, cutKinds, type Moment, moments, type Round, type StopLengths, type Variant,
+	callerKinds, type Cut, type CutKind, type Moment, moments, type Round, type StopLengths, type Variant,
 } from './types.ts';
 
 /** What one program came to. */
@@ -13,7 +13,10 @@
 	readonly rounds: number;
 	/** Calls cut by a stop: in flight at its order or sent after it. */
 	readonly cut: Rate;
-	readonly cutByKind: Readonly<Record<string, Rate>>;
+	readonly cutByKind: Readonly<Record<CutKind, Rate>>;
+	/** Those of callers that obey `connection: close`. */
+	readonly cutOfObedient: Rate;
+	readonly cutByStage: Readonly<Record<string, number>>;
 	readonly cutByCaller: Readonly<Record<string, number>>;
 	readonly cutByMoment: Readonly<Record<string, number>>;
 	/** Calls cut while nobody had ordered their VM to stop. */
@@ -45,6 +48,11 @@
 	return Object.fromEntries(keys.map(key => [key, found.filter(other => other === key).length]));
 }
 
+/** Where a cut call was sent, for callers that obey and for those that do not. */
+function stageOf({caller, stage, isFirst, kind}: Cut): string {
+	return `${caller === 'deaf' ? 'deaf' : 'obedient'} ${kind} ${isFirst ? 'first' : 'later'} call sent at '${stage}'`;
+}
+
 /** One program's rounds together. */
 export function summarise(variant: Variant, all: readonly Round[]): Summary {
 	const rounds = all.filter(round => round.variant === variant);
@@ -57,6 +65,7 @@
 		outside: spread(rounds.flatMap(round => read(round).outside)),
 	});
 	const lengths = (read: (stop: StopLengths) => number | undefined): Spread => spread(stops.map(stop => read(stop)).filter(value => value !== undefined));
+	const ofKind = (kind: CutKind): Rate => ratePerThousand(byStops.filter(cut => cut.kind === kind).length, stops.length);
 	const whole = added(rounds.map(round => round.whole));
 	const refused = added(rounds.map(round => round.refused));
 	return {
@@ -64,7 +73,9 @@
 		stops: stops.length,
 		rounds: rounds.length,
 		cut: ratePerThousand(byStops.length, stops.length),
-		cutByKind: Object.fromEntries(cutKinds.map(kind => [kind, ratePerThousand(byStops.filter(cut => cut.kind === kind).length, stops.length)])),
+		cutByKind: {middle: ofKind('middle'), run: ofKind('run'), 'not-run': ofKind('not-run')},
+		cutOfObedient: ratePerThousand(byStops.filter(cut => cut.caller !== 'deaf').length, stops.length),
+		cutByStage: countBy([...new Set(byStops.map(cut => stageOf(cut)))], byStops.map(cut => stageOf(cut))),
 		cutByCaller: countBy(callerKinds, byStops.map(cut => cut.caller)),
 		cutByMoment: countBy(moments, byStops.map(cut => cut.moment)),
 		cutOutside: cuts.length - byStops.length,
--- a/benchmark/stops/types.ts
+++ b/benchmark/stops/types.ts
@@ -20,6 +20,8 @@
 	caller: z.enum(callerKinds),
 	call: z.string(),
 	vm: z.string(),
+	/** Last stage of its VM that was told when the call was sent; empty = none since the order. */
+	stage: z.string(),
 	/** First call on its connection. */
 	isFirst: z.boolean(),
 	received: z.int(),
--- a/benchmark/stops/vm-process.ts
+++ b/benchmark/stops/vm-process.ts
@@ -22,7 +22,7 @@
 
 const roleSchema = z.object({roles: z.object({entry: z.object({run: z.string()})})});
 
-const lineSchema = z.object({message: z.string(), stage: z.string().optional()});
+const lineSchema = z.object({time: z.iso.datetime(), message: z.string(), stage: z.string().optional()});
 
 /** Flags of the role as the platform runs it. */
 function nodeFlags(): string[] {
@@ -54,12 +54,23 @@
 		}
 
 		if (/"(?:stop requested|stage entered|stopped)"/v.test(line)) {
-			const {message, stage} = lineSchema.parse(JSON.parse(line));
-			// The line comes through a pipe at once; its delay is far below that of a stage.
-			this._stageTimes.set(stage ?? message, performance.now());
+			const {time, message, stage} = lineSchema.parse(JSON.parse(line));
+			this._stageTimes.set(stage ?? message, Date.parse(time) - performance.timeOrigin);
 		}
 	}
 
+	/** The stage that it had told of last at this instant. */
+	stageAt(instant: number): string {
+		let found = '';
+		for (const [stage, from] of this._stageTimes) {
+			if (from <= instant) {
+				found = stage;
+			}
+		}
+
+		return found;
+	}
+
 	lengths(): StopLengths {
 		const between = (first: string, second: string): number | undefined => {
 			const from = this._stageTimes.get(first);
