--- a/benchmark/stops/figures.test.ts
+++ b/benchmark/stops/figures.test.ts
@@ -32,10 +32,10 @@
 
 	it('sort the values themselves, and have no spread of none', () => {
 		expect(spread([10, 9, 1])).toEqual({
-			count: 3, p50: 9, p99: 10, worst: 10,
+			count: 3, p50: 9, p90: 10, p99: 10, worst: 10,
 		});
 		expect(spread([])).toEqual({
-			count: 0, p50: null, p99: null, worst: null,
+			count: 0, p50: null, p90: null, p99: null, worst: null,
 		});
 	});
 });
--- a/benchmark/stops/figures.ts
+++ b/benchmark/stops/figures.ts
@@ -56,13 +56,19 @@
 }
 
 /** Times as they are reported; null where there are none. */
-export type Spread = {readonly count: number; readonly p50: number | null; readonly p99: number | null; readonly worst: number | null};
+export type Spread = {
+	readonly count: number;
+	readonly p50: number | null;
+	readonly p90: number | null;
+	readonly p99: number | null;
+	readonly worst: number | null;
+};
 
-/** Middle, p99 and worst of unsorted values. */
+/** Middle, tail and worst of unsorted values. */
 export function spread(values: readonly number[]): Spread {
 	const sorted = values.toSorted((first, second) => first - second);
 	const at = (part: number): number | null => sorted.length === 0 ? null : percentile(sorted, part);
 	return {
-		count: sorted.length, p50: at(0.5), p99: at(0.99), worst: at(1),
+		count: sorted.length, p50: at(0.5), p90: at(0.9), p99: at(0.99), worst: at(1),
 	};
 }
--- a/benchmark/stops/journal.ts
+++ b/benchmark/stops/journal.ts
@@ -89,7 +89,7 @@
 			cutAfterOrder: sinceOrder(endedAt),
 			endAfterOrder: sinceOrder(life.endedAt),
 			runs: runs.map(run => describeRun(run, sentAt)),
-			lines: life.lines.filter(line => line.includes(`"${call}"`) || /"(?:stop requested|stage entered|stopped)"/v.test(line)).slice(0, mostEvidence),
+			lines: life.lines.filter(line => line.includes(`"${call}"`) || /"(?:stop requested|stage entered|stop over|stopped)"/v.test(line)).slice(0, mostEvidence),
 		};
 	}
 }
--- a/benchmark/stops/main.ts
+++ b/benchmark/stops/main.ts
@@ -52,8 +52,8 @@
 	return `${count}: ${perThousand} (${from} to ${to})`;
 }
 
-function describeSpread({count, p50, p99, worst}: Spread): string {
-	return `${p50 ?? '-'} / ${p99 ?? '-'} / ${worst ?? '-'} of ${count}`;
+function describeSpread({count, p50, p90, p99, worst}: Spread): string {
+	return `${p50 ?? '-'} / ${p90 ?? '-'} / ${p99 ?? '-'} / ${worst ?? '-'} of ${count}`;
 }
 
 function describeCounts(counts: Readonly<Record<string, number>>): string {
@@ -75,7 +75,7 @@
 		['sent to another VM, by status', summary => describeCounts(summary.sentAway)],
 		['other ends', summary => describeCounts(summary.others)],
 		['whole answers', summary => describeCounts(summary.whole)],
-		['ms sent during a stop: p50 / p99 / worst', summary => describeSpread(summary.times.during)],
+		['ms sent during a stop: p50 / p90 / p99 / worst', summary => describeSpread(summary.times.during)],
 		['ms in flight at the order', summary => describeSpread(summary.times['in-flight'])],
 		['ms outside stops', summary => describeSpread(summary.times.outside)],
 		['ms beyond work during a stop', summary => describeSpread(summary.beyondWork.during)],
