--- a/benchmark/stops/fleet-main.ts
+++ b/benchmark/stops/fleet-main.ts
@@ -19,7 +19,16 @@
 			const world = new Fleet({
 				program: programs[variant], ports: ports.split(',').map(Number), stops, seed: roundSeed,
 			});
+			const end = () => {
+				world.dispose();
+				// eslint-disable-next-line unicorn/no-process-exit -- callers that wait would keep the process.
+				process.exit(1);
+			};
+
+			// Whoever has started this process has gone.
+			process.stdin.once('end', end).resume();
 			const figures = await world.run();
+			process.stdin.off('end', end);
 			world.dispose();
 			const result: Round = {
 				fleet, round, seed: roundSeed, variant, ...figures,
@@ -27,6 +36,8 @@
 			process.stdout.write(`${JSON.stringify(result)}\n`);
 		}
 	}
+
+	process.stdin.destroy();
 }
 
 sade('fleet', true)
--- a/benchmark/stops/main.ts
+++ b/benchmark/stops/main.ts
@@ -98,8 +98,9 @@
 	return `  ${cut.kind} ${cut.moment} ${cut.caller}${cut.isFirst ? ' first' : ''} ${cut.call} at ${cut.vm} '${cut.stage}': ${seen}; ${times}; ${cut.runs.join(' | ')}`;
 }
 
+/** A fleet ends with this process: its standard input closes then. */
 async function runFleet(parameterList: readonly string[], take: (round: Round) => void): Promise<void> {
-	const child = spawn(process.execPath, ['--import=tsx', join(import.meta.dirname, 'fleet-main.ts'), ...parameterList], {stdio: ['ignore', 'pipe', 'inherit']});
+	const child = spawn(process.execPath, ['--import=tsx', join(import.meta.dirname, 'fleet-main.ts'), ...parameterList], {stdio: ['pipe', 'pipe', 'inherit']});
 	createInterface({input: child.stdout}).on('line', line => {
 		take(roundSchema.parse(JSON.parse(line)));
 	});
