Show that a call which has just come in is cut when idle connections end

Cause: closeIdleConnections, called at 'draining', takes a connection for idle when the process has read no byte of a call; bytes that the system holds already are not seen, and the call is neither answered nor run.

--- /dev/null
+++ b/src/node/front/idle-at-stop.test.ts
@@ -0,0 +1,56 @@
+import {once} from 'node:events';
+import {type AddressInfo, connect, type Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {expect} from 'earl';
+import {DisposableStore, toDisposable} from '../../common/lifecycle/disposable.ts';
+import {GracefulServer} from './graceful-server.ts';
+
+const call = 'GET / HTTP/1.1\r\nhost: one.example\r\n\r\n';
+
+describe('a door that ends idle connections', () => {
+	const owned = new DisposableStore();
+	after(() => {
+		owned.dispose();
+	});
+
+	/** A connection that the door has accepted, after so many calls and their answers. */
+	async function open(calls: number): Promise<{server: GracefulServer; caller: Socket; read: () => string}> {
+		const server = owned.add(new GracefulServer({}, (_incoming, outgoing) => {
+			outgoing.end('answer');
+		}));
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- a server on a port has such an address.
+		const {port} = server.address() as AddressInfo;
+		const caller = connect(port, '127.0.0.1');
+		owned.add(toDisposable(() => caller.destroy()));
+		let text = '';
+		caller.on('error', () => undefined);
+		caller.on('data', (chunk: Buffer) => {
+			text += chunk.toString();
+		});
+		await Promise.all([once(server, 'connection'), once(caller, 'connect')]);
+		for (let count = 0; count < calls; count++) {
+			caller.write(call);
+			await once(caller, 'data');
+		}
+
+		await delay(20);
+		text = '';
+		return {server, caller, read: () => text};
+	}
+
+	// Story: a VM stops, and a caller sends its next call in the moment in which the VM ends what is idle. The call is in the
+	// system of the VM already, which has not read it yet and takes the connection for idle: the caller sees its connection end
+	// without an answer, and cannot know whether its order was made.
+	for (const [calls, which] of [[0, 'the first call'], [1, 'the next call']] as const) {
+		it(`answers ${which} of a connection that was in before the end`, async () => {
+			const {server, caller, read} = await open(calls);
+			server.leave();
+			caller.write(call);
+			server.closeIdleConnections();
+			await once(caller, 'close');
+			expect(read().startsWith('HTTP/1.1 200')).toEqual(true);
+		});
+	}
+});
