Let a slow reader of the benchmark of stops catch up when the machine has held it up

Cause: pauses were added up, so that a starved process of callers made a reading of half a second last six.

--- a/benchmark/stops/caller.ts
+++ b/benchmark/stops/caller.ts
@@ -209,13 +209,16 @@
 	}
 }
 
-/** Milliseconds to wait after bytes at so many milliseconds a byte; what is below a whole one is kept for later. */
+/**
+ * Milliseconds to wait after bytes at so many milliseconds a byte, counted from the first ones: a reader that the
+ * machine has held up catches up, and stays within the time that its call may last.
+ */
 function paced(perByte: number): (bytes: number) => number {
-	let owed = 0;
+	let startedAt: number | undefined;
+	let read = 0;
 	return bytes => {
-		owed += bytes * perByte;
-		const whole = Math.floor(owed);
-		owed -= whole;
-		return whole;
+		startedAt ??= performance.now();
+		read += bytes;
+		return Math.floor(startedAt + (read * perByte) - performance.now());
 	};
 }
--- a/benchmark/stops/journal.ts
+++ b/benchmark/stops/journal.ts
@@ -54,7 +54,7 @@
 	}
 
 	noteOther(what: string, attempt: Attempt): void {
-		const key = `${what} ${momentOf(attempt)}`;
+		const key = `${attempt.caller}: ${what} ${momentOf(attempt)}`;
 		this.others[key] = (this.others[key] ?? 0) + 1;
 	}
 
