--- a/benchmark/stops/fleet.ts
+++ b/benchmark/stops/fleet.ts
@@ -112,7 +112,7 @@
 	/** A process that ends before it is ready is told and started anew. */
 	private async _bringUp(vm: VmProcess): Promise<void> {
 		while (!this._store.isDisposed && !await vm.start()) {
-			this._strayEnds.push(`${vm.name} at its start: ${vm.life.exit}`);
+			this._strayEnds.push(`${vm.name} at its start: ${vm.life.exit} ${vm.life.lastLine}`);
 			await delay(pollMilliseconds);
 		}
 	}
@@ -150,8 +150,8 @@
 
 	/** A process that has ended without an order is told and started anew. */
 	private async _reviveStray(vm: VmProcess): Promise<void> {
-		if (vm.life.endedAt !== undefined && vm.life.orderedAt === undefined) {
-			this._strayEnds.push(`${vm.name}: ${vm.life.exit}`);
+		if (!vm.isStarting && vm.life.endedAt !== undefined && vm.life.orderedAt === undefined) {
+			this._strayEnds.push(`${vm.name}: ${vm.life.exit} ${vm.life.lastLine}`);
 			await this._bringUp(vm);
 		}
 	}
--- a/benchmark/stops/parameters.ts
+++ b/benchmark/stops/parameters.ts
@@ -8,9 +8,9 @@
 	callSeconds: 1,
 	/**
 	 * Bytes up to which a VM holds an answer until it is whole. More than the product's default: on loopback the system takes
-	 * in some 1.5 MB for a slow caller, on a narrow link far less. So answers wait whole in the VM here as they do there.
+	 * in some 2.5 MB for a slow caller, on a narrow link far less. So answers wait whole in the VM here as they do there.
 	 */
-	heldAnswerBytes: 3_000_000,
+	heldAnswerBytes: 4_194_304,
 	/** Seconds between renewals of a backend server's entry. */
 	heartbeatSeconds: 1,
 	backendServers: 4,
--- a/benchmark/stops/vm-process.ts
+++ b/benchmark/stops/vm-process.ts
@@ -38,6 +38,8 @@
 	exit = '';
 	/** Those from the order on. */
 	readonly lines: string[] = [];
+	/** The last one. */
+	lastLine = '';
 	private readonly _stageTimes = new Map<string, number>();
 
 	constructor(vm: string) {
@@ -45,6 +47,7 @@
 	}
 
 	take(line: string): void {
+		this.lastLine = line;
 		if (this.orderedAt === undefined) {
 			return;
 		}
@@ -97,6 +100,8 @@
 	life: VmLife;
 	/** Its process is ready or stopping: callers may use it. */
 	isUp = false;
+	/** Somebody waits for its process to be ready. */
+	isStarting = false;
 	private readonly _settingsFile: string;
 	private readonly _program: string;
 	private readonly _readiness: string;
@@ -138,6 +143,24 @@
 
 	/** Starts a process and waits until it says that it is ready; false = it has ended before. */
 	async start(): Promise<boolean> {
+		this.isStarting = true;
+		const isReady = await this._startOnce();
+		this.isStarting = false;
+		return isReady;
+	}
+
+	/** Orders the stop and waits for the end of the process. */
+	async stop(): Promise<VmLife> {
+		const {life} = this;
+		const child = this._child!;
+		const hasEnded = child.exitCode === null && child.signalCode === null ? once(child, 'close') : undefined;
+		life.orderedAt = performance.now();
+		child.kill('SIGTERM');
+		await hasEnded;
+		return life;
+	}
+
+	private async _startOnce(): Promise<boolean> {
 		const life = new VmLife(this.name);
 		const child = spawn(process.execPath, [...nodeFlags(), this._program], {
 			env: {...process.env, JAYDALE_SETTINGS: this._settingsFile}, stdio: ['ignore', 'pipe', 'inherit'],
@@ -164,17 +187,6 @@
 		return false;
 	}
 
-	/** Orders the stop and waits for the end of the process. */
-	async stop(): Promise<VmLife> {
-		const {life} = this;
-		const child = this._child!;
-		const hasEnded = child.exitCode === null && child.signalCode === null ? once(child, 'close') : undefined;
-		life.orderedAt = performance.now();
-		child.kill('SIGTERM');
-		await hasEnded;
-		return life;
-	}
-
 	private async _isReady(): Promise<boolean> {
 		try {
 			const answer = await request(this._readiness, {signal: AbortSignal.timeout(500)});
