--- a/src/node/front/idle-at-stop.test.ts
+++ b/src/node/front/idle-at-stop.test.ts
@@ -53,4 +53,24 @@
 			expect(read().startsWith('HTTP/1.1 200')).toEqual(true);
 		});
 	}
+
+	// Story: the same moment, and a caller that has just opened its connection. The VM accepts it while it reads once more what has
+	// come in; the call itself lies one reading behind, and the connection looks like one on which nothing ever came.
+	it('answers the first call of a connection that it accepts while it ends idle ones', async () => {
+		const {server} = await open(0);
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- a server on a port has such an address.
+		const {port} = server.address() as AddressInfo;
+		let text = '';
+		const caller = connect(port, '127.0.0.1');
+		owned.add(toDisposable(() => caller.destroy()));
+		caller.on('error', () => undefined);
+		caller.on('data', (chunk: Buffer) => {
+			text += chunk.toString();
+		});
+		caller.write(call);
+		server.leave();
+		server.closeIdleConnections();
+		await once(caller, 'close');
+		expect(text.startsWith('HTTP/1.1 200')).toEqual(true);
+	});
 });
