--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -182,12 +182,26 @@
 			this._parts.hold.end();
 		}
 
+		if (stage === 'leaving' || stage === 'draining') {
+			for (const pages of this._pageServers) {
+				pages.leave();
+			}
+		}
+
 		if (stage === 'ended') {
-			this._parts.logger.info('stop over', this._stopReport.summary());
-			this._onEnded.fire();
+			const doors = [this._parts.routedServer, ...this._pageServers];
+			void Promise.all(doors.map(async door => door.end())).then(() => {
+				this._parts.logger.info('stop over', this._stopReport.summary());
+				this._onEnded.fire();
+			});
 		}
 	}
 
+	private get _pageServers(): readonly PageServer[] {
+		const {readinessServer, directoryServer, metricsServer} = this._parts;
+		return [readinessServer, directoryServer, metricsServer];
+	}
+
 	/** Calls that came to nothing are written whenever a line is left in the budget; of the others only as many as fit beside. */
 	private _logCall({summary, traceId}: EndedCall): void {
 		const {logger, clock, metrics} = this._parts;
