Show that the first call of a connection accepted while idle ones end is cut

Cause: closeIdleConnections ends what is idle two immediates later, after one more reading. A connection that this reading accepts has its call one reading behind: no byte of it is read, so it looks idle and is ended. A VM whose thread is held up at 'draining' meets it often, since its accept queue is full then. Ruled out: a call that comes after the end of the process's doors; the VMs lived 0.3 to 0.9 s longer. One way out, not tried: a connection that never had a call is no idle one; it gets its 503 and ends with it.

--- a/src/node/front/idle-at-stop.test.ts
+++ b/src/node/front/idle-at-stop.test.ts
@@ -61,16 +61,21 @@
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- a server on a port has such an address.
 		const {port} = server.address() as AddressInfo;
 		let text = '';
-		const caller = connect(port, '127.0.0.1');
-		owned.add(toDisposable(() => caller.destroy()));
-		caller.on('error', () => undefined);
-		caller.on('data', (chunk: Buffer) => {
-			text += chunk.toString();
+		const late = new Promise<Socket>(resolve => {
+			setImmediate(() => {
+				const caller = connect(port, '127.0.0.1');
+				owned.add(toDisposable(() => caller.destroy()));
+				caller.on('error', () => undefined);
+				caller.on('data', (chunk: Buffer) => {
+					text += chunk.toString();
+				});
+				caller.write(call);
+				resolve(caller);
+			});
 		});
-		caller.write(call);
 		server.leave();
 		server.closeIdleConnections();
-		await once(caller, 'close');
+		await once(await late, 'close');
 		expect(text.startsWith('HTTP/1.1 200')).toEqual(true);
 	});
 });
