--- a/benchmark/stops/fleet-main.ts
+++ b/benchmark/stops/fleet-main.ts
@@ -1,4 +1,5 @@
 /** Process entry of one fleet: runs its rounds, the two programs in turns, and writes one line of JSON for each. */
+import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import sade from 'sade';
 import {Fleet} from './fleet.ts';
@@ -8,9 +9,23 @@
 
 /** Seeds of rounds lie this far apart. */
 const seedStep = 1000;
+const ticksPerSecond = 100;
+const microsecondsPerSecond = 1e6;
+const childUserField = 13;
+const childSystemField = 14;
+
+/** Seconds of processor time of this process and of all ended ones that it has started. */
+function processorSeconds(): number {
+	const text = readFileSync('/proc/self/stat', 'utf8');
+	// The name in brackets may hold spaces; the fields are counted from behind it.
+	const fields = text.slice(text.lastIndexOf(')') + 2).split(' ');
+	const {user, system} = process.cpuUsage();
+	return ((user + system) / microsecondsPerSecond) + ((Number(fields[childUserField]) + Number(fields[childSystemField])) / ticksPerSecond);
+}
 
 async function run({before, after, ports, fleet, rounds, stops, seed}: Options): Promise<void> {
 	const programs = {before, after};
+	let counted = 0;
 	for (let round = 0; round < rounds; round++) {
 		// Half of the fleets begin with the other one, so that what changes on the machine meets both.
 		const order = (fleet + round) % 2 === 0 ? ['before', 'after'] as const : ['after', 'before'] as const;
@@ -30,9 +45,11 @@
 			const figures = await world.run();
 			process.stdin.off('end', end);
 			world.dispose();
+			const processor = processorSeconds();
 			const result: Round = {
-				fleet, round, seed: roundSeed, variant, ...figures,
+				fleet, round, seed: roundSeed, variant, ...figures, processorSeconds: processor - counted,
 			};
+			counted = processor;
 			process.stdout.write(`${JSON.stringify(result)}\n`);
 		}
 	}
--- a/benchmark/stops/fleet.ts
+++ b/benchmark/stops/fleet.ts
@@ -47,7 +47,7 @@
 	}
 
 	/** Starts everything, rolls the fleet, and tells what was seen. */
-	async run(): Promise<Omit<Round, 'fleet' | 'round' | 'seed' | 'variant'>> {
+	async run(): Promise<Omit<Round, 'fleet' | 'round' | 'seed' | 'variant' | 'processorSeconds'>> {
 		await this._start();
 		const callers = this._vms.flatMap((home, index) => callerKinds.flatMap(kind => Array.from({length: parameters.callers[kind]}, (_, number) => {
 			const parts = {
--- a/benchmark/stops/main.ts
+++ b/benchmark/stops/main.ts
@@ -4,7 +4,7 @@
  */
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
-import {existsSync, readFileSync, writeFileSync} from 'node:fs';
+import {existsSync, writeFileSync} from 'node:fs';
 import {cpus} from 'node:os';
 import {join, resolve} from 'node:path';
 import process from 'node:process';
@@ -33,19 +33,14 @@
 const usageExitCode = 2;
 /** Cuts of one round that are stored with all that was seen of them. */
 const mostCutsOfRound = 10;
-const ticksPerSecond = 100;
-const childUserField = 13;
-const childSystemField = 14;
 
 function programOf(folder: string): string {
 	return join(resolve(folder), 'jaydale.cjs');
 }
 
-/** Seconds of processor time of all ended processes that this one has started, and of theirs. */
-function processorSeconds(): number {
-	const text = readFileSync('/proc/self/stat', 'utf8');
-	const fields = text.slice(text.lastIndexOf(')') + 2).split(' ');
-	return (Number(fields[childUserField]) + Number(fields[childSystemField])) / ticksPerSecond;
+/** Cores in use on average, by all fleets. */
+function meanCores(seen: readonly Round[], seconds: number): number {
+	return Math.round(seen.reduce((sum, round) => sum + round.processorSeconds, 0) / seconds * 10) / 10;
 }
 
 function describeRate({count, perThousand, from, to}: Rate): string {
@@ -120,7 +115,7 @@
 		node: process.version,
 		processors: cpus()[0]?.model ?? '',
 		seconds: Math.round(seconds),
-		meanCores: Math.round(processorSeconds() / seconds * 10) / 10,
+		meanCores: meanCores(seen, seconds),
 		roundsAsked: rounds * fleets,
 		summaries: [summarise('before', seen), summarise('after', seen)],
 		cuts: seen.flatMap(round => round.cuts.filter(({caller}) => round.variant === 'after' || caller !== 'deaf').slice(0, mostCutsOfRound).map(cut => ({
@@ -174,7 +169,8 @@
 	})));
 	store();
 	console.log(table([summarise('before', seen), summarise('after', seen)]));
-	console.log(`${Math.round((performance.now() - startedAt) / 1000)} s, ${(processorSeconds() * 1000 / (performance.now() - startedAt)).toFixed(1)} cores on average`);
+	const seconds = (performance.now() - startedAt) / 1000;
+	console.log(`${Math.round(seconds)} s, ${meanCores(seen, seconds)} cores on average`);
 }
 
 sade('stops', true)
--- a/benchmark/stops/summary.test.ts
+++ b/benchmark/stops/summary.test.ts
@@ -26,6 +26,7 @@
 	times: {'in-flight': [5], during: [1, 2], outside: [3]},
 	beyondWork: {'in-flight': [], during: [], outside: []},
 	longestOwnDelay: 7,
+	processorSeconds: 1,
 };
 
 describe('the summary of the benchmark of stops', () => {
--- a/benchmark/stops/types.ts
+++ b/benchmark/stops/types.ts
@@ -76,6 +76,8 @@
 	beyondWork: z.record(z.enum(moments), timesSchema),
 	/** Longest time that the process of callers and backend servers was held up, in milliseconds. */
 	longestOwnDelay: z.number(),
+	/** Processor time of the fleet's process and of its ended VMs. */
+	processorSeconds: z.number(),
 });
 export type Round = z.infer<typeof roundSchema>;
 export type Variant = Round['variant'];
