End idle only connections that were there when idle ones were ended

Cause: a connection that is accepted while what has come in is read once more has its first call one reading behind; it was taken for idle. Change: only connections known when the ending began are ended; others carry their call, which is answered and ends them.

--- a/src/node/front/graceful-server.ts
+++ b/src/node/front/graceful-server.ts
@@ -136,8 +136,10 @@
 	/** Ends the connections on which nothing is under way, now and whenever one comes to rest. `close` does so too. */
 	override closeIdleConnections(): void {
 		this._endsIdle = true;
+		// One that is accepted meanwhile may have its first call with it, unread.
+		const known = [...this._callerConnections.values()];
 		afterReading(() => {
-			for (const connection of this._callerConnections.values()) {
+			for (const connection of known) {
 				this._endIfIdle(connection);
 			}
 		});
