--- /dev/null
+++ b/src/node/front/stop-moments-table.test.ts
@@ -0,0 +1,14 @@
+/**
+ * The moments of a call's life at which a planned stop may begin, and what may come of the call. The same table serves both
+ * doors. What may come of it follows from the aim alone: each call that the VM has read whole has exactly one whole answer or
+ * one whole refusal; a refusal that says "not run" is true, also later; a connection ends without an answer only if no call on
+ * it was read whole; and after an answer that says `connection: close` its caller waits for no other.
+ */
+import {callMoments} from './stop-call-moments.test.ts';
+import {connectionMoments} from './stop-connection-moments.test.ts';
+import {type Moment} from './stop-scene.test.ts';
+
+export {lastMoments} from './stop-connection-moments.test.ts';
+
+/** Moments at each door. */
+export const moments: readonly Moment[] = [...callMoments, ...connectionMoments];
