Refuse a body that cannot be read in words, as before

Cause: the door's own handling of unreadable bytes closed a connection in the middle of a call's body without the 400 that node gave. Change: 400 where the answer's head is not out, then the end; an answer in front of unreadable bytes says that its connection ends. Measured: the test fails before and passes; 16 tests of the door pass.

--- a/src/node/front/graceful-server.ts
+++ b/src/node/front/graceful-server.ts
@@ -228,19 +228,28 @@
 
 	/**
 	 * Bytes have come that are no call, or a head has not become whole in time. The answers in front of them go out first;
-	 * where there is none, they are refused.
+	 * where there is none, they are refused. In the middle of a call's body they end that call.
 	 */
 	private _takeUnreadable(error: NodeJS.ErrnoException, socket: Socket): void {
 		const connection = this._callerConnections.get(socket);
-		const isOwnBody = connection?.current?.incoming.complete === false;
-		if (connection === undefined || isOwnBody || socket.destroyed || goneCodes.has(error.code ?? '')) {
+		if (connection === undefined || socket.destroyed || goneCodes.has(error.code ?? '')) {
 			socket.destroy(error);
 			return;
 		}
 
+		const {current, isEnding} = connection;
+		const refusal = `HTTP/1.1 ${unreadableStatuses[error.code ?? ''] ?? '400 Bad Request'}\r\nConnection: close\r\n\r\n`;
 		connection.isUnreadable = true;
-		if (connection.current === undefined && !connection.isEnding) {
-			socket.write(`HTTP/1.1 ${unreadableStatuses[error.code ?? ''] ?? '400 Bad Request'}\r\nConnection: close\r\n\r\n`);
+		if (current?.incoming.complete === false) {
+			if (!current.outgoing.headersSent) {
+				socket.write(refusal);
+			}
+
+			socket.destroy(error);
+		} else if (current !== undefined) {
+			this._announceEnd(connection);
+		} else if (!isEnding) {
+			socket.write(refusal);
 			this._end(connection);
 		}
 	}
--- a/src/node/front/unreadable-calls.test.ts
+++ b/src/node/front/unreadable-calls.test.ts
@@ -48,6 +48,17 @@
 		expect(text.length > largeBytes).toEqual(true);
 	});
 
+	it('are refused in the middle of a body, too', async () => {
+		const {caller, taken} = await openDoor(store, () => undefined);
+		caller.write('POST /1 HTTP/1.1\r\nhost: one.example\r\ntransfer-encoding: chunked\r\n\r\n');
+		while (taken.length === 0) {
+			await delay(1);
+		}
+
+		caller.write('no chunk\r\n');
+		expect(statusesOf(await readAll(caller))).toEqual(['400']);
+	});
+
 	it('do not answer the call in front of them', async () => {
 		const {caller} = await openDoor(store, (_path, outgoing) => {
 			setTimeout(() => outgoing.end('ran'), 1000);
