Let a connection that was opened for a call carry it, and stop listening when no call is taken

Change: a connection that has carried no call stays for it, and the call is refused in words; from 'draining' on the door takes no new connections, once those that have come are accepted, so that later callers are refused by the system, which is proof.

--- a/src/node/front/graceful-server.ts
+++ b/src/node/front/graceful-server.ts
@@ -133,7 +133,20 @@
 		}
 	}
 
-	/** Ends the connections on which nothing is under way, now and whenever one comes to rest. `close` does so too. */
+	/**
+	 * Takes no new connections once those that have come are accepted: closing resets what the system still holds for this
+	 * thread to accept, with the calls on it. Callers that come later are refused by the system, which is proof enough.
+	 */
+	stopListening(): void {
+		afterReading(() => {
+			this.close();
+		});
+	}
+
+	/**
+	 * Ends the connections on which nothing is under way, now and whenever one comes to rest. `close` does so too. One that
+	 * has carried no call yet was opened for one, which may be on its way: it stays for that.
+	 */
 	override closeIdleConnections(): void {
 		this._endsIdle = true;
 		// One that is accepted meanwhile may have its first call with it, unread.
@@ -275,7 +288,8 @@
 	}
 
 	private _endIfIdle(connection: Connection): void {
-		if (connection.current === undefined && connection.socket.bytesRead === connection.bytesAtRest) {
+		const {current, bytesAtRest, socket} = connection;
+		if (current === undefined && bytesAtRest > 0 && socket.bytesRead === bytesAtRest) {
 			this._end(connection);
 		}
 	}
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -133,7 +133,8 @@
 
 	/**
 	 * The VM's life goes on. From `leaving` on each connection ends after its answer; idle ones stay, since a call that
-	 * crosses their end would be lost. From `draining` on no call is taken, and what is idle ends.
+	 * crosses their end would be lost. From `draining` on no call is taken, new connections
+	 * are not accepted, and what is idle ends.
 	 */
 	enter(stage: FleetStage): void {
 		this._stage = stage;
@@ -143,7 +144,7 @@
 
 		if (stage === 'draining') {
 			this._incomplete.refuseAll();
-			this._server.closeIdleConnections();
+			this._server.stopListening();
 		}
 	}
 
