--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -1,12 +1,11 @@
 /** The callers' door where calls are told apart by host and path, and go to services as routes say. */
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Result} from 'neverthrow';
 import {type CallRequest, type RefusalReason} from '../../common/calls/types.ts';
 import {type Failure} from '../../common/errors/failure.ts';
 import {type FleetStage} from '../../common/fleet/types.ts';
-import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
+import {Disposable} from '../../common/lifecycle/disposable.ts';
+import {Emitter} from '../../common/lifecycle/emitter.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 import {type RoutedDialect} from '../../common/protocol/dialect.ts';
 import {type RoutedCall, type RouteTable} from '../../common/routing/route-table.ts';
@@ -15,6 +14,7 @@
 import {listenOn} from '../listening.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {type CallCarrier} from './call-carrier.ts';
+import {type CutAnswer, GracefulServer} from './graceful-server.ts';
 import {LiveCall} from './live-call.ts';
 import {RequestBody} from './request-body.ts';
 import {type StartingHold} from './starting-hold.ts';
@@ -57,25 +57,40 @@
 /** New connections that may wait for this thread: a full queue costs a caller a second, a rush brings hundreds. */
 const listenBacklog = 1024;
 
+/** An answer that was cut, as a reader of logs wants it. */
+export type CutCall = Omit<CutAnswer, 'incoming'> & {readonly traceId: string; readonly stage: FleetStage};
+
 /** Where an answer is made without a call. */
 type Early = {readonly status: number; readonly reason: RefusalReason; readonly retryAfterMilliseconds?: Milliseconds};
 
+/** What a call gets that comes too late to end before the process does. */
+const stoppingAnswer: Early = {status: 503, reason: 'stopping', retryAfterMilliseconds: stoppingRetry};
+
 /** Serves callers on one port. */
 export class RoutedServer extends Disposable {
 	private readonly _parts: RoutedServerParts;
 	private readonly _limits: RoutedServerLimits;
-	private readonly _server: Server;
+	private readonly _server: GracefulServer;
+	private readonly _onAnswerCut = this._register(new Emitter<CutCall>());
+	private readonly _onTurnedAway = this._register(new Emitter<void>());
 	private _callerLimits = firstLimits;
 	private _stage: FleetStage = 'starting';
 	private _hasRoutes = false;
+	/** Calls of which the body is not whole yet, with what refuses each. */
+	private readonly _incomplete = new Map<ServerResponse, () => void>();
 	private _lastCallId = 0;
-	private _unfinishedAnswers = 0;
+
+	/** An answer's connection was closed before the system had all of the answer. */
+	readonly onAnswerCut = this._onAnswerCut.event;
+
+	/** A call was refused because the VM stops. */
+	readonly onTurnedAway = this._onTurnedAway.event;
 
 	constructor(parts: RoutedServerParts, limits: RoutedServerLimits) {
 		super();
 		this._parts = parts;
 		this._limits = limits;
-		this._server = createServer({
+		this._server = this._register(new GracefulServer({
 			maxHeaderSize: firstLimits.headBytes,
 			headersTimeout: firstLimits.headMilliseconds,
 			requestTimeout: 0,
@@ -83,17 +98,16 @@
 			noDelay: true,
 		}, (incoming, outgoing) => {
 			this._take(incoming, outgoing);
-		});
+		}));
 		this._server.maxConnections = limits.connections;
-		this._register(toDisposable(() => {
-			this._server.close();
-			this._server.closeAllConnections();
+		this._register(this._server.onCut(({incoming, ...cut}) => {
+			this._onAnswerCut.fire({...cut, traceId: parts.dialect.readRequest(incoming.headers).traceId, stage: this._stage});
 		}));
 	}
 
-	/** Answers not wholly handed to the operating system yet. */
+	/** Answers that callers do not have yet, as far as this side can know. */
 	get unfinishedAnswers(): number {
-		return this._unfinishedAnswers;
+		return this._server.unfinishedAnswers;
 	}
 
 	/** Starts to listen; resolves with the port. */
@@ -110,25 +124,37 @@
 		this._hasRoutes = true;
 	}
 
-	/** The VM's life goes on; from `leaving` on each connection ends after its answer, from `draining` on no call is taken. */
+	/**
+	 * The VM's life goes on. From `leaving` on each connection ends after its answer; idle ones stay, since a call that
+	 * crosses their end would be lost. From `draining` on no call is taken, and what is idle ends.
+	 */
 	enter(stage: FleetStage): void {
 		this._stage = stage;
-		if (stage === 'leaving') {
+		if (stage === 'leaving' || stage === 'draining') {
+			this._server.leave();
+		}
+
+		if (stage === 'draining') {
+			this._refuseIncomplete();
 			this._server.closeIdleConnections();
 		}
 	}
 
-	private _take(incoming: IncomingMessage, outgoing: ServerResponse): void {
-		this._unfinishedAnswers++;
-		outgoing.once('close', () => {
-			this._unfinishedAnswers--;
-		});
-		if (this._stage !== 'serving') {
-			outgoing.setHeader('connection', 'close');
+	/**
+	 * Guards callers against a body that comes in while the VM stops: a call that is whole only after the last one was taken
+	 * might not end before the process does, and would be cut. Nothing of it has been sent, so it is refused, truly.
+	 */
+	private _refuseIncomplete(): void {
+		for (const refuse of this._incomplete.values()) {
+			refuse();
 		}
 
+		this._incomplete.clear();
+	}
+
+	private _take(incoming: IncomingMessage, outgoing: ServerResponse): void {
 		if (this._stage === 'draining' || this._stage === 'ended') {
-			this._answerEarly(incoming, outgoing, {status: 503, reason: 'stopping', retryAfterMilliseconds: stoppingRetry});
+			this._turnAway(incoming, outgoing);
 			return;
 		}
 
@@ -163,8 +189,20 @@
 		}
 
 		const arrivedAt = performance.now();
+		if (body.isExpected) {
+			this._incomplete.set(outgoing, () => {
+				this._turnAway(incoming, outgoing);
+			});
+			outgoing.once('close', () => {
+				this._incomplete.delete(outgoing);
+			});
+		}
+
 		body.read(() => {
-			if (!outgoing.destroyed) {
+			this._incomplete.delete(outgoing);
+			if (outgoing.writableEnded) {
+				body.discard();
+			} else if (!outgoing.destroyed) {
 				this._admit(incoming, outgoing, {routed, body, arrivedAt});
 			}
 		});
@@ -196,6 +234,11 @@
 		calls.admit(call, {type: 'call-arrived', request});
 	}
 
+	private _turnAway(incoming: IncomingMessage, outgoing: ServerResponse): void {
+		this._onTurnedAway.fire();
+		this._answerEarly(incoming, outgoing, stoppingAnswer);
+	}
+
 	private _answerEarly(incoming: IncomingMessage, outgoing: ServerResponse, {status, reason, retryAfterMilliseconds}: Early): void {
 		incoming.resume();
 		const {headers, body} = this._parts.dialect.refusal({
