--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -192,7 +192,7 @@
 
 			case 'ended': {
 				this._parts.logger.info('stop over', this._stopReport.summary());
-				void this._parts.burnExchange.leaveCopies().then(() => {
+				void Promise.all([this._parts.burnExchange.leaveCopies(), this._parts.operatorServer.end()]).then(() => {
 					this._onEnded.fire();
 				});
 				break;
