Wait a minute for a slow reader of an answer that is in whole

While a slow reader empties what its system holds, this side sees no byte taken; the limit of 5 s is meant for answers that hold a backend server's slot, and had just been put on held answers too. Change: an answer that is in whole has a limit of its own, a minute. Open: an answer that still comes in keeps its 5 s.

--- a/src/node/front/answer-at-stop.test.ts
+++ b/src/node/front/answer-at-stop.test.ts
@@ -45,3 +45,57 @@
 		});
 	}
 });
+
+describe('an answer that is in whole', () => {
+	/** A caller of a door that has all of a large answer; the caller has read nothing of it. */
+	async function leaveUnread(store: DisposableStore, ownLimits: {readonly stallMilliseconds: number; readonly handOverMilliseconds: number}) {
+		const port = await startRaw(store, socket => {
+			socket.on('data', () => {
+				socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${answerBytes}\r\nconnection: close\r\n\r\n`);
+				socket.write(Buffer.alloc(answerBytes, 'a'));
+			});
+		});
+		const {url, ended, server} = await startFront(store, [port], ownLimits);
+		const {hostname, port: door, pathname} = new URL(url);
+		const caller = connect(Number(door), hostname);
+		caller.on('error', () => undefined);
+		store.add(toDisposable(() => caller.destroy()));
+		caller.write(`GET ${pathname}/download HTTP/1.1\r\nhost: one.example\r\nconnection: close\r\n\r\n`);
+		while (ended.length === 0) {
+			await delay(10);
+		}
+
+		return {caller, server};
+	}
+
+	// Story: a caller takes nothing of its answer. Nobody gives it up: its connection and the bytes in it stay for good, and each planned
+	// stop waits for them until its grace time is over.
+	it('is given up when its caller takes nothing of it for long', async () => {
+		const store = new DisposableStore();
+		const {server} = await leaveUnread(store, {stallMilliseconds: 100, handOverMilliseconds: 300});
+		const unfinished = server.unfinishedAnswers;
+		while (server.unfinishedAnswers > 0) {
+			await delay(10);
+		}
+
+		expect(unfinished).toEqual(1);
+		store.dispose();
+	});
+
+	// Story: a caller reads its download slowly. While it empties what its system holds, this side sees no byte taken, and gave it up
+	// in the middle after the time that is meant for answers which hold a backend server.
+	it('outlasts the time after which one that still comes in is given up', async () => {
+		const store = new DisposableStore();
+		const {caller} = await leaveUnread(store, {stallMilliseconds: 100, handOverMilliseconds: 20_000});
+		await delay(800);
+		let received = 0;
+		caller.on('data', (chunk: Buffer) => {
+			received += chunk.length;
+		});
+		await new Promise<void>(resolve => {
+			caller.on('close', resolve);
+		});
+		expect(received > answerBytes).toEqual(true);
+		store.dispose();
+	});
+});
--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -48,6 +48,8 @@
 	readonly headMilliseconds: Milliseconds;
 	/** A caller that takes no byte of its answer for this long is taken for gone. */
 	readonly stallMilliseconds: Milliseconds;
+	/** The same for an answer that is in whole; a minute unless said otherwise. */
+	readonly handOverMilliseconds?: Milliseconds;
 	/** How long an idle connection of a caller is kept. */
 	readonly idleMilliseconds: Milliseconds;
 };
@@ -228,7 +230,7 @@
 			};
 			const {traceId, traceparent} = continueTrace(single(incoming.headers[traceHeader]));
 			const call = new LiveCall(request, {
-				incoming, outgoing, path, body, traceId, traceparent, dialect: this._dialect, stallMilliseconds: this._limits.stallMilliseconds,
+				incoming, outgoing, path, body, traceId, traceparent, dialect: this._dialect, stallMilliseconds: this._limits.stallMilliseconds, handOverMilliseconds: this._limits.handOverMilliseconds,
 			}, this._parts.sink, this._parts.connections);
 			this._parts.calls.admit(call, {type: 'call-arrived', request});
 		});
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -14,6 +14,13 @@
 type Start = CallEffect & {type: 'start-attempt'};
 type Refusal = CallEffect & {type: 'refuse'};
 
+/**
+ * How long a caller may take nothing of an answer that is in whole. Longer than for one that still comes in, which holds a
+ * backend server's slot: this one holds memory alone. A slow reader seems to take nothing while it empties what its system
+ * holds, which tells of room again by the sixteenth of its buffer: 2 MB of 32, read in this time at 35 KB/s.
+ */
+const usualHandOver: Milliseconds = 60_000;
+
 /** Statuses whose answers have no body, so that nothing tells its length. */
 const bodilessStatuses = new Set([204, 304]);
 
@@ -36,6 +43,8 @@
 	readonly dialect: Dialect;
 	/** A caller that takes no byte for this long is taken for gone. */
 	readonly stallMilliseconds: Milliseconds;
+	/** The same for an answer that is in whole. */
+	readonly handOverMilliseconds?: Milliseconds | undefined;
 };
 
 /** A call and its attempts. Ends itself when its answer is out or its caller has gone. */
@@ -49,6 +58,7 @@
 	private readonly _traceparent: string | undefined;
 	private readonly _dialect: Dialect;
 	private readonly _stallMilliseconds: Milliseconds;
+	private readonly _handOverMilliseconds: Milliseconds;
 	private readonly _sink: CallEventSink;
 	private readonly _connections: BackendConnections;
 	private readonly _attempts = new Map<number, BackendAttempt>();
@@ -75,6 +85,7 @@
 		this._dialect = exchange.dialect;
 		this.traceId = exchange.traceId;
 		this._stallMilliseconds = exchange.stallMilliseconds;
+		this._handOverMilliseconds = exchange.handOverMilliseconds ?? usualHandOver;
 		this._body = exchange.body;
 		this._sink = sink;
 		this._connections = connections;
@@ -283,6 +294,7 @@
 		this._outgoing.end();
 		if (this._outgoing.writableLength > 0) {
 			this._waitForCaller();
+			this._outgoing.setTimeout(this._handOverMilliseconds);
 		}
 	}
 
