--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -229,8 +229,9 @@
 				mayRetry: incoming.headers[retryHeader] !== 'none',
 			};
 			const {traceId, traceparent} = continueTrace(single(incoming.headers[traceHeader]));
+			const {stallMilliseconds, handOverMilliseconds} = this._limits;
 			const call = new LiveCall(request, {
-				incoming, outgoing, path, body, traceId, traceparent, dialect: this._dialect, stallMilliseconds: this._limits.stallMilliseconds, handOverMilliseconds: this._limits.handOverMilliseconds,
+				incoming, outgoing, path, body, traceId, traceparent, dialect: this._dialect, stallMilliseconds, handOverMilliseconds,
 			}, this._parts.sink, this._parts.connections);
 			this._parts.calls.admit(call, {type: 'call-arrived', request});
 		});
