--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -59,7 +59,7 @@
 /** New connections that may wait for this thread: a full queue costs a caller a second, a rush brings hundreds. */
 const listenBacklog = 1024;
 
-/** Longest that the end of the process waits for them: less than a half of what a bounded stop leaves for its last steps. */
+/** Longest that the end of the process waits for the last refusals: less than a half of what a bounded stop leaves for its last steps. */
 const longestEnd: Milliseconds = 100;
 
 /** An answer that was cut, as a reader of logs wants it. */
@@ -133,8 +133,8 @@
 
 	/**
 	 * The VM's life goes on. From `leaving` on each connection ends after its answer; idle ones stay, since a call that
-	 * crosses their end would be lost. From `draining` on no call is taken, new connections
-	 * are not accepted, and what is idle ends.
+	 * crosses their end would be lost. From `draining` on no call is taken, new connections are not accepted, and what is
+	 * idle ends.
 	 */
 	enter(stage: FleetStage): void {
 		this._stage = stage;
