Serve calls of a route that was just added, and late ones while room is plentiful

Cost was learnt by method and path pattern, and new routes have the pattern of the old ones: their quick calls (1 to 5 ms) counted as 950 ms of work, too long for an objective of 1 s and a timeout of 0.4 to 1 s; the chance before the deadline, 0.19 to 0.48, lay below the 0.93 that a late call needed.

Change: work is learnt by route; a new route starts knowing nothing, and of too many the least recently called is forgotten. While most reports tell of room, a late call takes a half empty backend server from a chance of 0.5 on. A refusal's line now gives its grounds, an attempt's the choice that was made.

Ruled out: quota (there is none), few backend servers known (16 of 16), no slot.

--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -299,6 +299,7 @@
 			slots: server.declared.slots,
 			workTimeFactor: server.report?.workTimeFactor,
 			reportAgeMilliseconds: server.report === undefined ? undefined : now - server.reportedAt,
+			grounds: call.grounds,
 		});
 		call.state = purpose === 'resume' ? 'answering' : 'running';
 		call.attemptCount++;
--- a/src/common/calls/call-classes.ts
+++ b/src/common/calls/call-classes.ts
@@ -1,4 +1,4 @@
-/** What calls cost, learnt by class: a service's calls of one method and path pattern cost alike. */
+/** What calls cost, learnt by class: a service's calls of one method and route, or else of one path pattern, cost alike. */
 import {type Milliseconds} from '../model/units.ts';
 import {DecayingHistogram} from './decaying-histogram.ts';
 import {type CallRequest} from './types.ts';
@@ -65,6 +65,8 @@
 /** All classes of one service. */
 export class CallClasses {
 	private readonly _classes = new Map<string, CallClass>();
+	/** Classes of routes, the one called last at the end. */
+	private readonly _routes = new Map<string, CallClass>();
 	private readonly _patterns = new Map<string, string>();
 	private readonly _all: CallClass;
 	private readonly _most: number;
@@ -80,8 +82,12 @@
 		return this._all;
 	}
 
-	/** The class of a call; calls beyond the number of classes share the service's mean. */
+	/** The class of a call; calls without a route beyond the number of classes share the service's mean. */
 	classOf(request: CallRequest): CallClass {
+		if (request.rule !== undefined) {
+			return this._ofRoute(`${request.method} ${request.rule.route}`);
+		}
+
 		const key = request.path === undefined ? request.method : `${request.method} ${this._patternOf(request.path)}`;
 		const known = this._classes.get(key);
 		if (known !== undefined) {
@@ -92,8 +98,33 @@
 			return this._all;
 		}
 
+		return this._make(this._classes, key);
+	}
+
+	/**
+	 * Guards a route that was just added: judged by what the calls of other routes have taken, its calls would be refused
+	 * as too long for its timeout while every backend server is idle, and never teach anything else. It starts knowing
+	 * nothing. Operators name routes and replace them, so of too many those that were not called for longest are forgotten.
+	 */
+	private _ofRoute(key: string): CallClass {
+		const known = this._routes.get(key);
+		if (known === undefined) {
+			if (this._routes.size >= this._most) {
+				const [oldest] = this._routes.keys();
+				this._routes.delete(oldest!);
+			}
+
+			return this._make(this._routes, key);
+		}
+
+		this._routes.delete(key);
+		this._routes.set(key, known);
+		return known;
+	}
+
+	private _make(classes: Map<string, CallClass>, key: string): CallClass {
 		const made = new CallClass(this._all.answerMean);
-		this._classes.set(key, made);
+		classes.set(key, made);
 		return made;
 	}
 
--- a/src/common/calls/call-endings.ts
+++ b/src/common/calls/call-endings.ts
@@ -126,6 +126,7 @@
 				milliseconds,
 				queuedMilliseconds: (call.firstStartedAt ?? now) - call.arrivedAt,
 				...(call.trail === undefined ? {} : {trail: call.trail}),
+				...(call.grounds === undefined ? {} : {grounds: call.grounds}),
 				isGood: isWhole && milliseconds <= objectiveOf(call),
 			},
 		});
--- a/src/common/calls/call.ts
+++ b/src/common/calls/call.ts
@@ -8,7 +8,7 @@
 import {type ServiceState} from './service-state.ts';
 import {type TimerEntry} from './timer-queue.ts';
 import {
-	type AttemptId, type AttemptRecord, type CallOutcome, type CallRequest,
+	type AttemptId, type AttemptRecord, type CallOutcome, type CallRequest, type PlacingGrounds,
 } from './types.ts';
 
 /** Where a call stands. */
@@ -76,6 +76,8 @@
 	readonly failedOn: Set<BackendServerState>;
 	/** Its attempts and what decided on them; undefined where measuring is by the clock. */
 	readonly trail: AttemptRecord[] | undefined;
+	/** What the latest look for a place saw. */
+	grounds: PlacingGrounds | undefined;
 	/** Reports are being fetched for its next attempt. */
 	scouting: Scouting | undefined;
 	/** A backend server that had a free slot turned it away: it fails, and is not full. */
@@ -110,6 +112,7 @@
 		firstStartedAt: undefined,
 		failedOn: new Set(),
 		trail: serviceState.isMeasuredOnDemand ? [] : undefined,
+		grounds: undefined,
 		scouting: undefined,
 		wasShedWithRoom: false,
 		resets: 0,
--- a/src/common/calls/demand-placer.ts
+++ b/src/common/calls/demand-placer.ts
@@ -8,6 +8,7 @@
 import {type EngineContext} from './engine-context.ts';
 import {roomyPart} from './load-levels.ts';
 import {type Placement, type Placer, connectionLimit} from './placer.ts';
+import {type PlacingChoice, type PlacingGrounds} from './types.ts';
 
 /** Spread of chance over expected worths, so that VMs with like knowledge do not all ask the same few. */
 const candidateSpread = 0.6;
@@ -51,14 +52,24 @@
 /** A backend server where a fresh call has less than this chance is of use to late ones only. */
 const uselessChance = 0.35;
 
-/** Chance of an answer before the deadline below which a late call is refused: its caller learns at once. */
+/** Chance of an answer before the deadline below which a late call is refused where room is short: its caller learns at once. */
 const fairLateChance = 0.93;
 
+/**
+ * The same where room is plentiful and a late call takes nothing from others. Below it a refusal, which says at once and
+ * truly that nothing has run, is of more use to the caller than an answer that will hardly come.
+ */
+const leastLateChance = 0.5;
+
 /** Bytes of a call and its answer besides the body: heads, and what connections cost. */
 const headBytes = 700;
 
 const kilobyte = 1024;
 
+/** Ways of placing a call that can still wait, and one that has waited as long as makes sense, in order of choice. */
+const patientOrder = ['free'] as const;
+const impatientOrder = ['free', 'queued', 'slow', 'idle'] as const;
+
 /** What an attempt is expected to bring. */
 type Expectation = {
 	/**
@@ -113,8 +124,10 @@
 
 	place(call: Call, now: Instant, purpose: AttemptPurpose = 'first'): Placement | undefined {
 		const isPatient = purpose === 'hedge' || (purpose === 'first' && !isImpatient(call, now));
-		const {free, queued, slow, idle} = this._best(call, now, isPatient ? fairChance : lastChance);
-		return placementOf(free.server ?? (isPatient ? undefined : queued.server ?? slow.server ?? idle.server));
+		const best = this._best(call, now, isPatient ? fairChance : lastChance);
+		const choice = (isPatient ? patientOrder : impatientOrder).find(one => best[one].server !== undefined);
+		call.grounds = {...best.grounds, choice: choice ?? 'none'};
+		return choice === undefined ? undefined : {server: best[choice].server!, isExperiment: false};
 	}
 
 	/** What is known of a backend server for one more call. */
@@ -127,23 +140,30 @@
 		};
 	}
 
-	/** The best backend server for each way of placing the call. */
-	private _best(call: Call, now: Instant, chance: number): Record<'free' | 'queued' | 'slow' | 'idle', Dearest> {
+	/** The best backend server for each way of placing the call, and what was seen. */
+	private _best(call: Call, now: Instant, chance: number): Record<Exclude<PlacingChoice, 'none'>, Dearest> & {readonly grounds: Omit<PlacingGrounds, 'choice'>} {
 		const best = {
 			free: new Dearest(), queued: new Dearest(), slow: new Dearest(), idle: new Dearest(),
 		};
+		let withFreeSlot = 0;
+		let bestInTime = 0;
+		let bestAtAll = 0;
 		const known = this._known(call, now);
+		const fairLate = call.serviceState.roominess.isPlentiful ? leastLateChance : fairLateChance;
 		const fair = known.isYoung ? chance : blindChance;
 		const reliable = mostTaken(known.servers, now);
 		for (const server of known.servers) {
 			const {slots} = server.declared;
 			const load = server.reportedLoad + 1;
 			const {inTime, atAll, worth} = this._expect(server, call, now, reliable);
+			withFreeSlot += load <= slots ? 1 : 0;
+			bestInTime = Math.max(bestInTime, inTime);
+			bestAtAll = Math.max(bestAtAll, atAll);
 			if (inTime >= fair) {
 				(load <= slots ? best.free : best.queued).offer(server, worth);
 			}
 
-			if (atAll < fairLateChance || load > slots) {
+			if (atAll < fairLate || load > slots) {
 				continue;
 			}
 
@@ -154,7 +174,22 @@
 			}
 		}
 
-		return best;
+		return {
+			...best,
+			grounds: {
+				known: call.serviceState.servers.length,
+				able: known.able,
+				weighed: known.servers.length,
+				withFreeSlot,
+				inTime: bestInTime,
+				inTimeNeeded: fair,
+				atAll: bestAtAll,
+				workMilliseconds: workEstimate(call),
+				isWorkLearnt: call.class.hasWork,
+				objectiveLeftMilliseconds: call.objectiveAt - now,
+				timeLeftMilliseconds: call.deadline - now,
+			},
+		};
 	}
 
 	/**
@@ -162,10 +197,11 @@
 	 * VM asks a few of its many backend servers, and an old report of the others looks better than the young ones of
 	 * those that are full. Where no report is young, since none was allowed or none came, all count.
 	 */
-	private _known(call: Call, now: Instant): {readonly servers: readonly BackendServerState[]; readonly isYoung: boolean} {
+	private _known(call: Call, now: Instant): {readonly servers: readonly BackendServerState[]; readonly isYoung: boolean; readonly able: number} {
 		const able = call.serviceState.servers.filter(server => this._mayTake(server, call) && hasRoom(server));
 		const young = able.filter(server => now - server.reportedAt <= youngMilliseconds);
-		return young.length > 0 ? {servers: young, isYoung: true} : {servers: able, isYoung: false};
+		const isYoung = young.length > 0;
+		return {servers: isYoung ? young : able, isYoung, able: able.length};
 	}
 
 	/** Its neighbours slow it down so much that a fresh call would hardly be answered there within its objective. */
@@ -228,10 +264,6 @@
 	}
 }
 
-function placementOf(server: BackendServerState | undefined): Placement | undefined {
-	return server === undefined ? undefined : {server, isExperiment: false};
-}
-
 /** A call has waited for a backend server that answers within its objective as long as that makes sense. */
 export function isImpatient(call: Call, now: Instant): boolean {
 	return now >= Math.min(call.arrivedAt + (patience * objectiveOf(call)), call.objectiveAt - workEstimate(call));
--- a/src/common/calls/demand-placing.test.ts
+++ b/src/common/calls/demand-placing.test.ts
@@ -1,13 +1,11 @@
 import {expect} from 'earl';
 import {
-	configurationOf, EngineDriver, linesOf, reportOf, requestOf, type Start, startIn,
+	answerMeasures as answer, configurationOf, EngineDriver, linesOf, type Measure, measuresOf, reportOf, requestOf, type Start, startIn,
 } from './engine-driver.test.ts';
-import {type CallEffect, type CallRule, type LoadReport} from './types.ts';
-
-type Measure = CallEffect & {type: 'measure'};
+import {type CallEffect, type CallRule} from './types.ts';
 
 const rule: CallRule = {
-	isIdempotent: true, timeoutMilliseconds: 1200, objectiveMilliseconds: 300, mostAttempts: 3, priority: 0,
+	route: 'reads', isIdempotent: true, timeoutMilliseconds: 1200, objectiveMilliseconds: 300, mostAttempts: 3, priority: 0,
 };
 
 /** An engine whose only service is measured on demand; it may send as many measuring calls as a test needs. */
@@ -21,15 +19,6 @@
 	});
 }
 
-function measuresOf(effects: readonly CallEffect[]): Measure[] {
-	return effects.filter((effect): effect is Measure => effect.type === 'measure');
-}
-
-/** Answers measuring calls by what is known of each backend server; the effects that follow. */
-function answer(driver: EngineDriver, measures: readonly Measure[], reportFor: (identity: string) => LoadReport | undefined): CallEffect[] {
-	return measures.flatMap(({measurementId, identity}) => [...driver.handle({type: 'measured', measurementId, report: reportFor(identity)})]);
-}
-
 const quiet = () => reportOf('p', {workTimeFactor: 1});
 const slow = () => reportOf('p', {workTimeFactor: 7});
 
--- a/src/common/calls/engine-driver.test.ts
+++ b/src/common/calls/engine-driver.test.ts
@@ -116,3 +116,16 @@
 export function startIn(effects: readonly CallEffect[]): Start | undefined {
 	return effects.find((effect): effect is Start => effect.type === 'start-attempt');
 }
+
+/** One measuring call that the engine asks for. */
+export type Measure = CallEffect & {type: 'measure'};
+
+/** The measuring calls among effects. */
+export function measuresOf(effects: readonly CallEffect[]): Measure[] {
+	return effects.filter((effect): effect is Measure => effect.type === 'measure');
+}
+
+/** Answers measuring calls by what is known of each backend server; the effects that follow. */
+export function answerMeasures(driver: EngineDriver, measures: readonly Measure[], reportFor: (identity: string) => LoadReport | undefined): CallEffect[] {
+	return measures.flatMap(({measurementId, identity}) => [...driver.handle({type: 'measured', measurementId, report: reportFor(identity)})]);
+}
--- a/src/common/calls/returning-callers.test.ts
+++ b/src/common/calls/returning-callers.test.ts
@@ -3,7 +3,7 @@
 import {type CallRule} from './types.ts';
 
 const rule: CallRule = {
-	isIdempotent: true, timeoutMilliseconds: 1200, objectiveMilliseconds: 300, mostAttempts: 3, priority: 0,
+	route: 'reads', isIdempotent: true, timeoutMilliseconds: 1200, objectiveMilliseconds: 300, mostAttempts: 3, priority: 0,
 };
 
 function afterUsual(times: readonly number[]): ReturningCallers {
--- a/src/common/calls/roominess.ts
+++ b/src/common/calls/roominess.ts
@@ -19,6 +19,9 @@
 /** Fewest that are asked: two calls at the same moment must not both have only one choice. */
 const fewestQuestions = 2;
 
+/** Part of the latest reports that told of room from which on room is plentiful: a rush leaves less of it. */
+const plentifulPart = 0.5;
+
 /**
  * Says how many backend servers to ask at once. Guards the cost of measuring: when three in four have room, two answers
  * are enough and the others are asked only if these have none; when one in three has, four are asked.
@@ -32,6 +35,11 @@
 		this._part.add(isRoomy ? 1 : 0);
 	}
 
+	/** Most backend servers have room: a call that takes some leaves enough for others. */
+	get isPlentiful(): boolean {
+		return this._part.value >= plentifulPart;
+	}
+
 	/** Backend servers to ask, at most `most`. */
 	questions(most: number): number {
 		const needed = Math.ceil(Math.log(inVain) / Math.log(Math.max(inVain, 1 - this._part.value)));
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -39,6 +39,8 @@
 
 /** What the route of a call says of it. It goes before the service's own rules. */
 export type CallRule = {
+	/** Name of the route: what its calls cost is learnt by it. */
+	readonly route: string;
 	/** The call may run more than once. */
 	readonly isIdempotent: boolean;
 	/** Longest that its caller is kept waiting. */
@@ -292,12 +294,43 @@
 	readonly workTimeFactor: number | undefined;
 	/** Age of that report; undefined = there was none. */
 	readonly reportAgeMilliseconds: Milliseconds | undefined;
+	/** What the choice went by. */
+	readonly grounds: PlacingGrounds | undefined;
+};
+
+/** How a place was chosen: a free slot in time, a queue in time, a slow backend server, a half empty one, or none at all. */
+export type PlacingChoice = 'free' | 'queued' | 'slow' | 'idle' | 'none';
+
+/** What the latest look for a place saw, and by which limits it judged. Chances are parts of 1. */
+export type PlacingGrounds = {
+	readonly choice: PlacingChoice;
+	/** Backend servers of the service that are known here. */
+	readonly known: number;
+	/** Those of them that may take the call: not leaving, with room, and not one that has failed it. */
+	readonly able: number;
+	/** Those of them that were weighed: with a young report where there are any. */
+	readonly weighed: number;
+	/** Those of them with a free slot. */
+	readonly withFreeSlot: number;
+	/** Best chance of an answer within the objective, and the chance that was asked for. */
+	readonly inTime: number;
+	readonly inTimeNeeded: number;
+	/** Best chance of an answer before the deadline. */
+	readonly atAll: number;
+	/** Time that the work of the call takes where nothing slows it down; `isWorkLearnt` false = assumed. */
+	readonly workMilliseconds: Milliseconds;
+	readonly isWorkLearnt: boolean;
+	/** Time left for an answer within the objective, and before the deadline. */
+	readonly objectiveLeftMilliseconds: Milliseconds;
+	readonly timeLeftMilliseconds: Milliseconds;
 };
 
 /** What a call came to. */
 export type CallSummary = {
 	/** Its attempts in order, where measuring is on demand. */
 	readonly trail?: readonly AttemptRecord[];
+	/** What the latest look for a place saw; undefined = none was looked for, or measuring is by the clock. */
+	readonly grounds?: PlacingGrounds;
 	readonly service: string;
 	readonly outcome: CallOutcome;
 	readonly reason: RefusalReason | undefined;
--- a/src/common/registry/registry-driver.test.ts
+++ b/src/common/registry/registry-driver.test.ts
@@ -40,7 +40,7 @@
 					routes: [{
 						name: 'all', host: 'one', prefix: '/', parts: [{service: 'orders', weight: 1}],
 						rule: {
-							isIdempotent: true, timeoutMilliseconds: 1500, objectiveMilliseconds: 300, mostAttempts: 2, priority: 0,
+							route: 'main', isIdempotent: true, timeoutMilliseconds: 1500, objectiveMilliseconds: 300, mostAttempts: 2, priority: 0,
 						},
 					}],
 					limits: {
--- /dev/null
+++ b/src/daemon/describe-call.test.ts
@@ -0,0 +1,36 @@
+import {expect} from 'earl';
+import {type PlacingGrounds} from '../common/calls/types.ts';
+import {describeAttempt, describeGrounds} from './describe-call.ts';
+
+const grounds: PlacingGrounds = {
+	choice: 'none',
+	known: 321,
+	able: 310,
+	weighed: 4,
+	withFreeSlot: 4,
+	inTime: 0.345,
+	inTimeNeeded: 0.72,
+	atAll: 0.19,
+	workMilliseconds: 1159.4,
+	isWorkLearnt: true,
+	objectiveLeftMilliseconds: 982,
+	timeLeftMilliseconds: 844.2,
+};
+
+describe('what decided about a call', () => {
+	// Story: a call was refused without an attempt, and its line said "overloaded" and nothing else. Whether its backend
+	// servers were full, unknown or thought too slow could not be told from any log.
+	it('stands in the line of a refusal that no attempt preceded', () => {
+		expect(describeGrounds(grounds)).toEqual('321 backend servers known, 310 able, 4 weighed, 4 with a free slot; work 1159 ms, 982 ms left to the objective and 844 ms in all; best chance in time 35% of 72% needed, at all 19%');
+	});
+
+	it('says when work is assumed, and when no place was looked for', () => {
+		expect([describeGrounds({...grounds, isWorkLearnt: false}).includes('work 1159 ms assumed'), describeGrounds(undefined)]).toEqual([true, 'no place was looked for']);
+	});
+
+	it('stands with each attempt', () => {
+		expect(describeAttempt({
+			backendServer: 'i-1', purpose: 'first', atMilliseconds: 2, load: 0, slots: 6, workTimeFactor: 1, reportAgeMilliseconds: 0, grounds: {...grounds, choice: 'free'},
+		})).toEqual('first at 2 ms to i-1: 0/6 calls, work time 1, report 0 ms old, free of 4, in time 35%');
+	});
+});
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -1,6 +1,5 @@
 /** The life of an entry VM whose fleet the platform's store leads: its doors open, its deciders run, and it ends in time. */
 import {type Result} from 'neverthrow';
-import {type AttemptRecord} from '../common/calls/types.ts';
 import {describeFailure, type Failure} from '../common/errors/failure.ts';
 import {type EntryVm} from '../common/entry-vm/entry-vm.ts';
 import {type EntryVmEffect, type EntryVmEvent} from '../common/entry-vm/types.ts';
@@ -25,6 +24,7 @@
 import {LineBudget} from '../node/logging/line-budget.ts';
 import {type LogControl, type Logger} from '../node/logging/types.ts';
 import {type Metrics} from '../node/metrics/types.ts';
+import {describeAttempt, describeGrounds} from './describe-call.ts';
 import {StopReport} from './stop-report.ts';
 
 /** The parts of the daemon, made by the wiring. */
@@ -59,12 +59,6 @@
 /** Lines a second for calls that came to nothing or late: what explains a failure is left out last. */
 const badLinesASecond = 100;
 
-/** One attempt as a reader of logs wants it: where, why, by which news and how old. */
-function describeAttempt({backendServer, purpose, atMilliseconds, load, slots, workTimeFactor, reportAgeMilliseconds}: AttemptRecord): string {
-	const news = reportAgeMilliseconds === undefined ? 'no report' : `report ${Math.round(reportAgeMilliseconds)} ms old`;
-	return `${purpose} at ${Math.round(atMilliseconds)} ms to ${backendServer}: ${load}/${slots} calls, work time ${workTimeFactor ?? '?'}, ${news}`;
-}
-
 /** Splits `IP:PORT`. */
 export function splitEndpoint(endpoint: string): {readonly address: string; readonly port: number} {
 	const colon = endpoint.lastIndexOf(':');
@@ -213,7 +207,7 @@
 			return;
 		}
 
-		const {service, outcome, reason, attempts, milliseconds, queuedMilliseconds, trail = []} = summary;
+		const {service, outcome, reason, attempts, milliseconds, queuedMilliseconds, grounds, trail = []} = summary;
 		logger.info('call ended', {
 			traceId,
 			service,
@@ -223,6 +217,7 @@
 			milliseconds: Math.round(milliseconds),
 			queuedMilliseconds: Math.round(queuedMilliseconds),
 			trail: trail.map(record => describeAttempt(record)).join('; '),
+			...(reason === undefined ? {} : {grounds: describeGrounds(grounds)}),
 			...(leftOut === 0 ? {} : {leftOut}),
 		});
 	}
