--- a/src/common/entry-vm/entry-vm.ts
+++ b/src/common/entry-vm/entry-vm.ts
@@ -8,24 +8,27 @@
 	type Decider, type EntryVmEffect, type EntryVmEvent, type OuterCallEffect, type OuterFleetEvent,
 } from './types.ts';
 
-const fleetEventTypes: ReadonlySet<EntryVmEvent['type']> = new Set<OuterFleetEvent['type']>([
-	'started',
-	'store-replied',
-	'peer-message',
-	'peer-unreachable',
-	'news',
-	'news-ended',
-	'vm-list',
-	'operator-change',
-	'operator-drain',
-	'returned',
-	'traffic',
-	'stop-requested',
-	'woke',
-]);
+/** A record, so that an event that is missing here does not compile: it would go to the call engine, which knows nothing of it. */
+const fleetEventTypes: Readonly<Record<OuterFleetEvent['type'], true>> = {
+	started: true,
+	'store-replied': true,
+	'peer-message': true,
+	'peer-unreachable': true,
+	news: true,
+	'news-ended': true,
+	'member-announced': true,
+	'member-ended': true,
+	'vm-list': true,
+	'operator-change': true,
+	'operator-drain': true,
+	returned: true,
+	traffic: true,
+	'stop-requested': true,
+	woke: true,
+};
 
 function isFleetEvent(event: EntryVmEvent): event is OuterFleetEvent {
-	return fleetEventTypes.has(event.type);
+	return Object.hasOwn(fleetEventTypes, event.type);
 }
 
 const callEffectTypes: ReadonlySet<EntryVmEffect['type']> = new Set<OuterCallEffect['type']>([
--- a/src/common/fleet/fake-store.test.ts
+++ b/src/common/fleet/fake-store.test.ts
@@ -41,6 +41,11 @@
 				return {type: 'written', revision: this.revision};
 			}
 
+			// Only a fleet that the store leads asks for it.
+			case 'write-all': {
+				return {type: 'unavailable'};
+			}
+
 			case 'watch': {
 				const entries = [...this.entries.values()].filter(({key, revision}) => key.startsWith(operation.prefix) && revision > operation.after);
 				return {
--- a/src/common/fleet/types.ts
+++ b/src/common/fleet/types.ts
@@ -10,7 +10,7 @@
 import {type Resource, type ResourceKey, type StoredResource} from '../model/resources.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type ListedVm, type StoreOperation, type StoreReply} from '../platform/types.ts';
-import {type NewsFrame} from '../registry/types.ts';
+import {type MemberAnnouncement, type NewsFrame} from '../registry/types.ts';
 import {type PeerMessage} from './peer-messages.ts';
 
 /** Names one process of jaydale: 128 random bits in base64url. A restart under the same address is another member. */
@@ -131,6 +131,10 @@
 		| {readonly type: 'news'; readonly source: PeerAddress; readonly frame: NewsFrame}
 	/** The VM that was followed tells nothing more, or could not be reached. */
 		| {readonly type: 'news-ended'; readonly source: PeerAddress}
+	/** A VM that follows this one says who it is, or that it leaves. */
+		| {readonly type: 'member-announced'; readonly announcement: MemberAnnouncement}
+	/** The stream of a VM that followed this one has ended. */
+		| {readonly type: 'member-ended'; readonly identity: string}
 	/** The platform's list, read every few seconds by the adapter. */
 		| {readonly type: 'vm-list'; readonly vms: readonly ListedVm[]}
 		| {readonly type: 'operator-change'; readonly requestId: number; readonly change: OperatorChange}
@@ -169,6 +173,8 @@
 		| {readonly type: 'follow-news'; readonly source: PeerAddress | undefined}
 	/** Tell this to the VMs that follow this one. */
 		| {readonly type: 'tell-news'; readonly frame: NewsFrame}
+	/** Tell the VM that is followed who this one is. */
+		| {readonly type: 'announce'; readonly announcement: MemberAnnouncement}
 	/** For the call engine: in force from now on. `version` only grows. */
 		| {readonly type: 'configured'; readonly configuration: CallConfiguration}
 		| {readonly type: 'shares'; readonly shares: FleetShares}
--- a/src/common/platform/types.ts
+++ b/src/common/platform/types.ts
@@ -15,15 +15,29 @@
 	readonly value: string;
 	/** Revision of the latest write of this key; what a compare-and-swap names. */
 	readonly revision: Revision;
+	/** Revision at which the key came to be; later writes leave it as it is. */
+	readonly createdAt?: Revision;
+};
+
+/** One of several writes that are made together or not at all. */
+export type StoreWrite = {
+	readonly key: string;
+	/** Revision that the key must have; 0 = it must not be there. */
+	readonly expected: Revision;
+	/** undefined = the key is removed. */
+	readonly value: string | undefined;
 };
 
 /** A request to the key-value service. Each counts as one call there, a waiting watch too. */
 export type StoreOperation
 	= | {readonly type: 'get'; readonly key: string}
-		| {readonly type: 'list'; readonly prefix: string}
+	/** `mayBeOld` = a copy of some seconds ago will do, which costs less; its revision says how old. */
+		| {readonly type: 'list'; readonly prefix: string; readonly mayBeOld?: boolean}
 	/** Writes only if the key's revision is `expected` (0 = only if absent). A lease removes it when it lapses. */
 		| {readonly type: 'compare-and-swap'; readonly key: string; readonly expected: Revision; readonly value: string; readonly leaseId?: string}
 		| {readonly type: 'delete'; readonly key: string; readonly expected: Revision}
+	/** At most 32 writes, made together or not at all. What is put is held by the lease. */
+		| {readonly type: 'write-all'; readonly writes: readonly StoreWrite[]; readonly leaseId: string}
 		| {readonly type: 'grant-lease'; readonly milliseconds: Milliseconds}
 		| {readonly type: 'keep-lease'; readonly leaseId: string}
 		| {readonly type: 'revoke-lease'; readonly leaseId: string}
@@ -37,6 +51,8 @@
 		| {readonly type: 'written'; readonly revision: Revision}
 	/** The compare-and-swap lost; `entry` is what stands there now. */
 		| {readonly type: 'conflict'; readonly entry: StoreEntry | undefined}
+	/** A key had another revision than expected: nothing was written. Those of all keys now; 0 = not there. */
+		| {readonly type: 'not-all-as-expected'; readonly revisions: ReadonlyMap<string, Revision>}
 		| {readonly type: 'lease'; readonly leaseId: string; readonly milliseconds: Milliseconds}
 		| {readonly type: 'lease-lost'}
 	/** What changed; deleted keys are named. No change within the time: both lists empty. */
--- a/src/common/registry/lapsed-while-turning.test.ts
+++ b/src/common/registry/lapsed-while-turning.test.ts
@@ -8,8 +8,7 @@
 function afterLapse(): RegistryDriver {
 	const driver = new RegistryDriver();
 	driver.start([...servers, ...others]);
-	driver.reply('grant-lease', {type: 'lease', leaseId: '7', milliseconds: 3000});
-	driver.reply('compare-and-swap', {type: 'written', revision: 12});
+	driver.publish();
 	driver.lose(6000);
 	while (!driver.asked.some(({operation}) => operation.type === 'watch')) {
 		driver.passTime(20);
@@ -54,6 +53,7 @@
 	it('are read anew by a VM that reads on after it was told', () => {
 		const driver = afterLapse();
 		driver.news(told);
+		driver.news({revision: 31});
 		driver.handle({type: 'news-ended', source: driver.source!});
 		while (driver.source !== undefined) {
 			driver.handle({type: 'news-ended', source: driver.source});
--- /dev/null
+++ b/src/common/registry/member-keeper.ts
@@ -0,0 +1,434 @@
+/** Keeps the entries of VMs in the store for those that take their news from this one, and the own entry of a VM that reads. */
+import {type Instant, type Milliseconds} from '../model/units.ts';
+import {type Revision, type StoreReply, type StoreWrite} from '../platform/types.ts';
+import {type RegistryContext} from './registry-context.ts';
+import {type MemberAnnouncement} from './types.ts';
+
+/** Most writes that the store accepts at once. */
+const mostWrites = 32;
+
+/**
+ * Time for which writes are gathered. A fleet that starts announces itself within a third of a second: gathered, the store
+ * gets a call for some dozens of VMs in place of two for each.
+ */
+const gatherMilliseconds: Milliseconds = 100;
+
+/** Renewals in one term of the lease: one may be lost before it lapses, and each is a call that is paid for. */
+const renewalsATerm = 2.5;
+
+/** Pause before a step that failed is tried again. */
+const retryMilliseconds: Milliseconds = 700;
+
+/**
+ * A VM whose stream has ended without a word was killed, or lost its connection and is back in a moment. One that was
+ * killed stands among the answers for this long, where callers pass it over at the first refused connection.
+ */
+const endedMilliseconds: Milliseconds = 1000;
+
+/**
+ * The same of a VM that has said that it turns to another one, which writes its entry anew. Guards a VM whose new keeper
+ * cannot write yet: removed meanwhile, it would be out of the answers till it has found a third one.
+ */
+const turningMilliseconds: Milliseconds = 6000;
+
+/** How often members that have fallen silent are looked for. */
+const lookMilliseconds: Milliseconds = 1000;
+
+/**
+ * Beats without a word after which a member counts as dead. Guards callers against a VM that lost power: nothing ends its
+ * stream, and its entry would be renewed for as long as this VM lives.
+ */
+const silentBeats = 2.5;
+
+/** What became of a member's entry. */
+type MemberState
+	/** It is to be written. */
+	= | 'wanted'
+	/** It stands in the store under this VM's lease. */
+		| 'kept'
+	/** Its stream has ended: another VM may write it. */
+		| 'turning'
+	/** It is to be removed. */
+		| 'leaving';
+
+type Member = {
+	readonly identity: string;
+	value: string;
+	state: MemberState;
+	/**
+	 * What this VM's own write of it followed, and the revision that it came to. A store that counts each key of a
+	 * transaction tells the last one: the entry itself may have any between the two.
+	 */
+	before: Revision;
+	written: Revision | undefined;
+	/** Revision that the next write expects, if it is known better than from the store's news. */
+	expected: Revision | undefined;
+	heardAt: Instant;
+	/** When its entry is removed, unless another VM has written it by then. */
+	endsAt: Instant;
+	/** It has said itself that it leaves: its entry goes, whoever wrote it last. */
+	hasSaidSo: boolean;
+};
+
+/** What the keeper asks and tells its surroundings. */
+export type MemberKeeperListener = {
+	/** This VM reads the store itself. */
+	isReading(): boolean;
+	/** The store answers, as far as this VM knows: what is sent into its silence keeps later writes waiting. */
+	isStoreThere(): boolean;
+	/** Revision of a key, as this VM knows the store; undefined = there is no such key. */
+	revisionOf(key: string): Revision | undefined;
+	/** The store has taken these writes, which came to this revision. */
+	onWritten(writes: readonly StoreWrite[], revision: Revision): void;
+};
+
+/**
+ * Answers the pattern "the platform counts each call, and its rates grow more slowly than the fleet": one lease and a few
+ * transactions hold the entries of all VMs that follow this one. Which failures are met, and how, stands in
+ * docs/design/platform.md.
+ */
+export class MemberKeeper {
+	private readonly _context: RegistryContext;
+	private readonly _listener: MemberKeeperListener;
+	private readonly _members = new Map<string, Member>();
+	private _leaseId: string | undefined;
+	private _isAsking = false;
+	private _lookedAt: Instant = 0;
+
+	constructor(context: RegistryContext, listener: MemberKeeperListener) {
+		this._context = context;
+		this._listener = listener;
+	}
+
+	/** Other VMs have their entries kept here. */
+	get hasMembers(): boolean {
+		const {identity} = this._context.settings;
+		return [...this._members.values()].some(member => member.identity !== identity && (member.state === 'wanted' || member.state === 'kept'));
+	}
+
+	/** A VM says who it is, or that it leaves. */
+	take({identity, value, intent}: MemberAnnouncement): void {
+		if (intent === 'leave') {
+			this.release(identity);
+			return;
+		}
+
+		if (intent === 'turn') {
+			this._end(identity, turningMilliseconds);
+			return;
+		}
+
+		const {now} = this._context;
+		const member = this._members.get(identity) ?? {
+			identity, value, state: 'wanted', before: 0, written: undefined, expected: undefined, heardAt: now, endsAt: now, hasSaidSo: false,
+		};
+		this._members.set(identity, member);
+		member.heardAt = now;
+		const stands = member.value === value && this._isOwnWrite(member, this._standing(member));
+		member.value = value;
+		if (stands) {
+			member.state = 'kept';
+		} else {
+			member.state = 'wanted';
+			this._planFlush(gatherMilliseconds);
+		}
+
+		this._planLook();
+	}
+
+	/** The stream of a VM has ended. */
+	noteEnded(identity: string): void {
+		this._end(identity, endedMilliseconds);
+	}
+
+	/** The entry of this VM is to be removed at once: callers must not be sent there any more. */
+	release(identity: string): void {
+		const member = this._members.get(identity);
+		if (member === undefined) {
+			return;
+		}
+
+		member.hasSaidSo = true;
+		member.state = 'leaving';
+		this._flush();
+	}
+
+	/** Another VM keeps the entry from now on: nothing is removed. */
+	forget(identity: string): void {
+		this._members.delete(identity);
+	}
+
+	/**
+	 * The store says that a key is gone. Guards members against a lease that lapses or is taken away under a living holder:
+	 * it shows as VMs that serve and get no callers.
+	 */
+	onRemoved(key: string): void {
+		const member = this._members.get(this._identityOf(key));
+		if (member?.state === 'kept') {
+			this._context.log('warn', 'the entry of a VM that is kept here was removed; it is written again', {vm: member.identity});
+			member.state = 'wanted';
+			member.written = undefined;
+			member.expected = 0;
+			this._planFlush(gatherMilliseconds);
+		}
+	}
+
+	/** The store has answered: what waited for that is written. */
+	onRead(): void {
+		if (this._due().length > 0) {
+			this._planFlush(gatherMilliseconds);
+		}
+	}
+
+	private _end(identity: string, patience: Milliseconds): void {
+		const member = this._members.get(identity);
+		if (member === undefined || member.state === 'leaving' || member.state === 'turning') {
+			return;
+		}
+
+		member.state = 'turning';
+		member.endsAt = this._context.now + patience;
+		this._planLook();
+	}
+
+	private _keyOf(identity: string): string {
+		return this._context.settings.layout.vmPrefix + identity;
+	}
+
+	private _identityOf(key: string): string {
+		return key.slice(this._context.settings.layout.vmPrefix.length);
+	}
+
+	private _planFlush(pause: Milliseconds): void {
+		const at = this._context.now + pause;
+		if (pause === 0 || !this._context.timers.has('members-flush')) {
+			this._context.timers.set('members-flush', at, () => {
+				this._flush();
+			});
+		}
+	}
+
+	/** Writes what waits, one transaction after the other. A VM that is told itself leaves it until it reads. */
+	private _flush(): void {
+		if (this._isAsking || !this._listener.isStoreThere()) {
+			return;
+		}
+
+		this._dropUnwritten();
+		const due = this._due().slice(0, mostWrites);
+		if (due.length === 0) {
+			return;
+		}
+
+		const leaseId = this._leaseId;
+		if (leaseId === undefined && due.some(({state}) => state === 'wanted')) {
+			this._grant();
+			return;
+		}
+
+		const writes: StoreWrite[] = due.map(member => ({
+			key: this._keyOf(member.identity),
+			expected: this._expectedOf(member),
+			value: member.state === 'wanted' ? member.value : undefined,
+		}));
+		this._isAsking = true;
+		this._context.ask({type: 'write-all', writes, leaseId: leaseId ?? ''}, reply => {
+			this._isAsking = false;
+			this._takeWritten(reply, due, writes);
+		});
+	}
+
+	/** Members that leave and have no entry. */
+	private _dropUnwritten(): void {
+		for (const member of this._members.values()) {
+			if (member.state === 'leaving' && this._expectedOf(member) === 0) {
+				this._members.delete(member.identity);
+			}
+		}
+	}
+
+	/** Removals go out also while another VM tells this one its news: callers must not wait for that to change. */
+	private _due(): Member[] {
+		const isReading = this._listener.isReading();
+		return [...this._members.values()].filter(({state}) => state === 'leaving' || (state === 'wanted' && isReading));
+	}
+
+	private _expectedOf({identity, expected, written}: Member): Revision {
+		return expected ?? this._listener.revisionOf(this._keyOf(identity)) ?? written ?? 0;
+	}
+
+	/** Revision of the entry as this VM knows the store. */
+	private _standing({identity}: Member): Revision | undefined {
+		return this._listener.revisionOf(this._keyOf(identity));
+	}
+
+	private _isOwnWrite({before, written}: Member, revision: Revision | undefined): boolean {
+		return written !== undefined && revision !== undefined && revision > before && revision <= written;
+	}
+
+	private _takeWritten(reply: StoreReply, due: readonly Member[], writes: readonly StoreWrite[]): void {
+		switch (reply.type) {
+			case 'written': {
+				this._settle(due, writes, reply.revision);
+				this._planFlush(0);
+				break;
+			}
+
+			case 'not-all-as-expected': {
+				this._takeConflict(due, writes, reply.revisions);
+				this._planFlush(0);
+				break;
+			}
+
+			case 'lease-lost': {
+				this._loseLease();
+				break;
+			}
+
+			default: {
+				// Whether it took effect is not known: the next try expects what the store says then.
+				this._planFlush(retryMilliseconds);
+			}
+		}
+	}
+
+	private _settle(due: readonly Member[], writes: readonly StoreWrite[], revision: Revision): void {
+		for (const [index, member] of due.entries()) {
+			const {expected, value} = writes[index]!;
+			if (value === undefined) {
+				this._members.delete(member.identity);
+				continue;
+			}
+
+			member.before = expected;
+			member.written = revision;
+			member.expected = undefined;
+			// It may have begun to leave, or to turn, while the write was under way.
+			if (member.state === 'wanted') {
+				member.state = 'kept';
+			}
+		}
+
+		this._listener.onWritten(writes, revision);
+	}
+
+	/** What is to be removed and was written by another VM meanwhile belongs to that one. */
+	private _takeConflict(due: readonly Member[], writes: readonly StoreWrite[], revisions: ReadonlyMap<string, Revision>): void {
+		for (const [index, member] of due.entries()) {
+			const {key, expected} = writes[index]!;
+			const found = revisions.get(key) ?? 0;
+			if (member.state === 'leaving' && found !== expected && !member.hasSaidSo) {
+				this._members.delete(member.identity);
+			} else if (found !== expected) {
+				member.expected = found;
+			}
+		}
+	}
+
+	private _grant(): void {
+		this._isAsking = true;
+		this._context.ask({type: 'grant-lease', milliseconds: this._context.settings.leaseMilliseconds}, reply => {
+			this._isAsking = false;
+			if (reply.type !== 'lease') {
+				this._planFlush(retryMilliseconds);
+				return;
+			}
+
+			this._leaseId = reply.leaseId;
+			this._planRenewal();
+			this._flush();
+		});
+	}
+
+	private _planRenewal(pause: Milliseconds = this._context.settings.leaseMilliseconds / renewalsATerm): void {
+		this._context.timers.set('members-lease', this._context.now + pause, () => {
+			this._renew();
+		});
+	}
+
+	/** A lease that holds nothing, or only what is to go, is left to lapse. */
+	private _renew(): void {
+		const leaseId = this._leaseId;
+		if (leaseId === undefined || [...this._members.values()].every(({state}) => state === 'leaving')) {
+			this._leaseId = undefined;
+			return;
+		}
+
+		this._context.ask({type: 'keep-lease', leaseId}, reply => {
+			if (this._leaseId !== leaseId) {
+				return;
+			}
+
+			if (reply.type === 'lease-lost') {
+				this._loseLease();
+			} else {
+				this._planRenewal(reply.type === 'lease' ? undefined : retryMilliseconds);
+			}
+		});
+	}
+
+	/** Guards members whose lease lapsed while the store was away: all are written again under a new one. */
+	private _loseLease(): void {
+		this._leaseId = undefined;
+		this._context.log('warn', 'the lease on the entries of VMs has lapsed; they are written again', {vms: this._members.size});
+		for (const member of this._members.values()) {
+			// What was written under the lease is gone with it, whatever others still tell.
+			member.written = undefined;
+			if (member.state === 'kept') {
+				member.state = 'wanted';
+			}
+		}
+
+		this._planFlush(gatherMilliseconds);
+	}
+
+	private _planLook(): void {
+		if (this._context.timers.has('members-look') || this._members.size === 0) {
+			return;
+		}
+
+		this._lookedAt = this._context.now;
+		this._context.timers.set('members-look', this._context.now + lookMilliseconds, () => {
+			this._look();
+		});
+	}
+
+	private _look(): void {
+		const {now, settings} = this._context;
+		// Guards members of a VM that was itself frozen: it wakes with all their words unread, and would take them for dead.
+		const wasAway = now - this._lookedAt > 2 * lookMilliseconds;
+		for (const member of this._members.values()) {
+			if (wasAway) {
+				member.heardAt = now;
+			} else if (member.state === 'turning') {
+				this._lookAtTurning(member);
+			} else if (member.identity !== settings.identity && member.state !== 'leaving' && now - member.heardAt > silentBeats * settings.memberBeatMilliseconds) {
+				this._context.log('info', 'a VM that is kept here has fallen silent', {vm: member.identity});
+				this._drop(member);
+			}
+		}
+
+		this._planLook();
+	}
+
+	/** The entry of a VM that another one has written is that one's affair; one that nobody writes is removed in time. */
+	private _lookAtTurning(member: Member): void {
+		if (!this._isOwnWrite(member, this._standing(member)) || this._context.now >= member.endsAt) {
+			this._drop(member);
+		}
+	}
+
+	/**
+	 * A VM is taken for gone, by its silence alone: its entry is removed if this VM wrote it last. Guards one that lives and
+	 * has turned to another VM against removal by all that kept it before.
+	 */
+	private _drop(member: Member): void {
+		if (!this._isOwnWrite(member, this._standing(member))) {
+			this._members.delete(member.identity);
+			return;
+		}
+
+		member.state = 'leaving';
+		this._flush();
+	}
+}
--- a/src/common/registry/news-log.ts
+++ b/src/common/registry/news-log.ts
@@ -17,6 +17,12 @@
 		return this._entries.get(key)?.revision;
 	}
 
+	/** Revision at which this key came to be. */
+	createdAt(key: string): Revision | undefined {
+		const entry = this._entries.get(key);
+		return entry?.createdAt ?? entry?.revision;
+	}
+
 	/** Takes an entry in; one that means nothing new (`isNews` false) is only kept for VMs that come later. */
 	put(entry: StoreEntry, isNews: boolean): void {
 		this._entries.set(entry.key, entry);
--- a/src/common/registry/news-source.ts
+++ b/src/common/registry/news-source.ts
@@ -30,8 +30,12 @@
 /** A VM that accepts the connection answers at once; longer, and it is frozen, cut off, or gone. */
 const helloMilliseconds: Milliseconds = 300;
 
-/** While reading itself, a VM tries one other VM after another this far apart: a fleet that has just started settles in it. */
-const tryMilliseconds: Milliseconds = 700;
+/**
+ * While reading itself, a VM tries one other VM after another. The pauses grow: in a fleet that has just started the others
+ * are there a moment later, and each VM that still reads by then costs a call.
+ */
+const firstTryMilliseconds: Milliseconds = 100;
+const longestTryMilliseconds: Milliseconds = 700;
 
 /** What the choice tells its surroundings. */
 export type NewsSourceListener = {
@@ -39,6 +43,8 @@
 	onRead(isReading: boolean): void;
 	/** Take the news of this VM; undefined = of none. */
 	onFollow(source: PeerAddress | undefined): void;
+	/** Others go by what this VM reads, and it keeps their entries: it reads on until they have turned to another one. */
+	hasMembers(): boolean;
 };
 
 /**
@@ -57,6 +63,10 @@
 	/** VMs that were lost since one had fresh news. */
 	private _losses = 0;
 	private _hasStarted = false;
+	private _hasBeenFresh = false;
+	/** The VM that is followed has said something. */
+	private _hasSpoken = false;
+	private _tryPause = firstTryMilliseconds;
 	/** Other VMs may still go by what this one reads. */
 	private _readsUntil: Instant = Number.NEGATIVE_INFINITY;
 	/** When the store was in the state that this VM knows. */
@@ -77,6 +87,16 @@
 		return this._source;
 	}
 
+	/** Some VM has told fresh news since the start. */
+	get hasBeenFresh(): boolean {
+		return this._hasBeenFresh;
+	}
+
+	/** VM whose news are fresh and spare this one the store; undefined = there is none. */
+	get freshSource(): PeerAddress | undefined {
+		return this._state === 'following' ? this._source : undefined;
+	}
+
 	/** Other VMs may be tried from now on. `isSeed` = others begin with this one, and it reads for them until they know more. */
 	start(isSeed: boolean): void {
 		this._hasStarted = true;
@@ -118,15 +138,31 @@
 
 	/** The VM that is followed has spoken: its news are this old. */
 	noteNews(age: Milliseconds): void {
+		this._hasSpoken = true;
 		this._freshAt = Math.max(this._freshAt, this._context.now - age);
-		if (age < this._limit(switchPart) && this._context.now >= this._readsUntil) {
+		if (age < this._limit(switchPart) && this._mayStopReading()) {
 			this._losses = 0;
+			this._hasBeenFresh = true;
+			this._readsUntil = Number.NEGATIVE_INFINITY;
+			this._tryPause = firstTryMilliseconds;
 			this._send('FRESH');
 			this._watchAge();
 			this._planReturn();
 		}
 	}
 
+	/**
+	 * Who reads for others reads on for some seconds, in which they turn to the one that tells this VM. Without an end to
+	 * that, VMs that follow one another in a row would all read.
+	 */
+	private _mayStopReading(): boolean {
+		if (this._state === 'reading' && this._readsUntil === Number.NEGATIVE_INFINITY && this._listener.hasMembers()) {
+			this._readsUntil = this._context.now + retiringMilliseconds;
+		}
+
+		return this._context.now >= this._readsUntil;
+	}
+
 	/** The VM that is followed has closed the connection, or could not be reached. */
 	noteEnded(source: PeerAddress): void {
 		if (source === this._source) {
@@ -167,9 +203,10 @@
 			return;
 		}
 
-		this._follow(sources[this._turn % sources.length]);
+		this._turn %= sources.length;
+		this._follow(sources[this._turn]);
 		this._context.timers.set('news-hello', this._context.now + helloMilliseconds, () => {
-			if (this._state === 'switching') {
+			if (this._state === 'switching' || (this._state === 'following' && !this._hasSpoken)) {
 				this._lose();
 			}
 		});
@@ -178,9 +215,10 @@
 
 	/** A VM that reads for itself goes on looking for one that spares it the calls. */
 	private _planTry(): void {
-		this._context.timers.set('news-try', this._context.now + tryMilliseconds, () => {
+		this._context.timers.set('news-try', this._context.now + this._tryPause, () => {
 			if (this._state === 'reading') {
 				this._turn += 1;
+				this._tryPause = Math.min(longestTryMilliseconds, this._tryPause * 2);
 				this._tryNext();
 			}
 		});
@@ -217,6 +255,7 @@
 	private _follow(source: PeerAddress | undefined): void {
 		if (source !== this._source) {
 			this._source = source;
+			this._hasSpoken = false;
 			this._context.log('debug', 'turns to another VM for its news', {source: source ?? '', state: this._state, turn: this._turn});
 			this._listener.onFollow(source);
 		}
--- a/src/common/registry/own-entry.test.ts
+++ b/src/common/registry/own-entry.test.ts
@@ -3,9 +3,10 @@
 
 const entries = [entryOf('configuration', '1'), entryOf('servers/a', 'orders 10.0.1.1 ready')];
 
-/** Operations that wait for the store's answer, by type and lease. */
+/** Operations that wait for the store's answer, but for watches. */
 function waiting(driver: RegistryDriver): string[] {
-	return driver.asked.filter(({operation}) => operation.type !== 'watch').map(({operation}) => `${operation.type} ${'leaseId' in operation ? operation.leaseId ?? '' : ''}`.trim());
+	return driver.asked.map(({operation}) => operation).filter(({type}) => type !== 'watch').map(operation =>
+		operation.type === 'write-all' ? operation.writes.map(({key, value}) => `${value === undefined ? 'remove' : 'put'} ${key}`).join(', ') : operation.type);
 }
 
 describe('the own entry of a VM that stops', () => {
@@ -16,10 +17,11 @@
 		const driver = new RegistryDriver();
 		driver.start(entries);
 		driver.reply('grant-lease', {type: 'lease', leaseId: 'lease-1', milliseconds: 3000});
-		expect(waiting(driver)).toEqual(['compare-and-swap lease-1']);
+		expect(waiting(driver)).toEqual(['put vms/own']);
 		driver.handle({type: 'stop-requested', by: 'signal'});
-		driver.reply('compare-and-swap', {type: 'written', revision: 21});
-		expect(waiting(driver)).toEqual(['revoke-lease lease-1']);
+		driver.reply('write-all', {type: 'written', revision: 21});
+		driver.passTime(0);
+		expect(waiting(driver)).toEqual(['remove vms/own']);
 	});
 
 	// Story: the store refuses a request or loses its answer, which it does under load, just when a VM takes its entry back.
@@ -28,14 +30,14 @@
 		it(`is taken back again when the store did not say that it is gone: ${type}`, () => {
 			const driver = new RegistryDriver();
 			driver.start(entries);
-			driver.reply('grant-lease', {type: 'lease', leaseId: 'lease-1', milliseconds: 3000});
-			driver.reply('compare-and-swap', {type: 'written', revision: 21});
+			driver.publish();
 			driver.handle({type: 'stop-requested', by: 'signal'});
-			expect(waiting(driver)).toEqual(['revoke-lease lease-1']);
-			driver.reply('revoke-lease', {type});
+			driver.passTime(0);
+			expect(waiting(driver)).toEqual(['remove vms/own']);
+			driver.reply('write-all', {type});
 			driver.passTime(1000);
-			expect(waiting(driver)).toEqual(['revoke-lease lease-1']);
-			driver.reply('revoke-lease', {type: 'lease-lost'});
+			expect(waiting(driver)).toEqual(['remove vms/own']);
+			driver.reply('write-all', {type: 'not-all-as-expected', revisions: new Map([['vms/own', 0]])});
 			driver.passTime(1000);
 			expect(waiting(driver)).toEqual([]);
 		});
@@ -45,12 +47,11 @@
 	it('is taken back again through the stages of the stop', () => {
 		const driver = new RegistryDriver();
 		driver.start(entries);
-		driver.reply('grant-lease', {type: 'lease', leaseId: 'lease-1', milliseconds: 3000});
-		driver.reply('compare-and-swap', {type: 'written', revision: 21});
+		driver.publish();
 		driver.handle({type: 'stop-requested', by: 'signal'});
 		driver.passTime(4000);
-		driver.reply('revoke-lease', {type: 'unavailable'});
+		driver.reply('write-all', {type: 'unavailable'});
 		driver.passTime(1000);
-		expect({stage: driver.stages.at(-1), waiting: waiting(driver)}).toEqual({stage: 'ended', waiting: ['revoke-lease lease-1']});
+		expect({stage: driver.stages.at(-1), waiting: waiting(driver)}).toEqual({stage: 'ended', waiting: ['remove vms/own']});
 	});
 });
--- a/src/common/registry/own-entry.ts
+++ b/src/common/registry/own-entry.ts
@@ -1,180 +1,180 @@
-/** This VM's own entry in the store, held by a lease. */
+/** Sees to it that this VM's own entry stands in the store: kept by the VM that it follows, else by itself. */
+import chart from '../../../charts/own-entry.json' with {type: 'json'};
+import {type PeerAddress} from '../fleet/types.ts';
 import {type Milliseconds} from '../model/units.ts';
-import {type Revision, type StoreReply} from '../platform/types.ts';
+import {chartTable} from './chart-table.ts';
+import {type MemberKeeper} from './member-keeper.ts';
 import {type RegistryContext} from './registry-context.ts';
-import {type DocumentReader} from './types.ts';
+import {type DocumentReader, type MemberAnnouncement} from './types.ts';
 
-/** Renewals in one term of the lease: one may be lost before it lapses, and each is a call that is paid for. */
-const renewalsATerm = 2.5;
+type State = keyof typeof chart.states;
+type Event = 'WANTED' | 'FOLLOWS' | 'READS' | 'ALONE' | 'WITHDRAWN';
 
-/** Pause before a step that failed is tried again. */
-const retryMilliseconds: Milliseconds = 700;
+const table = chartTable<State>(chart);
+
+/**
+ * Time for which a VM without anybody to follow looks for one before it writes its entry itself. A fleet that starts, or
+ * has lost a reader, settles in it; after it one VM pays for itself, so that it has callers also where it is alone.
+ */
+const seekingMilliseconds: Milliseconds = 700;
+
+/**
+ * Time after an announcement in which the entry is to be seen in the news. Guards a VM that follows one which lost the
+ * announcement, or cannot write: it would serve, and no caller would be sent to it.
+ */
+const confirmMilliseconds: Milliseconds = 2500;
+
+/** Where this VM stands towards the others. */
+export type OwnStanding = {
+	/** The VM whose fresh news are taken; undefined = of none. */
+	readonly source: PeerAddress | undefined;
+	/** Others go by what this VM reads. */
+	readonly isReader: boolean;
+};
 
 export class OwnEntry {
 	private readonly _context: RegistryContext;
 	private readonly _documents: DocumentReader;
-	private readonly _onRevision: (revision: Revision | undefined) => void;
-	private _leaseId: string | undefined;
-	private _isWanted = false;
-
-	/** `onRevision` is told when the entry stands in the store, and undefined when it does no longer. */
-	constructor(context: RegistryContext, documents: DocumentReader, onRevision: (revision: Revision | undefined) => void) {
+	private readonly _keeper: MemberKeeper;
+	private _state: State = 'absent';
+	private _source: PeerAddress | undefined;
+	private _isReader = false;
+	/** The entry is known to stand in the store. */
+	private _isSeen = false;
+
+	constructor(context: RegistryContext, documents: DocumentReader, keeper: MemberKeeper) {
 		this._context = context;
 		this._documents = documents;
-		this._onRevision = onRevision;
+		this._keeper = keeper;
+	}
+
+	/** This VM writes its entry itself: whether it stands is known from the store alone. */
+	get isKeptHere(): boolean {
+		return this._state === 'kept-here';
 	}
 
-	/** Writes the entry, and writes it again whenever it is lost. */
+	/** Has the entry written, and written again whenever it is lost. */
 	publish(): void {
-		if (!this._isWanted) {
-			this._isWanted = true;
-			this._grant();
+		if (this._state !== 'absent') {
+			return;
 		}
+
+		this._enter('WANTED');
+		this._settle();
 	}
 
 	/** Takes the entry back at once: callers must not be sent here any more. */
 	withdraw(): void {
-		if (!this._isWanted) {
+		if (this._state === 'absent') {
 			return;
 		}
 
-		this._isWanted = false;
-		this._onRevision(undefined);
 		this._context.timers.clear('own-entry');
-		if (this._leaseId !== undefined) {
-			this._revoke(this._leaseId);
-			this._leaseId = undefined;
+		this._context.timers.clear('own-beat');
+		this._announce('leave');
+		this._keeper.release(this._context.settings.identity);
+		this._enter('WITHDRAWN');
+	}
+
+	/** Whom this VM follows, or whether it reads, may have changed. */
+	review({source, isReader}: OwnStanding): void {
+		if (source !== this._source || isReader !== this._isReader) {
+			this._source = source;
+			this._isReader = isReader;
+			this._settle();
 		}
 	}
 
-	/**
-	 * The store says that the entry is gone. Guards against a lease that lapses or is taken away under a living
-	 * holder: it shows as a VM that serves and gets no callers.
-	 */
-	onRemoved(): void {
-		if (this._isWanted && this._leaseId !== undefined) {
-			this._context.log('warn', 'the own entry was removed; it is written again');
-			this._loseLease();
+	/** This VM is about to leave the one that keeps its entry for another. */
+	noteTurning(): void {
+		if (this._state === 'announced') {
+			this._announce('turn');
 		}
 	}
 
-	private get _key(): string {
-		return this._context.settings.layout.vmPrefix + this._context.settings.identity;
+	/** The entry stands in the store, or does no longer. */
+	noteSeen(isSeen: boolean): void {
+		const wasLost = this._isSeen && !isSeen;
+		this._isSeen = isSeen;
+		if (!wasLost || this._state === 'absent' || this._state === 'kept-here') {
+			return;
+		}
+
+		this._context.log('warn', 'the own entry was removed; it is announced again');
+		if (this._state === 'announced') {
+			this._announce();
+			this._planConfirmation();
+		} else {
+			this._planKeeping();
+		}
 	}
 
-	private _grant(): void {
-		this._context.timers.clear('own-entry');
-		this._context.ask({type: 'grant-lease', milliseconds: this._context.settings.leaseMilliseconds}, reply => {
-			if (!this._isWanted) {
-				return;
-			}
+	private _settle(): void {
+		if (this._state === 'absent') {
+			return;
+		}
 
-			if (reply.type === 'lease') {
-				this._write(reply.leaseId, 0);
-			} else {
-				this._again(() => {
-					this._grant();
-				});
-			}
-		});
+		if (this._isReader) {
+			this._keepHere();
+		} else if (this._source !== undefined) {
+			this._enter('FOLLOWS');
+			this._keeper.forget(this._context.settings.identity);
+			this._announce();
+			this._beat();
+			this._planConfirmation();
+		} else if (this._state !== 'kept-here') {
+			this._enter('ALONE');
+			this._planKeeping();
+		}
 	}
 
-	private _write(leaseId: string, expected: number): void {
-		const value = this._documents.writeVm(this._context.settings.own);
-		this._context.ask({
-			type: 'compare-and-swap', key: this._key, expected, value, leaseId,
-		}, reply => {
-			if (this._isWanted) {
-				this._takeWritten(reply, leaseId);
-			} else {
-				this._revoke(leaseId);
-			}
-		});
+	private _keepHere(): void {
+		this._enter('READS');
+		this._context.timers.clear('own-entry');
+		this._context.timers.clear('own-beat');
+		this._keeper.take(this._announcement('stay'));
 	}
 
 	/**
-	 * Ends the lease, and the entry with it. Guards callers against the address of a VM that has ended: an entry whose
-	 * write was under way when it was taken back, or whose end the store did not confirm, would stand till its lease lapses.
+	 * An entry that still stands is left to whoever keeps it. Guards the store against a whole fleet that loses its news at
+	 * once, as when the store falls silent: each VM would ask for a lease of its own, over and over.
 	 */
-	private _revoke(leaseId: string): void {
-		this._context.ask({type: 'revoke-lease', leaseId}, reply => {
-			if (reply.type === 'unavailable' || reply.type === 'unknown') {
-				this._again(() => {
-					this._revoke(leaseId);
-				});
+	private _planKeeping(): void {
+		this._context.timers.set('own-entry', this._context.now + seekingMilliseconds, () => {
+			if (!this._isSeen) {
+				this._keepHere();
 			}
 		});
 	}
 
-	private _takeWritten(reply: StoreReply, leaseId: string): void {
-		switch (reply.type) {
-			case 'written': {
-				this._leaseId = leaseId;
-				this._onRevision(reply.revision);
-				this._planRenewal();
-
-				break;
-			}
-
-			case 'conflict': {
-			// An earlier write whose answer was lost, perhaps under a lease that nobody renews: it is replaced.
-				this._write(leaseId, reply.entry?.revision ?? 0);
-
-				break;
-			}
-
-			case 'lease-lost': {
-				this._grant();
-
-				break;
+	private _planConfirmation(): void {
+		this._context.timers.set('own-entry', this._context.now + confirmMilliseconds, () => {
+			if (!this._isSeen) {
+				this._context.log('warn', 'the own entry does not stand in the store though it was announced; this VM writes it itself');
+				this._keepHere();
 			}
-
-			default: {
-				this._again(() => {
-					this._write(leaseId, 0);
-				});
-			}
-		}
+		});
 	}
 
-	private _planRenewal(): void {
-		const {leaseMilliseconds} = this._context.settings;
-		this._context.timers.set('own-entry', this._context.now + (leaseMilliseconds / renewalsATerm), () => {
-			this._renew();
+	/** Tells the VM that keeps the entry that this one lives. */
+	private _beat(): void {
+		const {memberBeatMilliseconds} = this._context.settings;
+		this._context.timers.set('own-beat', this._context.now + memberBeatMilliseconds, () => {
+			this._announce();
+			this._beat();
 		});
 	}
 
-	private _renew(): void {
-		const leaseId = this._leaseId;
-		if (leaseId === undefined) {
-			return;
-		}
-
-		this._context.ask({type: 'keep-lease', leaseId}, reply => {
-			if (!this._isWanted || this._leaseId !== leaseId) {
-				return;
-			}
-
-			if (reply.type === 'lease-lost') {
-				this._context.log('warn', 'the lease on the own entry has lapsed; it is written again');
-				this._loseLease();
-			} else if (reply.type === 'lease') {
-				this._planRenewal();
-			} else {
-				this._again(() => {
-					this._renew();
-				});
-			}
-		});
+	private _announce(intent: MemberAnnouncement['intent'] = 'stay'): void {
+		this._context.emit({type: 'announce', announcement: this._announcement(intent)});
 	}
 
-	private _loseLease(): void {
-		this._leaseId = undefined;
-		this._onRevision(undefined);
-		this._grant();
+	private _announcement(intent: MemberAnnouncement['intent']): MemberAnnouncement {
+		const {identity, own} = this._context.settings;
+		return {identity, value: this._documents.writeVm(own), intent};
 	}
 
-	private _again(action: () => void): void {
-		this._context.timers.set('own-entry', this._context.now + retryMilliseconds, action);
+	private _enter(event: Event): void {
+		this._state = table.get(this._state)?.get(event) ?? this._state;
 	}
 }
--- a/src/common/registry/registry-driver.test.ts
+++ b/src/common/registry/registry-driver.test.ts
@@ -7,9 +7,12 @@
 import {type StoreEntry, type StoreOperation, type StoreReply} from '../platform/types.ts';
 import {seededRandom} from '../random/random.ts';
 import {RegistryFleet} from './registry-fleet.ts';
-import {type DocumentReader, type NewsFrame, type RegistrySettings} from './types.ts';
+import {
+	type DocumentReader, type MemberAnnouncement, type NewsFrame, type RegistrySettings,
+} from './types.ts';
 
-const settings: RegistrySettings = {
+/** What the engine of a test's VM is told; a test of a whole fleet gives each VM an identity and an address. */
+export const settings: RegistrySettings = {
 	identity: 'own',
 	own: {
 		callAddress: '10.0.0.1:80', peerAddress: '10.0.0.1:90', dataCentre: 'north', linkMegabits: 100,
@@ -18,6 +21,7 @@
 		configurationKey: 'configuration', serverPrefix: 'servers/', vmPrefix: 'vms/', commonPrefix: '',
 	},
 	leaseMilliseconds: 3000,
+	memberBeatMilliseconds: 1500,
 	watchPauseMilliseconds: 500,
 	convergeMilliseconds: 2000,
 	seeds: [],
@@ -27,7 +31,7 @@
 };
 
 /** Documents in a form of the tests' own: `version`, `service address state [start]`, or an address. */
-const documents: DocumentReader = {
+export const documents: DocumentReader = {
 	configuration(value) {
 		const version = Number(value);
 		return Number.isNaN(version)
@@ -85,6 +89,10 @@
 	readonly effects: FleetEffect[] = [];
 	/** What other VMs were told, oldest first. */
 	readonly told: NewsFrame[] = [];
+	/** What this VM told the one that it follows about itself. */
+	readonly announced: MemberAnnouncement[] = [];
+	/** VMs that it has turned to, oldest first. */
+	readonly followed: string[] = [];
 	/** Whose news are taken now. */
 	source: string | undefined;
 	now = 0;
@@ -104,8 +112,15 @@
 					break;
 				}
 
+				case 'announce': {
+					this.announced.push(effect.announcement);
+
+					break;
+				}
+
 				case 'follow-news': {
 					this.source = effect.source;
+					this.followed.push(...effect.source === undefined ? [] : [effect.source]);
 
 					break;
 				}
@@ -135,13 +150,23 @@
 		this.now = end;
 	}
 
-	/** The engine has read these entries and watches on. */
+	/** The engine has read these entries, first from a copy that may be old and then what came since, and watches on. */
 	start(entries: readonly StoreEntry[]): void {
 		this.handle({type: 'started'});
 		this.reply('list', {type: 'entries', entries, revision: 10});
+		this.passTime(600);
+		this.reply('watch', {
+			type: 'changes', entries: [], deleted: [], revision: 10,
+		});
 		this.passTime(500);
 	}
 
+	/** The engine, which follows nobody, has written its own entry. */
+	publish(): void {
+		this.reply('grant-lease', {type: 'lease', leaseId: '7', milliseconds: 3000});
+		this.reply('write-all', {type: 'written', revision: 12});
+	}
+
 	/** The watch that waits brings these changes; the next one begins. */
 	change(entries: readonly StoreEntry[], deleted: readonly string[] = [], revision = 20): void {
 		while (!this.asked.some(({operation}) => operation.type === 'watch')) {
--- a/src/common/registry/registry-fleet.test.ts
+++ b/src/common/registry/registry-fleet.test.ts
@@ -102,8 +102,7 @@
 	function published(): RegistryDriver {
 		const driver = new RegistryDriver();
 		driver.start(twoServers);
-		driver.reply('grant-lease', {type: 'lease', leaseId: '7', milliseconds: 3000});
-		driver.reply('compare-and-swap', {type: 'written', revision: 12});
+		driver.publish();
 		return driver;
 	}
 
@@ -119,24 +118,30 @@
 		const driver = new RegistryDriver();
 		driver.start(twoServers);
 		driver.reply('grant-lease', {type: 'lease', leaseId: '7', milliseconds: 3000});
-		driver.reply('compare-and-swap', {type: 'unknown'});
+		driver.reply('write-all', {type: 'unknown'});
 		driver.passTime(700);
-		driver.reply('compare-and-swap', {type: 'conflict', entry: entryOf('vms/own', 'x', 12)});
-		const swap = driver.asked.find(({operation}) => operation.type === 'compare-and-swap')?.operation;
-		expect(swap?.type === 'compare-and-swap' ? swap.expected : undefined).toEqual(12);
+		driver.reply('write-all', {type: 'not-all-as-expected', revisions: new Map([['vms/own', 12]])});
+		driver.passTime(0);
+		const write = driver.asked.find(({operation}) => operation.type === 'write-all')?.operation;
+		expect(write?.type === 'write-all' ? write.writes.map(({expected}) => expected) : undefined).toEqual([12]);
 	});
 
 	// Story: the store takes leases away and tells no holder. The VM serves on, and no caller is sent to it.
 	it('is written again when it was removed', () => {
 		const driver = published();
 		driver.change([], ['vms/own']);
-		expect(driver.asked.some(({operation}) => operation.type === 'grant-lease')).toEqual(true);
+		driver.reply('write-all', {type: 'lease-lost'});
+		driver.passTime(100);
+		driver.reply('grant-lease', {type: 'lease', leaseId: '8', milliseconds: 3000});
+		const write = driver.asked.find(({operation}) => operation.type === 'write-all')?.operation;
+		expect(write).toEqual({type: 'write-all', writes: [{key: 'vms/own', expected: 0, value: '10.0.0.1:80'}], leaseId: '8'});
 	});
 
 	it('is taken back at once by the order to stop', () => {
 		const driver = published();
 		driver.handle({type: 'stop-requested', by: 'signal'});
-		expect(driver.asked.some(({operation}) => operation.type === 'revoke-lease')).toEqual(true);
+		const write = driver.asked.find(({operation}) => operation.type === 'write-all')?.operation;
+		expect(write?.type === 'write-all' ? write.writes : undefined).toEqual([{key: 'vms/own', expected: 12, value: undefined}]);
 		expect(driver.fleet.addresses('orders', 'north').addresses).toEqual([]);
 	});
 });
--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -5,8 +5,9 @@
 	type AddressAnswer, type FleetEffect, type FleetEvent, type FleetStage, type PeerAddress,
 } from '../fleet/types.ts';
 import {type Instant, type Milliseconds, type RandomSource} from '../model/units.ts';
-import {type StoreEntry} from '../platform/types.ts';
+import {type Revision, type StoreEntry, type StoreWrite} from '../platform/types.ts';
 import {BoundedStop} from './bounded-stop.ts';
+import {MemberKeeper} from './member-keeper.ts';
 import {NewsLog} from './news-log.ts';
 import {NewsSource} from './news-source.ts';
 import {OwnEntry} from './own-entry.ts';
@@ -48,9 +49,12 @@
 	private readonly _mirror: StoreMirror;
 	private readonly _servers: ServerRegistry;
 	private readonly _vms: VmDirectory;
+	private readonly _keeper: MemberKeeper;
 	private readonly _ownEntry: OwnEntry;
 	private readonly _life: BoundedStop;
 	private readonly _news = new NewsLog();
+	/** In an order of chance: a fleet that starts must not turn to one of them as one VM. */
+	private readonly _seeds: readonly PeerAddress[];
 	private readonly _source: NewsSource;
 	/** The VM that has told all it knows and whose changes therefore make a whole. */
 	private _toldBy: PeerAddress | undefined;
@@ -58,9 +62,12 @@
 	private _announcedVmCount = 0;
 	/** This VM has read the store since others were told. */
 	private _hasRead = false;
+	/** Others that listen have missed changes: it was told itself, and passed nothing on. */
+	private _mustTellAll = false;
 
 	constructor(settings: RegistrySettings, documents: DocumentReader, random: RandomSource) {
 		this._context = new RegistryContext(settings);
+		this._seeds = shuffled(settings.seeds.filter(seed => seed !== settings.own.peerAddress), random);
 		this._documents = documents;
 		const onGone = (key: string) => {
 			this._news.remove(key);
@@ -75,10 +82,15 @@
 			isReading,
 		});
 		this._vms = new VmDirectory(this._context, documents, random, {onGone, isReading});
-		this._ownEntry = new OwnEntry(this._context, documents, revision => {
-			this._vms.setOwnRevision(revision);
-			this._source.review();
+		this._keeper = new MemberKeeper(this._context, {
+			isReading: () => this._source.isReading,
+			isStoreThere: () => this._mirror.isWatching,
+			revisionOf: key => this._news.revisionOf(key),
+			onWritten: (writes, revision) => {
+				this._takeOwnWrites(writes, revision);
+			},
 		});
+		this._ownEntry = new OwnEntry(this._context, documents, this._keeper);
 		this._life = new BoundedStop({
 			timers: this._context.timers,
 			graceMilliseconds: settings.graceMilliseconds,
@@ -98,17 +110,22 @@
 			onRead: () => {
 				this._hasRead = true;
 				this._source.noteRead();
+				this._keeper.onRead();
 			},
 			isReader: () => this._vms.ranks.isReader,
+			isSeed: () => settings.seeds.includes(settings.own.peerAddress),
 		});
 		this._source = new NewsSource(this._context, () => this._ranks(), {
 			onRead: isReading => {
+				this._mustTellAll ||= isReading;
 				this._mirror.setReading(isReading);
 			},
 			onFollow: source => {
 				this._toldBy = undefined;
+				this._ownEntry.noteTurning();
 				this._context.emit({type: 'follow-news', source});
 			},
+			hasMembers: () => this._keeper.hasMembers,
 		});
 	}
 
@@ -132,6 +149,16 @@
 				break;
 			}
 
+			case 'member-announced': {
+				this._keeper.take(event.announcement);
+				break;
+			}
+
+			case 'member-ended': {
+				this._keeper.noteEnded(event.identity);
+				break;
+			}
+
 			case 'store-replied': {
 				this._context.takeReply(event.requestId, event.reply);
 				break;
@@ -155,6 +182,7 @@
 			default:
 		}
 
+		this._ownEntry.review({source: this._source.freshSource, isReader: this._vms.ranks.isReader});
 		this._announceShares();
 		this._tellChanges();
 		return this._context.takeEffects();
@@ -170,6 +198,12 @@
 		return this._vms.answer(service, isServing ? this._context.settings.own : undefined, dataCentre);
 	}
 
+	/** Where callers reach the VMs that are known to serve, this one among them while it does. */
+	knownCallAddresses(): string[] {
+		const {callAddress} = this._context.settings.own;
+		return [...this._vms.callAddresses(), ...(this._life.stage === 'serving' ? [callAddress] : [])];
+	}
+
 	status(now: Instant): RegistryStatus {
 		return {
 			stage: this._life.stage,
@@ -207,23 +241,46 @@
 		this._toldBy = source;
 		const known = this._mirror.revision ?? -1;
 		const isAhead = isWhole && revision >= known;
-		const entries = frame.entries.filter(entry => entry.revision > (this._news.revisionOf(entry.key) ?? (isAhead ? -1 : known)));
+		const entries = frame.entries.filter(entry => entry.revision > (this._news.revisionOf(entry.key) ?? (isAhead ? -1 : known)) && !this._isKeptHere(entry.key));
 		const deleted = isWhole ? this._missingFrom(frame.entries) : frame.deleted;
 		this._takeChanges({
 			entries, deleted: deleted.filter(key => (this._news.revisionOf(key) ?? Infinity) <= revision), isWhole: false,
 		}, true);
-		// What lies behind this VM's own knowledge has been under way for long, whatever age it had when it was told.
-		if (revision > 0 && revision >= known) {
+		// What lies behind this VM's own knowledge has been under way for long, whatever age it had when it was told. The first
+		// words of a stream cannot have been: what was known here later holds all that they say.
+		if (revision > 0 && (isWhole || revision >= known)) {
 			this._mirror.noteNews(revision, ageMilliseconds);
 			this._source.noteNews(ageMilliseconds);
 		}
 	}
 
-	/** Seeds may be stale; they serve until the first VMs are known. */
+	/**
+	 * Guards an entry that has lapsed against others that still hold on to it, in case its owner comes back: the owner would
+	 * believe that it stands, and never write it again.
+	 */
+	private _isKeptHere(key: string): boolean {
+		const {layout, identity} = this._context.settings;
+		return this._ownEntry.isKeptHere && key === layout.vmPrefix + identity;
+	}
+
+	/** What this VM wrote itself is known and told at once, and not only when it next looks at the store. */
+	private _takeOwnWrites(writes: readonly StoreWrite[], revision: Revision): void {
+		const entries = writes.flatMap(({key, expected, value}) => value === undefined
+			? []
+			: [{
+				key, value, revision, createdAt: expected === 0 ? revision : this._news.createdAt(key) ?? revision,
+			}]);
+		const deleted = writes.filter(({value}) => value === undefined).map(({key}) => key);
+		this._takeChanges({entries, deleted, isWhole: false}, true);
+	}
+
+	/**
+	 * Seeds may be stale; they go first until one VM has told something fresh. Where a whole fleet starts again, the entries of
+	 * its dead processes name VMs that have just begun to read as well.
+	 */
 	private _ranks(): VmRanks {
 		const {ranks} = this._vms;
-		const {seeds, own} = this._context.settings;
-		return ranks.sources.length > 0 ? ranks : {...ranks, sources: seeds.filter(seed => seed !== own.peerAddress)};
+		return this._source.hasBeenFresh ? ranks : {...ranks, sources: [...this._seeds, ...ranks.sources.filter(source => !this._seeds.includes(source))]};
 	}
 
 	private _missingFrom(entries: readonly StoreEntry[]): string[] {
@@ -238,6 +295,11 @@
 			isChanged = this._takeEntry(entry) || isChanged;
 		}
 
+		if (!isCertain) {
+			const {vmPrefix} = this._context.settings.layout;
+			this._vms.noteRemovals(deleted.filter(key => key.startsWith(vmPrefix)).length);
+		}
+
 		for (const key of deleted) {
 			isChanged = this._takeDeleted(key, isCertain) || isChanged;
 		}
@@ -288,18 +350,34 @@
 		}
 
 		if (key.startsWith(layout.vmPrefix)) {
-			const isNews = key === layout.vmPrefix + identity || this._vms.put(entry);
+			const isOwn = key === layout.vmPrefix + identity;
+			const isNews = isOwn ? this._news.revisionOf(key) !== entry.revision : this._vms.put(entry);
 			this._news.put(entry, isNews);
+			if (isOwn) {
+				this._noteOwnEntry();
+			}
 		}
 
 		return false;
 	}
 
+	/** Whether the own entry stands in the store, and since when, decides whether others go by this VM. */
+	private _noteOwnEntry(): void {
+		const {layout, identity} = this._context.settings;
+		const createdAt = this._news.createdAt(layout.vmPrefix + identity);
+		this._vms.setOwn(createdAt);
+		this._ownEntry.noteSeen(createdAt !== undefined);
+	}
+
 	private _takeDeleted(key: string, isCertain: boolean): boolean {
 		const {layout, identity} = this._context.settings;
+		if (key.startsWith(layout.vmPrefix)) {
+			this._keeper.onRemoved(key);
+		}
+
 		if (key === layout.vmPrefix + identity) {
 			this._news.remove(key);
-			this._ownEntry.onRemoved();
+			this._noteOwnEntry();
 		} else if (key.startsWith(layout.vmPrefix)) {
 			this._vms.remove(key, isCertain);
 		} else if (key.startsWith(layout.serverPrefix)) {
@@ -318,7 +396,16 @@
 		const changes = this._news.takeChanges();
 		const hasNews = changes !== undefined || this._hasRead;
 		this._hasRead = false;
-		if (hasNews && this._source.isReading) {
+		if (!hasNews || !this._source.isReading) {
+			return;
+		}
+
+		// Guards those that listened while this VM was told itself: the changes of that time would be missing for good, since
+		// what is told now claims that all up to its revision is known. It shows as VMs that know only a part of the others.
+		if (this._mustTellAll) {
+			this._mustTellAll = false;
+			this._context.emit({type: 'tell-news', frame: this.news(this._context.now)});
+		} else {
 			this._context.emit({
 				type: 'tell-news', frame: {
 					entries: [], deleted: [], ...changes, revision: this._mirror.revision ?? 0, ageMilliseconds: this._toldAge(this._context.now), isWhole: false,
@@ -401,3 +488,8 @@
 		return routes.length === 0 ? defaultLongestCall : Math.max(...routes.map(route => route.rule.timeoutMilliseconds));
 	}
 }
+
+/** The same in an order of chance. */
+function shuffled<Item>(items: readonly Item[], random: RandomSource): Item[] {
+	return items.map(item => ({item, place: random.next()})).toSorted((one, other) => one.place - other.place).map(({item}) => item);
+}
--- a/src/common/registry/registry-news.test.ts
+++ b/src/common/registry/registry-news.test.ts
@@ -11,8 +11,7 @@
 function published(entries: readonly StoreEntry[] = [...twoServers, ...three]): RegistryDriver {
 	const driver = new RegistryDriver();
 	driver.start(entries);
-	driver.reply('grant-lease', {type: 'lease', leaseId: '7', milliseconds: 3000});
-	driver.reply('compare-and-swap', {type: 'written', revision: 12});
+	driver.publish();
 	return driver;
 }
 
@@ -28,11 +27,11 @@
 
 describe('which VMs read the store', () => {
 	it('is the one that has stood longest, for each data centre', () => {
-		expect([published().source, published(twoServers).isReading]).toEqual(['10.0.0.2:80', true]);
+		expect([published().followed[0], published(twoServers).isReading]).toEqual(['10.0.0.2:80', true]);
 	});
 
 	it('is the one with the widest link, however young', () => {
-		expect(published([...twoServers, ...three, entryOf('vms/w', '10.0.0.9:80 1000', 9)]).source).toEqual('10.0.0.9:80');
+		expect(published([...twoServers, ...three, entryOf('vms/w', '10.0.0.9:80 1000', 9)]).followed[0]).toEqual('10.0.0.9:80');
 	});
 
 	// Story: a VM is killed and starts again. For the term of its lease its old entry stands beside the new one.
@@ -69,7 +68,7 @@
 	it('are told again to VMs that come later, heartbeats among them', () => {
 		const driver = published(twoServers);
 		driver.change([entryOf('servers/a', 'orders 10.0.1.1 ready', 21)], [], 21);
-		expect(driver.fleet.news(driver.now).entries.map(({key, revision}) => `${key} ${revision}`)).toEqual(['configuration 1', 'servers/a 21', 'servers/b 1']);
+		expect(driver.fleet.news(driver.now).entries.map(({key, revision}) => `${key} ${revision}`)).toEqual(['configuration 1', 'servers/a 21', 'servers/b 1', 'vms/own 12']);
 		expect(driver.told.at(-1)).toEqual({
 			revision: 21, ageMilliseconds: 0, entries: [], deleted: [], isWhole: false,
 		});
@@ -108,11 +107,28 @@
 		expect([driver.told.length - before, driver.fleet.news(driver.now).ageMilliseconds > 1e6]).toEqual([0, true]);
 	});
 
+	// Story: VMs listen to one that is told itself and passes nothing on. It comes to read the store, and tells what is new
+	// from then on. What it learnt meanwhile they never hear of: minutes later they still know a part of the backend servers.
+	// Cause: its words claim that everything up to their revision is known.
+	it('begin with everything when a VM that was told comes to read', () => {
+		const driver = following();
+		driver.news({revision: 30, entries: [entryOf('servers/c', 'orders 10.0.1.3 ready', 30)]});
+		const before = driver.told.length;
+		for (let tries = 0; driver.source !== undefined && tries < 10; tries++) {
+			driver.handle({type: 'news-ended', source: driver.source});
+		}
+
+		driver.change([], [], 31);
+		const first = driver.told[before];
+		expect([first?.isWhole, first?.entries.some(({key}) => key === 'servers/c')]).toEqual([true, true]);
+	});
+
 	// Story: the own entry lapses unnoticed; the VM serves on and gets no callers. Its reader tells of the removal.
 	it('tell a VM that its own entry is gone', () => {
 		const driver = following();
+		const before = driver.announced.length;
 		driver.news({revision: 30, deleted: ['vms/own']});
-		expect(driver.asked.some(({operation}) => operation.type === 'grant-lease')).toEqual(true);
+		expect(driver.announced.slice(before)).toEqual([{identity: 'own', value: '10.0.0.1:80', intent: 'stay'}]);
 	});
 });
 
@@ -160,7 +176,11 @@
 
 	it('is read for by the stand-by as soon as its connection ends', () => {
 		const driver = published([...twoServers, three[0]!, three[2]!]);
-		driver.news({isWhole: true, entries: [...twoServers, three[0]!, three[2]!]});
+		while (driver.source !== '10.0.0.2:80') {
+			driver.passTime(100);
+		}
+
+		driver.news({isWhole: true, entries: [...twoServers, three[0]!, three[2]!, entryOf('vms/own', '10.0.0.1:80', 12)]});
 		expect(driver.isReading).toEqual(false);
 		driver.handle({type: 'news-ended', source: '10.0.0.2:80'});
 		expect(driver.isReading).toEqual(true);
@@ -169,8 +189,11 @@
 	it('is followed again once it is back', () => {
 		const driver = following();
 		driver.handle({type: 'news-ended', source: '10.0.0.2:80'});
+		let told: string | undefined;
 		for (let beat = 0; beat < 6; beat++) {
-			driver.news({isWhole: beat === 0, revision: 30 + beat, entries: beat === 0 ? [...twoServers, ...three] : []});
+			const isWhole = driver.source !== told;
+			told = driver.source;
+			driver.news({isWhole, revision: 30 + beat, entries: isWhole ? [...twoServers, ...three, entryOf('vms/own', '10.0.0.1:80', 12)] : []});
 			driver.passTime(1000);
 		}
 
--- a/src/common/registry/store-mirror.ts
+++ b/src/common/registry/store-mirror.ts
@@ -24,6 +24,12 @@
 /** The same of a VM that another one will tell: while the store is out, calls of a whole fleet would be paid for nothing. */
 const longestRetryOfOthers: Milliseconds = 2000;
 
+/**
+ * Pause after a first list that may be old, before a watch brings the rest: most VMs have found another one by then that
+ * tells them, which costs the store nothing.
+ */
+const catchUpMilliseconds: Milliseconds = 600;
+
 /** Changes as they came in. */
 export type MirrorChanges = {
 	readonly entries: readonly StoreEntry[];
@@ -41,6 +47,8 @@
 	onRead(): void;
 	/** Whether other VMs go by what this one reads. */
 	isReader(): boolean;
+	/** Whether other VMs begin with this one, so that it must know the latest at once. */
+	isSeed(): boolean;
 };
 
 export class StoreMirror {
@@ -54,6 +62,9 @@
 	private _isAsking = false;
 	/** What is known up to the revision was told by another VM, in part: that one leaves out what means nothing new to it. */
 	private _isTold = false;
+	/** Only a list that may be old was read: nobody knows how old. */
+	private _mayBeOld = false;
+	private _hasListed = false;
 
 	constructor(context: RegistryContext, listener: MirrorListener) {
 		this._context = context;
@@ -63,7 +74,7 @@
 
 	/** Time since the store last answered; undefined before its first answer. */
 	contactAge(now: Instant): Milliseconds | undefined {
-		return this._revision === undefined ? undefined : now - this._lastContact;
+		return this._revision === undefined || this._mayBeOld ? undefined : now - this._lastContact;
 	}
 
 	get isWatching(): boolean {
@@ -89,9 +100,18 @@
 		}
 	}
 
-	/** Another VM has told everything up to this revision; the store was in that state `age` milliseconds ago. */
+	/**
+	 * Another VM has told everything up to this revision; the store was in that state `age` milliseconds ago. Who reads
+	 * itself goes on from its own revision: it must not pass over what the other left out, nor tell others as its own
+	 * reading what it only heard.
+	 */
 	noteNews(revision: Revision, age: Milliseconds): void {
+		if (this._isReading && this._revision !== undefined) {
+			return;
+		}
+
 		this._isTold ||= revision > (this._revision ?? 0);
+		this._mayBeOld = false;
 		this._revision = Math.max(this._revision ?? 0, revision);
 		if (this._context.now - age > this._lastContact) {
 			this._lastContact = this._context.now - age;
@@ -108,8 +128,10 @@
 	private _read(): void {
 		this._isAsking = true;
 		if (this._revision === undefined) {
-			this._context.ask({type: 'list', prefix: this._context.settings.layout.commonPrefix}, reply => {
-				this._takeList(reply);
+			// A list that may be old does for the first one, which is watched on from; it must not replace what was known before.
+			const mayBeOld = !this._hasListed && !this._listener.isSeed();
+			this._context.ask({type: 'list', prefix: this._context.settings.layout.commonPrefix, mayBeOld}, reply => {
+				this._takeList(reply, mayBeOld);
 			});
 			return;
 		}
@@ -124,13 +146,19 @@
 		});
 	}
 
-	private _takeList(reply: StoreReply): void {
+	private _takeList(reply: StoreReply, mayBeOld: boolean): void {
 		this._isAsking = false;
 		if (reply.type !== 'entries') {
 			this._fail(reply);
 			return;
 		}
 
+		this._hasListed = true;
+		if (mayBeOld) {
+			this._takeOldList(reply);
+			return;
+		}
+
 		this._touch();
 		this._revision = reply.revision;
 		this._isTold = false;
@@ -138,6 +166,21 @@
 		this._readAfter(this._context.settings.watchPauseMilliseconds);
 	}
 
+	/**
+	 * Guards followers against news that claim to be fresh: that the store answered says nothing of the age of what it
+	 * said. Where another VM has told more meanwhile, the list is left out.
+	 */
+	private _takeOldList({entries, revision}: StoreReply & {type: 'entries'}): void {
+		this._isLost = false;
+		if (this._revision === undefined) {
+			this._mayBeOld = true;
+			this._revision = revision;
+			this._listener.onChanges({entries, deleted: [], isWhole: true});
+		}
+
+		this._readAfter(catchUpMilliseconds);
+	}
+
 	private _takeWatch(reply: StoreReply): void {
 		this._isAsking = false;
 		if (reply.type === 'history-lost') {
@@ -179,6 +222,7 @@
 
 	private _touch(): void {
 		const silence = this._context.now - this._lastContact;
+		this._mayBeOld = false;
 		this._lastContact = this._context.now;
 		this._retry = firstRetry;
 		if (this._isLost) {
--- a/src/common/registry/types.ts
+++ b/src/common/registry/types.ts
@@ -67,8 +67,10 @@
 	readonly identity: string;
 	readonly own: VmEntry;
 	readonly layout: StoreLayout;
-	/** Term of the lease on the VM's own entry. */
+	/** Term of a lease on entries of VMs. */
 	readonly leaseMilliseconds: Milliseconds;
+	/** A VM whose entry another one keeps says this often that it lives. */
+	readonly memberBeatMilliseconds: Milliseconds;
 	/** Pause between the answer of a watch and the next one: what it costs in freshness buys fewer calls. */
 	readonly watchPauseMilliseconds: Milliseconds;
 	/** Within this time after the store has accepted a change, it is in force here. */
@@ -83,6 +85,18 @@
 	readonly graceMilliseconds: Milliseconds;
 };
 
+/** What a VM tells the one that it follows about itself. */
+export type MemberAnnouncement = {
+	readonly identity: string;
+	/** Its entry as it is to stand in the store. */
+	readonly value: string;
+	/**
+	 * What it will do: stay and have its entry kept, turn to another VM that keeps it from then on, or leave, so that the
+	 * entry is to be removed at once.
+	 */
+	readonly intent: 'stay' | 'turn' | 'leave';
+};
+
 /** What one VM tells another about the store. */
 export type NewsFrame = {
 	/** Revision of the store that the teller knows. */
--- a/src/common/registry/vm-directory.ts
+++ b/src/common/registry/vm-directory.ts
@@ -17,11 +17,27 @@
 /** VMs that live have written their entries anew this long after the store is back. */
 const holdMilliseconds: Milliseconds = 3000;
 
-/** VMs of a data centre that one reader tells its news: after each look, at most 1.25 times a second, 40 lines of 83 bytes. */
-const followersAReader = 40;
+/**
+ * VMs that disappear at one look, at least and as a part of all, from which on it is taken for the end of a lease that held
+ * them and not of so many VMs.
+ */
+const massRemoval = 4;
+const massPart = 0.125;
+
+/** VMs of a data centre that are turned to after its readers: of the first ones some may have gone together with these. */
+const standbys = 3;
+
+/** VMs of a data centre that one reader tells its news and whose entries it keeps: a line to each after each look at the store. */
+const followersAReader = 64;
 
 /** A VM as it stands in the store. */
-type KnownVm = {readonly key: string; readonly entry: VmEntry; readonly revision: Revision};
+type KnownVm = {
+	readonly key: string;
+	readonly entry: VmEntry;
+	readonly revision: Revision;
+	/** Since when it has stood there, as a revision. */
+	readonly createdAt: Revision;
+};
 
 /** What follows from the VMs that are known for who reads the store. */
 export type VmRanks = {
@@ -39,7 +55,9 @@
 	private readonly _random: RandomSource;
 	private readonly _entries = new Map<string, KnownVm>();
 	private _ranks: VmRanks | undefined;
-	private _ownRevision: Revision | undefined;
+	/** The VMs known to serve, one an address; undefined = not worked out since the last change. */
+	private _latest: readonly KnownVm[] | undefined;
+	private _ownCreatedAt: Revision | undefined;
 	private readonly _doubts: DoubtfulRemovals;
 	private readonly _onGone: (key: string) => void;
 
@@ -55,6 +73,11 @@
 		}, isReading);
 	}
 
+	/** Where callers reach the VMs known to serve, this one not counted. */
+	callAddresses(): string[] {
+		return this._living().map(({entry}) => entry.callAddress);
+	}
+
 	/** VMs known to serve, this one not counted. */
 	get size(): number {
 		return this._living().length;
@@ -69,10 +92,12 @@
 		return this._ranks;
 	}
 
-	/** The own entry stands in the store; undefined = it does not. */
-	setOwnRevision(revision: Revision | undefined): void {
-		this._ownRevision = revision;
-		this._ranks = undefined;
+	/** The own entry has stood in the store since this revision; undefined = it does not. */
+	setOwn(createdAt: Revision | undefined): void {
+		if (this._ownCreatedAt !== createdAt) {
+			this._ownCreatedAt = createdAt;
+			this._ranks = undefined;
+		}
 	}
 
 	onRegained(silence: Milliseconds): void {
@@ -81,18 +106,33 @@
 		}
 	}
 
+	/**
+	 * So many entries have disappeared at one look. Guards callers against the end of one lease under which a VM kept the
+	 * entries of dozens: the answers would name the few that are left, which drown. Those that live are written again by
+	 * then.
+	 */
+	noteRemovals(count: number): void {
+		if (count >= massRemoval && count >= massPart * this._entries.size) {
+			this._doubts.beginDoubt(holdMilliseconds);
+		}
+	}
+
 	/** Takes an entry in; true = it says something new. */
-	put({key, value, revision}: StoreEntry): boolean {
+	put({key, value, revision, createdAt = revision}: StoreEntry): boolean {
 		if (key === this._ownKey) {
 			return false;
 		}
 
 		this._doubts.noteThere(key);
+		if (this._entries.get(key)?.revision === revision) {
+			return false;
+		}
+
 		const read = this._documents.vm(value);
 		if (read.isErr()) {
 			this._context.log('warn', 'the entry of a VM cannot be read; callers are not sent there', {key, failure: describeFailure(read.error)});
 			this._entries.delete(key);
-			this._ranks = undefined;
+			this._forgetOrder();
 			return true;
 		}
 
@@ -100,8 +140,10 @@
 			this._context.log('info', 'VM joined', {vm: key, address: read.value.callAddress});
 		}
 
-		this._entries.set(key, {key, entry: read.value, revision});
-		this._ranks = undefined;
+		this._entries.set(key, {
+			key, entry: read.value, revision, createdAt,
+		});
+		this._forgetOrder();
 		return true;
 	}
 
@@ -150,31 +192,44 @@
 	 * Of several entries with one address the latest: a process that was killed leaves its entry until the lease ends,
 	 * while its successor stands there already. Counted twice, its VM would get twice its callers.
 	 */
-	private _living(): KnownVm[] {
-		const latest = new Map<string, KnownVm>();
-		for (const vm of this._entries.values()) {
-			const other = latest.get(vm.entry.callAddress);
-			if (vm.entry.callAddress !== this._context.settings.own.callAddress && (other === undefined || other.revision < vm.revision)) {
-				latest.set(vm.entry.callAddress, vm);
+	private _living(): readonly KnownVm[] {
+		if (this._latest === undefined) {
+			const latest = new Map<string, KnownVm>();
+			for (const vm of this._entries.values()) {
+				const other = latest.get(vm.entry.callAddress);
+				if (vm.entry.callAddress !== this._context.settings.own.callAddress && (other === undefined || other.revision < vm.revision)) {
+					latest.set(vm.entry.callAddress, vm);
+				}
 			}
+
+			this._latest = [...latest.values()];
 		}
 
-		return [...latest.values()];
+		return this._latest;
+	}
+
+	/** The VMs are others: what follows from them is worked out when it is asked for. */
+	private _forgetOrder(): void {
+		this._latest = undefined;
+		this._ranks = undefined;
 	}
 
 	private _rank(): VmRanks {
 		const {own} = this._context.settings;
-		const ownVm: KnownVm[] = this._ownRevision === undefined ? [] : [{key: this._ownKey, entry: own, revision: this._ownRevision}];
-		const ranked = [...this._living(), ...ownVm].toSorted((one, other) =>
-			other.entry.linkMegabits - one.entry.linkMegabits || one.revision - other.revision);
-		const near = ranked.filter(({entry}) => entry.dataCentre === own.dataCentre);
+		const near = this._living().filter(({entry}) => entry.dataCentre === own.dataCentre);
+		const createdAt = this._ownCreatedAt;
+		if (createdAt !== undefined) {
+			near.push({
+				key: this._ownKey, entry: own, revision: createdAt, createdAt,
+			});
+		}
+
+		near.sort(byRank);
 		const readers = Math.ceil(near.length / followersAReader);
 		const place = near.findIndex(({key}) => key === this._ownKey);
-		const local = near.slice(0, readers + 1);
+		const local = near.slice(0, readers + standbys);
 		const turn = place === -1 ? 0 : place % Math.max(1, readers);
-		const others = [...new Set(ranked.map(({entry}) => entry.dataCentre))].filter(dataCentre => dataCentre !== own.dataCentre)
-			.map(dataCentre => ranked.find(({entry}) => entry.dataCentre === dataCentre)!);
-		const sources = [...local.slice(turn, readers), ...local.slice(0, turn), ...local.slice(readers), ...others];
+		const sources = [...local.slice(turn, readers), ...local.slice(0, turn), ...local.slice(readers), ...this._firstOfOthers()];
 		return {
 			isReader: place !== -1 && place < readers,
 			isStandby: place === readers,
@@ -182,9 +237,23 @@
 		};
 	}
 
+	/** The first of each other data centre, in order. */
+	private _firstOfOthers(): KnownVm[] {
+		const first = new Map<string, KnownVm>();
+		for (const vm of this._living()) {
+			const {dataCentre} = vm.entry;
+			const other = first.get(dataCentre);
+			if (dataCentre !== this._context.settings.own.dataCentre && (other === undefined || byRank(vm, other) < 0)) {
+				first.set(dataCentre, vm);
+			}
+		}
+
+		return [...first.values()].toSorted(byRank);
+	}
+
 	private _drop(key: string): void {
 		if (this._entries.delete(key)) {
-			this._ranks = undefined;
+			this._forgetOrder();
 			this._onGone(key);
 			this._context.log('info', 'VM gone', {vm: key});
 		}
@@ -194,3 +263,8 @@
 		return this._context.settings.layout.vmPrefix + this._context.settings.identity;
 	}
 }
+
+/** Widest link first, then the longest-standing. */
+function byRank(one: KnownVm, other: KnownVm): number {
+	return other.entry.linkMegabits - one.entry.linkMegabits || one.createdAt - other.createdAt || (one.key < other.key ? -1 : 1);
+}
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -44,6 +44,9 @@
 /** Pause between two watches, as a part of the time within which a change is in force. */
 const watchPausePart = 0.4;
 
+/** A VM that loses power is out of the answers after two to three of these. */
+const memberBeatMilliseconds = 1500;
+
 /** How long an idle connection to the directory is kept: as long as callers wait between two questions. */
 const pageIdleMilliseconds = 6000;
 
@@ -90,6 +93,7 @@
 		},
 		layout,
 		leaseMilliseconds: settings.store.leaseSeconds * 1000,
+		memberBeatMilliseconds,
 		watchPauseMilliseconds: settings.store.convergeSeconds * 1000 * watchPausePart,
 		convergeMilliseconds: settings.store.convergeSeconds * 1000,
 		seeds: settings.seeds,
@@ -116,7 +120,7 @@
 	const loop = owned.add(new DeciderLoop<EntryVmEvent, EntryVmEffect>(entryVm, clock));
 	const storeCarrier = owned.add(new StoreCarrier(loop, new CountedPlatformClient(platform.store, clock, metrics)));
 	const newsFollower = owned.add(new NewsFollower(loop, logger));
-	const newsTeller = owned.add(new NewsTeller(metrics, {whole: () => fleet.news(clock.now())}));
+	const newsTeller = owned.add(new NewsTeller(metrics, {whole: () => fleet.news(clock.now())}, loop));
 	const connections = owned.add(new BackendConnections({connectMilliseconds, idleMilliseconds: backendIdleMilliseconds}));
 	const callCarrier = owned.add(new CallCarrier(loop, new CountedMeasurer(new LoadMeasurer(connections, platform.dialect), metrics), noKeys));
 	const hold = owned.add(new StartingHold());
@@ -137,12 +141,28 @@
 	loop.setCarrier(effect => {
 		if (isCallEffect(effect)) {
 			callCarrier.carryOut(effect);
-		} else if (effect.type === 'follow-news') {
-			newsFollower.follow(effect.source);
-		} else if (effect.type === 'tell-news') {
-			newsTeller.tell(effect.frame);
-		} else {
-			storeCarrier.carryOut(effect);
+			return;
+		}
+
+		switch (effect.type) {
+			case 'follow-news': {
+				newsFollower.follow(effect.source);
+				break;
+			}
+
+			case 'tell-news': {
+				newsTeller.tell(effect.frame);
+				break;
+			}
+
+			case 'announce': {
+				newsFollower.announce(effect.announcement);
+				break;
+			}
+
+			default: {
+				storeCarrier.carryOut(effect);
+			}
 		}
 	});
 	return new EntryDaemon({
--- a/src/node/fleet/news-follower.ts
+++ b/src/node/fleet/news-follower.ts
@@ -1,13 +1,15 @@
-/** Listens to the news of one VM at a time. */
-import {StringDecoder} from 'node:string_decoder';
+/** Listens to the news of one VM at a time, and tells it who this one is. */
+import {Readable} from 'node:stream';
 import {Client, type Dispatcher} from 'undici';
 import {describeFailure} from '../../common/errors/failure.ts';
 import {type FleetEvent, type PeerAddress} from '../../common/fleet/types.ts';
 import {Disposable, MutableDisposable, toDisposable} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
+import {type MemberAnnouncement} from '../../common/registry/types.ts';
 import {type EventSink} from '../decider-loop.ts';
 import {type Logger} from '../logging/types.ts';
-import {decodeFrame, newsPath} from './news-frame.ts';
+import {LineReader} from './line-reader.ts';
+import {decodeFrame, encodeAnnouncement, newsPath} from './news-frame.ts';
 
 /** A way to another data centre and back is 3 ms; longer, and another VM is tried. */
 const connectMilliseconds: Milliseconds = 300;
@@ -15,12 +17,17 @@
 /** Characters of a line that has not ended: beyond it, this is no VM of ours. */
 const longestLine = 16_777_216;
 
+/** Time for the last announcement to leave before its connection ends. */
+const farewellMilliseconds: Milliseconds = 100;
+
 type NewsSink = EventSink<Extract<FleetEvent, {type: 'news' | 'news-ended'}>>;
 
 export class NewsFollower extends Disposable {
 	private readonly _sink: NewsSink;
 	private readonly _logger: Logger;
 	private readonly _listening = this._register(new MutableDisposable());
+	/** Body of the question that is under way: what is announced goes there. */
+	private _words: Readable | undefined;
 
 	constructor(sink: NewsSink, logger: Logger) {
 		super();
@@ -30,6 +37,7 @@
 
 	/** Listens to this VM from now on, and to no other; undefined = to none. */
 	follow(source: PeerAddress | undefined): void {
+		this._words = undefined;
 		if (source === undefined) {
 			this._listening.value = undefined;
 			return;
@@ -39,11 +47,33 @@
 			connect: {timeout: connectMilliseconds}, headersTimeout: 0, bodyTimeout: 0, allowH2: false,
 		});
 		const listener = new NewsListener(source, this._sink, this._logger);
+		const words = new Readable({
+			read() {
+				// Lines are pushed as they are announced.
+			},
+		});
+		words.on('error', () => {
+			// The connection has ended, which the listener tells.
+		});
+		// The question leaves with the first bytes of its body: without any, nothing would be asked.
+		words.push('\n');
+		this._words = words;
 		this._listening.value = toDisposable(() => {
 			listener.isOver = true;
-			void client.destroy();
+			// What was announced last goes out before the end.
+			words.push(null);
+			setTimeout(() => {
+				void client.destroy();
+			}, farewellMilliseconds).unref();
 		});
-		client.dispatch({method: 'GET', path: newsPath}, listener);
+		client.dispatch({
+			method: 'POST', path: newsPath, body: words, headers: ['content-type', 'application/x-ndjson'],
+		}, listener);
+	}
+
+	/** Tells the VM that is followed who this one is; nothing where none is. */
+	announce(announcement: MemberAnnouncement): void {
+		this._words?.push(encodeAnnouncement(announcement));
 	}
 }
 
@@ -54,8 +84,7 @@
 	private readonly _source: PeerAddress;
 	private readonly _sink: NewsSink;
 	private readonly _logger: Logger;
-	private readonly _decoder = new StringDecoder();
-	private _rest = '';
+	private readonly _lines = new LineReader(longestLine);
 
 	constructor(source: PeerAddress, sink: NewsSink, logger: Logger) {
 		this._source = source;
@@ -68,14 +97,14 @@
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
-		const lines = (this._rest + this._decoder.write(Buffer.from(chunk))).split('\n');
-		this._rest = lines.pop()!;
-		for (const line of lines) {
-			this._take(line);
+		const lines = this._lines.take(chunk);
+		if (lines === undefined) {
+			controller.abort(new NewsTooLong());
+			return;
 		}
 
-		if (this._rest.length > longestLine) {
-			controller.abort(new NewsTooLong());
+		for (const line of lines) {
+			this._take(line);
 		}
 	}
 
--- /dev/null
+++ b/src/node/fleet/news-stream.test.ts
@@ -0,0 +1,106 @@
+/** The stream between two VMs over sockets: news one way, announcements the other. */
+import {setTimeout as delay} from 'node:timers/promises';
+import {expect} from 'earl';
+import {type FleetEvent} from '../../common/fleet/types.ts';
+import {DisposableStore} from '../../common/lifecycle/disposable.ts';
+import {type NewsFrame} from '../../common/registry/types.ts';
+import {noMetrics} from '../metrics/no-metrics.ts';
+import {type Logger} from '../logging/types.ts';
+import {NewsFollower} from './news-follower.ts';
+import {NewsTeller} from './news-teller.ts';
+
+const frame: NewsFrame = {
+	revision: 7, ageMilliseconds: 0, entries: [{
+		key: 'servers/a', value: 'x', revision: 5, createdAt: 3,
+	}], deleted: [], isWhole: true,
+};
+
+const announcement = {identity: 'vm-1', value: '{"callers":"10.0.0.1:80"}', intent: 'stay'} as const;
+
+function ignore(): void {
+	// What is logged is not looked at here.
+}
+
+const silentLogger: Logger = {
+	trace: ignore, debug: ignore, info: ignore, warn: ignore, error: ignore, with: () => silentLogger, isEnabled: () => false,
+};
+
+/** A teller on a port of its own, a follower, and what each of them hears. */
+class Streams {
+	readonly owned = new DisposableStore();
+	readonly told: FleetEvent[] = [];
+	readonly heard: FleetEvent[] = [];
+	readonly teller = this.owned.add(new NewsTeller(noMetrics, {whole: () => frame}, {
+		feed: event => {
+			this.told.push(event);
+		},
+	}));
+
+	readonly follower = this.owned.add(new NewsFollower({
+		feed: event => {
+			this.heard.push(event);
+		},
+	}, silentLogger));
+
+	async start(): Promise<string> {
+		const port = await this.teller.listen(0, '127.0.0.1');
+		return `127.0.0.1:${port._unsafeUnwrap()}`;
+	}
+}
+
+async function until(condition: () => boolean): Promise<void> {
+	for (let tries = 0; tries < 200 && !condition(); tries++) {
+		await delay(10);
+	}
+}
+
+describe('the stream between two VMs', () => {
+	let streams: Streams;
+
+	beforeEach(() => {
+		streams = new Streams();
+	});
+
+	afterEach(() => {
+		streams.owned.dispose();
+	});
+
+	it('brings news one way and announcements the other, on one connection', async () => {
+		const address = await streams.start();
+		streams.follower.follow(address);
+		streams.follower.announce(announcement);
+		await until(() => streams.told.length > 0 && streams.heard.length > 0);
+		streams.teller.tell({...frame, revision: 8, isWhole: false});
+		streams.follower.announce({...announcement, intent: 'leave'});
+		await until(() => streams.told.length > 1 && streams.heard.length > 1);
+		expect([streams.heard, streams.told]).toEqual([
+			[{type: 'news', source: address, frame}, {type: 'news', source: address, frame: {...frame, revision: 8, isWhole: false}}],
+			[{type: 'member-announced', announcement}, {type: 'member-announced', announcement: {...announcement, intent: 'leave'}}],
+		]);
+	});
+
+	// Story: a VM is killed. The VM that keeps its entry must hear of it at once, or callers are sent there for seconds.
+	it('tells the VM that is followed when a follower has gone', async () => {
+		streams.follower.follow(await streams.start());
+		streams.follower.announce(announcement);
+		await until(() => streams.told.length > 0);
+		streams.follower.follow(undefined);
+		await until(() => streams.told.length > 1);
+		expect(streams.told.at(-1)).toEqual({type: 'member-ended', identity: 'vm-1'});
+	});
+
+	it('tells the follower when the VM that it follows has gone', async () => {
+		const address = await streams.start();
+		streams.follower.follow(address);
+		await until(() => streams.heard.length > 0);
+		streams.teller.dispose();
+		await until(() => streams.heard.length > 1);
+		expect(streams.heard.at(-1)).toEqual({type: 'news-ended', source: address});
+	});
+
+	it('ends a stream on which something else is said', async () => {
+		const address = await streams.start();
+		const answer = await fetch(`http://${address}/news`, {method: 'POST', body: 'no announcement\n'}).then(async response => response.text()).catch(() => 'ended');
+		expect([answer, streams.told]).toEqual(['ended', []]);
+	});
+});
--- a/src/proof/fuzz/fake-store.ts
+++ b/src/proof/fuzz/fake-store.ts
@@ -118,6 +118,11 @@
 				return {type: 'written', revision: this._revision};
 			}
 
+			// Only a fleet that the store leads asks for it.
+			case 'write-all': {
+				return {type: 'unavailable'};
+			}
+
 			case 'grant-lease': {
 				const leaseId = `lease-${++this._lastLease}`;
 				this._leases.set(leaseId, {until: this._timeline.now + operation.milliseconds, milliseconds: operation.milliseconds});
