Keep transactions within the store's 32 entries, and tell of a long list in a few lines

Cause: on 311 VMs the entries of VMs that started together were not written for minutes (log: 36 VMs whose entry did not stand, 197 that their keeper took for silent). A transaction counts conditions and writes together; 32 writes with their conditions are 64 entries, and the store refused each. A VM that waited for its entry went over to writing it itself, which it may not while it is told, and fell silent to its keeper: it announces again instead.

Change: 16 writes a transaction; at most ten log lines of one kind an event, the rest counted; the lines of VMs that join and go no longer overwrite the name of the VM that logs.

--- a/src/common/platform/types.ts
+++ b/src/common/platform/types.ts
@@ -36,7 +36,7 @@
 	/** Writes only if the key's revision is `expected` (0 = only if absent). A lease removes it when it lapses. */
 		| {readonly type: 'compare-and-swap'; readonly key: string; readonly expected: Revision; readonly value: string; readonly leaseId?: string}
 		| {readonly type: 'delete'; readonly key: string; readonly expected: Revision}
-	/** At most 32 writes, made together or not at all. What is put is held by the lease. */
+	/** At most 16 writes, made together or not at all. What is put is held by the lease. */
 		| {readonly type: 'write-all'; readonly writes: readonly StoreWrite[]; readonly leaseId: string}
 		| {readonly type: 'grant-lease'; readonly milliseconds: Milliseconds}
 		| {readonly type: 'keep-lease'; readonly leaseId: string}
--- a/src/common/registry/member-keeper.ts
+++ b/src/common/registry/member-keeper.ts
@@ -4,8 +4,9 @@
 import {type RegistryContext} from './registry-context.ts';
 import {type MemberAnnouncement} from './types.ts';
 
-/** Most writes that the store accepts at once. */
-const mostWrites = 32;
+/** Most entries that one transaction holds, conditions and writes counted apart: each write here comes with its condition. */
+const mostEntriesOfTransaction = 32;
+const mostWrites = mostEntriesOfTransaction / 2;
 
 /**
  * Time for which writes are gathered. A fleet that starts announces itself within a third of a second: gathered, the store
@@ -165,7 +166,7 @@
 	onRemoved(key: string): void {
 		const member = this._members.get(this._identityOf(key));
 		if (member?.state === 'kept') {
-			this._context.log('warn', 'the entry of a VM that is kept here was removed; it is written again', {vm: member.identity});
+			this._context.log('warn', 'the entry of a VM that is kept here was removed; it is written again', {member: member.identity});
 			member.state = 'wanted';
 			member.written = undefined;
 			member.expected = 0;
@@ -403,7 +404,7 @@
 			} else if (member.state === 'turning') {
 				this._lookAtTurning(member);
 			} else if (member.identity !== settings.identity && member.state !== 'leaving' && now - member.heardAt > silentBeats * settings.memberBeatMilliseconds) {
-				this._context.log('info', 'a VM that is kept here has fallen silent', {vm: member.identity});
+				this._context.log('info', 'a VM that is kept here has fallen silent', {member: member.identity});
 				this._drop(member);
 			}
 		}
--- a/src/common/registry/own-entry.ts
+++ b/src/common/registry/own-entry.ts
@@ -18,10 +18,7 @@
  */
 const seekingMilliseconds: Milliseconds = 700;
 
-/**
- * Time after an announcement in which the entry is to be seen in the news. Guards a VM that follows one which lost the
- * announcement, or cannot write: it would serve, and no caller would be sent to it.
- */
+/** Time after an announcement in which the entry is to be seen in the news; later, the log tells of a VM without callers. */
 const confirmMilliseconds: Milliseconds = 2500;
 
 /** Where this VM stands towards the others. */
@@ -150,8 +147,8 @@
 	private _planConfirmation(): void {
 		this._context.timers.set('own-entry', this._context.now + confirmMilliseconds, () => {
 			if (!this._isSeen) {
-				this._context.log('warn', 'the own entry does not stand in the store though it was announced; this VM writes it itself');
-				this._keepHere();
+				this._context.log('warn', 'the own entry does not stand in the store though it was announced', {source: this._source ?? ''});
+				this._planConfirmation();
 			}
 		});
 	}
--- a/src/common/registry/registry-context.ts
+++ b/src/common/registry/registry-context.ts
@@ -5,6 +5,12 @@
 import {type StoreOperation, type StoreReply} from '../platform/types.ts';
 import {type RegistrySettings} from './types.ts';
 
+/**
+ * Lines of one kind that one event may write. A first list tells of hundreds of backend servers and VMs: a line for each
+ * would take a VM of a quarter of a core longer than reading them.
+ */
+const mostLinesOfAKind = 10;
+
 /** Takes the reply to one request. */
 type OnReply = (reply: StoreReply) => void;
 
@@ -15,6 +21,8 @@
 	now: Instant = 0;
 	private readonly _waiting = new Map<number, OnReply>();
 	private _effects: FleetEffect[] = [];
+	/** Lines of each kind since the effects were last taken. */
+	private readonly _lines = new Map<string, number>();
 	private _lastRequestId = 0;
 
 	constructor(settings: RegistrySettings) {
@@ -38,13 +46,26 @@
 	}
 
 	log(level: 'debug' | 'info' | 'warn' | 'error', message: string, details: Readonly<Record<string, string | number | boolean>> = {}): void {
-		this.emit({
-			type: 'log', level, message, details,
-		});
+		const lines = (this._lines.get(message) ?? 0) + 1;
+		this._lines.set(message, lines);
+		if (lines <= mostLinesOfAKind) {
+			this.emit({
+				type: 'log', level, message, details,
+			});
+		}
 	}
 
 	/** Effects since the last call. */
 	takeEffects(): readonly FleetEffect[] {
+		for (const [kind, lines] of this._lines) {
+			if (lines > mostLinesOfAKind) {
+				this.emit({
+					type: 'log', level: 'info', message: 'more lines of one kind are left out', details: {kind, leftOut: lines - mostLinesOfAKind},
+				});
+			}
+		}
+
+		this._lines.clear();
 		const effects = this._effects;
 		this._effects = [];
 		return effects;
--- a/src/common/registry/registry-fleet.test.ts
+++ b/src/common/registry/registry-fleet.test.ts
@@ -12,6 +12,14 @@
 		});
 	});
 
+	// Story: a VM of a quarter of a core starts in a large fleet and writes a line for each of 800 entries before it takes calls.
+	it('tells of a long first list in a few lines', () => {
+		const driver = new RegistryDriver();
+		driver.start([entryOf('configuration', '1'), ...Array.from({length: 500}, (_, index) => entryOf(`servers/s${index}`, 'orders 10.0.1.1 ready'))]);
+		const left = driver.effects.find(effect => effect.type === 'log' && effect.message === 'more lines of one kind are left out');
+		expect([driver.logged.length, left?.type === 'log' ? left.details : undefined]).toEqual([12, {kind: 'backend server registered', leftOut: 490}]);
+	});
+
 	it('does not serve before it has a configuration', () => {
 		const driver = new RegistryDriver();
 		driver.start([entryOf('servers/a', 'orders 10.0.1.1 ready')]);
--- a/src/common/registry/store-model.test.ts
+++ b/src/common/registry/store-model.test.ts
@@ -14,6 +14,9 @@
 /** Entries that one page of a list holds at most. */
 const pageEntries = 500;
 
+/** Conditions and writes that one transaction holds together. */
+const mostEntriesOfTransaction = 32;
+
 /** Part of a call's price that the store asks for reads that may be old, and for renewals. */
 const reducedPrice = 0.1;
 
@@ -184,6 +187,10 @@
 	}
 
 	private _writeAll({writes, leaseId}: StoreOperation & {type: 'write-all'}): StoreReply {
+		if (2 * writes.length > mostEntriesOfTransaction) {
+			return {type: 'unknown'};
+		}
+
 		const revisions = new Map(writes.map(({key}) => [key, this._entries.get(key)?.revision ?? 0]));
 		if (writes.some(({key, expected}) => revisions.get(key) !== expected)) {
 			return {type: 'not-all-as-expected', revisions};
--- a/src/common/registry/vm-directory.ts
+++ b/src/common/registry/vm-directory.ts
@@ -137,7 +137,7 @@
 		}
 
 		if (!this._entries.has(key)) {
-			this._context.log('info', 'VM joined', {vm: key, address: read.value.callAddress});
+			this._context.log('info', 'VM joined', {member: key, address: read.value.callAddress});
 		}
 
 		this._entries.set(key, {
@@ -255,7 +255,7 @@
 		if (this._entries.delete(key)) {
 			this._forgetOrder();
 			this._onGone(key);
-			this._context.log('info', 'VM gone', {vm: key});
+			this._context.log('info', 'VM gone', {member: key});
 		}
 	}
 
