--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -238,6 +238,7 @@
 		}
 
 		const {revision, ageMilliseconds, isWhole} = frame;
+		const isFirst = this._toldBy !== source;
 		this._toldBy = source;
 		const known = this._mirror.revision ?? -1;
 		const isAhead = isWhole && revision >= known;
@@ -248,7 +249,7 @@
 		}, true);
 		// What lies behind this VM's own knowledge has been under way for long, whatever age it had when it was told. The first
 		// words of a stream cannot have been: what was known here later holds all that they say.
-		if (revision > 0 && (isWhole || revision >= known)) {
+		if (revision > 0 && (isFirst || revision >= known)) {
 			this._mirror.noteNews(revision, ageMilliseconds);
 			this._source.noteNews(ageMilliseconds);
 		}
