--- a/src/common/fleet/test-utilities.test.ts
+++ b/src/common/fleet/test-utilities.test.ts
@@ -256,6 +256,7 @@
 			}
 
 			case 'follow-news':
+			case 'announce':
 			case 'tell-news':
 			case 'peer-news':
 			case 'log': {
--- a/src/node/fleet/fleet-carrier.ts
+++ b/src/node/fleet/fleet-carrier.ts
@@ -11,7 +11,7 @@
 import {type PeerTransport, type PlatformClient} from './types.ts';
 
 /** Effects that concern the front or the logs. */
-export type OutwardEffect = Exclude<OuterFleetEffect, {type: 'store' | 'send' | 'operator-answer' | 'follow-news' | 'tell-news'}>;
+export type OutwardEffect = Exclude<OuterFleetEffect, {type: 'store' | 'send' | 'operator-answer' | 'follow-news' | 'tell-news' | 'announce'}>;
 
 type OuterFleetEvent = Extract<FleetEvent, {type: 'started' | 'store-replied' | 'peer-message' | 'peer-unreachable' | 'vm-list' | 'operator-change' | 'operator-drain'}>;
 
@@ -92,6 +92,7 @@
 				break;
 			}
 
+			case 'announce':
 			case 'follow-news':
 			case 'tell-news': {
 				// A fleet that leads itself has messages of its own for this.
--- a/src/proof/fuzz/fleet-vm.ts
+++ b/src/proof/fuzz/fleet-vm.ts
@@ -193,6 +193,7 @@
 			case 'peer-news':
 			case 'cut-off':
 			case 'follow-news':
+			case 'announce':
 			case 'tell-news':
 			case 'log': {
 				break;
--- a/src/stand-ins/platform/key-value-store.ts
+++ b/src/stand-ins/platform/key-value-store.ts
@@ -53,6 +53,11 @@
 				return this._delete(operation);
 			}
 
+			// Only a fleet that the platform's store leads writes several keys at once; its store has a stand-in of its own.
+			case 'write-all': {
+				return {type: 'unavailable'};
+			}
+
 			case 'grant-lease': {
 				const leaseId = `lease-${this._nextLease++}`;
 				this._leases.set(leaseId, {milliseconds: operation.milliseconds, until: now + operation.milliseconds, keys: new Set()});
