Send no new calls to the backend servers of an evacuated data centre

Cause: operators ask in the store that nothing more be sent to a data centre, and nothing read it.

Change: the keys of evacuations are registry state beside the configuration. They come with the same list, watch and feed, go by the revision of their key, and hold through outages, since no lease lies on them. Backend servers of an evacuated data centre get no attempt of any kind (first, retry, hedge, resumed download) and no load probe; calls that run there finish. Calls of a service that has no backend server left are refused at once, those that wait among them. Logs, a gauge, the grounds of a refusal and 'explain' name it.

--- a/src/cli/call-story.ts
+++ b/src/cli/call-story.ts
@@ -11,6 +11,8 @@
 	'backend server registered',
 	'backend server changed',
 	'backend server gone',
+	'evacuation of a data centre began',
+	'evacuation of a data centre ended',
 	'the store does not answer; what is known stays in force',
 	'the store answers again',
 	'reads the store itself',
--- a/src/common/calls/admission.ts
+++ b/src/common/calls/admission.ts
@@ -43,8 +43,8 @@
 	admit(call: Call, now: Instant): void {
 		const service = call.serviceState;
 		call.state = 'queued';
-		if (service.servers.every(server => server.isLeaving)) {
-			this._endings.refuse(call, 'no-backend-server', now);
+		if (!service.hasUsableServer) {
+			this._refuseUnserved(call, now);
 			return;
 		}
 
@@ -58,6 +58,10 @@
 
 	/** Starts waiting calls as far as the limit allows. */
 	drain(service: ServiceState, now: Instant): void {
+		if (!service.hasUsableServer) {
+			this._refuseAll(service, now);
+		}
+
 		let left = service.isMeasuredOnDemand ? callsALook : Infinity;
 		while (service.queue.size > 0 && hasConcurrency(service) && left > 0) {
 			left--;
@@ -79,6 +83,18 @@
 		}
 	}
 
+	/** No backend server is left that may be used: waiting for one would only cost callers their time. */
+	private _refuseAll(service: ServiceState, now: Instant): void {
+		for (let call = service.queue.take(() => true); call !== undefined; call = service.queue.take(() => true)) {
+			this._refuseUnserved(call, now);
+		}
+	}
+
+	private _refuseUnserved(call: Call, now: Instant): void {
+		this._runner.noteGrounds(call, now);
+		this._endings.refuse(call, 'no-backend-server', now);
+	}
+
 	/** The latest start of a queued call has passed: it could only become work that nobody waits for. */
 	expire(call: Call, now: Instant): void {
 		if (call.serviceState.isMeasuredOnDemand) {
@@ -93,6 +109,11 @@
 
 	private _enqueue(call: Call, now: Instant): void {
 		const service = call.serviceState;
+		if (!service.hasUsableServer) {
+			this._refuseUnserved(call, now);
+			return;
+		}
+
 		if (service.isMeasuredOnDemand && isImpatient(call, now)) {
 			this._endings.refuse(call, 'overloaded', now);
 			return;
--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -123,6 +123,13 @@
 		return true;
 	}
 
+	/** Records why no place can be found for a call that is about to be refused. */
+	noteGrounds(call: Call, now: Instant): void {
+		if (call.serviceState.isMeasuredOnDemand) {
+			this._demandPlacer.noteGrounds(call, now);
+		}
+	}
+
 	/** Starts the first attempt by what is known already; false = no backend server may take it now. */
 	startUnscouted(call: Call, now: Instant): boolean {
 		return this._launch(call, 'first', now);
--- a/src/common/calls/backend-server-state.ts
+++ b/src/common/calls/backend-server-state.ts
@@ -38,6 +38,8 @@
 export class BackendServerState {
 	readonly identity: BackendServerIdentity;
 	declared: BackendServerInForce;
+	/** Its data centre is evacuated. */
+	isEvacuated = false;
 	/** Attempts of this VM that have neither ended nor been given up. */
 	readonly attempts = new Set<Attempt>();
 	readonly schedule = new MeasuringSchedule();
@@ -84,6 +86,11 @@
 		return this._health === 'leaving' || this.declared.isLeaving;
 	}
 
+	/** Whether it may get any new attempt; what runs there finishes. */
+	get takesNewAttempts(): boolean {
+		return !this.isEvacuated && !this.isLeaving;
+	}
+
 	get failuresInRow(): number {
 		return this._failuresInRow;
 	}
--- a/src/common/calls/demand-placer.ts
+++ b/src/common/calls/demand-placer.ts
@@ -130,6 +130,11 @@
 		return choice === undefined ? undefined : {server: best[choice].server!, isExperiment: false};
 	}
 
+	/** Records what is known of the service's backend servers, for a call that is refused without a look for a place. */
+	noteGrounds(call: Call, now: Instant): void {
+		call.grounds = {...this._best(call, now, lastChance).grounds, choice: 'none'};
+	}
+
 	/** What is known of a backend server for one more call. */
 	prospect(server: BackendServerState, now: Instant): Prospect {
 		return {
@@ -178,6 +183,7 @@
 			...best,
 			grounds: {
 				known: call.serviceState.servers.length,
+				evacuated: call.serviceState.servers.filter(server => server.isEvacuated).length,
 				able: known.able,
 				weighed: known.servers.length,
 				withFreeSlot,
@@ -215,7 +221,7 @@
 	}
 
 	private _mayTake(server: BackendServerState, call: Call): boolean {
-		if (server.isLeaving || call.failedOn.has(server) || server.attempts.size >= connectionLimit(this._context, server.declared)) {
+		if (!server.takesNewAttempts || call.failedOn.has(server) || server.attempts.size >= connectionLimit(this._context, server.declared)) {
 			return false;
 		}
 
@@ -281,7 +287,7 @@
 
 /** The same of the most reliable of these; a little above 0, since it is divided by. */
 function mostTaken(servers: readonly BackendServerState[], now: Instant): number {
-	return Math.max(0.01, ...servers.map(server => server.isLeaving ? 0 : takenPart(server, now)));
+	return Math.max(0.01, ...servers.map(server => server.takesNewAttempts ? takenPart(server, now) : 0));
 }
 
 /** Few calls enough that one more is not slowed down by them. */
--- /dev/null
+++ b/src/common/calls/evacuation.test.ts
@@ -0,0 +1,106 @@
+import {expect} from 'earl';
+import {
+	answerMeasures, configurationOf, EngineDriver, linesOf, measuresOf, reportOf, requestOf, startIn,
+} from './engine-driver.test.ts';
+import {type CallConfiguration, type CallEffect} from './types.ts';
+
+const rule = {
+	route: 'reads', isIdempotent: true, timeoutMilliseconds: 1200, objectiveMilliseconds: 300, mostAttempts: 3, priority: 0,
+};
+
+/** Backend servers 0 and 1 stand in the data centre north, the others in south. */
+function configuration(serverCount: number, evacuated: readonly string[] = [], mode: 'on-demand' | 'paced' = 'on-demand'): CallConfiguration {
+	const all = configurationOf(serverCount, {retryShare: 1, measuring: {mode, callsPerWindow: 10_000}});
+	return {
+		...all,
+		backendServers: new Map(Array.from(all.backendServers, ([identity, server], index) => [identity, {...server, dataCentre: index < 2 ? 'north' : 'south'}])),
+		evacuatedDataCentres: new Set(evacuated),
+	};
+}
+
+const quiet = () => reportOf('p', {workTimeFactor: 1});
+
+function readOf(callId: number) {
+	return requestOf(callId, {method: 'GET', bodyBytes: 0, timeoutMilliseconds: 1200, rule});
+}
+
+/** Lets calls be placed by quiet reports for this long; all effects. */
+function settle(driver: EngineDriver, effects: readonly CallEffect[], milliseconds = 100): CallEffect[] {
+	const all: CallEffect[] = [];
+	let next = [...effects];
+	for (const end = driver.now + milliseconds; driver.now < end;) {
+		all.push(...next);
+		next = [...answerMeasures(driver, measuresOf(next), quiet), ...driver.passTime(5)];
+	}
+
+	return [...all, ...next];
+}
+
+function serversOf(effects: readonly CallEffect[]): string[] {
+	return effects.flatMap(effect => effect.type === 'start-attempt' ? [effect.identity] : []);
+}
+
+describe('calls while a data centre is evacuated', () => {
+	for (const mode of ['on-demand', 'paced'] as const) {
+		// Guards against calls that reach a data centre after operators have asked to leave it alone.
+		it(`are placed in the other data centres (${mode} measuring)`, () => {
+			const driver = new EngineDriver(configuration(4, ['north'], mode));
+			const effects = Array.from({length: 40}, (_, index) => settle(driver, driver.handle({type: 'call-arrived', request: readOf(index)}), 10)).flat();
+			expect([...new Set(serversOf(effects))].toSorted()).toEqual(['identity-2', 'identity-3']);
+		});
+	}
+
+	it('go back once it is over', () => {
+		const driver = new EngineDriver(configuration(2, ['north']));
+		driver.handle({type: 'configured', configuration: configuration(2)});
+		expect(serversOf(settle(driver, driver.handle({type: 'call-arrived', request: readOf(1)}))).length).toEqual(1);
+	});
+
+	it('send no load probes there', () => {
+		const driver = new EngineDriver(configuration(4, ['north']));
+		const probed = measuresOf(driver.handle({type: 'call-arrived', request: readOf(1)})).map(({identity}) => identity);
+		expect(probed.toSorted()).toEqual(['identity-2', 'identity-3']);
+	});
+
+	// Guards against an attempt that was being prepared when the evacuation came into force.
+	it('are placed elsewhere when probes of the data centre are still out', () => {
+		const driver = new EngineDriver(configuration(4));
+		const measures = measuresOf(driver.handle({type: 'call-arrived', request: readOf(1)}));
+		const changed = driver.handle({type: 'configured', configuration: configuration(4, ['north'])});
+		const effects = [...changed, ...answerMeasures(driver, measures, quiet)];
+		expect(serversOf(settle(driver, effects)).filter(identity => identity < 'identity-2')).toEqual([]);
+	});
+
+	// Guards against second attempts, which are placed apart from first ones.
+	it('are retried and hedged elsewhere', () => {
+		const driver = new EngineDriver(configuration(3));
+		const first = startIn(settle(driver, driver.handle({type: 'call-arrived', request: readOf(1)}), 20))!;
+		driver.sent(first.attemptId);
+		driver.handle({type: 'configured', configuration: configuration(3, ['north'])});
+		const retried = settle(driver, driver.fail(first.attemptId, 'reset-after-sending'), 50);
+		expect(serversOf(retried)).toEqual(['identity-2']);
+	});
+
+	it('that already run there are left to finish', () => {
+		const driver = new EngineDriver(configuration(2));
+		const first = startIn(settle(driver, driver.handle({type: 'call-arrived', request: readOf(1)}), 20))!;
+		driver.sent(first.attemptId);
+		const during = driver.handle({type: 'configured', configuration: configuration(2, ['north'])});
+		expect([linesOf(during), linesOf(driver.head(first.attemptId))]).toEqual([[], ['pass-on']]);
+	});
+
+	// Guards callers against waiting for backend servers that nobody may use.
+	it('are refused at once, with a time to come back, when no data centre is left', () => {
+		const driver = new EngineDriver(configuration(4, ['north', 'south']));
+		const [refusal] = driver.handle({type: 'call-arrived', request: readOf(1)});
+		expect(refusal?.type === 'refuse' ? [refusal.reason, refusal.outcome, refusal.retryAfterMilliseconds !== undefined] : undefined).toEqual(['no-backend-server', 'not-run', true]);
+	});
+
+	it('that wait are refused at once when the last data centre is evacuated', () => {
+		const driver = new EngineDriver(configuration(2));
+		const full = () => reportOf('p', {inFlight: 6, queued: 4});
+		answerMeasures(driver, measuresOf(driver.handle({type: 'call-arrived', request: readOf(1)})), full);
+		const effects = driver.handle({type: 'configured', configuration: configuration(2, ['north'])});
+		expect(linesOf(effects)).toEqual(['refuse no-backend-server not-run 503', 'call-ended']);
+	});
+});
--- a/src/common/calls/health-judge.ts
+++ b/src/common/calls/health-judge.ts
@@ -112,7 +112,7 @@
 	 */
 	private _mayEject(server: BackendServerState, attempt: Attempt): boolean {
 		const service = attempt.call.serviceState;
-		const others = service.servers.filter(one => one !== server && !one.isLeaving);
+		const others = service.servers.filter(one => one !== server && one.takesNewAttempts);
 		const out = others.filter(one => one.health === 'ejected' || one.health === 'probing').length;
 		const most = Math.max(1, Math.floor(this._context.tuning.ejectablePart * (others.length + 1)));
 		return others.length > 0 && out < most && service.failing < this._context.tuning.commonFailurePart;
--- a/src/common/calls/placer.ts
+++ b/src/common/calls/placer.ts
@@ -71,7 +71,7 @@
 		const isHarmless = call.isIdempotent && isBodiless(call.request) && call.request.mayRetry;
 		for (const server of call.serviceState.servers) {
 			const health = server.healthAt(now);
-			const isInDoubt = (health === 'doubted' || health === 'probing') && server.attempts.size === 0 && !server.isLeaving;
+			const isInDoubt = (health === 'doubted' || health === 'probing') && server.attempts.size === 0 && server.takesNewAttempts;
 			if (isInDoubt && (isHarmless || server.healthAge(now) >= longestDoubt)) {
 				return server;
 			}
@@ -119,7 +119,7 @@
 	}
 
 	private _mayTake(server: BackendServerState, call: Call, now: Instant, isCareful: boolean): boolean {
-		if (server.isLeaving || call.failedOn.has(server) || server.attempts.size >= connectionLimit(this._context, server.declared)) {
+		if (!server.takesNewAttempts || call.failedOn.has(server) || server.attempts.size >= connectionLimit(this._context, server.declared)) {
 			return false;
 		}
 
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -73,6 +73,9 @@
 			service.setServers(servers.get(name) ?? [], vmCountOf(this._context));
 			this._shareRetries(service);
 			this._services.set(name, service);
+			if (!service.hasUsableServer) {
+				this._context.freed.add(service);
+			}
 		}
 
 		for (const name of this._services.keys()) {
@@ -212,6 +215,10 @@
 				this._servers.delete(identity);
 			}
 		}
+
+		for (const server of this._servers.values()) {
+			server.isEvacuated = configuration.evacuatedDataCentres?.has(server.declared.dataCentre) === true;
+		}
 	}
 
 	private _add(identity: BackendServerIdentity, declared: BackendServerInForce, now: Instant, isKnown: boolean): void {
--- a/src/common/calls/service-state.ts
+++ b/src/common/calls/service-state.ts
@@ -73,6 +73,11 @@
 		return this.declared.measuring.mode === 'on-demand';
 	}
 
+	/** Whether any of its backend servers may get new attempts. */
+	get hasUsableServer(): boolean {
+		return this.servers.some(server => server.takesNewAttempts);
+	}
+
 	/** Failing part of all its latest calls. */
 	get failing(): number {
 		return this._failing;
@@ -93,7 +98,7 @@
 	setVmCount(vmCount: number): void {
 		let slots = 0;
 		for (const server of this.servers) {
-			slots += server.isLeaving ? 0 : server.declared.slots;
+			slots += server.takesNewAttempts ? server.declared.slots : 0;
 		}
 
 		this.limit.setBounds({slots, vmCount});
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -171,6 +171,8 @@
 	readonly services: ReadonlyMap<string, Service>;
 	readonly backendServers: ReadonlyMap<BackendServerIdentity, BackendServerInForce>;
 	readonly sharingRules: readonly SharingRule[];
+	/** Data centres whose backend servers get no new attempts; calls that run there finish. Undefined = none. */
+	readonly evacuatedDataCentres?: ReadonlySet<string>;
 	/** Routes by host and path, where the operators declare any. */
 	readonly routing?: Routing;
 };
@@ -306,6 +308,8 @@
 	readonly choice: PlacingChoice;
 	/** Backend servers of the service that are known here. */
 	readonly known: number;
+	/** Those of them that stand in a data centre that is evacuated. */
+	readonly evacuated: number;
 	/** Those of them that may take the call: not leaving, with room, and not one that has failed it. */
 	readonly able: number;
 	/** Those of them that were weighed: with a young report where there are any. */
--- a/src/common/registry/fleet-model.test.ts
+++ b/src/common/registry/fleet-model.test.ts
@@ -32,6 +32,8 @@
 	isFrozen = false;
 	stage = '';
 	version = 0;
+	evacuated: ReadonlySet<string> = new Set();
+	readonly startedAt: Instant;
 	/** Processes that listen to this one's news. */
 	readonly listeners = new Set<ModelProcess>();
 	source: ModelProcess | undefined;
@@ -45,6 +47,7 @@
 
 	constructor(model: FleetModel, identity: string, address: string, random: RandomSource, options: FleetModelOptions) {
 		this._model = model;
+		this.startedAt = model.timeline.now;
 		this.identity = identity;
 		this.address = address;
 		const {convergeMilliseconds = 3000, leaseMilliseconds = 6000} = options;
@@ -154,6 +157,7 @@
 
 			case 'configured': {
 				this.version = effect.configuration.version;
+				this.evacuated = effect.configuration.evacuatedDataCentres ?? new Set();
 				break;
 			}
 
--- a/src/common/registry/registry-driver.test.ts
+++ b/src/common/registry/registry-driver.test.ts
@@ -18,7 +18,7 @@
 		callAddress: '10.0.0.1:80', peerAddress: '10.0.0.1:90', dataCentre: 'north', linkMegabits: 100,
 	},
 	layout: {
-		configurationKey: 'configuration', serverPrefix: 'servers/', vmPrefix: 'vms/', commonPrefix: '',
+		configurationKey: 'configuration', serverPrefix: 'servers/', vmPrefix: 'vms/', evacuationPrefix: 'evacuations/', commonPrefix: '',
 	},
 	leaseMilliseconds: 3000,
 	memberBeatMilliseconds: 1500,
--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -7,6 +7,7 @@
 import {type Instant, type Milliseconds, type RandomSource} from '../model/units.ts';
 import {type Revision, type StoreEntry, type StoreWrite} from '../platform/types.ts';
 import {BoundedStop} from './bounded-stop.ts';
+import {Evacuations} from './evacuations.ts';
 import {MemberKeeper} from './member-keeper.ts';
 import {NewsLog} from './news-log.ts';
 import {NewsSource} from './news-source.ts';
@@ -49,6 +50,7 @@
 	private readonly _mirror: StoreMirror;
 	private readonly _servers: ServerRegistry;
 	private readonly _vms: VmDirectory;
+	private readonly _evacuations: Evacuations;
 	private readonly _keeper: MemberKeeper;
 	private readonly _ownEntry: OwnEntry;
 	private readonly _life: BoundedStop;
@@ -69,6 +71,7 @@
 		this._context = new RegistryContext(settings);
 		this._seeds = shuffled(settings.seeds.filter(seed => seed !== settings.own.peerAddress), random);
 		this._documents = documents;
+		this._evacuations = new Evacuations(this._context);
 		const onGone = (key: string) => {
 			this._news.remove(key);
 		};
@@ -310,6 +313,9 @@
 			isChanged = this._servers.retain(keys) || isChanged;
 			this._vms.retain(keys);
 			this._noticeOwnEntry(keys);
+			for (const key of this._evacuations.missingFrom(keys)) {
+				isChanged = this._takeDeleted(key, true) || isChanged;
+			}
 		}
 
 		if (isChanged) {
@@ -350,6 +356,12 @@
 			return effect === 'changed';
 		}
 
+		if (this._evacuations.isKey(key)) {
+			const hasBegun = this._evacuations.put(key);
+			this._news.put(entry, hasBegun);
+			return hasBegun;
+		}
+
 		if (key.startsWith(layout.vmPrefix)) {
 			const isOwn = key === layout.vmPrefix + identity;
 			const isNews = isOwn ? this._news.revisionOf(key) !== entry.revision : this._vms.put(entry);
@@ -383,6 +395,9 @@
 			this._vms.remove(key, isCertain);
 		} else if (key.startsWith(layout.serverPrefix)) {
 			return this._servers.remove(key, isCertain);
+		} else if (this._evacuations.isKey(key)) {
+			this._news.remove(key);
+			return this._evacuations.remove(key);
 		}
 
 		return false;
@@ -449,6 +464,7 @@
 			version,
 			services: new Map(services.map(service => [service.name, service])),
 			backendServers: this._servers.declared(connectionLimits),
+			evacuatedDataCentres: this._evacuations.dataCentres,
 			sharingRules: [],
 			routing,
 		};
--- a/src/common/registry/types.ts
+++ b/src/common/registry/types.ts
@@ -58,6 +58,8 @@
 	readonly serverPrefix: string;
 	/** Keys of VMs are this and the VM's identity. */
 	readonly vmPrefix: string;
+	/** Keys of evacuations are this and the data centre. */
+	readonly evacuationPrefix: string;
 	/** Beginning of all keys above. */
 	readonly commonPrefix: string;
 };
--- a/src/daemon/describe-call.test.ts
+++ b/src/daemon/describe-call.test.ts
@@ -5,6 +5,7 @@
 const grounds: PlacingGrounds = {
 	choice: 'none',
 	known: 321,
+	evacuated: 0,
 	able: 310,
 	weighed: 4,
 	withFreeSlot: 4,
@@ -24,6 +25,10 @@
 		expect(describeGrounds(grounds)).toEqual('321 backend servers known, 310 able, 4 weighed, 4 with a free slot; work 1159 ms, 982 ms left to the objective and 844 ms in all; best chance in time 35% of 72% needed, at all 19%');
 	});
 
+	it('names the evacuation that leaves no place', () => {
+		expect(describeGrounds({...grounds, evacuated: 120, able: 201}).startsWith('321 backend servers known, 120 in evacuated data centres, 201 able')).toEqual(true);
+	});
+
 	it('says when work is assumed, and when no place was looked for', () => {
 		expect([describeGrounds({...grounds, isWorkLearnt: false}).includes('work 1159 ms assumed'), describeGrounds(undefined)]).toEqual([true, 'no place was looked for']);
 	});
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -143,10 +143,11 @@
 	}
 
 	private _carryOut(effect: OutwardEffect): void {
-		const {connections, logger, routedServer} = this._parts;
+		const {connections, logger, metrics, routedServer} = this._parts;
 		switch (effect.type) {
 			case 'configured': {
 				connections.retain(new Set(effect.configuration.backendServers.keys()));
+				metrics.evacuations(effect.configuration.evacuatedDataCentres?.size ?? 0);
 				if (effect.configuration.routing !== undefined) {
 					routedServer.configure(effect.configuration.routing);
 				}
--- a/src/node/metrics/metrics.test.ts
+++ b/src/node/metrics/metrics.test.ts
@@ -55,6 +55,7 @@
 			service: 'ordering', outcome: 'ran', reason: undefined, attempts: 2, milliseconds: 12, queuedMilliseconds: 3, isGood: true,
 		} as const;
 		metrics.answerCut('here');
+		metrics.evacuations(1);
 		metrics.measured('ordering');
 		metrics.platformCalled('get', 'entry', 4);
 		metrics.peerTraffic('out', 2, 600);
--- a/src/node/metrics/no-metrics.ts
+++ b/src/node/metrics/no-metrics.ts
@@ -9,6 +9,7 @@
 export const noMetrics: Metrics = {
 	callEnded: ignore,
 	answerCut: ignore,
+	evacuations: ignore,
 	measured: ignore,
 	platformCalled: ignore,
 	peerTraffic: ignore,
--- a/src/node/metrics/page-metrics.test.ts
+++ b/src/node/metrics/page-metrics.test.ts
@@ -11,6 +11,7 @@
 		}
 
 		metrics.answerCut('caller');
+		metrics.evacuations(1);
 		metrics.measured('orders');
 		metrics.platformCalled('watch', 'changes', 12);
 		expect(await metrics.text()).toMatchSnapshot(this);
--- a/src/node/metrics/page-metrics.ts
+++ b/src/node/metrics/page-metrics.ts
@@ -17,6 +17,7 @@
 	private readonly _calls = this._counter('jaydale_calls_total', 'Calls that have ended.', ['service', 'outcome', 'reason', 'good']);
 	private readonly _cutAnswers = this._counter('jaydale_cut_answers_total', 'Answers whose connection ended before they were out.', ['closed_by']);
 	private readonly _attempts = this._counter('jaydale_attempts_total', 'Attempts at backend servers.', ['service']);
+	private readonly _evacuations = new Gauge({name: 'jaydale_evacuated_data_centres', help: 'Data centres that this VM sends no new calls to.', registers: [this._registry]});
 	private readonly _measurings = this._counter('jaydale_measuring_calls_total', 'Calls made to learn a load.', ['service']);
 	private readonly _storeCalls = this._counter('jaydale_store_calls_total', 'Requests to the store.', ['operation', 'reply']);
 	private readonly _peerBytes = this._counter('jaydale_peer_bytes_total', 'Bytes between VMs.', ['direction']);
@@ -39,6 +40,10 @@
 		this._cutAnswers.inc({closed_by: closedBy});
 	}
 
+	evacuations(dataCentres: number): void {
+		this._evacuations.set(dataCentres);
+	}
+
 	measured(service: string): void {
 		this._measurings.inc({service});
 	}
--- a/src/node/metrics/statsd-metrics.ts
+++ b/src/node/metrics/statsd-metrics.ts
@@ -77,6 +77,10 @@
 		this._count('answers.cut', 1, {closed_by: closedBy});
 	}
 
+	evacuations(dataCentres: number): void {
+		this._gauge('evacuations.in_force', dataCentres);
+	}
+
 	measured(service: string): void {
 		this._count('measuring.calls', 1, {service});
 	}
--- a/src/node/metrics/types.ts
+++ b/src/node/metrics/types.ts
@@ -20,6 +20,8 @@
 	callEnded(summary: CallSummary): void;
 	/** An answer's connection was closed before the system had all of the answer. */
 	answerCut(closedBy: 'caller' | 'here'): void;
+	/** Data centres that are evacuated now, as far as this VM knows. */
+	evacuations(dataCentres: number): void;
 	/** A call whose only purpose is to learn a backend server's load was made. */
 	measured(service: string): void;
 	/** A request to the platform's service has ended, for instance `get` with `unavailable`. */
