--- a/src/common/calls/evacuation.test.ts
+++ b/src/common/calls/evacuation.test.ts
@@ -21,7 +21,9 @@
 const quiet = () => reportOf('p', {workTimeFactor: 1});
 
 function readOf(callId: number) {
-	return requestOf(callId, {method: 'GET', bodyBytes: 0, timeoutMilliseconds: 1200, rule});
+	return requestOf(callId, {
+		method: 'GET', bodyBytes: 0, timeoutMilliseconds: 1200, rule,
+	});
 }
 
 /** Lets calls be placed by quiet reports for this long; all effects. */
--- a/src/common/fleet/types.ts
+++ b/src/common/fleet/types.ts
@@ -183,6 +183,8 @@
 		| {readonly type: 'backend-server-leaving'; readonly sign: LeavingSign}
 		| {readonly type: 'operator-answer'; readonly requestId: number; readonly answer: OperatorAnswer}
 		| {readonly type: 'stage'; readonly stage: FleetStage}
+	/** A configuration cannot be read and is not adopted. `route` = the one at fault, where it is one. */
+		| {readonly type: 'configuration-rejected'; readonly route: string | undefined}
 	/**
 	 * Cut off from the platform's service and from every other VM: the configuration may be old. Idempotent
 	 * calls are served on, others are refused as not run (`not-ready`), and nobody is sent here.
--- a/src/common/registry/evacuations-property.test.ts
+++ b/src/common/registry/evacuations-property.test.ts
@@ -22,7 +22,9 @@
 	private _rejectedUntil: Instant = -Infinity;
 
 	constructor(seed: number) {
-		this._model = new FleetModel({vmCount: 60, serverCount: 40, seed, convergeMilliseconds: 2500});
+		this._model = new FleetModel({
+			vmCount: 60, serverCount: 40, seed, convergeMilliseconds: 2500,
+		});
 		this._model.startAll();
 		this._model.store.isSilentTo = address => this._rejected.has(address);
 		this.watch(10_000);
@@ -132,7 +134,9 @@
 
 	// Guards the usual case, in which nothing excuses a delay.
 	it('are in force within half of the bound where nothing is disturbed', () => {
-		const model = new FleetModel({vmCount: 134, serverCount: 260, seed: 1, convergeMilliseconds: 2500});
+		const model = new FleetModel({
+			vmCount: 134, serverCount: 260, seed: 1, convergeMilliseconds: 2500,
+		});
 		model.startAll();
 		model.timeline.advance(10_000);
 		model.store.put('evacuations/north', '{}');
--- a/src/common/registry/evacuations.test.ts
+++ b/src/common/registry/evacuations.test.ts
@@ -75,8 +75,12 @@
 	for (const [key, value] of [['evacuations/north', '{}'], ['servers/a', 'orders 10.0.1.1 ready']] as const) {
 		it(`is told to followers (${key})`, () => {
 			const driver = started();
-			driver.change([{key, value, revision: 20, createdAt: 20}]);
-			driver.change([{key, value, revision: 24, createdAt: 24}], [], 24);
+			driver.change([{
+				key, value, revision: 20, createdAt: 20,
+			}]);
+			driver.change([{
+				key, value, revision: 24, createdAt: 24,
+			}], [], 24);
 			expect(driver.told.at(-1)?.entries.map(entry => entry.revision)).toEqual([24]);
 		});
 	}
--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -439,8 +439,9 @@
 		const read = this._documents.configuration(value);
 		if (read.isErr()) {
 			this._context.log('error', 'configuration rejected; the one in force stays', {
-				versionInForce: this._configuration?.version ?? 0, failure: describeFailure(read.error),
+				versionInForce: this._configuration?.version ?? 0, failure: describeFailure(read.error), ...(read.error.route === undefined ? {} : {route: read.error.route}),
 			});
+			this._context.emit({type: 'configuration-rejected', route: read.error.route});
 			return false;
 		}
 
--- a/src/common/registry/types.ts
+++ b/src/common/registry/types.ts
@@ -41,7 +41,10 @@
 	readonly linkMegabits: number;
 };
 
-export type DocumentFailure = Failure<'invalid-document'>;
+export type DocumentFailure = Failure<'invalid-document'> & {
+	/** Route at fault, where it is one. */
+	readonly route?: string;
+};
 
 /** Reads and writes the documents in the store. */
 export type DocumentReader = {
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -155,6 +155,11 @@
 				break;
 			}
 
+			case 'configuration-rejected': {
+				metrics.configurationRejected(effect.route);
+				break;
+			}
+
 			case 'stage': {
 				this._enter(effect.stage);
 				break;
--- a/src/node/metrics/catalogue.ts
+++ b/src/node/metrics/catalogue.ts
@@ -27,6 +27,7 @@
 	'answers.cut': {type: 'counter', tags: ['closed_by'], describe: 'Answers whose connection ended before the system had all of them. `closed_by` is caller, or here: this VM broke it off.'},
 	'calls.in_flight': {type: 'gauge', tags: [], describe: 'Calls that have not ended.'},
 	'calls.queued': {type: 'gauge', tags: [], describe: 'Calls that wait for a backend server.'},
+	'configurations.rejected': {type: 'counter', tags: ['route'], describe: 'Configurations that could not be read; the one in force stays. `route` is the one at fault, or none.'},
 	'evacuations.in_force': {type: 'gauge', tags: [], describe: 'Data centres that this VM sends no new calls to.'},
 	'measuring.calls': {type: 'counter', tags: ['service'], describe: 'Calls made only to learn a backend server\'s load; each is paid from the service\'s budget.'},
 	'measuring.part': {type: 'gauge', tags: [], describe: 'Part of the fleet\'s measuring budgets that this VM may spend, 0 to 1.'},
--- a/src/node/metrics/metrics.test.ts
+++ b/src/node/metrics/metrics.test.ts
@@ -56,6 +56,7 @@
 		} as const;
 		metrics.answerCut('here');
 		metrics.evacuations(1);
+		metrics.configurationRejected('reads');
 		metrics.measured('ordering');
 		metrics.platformCalled('get', 'entry', 4);
 		metrics.peerTraffic('out', 2, 600);
--- a/src/node/metrics/no-metrics.ts
+++ b/src/node/metrics/no-metrics.ts
@@ -10,6 +10,7 @@
 	callEnded: ignore,
 	answerCut: ignore,
 	evacuations: ignore,
+	configurationRejected: ignore,
 	measured: ignore,
 	platformCalled: ignore,
 	peerTraffic: ignore,
--- a/src/node/metrics/page-metrics.test.ts
+++ b/src/node/metrics/page-metrics.test.ts
@@ -12,6 +12,7 @@
 
 		metrics.answerCut('caller');
 		metrics.evacuations(1);
+		metrics.configurationRejected('reads');
 		metrics.measured('orders');
 		metrics.platformCalled('watch', 'changes', 12);
 		expect(await metrics.text()).toMatchSnapshot(this);
--- a/src/node/metrics/page-metrics.ts
+++ b/src/node/metrics/page-metrics.ts
@@ -18,6 +18,7 @@
 	private readonly _cutAnswers = this._counter('jaydale_cut_answers_total', 'Answers whose connection ended before they were out.', ['closed_by']);
 	private readonly _attempts = this._counter('jaydale_attempts_total', 'Attempts at backend servers.', ['service']);
 	private readonly _evacuations = new Gauge({name: 'jaydale_evacuated_data_centres', help: 'Data centres that this VM sends no new calls to.', registers: [this._registry]});
+	private readonly _rejectedConfigurations = this._counter('jaydale_rejected_configurations_total', 'Configurations that could not be read.', ['route']);
 	private readonly _measurings = this._counter('jaydale_measuring_calls_total', 'Calls made to learn a load.', ['service']);
 	private readonly _storeCalls = this._counter('jaydale_store_calls_total', 'Requests to the store.', ['operation', 'reply']);
 	private readonly _peerBytes = this._counter('jaydale_peer_bytes_total', 'Bytes between VMs.', ['direction']);
@@ -44,6 +45,10 @@
 		this._evacuations.set(dataCentres);
 	}
 
+	configurationRejected(route: string | undefined): void {
+		this._rejectedConfigurations.inc({route: route ?? ''});
+	}
+
 	measured(service: string): void {
 		this._measurings.inc({service});
 	}
--- a/src/node/metrics/statsd-metrics.ts
+++ b/src/node/metrics/statsd-metrics.ts
@@ -81,6 +81,10 @@
 		this._gauge('evacuations.in_force', dataCentres);
 	}
 
+	configurationRejected(route: string | undefined): void {
+		this._count('configurations.rejected', 1, {route: route ?? 'none'});
+	}
+
 	measured(service: string): void {
 		this._count('measuring.calls', 1, {service});
 	}
--- a/src/node/metrics/types.ts
+++ b/src/node/metrics/types.ts
@@ -22,6 +22,8 @@
 	answerCut(closedBy: 'caller' | 'here'): void;
 	/** Data centres that are evacuated now, as far as this VM knows. */
 	evacuations(dataCentres: number): void;
+	/** A configuration could not be read; `route` = the one at fault, where it is one. */
+	configurationRejected(route: string | undefined): void;
 	/** A call whose only purpose is to learn a backend server's load was made. */
 	measured(service: string): void;
 	/** A request to the platform's service has ended, for instance `get` with `unavailable`. */
