Spare backend servers that warm up: a few VMs own each one's rate

Change: services declare the rate and the length of a warm-up; a warm-up is known from the entry and, sooner, from health answers, and may begin anew without a restart. For the time of a warm-up three VMs of the data centre, chosen by rendezvous hashing, share the rate; the others leave that backend server. Every attempt counts (first, retry, hedge); load probes don't. Whether a VM may send is part of whether a backend server may take a call, so that candidates, placing and refusals agree. A VM that has just started owns nothing for 3 s. Backend servers of a data centre whose evacuation has ended count as cold until their answer tells otherwise, so its load moves back at the pace of the warm-ups. How much slower a warming backend server answers is learnt apart from the rest, and its answers no longer spoil the model of warm ones. The grounds of a refusal count those left out.

--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -295,6 +295,7 @@
 			instance: server.process,
 			isExperiment,
 			isSuspect,
+			isWarmUp: server.warmUp.isUnderWay(now),
 			isSent: false,
 			hasHead: false,
 		};
@@ -315,6 +316,10 @@
 		this._attempts.set(attempt.id, attempt);
 		server.attempts.add(attempt);
 		server.suspectsInFlight += isSuspect ? 1 : 0;
+		if (call.serviceState.warmUp !== undefined) {
+			server.noteStart(now);
+		}
+
 		call.serviceState.noteStarted(call.request.caller);
 		return attempt;
 	}
@@ -339,7 +344,9 @@
 
 		server.noteTaken(true, now);
 		const time = now - attempt.startedAt;
-		if (call.class.hasWork) {
+		if (call.class.hasWork && attempt.isWarmUp) {
+			call.serviceState.noteWarmUpAnswer(time / call.serviceState.answerTimes.mean(call.class.workMean, attempt.prospect));
+		} else if (call.class.hasWork) {
 			call.serviceState.answerTimes.addAnswer(call.class.workMean, attempt.prospect, time);
 		}
 
@@ -349,7 +356,7 @@
 		}
 
 		call.class.addAnswer(time);
-		if (report !== undefined && isQuiet(report)) {
+		if (report !== undefined && isQuiet(report) && !attempt.isWarmUp) {
 			call.class.addWork(time);
 		}
 
--- a/src/common/calls/backend-server-state.ts
+++ b/src/common/calls/backend-server-state.ts
@@ -9,6 +9,7 @@
 import {ProcessHistory} from './process-history.ts';
 import {type TimerEntry} from './timer-queue.ts';
 import {type CallTuning} from './tuning.ts';
+import {WarmUp} from './warm-up.ts';
 import {type BackendServerIdentity, type BackendServerInForce, type LoadReport} from './types.ts';
 
 /** Part of a new answer time in the mean of the latest ones: swings are over after a few calls. */
@@ -23,6 +24,9 @@
  */
 const provenSlowness = 0.6;
 
+/** Span over which attempts at a warming backend server are counted. */
+const rateWindowMilliseconds: Milliseconds = 1000;
+
 /** What a report changed. */
 export type ReportEffect = {
 	readonly isTaken: boolean;
@@ -54,6 +58,7 @@
 	measuringSince: Instant | undefined;
 	/** Measuring calls on demand in a row that brought no report. */
 	unansweredMeasurings = 0;
+	readonly warmUp: WarmUp;
 	readonly demandAllowance = new DemandAllowance();
 	private readonly _tuning: CallTuning;
 	private readonly _processes = new ProcessHistory();
@@ -69,12 +74,15 @@
 	private _failuresInRow = 0;
 	private _ejections = 0;
 	private _ejectedUntil: Instant = 0;
+	/** When the latest attempts started, oldest first; kept only while they may count against a rate. */
+	private _starts: Instant[] = [];
 
 	/** `isKnown` = it was there before this VM began to serve, so that it is not cold for being new here. */
 	constructor(identity: BackendServerIdentity, declared: BackendServerInForce, tuning: CallTuning, now: Instant, isKnown = false) {
 		this.identity = identity;
 		this.declared = declared;
 		this._tuning = tuning;
+		this.warmUp = new WarmUp(declared.warmUntil);
 		this._healthSince = isKnown ? -Infinity : now;
 	}
 
@@ -152,6 +160,17 @@
 		return this._shedding * Math.exp((this._sheddingAt - now) / this._tuning.failureMemoryMilliseconds);
 	}
 
+	/** An attempt of this VM starts. */
+	noteStart(now: Instant): void {
+		this._starts = this._starts.filter(at => now - at < rateWindowMilliseconds);
+		this._starts.push(now);
+	}
+
+	/** Attempts of this VM that started within the last second. */
+	startsWithinSecond(now: Instant): number {
+		return this._starts.filter(at => now - at < rateWindowMilliseconds).length;
+	}
+
 	/** It took an attempt, or turned it away unrun. */
 	noteTaken(isTaken: boolean, now: Instant): void {
 		const before = this.sheddingAt(now);
@@ -250,6 +269,10 @@
 			this.takeLeaving(report.instance, now);
 		}
 
+		if (report.warmUpLeftMilliseconds !== undefined) {
+			this.warmUp.note(report.warmUpLeftMilliseconds, madeAt);
+		}
+
 		this.report = report;
 		this.reportedAt = madeAt;
 		this._ownAtReport = this.attempts.size;
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -16,6 +16,7 @@
 import {ServiceDirectory} from './service-directory.ts';
 import {TimerQueue} from './timer-queue.ts';
 import {type CallTuning, defaultTuning} from './tuning.ts';
+import {type WarmUpQuota, WholeWarmUpQuota} from './warm-up-quota.ts';
 import {
 	type AttemptId, type CallEffect, type CallEngine, type CallEngineStatus, type CallLoad, type CallEvent, type CallId, type CallRequest, type KeyClaim,
 } from './types.ts';
@@ -31,6 +32,8 @@
 	readonly settings: CallEngineSettings;
 	/** Numbers other than the defaults. */
 	readonly tuning?: Partial<CallTuning>;
+	/** How VMs share the rate of a warming backend server; undefined = this one shares with no other. */
+	readonly warmUpQuota?: WarmUpQuota;
 };
 
 /** The engine. */
@@ -58,6 +61,7 @@
 			freed: new Set(),
 			replaced: [],
 			isPlacingHeld: false,
+			warmUpQuota: options.warmUpQuota ?? new WholeWarmUpQuota(),
 			shares: undefined,
 			effects: [],
 		};
@@ -187,7 +191,7 @@
 			}
 
 			case 'shares': {
-				this._directory.setShares(event.shares);
+				this._directory.setShares(event.shares, now);
 				break;
 			}
 
--- a/src/common/calls/call.ts
+++ b/src/common/calls/call.ts
@@ -34,6 +34,8 @@
 	readonly isExperiment: boolean;
 	/** It may crash its backend server: nothing else is placed beside it. */
 	readonly isSuspect: boolean;
+	/** Its backend server was warming up when it started. */
+	readonly isWarmUp: boolean;
 	/** The first byte has left: from here on it may run. */
 	isSent: boolean;
 	hasHead: boolean;
--- a/src/common/calls/demand-placer.ts
+++ b/src/common/calls/demand-placer.ts
@@ -7,7 +7,9 @@
 } from './call.ts';
 import {type EngineContext} from './engine-context.ts';
 import {roomyPart} from './load-levels.ts';
-import {type Placement, type Placer, connectionLimit} from './placer.ts';
+import {
+	type Placement, type Placer, connectionLimit, isSpared,
+} from './placer.ts';
 import {type PlacingChoice, type PlacingGrounds} from './types.ts';
 
 /** Spread of chance over expected worths, so that VMs with like knowledge do not all ask the same few. */
@@ -104,7 +106,7 @@
 	 * centre, or where none of them is left the most promising of all. Questions and answers to others are paid by the byte.
 	 */
 	candidates(call: Call, now: Instant, asked: ReadonlySet<BackendServerState>): BackendServerState[] {
-		const able = call.serviceState.servers.filter(server => !asked.has(server) && this._mayTake(server, call) && !this._isLeftOut(server));
+		const able = call.serviceState.servers.filter(server => !asked.has(server) && this._isCandidate(server, call, now) && !this._isLeftOut(server));
 		const near = able.filter(server => this._isLocal(server));
 		const scored = (near.length > 0 ? near : able).map(server => ({
 			server, score: this._expect(server, call, now, 1).worth + ((this._context.random.next() - 0.5) * candidateSpread),
@@ -118,7 +120,7 @@
 		const {demandFreshMilliseconds, demandWaitMilliseconds} = this._context.tuning;
 		const {servers} = call.serviceState;
 		const reliable = mostTaken(servers, now);
-		return servers.some(server => this._mayTake(server, call) && now - server.reportedAt <= demandFreshMilliseconds + demandWaitMilliseconds
+		return servers.some(server => this._mayTake(server, call, now) && now - server.reportedAt <= demandFreshMilliseconds + demandWaitMilliseconds
 			&& isRoomy(server) && this._expect(server, call, now, reliable).inTime >= fairChance);
 	}
 
@@ -183,6 +185,7 @@
 			...best,
 			grounds: {
 				known: call.serviceState.servers.length,
+				warmingUp: call.serviceState.servers.filter(server => server.takesNewAttempts && isSpared(this._context, server, call, now)).length,
 				evacuated: call.serviceState.servers.filter(server => server.isEvacuated).length,
 				able: known.able,
 				weighed: known.servers.length,
@@ -204,7 +207,7 @@
 	 * those that are full. Where no report is young, since none was allowed or none came, all count.
 	 */
 	private _known(call: Call, now: Instant): {readonly servers: readonly BackendServerState[]; readonly isYoung: boolean; readonly able: number} {
-		const able = call.serviceState.servers.filter(server => this._mayTake(server, call) && hasRoom(server));
+		const able = call.serviceState.servers.filter(server => this._mayTake(server, call, now) && hasRoom(server));
 		const young = able.filter(server => now - server.reportedAt <= youngMilliseconds);
 		const isYoung = young.length > 0;
 		return {servers: isYoung ? young : able, isYoung, able: able.length};
@@ -220,7 +223,16 @@
 		return server.unansweredMeasurings >= silentAfter && this._context.random.next() * silentTurns >= 1;
 	}
 
-	private _mayTake(server: BackendServerState, call: Call): boolean {
+	/** Whether a report of it would be of use: it may take the call, or would if it told that it is warm. */
+	private _isCandidate(server: BackendServerState, call: Call, now: Instant): boolean {
+		return this._mayTake(server, call, now) || (server.takesNewAttempts && server.warmUp.isAssumed(now) && !call.failedOn.has(server));
+	}
+
+	private _mayTake(server: BackendServerState, call: Call, now: Instant): boolean {
+		if (isSpared(this._context, server, call, now)) {
+			return false;
+		}
+
 		if (!server.takesNewAttempts || call.failedOn.has(server) || server.attempts.size >= connectionLimit(this._context, server.declared)) {
 			return false;
 		}
@@ -232,7 +244,7 @@
 	private _expect(server: BackendServerState, call: Call, now: Instant, reliable: number): Expectation {
 		const {remoteMilliseconds, lateWorth, slotWorth} = this._context.tuning;
 		const {answerTimes} = call.serviceState;
-		const work = workEstimate(call);
+		const work = workEstimate(call) * (server.warmUp.isUnderWay(now) ? call.serviceState.warmUpSlowness : 1);
 		const prospect = this.prospect(server, now);
 		const way: Milliseconds = this._isLocal(server) ? 0 : remoteMilliseconds;
 		const taken = takenPart(server, now);
--- a/src/common/calls/placer.ts
+++ b/src/common/calls/placer.ts
@@ -35,6 +35,20 @@
 	return Math.max(1, Math.floor((context.shares?.connectionPart ?? 0) * server.connectionLimit));
 }
 
+/**
+ * Whether a backend server warms up and this VM has started as many attempts there in the last second as it may. Guards
+ * a cold backend server that looks idle to every VM at once: it crashes under more calls a second than its service declares.
+ */
+export function isSpared(context: EngineContext, server: BackendServerState, call: Call, now: Instant): boolean {
+	const {warmUp} = call.serviceState;
+	if (warmUp === undefined || !server.warmUp.isUnderWay(now)) {
+		return false;
+	}
+
+	const {identity, declared: {dataCentre}} = server;
+	return server.startsWithinSecond(now) >= context.warmUpQuota.attemptsPerSecond({identity, dataCentre}, warmUp.callsPerSecond, now);
+}
+
 /**
  * Places by the time that the answer is expected to take: the class's mean, times the backend server's
  * slowness and failures, and the wait for a slot. Made for loads that change within milliseconds under
@@ -71,7 +85,7 @@
 		const isHarmless = call.isIdempotent && isBodiless(call.request) && call.request.mayRetry;
 		for (const server of call.serviceState.servers) {
 			const health = server.healthAt(now);
-			const isInDoubt = (health === 'doubted' || health === 'probing') && server.attempts.size === 0 && server.takesNewAttempts;
+			const isInDoubt = (health === 'doubted' || health === 'probing') && server.attempts.size === 0 && server.takesNewAttempts && !isSpared(this._context, server, call, now);
 			if (isInDoubt && (isHarmless || server.healthAge(now) >= longestDoubt)) {
 				return server;
 			}
@@ -119,6 +133,10 @@
 	}
 
 	private _mayTake(server: BackendServerState, call: Call, now: Instant, isCareful: boolean): boolean {
+		if (isSpared(this._context, server, call, now)) {
+			return false;
+		}
+
 		if (!server.takesNewAttempts || call.failedOn.has(server) || server.attempts.size >= connectionLimit(this._context, server.declared)) {
 			return false;
 		}
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -70,6 +70,7 @@
 			service.redeclare(declared);
 			// A rule that was deleted is no longer in force.
 			service.sharing = rules.get(name) ?? defaultSharing;
+			service.warmUp = configuration.warmUpLimits?.get(name);
 			service.setServers(servers.get(name) ?? [], vmCountOf(this._context));
 			this._shareRetries(service);
 			this._services.set(name, service);
@@ -85,7 +86,11 @@
 		}
 	}
 
-	setShares(shares: FleetShares): void {
+	setShares(shares: FleetShares, now: Instant): void {
+		if (shares.members !== undefined && shares.members !== this._context.shares?.members) {
+			this._context.warmUpQuota.setMembers(shares.members, now);
+		}
+
 		this._context.shares = shares;
 		for (const service of this._services.values()) {
 			service.setVmCount(vmCountOf(this._context));
@@ -217,8 +222,18 @@
 		}
 
 		for (const server of this._servers.values()) {
-			server.isEvacuated = configuration.evacuatedDataCentres?.has(server.declared.dataCentre) === true;
+			this._setEvacuated(server, configuration, now);
+		}
+	}
+
+	private _setEvacuated(server: BackendServerState, {evacuatedDataCentres, warmUpLimits}: CallConfiguration, now: Instant): void {
+		const isEvacuated = evacuatedDataCentres?.has(server.declared.dataCentre) === true;
+		const warmUp = warmUpLimits?.get(server.declared.service);
+		if (server.isEvacuated && !isEvacuated && warmUp !== undefined) {
+			server.warmUp.assume(now + warmUp.milliseconds);
 		}
+
+		server.isEvacuated = isEvacuated;
 	}
 
 	private _add(identity: BackendServerIdentity, declared: BackendServerInForce, now: Instant, isKnown: boolean): void {
@@ -345,6 +360,10 @@
 /** A changed declaration; an order to leave that is taken back makes it a returned one. */
 function redeclare(server: BackendServerState, declared: BackendServerInForce, now: Instant): void {
 	const hasReturned = server.declared.isLeaving && !declared.isLeaving;
+	if (declared.warmUntil !== undefined && declared.warmUntil !== server.declared.warmUntil) {
+		server.warmUp.noteEntry(declared.warmUntil);
+	}
+
 	server.declared = declared;
 	if (declared.isLeaving) {
 		server.move('LEAVE', now);
--- a/src/common/calls/service-state.ts
+++ b/src/common/calls/service-state.ts
@@ -1,6 +1,7 @@
 /** What this VM keeps of one service. */
 import {type Service, type SharingRule} from '../model/resources.ts';
 import {type Instant} from '../model/units.ts';
+import {FadingMean} from './fading-mean.ts';
 import {AnswerTimeModel} from './answer-time-model.ts';
 import {type BackendServerState} from './backend-server-state.ts';
 import {CallClasses} from './call-classes.ts';
@@ -11,6 +12,7 @@
 import {ReturningCallers} from './returning-callers.ts';
 import {Roominess} from './roominess.ts';
 import {type CallTuning} from './tuning.ts';
+import {type WarmUpLimit} from './types.ts';
 
 /** Answer time assumed before the first answer. */
 const firstGuess = 20;
@@ -24,6 +26,14 @@
 /** Good answers assumed before the first: two failures at the start are no common cause. */
 const assumedGood = 5;
 
+/** Slowness of warming backend servers before any of their answers, what it counts for in samples, and their memory. */
+const assumedWarmUpSlowness = 2;
+const warmUpSamples = 4;
+const warmUpMemory = 40;
+
+/** A warming backend server's answer beyond this many usual times tells of a fault, and not of its warm-up. */
+const mostWarmUpRatio = 6;
+
 /** Priority of a service whose operator has named none. */
 const middlePriority = 5;
 
@@ -35,6 +45,8 @@
 	declared: Service;
 	sharing: Pick<SharingRule, 'callerShare' | 'overflowAt'> = defaultSharing;
 	servers: BackendServerState[] = [];
+	/** What its backend servers bear while they warm up; undefined = nothing is known of it. */
+	warmUp: WarmUpLimit | undefined;
 	/** When a call of this service last came to this VM. */
 	lastCallAt: Instant = Number.NEGATIVE_INFINITY;
 	readonly classes: CallClasses;
@@ -55,6 +67,7 @@
 	/** Part of the local slots believed to be in use: what overflow to other data centres goes by. */
 	localLoad = 0;
 	private readonly _callersInFlight = new Map<string, number>();
+	private readonly _warmUpSlowness = new FadingMean(assumedWarmUpSlowness, warmUpSamples, warmUpMemory);
 	private _othersMean: number | undefined;
 	private _failing = 0;
 	private _answerCount = 0;
@@ -78,6 +91,18 @@
 		return this.servers.some(server => server.takesNewAttempts);
 	}
 
+	/** Times longer that work takes at a backend server that warms up. */
+	get warmUpSlowness(): number {
+		return Math.max(1, this._warmUpSlowness.value);
+	}
+
+	/** A warming backend server answered after this many times the usual time. */
+	noteWarmUpAnswer(ratio: number): void {
+		if (Number.isFinite(ratio)) {
+			this._warmUpSlowness.add(Math.min(mostWarmUpRatio, ratio));
+		}
+	}
+
 	/** Failing part of all its latest calls. */
 	get failing(): number {
 		return this._failing;
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -35,6 +35,8 @@
 	readonly isLeaving: boolean;
 	/** How long work takes on its VM at the moment, against the usual (1 = as usual); undefined where it does not say. */
 	readonly workTimeFactor?: number;
+	/** How much longer it warms up, 0 = it is warm; undefined where the report does not say. */
+	readonly warmUpLeftMilliseconds?: Milliseconds;
 };
 
 /** What the route of a call says of it. It goes before the service's own rules. */
@@ -163,6 +165,16 @@
 	 * the same identity. A later one is another process, which holds and knows nothing of the one before.
 	 */
 	readonly processStartedAt?: number;
+	/** When its warm-up is over, as its entry said when it was read; undefined = it is warm. */
+	readonly warmUntil?: Instant;
+};
+
+/** What a backend server bears while it warms up. */
+export type WarmUpLimit = {
+	/** Calls a second that all VMs together may send it. */
+	readonly callsPerSecond: number;
+	/** How long it warms up. */
+	readonly milliseconds: Milliseconds;
 };
 
 /** Everything declared that calls depend on. */
@@ -171,12 +183,21 @@
 	readonly services: ReadonlyMap<string, Service>;
 	readonly backendServers: ReadonlyMap<BackendServerIdentity, BackendServerInForce>;
 	readonly sharingRules: readonly SharingRule[];
+	/** What backend servers of a service bear while they warm up; nothing is known of services that are missing. */
+	readonly warmUpLimits?: ReadonlyMap<string, WarmUpLimit>;
 	/** Data centres whose backend servers get no new attempts; calls that run there finish. Undefined = none. */
 	readonly evacuatedDataCentres?: ReadonlySet<string>;
 	/** Routes by host and path, where the operators declare any. */
 	readonly routing?: Routing;
 };
 
+/** The VMs that are known to serve, this one among them. */
+export type FleetMembers = {
+	/** Names this VM among them. */
+	readonly own: string;
+	readonly byDataCentre: ReadonlyMap<string, readonly string[]>;
+};
+
 /** The part of the fleet's budgets that this VM may spend. The sum over all VMs never exceeds them. */
 export type FleetShares = {
 	/**
@@ -191,6 +212,8 @@
 	readonly connectionPart: number;
 	/** VMs believed to serve, this one included; at least 1. An estimate: no promise rests on it. */
 	readonly vmCount: number;
+	/** Where VMs know one another by name. */
+	readonly members?: FleetMembers;
 };
 
 /** A piece of news about one backend server, worth telling peers. */
@@ -310,6 +333,8 @@
 	readonly known: number;
 	/** Those of them that stand in a data centre that is evacuated. */
 	readonly evacuated: number;
+	/** Those of them that warm up and get no further call of this VM now. */
+	readonly warmingUp: number;
 	/** Those of them that may take the call: not leaving, with room, and not one that has failed it. */
 	readonly able: number;
 	/** Those of them that were weighed: with a young report where there are any. */
--- /dev/null
+++ b/src/common/calls/warm-up-quota.test.ts
@@ -0,0 +1,78 @@
+import {expect} from 'earl';
+import {type RandomSource} from '../model/units.ts';
+import {seededRandom} from '../random/random.ts';
+import {testHash} from '../fleet/test-utilities.test.ts';
+import {type FleetMembers} from './types.ts';
+import {OwnerWarmUpQuota} from './warm-up-quota.ts';
+
+const rate = 6.15;
+/** Attempts a second beyond which a warming backend server of this rate may crash. */
+const mostASecond = 14;
+const settled = 10_000;
+const dataCentres = ['north', 'middle', 'south'];
+
+function fleetOf(vmCount: number): Array<{readonly name: string; readonly dataCentre: string}> {
+	return Array.from({length: vmCount}, (_, index) => ({name: `10.0.0.${index}:80`, dataCentre: dataCentres[index % 3]!}));
+}
+
+/** What one VM knows of the fleet. */
+function membersOf(own: string, fleet: ReturnType<typeof fleetOf>): FleetMembers {
+	const byDataCentre = new Map<string, string[]>();
+	for (const {name, dataCentre} of fleet) {
+		byDataCentre.set(dataCentre, [...byDataCentre.get(dataCentre) ?? [], name]);
+	}
+
+	return {own, byDataCentre};
+}
+
+/** What all VMs together may start in a second at each of 60 backend servers; `knows` = whether a VM knows another one. */
+function sums(vmCount: number, knows: (index: number, random: RandomSource) => boolean): number[] {
+	const fleet = fleetOf(vmCount);
+	const random = seededRandom(vmCount);
+	const quotas = fleet.map(({name}, index) => {
+		const quota = new OwnerWarmUpQuota(testHash);
+		quota.setMembers(membersOf(name, fleet.filter(other => other.name === name || knows(index, random))), 0);
+		return quota;
+	});
+	return Array.from({length: 60}, (_, index) => {
+		const server = {identity: `i-${index}`, dataCentre: dataCentres[index % 3]!};
+		return quotas.reduce((sum, quota) => sum + quota.attemptsPerSecond(server, rate, settled), 0);
+	});
+}
+
+describe('the shares of a warming backend server\'s rate', () => {
+	for (const vmCount of [1, 2, 16, 134, 311]) {
+		// Guards against a rate that is exceeded by the sum of many VMs, and against a warm-up that nobody does.
+		it(`come to the whole rate, with ${vmCount} VMs`, () => {
+			expect([...new Set(sums(vmCount, () => true))]).toEqual([Math.floor(rate)]);
+		});
+	}
+
+	for (const vmCount of [16, 134, 311]) {
+		// Guards against VMs that are cut off from the others, or have old lists.
+		it(`stay below what crashes it where a fifth of ${vmCount} VMs knows half of the others`, () => {
+			expect(Math.max(...sums(vmCount, (index, random) => index % 5 !== 0 || random.next() < 0.5))).toBeLessThanOrEqual(mostASecond);
+		});
+	}
+
+	it('go to VMs of its data centre, and to others where it has none', () => {
+		const [vm] = fleetOf(1);
+		const quota = new OwnerWarmUpQuota(testHash);
+		quota.setMembers(membersOf(vm!.name, [vm!, {name: '10.0.9.9:80', dataCentre: 'south'}]), 0);
+		const shares = ['north', 'south', 'middle'].map(dataCentre => quota.attemptsPerSecond({identity: dataCentre, dataCentre}, rate, settled));
+		expect(shares.slice(0, 2)).toEqual([6, 0]);
+		expect(shares[2]).toEqual(3);
+	});
+
+	// Guards a cold backend server against a whole fleet that has just started, each VM of which knows only itself.
+	it('are nothing for a VM that has just learnt of the others', () => {
+		const quota = new OwnerWarmUpQuota(testHash);
+		quota.setMembers(membersOf('10.0.0.0:80', fleetOf(1)), 0);
+		const server = {identity: 'i-1', dataCentre: 'north'};
+		expect([quota.attemptsPerSecond(server, rate, 2900), quota.attemptsPerSecond(server, rate, 3000)]).toEqual([0, 6]);
+	});
+
+	it('are nothing for a VM that knows of none', () => {
+		expect(new OwnerWarmUpQuota(testHash).attemptsPerSecond({identity: 'i-1', dataCentre: 'north'}, rate, settled)).toEqual(0);
+	});
+});
--- /dev/null
+++ b/src/common/calls/warm-up.test.ts
@@ -0,0 +1,165 @@
+import {expect} from 'earl';
+import {
+	answerMeasures, configurationOf, EngineDriver, linesOf, measuresOf, reportOf, requestOf, startIn,
+} from './engine-driver.test.ts';
+import {
+	type CallConfiguration, type CallEffect, type CallEvent, type LoadReport,
+} from './types.ts';
+
+const rule = {
+	route: 'reads', isIdempotent: true, timeoutMilliseconds: 1200, objectiveMilliseconds: 300, mostAttempts: 3, priority: 0,
+};
+
+/** Calls a second that a warming backend server may get. */
+const rate = 3;
+
+type Service = {readonly mode?: 'on-demand' | 'paced'};
+
+/** `warming` = for how long each backend server warms up from now on, by its entry. */
+function configuration(warming: readonly number[], {mode = 'on-demand'}: Service = {}, evacuated: readonly string[] = []): CallConfiguration {
+	const all = configurationOf(warming.length, {retryShare: 1, measuring: {mode, callsPerWindow: 10_000}});
+	return {
+		...all,
+		backendServers: new Map(Array.from(all.backendServers, ([identity, server], index) => [identity, {...server, ...(warming[index] === 0 ? {} : {warmUntil: warming[index]!})}])),
+		warmUpLimits: new Map([['orders', {callsPerSecond: rate, milliseconds: 3000}]]),
+		evacuatedDataCentres: new Set(evacuated),
+	};
+}
+
+function readOf(callId: number): CallEvent {
+	return {
+		type: 'call-arrived', request: requestOf(callId, {
+			method: 'GET', bodyBytes: 0, timeoutMilliseconds: 1200, rule,
+		}),
+	};
+}
+
+function reportFor(left: number): LoadReport {
+	return reportOf('p', {workTimeFactor: 1, warmUpLeftMilliseconds: left});
+}
+
+/** The other backend server is full, so that the cold one looks best. */
+const full = reportOf('p', {
+	workTimeFactor: 1, inFlight: 6, queued: 4, warmUpLeftMilliseconds: 0,
+});
+
+/** Sends a call each 20 ms, answers probes as told and each call at once; where the calls went, and when. */
+function serve(driver: EngineDriver, milliseconds: number, report: (identity: string) => LoadReport): Array<{readonly identity: string; readonly at: number}> {
+	const starts: Array<{readonly identity: string; readonly at: number}> = [];
+	let nextId = 1000 + driver.now;
+	const take = (effects: readonly CallEffect[]): void => {
+		for (const effect of effects) {
+			if (effect.type === 'start-attempt') {
+				starts.push({identity: effect.identity, at: driver.now});
+				driver.answer(effect.attemptId);
+			}
+		}
+
+		const measures = measuresOf(effects);
+		if (measures.length > 0) {
+			take(answerMeasures(driver, measures, report));
+		}
+	};
+
+	for (const end = driver.now + milliseconds; driver.now < end;) {
+		nextId++;
+		take(driver.handle(readOf(nextId)));
+		take(driver.passTime(20));
+	}
+
+	return starts;
+}
+
+function mostWithinSecond(starts: ReadonlyArray<{readonly at: number}>): number {
+	return Math.max(0, ...starts.map(({at}) => starts.filter(other => other.at >= at && other.at < at + 1000).length));
+}
+
+describe('a backend server that warms up', () => {
+	for (const mode of ['on-demand', 'paced'] as const) {
+		// Guards a cold backend server that looks idle beside busy ones: it crashes under more calls than it bears.
+		it(`gets no more attempts in any second than its service declares (${mode} measuring)`, () => {
+			const driver = new EngineDriver(configuration([2500, 0], {mode}));
+			const cold = serve(driver, 2400, identity => identity === 'identity-0' ? reportFor(2500 - driver.now) : full).filter(({identity}) => identity === 'identity-0');
+			expect([mostWithinSecond(cold), cold.length >= rate]).toEqual([rate, true]);
+		});
+	}
+
+	it('gets its full part afterwards', () => {
+		const driver = new EngineDriver(configuration([500, 0]));
+		driver.passTime(600);
+		expect(mostWithinSecond(serve(driver, 1000, () => reportFor(0)).filter(({identity}) => identity === 'identity-0'))).toBeGreaterThan(rate);
+	});
+
+	// Guards against a warm-up that begins anew without a restart: health answers tell of it before the entry does.
+	it('is spared as soon as its health answer tells of it', () => {
+		const driver = new EngineDriver(configuration([0, 0]));
+		const cold = serve(driver, 1000, identity => identity === 'identity-0' ? reportFor(3000) : full).filter(({identity}) => identity === 'identity-0');
+		expect(mostWithinSecond(cold)).toEqual(rate);
+	});
+
+	it('is no longer spared when its health answer says that it is warm, whatever its entry said', () => {
+		const driver = new EngineDriver(configuration([10_000, 10_000]));
+		expect(mostWithinSecond(serve(driver, 1000, () => reportFor(0)))).toBeGreaterThan(2 * rate);
+	});
+
+	it('is refused no call by an old entry that is read again', () => {
+		const driver = new EngineDriver(configuration([500, 0]));
+		driver.passTime(600);
+		driver.handle({type: 'configured', configuration: configuration([500, 0])});
+		expect(mostWithinSecond(serve(driver, 1000, () => reportFor(0)).filter(({identity}) => identity === 'identity-0'))).toBeGreaterThan(rate);
+	});
+
+	// Guards against retries, which are placed apart from first attempts and run there as well.
+	it('counts retries as attempts', () => {
+		const driver = new EngineDriver(configuration([5000, 5000]));
+		const warming = () => reportFor(5000);
+		let starts = 0;
+		for (let call = 1; call <= 30; call++) {
+			const first = startIn(answerMeasures(driver, measuresOf(driver.handle(readOf(call))), warming));
+			const retry = first === undefined ? undefined : startIn(answerMeasures(driver, measuresOf(driver.fail(first.attemptId, 'connection-refused')), warming));
+			starts += (first === undefined ? 0 : 1) + (retry === undefined ? 0 : 1);
+		}
+
+		expect([driver.now, starts <= 2 * rate]).toEqual([0, true]);
+	});
+
+	it('is named in the grounds of a refusal', () => {
+		const driver = new EngineDriver(configuration([5000]));
+		serve(driver, 100, () => reportFor(5000));
+		const effects = [...driver.handle(readOf(1)), ...driver.passTime(300)];
+		const ended = effects.findLast(effect => effect.type === 'call-ended');
+		expect([linesOf(effects).some(line => line.startsWith('refuse overloaded not-run')), ended?.type === 'call-ended' ? ended.summary.grounds?.warmingUp : undefined]).toEqual([true, 1]);
+	});
+});
+
+describe('the return of an evacuated data centre', () => {
+	function returned(): EngineDriver {
+		const driver = new EngineDriver(configuration([0, 0], {}, ['north']));
+		driver.passTime(5000);
+		driver.handle({type: 'configured', configuration: configuration([0, 0])});
+		return driver;
+	}
+
+	// Guards backend servers that became cold while nobody used them, and whose entries were written before.
+	it('takes its backend servers for cold until they tell otherwise', () => {
+		const driver = returned();
+		const started = Array.from({length: 20}, (_, index) => startIn([...driver.handle(readOf(index)), ...driver.passTime(30)])).filter(start => start !== undefined);
+		expect(started.length <= 2 * rate).toEqual(true);
+	});
+
+	it('probes them beyond that, so that their answer ends it', () => {
+		const driver = returned();
+		let probes = 0;
+		for (let call = 1; call <= 60; call++) {
+			const measures = [...measuresOf(driver.handle(readOf(call))), ...measuresOf(driver.passTime(20))];
+			probes += measures.length;
+			answerMeasures(driver, measures, () => undefined);
+		}
+
+		expect(probes).toBeGreaterThan(2 * rate);
+	});
+
+	it('uses them in full at once where they have stayed warm', () => {
+		expect(mostWithinSecond(serve(returned(), 1000, () => reportFor(0)))).toBeGreaterThan(2 * rate);
+	});
+});
--- /dev/null
+++ b/src/common/calls/warm-up.ts
@@ -0,0 +1,40 @@
+/** Whether a backend server is still warming up, as its entry and its health answers tell. */
+import {type Instant, type Milliseconds} from '../model/units.ts';
+
+/** One backend server's warm-up. It may begin anew at any time, without a restart. */
+export class WarmUp {
+	private _until: Instant;
+	private _isAssumed = false;
+
+	/** `until` = when its warm-up is over; undefined = it is warm. */
+	constructor(until: Instant | undefined) {
+		this._until = until ?? -Infinity;
+	}
+
+	/** Its warm-up is not over, or nobody has told that it is. */
+	isUnderWay(now: Instant): boolean {
+		return now < this._until;
+	}
+
+	/** It is taken to warm up, and a load probe would tell. */
+	isAssumed(now: Instant): boolean {
+		return this._isAssumed && this.isUnderWay(now);
+	}
+
+	/** Its own answer: the time that is left; 0 = it is warm. */
+	note(left: Milliseconds, now: Instant): void {
+		this._until = now + left;
+		this._isAssumed = false;
+	}
+
+	/** Its entry, which is seconds old and so ends no warm-up that an answer has told of. */
+	noteEntry(until: Instant): void {
+		this._until = Math.max(this._until, until);
+	}
+
+	/** It comes back after a time in which nobody used it: it may be cold until it tells otherwise. */
+	assume(until: Instant): void {
+		this._until = Math.max(this._until, until);
+		this._isAssumed = true;
+	}
+}
--- a/src/common/registry/registry-driver.test.ts
+++ b/src/common/registry/registry-driver.test.ts
@@ -30,7 +30,7 @@
 	graceMilliseconds: 6000,
 };
 
-/** Documents in a form of the tests' own: `version`, `service address state [start]`, or an address. */
+/** Documents in a form of the tests' own: `version`, `service address state [start [warming]]`, or an address. */
 export const documents: DocumentReader = {
 	configuration(value) {
 		const version = Number(value);
@@ -54,7 +54,7 @@
 			});
 	},
 	server(key, value) {
-		const [service, address, state, start] = value.split(' ');
+		const [service, address, state, start, warming] = value.split(' ');
 		const instance = key.slice('servers/'.length);
 		if (state !== 'ready' && state !== 'leaving') {
 			return err(failure('invalid-document', `no state: ${value}`));
@@ -62,6 +62,7 @@
 
 		const declared = backendServerSchema.parse({
 			kind: 'backend-server', name: instance, service, address, port: 80, dataCentre: 'north', isLeaving: state === 'leaving',
+			...(warming === undefined ? {} : {warmingMilliseconds: Number(warming)}),
 		});
 		return ok({instance, declared: {...declared, ...(start === undefined ? {} : {processStartedAt: Number(start)})}});
 	},
--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -61,7 +61,8 @@
 	/** The VM that has told all it knows and whose changes therefore make a whole. */
 	private _toldBy: PeerAddress | undefined;
 	private _configuration: ConfigurationDocument | undefined;
-	private _announcedVmCount = 0;
+	/** What the shares were last worked out from. */
+	private _announced = '';
 	/** This VM has read the store since others were told. */
 	private _hasRead = false;
 	/** Others that listen have missed changes: it was told itself, and passed nothing on. */
@@ -460,11 +461,12 @@
 			return;
 		}
 
-		const {version, services, routing, connectionLimits} = this._configuration;
+		const {version, services, routing, connectionLimits, warmUpLimits} = this._configuration;
 		const configuration: CallConfiguration = {
 			version,
 			services: new Map(services.map(service => [service.name, service])),
 			backendServers: this._servers.declared(connectionLimits),
+			...(warmUpLimits === undefined ? {} : {warmUpLimits}),
 			evacuatedDataCentres: this._evacuations.dataCentres,
 			sharingRules: [],
 			routing,
@@ -483,12 +485,14 @@
 	}
 
 	private _announceShares(): void {
-		const vmCount = this._vms.size + 1;
-		if (vmCount === this._announcedVmCount) {
+		const isServing = this._life.stage === 'serving';
+		const announced = `${this._vms.generation} ${isServing}`;
+		if (announced === this._announced) {
 			return;
 		}
 
-		this._announcedVmCount = vmCount;
+		this._announced = announced;
+		const vmCount = this._vms.size + 1;
 		this._context.emit({
 			type: 'shares',
 			shares: {
@@ -497,6 +501,7 @@
 				measuringUntil: 0,
 				connectionPart: Math.min(1, connectionSlack / vmCount),
 				vmCount,
+				members: this._vms.members(isServing),
 			},
 		});
 	}
--- a/src/common/registry/server-entries.test.ts
+++ b/src/common/registry/server-entries.test.ts
@@ -86,3 +86,33 @@
 		expect(driver.told.at(-1)?.entries.map(({key}) => key)).toEqual(['servers/a']);
 	});
 });
+
+describe('the warm-up of a backend server', () => {
+	/** The time left that the engine of calls would see, by backend server. */
+	function left(driver: RegistryDriver): Record<string, number | undefined> {
+		return Object.fromEntries(Array.from(driver.inForce!.backendServers, ([identity, {warmUntil}]) => [identity, warmUntil === undefined ? undefined : Math.round(warmUntil - driver.now)]));
+	}
+
+	it('is told to calls by the instant at which it ends', () => {
+		const driver = watching();
+		driver.change([entryOf('servers/c', 'orders 10.0.1.3 ready 1000 2500', 20)]);
+		const first = left(driver);
+		driver.passTime(1000);
+		expect([first.c! <= 2500 && first.c! >= 1500, left(driver).c! < first.c!]).toEqual([true, true]);
+	});
+
+	it('is not told again with each heartbeat', () => {
+		const driver = watching();
+		driver.change([entryOf('servers/c', 'orders 10.0.1.3 ready 1000 2500', 20)]);
+		const told = driver.told.length;
+		driver.change([entryOf('servers/c', 'orders 10.0.1.3 ready 1000 1500', 21)], [], 21);
+		expect(driver.told.slice(told).flatMap(({entries}) => entries)).toEqual([]);
+	});
+
+	// Guards against a backend server that turns cold under its identity, and whose entry differs in nothing else.
+	it('is told when it begins anew without a restart', () => {
+		const driver = watching();
+		driver.change([entryOf('servers/a', 'orders 10.0.1.1 ready 1000 3000', 20)]);
+		expect([left(driver).a! > 1500, driver.told.at(-1)?.entries.map(({key}) => key)]).toEqual([true, ['servers/a']]);
+	});
+});
--- a/src/common/registry/server-registry.ts
+++ b/src/common/registry/server-registry.ts
@@ -88,7 +88,7 @@
 			return this._withhold(key, read.error);
 		}
 
-		const entry = read.value;
+		const entry = this._withWarmUp(read.value);
 		const {processStartedAt} = entry.declared;
 		const latest = this._starts.get(key);
 		if (processStartedAt !== undefined && latest !== undefined && processStartedAt < latest) {
@@ -99,7 +99,7 @@
 		this._rememberStart(key, processStartedAt);
 		const wasUnreadable = this._unreadable.delete(key);
 		const known = this._entries.get(key);
-		if (known !== undefined && !wasUnreadable && isSame(known.declared, entry.declared)) {
+		if (known !== undefined && !wasUnreadable && isSame(known.declared, entry.declared) && !this._hasTurnedCold(known, entry)) {
 			return 'unchanged';
 		}
 
@@ -128,6 +128,18 @@
 		return isChanged;
 	}
 
+	/** With the instant at which its warm-up ends: what its entry tells is the time left when it was written. */
+	private _withWarmUp({instance, declared}: ServerEntry): ServerEntry {
+		const {warmingMilliseconds = 0} = declared;
+		return {instance, declared: warmingMilliseconds === 0 ? declared : {...declared, warmUntil: this._context.now + warmingMilliseconds}};
+	}
+
+	/** A warm-up began, or began anew. Its time runs off between two heartbeats, give or take what reading them took. */
+	private _hasTurnedCold({declared: {warmUntil: before = -Infinity}}: ServerEntry, {declared: {warmUntil}}: ServerEntry): boolean {
+		const {now, settings: {heartbeatMilliseconds}} = this._context;
+		return warmUntil !== undefined && (before <= now || warmUntil > before + heartbeatMilliseconds);
+	}
+
 	/** An entry that once told its process's start and tells none now is of another writer: it names no process. */
 	private _withItsStart(key: string, entry: ServerEntry): Result<ServerEntry, DocumentFailure> {
 		return entry.declared.processStartedAt === undefined && this._starts.has(key)
--- a/src/common/registry/types.ts
+++ b/src/common/registry/types.ts
@@ -4,7 +4,7 @@
  * what it reads; how documents are written is the affair of a `DocumentReader`.
  */
 import {type Result} from 'neverthrow';
-import {type BackendServerInForce} from '../calls/types.ts';
+import {type BackendServerInForce, type WarmUpLimit} from '../calls/types.ts';
 import {type Failure} from '../errors/failure.ts';
 import {type PeerAddress} from '../fleet/types.ts';
 import {type Service} from '../model/resources.ts';
@@ -19,6 +19,8 @@
 	readonly services: readonly Service[];
 	/** Connections that one backend server of a service accepts from all VMs together. */
 	readonly connectionLimits: ReadonlyMap<string, number>;
+	/** What a backend server of a service bears while it warms up, from all VMs together. */
+	readonly warmUpLimits?: ReadonlyMap<string, WarmUpLimit>;
 	readonly routing: Routing;
 };
 
--- a/src/common/registry/vm-directory.ts
+++ b/src/common/registry/vm-directory.ts
@@ -1,4 +1,5 @@
 /** The VMs that callers may use, and the answer to which of them. */
+import {type FleetMembers} from '../calls/types.ts';
 import {type AddressAnswer, type PeerAddress} from '../fleet/types.ts';
 import {type Milliseconds, type RandomSource} from '../model/units.ts';
 import {describeFailure} from '../errors/failure.ts';
@@ -55,6 +56,7 @@
 	private readonly _random: RandomSource;
 	private readonly _entries = new Map<string, KnownVm>();
 	private _ranks: VmRanks | undefined;
+	private _generation = 0;
 	/** The VMs known to serve, one an address; undefined = not worked out since the last change. */
 	private _latest: readonly KnownVm[] | undefined;
 	private _ownCreatedAt: Revision | undefined;
@@ -78,6 +80,24 @@
 		return this._living().map(({entry}) => entry.callAddress);
 	}
 
+	/** Names of the VMs known to serve by data centre, with this one while it serves. An address outlives a restart. */
+	members(isServing: boolean): FleetMembers {
+		const {own} = this._context.settings;
+		const byDataCentre = new Map<string, string[]>();
+		for (const {callAddress, dataCentre} of [...this._living().map(({entry}) => entry), ...(isServing ? [own] : [])]) {
+			const names = byDataCentre.get(dataCentre) ?? [];
+			names.push(callAddress);
+			byDataCentre.set(dataCentre, names);
+		}
+
+		return {own: own.callAddress, byDataCentre};
+	}
+
+	/** Changes with each change of the VMs known to serve. */
+	get generation(): number {
+		return this._generation;
+	}
+
 	/** VMs known to serve, this one not counted. */
 	get size(): number {
 		return this._living().length;
@@ -212,6 +232,7 @@
 	private _forgetOrder(): void {
 		this._latest = undefined;
 		this._ranks = undefined;
+		this._generation++;
 	}
 
 	private _rank(): VmRanks {
--- a/src/common/settings/entry-settings.ts
+++ b/src/common/settings/entry-settings.ts
@@ -40,6 +40,8 @@
 	retryShare: z.number().min(0).max(1).describe('Retries and hedges allowed as a share of a service\'s calls, for all VMs together.'),
 	retryBurst: z.number().min(0).max(1_000_000).default(60)
 		.describe('Retries and hedges of a service beyond that share which all VMs together may make at once.'),
+	warmUpTolerance: z.number().min(0.1).max(100).default(1)
+		.describe('Calls a second that all VMs together send to a backend server while it warms up, as a multiple of what its service declares that it bears.'),
 	heldAnswerBytes: z.int().min(0).max(16_777_216).default(262_144)
 		.describe('Answers up to this size are held until they are whole, so that one that breaks off can be had elsewhere.'),
 	replayBytes: z.int().min(0).max(16_777_216).default(65_536).describe('A body up to this size is kept so that the call can be sent again.'),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -145,6 +145,11 @@
 				break;
 			}
 
+			case 'configuration-rejected': {
+				this._parts.metrics.configurationRejected(effect.route);
+				break;
+			}
+
 			case 'log': {
 				logger[effect.level](effect.message, effect.details);
 				break;
--- a/src/daemon/describe-call.test.ts
+++ b/src/daemon/describe-call.test.ts
@@ -6,6 +6,7 @@
 	choice: 'none',
 	known: 321,
 	evacuated: 0,
+	warmingUp: 0,
 	able: 310,
 	weighed: 4,
 	withFreeSlot: 4,
@@ -25,6 +26,10 @@
 		expect(describeGrounds(grounds)).toEqual('321 backend servers known, 310 able, 4 weighed, 4 with a free slot; work 1159 ms, 982 ms left to the objective and 844 ms in all; best chance in time 35% of 72% needed, at all 19%');
 	});
 
+	it('names the backend servers that warm up', () => {
+		expect(describeGrounds({...grounds, warmingUp: 40}).startsWith('321 backend servers known, 40 warming up, 310 able')).toEqual(true);
+	});
+
 	it('names the evacuation that leaves no place', () => {
 		expect(describeGrounds({...grounds, evacuated: 120, able: 201}).startsWith('321 backend servers known, 120 in evacuated data centres, 201 able')).toEqual(true);
 	});
