--- a/src/common/registry/lapsed-while-turning.test.ts
+++ b/src/common/registry/lapsed-while-turning.test.ts
@@ -20,6 +20,27 @@
 	return driver;
 }
 
+/** The same, told by another VM since, which it has lost: it has read on and reads everything anew. */
+function readingOn(): RegistryDriver {
+	const driver = afterLapse();
+	driver.news(told);
+	driver.news({revision: 31});
+	driver.handle({type: 'news-ended', source: driver.source!});
+	while (driver.source !== undefined) {
+		driver.handle({type: 'news-ended', source: driver.source});
+	}
+
+	while (!driver.asked.some(({operation}) => operation.type === 'watch')) {
+		driver.passTime(20);
+	}
+
+	driver.reply('watch', {
+		type: 'changes', entries: [], deleted: [], revision: 40,
+	});
+	driver.passTime(10);
+	return driver;
+}
+
 /** What a VM tells that took the return of the two entries for a heartbeat: they stand as they were. */
 const told = {isWhole: true, entries: [...servers, ...others, entryOf('vms/own', '10.0.0.1:80', 12)], revision: 30};
 
@@ -51,24 +72,21 @@
 	// Story: the same VM becomes the one that reads for all again. It watches on from what it was told, and the return of
 	// the entries lies before that.
 	it('are read anew by a VM that reads on after it was told', () => {
-		const driver = afterLapse();
-		driver.news(told);
-		driver.news({revision: 31});
-		driver.handle({type: 'news-ended', source: driver.source!});
-		while (driver.source !== undefined) {
-			driver.handle({type: 'news-ended', source: driver.source});
-		}
-
-		while (!driver.asked.some(({operation}) => operation.type === 'watch')) {
-			driver.passTime(20);
-		}
+		const driver = readingOn();
+		driver.reply('list', {type: 'entries', entries: [...servers.slice(0, 2), ...others, entryOf('vms/own', '10.0.0.1:80', 12)], revision: 41});
+		driver.passTime(2500);
+		expect([driver.isReading, driver.usable]).toEqual([true, ['a']]);
+	});
 
-		driver.reply('watch', {
-			type: 'changes', entries: [], deleted: [], revision: 40,
-		});
+	// Guards against a copy of the store that lies behind what another VM has told: it would bring back what is gone.
+	it('are read from the store itself where the cheaper list is older than what was told', () => {
+		const driver = readingOn();
+		driver.reply('list', {type: 'entries', entries: [...servers, ...others], revision: 25});
 		driver.passTime(10);
+		const list = driver.asked.find(({operation}) => operation.type === 'list')?.operation;
+		expect([list?.type === 'list' && list.mayBeOld === true, driver.usable]).toEqual([false, ['a', 'b']]);
 		driver.reply('list', {type: 'entries', entries: [...servers.slice(0, 2), ...others, entryOf('vms/own', '10.0.0.1:80', 12)], revision: 41});
 		driver.passTime(2500);
-		expect([driver.isReading, driver.usable]).toEqual([true, ['a']]);
+		expect(driver.usable).toEqual(['a']);
 	});
 });
--- a/src/common/registry/store-mirror.ts
+++ b/src/common/registry/store-mirror.ts
@@ -213,11 +213,22 @@
 	/**
 	 * Guards a VM that reads on after it was told: an entry that lapsed and came back means nothing new to the teller, which
 	 * does not tell it. Watched on from the told revision, this VM would never hear of it, and take out a backend server
-	 * that lives for as long as that does not change. Everything is read once.
+	 * that lives for as long as that does not change. Everything is read once. Guards the store against the price of that, where
+	 * hundreds lose their readers at once: a list that may be old does, unless it lies behind what was told.
 	 */
 	private _readAnew(): void {
-		this._revision = undefined;
-		this._readAfter(0);
+		const told = this._revision ?? 0;
+		this._isAsking = true;
+		this._context.ask({type: 'list', prefix: this._context.settings.layout.commonPrefix, mayBeOld: true}, reply => {
+			if (reply.type === 'entries' && reply.revision >= told) {
+				this._takeList(reply, false);
+				return;
+			}
+
+			this._isAsking = false;
+			this._revision = undefined;
+			this._readAfter(0);
+		});
 	}
 
 	private _touch(): void {
