--- a/src/common/calls/scouting.ts
+++ b/src/common/calls/scouting.ts
@@ -115,7 +115,8 @@
 	/** Whether a report of this backend server is on its way; sends for one where the last is old. */
 	private _isAwaitable(server: BackendServerState, call: Call, now: Instant): boolean {
 		const {demandFreshMilliseconds} = this._context.tuning;
-		if (now - server.reportedAt <= demandFreshMilliseconds) {
+		const isWarmUpKnown = call.serviceState.warmUp === undefined || server.warmUp.isKnown(now);
+		if (isWarmUpKnown && now - server.reportedAt <= demandFreshMilliseconds) {
 			return false;
 		}
 
--- a/src/common/calls/warm-up.test.ts
+++ b/src/common/calls/warm-up.test.ts
@@ -97,6 +97,25 @@
 		expect(mostWithinSecond(cold)).toEqual(rate);
 	});
 
+	// Guards against a warm-up that begins under load: answers to calls report its load, and say nothing of its warm-up.
+	it('is spared within a moment while answers to calls keep its load report fresh', () => {
+		const driver = new EngineDriver(configuration([0]));
+		let starts = 0;
+		for (let call = 1; call <= 100; call++) {
+			const effects = [...driver.handle(readOf(call))];
+			effects.push(...answerMeasures(driver, measuresOf(effects), () => reportFor(driver.now < 500 ? 0 : 3000)));
+			const start = startIn(effects);
+			if (start !== undefined) {
+				starts += driver.now >= 500 ? 1 : 0;
+				driver.answer(start.attemptId, reportOf('p', {workTimeFactor: 1}));
+			}
+
+			driver.passTime(10);
+		}
+
+		expect(starts).toBeLessThanOrEqual(20 + rate);
+	});
+
 	it('is no longer spared when its health answer says that it is warm, whatever its entry said', () => {
 		const driver = new EngineDriver(configuration([10_000, 10_000]));
 		expect(mostWithinSecond(serve(driver, 1000, () => reportFor(0)))).toBeGreaterThan(2 * rate);
