Ask an unavailable store rarely while another VM is connected that would tell

The VM that each is connected to asks it as well, twice a second, and tells at once when it answers.

Change: a VM that nobody goes by and that is connected to another one pauses 3 s between its own requests. Alone it asks as before.

--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -117,6 +117,7 @@
 				this._keeper.onRead();
 			},
 			isReader: () => this._vms.ranks.isReader,
+			isFollowing: () => this._source.source !== undefined,
 			isSeed: () => settings.seeds.includes(settings.own.peerAddress),
 		});
 		this._source = new NewsSource(this._context, () => this._ranks(), {
--- a/src/common/registry/registry-news.test.ts
+++ b/src/common/registry/registry-news.test.ts
@@ -208,3 +208,27 @@
 		expect([driver.isReading, calls < 3]).toEqual([true, true]);
 	});
 });
+
+describe('a store that does not answer', () => {
+	/** Requests to it in ten seconds. */
+	function requestsIn(driver: RegistryDriver): number {
+		let requests = 0;
+		for (let step = 0; step < 100; step++) {
+			driver.passTime(100);
+			const isAsked = driver.asked.some(({operation}) => operation.type === 'watch');
+			requests += isAsked ? 1 : 0;
+			if (isAsked) {
+				driver.reply('watch', {type: 'unavailable'});
+			}
+		}
+
+		return requests;
+	}
+
+	// Guards the store's budget: hundreds of VMs that read for themselves in an outage, though one of them would tell the others.
+	it('is asked rarely by a VM that is connected to another one, and often by one that is alone', () => {
+		const alone = new RegistryDriver();
+		alone.start(twoServers);
+		expect([requestsIn(following()) <= 4, requestsIn(alone) >= 5]).toEqual([true, true]);
+	});
+});
--- a/src/common/registry/store-mirror.ts
+++ b/src/common/registry/store-mirror.ts
@@ -21,9 +21,15 @@
 /** Longest pause of a VM that reads for others: a store that is back must be heard of within a second. */
 const longestRetry: Milliseconds = 600;
 
-/** The same of a VM that another one will tell: while the store is out, calls of a whole fleet would be paid for nothing. */
+/** The same of a VM that nobody goes by. */
 const longestRetryOfOthers: Milliseconds = 2000;
 
+/**
+ * Pause of a VM that is connected to another one, which asks the store and will tell it: while the store is out, the calls
+ * of a whole fleet would be paid for nothing.
+ */
+const followerRetry: Milliseconds = 3000;
+
 /**
  * Pause after a first list that may be old, before a watch brings the rest: most VMs have found another one by then that
  * tells them, which costs the store nothing.
@@ -47,6 +53,8 @@
 	onRead(): void;
 	/** Whether other VMs go by what this one reads. */
 	isReader(): boolean;
+	/** Whether this VM is connected to another one, which tells what it reads. */
+	isFollowing(): boolean;
 	/** Whether other VMs begin with this one, so that it must know the latest at once. */
 	isSeed(): boolean;
 };
@@ -251,7 +259,7 @@
 			this._context.log('warn', 'the store does not answer; what is known stays in force', {reply: reply.type});
 		}
 
-		this._readAfter(this._retry);
+		this._readAfter(!this._listener.isReader() && this._listener.isFollowing() ? followerRetry : this._retry);
 		this._retry = Math.min(this._listener.isReader() ? longestRetry : longestRetryOfOthers, this._retry * 2);
 	}
 
