Score few of many backend servers for a call

Cause: each call of a VM of a large fleet scored all backend servers that might take it, hundreds, to probe four.

Change: where there are more than 24, that many are drawn at random and scored; smaller services are treated bit for bit as before. Backend servers are kept by data centre, so that the near ones are not searched for.

--- a/src/common/calls/backend-server-state.ts
+++ b/src/common/calls/backend-server-state.ts
@@ -152,12 +152,12 @@
 
 	/** Part of its latest calls that it failed. */
 	failingAt(now: Instant): number {
-		return this._failing * Math.exp((this._failingAt - now) / this._tuning.failureMemoryMilliseconds);
+		return this._failing === 0 ? 0 : this._failing * Math.exp((this._failingAt - now) / this._tuning.failureMemoryMilliseconds);
 	}
 
 	/** Part of its latest attempts that it turned away unrun. */
 	sheddingAt(now: Instant): number {
-		return this._shedding * Math.exp((this._sheddingAt - now) / this._tuning.failureMemoryMilliseconds);
+		return this._shedding === 0 ? 0 : this._shedding * Math.exp((this._sheddingAt - now) / this._tuning.failureMemoryMilliseconds);
 	}
 
 	/** An attempt of this VM starts. */
--- a/src/common/calls/demand-placer.ts
+++ b/src/common/calls/demand-placer.ts
@@ -1,5 +1,5 @@
 /** Chooses candidates to measure, and among them the backend server where an attempt is worth most. */
-import {type Instant, type Milliseconds} from '../model/units.ts';
+import {type Instant, type Milliseconds, type RandomSource} from '../model/units.ts';
 import {type Prospect} from './answer-time-model.ts';
 import {type BackendServerState} from './backend-server-state.ts';
 import {
@@ -15,6 +15,12 @@
 /** Spread of chance over expected worths, so that VMs with like knowledge do not all ask the same few. */
 const candidateSpread = 0.6;
 
+/**
+ * Backend servers that are scored for an attempt, drawn at random: several times those that are probed. Scoring hundreds
+ * costs a VM of a large fleet more than all else that it does for a call, and finds hardly better ones.
+ */
+const mostScored = 24;
+
 /** Measuring calls in a row without a report after which a backend server is asked only in the background. */
 const silentAfter = 2;
 
@@ -106,9 +112,10 @@
 	 * centre, or where none of them is left the most promising of all. Questions and answers to others are paid by the byte.
 	 */
 	candidates(call: Call, now: Instant, asked: ReadonlySet<BackendServerState>): BackendServerState[] {
-		const able = call.serviceState.servers.filter(server => !asked.has(server) && this._isCandidate(server, call, now) && !this._isLeftOut(server));
-		const near = able.filter(server => this._isLocal(server));
-		const scored = (near.length > 0 ? near : able).map(server => ({
+		const isAble = (server: BackendServerState) => !asked.has(server) && this._isCandidate(server, call, now) && !this._isLeftOut(server);
+		const {random, settings: {dataCentre}} = this._context;
+		const near = sample(call.serviceState.serversIn(dataCentre), mostScored, isAble, random);
+		const scored = (near.length > 0 ? near : sample(call.serviceState.servers, mostScored, isAble, random)).map(server => ({
 			server, score: this._expect(server, call, now, 1).worth + ((this._context.random.next() - 0.5) * candidateSpread),
 		}));
 		scored.sort((one, other) => other.score - one.score);
@@ -269,6 +276,26 @@
 	}
 }
 
+/** Up to `most` of the items that are accepted, drawn at random where there are more. */
+function sample<Item>(items: readonly Item[], most: number, isAccepted: (item: Item) => boolean, random: RandomSource): Item[] {
+	if (items.length <= most) {
+		return items.filter(item => isAccepted(item));
+	}
+
+	const pool = [...items];
+	const chosen: Item[] = [];
+	for (let left = pool.length; left > 0 && chosen.length < most; left--) {
+		const index = Math.floor(random.next() * left);
+		const item = pool[index]!;
+		pool[index] = pool[left - 1]!;
+		if (isAccepted(item)) {
+			chosen.push(item);
+		}
+	}
+
+	return chosen;
+}
+
 /** The one worth most of the backend servers that were offered. */
 class Dearest {
 	server: BackendServerState | undefined;
--- a/src/common/calls/demand-placing.test.ts
+++ b/src/common/calls/demand-placing.test.ts
@@ -1,7 +1,9 @@
 import {expect} from 'earl';
+import {seededRandom} from '../random/random.ts';
 import {
 	answerMeasures as answer, configurationOf, EngineDriver, linesOf, type Measure, measuresOf, reportOf, requestOf, type Start, startIn,
 } from './engine-driver.test.ts';
+import {DefaultCallEngine} from './call-engine.ts';
 import {type CallEffect, type CallRule} from './types.ts';
 
 const rule: CallRule = {
@@ -44,6 +46,23 @@
 		expect([first.length, second.length, starts.length, measuresOf(third).length, startIn(third) === undefined]).toEqual([4, 0, 2, 0, false]);
 	});
 
+	// Guards VMs of large fleets, whose processors are small, against work for a call that grows with the backend servers.
+	it('scores few of many backend servers for a call', () => {
+		const source = seededRandom(1);
+		let draws = 0;
+		const random = {
+			next() {
+				draws++;
+				return source.next();
+			},
+		};
+		const engine = new DefaultCallEngine({random, settings: {dataCentre: 'north'}});
+		engine.handle({type: 'configured', configuration: configurationOf(1000, {measuring: {mode: 'on-demand'}})}, 0);
+		draws = 0;
+		engine.handle({type: 'call-arrived', request: readOf(1)}, 0);
+		expect(draws).toBeLessThanOrEqual(60);
+	});
+
 	// Story: backend servers fall silent, or a VM is busy: reports do not come. A call that waits for them to its deadline
 	// is lost though any backend server could have run it.
 	it('waits for reports some milliseconds only', () => {
--- a/src/common/calls/service-state.ts
+++ b/src/common/calls/service-state.ts
@@ -44,7 +44,7 @@
 export class ServiceState {
 	declared: Service;
 	sharing: Pick<SharingRule, 'callerShare' | 'overflowAt'> = defaultSharing;
-	servers: BackendServerState[] = [];
+	servers: readonly BackendServerState[] = [];
 	/** What its backend servers bear while they warm up; undefined = nothing is known of it. */
 	warmUp: WarmUpLimit | undefined;
 	/** When a call of this service last came to this VM. */
@@ -66,6 +66,7 @@
 	isLookPlanned = false;
 	/** Part of the local slots believed to be in use: what overflow to other data centres goes by. */
 	localLoad = 0;
+	private _serversByDataCentre = new Map<string, BackendServerState[]>();
 	private readonly _callersInFlight = new Map<string, number>();
 	private readonly _warmUpSlowness = new FadingMean(assumedWarmUpSlowness, warmUpSamples, warmUpMemory);
 	private _othersMean: number | undefined;
@@ -111,9 +112,25 @@
 	/** Takes the backend servers that are in force. */
 	setServers(servers: BackendServerState[], vmCount: number): void {
 		this.servers = servers;
+		this._serversByDataCentre = new Map();
+		for (const server of servers) {
+			const {dataCentre} = server.declared;
+			const there = this._serversByDataCentre.get(dataCentre);
+			if (there === undefined) {
+				this._serversByDataCentre.set(dataCentre, [server]);
+			} else {
+				there.push(server);
+			}
+		}
+
 		this.setVmCount(vmCount);
 	}
 
+	/** Its backend servers in one data centre. */
+	serversIn(dataCentre: string): readonly BackendServerState[] {
+		return this._serversByDataCentre.get(dataCentre) ?? [];
+	}
+
 	/** Takes a changed declaration. */
 	redeclare(declared: Service): void {
 		this.declared = declared;
