--- a/src/common/calls/answer-time-model.test.ts
+++ b/src/common/calls/answer-time-model.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'earl';
 import {seededRandom} from '../random/random.ts';
 import {AnswerTimeModel, type Prospect} from './answer-time-model.ts';
-import {Roominess} from './roominess.ts';
+import {Headroom} from './headroom.ts';
 
 const work = 160;
 const quiet: Prospect = {
@@ -93,13 +93,13 @@
 
 	// Story: on a calm day three in four have room. Four questions for each call are paid, two of them for nothing.
 	it('is two where most have room, and all that may be asked where few have', () => {
-		const calm = new Roominess();
-		const full = new Roominess();
+		const calm = new Headroom();
+		const full = new Headroom();
 		for (let report = 0; report < 60; report++) {
 			calm.add(report % 4 === 0 ? {...roomy, workTimeFactor: 4} : roomy);
 			full.add(report % 4 === 0 ? roomy : {...roomy, inFlight: 3});
 		}
 
-		expect([new Roominess().questions(4), calm.questions(4), full.questions(4)]).toEqual([4, 2, 4]);
+		expect([new Headroom().probes(4), calm.probes(4), full.probes(4)]).toEqual([4, 2, 4]);
 	});
 });
--- a/src/common/calls/answer-time-model.ts
+++ b/src/common/calls/answer-time-model.ts
@@ -1,6 +1,6 @@
 /** What a service's answers have taught: how long they take by load and neighbours, and how long a report holds. */
 import {type Milliseconds} from '../model/units.ts';
-import {FadingMean} from './fading-mean.ts';
+import {MovingAverage} from './moving-average.ts';
 import {roomyPart, slowFrom} from './load-levels.ts';
 
 /** What is known of a backend server when a call is to be sent there. */
@@ -73,17 +73,17 @@
  * generators whose quantiles are known.
  */
 export class AnswerTimeModel {
-	private readonly _slowdowns: Record<Level, FadingMean> = {
-		few: new FadingMean(assumedSlowdowns.few, assumedSamples, answerMemory),
-		full: new FadingMean(assumedSlowdowns.full, assumedSamples, answerMemory),
-		queued: new FadingMean(assumedSlowdowns.queued, assumedSamples, answerMemory),
+	private readonly _slowdowns: Record<Level, MovingAverage> = {
+		few: new MovingAverage(assumedSlowdowns.few, assumedSamples, answerMemory),
+		full: new MovingAverage(assumedSlowdowns.full, assumedSamples, answerMemory),
+		queued: new MovingAverage(assumedSlowdowns.queued, assumedSamples, answerMemory),
 	};
 
-	private readonly _variance = new FadingMean(assumedSpread * assumedSpread, assumedSamples * 2, answerMemory);
-	private readonly _slowPart = new FadingMean(assumedSlowPart, assumedReports, reportMemory);
-	private readonly _slowFactor = new FadingMean(assumedSlowFactor, assumedReports / 4, reportMemory);
+	private readonly _variance = new MovingAverage(assumedSpread * assumedSpread, assumedSamples * 2, answerMemory);
+	private readonly _slowPart = new MovingAverage(assumedSlowPart, assumedReports, reportMemory);
+	private readonly _slowFactor = new MovingAverage(assumedSlowFactor, assumedReports / 4, reportMemory);
 	/** Changes a millisecond between two reports of one backend server. */
-	private readonly _changeRate = new FadingMean(1 / assumedHold, assumedReports, reportMemory);
+	private readonly _changeRate = new MovingAverage(1 / assumedHold, assumedReports, reportMemory);
 
 	/** Part of the backend servers that neighbours slow down. */
 	get slowPart(): number {
--- a/src/common/calls/demand-placer.ts
+++ b/src/common/calls/demand-placer.ts
@@ -119,7 +119,7 @@
 			server, score: this._expect(server, call, now, 1).worth + ((this._context.random.next() - 0.5) * candidateSpread),
 		}));
 		scored.sort((one, other) => other.score - one.score);
-		return scored.slice(0, call.serviceState.roominess.questions(this._context.tuning.demandCandidates)).map(({server}) => server);
+		return scored.slice(0, call.serviceState.headroom.probes(this._context.tuning.demandCandidates)).map(({server}) => server);
 	}
 
 	/** Whether a place is known by young news that is as good as any: asking further backend servers would be in vain. */
@@ -163,7 +163,7 @@
 		let bestInTime = 0;
 		let bestAtAll = 0;
 		const known = this._known(call, now);
-		const fairLate = call.serviceState.roominess.isPlentiful ? leastLateChance : fairLateChance;
+		const fairLate = call.serviceState.headroom.isPlentiful ? leastLateChance : fairLateChance;
 		const fair = known.isYoung ? chance : blindChance;
 		const reliable = mostTaken(known.servers, now);
 		for (const server of known.servers) {
--- a/src/common/calls/fading-mean.ts
+++ b/src/common/calls/moving-average.ts
@@ -1,5 +1,5 @@
-/** A mean that starts from an assumption and forgets old samples. */
-export class FadingMean {
+/** An exponentially weighted moving average that starts from an assumption. */
+export class MovingAverage {
 	private _value: number;
 	private _weight: number;
 	private readonly _memory: number;
--- a/src/common/calls/returning-callers.test.ts
+++ b/src/common/calls/retrying-callers.test.ts
@@ -1,13 +1,13 @@
 import {expect} from 'earl';
-import {ReturningCallers} from './returning-callers.ts';
+import {RetryingCallers} from './retrying-callers.ts';
 import {type CallRule} from './types.ts';
 
 const rule: CallRule = {
 	route: 'reads', isIdempotent: true, timeoutMilliseconds: 1200, objectiveMilliseconds: 300, mostAttempts: 3, priority: 0,
 };
 
-function afterUsual(times: readonly number[]): ReturningCallers {
-	const callers = new ReturningCallers();
+function afterUsual(times: readonly number[]): RetryingCallers {
+	const callers = new RetryingCallers();
 	for (const time of times) {
 		callers.spentOf(time, rule);
 	}
--- a/src/common/calls/returning-callers.ts
+++ b/src/common/calls/retrying-callers.ts
@@ -25,7 +25,7 @@
  * since when it has waited. Taken for a fresh one it gets a place in which a fresh one would be answered within its
  * objective, and it is not: in a model of 1.3 times the load 4 of 1600 such calls were in time.
  */
-export class ReturningCallers {
+export class RetryingCallers {
 	private readonly _samples = new Map<string, Milliseconds[]>();
 
 	/** Milliseconds that a caller with this time left has spent before, as far as can be told. */
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -264,7 +264,7 @@
 		const effect = server.takeReport(report, madeAt, now);
 		if (effect.isTaken) {
 			this._services.get(server.declared.service)?.answerTimes.addReport(report.workTimeFactor, former?.workTimeFactor, gap);
-			this._services.get(server.declared.service)?.roominess.add(report);
+			this._services.get(server.declared.service)?.headroom.add(report);
 		}
 
 		if (effect.goneInstance !== undefined) {
--- a/src/common/calls/service-state.ts
+++ b/src/common/calls/service-state.ts
@@ -1,7 +1,7 @@
 /** What this VM keeps of one service. */
 import {type Service, type SharingRule} from '../model/resources.ts';
 import {type Instant} from '../model/units.ts';
-import {FadingMean} from './fading-mean.ts';
+import {MovingAverage} from './moving-average.ts';
 import {AnswerTimeModel} from './answer-time-model.ts';
 import {type BackendServerState} from './backend-server-state.ts';
 import {CallClasses} from './call-classes.ts';
@@ -9,8 +9,8 @@
 import {AdaptiveConcurrencyLimit, type ConcurrencyLimit} from './concurrency-limit.ts';
 import {ReportTrust} from './report-trust.ts';
 import {RetryBudget} from './retry-budget.ts';
-import {ReturningCallers} from './returning-callers.ts';
-import {Roominess} from './roominess.ts';
+import {RetryingCallers} from './retrying-callers.ts';
+import {Headroom} from './headroom.ts';
 import {type CallTuning} from './tuning.ts';
 import {type WarmUpLimit} from './types.ts';
 
@@ -53,8 +53,8 @@
 	readonly reportTrust = new ReportTrust();
 	/** Where measuring is on demand: what its answers and reports have taught. */
 	readonly answerTimes = new AnswerTimeModel();
-	readonly roominess = new Roominess();
-	readonly returning = new ReturningCallers();
+	readonly headroom = new Headroom();
+	readonly returning = new RetryingCallers();
 	readonly retryBudget = new RetryBudget();
 	readonly limit: ConcurrencyLimit;
 	readonly queue: CallQueue;
@@ -68,7 +68,7 @@
 	localLoad = 0;
 	private _serversByDataCentre = new Map<string, BackendServerState[]>();
 	private readonly _callersInFlight = new Map<string, number>();
-	private readonly _warmUpSlowness = new FadingMean(assumedWarmUpSlowness, warmUpSamples, warmUpMemory);
+	private readonly _warmUpSlowness = new MovingAverage(assumedWarmUpSlowness, warmUpSamples, warmUpMemory);
 	private _othersMean: number | undefined;
 	private _failing = 0;
 	private _answerCount = 0;
--- a/src/common/fleet/configuration/change-attempt.ts
+++ b/src/common/fleet/configuration/change-attempt.ts
@@ -69,7 +69,7 @@
 	private _record: ChangeRecord | undefined;
 	private _commit: Commit | undefined;
 	private _plans = 0;
-	private _doubts = 0;
+	private _gracePeriod = 0;
 
 	constructor(
 		private readonly _context: FleetContext,
@@ -137,7 +137,7 @@
 	 * history that no longer reaches back so far proves nothing; "not accepted" could be a falsehood.
 	 */
 	private _isDoubtBeyondHistory(base: HeadBase): boolean {
-		const doubtful = this._doubts > 0 ? this._commit?.record.version : undefined;
+		const doubtful = this._gracePeriod > 0 ? this._commit?.record.version : undefined;
 		const oldest = base.head.records[0]?.version ?? base.head.version + 1;
 		return doubtful !== undefined && base.head.version >= doubtful && oldest > doubtful;
 	}
@@ -244,7 +244,7 @@
 		} else {
 			const isUntouched = reply.type === 'unavailable';
 			if (!isUntouched) {
-				this._doubts += 1;
+				this._gracePeriod += 1;
 			}
 
 			this._chart.send(isUntouched ? 'UNAVAILABLE' : 'UNKNOWN');
@@ -319,7 +319,7 @@
 			return;
 		}
 
-		const wait = Math.min(longestDoubtMilliseconds, firstDoubtMilliseconds * (2 ** Math.min(this._doubts, 8)));
+		const wait = Math.min(longestDoubtMilliseconds, firstDoubtMilliseconds * (2 ** Math.min(this._gracePeriod, 8)));
 		this._context.timers.set(`change-${this._change.operationId}`, this._context.now + this._context.jitter(wait), () => {
 			this._chart.send('RETRY');
 		});
@@ -335,7 +335,7 @@
 		const {base, record} = this._commit!;
 		this._reader.readHead((outcome, read) => {
 			if (outcome === 'failed' || !read || read.revision < base.revision) {
-				this._doubts += 1;
+				this._gracePeriod += 1;
 				this._chart.send('FAILED');
 			} else if (read.revision === base.revision) {
 				this._chart.send('UNCHANGED');
--- a/src/common/registry/doubtful-removals.ts
+++ b/src/common/registry/removal-grace-period.ts
@@ -8,13 +8,13 @@
  * Entries that disappear in the first moments after an outage long enough for a lapse are held for `holdMilliseconds`;
  * owners that live are back by then, and what is still missing is gone.
  */
-export class DoubtfulRemovals {
+export class RemovalGracePeriod {
 	private readonly _context: RegistryContext;
 	private readonly _name: string;
 	private readonly _onGone: (keys: readonly string[]) => void;
 	private readonly _isReading: () => boolean;
 	private readonly _missing = new Set<string>();
-	private _doubtUntil: Instant = Number.NEGATIVE_INFINITY;
+	private _endsAt: Instant = Number.NEGATIVE_INFINITY;
 
 	/**
 	 * `name` tells its timer from those of others. `isReading` = this VM reads the store itself at the moment; one that is
@@ -28,16 +28,16 @@
 	}
 
 	/** The store is back after an outage in which entries may have lapsed. */
-	beginDoubt(holdMilliseconds: Milliseconds): void {
-		this._doubtUntil = this._context.now + holdMilliseconds;
-		this._context.timers.set(`doubt-${this._name}`, this._doubtUntil, () => {
+	begin(holdMilliseconds: Milliseconds): void {
+		this._endsAt = this._context.now + holdMilliseconds;
+		this._context.timers.set(`removal-grace-${this._name}`, this._endsAt, () => {
 			this._settle();
 		});
 	}
 
 	/** An entry has disappeared; true = it counts as there for the time being. */
 	hold(key: string): boolean {
-		if (this._context.now >= this._doubtUntil) {
+		if (this._context.now >= this._endsAt) {
 			return false;
 		}
 
--- a/src/common/registry/server-registry.ts
+++ b/src/common/registry/server-registry.ts
@@ -3,7 +3,7 @@
 import {type BackendServerIdentity, type BackendServerInForce} from '../calls/types.ts';
 import {describeFailure, failure} from '../errors/failure.ts';
 import {type Milliseconds} from '../model/units.ts';
-import {DoubtfulRemovals} from './doubtful-removals.ts';
+import {RemovalGracePeriod} from './removal-grace-period.ts';
 import {type RegistryContext} from './registry-context.ts';
 import {type DocumentFailure, type DocumentReader, type ServerEntry} from './types.ts';
 
@@ -43,14 +43,14 @@
 	private readonly _unreadable = new Map<string, string>();
 	/** Latest start of a process told under each key. */
 	private readonly _starts = new Map<string, number>();
-	private readonly _doubts: DoubtfulRemovals;
+	private readonly _gracePeriod: RemovalGracePeriod;
 	private readonly _onGone: (key: string) => void;
 
 	constructor(context: RegistryContext, documents: DocumentReader, {onGone, onChanged, isReading}: RegistryListener) {
 		this._context = context;
 		this._documents = documents;
 		this._onGone = onGone;
-		this._doubts = new DoubtfulRemovals(context, 'servers', keys => {
+		this._gracePeriod = new RemovalGracePeriod(context, 'servers', keys => {
 			for (const key of keys) {
 				this._drop(key);
 			}
@@ -76,13 +76,13 @@
 	/** The store is back: could entries have lapsed meanwhile? The last heartbeat may lie just before the outage. */
 	onRegained(silence: Milliseconds): void {
 		if (silence >= (heartbeatsToLapse - 1) * this._context.settings.heartbeatMilliseconds) {
-			this._doubts.beginDoubt(holdMilliseconds);
+			this._gracePeriod.begin(holdMilliseconds);
 		}
 	}
 
 	/** Takes an entry in. */
 	put(key: string, value: string): EntryEffect {
-		this._doubts.noteThere(key);
+		this._gracePeriod.noteThere(key);
 		const read = this._documents.server(key, value).andThen(entry => this._withItsStart(key, entry));
 		if (read.isErr()) {
 			return this._withhold(key, read.error);
@@ -113,7 +113,7 @@
 	 * its owner to come back.
 	 */
 	remove(key: string, isCertain = false): boolean {
-		return this._entries.has(key) && (isCertain || !this._doubts.hold(key)) && this._drop(key);
+		return this._entries.has(key) && (isCertain || !this._gracePeriod.hold(key)) && this._drop(key);
 	}
 
 	/** Takes out all entries whose key is not among these; true = some are gone. */
--- a/src/common/registry/vm-directory.ts
+++ b/src/common/registry/vm-directory.ts
@@ -4,7 +4,7 @@
 import {type Milliseconds, type RandomSource} from '../model/units.ts';
 import {describeFailure} from '../errors/failure.ts';
 import {type Revision, type StoreEntry} from '../platform/types.ts';
-import {DoubtfulRemovals} from './doubtful-removals.ts';
+import {RemovalGracePeriod} from './removal-grace-period.ts';
 import {type RegistryContext} from './registry-context.ts';
 import {type RegistryListener} from './server-registry.ts';
 import {type DocumentReader, type VmEntry} from './types.ts';
@@ -67,7 +67,7 @@
 	/** The VMs known to serve, one an address; undefined = not worked out since the last change. */
 	private _latest: readonly KnownVm[] | undefined;
 	private _ownCreatedAt: Revision | undefined;
-	private readonly _doubts: DoubtfulRemovals;
+	private readonly _gracePeriod: RemovalGracePeriod;
 	private readonly _onGone: (key: string) => void;
 
 	constructor(context: RegistryContext, documents: DocumentReader, random: RandomSource, {onGone, isReading}: Pick<RegistryListener, 'onGone' | 'isReading'>) {
@@ -75,7 +75,7 @@
 		this._documents = documents;
 		this._random = random;
 		this._onGone = onGone;
-		this._doubts = new DoubtfulRemovals(context, 'vms', keys => {
+		this._gracePeriod = new RemovalGracePeriod(context, 'vms', keys => {
 			for (const key of keys) {
 				this._drop(key);
 			}
@@ -129,7 +129,7 @@
 
 	onRegained(silence: Milliseconds): void {
 		if (silence >= this._context.settings.leaseMilliseconds / 2) {
-			this._doubts.beginDoubt(holdMilliseconds);
+			this._gracePeriod.begin(holdMilliseconds);
 		}
 	}
 
@@ -140,7 +140,7 @@
 	 */
 	noteRemovals(count: number): void {
 		if (count >= massRemoval && count >= massPart * this._entries.size) {
-			this._doubts.beginDoubt(holdMilliseconds);
+			this._gracePeriod.begin(holdMilliseconds);
 		}
 	}
 
@@ -150,7 +150,7 @@
 			return false;
 		}
 
-		this._doubts.noteThere(key);
+		this._gracePeriod.noteThere(key);
 		if (this._entries.get(key)?.revision === revision) {
 			return false;
 		}
@@ -176,7 +176,7 @@
 
 	/** An entry has disappeared; `isCertain` = whoever says so has already waited for its owner to come back. */
 	remove(key: string, isCertain = false): void {
-		if (this._entries.has(key) && (isCertain || !this._doubts.hold(key))) {
+		if (this._entries.has(key) && (isCertain || !this._gracePeriod.hold(key))) {
 			this._drop(key);
 		}
 	}
