--- a/src/common/registry/news-source.ts
+++ b/src/common/registry/news-source.ts
@@ -180,9 +180,8 @@
 		this._send('LOST');
 		this._turn += 1;
 		this._losses += 1;
-		const {isStandby, isReserve, sources, reserves} = this._ranks();
-		const areSourcesLost = this._losses > sources.length;
-		if (isStandby || (areSourcesLost && (isReserve || this._losses > sources.length + reserves.length))) {
+		const {isStandby, sources} = this._ranks();
+		if (isStandby || this._losses > sources.length) {
 			this._send('OVERDUE');
 		}
 
@@ -196,8 +195,7 @@
 
 	/** Follows the VM whose turn it is, and gives it a moment to say something. */
 	private _tryNext(): void {
-		const {isReader} = this._ranks();
-		const sources = this._candidates();
+		const {isReader, sources} = this._ranks();
 		if (!this._hasStarted || isReader || sources.length === 0) {
 			this._follow(undefined);
 			this._send('OVERDUE');
@@ -215,12 +213,6 @@
 		this._planTry();
 	}
 
-	/** VMs to try: once all sources were lost, those that read in their place come first. */
-	private _candidates(): readonly PeerAddress[] {
-		const {sources, reserves} = this._ranks();
-		return this._losses > sources.length ? [...reserves, ...sources] : sources;
-	}
-
 	/** A VM that reads for itself goes on looking for one that spares it the calls. */
 	private _planTry(): void {
 		this._context.timers.set('news-try', this._context.now + this._tryPause, () => {
--- a/src/common/registry/vm-directory.ts
+++ b/src/common/registry/vm-directory.ts
@@ -28,9 +28,6 @@
 /** VMs of a data centre that are turned to after its readers: of the first ones some may have gone together with these. */
 const standbys = 3;
 
-/** VMs of a data centre that read in place of all of those together. */
-const reserveCount = 5;
-
 /** VMs of a data centre that one reader tells its news and whose entries it keeps: a line to each after each look at the store. */
 const followersAReader = 64;
 
@@ -51,10 +48,6 @@
 	readonly isStandby: boolean;
 	/** VMs to take news from, best first. */
 	readonly sources: readonly PeerAddress[];
-	/** This VM reads in place of these once all of them are lost. */
-	readonly isReserve: boolean;
-	/** VMs that read in place of the sources once all of those are lost. */
-	readonly reserves: readonly PeerAddress[];
 };
 
 export class VmDirectory {
@@ -257,22 +250,14 @@
 		const place = near.findIndex(({key}) => key === this._ownKey);
 		const local = near.slice(0, readers + standbys);
 		const turn = place === -1 ? 0 : place % Math.max(1, readers);
-		const reserves = near.slice(readers + standbys, readers + standbys + reserveCount);
-		const reserveTurn = Math.max(0, place) % Math.max(1, reserves.length);
 		const sources = [...local.slice(turn, readers), ...local.slice(0, turn), ...local.slice(readers), ...this._firstOfOthers()];
 		return {
 			isReader: place !== -1 && place < readers,
 			isStandby: place === readers,
-			sources: this._peersOf(sources),
-			isReserve: reserves.some(({key}) => key === this._ownKey),
-			reserves: this._peersOf([...reserves.slice(reserveTurn), ...reserves.slice(0, reserveTurn)]),
+			sources: sources.filter(({key}) => key !== this._ownKey).map(({entry}) => entry.peerAddress),
 		};
 	}
 
-	private _peersOf(vms: readonly KnownVm[]): PeerAddress[] {
-		return vms.filter(({key}) => key !== this._ownKey).map(({entry}) => entry.peerAddress);
-	}
-
 	/** The first of each other data centre, in order. */
 	private _firstOfOthers(): KnownVm[] {
 		const first = new Map<string, KnownVm>();
