Name the registry feed by the field's terms: selector, client, server, frames, change log

The VMs' news of the store, its source, teller, follower and log were terms of our own for what xDS calls streams and Kubernetes a watch cache.

--- a/benchmark/policy/baseline-engine.ts
+++ b/benchmark/policy/baseline-engine.ts
@@ -164,7 +164,7 @@
 			}
 
 			case 'peer-news': {
-				this._takeNews(event.news);
+				this._takeFrame(event.news);
 				break;
 			}
 
@@ -287,7 +287,7 @@
 		});
 	}
 
-	private _takeNews(newsList: readonly LoadNews[]): void {
+	private _takeFrame(newsList: readonly LoadNews[]): void {
 		for (const {identity, report} of newsList) {
 			const server = this._servers.get(identity);
 			if (server !== undefined && report !== undefined) {
--- a/src/common/fleet/test-utilities.test.ts
+++ b/src/common/fleet/test-utilities.test.ts
@@ -255,9 +255,9 @@
 				break;
 			}
 
-			case 'follow-news':
+			case 'follow-feed':
 			case 'announce':
-			case 'tell-news':
+			case 'publish-feed':
 			case 'peer-news':
 			case 'log': {
 				break;
--- a/src/common/fleet/types.ts
+++ b/src/common/fleet/types.ts
@@ -10,7 +10,7 @@
 import {type Resource, type ResourceKey, type StoredResource} from '../model/resources.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type ListedVm, type StoreOperation, type StoreReply} from '../platform/types.ts';
-import {type MemberAnnouncement, type NewsFrame} from '../registry/types.ts';
+import {type MemberAnnouncement, type FeedFrame} from '../registry/types.ts';
 import {type PeerMessage} from './peer-messages.ts';
 
 /** Names one process of jaydale: 128 random bits in base64url. A restart under the same address is another member. */
@@ -128,9 +128,9 @@
 	/** A message could not be delivered. */
 		| {readonly type: 'peer-unreachable'; readonly to: PeerAddress}
 	/** The VM that is followed tells what it knows of the store. */
-		| {readonly type: 'news'; readonly source: PeerAddress; readonly frame: NewsFrame}
+		| {readonly type: 'feed-frame'; readonly source: PeerAddress; readonly frame: FeedFrame}
 	/** The VM that was followed tells nothing more, or could not be reached. */
-		| {readonly type: 'news-ended'; readonly source: PeerAddress}
+		| {readonly type: 'feed-closed'; readonly source: PeerAddress}
 	/** A VM that follows this one says who it is, or that it leaves. */
 		| {readonly type: 'member-announced'; readonly announcement: MemberAnnouncement}
 	/** The stream of a VM that followed this one has ended. */
@@ -170,9 +170,9 @@
 	= | {readonly type: 'store'; readonly requestId: number; readonly operation: StoreOperation}
 		| {readonly type: 'send'; readonly to: PeerAddress; readonly message: PeerMessage}
 	/** Take the news of this VM and of no other; undefined = of none. */
-		| {readonly type: 'follow-news'; readonly source: PeerAddress | undefined}
+		| {readonly type: 'follow-feed'; readonly source: PeerAddress | undefined}
 	/** Tell this to the VMs that follow this one. */
-		| {readonly type: 'tell-news'; readonly frame: NewsFrame}
+		| {readonly type: 'publish-feed'; readonly frame: FeedFrame}
 	/** Tell the VM that is followed who this one is. */
 		| {readonly type: 'announce'; readonly announcement: MemberAnnouncement}
 	/** For the call engine: in force from now on. `version` only grows. */
--- a/src/common/registry/news-log.ts
+++ b/src/common/registry/change-log.ts
@@ -2,7 +2,7 @@
 import {type Revision, type StoreEntry} from '../platform/types.ts';
 
 /** Entries as they stand in the store; heartbeats that change nothing else are not told. */
-export class NewsLog {
+export class ChangeLog {
 	private readonly _entries = new Map<string, StoreEntry>();
 	private _changed = new Map<string, StoreEntry>();
 	private _removed = new Set<string>();
--- a/src/common/registry/news-source.ts
+++ b/src/common/registry/feed-selector.ts
@@ -1,5 +1,5 @@
-/** Decides whether this VM reads the store itself or learns its news from another VM, and from which. */
-import chart from '../../../charts/news-source.json' with {type: 'json'};
+/** Decides whether this VM reads the store itself or takes the registry feed of another VM, and of which. */
+import chart from '../../../charts/feed-selector.json' with {type: 'json'};
 import {type PeerAddress} from '../fleet/types.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {chartTable} from './chart-table.ts';
@@ -12,8 +12,8 @@
 const table = chartTable<State>(chart);
 
 /**
- * Parts of the time within which a change must be in force at which a VM acts on news that have grown old. A reader
- * pauses 0.4 of that time between two looks, each takes 0.15 at most, and it speaks after each: news are 0.55 old at
+ * Parts of the time within which a change must be in force at which a VM acts on a feed that has grown old. A reader
+ * pauses 0.4 of that time between two looks, each takes 0.15 at most, and it publishes after each: a feed is 0.55 old at
  * most while all is well. The stand-by acts first, so that those who turn to it find it fresh: a reader that dies then
  * costs one call and not one of each VM. What is left after the last step is for the store's answer and for slow VMs.
  */
@@ -38,10 +38,10 @@
 const longestTryMilliseconds: Milliseconds = 700;
 
 /** What the choice tells its surroundings. */
-export type NewsSourceListener = {
+export type FeedSelectorListener = {
 	/** Read the store from now on, or leave it to others. */
 	onRead(isReading: boolean): void;
-	/** Take the news of this VM; undefined = of none. */
+	/** Take the feed of this VM; undefined = of none. */
 	onFollow(source: PeerAddress | undefined): void;
 	/** Others go by what this VM reads, and it keeps their entries: it reads on until they have turned to another one. */
 	hasMembers(): boolean;
@@ -53,14 +53,14 @@
  * knows and by nothing else, so a reader that is dead, frozen, cut off, slow or turned away by the store is left in
  * time whatever ails it, and in the end each VM asks the store itself.
  */
-export class NewsSource {
+export class FeedSelector {
 	private readonly _context: RegistryContext;
 	private readonly _ranks: () => VmRanks;
-	private readonly _listener: NewsSourceListener;
+	private readonly _listener: FeedSelectorListener;
 	private _state: State = 'reading';
 	private _source: PeerAddress | undefined;
 	private _turn = 0;
-	/** VMs that were lost since one had fresh news. */
+	/** VMs that were lost since one had a fresh feed. */
 	private _losses = 0;
 	private _hasStarted = false;
 	private _hasBeenFresh = false;
@@ -72,7 +72,7 @@
 	/** When the store was in the state that this VM knows. */
 	private _freshAt: Instant = Number.NEGATIVE_INFINITY;
 
-	constructor(context: RegistryContext, ranks: () => VmRanks, listener: NewsSourceListener) {
+	constructor(context: RegistryContext, ranks: () => VmRanks, listener: FeedSelectorListener) {
 		this._context = context;
 		this._ranks = ranks;
 		this._listener = listener;
@@ -82,17 +82,17 @@
 		return this._state === 'reading';
 	}
 
-	/** VM whose news are taken now. */
+	/** VM whose feed is taken now. */
 	get source(): PeerAddress | undefined {
 		return this._source;
 	}
 
-	/** Some VM has told fresh news since the start. */
+	/** Some VM has had a fresh feed since the start. */
 	get hasBeenFresh(): boolean {
 		return this._hasBeenFresh;
 	}
 
-	/** VM whose news are fresh and spare this one the store; undefined = there is none. */
+	/** VM whose feed is fresh and spares this one the store; undefined = there is none. */
 	get freshSource(): PeerAddress | undefined {
 		return this._state === 'following' ? this._source : undefined;
 	}
@@ -136,8 +136,8 @@
 		this._freshAt = this._context.now;
 	}
 
-	/** The VM that is followed has spoken: its news are this old. */
-	noteNews(age: Milliseconds): void {
+	/** A frame of the feed has come: it tells of the store as it was this long ago. */
+	noteFrame(age: Milliseconds): void {
 		this._hasSpoken = true;
 		this._freshAt = Math.max(this._freshAt, this._context.now - age);
 		if (age < this._limit(switchPart) && this._mayStopReading()) {
@@ -205,7 +205,7 @@
 
 		this._turn %= sources.length;
 		this._follow(sources[this._turn]);
-		this._context.timers.set('news-hello', this._context.now + helloMilliseconds, () => {
+		this._context.timers.set('feed-hello', this._context.now + helloMilliseconds, () => {
 			if (this._state === 'switching' || (this._state === 'following' && !this._hasSpoken)) {
 				this._lose();
 			}
@@ -215,7 +215,7 @@
 
 	/** A VM that reads for itself goes on looking for one that spares it the calls. */
 	private _planTry(): void {
-		this._context.timers.set('news-try', this._context.now + this._tryPause, () => {
+		this._context.timers.set('feed-try', this._context.now + this._tryPause, () => {
 			if (this._state === 'reading') {
 				this._turn += 1;
 				this._tryPause = Math.min(longestTryMilliseconds, this._tryPause * 2);
@@ -226,11 +226,11 @@
 
 	/** News from the own data centre cost nothing on the way, and the first choice has the widest link. */
 	private _planReturn(): void {
-		if (this._turn === 0 || this._context.timers.has('news-return')) {
+		if (this._turn === 0 || this._context.timers.has('feed-return')) {
 			return;
 		}
 
-		this._context.timers.set('news-return', this._context.now + returnMilliseconds, () => {
+		this._context.timers.set('feed-return', this._context.now + returnMilliseconds, () => {
 			if (this._state === 'following' && this._turn > 0) {
 				this._turn = 0;
 				this._tryNext();
@@ -240,14 +240,14 @@
 
 	private _watchAge(): void {
 		const {isStandby} = this._ranks();
-		this._context.timers.set('news-age', this._freshAt + this._limit(isStandby ? standbyPart : switchPart), () => {
+		this._context.timers.set('feed-age', this._freshAt + this._limit(isStandby ? standbyPart : switchPart), () => {
 			if (isStandby) {
 				this._send('OVERDUE');
 			} else if (this._state === 'following') {
 				this._lose();
 			}
 		});
-		this._context.timers.set('news-overdue', this._freshAt + this._limit(readPart), () => {
+		this._context.timers.set('feed-overdue', this._freshAt + this._limit(readPart), () => {
 			this._send('OVERDUE');
 		});
 	}
--- a/src/common/registry/fleet-model.test.ts
+++ b/src/common/registry/fleet-model.test.ts
@@ -5,7 +5,7 @@
 import {seededRandom} from '../random/random.ts';
 import {documents, settings} from './registry-driver.test.ts';
 import {RegistryFleet} from './registry-fleet.ts';
-import {type MemberAnnouncement, type NewsFrame} from './types.ts';
+import {type MemberAnnouncement, type FeedFrame} from './types.ts';
 import {StoreModel} from './store-model.test.ts';
 
 /** The way of a line of news, and of a refused connection. */
@@ -111,7 +111,7 @@
 
 	private _tellEnd(listener: ModelProcess): void {
 		this._model.timeline.after(wayMilliseconds, () => {
-			listener.handle({type: 'news-ended', source: this.address});
+			listener.handle({type: 'feed-closed', source: this.address});
 		});
 	}
 
@@ -124,12 +124,12 @@
 				break;
 			}
 
-			case 'follow-news': {
+			case 'follow-feed': {
 				this._follow(effect.source);
 				break;
 			}
 
-			case 'tell-news': {
+			case 'publish-feed': {
 				for (const listener of this.listeners) {
 					this._deliver(listener, effect.frame);
 				}
@@ -202,7 +202,7 @@
 			}
 
 			if (target === undefined) {
-				this.handle({type: 'news-ended', source: address});
+				this.handle({type: 'feed-closed', source: address});
 				return;
 			}
 
@@ -219,10 +219,10 @@
 		});
 	}
 
-	private _deliver(listener: ModelProcess, frame: NewsFrame): void {
+	private _deliver(listener: ModelProcess, frame: FeedFrame): void {
 		this._model.timeline.after(wayMilliseconds, () => {
 			if (listener.source === this) {
-				listener.handle({type: 'news', source: this.address, frame});
+				listener.handle({type: 'feed-frame', source: this.address, frame});
 			}
 		});
 	}
--- a/src/common/registry/lapsed-while-turning.test.ts
+++ b/src/common/registry/lapsed-while-turning.test.ts
@@ -25,9 +25,9 @@
 	const driver = afterLapse();
 	driver.news(told);
 	driver.news({revision: 31});
-	driver.handle({type: 'news-ended', source: driver.source!});
+	driver.handle({type: 'feed-closed', source: driver.source!});
 	while (driver.source !== undefined) {
-		driver.handle({type: 'news-ended', source: driver.source});
+		driver.handle({type: 'feed-closed', source: driver.source});
 	}
 
 	while (!driver.asked.some(({operation}) => operation.type === 'watch')) {
--- a/src/common/registry/registry-driver.test.ts
+++ b/src/common/registry/registry-driver.test.ts
@@ -8,7 +8,7 @@
 import {seededRandom} from '../random/random.ts';
 import {RegistryFleet} from './registry-fleet.ts';
 import {
-	type DocumentReader, type MemberAnnouncement, type NewsFrame, type RegistrySettings,
+	type DocumentReader, type MemberAnnouncement, type FeedFrame, type RegistrySettings,
 } from './types.ts';
 
 /** What the engine of a test's VM is told; a test of a whole fleet gives each VM an identity and an address. */
@@ -89,7 +89,7 @@
 	asked: Asked[] = [];
 	readonly effects: FleetEffect[] = [];
 	/** What other VMs were told, oldest first. */
-	readonly told: NewsFrame[] = [];
+	readonly told: FeedFrame[] = [];
 	/** What this VM told the one that it follows about itself. */
 	readonly announced: MemberAnnouncement[] = [];
 	/** VMs that it has turned to, oldest first. */
@@ -107,7 +107,7 @@
 					break;
 				}
 
-				case 'tell-news': {
+				case 'publish-feed': {
 					this.told.push(effect.frame);
 
 					break;
@@ -119,7 +119,7 @@
 					break;
 				}
 
-				case 'follow-news': {
+				case 'follow-feed': {
 					this.source = effect.source;
 					this.followed.push(...effect.source === undefined ? [] : [effect.source]);
 
@@ -193,9 +193,9 @@
 	}
 
 	/** The VM that is followed tells this. */
-	news(frame: Partial<NewsFrame>): void {
+	news(frame: Partial<FeedFrame>): void {
 		this.handle({
-			type: 'news', source: this.source!, frame: {
+			type: 'feed-frame', source: this.source!, frame: {
 				revision: 20, ageMilliseconds: 0, entries: [], deleted: [], isWhole: false, ...frame,
 			},
 		});
--- a/src/common/registry/registry-news.test.ts
+++ b/src/common/registry/registry-feed.test.ts
@@ -115,7 +115,7 @@
 		driver.news({revision: 30, entries: [entryOf('servers/c', 'orders 10.0.1.3 ready', 30)]});
 		const before = driver.told.length;
 		for (let tries = 0; driver.source !== undefined && tries < 10; tries++) {
-			driver.handle({type: 'news-ended', source: driver.source});
+			driver.handle({type: 'feed-closed', source: driver.source});
 		}
 
 		driver.change([], [], 31);
@@ -147,7 +147,7 @@
 
 	it('is left at once when its connection ends', () => {
 		const driver = following();
-		driver.handle({type: 'news-ended', source: '10.0.0.2:80'});
+		driver.handle({type: 'feed-closed', source: '10.0.0.2:80'});
 		expect([driver.isReading, driver.source]).toEqual([false, '10.0.0.3:80']);
 	});
 
@@ -158,7 +158,7 @@
 		let tried = 0;
 		while (driver.source !== undefined && tried < 100) {
 			tried++;
-			driver.handle({type: 'news-ended', source: driver.source});
+			driver.handle({type: 'feed-closed', source: driver.source});
 		}
 
 		expect([tried, driver.isReading]).toEqual([4, true]);
@@ -168,7 +168,7 @@
 
 	it('is followed again over another connection when it is the only one', () => {
 		const driver = published([...twoServers, three[0]!]);
-		driver.handle({type: 'news-ended', source: driver.source!});
+		driver.handle({type: 'feed-closed', source: driver.source!});
 		expect(driver.source).toEqual(undefined);
 		driver.passTime(700);
 		expect(driver.source).toEqual('10.0.0.2:80');
@@ -182,13 +182,13 @@
 
 		driver.news({isWhole: true, entries: [...twoServers, three[0]!, three[2]!, entryOf('vms/own', '10.0.0.1:80', 12)]});
 		expect(driver.isReading).toEqual(false);
-		driver.handle({type: 'news-ended', source: '10.0.0.2:80'});
+		driver.handle({type: 'feed-closed', source: '10.0.0.2:80'});
 		expect(driver.isReading).toEqual(true);
 	});
 
 	it('is followed again once it is back', () => {
 		const driver = following();
-		driver.handle({type: 'news-ended', source: '10.0.0.2:80'});
+		driver.handle({type: 'feed-closed', source: '10.0.0.2:80'});
 		let told: string | undefined;
 		for (let beat = 0; beat < 6; beat++) {
 			const isWhole = driver.source !== told;
--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -9,14 +9,14 @@
 import {BoundedStop} from './bounded-stop.ts';
 import {Evacuations} from './evacuations.ts';
 import {MemberKeeper} from './member-keeper.ts';
-import {NewsLog} from './news-log.ts';
-import {NewsSource} from './news-source.ts';
+import {ChangeLog} from './change-log.ts';
+import {FeedSelector} from './feed-selector.ts';
 import {OwnEntry} from './own-entry.ts';
 import {RegistryContext} from './registry-context.ts';
 import {ServerRegistry} from './server-registry.ts';
 import {type MirrorChanges, StoreMirror} from './store-mirror.ts';
 import {
-	type ConfigurationDocument, type DocumentReader, type NewsFrame, type RegistrySettings,
+	type ConfigurationDocument, type DocumentReader, type FeedFrame, type RegistrySettings,
 } from './types.ts';
 import {VmDirectory, type VmRanks} from './vm-directory.ts';
 
@@ -54,10 +54,10 @@
 	private readonly _keeper: MemberKeeper;
 	private readonly _ownEntry: OwnEntry;
 	private readonly _life: BoundedStop;
-	private readonly _news = new NewsLog();
+	private readonly _log = new ChangeLog();
 	/** In an order of chance: a fleet that starts must not turn to one of them as one VM. */
 	private readonly _seeds: readonly PeerAddress[];
-	private readonly _source: NewsSource;
+	private readonly _source: FeedSelector;
 	/** The VM that has told all it knows and whose changes therefore make a whole. */
 	private _toldBy: PeerAddress | undefined;
 	private _configuration: ConfigurationDocument | undefined;
@@ -74,7 +74,7 @@
 		this._documents = documents;
 		this._evacuations = new Evacuations(this._context);
 		const onGone = (key: string) => {
-			this._news.remove(key);
+			this._log.remove(key);
 		};
 
 		const isReading = () => this._source.isReading;
@@ -89,7 +89,7 @@
 		this._keeper = new MemberKeeper(this._context, {
 			isReading: () => this._source.isReading,
 			isStoreThere: () => this._mirror.isWatching,
-			revisionOf: key => this._news.revisionOf(key),
+			revisionOf: key => this._log.revisionOf(key),
 			onWritten: (writes, revision) => {
 				this._takeOwnWrites(writes, revision);
 			},
@@ -120,7 +120,7 @@
 			isFollowing: () => this._source.source !== undefined,
 			isSeed: () => settings.seeds.includes(settings.own.peerAddress),
 		});
-		this._source = new NewsSource(this._context, () => this._ranks(), {
+		this._source = new FeedSelector(this._context, () => this._ranks(), {
 			onRead: isReading => {
 				this._mustTellAll ||= isReading;
 				this._mirror.setReading(isReading);
@@ -128,7 +128,7 @@
 			onFollow: source => {
 				this._toldBy = undefined;
 				this._ownEntry.noteTurning();
-				this._context.emit({type: 'follow-news', source});
+				this._context.emit({type: 'follow-feed', source});
 			},
 			hasMembers: () => this._keeper.hasMembers,
 		});
@@ -144,12 +144,12 @@
 				break;
 			}
 
-			case 'news': {
-				this._takeNews(event.source, event.frame);
+			case 'feed-frame': {
+				this._takeFrame(event.source, event.frame);
 				break;
 			}
 
-			case 'news-ended': {
+			case 'feed-closed': {
 				this._source.noteEnded(event.source);
 				break;
 			}
@@ -222,11 +222,11 @@
 	}
 
 	/** Everything that other VMs can learn from this one. */
-	news(now: Instant): NewsFrame {
+	news(now: Instant): FeedFrame {
 		return {
 			revision: this._mirror.revision ?? 0,
 			ageMilliseconds: this._toldAge(now),
-			entries: [...this._news.entries],
+			entries: [...this._log.entries],
 			deleted: [],
 			isWhole: true,
 		};
@@ -237,7 +237,7 @@
 	 * as they come, a backend server that has gone would be back. Each key goes by its own revision; a key that is unknown
 	 * here though everything up to a later revision was known has been removed since.
 	 */
-	private _takeNews(source: PeerAddress, frame: NewsFrame): void {
+	private _takeFrame(source: PeerAddress, frame: FeedFrame): void {
 		if (source !== this._source.source || (!frame.isWhole && this._toldBy !== source)) {
 			return;
 		}
@@ -247,16 +247,16 @@
 		this._toldBy = source;
 		const known = this._mirror.revision ?? -1;
 		const isAhead = isWhole && revision >= known;
-		const entries = frame.entries.filter(entry => entry.revision > (this._news.revisionOf(entry.key) ?? (isAhead ? -1 : known)) && !this._isKeptHere(entry.key));
+		const entries = frame.entries.filter(entry => entry.revision > (this._log.revisionOf(entry.key) ?? (isAhead ? -1 : known)) && !this._isKeptHere(entry.key));
 		const deleted = isWhole ? this._missingFrom(frame.entries) : frame.deleted;
 		this._takeChanges({
-			entries, deleted: deleted.filter(key => (this._news.revisionOf(key) ?? Infinity) <= revision), isWhole: false,
+			entries, deleted: deleted.filter(key => (this._log.revisionOf(key) ?? Infinity) <= revision), isWhole: false,
 		}, true);
 		// What lies behind this VM's own knowledge has been under way for long, whatever age it had when it was told. The first
 		// words of a stream cannot have been: what was known here later holds all that they say.
 		if (revision > 0 && (isFirst || revision >= known)) {
-			this._mirror.noteNews(revision, ageMilliseconds);
-			this._source.noteNews(ageMilliseconds);
+			this._mirror.noteFrame(revision, ageMilliseconds);
+			this._source.noteFrame(ageMilliseconds);
 		}
 	}
 
@@ -274,7 +274,7 @@
 		const entries = writes.flatMap(({key, expected, value}) => value === undefined
 			? []
 			: [{
-				key, value, revision, createdAt: expected === 0 ? revision : this._news.createdAt(key) ?? revision,
+				key, value, revision, createdAt: expected === 0 ? revision : this._log.createdAt(key) ?? revision,
 			}]);
 		const deleted = writes.filter(({value}) => value === undefined).map(({key}) => key);
 		this._takeChanges({entries, deleted, isWhole: false}, true);
@@ -291,7 +291,7 @@
 
 	private _missingFrom(entries: readonly StoreEntry[]): string[] {
 		const there = new Set(entries.map(entry => entry.key));
-		return Array.from(this._news.entries, entry => entry.key).filter(key => !there.has(key) && key !== this._context.settings.layout.configurationKey);
+		return Array.from(this._log.entries, entry => entry.key).filter(key => !there.has(key) && key !== this._context.settings.layout.configurationKey);
 	}
 
 	/** `isCertain` = whoever tells of removals has already waited for the owners to come back. */
@@ -331,7 +331,7 @@
 	private _noticeOwnEntry(keys: ReadonlySet<string>): void {
 		const {layout, identity} = this._context.settings;
 		const key = layout.vmPrefix + identity;
-		if (!keys.has(key) && this._news.revisionOf(key) !== undefined) {
+		if (!keys.has(key) && this._log.revisionOf(key) !== undefined) {
 			this._takeDeleted(key, true);
 		}
 	}
@@ -343,7 +343,7 @@
 		if (key === layout.configurationKey) {
 			const isAdopted = this._takeConfiguration(value);
 			if (isAdopted) {
-				this._news.put(entry, true);
+				this._log.put(entry, true);
 			}
 
 			return isAdopted;
@@ -352,7 +352,7 @@
 		if (key.startsWith(layout.serverPrefix)) {
 			const effect = this._servers.put(key, value);
 			if (effect !== 'outdated') {
-				this._news.put(entry, effect === 'changed');
+				this._log.put(entry, effect === 'changed');
 			}
 
 			return effect === 'changed';
@@ -360,14 +360,14 @@
 
 		if (this._evacuations.isKey(key)) {
 			const hasBegun = this._evacuations.put(key);
-			this._news.put(entry, hasBegun);
+			this._log.put(entry, hasBegun);
 			return hasBegun;
 		}
 
 		if (key.startsWith(layout.vmPrefix)) {
 			const isOwn = key === layout.vmPrefix + identity;
-			const isNews = isOwn ? this._news.revisionOf(key) !== entry.revision : this._vms.put(entry);
-			this._news.put(entry, isNews);
+			const isNews = isOwn ? this._log.revisionOf(key) !== entry.revision : this._vms.put(entry);
+			this._log.put(entry, isNews);
 			if (isOwn) {
 				this._noteOwnEntry();
 			}
@@ -379,7 +379,7 @@
 	/** Whether the own entry stands in the store, and since when, decides whether others go by this VM. */
 	private _noteOwnEntry(): void {
 		const {layout, identity} = this._context.settings;
-		const createdAt = this._news.createdAt(layout.vmPrefix + identity);
+		const createdAt = this._log.createdAt(layout.vmPrefix + identity);
 		this._vms.setOwn(createdAt);
 		this._ownEntry.noteSeen(createdAt !== undefined);
 	}
@@ -391,14 +391,14 @@
 		}
 
 		if (key === layout.vmPrefix + identity) {
-			this._news.remove(key);
+			this._log.remove(key);
 			this._noteOwnEntry();
 		} else if (key.startsWith(layout.vmPrefix)) {
 			this._vms.remove(key, isCertain);
 		} else if (key.startsWith(layout.serverPrefix)) {
 			return this._servers.remove(key, isCertain);
 		} else if (this._evacuations.isKey(key)) {
-			this._news.remove(key);
+			this._log.remove(key);
 			return this._evacuations.remove(key);
 		}
 
@@ -411,7 +411,7 @@
 	 * store itself is told.
 	 */
 	private _tellChanges(): void {
-		const changes = this._news.takeChanges();
+		const changes = this._log.takeChanges();
 		const hasNews = changes !== undefined || this._hasRead;
 		this._hasRead = false;
 		if (!hasNews || !this._source.isReading) {
@@ -422,10 +422,10 @@
 		// what is told now claims that all up to its revision is known. It shows as VMs that know only a part of the others.
 		if (this._mustTellAll) {
 			this._mustTellAll = false;
-			this._context.emit({type: 'tell-news', frame: this.news(this._context.now)});
+			this._context.emit({type: 'publish-feed', frame: this.news(this._context.now)});
 		} else {
 			this._context.emit({
-				type: 'tell-news', frame: {
+				type: 'publish-feed', frame: {
 					entries: [], deleted: [], ...changes, revision: this._mirror.revision ?? 0, ageMilliseconds: this._toldAge(this._context.now), isWhole: false,
 				},
 			});
--- a/src/common/registry/store-mirror.ts
+++ b/src/common/registry/store-mirror.ts
@@ -113,7 +113,7 @@
 	 * itself goes on from its own revision: it must not pass over what the other left out, nor tell others as its own
 	 * reading what it only heard.
 	 */
-	noteNews(revision: Revision, age: Milliseconds): void {
+	noteFrame(revision: Revision, age: Milliseconds): void {
 		if (this._isReading && this._revision !== undefined) {
 			return;
 		}
--- a/src/common/registry/types.ts
+++ b/src/common/registry/types.ts
@@ -105,7 +105,7 @@
 };
 
 /** What one VM tells another about the store. */
-export type NewsFrame = {
+export type FeedFrame = {
 	/** Revision of the store that the teller knows. */
 	readonly revision: Revision;
 	/** How long ago the store was in that state. */
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -14,7 +14,7 @@
 import {type Clock} from '../node/clock.ts';
 import {type DeciderLoop} from '../node/decider-loop.ts';
 import {type EarlyDoors} from '../node/early-door.ts';
-import {type NewsTeller} from '../node/fleet/news-teller.ts';
+import {type FeedServer} from '../node/fleet/feed-server.ts';
 import {type OutwardEffect, type StoreCarrier} from '../node/fleet/store-carrier.ts';
 import {type BackendConnections} from '../node/front/backend-connections.ts';
 import {type CallCarrier, type EndedCall} from '../node/front/call-carrier.ts';
@@ -44,7 +44,7 @@
 	/** Ends when this VM serves. */
 	readonly hold: StartingHold;
 	readonly directoryServer: PageServer;
-	readonly newsTeller: NewsTeller;
+	readonly feedServer: FeedServer;
 	readonly metricsServer: PageServer;
 	/** Opened before the program was loaded, by their endpoints. */
 	readonly doors: EarlyDoors;
@@ -97,13 +97,13 @@
 
 	/** Reads the store at once, and opens the doors meanwhile. */
 	async start(): Promise<Failure<'cannot-listen'> | undefined> {
-		const {settings, loop, routedServer, readinessServer, directoryServer, newsTeller, metricsServer, doors: earlyDoors} = this._parts;
+		const {settings, loop, routedServer, readinessServer, directoryServer, feedServer, metricsServer, doors: earlyDoors} = this._parts;
 		loop.feed({type: 'started'});
 		const doors = [
 			[routedServer, settings.listen.callers],
 			[readinessServer, settings.listen.readiness],
 			[directoryServer, settings.listen.directory],
-			[newsTeller, settings.listen.peers],
+			[feedServer, settings.listen.peers],
 			[metricsServer, settings.listen.metrics],
 		] as const;
 		const opened = await Promise.all(doors.map(async ([door, endpoint]) => {
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -17,8 +17,8 @@
 import {DeciderLoop} from '../node/decider-loop.ts';
 import {type EarlyDoors} from '../node/early-door.ts';
 import {entropySeed} from '../node/entropy.ts';
-import {NewsFollower} from '../node/fleet/news-follower.ts';
-import {NewsTeller} from '../node/fleet/news-teller.ts';
+import {FeedClient} from '../node/fleet/feed-client.ts';
+import {FeedServer} from '../node/fleet/feed-server.ts';
 import {StoreCarrier} from '../node/fleet/store-carrier.ts';
 import {type PlatformClient} from '../node/fleet/types.ts';
 import {BackendConnections} from '../node/front/backend-connections.ts';
@@ -121,8 +121,8 @@
 	const entryVm = new EntryVm(calls, fleet);
 	const loop = owned.add(new DeciderLoop<EntryVmEvent, EntryVmEffect>(entryVm, clock));
 	const storeCarrier = owned.add(new StoreCarrier(loop, new CountedPlatformClient(platform.store, clock, metrics)));
-	const newsFollower = owned.add(new NewsFollower(loop, logger));
-	const newsTeller = owned.add(new NewsTeller(metrics, {whole: () => fleet.news(clock.now())}, loop));
+	const feedClient = owned.add(new FeedClient(loop, logger));
+	const feedServer = owned.add(new FeedServer(metrics, {whole: () => fleet.news(clock.now())}, loop));
 	const connections = owned.add(new BackendConnections({connectMilliseconds, idleMilliseconds: backendIdleMilliseconds}));
 	const callCarrier = owned.add(new CallCarrier(loop, new CountedMeasurer(new LoadMeasurer(connections, platform.dialect), metrics), noKeys));
 	const hold = owned.add(new StartingHold());
@@ -147,18 +147,18 @@
 		}
 
 		switch (effect.type) {
-			case 'follow-news': {
-				newsFollower.follow(effect.source);
+			case 'follow-feed': {
+				feedClient.follow(effect.source);
 				break;
 			}
 
-			case 'tell-news': {
-				newsTeller.tell(effect.frame);
+			case 'publish-feed': {
+				feedServer.tell(effect.frame);
 				break;
 			}
 
 			case 'announce': {
-				newsFollower.announce(effect.announcement);
+				feedClient.announce(effect.announcement);
 				break;
 			}
 
@@ -182,7 +182,7 @@
 		readinessServer,
 		directoryServer,
 		hold,
-		newsTeller,
+		feedServer,
 		metricsServer,
 		doors: platform.doors ?? new Map(),
 	}, owned);
--- a/src/node/fleet/news-follower.ts
+++ b/src/node/fleet/feed-client.ts
@@ -1,4 +1,4 @@
-/** Listens to the news of one VM at a time, and tells it who this one is. */
+/** Takes the registry feed of one VM at a time, and tells it who this one is. */
 import {Readable} from 'node:stream';
 import {Client, type Dispatcher} from 'undici';
 import {describeFailure} from '../../common/errors/failure.ts';
@@ -9,7 +9,7 @@
 import {type EventSink} from '../decider-loop.ts';
 import {type Logger} from '../logging/types.ts';
 import {LineReader} from './line-reader.ts';
-import {decodeFrame, encodeAnnouncement, newsPath} from './news-frame.ts';
+import {decodeFrame, encodeAnnouncement, feedPath} from './feed-frame.ts';
 
 /** A way to another data centre and back is 3 ms; longer, and another VM is tried. */
 const connectMilliseconds: Milliseconds = 300;
@@ -20,16 +20,16 @@
 /** Time for the last announcement to leave before its connection ends. */
 const farewellMilliseconds: Milliseconds = 100;
 
-type NewsSink = EventSink<Extract<FleetEvent, {type: 'news' | 'news-ended'}>>;
+type FeedSink = EventSink<Extract<FleetEvent, {type: 'feed-frame' | 'feed-closed'}>>;
 
-export class NewsFollower extends Disposable {
-	private readonly _sink: NewsSink;
+export class FeedClient extends Disposable {
+	private readonly _sink: FeedSink;
 	private readonly _logger: Logger;
 	private readonly _listening = this._register(new MutableDisposable());
 	/** Body of the question that is under way: what is announced goes there. */
 	private _words: Readable | undefined;
 
-	constructor(sink: NewsSink, logger: Logger) {
+	constructor(sink: FeedSink, logger: Logger) {
 		super();
 		this._sink = sink;
 		this._logger = logger;
@@ -67,7 +67,7 @@
 			}, farewellMilliseconds).unref();
 		});
 		client.dispatch({
-			method: 'POST', path: newsPath, body: words, headers: ['content-type', 'application/x-ndjson'],
+			method: 'POST', path: feedPath, body: words, headers: ['content-type', 'application/x-ndjson'],
 		}, listener);
 	}
 
@@ -77,16 +77,16 @@
 	}
 }
 
-/** One stream of news, as an undici dispatch handler. */
+/** One feed, as an undici dispatch handler. */
 class NewsListener implements Dispatcher.DispatchHandler {
 	/** Nobody wants it any more: what still comes is left out, its end too. */
 	isOver = false;
 	private readonly _source: PeerAddress;
-	private readonly _sink: NewsSink;
+	private readonly _sink: FeedSink;
 	private readonly _logger: Logger;
 	private readonly _lines = new LineReader(longestLine);
 
-	constructor(source: PeerAddress, sink: NewsSink, logger: Logger) {
+	constructor(source: PeerAddress, sink: FeedSink, logger: Logger) {
 		this._source = source;
 		this._sink = sink;
 		this._logger = logger;
@@ -128,18 +128,18 @@
 			return;
 		}
 
-		this._sink.feed({type: 'news', source: this._source, frame: frame.value});
+		this._sink.feed({type: 'feed-frame', source: this._source, frame: frame.value});
 	}
 
 	private _end(): void {
 		if (!this.isOver) {
 			this.isOver = true;
-			this._sink.feed({type: 'news-ended', source: this._source});
+			this._sink.feed({type: 'feed-closed', source: this._source});
 		}
 	}
 }
 
-/** A line of news that does not end. */
+/** A frame that does not end. */
 class NewsTooLong extends Error {
 	override readonly name = 'NewsTooLong';
 }
--- a/src/node/fleet/news-frame.ts
+++ b/src/node/fleet/feed-frame.ts
@@ -1,12 +1,12 @@
-/** How news travel between VMs: one JSON object a line, long ones compressed. */
+/** How the registry feed travels between VMs: one JSON object a line, long ones compressed. */
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {err, ok, type Result} from 'neverthrow';
 import * as z from 'zod';
 import {failure, type Failure} from '../../common/errors/failure.ts';
-import {type MemberAnnouncement, type NewsFrame} from '../../common/registry/types.ts';
+import {type MemberAnnouncement, type FeedFrame} from '../../common/registry/types.ts';
 
-/** Path of the news on a VM's peers endpoint. */
-export const newsPath = '/news';
+/** Path of the feed on a VM's peers endpoint. */
+export const feedPath = '/news';
 
 /**
  * From here on a frame is compressed. Forty VMs that follow one with a link of 7 Mbit/s would wait four seconds for a
@@ -33,16 +33,16 @@
 const compressedMark = 'z';
 
 /** JSON has no `undefined`: what is absent is left out. */
-function toFrame({entries, ...frame}: z.infer<typeof frameSchema>): NewsFrame {
+function toFrame({entries, ...frame}: z.infer<typeof frameSchema>): FeedFrame {
 	return {...frame, entries: entries.map(({createdAt, ...entry}) => createdAt === undefined ? entry : {...entry, createdAt})};
 }
 
-export function encodeFrame(frame: Partial<NewsFrame>): string {
+export function encodeFrame(frame: Partial<FeedFrame>): string {
 	const text = JSON.stringify(frame);
 	return text.length < compressFromBytes ? `${text}\n` : `${compressedMark}${deflateRawSync(text, {level: 1}).toString('base64')}\n`;
 }
 
-export function decodeFrame(line: string): Result<NewsFrame, Failure<'invalid-document'>> {
+export function decodeFrame(line: string): Result<FeedFrame, Failure<'invalid-document'>> {
 	try {
 		const text = line.startsWith(compressedMark)
 			? inflateRawSync(Buffer.from(line.slice(1), 'base64'), {maxOutputLength: mostFrameBytes}).toString()
--- a/src/node/fleet/news-teller.ts
+++ b/src/node/fleet/feed-server.ts
@@ -6,12 +6,12 @@
 import {type Failure} from '../../common/errors/failure.ts';
 import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
 import {type FleetEvent} from '../../common/fleet/types.ts';
-import {type NewsFrame} from '../../common/registry/types.ts';
+import {type FeedFrame} from '../../common/registry/types.ts';
 import {type EventSink} from '../decider-loop.ts';
 import {listenOn} from '../listening.ts';
 import {type Metrics} from '../metrics/types.ts';
 import {LineReader} from './line-reader.ts';
-import {decodeAnnouncement, encodeFrame, newsPath} from './news-frame.ts';
+import {decodeAnnouncement, encodeFrame, feedPath} from './feed-frame.ts';
 
 /** Bytes that a listener may leave unread: one that is frozen or cut off must not fill this VM's memory. */
 const mostUnreadBytes = 1_000_000;
@@ -22,26 +22,26 @@
 type MemberSink = EventSink<Extract<FleetEvent, {type: 'member-announced' | 'member-ended'}>>;
 
 /** What there is to tell. */
-export type NewsContent = {
-	whole(): NewsFrame;
+export type FeedContent = {
+	whole(): FeedFrame;
 };
 
-export class NewsTeller extends Disposable {
+export class FeedServer extends Disposable {
 	private readonly _metrics: Metrics;
-	private readonly _content: NewsContent;
+	private readonly _content: FeedContent;
 	private readonly _sink: MemberSink;
 	/** The latest stream of each VM that said who it is: an earlier one that ends late says nothing of it. */
 	private readonly _streams = new Map<string, ServerResponse>();
 	private readonly _server: Server;
 	private readonly _listeners = new Set<ServerResponse>();
 
-	constructor(metrics: Metrics, content: NewsContent, sink: MemberSink) {
+	constructor(metrics: Metrics, content: FeedContent, sink: MemberSink) {
 		super();
 		this._sink = sink;
 		this._metrics = metrics;
 		this._content = content;
 		this._server = createServer({requestTimeout: 0}, (incoming, outgoing) => {
-			if (incoming.url === newsPath) {
+			if (incoming.url === feedPath) {
 				this._welcome(incoming, outgoing);
 			} else {
 				incoming.resume();
@@ -58,8 +58,8 @@
 		return listenOn(this._server, port, address);
 	}
 
-	/** Passes news on to all who listen. */
-	tell(frame: NewsFrame): void {
+	/** Sends a frame to all followers. */
+	tell(frame: FeedFrame): void {
 		if (this._listeners.size > 0) {
 			this._send(encodeFrame(frame));
 		}
--- a/src/node/fleet/news-stream.test.ts
+++ b/src/node/fleet/feed-stream.test.ts
@@ -1,15 +1,15 @@
-/** The stream between two VMs over sockets: news one way, announcements the other. */
+/** The stream between two VMs over sockets: the registry feed one way, announcements the other. */
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'earl';
 import {type FleetEvent} from '../../common/fleet/types.ts';
 import {DisposableStore} from '../../common/lifecycle/disposable.ts';
-import {type NewsFrame} from '../../common/registry/types.ts';
+import {type FeedFrame} from '../../common/registry/types.ts';
 import {noMetrics} from '../metrics/no-metrics.ts';
 import {type Logger} from '../logging/types.ts';
-import {NewsFollower} from './news-follower.ts';
-import {NewsTeller} from './news-teller.ts';
+import {FeedClient} from './feed-client.ts';
+import {FeedServer} from './feed-server.ts';
 
-const frame: NewsFrame = {
+const frame: FeedFrame = {
 	revision: 7, ageMilliseconds: 0, entries: [{
 		key: 'servers/a', value: 'x', revision: 5, createdAt: 3,
 	}], deleted: [], isWhole: true,
@@ -30,13 +30,13 @@
 	readonly owned = new DisposableStore();
 	readonly told: FleetEvent[] = [];
 	readonly heard: FleetEvent[] = [];
-	readonly teller = this.owned.add(new NewsTeller(noMetrics, {whole: () => frame}, {
+	readonly teller = this.owned.add(new FeedServer(noMetrics, {whole: () => frame}, {
 		feed: event => {
 			this.told.push(event);
 		},
 	}));
 
-	readonly follower = this.owned.add(new NewsFollower({
+	readonly follower = this.owned.add(new FeedClient({
 		feed: event => {
 			this.heard.push(event);
 		},
@@ -65,7 +65,7 @@
 		streams.owned.dispose();
 	});
 
-	it('brings news one way and announcements the other, on one connection', async () => {
+	it('brings the registry feed one way and announcements the other, on one connection', async () => {
 		const address = await streams.start();
 		streams.follower.follow(address);
 		streams.follower.announce(announcement);
@@ -74,7 +74,7 @@
 		streams.follower.announce({...announcement, intent: 'leave'});
 		await until(() => streams.told.length > 1 && streams.heard.length > 1);
 		expect([streams.heard, streams.told]).toEqual([
-			[{type: 'news', source: address, frame}, {type: 'news', source: address, frame: {...frame, revision: 8, isWhole: false}}],
+			[{type: 'feed-frame', source: address, frame}, {type: 'feed-frame', source: address, frame: {...frame, revision: 8, isWhole: false}}],
 			[{type: 'member-announced', announcement}, {type: 'member-announced', announcement: {...announcement, intent: 'leave'}}],
 		]);
 	});
@@ -95,7 +95,7 @@
 		await until(() => streams.heard.length > 0);
 		streams.teller.dispose();
 		await until(() => streams.heard.length > 1);
-		expect(streams.heard.at(-1)).toEqual({type: 'news-ended', source: address});
+		expect(streams.heard.at(-1)).toEqual({type: 'feed-closed', source: address});
 	});
 
 	it('ends a stream on which something else is said', async () => {
--- a/src/proof/fuzz/fleet-vm.ts
+++ b/src/proof/fuzz/fleet-vm.ts
@@ -190,14 +190,7 @@
 				break;
 			}
 
-			case 'peer-news':
-			case 'cut-off':
-			case 'follow-news':
-			case 'announce':
-			case 'tell-news':
-			case 'log': {
-				break;
-			}
+			default:
 		}
 	}
 
