--- a/src/common/registry/member-keeper.ts
+++ b/src/common/registry/member-registrar.ts
@@ -72,7 +72,7 @@
 };
 
 /** What the keeper asks and tells its surroundings. */
-export type MemberKeeperListener = {
+export type MemberRegistrarListener = {
 	/** This VM reads the store itself. */
 	isReading(): boolean;
 	/** The store answers, as far as this VM knows: what is sent into its silence keeps later writes waiting. */
@@ -88,15 +88,15 @@
  * transactions hold the entries of all VMs that follow this one. Which failures are met, and how, stands in
  * docs/design/platform.md.
  */
-export class MemberKeeper {
+export class MemberRegistrar {
 	private readonly _context: RegistryContext;
-	private readonly _listener: MemberKeeperListener;
+	private readonly _listener: MemberRegistrarListener;
 	private readonly _members = new Map<string, Member>();
 	private _leaseId: string | undefined;
 	private _isAsking = false;
 	private _lookedAt: Instant = 0;
 
-	constructor(context: RegistryContext, listener: MemberKeeperListener) {
+	constructor(context: RegistryContext, listener: MemberRegistrarListener) {
 		this._context = context;
 		this._listener = listener;
 	}
--- a/src/common/registry/own-entry.ts
+++ b/src/common/registry/own-entry.ts
@@ -3,7 +3,7 @@
 import {type PeerAddress} from '../fleet/types.ts';
 import {type Milliseconds} from '../model/units.ts';
 import {chartTable} from './chart-table.ts';
-import {type MemberKeeper} from './member-keeper.ts';
+import {type MemberRegistrar} from './member-registrar.ts';
 import {type RegistryContext} from './registry-context.ts';
 import {type DocumentReader, type MemberAnnouncement} from './types.ts';
 
@@ -32,17 +32,17 @@
 export class OwnEntry {
 	private readonly _context: RegistryContext;
 	private readonly _documents: DocumentReader;
-	private readonly _keeper: MemberKeeper;
+	private readonly _registrar: MemberRegistrar;
 	private _state: State = 'absent';
 	private _source: PeerAddress | undefined;
 	private _isReader = false;
 	/** The entry is known to stand in the store. */
 	private _isSeen = false;
 
-	constructor(context: RegistryContext, documents: DocumentReader, keeper: MemberKeeper) {
+	constructor(context: RegistryContext, documents: DocumentReader, registrar: MemberRegistrar) {
 		this._context = context;
 		this._documents = documents;
-		this._keeper = keeper;
+		this._registrar = registrar;
 	}
 
 	/** This VM writes its entry itself: whether it stands is known from the store alone. */
@@ -69,7 +69,7 @@
 		this._context.timers.clear('own-entry');
 		this._context.timers.clear('own-beat');
 		this._announce('leave');
-		this._keeper.release(this._context.settings.identity);
+		this._registrar.release(this._context.settings.identity);
 		this._enter('WITHDRAWN');
 	}
 
@@ -115,7 +115,7 @@
 			this._keepHere();
 		} else if (this._source !== undefined) {
 			this._enter('FOLLOWS');
-			this._keeper.forget(this._context.settings.identity);
+			this._registrar.forget(this._context.settings.identity);
 			this._announce();
 			this._beat();
 			this._planConfirmation();
@@ -129,7 +129,7 @@
 		this._enter('READS');
 		this._context.timers.clear('own-entry');
 		this._context.timers.clear('own-beat');
-		this._keeper.take(this._announcement('stay'));
+		this._registrar.take(this._announcement('stay'));
 	}
 
 	/**
--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -8,7 +8,7 @@
 import {type Revision, type StoreEntry, type StoreWrite} from '../platform/types.ts';
 import {BoundedStop} from './bounded-stop.ts';
 import {Evacuations} from './evacuations.ts';
-import {MemberKeeper} from './member-keeper.ts';
+import {MemberRegistrar} from './member-registrar.ts';
 import {ChangeLog} from './change-log.ts';
 import {FeedSelector} from './feed-selector.ts';
 import {OwnEntry} from './own-entry.ts';
@@ -51,7 +51,7 @@
 	private readonly _servers: ServerRegistry;
 	private readonly _vms: VmDirectory;
 	private readonly _evacuations: Evacuations;
-	private readonly _keeper: MemberKeeper;
+	private readonly _registrar: MemberRegistrar;
 	private readonly _ownEntry: OwnEntry;
 	private readonly _life: BoundedStop;
 	private readonly _log = new ChangeLog();
@@ -86,7 +86,7 @@
 			isReading,
 		});
 		this._vms = new VmDirectory(this._context, documents, random, {onGone, isReading});
-		this._keeper = new MemberKeeper(this._context, {
+		this._registrar = new MemberRegistrar(this._context, {
 			isReading: () => this._source.isReading,
 			isStoreThere: () => this._mirror.isWatching,
 			revisionOf: key => this._log.revisionOf(key),
@@ -94,7 +94,7 @@
 				this._takeOwnWrites(writes, revision);
 			},
 		});
-		this._ownEntry = new OwnEntry(this._context, documents, this._keeper);
+		this._ownEntry = new OwnEntry(this._context, documents, this._registrar);
 		this._life = new BoundedStop({
 			timers: this._context.timers,
 			graceMilliseconds: settings.graceMilliseconds,
@@ -114,7 +114,7 @@
 			onRead: () => {
 				this._hasRead = true;
 				this._source.noteRead();
-				this._keeper.onRead();
+				this._registrar.onRead();
 			},
 			isReader: () => this._vms.ranks.isReader,
 			isFollowing: () => this._source.source !== undefined,
@@ -130,7 +130,7 @@
 				this._ownEntry.noteTurning();
 				this._context.emit({type: 'follow-feed', source});
 			},
-			hasMembers: () => this._keeper.hasMembers,
+			hasMembers: () => this._registrar.hasMembers,
 		});
 	}
 
@@ -155,12 +155,12 @@
 			}
 
 			case 'member-announced': {
-				this._keeper.take(event.announcement);
+				this._registrar.take(event.announcement);
 				break;
 			}
 
 			case 'member-ended': {
-				this._keeper.noteEnded(event.identity);
+				this._registrar.noteEnded(event.identity);
 				break;
 			}
 
@@ -387,7 +387,7 @@
 	private _takeDeleted(key: string, isCertain: boolean): boolean {
 		const {layout, identity} = this._context.settings;
 		if (key.startsWith(layout.vmPrefix)) {
-			this._keeper.onRemoved(key);
+			this._registrar.onRemoved(key);
 		}
 
 		if (key === layout.vmPrefix + identity) {
