--- a/src/common/fleet/test-utilities.test.ts
+++ b/src/common/fleet/test-utilities.test.ts
@@ -255,14 +255,7 @@
 				break;
 			}
 
-			case 'configuration-rejected':
-			case 'follow-feed':
-			case 'announce':
-			case 'publish-feed':
-			case 'peer-news':
-			case 'log': {
-				break;
-			}
+			default:
 		}
 	}
 
