--- /dev/null
+++ b/src/common/registry/configuration-registry.ts
@@ -0,0 +1,56 @@
+/** The operators' configuration as it is in force on this VM. */
+import {describeFailure} from '../errors/failure.ts';
+import {type Milliseconds} from '../model/units.ts';
+import {type RegistryContext} from './registry-context.ts';
+import {type ConfigurationDocument, type DocumentReader} from './types.ts';
+
+/** Longest call assumed before any route is known. */
+const defaultLongestCall: Milliseconds = 2000;
+
+export class ConfigurationRegistry {
+	private readonly _context: RegistryContext;
+	private readonly _documents: DocumentReader;
+	private _inForce: ConfigurationDocument | undefined;
+
+	constructor(context: RegistryContext, documents: DocumentReader) {
+		this._context = context;
+		this._documents = documents;
+	}
+
+	get inForce(): ConfigurationDocument | undefined {
+		return this._inForce;
+	}
+
+	/** Version in force; 0 before the first. */
+	get version(): number {
+		return this._inForce?.version ?? 0;
+	}
+
+	/** Longest time that a caller may be kept waiting by any route. */
+	get longestCall(): Milliseconds {
+		const routes = this._inForce?.routing.routes ?? [];
+		return routes.length === 0 ? defaultLongestCall : Math.max(...routes.map(route => route.rule.timeoutMilliseconds));
+	}
+
+	/** Takes a document in; true = it is in force now. An older one, or one that cannot be read, replaces none. */
+	take(value: string): boolean {
+		const read = this._documents.configuration(value);
+		if (read.isErr()) {
+			const {route} = read.error;
+			this._context.log('error', 'configuration rejected; the one in force stays', {
+				versionInForce: this.version, failure: describeFailure(read.error), ...(route === undefined ? {} : {route}),
+			});
+			this._context.emit({type: 'configuration-rejected', route});
+			return false;
+		}
+
+		const {version, routing} = read.value;
+		if (version <= this.version) {
+			return false;
+		}
+
+		this._context.log('info', 'configuration adopted', {version, replaced: this.version, routes: routing.routes.length});
+		this._inForce = read.value;
+		return true;
+	}
+}
--- a/src/common/registry/fleet-model.test.ts
+++ b/src/common/registry/fleet-model.test.ts
@@ -214,7 +214,7 @@
 
 			if (!target.isFrozen) {
 				this._model.bytes += 1;
-				target._deliver(this, target.fleet.news(this._model.timeline.now));
+				target._deliver(this, target.fleet.feed(this._model.timeline.now));
 			}
 		});
 	}
--- a/src/common/registry/registry-feed.test.ts
+++ b/src/common/registry/registry-feed.test.ts
@@ -68,7 +68,7 @@
 	it('are told again to VMs that come later, heartbeats among them', () => {
 		const driver = published(twoServers);
 		driver.change([entryOf('servers/a', 'orders 10.0.1.1 ready', 21)], [], 21);
-		expect(driver.fleet.news(driver.now).entries.map(({key, revision}) => `${key} ${revision}`)).toEqual(['configuration 1', 'servers/a 21', 'servers/b 1', 'vms/own 12']);
+		expect(driver.fleet.feed(driver.now).entries.map(({key, revision}) => `${key} ${revision}`)).toEqual(['configuration 1', 'servers/a 21', 'servers/b 1', 'vms/own 12']);
 		expect(driver.told.at(-1)).toEqual({
 			revision: 21, ageMilliseconds: 0, entries: [], deleted: [], isWhole: false,
 		});
@@ -104,7 +104,7 @@
 		const driver = following();
 		const before = driver.told.length;
 		driver.news({revision: 31, entries: [entryOf('configuration', '4', 31)]});
-		expect([driver.told.length - before, driver.fleet.news(driver.now).ageMilliseconds > 1e6]).toEqual([0, true]);
+		expect([driver.told.length - before, driver.fleet.feed(driver.now).ageMilliseconds > 1e6]).toEqual([0, true]);
 	});
 
 	// Story: VMs listen to one that is told itself and passes nothing on. It comes to read the store, and tells what is new
--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -1,6 +1,5 @@
 /** The decider of a fleet that the store leads: configuration, backend servers, VMs and this VM's life. */
 import {type CallConfiguration} from '../calls/types.ts';
-import {describeFailure} from '../errors/failure.ts';
 import {
 	type AddressAnswer, type FleetEffect, type FleetEvent, type FleetStage, type PeerAddress,
 } from '../fleet/types.ts';
@@ -10,13 +9,15 @@
 import {Evacuations} from './evacuations.ts';
 import {MemberRegistrar} from './member-registrar.ts';
 import {ChangeLog} from './change-log.ts';
+import {ConfigurationRegistry} from './configuration-registry.ts';
+import {FeedPublisher} from './feed-publisher.ts';
 import {FeedSelector} from './feed-selector.ts';
 import {OwnEntry} from './own-entry.ts';
 import {RegistryContext} from './registry-context.ts';
 import {ServerRegistry} from './server-registry.ts';
 import {type MirrorChanges, StoreMirror} from './store-mirror.ts';
 import {
-	type ConfigurationDocument, type DocumentReader, type FeedFrame, type RegistrySettings,
+	type DocumentReader, type FeedFrame, type RegistrySettings,
 } from './types.ts';
 import {VmDirectory, type VmRanks} from './vm-directory.ts';
 
@@ -26,12 +27,6 @@
  */
 const connectionSlack = 2;
 
-/** Longest call assumed before any route is known. */
-const defaultLongestCall: Milliseconds = 2000;
-
-/** Age of news that are not first-hand: older than any limit, and a number on every wire. */
-const unknownAge: Milliseconds = 1e9;
-
 /** What one VM knows about its fleet. */
 export type RegistryStatus = {
 	readonly stage: FleetStage;
@@ -46,7 +41,6 @@
 
 export class RegistryFleet {
 	private readonly _context: RegistryContext;
-	private readonly _documents: DocumentReader;
 	private readonly _mirror: StoreMirror;
 	private readonly _servers: ServerRegistry;
 	private readonly _vms: VmDirectory;
@@ -58,20 +52,22 @@
 	/** In an order of chance: a fleet that starts must not turn to one of them as one VM. */
 	private readonly _seeds: readonly PeerAddress[];
 	private readonly _source: FeedSelector;
+	private readonly _publisher: FeedPublisher;
+	private readonly _configuration: ConfigurationRegistry;
 	/** The VM that has told all it knows and whose changes therefore make a whole. */
 	private _toldBy: PeerAddress | undefined;
-	private _configuration: ConfigurationDocument | undefined;
 	/** What the shares were last worked out from. */
 	private _announced = '';
-	/** This VM has read the store since others were told. */
-	private _hasRead = false;
-	/** Others that listen have missed changes: it was told itself, and passed nothing on. */
-	private _mustTellAll = false;
 
 	constructor(settings: RegistrySettings, documents: DocumentReader, random: RandomSource) {
 		this._context = new RegistryContext(settings);
 		this._seeds = shuffled(settings.seeds.filter(seed => seed !== settings.own.peerAddress), random);
-		this._documents = documents;
+		this._configuration = new ConfigurationRegistry(this._context, documents);
+		this._publisher = new FeedPublisher(this._context, this._log, {
+			isReading: () => this._source.isReading,
+			revision: () => this._mirror.revision,
+			contactAge: now => this._mirror.contactAge(now),
+		});
 		this._evacuations = new Evacuations(this._context);
 		const onGone = (key: string) => {
 			this._log.remove(key);
@@ -98,7 +94,7 @@
 		this._life = new BoundedStop({
 			timers: this._context.timers,
 			graceMilliseconds: settings.graceMilliseconds,
-			longestCall: () => this._longestCall(),
+			longestCall: () => this._configuration.longestCall,
 			onStage: stage => {
 				this._enter(stage);
 			},
@@ -112,7 +108,7 @@
 				this._vms.onRegained(silence);
 			},
 			onRead: () => {
-				this._hasRead = true;
+				this._publisher.noteRead();
 				this._source.noteRead();
 				this._registrar.onRead();
 			},
@@ -122,7 +118,10 @@
 		});
 		this._source = new FeedSelector(this._context, () => this._ranks(), {
 			onRead: isReading => {
-				this._mustTellAll ||= isReading;
+				if (isReading) {
+					this._publisher.noteReading();
+				}
+
 				this._mirror.setReading(isReading);
 			},
 			onFollow: source => {
@@ -189,7 +188,7 @@
 
 		this._ownEntry.review({source: this._source.freshSource, isReader: this._vms.ranks.isReader});
 		this._announceShares();
-		this._tellChanges();
+		this._publisher.publish();
 		return this._context.takeEffects();
 	}
 
@@ -212,7 +211,7 @@
 	status(now: Instant): RegistryStatus {
 		return {
 			stage: this._life.stage,
-			configurationVersion: this._configuration?.version ?? 0,
+			configurationVersion: this._configuration.version,
 			isWatchingStore: this._mirror.isWatching,
 			isReadingStore: this._source.isReading,
 			storeContactAgeMilliseconds: this._mirror.contactAge(now),
@@ -222,14 +221,8 @@
 	}
 
 	/** Everything that other VMs can learn from this one. */
-	news(now: Instant): FeedFrame {
-		return {
-			revision: this._mirror.revision ?? 0,
-			ageMilliseconds: this._toldAge(now),
-			entries: [...this._log.entries],
-			deleted: [],
-			isWhole: true,
-		};
+	feed(now: Instant): FeedFrame {
+		return this._publisher.whole(now);
 	}
 
 	/**
@@ -341,7 +334,7 @@
 		const {key, value} = entry;
 		const {layout, identity} = this._context.settings;
 		if (key === layout.configurationKey) {
-			const isAdopted = this._takeConfiguration(value);
+			const isAdopted = this._configuration.take(value);
 			if (isAdopted) {
 				this._log.put(entry, true);
 			}
@@ -405,64 +398,13 @@
 		return false;
 	}
 
-	/**
-	 * Tells what has changed, and after each look at the store that nothing has: those who listen go by its age.
-	 * Guards against VMs that hear from one another in a circle and take the echo for news: only what was read in the
-	 * store itself is told.
-	 */
-	private _tellChanges(): void {
-		const changes = this._log.takeChanges();
-		const hasNews = changes !== undefined || this._hasRead;
-		this._hasRead = false;
-		if (!hasNews || !this._source.isReading) {
-			return;
-		}
-
-		// Guards those that listened while this VM was told itself: the changes of that time would be missing for good, since
-		// what is told now claims that all up to its revision is known. It shows as VMs that know only a part of the others.
-		if (this._mustTellAll) {
-			this._mustTellAll = false;
-			this._context.emit({type: 'publish-feed', frame: this.news(this._context.now)});
-		} else {
-			this._context.emit({
-				type: 'publish-feed', frame: {
-					entries: [], deleted: [], ...changes, revision: this._mirror.revision ?? 0, ageMilliseconds: this._toldAge(this._context.now), isWhole: false,
-				},
-			});
-		}
-	}
-
-	private _toldAge(now: Instant): Milliseconds {
-		return this._source.isReading ? this._mirror.contactAge(now) ?? unknownAge : unknownAge;
-	}
-
-	/** An older version never replaces a newer one, whoever brings it; one that cannot be read replaces none. */
-	private _takeConfiguration(value: string): boolean {
-		const read = this._documents.configuration(value);
-		if (read.isErr()) {
-			this._context.log('error', 'configuration rejected; the one in force stays', {
-				versionInForce: this._configuration?.version ?? 0, failure: describeFailure(read.error), ...(read.error.route === undefined ? {} : {route: read.error.route}),
-			});
-			this._context.emit({type: 'configuration-rejected', route: read.error.route});
-			return false;
-		}
-
-		const inForce = this._configuration?.version ?? 0;
-		if (read.value.version <= inForce) {
-			return false;
-		}
-
-		this._configuration = read.value;
-		this._context.log('info', 'configuration adopted', {version: read.value.version, replaced: inForce, routes: read.value.routing.routes.length});
-		return true;
-	}
-
 	private _configure(): void {
-		if (this._configuration === undefined) {
+		const {inForce} = this._configuration;
+		if (inForce === undefined) {
 			return;
 		}
 
-		const {version, services, routing, connectionLimits, warmUpLimits} = this._configuration;
+		const {version, services, routing, connectionLimits, warmUpLimits} = inForce;
 		const configuration: CallConfiguration = {
 			version,
 			services: new Map(services.map(service => [service.name, service])),
@@ -506,11 +448,6 @@
 			},
 		});
 	}
-
-	private _longestCall(): Milliseconds {
-		const routes = this._configuration?.routing.routes ?? [];
-		return routes.length === 0 ? defaultLongestCall : Math.max(...routes.map(route => route.rule.timeoutMilliseconds));
-	}
 }
 
 /** The same in an order of chance. */
--- a/src/common/registry/server-entries.test.ts
+++ b/src/common/registry/server-entries.test.ts
@@ -44,7 +44,7 @@
 		const driver = watching();
 		driver.change([entryOf('servers/a', 'orders 10.0.1.1 ready 2000', 20)]);
 		driver.change([entryOf('servers/a', 'orders 10.0.1.1 ready 1000', 21)], [], 21);
-		expect(driver.fleet.news(driver.now).entries.find(({key}) => key === 'servers/a')?.revision).toEqual(20);
+		expect(driver.fleet.feed(driver.now).entries.find(({key}) => key === 'servers/a')?.revision).toEqual(20);
 	});
 });
 
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -122,7 +122,7 @@
 	const loop = owned.add(new DeciderLoop<EntryVmEvent, EntryVmEffect>(entryVm, clock));
 	const storeCarrier = owned.add(new StoreCarrier(loop, new CountedPlatformClient(platform.store, clock, metrics)));
 	const feedClient = owned.add(new FeedClient(loop, logger));
-	const feedServer = owned.add(new FeedServer(metrics, {whole: () => fleet.news(clock.now())}, loop));
+	const feedServer = owned.add(new FeedServer(metrics, {whole: () => fleet.feed(clock.now())}, loop));
 	const connections = owned.add(new BackendConnections({connectMilliseconds, idleMilliseconds: backendIdleMilliseconds}));
 	const callCarrier = owned.add(new CallCarrier(loop, new CountedMeasurer(new LoadMeasurer(connections, platform.dialect), metrics), noKeys));
 	const hold = owned.add(new StartingHold());
