--- a/src/common/calls/admission.ts
+++ b/src/common/calls/admission.ts
@@ -99,7 +99,7 @@
 	expire(call: Call, now: Instant): void {
 		if (call.serviceState.isMeasuredOnDemand) {
 			call.serviceState.queue.remove(call);
-			if (this._runner.startUnscouted(call, now)) {
+			if (this._runner.startUnprobed(call, now)) {
 				return;
 			}
 		}
--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -11,7 +11,7 @@
 import {type DemandPlacer} from './demand-placer.ts';
 import {roomyPart} from './load-levels.ts';
 import {type Placement, type Placer, connectionLimit} from './placer.ts';
-import {Scout, type Scouting} from './scouting.ts';
+import {LoadProber, type PendingProbes} from './load-prober.ts';
 import {
 	type AttemptFailure, type AttemptId, type CallEvent, type CallOutcome, type LoadReport, type RefusalReason,
 } from './types.ts';
@@ -68,7 +68,7 @@
 	private readonly _onReport: AttemptRunnerOptions['onReport'];
 	private readonly _demandPlacer: DemandPlacer;
 	/** Fetches reports before attempts of services that are measured on demand. */
-	readonly scout: Scout;
+	readonly prober: LoadProber;
 	/** Decides on second attempts beside slow first ones. */
 	readonly hedging: Hedging;
 	private _endings: CallEndings | undefined;
@@ -83,12 +83,12 @@
 		this._onReport = options.onReport;
 		this._demandPlacer = options.demandPlacer;
 		this.hedging = new Hedging(options.context, (call, now) => this.start(call, 'hedge', now));
-		this.scout = new Scout({
+		this.prober = new LoadProber({
 			context: options.context,
 			placer: options.demandPlacer,
 			measure: options.measure,
-			onReady: (call, scouting, now) => {
-				this._startScouted(call, scouting, now);
+			onReady: (call, probing, now) => {
+				this._startProbed(call, probing, now);
 			},
 		});
 	}
@@ -112,14 +112,14 @@
 			return this._launch(call, purpose, now);
 		}
 
-		if (call.scouting !== undefined) {
+		if (call.probing !== undefined) {
 			// A hedge was being prepared: it takes the place of the attempt that has failed meanwhile.
-			call.scouting = {...call.scouting, purpose, reason};
+			call.probing = {...call.probing, purpose, reason};
 			return true;
 		}
 
 		call.state = call.state === 'queued' ? 'running' : call.state;
-		this.scout.begin(call, {purpose, reason}, now);
+		this.prober.begin(call, {purpose, reason}, now);
 		return true;
 	}
 
@@ -131,11 +131,11 @@
 	}
 
 	/** Starts the first attempt by what is known already; false = no backend server may take it now. */
-	startUnscouted(call: Call, now: Instant): boolean {
+	startUnprobed(call: Call, now: Instant): boolean {
 		return this._launch(call, 'first', now);
 	}
 
-	private _startScouted(call: Call, {purpose, reason}: Scouting, now: Instant): void {
+	private _startProbed(call: Call, {purpose, reason}: PendingProbes, now: Instant): void {
 		const isWanted = purpose === 'hedge' ? call.state === 'running' && call.attempts.size > 0 : call.state !== 'ended' && call.state !== 'answering';
 		if (!isWanted || this._launch(call, purpose, now) || purpose === 'hedge') {
 			return;
--- a/src/common/calls/call-endings.ts
+++ b/src/common/calls/call-endings.ts
@@ -106,7 +106,7 @@
 		}
 
 		call.state = 'ended';
-		call.scouting = undefined;
+		call.probing = undefined;
 		for (const timer of call.timers) {
 			this._context.timers.remove(timer);
 		}
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -213,7 +213,7 @@
 			case 'measured': {
 				const server = this._directory.takeMeasurement(event.measurementId, event.report, now);
 				if (server !== undefined) {
-					this._runner.scout.onMeasured(server, now);
+					this._runner.prober.onMeasured(server, now);
 				}
 
 				break;
@@ -375,8 +375,8 @@
 				break;
 			}
 
-			case 'scouting': {
-				this._runner.scout.expire(timer.call, timer.scouting, now);
+			case 'probing': {
+				this._runner.prober.expire(timer.call, timer.probing, now);
 				break;
 			}
 
--- a/src/common/calls/call.ts
+++ b/src/common/calls/call.ts
@@ -4,7 +4,7 @@
 import {type Prospect} from './answer-time-model.ts';
 import {type BackendServerState} from './backend-server-state.ts';
 import {type CallClass} from './call-classes.ts';
-import {type Scouting} from './scouting.ts';
+import {type PendingProbes} from './load-prober.ts';
 import {type ServiceState} from './service-state.ts';
 import {type TimerEntry} from './timer-queue.ts';
 import {
@@ -81,7 +81,7 @@
 	/** What the latest look for a place saw. */
 	grounds: PlacingGrounds | undefined;
 	/** Reports are being fetched for its next attempt. */
-	scouting: Scouting | undefined;
+	probing: PendingProbes | undefined;
 	/** A backend server that had a free slot turned it away: it fails, and is not full. */
 	wasShedWithRoom: boolean;
 	/** Attempts whose connection was reset after sending: a second one makes the call a suspect at two crashes. */
@@ -115,7 +115,7 @@
 		failedOn: new Set(),
 		trail: serviceState.isMeasuredOnDemand ? [] : undefined,
 		grounds: undefined,
-		scouting: undefined,
+		probing: undefined,
 		wasShedWithRoom: false,
 		resets: 0,
 	};
--- a/src/common/calls/engine-context.ts
+++ b/src/common/calls/engine-context.ts
@@ -3,7 +3,7 @@
 import {type BackendServerState} from './backend-server-state.ts';
 import {type Attempt, type Call} from './call.ts';
 import {type CrashSuspects} from './crash-suspects.ts';
-import {type Scouting} from './scouting.ts';
+import {type PendingProbes} from './load-prober.ts';
 import {type ServiceState} from './service-state.ts';
 import {type TimerQueue} from './timer-queue.ts';
 import {type CallTuning} from './tuning.ts';
@@ -33,7 +33,7 @@
 		| {readonly type: 'latest-start'; readonly call: Call}
 		| {readonly type: 'hedge'; readonly attempt: Attempt}
 	/** Reports that have not come by then are not waited for. */
-		| {readonly type: 'scouting'; readonly call: Call; readonly scouting: Scouting}
+		| {readonly type: 'probing'; readonly call: Call; readonly probing: PendingProbes}
 	/** Backend servers may have room again, which no event of this VM would tell. */
 		| {readonly type: 'queue-look'; readonly service: ServiceState}
 	/** A resumed download whose head has not come by then comes to nothing. */
@@ -68,8 +68,8 @@
 			return timer.call.state === 'queued';
 		}
 
-		case 'scouting': {
-			return timer.call.scouting === timer.scouting;
+		case 'probing': {
+			return timer.call.probing === timer.probing;
 		}
 
 		case 'queue-look': {
--- a/src/common/calls/hedging.ts
+++ b/src/common/calls/hedging.ts
@@ -80,7 +80,7 @@
 		}
 
 		const hasRoom = service.queue.size === 0 && !service.limit.isCongested && service.inFlight < service.limit.value;
-		const mayTry = call.scouting === undefined && call.attemptCount < (call.request.rule?.mostAttempts ?? mostAttempts);
+		const mayTry = call.probing === undefined && call.attemptCount < (call.request.rule?.mostAttempts ?? mostAttempts);
 		if (hasRoom && mayTry && call.attempts.size === 1 && !this._context.suspects.isQuarantined(call.request.fingerprint, now) && service.retryBudget.isOpen) {
 			call.failedOn.add(attempt.server);
 			if (this._start(call, now)) {
--- a/src/common/calls/scouting.ts
+++ b/src/common/calls/load-prober.ts
@@ -1,4 +1,4 @@
-/** Fetches fresh reports of a few candidates right before an attempt is placed. */
+/** Probes the load of a few candidates right before an attempt is placed. */
 import {type Instant} from '../model/units.ts';
 import {type AttemptPurpose, type Call} from './call.ts';
 import {type BackendServerState} from './backend-server-state.ts';
@@ -6,8 +6,8 @@
 import {type EngineContext, vmCountOf} from './engine-context.ts';
 import {type RefusalReason} from './types.ts';
 
-/** Reports awaited for one attempt. */
-export type Scouting = {
+/** Load probes that one attempt waits for. */
+export type PendingProbes = {
 	/** What the attempt is for. */
 	readonly purpose: AttemptPurpose;
 	/** Why the call is refused if nothing can be found for it. */
@@ -15,47 +15,46 @@
 	readonly candidates: readonly BackendServerState[];
 	/** Candidates whose report is still to come. */
 	readonly awaited: Set<BackendServerState>;
-	/** Backend servers that were asked for this attempt so far, those of earlier rounds among them. */
-	readonly asked: ReadonlySet<BackendServerState>;
-	/** Rounds of questions, this one counted. */
+	/** Backend servers that were probed for this attempt so far, those of earlier rounds among them. */
+	readonly probed: ReadonlySet<BackendServerState>;
+	/** Rounds of probes, this one counted. */
 	readonly round: number;
 	readonly startedAt: Instant;
 };
 
 /**
- * Most rounds of questions for one attempt: the own data centre, the others, and once more, since those that were asked
+ * Most rounds of probes for one attempt: the own data centre, the others, and once more, since those that were probed
  * may all be slow or full, or a fault may have hit just them.
  */
 const mostRounds = 3;
 
 /** What an attempt is planned for. */
-export type ScoutingPlan = Pick<Scouting, 'purpose' | 'reason'>;
+export type ProbingPlan = Pick<PendingProbes, 'purpose' | 'reason'>;
 
-/** What the scout needs from its surroundings. */
-export type ScoutOptions = {
+/** What the prober needs from its surroundings. */
+export type LoadProberOptions = {
 	readonly context: EngineContext;
 	readonly placer: DemandPlacer;
-	/** Sends a measuring call; its end is told by `onMeasured`. */
+	/** Sends a load probe; its end is told by `onMeasured`. */
 	readonly measure: (server: BackendServerState) => void;
 	/** The reports are there, or as many as came in time. */
-	readonly onReady: (call: Call, scouting: Scouting, now: Instant) => void;
+	readonly onReady: (call: Call, probing: PendingProbes, now: Instant) => void;
 };
 
 /**
- * Answers the pattern "load moves within milliseconds": neighbours on a backend server's VM make its work take
- * several times as long for half a second, so a report is worth something only while it is younger than that.
- * A few candidates are asked, those with young news are not asked again, and calls that want the same
- * backend server at the same moment share one measuring call.
+ * On-demand probing for load that moves within milliseconds: neighbours make work take several times as long for half a
+ * second, so a report is of use only while it is younger. Candidates with a young report are not probed again, and calls
+ * that want the same backend server at the same moment share one probe.
  */
-export class Scout {
+export class LoadProber {
 	private readonly _context: EngineContext;
 	private readonly _placer: DemandPlacer;
 	private readonly _measure: (server: BackendServerState) => void;
-	private readonly _onReady: ScoutOptions['onReady'];
+	private readonly _onReady: LoadProberOptions['onReady'];
 	/** Calls that wait for a backend server's report. */
 	private readonly _waiting = new Map<BackendServerState, Set<Call>>();
 
-	constructor(options: ScoutOptions) {
+	constructor(options: LoadProberOptions) {
 		this._context = options.context;
 		this._placer = options.placer;
 		this._measure = options.measure;
@@ -63,8 +62,8 @@
 	}
 
 	/** Begins to fetch reports for an attempt; `onReady` follows, at once where all is known. */
-	begin(call: Call, plan: ScoutingPlan, now: Instant): void {
-		this._start(call, plan, {round: 1, asked: new Set(), startedAt: now}, now);
+	begin(call: Call, plan: ProbingPlan, now: Instant): void {
+		this._start(call, plan, {round: 1, probed: new Set(), startedAt: now}, now);
 	}
 
 	/** A measuring call on demand has ended, with or without a report. */
@@ -73,43 +72,43 @@
 		const calls = this._waiting.get(server);
 		this._waiting.delete(server);
 		for (const call of calls ?? []) {
-			const {scouting} = call;
-			if (scouting?.awaited.delete(server) && scouting.awaited.size === 0) {
-				this._finish(call, scouting, now);
+			const {probing} = call;
+			if (probing?.awaited.delete(server) && probing.awaited.size === 0) {
+				this._finish(call, probing, now);
 			}
 		}
 	}
 
 	/** The time to wait for reports is over. */
-	expire(call: Call, scouting: Scouting, now: Instant): void {
-		if (call.scouting === scouting) {
-			for (const server of scouting.awaited) {
+	expire(call: Call, probing: PendingProbes, now: Instant): void {
+		if (call.probing === probing) {
+			for (const server of probing.awaited) {
 				this._waiting.get(server)?.delete(call);
 			}
 
-			this._finish(call, scouting, now);
+			this._finish(call, probing, now);
 		}
 	}
 
-	private _start(call: Call, {purpose, reason}: ScoutingPlan, {round, asked, startedAt}: Pick<Scouting, 'round' | 'asked' | 'startedAt'>, now: Instant): void {
-		const candidates = this._placer.candidates(call, now, asked);
-		const scouting: Scouting = {
-			purpose, reason, candidates, awaited: new Set(), asked: new Set([...asked, ...candidates]), round, startedAt,
+	private _start(call: Call, {purpose, reason}: ProbingPlan, {round, probed, startedAt}: Pick<PendingProbes, 'round' | 'probed' | 'startedAt'>, now: Instant): void {
+		const candidates = this._placer.candidates(call, now, probed);
+		const probing: PendingProbes = {
+			purpose, reason, candidates, awaited: new Set(), probed: new Set([...probed, ...candidates]), round, startedAt,
 		};
-		call.scouting = scouting;
+		call.probing = probing;
 		for (const server of candidates) {
 			if (this._isAwaitable(server, call, now)) {
-				scouting.awaited.add(server);
+				probing.awaited.add(server);
 				this._wait(server, call);
 			}
 		}
 
-		if (scouting.awaited.size === 0) {
-			this._finish(call, scouting, now);
+		if (probing.awaited.size === 0) {
+			this._finish(call, probing, now);
 			return;
 		}
 
-		call.timers.push(this._context.timers.add(now + this._context.tuning.demandWaitMilliseconds, {type: 'scouting', call, scouting}));
+		call.timers.push(this._context.timers.add(now + this._context.tuning.demandWaitMilliseconds, {type: 'probing', call, probing}));
 	}
 
 	/** Whether a report of this backend server is on its way; sends for one where the last is old. */
@@ -140,15 +139,15 @@
 	}
 
 	/** Those that were asked have answered, or the time for it is over: others are asked where these have no good place. */
-	private _finish(call: Call, scouting: Scouting, now: Instant): void {
-		call.scouting = undefined;
+	private _finish(call: Call, probing: PendingProbes, now: Instant): void {
+		call.probing = undefined;
 		// Two rounds in which somebody was silent are the longest that a call may be held for reports.
-		const mayAsk = scouting.round < mostRounds && scouting.candidates.length > 0 && now - scouting.startedAt <= this._context.tuning.demandWaitMilliseconds;
+		const mayAsk = probing.round < mostRounds && probing.candidates.length > 0 && now - probing.startedAt <= this._context.tuning.demandWaitMilliseconds;
 		if (mayAsk && !this._placer.hasGoodPlace(call, now)) {
-			this._start(call, scouting, {...scouting, round: scouting.round + 1}, now);
+			this._start(call, probing, {...probing, round: probing.round + 1}, now);
 			return;
 		}
 
-		this._onReady(call, scouting, now);
+		this._onReady(call, probing, now);
 	}
 }
