--- a/src/common/calls/demand-placer.ts
+++ b/src/common/calls/demand-placer.ts
@@ -91,14 +91,12 @@
 };
 
 /**
- * Places by reports that were fetched for the attempt, or are as young. Answers the pattern "overload of backend servers
- * that slow down when they are full": an attempt goes where it is worth most, by the chances of its answer, the bytes of
- * its way and the time for which it takes a slot from others. A call waits for a moment for a place with a fair chance.
+ * Places by reports that were fetched for the attempt, or are as young, where backend servers slow down when they are full:
+ * an attempt goes where it is worth most, by the chances of its answer, the bytes of its way and the time for which it takes
+ * a slot from others. A call waits for a moment for a place with a fair chance.
  * It takes free slots first, since a call that is queued at a backend server cannot be moved any more, and queues there
  * only after its wait. One that can no longer be answered in time must not take a quick place from one that can: it goes
- * to a slow backend server that is of no use to a fresh call, else to one that is half empty, or is refused. Against fixed
- * reserves and four questions anywhere, on ten days of a customer with small servers: half of the bytes between data
- * centres (0.026 to 0.014 of a day's worth), and 0.91 of the worth owed in place of 0.90.
+ * to a slow backend server that is of no use to a fresh call, else to one that is half empty, or is refused.
  */
 export class DemandPlacer implements Placer {
 	private readonly _context: EngineContext;
@@ -108,11 +106,11 @@
 	}
 
 	/**
-	 * Backend servers to ask for an attempt of this call, but for those in `asked`: those of the own data
-	 * centre, or where none of them is left the most promising of all. Questions and answers to others are paid by the byte.
+	 * Backend servers to probe for an attempt of this call, but for those in `probed`: those of the own data
+	 * centre, or where none of them is left the most promising of all. Probes of others are paid by the byte.
 	 */
-	candidates(call: Call, now: Instant, asked: ReadonlySet<BackendServerState>): BackendServerState[] {
-		const isAble = (server: BackendServerState) => !asked.has(server) && this._isCandidate(server, call, now) && !this._isLeftOut(server);
+	candidates(call: Call, now: Instant, probed: ReadonlySet<BackendServerState>): BackendServerState[] {
+		const isAble = (server: BackendServerState) => !probed.has(server) && this._isCandidate(server, call, now) && !this._isLeftOut(server);
 		const {random, settings: {dataCentre}} = this._context;
 		const near = sample(call.serviceState.serversIn(dataCentre), mostScored, isAble, random);
 		const scored = (near.length > 0 ? near : sample(call.serviceState.servers, mostScored, isAble, random)).map(server => ({
--- a/src/common/registry/feed-selector.ts
+++ b/src/common/registry/feed-selector.ts
@@ -48,10 +48,9 @@
 };
 
 /**
- * Answers the pattern "the platform counts each call, and its rates grow more slowly than the fleet": a VM or two of
- * each data centre read the store, the others hear from them within milliseconds. Each VM goes by the age of what it
- * knows and by nothing else, so a reader that is dead, frozen, cut off, slow or turned away by the store is left in
- * time whatever ails it, and in the end each VM asks the store itself.
+ * A VM or two of each data centre read the store, since each call to it is paid for; the others get changes from them
+ * within milliseconds. Each VM goes by the age of what it knows alone, so a reader that is dead, frozen, cut off, slow or
+ * rejected by the store is left in time, and in the end each VM reads the store itself.
  */
 export class FeedSelector {
 	private readonly _context: RegistryContext;
--- a/src/common/registry/member-registrar.ts
+++ b/src/common/registry/member-registrar.ts
@@ -1,4 +1,4 @@
-/** Keeps the entries of VMs in the store for those that take their news from this one, and the own entry of a VM that reads. */
+/** Registers the VMs that follow this one in the store, and this VM itself while it reads the store. */
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type Revision, type StoreReply, type StoreWrite} from '../platform/types.ts';
 import {type RegistryContext} from './registry-context.ts';
@@ -27,7 +27,7 @@
 const endedMilliseconds: Milliseconds = 1000;
 
 /**
- * The same of a VM that has said that it turns to another one, which writes its entry anew. Guards a VM whose new keeper
+ * The same of a VM that has said that it turns to another one, which writes its entry anew. Guards a VM whose new registrar
  * cannot write yet: removed meanwhile, it would be out of the answers till it has found a third one.
  */
 const turningMilliseconds: Milliseconds = 6000;
@@ -71,7 +71,7 @@
 	hasSaidSo: boolean;
 };
 
-/** What the keeper asks and tells its surroundings. */
+/** What the registrar asks and tells its surroundings. */
 export type MemberRegistrarListener = {
 	/** This VM reads the store itself. */
 	isReading(): boolean;
@@ -84,9 +84,8 @@
 };
 
 /**
- * Answers the pattern "the platform counts each call, and its rates grow more slowly than the fleet": one lease and a few
- * transactions hold the entries of all VMs that follow this one. Which failures are met, and how, stands in
- * docs/design/platform.md.
+ * One lease and a few transactions hold the entries of all VMs that follow this one, since each call to the store is paid
+ * for. Which failures are met, and how, stands in docs/design/platform.md.
  */
 export class MemberRegistrar {
 	private readonly _context: RegistryContext;
