--- a/src/common/calls/engine-driver.test.ts
+++ b/src/common/calls/engine-driver.test.ts
@@ -4,6 +4,7 @@
 import {DefaultCallEngine} from './call-engine.ts';
 import {type CallEngineSettings} from './engine-context.ts';
 import {type CallTuning} from './tuning.ts';
+import {type WarmUpQuota} from './warm-up-quota.ts';
 import {
 	type AttemptFailure, type CallConfiguration, type CallEffect, type CallEvent, type CallRequest, type LoadReport,
 } from './types.ts';
@@ -57,8 +58,10 @@
 	readonly engine: DefaultCallEngine;
 	now = 0;
 
-	constructor(configuration: CallConfiguration, tuning: Partial<CallTuning> = {}, seed = 1, settings: Partial<CallEngineSettings> = {}) {
-		this.engine = new DefaultCallEngine({random: seededRandom(seed), settings: {dataCentre: 'north', ...settings}, tuning});
+	constructor(configuration: CallConfiguration, tuning: Partial<CallTuning> = {}, seed = 1, settings: Partial<CallEngineSettings> = {}, warmUpQuota?: WarmUpQuota) {
+		this.engine = new DefaultCallEngine({
+			random: seededRandom(seed), settings: {dataCentre: 'north', ...settings}, tuning, ...(warmUpQuota === undefined ? {} : {warmUpQuota}),
+		});
 		this.handle({
 			type: 'shares', shares: {
 				measuringPart: 0, measuringFrom: 0, measuringUntil: 0, connectionPart: 0.2, vmCount: 1,
--- a/src/common/calls/warm-up.test.ts
+++ b/src/common/calls/warm-up.test.ts
@@ -1,10 +1,13 @@
 import {expect} from 'earl';
+import {testHash} from '../fleet/test-utilities.test.ts';
+import {seededRandom} from '../random/random.ts';
 import {
 	answerMeasures, configurationOf, EngineDriver, linesOf, measuresOf, reportOf, requestOf, startIn,
 } from './engine-driver.test.ts';
 import {
 	type CallConfiguration, type CallEffect, type CallEvent, type LoadReport,
 } from './types.ts';
+import {OwnerWarmUpQuota} from './warm-up-quota.ts';
 
 const rule = {
 	route: 'reads', isIdempotent: true, timeoutMilliseconds: 1200, objectiveMilliseconds: 300, mostAttempts: 3, priority: 0,
@@ -182,3 +185,77 @@
 		expect(mostWithinSecond(serve(returned(), 1000, () => reportFor(0)))).toBeGreaterThan(2 * rate);
 	});
 });
+
+describe('a fleet whose backend servers turn cold under load', () => {
+	const vmNames = Array.from({length: 6}, (_, index) => `10.0.0.${index}:80`);
+	const coldAt = 10_000;
+	const workMilliseconds = 50;
+
+	/** Calls that reach the worst of them in its worst second, at this many calls a second over all VMs; the first half turns cold. */
+	function worstSecond(serverCount: number, callsPerSecond: number, seed: number): number {
+		const isCold = (identity: string) => Number(identity.split('-')[1]) < serverCount / 2;
+		const random = seededRandom(seed);
+		const declared = {...configuration(Array.from({length: serverCount}, () => 0)), warmUpLimits: new Map([['orders', {callsPerSecond: 6, milliseconds: 3000}]])};
+		const drivers = vmNames.map((own, index) => {
+			const driver = new EngineDriver(declared, {}, seed + index, {}, new OwnerWarmUpQuota(testHash));
+			driver.handle({
+				type: 'shares', shares: {
+					measuringPart: 0, measuringFrom: 0, measuringUntil: 0, connectionPart: 0.2, vmCount: vmNames.length, members: {own, byDataCentre: new Map([['north', vmNames]])},
+				},
+			});
+			return driver;
+		});
+		const starts: Array<{readonly identity: string; readonly at: number}> = [];
+		const running: Array<{readonly driver: EngineDriver; readonly identity: string; readonly attemptId: number; readonly endsAt: number}> = [];
+		const report = (identity: string, now: number) => reportOf('p', {
+			workTimeFactor: 1,
+			slots: 24,
+			inFlight: running.filter(one => one.identity === identity).length,
+			warmUpLeftMilliseconds: now < coldAt || !isCold(identity) ? 0 : Math.max(0, coldAt + 3000 - now),
+		});
+		const take = (driver: EngineDriver, effects: readonly CallEffect[]): void => {
+			for (const effect of effects) {
+				if (effect.type === 'start-attempt') {
+					const {identity, attemptId} = effect;
+					starts.push({identity, at: driver.now});
+					running.push({
+						driver, identity, attemptId, endsAt: driver.now + workMilliseconds,
+					});
+				}
+			}
+
+			const measures = measuresOf(effects);
+			if (measures.length > 0) {
+				take(driver, answerMeasures(driver, measures, identity => report(identity, driver.now)));
+			}
+		};
+
+		for (let now = 0; now < coldAt + 3000; now += 2) {
+			for (const driver of drivers) {
+				take(driver, driver.passTime(2));
+			}
+
+			for (const {driver, identity, attemptId} of running.filter(({endsAt}) => endsAt <= now)) {
+				const {warmUpLeftMilliseconds, ...load} = report(identity, now);
+				take(driver, driver.head(attemptId, {report: load}));
+				take(driver, driver.handle({type: 'attempt-done', attemptId}));
+			}
+
+			running.splice(0, running.length, ...running.filter(({endsAt}) => endsAt > now));
+			if (random.next() < callsPerSecond * 0.002) {
+				const driver = drivers[Math.floor(random.next() * drivers.length)]!;
+				take(driver, driver.handle(readOf(now + 100_000)));
+			}
+		}
+
+		const cold = starts.filter(({identity, at}) => isCold(identity) && at >= coldAt);
+		return Math.max(...cold.map(({identity}) => mostWithinSecond(cold.filter(one => one.identity === identity))));
+	}
+
+	// Guards a busy backend server: what reaches it before its VMs know of the warm-up comes on top of the planned rate.
+	for (const [servers, callsPerSecond] of [[1, 60], [4, 120], [8, 200]] as const) {
+		it(`sends none of ${servers} more in any second than it bears, at ${callsPerSecond} calls a second`, () => {
+			expect(Math.max(...[1, 2, 3, 4].map(seed => worstSecond(servers, callsPerSecond, seed)))).toBeLessThanOrEqual(14);
+		});
+	}
+});
