--- a/src/common/fleet/fleet-coordinator.ts
+++ b/src/common/fleet/fleet-coordinator.ts
@@ -55,7 +55,7 @@
 	private readonly _holder: ShareHolder;
 	private readonly _handover: ShareHandover;
 	private readonly _signs: LeavingSigns;
-	private readonly _log: LoadNewsExchange;
+	private readonly _loadNews: LoadNewsExchange;
 	private readonly _life: VmLife;
 	private readonly _addressBook: AddressBook;
 	private readonly _report: FleetReport;
@@ -81,10 +81,10 @@
 			context.emit({type: 'backend-server-leaving', sign});
 			this._mailbox.push(pushTargets);
 		});
-		this._log = new LoadNewsExchange(context, news => {
+		this._loadNews = new LoadNewsExchange(context, news => {
 			context.emit({type: 'peer-news', news});
 		});
-		this._mailbox = new PeerMailbox(context, this._membership, this._signs, this._log);
+		this._mailbox = new PeerMailbox(context, this._membership, this._signs, this._loadNews);
 		const {send} = this._mailbox;
 		this._prober = new Prober(context, this._membership, send);
 		this._contact = new Contact(context, () => this._membership.hasOthers || this._prober.listed.size > 0);
@@ -113,7 +113,7 @@
 			exchange: this._exchange,
 			handover: this._handover,
 			signs: this._signs,
-			news: this._log,
+			news: this._loadNews,
 			ownIdentity: settings.identity,
 			drain: identity => {
 				this._drain(identity);
@@ -226,7 +226,7 @@
 			}
 
 			case 'load-news': {
-				this._log.addOwn(event.news);
+				this._loadNews.addOwn(event.news);
 				this._scheduleNews();
 				break;
 			}
@@ -317,7 +317,7 @@
 	private _scheduleNews(): void {
 		if (!this._context.timers.has('news')) {
 			this._context.timers.set('news', this._context.now + newsMilliseconds, () => {
-				if (this._log.hasFresh) {
+				if (this._loadNews.hasFresh) {
 					this._mailbox.push(newsTargets);
 				}
 			});
--- a/src/common/fleet/peer-mailbox.ts
+++ b/src/common/fleet/peer-mailbox.ts
@@ -24,7 +24,7 @@
 	messagesSent = 0;
 	messagesReceived = 0;
 	private _isTellingAll = false;
-	private readonly _log: LoadNewsExchange;
+	private readonly _loadNews: LoadNewsExchange;
 
 	constructor(
 		private readonly _context: FleetContext,
@@ -32,7 +32,7 @@
 		private readonly _signs: LeavingSigns,
 		news: LoadNewsExchange,
 	) {
-		this._log = news;
+		this._loadNews = news;
 	}
 
 	/** Sends one message. */
@@ -47,7 +47,7 @@
 			members: isCarrier ? this._members(to, body) : [],
 			leaving: isCarrier ? this._leaving(body) : [],
 			...(isCarrier && {leavingDigest: this._signs.digest()}),
-			news: isCarrier ? this._log.takeNews(newsCharacters) : [],
+			news: isCarrier ? this._loadNews.takeNews(newsCharacters) : [],
 		};
 		this.messagesSent += 1;
 		this._context.emit({type: 'send', to, message});
