Bound the time for which lost VMs are named: shorter leases, and a probe before an entry counts as gone

What callers saw: 11 answers of the directory named a VM that had been off for 6.05 s; a new connection there hangs.

Cause: a failure detector that rests on one VM's lease. A follower's silence is noticed by its registrar; a registrar's is noticed by nobody, so its entry, and those of followers lost with it, stood until its lease ended (6 s) and readers polled (0.8 s), and a mass removal was held for 3 s more, blindly.

Change: the lease is 2.5 s, renewed every second. That alone would take VMs out that live, so whoever reads the store probes the owner of each entry that has disappeared (vm-prober.ts, lapsed-vms.ts): one that does not respond within 0.5 s, or says that it does not serve, is out at once; one that responds is held for 3 s as before. The guard against mass removals held four VMs and an eighth of all or more; now each VM is guarded. A registrar probes a silent follower after 2.5 s (3.75 s and up to 1 s of a timer before) and keeps one that responds. A VM that was paused itself asks again. In a large fleet where each VM reads for itself, one that nobody goes by probes eight at most. All parts are constants in vm-loss-budget.ts; a test checks their sum.

Evidence: the six tests of losses failed before; a follower, a registrar, all registrars and a data centre now pass their bound of 5 s (before 5.2, 6.9, 9.0 and 9.0 s).

Ruled out: probing from all VMs at all times (calls grow with the square), a lease of 2.5 s with the blind hold (5.9 s and more), removing a VM for its silence alone.

--- a/src/common/entry-vm/entry-vm.ts
+++ b/src/common/entry-vm/entry-vm.ts
@@ -18,6 +18,7 @@
 	'feed-closed': true,
 	'member-announced': true,
 	'member-ended': true,
+	'vm-probed': true,
 	'vm-list': true,
 	'operator-change': true,
 	'operator-drain': true,
--- a/src/common/fleet/types.ts
+++ b/src/common/fleet/types.ts
@@ -135,6 +135,8 @@
 		| {readonly type: 'member-announced'; readonly announcement: MemberAnnouncement}
 	/** The stream of a VM that followed this one has ended. */
 		| {readonly type: 'member-ended'; readonly identity: string}
+	/** The result of a `probe-vm`: whether that process responds and takes callers. */
+		| {readonly type: 'vm-probed'; readonly identity: string; readonly isServing: boolean}
 	/** The platform's list, read every few seconds by the adapter. */
 		| {readonly type: 'vm-list'; readonly vms: readonly ListedVm[]}
 		| {readonly type: 'operator-change'; readonly requestId: number; readonly change: OperatorChange}
@@ -175,6 +177,8 @@
 		| {readonly type: 'publish-feed'; readonly frame: FeedFrame}
 	/** Tell the VM that is followed who this one is. */
 		| {readonly type: 'announce'; readonly announcement: MemberAnnouncement}
+	/** Ask this process directly whether it takes callers; `vm-probed` tells. */
+		| {readonly type: 'probe-vm'; readonly identity: string; readonly address: PeerAddress}
 	/** For the call engine: in force from now on. `version` only grows. */
 		| {readonly type: 'configured'; readonly configuration: CallConfiguration}
 		| {readonly type: 'shares'; readonly shares: FleetShares}
--- a/src/common/registry/fleet-model.test.ts
+++ b/src/common/registry/fleet-model.test.ts
@@ -7,6 +7,7 @@
 import {RegistryFleet} from './registry-fleet.ts';
 import {type MemberAnnouncement, type FeedFrame} from './types.ts';
 import {StoreModel} from './store-model.test.ts';
+import {memberHeartbeatMilliseconds, usualLeaseMilliseconds} from './vm-loss-budget.ts';
 
 /** The way of a line of news, and of a refused connection. */
 const wayMilliseconds: Milliseconds = 2;
@@ -28,6 +29,8 @@
 	readonly address: string;
 	readonly identity: string;
 	isAlive = true;
+	/** It has lost power: nothing at its address refuses a connection. */
+	isDark = false;
 	/** It runs, and does nothing: its timers fire when it wakes. */
 	isFrozen = false;
 	stage = '';
@@ -50,7 +53,7 @@
 		this.startedAt = model.timeline.now;
 		this.identity = identity;
 		this.address = address;
-		const {convergeMilliseconds = 3000, leaseMilliseconds = 6000} = options;
+		const {convergeMilliseconds = 3000, leaseMilliseconds = usualLeaseMilliseconds} = options;
 		this.fleet = new RegistryFleet({
 			...settings,
 			identity,
@@ -60,6 +63,7 @@
 			convergeMilliseconds,
 			watchPauseMilliseconds: 0.4 * convergeMilliseconds,
 			leaseMilliseconds,
+			memberBeatMilliseconds: memberHeartbeatMilliseconds,
 			seeds: model.seeds,
 		}, documents, random);
 	}
@@ -93,6 +97,7 @@
 	/** `isSilent` = the VM loses power: nobody hears that its connections ended. */
 	kill(isSilent = false): void {
 		this.isAlive = false;
+		this.isDark = isSilent;
 		if (isSilent) {
 			this.source?.listeners.delete(this);
 		} else {
@@ -129,6 +134,11 @@
 				break;
 			}
 
+			case 'probe-vm': {
+				this._probe(effect.identity, effect.address);
+				break;
+			}
+
 			case 'publish-feed': {
 				for (const listener of this.listeners) {
 					this._deliver(listener, effect.frame);
@@ -219,6 +229,21 @@
 		});
 	}
 
+	/** A VM that is frozen or has lost power does not respond; elsewhere a connection is refused, or another process responds. */
+	private _probe(identity: string, address: string): void {
+		this._model.timeline.after(wayMilliseconds, () => {
+			const target = this._model.latestAt(address);
+			if (target?.isDark === true || target?.isFrozen === true) {
+				return;
+			}
+
+			const isServing = target?.isAlive === true && target.fleet.isServing(identity);
+			this._model.timeline.after(wayMilliseconds, () => {
+				this.handle({type: 'vm-probed', identity, isServing});
+			});
+		});
+	}
+
 	private _deliver(listener: ModelProcess, frame: FeedFrame): void {
 		this._model.timeline.after(wayMilliseconds, () => {
 			if (listener.source === this) {
@@ -272,6 +297,11 @@
 		return `10.${vm % dataCentres}.0.${Math.floor(vm / dataCentres)}:90`;
 	}
 
+	/** The latest process at this address, whether it lives or not. */
+	latestAt(address: string): ModelProcess | undefined {
+		return this._processes.get(address);
+	}
+
 	at(address: string): ModelProcess | undefined {
 		const process = this._processes.get(address);
 		return process?.isAlive === true ? process : undefined;
--- a/src/common/registry/member-registrar.ts
+++ b/src/common/registry/member-registrar.ts
@@ -1,8 +1,11 @@
 /** Registers the VMs that follow this one in the store, and this VM itself while it reads the store. */
+import {type PeerAddress} from '../fleet/types.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type Revision, type StoreReply, type StoreWrite} from '../platform/types.ts';
 import {type RegistryContext} from './registry-context.ts';
 import {type MemberAnnouncement} from './types.ts';
+import {silentHeartbeats} from './vm-loss-budget.ts';
+import {type VmProber} from './vm-prober.ts';
 
 /** Most entries that one transaction holds, conditions and writes counted apart: each write here comes with its condition. */
 const mostEntriesOfTransaction = 32;
@@ -20,26 +23,23 @@
 /** Pause before a step that failed is tried again. */
 const retryMilliseconds: Milliseconds = 700;
 
-/**
- * A VM whose stream has ended without a word was killed, or lost its connection and is back in a moment. One that was
- * killed stands among the answers for this long, where callers pass it over at the first refused connection.
- */
+/** Pause before a renewal that failed is tried again: several fit into the rest of the term. */
+const renewalRetryMilliseconds: Milliseconds = 300;
+
+/** Grace period after a member's stream closes without an announcement; covers a reconnect. */
 const endedMilliseconds: Milliseconds = 1000;
 
 /**
- * The same of a VM that has said that it turns to another one, which writes its entry anew. Guards a VM whose new registrar
- * cannot write yet: removed meanwhile, it would be out of the answers till it has found a third one.
+ * Grace period of a member that has announced that it turns to another registrar, which writes its entry anew. It is extended
+ * for as long as the member responds to probes, since the other registrar may not be able to write yet.
  */
-const turningMilliseconds: Milliseconds = 6000;
+const turningMilliseconds: Milliseconds = 2000;
 
-/** How often members that have fallen silent are looked for. */
-const lookMilliseconds: Milliseconds = 1000;
+/** Shortest pause between two checks of the members. */
+const shortestCheckMilliseconds: Milliseconds = 100;
 
-/**
- * Beats without a word after which a member counts as dead. Guards callers against a VM that lost power: nothing ends its
- * stream, and its entry would be renewed for as long as this VM lives.
- */
-const silentBeats = 2.5;
+/** A check that comes this late shows that this VM did not run: announcements may wait to be read. */
+const pausedMilliseconds: Milliseconds = 1000;
 
 /** What became of a member's entry. */
 type MemberState
@@ -69,6 +69,8 @@
 	endsAt: Instant;
 	/** It has said itself that it leaves: its entry goes, whoever wrote it last. */
 	hasSaidSo: boolean;
+	/** It is asked directly whether it serves. */
+	isProbed: boolean;
 };
 
 /** What the registrar asks and tells its surroundings. */
@@ -77,6 +79,8 @@
 	isReading(): boolean;
 	/** The store answers, as far as this VM knows: what is sent into its silence keeps later writes waiting. */
 	isStoreThere(): boolean;
+	/** Where other VMs reach the one with this entry; undefined = the entry cannot be read. */
+	peerAddressOf(value: string): PeerAddress | undefined;
 	/** Revision of a key, as this VM knows the store; undefined = there is no such key. */
 	revisionOf(key: string): Revision | undefined;
 	/** The store has taken these writes, which came to this revision. */
@@ -89,14 +93,16 @@
  */
 export class MemberRegistrar {
 	private readonly _context: RegistryContext;
+	private readonly _prober: VmProber;
 	private readonly _listener: MemberRegistrarListener;
 	private readonly _members = new Map<string, Member>();
 	private _leaseId: string | undefined;
 	private _isAsking = false;
-	private _lookedAt: Instant = 0;
+	private _checkAt: Instant = 0;
 
-	constructor(context: RegistryContext, listener: MemberRegistrarListener) {
+	constructor(context: RegistryContext, prober: VmProber, listener: MemberRegistrarListener) {
 		this._context = context;
+		this._prober = prober;
 		this._listener = listener;
 	}
 
@@ -120,7 +126,7 @@
 
 		const {now} = this._context;
 		const member = this._members.get(identity) ?? {
-			identity, value, state: 'wanted', before: 0, written: undefined, expected: undefined, heardAt: now, endsAt: now, hasSaidSo: false,
+			identity, value, state: 'wanted', before: 0, written: undefined, expected: undefined, heardAt: now, endsAt: now, hasSaidSo: false, isProbed: false,
 		};
 		this._members.set(identity, member);
 		member.heardAt = now;
@@ -133,7 +139,7 @@
 			this._planFlush(gatherMilliseconds);
 		}
 
-		this._planLook();
+		this._planCheck();
 	}
 
 	/** The stream of a VM has ended. */
@@ -188,7 +194,7 @@
 
 		member.state = 'turning';
 		member.endsAt = this._context.now + patience;
-		this._planLook();
+		this._planCheck();
 	}
 
 	private _keyOf(identity: string): string {
@@ -362,7 +368,7 @@
 			if (reply.type === 'lease-lost') {
 				this._loseLease();
 			} else {
-				this._planRenewal(reply.type === 'lease' ? undefined : retryMilliseconds);
+				this._planRenewal(reply.type === 'lease' ? undefined : renewalRetryMilliseconds);
 			}
 		});
 	}
@@ -382,40 +388,77 @@
 		this._planFlush(gatherMilliseconds);
 	}
 
-	private _planLook(): void {
-		if (this._context.timers.has('members-look') || this._members.size === 0) {
+	private _planCheck(): void {
+		if (this._members.size === 0) {
+			return;
+		}
+
+		const due = Math.min(...Array.from(this._members.values(), member => this._dueAt(member)));
+		if (due === Number.POSITIVE_INFINITY) {
 			return;
 		}
 
-		this._lookedAt = this._context.now;
-		this._context.timers.set('members-look', this._context.now + lookMilliseconds, () => {
-			this._look();
+		this._checkAt = Math.max(due, this._context.now + shortestCheckMilliseconds);
+		this._context.timers.set('members-check', this._checkAt, () => {
+			this._check();
 		});
 	}
 
-	private _look(): void {
-		const {now, settings} = this._context;
-		// Guards members of a VM that was itself frozen: it wakes with all their words unread, and would take them for dead.
-		const wasAway = now - this._lookedAt > 2 * lookMilliseconds;
+	/** When a member counts as silent, or its grace period ends. */
+	private _dueAt({identity, state, endsAt, heardAt, isProbed}: Member): Instant {
+		if (state === 'leaving' || isProbed || identity === this._context.settings.identity) {
+			return Number.POSITIVE_INFINITY;
+		}
+
+		return state === 'turning' ? endsAt : heardAt + (silentHeartbeats * this._context.settings.memberBeatMilliseconds);
+	}
+
+	private _check(): void {
+		const {now} = this._context;
+		// Guards members of a VM that was itself frozen: it wakes with all their announcements unread.
+		const wasPaused = now - this._checkAt > pausedMilliseconds;
 		for (const member of this._members.values()) {
-			if (wasAway) {
+			if (wasPaused) {
 				member.heardAt = now;
-			} else if (member.state === 'turning') {
-				this._lookAtTurning(member);
-			} else if (member.identity !== settings.identity && member.state !== 'leaving' && now - member.heardAt > silentBeats * settings.memberBeatMilliseconds) {
-				this._context.log('info', 'a VM that is kept here has fallen silent', {member: member.identity});
-				this._drop(member);
+				member.endsAt = Math.max(member.endsAt, now + shortestCheckMilliseconds);
+			} else if (this._dueAt(member) <= now) {
+				this._probe(member);
 			}
 		}
 
-		this._planLook();
+		this._planCheck();
 	}
 
-	/** The entry of a VM that another one has written is that one's affair; one that nobody writes is removed in time. */
-	private _lookAtTurning(member: Member): void {
-		if (!this._isOwnWrite(member, this._standing(member)) || this._context.now >= member.endsAt) {
+	/** The entry of a member that another VM has written is that one's affair. */
+	private _probe(member: Member): void {
+		const {identity, value} = member;
+		const address = this._listener.peerAddressOf(value);
+		if (address === undefined || !this._isOwnWrite(member, this._standing(member))) {
 			this._drop(member);
+			return;
 		}
+
+		const {heardAt} = member;
+		member.isProbed = true;
+		this._prober.probe(identity, address, isServing => {
+			member.isProbed = false;
+			if (this._members.get(identity) !== member || member.state === 'leaving' || member.heardAt > heardAt) {
+				this._planCheck();
+				return;
+			}
+
+			if (isServing) {
+				member.heardAt = this._context.now;
+				member.endsAt = this._context.now + turningMilliseconds;
+			} else {
+				this._context.log('info', 'a registered VM does not respond; its entry is removed', {
+					member: identity, state: member.state, silentMilliseconds: Math.round(this._context.now - heardAt),
+				});
+				this._drop(member);
+			}
+
+			this._planCheck();
+		});
 	}
 
 	/**
--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -20,6 +20,7 @@
 	type DocumentReader, type FeedFrame, type RegistrySettings,
 } from './types.ts';
 import {VmDirectory, type VmRanks} from './vm-directory.ts';
+import {VmProber} from './vm-prober.ts';
 
 /**
  * Connections to a backend server that this VM may hold, as a multiple of an even part: callers spread unevenly over
@@ -44,6 +45,7 @@
 	private readonly _mirror: StoreMirror;
 	private readonly _servers: ServerRegistry;
 	private readonly _vms: VmDirectory;
+	private readonly _prober: VmProber;
 	private readonly _evacuations: Evacuations;
 	private readonly _registrar: MemberRegistrar;
 	private readonly _ownEntry: OwnEntry;
@@ -81,8 +83,10 @@
 			},
 			isReading,
 		});
-		this._vms = new VmDirectory(this._context, documents, random, {onGone, isReading});
-		this._registrar = new MemberRegistrar(this._context, {
+		this._prober = new VmProber(this._context);
+		this._vms = new VmDirectory(this._context, documents, {random, prober: this._prober, listener: {onGone, isReading}});
+		this._registrar = new MemberRegistrar(this._context, this._prober, {
+			peerAddressOf: value => documents.vm(value).map(({peerAddress}) => peerAddress).unwrapOr(undefined),
 			isReading: () => this._source.isReading,
 			isStoreThere: () => this._mirror.isWatching,
 			revisionOf: key => this._log.revisionOf(key),
@@ -105,7 +109,6 @@
 			},
 			onRegained: silence => {
 				this._servers.onRegained(silence);
-				this._vms.onRegained(silence);
 			},
 			onRead: () => {
 				this._publisher.noteRead();
@@ -163,6 +166,11 @@
 				break;
 			}
 
+			case 'vm-probed': {
+				this._prober.takeResult(event.identity, event.isServing);
+				break;
+			}
+
 			case 'store-replied': {
 				this._context.takeReply(event.requestId, event.reply);
 				break;
@@ -220,6 +228,11 @@
 		};
 	}
 
+	/** Whether this VM is the process of that identity and takes callers. */
+	isServing(identity: string): boolean {
+		return identity === this._context.settings.identity && this._life.stage === 'serving';
+	}
+
 	/** Everything that other VMs can learn from this one. */
 	feed(now: Instant): FeedFrame {
 		return this._publisher.whole(now);
@@ -294,11 +307,6 @@
 			isChanged = this._takeEntry(entry) || isChanged;
 		}
 
-		if (!isCertain) {
-			const {vmPrefix} = this._context.settings.layout;
-			this._vms.noteRemovals(deleted.filter(key => key.startsWith(vmPrefix)).length);
-		}
-
 		for (const key of deleted) {
 			isChanged = this._takeDeleted(key, isCertain) || isChanged;
 		}
--- a/src/common/registry/vm-directory.ts
+++ b/src/common/registry/vm-directory.ts
@@ -1,13 +1,14 @@
 /** The VMs that callers may use, and the answer to which of them. */
 import {type FleetMembers} from '../calls/types.ts';
 import {type AddressAnswer, type PeerAddress} from '../fleet/types.ts';
-import {type Milliseconds, type RandomSource} from '../model/units.ts';
+import {type RandomSource} from '../model/units.ts';
 import {describeFailure} from '../errors/failure.ts';
 import {type Revision, type StoreEntry} from '../platform/types.ts';
-import {RemovalGracePeriod} from './removal-grace-period.ts';
+import {type LapseOutcome, LapsedVms} from './lapsed-vms.ts';
 import {type RegistryContext} from './registry-context.ts';
 import {type RegistryListener} from './server-registry.ts';
 import {type DocumentReader, type VmEntry} from './types.ts';
+import {type VmProber} from './vm-prober.ts';
 
 /** Most addresses in one answer: a caller uses a few, and each costs bytes at every caller. */
 const mostAddresses = 64;
@@ -15,16 +16,6 @@
 /** A data centre keeps its callers while it has this part of an even share of the VMs. */
 const leastEvenPart = 0.5;
 
-/** VMs that live have written their entries anew this long after the store is back. */
-const holdMilliseconds: Milliseconds = 3000;
-
-/**
- * VMs that disappear at one look, at least and as a part of all, from which on it is taken for the end of a lease that held
- * them and not of so many VMs.
- */
-const massRemoval = 4;
-const massPart = 0.125;
-
 /** VMs of a data centre that are turned to after its readers: of the first ones some may have gone together with these. */
 const standbys = 3;
 
@@ -50,6 +41,13 @@
 	readonly sources: readonly PeerAddress[];
 };
 
+/** What a directory is made of. */
+export type VmDirectoryParts = {
+	readonly random: RandomSource;
+	readonly prober: VmProber;
+	readonly listener: Pick<RegistryListener, 'onGone' | 'isReading'>;
+};
+
 export class VmDirectory {
 	private readonly _context: RegistryContext;
 	private readonly _documents: DocumentReader;
@@ -60,19 +58,21 @@
 	/** The VMs known to serve, one an address; undefined = not worked out since the last change. */
 	private _latest: readonly KnownVm[] | undefined;
 	private _ownCreatedAt: Revision | undefined;
-	private readonly _gracePeriod: RemovalGracePeriod;
+	private readonly _lapsed: LapsedVms;
 	private readonly _onGone: (key: string) => void;
 
-	constructor(context: RegistryContext, documents: DocumentReader, random: RandomSource, {onGone, isReading}: Pick<RegistryListener, 'onGone' | 'isReading'>) {
+	constructor(context: RegistryContext, documents: DocumentReader, {random, prober, listener}: VmDirectoryParts) {
 		this._context = context;
 		this._documents = documents;
 		this._random = random;
-		this._onGone = onGone;
-		this._gracePeriod = new RemovalGracePeriod(context, 'vms', keys => {
-			for (const key of keys) {
-				this._drop(key);
-			}
-		}, isReading);
+		this._onGone = listener.onGone;
+		this._lapsed = new LapsedVms(context, prober, {
+			isReading: listener.isReading,
+			isProbing: () => this.ranks.isReader || this.ranks.isStandby,
+			onLost: (key, outcome) => {
+				this._drop(key, outcome);
+			},
+		});
 	}
 
 	/** Where callers reach the VMs known to serve, this one not counted. */
@@ -120,30 +120,13 @@
 		}
 	}
 
-	onRegained(silence: Milliseconds): void {
-		if (silence >= this._context.settings.leaseMilliseconds / 2) {
-			this._gracePeriod.begin(holdMilliseconds);
-		}
-	}
-
-	/**
-	 * So many entries have disappeared at one look. Guards callers against the end of one lease under which a VM kept the
-	 * entries of dozens: the answers would name the few that are left, which drown. Those that live are written again by
-	 * then.
-	 */
-	noteRemovals(count: number): void {
-		if (count >= massRemoval && count >= massPart * this._entries.size) {
-			this._gracePeriod.begin(holdMilliseconds);
-		}
-	}
-
 	/** Takes an entry in; true = it says something new. */
 	put({key, value, revision, createdAt = revision}: StoreEntry): boolean {
 		if (key === this._ownKey) {
 			return false;
 		}
 
-		this._gracePeriod.noteThere(key);
+		this._lapsed.release(key);
 		if (this._entries.get(key)?.revision === revision) {
 			return false;
 		}
@@ -167,10 +150,17 @@
 		return true;
 	}
 
-	/** An entry has disappeared; `isCertain` = whoever says so has already waited for its owner to come back. */
+	/** An entry has disappeared; `isCertain` = whoever says so has already found its owner lost. */
 	remove(key: string, isCertain = false): void {
-		if (this._entries.has(key) && (isCertain || !this._gracePeriod.hold(key))) {
-			this._drop(key);
+		const known = this._entries.get(key);
+		if (known === undefined) {
+			return;
+		}
+
+		if (isCertain) {
+			this._drop(key, 'told');
+		} else {
+			this._lapsed.hold(key, key.slice(this._context.settings.layout.vmPrefix.length), known.entry.peerAddress);
 		}
 	}
 
@@ -272,11 +262,12 @@
 		return [...first.values()].toSorted(byRank);
 	}
 
-	private _drop(key: string): void {
+	private _drop(key: string, cause: LapseOutcome | 'told'): void {
+		this._lapsed.release(key);
 		if (this._entries.delete(key)) {
 			this._forgetOrder();
 			this._onGone(key);
-			this._context.log('info', 'VM gone', {member: key});
+			this._context.log('info', 'VM gone', {member: key, cause});
 		}
 	}
 
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -11,6 +11,7 @@
 import {seededRandom} from '../common/random/random.ts';
 import {RegistryFleet} from '../common/registry/registry-fleet.ts';
 import {type DocumentReader, type RegistrySettings, type StoreLayout} from '../common/registry/types.ts';
+import {memberHeartbeatMilliseconds} from '../common/registry/vm-loss-budget.ts';
 import {RouteTable} from '../common/routing/route-table.ts';
 import {type EntrySettings} from '../common/settings/entry-settings.ts';
 import {ProcessClock} from '../node/clock.ts';
@@ -20,6 +21,7 @@
 import {FeedClient} from '../node/fleet/feed-client.ts';
 import {FeedServer} from '../node/fleet/feed-server.ts';
 import {StoreCarrier} from '../node/fleet/store-carrier.ts';
+import {VmProbeClient} from '../node/fleet/vm-probe-client.ts';
 import {type PlatformClient} from '../node/fleet/types.ts';
 import {BackendConnections} from '../node/front/backend-connections.ts';
 import {CallCarrier} from '../node/front/call-carrier.ts';
@@ -45,9 +47,6 @@
 /** Pause between two watches, as a part of the time within which a change is in force. */
 const watchPausePart = 0.4;
 
-/** A VM that loses power is out of the answers after two to three of these. */
-const memberBeatMilliseconds = 1500;
-
 /** How long an idle connection to the directory is kept: as long as callers wait between two questions. */
 const pageIdleMilliseconds = 6000;
 
@@ -94,7 +93,7 @@
 		},
 		layout,
 		leaseMilliseconds: settings.store.leaseSeconds * 1000,
-		memberBeatMilliseconds,
+		memberBeatMilliseconds: memberHeartbeatMilliseconds,
 		watchPauseMilliseconds: settings.store.convergeSeconds * 1000 * watchPausePart,
 		convergeMilliseconds: settings.store.convergeSeconds * 1000,
 		seeds: settings.seeds,
@@ -122,7 +121,8 @@
 	const loop = owned.add(new DeciderLoop<EntryVmEvent, EntryVmEffect>(entryVm, clock));
 	const storeCarrier = owned.add(new StoreCarrier(loop, new CountedPlatformClient(platform.store, clock, metrics)));
 	const feedClient = owned.add(new FeedClient(loop, logger));
-	const feedServer = owned.add(new FeedServer(metrics, {whole: () => fleet.feed(clock.now())}, loop));
+	const vmProbeClient = owned.add(new VmProbeClient(loop));
+	const feedServer = owned.add(new FeedServer(metrics, {whole: () => fleet.feed(clock.now()), isServing: identity => fleet.isServing(identity)}, loop));
 	const connections = owned.add(new BackendConnections({connectMilliseconds, idleMilliseconds: backendIdleMilliseconds}));
 	const callCarrier = owned.add(new CallCarrier(loop, new CountedMeasurer(new LoadMeasurer(connections, platform.dialect), metrics), noKeys));
 	const hold = owned.add(new StartingHold());
@@ -157,6 +157,11 @@
 				break;
 			}
 
+			case 'probe-vm': {
+				void vmProbeClient.probe(effect.identity, effect.address);
+				break;
+			}
+
 			case 'announce': {
 				feedClient.announce(effect.announcement);
 				break;
--- a/src/node/fleet/feed-server.ts
+++ b/src/node/fleet/feed-server.ts
@@ -12,6 +12,7 @@
 import {type Metrics} from '../metrics/types.ts';
 import {LineReader} from './line-reader.ts';
 import {decodeAnnouncement, encodeFrame, feedPath} from './feed-frame.ts';
+import {probePathPrefix} from './vm-probe-client.ts';
 
 /** Bytes that a listener may leave unread: one that is frozen or cut off must not fill this VM's memory. */
 const mostUnreadBytes = 1_000_000;
@@ -19,11 +20,16 @@
 /** Characters of one announcement: beyond it, this is no VM of ours. */
 const longestAnnouncement = 10_000;
 
+const statusServing = 200;
+const statusNotServing = 404;
+
 type MemberSink = EventSink<Extract<FleetEvent, {type: 'member-announced' | 'member-ended'}>>;
 
 /** What there is to tell. */
 export type FeedContent = {
 	whole(): FeedFrame;
+	/** Whether this VM is the process of that identity and takes callers. */
+	isServing(identity: string): boolean;
 };
 
 export class FeedServer extends Disposable {
@@ -45,7 +51,7 @@
 				this._welcome(incoming, outgoing);
 			} else {
 				incoming.resume();
-				outgoing.writeHead(404).end();
+				outgoing.writeHead(this._isServing(incoming.url ?? '') ? statusServing : statusNotServing, {connection: 'close'}).end();
 			}
 		});
 		this._register(toDisposable(() => {
@@ -76,6 +82,10 @@
 		this._listeners.add(outgoing);
 	}
 
+	private _isServing(url: string): boolean {
+		return url.startsWith(probePathPrefix) && this._content.isServing(url.slice(probePathPrefix.length));
+	}
+
 	/** The body of the question is what the VM says of itself, a line each time. */
 	private _hear(incoming: IncomingMessage, outgoing: ServerResponse): void {
 		const lines = new LineReader(longestAnnouncement);
--- a/src/node/fleet/feed-stream.test.ts
+++ b/src/node/fleet/feed-stream.test.ts
@@ -30,7 +30,7 @@
 	readonly owned = new DisposableStore();
 	readonly told: FleetEvent[] = [];
 	readonly heard: FleetEvent[] = [];
-	readonly teller = this.owned.add(new FeedServer(noMetrics, {whole: () => frame}, {
+	readonly teller = this.owned.add(new FeedServer(noMetrics, {isServing: identity => identity === 'here', whole: () => frame}, {
 		feed: event => {
 			this.told.push(event);
 		},
--- a/src/node/fleet/fleet-carrier.ts
+++ b/src/node/fleet/fleet-carrier.ts
@@ -11,7 +11,7 @@
 import {type PeerTransport, type PlatformClient} from './types.ts';
 
 /** Effects that concern the front or the logs. */
-export type OutwardEffect = Exclude<OuterFleetEffect, {type: 'store' | 'send' | 'operator-answer' | 'follow-feed' | 'publish-feed' | 'announce'}>;
+export type OutwardEffect = Exclude<OuterFleetEffect, {type: 'store' | 'send' | 'operator-answer' | 'follow-feed' | 'publish-feed' | 'announce' | 'probe-vm'}>;
 
 type OuterFleetEvent = Extract<FleetEvent, {type: 'started' | 'store-replied' | 'peer-message' | 'peer-unreachable' | 'vm-list' | 'operator-change' | 'operator-drain'}>;
 
@@ -93,6 +93,7 @@
 			}
 
 			case 'announce':
+			case 'probe-vm':
 			case 'follow-feed':
 			case 'publish-feed': {
 				// A fleet that leads itself has messages of its own for this.
