Keep a VM in its followers' answers while its own entry is written anew

What callers saw: nothing reported; found by the tests of lost VMs. A VM that lives was missing from the answers of its followers for up to 2 s, when the lease of the registrar ended that had kept its entry.

Cause: the VM read that its own entry was gone and published that, and followers take a published removal for certain. So the one VM that knows best that it lives told the others that it was lost.

Change: while it serves, the removal of its own entry sets off its registration and is not published.

--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -58,6 +58,8 @@
 	private readonly _configuration: ConfigurationRegistry;
 	/** The VM that has told all it knows and whose changes therefore make a whole. */
 	private _toldBy: PeerAddress | undefined;
+	/** The own entry stands in the store, as far as this VM knows. */
+	private _isRegistered = false;
 	/** What the shares were last worked out from. */
 	private _announced = '';
 
@@ -89,7 +91,7 @@
 			peerAddressOf: value => documents.vm(value).map(({peerAddress}) => peerAddress).unwrapOr(undefined),
 			isReading: () => this._source.isReading,
 			isStoreThere: () => this._mirror.isWatching,
-			revisionOf: key => this._log.revisionOf(key),
+			revisionOf: key => key === this._ownKey && !this._isRegistered ? undefined : this._log.revisionOf(key),
 			onWritten: (writes, revision) => {
 				this._takeOwnWrites(writes, revision);
 			},
@@ -271,8 +273,7 @@
 	 * believe that it stands, and never write it again.
 	 */
 	private _isKeptHere(key: string): boolean {
-		const {layout, identity} = this._context.settings;
-		return this._ownEntry.isKeptHere && key === layout.vmPrefix + identity;
+		return this._ownEntry.isKeptHere && key === this._ownKey;
 	}
 
 	/** What this VM wrote itself is known and told at once, and not only when it next looks at the store. */
@@ -330,17 +331,15 @@
 
 	/** The own entry was seen in the store and is not there any more. */
 	private _noticeOwnEntry(keys: ReadonlySet<string>): void {
-		const {layout, identity} = this._context.settings;
-		const key = layout.vmPrefix + identity;
-		if (!keys.has(key) && this._log.revisionOf(key) !== undefined) {
-			this._takeDeleted(key, true);
+		if (!keys.has(this._ownKey) && this._isRegistered) {
+			this._takeDeleted(this._ownKey, true);
 		}
 	}
 
 	/** Takes an entry in; true = calls are to be handled in another way. */
 	private _takeEntry(entry: StoreEntry): boolean {
 		const {key, value} = entry;
-		const {layout, identity} = this._context.settings;
+		const {layout} = this._context.settings;
 		if (key === layout.configurationKey) {
 			const isAdopted = this._configuration.take(value);
 			if (isAdopted) {
@@ -366,11 +365,11 @@
 		}
 
 		if (key.startsWith(layout.vmPrefix)) {
-			const isOwn = key === layout.vmPrefix + identity;
+			const isOwn = key === this._ownKey;
 			const isNews = isOwn ? this._log.revisionOf(key) !== entry.revision : this._vms.put(entry);
 			this._log.put(entry, isNews);
 			if (isOwn) {
-				this._noteOwnEntry();
+				this._noteRegistered(true);
 			}
 		}
 
@@ -378,22 +377,37 @@
 	}
 
 	/** Whether the own entry stands in the store, and since when, decides whether others go by this VM. */
-	private _noteOwnEntry(): void {
+	private _noteRegistered(isRegistered: boolean): void {
+		this._isRegistered = isRegistered;
+		this._vms.setOwn(isRegistered ? this._log.createdAt(this._ownKey) : undefined);
+		this._ownEntry.noteSeen(isRegistered);
+	}
+
+	/**
+	 * The own entry has disappeared. While this VM serves it is written anew, and the removal is not published: followers take
+	 * a published removal for certain, and would no longer name a VM that lives.
+	 */
+	private _takeOwnDeleted(): void {
+		if (this._life.stage !== 'serving') {
+			this._log.remove(this._ownKey);
+		}
+
+		this._noteRegistered(false);
+	}
+
+	private get _ownKey(): string {
 		const {layout, identity} = this._context.settings;
-		const createdAt = this._log.createdAt(layout.vmPrefix + identity);
-		this._vms.setOwn(createdAt);
-		this._ownEntry.noteSeen(createdAt !== undefined);
+		return layout.vmPrefix + identity;
 	}
 
 	private _takeDeleted(key: string, isCertain: boolean): boolean {
-		const {layout, identity} = this._context.settings;
+		const {layout} = this._context.settings;
 		if (key.startsWith(layout.vmPrefix)) {
 			this._registrar.onRemoved(key);
 		}
 
-		if (key === layout.vmPrefix + identity) {
-			this._log.remove(key);
-			this._noteOwnEntry();
+		if (key === this._ownKey) {
+			this._takeOwnDeleted();
 		} else if (key.startsWith(layout.vmPrefix)) {
 			this._vms.remove(key, isCertain);
 		} else if (key.startsWith(layout.serverPrefix)) {
