--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -37,8 +37,13 @@
 	readonly workTimeFactor?: number;
 	/** How much longer it warms up, 0 = it is warm; undefined where the report does not say. */
 	readonly warmUpLeftMilliseconds?: Milliseconds;
+	/** The rate limit that came with a load probe's response; undefined = it names none. */
+	readonly rateLimit?: RateLimitNotice;
 };
 
+/** Calls a second that a backend server takes from all VMs together, as an answer names it, until an answer names none. */
+export type RateLimitNotice = number | 'unreadable';
+
 /** What the route of a call says of it. It goes before the service's own rules. */
 export type CallRule = {
 	/** Name of the route: what its calls cost is learnt by it. */
@@ -105,6 +110,8 @@
 			readonly attemptId: AttemptId;
 			readonly status: number;
 			readonly report: LoadReport | undefined;
+			/** Undefined = the answer names none. */
+			readonly rateLimit?: RateLimitNotice;
 			/** The backend server says in the agreed form that it did not run the call. */
 			readonly isDeclaredNotRun: boolean;
 			/** Strong validator of the answer (ETag without W/), for a resumed download. */
