Keep the whole fleet within the rate limit that a backend server names in its answers

What its owners saw: a backend server in need named 1.3 calls a second, and 16 VMs sent it 29 in 4 s (13 allowed), as many as before it asked.

Cause: no part of the product read the limit. Class of fault: what a backend server says of itself that is known neither as load nor as state changes nothing.

Change: the dialect reads it from answers and load probes (a number above 0 and up to a million; anything else is counted and logged once, and the call is served). The engine keeps a token bucket of this VM's share for each backend server that names one; first attempts, retries, hedges, resumed and queued calls all pass it. Shares need no message: as many VMs of its data centre as the limit has calls a second, three at least, own nine tenths of it by rendezvous hashing; the other VMs have a tenth together, in phases of their own, and so learn when it has ended. It ends with an answer that names none, unless that answers an attempt which started before it was named; or with a load probe's, if probes named it before. A later process starts without one. What does not fit goes elsewhere by the usual scale; where all are limited and no share comes before the latest start, the call is refused at once with the time until one does. Grounds, a gauge, two counters and three log lines tell of it.

Weighed: an even bucket on each VM would let 134 VMs start 134 calls at once for 12.8 allowed in 4 s at 1.3 a second; three owners for any limit leave most of 50 a second unused. The warm-up's quota has whole attempts in a second and owners in one data centre, the limit fractions over a longer span, so the two share members, hashing and settling time but not the division.

--- a/src/common/calls/admission.ts
+++ b/src/common/calls/admission.ts
@@ -5,6 +5,7 @@
 import {type CallEndings} from './call-endings.ts';
 import {isImpatient} from './demand-placer.ts';
 import {type EngineContext} from './engine-context.ts';
+import {whenLimitsAllow} from './placer.ts';
 import {type ServiceState} from './service-state.ts';
 
 /**
@@ -114,6 +115,13 @@
 			return;
 		}
 
+		// Waiting for a share that is not there before the latest start would only cost its caller the time.
+		if (whenLimitsAllow(this._context, service, now) > Math.max(now, latestStart(call))) {
+			this._runner.noteGrounds(call, now);
+			this._endings.refuse(call, 'overloaded', now);
+			return;
+		}
+
 		if (service.isMeasuredOnDemand && isImpatient(call, now)) {
 			this._endings.refuse(call, 'overloaded', now);
 			return;
--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -10,10 +10,12 @@
 import {Hedging, mostAttempts} from './hedging.ts';
 import {type DemandPlacer} from './demand-placer.ts';
 import {roomyPart} from './load-levels.ts';
-import {type Placement, type Placer, connectionLimit} from './placer.ts';
+import {
+	type Placement, type Placer, connectionLimit, shareOfLimit,
+} from './placer.ts';
 import {LoadProber, type PendingProbes} from './load-prober.ts';
 import {
-	type AttemptFailure, type AttemptId, type CallEvent, type CallOutcome, type LoadReport, type RefusalReason,
+	type AttemptFailure, type AttemptId, type CallEvent, type CallOutcome, type LoadReport, type RateLimitNotice, type RefusalReason,
 } from './types.ts';
 
 /** Most attempts that may end in a reset connection: more would let one call crash one backend server after another. */
@@ -48,6 +50,8 @@
 	readonly health: HealthJudge;
 	/** Takes a report in and tells peers what is worth telling. */
 	readonly onReport: (server: BackendServerState, report: LoadReport, now: Instant) => void;
+	/** Takes what the answer to an attempt says of a rate limit. */
+	readonly onRateLimit: (attempt: Attempt, rateLimit: RateLimitNotice | undefined, now: Instant) => void;
 	/** Chooses where measuring is on demand. */
 	readonly demandPlacer: DemandPlacer;
 	/** Sends a measuring call. */
@@ -66,6 +70,7 @@
 	private readonly _placer: Placer;
 	private readonly _health: HealthJudge;
 	private readonly _onReport: AttemptRunnerOptions['onReport'];
+	private readonly _onRateLimit: AttemptRunnerOptions['onRateLimit'];
 	private readonly _demandPlacer: DemandPlacer;
 	/** Fetches reports before attempts of services that are measured on demand. */
 	readonly prober: LoadProber;
@@ -81,6 +86,7 @@
 		this._placer = options.placer;
 		this._health = options.health;
 		this._onReport = options.onReport;
+		this._onRateLimit = options.onRateLimit;
 		this._demandPlacer = options.demandPlacer;
 		this.hedging = new Hedging(options.context, (call, now) => this.start(call, 'hedge', now));
 		this.prober = new LoadProber({
@@ -200,6 +206,11 @@
 			this._onReport(server, event.report, now);
 		}
 
+		// A response that turns the call away may come without the headers of those that ran.
+		if (event.rateLimit !== undefined || !event.isDeclaredNotRun) {
+			this._onRateLimit(attempt, event.rateLimit, now);
+		}
+
 		if (event.isDeclaredNotRun) {
 			call.serviceState.limit.onShed();
 			server.noteTaken(false, now);
@@ -320,6 +331,11 @@
 			server.noteStart(now);
 		}
 
+		const share = shareOfLimit(server, this._context, now);
+		if (share !== undefined) {
+			server.rateLimit.take(share, now);
+		}
+
 		call.serviceState.noteStarted(call.request.caller);
 		return attempt;
 	}
--- a/src/common/calls/backend-server-state.ts
+++ b/src/common/calls/backend-server-state.ts
@@ -9,6 +9,7 @@
 import {ProcessHistory} from './process-history.ts';
 import {type TimerEntry} from './timer-queue.ts';
 import {type CallTuning} from './tuning.ts';
+import {RateLimit} from './rate-limit.ts';
 import {WarmUp} from './warm-up.ts';
 import {type BackendServerIdentity, type BackendServerInForce, type LoadReport} from './types.ts';
 
@@ -59,6 +60,7 @@
 	/** Measuring calls on demand in a row that brought no report. */
 	unansweredMeasurings = 0;
 	readonly warmUp: WarmUp;
+	rateLimit = new RateLimit();
 	readonly demandAllowance = new DemandAllowance();
 	private readonly _tuning: CallTuning;
 	private readonly _processes = new ProcessHistory();
@@ -284,6 +286,7 @@
 		this._slowness = 1;
 		this._failing = 0;
 		this._failuresInRow = 0;
+		this.rateLimit = new RateLimit();
 		this.move('RETURN', now);
 	}
 
--- a/src/common/calls/call-endings.ts
+++ b/src/common/calls/call-endings.ts
@@ -4,6 +4,7 @@
 	type Attempt, type Call, objectiveOf, outcomeSoFar,
 } from './call.ts';
 import {type EngineContext} from './engine-context.ts';
+import {whenLimitsAllow} from './placer.ts';
 import {
 	type CallId, type CallOutcome, type CallRequest, type RefusalReason,
 } from './types.ts';
@@ -83,7 +84,7 @@
 			status: refusalStatus[reason],
 			reason,
 			outcome: known,
-			retryAfterMilliseconds: this._retryAfter(call, reason),
+			retryAfterMilliseconds: this._retryAfter(call, reason, now),
 		});
 		this.end(call, known, reason, now);
 	}
@@ -152,14 +153,15 @@
 		}
 	}
 
-	private _retryAfter(call: Call, reason: RefusalReason): Milliseconds | undefined {
+	private _retryAfter(call: Call, reason: RefusalReason, now: Instant): Milliseconds | undefined {
 		if (backlogReasons.has(reason)) {
 			const service = call.serviceState;
 			if (call.wasShedWithRoom && service.queue.size === 0) {
 				return this._spread(shedRetryAfter);
 			}
 
-			return this._spread(Math.max(shortestRetryAfter, service.waitFor(service.queue.size + 1)));
+			const untilAllowed = Math.min(faultRetryAfter, whenLimitsAllow(this._context, service, now) - now);
+			return this._spread(Math.max(shortestRetryAfter, untilAllowed, service.waitFor(service.queue.size + 1)));
 		}
 
 		return faultReasons.has(reason) ? this._spread(faultRetryAfter) : undefined;
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -79,6 +79,9 @@
 			onReport: (server, report, now) => {
 				this._directory.takeAnswerReport(server, report, now);
 			},
+			onRateLimit: ({server, startedAt}, rateLimit, now) => {
+				this._directory.takeAnswerLimit(server, rateLimit, startedAt, now);
+			},
 		});
 		this._endings = new CallEndings(this._context, this._calls, attempt => {
 			this._runner.drop(attempt);
--- a/src/common/calls/demand-placer.ts
+++ b/src/common/calls/demand-placer.ts
@@ -8,7 +8,7 @@
 import {type EngineContext} from './engine-context.ts';
 import {roomyPart} from './load-levels.ts';
 import {
-	type Placement, type Placer, connectionLimit, isSpared,
+	type Placement, type Placer, connectionLimit, isRateLimited, isSpared, isSparedForWarmUp,
 } from './placer.ts';
 import {type PlacingChoice, type PlacingGrounds} from './types.ts';
 
@@ -42,6 +42,12 @@
 /** A report this young tells of the present: most neighbours that it saw are still there. */
 const youngMilliseconds = 150;
 
+/**
+ * A backend server whose load probes name its rate limit is probed this often though this VM may send it nothing, since its
+ * response tells when the limit ends.
+ */
+const confirmLimitMilliseconds: Milliseconds = 1000;
+
 /**
  * Part of its objective for which a call waits for a backend server that will answer within it. Later a refusal would
  * leave its caller no time to come back within the objective.
@@ -190,7 +196,8 @@
 			...best,
 			grounds: {
 				known: call.serviceState.servers.length,
-				warmingUp: call.serviceState.servers.filter(server => server.takesNewAttempts && isSpared(this._context, server, call, now)).length,
+				warmingUp: call.serviceState.servers.filter(server => server.takesNewAttempts && isSparedForWarmUp(this._context, server, call, now)).length,
+				rateLimited: call.serviceState.servers.filter(server => server.takesNewAttempts && isRateLimited(this._context, server, now)).length,
 				evacuated: call.serviceState.servers.filter(server => server.isEvacuated).length,
 				able: known.able,
 				weighed: known.servers.length,
@@ -228,9 +235,10 @@
 		return server.unansweredMeasurings >= silentAfter && this._context.random.next() * silentTurns >= 1;
 	}
 
-	/** Whether a report of it would be of use: it may take the call, or would if it told that it is warm. */
+	/** Whether a report of it would be of use: it may take the call, or would if it told that it is warm or that its limit is over. */
 	private _isCandidate(server: BackendServerState, call: Call, now: Instant): boolean {
-		return this._mayTake(server, call, now) || (server.takesNewAttempts && server.warmUp.isAssumed(now) && !call.failedOn.has(server));
+		return this._mayTake(server, call, now)
+			|| (server.takesNewAttempts && (server.warmUp.isAssumed(now) || isLimitUnconfirmed(server, now)) && !call.failedOn.has(server));
 	}
 
 	private _mayTake(server: BackendServerState, call: Call, now: Instant): boolean {
@@ -312,6 +320,11 @@
 	return now >= Math.min(call.arrivedAt + (patience * objectiveOf(call)), call.objectiveAt - workEstimate(call));
 }
 
+/** Its load probes name its rate limit, and the last one is old. */
+function isLimitUnconfirmed({rateLimit, reportedAt}: BackendServerState, now: Instant): boolean {
+	return rateLimit.isNamedByProbes && now - reportedAt > confirmLimitMilliseconds;
+}
+
 /** Room by what was reported; a backend server that reports nothing is bounded by its connections. */
 function hasRoom(server: BackendServerState): boolean {
 	return server.report === undefined || server.reportedLoad < server.declared.slots + queueRoom;
--- a/src/common/calls/placer.ts
+++ b/src/common/calls/placer.ts
@@ -4,6 +4,8 @@
 import {type BackendServerState} from './backend-server-state.ts';
 import {type AttemptPurpose, type Call, isBodiless} from './call.ts';
 import {type EngineContext, vmCountOf} from './engine-context.ts';
+import {type ServiceState} from './service-state.ts';
+import {type RateShare} from './warm-up-quota.ts';
 
 /** A choice. */
 export type Placement = {
@@ -35,11 +37,45 @@
 	return Math.max(1, Math.floor((context.shares?.connectionPart ?? 0) * server.connectionLimit));
 }
 
+/** Whether a backend server may get no attempt of this VM now, as it warms up or names a rate limit. */
+export function isSpared(context: EngineContext, server: BackendServerState, call: Call, now: Instant): boolean {
+	return isSparedForWarmUp(context, server, call, now) || isRateLimited(context, server, now);
+}
+
+/** This VM's share of the rate limit that a backend server has named; undefined = it has named none. */
+export function shareOfLimit({rateLimit, identity, declared: {dataCentre}}: BackendServerState, context: EngineContext, now: Instant): RateShare | undefined {
+	return rateLimit.callsPerSecond === undefined ? undefined : context.warmUpQuota.shareOfLimit({identity, dataCentre}, rateLimit.callsPerSecond, now);
+}
+
+/** Whether this VM's share of the backend server's rate limit is spent for now. */
+export function isRateLimited(context: EngineContext, server: BackendServerState, now: Instant): boolean {
+	const share = shareOfLimit(server, context, now);
+	return share !== undefined && server.rateLimit.isSpent(share, now);
+}
+
+/**
+ * When the service's backend servers may next get an attempt of this VM: now while one of them names no rate limit or its
+ * share is not spent.
+ */
+export function whenLimitsAllow(context: EngineContext, service: ServiceState, now: Instant): Instant {
+	let earliest = Infinity;
+	for (const server of service.servers) {
+		const share = server.takesNewAttempts ? shareOfLimit(server, context, now) : undefined;
+		if (server.takesNewAttempts && share === undefined) {
+			return now;
+		}
+
+		earliest = Math.min(earliest, share === undefined ? Infinity : server.rateLimit.availableAt(share, now));
+	}
+
+	return earliest;
+}
+
 /**
  * Whether a backend server warms up and this VM has started as many attempts there in the last second as it may. Guards
  * a cold backend server that looks idle to every VM at once: it crashes under more calls a second than its service declares.
  */
-export function isSpared(context: EngineContext, server: BackendServerState, call: Call, now: Instant): boolean {
+export function isSparedForWarmUp(context: EngineContext, server: BackendServerState, call: Call, now: Instant): boolean {
 	const {warmUp} = call.serviceState;
 	if (warmUp === undefined || !server.warmUp.isUnderWay(now)) {
 		return false;
--- a/src/common/calls/rate-limit.test.ts
+++ b/src/common/calls/rate-limit.test.ts
@@ -3,9 +3,9 @@
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {seededRandom} from '../random/random.ts';
 import {
-	answerMeasures, configurationOf, EngineDriver, measuresOf, reportOf, requestOf,
+	answerMeasures, configurationOf, EngineDriver, linesOf, measuresOf, reportOf, requestOf, type Start, startIn,
 } from './engine-driver.test.ts';
-import {type CallEffect, type CallEvent} from './types.ts';
+import {type CallEffect, type CallEvent, type RateLimitNotice} from './types.ts';
 import {OwnerWarmUpQuota} from './warm-up-quota.ts';
 
 const rule = {
@@ -39,7 +39,7 @@
 	readonly seed: number;
 };
 
-type Start = {readonly vm: number; readonly at: Instant};
+type LimitedStart = {readonly vm: number; readonly at: Instant};
 
 const namedAt = 4000;
 const endsAt = 14_000;
@@ -47,7 +47,7 @@
 
 /** A fleet of engines, and the calls that reach the backend server that names a limit. */
 class LimitedFleet {
-	readonly starts: Start[] = [];
+	readonly starts: LimitedStart[] = [];
 	/** When each VM was first told, by its place. */
 	readonly toldAt = new Map<number, Instant>();
 	private readonly _play: Play;
@@ -162,3 +162,123 @@
 		}
 	}
 });
+
+/** An engine alone with this many backend servers; all names of limits come with answers. */
+function alone(serverCount: number): EngineDriver {
+	return new EngineDriver(configurationOf(serverCount, {retryShare: 1, measuring: {mode: 'on-demand', callsPerWindow: 10_000}}));
+}
+
+/** Sends a call each 20 ms and answers each at once; how many reached each backend server. */
+function serve(driver: EngineDriver, milliseconds: Milliseconds, limitOf: (identity: string) => {readonly rateLimit?: RateLimitNotice}, status = 200): Map<string, number> {
+	const counts = new Map<string, number>();
+	const take = (effects: readonly CallEffect[]): void => {
+		for (const effect of effects) {
+			if (effect.type === 'start-attempt') {
+				counts.set(effect.identity, (counts.get(effect.identity) ?? 0) + 1);
+				take(driver.head(effect.attemptId, {status, report: reportOf('p', {workTimeFactor: 1}), ...limitOf(effect.identity)}));
+				take(driver.handle({type: 'attempt-done', attemptId: effect.attemptId}));
+			}
+		}
+
+		const measures = measuresOf(effects);
+		if (measures.length > 0) {
+			take(answerMeasures(driver, measures, () => reportOf('p', {workTimeFactor: 1, warmUpLeftMilliseconds: 0})));
+		}
+	};
+
+	for (const end = driver.now + milliseconds; driver.now < end;) {
+		take(driver.handle(readOf(driver.now + 1)));
+		take(driver.passTime(20));
+	}
+
+	return counts;
+}
+
+/** A call arrives, and its load probes are answered; the attempt that it starts. */
+function begin(driver: EngineDriver, callId: number): Start {
+	const effects = driver.handle(readOf(callId));
+	return startIn([...effects, ...answerMeasures(driver, measuresOf(effects), () => reportOf('p', {workTimeFactor: 1}))])!;
+}
+
+const firstNames = (rateLimit: RateLimitNotice) => (identity: string) => identity === 'identity-0' ? {rateLimit} : {};
+const noneNames = () => ({});
+
+describe('a rate limit on one VM', () => {
+	it('sends what does not fit to other backend servers', () => {
+		const driver = alone(2);
+		serve(driver, 500, firstNames(2));
+		const counts = serve(driver, 4000, firstNames(2));
+		expect([counts.get('identity-0')! <= 9, counts.get('identity-0')! >= 6, counts.get('identity-1')! >= 180]).toEqual([true, true, true]);
+	});
+
+	it('ends with an answer that names none', () => {
+		const driver = alone(2);
+		serve(driver, 500, firstNames(2));
+		serve(driver, 1500, noneNames);
+		expect(serve(driver, 1000, noneNames).get('identity-0')!).toBeGreaterThan(10);
+	});
+
+	it('follows the backend server when it names another one', () => {
+		const driver = alone(2);
+		serve(driver, 500, firstNames(10));
+		serve(driver, 1000, firstNames(2));
+		expect(serve(driver, 4000, firstNames(2)).get('identity-0')!).toBeLessThanOrEqual(9);
+	});
+
+	// Guards a limit that was named in an answer which overtook an earlier one.
+	it('is not ended by the answer to an attempt that started before it was named', () => {
+		const driver = alone(1);
+		const starts = [1, 2].map(call => begin(driver, call));
+		driver.passTime(10);
+		driver.head(starts[0]!.attemptId, {rateLimit: 1});
+		const effects = driver.head(starts[1]!.attemptId);
+		expect(linesOf(effects).includes('rate-limit-changed')).toEqual(false);
+	});
+
+	// Guards a call against a header that no backend server should send.
+	it('is not changed by one that cannot be read, which is told once', () => {
+		const driver = alone(1);
+		const told: CallEffect[] = [];
+		for (let call = 1; call <= 5; call++) {
+			const {attemptId} = begin(driver, call);
+			told.push(...driver.head(attemptId, {rateLimit: 'unreadable'}).filter(({type}) => type === 'rate-limit-changed'));
+			driver.handle({type: 'attempt-done', attemptId});
+		}
+
+		expect(told.map(effect => effect.type === 'rate-limit-changed' ? [effect.rateLimit, effect.limitedServers] : [])).toEqual([['unreadable', 0]]);
+	});
+
+	it('refuses at once what no backend server may take in time, and says when one may', () => {
+		const driver = alone(1);
+		serve(driver, 1500, () => ({rateLimit: 0.5}));
+		const refusal = driver.handle(readOf(1_000_000)).find(effect => effect.type === 'refuse');
+		expect(refusal?.type === 'refuse' ? [refusal.reason, refusal.outcome, refusal.retryAfterMilliseconds! > 100] : refusal).toEqual(['overloaded', 'not-run', true]);
+	});
+
+	it('is a ground of a refusal', () => {
+		const driver = alone(1);
+		serve(driver, 1500, () => ({rateLimit: 0.5}));
+		const ended = driver.handle(readOf(1_000_000)).find(effect => effect.type === 'call-ended');
+		expect(ended?.type === 'call-ended' ? ended.summary.grounds?.rateLimited : undefined).toEqual(1);
+	});
+
+	// Guards against retries, which are placed apart from first attempts and reach it as well.
+	it('counts retries', () => {
+		const driver = alone(1);
+		serve(driver, 500, () => ({rateLimit: 2}));
+		const counts = serve(driver, 4000, () => ({rateLimit: 2}), 503);
+		expect(counts.get('identity-0')!).toBeLessThanOrEqual(9);
+	});
+
+	it('binds no later process of the same identity', () => {
+		const driver = alone(1);
+		const all = configurationOf(1, {retryShare: 1, measuring: {mode: 'on-demand', callsPerWindow: 10_000}});
+		const startedAt = (processStartedAt: number) => ({
+			...all, version: processStartedAt, backendServers: new Map(Array.from(all.backendServers, ([identity, server]) => [identity, {...server, processStartedAt}])),
+		});
+		driver.handle({type: 'configured', configuration: startedAt(4)});
+		serve(driver, 500, () => ({rateLimit: 0.5}));
+		driver.handle({type: 'configured', configuration: startedAt(5)});
+		expect(serve(driver, 1000, noneNames).get('identity-0')!).toBeGreaterThan(20);
+	});
+});
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -4,10 +4,11 @@
 import {CrashSuspects} from './crash-suspects.ts';
 import {type EngineContext, vmCountOf} from './engine-context.ts';
 import {MeasuringSchedule, measuringTimeout} from './measuring-schedule.ts';
+import {type RateLimitChange} from './rate-limit.ts';
 import {defaultSharing, ServiceState} from './service-state.ts';
 import {TimerQueue} from './timer-queue.ts';
 import {
-	type BackendServerIdentity, type BackendServerInForce, type BackendServerStatus, type CallConfiguration, type FleetShares, type LoadNews, type LoadReport, type MeasurementId,
+	type BackendServerIdentity, type BackendServerInForce, type BackendServerStatus, type CallConfiguration, type FleetShares, type LoadNews, type LoadReport, type MeasurementId, type RateLimitNotice,
 } from './types.ts';
 
 /** Without a share, or with a fresh report, a backend server is looked at again after this time at most. */
@@ -124,6 +125,11 @@
 		}
 	}
 
+	/** Takes what the answer to an attempt says of a rate limit. */
+	takeAnswerLimit(server: BackendServerState, rateLimit: RateLimitNotice | undefined, startedAt: Instant, now: Instant): void {
+		this._tellLimitChange(server, server.rateLimit.noteAnswer(rateLimit, startedAt, now), 'answer', rateLimit);
+	}
+
 	/** Takes the end of a measuring call in; the backend server that it went to, if it is still known. */
 	takeMeasurement(measurementId: MeasurementId, report: LoadReport | undefined, now: Instant): BackendServerState | undefined {
 		const server = this._measurements.get(measurementId);
@@ -139,6 +145,7 @@
 
 		server.unansweredMeasurings = 0;
 		this.takeAnswerReport(server, report, now);
+		this._tellLimitChange(server, server.rateLimit.noteProbe(report.rateLimit, now), 'load-probe', report.rateLimit);
 		if (server.health === 'doubted') {
 			server.move('ANSWERED', now);
 		}
@@ -181,6 +188,21 @@
 		return Array.from(this._servers.values(), server => this._status(server, now));
 	}
 
+	private _tellLimitChange(server: BackendServerState, change: RateLimitChange, source: 'answer' | 'load-probe', rateLimit: RateLimitNotice | undefined): void {
+		if (change === 'none') {
+			return;
+		}
+
+		this._context.effects.push({
+			type: 'rate-limit-changed',
+			identity: server.identity,
+			service: server.declared.service,
+			rateLimit,
+			source,
+			limitedServers: [...this._servers.values()].filter(one => one.rateLimit.callsPerSecond !== undefined).length,
+		});
+	}
+
 	private _shareRetries(service: ServiceState): void {
 		const {retryBurst} = this._context.settings;
 		if (retryBurst !== undefined) {
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -310,6 +310,16 @@
 	| {readonly type: 'release-key'; readonly service: string; readonly key: string}
 	/** Worth telling peers soon. */
 	| {readonly type: 'tell-peers'; readonly news: LoadNews}
+	/** A backend server names a rate limit from now on, another one, or none, or one that cannot be read. */
+	| {
+		readonly type: 'rate-limit-changed';
+		readonly identity: BackendServerIdentity;
+		readonly service: string;
+		readonly rateLimit: RateLimitNotice | undefined;
+		readonly source: 'answer' | 'load-probe';
+		/** Backend servers that name a rate limit now, as far as this VM knows. */
+		readonly limitedServers: number;
+	}
 	/** One call has ended, for metrics, burn and logs. */
 	| {readonly type: 'call-ended'; readonly callId: CallId; readonly summary: CallSummary};
 
@@ -342,6 +352,8 @@
 	readonly evacuated: number;
 	/** Those of them that warm up and get no further call of this VM now. */
 	readonly warmingUp: number;
+	/** Those of them that name a rate limit of which this VM's share is spent now. */
+	readonly rateLimited: number;
 	/** Those of them that may take the call: not leaving, with room, and not one that has failed it. */
 	readonly able: number;
 	/** Those of them that were weighed: with a young report where there are any. */
--- a/src/common/calls/warm-up-quota.test.ts
+++ b/src/common/calls/warm-up-quota.test.ts
@@ -76,3 +76,54 @@
 		expect(new OwnerWarmUpQuota(testHash).attemptsPerSecond({identity: 'i-1', dataCentre: 'north'}, rate, settled)).toEqual(0);
 	});
 });
+
+/** Calls that the fleet may start at one backend server within 4 s, at worst: its shares, and what may start at once. */
+function mostInSpan(vmCount: number, limit: number, knows: (index: number, random: RandomSource) => boolean): number {
+	const fleet = fleetOf(vmCount);
+	const random = seededRandom(vmCount);
+	const quotas = fleet.map(({name}, index) => {
+		const quota = new OwnerWarmUpQuota(testHash);
+		quota.setMembers(membersOf(name, fleet.filter(other => other.name === name || knows(index, random))), 0);
+		return quota;
+	});
+	const spans = Array.from({length: 20}, (_, index) => {
+		const shares = quotas.map(quota => quota.shareOfLimit({identity: `i-${index}`, dataCentre: dataCentres[index % 3]!}, limit, settled));
+		return shares.reduce((sum, {callsPerSecond, firstTokens}) => sum + Math.floor(firstTokens + (4 * callsPerSecond)), 0);
+	});
+	return Math.max(...spans);
+}
+
+describe('the shares of a rate limit that a backend server names', () => {
+	for (const vmCount of [1, 16, 134, 311]) {
+		for (const limit of [0.3, 1.3, 6, 50]) {
+			// Guards a backend server in need against the sum over many VMs, each of which may start one attempt at once.
+			it(`keep ${vmCount} VMs within what ${limit} a second allows`, () => {
+				expect(mostInSpan(vmCount, limit, () => true)).toBeLessThanOrEqual((6 * limit) + 5);
+			});
+
+			// Guards against shares that nobody can use: a rate below one attempt in the span for each of many VMs.
+			it(`come to the whole of ${limit} a second with ${vmCount} VMs`, () => {
+				const quotas = fleetOf(vmCount).map(({name}, _, fleet) => {
+					const quota = new OwnerWarmUpQuota(testHash);
+					quota.setMembers(membersOf(name, fleet), 0);
+					return quota.shareOfLimit({identity: 'i-1', dataCentre: 'north'}, limit, settled).callsPerSecond;
+				});
+				expect(Math.abs(quotas.reduce((sum, share) => sum + share, 0) - limit)).toBeLessThan(0.001);
+			});
+		}
+	}
+
+	for (const limit of [1.3, 6, 50]) {
+		// Guards against VMs that have old lists: an even part of the limit for each of 16 they know would be too much for 311.
+		it(`keep a fleet within ${limit} a second in which a twentieth of the VMs knows half of the others`, () => {
+			const most = [16, 134].map(vmCount => mostInSpan(vmCount, limit, (index, random) => index % 20 !== 0 || random.next() < 0.5));
+			expect(Math.max(...most)).toBeLessThanOrEqual((6 * limit) + 5);
+		});
+	}
+
+	it('are nothing for a VM that has just learnt of the others', () => {
+		const quota = new OwnerWarmUpQuota(testHash);
+		quota.setMembers(membersOf('10.0.0.0:80', fleetOf(1)), 0);
+		expect(quota.shareOfLimit({identity: 'i-1', dataCentre: 'north'}, 10, 100)).toEqual({callsPerSecond: 0, firstTokens: 0});
+	});
+});
--- a/src/common/calls/warm-up-quota.ts
+++ b/src/common/calls/warm-up-quota.ts
@@ -1,4 +1,4 @@
-/** How many attempts a second this VM may start at a backend server that warms up. */
+/** How much of a rate that all VMs share this VM may use, at a backend server that warms up or names a rate limit. */
 import {chooseByRank} from '../fleet/membership/rendezvous.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type BackendServerIdentity, type FleetMembers} from './types.ts';
@@ -12,6 +12,33 @@
  */
 const settlingMilliseconds: Milliseconds = 3000;
 
+/** VMs that own a named rate limit, at least: it is in use while most of them have no calls. */
+const leastOwnersOfLimit = 3;
+
+/** Calls a second of a named limit for each owner. Each owner may start one attempt at once beyond its share. */
+const limitOfOwner = 1;
+
+/**
+ * Part of a named limit that is left to VMs which own nothing of it: with a call now and then they learn from its answer that
+ * the limit has ended.
+ */
+const othersPart = 0.1;
+
+/** Values of a hash. */
+const hashRange = 2 ** 32;
+
+/** A hash as a number from 0 to below 1. */
+function partOf(hash: number): number {
+	return (((hash % hashRange) + hashRange) % hashRange) / hashRange;
+}
+
+/** This VM's share of a named limit. */
+export type RateShare = {
+	readonly callsPerSecond: number;
+	/** Attempts that it may start at once when it learns of the limit; below 1, it waits until one has added up. */
+	readonly firstTokens: number;
+};
+
 /** The backend server in question. */
 export type WarmingServer = {
 	readonly identity: BackendServerIdentity;
@@ -24,6 +51,8 @@
 	setMembers(members: FleetMembers, now: Instant): void;
 	/** Attempts that this VM may start there in any second. `rate` = what all VMs together may start. */
 	attemptsPerSecond(server: WarmingServer, rate: number, now: Instant): number;
+	/** This VM's share of a limit that the backend server has named. `rate` = calls a second from all VMs together. */
+	shareOfLimit(server: WarmingServer, rate: number, now: Instant): RateShare;
 };
 
 /** For a VM that shares its backend servers with no other. */
@@ -35,6 +64,10 @@
 	attemptsPerSecond(_server: WarmingServer, rate: number): number {
 		return rate;
 	}
+
+	shareOfLimit(_server: WarmingServer, rate: number): RateShare {
+		return {callsPerSecond: rate, firstTokens: 1};
+	}
 }
 
 /**
@@ -47,6 +80,7 @@
 	private _members: FleetMembers | undefined;
 	private _knownSince: Instant | undefined;
 	private _shares = new Map<string, number>();
+	private _limitShares = new Map<string, RateShare>();
 
 	constructor(hash: (text: string) => number) {
 		this._hash = hash;
@@ -56,6 +90,7 @@
 		this._members = members;
 		this._knownSince ??= now;
 		this._shares = new Map();
+		this._limitShares = new Map();
 	}
 
 	attemptsPerSecond(server: WarmingServer, rate: number, now: Instant): number {
@@ -69,6 +104,31 @@
 		return share;
 	}
 
+	shareOfLimit(server: WarmingServer, rate: number, now: Instant): RateShare {
+		if (this._members === undefined || now - this._knownSince! < settlingMilliseconds) {
+			return {callsPerSecond: 0, firstTokens: 0};
+		}
+
+		const key = `${server.identity} ${rate}`;
+		const share = this._limitShares.get(key) ?? this._limitShare(server, rate, this._members);
+		this._limitShares.set(key, share);
+		return share;
+	}
+
+	/** More owners for a larger limit: a few VMs of a large fleet have no use for it. */
+	private _limitShare({identity, dataCentre}: WarmingServer, rate: number, {own, byDataCentre}: FleetMembers): RateShare {
+		const count = Math.max(leastOwnersOfLimit, Math.ceil(rate / limitOfOwner));
+		const near = byDataCentre.get(dataCentre) ?? [];
+		const all = [...byDataCentre.values()].flat();
+		const owners = chooseByRank(near.length >= count ? near : all, count, vm => this._hash(`${vm} ${identity}`));
+		const others = all.length - owners.length;
+		if (owners.includes(own)) {
+			return {callsPerSecond: (others > 0 ? 1 - othersPart : 1) * rate / owners.length, firstTokens: 1};
+		}
+
+		return {callsPerSecond: othersPart * rate / Math.max(1, others), firstTokens: partOf(this._hash(`${identity} ${own}`))};
+	}
+
 	private _share({identity, dataCentre}: WarmingServer, rate: number, {own, byDataCentre}: FleetMembers): number {
 		const near = byDataCentre.get(dataCentre) ?? [...byDataCentre.values()].flat();
 		const whole = Math.floor(rate);
--- a/src/common/entry-vm/entry-vm.ts
+++ b/src/common/entry-vm/entry-vm.ts
@@ -33,7 +33,7 @@
 }
 
 const callEffectTypes: ReadonlySet<EntryVmEffect['type']> = new Set<OuterCallEffect['type']>([
-	'start-attempt', 'cancel-attempt', 'pass-on', 'break-off', 'refuse', 'measure', 'claim-key', 'release-key', 'call-ended',
+	'start-attempt', 'cancel-attempt', 'pass-on', 'break-off', 'refuse', 'measure', 'claim-key', 'release-key', 'rate-limit-changed', 'call-ended',
 ]);
 
 /** True for the effects that concern calls; the others concern the fleet. */
--- a/src/common/protocol/dialect.ts
+++ b/src/common/protocol/dialect.ts
@@ -1,6 +1,6 @@
 /** How jaydale speaks HTTP with callers and backend servers: which headers say what. One class for each way of speaking. */
 import {
-	type BackendServerIdentity, type CallOutcome, type LoadReport, type RefusalReason,
+	type BackendServerIdentity, type CallOutcome, type LoadReport, type RateLimitNotice, type RefusalReason,
 } from '../calls/types.ts';
 import {type Milliseconds} from '../model/units.ts';
 
@@ -23,6 +23,8 @@
 	/** The backend server says in the agreed form that it did not run the call. */
 	readonly isDeclaredNotRun: boolean;
 	readonly report: LoadReport | undefined;
+	/** Undefined = the answer names none. */
+	readonly rateLimit?: RateLimitNotice;
 };
 
 /** A call that is given up, as far as its caller is told. */
--- a/src/daemon/describe-call.test.ts
+++ b/src/daemon/describe-call.test.ts
@@ -7,6 +7,7 @@
 	known: 321,
 	evacuated: 0,
 	warmingUp: 0,
+	rateLimited: 0,
 	able: 310,
 	weighed: 4,
 	withFreeSlot: 4,
@@ -34,6 +35,10 @@
 		expect(describeGrounds({...grounds, warmingUp: 40}).startsWith('321 backend servers known, 40 warming up, 310 able')).toEqual(true);
 	});
 
+	it('names the backend servers whose rate limit is spent', () => {
+		expect(describeGrounds({...grounds, rateLimited: 3}).startsWith('321 backend servers known, 3 at their rate limit, 310 able')).toEqual(true);
+	});
+
 	it('names the evacuation that leaves no place', () => {
 		expect(describeGrounds({...grounds, evacuated: 120, able: 201}).startsWith('321 backend servers known, 120 in evacuated data centres, 201 able')).toEqual(true);
 	});
--- a/src/daemon/describe-call.ts
+++ b/src/daemon/describe-call.ts
@@ -23,13 +23,14 @@
 		return 'no place was looked for';
 	}
 
-	const {known, evacuated, warmingUp, able, weighed, withFreeSlot} = grounds;
+	const {known, evacuated, warmingUp, rateLimited, able, weighed, withFreeSlot} = grounds;
 	const {inTime, inTimeNeeded, atAll, workMilliseconds, isWorkLearnt, objectiveLeftMilliseconds, timeLeftMilliseconds} = grounds;
 	return [
 		[
 			`${known} backend servers known`,
 			...(evacuated === 0 ? [] : [`${evacuated} in evacuated data centres`]),
 			...(warmingUp === 0 ? [] : [`${warmingUp} warming up`]),
+			...(rateLimited === 0 ? [] : [`${rateLimited} at their rate limit`]),
 			`${able} able`,
 			`${weighed} weighed`,
 			`${withFreeSlot} with a free slot`,
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -17,7 +17,7 @@
 import {type FeedServer} from '../node/fleet/feed-server.ts';
 import {type OutwardEffect, type StoreCarrier} from '../node/fleet/store-carrier.ts';
 import {type BackendConnections} from '../node/front/backend-connections.ts';
-import {type CallCarrier, type EndedCall} from '../node/front/call-carrier.ts';
+import {type CallCarrier, type EndedCall, type RateLimitChanged} from '../node/front/call-carrier.ts';
 import {type PageServer} from '../node/front/page-server.ts';
 import {type StartingHold} from '../node/front/starting-hold.ts';
 import {type CutCall, type RoutedServer} from '../node/front/routed-server.ts';
@@ -87,6 +87,9 @@
 		this._register(parts.callCarrier.onCallEnded(call => {
 			this._logCall(call);
 		}));
+		this._register(parts.callCarrier.onRateLimitChanged(change => {
+			this._noteRateLimit(change);
+		}));
 		this._register(parts.routedServer.onAnswerCut(cut => {
 			this._logCut(cut);
 		}));
@@ -228,6 +231,21 @@
 		});
 	}
 
+	private _noteRateLimit({identity, service, rateLimit, source, limitedServers}: RateLimitChanged): void {
+		const {logger, metrics} = this._parts;
+		metrics.rateLimits(limitedServers);
+		if (rateLimit === 'unreadable') {
+			metrics.rateLimitUnreadable(service);
+			logger.warn('a backend server names a rate limit that cannot be read', {backendServer: identity, service, source});
+		} else if (rateLimit === undefined) {
+			logger.info('a backend server names no rate limit any more', {backendServer: identity, service, source});
+		} else {
+			logger.info('a backend server names a rate limit', {
+				backendServer: identity, service, callsPerSecond: rateLimit, source,
+			});
+		}
+	}
+
 	/** A call that ended well may still be cut on its way out; this line is what tells of it. */
 	private _logCut({closedBy, ...cut}: CutCall): void {
 		const {logger, clock, metrics} = this._parts;
--- a/src/node/front/call-carrier.ts
+++ b/src/node/front/call-carrier.ts
@@ -22,6 +22,9 @@
 /** A call that has ended, with the identifier of its log lines. */
 export type EndedCall = {readonly summary: CallSummary; readonly traceId: string | undefined};
 
+/** A backend server names another rate limit than before, or none. */
+export type RateLimitChanged = CallEffect & {type: 'rate-limit-changed'};
+
 /** Calls of this VM and what is done for them. */
 export class CallCarrier extends Disposable {
 	private readonly _sink: CallEventSink;
@@ -31,8 +34,12 @@
 	private readonly _callOfAttempt = new Map<number, CallId>();
 	private readonly _onCallEnded = this._register(new Emitter<EndedCall>());
 
+	private readonly _onRateLimitChanged = this._register(new Emitter<RateLimitChanged>());
+
 	/** One call has ended. */
 	readonly onCallEnded = this._onCallEnded.event;
+	/** A backend server names another rate limit than before, or none. */
+	readonly onRateLimitChanged = this._onRateLimitChanged.event;
 
 	constructor(sink: CallEventSink, measurer: Measurer, keyClaimer: KeyClaimer) {
 		super();
@@ -90,7 +97,7 @@
 	}
 
 	/** Effects that go to the world beside calls. */
-	private _carryOutBeside(effect: OuterCallEffect & {type: 'measure' | 'claim-key' | 'release-key'}): void {
+	private _carryOutBeside(effect: OuterCallEffect & {type: 'measure' | 'claim-key' | 'release-key' | 'rate-limit-changed'}): void {
 		switch (effect.type) {
 			case 'measure': {
 				this._measurer.measure(effect, this._sink);
@@ -102,6 +109,11 @@
 				break;
 			}
 
+			case 'rate-limit-changed': {
+				this._onRateLimitChanged.fire(effect);
+				break;
+			}
+
 			case 'release-key': {
 				void this._keyClaimer.release(effect);
 				break;
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -316,6 +316,7 @@
 			attemptId: attempt.id,
 			status: head.status,
 			report: reading.report,
+			...(reading.rateLimit === undefined ? {} : {rateLimit: reading.rateLimit}),
 			isDeclaredNotRun: reading.isDeclaredNotRun,
 			isReplayable: this._body.isReplayable,
 			validator: this._isExpectedRange(attempt.id, head) && etag?.startsWith('"') ? etag : undefined,
--- a/src/node/metrics/metrics.test.ts
+++ b/src/node/metrics/metrics.test.ts
@@ -2,6 +2,7 @@
 import {once} from 'node:events';
 import {readFileSync} from 'node:fs';
 import {expect} from 'earl';
+import {type PlacingGrounds} from '../../common/calls/types.ts';
 import {settingsSchema, type Settings} from '../../common/settings/settings.ts';
 import {metricCatalogue, type MetricDefinition} from './catalogue.ts';
 import {StatsdMetrics} from './statsd-metrics.ts';
@@ -19,6 +20,11 @@
 	});
 }
 
+const limitedGrounds: PlacingGrounds = {
+	choice: 'free', known: 2, evacuated: 0, warmingUp: 0, rateLimited: 1, able: 1, weighed: 1, withFreeSlot: 1, inTime: 1, inTimeNeeded: 0.8, atAll: 1,
+	workMilliseconds: 10, isWorkLearnt: true, objectiveLeftMilliseconds: 300, timeLeftMilliseconds: 1000,
+};
+
 /** The lines of the metrics page's table. */
 function documented(): string[] {
 	const page = readFileSync('docs/operators/metrics.md', 'utf8');
@@ -52,10 +58,12 @@
 			}
 		});
 		const summary = {
-			service: 'ordering', outcome: 'ran', reason: undefined, attempts: 2, milliseconds: 12, queuedMilliseconds: 3, isGood: true,
+			service: 'ordering', outcome: 'ran', reason: undefined, attempts: 2, milliseconds: 12, queuedMilliseconds: 3, isGood: true, grounds: limitedGrounds,
 		} as const;
 		metrics.answerCut('here');
 		metrics.evacuations(1);
+		metrics.rateLimits(2);
+		metrics.rateLimitUnreadable('ordering');
 		metrics.configurationRejected('reads');
 		metrics.measured('ordering');
 		metrics.platformCalled('get', 'entry', 4);
--- a/src/node/metrics/no-metrics.ts
+++ b/src/node/metrics/no-metrics.ts
@@ -10,6 +10,8 @@
 	callEnded: ignore,
 	answerCut: ignore,
 	evacuations: ignore,
+	rateLimits: ignore,
+	rateLimitUnreadable: ignore,
 	configurationRejected: ignore,
 	measured: ignore,
 	platformCalled: ignore,
--- a/src/node/metrics/page-metrics.test.ts
+++ b/src/node/metrics/page-metrics.test.ts
@@ -12,6 +12,8 @@
 
 		metrics.answerCut('caller');
 		metrics.evacuations(1);
+		metrics.rateLimits(2);
+		metrics.rateLimitUnreadable('ordering');
 		metrics.configurationRejected('reads');
 		metrics.measured('orders');
 		metrics.platformCalled('watch', 'changes', 12);
--- a/src/node/metrics/page-metrics.ts
+++ b/src/node/metrics/page-metrics.ts
@@ -18,6 +18,9 @@
 	private readonly _cutAnswers = this._counter('jaydale_cut_answers_total', 'Answers whose connection ended before they were out.', ['closed_by']);
 	private readonly _attempts = this._counter('jaydale_attempts_total', 'Attempts at backend servers.', ['service']);
 	private readonly _evacuations = new Gauge({name: 'jaydale_evacuated_data_centres', help: 'Data centres that this VM sends no new calls to.', registers: [this._registry]});
+	private readonly _limitedServers = new Gauge({name: 'jaydale_rate_limited_backend_servers', help: 'Backend servers that name a rate limit.', registers: [this._registry]});
+	private readonly _unreadableLimits = this._counter('jaydale_unreadable_rate_limits_total', 'Backend servers that began to name a rate limit which cannot be read.', ['service']);
+	private readonly _withheld = this._counter('jaydale_rate_limit_withheld_total', 'Calls kept from a backend server by its rate limit.', ['service']);
 	private readonly _rejectedConfigurations = this._counter('jaydale_rejected_configurations_total', 'Configurations that could not be read.', ['route']);
 	private readonly _measurings = this._counter('jaydale_measuring_calls_total', 'Calls made to learn a load.', ['service']);
 	private readonly _storeCalls = this._counter('jaydale_store_calls_total', 'Requests to the store.', ['operation', 'reply']);
@@ -28,7 +31,11 @@
 	private readonly _storeTimes = this._histogram('jaydale_store_milliseconds', 'Requests to the store.', ['operation']);
 	private readonly _gauges = new Map<string, Gauge>();
 
-	callEnded({service, outcome, reason, attempts, milliseconds, queuedMilliseconds, isGood}: CallSummary): void {
+	callEnded({service, outcome, reason, attempts, milliseconds, queuedMilliseconds, isGood, grounds}: CallSummary): void {
+		if ((grounds?.rateLimited ?? 0) > 0) {
+			this._withheld.inc({service});
+		}
+
 		this._calls.inc({
 			service, outcome, reason: reason ?? '', good: String(isGood),
 		});
@@ -45,6 +52,14 @@
 		this._evacuations.set(dataCentres);
 	}
 
+	rateLimits(limitedServers: number): void {
+		this._limitedServers.set(limitedServers);
+	}
+
+	rateLimitUnreadable(service: string): void {
+		this._unreadableLimits.inc({service});
+	}
+
 	configurationRejected(route: string | undefined): void {
 		this._rejectedConfigurations.inc({route: route ?? ''});
 	}
--- a/src/node/metrics/statsd-metrics.ts
+++ b/src/node/metrics/statsd-metrics.ts
@@ -68,6 +68,10 @@
 			this._time('calls.queued_milliseconds', summary.queuedMilliseconds, {service});
 		}
 
+		if ((summary.grounds?.rateLimited ?? 0) > 0) {
+			this._count('rate_limits.withheld', 1, {service});
+		}
+
 		if (summary.attempts > 1) {
 			this._count('calls.further_attempts', summary.attempts - 1, {service});
 		}
@@ -81,6 +85,14 @@
 		this._gauge('evacuations.in_force', dataCentres);
 	}
 
+	rateLimits(limitedServers: number): void {
+		this._gauge('rate_limits.in_force', limitedServers);
+	}
+
+	rateLimitUnreadable(service: string): void {
+		this._count('rate_limits.unreadable', 1, {service});
+	}
+
 	configurationRejected(route: string | undefined): void {
 		this._count('configurations.rejected', 1, {route: route ?? 'none'});
 	}
--- a/src/node/metrics/types.ts
+++ b/src/node/metrics/types.ts
@@ -22,6 +22,10 @@
 	answerCut(closedBy: 'caller' | 'here'): void;
 	/** Data centres that are evacuated now, as far as this VM knows. */
 	evacuations(dataCentres: number): void;
+	/** Backend servers that name a rate limit now, as far as this VM knows. */
+	rateLimits(limitedServers: number): void;
+	/** A backend server named a rate limit that cannot be read. */
+	rateLimitUnreadable(service: string): void;
 	/** A configuration could not be read; `route` = the one at fault, where it is one. */
 	configurationRejected(route: string | undefined): void;
 	/** A call whose only purpose is to learn a backend server's load was made. */
