--- a/src/proof/fuzz/call-vm.ts
+++ b/src/proof/fuzz/call-vm.ts
@@ -206,6 +206,7 @@
 				break;
 			}
 
+			case 'rate-limit-changed':
 			case 'call-ended': {
 				break;
 			}
