--- a/benchmark/warm-up/admissions.ts
+++ b/benchmark/warm-up/admissions.ts
@@ -1,6 +1,6 @@
 /** Ways to share a warming backend server's rate among VMs that do not talk about it. */
 import {type FleetMembers} from '../../src/common/calls/types.ts';
-import {OwnerWarmUpQuota, type WarmingServer} from '../../src/common/calls/warm-up-quota.ts';
+import {OwnerRateQuota, type SharedServer} from '../../src/common/calls/rate-quota.ts';
 import {type Instant, type RandomSource} from '../../src/common/model/units.ts';
 
 const secondMilliseconds = 1000;
@@ -12,9 +12,9 @@
 	/** A call has come to this VM. */
 	noteCall(now: Instant): void;
 	/** Whether an attempt may start there. */
-	mayStart(server: WarmingServer, now: Instant): boolean;
+	mayStart(server: SharedServer, now: Instant): boolean;
 	/** An attempt starts there. */
-	noteStart(server: WarmingServer, now: Instant): void;
+	noteStart(server: SharedServer, now: Instant): void;
 };
 
 function countOf(members: FleetMembers): number {
@@ -60,7 +60,7 @@
 		// The own rate does not matter.
 	}
 
-	mayStart({identity}: WarmingServer, now: Instant): boolean {
+	mayStart({identity}: SharedServer, now: Instant): boolean {
 		const perMillisecond = this._rate / this._vmCount / secondMilliseconds;
 		const bucket = this._buckets.get(identity) ?? {tokens: this._random.next() < this._rate / this._vmCount ? 1 : this._random.next(), at: now};
 		bucket.tokens = Math.min(Math.max(1, this._rate / this._vmCount), bucket.tokens + ((now - bucket.at) * perMillisecond));
@@ -69,7 +69,7 @@
 		return bucket.tokens >= 1;
 	}
 
-	noteStart({identity}: WarmingServer): void {
+	noteStart({identity}: SharedServer): void {
 		this._buckets.get(identity)!.tokens -= 1;
 	}
 }
@@ -77,12 +77,12 @@
 /** The product's way: a few VMs own the backend server's rate. */
 export class OwnerAdmission implements WarmUpAdmission {
 	private readonly _rate: number;
-	private readonly _quota: OwnerWarmUpQuota;
+	private readonly _quota: OwnerRateQuota;
 	private readonly _starts = new Map<string, Instant[]>();
 
 	constructor(rate: number, hash: (text: string) => number) {
 		this._rate = rate;
-		this._quota = new OwnerWarmUpQuota(hash);
+		this._quota = new OwnerRateQuota(hash);
 	}
 
 	setMembers(members: FleetMembers, now: Instant): void {
@@ -93,15 +93,15 @@
 		// The own rate does not matter.
 	}
 
-	mayStart(server: WarmingServer, now: Instant): boolean {
+	mayStart(server: SharedServer, now: Instant): boolean {
 		return this._within(server, now).length < this._quota.attemptsPerSecond(server, this._rate, now);
 	}
 
-	noteStart(server: WarmingServer, now: Instant): void {
+	noteStart(server: SharedServer, now: Instant): void {
 		this._starts.set(server.identity, [...this._within(server, now), now]);
 	}
 
-	private _within({identity}: WarmingServer, now: Instant): Instant[] {
+	private _within({identity}: SharedServer, now: Instant): Instant[] {
 		return (this._starts.get(identity) ?? []).filter(at => now - at < secondMilliseconds);
 	}
 }
--- a/benchmark/warm-up/warm-up-run.ts
+++ b/benchmark/warm-up/warm-up-run.ts
@@ -1,5 +1,5 @@
 /** A data centre's backend servers come back cold in a burst, and many VMs that do not talk to one another send them calls. */
-import {type WarmingServer} from '../../src/common/calls/warm-up-quota.ts';
+import {type SharedServer} from '../../src/common/calls/rate-quota.ts';
 import {type Instant, type RandomSource} from '../../src/common/model/units.ts';
 import {seededRandom} from '../../src/common/random/random.ts';
 import {type WarmUpAdmission} from './admissions.ts';
@@ -36,7 +36,7 @@
 	readonly refused: number;
 };
 
-type Server = WarmingServer & {readonly isCold: boolean; ends: Instant[]; readonly starts: Instant[]; seenLoad: number; seenAt: Instant};
+type Server = SharedServer & {readonly isCold: boolean; ends: Instant[]; readonly starts: Instant[]; seenLoad: number; seenAt: Instant};
 type Vm = {readonly name: string; readonly dataCentre: string; readonly admission: WarmUpAdmission};
 
 /** One burst of `vmCount` VMs on `serverCount` backend servers, a third of them cold. */
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -16,7 +16,7 @@
 import {ServiceDirectory} from './service-directory.ts';
 import {TimerQueue} from './timer-queue.ts';
 import {type CallTuning, defaultTuning} from './tuning.ts';
-import {type WarmUpQuota, WholeWarmUpQuota} from './warm-up-quota.ts';
+import {type RateQuota, WholeRateQuota} from './rate-quota.ts';
 import {
 	type AttemptId, type CallEffect, type CallEngine, type CallEngineStatus, type CallLoad, type CallEvent, type CallId, type CallRequest, type KeyClaim,
 } from './types.ts';
@@ -33,7 +33,7 @@
 	/** Numbers other than the defaults. */
 	readonly tuning?: Partial<CallTuning>;
 	/** How VMs share the rate of a warming backend server; undefined = this one shares with no other. */
-	readonly warmUpQuota?: WarmUpQuota;
+	readonly rateQuota?: RateQuota;
 };
 
 /** The engine. */
@@ -61,7 +61,7 @@
 			freed: new Set(),
 			replaced: [],
 			isPlacingHeld: false,
-			warmUpQuota: options.warmUpQuota ?? new WholeWarmUpQuota(),
+			rateQuota: options.rateQuota ?? new WholeRateQuota(),
 			shares: undefined,
 			effects: [],
 		};
--- a/src/common/calls/engine-context.ts
+++ b/src/common/calls/engine-context.ts
@@ -7,7 +7,7 @@
 import {type ServiceState} from './service-state.ts';
 import {type TimerQueue} from './timer-queue.ts';
 import {type CallTuning} from './tuning.ts';
-import {type WarmUpQuota} from './warm-up-quota.ts';
+import {type RateQuota} from './rate-quota.ts';
 import {type CallEffect, type FleetShares} from './types.ts';
 
 /** Settings of the engine that no resource declares. */
@@ -50,7 +50,7 @@
 	readonly freed: Set<ServiceState>;
 	/** Records of processes that another one has replaced in this event; their attempts are still open. */
 	readonly replaced: BackendServerState[];
-	readonly warmUpQuota: WarmUpQuota;
+	readonly rateQuota: RateQuota;
 	shares: FleetShares | undefined;
 	/** Nothing is placed now: what is known may be as old as a pause. */
 	isPlacingHeld: boolean;
--- a/src/common/calls/engine-driver.test.ts
+++ b/src/common/calls/engine-driver.test.ts
@@ -4,7 +4,7 @@
 import {DefaultCallEngine} from './call-engine.ts';
 import {type CallEngineSettings} from './engine-context.ts';
 import {type CallTuning} from './tuning.ts';
-import {type WarmUpQuota} from './warm-up-quota.ts';
+import {type RateQuota} from './rate-quota.ts';
 import {
 	type AttemptFailure, type CallConfiguration, type CallEffect, type CallEvent, type CallRequest, type LoadReport,
 } from './types.ts';
@@ -58,9 +58,9 @@
 	readonly engine: DefaultCallEngine;
 	now = 0;
 
-	constructor(configuration: CallConfiguration, tuning: Partial<CallTuning> = {}, seed = 1, settings: Partial<CallEngineSettings> = {}, warmUpQuota?: WarmUpQuota) {
+	constructor(configuration: CallConfiguration, tuning: Partial<CallTuning> = {}, seed = 1, settings: Partial<CallEngineSettings> = {}, rateQuota?: RateQuota) {
 		this.engine = new DefaultCallEngine({
-			random: seededRandom(seed), settings: {dataCentre: 'north', ...settings}, tuning, ...(warmUpQuota === undefined ? {} : {warmUpQuota}),
+			random: seededRandom(seed), settings: {dataCentre: 'north', ...settings}, tuning, ...(rateQuota === undefined ? {} : {rateQuota}),
 		});
 		this.handle({
 			type: 'shares', shares: {
--- a/src/common/calls/placer.ts
+++ b/src/common/calls/placer.ts
@@ -5,7 +5,7 @@
 import {type AttemptPurpose, type Call, isBodiless} from './call.ts';
 import {type EngineContext, vmCountOf} from './engine-context.ts';
 import {type ServiceState} from './service-state.ts';
-import {type RateShare} from './warm-up-quota.ts';
+import {type RateShare} from './rate-quota.ts';
 
 /** A choice. */
 export type Placement = {
@@ -44,7 +44,7 @@
 
 /** This VM's share of the rate limit that a backend server has named; undefined = it has named none. */
 export function shareOfLimit({rateLimit, identity, declared: {dataCentre}}: BackendServerState, context: EngineContext, now: Instant): RateShare | undefined {
-	return rateLimit.callsPerSecond === undefined ? undefined : context.warmUpQuota.shareOfLimit({identity, dataCentre}, rateLimit.callsPerSecond, now);
+	return rateLimit.callsPerSecond === undefined ? undefined : context.rateQuota.shareOfLimit({identity, dataCentre}, rateLimit.callsPerSecond, now);
 }
 
 /** Whether this VM's share of the backend server's rate limit is spent for now. */
@@ -82,7 +82,7 @@
 	}
 
 	const {identity, declared: {dataCentre}} = server;
-	return server.startsWithinSecond(now) >= context.warmUpQuota.attemptsPerSecond({identity, dataCentre}, warmUp.callsPerSecond, now);
+	return server.startsWithinSecond(now) >= context.rateQuota.attemptsPerSecond({identity, dataCentre}, warmUp.callsPerSecond, now);
 }
 
 /**
--- a/src/common/calls/rate-limit.test.ts
+++ b/src/common/calls/rate-limit.test.ts
@@ -6,7 +6,7 @@
 	answerMeasures, configurationOf, EngineDriver, linesOf, measuresOf, reportOf, requestOf, type Start, startIn,
 } from './engine-driver.test.ts';
 import {type CallEffect, type CallEvent, type RateLimitNotice} from './types.ts';
-import {OwnerWarmUpQuota} from './warm-up-quota.ts';
+import {OwnerRateQuota} from './rate-quota.ts';
 
 const rule = {
 	route: 'reads', isIdempotent: true, timeoutMilliseconds: 1200, objectiveMilliseconds: 400, mostAttempts: 3, priority: 0,
@@ -60,7 +60,7 @@
 		const names = Array.from({length: play.vmCount}, (_, index) => `10.0.0.${index}:80`);
 		const declared = configurationOf(play.serverCount, {retryShare: 1, measuring: {mode: 'on-demand', callsPerWindow: 10_000}});
 		this._drivers = names.map((own, index) => {
-			const driver = new EngineDriver(declared, {}, (play.seed * 1000) + index, {}, new OwnerWarmUpQuota(testHash));
+			const driver = new EngineDriver(declared, {}, (play.seed * 1000) + index, {}, new OwnerRateQuota(testHash));
 			driver.handle({
 				type: 'shares', shares: {
 					measuringPart: 0, measuringFrom: 0, measuringUntil: 0, connectionPart: 0.5, vmCount: names.length, members: {own, byDataCentre: new Map([['north', names]])},
--- a/src/common/calls/rate-limit.ts
+++ b/src/common/calls/rate-limit.ts
@@ -1,6 +1,6 @@
 /** The rate limit that a backend server names in its answers, as far as it binds this VM. */
 import {type Instant} from '../model/units.ts';
-import {type RateShare} from './warm-up-quota.ts';
+import {type RateShare} from './rate-quota.ts';
 import {type RateLimitNotice} from './types.ts';
 
 /** One attempt is one token; fewer would keep a VM with a small share from ever starting one. */
--- a/src/common/calls/warm-up-quota.test.ts
+++ b/src/common/calls/rate-quota.test.ts
@@ -3,7 +3,7 @@
 import {seededRandom} from '../random/random.ts';
 import {testHash} from '../fleet/test-utilities.test.ts';
 import {type FleetMembers} from './types.ts';
-import {OwnerWarmUpQuota} from './warm-up-quota.ts';
+import {OwnerRateQuota} from './rate-quota.ts';
 
 const rate = 6.15;
 /** Attempts a second beyond which a warming backend server of this rate may crash. */
@@ -30,7 +30,7 @@
 	const fleet = fleetOf(vmCount);
 	const random = seededRandom(vmCount);
 	const quotas = fleet.map(({name}, index) => {
-		const quota = new OwnerWarmUpQuota(testHash);
+		const quota = new OwnerRateQuota(testHash);
 		quota.setMembers(membersOf(name, fleet.filter(other => other.name === name || knows(index, random))), 0);
 		return quota;
 	});
@@ -57,7 +57,7 @@
 
 	it('go to VMs of its data centre, and to others where it has none', () => {
 		const [vm] = fleetOf(1);
-		const quota = new OwnerWarmUpQuota(testHash);
+		const quota = new OwnerRateQuota(testHash);
 		quota.setMembers(membersOf(vm!.name, [vm!, {name: '10.0.9.9:80', dataCentre: 'south'}]), 0);
 		const shares = ['north', 'south', 'middle'].map(dataCentre => quota.attemptsPerSecond({identity: dataCentre, dataCentre}, rate, settled));
 		expect(shares.slice(0, 2)).toEqual([6, 0]);
@@ -66,14 +66,14 @@
 
 	// Guards a cold backend server against a whole fleet that has just started, each VM of which knows only itself.
 	it('are nothing for a VM that has just learnt of the others', () => {
-		const quota = new OwnerWarmUpQuota(testHash);
+		const quota = new OwnerRateQuota(testHash);
 		quota.setMembers(membersOf('10.0.0.0:80', fleetOf(1)), 0);
 		const server = {identity: 'i-1', dataCentre: 'north'};
 		expect([quota.attemptsPerSecond(server, rate, 2900), quota.attemptsPerSecond(server, rate, 3000)]).toEqual([0, 6]);
 	});
 
 	it('are nothing for a VM that knows of none', () => {
-		expect(new OwnerWarmUpQuota(testHash).attemptsPerSecond({identity: 'i-1', dataCentre: 'north'}, rate, settled)).toEqual(0);
+		expect(new OwnerRateQuota(testHash).attemptsPerSecond({identity: 'i-1', dataCentre: 'north'}, rate, settled)).toEqual(0);
 	});
 });
 
@@ -82,7 +82,7 @@
 	const fleet = fleetOf(vmCount);
 	const random = seededRandom(vmCount);
 	const quotas = fleet.map(({name}, index) => {
-		const quota = new OwnerWarmUpQuota(testHash);
+		const quota = new OwnerRateQuota(testHash);
 		quota.setMembers(membersOf(name, fleet.filter(other => other.name === name || knows(index, random))), 0);
 		return quota;
 	});
@@ -104,7 +104,7 @@
 			// Guards against shares that nobody can use: a rate below one attempt in the span for each of many VMs.
 			it(`come to the whole of ${limit} a second with ${vmCount} VMs`, () => {
 				const quotas = fleetOf(vmCount).map(({name}, _, fleet) => {
-					const quota = new OwnerWarmUpQuota(testHash);
+					const quota = new OwnerRateQuota(testHash);
 					quota.setMembers(membersOf(name, fleet), 0);
 					return quota.shareOfLimit({identity: 'i-1', dataCentre: 'north'}, limit, settled).callsPerSecond;
 				});
@@ -122,7 +122,7 @@
 	}
 
 	it('are nothing for a VM that has just learnt of the others', () => {
-		const quota = new OwnerWarmUpQuota(testHash);
+		const quota = new OwnerRateQuota(testHash);
 		quota.setMembers(membersOf('10.0.0.0:80', fleetOf(1)), 0);
 		expect(quota.shareOfLimit({identity: 'i-1', dataCentre: 'north'}, 10, 100)).toEqual({callsPerSecond: 0, firstTokens: 0});
 	});
--- a/src/common/calls/warm-up-quota.ts
+++ b/src/common/calls/rate-quota.ts
@@ -40,42 +40,42 @@
 };
 
 /** The backend server in question. */
-export type WarmingServer = {
+export type SharedServer = {
 	readonly identity: BackendServerIdentity;
 	readonly dataCentre: string;
 };
 
 /** Divides a rate that all VMs share. */
-export type WarmUpQuota = {
+export type RateQuota = {
 	/** Takes the VMs that are known to serve. */
 	setMembers(members: FleetMembers, now: Instant): void;
 	/** Attempts that this VM may start there in any second. `rate` = what all VMs together may start. */
-	attemptsPerSecond(server: WarmingServer, rate: number, now: Instant): number;
+	attemptsPerSecond(server: SharedServer, rate: number, now: Instant): number;
 	/** This VM's share of a limit that the backend server has named. `rate` = calls a second from all VMs together. */
-	shareOfLimit(server: WarmingServer, rate: number, now: Instant): RateShare;
+	shareOfLimit(server: SharedServer, rate: number, now: Instant): RateShare;
 };
 
 /** For a VM that shares its backend servers with no other. */
-export class WholeWarmUpQuota implements WarmUpQuota {
+export class WholeRateQuota implements RateQuota {
 	setMembers(): void {
 		// There are no others.
 	}
 
-	attemptsPerSecond(_server: WarmingServer, rate: number): number {
+	attemptsPerSecond(_server: SharedServer, rate: number): number {
 		return rate;
 	}
 
-	shareOfLimit(_server: WarmingServer, rate: number): RateShare {
+	shareOfLimit(_server: SharedServer, rate: number): RateShare {
 		return {callsPerSecond: rate, firstTokens: 1};
 	}
 }
 
 /**
- * A few VMs of a backend server's data centre own its warm-up and share its rate; the others leave it. All choose the
+ * A few VMs of a backend server's data centre own its rate and share it; the others leave it. All choose the
  * same owners without a message, by rendezvous hashing. VMs whose lists differ choose others: each wrong list adds at
  * most an owner's share, where an even division of the rate over all VMs would leave each of them less than one call.
  */
-export class OwnerWarmUpQuota implements WarmUpQuota {
+export class OwnerRateQuota implements RateQuota {
 	private readonly _hash: (text: string) => number;
 	private _members: FleetMembers | undefined;
 	private _knownSince: Instant | undefined;
@@ -93,7 +93,7 @@
 		this._limitShares = new Map();
 	}
 
-	attemptsPerSecond(server: WarmingServer, rate: number, now: Instant): number {
+	attemptsPerSecond(server: SharedServer, rate: number, now: Instant): number {
 		if (this._members === undefined || now - this._knownSince! < settlingMilliseconds) {
 			return 0;
 		}
@@ -104,7 +104,7 @@
 		return share;
 	}
 
-	shareOfLimit(server: WarmingServer, rate: number, now: Instant): RateShare {
+	shareOfLimit(server: SharedServer, rate: number, now: Instant): RateShare {
 		if (this._members === undefined || now - this._knownSince! < settlingMilliseconds) {
 			return {callsPerSecond: 0, firstTokens: 0};
 		}
@@ -116,7 +116,7 @@
 	}
 
 	/** More owners for a larger limit: a few VMs of a large fleet have no use for it. */
-	private _limitShare({identity, dataCentre}: WarmingServer, rate: number, {own, byDataCentre}: FleetMembers): RateShare {
+	private _limitShare({identity, dataCentre}: SharedServer, rate: number, {own, byDataCentre}: FleetMembers): RateShare {
 		const count = Math.max(leastOwnersOfLimit, Math.ceil(rate / limitOfOwner));
 		const near = byDataCentre.get(dataCentre) ?? [];
 		const all = [...byDataCentre.values()].flat();
@@ -129,7 +129,7 @@
 		return {callsPerSecond: othersPart * rate / Math.max(1, others), firstTokens: partOf(this._hash(`${identity} ${own}`))};
 	}
 
-	private _share({identity, dataCentre}: WarmingServer, rate: number, {own, byDataCentre}: FleetMembers): number {
+	private _share({identity, dataCentre}: SharedServer, rate: number, {own, byDataCentre}: FleetMembers): number {
 		const near = byDataCentre.get(dataCentre) ?? [...byDataCentre.values()].flat();
 		const whole = Math.floor(rate);
 		const owners = chooseByRank(near, Math.min(ownersOfServer, whole), vm => this._hash(`${vm} ${identity}`));
--- a/src/common/calls/service-directory.test.ts
+++ b/src/common/calls/service-directory.test.ts
@@ -5,7 +5,7 @@
 import {ServiceDirectory} from './service-directory.ts';
 import {TimerQueue} from './timer-queue.ts';
 import {defaultTuning} from './tuning.ts';
-import {WholeWarmUpQuota} from './warm-up-quota.ts';
+import {WholeRateQuota} from './rate-quota.ts';
 
 describe('ServiceDirectory', () => {
 	/*
@@ -16,7 +16,7 @@
 		const directory = new ServiceDirectory({
 			random: seededRandom(1), tuning: defaultTuning, settings: {dataCentre: 'north'}, timers: new TimerQueue(),
 			suspects: new CrashSuspects(1000), freed: new Set(), replaced: [], shares: undefined,
-			isPlacingHeld: false, warmUpQuota: new WholeWarmUpQuota(), effects: [],
+			isPlacingHeld: false, rateQuota: new WholeRateQuota(), effects: [],
 		});
 		const services = new Map([['dues', serviceSchema.parse({kind: 'service', name: 'dues'})]]);
 		const rule = sharingRuleSchema.parse({
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -89,7 +89,7 @@
 
 	setShares(shares: FleetShares, now: Instant): void {
 		if (shares.members !== undefined && shares.members !== this._context.shares?.members) {
-			this._context.warmUpQuota.setMembers(shares.members, now);
+			this._context.rateQuota.setMembers(shares.members, now);
 		}
 
 		this._context.shares = shares;
--- a/src/common/calls/warm-up.test.ts
+++ b/src/common/calls/warm-up.test.ts
@@ -7,7 +7,7 @@
 import {
 	type CallConfiguration, type CallEffect, type CallEvent, type LoadReport,
 } from './types.ts';
-import {OwnerWarmUpQuota} from './warm-up-quota.ts';
+import {OwnerRateQuota} from './rate-quota.ts';
 
 const rule = {
 	route: 'reads', isIdempotent: true, timeoutMilliseconds: 1200, objectiveMilliseconds: 300, mostAttempts: 3, priority: 0,
@@ -197,7 +197,7 @@
 		const random = seededRandom(seed);
 		const declared = {...configuration(Array.from({length: serverCount}, () => 0)), warmUpLimits: new Map([['orders', {callsPerSecond: 6, milliseconds: 3000}]])};
 		const drivers = vmNames.map((own, index) => {
-			const driver = new EngineDriver(declared, {}, seed + index, {}, new OwnerWarmUpQuota(testHash));
+			const driver = new EngineDriver(declared, {}, seed + index, {}, new OwnerRateQuota(testHash));
 			driver.handle({
 				type: 'shares', shares: {
 					measuringPart: 0, measuringFrom: 0, measuringUntil: 0, connectionPart: 0.2, vmCount: vmNames.length, members: {own, byDataCentre: new Map([['north', vmNames]])},
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -3,7 +3,7 @@
  * self-led fleet, because what a process imports it pays for: gRPC, the resource API and membership are no part of it.
  */
 import {DefaultCallEngine} from '../common/calls/call-engine.ts';
-import {OwnerWarmUpQuota} from '../common/calls/warm-up-quota.ts';
+import {OwnerRateQuota} from '../common/calls/rate-quota.ts';
 import {EntryVm, isCallEffect} from '../common/entry-vm/entry-vm.ts';
 import {type EntryVmEffect, type EntryVmEvent} from '../common/entry-vm/types.ts';
 import {DisposableStore} from '../common/lifecycle/disposable.ts';
@@ -112,7 +112,7 @@
 	const metrics = new PageMetrics();
 	owned.add(platform.store);
 	const calls = new DefaultCallEngine({
-		warmUpQuota: new OwnerWarmUpQuota(hashes.hash32),
+		rateQuota: new OwnerRateQuota(hashes.hash32),
 		random,
 		settings: {dataCentre: settings.vm.dataCentre, notRunStatuses: platform.notRunStatuses, retryBurst: settings.calls.retryBurst},
 	});
