Leave out entries of a peer that are known to be gone, and test losses beside trouble of the store

Cause: a peer that still waits for lapsed VMs holds their entries and sends them in its first frame, whose revision is the latest; a VM that had found them lost took them in again, turned away from that peer, and nobody told it a second time.

Change: the change log remembers the revision of what is gone; a frame's entry of that revision or an earlier one is left out. An owner that comes back writes a later one. The store's own lists and watches are not filtered.

New tests pass for a store that takes 240 ms, one that drops its history, and VMs that come back at once.

--- a/src/common/registry/change-log.ts
+++ b/src/common/registry/change-log.ts
@@ -1,11 +1,16 @@
 /** What this VM knows of the store, kept as it was read so that other VMs can learn it from here. */
 import {type Revision, type StoreEntry} from '../platform/types.ts';
 
+/** Entries that are gone and remembered: several times a large fleet's VMs, for the seconds in which peers settle what is lost. */
+const mostRememberedGone = 2000;
+
 /** Entries as they stand in the store; heartbeats that change nothing else are not told. */
 export class ChangeLog {
 	private readonly _entries = new Map<string, StoreEntry>();
 	private _changed = new Map<string, StoreEntry>();
 	private _removed = new Set<string>();
+	/** Revisions of entries that are gone, the earliest first. */
+	private readonly _gone = new Map<string, Revision>();
 
 	/** All that is known now. */
 	get entries(): Iterable<StoreEntry> {
@@ -38,13 +43,32 @@
 		}
 	}
 
+	/**
+	 * Whether this entry, or a later one of its key, was known here and is gone. A peer may still hold it: it waits for a VM
+	 * that it takes to have lapsed. An owner that comes back writes a later one.
+	 */
+	isGone({key, revision}: StoreEntry): boolean {
+		return revision <= (this._gone.get(key) ?? -1);
+	}
+
 	remove(key: string): void {
-		if (this._entries.delete(key)) {
+		const known = this._entries.get(key);
+		if (known !== undefined && this._entries.delete(key)) {
+			this._remember(known);
 			this._changed.delete(key);
 			this._removed.add(key);
 		}
 	}
 
+	private _remember({key, revision}: StoreEntry): void {
+		this._gone.delete(key);
+		this._gone.set(key, revision);
+		if (this._gone.size > mostRememberedGone) {
+			const [earliest] = this._gone.keys();
+			this._gone.delete(earliest!);
+		}
+	}
+
 	/** Changes since the last call; undefined = there are none. */
 	takeChanges(): {readonly entries: readonly StoreEntry[]; readonly deleted: readonly string[]} | undefined {
 		if (this._changed.size === 0 && this._removed.size === 0) {
--- a/src/common/registry/lost-vms.test.ts
+++ b/src/common/registry/lost-vms.test.ts
@@ -6,6 +6,9 @@
 /** No answer may name a lost VM for longer, whatever was lost with it. */
 const longestNamed: Milliseconds = 5000;
 
+/** The same from the return of a store that was away when they were lost. */
+const behindOutage: Milliseconds = 3000;
+
 /** Time in which a fleet that has just started finds its order. */
 const settleMilliseconds: Milliseconds = 10_000;
 
@@ -113,4 +116,77 @@
 			expect(courses.filter(({missing}) => missing > 0)).toEqual([]);
 		});
 	}
+
+	/** Half of 16 VMs is lost 1 s after the store has met this; what its answers do in the 9 s from then on. */
+	function courseWith(seed: number, meet: (model: FleetModel) => void): Course {
+		const model = startedModel(16, seed);
+		meet(model);
+		model.timeline.advance(1000);
+		return courseOf(model, lose(part(model, 1 / 2)));
+	}
+
+	const seeds = [1, 2, 3, 4, 5, 6];
+
+	// Guards against a budget that holds only while the store answers within milliseconds.
+	it('are out of all answers in time while the store takes 240 ms for each answer', () => {
+		const courses = seeds.map(seed => courseWith(seed, model => {
+			model.store.answerMilliseconds = 240;
+		}));
+		expect(courses.filter(({named, missing}) => named > longestNamed || missing > 0)).toEqual([]);
+	});
+
+	// Guards against removals that no watch tells, since the store has dropped its history.
+	it('are out of all answers in time while the store drops its history', () => {
+		const courses = seeds.map(seed => courseWith(seed, model => {
+			for (let drops = 1; drops <= 20; drops++) {
+				model.timeline.after(drops * 300, () => {
+					model.store.dropHistory();
+				});
+			}
+		}));
+		expect(courses.filter(({named, missing}) => named > longestNamed || missing > 0)).toEqual([]);
+	});
+
+	/** Half of 16 VMs is lost while the store is silent; time from its return until no VM names any of them, and VMs missing then. */
+	function courseBehindOutage(seed: number, arePaused: boolean): Course {
+		const model = startedModel(16, seed);
+		model.store.isSilentTo = () => true;
+		model.store.arePaused = arePaused;
+		model.timeline.advance(1500);
+		const lost = lose(part(model, 1 / 2));
+		model.timeline.advance(6500);
+		model.store.isSilentTo = () => false;
+		model.store.arePaused = false;
+		return courseOf(model, lost);
+	}
+
+	for (const [name, arePaused] of [['ended', false], ['been paused', true]] as const) {
+		// Guards callers behind an outage of the store: nobody could remove an entry while it lasted.
+		it(`are out of all answers 3 s after the store is back, where leases have ${name} meanwhile`, () => {
+			const courses = seeds.map(seed => ({seed, ...courseBehindOutage(seed, arePaused)}));
+			expect(courses.filter(({named}) => named > behindOutage)).toEqual([]);
+		});
+
+		// Guards VMs that live against their own entries, which lapsed while nobody could renew them.
+		it(`take no VM that lives out of an answer behind an outage, where leases have ${name} meanwhile`, () => {
+			const courses = seeds.map(seed => ({seed, ...courseBehindOutage(seed, arePaused)}));
+			expect(courses.filter(({missing}) => missing > 0)).toEqual([]);
+		});
+	}
+
+	// Guards VMs that come back at once under another identity against the removal of the entries that they had before.
+	it('stay in the answers when they are back at once', () => {
+		const courses = seeds.map(seed => {
+			const model = startedModel(16, seed);
+			const victims = part(model, 1 / 2);
+			lose(victims);
+			for (const {address} of victims) {
+				model.start(model.vmOf(address));
+			}
+
+			model.timeline.advance(settleMilliseconds / 2);
+			return {seed, ...courseOf(model, new Set())};
+		});
+		expect(courses.filter(({missing}) => missing > 0)).toEqual([]);
+	});
 });
--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -255,7 +255,7 @@
 		this._toldBy = source;
 		const known = this._mirror.revision ?? -1;
 		const isAhead = isWhole && revision >= known;
-		const entries = frame.entries.filter(entry => entry.revision > (this._log.revisionOf(entry.key) ?? (isAhead ? -1 : known)) && !this._isKeptHere(entry.key));
+		const entries = frame.entries.filter(entry => entry.revision > (this._log.revisionOf(entry.key) ?? (isAhead ? -1 : known)) && !this._isKeptHere(entry.key) && !this._log.isGone(entry));
 		const deleted = isWhole ? this._missingFrom(frame.entries) : frame.deleted;
 		this._takeChanges({
 			entries, deleted: deleted.filter(key => (this._log.revisionOf(key) ?? Infinity) <= revision), isWhole: false,
--- a/src/common/registry/store-model.test.ts
+++ b/src/common/registry/store-model.test.ts
@@ -5,8 +5,8 @@
 	type Revision, type StoreEntry, type StoreOperation, type StoreReply,
 } from '../platform/types.ts';
 
-/** The way to the store and back. */
-const answerMilliseconds: Milliseconds = 5;
+/** The way to the store and back, unless it is slow. */
+const usualAnswerMilliseconds: Milliseconds = 5;
 
 /** After it a client takes an answer for lost. */
 const lostMilliseconds: Milliseconds = 2000;
@@ -30,6 +30,10 @@
 	readonly bill = new Map<string, number>();
 	/** Whom the store does not answer now. */
 	isSilentTo: (vm: string) => boolean = () => false;
+	/** The way to the store and back. */
+	answerMilliseconds: Milliseconds = usualAnswerMilliseconds;
+	/** No lease ends: the store keeps those that it had while it was away. */
+	arePaused = false;
 	private readonly _timeline: Timeline;
 	private readonly _entries = new Map<string, Held>();
 	private readonly _leases = new Map<string, Instant>();
@@ -37,6 +41,8 @@
 	private readonly _events: StoreEvent[] = [];
 	private readonly _waiting = new Set<Waiting>();
 	private _revision = 10;
+	/** Changes up to this revision are no longer known one by one. */
+	private _oldest = 0;
 	private _lastLease = 0;
 
 	constructor(timeline: Timeline) {
@@ -77,9 +83,9 @@
 			return;
 		}
 
-		this._timeline.after(answerMilliseconds / 2, () => {
+		this._timeline.after(this.answerMilliseconds / 2, () => {
 			this._carryOut(operation, reply => {
-				this._timeline.after(answerMilliseconds / 2, () => {
+				this._timeline.after(this.answerMilliseconds / 2, () => {
 					answer(reply);
 				});
 			});
@@ -145,6 +151,12 @@
 		}
 	}
 
+	/** Forgets what has changed so far: watches that are behind are told to read anew. */
+	dropHistory(): void {
+		this._events.splice(0);
+		this._oldest = this._revision;
+	}
+
 	/** Ends a lease and removes what it holds, as if it had lapsed. */
 	endLease(leaseId: string): void {
 		if (!this._leases.delete(leaseId)) {
@@ -167,7 +179,13 @@
 		this._terms.set(leaseId, term);
 		this._leases.set(leaseId, until);
 		this._timeline.after(term, () => {
-			if (this._leases.get(leaseId) === until) {
+			if (this._leases.get(leaseId) !== until) {
+				return;
+			}
+
+			if (this.arePaused) {
+				this._renew(leaseId, term);
+			} else {
 				this.endLease(leaseId);
 			}
 		});
@@ -224,6 +242,11 @@
 				}
 			},
 		};
+		if (after < this._oldest) {
+			answer({type: 'history-lost'});
+			return;
+		}
+
 		this._waiting.add(waiting);
 		if (this._events.some(event => event.revision > after && event.key.startsWith(prefix))) {
 			waiting.end(this._changes(waiting));
