Call doors listeners

The field's term (NAMES.md), in names, comments, log lines, pages and two file names; early-door.ts is early-listener.ts and end-door.ts close-listener.ts.

--- a/benchmark/path/front-only.ts
+++ b/benchmark/path/front-only.ts
@@ -1,5 +1,5 @@
 /**
- * The data path alone as a process: callers' door, call engine, attempts; one service `bench`, a fixed
+ * The data path alone as a process: callers' listener, call engine, attempts; one service `bench`, a fixed
  * configuration, no control. What it costs less than the daemon is what control costs a call.
  */
 import process from 'node:process';
--- a/src/daemon/burn-reporter.ts
+++ b/src/daemon/burn-reporter.ts
@@ -67,7 +67,7 @@
 		});
 	}
 
-	/** Operators know VMs by the address of their callers' door. */
+	/** Operators know VMs by the address of their callers' listener. */
 	private _callAddresses(peerAddresses: readonly string[]): string[] {
 		const {members} = this._parts.fleet.status(this._parts.clock.now());
 		return peerAddresses.map(address => members.find(member => member.peerAddress === address)?.callAddress ?? address);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,4 +1,4 @@
-/** The life of one daemon: its doors open, its engines run, and it ends when the fleet engine says so. */
+/** The life of one daemon: its listeners open, its engines run, and it ends when the fleet engine says so. */
 import {type EventLoopUtilization, performance} from 'node:perf_hooks';
 import {err, ok, type Result} from 'neverthrow';
 import {describeFailure, failure, type Failure} from '../common/errors/failure.ts';
@@ -96,7 +96,7 @@
 		}));
 	}
 
-	/** Opens the doors, the callers' last: by then there are peers and operators to learn from. */
+	/** Opens the listeners, the callers' last: by then there are peers and operators to learn from. */
 	async start(): Promise<Result<DaemonPorts, StartFailure>> {
 		const {settings, fleetCarrier, callerServer, operatorServer, pauseWatch} = this._parts;
 		const peers = await this._parts.peers.listen();
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -1,4 +1,4 @@
-/** The life of an entry VM whose fleet the platform's store leads: its doors open, its deciders run, and it ends in time. */
+/** The life of an entry VM whose fleet the platform's store leads: its listeners open, its deciders run, and it ends in time. */
 import {type Result} from 'neverthrow';
 import {describeFailure, type Failure} from '../common/errors/failure.ts';
 import {type EntryVm} from '../common/entry-vm/entry-vm.ts';
@@ -13,7 +13,7 @@
 import {type EntrySettings} from '../common/settings/entry-settings.ts';
 import {type Clock} from '../node/clock.ts';
 import {type DeciderLoop} from '../node/decider-loop.ts';
-import {type EarlyDoors} from '../node/early-door.ts';
+import {type EarlyListeners} from '../node/early-listener.ts';
 import {type FeedServer} from '../node/fleet/feed-server.ts';
 import {type OutwardEffect, type StoreCarrier} from '../node/fleet/store-carrier.ts';
 import {type BackendConnections} from '../node/front/backend-connections.ts';
@@ -47,7 +47,7 @@
 	readonly feedServer: FeedServer;
 	readonly metricsServer: PageServer;
 	/** Opened before the program was loaded, by their endpoints. */
-	readonly doors: EarlyDoors;
+	readonly listeners: EarlyListeners;
 };
 
 /** How often the decider of the stop hears of calls in flight: a stop has seconds, and only a stop needs it. */
@@ -98,20 +98,20 @@
 		}));
 	}
 
-	/** Reads the store at once, and opens the doors meanwhile. */
+	/** Reads the store at once, and opens the listeners meanwhile. */
 	async start(): Promise<Failure<'cannot-listen'> | undefined> {
-		const {settings, loop, routedServer, readinessServer, directoryServer, feedServer, metricsServer, doors: earlyDoors} = this._parts;
+		const {settings, loop, routedServer, readinessServer, directoryServer, feedServer, metricsServer, listeners: earlyListeners} = this._parts;
 		loop.feed({type: 'started'});
-		const doors = [
+		const listeners = [
 			[routedServer, settings.listen.callers],
 			[readinessServer, settings.listen.readiness],
 			[directoryServer, settings.listen.directory],
 			[feedServer, settings.listen.peers],
 			[metricsServer, settings.listen.metrics],
 		] as const;
-		const opened = await Promise.all(doors.map(async ([door, endpoint]) => {
+		const opened = await Promise.all(listeners.map(async ([listener, endpoint]) => {
 			const {address, port} = splitEndpoint(endpoint);
-			return door.listen(port, address, earlyDoors.get(endpoint));
+			return listener.listen(port, address, earlyListeners.get(endpoint));
 		}));
 		for (const result of opened) {
 			if (result.isErr()) {
@@ -192,8 +192,8 @@
 		}
 
 		if (stage === 'ended') {
-			const doors = [this._parts.routedServer, ...this._pageServers];
-			void Promise.all(doors.map(async door => door.end())).then(() => {
+			const listeners = [this._parts.routedServer, ...this._pageServers];
+			void Promise.all(listeners.map(async listener => listener.end())).then(() => {
 				this._parts.logger.info('stop over', this._stopReport.summary());
 				this._onEnded.fire();
 			});
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -16,7 +16,7 @@
 import {type EntrySettings} from '../common/settings/entry-settings.ts';
 import {ProcessClock} from '../node/clock.ts';
 import {DeciderLoop} from '../node/decider-loop.ts';
-import {type EarlyDoors} from '../node/early-door.ts';
+import {type EarlyListeners} from '../node/early-listener.ts';
 import {entropySeed} from '../node/entropy.ts';
 import {FeedClient} from '../node/fleet/feed-client.ts';
 import {FeedServer} from '../node/fleet/feed-server.ts';
@@ -68,8 +68,8 @@
 	readonly directoryPage: (url: string, answer: (service: string, dataCentre: string | undefined) => AddressList) => Page | undefined;
 	/** The page by which the platform learns whether this VM is ready. */
 	readonly readinessPath: string;
-	/** Doors that were opened before the program was loaded. */
-	readonly doors?: EarlyDoors;
+	/** Listeners that were opened before the program was loaded. */
+	readonly listeners?: EarlyListeners;
 };
 
 /** An answer that waits for the VM to be ready, if it is just starting. */
@@ -189,7 +189,7 @@
 		hold,
 		feedServer,
 		metricsServer,
-		doors: platform.doors ?? new Map(),
+		listeners: platform.listeners ?? new Map(),
 	}, owned);
 }
 
--- a/src/daemon/serve.ts
+++ b/src/daemon/serve.ts
@@ -15,7 +15,7 @@
 
 /**
  * Runs until SIGTERM, SIGINT or SIGHUP, the platform's list or an operator has begun the planned stop and it
- * is over; resolves with the exit code. A line with the ports goes to standard output when all doors are open.
+ * is over; resolves with the exit code. A line with the ports goes to standard output when all listeners are open.
  */
 export async function serve(settings: Settings, tokens: readonly OperatorToken[]): Promise<number> {
 	const order = new StopOrder();
@@ -25,8 +25,8 @@
 }
 
 /**
- * The order to stop, by a signal. Guards calls against one that comes while the doors open: until somebody listens to a
- * signal the system ends the process at once, with all that its doors have taken.
+ * The order to stop, by a signal. Guards calls against one that comes while the listeners open: until somebody listens to a
+ * signal the system ends the process at once, with all that its listeners have taken.
  */
 class StopOrder extends Disposable {
 	private readonly _onOrder = this._register(new Emitter<void>());
--- a/src/daemon/stop-report.ts
+++ b/src/daemon/stop-report.ts
@@ -52,7 +52,7 @@
 		}
 	}
 
-	/** A call was refused at the door, without becoming a call of the engine. */
+	/** A call was refused at the listener, without becoming a call of the engine. */
 	noteRefusal(): void {
 		this._refused += this._isStopping ? 1 : 0;
 	}
--- a/src/daemon/wiring.ts
+++ b/src/daemon/wiring.ts
@@ -158,7 +158,7 @@
 
 type Outside = ReturnType<typeof makeOutside>;
 
-/** The path of a call: callers' door, attempts, measuring, claims of keys. */
+/** The path of a call: callers' listener, attempts, measuring, claims of keys. */
 function makeFront({settings, owned, clock, hashes, metrics, identity}: Base, {entryVm, loop}: Deciders, {platform}: Outside) {
 	const connections = owned.add(new BackendConnections({connectMilliseconds, idleMilliseconds: backendIdleMilliseconds}));
 	const measurer = new CountedMeasurer(new LoadMeasurer(connections, new JaydaleDialect()), metrics);
@@ -208,7 +208,7 @@
 
 type GatewayNeeds = {readonly fleetCarrier: FleetCarrier; readonly burn: Burn; readonly quarantine: QuarantineExchange};
 
-/** The operators' door. */
+/** The operators' listener. */
 function makeOperatorServer(base: Base, tokens: readonly OperatorToken[], {entryVm}: Deciders, {fleetCarrier, burn, quarantine}: GatewayNeeds): OperatorServer {
 	const {settings, owned, clock, logging, logger, metrics} = base;
 	const gateway = new FleetGateway({
--- a/src/node/api/operator-server.ts
+++ b/src/node/api/operator-server.ts
@@ -6,7 +6,7 @@
 import {failure, type Failure} from '../../common/errors/failure.ts';
 import {Disposable} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
-import {endDoor} from '../front/end-door.ts';
+import {closeListener} from '../front/close-listener.ts';
 import {GracefulServer} from '../front/graceful-server.ts';
 import {type ResourceApi} from './resource-api.ts';
 
@@ -47,7 +47,7 @@
 
 	/** The process ends: resolves when the answers under way are out, or when the longest time for them is over. */
 	async end(): Promise<void> {
-		return endDoor(this._server, longestEnd);
+		return closeListener(this._server, longestEnd);
 	}
 
 	private async _listen(address: string, port: number): Promise<Result<number, OperatorServerFailure>> {
--- a/src/node/early-door.test.ts
+++ b/src/node/early-listener.test.ts
@@ -3,17 +3,17 @@
 import {request} from 'undici';
 import {DisposableStore, toDisposable} from '../common/lifecycle/disposable.ts';
 import {freePorts} from '../stand-ins/free-ports.ts';
-import {EarlyDoor} from './early-door.ts';
+import {EarlyListener} from './early-listener.ts';
 import {StartingHold} from './front/starting-hold.ts';
 import {listenOn} from './listening.ts';
 
-describe('a door that is open before its server is there', () => {
+describe('a listener that is open before its server is there', () => {
 	// Story: all VMs of a customer lose power. Their addresses are there again a tenth of a second before the program is
 	// loaded; callers who try in that moment are refused twice, and have no try left.
 	it('keeps those who come early, and hands them and later ones to the server', async () => {
 		const owned = new DisposableStore();
 		const [port] = await freePorts(1);
-		const door = new EarlyDoor(port!, '127.0.0.1', 16);
+		const listener = new EarlyListener(port!, '127.0.0.1', 16);
 		const early = request(`http://127.0.0.1:${port}/early`);
 		await new Promise(resolve => {
 			setTimeout(resolve, 50);
@@ -25,7 +25,7 @@
 			server.closeAllConnections();
 			server.close();
 		}));
-		const listening = await listenOn(server, port!, '127.0.0.1', {backlog: 16, early: door});
+		const listening = await listenOn(server, port!, '127.0.0.1', {backlog: 16, early: listener});
 		expect(listening.isOk()).toEqual(true);
 		const late = request(`http://127.0.0.1:${port}/late`);
 		const answers = await Promise.all([early, late]);
@@ -42,11 +42,11 @@
 		owned.add(toDisposable(() => {
 			other.close();
 		}));
-		const door = new EarlyDoor(port!, '127.0.0.1', 16);
+		const listener = new EarlyListener(port!, '127.0.0.1', 16);
 		await new Promise(resolve => {
 			setTimeout(resolve, 20);
 		});
-		const listening = await listenOn(createServer(), port!, '127.0.0.1', {early: door});
+		const listening = await listenOn(createServer(), port!, '127.0.0.1', {early: listener});
 		expect(listening.isErr()).toEqual(true);
 		owned.dispose();
 	});
--- a/src/node/early-door.ts
+++ b/src/node/early-listener.ts
@@ -1,4 +1,4 @@
-/** Doors that open before the program is loaded. */
+/** Listeners that open before the program is loaded. */
 import {type Server as HttpServer} from 'node:http';
 import {createServer, type Server, type Socket} from 'node:net';
 
@@ -7,28 +7,28 @@
  * were refused, and a caller that tries twice has then spent both tries. Connections that come early wait here and are
  * handed to the server that answers them. The loading of the program is half of a start (`npm run start-time`).
  */
-export class EarlyDoor {
-	private readonly _door: Server;
+export class EarlyListener {
+	private readonly _listener: Server;
 	private readonly _waiting: Socket[] = [];
 
 	/** Opens at once; a failure is told by the server that listens there later. `backlog` = connections that the system keeps. */
 	constructor(port: number, address: string, backlog: number) {
-		this._door = createServer({pauseOnConnect: true, noDelay: true}, socket => {
+		this._listener = createServer({pauseOnConnect: true, noDelay: true}, socket => {
 			this._waiting.push(socket);
 		});
-		this._door.on('error', () => {
+		this._listener.on('error', () => {
 			// Not listening now, so `listenOn` tries the address again, and tells the failure: it has a log to write to.
 		});
-		this._door.listen(port, address, backlog);
+		this._listener.listen(port, address, backlog);
 	}
 
-	/** The server takes the door over, with those who wait; false = the door is not open. */
+	/** The server takes the listener over, with those who wait; false = the listener is not open. */
 	handTo(server: HttpServer, backlog: number | undefined, onListening: () => void): boolean {
-		if (!this._door.listening) {
+		if (!this._listener.listening) {
 			return false;
 		}
 
-		server.listen(this._door, backlog, () => {
+		server.listen(this._listener, backlog, () => {
 			for (const socket of this._waiting.splice(0)) {
 				server.emit('connection', socket);
 				socket.resume();
@@ -40,5 +40,5 @@
 	}
 }
 
-/** Early doors by `IP:PORT`. */
-export type EarlyDoors = ReadonlyMap<string, EarlyDoor>;
+/** Early listeners by `IP:PORT`. */
+export type EarlyListeners = ReadonlyMap<string, EarlyListener>;
--- a/src/node/front/answer-at-stop.test.ts
+++ b/src/node/front/answer-at-stop.test.ts
@@ -7,7 +7,7 @@
 /** More than the system takes in for a caller that does not read, so that the rest waits in the process. */
 const answerBytes = 16_000_000;
 
-describe('the callers\' door of a VM that stops', () => {
+describe('the callers\' listener of a VM that stops', () => {
 	for (const step of ['closeIdle', 'stopListening'] as const) {
 		// Story: a caller reads a download slower than its backend server sends it. All of it has come in and is written to the
 		// caller's connection when the VM stops. The connection was taken for idle, since its answer is ended, and closed
@@ -21,8 +21,8 @@
 				});
 			});
 			const {url, ended, server} = await startFront(store, [port], {stallMilliseconds: 5000});
-			const {hostname, port: door, pathname} = new URL(url);
-			const caller = connect(Number(door), hostname);
+			const {hostname, port: listener, pathname} = new URL(url);
+			const caller = connect(Number(listener), hostname);
 			store.add(toDisposable(() => caller.destroy()));
 			caller.write(`GET ${pathname}/download HTTP/1.1\r\nhost: one.example\r\nconnection: close\r\n\r\n`);
 
@@ -47,7 +47,7 @@
 });
 
 describe('an answer that is in whole', () => {
-	/** A caller of a door that has all of a large answer; the caller has read nothing of it. */
+	/** A caller of a listener that has all of a large answer; the caller has read nothing of it. */
 	async function leaveUnread(store: DisposableStore, ownLimits: {readonly stallMilliseconds: number; readonly handOverMilliseconds: number}) {
 		const port = await startRaw(store, socket => {
 			socket.on('data', () => {
@@ -56,8 +56,8 @@
 			});
 		});
 		const {url, ended, server} = await startFront(store, [port], ownLimits);
-		const {hostname, port: door, pathname} = new URL(url);
-		const caller = connect(Number(door), hostname);
+		const {hostname, port: listener, pathname} = new URL(url);
+		const caller = connect(Number(listener), hostname);
 		caller.on('error', () => undefined);
 		store.add(toDisposable(() => caller.destroy()));
 		caller.write(`GET ${pathname}/download HTTP/1.1\r\nhost: one.example\r\nconnection: close\r\n\r\n`);
--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -1,4 +1,4 @@
-/** The callers' door: calls to services, and the answer to which VMs to use. */
+/** The callers' listener: calls to services, and the answer to which VMs to use. */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {getRequestListener, type HttpBindings} from '@hono/node-server';
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
@@ -28,7 +28,7 @@
 	readonly keepForMilliseconds: Milliseconds;
 };
 
-/** What the door needs of the rest. */
+/** What the listener needs of the rest. */
 export type CallerServerParts = {
 	readonly sink: CallEventSink;
 	readonly calls: CallCarrier;
@@ -38,7 +38,7 @@
 	readonly fingerprint: (method: string, path: string, body: Uint8Array) => string;
 };
 
-/** Limits of the door; each keeps one caller from holding what others need. */
+/** Limits of the listener; each keeps one caller from holding what others need. */
 export type CallerServerLimits = BodyLimits & {
 	/** Most open connections; one more is closed at once. */
 	readonly connections: number;
--- a/src/node/front/graceful-server.test.ts
+++ b/src/node/front/graceful-server.test.ts
@@ -4,10 +4,10 @@
 import {expect} from 'earl';
 import {DisposableStore} from '../../common/lifecycle/disposable.ts';
 import {
-	connectTo, getCall, largeBytes, openDoor, postHead, readAll, statusesOf,
-} from './open-door.test.ts';
+	connectTo, getCall, largeBytes, openListener, postHead, readAll, statusesOf,
+} from './open-listener.test.ts';
 
-describe('a door that ends its connections', () => {
+describe('a listener that ends its connections', () => {
 	let store: DisposableStore;
 	beforeEach(() => {
 		store = new DisposableStore();
@@ -20,7 +20,7 @@
 	// the second was handed on already, and was made with nobody left to be told.
 	it('answers a call that was sent behind another before it ends the connection', async () => {
 		const answers: ServerResponse[] = [];
-		const {server, caller, taken} = await openDoor(store, (_path, outgoing) => {
+		const {server, caller, taken} = await openListener(store, (_path, outgoing) => {
 			answers.push(outgoing);
 		});
 		caller.write(postHead('/1'));
@@ -43,7 +43,7 @@
 	});
 
 	it('never takes a call that comes behind the answer which ends its connection', async () => {
-		const {server, caller, taken} = await openDoor(store, (_path, outgoing) => {
+		const {server, caller, taken} = await openListener(store, (_path, outgoing) => {
 			outgoing.writeHead(200, {'content-length': 5});
 			outgoing.write('fi');
 			setTimeout(() => outgoing.end('rst'), 50);
@@ -59,7 +59,7 @@
 	// Story: a caller is refused while it still sends a large body. The connection is closed with unread bytes of that body, which
 	// resets it, and the reset throws the refusal away: the caller cannot know that its payment was not made.
 	it('lets a refusal arrive while its caller still sends', async () => {
-		const {server, caller} = await openDoor(store, (_path, outgoing) => {
+		const {server, caller} = await openListener(store, (_path, outgoing) => {
 			outgoing.writeHead(503, {'content-length': 2});
 			outgoing.end('no');
 		});
@@ -75,7 +75,7 @@
 	});
 
 	it('ends idle connections, and neither those with half a call in nor those with an answer to hand over', async () => {
-		const {server, caller: slow, cuts} = await openDoor(store, (path, outgoing) => {
+		const {server, caller: slow, cuts} = await openListener(store, (path, outgoing) => {
 			outgoing.end(path === '/idle' ? 'x' : Buffer.alloc(largeBytes));
 		});
 		const idle = await connectTo(store, server);
@@ -95,7 +95,7 @@
 
 	it('tells of an answer that its caller leaves, and of one that is broken off here', async () => {
 		const answers: ServerResponse[] = [];
-		const {caller, cuts, server} = await openDoor(store, (_path, outgoing) => {
+		const {caller, cuts, server} = await openListener(store, (_path, outgoing) => {
 			answers.push(outgoing);
 			outgoing.end(Buffer.alloc(largeBytes));
 		});
@@ -127,7 +127,7 @@
 	});
 
 	it('waits with its end for a caller that reads a refusal only when its body is out', async () => {
-		const {server, caller} = await openDoor(store, (_path, outgoing) => {
+		const {server, caller} = await openListener(store, (_path, outgoing) => {
 			outgoing.writeHead(503, {'content-length': 2});
 			outgoing.end('no');
 		}, {allowHalfOpen: true});
@@ -143,7 +143,7 @@
 	});
 
 	it('counts an end that its caller has not confirmed, and gives it up in the end', async () => {
-		const {server, caller} = await openDoor(store, (_path, outgoing) => {
+		const {server, caller} = await openListener(store, (_path, outgoing) => {
 			outgoing.end('x');
 		}, {allowHalfOpen: true});
 		server.leave();
@@ -159,7 +159,7 @@
 
 	it('ends a connection that comes to rest after idle ones have ended', async () => {
 		const answers: ServerResponse[] = [];
-		const {server, caller} = await openDoor(store, (_path, outgoing) => {
+		const {server, caller} = await openListener(store, (_path, outgoing) => {
 			outgoing.writeHead(200, {'content-length': 2});
 			outgoing.write('a');
 			answers.push(outgoing);
@@ -175,7 +175,7 @@
 	});
 
 	it('never takes a call that crosses the end of its idle connection', async () => {
-		const {server, caller, taken} = await openDoor(store, (_path, outgoing) => {
+		const {server, caller, taken} = await openListener(store, (_path, outgoing) => {
 			outgoing.end('x');
 		}, {allowHalfOpen: true});
 		caller.write(getCall('/1'));
@@ -191,7 +191,7 @@
 	// Story: a caller opens a connection to a VM that stops. Its call is on its way when the VM ends what is idle; the connection, which
 	// carried nothing yet, is ended too, and the caller has no word whether its call was taken.
 	it('leaves a connection open that waits for its first call', async () => {
-		const {server, caller} = await openDoor(store, (_path, outgoing) => {
+		const {server, caller} = await openListener(store, (_path, outgoing) => {
 			outgoing.end('x');
 		});
 		server.leave();
--- a/src/node/front/graceful-server.ts
+++ b/src/node/front/graceful-server.ts
@@ -1,4 +1,4 @@
-/** A door of HTTP/1.1 that knows of each connection what is under way on it, and ends none that still owes bytes. */
+/** A listener of HTTP/1.1 that knows of each connection what is under way on it, and ends none that still owes bytes. */
 import {
 	type IncomingMessage, Server, type ServerOptions, type ServerResponse,
 } from 'node:http';
@@ -42,7 +42,7 @@
 	readonly closedBy: 'caller' | 'here';
 };
 
-/** What a door knows of one connection. */
+/** What a listener knows of one connection. */
 type Connection = {
 	readonly socket: Socket;
 	/** The call that is being answered; it is over when the system has the answer's last byte. */
--- a/src/node/front/idle-at-stop.test.ts
+++ b/src/node/front/idle-at-stop.test.ts
@@ -7,13 +7,13 @@
 
 const call = 'GET / HTTP/1.1\r\nhost: one.example\r\n\r\n';
 
-describe('a door that ends idle connections', () => {
+describe('a listener that ends idle connections', () => {
 	const owned = new DisposableStore();
 	after(() => {
 		owned.dispose();
 	});
 
-	/** A connection that the door has accepted, after so many calls and their answers. */
+	/** A connection that the listener has accepted, after so many calls and their answers. */
 	async function open(calls: number): Promise<{server: GracefulServer; caller: Socket; read: () => string}> {
 		const server = owned.add(new GracefulServer({}, (_incoming, outgoing) => {
 			outgoing.end('answer');
--- a/src/node/front/incomplete-calls.ts
+++ b/src/node/front/incomplete-calls.ts
@@ -1,4 +1,4 @@
-/** Calls whose bodies are still coming in, for a door that stops to take calls. */
+/** Calls whose bodies are still coming in, for a listener that stops to take calls. */
 import {type ServerResponse} from 'node:http';
 
 /**
--- a/src/node/front/open-door.test.ts
+++ b/src/node/front/open-listener.test.ts
@@ -1,4 +1,4 @@
-/** What tests of a bare door share: an open one, callers of raw bytes, and calls as they send them. */
+/** What tests of a bare listener share: an open one, callers of raw bytes, and calls as they send them. */
 import {once} from 'node:events';
 import {type ServerOptions, type ServerResponse} from 'node:http';
 import {type AddressInfo, connect, type Socket} from 'node:net';
@@ -8,8 +8,8 @@
 /** More than the system takes in for a caller that does not read. */
 export const largeBytes = 16_000_000;
 
-/** An open door, its first caller, and what both saw. */
-export type OpenDoor = {
+/** An open listener, its first caller, and what both saw. */
+export type OpenListener = {
 	readonly server: GracefulServer;
 	readonly caller: Socket;
 	/** Paths of the calls that were handed on. */
@@ -38,12 +38,12 @@
 	return caller;
 }
 
-/** Opens a door that hands its calls to `take`, with one caller. */
-export async function openDoor(
+/** Opens a listener that hands its calls to `take`, with one caller. */
+export async function openListener(
 	store: DisposableStore,
 	take: (path: string, outgoing: ServerResponse) => void,
 	{options = {}, allowHalfOpen = false}: {readonly options?: ServerOptions; readonly allowHalfOpen?: boolean} = {},
-): Promise<OpenDoor> {
+): Promise<OpenListener> {
 	const taken: string[] = [];
 	const cuts: CutAnswer[] = [];
 	const server = store.add(new GracefulServer(options, (incoming, outgoing) => {
--- a/src/node/front/page-server.ts
+++ b/src/node/front/page-server.ts
@@ -1,12 +1,12 @@
-/** The pages beside the callers' door: which VMs to use, whether this one is ready, and its counters. */
+/** The pages beside the callers' listener: which VMs to use, whether this one is ready, and its counters. */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Result} from 'neverthrow';
 import {type Failure} from '../../common/errors/failure.ts';
 import {Disposable} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
-import {type EarlyDoor} from '../early-door.ts';
+import {type EarlyListener} from '../early-listener.ts';
 import {listenOn} from '../listening.ts';
-import {endDoor} from './end-door.ts';
+import {closeListener} from './close-listener.ts';
 import {GracefulServer} from './graceful-server.ts';
 
 /** Longest that the end of the process waits for pages: less than a half of what a bounded stop leaves for its last steps. */
@@ -39,7 +39,7 @@
 		}));
 	}
 
-	async listen(port: number, address: string, early?: EarlyDoor): Promise<Result<number, Failure<'cannot-listen'>>> {
+	async listen(port: number, address: string, early?: EarlyListener): Promise<Result<number, Failure<'cannot-listen'>>> {
 		return listenOn(this._server, port, address, {early});
 	}
 
@@ -50,7 +50,7 @@
 
 	/** The process ends: resolves when the pages under way are out, or when the longest time for them is over. */
 	async end(): Promise<void> {
-		return endDoor(this._server, this._longestEnd);
+		return closeListener(this._server, this._longestEnd);
 	}
 }
 
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -1,4 +1,4 @@
-/** The callers' door where calls are told apart by host and path, and go to services as routes say. */
+/** The callers' listener where calls are told apart by host and path, and go to services as routes say. */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Result} from 'neverthrow';
 import {type CallRequest, type RefusalReason} from '../../common/calls/types.ts';
@@ -10,11 +10,11 @@
 import {type RoutedDialect} from '../../common/protocol/dialect.ts';
 import {type RoutedCall, type RouteTable} from '../../common/routing/route-table.ts';
 import {type CallerLimits, type Routing} from '../../common/routing/types.ts';
-import {type EarlyDoor} from '../early-door.ts';
+import {type EarlyListener} from '../early-listener.ts';
 import {listenOn} from '../listening.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {type CallCarrier} from './call-carrier.ts';
-import {endDoor} from './end-door.ts';
+import {closeListener} from './close-listener.ts';
 import {type CutAnswer, GracefulServer} from './graceful-server.ts';
 import {IncompleteCalls} from './incomplete-calls.ts';
 import {LiveCall} from './live-call.ts';
@@ -22,7 +22,7 @@
 import {type StartingHold} from './starting-hold.ts';
 import {type CallEventSink} from './types.ts';
 
-/** What the door needs of the rest. */
+/** What the listener needs of the rest. */
 export type RoutedServerParts = {
 	readonly sink: CallEventSink;
 	readonly calls: CallCarrier;
@@ -118,7 +118,7 @@
 	}
 
 	/** Starts to listen; resolves with the port. */
-	async listen(port: number, address: string, early?: EarlyDoor): Promise<Result<number, Failure<'cannot-listen'>>> {
+	async listen(port: number, address: string, early?: EarlyListener): Promise<Result<number, Failure<'cannot-listen'>>> {
 		return listenOn(this._server, port, address, {backlog: listenBacklog, early});
 	}
 
@@ -150,7 +150,7 @@
 
 	/** The process ends: resolves when the last refusals are out, or when the longest time for them is over. */
 	async end(): Promise<void> {
-		await endDoor(this._server, longestEnd);
+		await closeListener(this._server, longestEnd);
 		this._server.breakOff();
 	}
 
--- a/src/node/front/stop-call-moments.test.ts
+++ b/src/node/front/stop-call-moments.test.ts
@@ -6,7 +6,7 @@
 import {type Moment} from './stop-scene.test.ts';
 import {holds} from './stop-test-utilities.test.ts';
 
-/** More than is kept of a body before its call is placed, and less than each door's limit. */
+/** More than is kept of a body before its call is placed, and less than each listener's limit. */
 const streamedBodyBytes = 100_000;
 
 /** Moments at which a planned stop meets the request or the answer of a call. */
@@ -17,7 +17,7 @@
 			const caller = await scene.caller();
 			const head = scene.head('GET', 'first');
 			await caller.sendIn(head.slice(0, 30));
-			await scene.door.stop();
+			await scene.listener.stop();
 			await caller.send(head.slice(30));
 			await Promise.race([scene.answer('first'), caller.hasAnswers(1)]);
 		},
@@ -28,7 +28,7 @@
 		async play(scene) {
 			const caller = await scene.caller();
 			await caller.sendIn(`${scene.head('POST', 'first', 'content-length: 10')}01234`);
-			await scene.door.stop();
+			await scene.listener.stop();
 			await caller.send('56789');
 			await Promise.race([scene.answer('first'), caller.hasAnswers(1)]);
 		},
@@ -39,7 +39,7 @@
 		async play(scene) {
 			const caller = await scene.caller();
 			await caller.sendIn(`${scene.head('POST', 'first', 'content-length: 10')}01234`);
-			await scene.door.stop();
+			await scene.listener.stop();
 		},
 		// More than the aim asks: the call was not read whole, but a stop that waits for it can tell its caller.
 		allowed: [refused],
@@ -49,7 +49,7 @@
 		async play(scene) {
 			const caller = await scene.caller();
 			await caller.sendIn(`${scene.head('POST', 'first', 'transfer-encoding: chunked')}5\r\n01234\r\n5\r\n56`);
-			await scene.door.stop();
+			await scene.listener.stop();
 			await caller.send('789\r\n0\r\n\r\n');
 			await Promise.race([scene.answer('first'), caller.hasAnswers(1)]);
 		},
@@ -60,7 +60,7 @@
 		async play(scene) {
 			const caller = await scene.caller();
 			await caller.sendIn(scene.head('POST', 'first', `content-length: ${streamedBodyBytes}`) + 'b'.repeat(streamedBodyBytes - 1));
-			await scene.door.stop();
+			await scene.listener.stop();
 			await caller.send('b');
 			await Promise.race([scene.answer('first'), caller.hasAnswers(1)]);
 		},
@@ -72,7 +72,7 @@
 			const caller = await scene.caller();
 			await caller.send(scene.head('POST', 'first', 'content-length: 10', 'expect: 100-continue'));
 			await caller.hasAnswers(1);
-			await scene.door.stop();
+			await scene.listener.stop();
 			await caller.send('0123456789');
 			await Promise.race([scene.answer('first'), caller.hasAnswers(2)]);
 		},
@@ -84,7 +84,7 @@
 			const caller = await scene.caller();
 			await caller.send(scene.head('GET', 'first'));
 			await scene.at('first');
-			await scene.door.stop();
+			await scene.listener.stop();
 			await scene.answer('first');
 		},
 		allowed: [answered],
@@ -97,7 +97,7 @@
 			const call = await scene.at('first');
 			const body = answerTo('first');
 			await call?.write(call.head(`content-length: ${body.length}`));
-			await scene.door.stop();
+			await scene.listener.stop();
 			await call?.write(body);
 		},
 		allowed: [answered],
@@ -110,7 +110,7 @@
 			const call = await scene.at('first');
 			const body = answerTo('first', pieceBytes);
 			await call?.write(call.head(`content-length: ${body.length}`) + body.slice(0, pieceBytes / 2));
-			await scene.door.stop();
+			await scene.listener.stop();
 			await call?.write(body.slice(pieceBytes / 2));
 		},
 		allowed: [answered],
@@ -123,7 +123,7 @@
 			const call = await scene.at('first');
 			const body = answerTo('first', pieceBytes);
 			await call?.write(call.head('connection: close') + body.slice(0, pieceBytes / 2));
-			await scene.door.stop();
+			await scene.listener.stop();
 			call?.end(body.slice(pieceBytes / 2));
 		},
 		allowed: [answered],
@@ -136,8 +136,8 @@
 			await caller.send(scene.head('GET', 'first'));
 			const call = await scene.at('first');
 			await call?.answer(largeAnswerBytes, 'connection: close');
-			await holds(() => scene.door.isOver() || scene.door.endedCalls() > 0);
-			await scene.door.stop();
+			await holds(() => scene.listener.isOver() || scene.listener.endedCalls() > 0);
+			await scene.listener.stop();
 			caller.resume();
 		},
 		allowed: [answered],
@@ -150,8 +150,8 @@
 			await caller.sendIn(scene.head('GET', 'first') + scene.head('GET', 'second'));
 			const call = await scene.at('first');
 			await call?.answer(largeAnswerBytes, 'connection: close');
-			await holds(() => scene.door.isOver() || scene.door.endedCalls() > 0);
-			await scene.door.stop();
+			await holds(() => scene.listener.isOver() || scene.listener.endedCalls() > 0);
+			await scene.listener.stop();
 			caller.resume();
 			await scene.answer('second');
 		},
--- a/src/node/front/stop-connection-moments.test.ts
+++ b/src/node/front/stop-connection-moments.test.ts
@@ -8,10 +8,10 @@
 import {type Moment, type Scene} from './stop-scene.test.ts';
 import {holds} from './stop-test-utilities.test.ts';
 
-/** Larger than each door's limit of a body. */
+/** Larger than each listener's limit of a body. */
 const largeBodyBytes = 1_100_000;
 
-/** Calls at once, of which some must wait at each door. */
+/** Calls at once, of which some must wait at each listener. */
 const rush = 12;
 
 /** Time in which a call that is not made to wait would reach the backend server. */
@@ -24,9 +24,9 @@
 		await caller.sendIn(scene.head('GET', `first_${index}`));
 	}
 
-	await holds(() => scene.backend.ran.length >= scene.door.places);
+	await holds(() => scene.backend.ran.length >= scene.listener.places);
 	await delay(settling);
-	expect(scene.backend.ran.length).toEqual(scene.door.places);
+	expect(scene.backend.ran.length).toEqual(scene.listener.places);
 }
 
 /** Moments at which a planned stop meets calls that wait, and connections between calls. */
@@ -35,7 +35,7 @@
 		title: 'a call waits for a place',
 		async play(scene) {
 			await fillPlaces(scene);
-			await scene.door.stop();
+			await scene.listener.stop();
 			await Promise.all(scene.callers.map(async (caller, index) => Promise.race([scene.answer(`first_${index}`), caller.hasAnswers(1)])));
 		},
 		// The time that its service allows may end, too, as it would without a stop.
@@ -48,7 +48,7 @@
 			await caller.send(scene.head('GET', 'first'));
 			await scene.answer('first');
 			await caller.hasAnswers(1);
-			const isStopped = scene.door.stop();
+			const isStopped = scene.listener.stop();
 			await caller.send(scene.head('GET', 'second'));
 			await Promise.race([scene.answer('second'), caller.hasAnswers(2)]);
 			await isStopped;
@@ -63,7 +63,7 @@
 			await caller.send(scene.head('GET', 'first'));
 			await scene.answer('first');
 			await caller.hasAnswers(1);
-			await scene.door.stop();
+			await scene.listener.stop();
 			await setImmediate();
 			await caller.send(scene.head('GET', 'second'));
 			await Promise.race([scene.answer('second'), caller.hasAnswers(2)]);
@@ -75,7 +75,7 @@
 		title: 'a connection has carried no call yet, and is used now',
 		async play(scene) {
 			const caller = await scene.caller();
-			await scene.door.stop();
+			await scene.listener.stop();
 			await caller.send(scene.head('GET', 'first'));
 			await Promise.race([scene.answer('first'), caller.hasAnswers(1)]);
 		},
@@ -84,7 +84,7 @@
 	{
 		title: 'a connection is opened',
 		async play(scene) {
-			await scene.door.stop();
+			await scene.listener.stop();
 			const caller = await scene.caller();
 			await caller.send(scene.head('GET', 'first'));
 			await Promise.race([scene.answer('first'), caller.hasAnswers(1)]);
@@ -97,7 +97,7 @@
 			const caller = await scene.caller();
 			await caller.sendIn(scene.head('GET', 'first') + scene.head('GET', 'second'));
 			await scene.at('first');
-			await scene.door.stop();
+			await scene.listener.stop();
 			await scene.answer('first');
 			await Promise.race([scene.answer('second'), caller.hasAnswers(2)]);
 		},
@@ -110,7 +110,7 @@
 			const caller = await scene.caller();
 			await caller.send(scene.head('GET', 'first'));
 			await scene.at('first');
-			await scene.door.stop();
+			await scene.listener.stop();
 			await caller.send(scene.head('GET', 'second'));
 			await scene.answer('first');
 			await Promise.race([scene.answer('second'), caller.hasAnswers(2)]);
@@ -124,7 +124,7 @@
 			const caller = await scene.caller();
 			const head = scene.head('GET', 'first');
 			await caller.sendIn(head.slice(0, 30));
-			await scene.door.stop();
+			await scene.listener.stop();
 			await caller.send(head.slice(30));
 			await Promise.race([scene.answer('first'), caller.hasAnswers(1)]);
 			await caller.hasAnswers(1);
@@ -139,7 +139,7 @@
 			const caller = await scene.caller();
 			const head = scene.head('POST', 'first', `content-length: ${largeBodyBytes}`);
 			await caller.sendIn(head.slice(0, 30));
-			await scene.door.stop();
+			await scene.listener.stop();
 			caller.pause();
 			await caller.send(head.slice(30));
 			await caller.isAnswered();
@@ -161,7 +161,7 @@
 			const caller = await scene.caller();
 			await caller.send(scene.head('GET', 'first'));
 			await scene.at('first');
-			await scene.door.stop();
+			await scene.listener.stop();
 		},
 		allowed: ['502 refused | ran first', '504 refused | ran first'],
 	},
@@ -169,7 +169,7 @@
 		title: 'a call waits for a place, and none comes free',
 		async play(scene) {
 			await fillPlaces(scene);
-			await scene.door.stop();
+			await scene.listener.stop();
 		},
 		// Of those that hold the places the moment before this one decides.
 		allowed: [refused, '502 refused | ran first', '504 refused | ran first', ' | ran first'],
--- a/src/node/front/stop-moments-table.test.ts
+++ b/src/node/front/stop-moments-table.test.ts
@@ -1,6 +1,6 @@
 /**
  * The moments of a call's life at which a planned stop may begin, and what may come of the call. The same table serves both
- * doors. What may come of it follows from the aim alone: each call that the VM has read whole has exactly one whole answer or
+ * listeners. What may come of it follows from the aim alone: each call that the VM has read whole has exactly one whole answer or
  * one whole refusal; a refusal that says "not run" is true, also later; a connection ends without an answer only if no call on
  * it was read whole; and after an answer that says `connection: close` its caller waits for no other.
  */
@@ -10,5 +10,5 @@
 
 export {lastMoments} from './stop-connection-moments.test.ts';
 
-/** Moments at each door. */
+/** Moments at each listener. */
 export const moments: readonly Moment[] = [...callMoments, ...connectionMoments];
--- a/src/node/front/stop-moments.test.ts
+++ b/src/node/front/stop-moments.test.ts
@@ -3,14 +3,14 @@
 import {DisposableStore} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 import {moments} from './stop-moments-table.test.ts';
-import {type Door, playMoments} from './stop-scene.test.ts';
+import {type Listener, playMoments} from './stop-scene.test.ts';
 import {startFront} from './test-utilities.test.ts';
 
 /** Stands for the grace time of a VM, longer than a call may take here: what is not over by then is cut. */
 const graceMilliseconds: Milliseconds = 3000;
 
-/** The callers' door alone; its planned stop has two steps, which the daemon takes one after the other. */
-async function openSelfLed(owned: DisposableStore, backendPort: number, firstStep: 'closeIdle' | 'stopListening'): Promise<Door> {
+/** The callers' listener alone; its planned stop has two steps, which the daemon takes one after the other. */
+async function openSelfLed(owned: DisposableStore, backendPort: number, firstStep: 'closeIdle' | 'stopListening'): Promise<Listener> {
 	const parts = owned.add(new DisposableStore());
 	const {server, ended, url} = await startFront(parts, [backendPort], {stallMilliseconds: 5000});
 	const killing = new AbortController();
@@ -42,7 +42,7 @@
 }
 
 for (const firstStep of ['closeIdle', 'stopListening'] as const) {
-	describe(`the callers' door when a planned stop begins with ${firstStep} and`, function () {
+	describe(`the callers' listener when a planned stop begins with ${firstStep} and`, function () {
 		this.timeout(20_000);
 
 		const outcomes = new Map<string, Promise<readonly string[]>>();
--- a/src/node/front/stop-outcomes.test.ts
+++ b/src/node/front/stop-outcomes.test.ts
@@ -1,4 +1,4 @@
-/** Outcomes of calls that a planned stop meets, and sizes that bring calls there; moments at all doors share them. */
+/** Outcomes of calls that a planned stop meets, and sizes that bring calls there; moments at all listeners share them. */
 
 /** More than the system takes in for a caller that does not read, so that the rest waits in the process. */
 export const largeAnswerBytes = 16_000_000;
--- a/src/node/front/stop-scene.test.ts
+++ b/src/node/front/stop-scene.test.ts
@@ -1,11 +1,11 @@
-/** A moment of a planned stop as a play: one VM's door, one backend server, callers, and what came of their calls. */
+/** A moment of a planned stop as a play: one VM's listener, one backend server, callers, and what came of their calls. */
 import {Disposable, DisposableStore} from '../../common/lifecycle/disposable.ts';
 import {
 	type BackendCall, ConnectionWatch, holds, RawBackend, RawCaller,
 } from './stop-test-utilities.test.ts';
 
-/** A VM of one backend server, from the side of its callers' door. */
-export type Door = {
+/** A VM of one backend server, from the side of its callers' listener. */
+export type Listener = {
 	readonly port: number;
 	/** Before the name of a call in its path. */
 	readonly prefix: string;
@@ -20,8 +20,8 @@
 	readonly isOver: () => boolean;
 };
 
-/** Opens the door before the backend server on this port. */
-export type OpenDoor = (owned: DisposableStore, backendPort: number) => Promise<Door>;
+/** Opens the listener before the backend server on this port. */
+export type OpenListener = (owned: DisposableStore, backendPort: number) => Promise<Listener>;
 
 /** What a moment is played with. */
 export class Scene extends Disposable {
@@ -29,30 +29,30 @@
 	readonly callers: RawCaller[] = [];
 	readonly watch = this._register(new ConnectionWatch());
 	private readonly _owned = this._register(new DisposableStore());
-	private _door: Door | undefined;
+	private _listener: Listener | undefined;
 
-	get door(): Door {
-		return this._door!;
+	get listener(): Listener {
+		return this._listener!;
 	}
 
-	async open(openDoor: OpenDoor): Promise<void> {
-		this._door = await openDoor(this._owned, await this.backend.start(this._owned, this.watch));
+	async open(openListener: OpenListener): Promise<void> {
+		this._listener = await openListener(this._owned, await this.backend.start(this._owned, this.watch));
 	}
 
 	async caller(): Promise<RawCaller> {
-		const caller = this._owned.add(new RawCaller(this.door.port, this.watch));
+		const caller = this._owned.add(new RawCaller(this.listener.port, this.watch));
 		this.callers.push(caller);
 		return caller.opened();
 	}
 
 	/** Head of a call; the empty line that ends it comes with the last header. */
 	head(method: string, name: string, ...headers: string[]): string {
-		return [`${method} ${this.door.prefix}${name} HTTP/1.1`, 'host: one.example', `request-id: ${name}`, ...headers, '', ''].join('\r\n');
+		return [`${method} ${this.listener.prefix}${name} HTTP/1.1`, 'host: one.example', `request-id: ${name}`, ...headers, '', ''].join('\r\n');
 	}
 
 	/** A call at the backend server; undefined if the VM ends before it is there. */
 	async at(name: string): Promise<BackendCall | undefined> {
-		return this.backend.call(name, this.door.isOver);
+		return this.backend.call(name, this.listener.isOver);
 	}
 
 	async answer(name: string): Promise<void> {
@@ -79,12 +79,12 @@
 }
 
 /** Plays one moment; tells outcomes that are not among those allowed, and how connections ended. */
-async function playMoment({play, allowed, isCloseTold}: Moment, openDoor: OpenDoor): Promise<readonly string[]> {
+async function playMoment({play, allowed, isCloseTold}: Moment, openListener: OpenListener): Promise<readonly string[]> {
 	const scene = new Scene();
 	try {
-		await scene.open(openDoor);
+		await scene.open(openListener);
 		await play(scene);
-		await scene.door.finish();
+		await scene.listener.finish();
 		await holds(() => scene.callers.every(({end}) => end !== 'open') && scene.backend.openConnections === 0);
 		const outcomes = scene.callers.map((caller, index) => {
 			const outcome = outcomeOf(caller, scene.backend.ran, index);
@@ -100,11 +100,11 @@
 const lanes = 6;
 
 /** Begins to play all moments; what is not allowed of each comes by its title. */
-export function playMoments(moments: readonly Moment[], openDoor: OpenDoor, outcomes: Map<string, Promise<readonly string[]>>): void {
+export function playMoments(moments: readonly Moment[], openListener: OpenListener, outcomes: Map<string, Promise<readonly string[]>>): void {
 	const played: Array<Promise<readonly string[]>> = [];
 	const playBehind = async (before: ReadonlyArray<Promise<unknown>>, moment: Moment) => {
 		await Promise.allSettled(before);
-		return playMoment(moment, openDoor);
+		return playMoment(moment, openListener);
 	};
 
 	for (const [index, moment] of moments.entries()) {
--- a/src/node/front/test-utilities.test.ts
+++ b/src/node/front/test-utilities.test.ts
@@ -1,4 +1,4 @@
-/** What tests of the callers' door share: a door with a real engine, and backend servers of raw bytes. */
+/** What tests of the callers' listener share: a listener with a real engine, and backend servers of raw bytes. */
 import {createServer, type Server, type Socket} from 'node:net';
 import {DefaultCallEngine} from '../../common/calls/call-engine.ts';
 import {type CallSummary} from '../../common/calls/types.ts';
@@ -23,7 +23,7 @@
 
 export type Front = {readonly url: string; readonly ended: CallSummary[]; readonly server: CallerServer};
 
-/** The callers' door with a real engine in front of the given ports. */
+/** The callers' listener with a real engine in front of the given ports. */
 export async function startFront(store: DisposableStore, ports: readonly number[], ownLimits: Partial<CallerServerLimits> = {}): Promise<Front> {
 	const connections = store.add(new BackendConnections({connectMilliseconds: 1000, idleMilliseconds: 5000}));
 	const engine = new DefaultCallEngine({random: seededRandom(1), settings: {dataCentre: 'north'}});
--- a/src/node/front/unreadable-calls.test.ts
+++ b/src/node/front/unreadable-calls.test.ts
@@ -2,8 +2,8 @@
 import {expect} from 'earl';
 import {DisposableStore} from '../../common/lifecycle/disposable.ts';
 import {
-	getCall, largeBytes, openDoor, postHead, readAll, statusesOf,
-} from './open-door.test.ts';
+	getCall, largeBytes, openListener, postHead, readAll, statusesOf,
+} from './open-listener.test.ts';
 
 /** Heads are given up soon, so that a test does not wait for it. */
 const impatient = {headersTimeout: 300, connectionsCheckingInterval: 100, requestTimeout: 0};
@@ -20,7 +20,7 @@
 	// Story: a caller reads a download slowly, and something follows it on its connection that never becomes a call: half a head, or
 	// bytes of another protocol. The server gives up on these and closes the connection, with the download still in it.
 	async function followDownload(bytes: string): Promise<boolean> {
-		const {caller} = await openDoor(store, (_path, outgoing) => {
+		const {caller} = await openListener(store, (_path, outgoing) => {
 			outgoing.end(Buffer.alloc(largeBytes));
 		}, {options: impatient});
 		caller.write(getCall('/1'));
@@ -42,7 +42,7 @@
 	// Story: behind a download that is read slowly a caller sends many calls. The server reads no further for lack of room, in the middle
 	// of a head, gives up on that head later as if its caller were slow, and cuts the download.
 	it('are not made of whole calls that were not read for lack of room', async () => {
-		const {caller} = await openDoor(store, (path, outgoing) => {
+		const {caller} = await openListener(store, (path, outgoing) => {
 			outgoing.end(path === '/1' ? Buffer.alloc(largeBytes) : '');
 		}, {options: impatient});
 		caller.write(getCall('/1'));
@@ -55,7 +55,7 @@
 	});
 
 	it('are refused in the middle of a body, too', async () => {
-		const {caller, taken} = await openDoor(store, () => undefined);
+		const {caller, taken} = await openListener(store, () => undefined);
 		caller.write('POST /1 HTTP/1.1\r\nhost: one.example\r\ntransfer-encoding: chunked\r\n\r\n');
 		while (taken.length === 0) {
 			await delay(1);
@@ -66,7 +66,7 @@
 	});
 
 	it('do not answer the call in front of them', async () => {
-		const {caller} = await openDoor(store, (_path, outgoing) => {
+		const {caller} = await openListener(store, (_path, outgoing) => {
 			setTimeout(() => outgoing.end('ran'), 1000);
 		}, {options: impatient});
 		caller.write(`${getCall('/1')}GET /2 HTT`);
@@ -74,7 +74,7 @@
 	});
 
 	it('are refused, and the refusal arrives although more of them come', async () => {
-		const {caller} = await openDoor(store, (_path, outgoing) => {
+		const {caller} = await openListener(store, (_path, outgoing) => {
 			outgoing.end();
 		});
 		caller.write('GET / HTTP/1.1\r\nhost: one.example\r\nlong: ');
@@ -89,7 +89,7 @@
 	// Story: of three calls on a connection the second names no host. The server answers that one by itself and ends the connection with
 	// it; the third was handed on, ran, and was never answered, and the VM that waited for its answer did not end before its grace time.
 	it('leave no call behind them running without an answer', async () => {
-		const {server, caller, taken} = await openDoor(store, (path, outgoing) => {
+		const {server, caller, taken} = await openListener(store, (path, outgoing) => {
 			setTimeout(() => outgoing.end(path), 50);
 		});
 		caller.write(`${getCall('/1')}GET /2 HTTP/1.1\r\n\r\n${postHead('/3')}`);
--- a/src/node/listening.ts
+++ b/src/node/listening.ts
@@ -1,15 +1,15 @@
-/** Opening a door: a server listens on an address of this VM, or a typed failure says why not. */
+/** Opening a listener: a server listens on an address of this VM, or a typed failure says why not. */
 import {type Server} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import {failure, type Failure} from '../common/errors/failure.ts';
-import {type EarlyDoor} from './early-door.ts';
+import {type EarlyListener} from './early-listener.ts';
 
-/** How a door is opened. */
+/** How a listener is opened. */
 export type ListenOptions = {
 	/** Connections that may wait to be taken. */
 	readonly backlog?: number | undefined;
-	/** A door at this address that was opened before. */
-	readonly early?: EarlyDoor | undefined;
+	/** A listener at this address that was opened before. */
+	readonly early?: EarlyListener | undefined;
 };
 
 /** Resolves with the port, which the system has chosen where `port` is 0. */
--- a/src/proof/bad-input.test.ts
+++ b/src/proof/bad-input.test.ts
@@ -1,4 +1,4 @@
-/** Bad input at the doors: a clear refusal, nothing lost, nobody else hurt. */
+/** Bad input at the listeners: a clear refusal, nothing lost, nobody else hurt. */
 import {connect, createServer, type Socket} from 'node:net';
 import {expect} from 'earl';
 import fc from 'fast-check';
@@ -47,8 +47,8 @@
 	});
 }
 
-/** A door with one backend server that answers every request by these bytes. */
-async function openDoor(store: DisposableStore, answer: () => string): Promise<{readonly port: number; readonly heads: string[]}> {
+/** A listener with one backend server that answers every request by these bytes. */
+async function openListener(store: DisposableStore, answer: () => string): Promise<{readonly port: number; readonly heads: string[]}> {
 	const heads: string[] = [];
 	const backendPort = await listen(store, socket => {
 		socket.on('data', (bytes: Uint8Array) => {
@@ -64,7 +64,7 @@
 			calls.carryOut(effect);
 		}
 	});
-	const door = store.add(new CallerServer({
+	const listener = store.add(new CallerServer({
 		sink: loop, calls, connections, addresses: () => undefined, fingerprint: (method, path) => `${method} ${path}`,
 	}, limits));
 	loop.feed({
@@ -78,7 +78,7 @@
 			sharingRules: [],
 		},
 	});
-	const port = await door.listen(0, '127.0.0.1');
+	const port = await listener.listen(0, '127.0.0.1');
 	return {port: port._unsafeUnwrap(), heads};
 }
 
@@ -157,8 +157,8 @@
 		}), {seed, numRuns: 1000});
 	});
 
-	it('is refused at the callers\' door, and the next caller is served', async function () {
-		const {port, heads} = await openDoor(store, () => goodAnswer);
+	it('is refused at the callers\' listener, and the next caller is served', async function () {
+		const {port, heads} = await openListener(store, () => goodAnswer);
 		const line = 'POST /services/reads/x HTTP/1.1\r\nhost: a\r\n';
 		const answers = {
 			'two lengths': await sendRaw(port, `${line}content-length: 4\r\ncontent-length: 5\r\n\r\nabcde`),
@@ -189,7 +189,7 @@
 			'a load report that cannot be': 'HTTP/1.1 200 OK\r\njaydale-load: in-flight=-1, queued=9e9, slots=0, instance=\r\ncontent-length: 4\r\n\r\ngood',
 		};
 		let present = goodAnswer;
-		const {port} = await openDoor(store, () => present);
+		const {port} = await openListener(store, () => present);
 		const answers: Record<string, string> = {};
 		for (const [name, answer] of Object.entries(bad)) {
 			present = answer;
--- a/src/proof/guards/guards.ts
+++ b/src/proof/guards/guards.ts
@@ -273,7 +273,7 @@
 	},
 	{
 		name: 'the end of a process waits for pages and operators',
-		file: 'src/node/front/end-door.ts',
+		file: 'src/node/front/close-listener.ts',
 		text: 'setTimeout(resolve, longest)',
 		replacement: 'setTimeout(resolve, 0)',
 		tests: ['src/node/front/page-server.test.ts', 'src/node/api/operator-server.test.ts'],
