--- a/benchmark/capacity/fleet-simulation.ts
+++ b/benchmark/capacity/fleet-simulation.ts
@@ -107,7 +107,7 @@
 					body: {type: 'members'},
 					members: members.slice(start, start + membersInMessage),
 					leaving: [],
-					news: [],
+					updates: [],
 				};
 				this._feed(vm, {type: 'peer-message', message});
 			}
--- a/benchmark/capacity/observed-vm.ts
+++ b/benchmark/capacity/observed-vm.ts
@@ -149,7 +149,7 @@
 
 	private _message(sender: MemberRecord, body: PeerMessage['body']): PeerMessage {
 		return {
-			protocol: 1, sender, storeContactAgeMilliseconds: 500, body, members: [], leaving: [], news: [],
+			protocol: 1, sender, storeContactAgeMilliseconds: 500, body, members: [], leaving: [], updates: [],
 		};
 	}
 
--- a/benchmark/capacity/transport-cost.ts
+++ b/benchmark/capacity/transport-cost.ts
@@ -79,7 +79,7 @@
 		body: {type: 'ping', nonce: 1},
 		members: [],
 		leaving: [],
-		news: [],
+		updates: [],
 	};
 }
 
--- a/benchmark/control/control-fleet.ts
+++ b/benchmark/control/control-fleet.ts
@@ -32,7 +32,7 @@
 	readonly processorMilliseconds: readonly number[];
 };
 
-const newsSchema = z.object({version: z.int()});
+const updateSchema = z.object({version: z.int()});
 const vmsSchema = z.object({vms: z.array(z.object({state: z.string()}))});
 const startLimitMilliseconds = 60_000;
 const pollMilliseconds = 50;
@@ -112,8 +112,8 @@
 
 	/** Resolves with the version that a VM has in force once it is above `after`, and when; undefined = it did not say in time. */
 	async nextVersion(vm: ControlVm, after: number, milliseconds: number): Promise<{readonly version: number; readonly at: number} | undefined> {
-		const news = await this.ask(vm, `/v1/watch?after=${after}&milliseconds=${milliseconds}`, newsSchema);
-		return news && news.version > after ? {version: news.version, at: performance.now()} : undefined;
+		const update = await this.ask(vm, `/v1/watch?after=${after}&milliseconds=${milliseconds}`, updateSchema);
+		return update && update.version > after ? {version: update.version, at: performance.now()} : undefined;
 	}
 
 	/** A change through a VM; the instant of its acceptance, or undefined. */
--- a/benchmark/demand/demand-run.ts
+++ b/benchmark/demand/demand-run.ts
@@ -137,7 +137,7 @@
 			onMeasure: () => {
 				this._measurings++;
 			},
-			onNews() {
+			onUpdate() {
 				// The platform's VMs tell one another nothing of loads.
 			},
 			onWaste() {
--- a/benchmark/policy/baseline-engine.ts
+++ b/benchmark/policy/baseline-engine.ts
@@ -3,7 +3,7 @@
 import {type Instant, type RandomSource} from '../../src/common/model/units.ts';
 import {
 	type CallConfiguration, type CallEffect, type CallEngine, type CallEngineStatus, type CallEvent, type CallLoad, type CallRequest,
-	type FleetShares, type LoadNews, type LoadReport,
+	type FleetShares, type LoadUpdate, type LoadReport,
 } from '../../src/common/calls/types.ts';
 import {TimerQueue} from '../../src/common/calls/timer-queue.ts';
 
@@ -163,8 +163,8 @@
 				break;
 			}
 
-			case 'peer-news': {
-				this._takeFrame(event.news);
+			case 'peer-updates': {
+				this._takeFrame(event.updates);
 				break;
 			}
 
@@ -281,14 +281,14 @@
 		server.startedSince = 0;
 		this._effects.push({
 			type: 'tell-peers',
-			news: {
+			update: {
 				identity: server.identity, report, ageMilliseconds: 0, suspects: [], crash: undefined,
 			},
 		});
 	}
 
-	private _takeFrame(newsList: readonly LoadNews[]): void {
-		for (const {identity, report} of newsList) {
+	private _takeFrame(updateList: readonly LoadUpdate[]): void {
+		for (const {identity, report} of updateList) {
 			const server = this._servers.get(identity);
 			if (server !== undefined && report !== undefined) {
 				server.measured = report.inFlight + report.queued;
--- a/benchmark/policy/figures.ts
+++ b/benchmark/policy/figures.ts
@@ -14,7 +14,7 @@
 	readonly from: Instant;
 	readonly servers: ReadonlyArray<{readonly service: string; readonly server: ModelServer; readonly measuredAt: readonly Instant[]}>;
 	readonly waste: Milliseconds;
-	readonly newsCount: number;
+	readonly updateCount: number;
 	readonly microseconds: number;
 };
 
@@ -59,7 +59,7 @@
 		measuringRate: measured / run.servers.length / seconds,
 		measuringPeak: Math.max(...run.servers.map(({measuredAt}) => mostInWindow(measuredAt))) / measuringBudget.callsPerWindow,
 		worstShare: worstShare(run),
-		newsRate: run.newsCount / seconds,
+		updateRate: run.updateCount / seconds,
 		lightGoodPart: light.filter(record => record.isGood).length / light.length,
 		microsecondsPerCall: run.microseconds / run.records.length,
 	};
--- a/benchmark/policy/model-vm.ts
+++ b/benchmark/policy/model-vm.ts
@@ -1,6 +1,6 @@
 /** A VM of the model: carries an engine's effects out against the model's backend servers. */
 import {
-	type CallEffect, type CallEngine, type CallEvent, type LoadNews,
+	type CallEffect, type CallEngine, type CallEvent, type LoadUpdate,
 } from '../../src/common/calls/types.ts';
 import {type Instant, type Milliseconds} from '../../src/common/model/units.ts';
 import {
@@ -15,7 +15,7 @@
 	readonly latencyTo: (identity: string) => Milliseconds;
 	readonly hasReportsOnAnswers: boolean;
 	readonly onMeasure: (identity: string, at: Instant) => void;
-	readonly onNews: (news: LoadNews) => void;
+	readonly onUpdate: (update: LoadUpdate) => void;
 	/** Slot time whose answer nobody got. */
 	readonly onWaste: (spent: Milliseconds) => void;
 };
@@ -116,7 +116,7 @@
 			}
 
 			case 'tell-peers': {
-				this._around.onNews(effect.news);
+				this._around.onUpdate(effect.update);
 				break;
 			}
 
--- a/benchmark/policy/simulation.ts
+++ b/benchmark/policy/simulation.ts
@@ -1,5 +1,5 @@
 /** One run: a scenario's calls through the engines of all VMs against the model, in virtual time. */
-import {type CallConfiguration, type FleetShares, type LoadNews} from '../../src/common/calls/types.ts';
+import {type CallConfiguration, type FleetShares, type LoadUpdate} from '../../src/common/calls/types.ts';
 import {backendServerSchema, serviceSchema} from '../../src/common/model/resources.ts';
 import {type Instant, type Milliseconds, type RandomSource} from '../../src/common/model/units.ts';
 import {seededRandom} from '../../src/common/random/random.ts';
@@ -37,7 +37,7 @@
 	private readonly _configuration: CallConfiguration;
 	private readonly _measured = new Map<string, Instant[]>();
 	private _waste: Milliseconds = 0;
-	private _newsCount = 0;
+	private _updateCount = 0;
 	private _engineCount = 0;
 
 	constructor(scenario: Scenario, policy: Policy, seed: number) {
@@ -93,7 +93,7 @@
 				service: placed.service, server: placed.server, measuredAt: this._measured.get(placed.identity) ?? [],
 			})),
 			waste: this._waste,
-			newsCount: this._newsCount,
+			updateCount: this._updateCount,
 			microseconds: 1000 * milliseconds,
 		});
 	}
@@ -150,8 +150,8 @@
 				instants.push(at);
 				this._measured.set(identity, instants);
 			},
-			onNews: news => {
-				this._spread(vm, news);
+			onUpdate: update => {
+				this._spread(vm, update);
 			},
 			onWaste: spent => {
 				this._waste += spent;
@@ -170,13 +170,13 @@
 		return vm;
 	}
 
-	/** News reaches every other VM after one hop. */
-	private _spread(from: ModelVm, news: LoadNews): void {
-		this._newsCount++;
+	/** An update reaches every other VM after one hop. */
+	private _spread(from: ModelVm, update: LoadUpdate): void {
+		this._updateCount++;
 		this._time.at(this._time.now + remoteLatency, () => {
 			for (const vm of this._vms) {
 				if (vm !== from) {
-					vm.feed({type: 'peer-news', news: [{...news, ageMilliseconds: news.ageMilliseconds + remoteLatency}]});
+					vm.feed({type: 'peer-updates', updates: [{...update, ageMilliseconds: update.ageMilliseconds + remoteLatency}]});
 				}
 			}
 		});
--- a/benchmark/policy/summary.ts
+++ b/benchmark/policy/summary.ts
@@ -53,7 +53,7 @@
 		measuringRate: of('measuringRate'),
 		measuringPeak: of('measuringPeak'),
 		worstShare: of('worstShare'),
-		newsRate: of('newsRate'),
+		updateRate: of('updateRate'),
 		lightGoodPart: of('lightGoodPart'),
 		microsecondsPerCall: of('microsecondsPerCall'),
 	};
@@ -95,7 +95,7 @@
 		title: 'peak %', figure: 'measuringPeak', digits: 0, isPercent: true,
 	},
 	{title: 'worst', figure: 'worstShare', digits: 2},
-	{title: 'news/s', figure: 'newsRate', digits: 0},
+	{title: 'updates/s', figure: 'updateRate', digits: 0},
 	{
 		title: 'light %', figure: 'lightGoodPart', digits: 1, isPercent: true,
 	},
--- a/benchmark/policy/types.ts
+++ b/benchmark/policy/types.ts
@@ -134,8 +134,8 @@
 	readonly measuringPeak: number;
 	/** Calls at the busiest backend server over the mean. */
 	readonly worstShare: number;
-	/** News to peers a second from all VMs together. */
-	readonly newsRate: number;
+	/** Updates to peers a second from all VMs together. */
+	readonly updateRate: number;
 	/** Good answers' part of the calls of the most important service, the heavy caller's left out. */
 	readonly lightGoodPart: number;
 	/** Clock time of the run for each call, all 16 VMs and the model included, in microseconds. */
--- a/src/cli/call-story.ts
+++ b/src/cli/call-story.ts
@@ -16,7 +16,7 @@
 	'the store does not answer; what is known stays in force',
 	'the store answers again',
 	'reads the store itself',
-	'takes its news from another VM',
+	'relies on the registry feed of another VM',
 	'started',
 	'stop requested',
 	'stage entered',
--- a/src/cli/commands/watch.ts
+++ b/src/cli/commands/watch.ts
@@ -1,5 +1,5 @@
 /** `jaydale watch`: changes as they come into force. */
-import {watchNewsSchema, type ChangeRecord, type WatchNews} from '../../node/api/types.ts';
+import {watchUpdateSchema, type ChangeRecord, type WatchUpdate} from '../../node/api/types.ts';
 import {type ApiClient} from '../api-client.ts';
 import {describeChanges} from '../describe-changes.ts';
 import {exitCodes, type ExitCode} from '../exit-codes.ts';
@@ -54,11 +54,11 @@
 		let version = after;
 		let failures = 0;
 		while (!terminal.signal.aborted) {
-			const news = await this._poll(version);
-			if (news.isOk()) {
+			const update = await this._poll(version);
+			if (update.isOk()) {
 				failures = 0;
-				this._show(news.value, version);
-				version = news.value.version;
+				this._show(update.value, version);
+				version = update.value.version;
 				if (this._isEnough) {
 					return exitCodes.done;
 				}
@@ -71,8 +71,8 @@
 				break;
 			}
 
-			if (news.error.kind === 'problem' || failures > mostFailures) {
-				return tellReadFailure(terminal, news.error);
+			if (update.error.kind === 'problem' || failures > mostFailures) {
+				return tellReadFailure(terminal, update.error);
 			}
 
 			await terminal.pause(pauseAfterFailure);
@@ -88,21 +88,21 @@
 	/** Without a version the first poll asks for the present one and does not wait. */
 	private async _poll(version: number | undefined) {
 		const query = version === undefined ? 'after=0&milliseconds=0' : `after=${version}&milliseconds=${pollMilliseconds}`;
-		return this._client.request('GET', `/v1/watch?${query}`, watchNewsSchema, {milliseconds: answerMilliseconds});
+		return this._client.request('GET', `/v1/watch?${query}`, watchUpdateSchema, {milliseconds: answerMilliseconds});
 	}
 
-	private _show(news: WatchNews, after: number | undefined): void {
+	private _show(update: WatchUpdate, after: number | undefined): void {
 		const {terminal, options} = this._call;
 		if (after === undefined) {
-			terminal.complain(`watching from version ${news.version}`);
+			terminal.complain(`watching from version ${update.version}`);
 			return;
 		}
 
-		if (news.isReset) {
-			terminal.complain(`the changes from version ${after + 1} on are no longer kept; going on from version ${news.version}`);
+		if (update.isReset) {
+			terminal.complain(`the changes from version ${after + 1} on are no longer kept; going on from version ${update.version}`);
 		}
 
-		for (const record of news.records) {
+		for (const record of update.records) {
 			if (this._isEnough) {
 				return;
 			}
--- a/src/common/calls/admission.ts
+++ b/src/common/calls/admission.ts
@@ -22,7 +22,7 @@
 
 /**
  * Admits within the service's concurrency limit; beyond it calls wait here, where they can still be
- * refused, cancelled and placed by the latest news. A call is refused at the moment when it is known
+ * refused, cancelled and placed by the latest load reports. A call is refused at the moment when it is known
  * that it would not be answered in time: at once where the backlog says so, else when its latest start
  * has passed. Made for rushes (which wait) and for lasting overload (in which a long queue would only
  * make every answer late, so that after a while only short waits are accepted).
--- a/src/common/calls/answer-time-model.ts
+++ b/src/common/calls/answer-time-model.ts
@@ -118,7 +118,7 @@
 	/** Takes in how long an answer took that was expected by this prospect. */
 	addAnswer(work: Milliseconds, prospect: Prospect, time: Milliseconds): void {
 		const factor = prospect.workTimeFactor;
-		// What neighbours do to a call on a slow or long unheard-of backend server is no news of the load's effect.
+		// What neighbours do to a call on a slow or long unheard-of backend server tells nothing of the load's effect.
 		if (factor === undefined || factor >= slowFrom || this._trust(prospect.age) < 0.9 || work <= 0 || time <= 0) {
 			return;
 		}
--- a/src/common/calls/backend-server-state.ts
+++ b/src/common/calls/backend-server-state.ts
@@ -257,12 +257,12 @@
 		}
 
 		const former = this._processes.present;
-		const news = this._processes.takeReport(report.instance, madeAt);
-		if (news === 'of-past') {
+		const change = this._processes.takeReport(report.instance, madeAt);
+		if (change === 'of-past') {
 			return nothingChanged;
 		}
 
-		if (news !== 'present') {
+		if (change !== 'present') {
 			this._forgetProcess(now);
 		}
 
@@ -278,7 +278,7 @@
 		this.report = report;
 		this.reportedAt = madeAt;
 		this._ownAtReport = this.attempts.size;
-		return {isTaken: true, goneInstance: news === 'replaced' ? former : undefined, beganToLeave};
+		return {isTaken: true, goneInstance: change === 'replaced' ? former : undefined, beganToLeave};
 	}
 
 	/** What was learnt of a process that is gone binds nothing of the new one: not its leaving, load or failures. */
--- a/src/common/calls/call-engine.property.test.ts
+++ b/src/common/calls/call-engine.property.test.ts
@@ -228,7 +228,7 @@
 		if (this.leaving.size < 3 && choice % 5 === 0) {
 			this.leaving.add(identity);
 			this._feed({
-				type: 'peer-news', news: [{
+				type: 'peer-updates', updates: [{
 					identity, report: reportOf('process-1', {isLeaving: true}), ageMilliseconds: 0, suspects: [], crash: undefined,
 				}],
 			});
--- a/src/common/calls/call-engine.test.ts
+++ b/src/common/calls/call-engine.test.ts
@@ -235,7 +235,7 @@
 		expect(later.includes(first.identity)).toEqual(false);
 		driver.passTime(60_000);
 		driver.handle({
-			type: 'peer-news', news: [{
+			type: 'peer-updates', updates: [{
 				identity: first.identity, report: reportOf('process-2'), ageMilliseconds: 0, suspects: [], crash: undefined,
 			}],
 		});
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -23,7 +23,7 @@
 
 /** Events that bring knowledge and belong to no call. */
 type KnowledgeEvent = Extract<CallEvent, {
-	type: 'configured' | 'shares' | 'cut-off' | 'peer-news' | 'backend-server-leaving' | 'measured' | 'quarantine-lifted';
+	type: 'configured' | 'shares' | 'cut-off' | 'peer-updates' | 'backend-server-leaving' | 'measured' | 'quarantine-lifted';
 }>;
 
 /** What an engine is made of. */
@@ -172,7 +172,7 @@
 			case 'configured':
 			case 'shares':
 			case 'cut-off':
-			case 'peer-news':
+			case 'peer-updates':
 			case 'backend-server-leaving':
 			case 'measured':
 			case 'quarantine-lifted': {
@@ -203,8 +203,8 @@
 				break;
 			}
 
-			case 'peer-news': {
-				this._directory.takeNews(event.news, now);
+			case 'peer-updates': {
+				this._directory.takeUpdates(event.updates, now);
 				break;
 			}
 
@@ -230,7 +230,7 @@
 	}
 
 	private _attemptEvent(event: Extract<CallEvent, {attemptId: AttemptId}>, now: Instant): void {
-		// Late news of an attempt that was given up finds nothing here and changes nothing.
+		// Late events of an attempt that was given up finds nothing here and changes nothing.
 		const attempt = this._attempts.get(event.attemptId);
 		if (attempt === undefined) {
 			return;
--- a/src/common/calls/crash-suspects.test.ts
+++ b/src/common/calls/crash-suspects.test.ts
@@ -3,13 +3,13 @@
 import {
 	EngineDriver, configurationOf, linesOf, reportOf, requestOf,
 } from './engine-driver.test.ts';
-import {type CallEffect, type LoadNews} from './types.ts';
+import {type CallEffect, type LoadUpdate} from './types.ts';
 
-function newsOf(effects: readonly CallEffect[]): LoadNews[] {
-	return effects.filter(effect => effect.type === 'tell-peers').map(effect => effect.news);
+function updateOf(effects: readonly CallEffect[]): LoadUpdate[] {
+	return effects.filter(effect => effect.type === 'tell-peers').map(effect => effect.update);
 }
 
-/** Several VMs that hear each other's news at once. */
+/** Several VMs that receive each other's updates at once. */
 class Fleet {
 	readonly vms: EngineDriver[];
 	private _nextCallId = 1;
@@ -23,7 +23,7 @@
 		for (const [index, fingerprint] of fingerprints.entries()) {
 			const vm = this.vms[index % this.vms.length]!;
 			vm.handle({
-				type: 'peer-news', news: [{
+				type: 'peer-updates', updates: [{
 					identity, report: reportOf(`${identity}-${incarnation}`), ageMilliseconds: 0, suspects: [], crash: undefined,
 				}],
 			});
@@ -33,10 +33,10 @@
 	}
 
 	tell(from: EngineDriver, effects: readonly CallEffect[]): void {
-		const news = newsOf(effects);
+		const update = updateOf(effects);
 		for (const vm of this.vms) {
-			if (vm !== from && news.length > 0) {
-				vm.handle({type: 'peer-news', news});
+			if (vm !== from && update.length > 0) {
+				vm.handle({type: 'peer-updates', updates: update});
 			}
 		}
 	}
@@ -121,7 +121,7 @@
 		// guilty as it does the second time.
 		const driver = new EngineDriver(configurationOf(3));
 		driver.handle({
-			type: 'peer-news', news: [{
+			type: 'peer-updates', updates: [{
 				identity: 'identity-9', report: undefined, ageMilliseconds: 0, suspects: ['suspect', 'other'], crash: 'identity-9/process-1',
 			}],
 		});
--- a/src/common/calls/crash-suspects.ts
+++ b/src/common/calls/crash-suspects.ts
@@ -51,10 +51,10 @@
 		return this._crashesOf.size;
 	}
 
-	/** Takes in that these calls were in flight at a crash, seen here or by a peer; true = it is news. */
+	/** Takes in that these calls were in flight at a crash, seen here or by a peer; true = it was not known. */
 	accuse(crashIdentity: string, fingerprints: readonly string[], now: Instant): boolean {
 		const crash = this._crashOf(crashIdentity, now);
-		let isNews = false;
+		let isNew = false;
 		for (const fingerprint of fingerprints) {
 			if (crash.suspects.has(fingerprint) || crash.suspects.size >= mostSuspects) {
 				continue;
@@ -66,11 +66,11 @@
 			const crashes = this._crashesOf.get(fingerprint) ?? new Set();
 			crashes.add(crashIdentity);
 			this._crashesOf.set(fingerprint, crashes);
-			isNews = true;
+			isNew = true;
 		}
 
 		this._judgeAll(crash, now);
-		return isNews;
+		return isNew;
 	}
 
 	/** The process of this crash is gone for certain. */
--- a/src/common/calls/demand-placer.ts
+++ b/src/common/calls/demand-placer.ts
@@ -60,7 +60,7 @@
 /** The same for a call that has waited as long as makes sense: the alternative is a refusal. */
 const lastChance = 0.72;
 
-/** The same where nothing young is known of any backend server: waiting for better news would be in vain. */
+/** The same where nothing young is known of any backend server: waiting for better reports would have no effect. */
 const blindChance = 0.5;
 
 /** A backend server where a fresh call has less than this chance is of use to late ones only. */
@@ -126,7 +126,7 @@
 		return scored.slice(0, call.serviceState.headroom.probes(this._context.tuning.demandCandidates)).map(({server}) => server);
 	}
 
-	/** Whether a place is known by young news that is as good as any: asking further backend servers would be in vain. */
+	/** Whether a place is known by young reports that is as good as any: probing further backend servers would have no effect. */
 	hasGoodPlace(call: Call, now: Instant): boolean {
 		const {demandFreshMilliseconds, demandWaitMilliseconds} = this._context.tuning;
 		const {servers} = call.serviceState;
--- a/src/common/calls/engine-context.ts
+++ b/src/common/calls/engine-context.ts
@@ -88,7 +88,7 @@
 	return Math.max(1, context.shares?.vmCount ?? 1);
 }
 
-/** An instant on the way: tells a peer's news by its age. */
+/** An instant on the way: when a peer's update was made, by its age. */
 export function instantBefore(now: Instant, age: number): Instant {
 	return now - Math.max(0, age);
 }
--- a/src/common/calls/health-judge.ts
+++ b/src/common/calls/health-judge.ts
@@ -124,7 +124,7 @@
 		if (this._context.suspects.accuse(crash, [fingerprint], now)) {
 			this._context.effects.push({
 				type: 'tell-peers',
-				news: {
+				update: {
 					identity: attempt.server.identity, report: undefined, ageMilliseconds: 0, suspects: [fingerprint], crash,
 				},
 			});
--- a/src/common/calls/placer.ts
+++ b/src/common/calls/placer.ts
@@ -89,7 +89,7 @@
  * Places by the time that the answer is expected to take: the class's mean, times the backend server's
  * slowness and failures, and the wait for a slot. Made for loads that change within milliseconds under
  * reports that are old: what is known fades with its age, and when nothing fresh is known all look alike
- * and chance decides, so that many VMs with the same old news do not choose the same backend server.
+ * and chance decides, so that many VMs with the same old reports do not choose the same backend server.
  */
 export class ExpectedTimePlacer implements Placer {
 	private readonly _context: EngineContext;
--- a/src/common/calls/process-history.ts
+++ b/src/common/calls/process-history.ts
@@ -1,14 +1,14 @@
 /** Which process of a backend server a word is about: the present one, one that has gone, or one not met yet. */
 import {type Instant, type Milliseconds} from '../model/units.ts';
 
-/** Processes that are gone; a late answer or sign of one must not count as news. */
+/** Processes that are gone; a late answer or sign of one must not count as a change. */
 const rememberedProcesses = 4;
 
 /** How late the words of a process that has gone may come in: longer than any way through the fleet. */
 const lateWordMilliseconds: Milliseconds = 1000;
 
 /** What a report says about processes. */
-export type ProcessNews = 'of-past' | 'present' | 'replaced' | 'returned';
+export type ProcessChange = 'of-past' | 'present' | 'replaced' | 'returned';
 
 /**
  * Guards two ways of leaving. A sign about a process that this VM has not met binds: taken for an old
@@ -38,7 +38,7 @@
 	}
 
 	/** Sorts a report by the process that made it. */
-	takeReport(instance: string | undefined, madeAt: Instant): ProcessNews {
+	takeReport(instance: string | undefined, madeAt: Instant): ProcessChange {
 		if (instance !== undefined && this._past.includes(instance)) {
 			return 'of-past';
 		}
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -8,7 +8,7 @@
 import {defaultSharing, ServiceState} from './service-state.ts';
 import {TimerQueue} from './timer-queue.ts';
 import {
-	type BackendServerIdentity, type BackendServerInForce, type BackendServerStatus, type CallConfiguration, type FleetShares, type LoadNews, type LoadReport, type MeasurementId, type RateLimitNotice,
+	type BackendServerIdentity, type BackendServerInForce, type BackendServerStatus, type CallConfiguration, type FleetShares, type LoadUpdate, type LoadReport, type MeasurementId, type RateLimitNotice,
 } from './types.ts';
 
 /** Without a share, or with a fresh report, a backend server is looked at again after this time at most. */
@@ -103,15 +103,15 @@
 		this._servers.get(identity)?.takeLeaving(instance, now);
 	}
 
-	takeNews(newsList: readonly LoadNews[], now: Instant): void {
-		for (const news of newsList) {
-			const server = this._servers.get(news.identity);
-			if (server !== undefined && news.report !== undefined) {
-				this._takeReport(server, news.report, now - Math.max(0, news.ageMilliseconds), now);
+	takeUpdates(updateList: readonly LoadUpdate[], now: Instant): void {
+		for (const update of updateList) {
+			const server = this._servers.get(update.identity);
+			if (server !== undefined && update.report !== undefined) {
+				this._takeReport(server, update.report, now - Math.max(0, update.ageMilliseconds), now);
 			}
 
-			if (news.crash !== undefined) {
-				this._context.suspects.accuse(news.crash, news.suspects, now);
+			if (update.crash !== undefined) {
+				this._context.suspects.accuse(update.crash, update.suspects, now);
 			}
 		}
 	}
@@ -302,7 +302,7 @@
 	private _tell(server: BackendServerState, report: LoadReport): void {
 		this._context.effects.push({
 			type: 'tell-peers',
-			news: {
+			update: {
 				identity: server.identity, report, ageMilliseconds: 0, suspects: [], crash: undefined,
 			},
 		});
--- a/src/common/calls/tuning.ts
+++ b/src/common/calls/tuning.ts
@@ -18,7 +18,7 @@
 	/** Factor on how long a report is trusted, in mean answer times: what it counted has left by then. 0 = never. */
 	readonly reportTrust: number;
 	/**
-	 * How far own calls in flight are taken as a sample of other VMs' calls: those go by similar news and
+	 * How far own calls in flight are taken as a sample of other VMs' calls: those go by similar reports and
 	 * will have chosen likewise. 0 = not at all, 1 = all VMs have sent as many.
 	 */
 	readonly ownAsSample: number;
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -9,7 +9,7 @@
 /** Names one call on one VM; never used again by this process. */
 export type CallId = number;
 
-/** Names one attempt to run a call; late news of a given-up attempt is told apart by it. */
+/** Names one attempt to run a call; late events of a given-up attempt is told apart by it. */
 export type AttemptId = number;
 
 /** Names one measuring call. */
@@ -137,7 +137,7 @@
 	/** What this VM may spend of the fleet's budgets now. */
 		| {readonly type: 'shares'; readonly shares: FleetShares}
 	/** What peers have learnt. */
-		| {readonly type: 'peer-news'; readonly news: readonly LoadNews[]}
+		| {readonly type: 'peer-updates'; readonly updates: readonly LoadUpdate[]}
 	/** A backend server has begun to leave, as any VM noticed: this process of it gets no new work. */
 		| {readonly type: 'backend-server-leaving'; readonly identity: BackendServerIdentity; readonly instance: string | undefined}
 	/**
@@ -147,7 +147,7 @@
 		| {readonly type: 'cut-off'; readonly isCutOff: boolean}
 	/** An operator lets a quarantined call run again. */
 		| {readonly type: 'quarantine-lifted'; readonly fingerprint: string}
-	/** Nothing new is placed while it holds: after a pause, until the news has been heard. */
+	/** Nothing new is placed while it holds: after a pause, until waiting events have been handled. */
 		| {readonly type: 'placing-held'; readonly isHeld: boolean}
 	/**
 	 * This process ends. First, half a second ahead, what has not been sent is given up, since it cannot be answered any more;
@@ -223,8 +223,8 @@
 	readonly members?: FleetMembers;
 };
 
-/** A piece of news about one backend server, worth telling peers. */
-export type LoadNews = {
+/** What one VM tells its peers about a backend server. */
+export type LoadUpdate = {
 	readonly identity: BackendServerIdentity;
 	readonly report: LoadReport | undefined;
 	/** Milliseconds since the report was made, at the moment of sending. */
@@ -309,7 +309,7 @@
 	/** The call did not run after its key was claimed: the key is free for the caller's next sending. */
 	| {readonly type: 'release-key'; readonly service: string; readonly key: string}
 	/** Worth telling peers soon. */
-	| {readonly type: 'tell-peers'; readonly news: LoadNews}
+	| {readonly type: 'tell-peers'; readonly update: LoadUpdate}
 	/** A backend server names a rate limit from now on, another one, or none, or one that cannot be read. */
 	| {
 		readonly type: 'rate-limit-changed';
--- a/src/common/calls/wake-guard.ts
+++ b/src/common/calls/wake-guard.ts
@@ -1,8 +1,8 @@
 /**
  * Guards against decisions of a VM that was paused (suspended, frozen, or starved of processor time).
  * The failure: it goes on with knowledge as old as the pause, and the calls in its sockets come before
- * the news in its sockets. It shows as work given to a backend server that began to leave long ago.
- * The guard: after a gap new calls wait for a moment, in order, and deadlines with them; news passes.
+ * the events in its sockets. It shows as work given to a backend server that began to leave long ago.
+ * The guard: after a gap new calls wait for a moment, in order, and deadlines with them; other events pass.
  */
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {
--- a/src/common/entry-vm/entry-vm.ts
+++ b/src/common/entry-vm/entry-vm.ts
@@ -1,6 +1,6 @@
 /** A whole entry VM: the call engine and the fleet engine, and what each must know of the other. */
 import {
-	type CallEffect, type CallEngine, type CallEvent, type LoadNews,
+	type CallEffect, type CallEngine, type CallEvent, type LoadUpdate,
 } from '../calls/types.ts';
 import {type FleetEffect, type FleetEngine, type FleetEvent} from '../fleet/types.ts';
 import {type Instant} from '../model/units.ts';
@@ -117,25 +117,25 @@
 
 	private _takeCallEffect(effect: CallEffect): void {
 		if (effect.type === 'tell-peers') {
-			this._shareNews(effect.news);
+			this._shareUpdate(effect.update);
 		} else {
 			this._effects.push(effect);
 		}
 	}
 
-	/** A sign of leaving goes ahead of other news: it must reach all within 2 s. */
-	private _shareNews(news: LoadNews): void {
-		if (news.report?.isLeaving === true) {
+	/** A sign of leaving goes ahead of other updates: it must reach all within 2 s. */
+	private _shareUpdate(update: LoadUpdate): void {
+		if (update.report?.isLeaving === true) {
 			this._inner.push({
 				to: 'fleet',
-				event: {type: 'leaving-sign', sign: {identity: news.identity, instance: news.report.instance, source: 'answer'}},
+				event: {type: 'leaving-sign', sign: {identity: update.identity, instance: update.report.instance, source: 'answer'}},
 			});
-		} else if (news.report?.instance !== undefined) {
+		} else if (update.report?.instance !== undefined) {
 			// Without it the fleet would pass on the sign of a process that was replaced, and bind its successor with it.
-			this._inner.push({to: 'fleet', event: {type: 'returned', identity: news.identity, instance: news.report.instance}});
+			this._inner.push({to: 'fleet', event: {type: 'returned', identity: update.identity, instance: update.report.instance}});
 		}
 
-		this._inner.push({to: 'fleet', event: {type: 'load-news', news}});
+		this._inner.push({to: 'fleet', event: {type: 'load-update', update}});
 	}
 
 	private _tellFleet(event: FleetEvent, now: Instant): void {
@@ -151,8 +151,8 @@
 				break;
 			}
 
-			case 'peer-news': {
-				this._inner.push({to: 'calls', event: {type: 'peer-news', news: effect.news}});
+			case 'peer-updates': {
+				this._inner.push({to: 'calls', event: {type: 'peer-updates', updates: effect.updates}});
 				break;
 			}
 
--- a/src/common/entry-vm/types.ts
+++ b/src/common/entry-vm/types.ts
@@ -7,9 +7,9 @@
 import {type Instant} from '../model/units.ts';
 
 /** What the two engines tell each other; it never leaves the VM. */
-type InnerCallEvent = 'configured' | 'shares' | 'peer-news' | 'backend-server-leaving' | 'cut-off' | 'placing-held' | 'tick';
-type InnerFleetEvent = 'load-news' | 'leaving-sign' | 'own-load' | 'tick';
-type InnerFleetEffect = 'shares' | 'peer-news' | 'backend-server-leaving';
+type InnerCallEvent = 'configured' | 'shares' | 'peer-updates' | 'backend-server-leaving' | 'cut-off' | 'placing-held' | 'tick';
+type InnerFleetEvent = 'load-update' | 'leaving-sign' | 'own-load' | 'tick';
+type InnerFleetEffect = 'shares' | 'peer-updates' | 'backend-server-leaving';
 
 /** Events of calls that come from outside. */
 export type OuterCallEvent = Exclude<CallEvent, {type: InnerCallEvent}>;
--- a/src/common/fleet/chart.ts
+++ b/src/common/fleet/chart.ts
@@ -59,7 +59,7 @@
 		this._run(actions);
 	}
 
-	/** Events that the present state does not know are dropped: late news of a step that is over. */
+	/** Events that the present state does not know are dropped: late events of a step that is over. */
 	send(event: Event): void {
 		this._queue.push(event);
 		if (!this._isRunning) {
--- a/src/common/fleet/contact.ts
+++ b/src/common/fleet/contact.ts
@@ -6,7 +6,7 @@
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type FleetContext} from './fleet-context.ts';
 
-/** An accepted configuration is to be in force everywhere within 5 s; so long a VM may do without news. */
+/** An accepted configuration is to be in force everywhere within 5 s; so long a VM may go without an update. */
 const cutOffMilliseconds: Milliseconds = 5000;
 
 export class Contact {
--- a/src/common/fleet/fleet-coordinator.ts
+++ b/src/common/fleet/fleet-coordinator.ts
@@ -12,7 +12,7 @@
 import {FleetContext} from './fleet-context.ts';
 import {FleetReport} from './fleet-report.ts';
 import {LeavingSigns} from './leaving/leaving-signs.ts';
-import {LoadNewsExchange} from './leaving/load-news-exchange.ts';
+import {LoadUpdateExchange} from './leaving/load-update-exchange.ts';
 import {type MemberView, MemberViews} from './membership/member-views.ts';
 import {Membership} from './membership/membership.ts';
 import {Prober} from './membership/prober.ts';
@@ -37,9 +37,9 @@
 /** Peers told at once that this VM leaves: all of today's fleet; at the target size rumours carry it on. */
 const announceTargets = 16;
 
-/** Load news of a moment go out together. */
-const newsMilliseconds = 100;
-const newsTargets = 2;
+/** Load updates of a moment go out together. */
+const updateMilliseconds = 100;
+const updateTargets = 2;
 
 export class FleetCoordinator implements FleetEngine {
 	private readonly _context: FleetContext;
@@ -55,7 +55,7 @@
 	private readonly _holder: ShareHolder;
 	private readonly _handover: ShareHandover;
 	private readonly _signs: LeavingSigns;
-	private readonly _loadNews: LoadNewsExchange;
+	private readonly _loadUpdate: LoadUpdateExchange;
 	private readonly _life: VmLife;
 	private readonly _addressBook: AddressBook;
 	private readonly _report: FleetReport;
@@ -81,10 +81,10 @@
 			context.emit({type: 'backend-server-leaving', sign});
 			this._mailbox.push(pushTargets);
 		});
-		this._loadNews = new LoadNewsExchange(context, news => {
-			context.emit({type: 'peer-news', news});
+		this._loadUpdate = new LoadUpdateExchange(context, update => {
+			context.emit({type: 'peer-updates', updates: update});
 		});
-		this._mailbox = new PeerMailbox(context, this._membership, this._signs, this._loadNews);
+		this._mailbox = new PeerMailbox(context, this._membership, this._signs, this._loadUpdate);
 		const {send} = this._mailbox;
 		this._prober = new Prober(context, this._membership, send);
 		this._contact = new Contact(context, () => this._membership.hasOthers || this._prober.listed.size > 0);
@@ -113,7 +113,7 @@
 			exchange: this._exchange,
 			handover: this._handover,
 			signs: this._signs,
-			news: this._loadNews,
+			update: this._loadUpdate,
 			ownIdentity: settings.identity,
 			drain: identity => {
 				this._drain(identity);
@@ -225,9 +225,9 @@
 				break;
 			}
 
-			case 'load-news': {
-				this._loadNews.addOwn(event.news);
-				this._scheduleNews();
+			case 'load-update': {
+				this._loadUpdate.addOwn(event.update);
+				this._scheduleUpdate();
 				break;
 			}
 
@@ -255,7 +255,7 @@
 			}
 
 			default:
-				// News of the store are for a fleet that it leads; this one learns from its peers' messages.
+				// Frames of the registry feed are for a fleet that the store leads; this one learns from its peers' messages.
 		}
 	}
 
@@ -274,7 +274,7 @@
 	}
 
 	/**
-	 * Guard: a process that did not run for a while holds old leases, old news of peers and overdue timers. It
+	 * Guard: a process that did not run for a while holds old leases, old updates of peers and overdue timers. It
 	 * shows as timers that are late all at once. Rights end by their own instants; probes are judged anew here;
 	 * the contact's age ends the trust in the configuration before anything else is decided.
 	 */
@@ -314,11 +314,11 @@
 		}
 	}
 
-	private _scheduleNews(): void {
-		if (!this._context.timers.has('news')) {
-			this._context.timers.set('news', this._context.now + newsMilliseconds, () => {
-				if (this._loadNews.hasFresh) {
-					this._mailbox.push(newsTargets);
+	private _scheduleUpdate(): void {
+		if (!this._context.timers.has('load-updates')) {
+			this._context.timers.set('load-updates', this._context.now + updateMilliseconds, () => {
+				if (this._loadUpdate.hasFresh) {
+					this._mailbox.push(updateTargets);
 				}
 			});
 		}
--- a/src/common/fleet/leaving/load-news-exchange.ts
+++ b/src/common/fleet/leaving/load-update-exchange.ts
@@ -1,9 +1,9 @@
 /** Shares what VMs learn of backend servers' load, so that one measurement serves many. Bounded in bytes and sends. */
-import {type LoadNews} from '../../calls/types.ts';
+import {type LoadUpdate} from '../../calls/types.ts';
 import {type Instant, type Milliseconds} from '../../model/units.ts';
 import {type FleetContext} from '../fleet-context.ts';
 
-/** News older than this is of no use to placing; crashes are kept longer, they must reach everybody. */
+/** Updates older than this is of no use to placing; crashes are kept longer, they must reach everybody. */
 const reportMilliseconds: Milliseconds = 2000;
 const crashMilliseconds: Milliseconds = 30_000;
 
@@ -14,14 +14,14 @@
 /** Largest number of pieces kept: at about 150 bytes each well under a megabyte, whatever a storm brings. */
 const mostPieces = 2000;
 
-type Piece = {readonly news: LoadNews; readonly madeAt: Instant; readonly mostSends: number; timesSent: number};
+type Piece = {readonly update: LoadUpdate; readonly madeAt: Instant; readonly mostSends: number; timesSent: number};
 
-export class LoadNewsExchange {
+export class LoadUpdateExchange {
 	private readonly _pieces = new Map<string, Piece>();
-	private readonly _onNews: (news: readonly LoadNews[]) => void;
+	private readonly _onUpdate: (update: readonly LoadUpdate[]) => void;
 
-	constructor(private readonly _context: FleetContext, onNews: (news: readonly LoadNews[]) => void) {
-		this._onNews = onNews;
+	constructor(private readonly _context: FleetContext, onUpdate: (update: readonly LoadUpdate[]) => void) {
+		this._onUpdate = onUpdate;
 	}
 
 	/** True while some piece was never sent. */
@@ -30,13 +30,13 @@
 	}
 
 	/** What this VM's call engine has learnt. */
-	addOwn(news: LoadNews): void {
-		this._keep(news, news.crash === undefined ? reportSends : crashSends);
+	addOwn(update: LoadUpdate): void {
+		this._keep(update, update.crash === undefined ? reportSends : crashSends);
 	}
 
 	/** What a peer has told; a crash is passed on, a report is not. */
-	takePeers(news: readonly LoadNews[]): void {
-		const fresh = news.filter(piece => !this._pieces.has(this._key(piece)) || piece.crash === undefined);
+	takePeers(update: readonly LoadUpdate[]): void {
+		const fresh = update.filter(piece => !this._pieces.has(this._key(piece)) || piece.crash === undefined);
 		for (const piece of fresh) {
 			if (piece.crash !== undefined) {
 				this._keep(piece, crashSends);
@@ -44,39 +44,39 @@
 		}
 
 		if (fresh.length > 0) {
-			this._onNews(fresh);
+			this._onUpdate(fresh);
 		}
 	}
 
 	/** Pieces worth sending, the least sent first, at most `characters` long in JSON. */
-	takeNews(characters: number): LoadNews[] {
+	takeUpdate(characters: number): LoadUpdate[] {
 		this._forgetOld();
 		const waiting = [...this._pieces.values()].filter(piece => piece.timesSent < piece.mostSends).toSorted((a, b) => a.timesSent - b.timesSent);
-		const sent: LoadNews[] = [];
+		const sent: LoadUpdate[] = [];
 		let room = characters;
 		for (const piece of waiting) {
-			const news = {...piece.news, ageMilliseconds: Math.round(this._context.now - piece.madeAt)};
-			room -= JSON.stringify(news).length;
+			const update = {...piece.update, ageMilliseconds: Math.round(this._context.now - piece.madeAt)};
+			room -= JSON.stringify(update).length;
 			if (room < 0) {
 				break;
 			}
 
 			piece.timesSent += 1;
-			sent.push(news);
+			sent.push(update);
 		}
 
 		return sent;
 	}
 
-	private _key(news: LoadNews): string {
-		return news.crash === undefined ? `report ${news.identity}` : `crash ${news.identity} ${news.crash}`;
+	private _key(update: LoadUpdate): string {
+		return update.crash === undefined ? `report ${update.identity}` : `crash ${update.identity} ${update.crash}`;
 	}
 
-	private _keep(news: LoadNews, mostSends: number): void {
-		const key = this._key(news);
+	private _keep(update: LoadUpdate, mostSends: number): void {
+		const key = this._key(update);
 		this._pieces.delete(key);
 		this._pieces.set(key, {
-			news, madeAt: this._context.now - news.ageMilliseconds, mostSends, timesSent: 0,
+			update, madeAt: this._context.now - update.ageMilliseconds, mostSends, timesSent: 0,
 		});
 		if (this._pieces.size > mostPieces) {
 			this._pieces.delete(this._pieces.keys().next().value!);
@@ -84,8 +84,8 @@
 	}
 
 	private _forgetOld(): void {
-		for (const [key, {news, madeAt}] of this._pieces) {
-			if (this._context.now - madeAt > (news.crash === undefined ? reportMilliseconds : crashMilliseconds)) {
+		for (const [key, {update, madeAt}] of this._pieces) {
+			if (this._context.now - madeAt > (update.crash === undefined ? reportMilliseconds : crashMilliseconds)) {
 				this._pieces.delete(key);
 			}
 		}
--- a/src/common/fleet/membership/member-views.ts
+++ b/src/common/fleet/membership/member-views.ts
@@ -4,7 +4,7 @@
 import {type Member, type Membership} from './membership.ts';
 import {chooseByRank} from './rendezvous.ts';
 
-/** VMs of a data centre that watch the platform's service: one for the news, one should the first be gone. */
+/** VMs of a data centre that watch the platform's service: one that reads, one should the first be gone. */
 const watchersInDataCentre = 2;
 
 /** The members of one moment. */
--- a/src/common/fleet/membership/membership.ts
+++ b/src/common/fleet/membership/membership.ts
@@ -11,7 +11,7 @@
 /** From suspicion to death; time for a live VM to hear of it and refute. */
 const suspicionMilliseconds: Milliseconds = 3000;
 
-/** Dead members are kept so long, to tell a late rumour from news; then forgotten. */
+/** Dead members are kept so long, to tell a late rumour from a new member; then forgotten. */
 const deadMemoryMilliseconds: Milliseconds = 600_000;
 
 /** Others told at once when this VM refutes a verdict on itself. */
@@ -92,9 +92,9 @@
 	/** Changes what this VM says of itself. Utilisation alone rides on messages and is no rumour. */
 	updateOwn(change: Partial<MemberRecord>): void {
 		const changed = {...this._own, ...change};
-		const isNews = changed.isLeaving !== this._own.isLeaving || changed.isServing !== this._own.isServing
+		const isNew = changed.isLeaving !== this._own.isLeaving || changed.isServing !== this._own.isServing
 			|| changed.holdsShare !== this._own.holdsShare || changed.configurationVersion !== this._own.configurationVersion;
-		this._own = isNews ? {...changed, sequence: this._own.sequence + 1} : changed;
+		this._own = isNew ? {...changed, sequence: this._own.sequence + 1} : changed;
 	}
 
 	/** Any message is a sign of life of its sender. */
@@ -115,7 +115,7 @@
 		}
 
 		const isJudged = known.verdict !== 'live' && record.sequence === known.record.sequence;
-		const isNews = record.sequence > known.record.sequence || known.verdict !== 'live';
+		const isNew = record.sequence > known.record.sequence || known.verdict !== 'live';
 		known.record = record;
 		known.heardAt = this._context.now;
 		if (isJudged) {
@@ -123,7 +123,7 @@
 			this._send(record.peerAddress, {type: 'rumours'});
 		}
 
-		if (isNews) {
+		if (isNew) {
 			this._judge(known, 'live');
 		}
 	}
--- a/src/common/fleet/peer-mailbox.ts
+++ b/src/common/fleet/peer-mailbox.ts
@@ -1,7 +1,7 @@
 /** Puts messages to other VMs together: who sends, what, and the rumours that ride along within a limit of bytes. */
 import {type FleetContext} from './fleet-context.ts';
 import {type LeavingSigns} from './leaving/leaving-signs.ts';
-import {type LoadNewsExchange} from './leaving/load-news-exchange.ts';
+import {type LoadUpdateExchange} from './leaving/load-update-exchange.ts';
 import {type Membership} from './membership/membership.ts';
 import {type PeerBody, type PeerMessage} from './peer-messages.ts';
 import {type PeerAddress} from './types.ts';
@@ -11,7 +11,7 @@
  * go out, so rumours cost at most 10 KB a second in a storm; the rest waits for the next message.
  */
 const memberCharacters = 1200;
-const newsCharacters = 1000;
+const updateCharacters = 1000;
 const mostLeaving = 8;
 const mostLeavingInAnswer = 512;
 
@@ -24,15 +24,15 @@
 	messagesSent = 0;
 	messagesReceived = 0;
 	private _isTellingAll = false;
-	private readonly _loadNews: LoadNewsExchange;
+	private readonly _loadUpdate: LoadUpdateExchange;
 
 	constructor(
 		private readonly _context: FleetContext,
 		private readonly _membership: Membership,
 		private readonly _signs: LeavingSigns,
-		news: LoadNewsExchange,
+		update: LoadUpdateExchange,
 	) {
-		this._loadNews = news;
+		this._loadUpdate = update;
 	}
 
 	/** Sends one message. */
@@ -47,7 +47,7 @@
 			members: isCarrier ? this._members(to, body) : [],
 			leaving: isCarrier ? this._leaving(body) : [],
 			...(isCarrier && {leavingDigest: this._signs.digest()}),
-			news: isCarrier ? this._loadNews.takeNews(newsCharacters) : [],
+			updates: isCarrier ? this._loadUpdate.takeUpdate(updateCharacters) : [],
 		};
 		this.messagesSent += 1;
 		this._context.emit({type: 'send', to, message});
--- a/src/common/fleet/peer-messages.ts
+++ b/src/common/fleet/peer-messages.ts
@@ -43,8 +43,8 @@
 });
 export type LeavingRumour = z.infer<typeof leavingRumourSchema>;
 
-/** News of one backend server's load. */
-export const loadNewsSchema = z.strictObject({
+/** An update about one backend server's load. */
+export const loadUpdateSchema = z.strictObject({
 	identity: identitySchema,
 	report: z.strictObject({
 		inFlight: z.number(),
@@ -127,6 +127,6 @@
 	leaving: z.array(leavingRumourSchema).max(512),
 	/** Of the signs of leaving that the sender knows, these included; absent = none known. */
 	leavingDigest: z.int().min(0).optional(),
-	news: z.array(loadNewsSchema).max(512),
+	updates: z.array(loadUpdateSchema).max(512),
 });
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
--- a/src/common/fleet/peer-receiver.ts
+++ b/src/common/fleet/peer-receiver.ts
@@ -2,7 +2,7 @@
 import {type ConfigurationExchange} from './configuration/configuration-exchange.ts';
 import {type Contact} from './contact.ts';
 import {type LeavingSigns} from './leaving/leaving-signs.ts';
-import {type LoadNewsExchange} from './leaving/load-news-exchange.ts';
+import {type LoadUpdateExchange} from './leaving/load-update-exchange.ts';
 import {type Membership} from './membership/membership.ts';
 import {type Prober} from './membership/prober.ts';
 import {type PeerMailbox} from './peer-mailbox.ts';
@@ -19,7 +19,7 @@
 	readonly exchange: ConfigurationExchange;
 	readonly handover: ShareHandover;
 	readonly signs: LeavingSigns;
-	readonly news: LoadNewsExchange;
+	readonly update: LoadUpdateExchange;
 	readonly ownIdentity: VmIdentity;
 	readonly drain: (identity: VmIdentity) => void;
 };
@@ -47,14 +47,14 @@
 		}
 
 		this._parts.mailbox.compareLeaving(sender.peerAddress, message.leavingDigest);
-		for (const {identity, report, ageMilliseconds} of message.news) {
+		for (const {identity, report, ageMilliseconds} of message.updates) {
 			if (report?.instance !== undefined && !report.isLeaving) {
 				this._parts.signs.takeReturn(identity, report.instance, ageMilliseconds);
 			}
 		}
 
-		if (message.news.length > 0) {
-			this._parts.news.takePeers(message.news.map(piece => ({
+		if (message.updates.length > 0) {
+			this._parts.update.takePeers(message.updates.map(piece => ({
 				...piece, crash: piece.crash, report: piece.report && {...piece.report, instance: piece.report.instance},
 			})));
 		}
--- a/src/common/fleet/stopping/stopping.test.ts
+++ b/src/common/fleet/stopping/stopping.test.ts
@@ -129,7 +129,7 @@
 		};
 		fleet.tell(fleet.vms[0]!, {type: 'returned', identity, instance: 'p2'});
 		fleet.tell(fleet.vms[0]!, {
-			type: 'load-news', news: {
+			type: 'load-update', update: {
 				identity, report, ageMilliseconds: 0, suspects: [], crash: undefined,
 			},
 		});
--- a/src/common/fleet/types.ts
+++ b/src/common/fleet/types.ts
@@ -4,7 +4,7 @@
  * no socket, reads no clock and makes no random identity of its own.
  */
 import {
-	type BackendServerIdentity, type CallConfiguration, type FleetShares, type LoadNews,
+	type BackendServerIdentity, type CallConfiguration, type FleetShares, type LoadUpdate,
 } from '../calls/types.ts';
 import {type Failure} from '../errors/failure.ts';
 import {type Resource, type ResourceKey, type StoredResource} from '../model/resources.ts';
@@ -146,7 +146,7 @@
 	/** A report shows a process of the backend server that is not leaving: an older sign for another process is void. */
 		| {readonly type: 'returned'; readonly identity: BackendServerIdentity; readonly instance: string}
 	/** From the call engine's `tell-peers`. */
-		| {readonly type: 'load-news'; readonly news: LoadNews}
+		| {readonly type: 'load-update'; readonly update: LoadUpdate}
 	/** Utilisation of this VM (0 to 1), about once a second; `services` holds calls in flight of each service. */
 		| {readonly type: 'own-load'; readonly utilisation: number; readonly services: ReadonlyMap<string, number>}
 		| {readonly type: 'traffic'; readonly traffic: FrontTraffic}
@@ -171,7 +171,7 @@
 export type FleetEffect
 	= | {readonly type: 'store'; readonly requestId: number; readonly operation: StoreOperation}
 		| {readonly type: 'send'; readonly to: PeerAddress; readonly message: PeerMessage}
-	/** Take the news of this VM and of no other; undefined = of none. */
+	/** Take the registry feed of this VM and of no other; undefined = of none. */
 		| {readonly type: 'follow-feed'; readonly source: PeerAddress | undefined}
 	/** Tell this to the VMs that follow this one. */
 		| {readonly type: 'publish-feed'; readonly frame: FeedFrame}
@@ -182,7 +182,7 @@
 	/** For the call engine: in force from now on. `version` only grows. */
 		| {readonly type: 'configured'; readonly configuration: CallConfiguration}
 		| {readonly type: 'shares'; readonly shares: FleetShares}
-		| {readonly type: 'peer-news'; readonly news: readonly LoadNews[]}
+		| {readonly type: 'peer-updates'; readonly updates: readonly LoadUpdate[]}
 	/** For the call engine: this process of the backend server gets no new work. */
 		| {readonly type: 'backend-server-leaving'; readonly sign: LeavingSign}
 		| {readonly type: 'operator-answer'; readonly requestId: number; readonly answer: OperatorAnswer}
--- a/src/common/registry/change-log.ts
+++ b/src/common/registry/change-log.ts
@@ -29,15 +29,15 @@
 	}
 
 	/**
-	 * Takes an entry in; one that means nothing new (`isNews` false) is only kept for VMs that come later. A key that was
+	 * Takes an entry in; one that means nothing new (`isChange` false) is only kept for VMs that come later. A key that was
 	 * removed and written again between two reads is told all the same: a VM that listens may have heard of the removal
 	 * from another one.
 	 */
-	put(entry: StoreEntry, isNews: boolean): void {
+	put(entry: StoreEntry, isChange: boolean): void {
 		const known = this._entries.get(entry.key);
 		const isRecreated = known !== undefined && known.createdAt !== entry.createdAt;
 		this._entries.set(entry.key, entry);
-		if (isNews || isRecreated) {
+		if (isChange || isRecreated) {
 			this._changed.set(entry.key, entry);
 			this._removed.delete(entry.key);
 		}
--- a/src/common/registry/evacuations.test.ts
+++ b/src/common/registry/evacuations.test.ts
@@ -92,7 +92,7 @@
 		const driver = new RegistryDriver();
 		driver.start([...servers, entryOf('vms/x', '10.0.0.2:90 1000'), entryOf('vms/y', '10.0.0.3:90 900')]);
 		driver.lose(3000);
-		driver.news({revision: 30, entries: [...servers, entryOf('evacuations/north', '{}', 25)], isWhole: true});
+		driver.frame({revision: 30, entries: [...servers, entryOf('evacuations/north', '{}', 25)], isWhole: true});
 		return driver;
 	}
 
@@ -103,24 +103,24 @@
 
 	it('ends when the peer tells of its end', () => {
 		const driver = following();
-		driver.news({revision: 31, deleted: ['evacuations/north']});
+		driver.frame({revision: 31, deleted: ['evacuations/north']});
 		expect(evacuated(driver)).toEqual([]);
 	});
 
 	// Guards against a late message of a peer that undoes what was read after it.
 	it('is not ended by an older list, nor brought back by an older change', () => {
 		const driver = following();
-		driver.news({revision: 20, entries: servers, isWhole: true});
+		driver.frame({revision: 20, entries: servers, isWhole: true});
 		const afterList = evacuated(driver);
-		driver.news({revision: 31, deleted: ['evacuations/north']});
-		driver.news({revision: 26, entries: [entryOf('evacuations/north', '{}', 25)]});
+		driver.frame({revision: 31, deleted: ['evacuations/north']});
+		driver.frame({revision: 26, entries: [entryOf('evacuations/north', '{}', 25)]});
 		expect([afterList, evacuated(driver)]).toEqual([['north'], []]);
 	});
 
 	it('is begun anew by a key that was written again within the second', () => {
 		const driver = following();
-		driver.news({revision: 31, deleted: ['evacuations/north']});
-		driver.news({revision: 32, entries: [entryOf('evacuations/north', '{}', 32)]});
+		driver.frame({revision: 31, deleted: ['evacuations/north']});
+		driver.frame({revision: 32, entries: [entryOf('evacuations/north', '{}', 32)]});
 		expect(evacuated(driver)).toEqual(['north']);
 	});
 });
--- a/src/common/registry/feed-publisher.ts
+++ b/src/common/registry/feed-publisher.ts
@@ -52,13 +52,13 @@
 
 	/**
 	 * Publishes what has changed, and after each read of the store that nothing has: followers go by its age. Only what was
-	 * read in the store itself is published, so that VMs which follow one another in a circle take no echo for news.
+	 * read in the store itself is published, so that VMs which follow one another in a circle take no echo for a change.
 	 */
 	publish(): void {
 		const changes = this._log.takeChanges();
-		const hasNews = changes !== undefined || this._hasRead;
+		const hasChanges = changes !== undefined || this._hasRead;
 		this._hasRead = false;
-		if (!hasNews || !this._options.isReading()) {
+		if (!hasChanges || !this._options.isReading()) {
 			return;
 		}
 
--- a/src/common/registry/feed-selector.ts
+++ b/src/common/registry/feed-selector.ts
@@ -228,7 +228,7 @@
 		});
 	}
 
-	/** News from the own data centre cost nothing on the way, and the first choice has the widest link. */
+	/** A feed from the own data centre costs nothing on the way, and the first choice has the widest link. */
 	private _planReturn(): void {
 		if (this._turn === 0 || this._context.timers.has('feed-return')) {
 			return;
@@ -260,7 +260,7 @@
 		if (source !== this._source) {
 			this._source = source;
 			this._hasSpoken = false;
-			this._context.log('debug', 'turns to another VM for its news', {source: source ?? '', state: this._state, turn: this._turn});
+			this._context.log('debug', 'follows the registry feed of another VM', {source: source ?? '', state: this._state, turn: this._turn});
 			this._listener.onFollow(source);
 		}
 	}
@@ -277,8 +277,8 @@
 		}
 
 		if (this._state === 'reading' || before === 'reading') {
-			this._context.log('info', this._state === 'reading' ? 'reads the store itself' : 'takes its news from another VM', {
-				source: this._source ?? '', newsAgeMilliseconds: Math.round(this._context.now - this._freshAt), cause: event,
+			this._context.log('info', this._state === 'reading' ? 'reads the store itself' : 'relies on the registry feed of another VM', {
+				source: this._source ?? '', feedAgeMilliseconds: Math.round(this._context.now - this._freshAt), cause: event,
 			});
 			this._listener.onRead(this._state === 'reading');
 		}
--- a/src/common/registry/fleet-model.test.ts
+++ b/src/common/registry/fleet-model.test.ts
@@ -1,4 +1,4 @@
-/** A whole fleet that the store leads, in virtual time: its deciders, the store, and the streams on which VMs tell news. */
+/** A whole fleet that the store leads, in virtual time: its deciders, the store, and the registry feeds between VMs. */
 import {Timeline} from '../../proof/fuzz/timeline.ts';
 import {type FleetEffect, type FleetEvent} from '../fleet/types.ts';
 import {type Instant, type Milliseconds, type RandomSource} from '../model/units.ts';
@@ -9,7 +9,7 @@
 import {StoreModel} from './store-model.test.ts';
 import {memberHeartbeatMilliseconds, usualLeaseMilliseconds} from './vm-loss-budget.ts';
 
-/** The way of a line of news, and of a refused connection. */
+/** The way of a frame of the feed, and of a refused connection. */
 const wayMilliseconds: Milliseconds = 2;
 
 /** Data centres of the fleet: `documents` tells them by the address. */
@@ -37,7 +37,7 @@
 	version = 0;
 	evacuated: ReadonlySet<string> = new Set();
 	readonly startedAt: Instant;
-	/** Processes that listen to this one's news. */
+	/** Processes that follow this one's feed. */
 	readonly listeners = new Set<ModelProcess>();
 	source: ModelProcess | undefined;
 	readonly logged = new Map<string, number>();
@@ -180,7 +180,7 @@
 		}
 	}
 
-	/** A stream ends, and the VM that told its news hears of it. */
+	/** A stream ends, and the VM whose feed it was learns of it. */
 	private _leave(): void {
 		const {source} = this;
 		source?.listeners.delete(this);
@@ -273,7 +273,7 @@
 	readonly store = new StoreModel(this.timeline);
 	readonly seeds: readonly string[];
 	readonly random: RandomSource;
-	/** Whole lists of news that were told. */
+	/** Whole frames that were sent. */
 	bytes = 0;
 	private readonly _options: FleetModelOptions;
 	private readonly _processes = new Map<string, ModelProcess>();
--- a/src/common/registry/lapsed-while-turning.test.ts
+++ b/src/common/registry/lapsed-while-turning.test.ts
@@ -23,8 +23,8 @@
 /** The same, told by another VM since, which it has lost: it has read on and reads everything anew. */
 function readingOn(): RegistryDriver {
 	const driver = afterLapse();
-	driver.news(told);
-	driver.news({revision: 31});
+	driver.frame(told);
+	driver.frame({revision: 31});
 	driver.handle({type: 'feed-closed', source: driver.source!});
 	while (driver.source !== undefined) {
 		driver.handle({type: 'feed-closed', source: driver.source});
@@ -49,23 +49,23 @@
 // they know 15 of 33 backend servers. Order: such a VM reads that entries have lapsed and holds them; it turns to another
 // VM; the backend servers write their entries again, which means nothing new to that one, and it does not tell it; the
 // hold ends. Cause: each took out what it held, and nobody ever told it that they were there.
-describe('backend servers that lapse while a VM turns to another for its news', () => {
-	it('stay, since it is for the teller to say what is gone', () => {
+describe('backend servers that lapse while a VM turns to the feed of another', () => {
+	it('stay, since it is for the VM that is followed to say what is gone', () => {
 		const driver = afterLapse();
-		driver.news(told);
+		driver.frame(told);
 		for (let beat = 1; beat <= 30; beat++) {
 			driver.passTime(100);
-			driver.news({revision: 30 + beat});
+			driver.frame({revision: 30 + beat});
 		}
 
 		expect([driver.isReading, driver.usable]).toEqual([false, ['a', 'b']]);
 	});
 
-	it('are gone when the teller says so', () => {
+	it('are gone when the VM that is followed says so', () => {
 		const driver = afterLapse();
-		driver.news(told);
+		driver.frame(told);
 		driver.passTime(100);
-		driver.news({revision: 31, deleted: ['servers/a']});
+		driver.frame({revision: 31, deleted: ['servers/a']});
 		expect(driver.usable).toEqual(['b']);
 	});
 
--- a/src/common/registry/member-registrar.ts
+++ b/src/common/registry/member-registrar.ts
@@ -62,7 +62,7 @@
 	 */
 	before: Revision;
 	written: Revision | undefined;
-	/** Revision that the next write expects, if it is known better than from the store's news. */
+	/** Revision that the next write expects, if it is known better than from the store's changes. */
 	expected: Revision | undefined;
 	heardAt: Instant;
 	/** When its entry is removed, unless another VM has written it by then. */
@@ -253,7 +253,7 @@
 		}
 	}
 
-	/** Removals go out also while another VM tells this one its news: callers must not wait for that to change. */
+	/** Removals go out also while this VM follows another one: callers must not wait for that to change. */
 	private _due(): Member[] {
 		const isReading = this._listener.isReading();
 		return [...this._members.values()].filter(({state}) => state === 'leaving' || (state === 'wanted' && isReading));
--- a/src/common/registry/own-entry.ts
+++ b/src/common/registry/own-entry.ts
@@ -18,12 +18,12 @@
  */
 const seekingMilliseconds: Milliseconds = 700;
 
-/** Time after an announcement in which the entry is to be seen in the news; later, the log tells of a VM without callers. */
+/** Time after an announcement in which the entry is to be seen in the feed; later, the log tells of a VM without callers. */
 const confirmMilliseconds: Milliseconds = 2500;
 
 /** Where this VM stands towards the others. */
 export type OwnStanding = {
-	/** The VM whose fresh news are taken; undefined = of none. */
+	/** The VM whose fresh feed is taken; undefined = of none. */
 	readonly source: PeerAddress | undefined;
 	/** Others go by what this VM reads. */
 	readonly isReader: boolean;
@@ -133,7 +133,7 @@
 	}
 
 	/**
-	 * An entry that still stands is left to whoever keeps it. Guards the store against a whole fleet that loses its news at
+	 * An entry that still stands is left to whoever keeps it. Guards the store against a whole fleet that loses its feeds at
 	 * once, as when the store falls silent: each VM would ask for a lease of its own, over and over.
 	 */
 	private _planKeeping(): void {
--- a/src/common/registry/registry-driver.test.ts
+++ b/src/common/registry/registry-driver.test.ts
@@ -94,7 +94,7 @@
 	readonly announced: MemberAnnouncement[] = [];
 	/** VMs that it has turned to, oldest first. */
 	readonly followed: string[] = [];
-	/** Whose news are taken now. */
+	/** Whose feed is taken now. */
 	source: string | undefined;
 	now = 0;
 
@@ -193,7 +193,7 @@
 	}
 
 	/** The VM that is followed tells this. */
-	news(frame: Partial<FeedFrame>): void {
+	frame(frame: Partial<FeedFrame>): void {
 		this.handle({
 			type: 'feed-frame', source: this.source!, frame: {
 				revision: 20, ageMilliseconds: 0, entries: [], deleted: [], isWhole: false, ...frame,
--- a/src/common/registry/registry-feed.test.ts
+++ b/src/common/registry/registry-feed.test.ts
@@ -18,7 +18,7 @@
 /** One that has heard everything from the VM that reads for its data centre. */
 function following(): RegistryDriver {
 	const driver = published();
-	driver.news({isWhole: true, entries: [...twoServers, ...three, entryOf('vms/own', '10.0.0.1:80', 12)]});
+	driver.frame({isWhole: true, entries: [...twoServers, ...three, entryOf('vms/own', '10.0.0.1:80', 12)]});
 	driver.reply('watch', {
 		type: 'changes', entries: [], deleted: [], revision: 20,
 	});
@@ -45,23 +45,23 @@
 		const driver = following();
 		for (let beat = 0; beat < 10; beat++) {
 			driver.passTime(1000);
-			driver.news({revision: 30 + beat});
+			driver.frame({revision: 30 + beat});
 		}
 
 		expect([driver.isReading, driver.asked.filter(({operation}) => operation.type === 'watch').length]).toEqual([false, 0]);
 	});
 
-	it('does not learn from a VM whose own news are old', () => {
+	it('does not learn from a VM whose own feed is old', () => {
 		const driver = published();
-		driver.news({isWhole: true, entries: [...twoServers, ...three], ageMilliseconds: 1600});
+		driver.frame({isWhole: true, entries: [...twoServers, ...three], ageMilliseconds: 1600});
 		expect(driver.isReading).toEqual(true);
 	});
 });
 
-describe('news between VMs', () => {
+describe('the registry feed between VMs', () => {
 	it('bring configurations, backend servers and VMs, and take them away', () => {
 		const driver = following();
-		driver.news({revision: 30, entries: [entryOf('configuration', '4', 30), entryOf('servers/c', 'orders 10.0.1.3 ready', 30)], deleted: ['servers/a', 'vms/y']});
+		driver.frame({revision: 30, entries: [entryOf('configuration', '4', 30), entryOf('servers/c', 'orders 10.0.1.3 ready', 30)], deleted: ['servers/a', 'vms/y']});
 		expect({version: driver.inForce?.version, usable: driver.usable, vms: driver.fleet.status(driver.now).vmCount}).toEqual({version: 4, usable: ['b', 'c'], vms: 3});
 	});
 
@@ -78,15 +78,15 @@
 	// reader's last words, and gets calls again that nobody finishes.
 	it('do not bring back what has gone since', () => {
 		const driver = following();
-		driver.news({revision: 30, deleted: ['servers/a']});
-		driver.news({revision: 25, entries: [entryOf('servers/a', 'orders 10.0.1.1 ready', 24)]});
+		driver.frame({revision: 30, deleted: ['servers/a']});
+		driver.frame({revision: 25, entries: [entryOf('servers/a', 'orders 10.0.1.1 ready', 24)]});
 		expect(driver.usable).toEqual(['b']);
 	});
 
 	it('do not take away what has come since', () => {
 		const driver = following();
-		driver.news({revision: 30, entries: [entryOf('servers/a', 'orders 10.0.1.9 ready', 30)]});
-		driver.news({revision: 25, deleted: ['servers/a']});
+		driver.frame({revision: 30, entries: [entryOf('servers/a', 'orders 10.0.1.9 ready', 30)]});
+		driver.frame({revision: 25, deleted: ['servers/a']});
 		expect(driver.usable).toEqual(['a', 'b']);
 	});
 
@@ -94,16 +94,16 @@
 	// that left before gets calls.
 	it('count for nothing before the reader has told everything', () => {
 		const driver = published();
-		driver.news({revision: 40, entries: [entryOf('configuration', '9', 40)]});
+		driver.frame({revision: 40, entries: [entryOf('configuration', '9', 40)]});
 		expect([driver.inForce?.version, driver.isReading]).toEqual([1, true]);
 	});
 
 	// Story: VMs that have lost their reader follow one another in a circle. Each takes what it said itself, come round,
-	// for fresh news; nobody asks the store, and a change is in force nowhere.
+	// for a fresh feed; nobody asks the store, and a change is in force nowhere.
 	it('are told only by VMs that have read them in the store', () => {
 		const driver = following();
 		const before = driver.told.length;
-		driver.news({revision: 31, entries: [entryOf('configuration', '4', 31)]});
+		driver.frame({revision: 31, entries: [entryOf('configuration', '4', 31)]});
 		expect([driver.told.length - before, driver.fleet.feed(driver.now).ageMilliseconds > 1e6]).toEqual([0, true]);
 	});
 
@@ -112,7 +112,7 @@
 	// Cause: its words claim that everything up to their revision is known.
 	it('begin with everything when a VM that was told comes to read', () => {
 		const driver = following();
-		driver.news({revision: 30, entries: [entryOf('servers/c', 'orders 10.0.1.3 ready', 30)]});
+		driver.frame({revision: 30, entries: [entryOf('servers/c', 'orders 10.0.1.3 ready', 30)]});
 		const before = driver.told.length;
 		for (let tries = 0; driver.source !== undefined && tries < 10; tries++) {
 			driver.handle({type: 'feed-closed', source: driver.source});
@@ -127,7 +127,7 @@
 	it('tell a VM that its own entry is gone', () => {
 		const driver = following();
 		const before = driver.announced.length;
-		driver.news({revision: 30, deleted: ['vms/own']});
+		driver.frame({revision: 30, deleted: ['vms/own']});
 		expect(driver.announced.slice(before)).toEqual([{identity: 'own', value: '10.0.0.1:80', intent: 'stay'}]);
 	});
 });
@@ -180,7 +180,7 @@
 			driver.passTime(100);
 		}
 
-		driver.news({isWhole: true, entries: [...twoServers, three[0]!, three[2]!, entryOf('vms/own', '10.0.0.1:80', 12)]});
+		driver.frame({isWhole: true, entries: [...twoServers, three[0]!, three[2]!, entryOf('vms/own', '10.0.0.1:80', 12)]});
 		expect(driver.isReading).toEqual(false);
 		driver.handle({type: 'feed-closed', source: '10.0.0.2:80'});
 		expect(driver.isReading).toEqual(true);
@@ -193,7 +193,7 @@
 		for (let beat = 0; beat < 6; beat++) {
 			const isWhole = driver.source !== told;
 			told = driver.source;
-			driver.news({isWhole, revision: 30 + beat, entries: isWhole ? [...twoServers, ...three, entryOf('vms/own', '10.0.0.1:80', 12)] : []});
+			driver.frame({isWhole, revision: 30 + beat, entries: isWhole ? [...twoServers, ...three, entryOf('vms/own', '10.0.0.1:80', 12)] : []});
 			driver.passTime(1000);
 		}
 
--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -241,7 +241,7 @@
 	}
 
 	/**
-	 * Guards against news that are older than what this VM knows, since VMs read the store at different moments: taken
+	 * Guards against frames that are older than what this VM knows, since VMs read the store at different moments: taken
 	 * as they come, a backend server that has gone would be back. Each key goes by its own revision; a key that is unknown
 	 * here though everything up to a later revision was known has been removed since.
 	 */
@@ -366,8 +366,8 @@
 
 		if (key.startsWith(layout.vmPrefix)) {
 			const isOwn = key === this._ownKey;
-			const isNews = isOwn ? this._log.revisionOf(key) !== entry.revision : this._vms.put(entry);
-			this._log.put(entry, isNews);
+			const isChange = isOwn ? this._log.revisionOf(key) !== entry.revision : this._vms.put(entry);
+			this._log.put(entry, isChange);
 			if (isOwn) {
 				this._noteRegistered(true);
 			}
--- a/src/common/registry/removal-grace-period.ts
+++ b/src/common/registry/removal-grace-period.ts
@@ -18,7 +18,7 @@
 
 	/**
 	 * `name` tells its timer from those of others. `isReading` = this VM reads the store itself at the moment; one that is
-	 * told leaves it to the teller what is gone.
+	 * follows another one leaves it to that one what is gone.
 	 */
 	constructor(context: RegistryContext, name: string, onGone: (keys: readonly string[]) => void, isReading: () => boolean) {
 		this._context = context;
--- a/src/common/registry/store-mirror.ts
+++ b/src/common/registry/store-mirror.ts
@@ -4,7 +4,7 @@
 import {type RegistryContext} from './registry-context.ts';
 
 /**
- * Part of the time within which a change must be in force after which a watch without news ends: until it does, nobody
+ * Part of the time within which a change must be in force after which a watch without changes ends: until it does, nobody
  * knows whether its connection has gone silent.
  */
 const watchPart = 0.15;
@@ -175,7 +175,7 @@
 	}
 
 	/**
-	 * Guards followers against news that claim to be fresh: that the store answered says nothing of the age of what it
+	 * Guards followers against a feed that claims to be fresh: that the store answered says nothing of the age of what it
 	 * said. Where another VM has told more meanwhile, the list is left out.
 	 */
 	private _takeOldList({entries, revision}: StoreReply & {type: 'entries'}): void {
@@ -219,8 +219,8 @@
 	}
 
 	/**
-	 * Guards a VM that reads on after it was told: an entry that lapsed and came back means nothing new to the teller, which
-	 * does not tell it. Watched on from the told revision, this VM would never hear of it, and take out a backend server
+	 * Guards a VM that reads on after it was told: an entry that lapsed and came back means nothing new to the VM that it followed,
+	 * which does not publish it. Watched on from the told revision, this VM would never hear of it, and take out a backend server
 	 * that lives for as long as that does not change. Everything is read once. Guards the store against the price of that, where
 	 * hundreds lose their readers at once: a list that may be old does, unless it lies behind what was told.
 	 */
--- a/src/common/registry/types.ts
+++ b/src/common/registry/types.ts
@@ -106,7 +106,7 @@
 
 /** What one VM tells another about the store. */
 export type FeedFrame = {
-	/** Revision of the store that the teller knows. */
+	/** Revision of the store that the publishing VM knows. */
 	readonly revision: Revision;
 	/** How long ago the store was in that state. */
 	readonly ageMilliseconds: Milliseconds;
--- a/src/common/registry/vm-directory.ts
+++ b/src/common/registry/vm-directory.ts
@@ -19,7 +19,7 @@
 /** VMs of a data centre that are turned to after its readers: of the first ones some may have gone together with these. */
 const standbys = 3;
 
-/** VMs of a data centre that one reader tells its news and whose entries it keeps: a line to each after each look at the store. */
+/** VMs of a data centre that one reader publishes to and registers: a line to each after each look at the store. */
 const followersAReader = 64;
 
 /** A VM as it stands in the store. */
@@ -37,7 +37,7 @@
 	readonly isReader: boolean;
 	/** This VM is the first to read when a reader falls silent. */
 	readonly isStandby: boolean;
-	/** VMs to take news from, best first. */
+	/** VMs to follow, best first. */
 	readonly sources: readonly PeerAddress[];
 	/** VMs of the own data centre that are to rely on this one, and not the other way round. */
 	readonly juniors: ReadonlySet<PeerAddress>;
--- a/src/common/settings/entry-settings.ts
+++ b/src/common/settings/entry-settings.ts
@@ -30,7 +30,7 @@
 	address: endpointSchema.describe('The platform\'s key-value service.'),
 	requestTimeoutSeconds: secondsSchema.default(2).describe('How long a request to it may take; later its outcome is unknown.'),
 	convergeSeconds: secondsSchema.default(2)
-		.describe('Time from the store\'s word that a change is accepted until it is in force on every VM. Sets how often the store is read, and how old news may be.'),
+		.describe('Time from the store\'s word that a change is accepted until it is in force on every VM. Sets how often the store is read, and how old a registry feed may be.'),
 	heartbeatSeconds: secondsSchema.describe('How often backend servers renew their entries; after three such times without one they lapse.'),
 	leaseSeconds: secondsSchema.default(usualLeaseMilliseconds / 1000)
 		.describe('Term of the lease on the entries that this VM registers: they outlive it for so long. VMs whose lease ends too early are asked before they count as gone.'),
--- a/src/daemon/describe-call.ts
+++ b/src/daemon/describe-call.ts
@@ -10,11 +10,11 @@
 	return `${Math.round(chance * 100)}%`;
 }
 
-/** One attempt as a reader of logs wants it: where, why, by which news and how old. */
+/** One attempt as a reader of logs wants it: where, why, by which report and how old. */
 export function describeAttempt({backendServer, purpose, atMilliseconds, load, slots, workTimeFactor, reportAgeMilliseconds, grounds}: AttemptRecord): string {
-	const news = reportAgeMilliseconds === undefined ? 'no report' : `report ${whole(reportAgeMilliseconds)} old`;
+	const age = reportAgeMilliseconds === undefined ? 'no report' : `report ${whole(reportAgeMilliseconds)} old`;
 	const choice = grounds === undefined ? '' : `, ${grounds.choice} of ${grounds.weighed}, in time ${percent(grounds.inTime)}`;
-	return `${purpose} at ${whole(atMilliseconds)} to ${backendServer}: ${load}/${slots} calls, work time ${workTimeFactor ?? '?'}, ${news}${choice}`;
+	return `${purpose} at ${whole(atMilliseconds)} to ${backendServer}: ${load}/${slots} calls, work time ${workTimeFactor ?? '?'}, ${age}${choice}`;
 }
 
 /** What the latest look for a place saw and asked for; says so where none was looked for. */
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -153,7 +153,7 @@
 			}
 
 			case 'publish-feed': {
-				feedServer.tell(effect.frame);
+				feedServer.publish(effect.frame);
 				break;
 			}
 
--- a/src/daemon/fleet-gateway.ts
+++ b/src/daemon/fleet-gateway.ts
@@ -11,7 +11,7 @@
 import {type LogLevel} from '../common/settings/settings.ts';
 import {
 	type ChangeAccepted, type ChangeRecord, type ChangeRequest, type GatewayFailure, type OperationState, type OperatorGateway,
-	type QuarantineEntry, type ResourcesInForce, type Status, type VmStatus, type WatchNews,
+	type QuarantineEntry, type ResourcesInForce, type Status, type VmStatus, type WatchUpdate,
 } from '../node/api/types.ts';
 import {type Clock} from '../node/clock.ts';
 import {type FleetCarrier} from '../node/fleet/fleet-carrier.ts';
@@ -104,7 +104,7 @@
 		});
 	}
 
-	async watch(after: number, milliseconds: number, signal: AbortSignal): Promise<Result<WatchNews, GatewayFailure>> {
+	async watch(after: number, milliseconds: number, signal: AbortSignal): Promise<Result<WatchUpdate, GatewayFailure>> {
 		const version = this._parts.fleet.status(this._parts.clock.now()).configurationVersion;
 		if (version <= after) {
 			await this._nextVersion(milliseconds, signal);
--- a/src/index.ts
+++ b/src/index.ts
@@ -14,7 +14,7 @@
 export {DefaultCallEngine, type CallEngineOptions} from './common/calls/call-engine.ts';
 export {WakeGuard} from './common/calls/wake-guard.ts';
 export type {
-	CallConfiguration, CallEffect, CallEngine, CallEngineStatus, CallEvent, CallOutcome, CallRequest, CallSummary, FleetShares, LoadNews, LoadReport, RefusalReason,
+	CallConfiguration, CallEffect, CallEngine, CallEngineStatus, CallEvent, CallOutcome, CallRequest, CallSummary, FleetShares, LoadUpdate, LoadReport, RefusalReason,
 } from './common/calls/types.ts';
 
 /** The decider of everything that VMs do together. */
--- a/src/node/api/fake-gateway.test.ts
+++ b/src/node/api/fake-gateway.test.ts
@@ -9,7 +9,7 @@
 import {type LogLevel} from '../../common/settings/settings.ts';
 import {
 	type ChangeAccepted, type ChangeRecord, type ChangeRequest, type GatewayFailure, type Mutation, type OperationState,
-	type OperatorGateway, type QuarantineEntry, type ResourcesInForce, type Status, type VmStatus, type WatchNews,
+	type OperatorGateway, type QuarantineEntry, type ResourcesInForce, type Status, type VmStatus, type WatchUpdate,
 } from './types.ts';
 
 /** What the fake's store does with the next write. */
@@ -79,7 +79,7 @@
 		return ok(record === undefined ? {state: 'not-in-force', operation} : {state: 'accepted', operation, version: record.version});
 	}
 
-	async watch(after: number): Promise<Result<WatchNews, GatewayFailure>> {
+	async watch(after: number): Promise<Result<WatchUpdate, GatewayFailure>> {
 		return ok({version: this.version, records: this._records.filter(record => record.version > after), isReset: false});
 	}
 
--- a/src/node/api/resource-routes.ts
+++ b/src/node/api/resource-routes.ts
@@ -170,8 +170,8 @@
 	}
 
 	const [after, milliseconds] = query.value;
-	const news = await gateway.watch(after, milliseconds, context.req.raw.signal);
-	return news.match(value => context.json(value), cause => problemResponse(gatewayProblem(cause)));
+	const update = await gateway.watch(after, milliseconds, context.req.raw.signal);
+	return update.match(value => context.json(value), cause => problemResponse(gatewayProblem(cause)));
 }
 
 function history(gateway: OperatorGateway, context: ApiContext): Response {
--- a/src/node/api/types.ts
+++ b/src/node/api/types.ts
@@ -101,14 +101,14 @@
 export type ResourcesInForce = {readonly version: number; readonly items: readonly StoredResource[]};
 
 /** Changes that came into force on the answering VM. */
-export const watchNewsSchema = z.strictObject({
+export const watchUpdateSchema = z.strictObject({
 	/** Version to name next time. */
 	version: z.int().min(0),
 	records: z.array(changeRecordSchema),
 	/** The changes since the version asked for are no longer kept: list again. */
 	isReset: z.boolean(),
 });
-export type WatchNews = z.infer<typeof watchNewsSchema>;
+export type WatchUpdate = z.infer<typeof watchUpdateSchema>;
 
 /** The latest changes, the newest first. */
 export const historySchema = z.strictObject({records: z.array(changeRecordSchema)});
@@ -211,7 +211,7 @@
 	/** What became of an operation, as far as it is known here. */
 	operation(operation: string): Result<OperationState, GatewayFailure>;
 	/** Answers once a version above `after` is in force, or with no records when the time or the signal ends. */
-	watch(after: number, milliseconds: number, signal: AbortSignal): Promise<Result<WatchNews, GatewayFailure>>;
+	watch(after: number, milliseconds: number, signal: AbortSignal): Promise<Result<WatchUpdate, GatewayFailure>>;
 	/** The latest changes in force, the newest first. */
 	history(limit: number): Result<readonly ChangeRecord[], GatewayFailure>;
 	status(): Status;
--- a/src/node/fleet/feed-client.ts
+++ b/src/node/fleet/feed-client.ts
@@ -46,7 +46,7 @@
 		const client = new Client(`http://${source}`, {
 			connect: {timeout: connectMilliseconds}, headersTimeout: 0, bodyTimeout: 0, allowH2: false,
 		});
-		const listener = new NewsListener(source, this._sink, this._logger);
+		const listener = new FrameHandler(source, this._sink, this._logger);
 		const words = new Readable({
 			read() {
 				// Lines are pushed as they are announced.
@@ -78,7 +78,7 @@
 }
 
 /** One feed, as an undici dispatch handler. */
-class NewsListener implements Dispatcher.DispatchHandler {
+class FrameHandler implements Dispatcher.DispatchHandler {
 	/** Nobody wants it any more: what still comes is left out, its end too. */
 	isOver = false;
 	private readonly _source: PeerAddress;
@@ -99,7 +99,7 @@
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
 		const lines = this._lines.take(chunk);
 		if (lines === undefined) {
-			controller.abort(new NewsTooLong());
+			controller.abort(new FrameTooLong());
 			return;
 		}
 
@@ -123,7 +123,7 @@
 
 		const frame = decodeFrame(line);
 		if (frame.isErr()) {
-			this._logger.warn('news that cannot be read are left out', {source: this._source, failure: describeFailure(frame.error)});
+			this._logger.warn('a frame of the registry feed that cannot be read was left out', {source: this._source, failure: describeFailure(frame.error)});
 			this._end();
 			return;
 		}
@@ -140,6 +140,6 @@
 }
 
 /** A frame that does not end. */
-class NewsTooLong extends Error {
-	override readonly name = 'NewsTooLong';
+class FrameTooLong extends Error {
+	override readonly name = 'FrameTooLong';
 }
--- a/src/node/fleet/feed-frame.ts
+++ b/src/node/fleet/feed-frame.ts
@@ -6,7 +6,7 @@
 import {type MemberAnnouncement, type FeedFrame} from '../../common/registry/types.ts';
 
 /** Path of the feed on a VM's peers endpoint. */
-export const feedPath = '/news';
+export const feedPath = '/feed';
 
 /**
  * From here on a frame is compressed. Forty VMs that follow one with a link of 7 Mbit/s would wait four seconds for a
@@ -48,9 +48,9 @@
 			? inflateRawSync(Buffer.from(line.slice(1), 'base64'), {maxOutputLength: mostFrameBytes}).toString()
 			: line;
 		const parsed = frameSchema.safeParse(JSON.parse(text));
-		return parsed.success ? ok(toFrame(parsed.data)) : err(failure('invalid-document', `news: ${parsed.error.issues[0]?.message ?? 'not of the agreed form'}`));
+		return parsed.success ? ok(toFrame(parsed.data)) : err(failure('invalid-document', `frame: ${parsed.error.issues[0]?.message ?? 'not of the agreed form'}`));
 	} catch {
-		return err(failure('invalid-document', 'news that are cut short'));
+		return err(failure('invalid-document', 'a frame that is cut short'));
 	}
 }
 
--- a/src/node/fleet/feed-server.ts
+++ b/src/node/fleet/feed-server.ts
@@ -65,7 +65,7 @@
 	}
 
 	/** Sends a frame to all followers. */
-	tell(frame: FeedFrame): void {
+	publish(frame: FeedFrame): void {
 		if (this._listeners.size > 0) {
 			this._send(encodeFrame(frame));
 		}
--- a/src/node/fleet/feed-stream.test.ts
+++ b/src/node/fleet/feed-stream.test.ts
@@ -7,6 +7,7 @@
 import {noMetrics} from '../metrics/no-metrics.ts';
 import {type Logger} from '../logging/types.ts';
 import {FeedClient} from './feed-client.ts';
+import {feedPath} from './feed-frame.ts';
 import {FeedServer} from './feed-server.ts';
 
 const frame: FeedFrame = {
@@ -25,12 +26,12 @@
 	trace: ignore, debug: ignore, info: ignore, warn: ignore, error: ignore, with: () => silentLogger, isEnabled: () => false,
 };
 
-/** A teller on a port of its own, a follower, and what each of them hears. */
+/** A feed server on a port of its own, a follower, and what each of them receives. */
 class Streams {
 	readonly owned = new DisposableStore();
 	readonly told: FleetEvent[] = [];
 	readonly heard: FleetEvent[] = [];
-	readonly teller = this.owned.add(new FeedServer(noMetrics, {isServing: identity => identity === 'here', whole: () => frame}, {
+	readonly server = this.owned.add(new FeedServer(noMetrics, {isServing: identity => identity === 'here', whole: () => frame}, {
 		feed: event => {
 			this.told.push(event);
 		},
@@ -43,7 +44,7 @@
 	}, silentLogger));
 
 	async start(): Promise<string> {
-		const port = await this.teller.listen(0, '127.0.0.1');
+		const port = await this.server.listen(0, '127.0.0.1');
 		return `127.0.0.1:${port._unsafeUnwrap()}`;
 	}
 }
@@ -70,7 +71,7 @@
 		streams.follower.follow(address);
 		streams.follower.announce(announcement);
 		await until(() => streams.told.length > 0 && streams.heard.length > 0);
-		streams.teller.tell({...frame, revision: 8, isWhole: false});
+		streams.server.publish({...frame, revision: 8, isWhole: false});
 		streams.follower.announce({...announcement, intent: 'leave'});
 		await until(() => streams.told.length > 1 && streams.heard.length > 1);
 		expect([streams.heard, streams.told]).toEqual([
@@ -93,14 +94,14 @@
 		const address = await streams.start();
 		streams.follower.follow(address);
 		await until(() => streams.heard.length > 0);
-		streams.teller.dispose();
+		streams.server.dispose();
 		await until(() => streams.heard.length > 1);
 		expect(streams.heard.at(-1)).toEqual({type: 'feed-closed', source: address});
 	});
 
 	it('ends a stream on which something else is said', async () => {
 		const address = await streams.start();
-		const answer = await fetch(`http://${address}/news`, {method: 'POST', body: 'no announcement\n'}).then(async response => response.text()).catch(() => 'ended');
+		const answer = await fetch(`http://${address}${feedPath}`, {method: 'POST', body: 'no announcement\n'}).then(async response => response.text()).catch(() => 'ended');
 		expect([answer, streams.told]).toEqual(['ended', []]);
 	});
 });
--- a/src/node/front/stop-test-utilities.test.ts
+++ b/src/node/front/stop-test-utilities.test.ts
@@ -116,9 +116,9 @@
 	async hasAnswers(count: number): Promise<void> {
 		let seen = 0;
 		await holds(() => {
-			const hasNews = this._received.length > seen;
+			const hasUpdate = this._received.length > seen;
 			seen = this._received.length;
-			return this.end !== 'open' || (hasNews && this.answers.filter(answer => !answer.includes('cut')).length >= count);
+			return this.end !== 'open' || (hasUpdate && this.answers.filter(answer => !answer.includes('cut')).length >= count);
 		});
 	}
 
--- a/src/node/peers/grpc-peer-transport.test.ts
+++ b/src/node/peers/grpc-peer-transport.test.ts
@@ -26,7 +26,7 @@
 		body,
 		members: [],
 		leaving: [],
-		news: [],
+		updates: [],
 		...extra,
 	};
 }
@@ -68,7 +68,7 @@
 	leavingDigest: 2_147_483_646,
 	members: [{record: message({type: 'join'}).sender, verdict: 'suspected'}],
 	leaving: [{identity: 'server', ageMilliseconds: 1}, {identity: 'server', instance: 'p1', ageMilliseconds: 1}],
-	news: [
+	updates: [
 		{
 			identity: 'server', ageMilliseconds: 5, suspects: ['f1'], crash: 'c1',
 		},
--- a/src/node/peers/peer-codec.ts
+++ b/src/node/peers/peer-codec.ts
@@ -83,9 +83,9 @@
 		: {...fields, type};
 }
 
-function newsFromWire(value: Record<string, unknown>): unknown {
-	const news = withoutMarks(value);
-	return news.report === undefined ? news : {...news, report: withoutMarks(news.report)};
+function updateFromWire(value: Record<string, unknown>): unknown {
+	const update = withoutMarks(value);
+	return update.report === undefined ? update : {...update, report: withoutMarks(update.report)};
 }
 
 function messageFromWire(wire: Record<string, unknown>): unknown {
@@ -100,7 +100,7 @@
 		body: bodyFromWire(wire),
 		members: listSchema.parse(wire.members).map(({record, verdict}) => ({record, verdict: String(verdict).toLowerCase()})),
 		leaving: listSchema.parse(wire.leaving).map(rumour => withoutMarks(rumour)),
-		news: listSchema.parse(wire.news).map(news => newsFromWire(news)),
+		updates: listSchema.parse(wire.updates).map(update => updateFromWire(update)),
 	};
 }
 
--- a/src/proof/fuzz/call-vm.ts
+++ b/src/proof/fuzz/call-vm.ts
@@ -202,7 +202,7 @@
 			}
 
 			case 'tell-peers': {
-				this._world.tellPeers(this, effect.news);
+				this._world.tellPeers(this, effect.update);
 				break;
 			}
 
--- a/src/proof/fuzz/call-world.ts
+++ b/src/proof/fuzz/call-world.ts
@@ -69,8 +69,8 @@
 			releaseKey: (vm, key) => {
 				this.fleet.releaseKey(vm, key);
 			},
-			tellPeers: (vm, news) => {
-				this.fleet.tellPeers(vm, news);
+			tellPeers: (vm, update) => {
+				this.fleet.tellPeers(vm, update);
 			},
 			sawLeaving: (vm, identity, instance) => {
 				this._sawLeaving(vm, identity, instance);
--- a/src/proof/fuzz/fake-attempts.ts
+++ b/src/proof/fuzz/fake-attempts.ts
@@ -23,8 +23,8 @@
 const connectLimitMilliseconds = 1000;
 const stallMilliseconds = 2000;
 export const travelMilliseconds = 1.5;
-/** Share of given-up attempts whose late news still reaches the engine. */
-const lateNewsShare = 0.3;
+/** Share of given-up attempts whose late events still reach the engine. */
+const lateEventShare = 0.3;
 
 export class FakeAttempts {
 	private readonly _attempts = new Map<number, Attempt>();
@@ -179,7 +179,7 @@
 
 	private _head(attempt: Attempt, head: AnswerHead): void {
 		const isLate = attempt.isOver;
-		if (isLate && this._world.chance() > lateNewsShare) {
+		if (isLate && this._world.chance() > lateEventShare) {
 			return;
 		}
 
@@ -225,7 +225,7 @@
 
 	private _end(attempt: Attempt): void {
 		if (attempt.isOver) {
-			if (this._world.chance() < lateNewsShare) {
+			if (this._world.chance() < lateEventShare) {
 				this._vm.feed({type: 'attempt-done', attemptId: attempt.effect.attemptId});
 			}
 
@@ -258,7 +258,7 @@
 	}
 
 	private _fail(attempt: Attempt, failure: AttemptFailure): void {
-		if (attempt.isOver && this._world.chance() > lateNewsShare) {
+		if (attempt.isOver && this._world.chance() > lateEventShare) {
 			return;
 		}
 
--- a/src/proof/fuzz/fake-fleet.ts
+++ b/src/proof/fuzz/fake-fleet.ts
@@ -3,7 +3,7 @@
  * leaving from VM to VM, hands out shares of the measuring budget, and claims keys. It keeps its own
  * promises; the fuzzing of calls asks whether the call engine keeps its own on top of it.
  */
-import {type CallConfiguration, type CallEvent, type LoadNews} from '../../common/calls/types.ts';
+import {type CallConfiguration, type CallEvent, type LoadUpdate} from '../../common/calls/types.ts';
 import {type HistoryEvent} from '../oracle/types.ts';
 import {type CallVm} from './call-vm.ts';
 import {type Network} from './network.ts';
@@ -88,11 +88,11 @@
 		this._teachAll();
 	}
 
-	tellPeers(from: VmHost, news: LoadNews): void {
+	tellPeers(from: VmHost, update: LoadUpdate): void {
 		for (const to of this.vms) {
 			if (to !== from && this._network.canPass(from.name, to.name)) {
 				this._timeline.after(5, () => {
-					to.feed({type: 'peer-news', news: [{...news, ageMilliseconds: news.ageMilliseconds + 5}]});
+					to.feed({type: 'peer-updates', updates: [{...update, ageMilliseconds: update.ageMilliseconds + 5}]});
 				});
 			}
 		}
@@ -138,7 +138,7 @@
 		});
 	}
 
-	/** News is told at once; the rounds are for those that could not be reached then. */
+	/** Updates are told at once; the rounds are for those that could not be reached then. */
 	private _teachAll(): void {
 		for (const vm of this.vms) {
 			this._teach(vm);
--- a/src/proof/fuzz/fleet-vm.ts
+++ b/src/proof/fuzz/fleet-vm.ts
@@ -26,7 +26,7 @@
 
 const workMilliseconds = 1000;
 const spendMilliseconds = 50;
-/** A woken VM hears the news before it places calls; the guard round the call engine sees to that. */
+/** A woken VM handles waiting events before it places calls; the guard round the call engine sees to that. */
 const catchUpMilliseconds = 500;
 const historyReach = 20;
 
--- a/src/proof/fuzz/fleet-world.ts
+++ b/src/proof/fuzz/fleet-world.ts
@@ -302,7 +302,7 @@
 
 	/**
 	 * A VM is isolated while it can't talk, over whatever others, with the store and with everybody else: it
-	 * can then neither tell nor be told. With the store out of reach of all, news must come from VMs alone, and
+	 * can then neither tell nor be told. With the store out of reach of all, updates must come from VMs alone, and
 	 * signs of leaving never go through the store; what only a paused or dead VM has seen can't be told.
 	 */
 	private _watchIsolation(): void {
--- a/src/proof/fuzz/types.ts
+++ b/src/proof/fuzz/types.ts
@@ -1,5 +1,5 @@
 /** What a fuzzed VM is told of calls, and what it needs of the world round it. */
-import {type CallEvent, type CallId, type LoadNews} from '../../common/calls/types.ts';
+import {type CallEvent, type CallId, type LoadUpdate} from '../../common/calls/types.ts';
 import {type HistoryEvent, type ToldOutcome} from '../oracle/types.ts';
 import {type FakeBackendServer} from './fake-backend-server.ts';
 import {type Timeline} from './timeline.ts';
@@ -28,7 +28,7 @@
 	canPass(from: string, to: string): boolean;
 	claimKey(vm: VmHost, key: string, answer: (claim: 'granted' | 'taken' | 'unavailable') => void): void;
 	releaseKey(vm: VmHost, key: string): void;
-	tellPeers(vm: VmHost, news: LoadNews): void;
+	tellPeers(vm: VmHost, update: LoadUpdate): void;
 	sawLeaving(vm: VmHost, identity: string, instance: string): void;
 };
 
--- a/src/proof/guards/guards.ts
+++ b/src/proof/guards/guards.ts
@@ -39,7 +39,7 @@
 		tests: callTests,
 	},
 	{
-		name: 'late news of a given-up attempt changes nothing',
+		name: 'late events of a given-up attempt change nothing',
 		file: `${calls}/attempt-runner.ts`,
 		text: `		call.attempts.delete(attempt);
 		server.attempts.delete(attempt);`,
@@ -118,7 +118,7 @@
 		tests: callTests,
 	},
 	{
-		name: 'a woken VM hears the news before it places calls',
+		name: 'a woken VM handles waiting events before it places calls',
 		file: `${calls}/wake-guard.ts`,
 		text: 'if (now < this._holdUntil) {',
 		replacement: 'if (now < -this._holdUntil) {',
--- a/src/proof/oracle/fleet-promises.ts
+++ b/src/proof/oracle/fleet-promises.ts
@@ -44,7 +44,7 @@
 
 /**
  * No work is given to a backend server later than a few seconds after its first sign of leaving. A VM that no
- * news could reach (fault `isolated`) has the same time from the moment at which it could be told; a pause
+ * updates could reach (fault `isolated`) has the same time from the moment at which it could be told; a pause
  * gives it no such time.
  */
 export function checkLeaving(index: HistoryIndex, limits: OracleLimits): Violation[] {
