--- a/src/cli/call-story.test.ts
+++ b/src/cli/call-story.test.ts
@@ -12,8 +12,7 @@
 };
 
 describe('the story of a call', () => {
-	// Story: a customer's payment came back with 502. Its caller sent it to two VMs; the backend server of the first had
-	// crashed, which stands in other lines of that VM.
+	// Guards operators against a call's trace that lacks the lines of other VMs or of its backend server's crash.
 	it('gathers its lines of all VMs in order, and what was believed of its backend servers', () => {
 		const log = [
 			line(12, 'vm-2', 'call ended', {
--- a/src/cli/run.test.ts
+++ b/src/cli/run.test.ts
@@ -238,8 +238,7 @@
 		expect(user.transcript).toMatchSnapshot(this);
 	});
 
-	// An operator edits a service while a colleague deletes it: nothing of the edit may take effect, and
-	// the operator must read that, with exit code 4. Cause: both began from the same version.
+	// Guards an operator whose resource a colleague deletes meanwhile against a change that half takes effect.
 	it('tells the loser of a conflict that nothing was changed', async function () {
 		await user.run('apply', '-f', 'services.toml');
 		await user.run('edit', 'service', 'ordering', '--set', 'priority=9');
@@ -248,9 +247,7 @@
 		expect(user.gateway.version).toEqual(2);
 	});
 
-	// The first VM accepts a change and its answer is lost on the way. The command must settle it by
-	// sending the same operation again, and the change must stand in the history once.
-	// Cause: a lost answer says nothing about the write.
+	// Guards a change whose answer is lost against being made twice or told as refused.
 	it('settles a change whose answer was lost, and never makes it twice', async function () {
 		user.gateway.mood = 'loses-answers';
 		await user.run('apply', '-f', 'services.toml');
@@ -266,8 +263,7 @@
 		expect(user.transcript).toMatchSnapshot(this);
 	});
 
-	// One VM is down and another takes requests without answering. Reads go on to a VM that answers; a
-	// write that may have been taken is never called refused. Cause: a closed connection proves nothing.
+	// Guards an operator's write against a false refusal where a connection closes without an answer.
 	it('goes on to another VM where that is safe', async function () {
 		user.starting.add('http://vm-1');
 		await user.run('get');
--- a/src/common/burn/burn.test.ts
+++ b/src/common/burn/burn.test.ts
@@ -107,9 +107,7 @@
 		expect([line!.verdict, line!.budgetLeft, line!.windows[0]!.burnRate]).toEqual(['fast-burn', null, null]);
 	});
 
-	// A VM dies; two others hold copies of its counts, one of them older, and a third copy is of a VM that
-	// still tells its own. The report must count each call once, or the burn looks twice as high.
-	// Cause: copies overlap with one another and with the living.
+	// Guards the burn report against counting a call once for each copy of a lost VM's counts.
 	it('counts each process once, by its newest word', function () {
 		const living = new BurnLedger();
 		fill(living, 0, hour, 100);
@@ -129,8 +127,7 @@
 		expect(reversed).toEqual(report);
 	});
 
-	// A VM died 20 minutes ago with many bad calls in its last minute. The copy of its counts must not keep
-	// the five-minute window burning for good. Cause: a copy that does not age.
+	// Guards the five-minute window against the counts of a VM that was lost long ago.
 	it('lets copies age', () => {
 		const ledger = new BurnLedger();
 		fill(ledger, 0, minute, 2);
--- a/src/common/calls/answer-time-model.test.ts
+++ b/src/common/calls/answer-time-model.test.ts
@@ -38,8 +38,7 @@
 }
 
 describe('the model of answer times', () => {
-	// Story: a VM has just started in a rush. Judged by nothing it would refuse calls that a quiet server answers in time,
-	// or send them to one that neighbours slow down.
+	// Guards calls of a VM that has just started against estimates without any sample.
 	it('is sound before anything was seen', () => {
 		const model = new AnswerTimeModel();
 		const chances = [quiet, lastSlot, neighbours].map(prospect => model.chance(work, prospect, 400));
@@ -62,7 +61,7 @@
 		expect(mean).toBeLessThanOrEqual(2.6);
 	});
 
-	// Story: neighbours stay for 300 ms. A report of 300 ms ago says "quiet", and the call that trusts it is late.
+	// Guards calls against reports that are older than their content holds.
 	it('learns how long reports hold, and trusts older ones less', () => {
 		const model = new AnswerTimeModel();
 		for (let index = 0; index < 400; index++) {
@@ -91,7 +90,7 @@
 		inFlight: 0, queued: 0, slots: 3, instance: undefined, isLeaving: false, workTimeFactor: 1,
 	};
 
-	// Story: on a calm day three in four have room. Four questions for each call are paid, two of them for nothing.
+	// Guards the probing budget against probes that bring nothing where most backend servers have room.
 	it('is two where most have room, and all that may be asked where few have', () => {
 		const calm = new Headroom();
 		const full = new Headroom();
--- a/src/common/calls/call-engine.test.ts
+++ b/src/common/calls/call-engine.test.ts
@@ -18,9 +18,7 @@
 
 describe('call engine: outcomes', () => {
 	it('never starts an order again that may have run', () => {
-		// A caller orders a circuit. The connection is cut after the order left, before an answer came.
-		// The order may have been booked: sent again it could be booked twice, so the caller is told
-		// that the outcome is unknown. Cause: no proof that it did not run.
+		// Guards a non-idempotent call against a second run when its connection ends without an answer.
 		const driver = new EngineDriver(configurationOf(5));
 		const {attemptId} = driver.start(requestOf(1))!;
 		driver.sent(attemptId);
--- a/src/common/calls/demand-placing.test.ts
+++ b/src/common/calls/demand-placing.test.ts
@@ -25,8 +25,7 @@
 const slow = () => reportOf('p', {workTimeFactor: 7});
 
 describe('placing by measuring on demand', () => {
-	// Story: neighbours make work on a third of the backend servers seven times as long, for half a second at a time. Placed
-	// by reports that came with old answers, every third call is late.
+	// Guards calls against backend servers that their neighbours slow down for half a second at a time.
 	it('asks a few backend servers and takes the one that is quiet now', () => {
 		const driver = driverOf(10);
 		const measures = measuresOf(driver.handle({type: 'call-arrived', request: readOf(1)}));
@@ -63,8 +62,7 @@
 		expect(draws).toBeLessThanOrEqual(60);
 	});
 
-	// Story: backend servers fall silent, or a VM is busy: reports do not come. A call that waits for them to its deadline
-	// is lost though any backend server could have run it.
+	// Guards calls against waiting for load reports that do not come.
 	it('waits for reports some milliseconds only', () => {
 		const driver = driverOf(3);
 		driver.handle({type: 'call-arrived', request: readOf(1)});
@@ -72,8 +70,7 @@
 		expect(startIn(effects) === undefined).toEqual(false);
 	});
 
-	// Story: a rush brings a hundred calls at once, and each asks four backend servers: measuring takes more of them than
-	// the calls.
+	// Guards the probing budget against a burst of calls.
 	it('stays within the budget in a rush, and places all the same', () => {
 		const driver = driverOf(4, 100);
 		let measured = 0;
@@ -93,8 +90,7 @@
 		expect([measured <= 4 * (100 + 12), started]).toEqual([true, 200]);
 	});
 
-	// Story: all backend servers are several times slower than usual for a moment. A call that is sent to one of them at
-	// once ends late; one that waits a moment meets a quiet one.
+	// Guards calls against being placed at once while all backend servers are slow for a moment.
 	it('waits a moment when nobody can answer within the objective', () => {
 		const driver = driverOf(4);
 		const measures = measuresOf(driver.handle({type: 'call-arrived', request: readOf(1)}));
@@ -104,8 +100,7 @@
 		expect([startIn(atOnce) === undefined, startIn(later) === undefined, startIn(placed) === undefined]).toEqual([true, true, false]);
 	});
 
-	// Story: twice as many calls come as can be served. Held to their deadlines, refused callers cannot come back; they
-	// are told at once, with a time, and nothing of theirs has run.
+	// Guards callers against being held until their deadline when no backend server has room.
 	it('refuses within a third of the objective when all backend servers are full', () => {
 		const driver = driverOf(4);
 		const full = () => reportOf('p', {inFlight: 6, queued: 4, workTimeFactor: 1});
@@ -119,8 +114,7 @@
 		expect([refusal?.status, refusal?.outcome, refusal?.retryAfterMilliseconds === undefined, driver.now <= 110]).toEqual([503, 'not-run', false, true]);
 	});
 
-	// Story: a call that is already late takes the only quiet backend server; the next one, which could have been in time
-	// there, is late as well.
+	// Guards fresh calls against late ones that take the only quiet backend server.
 	it('sends a call that is late anyway to a slow backend server and leaves the quick one to others', () => {
 		const driver = driverOf(2);
 		const request = readOf(1, {objectiveMilliseconds: 40});
@@ -137,8 +131,7 @@
 		expect(start?.identity).toEqual('identity-0');
 	});
 
-	// Story: a member is refused in a rush, comes back a third of a second later and is taken for a fresh caller. It gets a
-	// quick place and is late all the same; a fresh call, which would have been in time there, is not.
+	// Guards fresh calls against retrying callers that are late whatever they get.
 	it('knows a caller that comes back by the time that it has left, and spares it the quick places', () => {
 		const driver = driverOf(2);
 		for (let call = 10; call < 20; call++) {
@@ -152,8 +145,7 @@
 		expect(start?.identity).toEqual('identity-0');
 	});
 
-	// Story: all slots are taken for a moment. A call that queues at a backend server at once cannot be moved any more when
-	// another one becomes free, and sixteen VMs that do so bury the one that looked best.
+	// Guards calls against queueing at a backend server while a free slot elsewhere is about to appear.
 	it('waits for a free slot, and queues at a backend server only after its wait', () => {
 		const driver = driverOf(2);
 		const justFull = () => reportOf('p', {inFlight: 6, workTimeFactor: 0.8});
@@ -168,8 +160,7 @@
 		expect([atOnce, start === undefined, driver.now >= 75]).toEqual([undefined, false, true]);
 	});
 
-	// Story: a VM has many backend servers and asks four for each call. All four are full, and a report of two seconds ago
-	// says that a fifth is free. Every VM believes its own old report of another one, and most of them are wrong.
+	// Guards calls against an old report that looks better than the young ones.
 	it('prefers what it has just learnt over an old report that looks better', () => {
 		const driver = driverOf(5);
 		const before = measuresOf(driver.handle({type: 'call-arrived', request: readOf(1)}));
@@ -183,8 +174,7 @@
 		expect([start === undefined, start !== undefined && asked.has(start.identity)]).toEqual([false, true]);
 	});
 
-	// Story: a neighbour comes in the middle of a call, which would now take seven times as long. Waited for, it misses its
-	// objective; tried elsewhere while a usual answer still fits, it does not.
+	// Guards the objective of an idempotent call against a neighbour that arrives in the middle of it.
 	it('tries an idempotent call again in time for its objective', () => {
 		const driver = driverOf(4);
 		startIn(answer(driver, measuresOf(driver.handle({type: 'call-arrived', request: readOf(1)})), quiet));
@@ -212,8 +202,7 @@
 describe('measuring and bytes between data centres', () => {
 	const near = (measures: readonly Measure[]) => measures.map(({identity}) => Number(identity.slice('identity-'.length)) < 3);
 
-	// Story: on a calm day a third of all backend servers is in the own data centre, and most have room. Each question and
-	// answer to another one is paid by the byte: it came to a fortieth of the day's worth.
+	// Guards against bytes between data centres for probes that the own data centre can answer.
 	it('ask the own data centre first, and nobody else where that has a good place', () => {
 		const driver = inTwoDataCentres(6);
 		const measures = measuresOf(driver.handle({type: 'call-arrived', request: readOf(1)}));
@@ -221,7 +210,7 @@
 		expect([near(measures), measuresOf(effects).length, startIn(effects) === undefined]).toEqual([[true, true, true], 0, false]);
 	});
 
-	// Story: the near backend servers are all slowed down by neighbours for a moment, and the far ones are not.
+	// Guards calls against slow backend servers of the own data centre while others are quick.
 	it('ask the others where the own one has no good place, and go there', () => {
 		const driver = inTwoDataCentres(6);
 		const second = measuresOf(answer(driver, measuresOf(driver.handle({type: 'call-arrived', request: readOf(1)})), slow));
@@ -231,8 +220,7 @@
 });
 
 describe('a second attempt where the first is in the last slot', () => {
-	// Story: in a rush calls take the last slot of backend servers, where they need half as long again. At the time of a usual
-	// answer each gets a second attempt, which takes the slot of another call, for an answer that was on its way.
+	// Guards slots against second attempts for answers that are about to come.
 	it('waits until the first is no longer likely to be in time', () => {
 		const driver = driverOf(4);
 		for (let call = 10; call < 40; call++) {
@@ -256,8 +244,7 @@
 }
 
 describe('backend servers that turn calls away though they have room', () => {
-	// Story: all backend servers of a service shed half of their calls while their reports say that they are idle. Each VM
-	// remembers that, takes no chance for fair any more, and refuses nearly every call without an attempt.
+	// Guards calls against being refused without an attempt where all backend servers shed alike.
 	it('are tried on where all do so alike', () => {
 		const driver = driverOf(4);
 		let attempts = 0;
@@ -280,8 +267,7 @@
 		expect([attempts >= 58, refused <= 2]).toEqual([true, true]);
 	});
 
-	// Story: a caller is turned away by a backend server that is not full, and is told to come back after a tenth of a
-	// second, as in a rush. By then its objective cannot be kept any more.
+	// Guards callers of a shed call against a time to return that is too late for their objective.
 	it('have callers come back at once', () => {
 		const driver = driverOf(2);
 		const start = startIn(answer(driver, measuresOf(driver.handle({type: 'call-arrived', request: readOf(1, {mostAttempts: 1})})), quiet))!;
@@ -290,7 +276,7 @@
 		expect([refusal?.outcome, refusal !== undefined && refusal.retryAfterMilliseconds! <= 10]).toEqual(['not-run', true]);
 	});
 
-	// Story: one of them does so, the others do not. Its idle reports draw call after call.
+	// Guards calls against one backend server that sheds and reports itself idle.
 	it('are left to the others where one does so alone', () => {
 		const driver = driverOf(4);
 		let shed = 0;
@@ -318,7 +304,7 @@
 		expect(linesOf(driver.passTime(20))).toEqual(['cancel-attempt', 'refuse deadline-exceeded unknown 504', 'call-ended']);
 	});
 
-	// Story: a route allows two backend servers a call. Two fail it, and a third is hit by a call that breaks them.
+	// Guards backend servers against a call that breaks them, beyond the attempts that its route allows.
 	it('bounds the backend servers that a call is sent to', () => {
 		const driver = driverOf(6);
 		const seen: string[] = [];
@@ -335,8 +321,7 @@
 });
 
 describe('a status that callers read as "not run"', () => {
-	// Story: a backend server answers a payment with a bare 503 after it has run. Passed on, the caller reads "not run",
-	// sends it again, and pays twice.
+	// Guards callers against a bare 503 of a call that has run: they would take it for not run.
 	it('is not passed on without the backend server\'s word', () => {
 		const driver = new EngineDriver(configurationOf(1), {}, 1, {notRunStatuses: new Set([503])});
 		const start = driver.start(requestOf(1))!;
--- a/src/common/calls/late-calls.test.ts
+++ b/src/common/calls/late-calls.test.ts
@@ -45,30 +45,25 @@
 }
 
 describe('a call that will hardly meet its objective', () => {
-	// Story: an operator adds a route with a short timeout to a service whose other calls take a second. Its calls are quick,
-	// but the VM takes them for as long as the others, and refuses each while every backend server is idle. What an
-	// operator sees: the new route answers 503, and the old ones are well.
+	// Guards calls of a new route against estimates of the other routes of its service.
 	it('is served at once on a route of which nothing is known yet', () => {
 		const {start, lines} = follow(taughtDriver(), readOf(1, {route: 'added', timeoutMilliseconds: 1000, objectiveMilliseconds: 1000}, 900));
 		expect([start === undefined, lines]).toEqual([false, []]);
 	});
 
-	// Story: a caller comes back with 1.2 s left for a call that takes 0.95 s as a rule. Nobody else wants the slots, and
-	// it is told that there is no room.
+	// Guards late calls against being refused while backend servers are half empty.
 	it('is served late where backend servers are half empty', () => {
 		const {start, lines} = follow(taughtDriver(), readOf(1, {}, 1200));
 		expect([start === undefined, lines]).toEqual([false, []]);
 	});
 
-	// Story: a caller has 0.3 s left for a call that has never taken less than 0.9 s on this route. Sent on, it ends without
-	// an answer, and its caller doesn't even know whether it ran.
+	// Guards callers against an attempt that cannot end before their deadline.
 	it('is refused where its own route has shown that it takes longer than it has', () => {
 		const {start, lines} = follow(taughtDriver(), readOf(1, {}, 300));
 		expect([start, lines]).toEqual([undefined, ['refuse overloaded not-run 503']]);
 	});
 
-	// Story: operators add and remove routes all day. Remembered for good, each would take memory, and those of today would
-	// share what was learnt for the first few.
+	// Guards memory and the other routes against what was learnt of routes that are gone.
 	it('forgets the routes that were called longest ago', () => {
 		const driver = taughtDriver();
 		for (let call = 200; call < 240; call++) {
--- a/src/common/calls/measuring-schedule.test.ts
+++ b/src/common/calls/measuring-schedule.test.ts
@@ -112,8 +112,7 @@
 	});
 
 	it('costs an idle service little, and has its full pace back soon after its first call', () => {
-		// A VM knows thousands of backend servers of services that nobody calls through it. Measured at full pace
-		// they would take its whole core, and their own VMs' slots. Cause: a pace that does not ask for whom.
+		// Guards backend servers that nobody calls through this VM against being measured at full pace.
 		const configuration = configurationOf({callsPerWindow: 60, tailWeight: 1});
 		const engine = new DefaultCallEngine({random: seededRandom(seed), settings: {dataCentre: 'north'}});
 		const shares: FleetShares = {
@@ -144,8 +143,7 @@
 	});
 
 	it('refuses a measuring call out of turn, whoever asks for it', () => {
-		// A second reason to measure is added, and each backend server gets twice the agreed calls. Cause: the budget
-		// was kept only by when the first reason asked.
+		// Guards the measuring budget against a second reason to measure.
 		const schedule = new MeasuringSchedule();
 		const budget = {callsPerWindow: 60, windowMilliseconds, tailWeight: 1};
 		const shares: FleetShares = {
--- a/src/common/calls/process-restart.test.ts
+++ b/src/common/calls/process-restart.test.ts
@@ -15,8 +15,7 @@
 }
 
 describe('a process that starts again under its identity', () => {
-	// Story: a backend server that was full and was leaving crashes and starts again under its id. It is empty, but by the
-	// old reports it is full, and by the old sign it gets nothing for as long as it lives.
+	// Guards a restarted backend server against the reports and the leaving of the process before.
 	it('is judged by nothing that was known of the one before', () => {
 		const driver = new EngineDriver(startedAt(1000, 1));
 		const first = driver.start(requestOf(1))!;
@@ -28,7 +27,7 @@
 		expect(driver.start(requestOf(3))?.processStartedAt).toEqual(2000);
 	});
 
-	// Story: an older declaration is still on its way through the fleet and arrives after that of the new process.
+	// Guards a restarted backend server against an older declaration that arrives later.
 	it('stays when an older word of its predecessor comes', () => {
 		const driver = new EngineDriver(startedAt(2000, 1));
 		const first = driver.start(requestOf(1))!;
@@ -37,8 +36,7 @@
 		expect(driver.engine.status(driver.now).backendServers[0]?.reportedInFlight).toEqual(2);
 	});
 
-	// Story: a cut hides the crash of a backend server. Its new process registers, while an order sent to the old one
-	// hangs on a connection that will never say anything. Sent again it might run twice; counted as not run it might have.
+	// Guards a non-idempotent call at a process that is gone against a second run and a false promise of not run.
 	it('leaves an order of the old one open, which may have run', () => {
 		const driver = new EngineDriver(startedAt(1000, 1));
 		const order = driver.start(requestOf(1))!;
@@ -47,7 +45,7 @@
 		expect([effects.length, driver.fail(order.attemptId, 'reset-after-sending').map(({type}) => type)]).toEqual([0, ['tell-peers', 'refuse', 'call-ended']]);
 	});
 
-	// Story: the same with a read. Waiting for the silent connection would use up its caller's time.
+	// Guards an idempotent call against waiting for a process that is gone.
 	it('has reads of the old one tried again at once', () => {
 		const driver = new EngineDriver(startedAt(1000, 1));
 		for (let call = 10; call < 80; call++) {
--- a/src/common/calls/retry-budget.test.ts
+++ b/src/common/calls/retry-budget.test.ts
@@ -18,8 +18,7 @@
 }
 
 describe('the fleet\'s burst of retries', () => {
-	// Story: a customer has 116 VMs, each with ten retries saved up. A fault of a second brings 1160 second attempts where
-	// 186 are allowed beyond a fifth of the calls, and the backend servers stay down.
+	// Guards the retry budget against the sum of what each VM of a large fleet has saved up.
 	it('is shared out, so that all VMs together stay within it', () => {
 		expect([14 * atOnce(58, 14) <= 58, 116 * atOnce(186, 116) <= 186, atOnce(58, 14) >= 3]).toEqual([true, true, true]);
 	});
--- a/src/common/calls/retrying-callers.test.ts
+++ b/src/common/calls/retrying-callers.test.ts
@@ -24,14 +24,13 @@
 		expect(afterUsual([1190, 1190]).spentOf(700, rule)).toEqual(0);
 	});
 
-	// Story: a few callers wait for three seconds where others wait for one. Measured against those, every caller looks
-	// like one that comes back; all are sent to slow backend servers or refused, on a calm day.
+	// Guards fresh callers against a few with long deadlines, by which all others would look like retrying callers.
 	it('are not measured against a few callers that wait far longer', () => {
 		const callers = afterUsual([2992, 1190, 1178, 2993, 1191, 1179, 1190, 2992, 1178, 1178, 1190]);
 		expect([callers.spentOf(1178, rule), callers.spentOf(993, rule), callers.spentOf(2992, rule)]).toEqual([0, 0, 0]);
 	});
 
-	// Story: in a rush more than half of all callers come back. Taken for the usual, they get the quick places again.
+	// Guards the usual deadline against a burst in which most callers are retrying.
 	it('are told from fresh ones also when they are more than half', () => {
 		const callers = afterUsual([1190, 700, 650, 1190, 720, 690, 1178, 640, 1190, 700, 1190]);
 		expect(callers.spentOf(700, rule) > 0).toEqual(true);
--- a/src/common/calls/wake-guard.test.ts
+++ b/src/common/calls/wake-guard.test.ts
@@ -42,9 +42,7 @@
 
 describe('wake guard', () => {
 	it('lets a woken VM hear what happened before it decides on calls', function () {
-		// A VM is paused for ten seconds. Meanwhile a backend server begins to leave, and a call comes in.
-		// When the VM goes on, the call lies before the events in its sockets: it would be given to the
-		// backend server that left long ago. Cause: knowledge as old as the pause.
+		// Guards calls after a pause of the VM against knowledge that is as old as the pause.
 		const engine = new NotingEngine();
 		const guard = new WakeGuard(engine);
 		guard.handle({type: 'tick'}, 0);
--- a/src/common/fleet/configuration/large-change.test.ts
+++ b/src/common/fleet/configuration/large-change.test.ts
@@ -5,9 +5,7 @@
 const manyServices = 1000;
 
 describe('large change', () => {
-	// An operator applies 1,000 services through one VM and is told "accepted". All other VMs act on them, but
-	// the very VM that took the change does not, until the next change: for hours, perhaps.
-	// Cause: it moved its state forward by itself, so the reader saw nothing new and told nobody.
+	// Guards a large change against being in force on all VMs but the one that took it.
 	it('is in force on the VM that took it, as on all others', () => {
 		const fleet = new FakeFleet(1);
 		for (let index = 0; index < 3; index += 1) {
--- a/src/common/registry/fleet-scale.test.ts
+++ b/src/common/registry/fleet-scale.test.ts
@@ -45,8 +45,7 @@
 describe('a fleet of 300 VMs that the store leads', function () {
 	this.timeout(120_000);
 
-	// Story: a customer grows from 30 VMs to 300, and the platform bills ten times the calls: each VM listed everything and
-	// held an entry under a lease of its own.
+	// Guards the store against calls that grow with the number of VMs.
 	it('asks no more of the store on a calm day than one and a half calls a VM', () => {
 		const model = new FleetModel({vmCount: 300, serverCount: 504, seed: 1});
 		model.startAll();
@@ -62,8 +61,7 @@
 			expect(worstMistakes(model)).toEqual(noMistakes);
 		});
 
-		// Story: a rush of kills and restarts, the VMs that read the store among them. The VMs whose entries those kept have to
-		// find another one to keep them before the lease ends.
+		// Guards VMs against losing their registrar and many others in a burst of kills and restarts.
 		it(`finds its order again after kills of readers and others (seed ${seed})`, () => {
 			const model = startedModel(300, seed);
 			const before = model.store.total;
@@ -81,8 +79,7 @@
 			expect(model.store.total - before).toBeLessThanOrEqual(callsOfTrouble);
 		});
 
-		// Story: the store falls silent for eight seconds and takes all leases with it. When it is back, hundreds of VMs want
-		// their entries written at once.
+		// Guards the store against hundreds of VMs that register at once behind an outage.
 		it(`has all entries written again after an outage in which leases lapsed (seed ${seed})`, () => {
 			const model = startedModel(300, seed);
 			const before = model.store.total;
@@ -94,8 +91,7 @@
 			expect(model.store.total - before).toBeLessThanOrEqual(callsOfOutage * 300);
 		});
 
-		// Story: the store turns a third of the VMs away, those that read for others first. Their followers must leave them,
-		// and the others must not believe that so many VMs are gone.
+		// Guards VMs whose reader the store rejects against leaving the answers.
 		it(`keeps its VMs in the answers while the store turns its readers away (seed ${seed})`, () => {
 			const model = startedModel(300, seed);
 			const readers = new Set(model.living.filter(one => one.fleet.status(model.timeline.now).isReadingStore).map(({address}) => address));
@@ -112,8 +108,7 @@
 			expect(worstMistakes(model)).toEqual(noMistakes);
 		});
 
-		// Story: all VMs lose power at once. Their entries stand under leases that nobody renews, beside those of the processes
-		// that start a second later at the same addresses.
+		// Guards a fleet that starts again against the entries of its own lost processes.
 		it(`starts again as a whole after all have lost power (seed ${seed})`, () => {
 			const model = startedModel(300, seed);
 			const before = model.store.total;
--- a/src/common/registry/lapsed-while-turning.test.ts
+++ b/src/common/registry/lapsed-while-turning.test.ts
@@ -44,11 +44,7 @@
 /** What a VM tells that took the return of the two entries for a heartbeat: they stand as they were. */
 const told = {isWhole: true, entries: [...servers, ...others, entryOf('vms/own', '10.0.0.1:80', 12)], revision: 30};
 
-// Story: the store is silent for six seconds and entries lapse. When it is back, most VMs have read for themselves, and
-// turn to the one that reads for all. Half a minute later VMs of two data centres still refuse a sixth of their calls:
-// they know 15 of 33 backend servers. Order: such a VM reads that entries have lapsed and holds them; it turns to another
-// VM; the backend servers write their entries again, which means nothing new to that one, and it does not tell it; the
-// hold ends. Cause: each took out what it held, and nobody ever told it that they were there.
+// Guards backend servers that lapse and come back against a VM that follows another one meanwhile: nobody publishes their return.
 describe('backend servers that lapse while a VM turns to the feed of another', () => {
 	it('stay, since it is for the VM that is followed to say what is gone', () => {
 		const driver = afterLapse();
@@ -69,8 +65,7 @@
 		expect(driver.usable).toEqual(['b']);
 	});
 
-	// Story: the same VM becomes the one that reads for all again. It watches on from what it was told, and the return of
-	// the entries lies before that.
+	// Guards the same backend servers against a VM that watches on from a revision that it was only told.
 	it('are read anew by a VM that reads on after it was told', () => {
 		const driver = readingOn();
 		driver.reply('list', {type: 'entries', entries: [...servers.slice(0, 2), ...others, entryOf('vms/own', '10.0.0.1:80', 12)], revision: 41});
--- a/src/common/registry/own-entry.test.ts
+++ b/src/common/registry/own-entry.test.ts
@@ -10,9 +10,7 @@
 }
 
 describe('the own entry of a VM that stops', () => {
-	// Story: a VM is stopped just when it writes its entry, and the store is slow. The entry comes to stand after the VM has
-	// taken it back, and callers are sent to the VM till the lease has lapsed, when its process is long gone.
-	// Cause: the lease was known only from the answer to the write, and the answer was passed over.
+	// Guards callers against an entry that is written after its VM has taken it back.
 	it('is taken back though its write is under way', () => {
 		const driver = new RegistryDriver();
 		driver.start(entries);
@@ -24,8 +22,7 @@
 		expect(waiting(driver)).toEqual(['remove vms/own']);
 	});
 
-	// Story: the store refuses a request or loses its answer, which it does under load, just when a VM takes its entry back.
-	// Callers are sent to a VM that ends.
+	// Guards callers against an entry that stays when the store refuses its removal or loses the answer.
 	for (const type of ['unavailable', 'unknown'] as const) {
 		it(`is taken back again when the store did not say that it is gone: ${type}`, () => {
 			const driver = new RegistryDriver();
@@ -43,7 +40,7 @@
 		});
 	}
 
-	// Story: as before, and the VM comes to the next stages of its stop while it waits to ask again.
+	// Guards the removal of the entry against later stages of the stop that arrive while it is retried.
 	it('is taken back again through the stages of the stop', () => {
 		const driver = new RegistryDriver();
 		driver.start(entries);
--- a/src/common/registry/registry-feed.test.ts
+++ b/src/common/registry/registry-feed.test.ts
@@ -34,8 +34,7 @@
 		expect(published([...twoServers, ...three, entryOf('vms/w', '10.0.0.9:80 1000', 9)]).followed[0]).toEqual('10.0.0.9:80');
 	});
 
-	// Story: a VM is killed and starts again. For the term of its lease its old entry stands beside the new one.
-	// Followed by age, all would turn to the dead process; counted twice, its address would get twice its callers.
+	// Guards against the entry of an earlier process at the same address, which stands until its lease ends.
 	it('goes by the latest entry of an address', () => {
 		const driver = published([...twoServers, ...three, entryOf('vms/x-again', '10.0.0.2:80', 11)]);
 		expect([driver.source, driver.fleet.addresses('orders', 'north').addresses.length]).toEqual(['10.0.0.3:80', 3]);
@@ -74,8 +73,7 @@
 		});
 	});
 
-	// Story: a VM leaves its reader, which is behind, for another. A backend server that left meanwhile is in the old
-	// reader's last words, and gets calls again that nobody finishes.
+	// Guards against a feed that is behind: a backend server that has left would get calls again.
 	it('do not bring back what has gone since', () => {
 		const driver = following();
 		driver.frame({revision: 30, deleted: ['servers/a']});
@@ -90,16 +88,14 @@
 		expect(driver.usable).toEqual(['a', 'b']);
 	});
 
-	// Story: a VM joins a reader in the middle of its words. What the reader told before is missing, and a backend server
-	// that left before gets calls.
+	// Guards against changes without the whole that they follow.
 	it('count for nothing before the reader has told everything', () => {
 		const driver = published();
 		driver.frame({revision: 40, entries: [entryOf('configuration', '9', 40)]});
 		expect([driver.inForce?.version, driver.isReading]).toEqual([1, true]);
 	});
 
-	// Story: VMs that have lost their reader follow one another in a circle. Each takes what it said itself, come round,
-	// for a fresh feed; nobody asks the store, and a change is in force nowhere.
+	// Guards against VMs that follow one another in a circle and take their own echo for a fresh feed.
 	it('are told only by VMs that have read them in the store', () => {
 		const driver = following();
 		const before = driver.told.length;
@@ -107,9 +103,7 @@
 		expect([driver.told.length - before, driver.fleet.feed(driver.now).ageMilliseconds > 1e6]).toEqual([0, true]);
 	});
 
-	// Story: VMs listen to one that is told itself and passes nothing on. It comes to read the store, and tells what is new
-	// from then on. What it learnt meanwhile they never hear of: minutes later they still know a part of the backend servers.
-	// Cause: its words claim that everything up to their revision is known.
+	// Guards followers against changes that they missed while their source followed another VM itself.
 	it('begin with everything when a VM that was told comes to read', () => {
 		const driver = following();
 		driver.frame({revision: 30, entries: [entryOf('servers/c', 'orders 10.0.1.3 ready', 30)]});
@@ -123,7 +117,7 @@
 		expect([first?.isWhole, first?.entries.some(({key}) => key === 'servers/c')]).toEqual([true, true]);
 	});
 
-	// Story: the own entry lapses unnoticed; the VM serves on and gets no callers. Its reader tells of the removal.
+	// Guards a VM that serves against the unnoticed lapse of its own entry.
 	it('tell a VM that its own entry is gone', () => {
 		const driver = following();
 		const before = driver.announced.length;
@@ -133,8 +127,7 @@
 });
 
 describe('a reader that falls silent', () => {
-	// Story: the VM that reads for a data centre freezes, and an operator's change is accepted. All who follow it serve by
-	// the old configuration, each sure that nothing has changed.
+	// Guards followers against a reader that is frozen while a configuration is accepted.
 	it('is left in time: the stand-by first, then the store itself', () => {
 		const driver = following();
 		driver.passTime(1290);
@@ -151,8 +144,7 @@
 		expect([driver.isReading, driver.source]).toEqual([false, '10.0.0.3:80']);
 	});
 
-	// Story: most of a fleet loses power. Each VM that is left tries one dead reader after the other, which refuse at once,
-	// and spends its processor time on that instead of on calls.
+	// Guards processor time against trying lost readers over and over.
 	it('is not sought for ever among VMs that are all gone', () => {
 		const driver = following();
 		let tried = 0;
@@ -200,7 +192,7 @@
 		expect(driver.source).toEqual('10.0.0.2:80');
 	});
 
-	// Story: the platform's store is out. Every VM of a large fleet asks it again and again, and each call is paid for.
+	// Guards against calls of a whole fleet to a store that is out.
 	it('leaves the asking to few while the store is out', () => {
 		const driver = following();
 		driver.lose(10_000);
--- a/src/common/registry/registry-fleet.test.ts
+++ b/src/common/registry/registry-fleet.test.ts
@@ -12,7 +12,7 @@
 		});
 	});
 
-	// Story: a VM of a quarter of a core starts in a large fleet and writes a line for each of 800 entries before it takes calls.
+	// Guards a small VM that starts in a large fleet against a log line for each entry.
 	it('tells of a long first list in a few lines', () => {
 		const driver = new RegistryDriver();
 		driver.start([entryOf('configuration', '1'), ...Array.from({length: 500}, (_, index) => entryOf(`servers/s${index}`, 'orders 10.0.1.1 ready'))]);
@@ -26,8 +26,7 @@
 		expect(driver.stages).toEqual(['starting']);
 	});
 
-	// Story: an old copy of the store, or a slow answer, brings a configuration that was replaced. Calls would be handled
-	// by rules that operators have taken back.
+	// Guards calls against an old copy of the store that brings a replaced configuration.
 	it('never goes back to an older configuration', () => {
 		const driver = new RegistryDriver();
 		driver.start(twoServers);
@@ -36,8 +35,7 @@
 		expect(driver.inForce?.version).toEqual(5);
 	});
 
-	// Story: a document that is cut short arrives. Adopted, it would leave calls without routes; read as none, the VM
-	// would stop serving.
+	// Guards the configuration in force against a document that is cut short.
 	it('keeps the configuration in force when the next one cannot be read', () => {
 		const driver = new RegistryDriver();
 		driver.start(twoServers);
@@ -63,9 +61,7 @@
 		expect(driver.effects.length).toEqual(before);
 	});
 
-	// Story: the store is away for ten seconds. Backend servers cannot renew their entries, which lapse; the first word of
-	// the returned store is that all are gone, and every VM refuses every call for a second.
-	// Cause: a lapse and a leaving look alike. The living are back within two seconds.
+	// Guards backend servers that live against the lapse of their entries during an outage of the store.
 	it('holds on to backend servers whose entries may have lapsed while the store was away', () => {
 		const driver = new RegistryDriver();
 		driver.start(twoServers);
@@ -85,9 +81,7 @@
 		expect(driver.usable).toEqual(['b']);
 	});
 
-	// Story: the store falls silent and returns; a change is made right after. The VM's watch was sent into the silence
-	// and hangs on a dead connection for its whole time, so the VM acts on the old configuration seconds too long.
-	// Cause: watches sent while the store is lost waited as long as others.
+	// Guards a change made right after an outage against a watch that was sent into the silence.
 	it('asks with short watches while the store is lost', () => {
 		const driver = new RegistryDriver();
 		driver.start(twoServers);
@@ -120,8 +114,7 @@
 		expect(driver.asked.map(({operation}) => operation.type)).toEqual(['watch', 'keep-lease']);
 	});
 
-	// Story: the answer to the write is lost. The VM writes again, finds its own entry there, and would go on without a
-	// lease that it renews: seconds later it is out of all answers though it serves.
+	// Guards a VM against an own entry without a lease that it renews, after the answer to its write was lost.
 	it('replaces an earlier write whose answer was lost', () => {
 		const driver = new RegistryDriver();
 		driver.start(twoServers);
@@ -134,7 +127,7 @@
 		expect(write?.type === 'write-all' ? write.writes.map(({expected}) => expected) : undefined).toEqual([12]);
 	});
 
-	// Story: the store takes leases away and tells no holder. The VM serves on, and no caller is sent to it.
+	// Guards a VM that serves against a lease that the store takes away without a word.
 	it('is written again when it was removed', () => {
 		const driver = published();
 		driver.change([], ['vms/own']);
@@ -161,7 +154,7 @@
 		expect(driver.fleet.addresses('orders', 'north').addresses.map(({address}) => address)).toEqual(['10.0.0.2:80', '10.0.0.1:80']);
 	});
 
-	// Story: a data centre loses most of its VMs. Its callers all go to the one that is left, which drowns.
+	// Guards the last VM of a data centre against all its callers.
 	it('names all where too few are near', () => {
 		const driver = new RegistryDriver();
 		driver.start([...twoServers, ...[1, 2, 3, 4, 5].map(index => entryOf(`vms/${index}`, `10.1.0.${index}:80`))]);
@@ -178,8 +171,7 @@
 		return driver;
 	}
 
-	// Story: a VM is told to stop and killed six seconds later. A call that it takes in the last second is cut.
-	// Callers keep old answers for seconds, so it cannot refuse from the start either.
+	// Guards calls taken late in a planned stop against the end of the process.
 	it('takes calls as long as they can end in time, and no longer', () => {
 		const driver = stopping(1);
 		driver.passTime(4200);
@@ -190,8 +182,7 @@
 		expect(driver.stages.at(-1)).toEqual('ended');
 	});
 
-	// Story: a call waits for a place while its VM stops. At the end of the grace time the process goes, and the call's
-	// connection with it: its caller cannot know that it never ran, and a payment is asked about by hand.
+	// Guards callers of calls that still wait when the process ends against a connection closed without an answer.
 	it('has calls that still wait refused before the process ends', () => {
 		const driver = stopping(1);
 		driver.passTime(5600);
--- a/src/common/registry/server-entries.test.ts
+++ b/src/common/registry/server-entries.test.ts
@@ -19,8 +19,7 @@
 		expect([startOf(driver, 'a'), driver.logged.at(-1)]).toEqual([2000, 'backend server started again']);
 	});
 
-	// Story: a backend server crashes and starts again at once. The last heartbeat of the process that died was on its
-	// way to a slow store and is written after the first one of the new process. Calls would be judged by the dead one.
+	// Guards a restarted backend server against a late heartbeat of the process before.
 	it('is not undone by a late heartbeat of the process before', () => {
 		const driver = watching();
 		driver.change([entryOf('servers/a', 'orders 10.0.1.1 ready 2000', 20)]);
@@ -28,8 +27,7 @@
 		expect([startOf(driver, 'a'), driver.usable]).toEqual([2000, ['a', 'b']]);
 	});
 
-	// Story: the same, and the new process is stopped a moment later. Its entry goes; the late heartbeat of the first
-	// process then brings a backend server back that nobody runs.
+	// Guards against such a heartbeat after the later process's entry is gone.
 	it('is not brought back by such a heartbeat after its entry is gone', () => {
 		const driver = watching();
 		driver.change([entryOf('servers/a', 'orders 10.0.1.1 ready 2000', 20)]);
@@ -38,8 +36,7 @@
 		expect(driver.usable).toEqual(['b']);
 	});
 
-	// Story: a VM that joins later learns from another one. Told the late heartbeat, it would believe the dead process,
-	// since it has never heard of the new one.
+	// Guards a VM that joins later against the late heartbeat of a process that is gone.
 	it('is told to other VMs by its own word', () => {
 		const driver = watching();
 		driver.change([entryOf('servers/a', 'orders 10.0.1.1 ready 2000', 20)]);
@@ -49,8 +46,7 @@
 });
 
 describe('an entry that another writer has spoilt', () => {
-	// Story: something other than the backend server writes its entry, with fields missing or in bytes that mean nothing.
-	// Calls went on to what the entry had named before, although nobody vouches for it any more.
+	// Guards calls against an entry that another writer has spoilt.
 	it('names no backend server to use, and others hold', () => {
 		const driver = watching();
 		driver.change([entryOf('servers/a', '\uFFFD\u0000', 20), entryOf('servers/c', 'orders 10.0.1.3 ready', 20)]);
@@ -70,7 +66,7 @@
 		expect(driver.usable).toEqual(['b']);
 	});
 
-	// Story: the writer goes on with a heartbeat every second; its lines bury all others in the log.
+	// Guards the log against a line for each heartbeat of such a writer.
 	it('is logged once, and not with each heartbeat', () => {
 		const driver = watching();
 		for (let revision = 20; revision < 30; revision++) {
--- a/src/common/routing/routing.test.ts
+++ b/src/common/routing/routing.test.ts
@@ -47,8 +47,7 @@
 });
 
 describe('a split by weight', () => {
-	// Story: operators send a tenth of the calls to a new service. Sixteen VMs see a handful of calls each; dealt out by
-	// chance the tenth comes out between a twentieth and a sixth.
+	// Guards small weights against chance where each VM sees few calls.
 	it('keeps each part within a tenth of its weight on few calls on each of many VMs', () => {
 		fc.assert(fc.property(fc.integer({min: 5, max: 95}), fc.integer({min: 1, max: 1_000_000}), (weight, seed) => {
 			const random = seededRandom(seed);
--- a/src/common/settings/settings-reference.test.ts
+++ b/src/common/settings/settings-reference.test.ts
@@ -4,8 +4,7 @@
 import {settingsSchema} from './settings.ts';
 
 describe('settings reference', () => {
-	// An operator sets a key that the page names and the daemon refuses it, or the default has moved.
-	// Cause: a page written beside the schema.
+	// Guards operators against a page that says other than the schema.
 	it('stands in the operators\' page as the schema has it', () => {
 		const page = readFileSync('docs/operators/settings.md', 'utf8');
 		const reference = page.slice(page.indexOf('## [vm]'), page.indexOf('## The tokens file'));
--- a/src/daemon/describe-call.test.ts
+++ b/src/daemon/describe-call.test.ts
@@ -21,8 +21,7 @@
 };
 
 describe('what decided about a call', () => {
-	// Story: a call was refused without an attempt, and its line said "overloaded" and nothing else. Whether its backend
-	// servers were full, unknown or thought too slow could not be told from any log.
+	// Guards operators against a refusal whose line does not say why.
 	it('stands in the line of a refusal that no attempt preceded', () => {
 		expect(describeGrounds(grounds).split('; ')).toEqual([
 			'321 backend servers known, 310 able, 4 weighed, 4 with a free slot',
--- a/src/daemon/serve.test.ts
+++ b/src/daemon/serve.test.ts
@@ -51,8 +51,7 @@
 		return end[0] === 0 ? end : [...end, text];
 	}
 
-	// Story: the terminal or the connection of whoever started a VM by hand goes away, and all calls on the VM are cut.
-	// Cause: SIGHUP was left to the system, whose answer is to end the process.
+	// Guards calls against the loss of the terminal that a VM was started from.
 	for (const signal of ['SIGHUP', 'SIGINT', 'SIGTERM'] as const) {
 		it(`stops as planned: ${signal}`, async () => {
 			expect(await endOf('listening', signal)).toEqual([0, null]);
--- a/src/node/api/operator-server.test.ts
+++ b/src/node/api/operator-server.test.ts
@@ -50,8 +50,7 @@
 		return [answer.statusCode, body === '' ? undefined : JSON.parse(body)];
 	}
 
-	// An operator's client sends its body in chunks, or a DELETE without length: both are usual, and both
-	// were answered with 500. Cause: a limit that rebuilt the request from the server's own kind of it.
+	// Guards operators' requests against limits that reject bodies in chunks and requests without a length.
 	it('takes bodies in chunks and requests without length, and limits both', async function () {
 		const change = (note: string) => JSON.stringify({operation: 'operation-1', note, mutations: [{type: 'put', resource: {kind: 'service', name: 'ordering'}}]});
 		expect([
@@ -62,8 +61,7 @@
 		]).toMatchSnapshot(this);
 	});
 
-	// Story: an operator applies a change through a VM that is about to end. The store takes the write, and the operator's
-	// connection is reset before the answer: nobody can say whether the change is in force.
+	// Guards operators against a change whose answer is cut by the end of its VM.
 	it('answers a change that is under way when its VM ends', async () => {
 		const gateway = new FakeGateway();
 		const slow = serverOf(Object.assign(gateway, {
--- a/src/node/api/resource-api.test.ts
+++ b/src/node/api/resource-api.test.ts
@@ -75,8 +75,7 @@
 		expect(answers).toMatchSnapshot(this);
 	});
 
-	// Two operators read version 1 of a service and both replace it. The second one must learn that it
-	// lost, to whom, and against which version. Cause: both writes name the version that they saw.
+	// Guards an operator against overwriting a change that was made since the version that was read.
 	it('tells the loser of two changes who won', async function () {
 		await send('POST', '/v1/resources', {body: service, headers: {'idempotency-key': 'operation-1'}});
 		await send('PUT', '/v1/resources/service/ordering', {body: {...service, priority: 9}, headers: {'if-match': '"1"', 'idempotency-key': 'operation-2'}});
@@ -86,8 +85,7 @@
 		expect(gateway.version).toEqual(2);
 	});
 
-	// The store accepts a change and its answer is lost. The operator must not read "refused", and a
-	// repetition must not make the change twice. Cause: only the operation's identity tells.
+	// Guards an operator against reading 'refused' of a change that was accepted, and against making it twice.
 	it('says that an outcome is unknown, resolves it, and makes a repeated change once', async function () {
 		const change = {operation: 'operation-1', mutations: [{type: 'put', resource: service, expected: 0}]};
 		gateway.mood = 'loses-answers';
@@ -147,8 +145,7 @@
 		expect(gateway.version).toEqual(0);
 	});
 
-	// An operator lists 19,000 backend servers and every call on that VM waits while the answer is written.
-	// Cause: one answer for everything.
+	// Guards calls against an answer of thousands of resources that is written in one piece.
 	it('lists in pages and looks single keys up', async () => {
 		const services = Array.from({length: 1200}, (_, index) => ({type: 'put', resource: {kind: 'service', name: `s${index}`}}));
 		const server = {
--- a/src/node/early-listener.test.ts
+++ b/src/node/early-listener.test.ts
@@ -8,8 +8,7 @@
 import {listenOn} from './listening.ts';
 
 describe('a listener that is open before its server is there', () => {
-	// Story: all VMs of a customer lose power. Their addresses are there again a tenth of a second before the program is
-	// loaded; callers who try in that moment are refused twice, and have no try left.
+	// Guards callers against refused connections between the start of a process and the loading of its program.
 	it('keeps those who come early, and hands them and later ones to the server', async () => {
 		const owned = new DisposableStore();
 		const [port] = await freePorts(1);
@@ -53,8 +52,7 @@
 });
 
 describe('the hold of a VM that is starting', () => {
-	// Story: a caller reaches a VM 30 ms before that has read its configuration, and is sent away. It has one try left,
-	// and comes back later than it would have been served.
+	// Guards callers against a refusal a moment before the VM has read its configuration.
 	it('keeps those who come until it ends, and nobody afterwards', () => {
 		const hold = new StartingHold();
 		const seen: string[] = [];
@@ -66,7 +64,7 @@
 		hold.dispose();
 	});
 
-	// Story: the store is out, and no configuration comes. Nobody may be kept for long in vain.
+	// Guards callers against being held while no configuration comes.
 	it('lets everybody go after a fifth of a second', async () => {
 		const hold = new StartingHold();
 		await new Promise<void>(resolve => {
--- a/src/node/fleet/feed-stream.test.ts
+++ b/src/node/fleet/feed-stream.test.ts
@@ -80,7 +80,7 @@
 		]);
 	});
 
-	// Story: a VM is killed. The VM that keeps its entry must hear of it at once, or callers are sent there for seconds.
+	// Guards callers against a killed VM that stays named until its registrar notices.
 	it('tells the VM that is followed when a follower has gone', async () => {
 		streams.follower.follow(await streams.start());
 		streams.follower.announce(announcement);
--- a/src/node/front/answer-at-stop.test.ts
+++ b/src/node/front/answer-at-stop.test.ts
@@ -9,9 +9,7 @@
 
 describe('the callers\' listener of a VM that stops', () => {
 	for (const step of ['closeIdle', 'stopListening'] as const) {
-		// Story: a caller reads a download slower than its backend server sends it. All of it has come in and is written to the
-		// caller's connection when the VM stops. The connection was taken for idle, since its answer is ended, and closed
-		// with the rest still in the process: the caller had a part of a download and no word why.
+		// Guards a download that its caller reads slowly against the end of idle connections.
 		it(`hands an answer that is in whole over to its caller: ${step}`, async () => {
 			const store = new DisposableStore();
 			const port = await startRaw(store, socket => {
@@ -68,8 +66,7 @@
 		return {caller, server};
 	}
 
-	// Story: a caller takes nothing of its answer. Nobody gives it up: its connection and the bytes in it stay for good, and each planned
-	// stop waits for them until its grace time is over.
+	// Guards planned stops and memory against a caller that takes nothing of its answer.
 	it('is given up when its caller takes nothing of it for long', async () => {
 		const store = new DisposableStore();
 		const {server} = await leaveUnread(store, {stallMilliseconds: 100, handOverMilliseconds: 300});
@@ -82,8 +79,7 @@
 		store.dispose();
 	});
 
-	// Story: a caller reads its download slowly. While it empties what its system holds, this side sees no byte taken, and gave it up
-	// in the middle after the time that is meant for answers which hold a backend server.
+	// Guards a slow reader of a whole answer against the time-out that is meant for answers still coming in.
 	it('outlasts the time after which one that still comes in is given up', async () => {
 		const store = new DisposableStore();
 		const {caller} = await leaveUnread(store, {stallMilliseconds: 100, handOverMilliseconds: 20_000});
--- a/src/node/front/closing-pools.test.ts
+++ b/src/node/front/closing-pools.test.ts
@@ -18,8 +18,7 @@
 	];
 	for (const [why, giveUp] of giveUps) {
 		for (const moment of [0, 100]) {
-			// Story: a backend server leaves the configuration, or is replaced, just when a call has been handed to its pool, or
-			// while its answer comes in. Closing the pool then would take the call with it.
+			// Guards calls against the close of a pool that has just taken them.
 			it(`carry what they have taken to its end: ${why}, ${moment} ms after the call`, async () => {
 				const store = new DisposableStore();
 				const port = await startRaw(store, socket => {
--- a/src/node/front/graceful-server.test.ts
+++ b/src/node/front/graceful-server.test.ts
@@ -16,8 +16,7 @@
 		store.dispose();
 	});
 
-	// Story: a caller sends two payments at once on one connection. The first one's answer ends the connection, since the VM stops;
-	// the second was handed on already, and was made with nobody left to be told.
+	// Guards pipelined calls against a connection that ends with the answer before theirs.
 	it('answers a call that was sent behind another before it ends the connection', async () => {
 		const answers: ServerResponse[] = [];
 		const {server, caller, taken} = await openListener(store, (_path, outgoing) => {
@@ -56,8 +55,7 @@
 		expect([taken, text.endsWith('first')]).toEqual([['/1'], true]);
 	});
 
-	// Story: a caller is refused while it still sends a large body. The connection is closed with unread bytes of that body, which
-	// resets it, and the reset throws the refusal away: the caller cannot know that its payment was not made.
+	// Guards a refusal against being discarded by a reset while its caller still sends.
 	it('lets a refusal arrive while its caller still sends', async () => {
 		const {server, caller} = await openListener(store, (_path, outgoing) => {
 			outgoing.writeHead(503, {'content-length': 2});
@@ -188,8 +186,7 @@
 		expect(taken).toEqual(['/1']);
 	});
 
-	// Story: a caller opens a connection to a VM that stops. Its call is on its way when the VM ends what is idle; the connection, which
-	// carried nothing yet, is ended too, and the caller has no word whether its call was taken.
+	// Guards the first call of a new connection against the end of idle connections.
 	it('leaves a connection open that waits for its first call', async () => {
 		const {server, caller} = await openListener(store, (_path, outgoing) => {
 			outgoing.end('x');
--- a/src/node/front/idle-at-stop.test.ts
+++ b/src/node/front/idle-at-stop.test.ts
@@ -40,9 +40,7 @@
 		return {server, caller, read: () => text};
 	}
 
-	// Story: a VM stops, and a caller sends its next call in the moment in which the VM ends what is idle. The call is in the
-	// system of the VM already, which has not read it yet and takes the connection for idle: the caller sees its connection end
-	// without an answer, and cannot know whether its order was made.
+	// Guards a call that is in the system's buffer against the end of idle connections.
 	for (const [calls, which] of [[0, 'the first call'], [1, 'the next call']] as const) {
 		it(`answers ${which} of a connection that was in before the end`, async () => {
 			const {server, caller, read} = await open(calls);
@@ -54,8 +52,7 @@
 		});
 	}
 
-	// Story: the same moment, and a caller that has just opened its connection. The VM accepts it while it reads once more what has
-	// come in; the call itself lies one reading behind, and the connection looks like one on which nothing ever came.
+	// Guards the first call of a connection that is accepted while idle ones end.
 	it('answers the first call of a connection that it accepts while it ends idle ones', async () => {
 		const {server} = await open(0);
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- a server on a port has such an address.
--- a/src/node/front/page-server.test.ts
+++ b/src/node/front/page-server.test.ts
@@ -8,8 +8,7 @@
 const pageBytes = 5_000_000;
 
 describe('a server of pages', () => {
-	// Story: the metrics of a VM with a thousand services are fetched while it stops, and the text breaks off in the middle.
-	// Cause: when the VM's stop was over, the connections of the pages were closed with what they still owed.
+	// Guards a page that is under way against the end of its VM.
 	it('hands out a page that is under way when its VM ends', async () => {
 		const owned = new DisposableStore();
 		const server = owned.add(new PageServer(() => ({status: 200, body: 'a'.repeat(pageBytes)}), 1000, 5000));
--- a/src/node/front/process-pools.test.ts
+++ b/src/node/front/process-pools.test.ts
@@ -5,8 +5,7 @@
 const target = {identity: 'one', address: '127.0.0.1', port: 9};
 
 describe('connections to the process of a backend server', () => {
-	// Story: a backend server crashes behind a cut and starts again under its identity. Calls for the new process were sent
-	// on kept connections to the old one, and hung there.
+	// Guards calls for a restarted backend server against kept connections to the process before.
 	it('are not used for the one that replaces it, nor after a change of address', () => {
 		const store = new DisposableStore();
 		const connections = store.add(new BackendConnections({connectMilliseconds: 100, idleMilliseconds: 100}));
--- a/src/node/front/stop-moments.test.ts
+++ b/src/node/front/stop-moments.test.ts
@@ -50,8 +50,7 @@
 			playMoments(moments, async (owned, port) => openSelfLed(owned, port, firstStep), outcomes);
 		});
 
-		// Story: a VM is replaced while callers use it. A call is cut without a word, answered twice, or refused and run all the
-		// same, depending on where in its life the stop meets it. Seldom moments are never met by a test that stops at any time.
+		// Guards calls against a planned stop that meets them at a seldom point of their life.
 		for (const {title} of moments) {
 			it(title, async () => {
 				expect(await outcomes.get(title)).toEqual([]);
--- a/src/node/front/unframed-answer.test.ts
+++ b/src/node/front/unframed-answer.test.ts
@@ -43,9 +43,7 @@
 		expect(outcome).toEqual('whole');
 	});
 
-	// Story: a backend server crashes in the middle of an answer that has no length. Its connection is reset, and the
-	// library takes that for the end of the answer; the caller gets half a document that looks whole.
-	// Cause: a reset and an end were told apart by nobody.
+	// Guards callers against a reset that looks like the end of an answer without a length.
 	it('has failed when its connection is reset', async () => {
 		const outcome = await outcomeOf(socket => {
 			socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf', () => {
@@ -57,7 +55,7 @@
 		expect(outcome).toEqual('reset-during-answer');
 	});
 
-	// Story: the same, but without the word that the connection is to close: the library then expects to keep it.
+	// Guards against the same where the backend server did not announce that it closes.
 	it('has failed when its connection is reset, also without the word that it closes', async () => {
 		const outcome = await outcomeOf(socket => {
 			socket.write('HTTP/1.1 200 OK\r\n\r\nhalf', () => {
@@ -71,9 +69,7 @@
 });
 
 describe('an answer that its reader makes wait', () => {
-	// Story: a caller reads slowly, so the attempt pauses; the backend server has sent everything and closes. The library
-	// asserts that nobody pauses at such an end, and the whole process dies with every call on it.
-	// Cause: an end that stands for the end of the answer, met while paused.
+	// Guards the process against an assertion of the library when a paused answer ends with its connection.
 	for (const head of ['Connection: close', 'Connection: close\r\nContent-Length: 3', 'X: y']) {
 		it(`ends well when its connection does (${head.replaceAll('\r\n', ', ')})`, async () => {
 			const outcome = await outcomeOf(socket => {
@@ -85,9 +81,7 @@
 });
 
 describe('a call whose answer has no length', () => {
-	// Story: a backend server dies in the middle of an answer that has no length; its connection closes as at the end of
-	// one. The caller gets the half that came, with a length that jaydale counted: it looks whole.
-	// Cause: jaydale framed what nobody had framed. Passed on as it came, the answer ends with the connection.
+	// Guards callers against half an answer that gets a length here and looks whole.
 	it('is answered without a length too', async () => {
 		const store = new DisposableStore();
 		const port = await startRaw(store, socket => {
--- a/src/node/front/unreadable-calls.test.ts
+++ b/src/node/front/unreadable-calls.test.ts
@@ -17,8 +17,7 @@
 		store.dispose();
 	});
 
-	// Story: a caller reads a download slowly, and something follows it on its connection that never becomes a call: half a head, or
-	// bytes of another protocol. The server gives up on these and closes the connection, with the download still in it.
+	// Guards a download against bytes behind it that never become a call.
 	async function followDownload(bytes: string): Promise<boolean> {
 		const {caller} = await openListener(store, (_path, outgoing) => {
 			outgoing.end(Buffer.alloc(largeBytes));
@@ -39,8 +38,7 @@
 		expect(await followDownload('\0\u0001junk\r\n\r\n')).toEqual(true);
 	});
 
-	// Story: behind a download that is read slowly a caller sends many calls. The server reads no further for lack of room, in the middle
-	// of a head, gives up on that head later as if its caller were slow, and cuts the download.
+	// Guards a download against the time-out of calls behind it that were not read for lack of room.
 	it('are not made of whole calls that were not read for lack of room', async () => {
 		const {caller} = await openListener(store, (path, outgoing) => {
 			outgoing.end(path === '/1' ? Buffer.alloc(largeBytes) : '');
@@ -86,8 +84,7 @@
 		expect(statusesOf(await readAll(caller))).toEqual(['431']);
 	});
 
-	// Story: of three calls on a connection the second names no host. The server answers that one by itself and ends the connection with
-	// it; the third was handed on, ran, and was never answered, and the VM that waited for its answer did not end before its grace time.
+	// Guards a call that was handed on against the end of its connection by an unreadable one before it.
 	it('leave no call behind them running without an answer', async () => {
 		const {server, caller, taken} = await openListener(store, (path, outgoing) => {
 			setTimeout(() => outgoing.end(path), 50);
--- a/src/node/logging/bounds.test.ts
+++ b/src/node/logging/bounds.test.ts
@@ -3,8 +3,7 @@
 import {LineBudget} from './line-budget.ts';
 
 describe('the budget of log lines', () => {
-	// Story: a rush brings ten times the usual calls. Writing a line for each takes processor time from the calls just when
-	// it is short, so lines beyond a budget are left out, and the next one says how many.
+	// Guards processor time in a burst against a log line for each call.
 	it('writes so many a second and counts the rest', () => {
 		const budget = new LineBudget(2);
 		const written = [0, 1, 2, 3, 1000, 1001].map(now => budget.take(now));
@@ -20,8 +19,7 @@
 });
 
 describe('the writer of log lines', () => {
-	// Story: whoever reads the log stops reading, and the pipe fills up. The VM's only thread waits for room in it, and all
-	// calls wait with it; from outside the VM looks frozen.
+	// Guards calls against a reader of the log that stops reading.
 	it('goes on when nobody reads, and tells what was left out', async () => {
 		const program = String.raw`
 			import {BoundedWriter} from ${JSON.stringify(new URL('bounded-writer.ts', import.meta.url).href)};
--- a/src/node/logging/last-lines.test.ts
+++ b/src/node/logging/last-lines.test.ts
@@ -2,9 +2,7 @@
 import {expect} from 'earl';
 
 describe('the last lines of a process', () => {
-	// Story: a VM is stopped as planned, and its log ends with the call before the last one: neither "stage entered" nor
-	// "stopped" is there, so nobody can tell a planned end from a crash.
-	// Cause: a write was under way when the process ended, and the lines that waited behind it were left out.
+	// Guards the last log lines against a process that ends while a write is under way.
 	it('are written though a write is under way when it ends', async () => {
 		const program = String.raw`
 			import {BoundedWriter} from ${JSON.stringify(new URL('bounded-writer.ts', import.meta.url).href)};
--- a/src/node/logging/logging.test.ts
+++ b/src/node/logging/logging.test.ts
@@ -21,8 +21,7 @@
 		expect(lines).toMatchSnapshot(this);
 	});
 
-	// A support engineer mails a log to a supplier, and the supplier can change the configuration.
-	// Cause: a request's header or a URL with a password was logged with its secret.
+	// Guards secrets against the log.
 	it('masks secrets in fields and inside texts', function () {
 		const run = (logging: Logging) => {
 			logging.logger.with({trace: 'abc'}).error('refused Bearer s3cret-token', {
--- a/src/node/metrics/metrics.test.ts
+++ b/src/node/metrics/metrics.test.ts
@@ -86,7 +86,7 @@
 		expect([...sent()].toSorted()).toEqual(names.toSorted());
 	});
 
-	// Story: a VM stops as planned, and the calls of its last second are missing from all counts.
+	// Guards the counts of the last second against the end of the process.
 	it('sends what it has counted when it ends', async () => {
 		const metrics = new StatsdMetrics(settingsFor(socket.address().port), () => undefined, {bufferFlushInterval: 60_000, aggregation: {flushInterval: 60_000}});
 		metrics.callEnded({
@@ -104,8 +104,7 @@
 		expect(names.toSorted()).toEqual(['jaydale.calls.ended', 'jaydale.operators.requests']);
 	});
 
-	// The metrics server is down for an hour. Calls must go on as if nothing were.
-	// Cause: an error of the UDP socket that nobody handles ends the process.
+	// Guards calls against a metrics server that is down.
 	it('survives a server that is not there', async () => {
 		const {port} = socket.address();
 		socket.close();
--- a/src/node/settings/load-settings.test.ts
+++ b/src/node/settings/load-settings.test.ts
@@ -53,8 +53,7 @@
 		expect(JSON.stringify(settings, undefined, '\t').replaceAll(folder, 'FOLDER')).toMatchSnapshot(this);
 	});
 
-	// An operator fixes one fault, restarts, meets the next, and so on through a rollout.
-	// Cause: a check that ends at its first finding.
+	// Guards operators against faults of a settings file that are told one at a time.
 	it('tells every fault at once, with place, finding and what is allowed', function () {
 		expect(faults(`
 [vm]
@@ -81,8 +80,7 @@
 `)).toMatchSnapshot(this);
 	});
 
-	// A file with a table left out ended the check with an exception in place of its faults.
-	// Cause: a check across keys that took the table for granted.
+	// Guards the check of settings against throwing where a table is left out.
 	it('tells faults of any input whatever and never throws', () => {
 		const table = fastCheck.oneof(fastCheck.jsonValue(), fastCheck.dictionary(fastCheck.constantFrom('port', 'plain', 'tls', 'address', 'seeds', 'url', 'level'), fastCheck.jsonValue()));
 		const input = fastCheck.oneof(fastCheck.jsonValue(), fastCheck.dictionary(fastCheck.constantFrom('vm', 'peers', 'platform', 'log', 'limits', 'x'), table));
@@ -103,8 +101,7 @@
 		expect(faults(text)).toMatchSnapshot(this);
 	});
 
-	// A mistyped tokens file is printed with its secret to a terminal or a log that others read.
-	// Cause: messages that show what was found.
+	// Guards secrets of a settings file against the messages of its check.
 	it('never shows a token', function () {
 		const path = join(folder, 'tokens.toml');
 		writeFileSync(path, `${validTokens}${validTokens}[[operator]]\nname = "x"\nrole = "admin"\ntoken = "hunter2"\n`);
