--- /dev/null
+++ b/src/common/calls/answer-learning.ts
@@ -0,0 +1,42 @@
+/** What the answer to an attempt teaches: of its backend server, its class of call and its service. */
+import {type Instant} from '../model/units.ts';
+import {type Attempt} from './call.ts';
+import {roomyPart} from './load-levels.ts';
+import {type LoadReport} from './types.ts';
+
+/** Work time, against the usual, up to which a backend server's VM counts as quiet. */
+const quietFactor = 1.2;
+
+/** Nothing slows the backend server down: neither neighbours nor its own load. */
+function isQuiet({workTimeFactor = 1, inFlight, queued, slots}: LoadReport): boolean {
+	return workTimeFactor <= quietFactor && inFlight + queued <= roomyPart * slots;
+}
+
+/** Takes in an answer that is no server error. */
+export function learnFromAnswer(attempt: Attempt, report: LoadReport | undefined, now: Instant): void {
+	const {call, server, startedAt, prospect, signal, isWarmUp} = attempt;
+	server.noteTaken(true, now);
+	const time = now - startedAt;
+	if (call.class.hasWork && isWarmUp) {
+		call.serviceState.noteWarmUpAnswer(time / call.serviceState.answerTimes.mean(call.class.workMean, prospect));
+	} else if (call.class.hasWork) {
+		call.serviceState.answerTimes.addAnswer(call.class.workMean, prospect, time);
+	}
+
+	server.onAnswer(time, call.class.answerMean, now);
+	if (server.report !== undefined) {
+		call.serviceState.reportTrust.add(signal, time / Math.max(0.01, call.class.answerMean));
+	}
+
+	call.class.addAnswer(time);
+	if (report !== undefined && isQuiet(report) && !isWarmUp) {
+		call.class.addWork(time);
+	}
+
+	call.serviceState.classes.all.addAnswer(time);
+	const {answerMean} = call.class;
+	call.serviceState.limit.onAnswer({
+		inFlight: call.serviceState.inFlight,
+		queuedPerSlot: report === undefined ? Math.max(0, (time / Math.max(0.01, answerMean)) - 1) / 2 : report.queued / report.slots,
+	}, now);
+}
--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -5,11 +5,11 @@
 	type Attempt, type AttemptPurpose, type Call, isBodiless, outcomeSoFar,
 } from './call.ts';
 import {type CallEndings} from './call-endings.ts';
+import {learnFromAnswer} from './answer-learning.ts';
 import {type EngineContext, vmCountOf} from './engine-context.ts';
 import {type HealthJudge} from './health-judge.ts';
 import {Hedging, mostAttempts} from './hedging.ts';
 import {type DemandPlacer} from './demand-placer.ts';
-import {roomyPart} from './load-levels.ts';
 import {
 	type Placement, type Placer, connectionLimit, shareOfLimit,
 } from './placer.ts';
@@ -33,9 +33,6 @@
 /** Answer to a range of a download. */
 const partialContent = 206;
 
-/** Work time, against the usual, up to which a backend server's VM counts as quiet. */
-const quietFactor = 1.2;
-
 /** Failures that prove that nothing ran. */
 const notRunFailures = new Set<AttemptFailure>(['connection-refused', 'not-sent']);
 
@@ -58,11 +55,6 @@
 	readonly measure: (server: BackendServerState) => void;
 };
 
-/** Nothing slows the backend server down: neither neighbours nor its own load. */
-function isQuiet({workTimeFactor = 1, inFlight, queued, slots}: LoadReport): boolean {
-	return workTimeFactor <= quietFactor && inFlight + queued <= roomyPart * slots;
-}
-
 /** Runs attempts. */
 export class AttemptRunner {
 	private readonly _context: EngineContext;
@@ -351,37 +343,12 @@
 	}
 
 	private _learn(attempt: Attempt, hasFailed: boolean, report: LoadReport | undefined, now: Instant): void {
-		const {call, server} = attempt;
-		call.serviceState.noteAnswer(hasFailed);
+		attempt.call.serviceState.noteAnswer(hasFailed);
 		if (hasFailed) {
 			this._health.onServerError(attempt, now);
-			return;
-		}
-
-		server.noteTaken(true, now);
-		const time = now - attempt.startedAt;
-		if (call.class.hasWork && attempt.isWarmUp) {
-			call.serviceState.noteWarmUpAnswer(time / call.serviceState.answerTimes.mean(call.class.workMean, attempt.prospect));
-		} else if (call.class.hasWork) {
-			call.serviceState.answerTimes.addAnswer(call.class.workMean, attempt.prospect, time);
-		}
-
-		server.onAnswer(time, call.class.answerMean, now);
-		if (server.report !== undefined) {
-			call.serviceState.reportTrust.add(attempt.signal, time / Math.max(0.01, call.class.answerMean));
-		}
-
-		call.class.addAnswer(time);
-		if (report !== undefined && isQuiet(report) && !attempt.isWarmUp) {
-			call.class.addWork(time);
+		} else {
+			learnFromAnswer(attempt, report, now);
 		}
-
-		call.serviceState.classes.all.addAnswer(time);
-		const {answerMean} = call.class;
-		call.serviceState.limit.onAnswer({
-			inFlight: call.serviceState.inFlight,
-			queuedPerSlot: report === undefined ? Math.max(0, (time / Math.max(0.01, answerMean)) - 1) / 2 : report.queued / report.slots,
-		}, now);
 	}
 
 	private _passOn(attempt: Attempt, event: HeadEvent, outcome: CallOutcome, now: Instant): void {
--- a/src/common/calls/rate-quota.test.ts
+++ b/src/common/calls/rate-quota.test.ts
@@ -25,15 +25,20 @@
 	return {own, byDataCentre};
 }
 
-/** What all VMs together may start in a second at each of 60 backend servers; `knows` = whether a VM knows another one. */
-function sums(vmCount: number, knows: (index: number, random: RandomSource) => boolean): number[] {
+/** The quota of each VM; `knows` = whether a VM knows another one. */
+function quotasOf(vmCount: number, knows: (index: number, random: RandomSource) => boolean): OwnerRateQuota[] {
 	const fleet = fleetOf(vmCount);
 	const random = seededRandom(vmCount);
-	const quotas = fleet.map(({name}, index) => {
+	return fleet.map(({name}, index) => {
 		const quota = new OwnerRateQuota(testHash);
 		quota.setMembers(membersOf(name, fleet.filter(other => other.name === name || knows(index, random))), 0);
 		return quota;
 	});
+}
+
+/** What all VMs together may start in a second at each of 60 backend servers; `knows` = whether a VM knows another one. */
+function sums(vmCount: number, knows: (index: number, random: RandomSource) => boolean): number[] {
+	const quotas = quotasOf(vmCount, knows);
 	return Array.from({length: 60}, (_, index) => {
 		const server = {identity: `i-${index}`, dataCentre: dataCentres[index % 3]!};
 		return quotas.reduce((sum, quota) => sum + quota.attemptsPerSecond(server, rate, settled), 0);
@@ -79,13 +84,7 @@
 
 /** Calls that the fleet may start at one backend server within 4 s, at worst: its shares, and what may start at once. */
 function mostInSpan(vmCount: number, limit: number, knows: (index: number, random: RandomSource) => boolean): number {
-	const fleet = fleetOf(vmCount);
-	const random = seededRandom(vmCount);
-	const quotas = fleet.map(({name}, index) => {
-		const quota = new OwnerRateQuota(testHash);
-		quota.setMembers(membersOf(name, fleet.filter(other => other.name === name || knows(index, random))), 0);
-		return quota;
-	});
+	const quotas = quotasOf(vmCount, knows);
 	const spans = Array.from({length: 20}, (_, index) => {
 		const shares = quotas.map(quota => quota.shareOfLimit({identity: `i-${index}`, dataCentre: dataCentres[index % 3]!}, limit, settled));
 		return shares.reduce((sum, {callsPerSecond, firstTokens}) => sum + Math.floor(firstTokens + (4 * callsPerSecond)), 0);
@@ -103,12 +102,8 @@
 
 			// Guards against shares that nobody can use: a rate below one attempt in the span for each of many VMs.
 			it(`come to the whole of ${limit} a second with ${vmCount} VMs`, () => {
-				const quotas = fleetOf(vmCount).map(({name}, _, fleet) => {
-					const quota = new OwnerRateQuota(testHash);
-					quota.setMembers(membersOf(name, fleet), 0);
-					return quota.shareOfLimit({identity: 'i-1', dataCentre: 'north'}, limit, settled).callsPerSecond;
-				});
-				expect(Math.abs(quotas.reduce((sum, share) => sum + share, 0) - limit)).toBeLessThan(0.001);
+				const shares = quotasOf(vmCount, () => true).map(quota => quota.shareOfLimit({identity: 'i-1', dataCentre: 'north'}, limit, settled).callsPerSecond);
+				expect(Math.abs(shares.reduce((sum, share) => sum + share, 0) - limit)).toBeLessThan(0.001);
 			});
 		}
 	}
--- a/src/common/registry/member-registrar.ts
+++ b/src/common/registry/member-registrar.ts
@@ -1,10 +1,11 @@
 /** Registers the VMs that follow this one in the store, and this VM itself while it reads the store. */
 import {type PeerAddress} from '../fleet/types.ts';
-import {type Instant, type Milliseconds} from '../model/units.ts';
+import {type Milliseconds} from '../model/units.ts';
 import {type Revision, type StoreReply, type StoreWrite} from '../platform/types.ts';
+import {type Member} from './member.ts';
+import {MemberCheck, turningMilliseconds} from './member-check.ts';
 import {type RegistryContext} from './registry-context.ts';
 import {type MemberAnnouncement} from './types.ts';
-import {silentHeartbeats} from './vm-loss-budget.ts';
 import {type VmProber} from './vm-prober.ts';
 
 /** Most entries that one transaction holds, conditions and writes counted apart: each write here comes with its condition. */
@@ -29,50 +30,6 @@
 /** Grace period after a member's stream closes without an announcement; covers a reconnect. */
 const endedMilliseconds: Milliseconds = 1000;
 
-/**
- * Grace period of a member that has announced that it turns to another registrar, which writes its entry anew. It is extended
- * for as long as the member responds to probes, since the other registrar may not be able to write yet.
- */
-const turningMilliseconds: Milliseconds = 2000;
-
-/** Shortest pause between two checks of the members. */
-const shortestCheckMilliseconds: Milliseconds = 100;
-
-/** A check that comes this late shows that this VM did not run: announcements may wait to be read. */
-const pausedMilliseconds: Milliseconds = 1000;
-
-/** What became of a member's entry. */
-type MemberState
-	/** It is to be written. */
-	= | 'wanted'
-	/** It stands in the store under this VM's lease. */
-		| 'kept'
-	/** Its stream has ended: another VM may write it. */
-		| 'turning'
-	/** It is to be removed. */
-		| 'leaving';
-
-type Member = {
-	readonly identity: string;
-	value: string;
-	state: MemberState;
-	/**
-	 * What this VM's own write of it followed, and the revision that it came to. A store that counts each key of a
-	 * transaction tells the last one: the entry itself may have any between the two.
-	 */
-	before: Revision;
-	written: Revision | undefined;
-	/** Revision that the next write expects, if it is known better than from the store's changes. */
-	expected: Revision | undefined;
-	heardAt: Instant;
-	/** When its entry is removed, unless another VM has written it by then. */
-	endsAt: Instant;
-	/** It has said itself that it leaves: its entry goes, whoever wrote it last. */
-	hasSaidSo: boolean;
-	/** It is asked directly whether it serves. */
-	isProbed: boolean;
-};
-
 /** What the registrar asks and tells its surroundings. */
 export type MemberRegistrarListener = {
 	/** This VM reads the store itself. */
@@ -93,17 +50,23 @@
  */
 export class MemberRegistrar {
 	private readonly _context: RegistryContext;
-	private readonly _prober: VmProber;
+	private readonly _check: MemberCheck;
 	private readonly _listener: MemberRegistrarListener;
 	private readonly _members = new Map<string, Member>();
 	private _leaseId: string | undefined;
 	private _isAsking = false;
-	private _checkAt: Instant = 0;
 
 	constructor(context: RegistryContext, prober: VmProber, listener: MemberRegistrarListener) {
 		this._context = context;
-		this._prober = prober;
 		this._listener = listener;
+		this._check = new MemberCheck(context, prober, {
+			members: this._members,
+			peerAddressOf: value => listener.peerAddressOf(value),
+			isOwnWrite: member => this._isOwnWrite(member, this._standing(member)),
+			drop: member => {
+				this._drop(member);
+			},
+		});
 	}
 
 	/** Other VMs have their entries kept here. */
@@ -126,10 +89,10 @@
 
 		const {now} = this._context;
 		const member = this._members.get(identity) ?? {
-			identity, value, state: 'wanted', before: 0, written: undefined, expected: undefined, heardAt: now, endsAt: now, hasSaidSo: false, isProbed: false,
+			identity, value, state: 'wanted', before: 0, written: undefined, expected: undefined, lastSeenAt: now, endsAt: now, hasSaidSo: false, isProbed: false,
 		};
 		this._members.set(identity, member);
-		member.heardAt = now;
+		member.lastSeenAt = now;
 		const stands = member.value === value && this._isOwnWrite(member, this._standing(member));
 		member.value = value;
 		if (stands) {
@@ -139,7 +102,7 @@
 			this._planFlush(gatherMilliseconds);
 		}
 
-		this._planCheck();
+		this._check.plan();
 	}
 
 	/** The stream of a VM has ended. */
@@ -194,7 +157,7 @@
 
 		member.state = 'turning';
 		member.endsAt = this._context.now + patience;
-		this._planCheck();
+		this._check.plan();
 	}
 
 	private _keyOf(identity: string): string {
@@ -388,79 +351,6 @@
 		this._planFlush(gatherMilliseconds);
 	}
 
-	private _planCheck(): void {
-		if (this._members.size === 0) {
-			return;
-		}
-
-		const due = Math.min(...Array.from(this._members.values(), member => this._dueAt(member)));
-		if (due === Number.POSITIVE_INFINITY) {
-			return;
-		}
-
-		this._checkAt = Math.max(due, this._context.now + shortestCheckMilliseconds);
-		this._context.timers.set('members-check', this._checkAt, () => {
-			this._check();
-		});
-	}
-
-	/** When a member counts as silent, or its grace period ends. */
-	private _dueAt({identity, state, endsAt, heardAt, isProbed}: Member): Instant {
-		if (state === 'leaving' || isProbed || identity === this._context.settings.identity) {
-			return Number.POSITIVE_INFINITY;
-		}
-
-		return state === 'turning' ? endsAt : heardAt + (silentHeartbeats * this._context.settings.memberBeatMilliseconds);
-	}
-
-	private _check(): void {
-		const {now} = this._context;
-		// Guards members of a VM that was itself frozen: it wakes with all their announcements unread.
-		const wasPaused = now - this._checkAt > pausedMilliseconds;
-		for (const member of this._members.values()) {
-			if (wasPaused) {
-				member.heardAt = now;
-				member.endsAt = Math.max(member.endsAt, now + shortestCheckMilliseconds);
-			} else if (this._dueAt(member) <= now) {
-				this._probe(member);
-			}
-		}
-
-		this._planCheck();
-	}
-
-	/** The entry of a member that another VM has written is that one's affair. */
-	private _probe(member: Member): void {
-		const {identity, value} = member;
-		const address = this._listener.peerAddressOf(value);
-		if (address === undefined || !this._isOwnWrite(member, this._standing(member))) {
-			this._drop(member);
-			return;
-		}
-
-		const {heardAt} = member;
-		member.isProbed = true;
-		this._prober.probe(identity, address, isServing => {
-			member.isProbed = false;
-			if (this._members.get(identity) !== member || member.state === 'leaving' || member.heardAt > heardAt) {
-				this._planCheck();
-				return;
-			}
-
-			if (isServing) {
-				member.heardAt = this._context.now;
-				member.endsAt = this._context.now + turningMilliseconds;
-			} else {
-				this._context.log('info', 'a registered VM does not respond; its entry is removed', {
-					member: identity, state: member.state, silentMilliseconds: Math.round(this._context.now - heardAt),
-				});
-				this._drop(member);
-			}
-
-			this._planCheck();
-		});
-	}
-
 	/**
 	 * A VM is taken for gone, by its silence alone: its entry is removed if this VM wrote it last. Guards one that lives and
 	 * has turned to another VM against removal by all that kept it before.
--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -10,8 +10,10 @@
 import {MemberRegistrar} from './member-registrar.ts';
 import {ChangeLog} from './change-log.ts';
 import {ConfigurationRegistry} from './configuration-registry.ts';
+import {FeedFrames} from './feed-frames.ts';
 import {FeedPublisher} from './feed-publisher.ts';
 import {FeedSelector} from './feed-selector.ts';
+import {FleetSharesSource} from './fleet-shares-source.ts';
 import {OwnEntry} from './own-entry.ts';
 import {RegistryContext} from './registry-context.ts';
 import {ServerRegistry} from './server-registry.ts';
@@ -22,12 +24,6 @@
 import {VmDirectory, type VmRanks} from './vm-directory.ts';
 import {VmProber} from './vm-prober.ts';
 
-/**
- * Connections to a backend server that this VM may hold, as a multiple of an even part: callers spread unevenly over
- * VMs, and a VM that has gone leaves its part unused.
- */
-const connectionSlack = 2;
-
 /** What one VM knows about its fleet. */
 export type RegistryStatus = {
 	readonly stage: FleetStage;
@@ -56,12 +52,10 @@
 	private readonly _source: FeedSelector;
 	private readonly _publisher: FeedPublisher;
 	private readonly _configuration: ConfigurationRegistry;
-	/** The VM that has told all it knows and whose changes therefore make a whole. */
-	private _toldBy: PeerAddress | undefined;
+	private readonly _frames: FeedFrames;
 	/** The own entry stands in the store, as far as this VM knows. */
 	private _isRegistered = false;
-	/** What the shares were last worked out from. */
-	private _announced = '';
+	private readonly _shares: FleetSharesSource;
 
 	constructor(settings: RegistrySettings, documents: DocumentReader, random: RandomSource) {
 		this._context = new RegistryContext(settings);
@@ -87,6 +81,7 @@
 		});
 		this._prober = new VmProber(this._context);
 		this._vms = new VmDirectory(this._context, documents, {random, prober: this._prober, listener: {onGone, isReading, hasMembers: () => this._registrar.hasMembers}});
+		this._shares = new FleetSharesSource(this._context, this._vms);
 		this._registrar = new MemberRegistrar(this._context, this._prober, {
 			peerAddressOf: value => documents.vm(value).map(({peerAddress}) => peerAddress).unwrapOr(undefined),
 			isReading: () => this._source.isReading,
@@ -97,6 +92,7 @@
 			},
 		});
 		this._ownEntry = new OwnEntry(this._context, documents, this._registrar);
+		this._frames = new FeedFrames(this._log, settings.layout, key => this._ownEntry.isKeptHere && key === this._ownKey);
 		this._life = new BoundedStop({
 			timers: this._context.timers,
 			graceMilliseconds: settings.graceMilliseconds,
@@ -130,7 +126,7 @@
 				this._mirror.setReading(isReading);
 			},
 			onFollow: source => {
-				this._toldBy = undefined;
+				this._frames.reset();
 				this._ownEntry.noteTurning();
 				this._context.emit({type: 'follow-feed', source});
 			},
@@ -197,7 +193,7 @@
 		}
 
 		this._ownEntry.review({source: this._source.freshSource, isReader: this._vms.ranks.isReader});
-		this._announceShares();
+		this._shares.review(this._life.stage === 'serving');
 		this._publisher.publish();
 		return this._context.takeEffects();
 	}
@@ -240,42 +236,20 @@
 		return this._publisher.whole(now);
 	}
 
-	/**
-	 * Guards against frames that are older than what this VM knows, since VMs read the store at different moments: taken
-	 * as they come, a backend server that has gone would be back. Each key goes by its own revision; a key that is unknown
-	 * here though everything up to a later revision was known has been removed since.
-	 */
 	private _takeFrame(source: PeerAddress, frame: FeedFrame): void {
-		if (source !== this._source.source || (!frame.isWhole && this._toldBy !== source)) {
+		const changes = source === this._source.source ? this._frames.changesOf(source, frame, this._mirror.revision ?? -1) : undefined;
+		if (changes === undefined) {
 			return;
 		}
 
-		const {revision, ageMilliseconds, isWhole} = frame;
-		const isFirst = this._toldBy !== source;
-		this._toldBy = source;
-		const known = this._mirror.revision ?? -1;
-		const isAhead = isWhole && revision >= known;
-		const entries = frame.entries.filter(entry => entry.revision > (this._log.revisionOf(entry.key) ?? (isAhead ? -1 : known)) && !this._isKeptHere(entry.key) && !this._log.isGone(entry));
-		const deleted = isWhole ? this._missingFrom(frame.entries) : frame.deleted;
-		this._takeChanges({
-			entries, deleted: deleted.filter(key => (this._log.revisionOf(key) ?? Infinity) <= revision), isWhole: false,
-		}, true);
-		// What lies behind this VM's own knowledge has been under way for long, whatever age it had when it was told. The first
-		// words of a stream cannot have been: what was known here later holds all that they say.
-		if (revision > 0 && (isFirst || revision >= known)) {
-			this._mirror.noteFrame(revision, ageMilliseconds);
-			this._source.noteFrame(ageMilliseconds);
+		const {entries, deleted, isCurrent} = changes;
+		this._takeChanges({entries, deleted, isWhole: false}, true);
+		if (isCurrent) {
+			this._mirror.noteFrame(frame.revision, frame.ageMilliseconds);
+			this._source.noteFrame(frame.ageMilliseconds);
 		}
 	}
 
-	/**
-	 * Guards an entry that has lapsed against others that still hold on to it, in case its owner comes back: the owner would
-	 * believe that it stands, and never write it again.
-	 */
-	private _isKeptHere(key: string): boolean {
-		return this._ownEntry.isKeptHere && key === this._ownKey;
-	}
-
 	/** What this VM wrote itself is known and told at once, and not only when it next looks at the store. */
 	private _takeOwnWrites(writes: readonly StoreWrite[], revision: Revision): void {
 		const entries = writes.flatMap(({key, expected, value}) => value === undefined
@@ -296,11 +270,6 @@
 		return this._source.hasBeenFresh ? ranks : {...ranks, sources: [...this._seeds, ...ranks.sources.filter(source => !this._seeds.includes(source))]};
 	}
 
-	private _missingFrom(entries: readonly StoreEntry[]): string[] {
-		const there = new Set(entries.map(entry => entry.key));
-		return Array.from(this._log.entries, entry => entry.key).filter(key => !there.has(key) && key !== this._context.settings.layout.configurationKey);
-	}
-
 	/** `isCertain` = whoever tells of removals has already waited for the owners to come back. */
 	private _takeChanges({entries, deleted, isWhole}: MirrorChanges, isCertain = false): void {
 		let isChanged = false;
@@ -448,28 +417,6 @@
 			this._ownEntry.withdraw();
 		}
 	}
-
-	private _announceShares(): void {
-		const isServing = this._life.stage === 'serving';
-		const announced = `${this._vms.generation} ${isServing}`;
-		if (announced === this._announced) {
-			return;
-		}
-
-		this._announced = announced;
-		const vmCount = this._vms.size + 1;
-		this._context.emit({
-			type: 'shares',
-			shares: {
-				measuringPart: 0,
-				measuringFrom: 0,
-				measuringUntil: 0,
-				connectionPart: Math.min(1, connectionSlack / vmCount),
-				vmCount,
-				members: this._vms.members(isServing),
-			},
-		});
-	}
 }
 
 /** The same in an order of chance. */
