--- a/src/common/registry/fleet-model.test.ts
+++ b/src/common/registry/fleet-model.test.ts
@@ -36,6 +36,8 @@
 	stage = '';
 	version = 0;
 	evacuated: ReadonlySet<string> = new Set();
+	/** Backend servers in force that accept new calls, by identity. */
+	usableServers: ReadonlySet<string> = new Set();
 	readonly startedAt: Instant;
 	/** Processes that follow this one's feed. */
 	readonly followers = new Set<ModelProcess>();
@@ -168,6 +170,7 @@
 			case 'configured': {
 				this.version = effect.configuration.version;
 				this.evacuated = effect.configuration.evacuatedDataCentres ?? new Set();
+				this.usableServers = new Set([...effect.configuration.backendServers].filter(([, {isLeaving}]) => !isLeaving).map(([identity]) => identity));
 				break;
 			}
 
--- a/src/common/registry/store-model.test.ts
+++ b/src/common/registry/store-model.test.ts
@@ -25,6 +25,14 @@
 type PendingWatch = {readonly prefix: string; readonly after: Revision; readonly end: (reply: StoreReply) => void};
 type OnReply = (reply: StoreReply) => void;
 
+/** State of the store at one moment, from which it can be restored later. */
+export type StoreBackup = {
+	readonly entries: ReadonlyMap<string, StoredEntry>;
+	readonly terms: ReadonlyMap<string, Milliseconds>;
+	readonly revision: Revision;
+	readonly lastLease: number;
+};
+
 export class StoreModel {
 	/** Cost of all calls so far, by type. */
 	readonly costs = new Map<string, number>();
@@ -69,10 +77,45 @@
 		}
 	}
 
+	valueOf(key: string): string | undefined {
+		return this._entries.get(key)?.value;
+	}
+
 	keys(prefix: string): string[] {
 		return [...this._entries.keys()].filter(key => key.startsWith(prefix));
 	}
 
+	/** Copies the current state. */
+	backUp(): StoreBackup {
+		return {
+			entries: new Map(this._entries), terms: new Map([...this._leases.keys()].map(lease => [lease, this._terms.get(lease)!])), revision: this._revision, lastLease: this._lastLease,
+		};
+	}
+
+	/**
+	 * Replaces the state by that of an earlier backup. Later writes and leases are lost, and their revisions and lease
+	 * identifiers are assigned again. Leases of the backup start a new term. Pending watches are cut.
+	 */
+	restore({entries, terms, revision, lastLease}: StoreBackup): void {
+		this._entries.clear();
+		for (const [key, entry] of entries) {
+			this._entries.set(key, entry);
+		}
+
+		this._revision = revision;
+		this._lastLease = lastLease;
+		const kept = this._events.filter(event => event.revision <= revision);
+		this._events.splice(0, this._events.length, ...kept);
+		this._leases.clear();
+		for (const [lease, term] of terms) {
+			this._renewLease(lease, term);
+		}
+
+		for (const watch of this._pendingWatches) {
+			watch.end({type: 'unavailable'});
+		}
+	}
+
 	execute(vm: string, operation: StoreOperation, onReply: OnReply): void {
 		this._charge(operation);
 		if (this.isSilentTo(vm)) {
@@ -242,7 +285,7 @@
 				}
 			},
 		};
-		if (after < this._oldestRevision) {
+		if (after < this._oldestRevision || after > this._revision) {
 			onReply({type: 'history-lost'});
 			return;
 		}
