--- a/src/common/registry/restore-harness.test.ts
+++ b/src/common/registry/restore-harness.test.ts
@@ -21,6 +21,8 @@
 	readonly backupAgeMilliseconds: Milliseconds;
 	/** Time from the return until the operator has written again what was lost. */
 	readonly rewriteMilliseconds: Milliseconds;
+	/** The backup has no entries with this prefix. */
+	readonly lacksPrefix?: string;
 };
 
 type Version = {readonly version: number; readonly confirmedAt: Instant};
@@ -37,6 +39,7 @@
 	private readonly _lastVersions = new Map<string, number>();
 	/** What each VM has once known, as `VM member` or `VM member left`. */
 	private readonly _seen = new Set<string>();
+	private readonly _frozenUntil = new Map<string, Instant>();
 	private readonly _isRenewalChange: boolean;
 	private _restoredAt: Instant = -Infinity;
 	private _isAway = false;
@@ -84,6 +87,16 @@
 		this._writeAsOperator('configuration', String(version));
 	}
 
+	/** A VM is paused, and is checked again some time after it has woken. */
+	freeze(process: ModelProcess, milliseconds: Milliseconds): void {
+		process.isFrozen = true;
+		this._frozenUntil.set(process.identity, Infinity);
+		this.model.timeline.after(milliseconds, () => {
+			this._frozenUntil.set(process.identity, this.model.timeline.now);
+			process.wake();
+		});
+	}
+
 	/** The store drops its history of changes. */
 	loseHistory(): void {
 		this.model.store.dropHistory();
@@ -97,9 +110,10 @@
 	 * The store takes a backup, loses the writes of `duringLoss` and all others until it stops responding, and comes
 	 * back from the backup.
 	 */
-	restore({awayMilliseconds, backupAgeMilliseconds, rewriteMilliseconds}: Restore, duringLoss: () => void = () => undefined): void {
+	restore({awayMilliseconds, backupAgeMilliseconds, rewriteMilliseconds, lacksPrefix}: Restore, duringLoss: () => void = () => undefined): void {
 		const {store, timeline} = this.model;
-		const backup = store.backUp();
+		const {entries, ...rest} = store.backUp();
+		const backup = {...rest, entries: new Map([...entries].filter(([key]) => lacksPrefix === undefined || !key.startsWith(lacksPrefix)))};
 		const backupAt = timeline.now;
 		this.advance(backupAgeMilliseconds / 2);
 		duringLoss();
@@ -147,7 +161,8 @@
 		}
 
 		this._lastVersions.set(process.identity, process.version);
-		if (process.stage === 'serving' && !this._isAway && now - process.startedAt > recoveryMilliseconds && process.version < due) {
+		const undisturbedSince = Math.max(process.startedAt, this._frozenUntil.get(process.identity) ?? 0);
+		if (process.stage === 'serving' && !this._isAway && now - undisturbedSince > recoveryMilliseconds && process.version < due) {
 			this.violations.add(`${process.identity} is behind version ${due}`);
 		}
 	}
--- a/src/common/registry/restore-property.test.ts
+++ b/src/common/registry/restore-property.test.ts
@@ -20,7 +20,9 @@
 		const process = running[Math.floor(random.next() * running.length)]!;
 		process.kill(random.next() < 0.5);
 		run.model.start(run.model.vmIndexOf(process.address), 1000);
-	} else if (choice < 0.85) {
+	} else if (choice < 0.78) {
+		run.freeze(running[Math.floor(random.next() * running.length)]!, 500 + (random.next() * 4000));
+	} else if (choice < 0.9) {
 		run.setEvacuated(dataCentres[Math.floor(random.next() * dataCentres.length)]!, random.next() < 0.5);
 	} else {
 		run.loseHistory();
@@ -33,7 +35,7 @@
 	this.timeout(160_000);
 
 	for (const seed of [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12]) {
-		// Guards against a sequence of restores, lost VMs, evacuations and dropped history that leaves VMs behind the store.
+		// Guards against a sequence of restores, lost and frozen VMs, evacuations and dropped history that leaves VMs behind the store.
 		it(`delays no confirmed version and leaves all VMs in agreement (seed ${seed})`, () => {
 			const run = new RestoreRun(seed, {checksMembers: false});
 			for (let step = 0; step < steps; step++) {
--- a/src/common/registry/store-restore.test.ts
+++ b/src/common/registry/store-restore.test.ts
@@ -1,6 +1,10 @@
 import {expect} from 'earl';
 import {type Restore, RestoreRun} from './restore-harness.test.ts';
 
+/** VMs of a data centre that read the store for others, and those that take their place. */
+const vmsPerReader = 64;
+const standbyCount = 3;
+
 const seeds = [1, 2, 3, 4, 5, 6, 7, 8];
 
 /** Short and long outages and backup ages. */
@@ -72,6 +76,30 @@
 		});
 	}
 
+	// Guards against a fleet that takes all its members for lost, because the backup is older than they are.
+	for (const lacksPrefix of ['vms/', 'servers/']) {
+		it(`removes no member if the backup has no entries of ${lacksPrefix}`, () => {
+			expect(violationsOf(run => {
+				run.restore({
+					awayMilliseconds: 400, backupAgeMilliseconds: 1000, rewriteMilliseconds: 100, lacksPrefix,
+				});
+				run.advance(9000);
+			})).toEqual({});
+		});
+	}
+
+	// Guards the platform against a full list by every VM at once.
+	for (const vmCount of [16, 134, 311]) {
+		it(`is listed by few of ${vmCount} VMs`, () => {
+			const maxLists = 2 * (Math.ceil(vmCount / 2 / vmsPerReader) + standbyCount);
+			const run = new RestoreRun(1, {vmCount, checksMembers: false});
+			const before = run.model.store.costs.get('list') ?? 0;
+			run.restore({awayMilliseconds: 300, backupAgeMilliseconds: 2000, rewriteMilliseconds: 100});
+			run.advance(5000);
+			expect((run.model.store.costs.get('list') ?? 0) - before).toBeLessThanOrEqual(maxLists);
+		});
+	}
+
 	// Guards against evacuations that end, or begin again, because the backup is older than the operators' orders.
 	it('changes no evacuation ordered since the backup', () => {
 		expect(violationsOf(run => {
