--- a/src/cli/call-trace.test.ts
+++ b/src/cli/call-trace.test.ts
@@ -37,6 +37,18 @@
 		});
 	});
 
+	it('shows that the store was restored near the call', () => {
+		const log = [
+			line(10, 'vm-1', 'the store was restored from a backup and has lost its latest writes', {era: 2, eraBefore: 1}),
+			line(11, 'vm-1', 'all entries have been read since the store was restored', {milliseconds: 812, source: 'store'}),
+			line(12, 'vm-1', 'call ended', {traceId: 'c-1', ...call, trail: ''}),
+		].join('\n');
+		expect(traceCall('c-1', log).lines.slice(0, 2)).toEqual([
+			'2026-12-03T10:00:10.000Z vm-1 the store was restored from a backup and has lost its latest writes era=2 eraBefore=1',
+			'2026-12-03T10:00:11.000Z vm-1 all entries have been read since the store was restored milliseconds=812 source=store',
+		]);
+	});
+
 	it('parses a line to which a log collector has added a prefix', () => {
 		expect(traceCall('c-1', `  3.0733 edge-1 ${line(10, 'vm-1', 'call ended', {traceId: 'c-1', ...call})}`).callLines).toEqual(1);
 	});
--- a/src/common/fleet/configuration/change-attempt.ts
+++ b/src/common/fleet/configuration/change-attempt.ts
@@ -1,6 +1,7 @@
 /** Commits one operator's change to the platform's service; the state machine is charts/configuration-change.json. */
 import chartDefinition from '../../../../charts/configuration-change.json' with {type: 'json'};
 import {failure} from '../../errors/failure.ts';
+import {isLater, type StorePosition} from '../../platform/store-position.ts';
 import {type Instant} from '../../model/units.ts';
 import {type StoreReply} from '../../platform/types.ts';
 import {Chart} from '../chart.ts';
@@ -251,7 +252,7 @@
 		}
 	}
 
-	private _accept(revision: number): void {
+	private _accept(revision: StorePosition): void {
 		const {base, record, head} = this._commit!;
 		this._answer = {type: 'accepted', version: record.version};
 		if (record.isInSnapshotOnly) {
@@ -334,7 +335,7 @@
 	private _readBack(): void {
 		const {base, record} = this._commit!;
 		this._reader.readHead((outcome, read) => {
-			if (outcome === 'failed' || !read || read.revision < base.revision) {
+			if (outcome === 'failed' || !read || isLater(base.revision, read.revision)) {
 				this._uncertainOutcomes += 1;
 				this._chart.send('FAILED');
 			} else if (read.revision === base.revision) {
--- a/src/common/fleet/configuration/configuration-reader.ts
+++ b/src/common/fleet/configuration/configuration-reader.ts
@@ -2,6 +2,7 @@
 import {ok, type Result} from 'neverthrow';
 import {describeFailure, type Failure} from '../../errors/failure.ts';
 import {type StoredResource} from '../../model/resources.ts';
+import {isLater, type StorePosition} from '../../platform/store-position.ts';
 import {type StoreEntry, type StoreReply} from '../../platform/types.ts';
 import {type FleetContext} from '../fleet-context.ts';
 import {type ConfigurationState} from './configuration-state.ts';
@@ -11,7 +12,7 @@
 
 /** A head with its revision in the store, which a compare-and-swap on it must name. */
 export type HeadBase = {
-	readonly revision: number;
+	readonly revision: StorePosition;
 	readonly head: ConfigurationHead;
 	/** True if the head came from a compare-and-swap, which a stale replica cannot answer. */
 	readonly isConfirmed: boolean;
@@ -104,7 +105,7 @@
 
 	/** Like `observe`, for a decoded head. */
 	observeBase(base: HeadBase): void {
-		if (!this._base || base.revision >= this._base.revision) {
+		if (!this._base || !isLater(this._base.revision, base.revision)) {
 			this._base = base;
 			this.catchUp(() => undefined);
 		}
