Let an unverified list of the store count as the earliest state of its era

Cause: entries of a first, possibly stale list counted as of an era before all, so that a removal seen before the first verified list could be taken for one that a restore has undone. They now have the earliest position of their era. Two entries of one call address are told apart by their creation, since a registrar that writes all entries again would make that of an ended process the latest one.

--- a/src/common/registry/feed-era.test.ts
+++ b/src/common/registry/feed-era.test.ts
@@ -54,7 +54,7 @@
 		driver.receiveFrame({
 			isWhole: true, entries: inEra(1, [entryOf('servers/b', 'orders 10.0.1.2 ready 1000', 90)]), revision: storePosition(1, 99),
 		});
-		expect(driver.usableServers).toEqual(['a']);
+		expect([driver.isReading, driver.usableServers]).toEqual([true, ['a']]);
 	});
 });
 
@@ -87,11 +87,13 @@
 	// Guards against a reply that was sent before the restore and arrives after a later one.
 	it('ignores replies of an earlier era', () => {
 		const driver = started();
-		restore(driver, inEra(2));
 		driver.passTime(500);
-		driver.reply('watch', {
-			type: 'changes', entries: [], deleted: ['servers/a'], revision: storePosition(1, 99), era: 1,
+		driver.reply('watch', {type: 'history-lost', era: 2});
+		driver.passTime(0);
+		driver.reply('list', {
+			type: 'entries', entries: inEra(1, entries.slice(0, 1)), revision: storePosition(1, 99), era: 1,
 		});
+		driver.passTime(3000);
 		expect(driver.usableServers).toEqual(['a']);
 	});
 });
--- a/src/common/registry/feed-frames.ts
+++ b/src/common/registry/feed-frames.ts
@@ -81,7 +81,8 @@
 	/** The configuration has a version of its own, which decides whether it is later. */
 	private _isLater(entry: StoreEntry, knownRevision: StorePosition): boolean {
 		return entry.key === this._layout.configurationKey
-			|| (isLater(entry.revision, this._log.revisionOf(entry.key) ?? knownRevision) && !this._isSelfWritten(entry.key) && !this._log.isRemoved(entry));
+			? entry.value !== this._log.valueOf(entry.key)
+			: (isLater(entry.revision, this._log.revisionOf(entry.key) ?? knownRevision) && !this._isSelfWritten(entry.key) && !this._log.isRemoved(entry));
 	}
 
 	private _missingFrom(entries: readonly StoreEntry[]): string[] {
--- a/src/common/registry/store-mirror.ts
+++ b/src/common/registry/store-mirror.ts
@@ -2,7 +2,7 @@
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type StoreEntry, type StoreOperation, type StoreReply} from '../platform/types.ts';
 import {
-	isLater, latest, revisionOf, type StorePosition, storePosition,
+	eraOf, isLater, latest, type StorePosition, storePosition,
 } from '../platform/store-position.ts';
 import {type RegistryContext} from './registry-context.ts';
 
@@ -228,14 +228,8 @@
 		}
 
 		this._hasListed = true;
-		if (allowsStale && !this._isRestoredUnread) {
-			this._handleStaleList(reply);
-			return;
-		}
-
 		if (allowsStale) {
-			// The stale list has shown the restore, but may itself be from before it.
-			this._read();
+			this._handleStaleList(reply);
 			return;
 		}
 
@@ -261,7 +255,7 @@
 			this._revision = asUnverified(revision);
 			this._listener.onChanges({
 				entries: entries.map(({key, value, revision, createdAt = revision}) => ({
-					key, value, revision: asUnverified(revision), createdAt: asUnverified(createdAt),
+					key, value, revision: asUnverified(revision), createdAt,
 				})),
 				deleted: [],
 				isWhole: true,
@@ -314,7 +308,7 @@
 		}
 
 		this._request({type: 'list', prefix: this._context.settings.layout.commonPrefix, allowsStale: true}, reply => {
-			if (reply.type === 'entries' && !this._isRestoredUnread && !isLater(feedRevision, reply.revision)) {
+			if (reply.type === 'entries' && !isLater(feedRevision, reply.revision)) {
 				this._handleList(reply, false);
 				return;
 			}
@@ -359,7 +353,7 @@
 	}
 }
 
-/** The position of something that may precede a restore of the store, which is earlier than any verified one. */
+/** A position that is earlier than any other of its era. */
 function asUnverified(position: StorePosition): StorePosition {
-	return storePosition(0, revisionOf(position));
+	return storePosition(eraOf(position), 0);
 }
--- a/src/common/registry/vm-directory.ts
+++ b/src/common/registry/vm-directory.ts
@@ -235,7 +235,7 @@
 			const latest = new Map<string, KnownVm>();
 			for (const vm of this._entries.values()) {
 				const other = latest.get(vm.entry.callAddress);
-				if (vm.entry.callAddress !== this._context.settings.own.callAddress && (other === undefined || isLater(vm.revision, other.revision))) {
+				if (vm.entry.callAddress !== this._context.settings.own.callAddress && (other === undefined || isLater(vm.createdAt, other.createdAt))) {
 					latest.set(vm.entry.callAddress, vm);
 				}
 			}
