--- a/src/common/registry/feed-era.test.ts
+++ b/src/common/registry/feed-era.test.ts
@@ -47,6 +47,29 @@
 		expect([before, driver.isReading, driver.usableServers]).toEqual([false, true, ['a']]);
 	});
 
+	// Guards a starting fleet, in which sources accept followers before they have read the store.
+	it('extends the empty snapshot of a source that had not read the store yet', () => {
+		const driver = new RegistryDriver();
+		driver.handle({type: 'started'});
+		driver.reply('list', {
+			type: 'entries', entries: inEra(1), revision: storePosition(1, 10), era: 1,
+		});
+		driver.receiveFrame({isWhole: true, revision: 0, ageMilliseconds: 1e9});
+		driver.receiveFrame({entries: inEra(1, [entryOf('servers/b', 'orders 10.0.1.2 ready 1000', 15)]), revision: storePosition(1, 15)});
+		expect([driver.usableServers, driver.logged.filter(message => message.includes('restored'))]).toEqual([['a', 'b'], []]);
+	});
+
+	// Guards against the first reply of the store being taken for a restore, after a frame of a VM that had read nothing.
+	it('does not define the era if its source has not read the store', () => {
+		const driver = new RegistryDriver();
+		driver.handle({type: 'started'});
+		driver.receiveFrame({isWhole: true, revision: 0, ageMilliseconds: 1e9});
+		driver.reply('list', {
+			type: 'entries', entries: inEra(1), revision: storePosition(1, 10), era: 1,
+		});
+		expect(driver.logged.filter(message => message.includes('restored'))).toEqual([]);
+	});
+
 	// Guards against a source that has not noticed the restore yet, and whose revisions are higher.
 	it('is ignored if it precedes the restore', () => {
 		const driver = started();
--- a/src/common/registry/feed-frames.ts
+++ b/src/common/registry/feed-frames.ts
@@ -57,13 +57,13 @@
 		const {revision, isWhole} = frame;
 		const era = eraOf(revision);
 		const isFirst = this._snapshotSource !== source;
-		// Changes extend a snapshot of their own era only.
-		if (!isWhole && (isFirst || this._snapshotEra !== era)) {
+		// Changes extend an empty snapshot, or one of their own era.
+		if (!isWhole && (isFirst || (this._snapshotEra !== undefined && this._snapshotEra !== era))) {
 			return undefined;
 		}
 
 		this._snapshotSource = source;
-		this._snapshotEra = era;
+		this._snapshotEra = isLater(revision, 0) ? era : undefined;
 		const isAtLeastKnown = !isLater(knownRevision, revision);
 		const isAhead = isWhole && isAtLeastKnown;
 		const removed = (isWhole ? this._missingFrom(frame.entries) : frame.deleted).filter(key => !isLater(this._log.revisionOf(key) ?? Infinity, revision));
--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -8,7 +8,7 @@
 } from '../fleet/types.ts';
 import {type Instant, type Milliseconds, type RandomSource} from '../model/units.ts';
 import {type StoreEntry, type StoreWrite} from '../platform/types.ts';
-import {eraOf, type StorePosition} from '../platform/store-position.ts';
+import {eraOf, isLater, type StorePosition} from '../platform/store-position.ts';
 import {BoundedStop} from './bounded-stop.ts';
 import {Evacuations} from './evacuations.ts';
 import {MemberRegistrar} from './member-registrar.ts';
@@ -270,8 +270,12 @@
 
 	private _handleFrame(source: PeerAddress, received: FeedFrame): void {
 		const frame = this._withEra(received);
-		this._context.noteEra(eraOf(frame.revision));
-		const isUsable = source === this._feedSelector.source && !this._context.isOutdated(eraOf(frame.revision));
+		const isEmpty = !isLater(frame.revision, 0);
+		if (!isEmpty && frame.lacksEra !== true) {
+			this._context.noteEra(eraOf(frame.revision));
+		}
+
+		const isUsable = source === this._feedSelector.source && (isEmpty || !this._context.isOutdated(eraOf(frame.revision)));
 		const changes = isUsable ? this._frames.changesOf(source, frame, this._mirror.revision ?? -1) : undefined;
 		if (changes === undefined) {
 			return;
@@ -520,6 +524,10 @@
 		if (key === this._ownKey) {
 			this._handleOwnDeleted();
 		} else if (key.startsWith(layout.vmPrefix)) {
+			if (!this._vms.has(key)) {
+				this._log.remove(key);
+			}
+
 			this._vms.remove(key, certainty);
 		} else if (key.startsWith(layout.serverPrefix)) {
 			return this._servers.remove(key, certainty);
--- a/src/common/registry/store-model.test.ts
+++ b/src/common/registry/store-model.test.ts
@@ -98,7 +98,7 @@
 	private readonly _terms = new Map<string, Milliseconds>();
 	private readonly _events: StoreEvent[] = [];
 	private readonly _pendingWatches = new Set<PendingWatch>();
-	private _era = 0;
+	private _era = 1;
 	private _revision = 10;
 	/** The history up to this revision has been dropped. */
 	private _oldestRevision = 0;
