--- a/src/common/platform/store-position.test.ts
+++ b/src/common/platform/store-position.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'earl';
 import * as fastCheck from 'fast-check';
 import {
-	eraOf, formatPosition, isLater, latest, revisionOf, storePosition,
+	eraOf, formatPosition, isLater, latest, precedesRestore, revisionOf, storePosition,
 } from './store-position.ts';
 
 const eras = fastCheck.integer({min: 0, max: 2 ** 20});
@@ -23,6 +23,11 @@
 		}));
 	});
 
+	it('precedes a restore if a later era begins between the two', () => {
+		expect([[1, 9, 2, 1], [2, 1, 2, 9], [2, 1, 1, 9]].map(([era = 0, revision = 0, otherEra = 0, otherRevision = 0]) =>
+			precedesRestore(storePosition(era, revision), storePosition(otherEra, otherRevision)))).toEqual([true, false, false]);
+	});
+
 	it('is formatted as era and revision', () => {
 		expect(formatPosition(storePosition(2, 40))).toEqual('2/40');
 	});
--- a/src/common/platform/store-position.ts
+++ b/src/common/platform/store-position.ts
@@ -33,6 +33,11 @@
 	return one > other;
 }
 
+/** Whether a restore of the store lies between the first position and the second. */
+export function precedesRestore(one: StorePosition, other: StorePosition): boolean {
+	return eraOf(one) < eraOf(other);
+}
+
 export function latest(one: StorePosition, other: StorePosition): StorePosition {
 	return Math.max(one, other);
 }
--- a/src/common/registry/change-log.ts
+++ b/src/common/registry/change-log.ts
@@ -1,6 +1,6 @@
 /** Store entries known to this VM, and their changes since the last frame, for publication to other VMs. */
 import {type StoreEntry} from '../platform/types.ts';
-import {eraOf, isLater, type StorePosition} from '../platform/store-position.ts';
+import {isLater, precedesRestore, type StorePosition} from '../platform/store-position.ts';
 
 /**
  * Removed entries that are remembered: several times the VMs of a large fleet, for the seconds in which peers decide
@@ -62,13 +62,13 @@
 	/** Whether this key was removed before the restore of the store from which the entry was read. */
 	wasRemovedBeforeRestore({key, revision}: StoreEntry): boolean {
 		const removed = this._removedRevisions.get(key);
-		return removed !== undefined && !this._entries.has(key) && eraOf(removed) < eraOf(revision);
+		return removed !== undefined && !this._entries.has(key) && precedesRestore(removed, revision);
 	}
 
 	/** Whether this key was last written before the restore of the store from which the entry was read. */
 	wasWrittenBeforeRestore({key, revision}: StoreEntry): boolean {
 		const known = this._entries.get(key);
-		return known !== undefined && eraOf(known.revision) < eraOf(revision);
+		return known !== undefined && precedesRestore(known.revision, revision);
 	}
 
 	remove(key: string): void {
--- a/src/common/registry/feed-frames.ts
+++ b/src/common/registry/feed-frames.ts
@@ -2,7 +2,7 @@
 import {type PeerAddress} from '../fleet/types.ts';
 import {type StoreEntry} from '../platform/types.ts';
 import {
-	eraOf, isLater, type StoreEra, storePosition, type StorePosition,
+	eraOf, isLater, precedesRestore, type StoreEra, storePosition, type StorePosition,
 } from '../platform/store-position.ts';
 import {type ChangeLog} from './change-log.ts';
 import {type FeedFrame, type StoreLayout} from './types.ts';
@@ -67,7 +67,7 @@
 		const isAtLeastKnown = !isLater(knownRevision, revision);
 		const isAhead = isWhole && isAtLeastKnown;
 		const removed = (isWhole ? this._missingFrom(frame.entries) : frame.deleted).filter(key => !isLater(this._log.revisionOf(key) ?? Infinity, revision));
-		const mayBeLost = (key: string) => isWhole && eraOf(this._log.revisionOf(key)!) < era;
+		const mayBeLost = (key: string) => isWhole && precedesRestore(this._log.revisionOf(key)!, revision);
 		return {
 			entries: frame.entries.filter(entry => this._isLater(entry, isAhead ? -1 : knownRevision)),
 			deleted: removed.filter(key => !mayBeLost(key)),
--- a/src/common/registry/restore-harness.test.ts
+++ b/src/common/registry/restore-harness.test.ts
@@ -128,7 +128,7 @@
 		});
 	}
 
-	/** Waits for a data centre's whole fleet to agree with the owners of all entries, and returns what differs. */
+	/** What VMs know differently from the owners of the entries, for a fleet that has settled. */
 	differences(): string[] {
 		return this.model.running.flatMap(process => [
 			...this._missingServers(process).map(name => `${process.identity} lacks ${name}`),
