Add failing tests of calls that crash backend servers, on a store-led fleet

Whole entry VMs in virtual time before the model of the store. The model of a fleet now runs entry VMs, so that call engines can take part in it.

--- a/src/common/registry/fleet-model.test.ts
+++ b/src/common/registry/fleet-model.test.ts
@@ -1,11 +1,13 @@
 /** A whole fleet in virtual time: its state machines, the store, and the registry feeds between VMs. */
 import {Timeline} from '../../proof/fuzz/timeline.ts';
-import {type FleetEffect, type FleetEvent} from '../fleet/types.ts';
+import {type CallEngine} from '../calls/types.ts';
+import {EntryVm, isCallEffect} from '../entry-vm/entry-vm.ts';
+import {type EntryVmEvent, type ExternalCallEffect, type ExternalFleetEffect} from '../entry-vm/types.ts';
 import {type Instant, type Milliseconds, type RandomSource} from '../model/units.ts';
 import {seededRandom} from '../random/random.ts';
 import {documents, settings} from './registry-driver.test.ts';
 import {RegistryFleet} from './registry-fleet.ts';
-import {type MemberAnnouncement, type FeedFrame} from './types.ts';
+import {type DocumentCodec, type MemberAnnouncement, type FeedFrame} from './types.ts';
 import {StoreModel} from './store-model.test.ts';
 import {defaultMemberHeartbeatMilliseconds, defaultLeaseMilliseconds} from './vm-loss-budget.ts';
 
@@ -21,11 +23,31 @@
 	readonly seed: number;
 	readonly convergeMilliseconds?: Milliseconds;
 	readonly leaseMilliseconds?: Milliseconds;
+	/** Call engines and backend servers; without them the model has fleets alone. */
+	readonly calls?: CallModel;
+	readonly documents?: DocumentCodec;
+};
+
+/** The calls of a model: creates the call engine of each process and executes its effects. */
+export type CallModel = {
+	createEngine(random: RandomSource, dataCentre: string): CallEngine;
+	execute(process: ModelProcess, effect: ExternalCallEffect): void;
+};
+
+/** A call engine without calls, for models of fleets alone. */
+const idleCallEngine: CallEngine = {
+	handle: () => [],
+	nextWakeUp: () => undefined,
+	load: () => ({callsInFlight: 0, callsQueued: 0, inFlightOfServices: new Map()}),
+	status: () => ({
+		configurationVersion: 0, callsInFlight: 0, callsQueued: 0, backendServers: [], quarantined: [],
+	}),
 };
 
 /** One process of a VM; a restart creates another one. */
 export class ModelProcess {
 	readonly fleet: RegistryFleet;
+	readonly entryVm: EntryVm<RegistryFleet>;
 	readonly address: string;
 	readonly identity: string;
 	isAlive = true;
@@ -46,7 +68,7 @@
 	private readonly _model: FleetModel;
 	private _wakeAt: Instant | undefined;
 	private _connectionCount = 0;
-	private readonly _deferredEvents: FleetEvent[] = [];
+	private readonly _deferredEvents: EntryVmEvent[] = [];
 	/** Announcements made before the stream was open. */
 	private _unsentAnnouncements: MemberAnnouncement[] = [];
 
@@ -56,21 +78,23 @@
 		this.identity = identity;
 		this.address = address;
 		const {convergeMilliseconds = 3000, leaseMilliseconds = defaultLeaseMilliseconds} = options;
+		const dataCentre = address.startsWith('10.0.0') ? 'north' : 'south';
 		this.fleet = new RegistryFleet({
 			...settings,
 			identity,
 			own: {
-				callAddress: address, peerAddress: address, dataCentre: address.startsWith('10.0.0') ? 'north' : 'south', linkMegabits: 100,
+				callAddress: address, peerAddress: address, dataCentre, linkMegabits: 100,
 			},
 			convergeMilliseconds,
 			watchPauseMilliseconds: 0.4 * convergeMilliseconds,
 			leaseMilliseconds,
 			memberHeartbeatMilliseconds: defaultMemberHeartbeatMilliseconds,
 			seeds: model.seeds,
-		}, documents, random);
+		}, options.documents ?? documents, random);
+		this.entryVm = new EntryVm(options.calls?.createEngine(random, dataCentre) ?? idleCallEngine, this.fleet);
 	}
 
-	handle(event: FleetEvent): void {
+	handle(event: EntryVmEvent): void {
 		if (!this.isAlive) {
 			return;
 		}
@@ -80,8 +104,12 @@
 			return;
 		}
 
-		for (const effect of this.fleet.handle(event, this._model.timeline.now)) {
-			this._execute(effect);
+		for (const effect of this.entryVm.handle(event, this._model.timeline.now)) {
+			if (isCallEffect(effect)) {
+				this._model.calls?.execute(this, effect);
+			} else {
+				this._execute(effect);
+			}
 		}
 
 		this._scheduleTick();
@@ -122,7 +150,7 @@
 		});
 	}
 
-	private _execute(effect: FleetEffect): void {
+	private _execute(effect: ExternalFleetEffect): void {
 		switch (effect.type) {
 			case 'store': {
 				this._model.store.execute(this.address, effect.operation, reply => {
@@ -259,7 +287,7 @@
 	}
 
 	private _scheduleTick(): void {
-		const next = this.fleet.nextWakeUp();
+		const next = this.entryVm.nextWakeUp();
 		if (next === undefined || next === this._wakeAt) {
 			return;
 		}
@@ -295,6 +323,10 @@
 		}
 	}
 
+	get calls(): CallModel | undefined {
+		return this._options.calls;
+	}
+
 	get running(): ModelProcess[] {
 		return [...this._processes.values()].filter(process => process.isAlive);
 	}
--- /dev/null
+++ b/src/common/registry/poison-requests.test.ts
@@ -0,0 +1,81 @@
+/** Calls that crash each backend server that runs them, on a fleet that is coordinated through the store. */
+import {expect} from 'earl';
+import {
+	type PoisonOptions, type PoisonResult, PoisonModel, maxLateSends, servedShare,
+} from './poison-harness.test.ts';
+
+/** Share of the harmless calls that are served if harmful ones are refused from the first. */
+const minServedShare = 0.98;
+
+const seeds = [1, 2, 3];
+
+/** Results that break a bound. */
+function violations(results: ReadonlyArray<{readonly seed: number; readonly result: PoisonResult}>): unknown[] {
+	return results.map(({seed, result}) => ({
+		seed, harmful: Object.fromEntries(result.harmful), served: servedShare(result), refusedAsHarmful: result.harmless.refusedAsHarmful,
+	})).filter(({harmful, served, refusedAsHarmful}) => Object.values(harmful).some(({lateSends}) => lateSends > maxLateSends) || served < minServedShare || refusedAsHarmful > 0);
+}
+
+function play(options: Omit<PoisonOptions, 'seed'>, prepare: (model: PoisonModel) => void = () => undefined): unknown[] {
+	return violations(seeds.map(seed => {
+		const model = new PoisonModel({...options, seed});
+		prepare(model);
+		return {seed, result: model.run()};
+	}));
+}
+
+const sixVms = {vmCount: 6, serverCount: 18};
+
+describe('calls that crash backend servers, before a fleet coordinated through the store,', function () {
+	this.timeout(160_000);
+
+	// Guards against a VM that needs crashes of its own, so that each VM lets the call crash more backend servers.
+	it('are contained on all VMs', () => {
+		expect(play(sixVms)).toEqual([]);
+	});
+
+	// Guards against a call whose crashes no other call confirms, since it is alone on its backend servers.
+	it('are contained if they come to one VM only', () => {
+		expect(play({...sixVms, isSentToOneVm: true, harmlessIntervalMilliseconds: 200})).toEqual([]);
+	});
+
+	// Guards against evidence that reaches other VMs only through the store.
+	it('are contained while the store is away', () => {
+		expect(play(sixVms, ({fleet: {store}}) => {
+			store.isSilentTo = () => true;
+		})).toEqual([]);
+	});
+
+	// Guards against harmful calls that hide behind one another.
+	it('are contained if three of them come at once', () => {
+		expect(play({...sixVms, harmfulCount: 3})).toEqual([]);
+	});
+
+	// Guards against a call that cannot be retried by the VM, whose crashes are each seen by another VM.
+	it('are contained if they must not run twice', () => {
+		expect(play({...sixVms, areOrders: true})).toEqual([]);
+	});
+
+	// Guards against evidence that a VM which starts later lacks.
+	it('are contained by VMs that start or restart meanwhile', () => {
+		expect(play(sixVms, ({fleet}) => {
+			for (const at of [2000, 5000, 8000, 10_000]) {
+				fleet.timeline.after(at, () => {
+					const victim = fleet.running[0]!;
+					victim.kill();
+					fleet.start(fleet.vmIndexOf(victim.address));
+				});
+			}
+		})).toEqual([]);
+	});
+
+	// Guards against convictions of calls that were in flight when backend servers were killed or connections reset.
+	for (const [name, faults] of [['are killed from outside', {killIntervalMilliseconds: 250}], ['reset connections', {resetChance: 0.1}]] as const) {
+		it(`are not assumed to be at fault if backend servers ${name}`, () => {
+			const refused = seeds.map(seed => new PoisonModel({
+				...sixVms, ...faults, seed, harmfulCount: 0,
+			}).run().harmless.refusedAsHarmful);
+			expect(refused).toEqual(seeds.map(() => 0));
+		});
+	}
+});
