Log and count crashes with calls in flight, quarantined calls and calls cleared of suspicion

Now each VM logs a confirmed crash with its suspects, each quarantine and each clearing; a counter by kind and a gauge of refused calls go to StatsD and to the page of metrics. No decision changes.

--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -18,7 +18,7 @@
 import {type CallTuning, defaultTuning} from './tuning.ts';
 import {type RateQuota, SingleVmRateQuota} from './rate-quota.ts';
 import {
-	type AttemptId, type CallEffect, type CallEngine, type CallEngineStatus, type CallLoad, type CallEvent, type CallId, type CallRequest, type KeyClaim,
+	type AttemptId, type CallEffect, type CallEngine, type CallEngineStatus, type CallLoad, type CallEvent, type CallId, type CallRequest, type KeyClaim, type PoisonRequestChange,
 } from './types.ts';
 
 /** Events that update the engine's state and belong to no call. */
@@ -56,7 +56,9 @@
 			tuning,
 			settings: options.settings,
 			timers: new TimerQueue<Timer>(),
-			poisonRequests: new PoisonRequestDetector(tuning.suspicionMilliseconds),
+			poisonRequests: new PoisonRequestDetector(tuning.suspicionMilliseconds, change => {
+				this._onPoisonRequestChange(change);
+			}),
 			servicesToDrain: new Set(),
 			replacedServers: [],
 			isPlacingHeld: false,
@@ -292,6 +294,10 @@
 		this._admission.admit(call, now);
 	}
 
+	private _onPoisonRequestChange(change: PoisonRequestChange): void {
+		this._context.effects.push({type: 'poison-request-changed', change, quarantined: this._context.poisonRequests.quarantinedCount});
+	}
+
 	/** Holds or resumes placing. When placing resumes, the queues of all services are drained. */
 	private _setPlacingHeld(isHeld: boolean): void {
 		this._context.isPlacingHeld = isHeld;
--- a/src/common/calls/poison-request-detector.ts
+++ b/src/common/calls/poison-request-detector.ts
@@ -1,5 +1,6 @@
 /** Identifies calls that crash every backend server that runs them, and quarantines them. */
 import {type Instant, type Milliseconds} from '../model/units.ts';
+import {type PoisonRequestChange} from './types.ts';
 
 /** Maximum number of stored crashes and of quarantined fingerprints. Bounded, since callers determine the fingerprints. */
 const maxCrashes = 256;
@@ -33,12 +34,15 @@
  */
 export class PoisonRequestDetector {
 	private readonly _retentionMilliseconds: Milliseconds;
+	private readonly _onChange: (change: PoisonRequestChange) => void;
 	private readonly _crashes = new Map<string, Crash>();
 	private readonly _crashesByFingerprint = new Map<string, Set<string>>();
 	private readonly _quarantined = new Map<string, {readonly crashes: number; readonly expiresAt: Instant}>();
 
-	constructor(retentionMilliseconds: Milliseconds) {
+	/** `onChange` is called for changes that logs and metrics show. */
+	constructor(retentionMilliseconds: Milliseconds, onChange: (change: PoisonRequestChange) => void = () => undefined) {
 		this._retentionMilliseconds = retentionMilliseconds;
+		this._onChange = onChange;
 	}
 
 	/** Identity of a crash: that of the process that died, so that it is the same on every VM. */
@@ -51,6 +55,11 @@
 		return this._crashesByFingerprint.size;
 	}
 
+	/** Number of quarantined fingerprints, including those whose quarantine has just ended. */
+	get quarantinedCount(): number {
+		return this._quarantined.size;
+	}
+
 	/** Adds calls that were in flight at a crash detected by this VM or a peer. Returns true if any of them was new for this crash. */
 	addSuspects(crashIdentity: string, fingerprints: readonly string[], now: Instant): boolean {
 		const crash = this._getOrCreateCrash(crashIdentity, now);
@@ -61,12 +70,16 @@
 			}
 
 			// A second reset shows that the process died, and not just one connection.
-			crash.isConfirmed ||= crash.suspects.size > 0;
+			const isConfirmedNow = !crash.isConfirmed && crash.suspects.size > 0;
+			crash.isConfirmed ||= isConfirmedNow;
 			crash.suspects.add(fingerprint);
 			const crashes = this._crashesByFingerprint.get(fingerprint) ?? new Set();
 			crashes.add(crashIdentity);
 			this._crashesByFingerprint.set(fingerprint, crashes);
 			isNew = true;
+			if (isConfirmedNow) {
+				this._onChange({kind: 'crash', crash: crashIdentity, suspects: [...crash.suspects]});
+			}
 		}
 
 		this._checkSuspects(crash, now);
@@ -78,17 +91,22 @@
 		const crash = this._crashes.get(crashIdentity);
 		if (crash !== undefined && !crash.isConfirmed && now - crash.detectedAt <= confirmationMilliseconds) {
 			crash.isConfirmed = true;
+			this._onChange({kind: 'crash', crash: crashIdentity, suspects: [...crash.suspects]});
 			this._checkSuspects(crash, now);
 		}
 	}
 
 	/** Removes a call from the suspects of all crashes. Called after an answer, which proves that the call is harmless. */
-	clearSuspect(fingerprint: string, now: Instant): void {
+	clearSuspect(fingerprint: string, now: Instant, cause: 'answer' | 'operator' = 'answer'): void {
 		const crashes = this._crashesByFingerprint.get(fingerprint);
 		if (crashes === undefined) {
 			return;
 		}
 
+		this._onChange({
+			kind: 'cleared', fingerprint, crashes: crashes.size, wasQuarantined: cause === 'operator', cause,
+		});
+
 		this._crashesByFingerprint.delete(fingerprint);
 		for (const identity of crashes) {
 			const crash = this._crashes.get(identity);
@@ -119,7 +137,7 @@
 	/** Ends the quarantine of a call at the request of an operator. */
 	liftQuarantine(fingerprint: string, now: Instant): void {
 		this._quarantined.delete(fingerprint);
-		this.clearSuspect(fingerprint, now);
+		this.clearSuspect(fingerprint, now, 'operator');
 	}
 
 	quarantined(now: Instant): Quarantined[] {
@@ -152,6 +170,7 @@
 		}
 
 		this._quarantined.set(fingerprint, {crashes, expiresAt: now + this._retentionMilliseconds});
+		this._onChange({kind: 'quarantined', fingerprint, crashes});
 	}
 
 	private _getOrCreateCrash(identity: string, now: Instant): Crash {
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -242,6 +242,15 @@
 	readonly crash: string | undefined;
 };
 
+/** A change of what this VM knows of calls that crash backend servers, for logs and metrics. */
+export type PoisonRequestChange
+	/** The process of a backend server has ended while calls were in flight there. `suspects` = those known so far. */
+	= | {readonly kind: 'crash'; readonly crash: string; readonly suspects: readonly string[]}
+	/** A call is refused from now on, since `crashes` processes have ended while it was in flight. */
+		| {readonly kind: 'quarantined'; readonly fingerprint: string; readonly crashes: number}
+	/** A call under suspicion is not at fault: it was answered, or an operator has lifted its quarantine. */
+		| {readonly kind: 'cleared'; readonly fingerprint: string; readonly crashes: number; readonly wasQuarantined: boolean; readonly cause: 'answer' | 'operator'};
+
 /** Why a call was refused. The `type` of the problem body is `urn:jaydale:problem:` followed by this reason. */
 export type RefusalReason
 	= | 'unknown-service'
@@ -328,6 +337,8 @@
 		/** Number of backend servers with a rate limit known to this VM. */
 		readonly limitedServers: number;
 	}
+	/** What this VM knows of calls that crash backend servers has changed; `quarantined` = number of refused fingerprints. */
+	| {readonly type: 'poison-request-changed'; readonly change: PoisonRequestChange; readonly quarantined: number}
 	/** A call has ended; for metrics, the burn rate and logs. */
 	| {readonly type: 'call-ended'; readonly callId: CallId; readonly summary: CallSummary};
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -25,6 +25,7 @@
 import {type BurnExchange} from '../node/peers/burn-exchange.ts';
 import {type GrpcPeerTransport, type PeerTraffic} from '../node/peers/grpc-peer-transport.ts';
 import {type PauseDetector} from './pause-detector.ts';
+import {reportPoisonRequestChange} from './poison-request-log.ts';
 import {StopReport} from './stop-report.ts';
 
 /** Parts of a daemon, created by `wiring.ts`. */
@@ -81,6 +82,9 @@
 		this._register(parts.callEffectExecutor.onCallEnded(call => {
 			this._recordCall(call);
 		}));
+		this._register(parts.callEffectExecutor.onPoisonRequestChanged(effect => {
+			reportPoisonRequestChange(effect, parts.logger, parts.metrics);
+		}));
 		this._register(parts.callerServer.onAnswerCut(({closedBy, bytesLeft, isWhole, incoming}) => {
 			parts.metrics.answerCut(closedBy);
 			if (closedBy === 'here') {
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -25,6 +25,7 @@
 import {type LogControl, type Logger} from '../node/logging/types.ts';
 import {type Metrics} from '../node/metrics/types.ts';
 import {describeAttempt, describeGrounds} from './describe-call.ts';
+import {reportPoisonRequestChange} from './poison-request-log.ts';
 import {StopReport} from './stop-report.ts';
 
 /** Parts of the daemon, created by `entry-wiring.ts`. */
@@ -86,6 +87,9 @@
 		this._register(parts.callEffectExecutor.onCallEnded(call => {
 			this._logCall(call);
 		}));
+		this._register(parts.callEffectExecutor.onPoisonRequestChanged(effect => {
+			reportPoisonRequestChange(effect, parts.logger, parts.metrics);
+		}));
 		this._register(parts.callEffectExecutor.onRateLimitChanged(change => {
 			this._logRateLimit(change);
 		}));
--- a/src/node/front/call-effect-executor.ts
+++ b/src/node/front/call-effect-executor.ts
@@ -25,6 +25,9 @@
 /** A backend server announced a new rate limit, or removed its rate limit. */
 export type RateLimitChanged = CallEffect & {type: 'rate-limit-changed'};
 
+/** What this VM knows of calls that crash backend servers has changed. */
+export type PoisonRequestChanged = CallEffect & {type: 'poison-request-changed'};
+
 /** Holds the active calls of this VM and dispatches each effect to its call, the load prober or the key claimer. */
 export class CallEffectExecutor extends Disposable {
 	private readonly _sink: CallEventSink;
@@ -36,10 +39,14 @@
 
 	private readonly _onRateLimitChanged = this._register(new Emitter<RateLimitChanged>());
 
+	private readonly _onPoisonRequestChanged = this._register(new Emitter<PoisonRequestChanged>());
+
 	/** Fires once for each call, when it has completed. */
 	readonly onCallEnded = this._onCallEnded.event;
 	/** Fires if a backend server announces a new rate limit or removes its rate limit. */
 	readonly onRateLimitChanged = this._onRateLimitChanged.event;
+	/** Fires if a call comes under suspicion of crashing backend servers, is quarantined or is cleared. */
+	readonly onPoisonRequestChanged = this._onPoisonRequestChanged.event;
 
 	constructor(sink: CallEventSink, loadProber: LoadProbeClient, keyClaimer: KeyClaimer) {
 		super();
@@ -97,7 +104,7 @@
 	}
 
 	/** Executes effects that do not concern the connections of a call. */
-	private _executeOther(effect: ExternalCallEffect & {type: 'measure' | 'claim-key' | 'release-key' | 'rate-limit-changed'}): void {
+	private _executeOther(effect: ExternalCallEffect & {type: 'measure' | 'claim-key' | 'release-key' | 'rate-limit-changed' | 'poison-request-changed'}): void {
 		switch (effect.type) {
 			case 'measure': {
 				this._loadProber.probe(effect, this._sink);
@@ -114,6 +121,11 @@
 				break;
 			}
 
+			case 'poison-request-changed': {
+				this._onPoisonRequestChanged.fire(effect);
+				break;
+			}
+
 			case 'release-key': {
 				void this._keyClaimer.release(effect);
 				break;
--- a/src/node/metrics/catalogue.ts
+++ b/src/node/metrics/catalogue.ts
@@ -33,6 +33,8 @@
 	'rate_limits.in_force': {type: 'gauge', tags: [], describe: 'Backend servers that name a rate limit now, as far as this VM knows.'},
 	'rate_limits.unreadable': {type: 'counter', tags: ['service'], describe: 'Backend servers that began to name a rate limit which cannot be read; calls go there as before.'},
 	'rate_limits.withheld': {type: 'counter', tags: ['service'], describe: 'Calls that were placed elsewhere or refused while the VM\'s share of some backend server\'s rate limit was spent.'},
+	'poison_requests.changes': {type: 'counter', tags: ['change'], describe: 'What a VM learnt of calls that crash backend servers: `change` is crash, quarantined or cleared.'},
+	'poison_requests.quarantined': {type: 'gauge', tags: [], describe: 'Calls that this VM refuses because backend servers crashed while running them; all VMs should agree.'},
 	'measuring.calls': {type: 'counter', tags: ['service'], describe: 'Calls made only to learn a backend server\'s load; each is paid from the service\'s budget.'},
 	'measuring.part': {type: 'gauge', tags: [], describe: 'Part of the fleet\'s measuring budgets that this VM may spend, 0 to 1.'},
 	'configuration.version': {type: 'gauge', tags: [], describe: 'Configuration version in force. VMs that differ for more than some seconds are worth a look.'},
--- a/src/node/metrics/metrics.test.ts
+++ b/src/node/metrics/metrics.test.ts
@@ -65,6 +65,7 @@
 		metrics.storeEra(2, true);
 		metrics.rateLimits(2);
 		metrics.rateLimitUnreadable('ordering');
+		metrics.poisonRequests('quarantined', 1);
 		metrics.configurationRejected('reads');
 		metrics.loadProbeSent('ordering');
 		metrics.platformCalled('get', 'entry', 4);
--- a/src/node/metrics/no-metrics.ts
+++ b/src/node/metrics/no-metrics.ts
@@ -13,6 +13,7 @@
 	storeEra: ignore,
 	rateLimits: ignore,
 	rateLimitUnreadable: ignore,
+	poisonRequests: ignore,
 	configurationRejected: ignore,
 	loadProbeSent: ignore,
 	platformCalled: ignore,
--- a/src/node/metrics/page-metrics.test.ts
+++ b/src/node/metrics/page-metrics.test.ts
@@ -15,6 +15,7 @@
 		metrics.storeEra(2, true);
 		metrics.rateLimits(2);
 		metrics.rateLimitUnreadable('ordering');
+		metrics.poisonRequests('quarantined', 1);
 		metrics.configurationRejected('reads');
 		metrics.loadProbeSent('orders');
 		metrics.platformCalled('watch', 'changes', 12);
--- a/src/node/metrics/page-metrics.ts
+++ b/src/node/metrics/page-metrics.ts
@@ -5,7 +5,7 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
-import {type CallSummary} from '../../common/calls/types.ts';
+import {type CallSummary, type PoisonRequestChange} from '../../common/calls/types.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 import {type Metrics, type VmGauges} from './types.ts';
 
@@ -23,6 +23,8 @@
 	private readonly _limitedServers = new Gauge({name: 'jaydale_rate_limited_backend_servers', help: 'Backend servers that name a rate limit.', registers: [this._registry]});
 	private readonly _unreadableLimits = this._counter('jaydale_unreadable_rate_limits_total', 'Backend servers that began to name a rate limit which cannot be read.', ['service']);
 	private readonly _withheld = this._counter('jaydale_rate_limit_withheld_total', 'Calls kept from a backend server by its rate limit.', ['service']);
+	private readonly _poisonRequestChanges = this._counter('jaydale_poison_request_changes_total', 'Crashes with calls in flight, and calls quarantined or cleared of suspicion.', ['change']);
+	private readonly _quarantined = new Gauge({name: 'jaydale_quarantined_calls', help: 'Calls that are refused because backend servers crashed while running them.', registers: [this._registry]});
 	private readonly _rejectedConfigurations = this._counter('jaydale_rejected_configurations_total', 'Configurations that could not be read.', ['route']);
 	private readonly _loadProbes = this._counter('jaydale_measuring_calls_total', 'Calls made to learn a load.', ['service']);
 	private readonly _storeCalls = this._counter('jaydale_store_calls_total', 'Requests to the store.', ['operation', 'reply']);
@@ -69,6 +71,11 @@
 		this._unreadableLimits.inc({service});
 	}
 
+	poisonRequests(change: PoisonRequestChange['kind'], quarantined: number): void {
+		this._poisonRequestChanges.inc({change});
+		this._quarantined.set(quarantined);
+	}
+
 	configurationRejected(route: string | undefined): void {
 		this._rejectedConfigurations.inc({route: route ?? ''});
 	}
--- a/src/node/metrics/statsd-metrics.ts
+++ b/src/node/metrics/statsd-metrics.ts
@@ -1,6 +1,6 @@
 /** Metrics over StatsD (UDP). */
 import {StatsD, type ClientOptions} from 'hot-shots';
-import {type CallSummary} from '../../common/calls/types.ts';
+import {type CallSummary, type PoisonRequestChange} from '../../common/calls/types.ts';
 import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 import {type Settings} from '../../common/settings/settings.ts';
@@ -100,6 +100,11 @@
 		this._count('rate_limits.unreadable', 1, {service});
 	}
 
+	poisonRequests(change: PoisonRequestChange['kind'], quarantined: number): void {
+		this._count('poison_requests.changes', 1, {change});
+		this._gauge('poison_requests.quarantined', quarantined);
+	}
+
 	configurationRejected(route: string | undefined): void {
 		this._count('configurations.rejected', 1, {route: route ?? 'none'});
 	}
--- a/src/node/metrics/types.ts
+++ b/src/node/metrics/types.ts
@@ -1,5 +1,5 @@
 /** Interface for reporting metrics: one method per event, so that metric names and tags are defined in one place. */
-import {type CallSummary} from '../../common/calls/types.ts';
+import {type CallSummary, type PoisonRequestChange} from '../../common/calls/types.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 
 /** State of a VM that is sampled periodically. */
@@ -28,6 +28,8 @@
 	rateLimits(limitedServers: number): void;
 	/** A backend server declared a rate limit that cannot be parsed. */
 	rateLimitUnreadable(service: string): void;
+	/** What this VM knows of calls that crash backend servers has changed; `quarantined` = number of refused fingerprints. */
+	poisonRequests(change: PoisonRequestChange['kind'], quarantined: number): void;
 	/** A configuration was rejected; `route` = the invalid route, undefined if the error is not in a route. */
 	configurationRejected(route: string | undefined): void;
 	/** A load probe was sent to a backend server of the service. */
