Identify a call by caller, host, method, path and body

What callers saw: a harmless call of another caller to the same path was refused with the harmful one, and its answer cleared the harmful one. The fingerprint lacked caller and host. Ruled out: a method-only change, since the platform repeats a call with the same path, caller and body.

--- a/src/daemon/identity.ts
+++ b/src/daemon/identity.ts
@@ -1,6 +1,7 @@
 /** Creates identities, and loads the hash functions of the process. */
 import xxhash from 'xxhash-wasm';
 import {entropyBytes} from '../node/entropy.ts';
+import {type FingerprintFunction} from '../node/front/types.ts';
 
 const identityBytes = 16;
 
@@ -13,7 +14,7 @@
 export type Hashes = {
 	readonly hash32: (text: string) => number;
 	readonly digest: (text: string) => string;
-	readonly fingerprint: (method: string, path: string, body: Uint8Array) => string;
+	readonly fingerprint: FingerprintFunction;
 };
 
 export async function loadHashes(): Promise<Hashes> {
@@ -21,8 +22,8 @@
 	return {
 		hash32: text => library.h32(text),
 		digest: text => library.h64ToString(text),
-		fingerprint(method, path, body) {
-			const head = library.h64(`${method} ${path}`);
+		fingerprint({caller, host, method, path}, body) {
+			const head = library.h64(JSON.stringify([caller, host, method, path]));
 			return (body.length === 0 ? head : library.h64Raw(body, head)).toString(36);
 		},
 	};
--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -20,7 +20,7 @@
 import {IncompleteCalls} from './incomplete-calls.ts';
 import {LiveCall} from './live-call.ts';
 import {type BodyLimits, RequestBody} from './request-body.ts';
-import {type CallEventSink} from './types.ts';
+import {type CallEventSink, type FingerprintFunction} from './types.ts';
 
 /** The VMs that callers of a service should use, with weights relative to each other. */
 export type AddressList = {
@@ -36,7 +36,7 @@
 	readonly connections: BackendConnections;
 	readonly addresses: (service: string) => AddressList | undefined;
 	/** Returns a 64-bit digest of a call's method, path and buffered start of the body. */
-	readonly fingerprint: (method: string, path: string, body: Uint8Array) => string;
+	readonly fingerprint: FingerprintFunction;
 };
 
 /** Limits of the listener; each prevents a single caller from exhausting a shared resource. */
@@ -216,13 +216,16 @@
 			}
 
 			this._lastCallId += 1;
+			const caller = singleValue(incoming.headers[callerHeader])?.slice(0, maxCallerNameLength) ?? incoming.socket.remoteAddress ?? '';
 			const request: CallRequest = {
 				callId: this._lastCallId,
 				service,
-				caller: singleValue(incoming.headers[callerHeader])?.slice(0, maxCallerNameLength) ?? incoming.socket.remoteAddress ?? '',
+				caller,
 				method: incoming.method!,
 				path,
-				fingerprint: this._dependencies.fingerprint(incoming.method!, url, body.buffered),
+				fingerprint: this._dependencies.fingerprint({
+					caller, host: '', method: incoming.method!, path: url,
+				}, body.buffered),
 				timeoutMilliseconds,
 				bodyBytes: body.isReplayable ? body.buffered.length : undefined,
 				idempotencyKey: key,
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -20,7 +20,7 @@
 import {LiveCall} from './live-call.ts';
 import {RequestBody} from './request-body.ts';
 import {type ReadinessGate} from './readiness-gate.ts';
-import {type CallEventSink} from './types.ts';
+import {type CallEventSink, type FingerprintFunction} from './types.ts';
 
 /** Dependencies of the listener. */
 export type RoutedServerDependencies = {
@@ -30,7 +30,7 @@
 	readonly dialect: RoutedDialect;
 	readonly routes: RouteTable;
 	/** Returns a 64-bit digest of a call's method, path and buffered start of the body. */
-	readonly fingerprint: (method: string, path: string, body: Uint8Array) => string;
+	readonly fingerprint: FingerprintFunction;
 	/** Delays calls that arrive before the first routes are configured. */
 	readonly readinessGate: ReadinessGate;
 };
@@ -211,15 +211,18 @@
 		this._lastCallId += 1;
 		const method = incoming.method!;
 		const path = incoming.url!;
+		const caller = incoming.socket.remoteAddress ?? '';
 		const {traceId, timeoutMilliseconds} = dialect.parseRequestHead(incoming.headers);
 		const readMilliseconds = performance.now() - arrivedAt;
 		const request: CallRequest = {
 			callId: this._lastCallId,
 			service: routed.service,
-			caller: incoming.socket.remoteAddress ?? '',
+			caller,
 			method,
 			path,
-			fingerprint: fingerprint(method, path, body.buffered),
+			fingerprint: fingerprint({
+				caller, host: incoming.headers.host ?? '', method, path,
+			}, body.buffered),
 			timeoutMilliseconds: timeoutMilliseconds === undefined ? undefined : Math.max(1, timeoutMilliseconds - readMilliseconds),
 			bodyBytes: body.isReplayable ? body.buffered.length : undefined,
 			idempotencyKey: undefined,
--- a/src/node/front/test-utilities.test.ts
+++ b/src/node/front/test-utilities.test.ts
@@ -39,7 +39,7 @@
 		calls,
 		connections,
 		addresses: () => undefined,
-		fingerprint: (method, path) => `${method} ${path}`,
+		fingerprint: ({method, path}) => `${method} ${path}`,
 	}, {...limits, ...limitOverrides}));
 	const ended: CallSummary[] = [];
 	store.add(calls.onCallEnded(({summary}) => ended.push(summary)));
--- a/src/node/front/types.ts
+++ b/src/node/front/types.ts
@@ -8,6 +8,19 @@
 /** Receives events for the call engine; the event loop passes them to the engine one at a time. */
 export type CallEventSink = EventSink<ExternalCallEvent>;
 
+/** What identifies a call besides its body, so that a repeated call is recognised on every VM. */
+export type CallIdentity = {
+	readonly caller: string;
+	/** Host of the route; empty where the path names the service. */
+	readonly host: string;
+	readonly method: string;
+	/** Path with the query. */
+	readonly path: string;
+};
+
+/** Digest of a call; `body` = the buffered start of its body. */
+export type FingerprintFunction = (call: CallIdentity, body: Uint8Array) => string;
+
 /** Status and headers of a backend server's answer. */
 export type AnswerHead = {
 	readonly status: number;
--- a/src/proof/bad-input.test.ts
+++ b/src/proof/bad-input.test.ts
@@ -65,7 +65,7 @@
 		}
 	});
 	const listener = store.add(new CallerServer({
-		sink: loop, calls, connections, addresses: () => undefined, fingerprint: (method, path) => `${method} ${path}`,
+		sink: loop, calls, connections, addresses: () => undefined, fingerprint: ({method, path}) => `${method} ${path}`,
 	}, limits));
 	loop.feed({
 		type: 'configured',
