--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -13,6 +13,7 @@
 import {
 	type Placement, type Placer, connectionLimit, rateLimitShare,
 } from './placer.ts';
+import {type ProcessEndJudge} from './process-end.ts';
 import {LoadProber, type PendingProbes} from './load-prober.ts';
 import {
 	type AttemptFailure, type AttemptId, type CallEvent, type CallOutcome, type LoadReport, type RateLimitNotice, type RefusalReason,
@@ -37,7 +38,7 @@
 const partialContentStatus = 206;
 
 /** Failures that prove that the call did not run. */
-const notRunFailures = new Set<AttemptFailure>(['connection-refused', 'not-sent']);
+const notRunFailures = new Set<AttemptFailure>(['connection-refused', 'unreachable', 'not-sent']);
 
 type HeadEvent = Extract<CallEvent, {type: 'attempt-head'}>;
 type FailedEvent = Extract<CallEvent, {type: 'attempt-failed'}>;
@@ -55,7 +56,10 @@
 	/** Chooses backend servers for services with on-demand load probes. */
 	readonly demandPlacer: DemandPlacer;
 	/** Sends a load probe. */
-	readonly startLoadProbe: (server: BackendServerState) => void;
+	readonly startLoadProbe: (server: BackendServerState, now: Instant) => void;
+	/** Finds out whether the process of a backend server has ended, after a reset there. */
+	readonly verifyProcess: (server: BackendServerState, now: Instant) => void;
+	readonly processEnds: ProcessEndJudge;
 };
 
 export class AttemptRunner {
@@ -66,6 +70,8 @@
 	private readonly _onReport: AttemptRunnerOptions['onReport'];
 	private readonly _onRateLimit: AttemptRunnerOptions['onRateLimit'];
 	private readonly _demandPlacer: DemandPlacer;
+	private readonly _verifyProcess: AttemptRunnerOptions['verifyProcess'];
+	private readonly _processEnds: ProcessEndJudge;
 	/** Sends load probes before the attempts of services with on-demand load probes. */
 	readonly prober: LoadProber;
 	/** Starts a second attempt in parallel to a slow first one. */
@@ -82,6 +88,8 @@
 		this._onReport = options.onReport;
 		this._onRateLimit = options.onRateLimit;
 		this._demandPlacer = options.demandPlacer;
+		this._verifyProcess = options.verifyProcess;
+		this._processEnds = options.processEnds;
 		this.hedging = new Hedging(options.context, (call, now) => this.start(call, 'hedge', now));
 		this.prober = new LoadProber({
 			context: options.context,
@@ -105,9 +113,14 @@
 
 	/**
 	 * Starts an attempt, or the load probes that precede it. Returns false if no backend server may take the call now.
-	 * If none is found after the load probes, the call is refused with `reason`.
+	 * If none is found after the load probes, the call is refused with `reason`. A call that may crash backend servers is
+	 * refused at once, which counts as handled.
 	 */
 	start(call: Call, purpose: AttemptPurpose, now: Instant, reason: RefusalReason = 'overloaded'): boolean {
+		if (this._mustNotRun(call, now)) {
+			return purpose !== 'hedge' && this._refuseSuspect(call, now);
+		}
+
 		if (!call.serviceState.isMeasuredOnDemand) {
 			return this._launch(call, purpose, now);
 		}
@@ -132,11 +145,19 @@
 
 	/** Starts the first attempt without new load probes; false = no backend server may take it now. */
 	startUnprobed(call: Call, now: Instant): boolean {
-		return this._launch(call, 'first', now);
+		return this._mustNotRun(call, now) ? this._refuseSuspect(call, now) : this._launch(call, 'first', now);
 	}
 
 	private _startProbed(call: Call, {purpose, reason}: PendingProbes, now: Instant): void {
 		const isAllowed = purpose === 'hedge' ? call.state === 'running' && call.attempts.size > 0 : call.state !== 'ended' && call.state !== 'answering';
+		if (isAllowed && this._mustNotRun(call, now)) {
+			if (purpose !== 'hedge') {
+				this._refuseSuspect(call, now);
+			}
+
+			return;
+		}
+
 		if (!isAllowed || this._launch(call, purpose, now) || purpose === 'hedge') {
 			return;
 		}
@@ -189,6 +210,8 @@
 		call.attempts.delete(attempt);
 		server.attempts.delete(attempt);
 		server.suspectsInFlight -= attempt.isSuspect ? 1 : 0;
+		server.likelyHarmfulInFlight -= attempt.isLikelyHarmful ? 1 : 0;
+		this._context.poisonRequests.recordEnd(call.request.fingerprint);
 		call.serviceState.recordAttemptEnd(call.request.caller);
 		this._context.servicesToDrain.add(call.serviceState);
 	}
@@ -196,6 +219,7 @@
 	onHead(attempt: Attempt, event: HeadEvent, now: Instant): void {
 		attempt.isSent = true;
 		const {call, server} = attempt;
+		this._processEnds.onResponse(server, attempt.startedAt);
 		if (event.report !== undefined) {
 			this._onReport(server, event.report, now);
 		}
@@ -249,7 +273,7 @@
 		call.class.addHold(now - attempt.startedAt);
 		call.serviceState.classes.all.addHold(now - attempt.startedAt);
 		this.remove(attempt);
-		this._context.poisonRequests.clearSuspect(call.request.fingerprint, now);
+		this._context.poisonRequests.recordAnswer(call.request.fingerprint, now);
 		this._getEndings().end(call, outcomeSoFar(call), undefined, now);
 	}
 
@@ -257,6 +281,7 @@
 		const {call} = attempt;
 		call.serviceState.recordAnswer(true);
 		this._outlierDetector.onAttemptFailed(attempt, event.failure, now);
+		this._verifyProcess(attempt.server, now);
 		if (call.forwardedAnswer?.attempt === attempt || attempt.purpose === 'resume') {
 			this.remove(attempt);
 			call.failedServers.add(attempt.server);
@@ -288,7 +313,10 @@
 
 	private _recordAttempt(call: Call, purpose: AttemptPurpose, placement: Placement, now: Instant): Attempt {
 		const {server, isTrial} = placement;
-		const isSuspect = this._context.poisonRequests.isSuspect(call.request.fingerprint);
+		const {poisonRequests} = this._context;
+		const {fingerprint} = call.request;
+		const isSuspect = poisonRequests.isSuspect(fingerprint);
+		const isLikelyHarmful = isSuspect && poisonRequests.isLikelyHarmful(fingerprint);
 		const attempt: Attempt = {
 			id: this._nextId++,
 			call,
@@ -297,9 +325,10 @@
 			startedAt: now,
 			reportedExcess: server.reportedExcessAt(now, call.serviceState.meanCallsOfOtherVms(vmCountOf(this._context)), call.serviceState.classes.all.holdMean),
 			loadSnapshot: this._demandPlacer.loadSnapshot(server, now),
-			instance: server.processIdentity,
+			instance: server.report?.instance,
 			isTrial,
 			isSuspect,
+			isLikelyHarmful,
 			isWarmUp: server.warmUp.isUnderWay(now),
 			isSent: false,
 			hasHead: false,
@@ -321,6 +350,8 @@
 		this._attempts.set(attempt.id, attempt);
 		server.attempts.add(attempt);
 		server.suspectsInFlight += isSuspect ? 1 : 0;
+		server.likelyHarmfulInFlight += isLikelyHarmful ? 1 : 0;
+		poisonRequests.recordStart(fingerprint);
 		if (call.serviceState.warmUp !== undefined) {
 			server.recordStart(now);
 		}
@@ -401,6 +432,18 @@
 		this._getEndings().refuse(call, this._isQuarantined(call, now) ? 'quarantined' : reason, now);
 	}
 
+	/** Whether the call is quarantined, or held back until earlier attempts have shown whether it is harmful. */
+	private _mustNotRun(call: Call, now: Instant): boolean {
+		return this._isQuarantined(call, now) || this._context.poisonRequests.isHeld(call.request.fingerprint, now);
+	}
+
+	/** Refuses a call that must not run; always true. */
+	private _refuseSuspect(call: Call, now: Instant): boolean {
+		const heldReason = call.mayHaveRun ? 'outcome-unknown' : 'suspected';
+		this._getEndings().refuse(call, this._isQuarantined(call, now) ? 'quarantined' : heldReason, now);
+		return true;
+	}
+
 	/** Whether the rules and the retry budget allow one more attempt; if so, takes a token from the budget. */
 	private _mayRetry(call: Call, isReplayable: boolean): boolean {
 		return isReplayable && call.request.mayRetry && call.attemptCount < Math.min(defaultAttemptLimit, call.request.rule?.attemptLimit ?? defaultAttemptLimit) && call.resetCount < maxResets
--- a/src/common/calls/backend-server-state.ts
+++ b/src/common/calls/backend-server-state.ts
@@ -55,6 +55,8 @@
 	loadProbeTimer: TimerEntry<BackendServerState> | undefined;
 	/** Calls in flight here that may crash it. */
 	suspectsInFlight = 0;
+	/** Attempts of this VM in flight there whose call has probably crashed other backend servers. */
+	likelyHarmfulInFlight = 0;
 	report: LoadReport | undefined;
 	reportedAt: Instant = -Infinity;
 	lastAnswerAt: Instant = -Infinity;
@@ -111,16 +113,6 @@
 		return this._failuresInRow;
 	}
 
-	/**
-	 * Identifies its process by the reported instance and the declared start time, as far as available; undefined = neither
-	 * is.
-	 */
-	get processIdentity(): string | undefined {
-		const {processStartedAt} = this.declared;
-		const instance = this.report?.instance;
-		return processStartedAt === undefined ? instance : `${instance ?? ''}@${processStartedAt}`;
-	}
-
 	/** Time since its health last changed. */
 	healthAge(now: Instant): Milliseconds {
 		return now - this._healthSince;
--- a/src/common/calls/call-completion.ts
+++ b/src/common/calls/call-completion.ts
@@ -20,7 +20,9 @@
 	'outcome-unknown': 502,
 	'key-taken': 409,
 	'key-unavailable': 503,
-	quarantined: 403,
+	// Callers repeat a call after most other statuses.
+	quarantined: 400,
+	suspected: 503,
 	'not-ready': 503,
 	stopping: 503,
 };
@@ -40,6 +42,9 @@
  */
 const shedRetryAfterMilliseconds: Milliseconds = 5;
 
+/** Retry delay of a call that waits for the end of an earlier attempt that may have crashed a backend server. */
+const suspectedRetryAfterMilliseconds: Milliseconds = 250;
+
 /** Retry delay after a fault, and the maximum wait for a rate limit that is used up. */
 const faultRetryAfterMilliseconds: Milliseconds = 1000;
 
@@ -163,6 +168,10 @@
 			return this._addJitter(Math.max(minRetryAfterMilliseconds, untilLimitAllows, service.estimateWait(service.queue.size + 1)));
 		}
 
+		if (reason === 'suspected') {
+			return this._addJitter(suspectedRetryAfterMilliseconds);
+		}
+
 		return faultReasons.has(reason) ? this._addJitter(faultRetryAfterMilliseconds) : undefined;
 	}
 
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -11,6 +11,7 @@
 	type CallEngineSettings, type EngineContext, type Timer, isTimerLive,
 } from './engine-context.ts';
 import {DemandPlacer} from './demand-placer.ts';
+import {ProcessEndJudge} from './process-end.ts';
 import {OutlierDetector} from './outlier-detector.ts';
 import {ExpectedTimePlacer} from './placer.ts';
 import {ServiceDirectory} from './service-directory.ts';
@@ -18,7 +19,7 @@
 import {type CallTuning, defaultTuning} from './tuning.ts';
 import {type RateQuota, SingleVmRateQuota} from './rate-quota.ts';
 import {
-	type AttemptId, type CallEffect, type CallEngine, type CallEngineStatus, type CallLoad, type CallEvent, type CallId, type CallRequest, type KeyClaim, type PoisonRequestChange,
+	type AttemptId, type CallEffect, type CallEngine, type CallEngineStatus, type CallLoad, type CallEvent, type CallId, type CallRequest, type KeyClaim, type LoadUpdate, type PoisonRequestChange,
 } from './types.ts';
 
 /** Events that update the engine's state and belong to no call. */
@@ -26,6 +27,9 @@
 	type: 'configured' | 'shares' | 'cut-off' | 'peer-updates' | 'backend-server-leaving' | 'measured' | 'quarantine-lifted';
 }>;
 
+/** Names no backend server in updates that only clear calls, as the field cannot be empty. */
+const clearingIdentity = 'none';
+
 /** Parts and settings of an engine. */
 export type CallEngineOptions = {
 	readonly random: RandomSource;
@@ -47,6 +51,7 @@
 	private readonly _runner: AttemptRunner;
 	private readonly _completion: CallCompletion;
 	private readonly _admission: Admission;
+	private readonly _newlyQuarantined = new Set<string>();
 	private _isCutOff = false;
 
 	constructor(options: CallEngineOptions) {
@@ -56,8 +61,20 @@
 			tuning,
 			settings: options.settings,
 			timers: new TimerQueue<Timer>(),
-			poisonRequests: new PoisonRequestDetector(tuning.suspicionMilliseconds, change => {
-				this._onPoisonRequestChange(change);
+			poisonRequests: new PoisonRequestDetector(tuning.suspicionMilliseconds, {
+				onChange: change => {
+					this._onPoisonRequestChange(change);
+				},
+				onCrashEvidence: ({crash, server, suspects}) => {
+					this._tellPeers({
+						identity: server, suspects, crash, isCrashCertain: true,
+					});
+				},
+				onCleared: fingerprint => {
+					this._tellPeers({
+						identity: clearingIdentity, suspects: [], crash: undefined, cleared: [fingerprint],
+					});
+				},
 			}),
 			servicesToDrain: new Set(),
 			replacedServers: [],
@@ -66,16 +83,21 @@
 			shares: undefined,
 			effects: [],
 		};
-		this._directory = new ServiceDirectory(this._context);
-		this._outlierDetector = new OutlierDetector(this._context);
+		const processEnds = new ProcessEndJudge(this._context);
+		this._directory = new ServiceDirectory(this._context, processEnds);
+		this._outlierDetector = new OutlierDetector(this._context, processEnds);
 		this._runner = new AttemptRunner({
 			context: this._context,
 			attempts: this._attempts,
 			placer: new ExpectedTimePlacer(this._context),
 			demandPlacer: new DemandPlacer(this._context),
-			startLoadProbe: server => {
-				this._directory.startLoadProbe(server);
+			startLoadProbe: (server, now) => {
+				this._directory.startLoadProbe(server, now);
+			},
+			verifyProcess: (server, now) => {
+				this._directory.verifyProcess(server, now);
 			},
+			processEnds,
 			outlierDetector: this._outlierDetector,
 			onReport: (server, report, now) => {
 				this._directory.applyAnswerReport(server, report, now);
@@ -94,6 +116,7 @@
 	handle(event: CallEvent, now: Instant): readonly CallEffect[] {
 		this._context.effects = [];
 		this._dispatch(event, now);
+		this._refuseQuarantined(now);
 		for (const service of this._context.servicesToDrain) {
 			this._admission.drain(service, now);
 		}
@@ -215,9 +238,13 @@
 			}
 
 			case 'measured': {
-				const server = this._directory.onLoadProbeEnded(event.loadProbeId, event.report, now);
+				const server = this._directory.onLoadProbeEnded(event, now);
 				if (server !== undefined) {
 					this._runner.prober.onProbeEnded(server, now);
+					// The probe may have been sent before the reset that it has to explain.
+					if (event.report !== undefined) {
+						this._directory.verifyProcess(server, now);
+					}
 				}
 
 				break;
@@ -296,6 +323,24 @@
 
 	private _onPoisonRequestChange(change: PoisonRequestChange): void {
 		this._context.effects.push({type: 'poison-request-changed', change, quarantined: this._context.poisonRequests.quarantinedCount});
+		if (change.kind === 'quarantined') {
+			this._newlyQuarantined.add(change.fingerprint);
+		}
+	}
+
+	private _tellPeers(update: Omit<LoadUpdate, 'report' | 'ageMilliseconds'>): void {
+		this._context.effects.push({type: 'tell-peers', update: {...update, report: undefined, ageMilliseconds: 0}});
+	}
+
+	/** Refuses the open calls that were quarantined in this event. Attempts in flight go on: an answer clears the call. */
+	private _refuseQuarantined(now: Instant): void {
+		for (const call of this._newlyQuarantined.size === 0 ? [] : [...this._calls.values()]) {
+			if (this._newlyQuarantined.has(call.request.fingerprint) && call.attempts.size === 0 && call.state !== 'claiming') {
+				this._completion.refuse(call, 'quarantined', now);
+			}
+		}
+
+		this._newlyQuarantined.clear();
 	}
 
 	/** Holds or resumes placing. When placing resumes, the queues of all services are drained. */
--- a/src/common/calls/call.ts
+++ b/src/common/calls/call.ts
@@ -28,12 +28,14 @@
 	readonly reportedExcess: number;
 	/** Estimates for the backend server when it was chosen. */
 	readonly loadSnapshot: LoadSnapshot;
-	/** Process of the backend server at the start of the attempt; a crash during the attempt is attributed to this process. */
+	/** Reported instance of the backend server at the start of the attempt; a crash is attributed to this process. */
 	readonly instance: string | undefined;
 	/** True for the single trial call that a backend server in state `doubted` or `probing` gets. */
 	readonly isTrial: boolean;
-	/** True if the call may crash its backend server: other calls avoid that server meanwhile. */
+	/** True if the call may crash its backend server: other suspects avoid that server meanwhile. */
 	readonly isSuspect: boolean;
+	/** True if the call has probably crashed backend servers: all other calls avoid its backend server meanwhile. */
+	readonly isLikelyHarmful: boolean;
 	/** True if the backend server was warming up when the attempt started. */
 	readonly isWarmUp: boolean;
 	/** True once the first byte was sent; from then on the call may run. */
--- a/src/common/calls/demand-placer.ts
+++ b/src/common/calls/demand-placer.ts
@@ -286,6 +286,11 @@
 			return false;
 		}
 
+		// A call beside one that probably crashes the backend server would be lost. With one backend server there is no other.
+		if (server.likelyHarmfulInFlight > 0 && call.serviceState.servers.length > 1) {
+			return false;
+		}
+
 		return server.suspectsInFlight === 0 || !this._context.poisonRequests.isSuspect(call.request.fingerprint);
 	}
 
--- a/src/common/calls/load-prober.ts
+++ b/src/common/calls/load-prober.ts
@@ -36,7 +36,7 @@
 	readonly context: EngineContext;
 	readonly placer: DemandPlacer;
 	/** Sends a load probe; its end is reported by calling `onProbeEnded`. */
-	readonly sendProbe: (server: BackendServerState) => void;
+	readonly sendProbe: (server: BackendServerState, now: Instant) => void;
 	/** Called when all reports, or as many as came in time, are available. */
 	readonly onReady: (call: Call, probing: PendingProbes, now: Instant) => void;
 };
@@ -49,7 +49,7 @@
 export class LoadProber {
 	private readonly _context: EngineContext;
 	private readonly _placer: DemandPlacer;
-	private readonly _sendProbe: (server: BackendServerState) => void;
+	private readonly _sendProbe: LoadProberOptions['sendProbe'];
 	private readonly _onReady: LoadProberOptions['onReady'];
 	/** Calls that wait for a report, by backend server. */
 	private readonly _waiting = new Map<BackendServerState, Set<Call>>();
@@ -131,7 +131,7 @@
 		}
 
 		server.probeSentAt = now;
-		this._sendProbe(server);
+		this._sendProbe(server, now);
 		return true;
 	}
 
--- a/src/common/calls/outlier-detector.ts
+++ b/src/common/calls/outlier-detector.ts
@@ -2,8 +2,8 @@
 import {type Instant} from '../model/units.ts';
 import {type BackendServerState} from './backend-server-state.ts';
 import {type Attempt, type Call} from './call.ts';
-import {PoisonRequestDetector} from './poison-request-detector.ts';
 import {type EngineContext} from './engine-context.ts';
+import {type ProcessEndJudge} from './process-end.ts';
 import {type AttemptFailure} from './types.ts';
 
 /** An attempt cancelled before this many mean answer times does not count as silent. */
@@ -11,22 +11,24 @@
 
 export class OutlierDetector {
 	private readonly _context: EngineContext;
+	private readonly _processEnds: ProcessEndJudge;
 
-	constructor(context: EngineContext) {
+	constructor(context: EngineContext, processEnds: ProcessEndJudge) {
 		this._context = context;
+		this._processEnds = processEnds;
 	}
 
 	onAttemptFailed(attempt: Attempt, failure: AttemptFailure, now: Instant): void {
 		switch (failure) {
 			case 'connection-refused': {
-				this._context.poisonRequests.confirmCrash(PoisonRequestDetector.crashIdentity(attempt.server.identity, attempt.instance), now);
+				this._processEnds.onAttemptSign(attempt, 'connection-refused', now);
 				this._recordFailure(attempt, now);
 				break;
 			}
 
 			case 'reset-after-sending':
 			case 'reset-during-answer': {
-				this._reportCrashSuspect(attempt, now);
+				this._processEnds.onReset(attempt, now);
 				this._recordFailure(attempt, now);
 				break;
 			}
@@ -36,6 +38,7 @@
 				break;
 			}
 
+			case 'unreachable':
 			case 'wrong-answer': {
 				this._recordFailure(attempt, now);
 				break;
@@ -116,17 +119,4 @@
 		const maxOut = Math.max(1, Math.floor(this._context.tuning.maxEjectedFraction * (others.length + 1)));
 		return others.length > 0 && outCount < maxOut && service.failureRate < this._context.tuning.commonFailureFraction;
 	}
-
-	private _reportCrashSuspect(attempt: Attempt, now: Instant): void {
-		const crash = PoisonRequestDetector.crashIdentity(attempt.server.identity, attempt.instance);
-		const {fingerprint} = attempt.call.request;
-		if (this._context.poisonRequests.addSuspects(crash, [fingerprint], now)) {
-			this._context.effects.push({
-				type: 'tell-peers',
-				update: {
-					identity: attempt.server.identity, report: undefined, ageMilliseconds: 0, suspects: [fingerprint], crash,
-				},
-			});
-		}
-	}
 }
--- a/src/common/calls/poison-request-detector.ts
+++ b/src/common/calls/poison-request-detector.ts
@@ -1,22 +1,35 @@
-/** Identifies calls that crash every backend server that runs them, and quarantines them. */
+/** Identifies calls that crash backend servers by the crashes that they have in common, and quarantines them. */
 import {type Instant, type Milliseconds} from '../model/units.ts';
-import {type PoisonRequestChange} from './types.ts';
+import {AnsweredCalls} from './answered-calls.ts';
+import {findHarmful} from './poison-verdicts.ts';
+import {type BackendServerIdentity, type PoisonRequestChange, type ProcessEndSign} from './types.ts';
 
-/** Maximum number of stored crashes and of quarantined fingerprints. Bounded, since callers determine the fingerprints. */
+/** Maximum number of stored crashes. Bounded, since callers determine the fingerprints. */
 const maxCrashes = 256;
 
 /** Maximum number of suspects stored for one crash; a backend server runs only a few calls at once. */
 const maxSuspectsPerCrash = 64;
 
-/** Number of distinct crashes before a call is quarantined. After one crash, all calls in flight are equally suspect. */
-const crashesToQuarantine = 2;
+/** Number of distinct crashes before a call is quarantined. A harmless call is hardly ever in flight at three crashes in a row. */
+const crashesToQuarantine = 3;
 
-/** Time after the first reset within which the end of the process confirms a crash. A later end may have another cause. */
+/** Number of crashes from which a call runs one at a time on a VM, apart from other calls. */
+const crashesToIsolate = 2;
+
+/** Time after a reset within which the end of the process confirms a crash. A later end may have another cause. */
 const confirmationMilliseconds: Milliseconds = 10_000;
 
+/**
+ * Resets whose cause is still unknown after which a call is held back, and the time for which each of them counts. Lost
+ * packets can delay the proof that a process has ended.
+ */
+const maxUndecidedResets = 2;
+const undecidedMilliseconds: Milliseconds = 2000;
+
 type Crash = {
+	readonly server: BackendServerIdentity;
 	readonly suspects: Set<string>;
-	/** True once the end of the process is certain: two connections were reset, it refuses connections, or a new process answers. */
+	/** True once the end of the process is certain. */
 	isConfirmed: boolean;
 	readonly detectedAt: Instant;
 	readonly expiresAt: Instant;
@@ -25,29 +38,45 @@
 /** A quarantined fingerprint, with the number of its crashes and the remaining time of the quarantine. */
 export type Quarantined = {readonly fingerprint: string; readonly crashes: number; readonly remainingMilliseconds: Milliseconds};
 
+/** A confirmed crash, with calls that were in flight there. */
+export type CrashEvidence = {
+	/** Identity of the process that ended, the same on every VM. */
+	readonly crash: string;
+	readonly server: BackendServerIdentity;
+	readonly suspects: readonly string[];
+};
+
+/** Receives what the detector finds out. */
+export type PoisonRequestListener = {
+	/** A change that logs and metrics show. */
+	onChange(change: PoisonRequestChange): void;
+	/** This VM has seen calls in flight at a confirmed crash; all VMs must know. */
+	onCrashEvidence(evidence: CrashEvidence): void;
+	/** A suspect was answered through this VM, or an operator lifted its quarantine here; all VMs must know. */
+	onCleared(fingerprint: string): void;
+};
+
 /**
- * Suspects and quarantined calls. Protects backend servers from a call that crashes each of them and that its caller repeats
- * through any VM. Each VM sees only one reset connection of that call, along with resets of harmless calls.
- * A fingerprint is quarantined only if it is the only one common to all of its confirmed crashes and has never been answered.
- * A frequent harmless call is soon cleared by an answer. A rare one is not in flight at two crashes of the harmful call,
- * since a suspect is never placed on a backend server that runs another suspect.
+ * Suspects and quarantined calls. Protects backend servers from a call that crashes each of them and that its caller
+ * repeats through any VM. Verdicts follow from the evidence alone, which all VMs share, so that all VMs reach the same
+ * ones and withdraw them when the evidence changes.
+ * A fingerprint is quarantined if it was in flight at three confirmed crashes that no other call explains, and has not been
+ * answered. A frequent harmless call is soon cleared by an answer. A rare one is not in flight at three crashes of the
+ * harmful call, since a suspect is never placed beside another one.
  */
 export class PoisonRequestDetector {
 	private readonly _retentionMilliseconds: Milliseconds;
-	private readonly _onChange: (change: PoisonRequestChange) => void;
+	private readonly _listener: PoisonRequestListener;
+	private readonly _answered = new AnsweredCalls();
 	private readonly _crashes = new Map<string, Crash>();
 	private readonly _crashesByFingerprint = new Map<string, Set<string>>();
 	private readonly _quarantined = new Map<string, {readonly crashes: number; readonly expiresAt: Instant}>();
+	/** Number of attempts in flight on this VM, by fingerprint. */
+	private readonly _running = new Map<string, number>();
 
-	/** `onChange` is called for changes that logs and metrics show. */
-	constructor(retentionMilliseconds: Milliseconds, onChange: (change: PoisonRequestChange) => void = () => undefined) {
+	constructor(retentionMilliseconds: Milliseconds, listener: PoisonRequestListener) {
 		this._retentionMilliseconds = retentionMilliseconds;
-		this._onChange = onChange;
-	}
-
-	/** Identity of a crash: that of the process that died, so that it is the same on every VM. */
-	static crashIdentity(server: string, instance: string | undefined): string {
-		return `${server}/${instance ?? ''}`;
+		this._listener = listener;
 	}
 
 	/** Number of suspect fingerprints. */
@@ -60,59 +89,83 @@
 		return this._quarantined.size;
 	}
 
-	/** Adds calls that were in flight at a crash detected by this VM or a peer. Returns true if any of them was new for this crash. */
-	addSuspects(crashIdentity: string, fingerprints: readonly string[], now: Instant): boolean {
-		const crash = this._getOrCreateCrash(crashIdentity, now);
-		let isNew = false;
-		for (const fingerprint of fingerprints) {
-			if (crash.suspects.has(fingerprint) || crash.suspects.size >= maxSuspectsPerCrash) {
-				continue;
-			}
-
-			// A second reset shows that the process died, and not just one connection.
-			const isConfirmedNow = !crash.isConfirmed && crash.suspects.size > 0;
-			crash.isConfirmed ||= isConfirmedNow;
-			crash.suspects.add(fingerprint);
-			const crashes = this._crashesByFingerprint.get(fingerprint) ?? new Set();
-			crashes.add(crashIdentity);
-			this._crashesByFingerprint.set(fingerprint, crashes);
-			isNew = true;
-			if (isConfirmedNow) {
-				this._onChange({kind: 'crash', crash: crashIdentity, suspects: [...crash.suspects]});
-			}
+	/** Records that the connection of a call was reset: its backend server may have crashed. */
+	recordReset(crashIdentity: string, server: BackendServerIdentity, fingerprint: string, now: Instant): void {
+		if (this._answered.clears(fingerprint, now)) {
+			return;
 		}
 
-		this._checkSuspects(crash, now);
-		return isNew;
+		const crash = this._getOrCreateCrash(crashIdentity, server, now);
+		if (this._addSuspect(crashIdentity, crash, fingerprint) && crash.isConfirmed) {
+			this._listener.onCrashEvidence({crash: crashIdentity, server, suspects: [fingerprint]});
+			this._update(now);
+		}
 	}
 
-	/** Confirms that the process of this crash has ended. Ignored if the crash is unknown or its first reset was too long ago. */
-	confirmCrash(crashIdentity: string, now: Instant): void {
+	/** The process of this crash has certainly ended. Ignored if no call was reset there, or too long ago. */
+	confirmCrash(crashIdentity: string, sign: ProcessEndSign, now: Instant): void {
 		const crash = this._crashes.get(crashIdentity);
 		if (crash !== undefined && !crash.isConfirmed && now - crash.detectedAt <= confirmationMilliseconds) {
-			crash.isConfirmed = true;
-			this._onChange({kind: 'crash', crash: crashIdentity, suspects: [...crash.suspects]});
-			this._checkSuspects(crash, now);
+			this._confirm(crashIdentity, crash, sign);
+			this._update(now);
 		}
 	}
 
-	/** Removes a call from the suspects of all crashes. Called after an answer, which proves that the call is harmless. */
-	clearSuspect(fingerprint: string, now: Instant, cause: 'answer' | 'operator' = 'answer'): void {
-		const crashes = this._crashesByFingerprint.get(fingerprint);
-		if (crashes === undefined) {
-			return;
+	/** The process has responded to something sent at `sentAt`: resets before that time had another cause than its end. */
+	refuteCrash(crashIdentity: string, sentAt: Instant): void {
+		const crash = this._crashes.get(crashIdentity);
+		if (crash !== undefined && !crash.isConfirmed && crash.detectedAt < sentAt) {
+			this._removeCrash(crashIdentity);
 		}
+	}
 
-		this._onChange({
-			kind: 'cleared', fingerprint, crashes: crashes.size, wasQuarantined: cause === 'operator', cause,
-		});
+	/** Whether calls were reset there and it is still unknown whether the process has ended. */
+	isUndecided(crashIdentity: string): boolean {
+		return this._crashes.get(crashIdentity)?.isConfirmed === false;
+	}
 
-		this._crashesByFingerprint.delete(fingerprint);
-		for (const identity of crashes) {
-			const crash = this._crashes.get(identity);
-			if (crash?.suspects.delete(fingerprint)) {
-				this._checkSuspects(crash, now);
+	/** Applies a crash confirmed by another VM, with calls in flight there through that VM. */
+	applyPeerCrash({crash: crashIdentity, server, suspects}: CrashEvidence, detectedAt: Instant, now: Instant): void {
+		const unanswered = suspects.filter(fingerprint => {
+			const isCleared = this._answered.clears(fingerprint, detectedAt);
+			if (isCleared) {
+				this._listener.onCleared(fingerprint);
 			}
+
+			return !isCleared;
+		});
+		const crash = this._getOrCreateCrash(crashIdentity, server, now, detectedAt);
+		if (!crash.isConfirmed) {
+			this._confirm(crashIdentity, crash, 'peer');
+		}
+
+		for (const fingerprint of unanswered) {
+			this._addSuspect(crashIdentity, crash, fingerprint);
+		}
+
+		this._update(now);
+	}
+
+	/** A call was answered through this VM, which proves that it is harmless. */
+	recordAnswer(fingerprint: string, now: Instant): void {
+		this._answered.add(fingerprint, now);
+		if (this.isSuspect(fingerprint)) {
+			this._clear(fingerprint, now, 'answer');
+			this._listener.onCleared(fingerprint);
+		}
+	}
+
+	/** A call was answered through another VM, or its quarantine was lifted there. */
+	applyPeerClearing(fingerprint: string, clearedAt: Instant, now: Instant): void {
+		this._answered.add(fingerprint, clearedAt);
+		this._clear(fingerprint, now, 'peer');
+	}
+
+	/** Ends the quarantine of a call at the request of an operator. */
+	liftQuarantine(fingerprint: string, now: Instant): void {
+		if (this.isSuspect(fingerprint)) {
+			this._clear(fingerprint, now, 'operator');
+			this._listener.onCleared(fingerprint);
 		}
 	}
 
@@ -120,6 +173,35 @@
 		return this._crashesByFingerprint.has(fingerprint);
 	}
 
+	/** Whether other calls must keep away from a backend server that runs this one. */
+	isLikelyHarmful(fingerprint: string): boolean {
+		return this._confirmedCrashes(fingerprint).length >= crashesToIsolate;
+	}
+
+	/** Whether a call must wait until earlier attempts of the same call have shown whether it is harmful. */
+	isHeld(fingerprint: string, now: Instant): boolean {
+		if (!this.isSuspect(fingerprint)) {
+			return false;
+		}
+
+		const undecided = this._crashesOf(fingerprint).filter(crash => !crash.isConfirmed && now - crash.detectedAt <= undecidedMilliseconds);
+		return undecided.length >= maxUndecidedResets || (this._running.has(fingerprint) && this.isLikelyHarmful(fingerprint));
+	}
+
+	/** Counts an attempt in flight. */
+	recordStart(fingerprint: string): void {
+		this._running.set(fingerprint, (this._running.get(fingerprint) ?? 0) + 1);
+	}
+
+	recordEnd(fingerprint: string): void {
+		const left = (this._running.get(fingerprint) ?? 1) - 1;
+		if (left === 0) {
+			this._running.delete(fingerprint);
+		} else {
+			this._running.set(fingerprint, left);
+		}
+	}
+
 	isQuarantined(fingerprint: string, now: Instant): boolean {
 		const entry = this._quarantined.get(fingerprint);
 		if (entry === undefined) {
@@ -134,46 +216,91 @@
 		return false;
 	}
 
-	/** Ends the quarantine of a call at the request of an operator. */
-	liftQuarantine(fingerprint: string, now: Instant): void {
-		this._quarantined.delete(fingerprint);
-		this.clearSuspect(fingerprint, now, 'operator');
-	}
-
 	quarantined(now: Instant): Quarantined[] {
 		return Array.from(this._quarantined, ([fingerprint, {crashes, expiresAt}]) => ({fingerprint, crashes, remainingMilliseconds: expiresAt - now}))
 			.filter(entry => entry.remainingMilliseconds > 0);
 	}
 
-	private _checkSuspects(crash: Crash, now: Instant): void {
-		for (const fingerprint of crash.suspects) {
-			this._checkSuspect(fingerprint, now);
+	private _confirm(crashIdentity: string, crash: Crash, sign: ProcessEndSign | 'peer'): void {
+		crash.isConfirmed = true;
+		const suspects = [...crash.suspects];
+		this._listener.onChange({
+			kind: 'crash', crash: crashIdentity, suspects, sign,
+		});
+		if (suspects.length > 0) {
+			this._listener.onCrashEvidence({crash: crashIdentity, server: crash.server, suspects});
+		}
+	}
+
+	/** Returns true if the fingerprint is new for this crash. */
+	private _addSuspect(crashIdentity: string, crash: Crash, fingerprint: string): boolean {
+		if (crash.suspects.has(fingerprint) || crash.suspects.size >= maxSuspectsPerCrash) {
+			return false;
 		}
+
+		crash.suspects.add(fingerprint);
+		const crashes = this._crashesByFingerprint.get(fingerprint) ?? new Set();
+		crashes.add(crashIdentity);
+		this._crashesByFingerprint.set(fingerprint, crashes);
+		return true;
 	}
 
-	private _checkSuspect(fingerprint: string, now: Instant): void {
-		const crashes = Array.from(this._crashesByFingerprint.get(fingerprint) ?? [], identity => this._crashes.get(identity))
-			.filter(crash => crash?.isConfirmed === true && crash.expiresAt > now);
-		if (crashes.length < crashesToQuarantine || this._quarantined.has(fingerprint)) {
+	private _clear(fingerprint: string, now: Instant, cause: 'answer' | 'operator' | 'peer'): void {
+		const identities = this._crashesByFingerprint.get(fingerprint);
+		if (identities === undefined) {
 			return;
 		}
 
-		const isOnlyCommonSuspect = [...crashes[0]!.suspects].every(other => other === fingerprint || !crashes.every(crash => crash!.suspects.has(other)));
-		if (isOnlyCommonSuspect) {
-			this._quarantine(fingerprint, crashes.length, now);
+		const crashes = this._crashesOf(fingerprint);
+		const wasQuarantined = this._quarantined.delete(fingerprint);
+		this._crashesByFingerprint.delete(fingerprint);
+		for (const crash of crashes) {
+			crash.suspects.delete(fingerprint);
+		}
+
+		if (crashes.some(({isConfirmed}) => isConfirmed)) {
+			this._listener.onChange({
+				kind: 'cleared', fingerprint, crashes: crashes.length, wasQuarantined, cause,
+			});
 		}
+
+		this._update(now);
 	}
 
-	private _quarantine(fingerprint: string, crashes: number, now: Instant): void {
-		if (this._quarantined.size >= maxCrashes) {
-			this._quarantined.delete(this._quarantined.keys().next().value!);
+	/** Begins and ends quarantines as the present evidence requires. */
+	private _update(now: Instant): void {
+		if (this._quarantined.size === 0 && ![...this._crashesByFingerprint.values()].some(({size}) => size >= crashesToQuarantine)) {
+			return;
+		}
+
+		const confirmed = [...this._crashes.values()].filter(({isConfirmed, expiresAt}) => isConfirmed && expiresAt > now);
+		const verdicts = findHarmful(confirmed.map(({suspects}) => suspects), crashesToQuarantine);
+		for (const [fingerprint, {crashes, expiresAt}] of this._quarantined) {
+			if (!verdicts.has(fingerprint) && expiresAt > now) {
+				this._quarantined.delete(fingerprint);
+				this._listener.onChange({
+					kind: 'cleared', fingerprint, crashes, wasQuarantined: true, cause: 'evidence',
+				});
+			}
 		}
 
-		this._quarantined.set(fingerprint, {crashes, expiresAt: now + this._retentionMilliseconds});
-		this._onChange({kind: 'quarantined', fingerprint, crashes});
+		for (const [fingerprint, crashes] of verdicts) {
+			if (!this._quarantined.has(fingerprint)) {
+				this._quarantined.set(fingerprint, {crashes, expiresAt: now + this._retentionMilliseconds});
+				this._listener.onChange({kind: 'quarantined', fingerprint, crashes});
+			}
+		}
 	}
 
-	private _getOrCreateCrash(identity: string, now: Instant): Crash {
+	private _crashesOf(fingerprint: string): Crash[] {
+		return Array.from(this._crashesByFingerprint.get(fingerprint) ?? [], identity => this._crashes.get(identity)!);
+	}
+
+	private _confirmedCrashes(fingerprint: string): Crash[] {
+		return this._crashesOf(fingerprint).filter(({isConfirmed}) => isConfirmed);
+	}
+
+	private _getOrCreateCrash(identity: string, server: BackendServerIdentity, now: Instant, detectedAt = now): Crash {
 		const known = this._crashes.get(identity);
 		if (known !== undefined && known.expiresAt > now) {
 			return known;
@@ -182,16 +309,27 @@
 		this._removeCrash(identity);
 		// The map keeps the order of insertion, so the first entry is the oldest.
 		if (this._crashes.size >= maxCrashes) {
-			this._removeCrash(this._crashes.keys().next().value!);
+			this._removeCrash(this._oldestUnexplained());
 		}
 
 		const crash: Crash = {
-			suspects: new Set(), isConfirmed: false, detectedAt: now, expiresAt: now + this._retentionMilliseconds,
+			server, suspects: new Set(), isConfirmed: false, detectedAt, expiresAt: detectedAt + this._retentionMilliseconds,
 		};
 		this._crashes.set(identity, crash);
 		return crash;
 	}
 
+	/** The oldest crash that supports no quarantine; if there is none, the oldest. */
+	private _oldestUnexplained(): string {
+		for (const [identity, {suspects}] of this._crashes) {
+			if (![...suspects].some(fingerprint => this._quarantined.has(fingerprint))) {
+				return identity;
+			}
+		}
+
+		return this._crashes.keys().next().value!;
+	}
+
 	private _removeCrash(identity: string): void {
 		const crash = this._crashes.get(identity);
 		this._crashes.delete(identity);
--- /dev/null
+++ b/src/common/calls/process-end.ts
@@ -0,0 +1,55 @@
+/** Judges whether the process of a backend server has ended. */
+import {type Instant} from '../model/units.ts';
+import {type BackendServerState} from './backend-server-state.ts';
+import {type Attempt} from './call.ts';
+import {type EngineContext} from './engine-context.ts';
+import {type ProcessEndSign} from './types.ts';
+
+/**
+ * Identity of a process, the same on every VM: by its start if the backend server's entry has one, else by the instance
+ * that it reports. An instance that repeats the identity of the backend server adds nothing, as not all responses name it.
+ */
+export function processIdentityOf({identity, declared: {processStartedAt}}: Pick<BackendServerState, 'identity' | 'declared'>, instance: string | undefined): string {
+	if (processStartedAt !== undefined) {
+		return `${identity}@${processStartedAt}`;
+	}
+
+	return instance === undefined || instance === identity ? identity : `${identity}/${instance}`;
+}
+
+function processIdentityOfAttempt({server, instance}: Attempt): string {
+	return processIdentityOf(server, instance ?? server.report?.instance);
+}
+
+export class ProcessEndJudge {
+	private readonly _context: EngineContext;
+
+	constructor(context: EngineContext) {
+		this._context = context;
+	}
+
+	/** An attempt's connection was reset: a suspicion, until another sign decides. */
+	onReset(attempt: Attempt, now: Instant): void {
+		this._context.poisonRequests.recordReset(processIdentityOfAttempt(attempt), attempt.server.identity, attempt.call.request.fingerprint, now);
+	}
+
+	/** An attempt has seen a sign that its process has ended. */
+	onAttemptSign(attempt: Attempt, sign: ProcessEndSign, now: Instant): void {
+		this._context.poisonRequests.confirmCrash(processIdentityOfAttempt(attempt), sign, now);
+	}
+
+	/** There is a sign that this process of the backend server has ended; `instance` = as reported by that process. */
+	onSign(server: BackendServerState, instance: string | undefined, sign: ProcessEndSign, now: Instant): void {
+		this._context.poisonRequests.confirmCrash(processIdentityOf(server, instance), sign, now);
+	}
+
+	/** The process has responded to something sent at `sentAt`. */
+	onResponse(server: BackendServerState, sentAt: Instant): void {
+		this._context.poisonRequests.refuteCrash(processIdentityOf(server, server.report?.instance), sentAt);
+	}
+
+	/** Whether calls were reset there and no sign has decided yet whether the process has ended. */
+	isUndecided(server: BackendServerState): boolean {
+		return this._context.poisonRequests.isUndecided(processIdentityOf(server, server.report?.instance));
+	}
+}
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -1,14 +1,14 @@
 /** The declared services and backend servers, their load reports, and the schedule of load probes. */
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {BackendServerState} from './backend-server-state.ts';
-import {PoisonRequestDetector} from './poison-request-detector.ts';
+import {type ProcessEndJudge} from './process-end.ts';
 import {type EngineContext, vmCountOf} from './engine-context.ts';
 import {LoadProbeSchedule, loadProbeTimeoutMilliseconds} from './load-probe-schedule.ts';
 import {type RateLimitChange} from './rate-limit.ts';
 import {defaultSharing, ServiceState} from './service-state.ts';
 import {TimerQueue} from './timer-queue.ts';
 import {
-	type BackendServerIdentity, type BackendServerInForce, type BackendServerStatus, type CallConfiguration, type FleetShares, type LoadUpdate, type LoadReport, type LoadProbeId, type RateLimitNotice,
+	type BackendServerIdentity, type BackendServerInForce, type BackendServerStatus, type CallConfiguration, type CallEvent, type FleetShares, type LoadUpdate, type LoadReport, type LoadProbeId, type RateLimitNotice,
 } from './types.ts';
 
 /** Check interval while no load probe can be scheduled, because the VM holds no share of the budget or the service is unknown. */
@@ -28,13 +28,15 @@
 	private readonly _context: EngineContext;
 	private readonly _services = new Map<string, ServiceState>();
 	private readonly _servers = new Map<BackendServerIdentity, BackendServerState>();
-	private readonly _pendingLoadProbes = new Map<LoadProbeId, BackendServerState>();
+	private readonly _processEnds: ProcessEndJudge;
+	private readonly _pendingLoadProbes = new Map<LoadProbeId, {readonly server: BackendServerState; readonly sentAt: Instant}>();
 	private readonly _loadProbeChecks = new TimerQueue<BackendServerState>();
 	private _version: number | undefined;
 	private _nextLoadProbeId = 1;
 
-	constructor(context: EngineContext) {
+	constructor(context: EngineContext, processEnds: ProcessEndJudge) {
 		this._context = context;
+		this._processEnds = processEnds;
 	}
 
 	/** Version of the configuration in force; undefined before the first one. */
@@ -110,9 +112,7 @@
 				this._applyReport(server, update.report, now - Math.max(0, update.ageMilliseconds), now);
 			}
 
-			if (update.crash !== undefined) {
-				this._context.poisonRequests.addSuspects(update.crash, update.suspects, now);
-			}
+			this._applyEvidence(update, now);
 		}
 	}
 
@@ -131,18 +131,25 @@
 	}
 
 	/** Handles the result of a load probe; `report` is undefined without an answer. Returns the probed backend server, or undefined for an unknown id. */
-	onLoadProbeEnded(loadProbeId: LoadProbeId, report: LoadReport | undefined, now: Instant): BackendServerState | undefined {
-		const server = this._pendingLoadProbes.get(loadProbeId);
+	onLoadProbeEnded({loadProbeId, report, isRefused = false}: CallEvent & {type: 'measured'}, now: Instant): BackendServerState | undefined {
+		const pending = this._pendingLoadProbes.get(loadProbeId);
 		this._pendingLoadProbes.delete(loadProbeId);
-		if (server === undefined) {
+		if (pending === undefined) {
 			return undefined;
 		}
 
+		const {server, sentAt} = pending;
 		if (report === undefined) {
 			server.unansweredProbes++;
+			if (isRefused) {
+				this._processEnds.onSign(server, server.report?.instance, 'load-probe-refused', now);
+			}
+
 			return server;
 		}
 
+		this._processEnds.onResponse(server, sentAt);
+
 		server.unansweredProbes = 0;
 		this.applyAnswerReport(server, report, now);
 		this._notifyRateLimitChange(server, server.rateLimit.applyProbe(report.rateLimit, now), 'load-probe', report.rateLimit);
@@ -154,8 +161,26 @@
 	}
 
 	/** Sends a load probe at once. */
-	startLoadProbe(server: BackendServerState): void {
-		this._startLoadProbe(server);
+	startLoadProbe(server: BackendServerState, now: Instant): void {
+		this._startLoadProbe(server, now);
+	}
+
+	/** Sends a load probe, if the budget permits, while it is unknown whether a reset was the end of the process. */
+	verifyProcess(server: BackendServerState, now: Instant): void {
+		const service = this._services.get(server.declared.service);
+		if (service === undefined || !this._processEnds.isUndecided(server)) {
+			return;
+		}
+
+		const {measuring} = service.declared;
+		if (!service.isMeasuredOnDemand) {
+			if (server.loadProbeSchedule.trySpend(measuring, this._context.shares, now)) {
+				this._startLoadProbe(server, now);
+			}
+		} else if (server.probeSentAt === undefined && server.demandAllowance.tryTake(measuring, vmCountOf(this._context), now)) {
+			server.probeSentAt = now;
+			this._startLoadProbe(server, now);
+		}
 	}
 
 	/**
@@ -188,6 +213,18 @@
 		return Array.from(this._servers.values(), server => this._status(server, now));
 	}
 
+	private _applyEvidence({identity, crash, suspects, isCrashCertain, cleared = [], ageMilliseconds}: LoadUpdate, now: Instant): void {
+		const {poisonRequests} = this._context;
+		const at = now - Math.max(0, ageMilliseconds);
+		if (crash !== undefined && isCrashCertain === true) {
+			poisonRequests.applyPeerCrash({crash, server: identity, suspects}, at, now);
+		}
+
+		for (const fingerprint of cleared) {
+			poisonRequests.applyPeerClearing(fingerprint, at, now);
+		}
+	}
+
 	private _notifyRateLimitChange(server: BackendServerState, change: RateLimitChange, source: 'answer' | 'load-probe', rateLimit: RateLimitNotice | undefined): void {
 		if (change === 'none') {
 			return;
@@ -237,8 +274,12 @@
 			}
 		}
 
-		for (const identity of this._servers.keys()) {
+		for (const [identity, server] of this._servers) {
 			if (!configuration.backendServers.has(identity)) {
+				if (!server.isLeaving) {
+					this._processEnds.onSign(server, server.report?.instance, 'entry-removed', now);
+				}
+
 				this._servers.delete(identity);
 			}
 		}
@@ -271,7 +312,7 @@
 	 * the old process would be applied to the new one. Open attempts and load probes keep the old record until they end.
 	 */
 	private _replaceProcess(previous: BackendServerState, declared: BackendServerInForce, now: Instant): void {
-		this._context.poisonRequests.confirmCrash(PoisonRequestDetector.crashIdentity(previous.identity, previous.processIdentity), now);
+		this._processEnds.onSign(previous, previous.report?.instance, 'process-replaced', now);
 		if (previous.loadProbeTimer !== undefined) {
 			this._loadProbeChecks.remove(previous.loadProbeTimer);
 		}
@@ -290,7 +331,7 @@
 		}
 
 		if (effect.replacedInstance !== undefined) {
-			this._context.poisonRequests.confirmCrash(PoisonRequestDetector.crashIdentity(server.identity, effect.replacedInstance), now);
+			this._processEnds.onSign(server, effect.replacedInstance, 'process-replaced', now);
 		}
 
 		// A new process is also sent to the peers, so that they drop the leaving sign of the previous process.
@@ -325,7 +366,7 @@
 		}
 
 		if (dueAt <= now && server.loadProbeSchedule.trySpend(service.declared.measuring, shares, now)) {
-			this._startLoadProbe(server);
+			this._startLoadProbe(server, now);
 		}
 
 		const next = server.loadProbeSchedule.dueAt(service.declared.measuring, shares, {...need, at: server.reportedAt}, now) ?? now + checkIntervalMilliseconds;
@@ -341,10 +382,10 @@
 		server.loadProbeTimer = this._loadProbeChecks.add(at, server);
 	}
 
-	private _startLoadProbe(server: BackendServerState): void {
+	private _startLoadProbe(server: BackendServerState, now: Instant): void {
 		const loadProbeId = this._nextLoadProbeId++;
 		const measuring = this._services.get(server.declared.service)?.declared.measuring;
-		this._pendingLoadProbes.set(loadProbeId, server);
+		this._pendingLoadProbes.set(loadProbeId, {server, sentAt: now});
 		this._context.effects.push({
 			type: 'measure',
 			service: server.declared.service,
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -74,7 +74,7 @@
 	readonly method: string;
 	/** Path on the backend server, without the query. Calls whose paths match one pattern are assumed to cost the same. */
 	readonly path?: string;
-	/** Digest of the method, the path and the start of the body, so that a repeated call has the same fingerprint. */
+	/** Digest of caller, host, method, path and the start of the body, so that a repeated call has the same fingerprint. */
 	readonly fingerprint: string;
 	/** Remaining time that the caller sent (a duration, not a wall-clock time); undefined = the service's limit applies. */
 	readonly timeoutMilliseconds: Milliseconds | undefined;
@@ -89,8 +89,10 @@
 
 /** Why an attempt ended without a complete answer. */
 export type AttemptFailure
-	/** The backend server refused the connection or was unreachable. Proves that the call did not run. */
+	/** The backend server refused the connection. Proves that the call did not run. */
 	= | 'connection-refused'
+	/** No connection was established in time. Proves that the call did not run, but not that the backend server has ended. */
+		| 'unreachable'
 	/** No byte of the call was sent. Proves that the call did not run. */
 		| 'not-sent'
 	/** The connection broke after the first byte was sent and before the head of the answer. The call may have run. */
@@ -135,8 +137,8 @@
 			/** Bytes of the answer's body that were forwarded to the caller so far. */
 			readonly bytesPassedOn: number;
 		}
-	/** A load probe has ended; without an answer `report` is undefined. */
-		| {readonly type: 'measured'; readonly loadProbeId: LoadProbeId; readonly report: LoadReport | undefined}
+	/** A load probe has ended; without an answer `report` is undefined. `isRefused` = its connection was refused. */
+		| {readonly type: 'measured'; readonly loadProbeId: LoadProbeId; readonly report: LoadReport | undefined; readonly isRefused?: boolean}
 		| {readonly type: 'key-claimed'; readonly callId: CallId; readonly claim: KeyClaim}
 	/** A new version of the declared resources is in force. */
 		| {readonly type: 'configured'; readonly configuration: CallConfiguration}
@@ -240,16 +242,29 @@
 	readonly suspects: readonly string[];
 	/** Identity of the crash that the suspects belong to, so that a crash reported twice counts once. */
 	readonly crash: string | undefined;
+	/** True if the process has certainly ended. Absent in updates of earlier builds, which also report single resets. */
+	readonly isCrashCertain?: boolean;
+	/** Fingerprints of suspects that are not at fault: they were answered, or an operator has lifted their quarantine. */
+	readonly cleared?: readonly string[];
 };
 
+/**
+ * Signs that prove the end of a backend server's process. Not among them: a reset connection, even if all connections are
+ * reset, since the network can do that; a connection that times out; and a broken or missing answer.
+ */
+export type ProcessEndSign = 'connection-refused' | 'load-probe-refused' | 'process-replaced' | 'entry-removed';
+
 /** A change of what this VM knows of calls that crash backend servers, for logs and metrics. */
 export type PoisonRequestChange
-	/** The process of a backend server has ended while calls were in flight there. `suspects` = those known so far. */
-	= | {readonly kind: 'crash'; readonly crash: string; readonly suspects: readonly string[]}
+	/** The process of a backend server has ended while calls were in flight there. `suspects` = those seen by this VM. */
+	= | {readonly kind: 'crash'; readonly crash: string; readonly suspects: readonly string[]; readonly sign: ProcessEndSign | 'peer'}
 	/** A call is refused from now on, since `crashes` processes have ended while it was in flight. */
 		| {readonly kind: 'quarantined'; readonly fingerprint: string; readonly crashes: number}
-	/** A call under suspicion is not at fault: it was answered, or an operator has lifted its quarantine. */
-		| {readonly kind: 'cleared'; readonly fingerprint: string; readonly crashes: number; readonly wasQuarantined: boolean; readonly cause: 'answer' | 'operator'};
+	/**
+	 * A call under suspicion is not at fault: it was answered, here or through another VM, an operator has lifted its
+	 * quarantine, or later evidence points to another call.
+	 */
+		| {readonly kind: 'cleared'; readonly fingerprint: string; readonly crashes: number; readonly wasQuarantined: boolean; readonly cause: 'answer' | 'peer' | 'operator' | 'evidence'};
 
 /** Why a call was refused. The `type` of the problem body is `urn:jaydale:problem:` followed by this reason. */
 export type RefusalReason
@@ -263,6 +278,7 @@
 		| 'key-taken'
 		| 'key-unavailable'
 		| 'quarantined'
+		| 'suspected'
 		| 'not-ready'
 		| 'stopping';
 
--- a/src/common/fleet/leaving/load-update-exchange.ts
+++ b/src/common/fleet/leaving/load-update-exchange.ts
@@ -16,6 +16,11 @@
 
 type Entry = {readonly update: LoadUpdate; readonly madeAt: Instant; readonly maxSends: number; sendCount: number};
 
+/** Whether the update is about calls that crash backend servers, which all VMs must know. */
+function isEvidence({crash, cleared}: LoadUpdate): boolean {
+	return crash !== undefined || cleared !== undefined;
+}
+
 export class LoadUpdateExchange {
 	private readonly _entries = new Map<string, Entry>();
 	private readonly _onUpdates: (update: readonly LoadUpdate[]) => void;
@@ -31,14 +36,14 @@
 
 	/** Adds an update from this VM's call engine. */
 	addOwn(update: LoadUpdate): void {
-		this._store(update, update.crash === undefined ? maxReportSends : maxCrashSends);
+		this._store(update, isEvidence(update) ? maxCrashSends : maxReportSends);
 	}
 
 	/** Handles updates from a peer: crashes are passed on to other VMs, reports are not. */
 	handlePeerUpdates(update: readonly LoadUpdate[]): void {
-		const newUpdates = update.filter(entry => !this._entries.has(this._key(entry)) || entry.crash === undefined);
+		const newUpdates = update.filter(entry => !this._entries.has(this._key(entry)) || !isEvidence(entry));
 		for (const entry of newUpdates) {
-			if (entry.crash !== undefined) {
+			if (isEvidence(entry)) {
 				this._store(entry, maxCrashSends);
 			}
 		}
@@ -69,7 +74,9 @@
 	}
 
 	private _key(update: LoadUpdate): string {
-		return update.crash === undefined ? `report ${update.identity}` : `crash ${update.identity} ${update.crash}`;
+		const {identity, crash, isCrashCertain = false, suspects, cleared = []} = update;
+		// Several VMs report different suspects of one crash.
+		return isEvidence(update) ? `evidence ${identity} ${crash} ${isCrashCertain} ${suspects.join(' ')} ${cleared.join(' ')}` : `report ${identity}`;
 	}
 
 	private _store(update: LoadUpdate, maxSends: number): void {
@@ -85,7 +92,7 @@
 
 	private _removeExpired(): void {
 		for (const [key, {update, madeAt}] of this._entries) {
-			if (this._context.now - madeAt > (update.crash === undefined ? maxReportAgeMilliseconds : maxCrashAgeMilliseconds)) {
+			if (this._context.now - madeAt > (isEvidence(update) ? maxCrashAgeMilliseconds : maxReportAgeMilliseconds)) {
 				this._entries.delete(key);
 			}
 		}
--- a/src/common/fleet/peer-messages.ts
+++ b/src/common/fleet/peer-messages.ts
@@ -56,6 +56,9 @@
 	ageMilliseconds: z.number().min(0),
 	suspects: z.array(z.string().max(128)).max(64).readonly(),
 	crash: z.string().max(128).optional(),
+	/** Absent in messages of earlier builds. */
+	isCrashCertain: z.boolean().optional(),
+	cleared: z.array(z.string().max(128)).max(64).readonly().optional(),
 });
 
 /** An accepted configuration change, as stored in the platform's service and passed from VM to VM. */
--- a/src/daemon/poison-request-log.ts
+++ b/src/daemon/poison-request-log.ts
@@ -10,9 +10,9 @@
 	metrics.poisonRequests(change.kind, quarantined);
 	switch (change.kind) {
 		case 'crash': {
-			const {crash, suspects} = change;
+			const {crash, suspects, sign} = change;
 			logger.warn('backend server crashed with calls in flight', {
-				crash, suspects: suspects.length, fingerprints: suspects.slice(0, maxListedSuspects).join(' '),
+				crash, sign, suspects: suspects.length, fingerprints: suspects.slice(0, maxListedSuspects).join(' '),
 			});
 			break;
 		}
--- a/src/node/front/backend-attempt.ts
+++ b/src/node/front/backend-attempt.ts
@@ -172,9 +172,11 @@
 
 	private _classify(error: Error): AttemptFailure {
 		if (!this._isSent) {
-			return error instanceof errors.ConnectTimeoutError || ('code' in error && error.code === 'ECONNREFUSED')
-				? 'connection-refused'
-				: 'not-sent';
+			if (error instanceof errors.ConnectTimeoutError) {
+				return 'unreachable';
+			}
+
+			return 'code' in error && error.code === 'ECONNREFUSED' ? 'connection-refused' : 'not-sent';
 		}
 
 		if (error instanceof errors.BodyTimeoutError) {
--- a/src/node/front/http-load-probe-client.ts
+++ b/src/node/front/http-load-probe-client.ts
@@ -20,7 +20,7 @@
 /** One load probe. A plain undici dispatch handler, without streams or an abort signal, to keep latency low: calls wait for the result. */
 class LoadProbe implements Dispatcher.DispatchHandler {
 	private readonly _parse: (status: number, headers: IncomingHttpHeaders, body: string) => LoadReport | undefined;
-	private readonly _onDone: (report: LoadReport | undefined) => void;
+	private readonly _onDone: (report: LoadReport | undefined, isRefused: boolean) => void;
 	private readonly _timer: NodeJS.Timeout;
 	private readonly _chunks: Uint8Array[] = [];
 	private _controller: Dispatcher.DispatchController | undefined;
@@ -61,9 +61,9 @@
 		this._finish(this._parseReport());
 	}
 
-	onResponseError(): void {
+	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
 		// Refused, reset or timed out: the engine receives no report and counts the failed probe.
-		this._finish(undefined);
+		this._finish(undefined, 'code' in error && error.code === 'ECONNREFUSED');
 	}
 
 	private _parseReport(): LoadReport | undefined {
@@ -79,11 +79,11 @@
 		}
 	}
 
-	private _finish(report: LoadReport | undefined): void {
+	private _finish(report: LoadReport | undefined, isRefused = false): void {
 		if (!this._isDone) {
 			this._isDone = true;
 			clearTimeout(this._timer);
-			this._onDone(report);
+			this._onDone(report, isRefused);
 		}
 	}
 }
@@ -100,8 +100,10 @@
 
 	probe(effect: ProbeEffect, sink: CallEventSink): void {
 		const {loadProbeId, identity, path, timeoutMilliseconds} = effect;
-		const loadProbe = new LoadProbe(Math.ceil(timeoutMilliseconds), (status, headers, body) => this._dialect.parseLoadProbe(identity, status, headers, body), report => {
-			sink.feed({type: 'measured', loadProbeId, report});
+		const loadProbe = new LoadProbe(Math.ceil(timeoutMilliseconds), (status, headers, body) => this._dialect.parseLoadProbe(identity, status, headers, body), (report, isRefused) => {
+			sink.feed({
+				type: 'measured', loadProbeId, report, isRefused,
+			});
 		});
 		this._connections.pool(effect).dispatch({
 			method: 'GET', path, headers: [], idempotent: false,
--- a/src/node/peers/grpc-peer-transport.test.ts
+++ b/src/node/peers/grpc-peer-transport.test.ts
@@ -72,6 +72,12 @@
 		{
 			identity: 'server', ageMilliseconds: 5, suspects: ['f1'], crash: 'c1',
 		},
+		{
+			identity: 'server', ageMilliseconds: 5, suspects: ['f1'], crash: 'c1', isCrashCertain: true,
+		},
+		{
+			identity: 'server', ageMilliseconds: 5, suspects: [], cleared: ['f1', 'f2'],
+		},
 		{
 			identity: 'server', ageMilliseconds: 5, suspects: [], report: {
 				inFlight: 1, queued: 2, slots: 6, isLeaving: false,
--- a/src/node/peers/peer-codec.ts
+++ b/src/node/peers/peer-codec.ts
@@ -84,7 +84,11 @@
 }
 
 function updateFromWire(value: Record<string, unknown>): unknown {
-	const update = withoutPresenceFlags(value);
+	const {cleared, ...update} = withoutPresenceFlags(value);
+	if (Array.isArray(cleared) && cleared.length > 0) {
+		update.cleared = cleared;
+	}
+
 	return update.report === undefined ? update : {...update, report: withoutPresenceFlags(update.report)};
 }
 
