Pass crashes and cleared calls on between VMs of a store-led fleet

What callers saw: one call crashed backend server after backend server, and the service broke down; each VM had to see crashes of its own. Cause: RegistryFleet let the event load-update fall through an empty default, together with others. Class: events that one implementation of an interface ignores silently.

Builds without it answer 404 and ignore the new field of the frame.

Ruled out: the store (it may be away when it is needed), the feed alone (readers of different data centres do not follow each other).

--- a/src/common/entry-vm/entry-vm.ts
+++ b/src/common/entry-vm/entry-vm.ts
@@ -16,6 +16,7 @@
 	'peer-unreachable': true,
 	'feed-frame': true,
 	'feed-closed': true,
+	'updates-received': true,
 	'member-announced': true,
 	'member-ended': true,
 	'vm-probed': true,
--- a/src/common/fleet/fleet-coordinator.ts
+++ b/src/common/fleet/fleet-coordinator.ts
@@ -41,6 +41,22 @@
 const loadUpdateBatchMilliseconds = 100;
 const loadUpdateTargets = 2;
 
+/** Events of a store-led fleet, whose data peer messages contain here. The compiler rejects an event type that is neither handled nor listed. */
+const ignoredEvents = {
+	'feed-frame': true,
+	'feed-closed': true,
+	'updates-received': true,
+	'member-announced': true,
+	'member-ended': true,
+	'vm-probed': true,
+} as const satisfies Partial<Record<FleetEvent['type'], true>>;
+
+type HandledEvent = Exclude<FleetEvent, {type: keyof typeof ignoredEvents | 'tick'}>;
+
+function isHandled(event: FleetEvent): event is HandledEvent {
+	return !Object.hasOwn(ignoredEvents, event.type) && event.type !== 'tick';
+}
+
 export class FleetCoordinator implements FleetEngine {
 	private readonly _context: FleetContext;
 	private readonly _state = new ConfigurationState();
@@ -124,7 +140,7 @@
 	handle(event: FleetEvent, now: Instant): readonly FleetEffect[] {
 		this._detectPause(now);
 		this._context.now = now;
-		if (event.type !== 'tick') {
+		if (isHandled(event)) {
 			this._dispatch(event);
 		}
 
@@ -176,7 +192,7 @@
 		return this._state.resources.get(key);
 	}
 
-	private _dispatch(event: Exclude<FleetEvent, {readonly type: 'tick'}>): void {
+	private _dispatch(event: HandledEvent): void {
 		switch (event.type) {
 			case 'started': {
 				this._start();
@@ -253,9 +269,6 @@
 				this._prober.resetAfterPause();
 				break;
 			}
-
-			default:
-				// Events of the registry feed belong to the store-led engine; this engine gets the same data from peer messages.
 		}
 	}
 
--- a/src/common/fleet/types.ts
+++ b/src/common/fleet/types.ts
@@ -130,6 +130,8 @@
 		| {readonly type: 'peer-unreachable'; readonly to: PeerAddress}
 	/** A frame of the registry feed from the VM that this VM follows: the state of the store as that VM has read it. */
 		| {readonly type: 'feed-frame'; readonly source: PeerAddress; readonly frame: FeedFrame}
+	/** Updates of call engines that another VM has sent directly. */
+		| {readonly type: 'updates-received'; readonly updates: readonly LoadUpdate[]}
 	/** The registry feed of the followed VM has ended, or that VM could not be reached. */
 		| {readonly type: 'feed-closed'; readonly source: PeerAddress}
 	/** A VM that follows this VM's feed announces its identity, or that it is leaving. */
@@ -176,6 +178,8 @@
 		| {readonly type: 'follow-feed'; readonly source: PeerAddress | undefined}
 	/** Send the frame to the VMs that follow this VM's feed. */
 		| {readonly type: 'publish-feed'; readonly frame: FeedFrame}
+	/** Send updates of call engines directly to these VMs. */
+		| {readonly type: 'send-updates'; readonly to: readonly PeerAddress[]; readonly updates: readonly LoadUpdate[]}
 	/** Announce this VM to the VM whose feed it follows. */
 		| {readonly type: 'announce'; readonly announcement: MemberAnnouncement}
 	/** Probe this process directly for whether it accepts calls; the result arrives as `vm-probed`. */
--- a/src/common/registry/fleet-model.test.ts
+++ b/src/common/registry/fleet-model.test.ts
@@ -1,6 +1,6 @@
 /** A whole fleet in virtual time: its state machines, the store, and the registry feeds between VMs. */
 import {Timeline} from '../../proof/fuzz/timeline.ts';
-import {type CallEngine} from '../calls/types.ts';
+import {type CallEngine, type LoadUpdate} from '../calls/types.ts';
 import {EntryVm, isCallEffect} from '../entry-vm/entry-vm.ts';
 import {type EntryVmEvent, type ExternalCallEffect, type ExternalFleetEffect} from '../entry-vm/types.ts';
 import {type Instant, type Milliseconds, type RandomSource} from '../model/units.ts';
@@ -177,6 +177,11 @@
 				break;
 			}
 
+			case 'send-updates': {
+				this._sendUpdates(effect.to, effect.updates);
+				break;
+			}
+
 			case 'announce': {
 				const target = this.source;
 				if (target === undefined) {
@@ -211,6 +216,16 @@
 		}
 	}
 
+	private _sendUpdates(to: readonly string[], updates: readonly LoadUpdate[]): void {
+		this._model.updateMessages += to.length;
+		this._model.updateBytes += to.length * JSON.stringify(updates).length;
+		for (const address of to) {
+			this._model.timeline.after(transferMilliseconds, () => {
+				this._model.runningAt(address)?.handle({type: 'updates-received', updates});
+			});
+		}
+	}
+
 	/** Closes the stream and notifies the VM whose feed was followed. */
 	private _closeStream(): void {
 		const {source} = this;
@@ -309,6 +324,9 @@
 	readonly random: RandomSource;
 	/** Number of snapshots sent. */
 	snapshotCount = 0;
+	/** Messages with updates between VMs, and their bytes without heads. */
+	updateMessages = 0;
+	updateBytes = 0;
 	private readonly _options: FleetModelOptions;
 	private readonly _processes = new Map<string, ModelProcess>();
 	private _starts = 0;
--- a/src/common/registry/poison-harness.test.ts
+++ b/src/common/registry/poison-harness.test.ts
@@ -319,7 +319,9 @@
 	private _probe(process: ModelProcess, {loadProbeId, identity}: ExternalCallEffect & {type: 'measure'}): void {
 		const server = this.servers.get(identity)!;
 		this.fleet.timeline.after(2 * networkMilliseconds, () => {
-			process.handle({type: 'measured', loadProbeId, report: server.isAlive ? this._reportOf(server, identity) : undefined});
+			process.handle({
+				type: 'measured', loadProbeId, report: server.isAlive ? this._reportOf(server, identity) : undefined, isRefused: !server.isAlive,
+			});
 		});
 	}
 
--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -30,9 +30,29 @@
 import {
 	type DocumentCodec, type FeedFrame, type RegistrySettings,
 } from './types.ts';
+import {UpdateExchange} from './update-exchange.ts';
 import {VmDirectory, type VmRanks} from './vm-directory.ts';
 import {VmProber} from './vm-prober.ts';
 
+/** Events that need no handling here, with the reason. The compiler rejects an event type that is neither handled nor listed. */
+const ignoredEvents = {
+	'leaving-sign': 'the load update that follows contains the same report',
+	returned: 'the load update that follows contains the same report',
+	'own-load': 'callers choose among all VMs alike',
+	woke: 'all deadlines are compared with the present time',
+	'peer-message': 'of a fleet that coordinates itself',
+	'peer-unreachable': 'of a fleet that coordinates itself',
+	'vm-list': 'of a fleet that coordinates itself',
+	'operator-change': 'of a fleet that coordinates itself',
+	'operator-drain': 'of a fleet that coordinates itself',
+} as const satisfies Partial<Record<FleetEvent['type'], string>>;
+
+type HandledEvent = Exclude<FleetEvent, {type: keyof typeof ignoredEvents}>;
+
+function isHandled(event: FleetEvent): event is HandledEvent {
+	return !Object.hasOwn(ignoredEvents, event.type);
+}
+
 /** Status of the fleet as seen by one VM. */
 export type RegistryStatus = {
 	readonly stage: FleetStage;
@@ -69,6 +89,7 @@
 	/** When this VM has noticed the last restore of the store. */
 	private _restoredAt: Instant = Number.NEGATIVE_INFINITY;
 	private readonly _shares: FleetSharesSource;
+	private readonly _updates: UpdateExchange;
 
 	constructor(settings: RegistrySettings, documents: DocumentCodec, random: RandomSource) {
 		this._context = new RegistryContext(settings);
@@ -104,6 +125,7 @@
 		this._prober = new VmProber(this._context);
 		this._vms = new VmDirectory(this._context, documents, {random, prober: this._prober, listener: {onRemoved, isReading, hasMembers: () => this._registrar.hasMembers}});
 		this._shares = new FleetSharesSource(this._context, this._vms);
+		this._updates = new UpdateExchange(this._context, {random, peers: () => this._vms.peerAddresses()});
 		this._snapshotFilter = new SnapshotFilter(this._context, {
 			documents, log: this._log, servers: this._servers, vms: this._vms, evacuations: this._evacuations, prober: this._prober, revertedRemovals: this._revertedRemovals,
 			onServing: entry => {
@@ -170,6 +192,55 @@
 
 	handle(event: FleetEvent, now: Instant): readonly FleetEffect[] {
 		this._context.now = now;
+		if (isHandled(event)) {
+			this._dispatch(event, now);
+		}
+
+		this._ownEntry.setRole({source: this._feedSelector.freshSource, isReader: this._vms.ranks.isReader});
+		this._shares.update(this._lifecycle.stage === 'serving');
+		this._publisher.publish();
+		return this._context.takeEffects();
+	}
+
+	nextWakeUp(): Instant | undefined {
+		return this._context.timers.next();
+	}
+
+	/** The VMs that a caller in this data centre should use. */
+	addresses(service: string, dataCentre?: string): AddressAnswer {
+		const isServing = this._lifecycle.stage === 'serving';
+		return this._vms.answer(service, isServing ? this._context.settings.own : undefined, dataCentre);
+	}
+
+	/** Call addresses of the VMs known to serve, including this VM while it serves. */
+	knownCallAddresses(): string[] {
+		const {callAddress} = this._context.settings.own;
+		return [...this._vms.callAddresses(), ...(this._lifecycle.stage === 'serving' ? [callAddress] : [])];
+	}
+
+	status(now: Instant): RegistryStatus {
+		return {
+			stage: this._lifecycle.stage,
+			configurationVersion: this._configuration.version,
+			isWatchingStore: this._mirror.isWatching,
+			isReadingStore: this._feedSelector.isReading,
+			storeContactAgeMilliseconds: this._mirror.contactAge(now),
+			vmCount: this._vms.size + 1,
+			backendServerCount: this._servers.size,
+		};
+	}
+
+	/** Whether this VM is the process with that identity and accepts calls. */
+	isServing(identity: string): boolean {
+		return identity === this._context.settings.identity && this._lifecycle.stage === 'serving';
+	}
+
+	/** A snapshot of all entries for another VM. */
+	feed(now: Instant): FeedFrame {
+		return {...this._publisher.snapshot(now), updates: this._updates.crashes};
+	}
+
+	private _dispatch(event: HandledEvent, now: Instant): void {
 		switch (event.type) {
 			case 'started': {
 				this._context.emit({type: 'stage', stage: this._lifecycle.stage});
@@ -223,51 +294,16 @@
 				break;
 			}
 
-			default:
-		}
-
-		this._ownEntry.setRole({source: this._feedSelector.freshSource, isReader: this._vms.ranks.isReader});
-		this._shares.update(this._lifecycle.stage === 'serving');
-		this._publisher.publish();
-		return this._context.takeEffects();
-	}
-
-	nextWakeUp(): Instant | undefined {
-		return this._context.timers.next();
-	}
-
-	/** The VMs that a caller in this data centre should use. */
-	addresses(service: string, dataCentre?: string): AddressAnswer {
-		const isServing = this._lifecycle.stage === 'serving';
-		return this._vms.answer(service, isServing ? this._context.settings.own : undefined, dataCentre);
-	}
-
-	/** Call addresses of the VMs known to serve, including this VM while it serves. */
-	knownCallAddresses(): string[] {
-		const {callAddress} = this._context.settings.own;
-		return [...this._vms.callAddresses(), ...(this._lifecycle.stage === 'serving' ? [callAddress] : [])];
-	}
-
-	status(now: Instant): RegistryStatus {
-		return {
-			stage: this._lifecycle.stage,
-			configurationVersion: this._configuration.version,
-			isWatchingStore: this._mirror.isWatching,
-			isReadingStore: this._feedSelector.isReading,
-			storeContactAgeMilliseconds: this._mirror.contactAge(now),
-			vmCount: this._vms.size + 1,
-			backendServerCount: this._servers.size,
-		};
-	}
-
-	/** Whether this VM is the process with that identity and accepts calls. */
-	isServing(identity: string): boolean {
-		return identity === this._context.settings.identity && this._lifecycle.stage === 'serving';
-	}
+			case 'load-update': {
+				this._updates.addOwn(event.update);
+				break;
+			}
 
-	/** A snapshot of all entries for another VM. */
-	feed(now: Instant): FeedFrame {
-		return this._publisher.snapshot(now);
+			case 'updates-received': {
+				this._updates.addReceived(event.updates);
+				break;
+			}
+		}
 	}
 
 	/** The store has lost its latest writes: this VM reads everything and writes its entries again. */
@@ -278,6 +314,7 @@
 	}
 
 	private _handleFrame(source: PeerAddress, received: FeedFrame): void {
+		this._updates.addKnownToAll(received.updates ?? []);
 		const frame = this._withEra(received);
 		const isEmpty = !isLater(frame.revision, 0);
 		if (!isEmpty && frame.lacksEra !== true) {
--- a/src/common/registry/types.ts
+++ b/src/common/registry/types.ts
@@ -6,7 +6,7 @@
  * place.
  */
 import {type Result} from 'neverthrow';
-import {type BackendServerInForce, type WarmUpLimit} from '../calls/types.ts';
+import {type BackendServerInForce, type LoadUpdate, type WarmUpLimit} from '../calls/types.ts';
 import {type Failure} from '../errors/failure.ts';
 import {type PeerAddress} from '../fleet/types.ts';
 import {type Service} from '../model/resources.ts';
@@ -122,6 +122,8 @@
 	readonly deleted: readonly string[];
 	/** `entries` is a complete snapshot: entries that it lacks have been removed. */
 	readonly isWhole: boolean;
+	/** Crashes of backend servers that the sender knows of; only in the first frame of a stream. */
+	readonly updates?: readonly LoadUpdate[];
 	/** The sender is of an earlier build, which sends revisions without their era. */
 	readonly lacksEra?: boolean;
 };
--- a/src/common/registry/vm-directory.ts
+++ b/src/common/registry/vm-directory.ts
@@ -95,6 +95,11 @@
 		return this._named().map(({entry}) => entry.callAddress);
 	}
 
+	/** Peer addresses of the VMs known to serve, without this one. */
+	peerAddresses(): string[] {
+		return this._named().map(({entry}) => entry.peerAddress);
+	}
+
 	/**
 	 * Names of the VMs known to serve by data centre, including this VM while it serves. The name is the call address,
 	 * which a restart does not change.
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -22,6 +22,7 @@
 import {FeedClient} from '../node/fleet/feed-client.ts';
 import {FeedServer} from '../node/fleet/feed-server.ts';
 import {StoreEffectExecutor} from '../node/fleet/store-effect-executor.ts';
+import {UpdateClient} from '../node/fleet/update-client.ts';
 import {VmProbeClient} from '../node/fleet/vm-probe-client.ts';
 import {type PlatformClient} from '../node/fleet/types.ts';
 import {BackendConnections} from '../node/front/backend-connections.ts';
@@ -122,6 +123,7 @@
 	const storeEffectExecutor = owned.add(new StoreEffectExecutor(loop, new CountedPlatformClient(platform.store, clock, metrics)));
 	const feedClient = owned.add(new FeedClient(loop, logger));
 	const vmProbeClient = owned.add(new VmProbeClient(loop));
+	const updateClient = owned.add(new UpdateClient(logger, metrics));
 	const feedServer = owned.add(new FeedServer(metrics, {fullFrame: () => fleet.feed(clock.now()), isServing: identity => fleet.isServing(identity)}, loop));
 	const connections = owned.add(new BackendConnections({connectMilliseconds, idleMilliseconds: backendIdleTimeoutMilliseconds}));
 	const callEffectExecutor = owned.add(new CallEffectExecutor(loop, new CountedLoadProbeClient(new HttpLoadProbeClient(connections, platform.dialect), metrics), noKeyClaimer));
@@ -162,6 +164,11 @@
 				break;
 			}
 
+			case 'send-updates': {
+				updateClient.send(effect.to, effect.updates);
+				break;
+			}
+
 			case 'announce': {
 				feedClient.announce(effect.announcement);
 				break;
--- a/src/node/fleet/feed-frame.ts
+++ b/src/node/fleet/feed-frame.ts
@@ -5,6 +5,7 @@
 import {failure, type Failure} from '../../common/errors/failure.ts';
 import {eraOf, revisionOf, storePosition} from '../../common/platform/store-position.ts';
 import {type MemberAnnouncement, type FeedFrame} from '../../common/registry/types.ts';
+import {fromWire, toWire, updateSchema} from './update-codec.ts';
 
 /** Path of the feed on a VM's peers endpoint. */
 export const feedPath = '/feed';
@@ -28,6 +29,8 @@
 	})).default([]),
 	deleted: z.array(z.string()).default([]),
 	isWhole: z.boolean().default(false),
+	/** Absent in frames of earlier builds. */
+	updates: z.array(updateSchema).optional(),
 });
 
 const announcementSchema = z.object({identity: z.string().min(1), value: z.string(), intent: z.enum(['stay', 'turn', 'leave'])});
@@ -38,19 +41,20 @@
 type EncodedFrame = z.input<typeof frameSchema>;
 
 /** Replaces revisions by positions, and omits `createdAt` where it is absent instead of setting it to undefined. */
-function toFrame({entries, era: frameEra = 0, revision, ...frame}: z.infer<typeof frameSchema>, lacksEra: boolean): FeedFrame {
+function toFrame({entries, era: frameEra = 0, revision, updates, ...frame}: z.infer<typeof frameSchema>, lacksEra: boolean): FeedFrame {
 	return {
 		...frame,
 		revision: storePosition(frameEra, revision),
 		entries: entries.map(({key, value, revision, createdAt, era = frameEra}) => ({
 			key, value, revision: storePosition(era, revision), ...(createdAt === undefined ? {} : {createdAt: storePosition(era, createdAt)}),
 		})),
+		...(updates === undefined ? {} : {updates: updates.map(update => fromWire(update))}),
 		...(lacksEra ? {lacksEra} : {}),
 	};
 }
 
 /** Replaces positions by the frame's era and revisions, which earlier builds read as before. */
-function fromFrame({revision, entries, deleted, ageMilliseconds, isWhole}: FeedFrame): EncodedFrame {
+function fromFrame({revision, entries, deleted, ageMilliseconds, isWhole, updates = []}: FeedFrame): EncodedFrame {
 	const frameEra = eraOf(revision);
 	return {
 		revision: revisionOf(revision),
@@ -65,6 +69,7 @@
 		})),
 		deleted: [...deleted],
 		isWhole,
+		...(updates.length === 0 ? {} : {updates: updates.map(update => toWire(update))}),
 	};
 }
 
--- a/src/node/fleet/feed-server.ts
+++ b/src/node/fleet/feed-server.ts
@@ -12,6 +12,7 @@
 import {type Metrics} from '../metrics/types.ts';
 import {LineReader} from './line-reader.ts';
 import {decodeAnnouncement, encodeFrame, feedPath} from './feed-frame.ts';
+import {decodeUpdates, updatesPath} from './update-codec.ts';
 import {probePathPrefix} from './vm-probe-client.ts';
 
 /** Maximum number of bytes buffered for one subscriber, so that a frozen or disconnected one does not fill this VM's memory. */
@@ -20,10 +21,16 @@
 /** Maximum length of an announcement in characters; a longer one does not come from a VM of this fleet. */
 const maxAnnouncementCharacters = 10_000;
 
+/** Maximum length of a message with updates in characters; a longer one does not come from a VM of this fleet. */
+const maxUpdatesCharacters = 1_000_000;
+
 const statusServing = 200;
 const statusNotServing = 404;
 
-type MemberSink = EventSink<Extract<FleetEvent, {type: 'member-announced' | 'member-ended'}>>;
+const statusReceived = 204;
+const statusInvalid = 400;
+
+type MemberSink = EventSink<Extract<FleetEvent, {type: 'member-announced' | 'member-ended' | 'updates-received'}>>;
 
 /** Data that the server sends. */
 export type FeedContent = {
@@ -50,6 +57,8 @@
 		this._server = createServer({requestTimeout: 0}, (incoming, outgoing) => {
 			if (incoming.url === feedPath) {
 				this._acceptSubscriber(incoming, outgoing);
+			} else if (incoming.url === updatesPath && incoming.method === 'POST') {
+				this._receiveUpdates(incoming, outgoing);
 			} else {
 				incoming.resume();
 				outgoing.writeHead(this._isServing(incoming.url ?? '') ? statusServing : statusNotServing, {connection: 'close'}).end();
@@ -83,6 +92,30 @@
 		this._subscribers.add(outgoing);
 	}
 
+	private _receiveUpdates(incoming: IncomingMessage, outgoing: ServerResponse): void {
+		const chunks: Buffer[] = [];
+		let length = 0;
+		incoming.on('data', (chunk: Buffer) => {
+			length += chunk.length;
+			chunks.push(chunk);
+			if (length > maxUpdatesCharacters) {
+				outgoing.destroy();
+			}
+		});
+		incoming.on('end', () => {
+			const updates = decodeUpdates(Buffer.concat(chunks).toString());
+			outgoing.writeHead(updates.isOk() ? statusReceived : statusInvalid, {connection: 'close'}).end();
+			this._metrics.peerTraffic('in', 1, length);
+			if (updates.isOk()) {
+				this._sink.feed({type: 'updates-received', updates: updates.value});
+			}
+		});
+		incoming.on('error', () => {
+			// The sender has closed the connection; other VMs pass the same updates on.
+			outgoing.destroy();
+		});
+	}
+
 	private _isServing(url: string): boolean {
 		return url.startsWith(probePathPrefix) && this._content.isServing(url.slice(probePathPrefix.length));
 	}
--- /dev/null
+++ b/src/node/fleet/update-client.ts
@@ -0,0 +1,88 @@
+/** Sends updates of the call engine to other VMs. */
+import {Client, type Dispatcher} from 'undici';
+import {type LoadUpdate} from '../../common/calls/types.ts';
+import {type PeerAddress} from '../../common/fleet/types.ts';
+import {Disposable, DisposableStore, toDisposable} from '../../common/lifecycle/disposable.ts';
+import {type Milliseconds} from '../../common/model/units.ts';
+import {type Logger} from '../logging/types.ts';
+import {type Metrics} from '../metrics/types.ts';
+import {encodeUpdates, updatesPath} from './update-codec.ts';
+
+/** Connect time-out. Other VMs pass the same updates on, so that a lost message is no loss. */
+const connectTimeoutMilliseconds: Milliseconds = 300;
+
+/** Time after which an unfinished message is given up. */
+const maxSendMilliseconds: Milliseconds = 1000;
+
+const maxSuccessStatus = 299;
+
+/** undici dispatch handler of one message; the bundle contains no higher-level API of undici. */
+class SendHandler implements Dispatcher.DispatchHandler {
+	private readonly _onEnd: (problem: string | undefined) => void;
+	private _problem: string | undefined;
+
+	constructor(onEnd: (problem: string | undefined) => void) {
+		this._onEnd = onEnd;
+	}
+
+	onRequestStart(): void {
+		// The controller is not needed: destroying the client ends the message.
+	}
+
+	onResponseStart(_controller: Dispatcher.DispatchController, status: number): void {
+		// A VM of an earlier build answers 404.
+		this._problem = status > maxSuccessStatus ? `status ${status}` : undefined;
+	}
+
+	onResponseData(): void {
+		// Only the status matters.
+	}
+
+	onResponseEnd(): void {
+		this._onEnd(this._problem);
+	}
+
+	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+		this._onEnd(error.message);
+	}
+}
+
+export class UpdateClient extends Disposable {
+	private readonly _logger: Logger;
+	private readonly _metrics: Metrics;
+	private readonly _active = this._register(new DisposableStore());
+
+	constructor(logger: Logger, metrics: Metrics) {
+		super();
+		this._logger = logger;
+		this._metrics = metrics;
+	}
+
+	send(to: readonly PeerAddress[], updates: readonly LoadUpdate[]): void {
+		const body = encodeUpdates(updates);
+		this._metrics.peerTraffic('out', to.length, body.length * to.length);
+		for (const address of to) {
+			this._sendTo(address, body);
+		}
+	}
+
+	private _sendTo(address: PeerAddress, body: string): void {
+		const client = new Client(`http://${address}`, {connect: {timeout: connectTimeoutMilliseconds}, allowH2: false});
+		const ending = this._active.add(toDisposable(() => {
+			clearTimeout(timer);
+			void client.destroy();
+		}));
+		const timer = setTimeout(() => {
+			this._active.delete(ending);
+		}, maxSendMilliseconds);
+		client.dispatch({
+			method: 'POST', path: updatesPath, body, headers: ['content-type', 'application/json'],
+		}, new SendHandler(problem => {
+			if (problem !== undefined) {
+				this._logger.debug('updates were not delivered to a VM', {address, problem});
+			}
+
+			this._active.delete(ending);
+		}));
+	}
+}
