Let a recent verdict settle, list and lift quarantines on a store-led VM, and share messages between updates

A call with two crashes rests for 250 ms after each of them, so that attempts under way elsewhere decide. Crashes of the same suspects are repeated for VMs that were cut off. The log line of a refused call names its fingerprint and crashes.

--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -13,6 +13,7 @@
 import {
 	type Placement, type Placer, connectionLimit, rateLimitShare,
 } from './placer.ts';
+import {suspectReason} from './suspect-reason.ts';
 import {type ProcessEndJudge} from './process-end.ts';
 import {LoadProber, type PendingProbes} from './load-prober.ts';
 import {
@@ -429,7 +430,7 @@
 			return;
 		}
 
-		this._getEndings().refuse(call, this._isQuarantined(call, now) ? 'quarantined' : reason, now);
+		this._getEndings().refuse(call, this._isQuarantined(call, now) ? this._suspectReason(call, now) : reason, now);
 	}
 
 	/** Whether the call is quarantined, or held back until earlier attempts have shown whether it is harmful. */
@@ -439,11 +440,14 @@
 
 	/** Refuses a call that must not run; always true. */
 	private _refuseSuspect(call: Call, now: Instant): boolean {
-		const heldReason = call.mayHaveRun ? 'outcome-unknown' : 'suspected';
-		this._getEndings().refuse(call, this._isQuarantined(call, now) ? 'quarantined' : heldReason, now);
+		this._getEndings().refuse(call, this._suspectReason(call, now), now);
 		return true;
 	}
 
+	private _suspectReason(call: Call, now: Instant): RefusalReason {
+		return suspectReason(this._context.poisonRequests, call, now);
+	}
+
 	/** Whether the rules and the retry budget allow one more attempt; if so, takes a token from the budget. */
 	private _mayRetry(call: Call, isReplayable: boolean): boolean {
 		return isReplayable && call.request.mayRetry && call.attemptCount < Math.min(defaultAttemptLimit, call.request.rule?.attemptLimit ?? defaultAttemptLimit) && call.resetCount < maxResets
--- a/src/common/calls/call-completion.ts
+++ b/src/common/calls/call-completion.ts
@@ -33,6 +33,9 @@
 /** Refusals for a fault outside the call: the caller can retry after a fixed delay. */
 const faultReasons = new Set<RefusalReason>(['no-backend-server', 'key-unavailable', 'not-ready', 'stopping', 'backend-server-failed']);
 
+/** Refusals of a call that may crash backend servers. */
+const suspicionReasons = new Set<RefusalReason>(['quarantined', 'suspected']);
+
 /** Minimum retry delay of a refused call. With a shorter one, refusals would cost more than answers. */
 const minRetryAfterMilliseconds: Milliseconds = 100;
 
@@ -119,6 +122,7 @@
 		call.timers.length = 0;
 		this._calls.delete(call.request.callId);
 		const milliseconds = now - call.arrivedAt;
+		const {fingerprint} = call.request;
 		const isCompleteAnswer = outcome === 'ran' && reason === undefined;
 		this._context.effects.push({
 			type: 'call-ended',
@@ -132,6 +136,7 @@
 				queuedMilliseconds: (call.firstStartedAt ?? now) - call.arrivedAt,
 				...(call.trail === undefined ? {} : {trail: call.trail}),
 				...(call.grounds === undefined ? {} : {grounds: call.grounds}),
+				...(reason !== undefined && suspicionReasons.has(reason) ? {suspicion: {fingerprint, crashes: this._context.poisonRequests.crashCount(fingerprint)}} : {}),
 				isGood: isCompleteAnswer && milliseconds <= objectiveOf(call),
 			},
 		});
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -11,6 +11,7 @@
 	type CallEngineSettings, type EngineContext, type Timer, isTimerLive,
 } from './engine-context.ts';
 import {DemandPlacer} from './demand-placer.ts';
+import {suspectReason} from './suspect-reason.ts';
 import {ProcessEndJudge} from './process-end.ts';
 import {OutlierDetector} from './outlier-detector.ts';
 import {ExpectedTimePlacer} from './placer.ts';
@@ -299,7 +300,7 @@
 		this._calls.set(request.callId, call);
 		call.timers.push(this._context.timers.add(call.deadline, {type: 'deadline', call}));
 		if (this._context.poisonRequests.isQuarantined(request.fingerprint, now)) {
-			this._completion.refuse(call, 'quarantined', now);
+			this._completion.refuse(call, suspectReason(this._context.poisonRequests, call, now), now);
 			return;
 		}
 
@@ -336,7 +337,7 @@
 	private _refuseQuarantined(now: Instant): void {
 		for (const call of this._newlyQuarantined.size === 0 ? [] : [...this._calls.values()]) {
 			if (this._newlyQuarantined.has(call.request.fingerprint) && call.attempts.size === 0 && call.state !== 'claiming') {
-				this._completion.refuse(call, 'quarantined', now);
+				this._completion.refuse(call, suspectReason(this._context.poisonRequests, call, now), now);
 			}
 		}
 
--- a/src/common/calls/call-summary.ts
+++ b/src/common/calls/call-summary.ts
@@ -58,6 +58,8 @@
 	readonly trail?: readonly AttemptRecord[];
 	/** Data behind the latest choice of a backend server; undefined if none was chosen or load probes are not on demand. */
 	readonly grounds?: PlacingGrounds;
+	/** Why the call is suspected of crashing backend servers; undefined unless it was refused for that. */
+	readonly suspicion?: {readonly fingerprint: string; readonly crashes: number};
 	readonly service: string;
 	readonly outcome: CallOutcome;
 	readonly reason: RefusalReason | undefined;
--- a/src/common/calls/poison-request-detector.ts
+++ b/src/common/calls/poison-request-detector.ts
@@ -16,9 +16,15 @@
 /** Number of crashes from which a call runs one at a time on a VM, apart from other calls. */
 const crashesToIsolate = 2;
 
+/** Time after a crash for which such a call does not run: attempts under way elsewhere show meanwhile whether it is harmful. */
+const isolationMilliseconds: Milliseconds = 250;
+
 /** Time after a reset within which the end of the process confirms a crash. A later end may have another cause. */
 const confirmationMilliseconds: Milliseconds = 10_000;
 
+/** Time after which a verdict is final: until then other VMs may report more calls in flight at the same crashes. */
+const settlingMilliseconds: Milliseconds = 300;
+
 /**
  * Resets whose cause is still unknown after which a call is held back, and the time for which each of them counts. Lost
  * packets can delay the proof that a process has ended.
@@ -70,7 +76,7 @@
 	private readonly _answered = new AnsweredCalls();
 	private readonly _crashes = new Map<string, Crash>();
 	private readonly _crashesByFingerprint = new Map<string, Set<string>>();
-	private readonly _quarantined = new Map<string, {readonly crashes: number; readonly expiresAt: Instant}>();
+	private readonly _quarantined = new Map<string, {readonly crashes: number; readonly since: Instant; readonly expiresAt: Instant}>();
 	/** Number of attempts in flight on this VM, by fingerprint. */
 	private readonly _running = new Map<string, number>();
 
@@ -173,9 +179,14 @@
 		return this._crashesByFingerprint.has(fingerprint);
 	}
 
+	/** Number of confirmed crashes at which the call was in flight. */
+	crashCount(fingerprint: string): number {
+		return this._confirmedCrashes(fingerprint).length;
+	}
+
 	/** Whether other calls must keep away from a backend server that runs this one. */
 	isLikelyHarmful(fingerprint: string): boolean {
-		return this._confirmedCrashes(fingerprint).length >= crashesToIsolate;
+		return this.crashCount(fingerprint) >= crashesToIsolate;
 	}
 
 	/** Whether a call must wait until earlier attempts of the same call have shown whether it is harmful. */
@@ -184,8 +195,14 @@
 			return false;
 		}
 
-		const undecided = this._crashesOf(fingerprint).filter(crash => !crash.isConfirmed && now - crash.detectedAt <= undecidedMilliseconds);
-		return undecided.length >= maxUndecidedResets || (this._running.has(fingerprint) && this.isLikelyHarmful(fingerprint));
+		const crashes = this._crashesOf(fingerprint);
+		const undecided = crashes.filter(crash => !crash.isConfirmed && now - crash.detectedAt <= undecidedMilliseconds);
+		if (undecided.length >= maxUndecidedResets) {
+			return true;
+		}
+
+		const isRecent = crashes.some(crash => crash.isConfirmed && now - crash.detectedAt <= isolationMilliseconds);
+		return this.isLikelyHarmful(fingerprint) && (isRecent || this._running.has(fingerprint));
 	}
 
 	/** Counts an attempt in flight. */
@@ -216,6 +233,11 @@
 		return false;
 	}
 
+	/** Whether a quarantine is so recent that the evidence of other VMs may still end it. */
+	isSettling(fingerprint: string, now: Instant): boolean {
+		return now - (this._quarantined.get(fingerprint)?.since ?? -Infinity) < settlingMilliseconds;
+	}
+
 	quarantined(now: Instant): Quarantined[] {
 		return Array.from(this._quarantined, ([fingerprint, {crashes, expiresAt}]) => ({fingerprint, crashes, remainingMilliseconds: expiresAt - now}))
 			.filter(entry => entry.remainingMilliseconds > 0);
@@ -286,7 +308,7 @@
 
 		for (const [fingerprint, crashes] of verdicts) {
 			if (!this._quarantined.has(fingerprint)) {
-				this._quarantined.set(fingerprint, {crashes, expiresAt: now + this._retentionMilliseconds});
+				this._quarantined.set(fingerprint, {crashes, since: now, expiresAt: now + this._retentionMilliseconds});
 				this._listener.onChange({kind: 'quarantined', fingerprint, crashes});
 			}
 		}
--- a/src/common/registry/poison-requests.test.ts
+++ b/src/common/registry/poison-requests.test.ts
@@ -9,6 +9,9 @@
 
 const seeds = [1, 2, 3];
 
+/** Messages that one VM may send because of one such call: a fraction of the frames that a reader sends. */
+const maxMessagesPerVm = 150;
+
 /** Results that break a bound. */
 function violations(results: ReadonlyArray<{readonly seed: number; readonly result: PoisonResult}>): unknown[] {
 	return results.map(({seed, result}) => ({
@@ -69,6 +72,57 @@
 		})).toEqual([]);
 	});
 
+	// Guards against a VM that was cut off, and could not learn of crashes, when the call was quarantined.
+	it('are contained by VMs that were cut off when they came first', () => {
+		expect(play(sixVms, ({fleet}) => {
+			fleet.cutVms.add(fleet.running[0]!.address).add(fleet.running[3]!.address);
+			fleet.timeline.after(3000, () => {
+				fleet.cutVms.clear();
+			});
+		})).toEqual([]);
+	});
+
+	// Guards against containment that only works in small fleets, and against messages that grow with the fleet.
+	for (const vmCount of [134, 311]) {
+		it(`are contained by ${vmCount} VMs with few messages for each`, () => {
+			const model = new PoisonModel({
+				vmCount, serverCount: 100, seed: 1, milliseconds: 6000,
+			});
+			const result = model.run();
+			expect(violations([{seed: 1, result}])).toEqual([]);
+			expect(model.fleet.updateMessages / vmCount).toBeLessThanOrEqual(maxMessagesPerVm);
+		});
+	}
+
+	// Guards against faults that hide the evidence or produce wrong evidence, all at once.
+	it('are contained under kills, resets, restarts and cuts together, and harmless calls are not refused for it', () => {
+		const results = [1, 2, 3, 4, 5, 6, 7, 8].map(seed => {
+			const model = new PoisonModel({
+				...sixVms, seed, harmfulCount: 2, resetChance: 0.03, killIntervalMilliseconds: 2000,
+			});
+			const {fleet} = model;
+			for (let at = 500; at < 12_000; at += 1500) {
+				fleet.timeline.after(at + (fleet.random.next() * 1000), () => {
+					const victim = fleet.running[Math.floor(fleet.random.next() * fleet.running.length)]!;
+					if (fleet.random.next() < 0.5) {
+						victim.kill();
+						fleet.start(fleet.vmIndexOf(victim.address));
+						return;
+					}
+
+					fleet.cutVms.add(victim.address);
+					fleet.timeline.after(700, () => {
+						fleet.cutVms.delete(victim.address);
+					});
+				});
+			}
+
+			const {harmful, harmless} = model.run();
+			return {seed, lateSends: [...harmful.values()].map(({lateSends}) => lateSends), refusedAsHarmful: harmless.refusedAsHarmful};
+		});
+		expect(results.filter(({lateSends, refusedAsHarmful}) => refusedAsHarmful > 0 || lateSends.some(sends => sends > maxLateSends))).toEqual([]);
+	});
+
 	// Guards against convictions of calls that were in flight when backend servers were killed or connections reset.
 	for (const [name, faults] of [['are killed from outside', {killIntervalMilliseconds: 250}], ['reset connections', {resetChance: 0.1}]] as const) {
 		it(`are not assumed to be at fault if backend servers ${name}`, () => {
--- a/src/common/registry/update-exchange.ts
+++ b/src/common/registry/update-exchange.ts
@@ -9,12 +9,17 @@
  * round reaches a fleet of hundreds within four hops. The later ones reach VMs that were frozen or cut off for a moment.
  */
 const rounds: ReadonlyArray<{readonly delayMilliseconds: Milliseconds; readonly targets: number}> = [
-	{delayMilliseconds: 10, targets: 6},
-	{delayMilliseconds: 300, targets: 3},
-	{delayMilliseconds: 1000, targets: 3},
+	{delayMilliseconds: 5, targets: 6},
+	{delayMilliseconds: 500, targets: 3},
 	{delayMilliseconds: 3000, targets: 3},
 ];
 
+/** Minimum time between two messages to the same VMs: many updates at a time share a message. */
+const sendIntervalMilliseconds: Milliseconds = 40;
+
+/** Later rounds of all updates are done together, at multiples of this time. */
+const laterRoundsMilliseconds: Milliseconds = 1000;
+
 /** Time for which crashes are kept for VMs that start later, as long as call engines use them. */
 const crashRetentionMilliseconds: Milliseconds = 600_000;
 
@@ -45,6 +50,7 @@
 	private readonly _random: RandomSource;
 	private readonly _peers: () => readonly PeerAddress[];
 	private readonly _entries = new Map<string, Entry>();
+	private _sentAt: Instant = Number.NEGATIVE_INFINITY;
 
 	constructor(context: RegistryContext, {random, peers}: UpdateExchangeOptions) {
 		this._context = context;
@@ -91,12 +97,16 @@
 
 		const {now} = this._context;
 		this._entries.set(key, {
-			update, madeAt: now - update.ageMilliseconds, round, dueAt: now + (rounds[round]?.delayMilliseconds ?? Infinity),
+			update, madeAt: now - update.ageMilliseconds, round, dueAt: this._dueAt(round),
 		});
 		if (this._entries.size > maxUpdates) {
 			this._entries.delete(this._entries.keys().next().value!);
 		}
 
+		if (update.crash !== undefined) {
+			this._repeatRelated(key, update.suspects);
+		}
+
 		if (update.cleared !== undefined) {
 			this._removeCleared(new Set(update.cleared));
 		}
@@ -104,6 +114,19 @@
 		return true;
 	}
 
+	/**
+	 * Passes on earlier crashes of the same suspects once more: a VM that lets such a call run may have missed them, for
+	 * instance because it was cut off.
+	 */
+	private _repeatRelated(newKey: string, suspects: readonly string[]): void {
+		for (const [key, entry] of this._entries) {
+			if (key !== newKey && entry.round > 1 && entry.update.crash !== undefined && entry.update.suspects.some(fingerprint => suspects.includes(fingerprint))) {
+				entry.round = 1;
+				entry.dueAt = this._dueAt(1);
+			}
+		}
+	}
+
 	/** Crashes whose suspects are all cleared are of no use to VMs that start later. */
 	private _removeCleared(cleared: ReadonlySet<string>): void {
 		for (const [key, {update}] of this._entries) {
@@ -128,9 +151,10 @@
 		const targets = Math.max(0, ...due.map(({round}) => rounds[round]!.targets));
 		for (const entry of due) {
 			entry.round++;
-			entry.dueAt = this._context.now + (rounds[entry.round]?.delayMilliseconds ?? Infinity);
+			entry.dueAt = this._dueAt(entry.round);
 		}
 
+		this._sentAt = this._context.now;
 		const to = this._sample(targets);
 		if (to.length > 0 && due.length > 0) {
 			this._context.emit({type: 'send-updates', to, updates: due.map(entry => this._aged(entry))});
@@ -139,6 +163,11 @@
 		this._schedule();
 	}
 
+	private _dueAt(round: number): Instant {
+		const at = this._context.now + (rounds[round]?.delayMilliseconds ?? Infinity);
+		return round === 0 ? Math.max(at, this._sentAt + sendIntervalMilliseconds) : Math.ceil(at / laterRoundsMilliseconds) * laterRoundsMilliseconds;
+	}
+
 	private _sample(count: number): PeerAddress[] {
 		const left = [...this._peers()];
 		const chosen: PeerAddress[] = [];
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -181,7 +181,10 @@
 				break;
 			}
 
-			default:
+			case 'cut-off': {
+				// A store-led fleet serves with the configuration it has.
+				break;
+			}
 		}
 	}
 
@@ -224,7 +227,7 @@
 			return;
 		}
 
-		const {service, outcome, reason, attempts, milliseconds, queuedMilliseconds, grounds, trail = []} = summary;
+		const {service, outcome, reason, attempts, milliseconds, queuedMilliseconds, grounds, suspicion, trail = []} = summary;
 		logger.info('call ended', {
 			traceId,
 			service,
@@ -235,6 +238,7 @@
 			queuedMilliseconds: Math.round(queuedMilliseconds),
 			trail: trail.map(record => describeAttempt(record)).join('; '),
 			...(reason === undefined ? {} : {grounds: describeGrounds(grounds)}),
+			...suspicion,
 			...(leftOut === 0 ? {} : {leftOut}),
 		});
 	}
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -36,6 +36,7 @@
 import {PageMetrics} from '../node/metrics/page-metrics.ts';
 import {EntryDaemon} from './entry-daemon.ts';
 import {newIdentity, type Hashes} from './identity.ts';
+import {quarantinePages} from './quarantine-pages.ts';
 
 /** A connection opens within about 1 ms, or 3 ms to another data centre. One that hangs until this timeout costs a tenth of a call's time. */
 const connectMilliseconds = 300;
@@ -141,7 +142,13 @@
 		const {addresses, keepForMilliseconds} = fleet.addresses(service, dataCentre);
 		return {addresses: addresses.map(({address}) => address), keepForMilliseconds};
 	})), pageIdleTimeoutMilliseconds));
-	const metricsServer = owned.add(new PageServer(async url => url === metricsPath ? metricsPage(metrics) : undefined, pageIdleTimeoutMilliseconds));
+	const metricsServer = owned.add(new PageServer(quarantinePages({
+		entries: () => calls.status(clock.now()).quarantined,
+		lift(fingerprint) {
+			logger.info('quarantine lifted by an operator', {fingerprint});
+			loop.feed({type: 'quarantine-lifted', fingerprint});
+		},
+	}, async url => url === metricsPath ? metricsPage(metrics) : undefined), pageIdleTimeoutMilliseconds));
 	loop.setExecutor(effect => {
 		if (isCallEffect(effect)) {
 			callEffectExecutor.execute(effect);
--- a/src/node/front/page-server.ts
+++ b/src/node/front/page-server.ts
@@ -19,9 +19,12 @@
 	readonly body?: string;
 };
 
-/** Returns the page for a GET request; undefined results in 404. */
+/** Returns the page for a request; undefined results in 404. */
 export type PageHandler = (url: string) => Page | undefined | Promise<Page | undefined>;
 
+/** Handlers by method; other methods result in 404. */
+export type PageHandlers = {readonly get: PageHandler; readonly delete?: PageHandler};
+
 /**
  * Serves small pages directly on node:http. Three fixed paths need no router, and the directory receives about as many
  * requests as there are calls.
@@ -31,11 +34,11 @@
 	private readonly _maxCloseMilliseconds: Milliseconds;
 
 	/** `maxCloseMilliseconds`: maximum time that `end` waits for pages in progress. */
-	constructor(handler: PageHandler, idleMilliseconds: number, maxCloseMilliseconds: Milliseconds = defaultMaxCloseMilliseconds) {
+	constructor(handlers: PageHandler | PageHandlers, idleMilliseconds: number, maxCloseMilliseconds: Milliseconds = defaultMaxCloseMilliseconds) {
 		super();
 		this._maxCloseMilliseconds = maxCloseMilliseconds;
 		this._server = this._register(new GracefulServer({keepAliveTimeout: idleMilliseconds, noDelay: true}, (incoming, outgoing) => {
-			void respond(handler, incoming, outgoing);
+			void respond(typeof handlers === 'function' ? {get: handlers} : handlers, incoming, outgoing);
 		}));
 	}
 
@@ -54,9 +57,11 @@
 	}
 }
 
-async function respond(handler: PageHandler, incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+async function respond(handlers: PageHandlers, incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
 	incoming.resume();
-	const result = incoming.method === 'GET' ? handler(incoming.url ?? '') : undefined;
+	const handler = incoming.method === 'DELETE' ? handlers.delete : handlers.get;
+	const isKnownMethod = incoming.method === 'GET' || incoming.method === 'DELETE';
+	const result = isKnownMethod ? handler?.(incoming.url ?? '') : undefined;
 	const page = result instanceof Promise ? await result : result;
 	const body = page?.body ?? '';
 	outgoing.writeHead(page?.status ?? 404, {
