Bound what updates between VMs cost: fewer and shared messages, kept connections

A message on a connection of its own costs a VM of half a core a few milliseconds. Now at most one round of four messages in 100 ms, clearings of calls with one crash wait for the next common round, and connections are kept for 3 s. An answer with a server error clears no call.

--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -274,7 +274,10 @@
 		call.class.addHold(now - attempt.startedAt);
 		call.serviceState.classes.all.addHold(now - attempt.startedAt);
 		this.remove(attempt);
-		this._context.poisonRequests.recordAnswer(call.request.fingerprint, now);
+		if ((call.forwardedAnswer?.status ?? 0) < minServerErrorStatus) {
+			this._context.poisonRequests.recordAnswer(call.request.fingerprint, now);
+		}
+
 		this._getEndings().end(call, outcomeSoFar(call), undefined, now);
 	}
 
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -71,9 +71,9 @@
 						identity: server, suspects, crash, isCrashCertain: true,
 					});
 				},
-				onCleared: fingerprint => {
+				onCleared: (fingerprint, isUrgent) => {
 					this._tellPeers({
-						identity: clearingIdentity, suspects: [], crash: undefined, cleared: [fingerprint],
+						identity: clearingIdentity, suspects: [], crash: undefined, cleared: [fingerprint], isUrgent,
 					});
 				},
 			}),
--- a/src/common/calls/poison-request-detector.test.ts
+++ b/src/common/calls/poison-request-detector.test.ts
@@ -24,6 +24,7 @@
 	 * process reports.
 	 */
 	crash(identity: string, fingerprints: readonly string[], incarnation: number): void {
+		this.passTime(500);
 		for (const [index, fingerprint] of fingerprints.entries()) {
 			const vm = this.vms[index % this.vms.length]!;
 			this._report(vm, identity, incarnation);
@@ -36,6 +37,12 @@
 		}
 	}
 
+	passTime(milliseconds: number): void {
+		for (const vm of this.vms) {
+			vm.now += milliseconds;
+		}
+	}
+
 	sendUpdates(from: EngineDriver, effects: readonly CallEffect[]): void {
 		const updates = updatesIn(effects);
 		for (const vm of this.vms) {
@@ -88,13 +95,12 @@
 		expect(fleet.vms.map((_, index) => fleet.quarantinedAt(index))).toEqual([[], [], [], []]);
 		fleet.crash('identity-2', ['innocent-5', 'innocent-6', 'killer'], 1);
 		expect(fleet.vms.map((_, index) => fleet.quarantinedAt(index))).toEqual([['killer'], ['killer'], ['killer'], ['killer']]);
-		const refusalAt = (now: number) => {
-			const vm = fleet.vms[3]!;
-			vm.now = now;
-			return linesOf(vm.handle({type: 'call-arrived', request: requestOf(9000 + now, {fingerprint: 'killer'})}));
+		const refusalAfter = (milliseconds: number) => {
+			fleet.passTime(milliseconds);
+			return linesOf(fleet.vms[3]!.handle({type: 'call-arrived', request: requestOf(9000 + milliseconds, {fingerprint: 'killer'})}));
 		};
 
-		expect([refusalAt(0), refusalAt(1000)]).toEqual([['refuse suspected not-run 503', 'call-ended'], ['refuse quarantined not-run 400', 'call-ended']]);
+		expect([refusalAfter(0), refusalAfter(1000)]).toEqual([['refuse suspected not-run 503', 'call-ended'], ['refuse quarantined not-run 400', 'call-ended']]);
 	});
 
 	// Guards against a harmless call that is in flight at the same crashes: with two calls in common, neither is quarantined.
@@ -104,6 +110,7 @@
 		fleet.crash('identity-4', ['schedule', 'killer'], 1);
 		fleet.crash('identity-2', ['killer', 'schedule'], 1);
 		expect([fleet.quarantinedAt(0), fleet.quarantinedAt(1)]).toEqual([[], []]);
+		fleet.passTime(500);
 		const vm = fleet.vms[0]!;
 		const start = vm.start(requestOf(9000, {fingerprint: 'schedule'}))!;
 		vm.sent(start.attemptId);
--- a/src/common/calls/poison-request-detector.ts
+++ b/src/common/calls/poison-request-detector.ts
@@ -58,8 +58,8 @@
 	onChange(change: PoisonRequestChange): void;
 	/** This VM has seen calls in flight at a confirmed crash; all VMs must know. */
 	onCrashEvidence(evidence: CrashEvidence): void;
-	/** A suspect was answered through this VM, or an operator lifted its quarantine here; all VMs must know. */
-	onCleared(fingerprint: string): void;
+	/** A suspect was answered through this VM, or an operator lifted its quarantine here; all VMs must know, soon if it is close to a quarantine. */
+	onCleared(fingerprint: string, isUrgent: boolean): void;
 };
 
 /**
@@ -135,7 +135,7 @@
 		const unanswered = suspects.filter(fingerprint => {
 			const isCleared = this._answered.clears(fingerprint, detectedAt);
 			if (isCleared) {
-				this._listener.onCleared(fingerprint);
+				this._listener.onCleared(fingerprint, false);
 			}
 
 			return !isCleared;
@@ -156,8 +156,9 @@
 	recordAnswer(fingerprint: string, now: Instant): void {
 		this._answered.add(fingerprint, now);
 		if (this.isSuspect(fingerprint)) {
+			const isUrgent = this.isLikelyHarmful(fingerprint);
 			this._clear(fingerprint, now, 'answer');
-			this._listener.onCleared(fingerprint);
+			this._listener.onCleared(fingerprint, isUrgent);
 		}
 	}
 
@@ -171,7 +172,7 @@
 	liftQuarantine(fingerprint: string, now: Instant): void {
 		if (this.isSuspect(fingerprint)) {
 			this._clear(fingerprint, now, 'operator');
-			this._listener.onCleared(fingerprint);
+			this._listener.onCleared(fingerprint, true);
 		}
 	}
 
--- a/src/common/registry/update-exchange.ts
+++ b/src/common/registry/update-exchange.ts
@@ -9,13 +9,16 @@
  * round reaches a fleet of hundreds within four hops. The later ones reach VMs that were frozen or cut off for a moment.
  */
 const rounds: ReadonlyArray<{readonly delayMilliseconds: Milliseconds; readonly targets: number}> = [
-	{delayMilliseconds: 5, targets: 6},
+	{delayMilliseconds: 5, targets: 4},
 	{delayMilliseconds: 500, targets: 3},
 	{delayMilliseconds: 3000, targets: 3},
 ];
 
-/** Minimum time between two messages to the same VMs: many updates at a time share a message. */
-const sendIntervalMilliseconds: Milliseconds = 40;
+/**
+ * Minimum time between two first rounds. Updates come in bursts when backend servers crash, and a message for each would keep
+ * a small VM from its calls.
+ */
+const sendIntervalMilliseconds: Milliseconds = 100;
 
 /** Later rounds of all updates are done together, at multiples of this time. */
 const laterRoundsMilliseconds: Milliseconds = 1000;
@@ -66,13 +69,14 @@
 
 	/** Adds an update of this VM's call engine. */
 	addOwn(update: LoadUpdate): void {
-		this._add(update, 0);
+		this._add(update, update.isUrgent === false ? 1 : 0);
 		this._schedule();
 	}
 
 	/** Adds updates from another VM and passes on the new ones. */
 	addReceived(updates: readonly LoadUpdate[]): void {
-		this._addNew(updates, 0);
+		this._addNew(updates.filter(({isUrgent}) => isUrgent !== false), 0);
+		this._addNew(updates.filter(({isUrgent}) => isUrgent === false), 1);
 		this._schedule();
 	}
 
--- a/src/daemon/poison-request-log.ts
+++ b/src/daemon/poison-request-log.ts
@@ -1,11 +1,20 @@
 /** Logs and counts changes of what this VM knows of calls that crash backend servers. */
-import {type CallEffect} from '../common/calls/types.ts';
+import {type CallEffect, type PoisonRequestChange} from '../common/calls/types.ts';
 import {type Logger} from '../node/logging/types.ts';
 import {type Metrics} from '../node/metrics/types.ts';
 
 /** Fingerprints listed in one log line. */
 const maxListedSuspects = 8;
 
+/** Most suspects of one crash are cleared by their next answer, which needs no line at the usual level. */
+function clearingLevel({wasQuarantined, crashes}: PoisonRequestChange & {kind: 'cleared'}): 'warn' | 'info' | 'debug' {
+	if (wasQuarantined) {
+		return 'warn';
+	}
+
+	return crashes > 1 ? 'info' : 'debug';
+}
+
 export function reportPoisonRequestChange({change, quarantined}: CallEffect & {type: 'poison-request-changed'}, logger: Logger, metrics: Metrics): void {
 	metrics.poisonRequests(change.kind, quarantined);
 	switch (change.kind) {
@@ -25,7 +34,7 @@
 
 		case 'cleared': {
 			const {fingerprint, crashes, wasQuarantined, cause} = change;
-			logger[wasQuarantined ? 'warn' : 'info'](wasQuarantined ? 'quarantine ended' : 'call no longer suspected of crashes', {
+			logger[clearingLevel(change)](wasQuarantined ? 'quarantine ended' : 'call no longer suspected of crashes', {
 				fingerprint, crashes, cause, quarantined,
 			});
 			break;
--- a/src/node/fleet/feed-server.ts
+++ b/src/node/fleet/feed-server.ts
@@ -104,7 +104,7 @@
 		});
 		incoming.on('end', () => {
 			const updates = decodeUpdates(Buffer.concat(chunks).toString());
-			outgoing.writeHead(updates.isOk() ? statusReceived : statusInvalid, {connection: 'close'}).end();
+			outgoing.writeHead(updates.isOk() ? statusReceived : statusInvalid).end();
 			this._metrics.peerTraffic('in', 1, length);
 			if (updates.isOk()) {
 				this._sink.feed({type: 'updates-received', updates: updates.value});
--- a/src/node/fleet/update-client.ts
+++ b/src/node/fleet/update-client.ts
@@ -2,7 +2,7 @@
 import {Client, type Dispatcher} from 'undici';
 import {type LoadUpdate} from '../../common/calls/types.ts';
 import {type PeerAddress} from '../../common/fleet/types.ts';
-import {Disposable, DisposableStore, toDisposable} from '../../common/lifecycle/disposable.ts';
+import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 import {type Logger} from '../logging/types.ts';
 import {type Metrics} from '../metrics/types.ts';
@@ -14,6 +14,12 @@
 /** Time after which an unfinished message is given up. */
 const maxSendMilliseconds: Milliseconds = 1000;
 
+/** Idle time after which a connection is closed. */
+const keepAliveMilliseconds: Milliseconds = 3000;
+
+/** VMs to which this VM keeps clients. */
+const maxClients = 32;
+
 const maxSuccessStatus = 299;
 
 /** undici dispatch handler of one message; the bundle contains no higher-level API of undici. */
@@ -50,12 +56,19 @@
 export class UpdateClient extends Disposable {
 	private readonly _logger: Logger;
 	private readonly _metrics: Metrics;
-	private readonly _active = this._register(new DisposableStore());
+	private readonly _clients = new Map<PeerAddress, Client>();
 
 	constructor(logger: Logger, metrics: Metrics) {
 		super();
 		this._logger = logger;
 		this._metrics = metrics;
+		this._register(toDisposable(() => {
+			for (const client of this._clients.values()) {
+				void client.destroy();
+			}
+
+			this._clients.clear();
+		}));
 	}
 
 	send(to: readonly PeerAddress[], updates: readonly LoadUpdate[]): void {
@@ -67,22 +80,33 @@
 	}
 
 	private _sendTo(address: PeerAddress, body: string): void {
-		const client = new Client(`http://${address}`, {connect: {timeout: connectTimeoutMilliseconds}, allowH2: false});
-		const ending = this._active.add(toDisposable(() => {
-			clearTimeout(timer);
-			void client.destroy();
-		}));
-		const timer = setTimeout(() => {
-			this._active.delete(ending);
-		}, maxSendMilliseconds);
+		const client = this._clientOf(address);
 		client.dispatch({
 			method: 'POST', path: updatesPath, body, headers: ['content-type', 'application/json'],
 		}, new SendHandler(problem => {
 			if (problem !== undefined) {
 				this._logger.debug('updates were not delivered to a VM', {address, problem});
 			}
-
-			this._active.delete(ending);
 		}));
 	}
+
+	/** Keeps connections open for a while, since updates come in bursts. */
+	private _clientOf(address: PeerAddress): Client {
+		const existing = this._clients.get(address);
+		if (existing !== undefined) {
+			return existing;
+		}
+
+		const [oldest] = this._clients;
+		if (oldest !== undefined && this._clients.size >= maxClients) {
+			this._clients.delete(oldest[0]);
+			void oldest[1].close();
+		}
+
+		const client = new Client(`http://${address}`, {
+			connect: {timeout: connectTimeoutMilliseconds}, headersTimeout: maxSendMilliseconds, bodyTimeout: maxSendMilliseconds, keepAliveTimeout: keepAliveMilliseconds, allowH2: false,
+		});
+		this._clients.set(address, client);
+		return client;
+	}
 }
