--- /dev/null
+++ b/src/node/fleet/update-codec.test.ts
@@ -0,0 +1,46 @@
+import {expect} from 'earl';
+import {type LoadUpdate} from '../../common/calls/types.ts';
+import {decodeFrame, encodeFrame} from './feed-frame.ts';
+import {decodeUpdates, encodeUpdates} from './update-codec.ts';
+
+const updates: LoadUpdate[] = [
+	{
+		identity: 'i-1', report: undefined, ageMilliseconds: 12, suspects: ['a', 'b'], crash: 'i-1@5', isCrashCertain: true,
+	},
+	{
+		identity: 'none', report: undefined, ageMilliseconds: 0, suspects: [], crash: undefined, cleared: ['a'], isUrgent: false,
+	},
+	{
+		identity: 'i-2', report: {
+			inFlight: 1, queued: 0, slots: 6, instance: undefined, isLeaving: true,
+		}, ageMilliseconds: 3, suspects: [], crash: undefined,
+	},
+];
+
+describe('updates between VMs', () => {
+	// Guards against a field that is lost on the wire, so that other VMs lack evidence.
+	it('arrive with all their fields, in messages and in the first frame of a feed', () => {
+		const frame = encodeFrame({
+			revision: 1, ageMilliseconds: 0, entries: [], deleted: [], isWhole: true, updates,
+		});
+		expect(encodeUpdates(decodeUpdates(encodeUpdates(updates))._unsafeUnwrap())).toEqual(encodeUpdates(updates));
+		expect(encodeUpdates(decodeFrame(frame.trim())._unsafeUnwrap().updates ?? [])).toEqual(encodeUpdates(updates));
+	});
+
+	// Guards against a VM that accepts what it cannot read, or stops on it.
+	it('are rejected as a whole if one is invalid, but may have fields of later builds', () => {
+		const [first] = updates;
+		const later = JSON.stringify([{...first, somethingNew: 1}]);
+		const verdicts = ['', '{}', '[{"identity":""}]', JSON.stringify([{...first, suspects: [1]}]), later].map(text => decodeUpdates(text).isOk());
+		expect(verdicts).toEqual([false, false, false, false, true]);
+	});
+
+	// Guards against frames that earlier builds reject, and against a frame of theirs that is rejected here.
+	it('leave frames without crashes as they were', () => {
+		const frame = encodeFrame({
+			revision: 1, ageMilliseconds: 0, entries: [], deleted: [], isWhole: true, updates: [],
+		});
+		expect(frame.includes('updates')).toEqual(false);
+		expect(decodeFrame(frame.trim())._unsafeUnwrap().updates).toEqual(undefined);
+	});
+});
--- a/src/proof/guards/guards.ts
+++ b/src/proof/guards/guards.ts
@@ -115,7 +115,7 @@
 		name: 'a call that has crashed backend servers is sent again',
 		file: `${calls}/call-engine.ts`,
 		text: 'this._context.poisonRequests.isQuarantined(request.fingerprint, now)',
-		replacement: 'this._context.suspects.isQuarantined(\'\', now)',
+		replacement: 'this._context.poisonRequests.isQuarantined(\'\', now)',
 		tests: callTests,
 	},
 	{
