Suspect a call of any caller as well, unless it was answered to one of them

Now a call is suspected under two keys, with and without the caller. Callers that were answered clear the common key, so that only the harmful caller's is left; a call that was answered to nobody is quarantined for all.

--- a/src/common/calls/poison-request-detector.test.ts
+++ b/src/common/calls/poison-request-detector.test.ts
@@ -172,6 +172,27 @@
 		expect(other.identity === suspect.identity).toEqual(false);
 	});
 
+	// Guards against a caller with several addresses, which would need three crashes for each.
+	it('quarantines a call for all callers if it came from several and was answered to none', () => {
+		const suspects = detectorOf(100_000);
+		for (const caller of [1, 2, 3]) {
+			suspects.applyPeerCrash({crash: `crash-${caller}`, server: 'server', suspects: [`call.${caller}`, `other-${caller}.7`]}, caller, caller);
+		}
+
+		expect([suspects.isQuarantined('call.9', 5), suspects.isQuarantined('other-1.7', 5)]).toEqual([true, false]);
+	});
+
+	// Guards against a harmless call that is refused, or clears the harmful one, since another caller sends the same.
+	it('tells callers apart once the same call of another caller was answered', () => {
+		const suspects = detectorOf(100_000);
+		suspects.applyPeerCrash({crash: 'crash-1', server: 'server', suspects: ['call.harmful']}, 1, 1);
+		suspects.recordAnswer('call.harmless', 1500);
+		suspects.applyPeerCrash({crash: 'crash-2', server: 'server', suspects: ['call.harmful']}, 3000, 3000);
+		suspects.recordAnswer('call.harmless', 4500);
+		suspects.applyPeerCrash({crash: 'crash-3', server: 'server', suspects: ['call.harmful']}, 6000, 6000);
+		expect([suspects.isQuarantined('call.harmful', 6500), suspects.isQuarantined('call.harmless', 6500)]).toEqual([true, false]);
+	});
+
 	// Guards against a reset that counts as a crash although the backend server goes on.
 	it('forgets a reset once its backend server responds to something sent later', () => {
 		const suspects = detectorOf(1000);
--- a/src/common/calls/poison-request-detector.ts
+++ b/src/common/calls/poison-request-detector.ts
@@ -1,14 +1,15 @@
 /** Identifies calls that crash backend servers by the crashes that they have in common, and quarantines them. */
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {AnsweredCalls} from './answered-calls.ts';
+import {isOfAnyCaller, keysOf} from './fingerprint-keys.ts';
 import {findHarmful} from './poison-verdicts.ts';
 import {type BackendServerIdentity, type PoisonRequestChange, type ProcessEndSign} from './types.ts';
 
 /** Maximum number of stored crashes. Bounded, since callers determine the fingerprints. */
 const maxCrashes = 256;
 
-/** Maximum number of suspects stored for one crash; a backend server runs only a few calls at once. */
-const maxSuspectsPerCrash = 64;
+/** Maximum number of keys stored for one crash; a backend server runs only a few calls at once, with two keys each. */
+const maxKeysPerCrash = 64;
 
 /** Number of distinct crashes before a call is quarantined. A harmless call is hardly ever in flight at three crashes in a row. */
 const crashesToQuarantine = 3;
@@ -34,6 +35,7 @@
 
 type Crash = {
 	readonly server: BackendServerIdentity;
+	/** Keys of the calls that were in flight. */
 	readonly suspects: Set<string>;
 	/** True once the end of the process is certain. */
 	isConfirmed: boolean;
@@ -68,7 +70,8 @@
  * ones and withdraw them when the evidence changes.
  * A fingerprint is quarantined if it was in flight at three confirmed crashes that no other call explains, and has not been
  * answered. A frequent harmless call is soon cleared by an answer. A rare one is not in flight at three crashes of the
- * harmful call, since a suspect is never placed beside another one.
+ * harmful call, since a suspect is never placed beside another one. The same call of several callers is quarantined for all
+ * callers if it was answered to none of them.
  */
 export class PoisonRequestDetector {
 	private readonly _retentionMilliseconds: Milliseconds;
@@ -85,7 +88,7 @@
 		this._listener = listener;
 	}
 
-	/** Number of suspect fingerprints. */
+	/** Number of suspect keys. */
 	get size(): number {
 		return this._crashesByFingerprint.size;
 	}
@@ -154,35 +157,37 @@
 
 	/** A call was answered through this VM, which proves that it is harmless. */
 	recordAnswer(fingerprint: string, now: Instant): void {
-		this._answered.add(fingerprint, now);
-		if (this.isSuspect(fingerprint)) {
-			const isUrgent = this.isLikelyHarmful(fingerprint);
-			this._clear(fingerprint, now, 'answer');
+		const isSuspect = this.isSuspect(fingerprint);
+		const isUrgent = isSuspect && this.isLikelyHarmful(fingerprint);
+		this._applyAnswer(fingerprint, {answeredAt: now, cause: 'answer'}, now);
+		if (isSuspect) {
 			this._listener.onCleared(fingerprint, isUrgent);
 		}
 	}
 
 	/** A call was answered through another VM, or its quarantine was lifted there. */
 	applyPeerClearing(fingerprint: string, clearedAt: Instant, now: Instant): void {
-		this._answered.add(fingerprint, clearedAt);
-		this._clear(fingerprint, now, 'peer');
+		this._applyAnswer(fingerprint, {answeredAt: clearedAt, cause: 'peer'}, now);
 	}
 
-	/** Ends the quarantine of a call at the request of an operator. */
+	/** Ends the quarantine of a call, or of a call of any caller, at the request of an operator. */
 	liftQuarantine(fingerprint: string, now: Instant): void {
 		if (this.isSuspect(fingerprint)) {
-			this._clear(fingerprint, now, 'operator');
+			for (const key of keysOf(fingerprint)) {
+				this._clear(key, now, 'operator');
+			}
+
 			this._listener.onCleared(fingerprint, true);
 		}
 	}
 
 	isSuspect(fingerprint: string): boolean {
-		return this._crashesByFingerprint.has(fingerprint);
+		return keysOf(fingerprint).some(key => this._crashesByFingerprint.has(key));
 	}
 
 	/** Number of confirmed crashes at which the call was in flight. */
 	crashCount(fingerprint: string): number {
-		return this._confirmedCrashes(fingerprint).length;
+		return this._crashesOf(fingerprint).filter(({isConfirmed}) => isConfirmed).length;
 	}
 
 	/** Whether other calls must keep away from a backend server that runs this one. */
@@ -221,22 +226,21 @@
 	}
 
 	isQuarantined(fingerprint: string, now: Instant): boolean {
-		const entry = this._quarantined.get(fingerprint);
-		if (entry === undefined) {
-			return false;
-		}
+		for (const key of keysOf(fingerprint)) {
+			const entry = this._quarantined.get(key);
+			if (entry !== undefined && entry.expiresAt > now) {
+				return true;
+			}
 
-		if (entry.expiresAt > now) {
-			return true;
+			this._quarantined.delete(key);
 		}
 
-		this._quarantined.delete(fingerprint);
 		return false;
 	}
 
 	/** Whether a quarantine is so recent that the evidence of other VMs may still end it. */
 	isSettling(fingerprint: string, now: Instant): boolean {
-		return now - (this._quarantined.get(fingerprint)?.since ?? -Infinity) < settlingMilliseconds;
+		return keysOf(fingerprint).every(key => now - (this._quarantined.get(key)?.since ?? now) < settlingMilliseconds);
 	}
 
 	quarantined(now: Instant): Quarantined[] {
@@ -246,7 +250,7 @@
 
 	private _confirm(crashIdentity: string, crash: Crash, sign: ProcessEndSign | 'peer'): void {
 		crash.isConfirmed = true;
-		const suspects = [...crash.suspects];
+		const suspects = [...crash.suspects].filter(key => !isOfAnyCaller(key));
 		this._listener.onChange({
 			kind: 'crash', crash: crashIdentity, suspects, sign,
 		});
@@ -257,33 +261,45 @@
 
 	/** Returns true if the fingerprint is new for this crash. */
 	private _addSuspect(crashIdentity: string, crash: Crash, fingerprint: string): boolean {
-		if (crash.suspects.has(fingerprint) || crash.suspects.size >= maxSuspectsPerCrash) {
+		if (crash.suspects.has(fingerprint) || crash.suspects.size >= maxKeysPerCrash) {
 			return false;
 		}
 
-		crash.suspects.add(fingerprint);
-		const crashes = this._crashesByFingerprint.get(fingerprint) ?? new Set();
-		crashes.add(crashIdentity);
-		this._crashesByFingerprint.set(fingerprint, crashes);
+		for (const key of keysOf(fingerprint)) {
+			if (!this._answered.clears(key, crash.detectedAt)) {
+				crash.suspects.add(key);
+				const crashes = this._crashesByFingerprint.get(key) ?? new Set();
+				crashes.add(crashIdentity);
+				this._crashesByFingerprint.set(key, crashes);
+			}
+		}
+
 		return true;
 	}
 
-	private _clear(fingerprint: string, now: Instant, cause: 'answer' | 'operator' | 'peer'): void {
-		const identities = this._crashesByFingerprint.get(fingerprint);
+	private _applyAnswer(fingerprint: string, {answeredAt, cause}: {readonly answeredAt: Instant; readonly cause: 'answer' | 'peer'}, now: Instant): void {
+		for (const key of keysOf(fingerprint)) {
+			this._answered.add(key, answeredAt);
+			this._clear(key, now, cause);
+		}
+	}
+
+	private _clear(key: string, now: Instant, cause: 'answer' | 'operator' | 'peer'): void {
+		const identities = this._crashesByFingerprint.get(key);
 		if (identities === undefined) {
 			return;
 		}
 
-		const crashes = this._crashesOf(fingerprint);
-		const wasQuarantined = this._quarantined.delete(fingerprint);
-		this._crashesByFingerprint.delete(fingerprint);
+		const crashes = Array.from(identities, identity => this._crashes.get(identity)!);
+		const wasQuarantined = this._quarantined.delete(key);
+		this._crashesByFingerprint.delete(key);
 		for (const crash of crashes) {
-			crash.suspects.delete(fingerprint);
+			crash.suspects.delete(key);
 		}
 
 		if (crashes.some(({isConfirmed}) => isConfirmed)) {
 			this._listener.onChange({
-				kind: 'cleared', fingerprint, crashes: crashes.length, wasQuarantined, cause,
+				kind: 'cleared', fingerprint: key, crashes: crashes.length, wasQuarantined, cause,
 			});
 		}
 
@@ -315,12 +331,10 @@
 		}
 	}
 
+	/** Crashes of the call, also by other callers. */
 	private _crashesOf(fingerprint: string): Crash[] {
-		return Array.from(this._crashesByFingerprint.get(fingerprint) ?? [], identity => this._crashes.get(identity)!);
-	}
-
-	private _confirmedCrashes(fingerprint: string): Crash[] {
-		return this._crashesOf(fingerprint).filter(({isConfirmed}) => isConfirmed);
+		const identities = new Set(keysOf(fingerprint).flatMap(key => [...this._crashesByFingerprint.get(key) ?? []]));
+		return Array.from(identities, identity => this._crashes.get(identity)!);
 	}
 
 	private _getOrCreateCrash(identity: string, server: BackendServerIdentity, now: Instant, detectedAt = now): Crash {
--- a/src/common/calls/poison-verdicts.ts
+++ b/src/common/calls/poison-verdicts.ts
@@ -1,12 +1,15 @@
 /** Decides which calls crash backend servers, from the calls that were in flight at each crash. */
 
-/** Result: each harmful fingerprint with the number of its crashes. */
+import {isOfAnyCaller} from './fingerprint-keys.ts';
+
+/** Result: each harmful key with the number of its crashes. */
 export type Verdicts = ReadonlyMap<string, number>;
 
 /**
  * Finds the fewest calls that explain the crashes: the call that was in flight at most of them is at fault, its crashes
  * say nothing about other calls, and so on, down to `minCrashes`. Two calls that were in flight at the same crashes cannot
- * be told apart, and neither is at fault until another crash decides. The result does not depend on the order of the
+ * be told apart, and neither is at fault until another crash decides; of a call of one caller and the same call of any caller
+ * it is the former. The result does not depend on the order of the
  * crashes or of their suspects, so that VMs with the same evidence agree.
  */
 export function findHarmful(crashes: ReadonlyArray<ReadonlySet<string>>, minCrashes: number): Verdicts {
@@ -21,13 +24,15 @@
 
 		const own = unexplained.filter(suspects => suspects.has(worst.fingerprint));
 		const alike = [...own[0]!].filter(fingerprint => !undecidable.has(fingerprint) && own.every(suspects => suspects.has(fingerprint)));
-		if (alike.length > 1) {
+		const specific = alike.filter(key => !isOfAnyCaller(key));
+		const [harmful = worst.fingerprint] = specific;
+		if (specific.length > 1 || (specific.length === 0 && alike.length > 1)) {
 			for (const fingerprint of alike) {
 				undecidable.add(fingerprint);
 			}
 		} else {
-			verdicts.set(worst.fingerprint, worst.count);
-			unexplained = unexplained.filter(suspects => !suspects.has(worst.fingerprint));
+			verdicts.set(harmful, worst.count);
+			unexplained = unexplained.filter(suspects => !suspects.has(harmful));
 		}
 	}
 }
--- a/src/common/registry/poison-harness.test.ts
+++ b/src/common/registry/poison-harness.test.ts
@@ -37,6 +37,8 @@
 	readonly seed: number;
 	/** Number of different calls that crash each backend server that runs them. */
 	readonly harmfulCount?: number;
+	/** Number of callers of each harmful call, by address. */
+	readonly harmfulCallers?: number;
 	/** The calls of all callers must not run twice. */
 	readonly areOrders?: boolean;
 	/** The callers of harmful calls send them to one VM only. */
@@ -125,7 +127,7 @@
 		for (let at = 0; at < milliseconds; at += harmfulIntervalMilliseconds) {
 			for (let harmful = 0; harmful < harmfulCount; harmful++) {
 				timeline.after(at + (this._random.next() * harmfulIntervalMilliseconds), () => {
-					this.send(`harmful-${harmful}`, true);
+					this.send(`harmful-${harmful}.${Math.floor(this._random.next() * (this._options.harmfulCallers ?? 1))}`, true);
 				});
 			}
 		}
@@ -134,7 +136,7 @@
 		for (let at = 0; at < milliseconds; at += harmlessIntervalMilliseconds) {
 			sent++;
 			// Half of them are calls of their own, the others come again and again.
-			const name = sent % 2 === 0 ? `harmless-${sent}` : `harmless-often-${sent % 20}`;
+			const name = sent % 2 === 0 ? `harmless-${sent}.${sent % 7}` : `harmless-often-${sent % 20}.${sent % 3}`;
 			timeline.after(at, () => {
 				this.result.harmless.sent++;
 				this.send(name, false);
@@ -367,8 +369,9 @@
 		}
 
 		const records = this.result.harmful;
-		const record = records.get(fingerprint) ?? {crashes: 0, thirdCrashAt: undefined, lateSends: 0};
-		records.set(fingerprint, record);
+		const [name = ''] = fingerprint.split('.');
+		const record = records.get(name) ?? {crashes: 0, thirdCrashAt: undefined, lateSends: 0};
+		records.set(name, record);
 		return record;
 	}
 }
--- a/src/common/registry/poison-requests.test.ts
+++ b/src/common/registry/poison-requests.test.ts
@@ -54,6 +54,11 @@
 		expect(play({...sixVms, harmfulCount: 3})).toEqual([]);
 	});
 
+	// Guards against a caller whose address differs from call to call, as behind a proxy.
+	it('are contained if each comes from an address of its own', () => {
+		expect(play({...sixVms, harmfulCallers: 1000})).toEqual([]);
+	});
+
 	// Guards against a call that cannot be retried by the VM, whose crashes are each seen by another VM.
 	it('are contained if they must not run twice', () => {
 		expect(play({...sixVms, areOrders: true})).toEqual([]);
--- a/src/daemon/identity.ts
+++ b/src/daemon/identity.ts
@@ -23,8 +23,9 @@
 		hash32: text => library.h32(text),
 		digest: text => library.h64ToString(text),
 		fingerprint({caller, host, method, path}, body) {
-			const head = library.h64(JSON.stringify([caller, host, method, path]));
-			return (body.length === 0 ? head : library.h64Raw(body, head)).toString(36);
+			const head = library.h64(JSON.stringify([host, method, path]));
+			const call = (body.length === 0 ? head : library.h64Raw(body, head)).toString(36);
+			return `${call}.${library.h32(caller).toString(36)}`;
 		},
 	};
 }
--- a/src/node/front/types.ts
+++ b/src/node/front/types.ts
@@ -18,7 +18,7 @@
 	readonly path: string;
 };
 
-/** Digest of a call; `body` = the buffered start of its body. */
+/** Digest of a call and its caller, `CALL.CALLER`; `body` = the buffered start of its body. */
 export type FingerprintFunction = (call: CallIdentity, body: Uint8Array) => string;
 
 /** Status and headers of a backend server's answer. */
