Pass on every clearing of a suspect with the next round

In the model 4 of 13,000 harmless calls were refused as quarantined under four kills a second from outside: they had been answered, but VMs that had seen fewer crashes held the clearing back for up to a second. All updates share a round at most every 100 ms anyway.

--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -71,9 +71,9 @@
 						identity: server, suspects, crash, isCrashCertain: true,
 					});
 				},
-				onCleared: (fingerprint, isUrgent) => {
+				onCleared: fingerprint => {
 					this._tellPeers({
-						identity: clearingIdentity, suspects: [], crash: undefined, cleared: [fingerprint], isUrgent,
+						identity: clearingIdentity, suspects: [], crash: undefined, cleared: [fingerprint],
 					});
 				},
 			}),
--- a/src/common/calls/poison-request-detector.ts
+++ b/src/common/calls/poison-request-detector.ts
@@ -60,8 +60,8 @@
 	onChange(change: PoisonRequestChange): void;
 	/** This VM has seen calls in flight at a confirmed crash; all VMs must know. */
 	onCrashEvidence(evidence: CrashEvidence): void;
-	/** A suspect was answered through this VM, or an operator lifted its quarantine here; all VMs must know, soon if it is close to a quarantine. */
-	onCleared(fingerprint: string, isUrgent: boolean): void;
+	/** A suspect was answered through this VM, or an operator lifted its quarantine here; all VMs must know. */
+	onCleared(fingerprint: string): void;
 };
 
 /**
@@ -138,7 +138,7 @@
 		const unanswered = suspects.filter(fingerprint => {
 			const isCleared = this._answered.clears(fingerprint, detectedAt);
 			if (isCleared) {
-				this._listener.onCleared(fingerprint, false);
+				this._listener.onCleared(fingerprint);
 			}
 
 			return !isCleared;
@@ -158,10 +158,9 @@
 	/** A call was answered through this VM, which proves that it is harmless. */
 	recordAnswer(fingerprint: string, now: Instant): void {
 		const isSuspect = this.isSuspect(fingerprint);
-		const isUrgent = isSuspect && this.isLikelyHarmful(fingerprint);
 		this._applyAnswer(fingerprint, {answeredAt: now, cause: 'answer'}, now);
 		if (isSuspect) {
-			this._listener.onCleared(fingerprint, isUrgent);
+			this._listener.onCleared(fingerprint);
 		}
 	}
 
@@ -177,7 +176,7 @@
 				this._clear(key, now, 'operator');
 			}
 
-			this._listener.onCleared(fingerprint, true);
+			this._listener.onCleared(fingerprint);
 		}
 	}
 
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -246,8 +246,6 @@
 	readonly isCrashCertain?: boolean;
 	/** Fingerprints of suspects that are not at fault: they were answered, or an operator has lifted their quarantine. */
 	readonly cleared?: readonly string[];
-	/** False if other VMs need the update within seconds only. */
-	readonly isUrgent?: boolean;
 };
 
 /**
--- a/src/common/registry/update-exchange.ts
+++ b/src/common/registry/update-exchange.ts
@@ -69,14 +69,13 @@
 
 	/** Adds an update of this VM's call engine. */
 	addOwn(update: LoadUpdate): void {
-		this._add(update, update.isUrgent === false ? 1 : 0);
+		this._add(update, 0);
 		this._schedule();
 	}
 
 	/** Adds updates from another VM and passes on the new ones. */
 	addReceived(updates: readonly LoadUpdate[]): void {
-		this._addNew(updates.filter(({isUrgent}) => isUrgent !== false), 0);
-		this._addNew(updates.filter(({isUrgent}) => isUrgent === false), 1);
+		this._addNew(updates, 0);
 		this._schedule();
 	}
 
--- a/src/node/fleet/update-codec.test.ts
+++ b/src/node/fleet/update-codec.test.ts
@@ -8,7 +8,7 @@
 		identity: 'i-1', report: undefined, ageMilliseconds: 12, suspects: ['a', 'b'], crash: 'i-1@5', isCrashCertain: true,
 	},
 	{
-		identity: 'none', report: undefined, ageMilliseconds: 0, suspects: [], crash: undefined, cleared: ['a'], isUrgent: false,
+		identity: 'none', report: undefined, ageMilliseconds: 0, suspects: [], crash: undefined, cleared: ['a'],
 	},
 	{
 		identity: 'i-2', report: {
--- a/src/node/fleet/update-codec.ts
+++ b/src/node/fleet/update-codec.ts
@@ -26,27 +26,25 @@
 	crash: z.string().max(256).optional(),
 	isCrashCertain: z.boolean().optional(),
 	cleared: z.array(fingerprintSchema).max(64).optional(),
-	isUrgent: z.boolean().optional(),
 });
 
 const updatesSchema = z.array(updateSchema).max(1000);
 
 export type EncodedUpdate = z.input<typeof updateSchema>;
 
-export function toWire({identity, report, ageMilliseconds, suspects, crash, isCrashCertain, cleared, isUrgent}: LoadUpdate): EncodedUpdate {
+export function toWire({identity, report, ageMilliseconds, suspects, crash, isCrashCertain, cleared}: LoadUpdate): EncodedUpdate {
 	return {
-		identity, report, ageMilliseconds: Math.round(ageMilliseconds), suspects: [...suspects], crash, isCrashCertain, cleared: cleared === undefined ? undefined : [...cleared], isUrgent,
+		identity, report, ageMilliseconds: Math.round(ageMilliseconds), suspects: [...suspects], crash, isCrashCertain, cleared: cleared === undefined ? undefined : [...cleared],
 	};
 }
 
-export function fromWire({report, crash, isCrashCertain, cleared, isUrgent, ...update}: z.output<typeof updateSchema>): LoadUpdate {
+export function fromWire({report, crash, isCrashCertain, cleared, ...update}: z.output<typeof updateSchema>): LoadUpdate {
 	return {
 		...update,
 		report: report === undefined ? undefined : {...report, instance: report.instance},
 		crash,
 		...(isCrashCertain === undefined ? {} : {isCrashCertain}),
 		...(cleared === undefined ? {} : {cleared}),
-		...(isUrgent === undefined ? {} : {isUrgent}),
 	};
 }
 
