Pass on a second clearing of a call, and send first rounds together

Found by reading and by tests of the exchange that failed first: a call that was answered again within seconds after another crash looked like the update already known and was dropped, so that it could stay suspected elsewhere; and updates that came within 5 ms were each sent in a message of their own.

--- a/src/common/registry/update-exchange.ts
+++ b/src/common/registry/update-exchange.ts
@@ -26,6 +26,9 @@
 /** Time for which crashes are kept for VMs that start later, as long as call engines use them. */
 const crashRetentionMilliseconds: Milliseconds = 600_000;
 
+/** Difference in age from which a clearing of the same call is another one. Ages grow a little less than time on their way. */
+const anotherClearingMilliseconds: Milliseconds = 500;
+
 /** Maximum number of stored updates, and of updates in one message. */
 const maxUpdates = 512;
 const maxUpdatesPerMessage = 64;
@@ -94,13 +97,15 @@
 	/** Returns true if the update is new. */
 	private _add(update: LoadUpdate, round: number): boolean {
 		const key = keyOf(update);
-		if (this._entries.has(key)) {
+		const madeAt = this._context.now - update.ageMilliseconds;
+		const known = this._entries.get(key);
+		if (known !== undefined && (update.cleared === undefined || madeAt - known.madeAt < anotherClearingMilliseconds)) {
 			return false;
 		}
 
-		const {now} = this._context;
+		this._entries.delete(key);
 		this._entries.set(key, {
-			update, madeAt: now - update.ageMilliseconds, round, dueAt: this._dueAt(round),
+			update, madeAt, round, dueAt: this._dueAt(round),
 		});
 		if (this._entries.size > maxUpdates) {
 			this._entries.delete(this._entries.keys().next().value!);
@@ -150,14 +155,17 @@
 
 	private _send(): void {
 		this._removeExpired();
-		const due = [...this._entries.values()].filter(({dueAt}) => dueAt <= this._context.now).slice(0, maxUpdatesPerMessage);
+		const {now} = this._context;
+		const entries = [...this._entries.values()];
+		const isFirstRound = entries.some(({round, dueAt}) => round === 0 && dueAt <= now);
+		const due = entries.filter(({round, dueAt}) => dueAt <= now || (isFirstRound && round === 0)).slice(0, maxUpdatesPerMessage);
 		const targets = Math.max(0, ...due.map(({round}) => rounds[round]!.targets));
 		for (const entry of due) {
 			entry.round++;
 			entry.dueAt = this._dueAt(entry.round);
 		}
 
-		this._sentAt = this._context.now;
+		this._sentAt = isFirstRound ? now : this._sentAt;
 		const to = this._sample(targets);
 		if (to.length > 0 && due.length > 0) {
 			this._context.emit({type: 'send-updates', to, updates: due.map(entry => this._aged(entry))});
