--- a/benchmark/policy/model-vm.ts
+++ b/benchmark/policy/model-vm.ts
@@ -121,6 +121,7 @@
 
 			case 'break-off':
 			case 'rate-limit-changed':
+			case 'poison-request-changed':
 			case 'claim-key':
 			case 'release-key': {
 				break;
--- a/src/proof/fuzz/call-vm.ts
+++ b/src/proof/fuzz/call-vm.ts
@@ -206,6 +206,7 @@
 			}
 
 			case 'rate-limit-changed':
+			case 'poison-request-changed':
 			case 'call-ended': {
 				break;
 			}
