Log how each attempt of a call failed

A failed call's line showed the backend servers it went to, not whether their connections were refused, reset or left without a response. The logs of the incident show 1 attempt and 19 of 19 able backend servers for each of the failed calls and leave this open; the kind of the loss decides between 'this VM has no links' and 'the servers are down'.

--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -17,7 +17,7 @@
 import {type ProcessEndJudge} from './process-end.ts';
 import {LoadProber, type PendingProbes} from './load-prober.ts';
 import {
-	type AttemptFailure, type AttemptId, type CallEvent, type CallOutcome, type LoadReport, type RateLimitNotice, type RefusalReason,
+	type AttemptFailure, type AttemptId, type AttemptRecord, type CallEvent, type CallOutcome, type LoadReport, type RateLimitNotice, type RefusalReason,
 } from './types.ts';
 
 /** Maximum number of attempts of one call that end in a connection reset. With more, one call could crash one backend server after another. */
@@ -283,6 +283,10 @@
 
 	onFailed(attempt: Attempt, event: FailedEvent, now: Instant): void {
 		const {call} = attempt;
+		if (attempt.record !== undefined) {
+			attempt.record.failure = event.failure;
+		}
+
 		call.serviceState.recordAnswer(true);
 		this._outlierDetector.onAttemptFailed(attempt, event.failure, now);
 		this._verifyProcess(attempt.server, now);
@@ -337,7 +341,7 @@
 			isSent: false,
 			hasHead: false,
 		};
-		call.trail?.push({
+		const record: AttemptRecord = {
 			backendServer: server.identity,
 			purpose,
 			atMilliseconds: now - call.arrivedAt,
@@ -346,7 +350,12 @@
 			workTimeFactor: server.report?.workTimeFactor,
 			reportAgeMilliseconds: server.report === undefined ? undefined : now - server.reportedAt,
 			grounds: call.grounds,
-		});
+		};
+		if (call.trail !== undefined) {
+			attempt.record = record;
+			call.trail.push(record);
+		}
+
 		call.state = purpose === 'resume' ? 'answering' : 'running';
 		call.attemptCount++;
 		call.firstStartedAt ??= now;
--- a/src/common/calls/call-summary.ts
+++ b/src/common/calls/call-summary.ts
@@ -1,6 +1,8 @@
 /** Summary of an ended call: its outcome, its attempts, and the data behind each choice of a backend server. */
 import {type Milliseconds} from '../model/units.ts';
-import {type BackendServerIdentity, type CallOutcome, type RefusalReason} from './types.ts';
+import {
+	type AttemptFailure, type BackendServerIdentity, type CallOutcome, type RefusalReason,
+} from './types.ts';
 
 /** One attempt of a call, with the data by which its backend server was chosen. */
 export type AttemptRecord = {
@@ -17,6 +19,8 @@
 	readonly reportAgeMilliseconds: Milliseconds | undefined;
 	/** Data behind the choice; undefined unless load probes are on demand. */
 	readonly grounds: PlacingGrounds | undefined;
+	/** Why the attempt ended without a complete answer; undefined if it did not fail. */
+	failure?: AttemptFailure;
 };
 
 /** Kind of the chosen backend server: a free slot in time, a queue that is short enough, a slow one, a half empty one, or none. */
--- a/src/common/calls/call.ts
+++ b/src/common/calls/call.ts
@@ -38,6 +38,8 @@
 	readonly isLikelyHarmful: boolean;
 	/** True if the backend server was warming up when the attempt started. */
 	readonly isWarmUp: boolean;
+	/** Its entry in the log line of the call; undefined unless load probes are on demand. */
+	record?: AttemptRecord;
 	/** True once the first byte was sent; from then on the call may run. */
 	isSent: boolean;
 	hasHead: boolean;
--- a/src/daemon/describe-call.test.ts
+++ b/src/daemon/describe-call.test.ts
@@ -51,4 +51,11 @@
 			backendServer: 'i-1', purpose: 'first', atMilliseconds: 2, load: 0, slots: 6, workTimeFactor: 1, reportAgeMilliseconds: 0, grounds: {...grounds, choice: 'free'},
 		})).toEqual('first at 2 ms to i-1: 0/6 calls, work time 1, report 0 ms old, free of 4, in time 35%');
 	});
+
+	// Guards operators against a failed call that does not show whether its connections hung, were refused or were reset.
+	it('states how an attempt failed', () => {
+		expect(describeAttempt({
+			backendServer: 'i-1', purpose: 'retry', atMilliseconds: 9, load: 0, slots: 6, workTimeFactor: 1, reportAgeMilliseconds: 0, grounds: undefined, failure: 'connection-refused',
+		})).toEqual('retry at 9 ms to i-1: 0/6 calls, work time 1, report 0 ms old, ended by connection-refused');
+	});
 });
