Answer 503 to a call whose attempts all failed before they were sent

What callers saw: VMs without links to backend servers answered 502, although no connection was ever opened. After 502 nobody may repeat a call that must not run twice. Cause: the status followed from the reason alone, not from the proven outcome. The retry delay was sent before, too.

--- a/src/common/calls/call-completion.ts
+++ b/src/common/calls/call-completion.ts
@@ -27,6 +27,9 @@
 	stopping: 503,
 };
 
+/** Status of a call whose attempts have all failed before they were sent: unlike 502, callers may repeat any call after it. */
+const notRunStatus = 503;
+
 /** Refusals for lack of capacity: the retry delay follows from the backlog. */
 const backlogReasons = new Set<RefusalReason>(['queue-full', 'overloaded']);
 
@@ -88,7 +91,7 @@
 		this._context.effects.push({
 			type: 'refuse',
 			callId: call.request.callId,
-			status: refusalStatus[reason],
+			status: reason === 'backend-server-failed' && finalOutcome === 'not-run' ? notRunStatus : refusalStatus[reason],
 			reason,
 			outcome: finalOutcome,
 			retryAfterMilliseconds: this._retryAfter(call, reason, now),
