--- a/benchmark/policy/baseline-engine.ts
+++ b/benchmark/policy/baseline-engine.ts
@@ -70,6 +70,25 @@
 
 type BaselineCall = {readonly request: CallRequest; readonly deadline: Instant; server: BaselineServer; attemptId: number; isPassedOn: boolean; isOver: boolean};
 
+/** Events that this engine leaves out. */
+const ignoredEvents = {
+	'backend-server-leaving': true,
+	'caller-gone': true,
+	'cut-off': true,
+	'key-claimed': true,
+	'process-ending': true,
+	'placing-held': true,
+	'link-checked': true,
+	'link-failed': true,
+	'quarantine-lifted': true,
+} as const satisfies Partial<Record<CallEvent['type'], true>>;
+
+type IgnoredEvent = Extract<CallEvent, {type: keyof typeof ignoredEvents}>;
+
+function isIgnored(event: CallEvent): event is IgnoredEvent {
+	return Object.hasOwn(ignoredEvents, event.type);
+}
+
 /** Starts one attempt for each call at once, passes the answer on, and cancels the call at its deadline. */
 export class BaselineEngine implements CallEngine {
 	private readonly _rule: BaselineRule;
@@ -142,6 +161,10 @@
 	}
 
 	private _handleOtherEvent(event: Exclude<CallEvent, {attemptId: number}>, now: Instant): void {
+		if (isIgnored(event)) {
+			return;
+		}
+
 		switch (event.type) {
 			case 'configured': {
 				this._configure(event.configuration, now);
@@ -172,16 +195,6 @@
 				this._handleTick(now);
 				break;
 			}
-
-			case 'backend-server-leaving':
-			case 'caller-gone':
-			case 'cut-off':
-			case 'key-claimed':
-			case 'process-ending':
-			case 'placing-held':
-			case 'quarantine-lifted': {
-				break;
-			}
 		}
 	}
 
--- a/benchmark/policy/model-vm.ts
+++ b/benchmark/policy/model-vm.ts
@@ -22,6 +22,21 @@
 
 type RunningAttempt = {readonly callId: number; readonly server: ModelServer; readonly latency: Milliseconds; readonly work: WorkItem};
 
+/** Effects that the model leaves out. */
+const ignoredEffects = {
+	'break-off': true,
+	'rate-limit-changed': true,
+	'poison-request-changed': true,
+	'check-link': true,
+	'link-changed': true,
+	'claim-key': true,
+	'release-key': true,
+} as const satisfies Partial<Record<CallEffect['type'], true>>;
+
+function isIgnored(effect: CallEffect): effect is Extract<CallEffect, {type: keyof typeof ignoredEffects}> {
+	return Object.hasOwn(ignoredEffects, effect.type);
+}
+
 export class ModelVm {
 	private readonly _engine: CallEngine;
 	private readonly _environment: VmEnvironment;
@@ -81,6 +96,10 @@
 	}
 
 	private _execute(effect: CallEffect, now: Instant): void {
+		if (isIgnored(effect)) {
+			return;
+		}
+
 		switch (effect.type) {
 			case 'start-attempt': {
 				this._start(effect, now);
@@ -118,14 +137,6 @@
 				this._environment.onLoadUpdate(effect.update);
 				break;
 			}
-
-			case 'break-off':
-			case 'rate-limit-changed':
-			case 'poison-request-changed':
-			case 'claim-key':
-			case 'release-key': {
-				break;
-			}
 		}
 	}
 
--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempt-runner.ts
@@ -39,7 +39,7 @@
 const partialContentStatus = 206;
 
 /** Failures that prove that the call did not run. */
-const notRunFailures = new Set<AttemptFailure>(['connection-refused', 'unreachable', 'not-sent']);
+const notRunFailures = new Set<AttemptFailure>(['connection-refused', 'unreachable', 'not-sent', 'no-relay']);
 
 type HeadEvent = Extract<CallEvent, {type: 'attempt-head'}>;
 type FailedEvent = Extract<CallEvent, {type: 'attempt-failed'}>;
@@ -187,6 +187,7 @@
 			address: server.declared.address,
 			port: server.declared.port,
 			processStartedAt: server.declared.processStartedAt,
+			via: attempt.via,
 			timeoutMilliseconds: purpose === 'resume' ? call.deadline - call.arrivedAt : Math.max(1, call.deadline - now),
 			needsFreshConnection: server.health === 'doubted',
 			connectionLimit: connectionLimit(this._context, server.declared),
@@ -220,7 +221,7 @@
 	onHead(attempt: Attempt, event: HeadEvent, now: Instant): void {
 		attempt.isSent = true;
 		const {call, server} = attempt;
-		this._processEnds.onResponse(server, attempt.startedAt);
+		this._processEnds.onResponse(server, attempt.startedAt, now);
 		if (event.report !== undefined) {
 			this._onReport(server, event.report, now);
 		}
@@ -334,6 +335,7 @@
 			reportedExcess: server.reportedExcessAt(now, call.serviceState.meanCallsOfOtherVms(vmCountOf(this._context)), call.serviceState.classes.all.holdMean),
 			loadSnapshot: this._demandPlacer.loadSnapshot(server, now),
 			instance: server.report?.instance,
+			via: this._context.links.pathTo(server.identity).via,
 			isTrial,
 			isSuspect,
 			isLikelyHarmful,
@@ -344,6 +346,7 @@
 		const record: AttemptRecord = {
 			backendServer: server.identity,
 			purpose,
+			via: attempt.via,
 			atMilliseconds: now - call.arrivedAt,
 			load: server.reportedLoad,
 			slots: server.declared.slots,
--- a/src/common/calls/backend-server-state.ts
+++ b/src/common/calls/backend-server-state.ts
@@ -48,6 +48,8 @@
 	declared: BackendServerInForce;
 	/** Its data centre is evacuated. */
 	isEvacuated = false;
+	/** No VM is known through which it can be reached. */
+	isUnreachable = false;
 	/** Attempts of this VM that have neither ended nor been cancelled. */
 	readonly attempts = new Set<Attempt>();
 	readonly loadProbeSchedule = new LoadProbeSchedule();
@@ -106,7 +108,7 @@
 
 	/** Whether it may get new attempts; those in flight finish in any case. */
 	get takesNewAttempts(): boolean {
-		return !this.isEvacuated && !this.isLeaving;
+		return !this.isEvacuated && !this.isLeaving && !this.isUnreachable;
 	}
 
 	get failuresInRow(): number {
@@ -165,6 +167,19 @@
 		return this._shedRate === 0 ? 0 : this._shedRate * Math.exp((this._shedRateUpdatedAt - now) / this._tuning.failureDecayMilliseconds);
 	}
 
+	/** Forgets failures that were those of the link to it. */
+	forgetFailures(now: Instant): void {
+		this.unansweredProbes = 0;
+		this._failureRate = 0;
+		this._failuresInRow = 0;
+		this._slowness = 1;
+		if (this._health === 'ejected') {
+			this.applyHealthEvent('PROBE', now);
+		}
+
+		this.applyHealthEvent('ANSWERED', now);
+	}
+
 	/** Records the start of an attempt of this VM. */
 	recordStart(now: Instant): void {
 		this._recentStarts = this._recentStarts.filter(at => now - at < rateWindowMilliseconds);
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -1,4 +1,6 @@
 /** The call engine of one VM: dispatches events and due timers to the parts that decide on calls. */
+import {BackendLinks} from '../links/backend-links.ts';
+import {type LinkChange} from '../links/types.ts';
 import {type Instant, type RandomSource} from '../model/units.ts';
 import {Admission} from './admission.ts';
 import {AttemptRunner} from './attempt-runner.ts';
@@ -20,13 +22,27 @@
 import {type CallTuning, defaultTuning} from './tuning.ts';
 import {type RateQuota, SingleVmRateQuota} from './rate-quota.ts';
 import {
-	type AttemptId, type CallEffect, type CallEngine, type CallEngineStatus, type CallLoad, type CallEvent, type CallId, type CallRequest, type KeyClaim, type LoadUpdate, type PoisonRequestChange,
+	type AttemptId, type BackendServerIdentity, type CallEffect, type CallEngine, type CallEngineStatus, type CallLoad, type CallEvent, type CallId, type CallRequest, type KeyClaim, type LoadUpdate, type PoisonRequestChange,
 } from './types.ts';
 
 /** Events that update the engine's state and belong to no call. */
-type StateUpdateEvent = Extract<CallEvent, {
-	type: 'configured' | 'shares' | 'cut-off' | 'peer-updates' | 'backend-server-leaving' | 'measured' | 'quarantine-lifted';
-}>;
+const stateUpdateTypes = {
+	configured: true,
+	shares: true,
+	'cut-off': true,
+	'peer-updates': true,
+	'backend-server-leaving': true,
+	measured: true,
+	'link-failed': true,
+	'link-checked': true,
+	'quarantine-lifted': true,
+} as const satisfies Partial<Record<CallEvent['type'], true>>;
+
+type StateUpdateEvent = Extract<CallEvent, {type: keyof typeof stateUpdateTypes}>;
+
+function isStateUpdate(event: CallEvent): event is StateUpdateEvent {
+	return Object.hasOwn(stateUpdateTypes, event.type);
+}
 
 /** Names no backend server in updates that only clear calls, as the field cannot be empty. */
 const clearingIdentity = 'none';
@@ -49,6 +65,7 @@
 	private readonly _pendingKeyClaims = new Map<CallId, Call>();
 	private readonly _directory: ServiceDirectory;
 	private readonly _outlierDetector: OutlierDetector;
+	private readonly _processEnds: ProcessEndJudge;
 	private readonly _runner: AttemptRunner;
 	private readonly _completion: CallCompletion;
 	private readonly _admission: Admission;
@@ -81,10 +98,12 @@
 			replacedServers: [],
 			isPlacingHeld: false,
 			rateQuota: options.rateQuota ?? new SingleVmRateQuota(),
+			links: this._createLinks(options),
 			shares: undefined,
 			effects: [],
 		};
 		const processEnds = new ProcessEndJudge(this._context);
+		this._processEnds = processEnds;
 		this._directory = new ServiceDirectory(this._context, processEnds);
 		this._outlierDetector = new OutlierDetector(this._context, processEnds);
 		this._runner = new AttemptRunner({
@@ -129,7 +148,7 @@
 	nextWakeUp(): Instant | undefined {
 		const {timers} = this._context;
 		timers.dropWhile(timer => !isTimerLive(timer));
-		const earliest = Math.min(timers.earliest ?? Infinity, this._directory.nextLoadProbeCheckAt ?? Infinity);
+		const earliest = Math.min(timers.earliest ?? Infinity, this._directory.nextLoadProbeCheckAt ?? Infinity, this._context.links.nextAt ?? Infinity);
 		return earliest === Infinity ? undefined : earliest;
 	}
 
@@ -146,6 +165,26 @@
 		return {callsInFlight: this._calls.size - callsQueued, callsQueued, inFlightOfServices};
 	}
 
+	/** Whether this VM has a direct link to a backend server, as far as it knows. */
+	hasLinkTo(identity: BackendServerIdentity): boolean {
+		return this._context.links.pathTo(identity).state === 'direct';
+	}
+
+	/** A VM to ask for a connection to this backend server; undefined = none is left besides those in `tried`. */
+	nextRelay(identity: BackendServerIdentity, tried: ReadonlySet<string>, now: Instant): string | undefined {
+		return this._context.links.nextRelay(identity, tried, now);
+	}
+
+	/** A VM that was asked for a connection has opened one, or has no link itself. */
+	onRelayAsked(via: string, hasLink: boolean, now: Instant): void {
+		this._context.links.onRelayAsked(via, hasLink, now);
+	}
+
+	/** Another VM through which this one reaches a backend server; undefined = none. */
+	relayTo(identity: BackendServerIdentity): string | undefined {
+		return this._context.links.pathTo(identity).via;
+	}
+
 	status(now: Instant): CallEngineStatus {
 		const {callsInFlight, callsQueued} = this.load();
 		return {
@@ -163,6 +202,11 @@
 			return;
 		}
 
+		if (isStateUpdate(event)) {
+			this._applyStateUpdate(event, now);
+			return;
+		}
+
 		switch (event.type) {
 			case 'call-arrived': {
 				this._onCallArrived(event.request, now);
@@ -193,17 +237,6 @@
 				this._onTick(now);
 				break;
 			}
-
-			case 'configured':
-			case 'shares':
-			case 'cut-off':
-			case 'peer-updates':
-			case 'backend-server-leaving':
-			case 'measured':
-			case 'quarantine-lifted': {
-				this._applyStateUpdate(event, now);
-				break;
-			}
 		}
 	}
 
@@ -251,6 +284,16 @@
 				break;
 			}
 
+			case 'link-failed': {
+				this._context.links.onTrouble(event.identity, now);
+				break;
+			}
+
+			case 'link-checked': {
+				this._context.links.onChecked(event.checkId, event.result, event.hint, now);
+				break;
+			}
+
 			case 'quarantine-lifted': {
 				this._context.poisonRequests.liftQuarantine(event.fingerprint, now);
 				break;
@@ -410,6 +453,44 @@
 		}
 
 		this._directory.startDueLoadProbes(now);
+		this._context.links.runDue(now);
+	}
+
+	private _createLinks({random, settings}: CallEngineOptions): BackendLinks {
+		return new BackendLinks({
+			random,
+			dataCentre: settings.dataCentre,
+			targets: () => this._directory.allServers(),
+			find: identity => this._directory.server(identity),
+			takeProbe: (identity, now) => this._directory.tryTakeProbe(identity, now),
+			loadPathOf: service => this._directory.loadPathOf(service),
+			onCheck: check => {
+				this._context.effects.push({type: 'check-link', check});
+			},
+			onChanged: (change, now) => {
+				this._onLinkChanged(change, now);
+			},
+			onEnded: (identity, now) => {
+				const server = this._directory.server(identity);
+				if (server !== undefined) {
+					this._processEnds.onSign(server, server.report?.instance, 'connection-refused', now);
+				}
+			},
+		});
+	}
+
+	private _onLinkChanged(change: LinkChange, now: Instant): void {
+		this._context.effects.push({type: 'link-changed', change});
+		const server = this._directory.server(change.identity);
+		if (server === undefined) {
+			return;
+		}
+
+		this._directory.applyLinkState(server, change.state, now);
+		if (change.state === 'relayed') {
+			// Connections without a response may stay so; a retry on the new path gets an answer.
+			this._runner.onReplaced(server, now);
+		}
 	}
 
 	private _onTimer(timer: Timer, now: Instant): void {
--- a/src/common/calls/call-summary.ts
+++ b/src/common/calls/call-summary.ts
@@ -8,6 +8,8 @@
 export type AttemptRecord = {
 	readonly backendServer: BackendServerIdentity;
 	readonly purpose: string;
+	/** VM through which the connection went; undefined = direct. */
+	readonly via?: string | undefined;
 	/** Start of the attempt, counted from the arrival of the call. */
 	readonly atMilliseconds: Milliseconds;
 	/** Estimated number of calls on the backend server, and its number of slots. */
--- a/src/common/calls/call.ts
+++ b/src/common/calls/call.ts
@@ -1,4 +1,5 @@
 /** The records of a call and its attempts, kept until they end. */
+import {type RelayAddress} from '../links/types.ts';
 import {type Service} from '../model/resources.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type LoadSnapshot} from './answer-time-model.ts';
@@ -30,6 +31,8 @@
 	readonly loadSnapshot: LoadSnapshot;
 	/** Reported instance of the backend server at the start of the attempt; a crash is attributed to this process. */
 	readonly instance: string | undefined;
+	/** VM through which the connection goes; undefined = direct. */
+	readonly via: RelayAddress | undefined;
 	/** True for the single trial call that a backend server in state `doubted` or `probing` gets. */
 	readonly isTrial: boolean;
 	/** True if the call may crash its backend server: other suspects avoid that server meanwhile. */
--- a/src/common/calls/engine-context.ts
+++ b/src/common/calls/engine-context.ts
@@ -1,5 +1,6 @@
 /** State that the parts of one engine share. */
 import {type Instant, type RandomSource} from '../model/units.ts';
+import {type BackendLinks} from '../links/backend-links.ts';
 import {type BackendServerState} from './backend-server-state.ts';
 import {type Attempt, type Call} from './call.ts';
 import {type PoisonRequestDetector} from './poison-request-detector.ts';
@@ -50,6 +51,8 @@
 	/** Records of processes that were replaced by a new one in this event; their attempts are still open. */
 	readonly replacedServers: BackendServerState[];
 	readonly rateQuota: RateQuota;
+	/** Paths to the backend servers. */
+	readonly links: BackendLinks;
 	shares: FleetShares | undefined;
 	/** True while no attempt may start, since the state may be outdated after a pause of the VM. */
 	isPlacingHeld: boolean;
--- a/src/common/calls/outlier-detector.ts
+++ b/src/common/calls/outlier-detector.ts
@@ -19,9 +19,14 @@
 	}
 
 	onAttemptFailed(attempt: Attempt, failure: AttemptFailure, now: Instant): void {
+		if (failure !== 'wrong-answer') {
+			this._context.links.onTrouble(attempt.server.identity, now);
+		}
+
 		switch (failure) {
 			case 'connection-refused': {
 				this._processEnds.onAttemptSign(attempt, 'connection-refused', now);
+
 				this._recordFailure(attempt, now);
 				break;
 			}
@@ -44,7 +49,8 @@
 				break;
 			}
 
-			case 'not-sent': {
+			case 'not-sent':
+			case 'no-relay': {
 				break;
 			}
 		}
@@ -71,6 +77,7 @@
 		}
 
 		attempt.server.onCancelled(waited, attempt.call.class.answerMean, now);
+		this._context.links.onTrouble(attempt.server.identity, now);
 		if (waited > silenceFactor * attempt.call.class.answerMean) {
 			this._onSilence(attempt, now);
 		}
--- a/src/common/calls/process-end.ts
+++ b/src/common/calls/process-end.ts
@@ -1,4 +1,5 @@
 /** Judges whether the process of a backend server has ended. */
+import {type RelayAddress} from '../links/types.ts';
 import {type Instant} from '../model/units.ts';
 import {type BackendServerState} from './backend-server-state.ts';
 import {type Attempt} from './call.ts';
@@ -28,6 +29,14 @@
 		this._context = context;
 	}
 
+	/**
+	 * Whether a connection that was refused on this path proves that the process has ended. A VM that has lost its links
+	 * is refused by backend servers that are alive, so where VMs can ask one another, another one has to confirm it.
+	 */
+	isProof(via: RelayAddress | undefined): boolean {
+		return via !== undefined || !this._context.links.hasRelays;
+	}
+
 	/** An attempt's connection was reset: a suspicion, until another sign decides. */
 	onReset(attempt: Attempt, now: Instant): void {
 		this._context.poisonRequests.recordReset(processIdentityOfAttempt(attempt), attempt.server.identity, attempt.call.request.fingerprint, now);
@@ -44,7 +53,8 @@
 	}
 
 	/** The process has responded to something sent at `sentAt`. */
-	onResponse(server: BackendServerState, sentAt: Instant): void {
+	onResponse(server: BackendServerState, sentAt: Instant, now: Instant): void {
+		this._context.links.onContact(now);
 		this._context.poisonRequests.refuteCrash(processIdentityOf(server, server.report?.instance), sentAt);
 	}
 
--- a/src/common/calls/service-directory.test.ts
+++ b/src/common/calls/service-directory.test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'earl';
+import {BackendLinks} from '../links/backend-links.ts';
 import {serviceSchema, sharingRuleSchema} from '../model/resources.ts';
 import {seededRandom} from '../random/random.ts';
 import {type EngineContext} from './engine-context.ts';
@@ -9,6 +10,20 @@
 import {defaultTuning} from './tuning.ts';
 import {SingleVmRateQuota} from './rate-quota.ts';
 
+function noLinks(): BackendLinks {
+	return new BackendLinks({
+		random: seededRandom(1),
+		dataCentre: 'north',
+		targets: () => [],
+		find: () => undefined,
+		takeProbe: () => false,
+		loadPathOf: () => '',
+		onCheck: () => undefined,
+		onChanged: () => undefined,
+		onEnded: () => undefined,
+	});
+}
+
 describe('ServiceDirectory', () => {
 	// Guards against a sharing rule that stays in force after an operator has deleted it.
 	it('applies the default when a sharing rule is deleted', () => {
@@ -17,7 +32,7 @@
 
 			poisonRequests: new PoisonRequestDetector(1000, {onChange: () => undefined, onCrashEvidence: () => undefined, onCleared: () => undefined}),
 			servicesToDrain: new Set(), replacedServers: [], shares: undefined,
-			isPlacingHeld: false, rateQuota: new SingleVmRateQuota(), effects: [],
+			isPlacingHeld: false, rateQuota: new SingleVmRateQuota(), links: noLinks(), effects: [],
 		};
 		const directory = new ServiceDirectory(context, new ProcessEndJudge(context));
 		const services = new Map([['dues', serviceSchema.parse({kind: 'service', name: 'dues'})]]);
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -1,4 +1,5 @@
 /** The declared services and backend servers, their load reports, and the schedule of load probes. */
+import {type LinkState, type RelayAddress} from '../links/types.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {BackendServerState} from './backend-server-state.ts';
 import {type ProcessEndJudge} from './process-end.ts';
@@ -29,7 +30,7 @@
 	private readonly _services = new Map<string, ServiceState>();
 	private readonly _servers = new Map<BackendServerIdentity, BackendServerState>();
 	private readonly _processEnds: ProcessEndJudge;
-	private readonly _pendingLoadProbes = new Map<LoadProbeId, {readonly server: BackendServerState; readonly sentAt: Instant}>();
+	private readonly _pendingLoadProbes = new Map<LoadProbeId, {readonly server: BackendServerState; readonly sentAt: Instant; readonly via: RelayAddress | undefined}>();
 	private readonly _loadProbeChecks = new TimerQueue<BackendServerState>();
 	private _version: number | undefined;
 	private _nextLoadProbeId = 1;
@@ -53,6 +54,14 @@
 		return this._services.get(name);
 	}
 
+	server(identity: BackendServerIdentity): BackendServerState | undefined {
+		return this._servers.get(identity);
+	}
+
+	allServers(): Iterable<BackendServerState> {
+		return this._servers.values();
+	}
+
 	allServices(): Iterable<ServiceState> {
 		return this._services.values();
 	}
@@ -95,6 +104,7 @@
 		}
 
 		this._context.shares = shares;
+		this._context.links.setRelays(shares.relays ?? [], now);
 		for (const service of this._services.values()) {
 			service.setVmCount(vmCountOf(this._context));
 			this._setRetryBurstShare(service);
@@ -138,9 +148,10 @@
 			return undefined;
 		}
 
-		const {server, sentAt} = pending;
+		const {server, sentAt, via} = pending;
 		if (report === undefined) {
 			server.unansweredProbes++;
+			this._context.links.onTrouble(server.identity, now);
 			if (isRefused) {
 				this._processEnds.onSign(server, server.report?.instance, 'load-probe-refused', now);
 			}
@@ -148,7 +159,7 @@
 			return server;
 		}
 
-		this._processEnds.onResponse(server, sentAt);
+		this._processEnds.onResponse(server, sentAt, now);
 
 		server.unansweredProbes = 0;
 		this.applyAnswerReport(server, report, now);
@@ -165,6 +176,37 @@
 		this._startLoadProbe(server, now);
 	}
 
+	/** Takes one load probe from the budget of a backend server; false = none is left. */
+	tryTakeProbe(identity: BackendServerIdentity, now: Instant): boolean {
+		const server = this._servers.get(identity);
+		const service = server === undefined ? undefined : this._services.get(server.declared.service);
+		if (server === undefined || service === undefined) {
+			return false;
+		}
+
+		const {measuring} = service.declared;
+		return service.isMeasuredOnDemand ? server.demandAllowance.tryTake(measuring, vmCountOf(this._context), now) : server.loadProbeSchedule.trySpend(measuring, this._context.shares, now);
+	}
+
+	/** Path of the load endpoint of a service's backend servers. */
+	loadPathOf(service: string): string {
+		return this._services.get(service)?.declared.measuring.path ?? '/load';
+	}
+
+	/** Applies a change of the path to a backend server. */
+	applyLinkState(server: BackendServerState, state: LinkState, now: Instant): void {
+		server.isUnreachable = state === 'unreachable';
+		if (!server.isUnreachable) {
+			server.forgetFailures(now);
+		}
+
+		const service = this._services.get(server.declared.service);
+		if (service !== undefined) {
+			service.setVmCount(vmCountOf(this._context));
+			this._context.servicesToDrain.add(service);
+		}
+	}
+
 	/** Sends a load probe, if the budget permits, while it is unknown whether a reset was the end of the process. */
 	verifyProcess(server: BackendServerState, now: Instant): void {
 		const service = this._services.get(server.declared.service);
@@ -284,6 +326,7 @@
 			}
 		}
 
+		this._context.links.retain(this._servers);
 		for (const server of this._servers.values()) {
 			this._updateEvacuation(server, configuration, now);
 		}
@@ -301,6 +344,7 @@
 
 	private _add(identity: BackendServerIdentity, declared: BackendServerInForce, now: Instant, isWarm: boolean): void {
 		const server = new BackendServerState(identity, declared, this._context.tuning, now, isWarm);
+		server.isUnreachable = this._context.links.pathTo(identity).state === 'unreachable';
 		this._servers.set(identity, server);
 		server.loadProbeSchedule.start(now, this._context.random.next());
 		this._scheduleLoadProbeCheck(server, now);
@@ -385,7 +429,8 @@
 	private _startLoadProbe(server: BackendServerState, now: Instant): void {
 		const loadProbeId = this._nextLoadProbeId++;
 		const measuring = this._services.get(server.declared.service)?.declared.measuring;
-		this._pendingLoadProbes.set(loadProbeId, {server, sentAt: now});
+		const {via} = this._context.links.pathTo(server.identity);
+		this._pendingLoadProbes.set(loadProbeId, {server, sentAt: now, via});
 		this._context.effects.push({
 			type: 'measure',
 			service: server.declared.service,
@@ -395,6 +440,7 @@
 			address: server.declared.address,
 			port: server.declared.port,
 			processStartedAt: server.declared.processStartedAt,
+			via,
 			timeoutMilliseconds: measuring?.mode === 'on-demand' ? onDemandProbeTimeoutMilliseconds : loadProbeTimeoutMilliseconds,
 		});
 	}
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -2,6 +2,9 @@
  * The interface of the call engine: it takes events and returns effects. An adapter with sockets (src/node),
  * or a test without sockets, executes the effects and reports the results as events.
  */
+import {
+	type LinkChange, type LinkCheck, type LinkCheckId, type LinkCheckResult, type Relay, type RelayAddress,
+} from '../links/types.ts';
 import {type BackendServer, type Service, type SharingRule} from '../model/resources.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type Routing} from '../routing/types.ts';
@@ -99,6 +102,8 @@
 		| 'reset-after-sending'
 	/** The connection broke after the head of the answer. The call ran; its answer is truncated. */
 		| 'reset-during-answer'
+	/** The VM through which the connection was to go has no link either, or cannot be reached. Proves that the call did not run. */
+		| 'no-relay'
 	/** Nothing arrived on the connection within the time limit of the attempt. */
 		| 'silent'
 	/** The response belongs to another call, or lacks the proof that it belongs to this one. The call may have run. */
@@ -139,6 +144,10 @@
 		}
 	/** A load probe has ended; without an answer `report` is undefined. `isRefused` = its connection was refused. */
 		| {readonly type: 'measured'; readonly loadProbeId: LoadProbeId; readonly report: LoadReport | undefined; readonly isRefused?: boolean}
+	/** A direct connection to a backend server could not be opened, and was replaced by one through another VM. */
+		| {readonly type: 'link-failed'; readonly identity: BackendServerIdentity}
+	/** A check of the path to a backend server has ended. `hint` = a relay that works for the one that was asked. */
+		| {readonly type: 'link-checked'; readonly checkId: LinkCheckId; readonly result: LinkCheckResult; readonly hint?: RelayAddress | undefined}
 		| {readonly type: 'key-claimed'; readonly callId: CallId; readonly claim: KeyClaim}
 	/** A new version of the declared resources is in force. */
 		| {readonly type: 'configured'; readonly configuration: CallConfiguration}
@@ -230,6 +239,8 @@
 	readonly vmCount: number;
 	/** Names of the VMs; undefined where the VMs have no names for one another. */
 	readonly members?: FleetMembers;
+	/** Other VMs that forward connections to backend servers; undefined where VMs do not. */
+	readonly relays?: readonly Relay[];
 };
 
 /** Information on one backend server that a VM sends to its peers. */
@@ -293,6 +304,8 @@
 		readonly port: number;
 		/** Start of the target process; connections to an earlier process are not reused for it. */
 		readonly processStartedAt?: number | undefined;
+		/** VM through which the connection goes; undefined = direct. */
+		readonly via?: RelayAddress | undefined;
 		/** Remaining time for this attempt; sent along to the backend server. */
 		readonly timeoutMilliseconds: Milliseconds;
 		/** Open a new connection instead of a kept-alive one: after silence it shows whether the connection or the server failed. */
@@ -336,8 +349,14 @@
 		readonly port: number;
 		/** Start of the target process. */
 		readonly processStartedAt?: number | undefined;
+		/** VM through which the connection goes; undefined = direct. */
+		readonly via?: RelayAddress | undefined;
 		readonly timeoutMilliseconds: Milliseconds;
 	}
+	/** Check a path to a backend server. */
+	| {readonly type: 'check-link'; readonly check: LinkCheck}
+	/** The path to a backend server has changed. */
+	| {readonly type: 'link-changed'; readonly change: LinkChange}
 	| {readonly type: 'claim-key'; readonly callId: CallId; readonly service: string; readonly key: string}
 	/** The call did not run after its key was claimed: free the key for the caller's next request. */
 	| {readonly type: 'release-key'; readonly service: string; readonly key: string}
--- a/src/common/entry-vm/entry-vm.ts
+++ b/src/common/entry-vm/entry-vm.ts
@@ -34,7 +34,7 @@
 }
 
 const callEffectTypes: ReadonlySet<EntryVmEffect['type']> = new Set<ExternalCallEffect['type']>([
-	'start-attempt', 'cancel-attempt', 'pass-on', 'break-off', 'refuse', 'measure', 'claim-key', 'release-key', 'rate-limit-changed', 'poison-request-changed', 'call-ended',
+	'start-attempt', 'cancel-attempt', 'pass-on', 'break-off', 'refuse', 'measure', 'claim-key', 'release-key', 'rate-limit-changed', 'poison-request-changed', 'check-link', 'link-changed', 'call-ended',
 ]);
 
 /** Returns true for effects of the call engine; all others are effects of the fleet engine. */
--- a/src/common/registry/bounded-stop.ts
+++ b/src/common/registry/bounded-stop.ts
@@ -7,7 +7,7 @@
 import {type FleetStage} from '../fleet/types.ts';
 import {type Timers} from '../fleet/timers.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
-import {chartTable} from './chart-table.ts';
+import {chartTable} from '../state/chart-table.ts';
 
 type State = keyof typeof chart.states;
 type Event = 'CONFIGURED' | 'STOP' | 'TOO_LATE' | 'IDLE' | 'ENDING' | 'TIME_UP';
--- a/src/common/registry/feed-selector.ts
+++ b/src/common/registry/feed-selector.ts
@@ -2,7 +2,7 @@
 import chart from '../../../charts/feed-selector.json' with {type: 'json'};
 import {type PeerAddress} from '../fleet/types.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
-import {chartTable} from './chart-table.ts';
+import {chartTable} from '../state/chart-table.ts';
 import {type RegistryContext} from './registry-context.ts';
 import {type VmRanks} from './vm-directory.ts';
 
--- a/src/common/registry/fleet-shares-source.ts
+++ b/src/common/registry/fleet-shares-source.ts
@@ -37,6 +37,7 @@
 				connectionFraction: Math.min(1, connectionSlack / vmCount),
 				vmCount,
 				members: this._vms.members(isServing),
+				relays: this._vms.relays(),
 			},
 		});
 	}
--- a/src/common/registry/own-entry.ts
+++ b/src/common/registry/own-entry.ts
@@ -2,7 +2,7 @@
 import chart from '../../../charts/own-entry.json' with {type: 'json'};
 import {type PeerAddress} from '../fleet/types.ts';
 import {type Milliseconds} from '../model/units.ts';
-import {chartTable} from './chart-table.ts';
+import {chartTable} from '../state/chart-table.ts';
 import {type MemberRegistrar} from './member-registrar.ts';
 import {type RegistryContext} from './registry-context.ts';
 import {type DocumentCodec, type MemberAnnouncement} from './types.ts';
--- a/src/common/registry/poison-harness.test.ts
+++ b/src/common/registry/poison-harness.test.ts
@@ -96,6 +96,10 @@
 	readonly fleet: FleetModel;
 	readonly result: PoisonResult = {harmful: new Map(), harmless: {sent: 0, served: 0, refusedAsHarmful: 0}};
 	readonly servers = new Map<string, BackendServer>();
+	/** Addresses of VMs whose links to all servers are lost: each refuses their connections. */
+	readonly withoutLinks = new Set<string>();
+	/** Servers that some VM took for crashed although they were alive. */
+	readonly falseCrashes = new Set<string>();
 	private readonly _options: PoisonOptions;
 	private readonly _calls = new Map<string, SentCall>();
 	private readonly _random: RandomSource;
@@ -207,6 +211,21 @@
 		});
 	}
 
+	/** Takes the links to all servers from a VM: its connections are reset, and new ones are refused. */
+	loseLinks(address: string): void {
+		this.withoutLinks.add(address);
+		for (const {attempts} of this.servers.values()) {
+			for (const [key, {process, attemptId}] of attempts) {
+				if (process.address === address) {
+					attempts.delete(key);
+					process.handle({
+						type: 'attempt-failed', attemptId, failure: 'reset-after-sending', isReplayable: true, bytesPassedOn: 0,
+					});
+				}
+			}
+		}
+	}
+
 	execute(process: ModelProcess, effect: ExternalCallEffect): void {
 		switch (effect.type) {
 			case 'start-attempt': {
@@ -227,6 +246,20 @@
 				break;
 			}
 
+			case 'poison-request-changed': {
+				const {change} = effect;
+				if (change.kind === 'crash' && this.servers.get(change.crash)?.isAlive === true) {
+					this.falseCrashes.add(change.crash);
+				}
+
+				break;
+			}
+
+			case 'check-link': {
+				this._checkLink(process, effect);
+				break;
+			}
+
 			case 'refuse': {
 				this._onRefused(process, effect);
 				break;
@@ -265,14 +298,24 @@
 		this.fleet.store.put(`servers/${identity}`, `orders ${address} ready`);
 	}
 
-	private _startAttempt(process: ModelProcess, {callId, attemptId, identity}: ExternalCallEffect & {type: 'start-attempt'}): void {
+	/** Result of a new connection to a server, direct or through another VM. */
+	private _connect(process: ModelProcess, {isAlive}: BackendServer, via: string | undefined): 'open' | 'refused' | 'no-relay' {
+		if (via !== undefined && (this.fleet.runningAt(via) === undefined || this.withoutLinks.has(via))) {
+			return 'no-relay';
+		}
+
+		return isAlive && (via !== undefined || !this.withoutLinks.has(process.address)) ? 'open' : 'refused';
+	}
+
+	private _startAttempt(process: ModelProcess, {callId, attemptId, identity, via}: ExternalCallEffect & {type: 'start-attempt'}): void {
 		const {timeline} = this.fleet;
 		const server = this.servers.get(identity)!;
 		const call = this._calls.get(`${process.identity} ${callId}`)!;
-		if (!server.isAlive) {
+		const connection = this._connect(process, server, via);
+		if (connection !== 'open') {
 			timeline.after(2 * networkMilliseconds, () => {
 				process.handle({
-					type: 'attempt-failed', attemptId, failure: 'connection-refused', isReplayable: true, bytesPassedOn: 0,
+					type: 'attempt-failed', attemptId, failure: connection === 'refused' ? 'connection-refused' : 'no-relay', isReplayable: true, bytesPassedOn: 0,
 				});
 			});
 			return;
@@ -318,15 +361,24 @@
 		});
 	}
 
-	private _probe(process: ModelProcess, {loadProbeId, identity}: ExternalCallEffect & {type: 'measure'}): void {
+	private _probe(process: ModelProcess, {loadProbeId, identity, via}: ExternalCallEffect & {type: 'measure'}): void {
 		const server = this.servers.get(identity)!;
 		this.fleet.timeline.after(2 * networkMilliseconds, () => {
+			const connection = this._connect(process, server, via);
 			process.handle({
-				type: 'measured', loadProbeId, report: server.isAlive ? this._reportOf(server, identity) : undefined, isRefused: !server.isAlive,
+				type: 'measured', loadProbeId, report: connection === 'open' ? this._reportOf(server, identity) : undefined, isRefused: connection === 'refused',
 			});
 		});
 	}
 
+	private _checkLink(process: ModelProcess, {check: {checkId, identity, via}}: ExternalCallEffect & {type: 'check-link'}): void {
+		const server = this.servers.get(identity)!;
+		this.fleet.timeline.after((via === undefined ? 2 : 4) * networkMilliseconds, () => {
+			const connection = this._connect(process, server, via);
+			process.handle({type: 'link-checked', checkId, result: connection === 'open' ? 'answered' : connection});
+		});
+	}
+
 	private _reportOf({attempts}: BackendServer, instance: string | undefined): LoadReport {
 		return {
 			inFlight: attempts.size, queued: 0, slots: slotsPerServer, instance, isLeaving: false,
--- a/src/common/registry/vm-directory.ts
+++ b/src/common/registry/vm-directory.ts
@@ -1,6 +1,7 @@
 /** The VMs that callers may use, and the selection of those that a caller receives. */
 import {type FleetMembers} from '../calls/types.ts';
 import {type AddressAnswer, type PeerAddress} from '../fleet/types.ts';
+import {type Relay} from '../links/types.ts';
 import {type RandomSource} from '../model/units.ts';
 import {describeFailure} from '../errors/failure.ts';
 import {type StoreEntry} from '../platform/types.ts';
@@ -100,6 +101,11 @@
 		return this._named().map(({entry}) => entry.peerAddress);
 	}
 
+	/** The VMs known to serve, without this one, as relays of connections to backend servers. */
+	relays(): Relay[] {
+		return this._named().map(({entry: {peerAddress, dataCentre}}) => ({address: peerAddress, dataCentre}));
+	}
+
 	/**
 	 * Names of the VMs known to serve by data centre, including this VM while it serves. The name is the call address,
 	 * which a restart does not change.
--- a/src/daemon/describe-call.ts
+++ b/src/daemon/describe-call.ts
@@ -11,11 +11,12 @@
 }
 
 /** Formats an attempt: its purpose, time, backend server and load, the age of the load report, and the placement choice. */
-export function describeAttempt({backendServer, purpose, atMilliseconds, load, slots, workTimeFactor, reportAgeMilliseconds, grounds, failure}: AttemptRecord): string {
+export function describeAttempt({backendServer, purpose, via, atMilliseconds, load, slots, workTimeFactor, reportAgeMilliseconds, grounds, failure}: AttemptRecord): string {
 	const age = reportAgeMilliseconds === undefined ? 'no report' : `report ${formatTime(reportAgeMilliseconds)} old`;
 	const choice = grounds === undefined ? '' : `, ${grounds.choice} of ${grounds.weighed}, in time ${formatPercent(grounds.inTime)}`;
+	const way = via === undefined ? '' : `, by way of ${via}`;
 	const ending = failure === undefined ? '' : `, ended by ${failure}`;
-	return `${purpose} at ${formatTime(atMilliseconds)} to ${backendServer}: ${load}/${slots} calls, work time ${workTimeFactor ?? '?'}, ${age}${choice}${ending}`;
+	return `${purpose} at ${formatTime(atMilliseconds)} to ${backendServer}: ${load}/${slots} calls, work time ${workTimeFactor ?? '?'}, ${age}${choice}${way}${ending}`;
 }
 
 /** Formats the latest search for a backend server: the candidates, the time left and the required probability. States if there was no search. */
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -15,6 +15,7 @@
 import {type DeciderLoop} from '../node/decider-loop.ts';
 import {type EarlyListeners} from '../node/early-listener.ts';
 import {type FeedServer} from '../node/fleet/feed-server.ts';
+import {type TunnelServer} from '../node/fleet/tunnel-server.ts';
 import {type OutwardEffect, type StoreEffectExecutor} from '../node/fleet/store-effect-executor.ts';
 import {type BackendConnections} from '../node/front/backend-connections.ts';
 import {type CallEffectExecutor, type EndedCall, type RateLimitChanged} from '../node/front/call-effect-executor.ts';
@@ -25,6 +26,7 @@
 import {type LogControl, type Logger} from '../node/logging/types.ts';
 import {type Metrics} from '../node/metrics/types.ts';
 import {describeAttempt, describeGrounds} from './describe-call.ts';
+import {LinkLog} from './link-log.ts';
 import {reportPoisonRequestChange} from './poison-request-log.ts';
 import {StopReport} from './stop-report.ts';
 
@@ -46,6 +48,7 @@
 	readonly readinessGate: ReadinessGate;
 	readonly directoryServer: PageServer;
 	readonly feedServer: FeedServer;
+	readonly tunnelServer: TunnelServer;
 	readonly metricsServer: PageServer;
 	/** Listeners opened before the program was loaded, by endpoint. */
 	readonly listeners: EarlyListeners;
@@ -73,6 +76,7 @@
 	private readonly _goodCallLines = new LineBudget(maxGoodCallLinesPerSecond);
 	private readonly _badCallLines = new LineBudget(maxBadCallLinesPerSecond);
 	private readonly _stopReport = new StopReport();
+	private readonly _linkLog: LinkLog;
 
 	/** Fires when the planned stop is over and the process may exit. */
 	readonly onEnded = this._onEnded.event;
@@ -80,6 +84,7 @@
 	constructor(parts: EntryDaemonParts, owned: DisposableStore) {
 		super();
 		this._parts = parts;
+		this._linkLog = new LinkLog(parts.logger, parts.metrics);
 		this._register(owned);
 		this._register(parts.storeEffectExecutor.onEffect(effect => {
 			this._handleEffect(effect);
@@ -90,6 +95,9 @@
 		this._register(parts.callEffectExecutor.onPoisonRequestChanged(effect => {
 			reportPoisonRequestChange(effect, parts.logger, parts.metrics);
 		}));
+		this._register(parts.callEffectExecutor.onLinkChanged(effect => {
+			this._linkLog.record(effect.change);
+		}));
 		this._register(parts.callEffectExecutor.onRateLimitChanged(change => {
 			this._logRateLimit(change);
 		}));
@@ -149,10 +157,11 @@
 	}
 
 	private _handleEffect(effect: OutwardEffect): void {
-		const {connections, logger, metrics, routedServer} = this._parts;
+		const {connections, logger, metrics, routedServer, tunnelServer} = this._parts;
 		switch (effect.type) {
 			case 'configured': {
 				connections.retain(new Set(effect.configuration.backendServers.keys()));
+				tunnelServer.configure(effect.configuration.backendServers);
 				metrics.evacuations(effect.configuration.evacuatedDataCentres?.size ?? 0);
 				if (effect.configuration.routing !== undefined) {
 					routedServer.configure(effect.configuration.routing);
@@ -220,6 +229,10 @@
 	private _logCall({summary, traceId}: EndedCall): void {
 		const {logger, clock, metrics} = this._parts;
 		metrics.callEnded(summary);
+		for (const {via} of summary.trail ?? []) {
+			metrics.attemptStarted(via === undefined ? 'direct' : 'relayed');
+		}
+
 		this._stopReport.recordCall(summary);
 		const budget = summary.isGood ? this._goodCallLines : this._badCallLines;
 		const {isWritten, leftOut} = budget.admit(clock.now());
@@ -273,7 +286,8 @@
 	}
 
 	private _reportTraffic(): void {
-		const callsInFlight = this._parts.routedServer.unfinishedAnswers;
+		// Calls of other VMs that go by way of this one count as well.
+		const callsInFlight = this._parts.routedServer.unfinishedAnswers + this._parts.tunnelServer.busy;
 		this._parts.loop.feed({type: 'traffic', traffic: {openConnections: callsInFlight, idleConnections: 0, callsInFlight}});
 		this._trafficTimer.value = this._parts.clock.after(trafficReportIntervalMilliseconds, () => {
 			this._reportTraffic();
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -22,6 +22,7 @@
 import {FeedClient} from '../node/fleet/feed-client.ts';
 import {FeedServer} from '../node/fleet/feed-server.ts';
 import {StoreEffectExecutor} from '../node/fleet/store-effect-executor.ts';
+import {TunnelServer} from '../node/fleet/tunnel-server.ts';
 import {UpdateClient} from '../node/fleet/update-client.ts';
 import {VmProbeClient} from '../node/fleet/vm-probe-client.ts';
 import {type PlatformClient} from '../node/fleet/types.ts';
@@ -125,8 +126,24 @@
 	const feedClient = owned.add(new FeedClient(loop, logger));
 	const vmProbeClient = owned.add(new VmProbeClient(loop));
 	const updateClient = owned.add(new UpdateClient(logger, metrics));
-	const feedServer = owned.add(new FeedServer(metrics, {fullFrame: () => fleet.feed(clock.now()), isServing: identity => fleet.isServing(identity)}, loop));
+	const tunnelServer = owned.add(new TunnelServer({
+		hasLinkTo: identity => calls.hasLinkTo(identity),
+		relayTo: identity => calls.relayTo(identity),
+		onDirectFailed(identity) {
+			loop.feed({type: 'link-failed', identity});
+		},
+	}, metrics));
+	const feedServer = owned.add(new FeedServer(metrics, {fullFrame: () => fleet.feed(clock.now()), isServing: identity => fleet.isServing(identity)}, loop, tunnelServer));
 	const connections = owned.add(new BackendConnections({connectMilliseconds, idleMilliseconds: backendIdleTimeoutMilliseconds}));
+	connections.setRelays({
+		nextRelay: (identity, tried) => calls.nextRelay(identity, tried, clock.now()),
+		onRelayAsked(via, hasLink) {
+			calls.onRelayAsked(via, hasLink, clock.now());
+		},
+		onDirectFailed(identity) {
+			loop.feed({type: 'link-failed', identity});
+		},
+	});
 	const callEffectExecutor = owned.add(new CallEffectExecutor(loop, new CountedLoadProbeClient(new HttpLoadProbeClient(connections, platform.dialect), metrics), noKeyClaimer));
 	const readinessGate = owned.add(new ReadinessGate());
 	const routedServer = owned.add(new RoutedServer({
@@ -202,6 +219,7 @@
 		directoryServer,
 		readinessGate,
 		feedServer,
+		tunnelServer,
 		metricsServer,
 		listeners: platform.listeners ?? new Map(),
 	}, owned);
--- a/src/node/fleet/feed-server.ts
+++ b/src/node/fleet/feed-server.ts
@@ -40,6 +40,12 @@
 	isServing(identity: string): boolean;
 };
 
+/** Handles requests for connections to backend servers. */
+export type TunnelRequestHandler = {
+	accepts(incoming: IncomingMessage): boolean;
+	forward(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void>;
+};
+
 export class FeedServer extends Disposable {
 	private readonly _metrics: Metrics;
 	private readonly _content: FeedContent;
@@ -49,7 +55,7 @@
 	private readonly _server: Server;
 	private readonly _subscribers = new Set<ServerResponse>();
 
-	constructor(metrics: Metrics, content: FeedContent, sink: MemberSink) {
+	constructor(metrics: Metrics, content: FeedContent, sink: MemberSink, tunnels: TunnelRequestHandler) {
 		super();
 		this._sink = sink;
 		this._metrics = metrics;
@@ -57,6 +63,8 @@
 		this._server = createServer({requestTimeout: 0}, (incoming, outgoing) => {
 			if (incoming.url === feedPath) {
 				this._acceptSubscriber(incoming, outgoing);
+			} else if (tunnels.accepts(incoming)) {
+				void tunnels.forward(incoming, outgoing);
 			} else if (incoming.url === updatesPath && incoming.method === 'POST') {
 				this._receiveUpdates(incoming, outgoing);
 			} else {
--- a/src/node/fleet/feed-stream.test.ts
+++ b/src/node/fleet/feed-stream.test.ts
@@ -26,6 +26,8 @@
 	trace: ignore, debug: ignore, info: ignore, warn: ignore, error: ignore, with: () => silentLogger, isEnabled: () => false,
 };
 
+const noTunnels = {accepts: () => false, forward: async () => undefined};
+
 /** A feed server on its own port, a subscriber, and the events that each of them emits. */
 class Streams {
 	readonly owned = new DisposableStore();
@@ -35,7 +37,7 @@
 		feed: event => {
 			this.serverEvents.push(event);
 		},
-	}));
+	}, noTunnels));
 
 	readonly client = this.owned.add(new FeedClient({
 		feed: event => {
--- a/src/node/fleet/vm-probe-client.test.ts
+++ b/src/node/fleet/vm-probe-client.test.ts
@@ -12,6 +12,8 @@
 	revision: 0, ageMilliseconds: 0, entries: [], deleted: [], isWhole: true,
 };
 
+const noTunnels = {accepts: () => false, forward: async () => undefined};
+
 describe('a probe of a VM over sockets', () => {
 	let owned: DisposableStore;
 	let results: FleetEvent[];
@@ -43,7 +45,7 @@
 			feed() {
 				// There are no subscribers.
 			},
-		}));
+		}, noTunnels));
 		const port = await server.listen(0, '127.0.0.1');
 		const address = `127.0.0.1:${port._unsafeUnwrap()}`;
 		client.probe('now-here', address);
--- a/src/node/front/backend-attempt.ts
+++ b/src/node/front/backend-attempt.ts
@@ -4,6 +4,7 @@
 import {type Dispatcher, errors} from 'undici';
 import {type AttemptFailure, type AttemptId} from '../../common/calls/types.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
+import {NoRelayError} from '../fleet/tunnel-client.ts';
 import {type AttemptListener} from './types.ts';
 
 /** The answer of a cancelled attempt is read to its end up to this size, so that the connection can be reused. */
@@ -176,6 +177,10 @@
 				return 'unreachable';
 			}
 
+			if (error instanceof NoRelayError) {
+				return 'no-relay';
+			}
+
 			return 'code' in error && error.code === 'ECONNREFUSED' ? 'connection-refused' : 'not-sent';
 		}
 
--- a/src/node/front/backend-connections.ts
+++ b/src/node/front/backend-connections.ts
@@ -4,13 +4,14 @@
  */
 import {buildConnector, Client, Pool} from 'undici';
 import {type BackendServerIdentity, type CallEffect} from '../../common/calls/types.ts';
+import {NoRelayError, tunnelConnector} from '../fleet/tunnel-client.ts';
 import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 
-type Target = Pick<CallEffect & {type: 'start-attempt'}, 'identity' | 'address' | 'port' | 'processStartedAt'>;
+type Target = Pick<CallEffect & {type: 'start-attempt'}, 'identity' | 'address' | 'port' | 'processStartedAt' | 'via'>;
 
-/** Connections to one process of a backend server. */
-type ProcessPool = {readonly pool: Pool; readonly origin: string; readonly processStartedAt: number | undefined};
+/** Connections to one process of a backend server on one path. */
+type ProcessPool = {readonly pool: Pool; readonly origin: string; readonly processStartedAt: number | undefined; readonly via: string | undefined};
 
 export type ConnectionSettings = {
 	readonly connectMilliseconds: Milliseconds;
@@ -53,8 +54,25 @@
 	};
 }
 
+/** Supplies VMs through which a connection is opened if the direct one fails. */
+export type RelaySource = {
+	/** A VM to ask for a tunnel to this backend server; undefined = none is left besides those in `tried`. */
+	nextRelay(identity: BackendServerIdentity, tried: ReadonlySet<string>): string | undefined;
+	/** This relay has opened a connection, or has no link itself. */
+	onRelayAsked(via: string, hasLink: boolean): void;
+	/** The direct connection to a backend server could not be opened. */
+	onDirectFailed(identity: BackendServerIdentity): void;
+};
+
+/** A direct connection that failed, and the relays that were asked since. */
+type FailedConnection = {readonly error: Error; readonly tried: Set<string>};
+
+/** Relays that are asked for one connection; a VM that has no link either says so within a round trip. */
+const maxRelaysPerConnection = 4;
+
 /** One connection pool for each backend server. */
 export class BackendConnections extends Disposable {
+	private _relays: RelaySource | undefined;
 	private readonly _pools = new Map<BackendServerIdentity, ProcessPool>();
 	private readonly _settings: ConnectionSettings;
 	private readonly _connect: buildConnector.connector;
@@ -72,27 +90,40 @@
 		}));
 	}
 
+	/** Sets the relays for connections that fail directly. A setter, since the engine that chooses them is created later. */
+	setRelays(relays: RelaySource): void {
+		this._relays = relays;
+	}
+
 	/**
-	 * Returns the shared pool of a backend server's process. Closes the previous pool if the address or the process has changed
-	 * under the same identity: connections to the previous process may stay silent forever, or lead to an address that now
-	 * belongs to another backend server.
+	 * Returns the shared pool of a backend server's process. Closes the previous pool if the address, the process or the path
+	 * has changed under the same identity: earlier connections may stay silent forever, or lead to an address that now belongs
+	 * to another backend server.
 	 */
-	pool({identity, address, port, processStartedAt}: Target): Pool {
+	pool(target: Target): Pool {
+		const {identity, address, port, processStartedAt, via} = target;
 		const origin = originUrl(address, port);
 		const existing = this._pools.get(identity);
-		if (existing?.origin === origin && existing.processStartedAt === processStartedAt) {
+		if (existing?.origin === origin && existing.processStartedAt === processStartedAt && existing.via === via) {
 			return existing.pool;
 		}
 
 		void existing?.pool.close();
-		const pool = new Pool(origin, this._options());
-		this._pools.set(identity, {pool, origin, processStartedAt});
+		const pool = new Pool(origin, this._options(target));
+		this._pools.set(identity, {
+			pool, origin, processStartedAt, via,
+		});
 		return pool;
 	}
 
 	/** Returns a client with a new connection for a single attempt; the caller closes it. */
 	createDedicatedClient(target: Target): Client {
-		return new Client(originUrl(target.address, target.port), this._options());
+		return new Client(originUrl(target.address, target.port), this._options(target));
+	}
+
+	/** Returns a client that opens a connection by exactly this path; the caller closes it. */
+	createCheckClient(target: Target): Client {
+		return new Client(originUrl(target.address, target.port), {...this._options(target), ...(target.via === undefined ? {connect: this._connect} : {})});
 	}
 
 	/** Closes the pools of backend servers that are not in `identities`, once their calls in flight have completed. */
@@ -105,13 +136,13 @@
 		}
 	}
 
-	private _options(): Client.Options {
+	private _options({identity, via}: Target): Client.Options {
 		return {
 			// No pipelining: a call queued behind a slow one would wait without the call engine's knowledge, and undici would
 			// resend it on its own after a reset.
 			pipelining: 1,
 			allowH2: false,
-			connect: this._connect,
+			connect: via === undefined ? this._connectWithFallback(identity) : this._tunnelConnector(identity, via),
 			keepAliveTimeout: this._settings.idleMilliseconds,
 			keepAliveMaxTimeout: this._settings.idleMilliseconds,
 			// The call engine enforces the deadline for the answer's head, but cannot detect silence within the body.
@@ -119,4 +150,46 @@
 			bodyTimeout: this._settings.silenceMilliseconds ?? defaultSilenceMilliseconds,
 		};
 	}
+
+	private _tunnelConnector(identity: BackendServerIdentity, via: string): buildConnector.connector {
+		return tunnelConnector({
+			via, identity, timeoutMilliseconds: this._settings.connectMilliseconds, resetCode,
+		});
+	}
+
+	/** Opens a direct connection; if that fails, one through another VM. */
+	private _connectWithFallback(identity: BackendServerIdentity): buildConnector.connector {
+		return (options, callback) => {
+			this._connect(options, (...result) => {
+				const [error] = result;
+				if (error === null) {
+					callback(...result);
+				} else {
+					this._relays?.onDirectFailed(identity);
+					this._connectRelayed(identity, options, {error, tried: new Set()}, callback);
+				}
+			});
+		};
+	}
+
+	private _connectRelayed(identity: BackendServerIdentity, options: buildConnector.Options, {error, tried}: FailedConnection, callback: buildConnector.Callback): void {
+		const via = tried.size < maxRelaysPerConnection ? this._relays?.nextRelay(identity, tried) : undefined;
+		if (via === undefined) {
+			callback(error, null);
+			return;
+		}
+
+		tried.add(via);
+		this._tunnelConnector(identity, via)(options, (...result) => {
+			if (result[0] === null) {
+				this._relays?.onRelayAsked(via, true);
+				callback(...result);
+			} else if (result[0] instanceof NoRelayError) {
+				this._relays?.onRelayAsked(via, false);
+				this._connectRelayed(identity, options, {error, tried}, callback);
+			} else {
+				callback(error, null);
+			}
+		});
+	}
 }
--- a/src/node/front/call-effect-executor.ts
+++ b/src/node/front/call-effect-executor.ts
@@ -11,6 +11,8 @@
 /** Sends a load probe; the result is fed to the sink as a `measured` event. */
 export type LoadProbeClient = {
 	probe(effect: CallEffect & {type: 'measure'}, sink: CallEventSink): void;
+	/** Checks a path to a backend server; the result is fed to the sink as a `link-checked` event. */
+	check(effect: CallEffect & {type: 'check-link'}, sink: CallEventSink): void;
 };
 
 /** Claims idempotency keys; the result is fed to the sink as a `key-claimed` event. */
@@ -28,6 +30,9 @@
 /** What this VM knows of calls that crash backend servers has changed. */
 export type PoisonRequestChanged = CallEffect & {type: 'poison-request-changed'};
 
+/** The path to a backend server has changed. */
+export type LinkChanged = CallEffect & {type: 'link-changed'};
+
 /** Holds the active calls of this VM and dispatches each effect to its call, the load prober or the key claimer. */
 export class CallEffectExecutor extends Disposable {
 	private readonly _sink: CallEventSink;
@@ -41,6 +46,8 @@
 
 	private readonly _onPoisonRequestChanged = this._register(new Emitter<PoisonRequestChanged>());
 
+	private readonly _onLinkChanged = this._register(new Emitter<LinkChanged>());
+
 	/** Fires once for each call, when it has completed. */
 	readonly onCallEnded = this._onCallEnded.event;
 	/** Fires if a backend server announces a new rate limit or removes its rate limit. */
@@ -48,6 +55,9 @@
 	/** Fires if a call comes under suspicion of crashing backend servers, is quarantined or is cleared. */
 	readonly onPoisonRequestChanged = this._onPoisonRequestChanged.event;
 
+	/** Fires if connections to a backend server take another path from now on. */
+	readonly onLinkChanged = this._onLinkChanged.event;
+
 	constructor(sink: CallEventSink, loadProber: LoadProbeClient, keyClaimer: KeyClaimer) {
 		super();
 		this._sink = sink;
@@ -104,13 +114,23 @@
 	}
 
 	/** Executes effects that do not concern the connections of a call. */
-	private _executeOther(effect: ExternalCallEffect & {type: 'measure' | 'claim-key' | 'release-key' | 'rate-limit-changed' | 'poison-request-changed'}): void {
+	private _executeOther(effect: ExternalCallEffect & {type: 'measure' | 'claim-key' | 'release-key' | 'rate-limit-changed' | 'poison-request-changed' | 'check-link' | 'link-changed'}): void {
 		switch (effect.type) {
 			case 'measure': {
 				this._loadProber.probe(effect, this._sink);
 				break;
 			}
 
+			case 'check-link': {
+				this._loadProber.check(effect, this._sink);
+				break;
+			}
+
+			case 'link-changed': {
+				this._onLinkChanged.fire(effect);
+				break;
+			}
+
 			case 'claim-key': {
 				this._keyClaimer.claim(effect, this._sink);
 				break;
--- a/src/node/front/http-load-probe-client.ts
+++ b/src/node/front/http-load-probe-client.ts
@@ -2,7 +2,9 @@
 import {type IncomingHttpHeaders} from 'node:http';
 import {type Dispatcher} from 'undici';
 import {type CallEffect, type LoadReport} from '../../common/calls/types.ts';
+import {type LinkCheckResult} from '../../common/links/types.ts';
 import {type Dialect} from '../../common/protocol/dialect.ts';
+import {NoRelayError} from '../fleet/tunnel-client.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {type LoadProbeClient} from './call-effect-executor.ts';
 import {type CallEventSink} from './types.ts';
@@ -88,6 +90,39 @@
 	}
 }
 
+/** One check of a path: any response on a new connection shows that the path works. */
+class LinkCheckHandler implements Dispatcher.DispatchHandler {
+	private readonly _onDone: (result: LinkCheckResult, hint?: string) => void;
+
+	constructor(onDone: LinkCheckHandler['_onDone']) {
+		this._onDone = onDone;
+	}
+
+	onRequestStart(): void {
+		// A connection alone does not show that the backend server responds.
+	}
+
+	onResponseStart(): void {
+		this._onDone('answered');
+	}
+
+	onResponseData(): void {
+		// Only the head matters.
+	}
+
+	onResponseEnd(): void {
+		// The result was reported with the head.
+	}
+
+	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+		if (error instanceof NoRelayError) {
+			this._onDone('no-relay', error.hint);
+		} else {
+			this._onDone('code' in error && error.code === 'ECONNREFUSED' ? 'refused' : 'failed');
+		}
+	}
+}
+
 /** Sends load probes on the connection pools that calls use, so that no further connections are needed. */
 export class HttpLoadProbeClient implements LoadProbeClient {
 	private readonly _connections: BackendConnections;
@@ -109,4 +144,29 @@
 			method: 'GET', path, headers: [], idempotent: false,
 		}, loadProbe);
 	}
+
+	check({check}: CallEffect & {type: 'check-link'}, sink: CallEventSink): void {
+		const client = this._connections.createCheckClient(check);
+		let isDone = false;
+		const onDone = (result: LinkCheckResult, hint?: string) => {
+			if (!isDone) {
+				isDone = true;
+				clearTimeout(timer);
+				void client.destroy();
+				sink.feed({
+					type: 'link-checked', checkId: check.checkId, result, hint,
+				});
+			}
+		};
+
+		const timer = setTimeout(() => {
+			// Responses that arrived while this process was paused are handled first.
+			setImmediate(() => {
+				onDone('failed');
+			});
+		}, check.timeoutMilliseconds);
+		client.dispatch({
+			method: 'GET', path: check.path, headers: [], idempotent: false,
+		}, new LinkCheckHandler(onDone));
+	}
 }
--- a/src/node/metrics/counted-clients.ts
+++ b/src/node/metrics/counted-clients.ts
@@ -48,4 +48,9 @@
 		this._metrics.loadProbeSent(effect.service);
 		this._client.probe(effect, sink);
 	}
+
+	check(effect: CallEffect & {type: 'check-link'}, sink: CallEventSink): void {
+		this._metrics.loadProbeSent(effect.check.service);
+		this._client.check(effect, sink);
+	}
 }
--- a/src/node/metrics/page-metrics.test.ts
+++ b/src/node/metrics/page-metrics.test.ts
@@ -15,6 +15,9 @@
 		metrics.storeEra(2, true);
 		metrics.rateLimits(2);
 		metrics.rateLimitUnreadable('ordering');
+		metrics.linkChanged('relayed', 3);
+		metrics.attemptStarted('relayed');
+		metrics.tunnelRequested('open');
 		metrics.poisonRequests('quarantined', 1);
 		metrics.configurationRejected('reads');
 		metrics.loadProbeSent('orders');
--- a/src/node/metrics/page-metrics.ts
+++ b/src/node/metrics/page-metrics.ts
@@ -6,6 +6,7 @@
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import {type CallSummary, type PoisonRequestChange} from '../../common/calls/types.ts';
+import {type LinkState} from '../../common/links/types.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 import {type Metrics, type VmGauges} from './types.ts';
 
@@ -25,6 +26,10 @@
 	private readonly _withheld = this._counter('jaydale_rate_limit_withheld_total', 'Calls kept from a backend server by its rate limit.', ['service']);
 	private readonly _poisonRequestChanges = this._counter('jaydale_poison_request_changes_total', 'Crashes with calls in flight, and calls quarantined or cleared of suspicion.', ['change']);
 	private readonly _quarantined = new Gauge({name: 'jaydale_quarantined_calls', help: 'Calls that are refused because backend servers crashed while running them.', registers: [this._registry]});
+	private readonly _lostLinks = new Gauge({name: 'jaydale_lost_links', help: 'Backend servers that this VM has no direct link to.', registers: [this._registry]});
+	private readonly _linkChanges = this._counter('jaydale_link_changes_total', 'Changes of the path to a backend server.', ['state']);
+	private readonly _attemptPaths = this._counter('jaydale_attempt_paths_total', 'Attempts by the path of their connection.', ['path']);
+	private readonly _tunnels = this._counter('jaydale_tunnels_total', 'Connections to backend servers that other VMs asked this one for.', ['result']);
 	private readonly _rejectedConfigurations = this._counter('jaydale_rejected_configurations_total', 'Configurations that could not be read.', ['route']);
 	private readonly _loadProbes = this._counter('jaydale_measuring_calls_total', 'Calls made to learn a load.', ['service']);
 	private readonly _storeCalls = this._counter('jaydale_store_calls_total', 'Requests to the store.', ['operation', 'reply']);
@@ -76,6 +81,19 @@
 		this._quarantined.set(quarantined);
 	}
 
+	linkChanged(state: LinkState, lostLinks: number): void {
+		this._linkChanges.inc({state});
+		this._lostLinks.set(lostLinks);
+	}
+
+	attemptStarted(path: 'direct' | 'relayed'): void {
+		this._attemptPaths.inc({path});
+	}
+
+	tunnelRequested(result: string): void {
+		this._tunnels.inc({result});
+	}
+
 	configurationRejected(route: string | undefined): void {
 		this._rejectedConfigurations.inc({route: route ?? ''});
 	}
--- a/src/node/metrics/statsd-metrics.ts
+++ b/src/node/metrics/statsd-metrics.ts
@@ -2,6 +2,7 @@
 import {StatsD, type ClientOptions} from 'hot-shots';
 import {type CallSummary, type PoisonRequestChange} from '../../common/calls/types.ts';
 import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
+import {type LinkState} from '../../common/links/types.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 import {type Settings} from '../../common/settings/settings.ts';
 import {type MetricNameOf, type TagsOf} from './catalogue.ts';
@@ -105,6 +106,19 @@
 		this._gauge('poison_requests.quarantined', quarantined);
 	}
 
+	linkChanged(state: LinkState, lostLinks: number): void {
+		this._count('links.changes', 1, {state});
+		this._gauge('links.lost', lostLinks);
+	}
+
+	attemptStarted(path: 'direct' | 'relayed'): void {
+		this._count('links.attempts', 1, {path});
+	}
+
+	tunnelRequested(result: string): void {
+		this._count('links.tunnels', 1, {result});
+	}
+
 	configurationRejected(route: string | undefined): void {
 		this._count('configurations.rejected', 1, {route: route ?? 'none'});
 	}
--- a/src/node/metrics/types.ts
+++ b/src/node/metrics/types.ts
@@ -1,5 +1,6 @@
 /** Interface for reporting metrics: one method per event, so that metric names and tags are defined in one place. */
 import {type CallSummary, type PoisonRequestChange} from '../../common/calls/types.ts';
+import {type LinkState} from '../../common/links/types.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 
 /** State of a VM that is sampled periodically. */
@@ -30,6 +31,12 @@
 	rateLimitUnreadable(service: string): void;
 	/** What this VM knows of calls that crash backend servers has changed; `quarantined` = number of refused fingerprints. */
 	poisonRequests(change: PoisonRequestChange['kind'], quarantined: number): void;
+	/** The path to a backend server has changed; `lostLinks` = number of backend servers without a direct link. */
+	linkChanged(state: LinkState, lostLinks: number): void;
+	/** An attempt at a backend server was started by this path. */
+	attemptStarted(path: 'direct' | 'relayed'): void;
+	/** Another VM asked for a tunnel to a backend server. */
+	tunnelRequested(result: string): void;
 	/** A configuration was rejected; `route` = the invalid route, undefined if the error is not in a route. */
 	configurationRejected(route: string | undefined): void;
 	/** A load probe was sent to a backend server of the service. */
--- a/src/proof/fuzz/call-vm.ts
+++ b/src/proof/fuzz/call-vm.ts
@@ -207,6 +207,8 @@
 
 			case 'rate-limit-changed':
 			case 'poison-request-changed':
+			case 'check-link':
+			case 'link-changed':
 			case 'call-ended': {
 				break;
 			}
