Let a refused connection prove a crash only if another VM is refused too

Cause: a refused connection counted as proof of the end of a process, also at a VM that is refused by every backend server. Without other VMs a refusal counts as before.

--- a/src/common/calls/outlier-detector.ts
+++ b/src/common/calls/outlier-detector.ts
@@ -25,7 +25,9 @@
 
 		switch (failure) {
 			case 'connection-refused': {
-				this._processEnds.onAttemptSign(attempt, 'connection-refused', now);
+				if (this._processEnds.isProof(attempt.via)) {
+					this._processEnds.onAttemptSign(attempt, 'connection-refused', now);
+				}
 
 				this._recordFailure(attempt, now);
 				break;
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -152,7 +152,7 @@
 		if (report === undefined) {
 			server.unansweredProbes++;
 			this._context.links.onTrouble(server.identity, now);
-			if (isRefused) {
+			if (isRefused && this._processEnds.isProof(via)) {
 				this._processEnds.onSign(server, server.report?.instance, 'load-probe-refused', now);
 			}
 
