--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -175,9 +175,9 @@
 		return this._context.links.nextRelay(identity, tried, now);
 	}
 
-	/** A VM that was asked for a connection has opened one, or has no link itself. */
-	onRelayAsked(via: string, hasLink: boolean, now: Instant): void {
-		this._context.links.onRelayAsked(via, hasLink, now);
+	/** A VM that was asked for a connection to a backend server has opened one, or has no link itself. */
+	onRelayAsked(identity: BackendServerIdentity, via: string, hasLink: boolean, now: Instant): void {
+		this._context.links.onRelayAsked(identity, via, hasLink, now);
 	}
 
 	/** Another VM through which this one reaches a backend server; undefined = none. */
--- a/src/common/links/backend-links.ts
+++ b/src/common/links/backend-links.ts
@@ -127,15 +127,15 @@
 	/** A VM to ask for a connection to this backend server; undefined = none is left besides those in `tried`. */
 	nextRelay(identity: string, tried: ReadonlySet<RelayAddress>, now: Instant): RelayAddress | undefined {
 		const target = this._options.find(identity);
-		return target === undefined ? undefined : this._relays.choose(target.declared.dataCentre, tried, now);
+		return target === undefined ? undefined : this._relays.choose(target.declared, tried, now);
 	}
 
-	/** A VM that was asked for a connection has opened one, or has no link itself. */
-	onRelayAsked(via: RelayAddress, hasLink: boolean, now: Instant): void {
+	/** A VM that was asked for a connection to a backend server has opened one, or has no link itself. */
+	onRelayAsked(identity: string, via: RelayAddress, hasLink: boolean, now: Instant): void {
 		if (hasLink) {
 			this._relays.recordSuccess(via);
 		} else {
-			this._relays.recordNoLink(via, now);
+			this._relays.recordNoLink(via, this._serviceOf(identity), now);
 		}
 	}
 
@@ -206,7 +206,7 @@
 				continue;
 			}
 
-			const lost = [...this._links].filter(([identity, {path}]) => path.state !== 'direct' && this._options.find(identity)?.declared.service === service);
+			const lost = [...this._links].filter(([identity, {path}]) => path.state !== 'direct' && this._serviceOf(identity) === service);
 			if (lost.length === 0) {
 				this._recheckAt.delete(service);
 				continue;
@@ -239,7 +239,7 @@
 	private _askNextRelay(target: LinkTarget, run: RunningCheck, preferred: RelayAddress | undefined, now: Instant): void {
 		const isEnough = run.tried.size >= maxRelaysPerCheck || run.timeouts >= maxTimeoutsPerCheck;
 		const isUsable = preferred !== undefined && this._relays.has(preferred) && !run.tried.has(preferred);
-		const via = isEnough ? undefined : (isUsable ? preferred : this._relays.choose(target.declared.dataCentre, run.tried, now));
+		const via = isEnough ? undefined : (isUsable ? preferred : this._relays.choose(target.declared, run.tried, now));
 		run.via = via;
 		if (via === undefined) {
 			run.relayed = run.timeouts > 0 ? 'failed' : 'no-relay';
@@ -275,7 +275,7 @@
 		}
 
 		if (result === 'no-relay') {
-			this._relays.recordNoLink(via, now);
+			this._relays.recordNoLink(via, this._serviceOf(identity), now);
 		} else {
 			this._relays.recordTimeout(via, now);
 			run.timeouts++;
@@ -356,7 +356,7 @@
 
 		link.path = {state, via};
 		this._lostLinks += (state === 'direct' ? 0 : 1) - (previous.state === 'direct' ? 0 : 1);
-		const service = this._options.find(identity)?.declared.service ?? '';
+		const service = this._serviceOf(identity);
 		this._options.onChanged({
 			identity, service, ...link.path, ...resultsOf(run), lostLinks: this._lostLinks,
 		}, now);
@@ -386,7 +386,7 @@
 	/** A link of this service has returned, so the others have probably returned too. */
 	private _queueLost(service: string): void {
 		for (const [identity, {path}] of this._links) {
-			if (path.state !== 'direct' && this._options.find(identity)?.declared.service === service) {
+			if (path.state !== 'direct' && this._serviceOf(identity) === service) {
 				this._queue.add(identity);
 			}
 		}
@@ -403,10 +403,14 @@
 		}
 	}
 
+	private _serviceOf(identity: string): string {
+		return this._options.find(identity)?.declared.service ?? '';
+	}
+
 	private _replaceRelay(identity: string, now: Instant): void {
 		const link = this._links.get(identity)!;
 		const target = this._options.find(identity);
-		const via = target === undefined ? undefined : this._relays.choose(target.declared.dataCentre, new Set(), now);
+		const via = target === undefined ? undefined : this._relays.choose(target.declared, new Set(), now);
 		const run: RunningCheck = {
 			direct: 'failed', relayed: via === undefined ? 'no-relay' : undefined, via, isRecheck: false, tried: new Set(), timeouts: 0,
 		};
--- a/src/common/links/relay-selector.ts
+++ b/src/common/links/relay-selector.ts
@@ -15,7 +15,8 @@
 	private readonly _random: RandomSource;
 	private readonly _ownDataCentre: string;
 	private _relays = new Map<RelayAddress, Relay>();
-	private readonly _excludedUntil = new Map<RelayAddress, Instant>();
+	/** By service and relay, since a relay may have links to some services only. */
+	private readonly _excludedUntil = new Map<string, Instant>();
 	private readonly _slowUntil = new Map<RelayAddress, Instant>();
 	private readonly _proven = new Set<RelayAddress>();
 
@@ -31,9 +32,9 @@
 
 	set(relays: readonly Relay[]): void {
 		this._relays = new Map(relays.map(relay => [relay.address, relay]));
-		for (const address of [...this._excludedUntil.keys(), ...this._slowUntil.keys(), ...this._proven]) {
+		this._excludedUntil.clear();
+		for (const address of [...this._slowUntil.keys(), ...this._proven]) {
 			if (!this._relays.has(address)) {
-				this._excludedUntil.delete(address);
 				this._slowUntil.delete(address);
 				this._proven.delete(address);
 			}
@@ -48,15 +49,14 @@
 	recordSuccess(address: RelayAddress): void {
 		if (this._relays.has(address)) {
 			this._proven.add(address);
-			this._excludedUntil.delete(address);
 			this._slowUntil.delete(address);
 		}
 	}
 
-	/** This relay has no link to a backend server itself, or refuses connections. */
-	recordNoLink(address: RelayAddress, now: Instant): void {
+	/** This relay has no link to a backend server of this service itself, or refuses connections. */
+	recordNoLink(address: RelayAddress, service: string, now: Instant): void {
 		this._proven.delete(address);
-		this._excludedUntil.set(address, now + exclusionMilliseconds);
+		this._excludedUntil.set(exclusionKey(address, service), now + exclusionMilliseconds);
 	}
 
 	/** This relay, or the backend server behind it, did not respond in time. */
@@ -69,8 +69,8 @@
 	 * Returns a relay for a backend server in this data centre, at random; undefined = none is left. Relays in this VM's
 	 * data centre or in the backend server's come first, since each further data centre on the way adds a round trip.
 	 */
-	choose(serverDataCentre: string, tried: ReadonlySet<RelayAddress>, now: Instant): RelayAddress | undefined {
-		const usable = [...this._relays.values()].filter(({address}) => !tried.has(address) && isOver(this._excludedUntil.get(address), now));
+	choose({service, dataCentre: serverDataCentre}: {readonly service: string; readonly dataCentre: string}, tried: ReadonlySet<RelayAddress>, now: Instant): RelayAddress | undefined {
+		const usable = [...this._relays.values()].filter(({address}) => !tried.has(address) && isOver(this._excludedUntil.get(exclusionKey(address, service)), now));
 		const responding = usable.filter(({address}) => isOver(this._slowUntil.get(address), now));
 		const able = responding.length > 0 ? responding : usable;
 		const near = able.filter(({dataCentre}) => dataCentre === this._ownDataCentre || dataCentre === serverDataCentre);
@@ -83,6 +83,10 @@
 	}
 }
 
+function exclusionKey(address: RelayAddress, service: string): string {
+	return `${service} ${address}`;
+}
+
 function isOver(until: Instant | undefined, now: Instant): boolean {
 	return until === undefined || until <= now;
 }
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -137,8 +137,8 @@
 	const connections = owned.add(new BackendConnections({connectMilliseconds, idleMilliseconds: backendIdleTimeoutMilliseconds}));
 	connections.setRelays({
 		nextRelay: (identity, tried) => calls.nextRelay(identity, tried, clock.now()),
-		onRelayAsked(via, hasLink) {
-			calls.onRelayAsked(via, hasLink, clock.now());
+		onRelayAsked(identity, via, hasLink) {
+			calls.onRelayAsked(identity, via, hasLink, clock.now());
 		},
 		onDirectFailed(identity) {
 			loop.feed({type: 'link-failed', identity});
--- a/src/node/fleet/tunnel-client.ts
+++ b/src/node/fleet/tunnel-client.ts
@@ -18,7 +18,7 @@
 
 /** Statuses of the response to a request for a tunnel; all others mean that this VM cannot be a relay now. */
 export const tunnelStatus = {
-	open: 200, refused: 502, timedOut: 504, noLink: 503,
+	open: 200, unknown: 404, refused: 502, timedOut: 504, noLink: 503,
 } as const;
 
 /** The VM that was asked has no link itself, or cannot be reached. `hint` = another one that may have. */
@@ -107,7 +107,12 @@
 	return (_options, callback) => {
 		const colon = via.lastIndexOf(':');
 		const outgoing = request({
-			host: via.slice(0, colon).replaceAll(/[\[\]]/gv, ''), port: Number(via.slice(colon + 1)), method: 'POST', path: tunnelPathPrefix + encodeURIComponent(identity), agent: false, headers: {'transfer-encoding': 'chunked'},
+			host: via.slice(0, colon).replaceAll(/[\[\]]/gv, ''),
+			port: Number(via.slice(colon + 1)),
+			method: 'POST',
+			path: tunnelPathPrefix + encodeURIComponent(identity),
+			agent: false,
+			headers: {'transfer-encoding': 'chunked'},
 		});
 		let isSettled = false;
 		const settle = (error: Error | undefined, tunnel?: Tunnel) => {
@@ -146,6 +151,11 @@
 					break;
 				}
 
+				case tunnelStatus.unknown: {
+					settle(new TunnelError('backend server unknown to the relay', 'ENOENT'));
+					break;
+				}
+
 				case tunnelStatus.timedOut: {
 					settle(new TunnelError('connection of the relay timed out', 'ETIMEDOUT'));
 					break;
--- a/src/node/fleet/tunnel-server.ts
+++ b/src/node/fleet/tunnel-server.ts
@@ -22,7 +22,9 @@
 const maxWitnesses = 2;
 
 /** Names of refusals in metrics. */
-const refusalName = {[tunnelStatus.refused]: 'refused', [tunnelStatus.timedOut]: 'timed-out', [tunnelStatus.noLink]: 'no-link'} as const;
+const refusalName = {
+	[tunnelStatus.unknown]: 'unknown', [tunnelStatus.refused]: 'refused', [tunnelStatus.timedOut]: 'timed-out', [tunnelStatus.noLink]: 'no-link',
+} as const;
 
 /** Address of a backend server. */
 export type TunnelTarget = {readonly address: string; readonly port: number};
@@ -102,7 +104,12 @@
 		});
 		const identity = decodeURIComponent((incoming.url ?? '').slice(tunnelPathPrefix.length));
 		const target = this._targets.get(identity);
-		if (target === undefined || this._sockets.size + this._pendingTunnels >= maxTunnels || !this._context.hasLinkTo(identity)) {
+		if (target === undefined) {
+			this._refuse(outgoing, tunnelStatus.unknown, identity);
+			return;
+		}
+
+		if (this._sockets.size + this._pendingTunnels >= maxTunnels || !this._context.hasLinkTo(identity)) {
 			this._refuse(outgoing, tunnelStatus.noLink, identity);
 			return;
 		}
--- a/src/node/front/backend-connections.ts
+++ b/src/node/front/backend-connections.ts
@@ -58,8 +58,8 @@
 export type RelaySource = {
 	/** A VM to ask for a tunnel to this backend server; undefined = none is left besides those in `tried`. */
 	nextRelay(identity: BackendServerIdentity, tried: ReadonlySet<string>): string | undefined;
-	/** This relay has opened a connection, or has no link itself. */
-	onRelayAsked(via: string, hasLink: boolean): void;
+	/** This relay has opened a connection to a backend server, or has no link itself. */
+	onRelayAsked(identity: BackendServerIdentity, via: string, hasLink: boolean): void;
 	/** The direct connection to a backend server could not be opened. */
 	onDirectFailed(identity: BackendServerIdentity): void;
 };
@@ -182,10 +182,10 @@
 		tried.add(via);
 		this._tunnelConnector(identity, via)(options, (...result) => {
 			if (result[0] === null) {
-				this._relays?.onRelayAsked(via, true);
+				this._relays?.onRelayAsked(identity, via, true);
 				callback(...result);
 			} else if (result[0] instanceof NoRelayError) {
-				this._relays?.onRelayAsked(via, false);
+				this._relays?.onRelayAsked(identity, via, false);
 				this._connectRelayed(identity, options, {error, tried}, callback);
 			} else {
 				callback(error, null);
