--- a/src/node/fleet/tunnel.test.ts
+++ b/src/node/fleet/tunnel.test.ts
@@ -92,10 +92,9 @@
 		const answer = await clientOf('i-1').request({method: 'POST', path: '/', body});
 		let read = 0;
 		let isRight = true;
-		for await (const chunk of answer.body) {
-			const part: Buffer = chunk;
-			isRight &&= part.equals(body.subarray(read, read + part.length));
-			read += part.length;
+		for await (const chunk of answer.body as AsyncIterable<Buffer>) {
+			isRight &&= chunk.equals(body.subarray(read, read + chunk.length));
+			read += chunk.length;
 			await new Promise(resolve => {
 				setTimeout(resolve, 0);
 			});
