Ask relays for an unreachable backend server once a second only

While no VM has links, each asked up to eight others for one backend server of each service every 300 ms: 30 to 90 requests a second for each VM by the constants. The direct link is still checked every 300 ms. The new test bounds what is asked in 5 s.

--- a/src/common/links/backend-links.test.ts
+++ b/src/common/links/backend-links.test.ts
@@ -147,6 +147,18 @@
 		expect([next.state, next.via !== undefined && next.via !== via]).toEqual(['relayed', true]);
 	});
 
+	// Guards against VMs that ask one another all the time while none of them has links.
+	it('asks relays about once a second for each service while no VM has links', () => {
+		const driver = new Driver();
+		driver.network.result = (_identity, via) => via === undefined ? 'failed' : 'no-relay';
+		driver.links.onTrouble('i-0', 0);
+		driver.run(500);
+		const before = driver.checks.filter(({via}) => via !== undefined).length;
+		driver.run(5000);
+		const asked = driver.checks.filter(({via}) => via !== undefined).length - before;
+		expect([driver.states.includes('direct'), asked <= 6 * 5 * relays.length]).toEqual([false, true]);
+	});
+
 	// Guards against checks that multiply while links are lost.
 	it('checks one lost link of each service in each interval', () => {
 		const driver = new Driver();
--- a/src/common/links/backend-links.ts
+++ b/src/common/links/backend-links.ts
@@ -23,6 +23,9 @@
 /** Interval at which one lost link of each service is checked for its return. */
 const recheckMilliseconds: Milliseconds = 300;
 
+/** Minimum interval at which relays are asked for an unreachable backend server; its direct link is checked more often. */
+const relayIntervalMilliseconds: Milliseconds = 1000;
+
 /** Relays that are asked in one check: those that have no link themselves say so within a round trip. */
 const maxRelaysPerCheck = 8;
 
@@ -57,7 +60,7 @@
 	relayed: LinkCheckResult | 'pending' | undefined;
 	via: RelayAddress | undefined;
 	/** Checks only whether the direct link has returned. */
-	readonly isRecheck: boolean;
+	readonly isDirectOnly: boolean;
 	readonly tried: Set<RelayAddress>;
 	timeouts: number;
 };
@@ -68,6 +71,7 @@
 	path: Path;
 	check: RunningCheck | undefined;
 	checkedAt: Instant;
+	relaysAskedAt: Instant;
 	interval: Milliseconds;
 };
 
@@ -221,15 +225,16 @@
 	private _startCheck(identity: string, isRecheck: boolean, now: Instant): void {
 		const target = this._options.find(identity);
 		const link = this._links.get(identity) ?? {
-			path: directPath, check: undefined, checkedAt: Number.NEGATIVE_INFINITY, interval: minCheckIntervalMilliseconds,
+			path: directPath, check: undefined, checkedAt: Number.NEGATIVE_INFINITY, relaysAskedAt: Number.NEGATIVE_INFINITY, interval: minCheckIntervalMilliseconds,
 		};
 		const isDue = isRecheck || now - link.checkedAt >= link.interval;
 		if (target === undefined || link.check !== undefined || !isDue || !this._options.takeProbe(identity, now)) {
 			return;
 		}
 
+		const isDirectOnly = isRecheck && (link.path.state === 'relayed' || now - link.relaysAskedAt < relayIntervalMilliseconds);
 		link.check = {
-			direct: 'pending', relayed: undefined, via: undefined, isRecheck: isRecheck && link.path.state === 'relayed', tried: new Set(), timeouts: 0,
+			direct: 'pending', relayed: undefined, via: undefined, isDirectOnly, tried: new Set(), timeouts: 0,
 		};
 		link.checkedAt = now;
 		this._links.set(identity, link);
@@ -300,7 +305,8 @@
 		}
 
 		const target = this._options.find(identity);
-		if (run.relayed === undefined && !run.isRecheck && target !== undefined) {
+		if (run.relayed === undefined && !run.isDirectOnly && target !== undefined) {
+			link.relaysAskedAt = now;
 			this._askNextRelay(target, run, link.path.via, now);
 		}
 
@@ -412,7 +418,7 @@
 		const target = this._options.find(identity);
 		const via = target === undefined ? undefined : this._relays.choose(target.declared, new Set(), now);
 		const run: RunningCheck = {
-			direct: 'failed', relayed: via === undefined ? 'no-relay' : undefined, via, isRecheck: false, tried: new Set(), timeouts: 0,
+			direct: 'failed', relayed: via === undefined ? 'no-relay' : undefined, via, isDirectOnly: false, tried: new Set(), timeouts: 0,
 		};
 		this._apply(identity, link, via === undefined ? 'NO_RELAY' : 'RELAY_FOUND', run, now);
 	}
