--- a/src/node/fleet/tunnel-server.ts
+++ b/src/node/fleet/tunnel-server.ts
@@ -39,6 +39,16 @@
 	onDirectFailed(identity: BackendServerIdentity): void;
 };
 
+/** Decodes a percent-encoded identity; undefined = malformed. */
+function decode(text: string): BackendServerIdentity | undefined {
+	try {
+		return decodeURIComponent(text);
+	} catch {
+		// No VM of this fleet sends a malformed identity.
+		return undefined;
+	}
+}
+
 /** Opens a connection; resolves with undefined on a timeout, and `refused` if it was refused or reset. */
 async function open({address, port}: TunnelTarget): Promise<Socket | 'refused' | undefined> {
 	return new Promise(resolve => {
@@ -102,10 +112,10 @@
 		incoming.on('error', () => {
 			// The VM that asked is gone; `close` of the response ends the tunnel.
 		});
-		const identity = decodeURIComponent((incoming.url ?? '').slice(tunnelPathPrefix.length));
-		const target = this._targets.get(identity);
-		if (target === undefined) {
-			this._refuse(outgoing, tunnelStatus.unknown, identity);
+		const identity = decode((incoming.url ?? '').slice(tunnelPathPrefix.length));
+		const target = identity === undefined ? undefined : this._targets.get(identity);
+		if (identity === undefined || target === undefined) {
+			this._refuse(outgoing, tunnelStatus.unknown, '');
 			return;
 		}
 
--- a/src/node/fleet/tunnel.test.ts
+++ b/src/node/fleet/tunnel.test.ts
@@ -54,7 +54,7 @@
 			}),
 		});
 		return {
-			relay, other, otherPort, tunnels, clientOf,
+			relay, relayPort, other, tunnels, clientOf,
 		};
 	}
 
@@ -153,6 +153,16 @@
 		]);
 	});
 
+	// Guards against a request with a malformed identity, which would end the process.
+	it('are refused for a malformed identity', async () => {
+		const {relayPort} = await start(() => undefined);
+		const client = new Client(`http://127.0.0.1:${relayPort}`);
+		const answer = await client.request({method: 'POST', path: '/tunnels/%E0%A4%A'});
+		await answer.body.text();
+		await client.close();
+		expect(answer.statusCode).toEqual(404);
+	});
+
 	// Guards against work that goes on at a backend server after the VM that asked has cancelled it.
 	it('close the connection to the backend server when the caller side ends', async () => {
 		const closed = new Promise<void>(resolve => {
