Show lost links of a VM beside a call in explain

The lines on links name the backend server at which the loss was noticed, mostly another one than the call's. Before, explain left them out; its new test failed by the missing lines, as the messages were not listed.

--- a/src/cli/call-trace.test.ts
+++ b/src/cli/call-trace.test.ts
@@ -49,6 +49,20 @@
 		]);
 	});
 
+	// Guards against a trace that hides that the VM had lost its links, since it noticed that at another backend server.
+	it('shows that the VM lost its links near the call', () => {
+		const log = [
+			line(10, 'vm-1', 'call ended', {traceId: 'c-1', ...call}),
+			line(9, 'vm-1', 'link to a backend server lost that other VMs may still have', {backendServer: 'i-2', service: 'documents', state: 'relayed'}),
+			line(9, 'vm-1', 'path to a backend server changed', {backendServer: 'i-3', service: 'documents', state: 'relayed'}),
+			line(11, 'vm-1', 'path to a backend server changed', {backendServer: 'i-9', service: 'orders', state: 'relayed'}),
+		].join('\n');
+		expect(traceCall('c-1', log).lines.map(text => text.split(' ').slice(2).join(' ')).filter(text => !text.startsWith('call'))).toEqual([
+			'link to a backend server lost that other VMs may still have backendServer=i-2 service=documents state=relayed',
+			'path to a backend server changed backendServer=i-9 service=orders state=relayed',
+		]);
+	});
+
 	it('parses a line to which a log collector has added a prefix', () => {
 		expect(traceCall('c-1', `  3.0733 edge-1 ${line(10, 'vm-1', 'call ended', {traceId: 'c-1', ...call})}`).callLines).toEqual(1);
 	});
--- a/src/cli/call-trace.ts
+++ b/src/cli/call-trace.ts
@@ -18,6 +18,7 @@
 	'the store was restored from a backup and has lost its latest writes',
 	'all entries have been read since the store was restored',
 	'frame of the registry feed is behind the entries known here',
+	'path to a backend server changed',
 	'backend server crashed with calls in flight',
 	'call quarantined: it is the only one that was in flight at all of these crashes',
 	'call no longer suspected of crashes',
@@ -31,6 +32,12 @@
 	'settings read again',
 ]);
 
+/** Context messages on the VM as a whole, although they name the backend server at which it was noticed. */
+const vmMessages: ReadonlySet<string> = new Set([
+	'link to a backend server lost that other VMs may still have',
+	'links to all backend servers regained',
+]);
+
 const lineSchema = z.looseObject({
 	time: z.iso.datetime(),
 	level: z.string(),
@@ -92,7 +99,8 @@
 	const isContext = (line: Line) => {
 		const {backendServer, service} = line;
 		const namesResource = backendServer !== undefined || service !== undefined;
-		return contextMessages.has(line.message) && (!namesResource || names.includes(String(backendServer)) || names.includes(String(service)));
+		const isRelated = !namesResource || names.includes(String(backendServer)) || names.includes(String(service));
+		return vmMessages.has(line.message) || (contextMessages.has(line.message) && isRelated);
 	};
 
 	const chosen = all.filter(line => line.traceId === traceId || (isContext(line) && isNearCall(line)));
