--- a/src/common/calls/poison-request-detector.ts
+++ b/src/common/calls/poison-request-detector.ts
@@ -2,7 +2,7 @@
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {AnsweredCalls} from './answered-calls.ts';
 import {isOfAnyCaller, keysOf} from './fingerprint-keys.ts';
-import {findHarmful} from './poison-verdicts.ts';
+import {PoisonVerdicts} from './poison-verdicts.ts';
 import {type BackendServerIdentity, type PoisonRequestChange, type ProcessEndSign} from './types.ts';
 
 /** Maximum number of stored crashes. Bounded, since callers determine the fingerprints. */
@@ -14,6 +14,9 @@
 /** Number of distinct crashes before a call is quarantined. A harmless call is hardly ever in flight at three crashes in a row. */
 const crashesToQuarantine = 3;
 
+/** The same for a call of any caller: a frequent one is in flight on several backend servers at a time. */
+const crashesToQuarantineCommon = 5;
+
 /** Number of crashes from which a call runs one at a time on a VM, apart from other calls. */
 const crashesToIsolate = 2;
 
@@ -66,10 +69,10 @@
 
 /**
  * Suspects and quarantined calls. Protects backend servers from a call that crashes each of them and that its caller
- * repeats through any VM. Verdicts follow from the evidence alone, which all VMs share, so that all VMs reach the same
- * ones and withdraw them when the evidence changes.
- * A fingerprint is quarantined if it was in flight at three confirmed crashes that no other call explains, and has not been
- * answered. A frequent harmless call is soon cleared by an answer. A rare one is not in flight at three crashes of the
+ * repeats through any VM. Verdicts follow from the evidence, which all VMs share; a recent one is withdrawn when the evidence
+ * changes, a final one only by an answer, or if another call explains all of the crashes and more.
+ * A fingerprint is quarantined if it was in flight at three confirmed crashes that no other call explains (five for the same
+ * call of any caller), and has not been answered. A frequent harmless call is soon cleared by an answer. A rare one is not in flight at three crashes of the
  * harmful call, since a suspect is never placed beside another one. The same call of several callers is quarantined for all
  * callers if it was answered to none of them.
  */
@@ -106,7 +109,7 @@
 
 		const crash = this._getOrCreateCrash(crashIdentity, server, now);
 		if (this._addSuspect(crashIdentity, crash, fingerprint) && crash.isConfirmed) {
-			this._listener.onCrashEvidence({crash: crashIdentity, server, suspects: [fingerprint]});
+			this._report({crash: crashIdentity, server, suspects: [fingerprint]}, crash.detectedAt);
 			this._update(now);
 		}
 	}
@@ -135,14 +138,8 @@
 
 	/** Applies a crash confirmed by another VM, with calls in flight there through that VM. */
 	applyPeerCrash({crash: crashIdentity, server, suspects}: CrashEvidence, detectedAt: Instant, now: Instant): void {
-		const unanswered = suspects.filter(fingerprint => {
-			const isCleared = this._answered.clears(fingerprint, detectedAt);
-			if (isCleared) {
-				this._listener.onCleared(fingerprint);
-			}
-
-			return !isCleared;
-		});
+		const unanswered = suspects.filter(fingerprint => !this._answered.clears(fingerprint, detectedAt));
+		this._reportAnswered(suspects, detectedAt);
 		const crash = this._getOrCreateCrash(crashIdentity, server, now, detectedAt);
 		if (!crash.isConfirmed) {
 			this._confirm(crashIdentity, crash, 'peer');
@@ -254,7 +251,23 @@
 			kind: 'crash', crash: crashIdentity, suspects, sign,
 		});
 		if (suspects.length > 0) {
-			this._listener.onCrashEvidence({crash: crashIdentity, server: crash.server, suspects});
+			this._report({crash: crashIdentity, server: crash.server, suspects}, crash.detectedAt);
+		}
+	}
+
+	/** Tells other VMs of calls in flight at a crash. */
+	private _report(evidence: CrashEvidence, detectedAt: Instant): void {
+		this._listener.onCrashEvidence(evidence);
+		this._reportAnswered(evidence.suspects, detectedAt);
+	}
+
+	/** Tells other VMs which of these suspects are not at fault, since they were answered through this VM. */
+	private _reportAnswered(suspects: readonly string[], detectedAt: Instant): void {
+		for (const fingerprint of suspects) {
+			const key = keysOf(fingerprint).find(one => this._answered.clears(one, detectedAt));
+			if (key !== undefined) {
+				this._listener.onCleared(key);
+			}
 		}
 	}
 
@@ -312,9 +325,13 @@
 		}
 
 		const confirmed = [...this._crashes.values()].filter(({isConfirmed, expiresAt}) => isConfirmed && expiresAt > now);
-		const verdicts = findHarmful(confirmed.map(({suspects}) => suspects), crashesToQuarantine);
-		for (const [fingerprint, {crashes, expiresAt}] of this._quarantined) {
-			if (!verdicts.has(fingerprint) && expiresAt > now) {
+		const verdicts = new PoisonVerdicts(confirmed.map(({suspects}) => suspects), {own: crashesToQuarantine, common: crashesToQuarantineCommon});
+		const harmful = verdicts.harmful();
+		for (const [fingerprint, {crashes, since, expiresAt}] of this._quarantined) {
+			const isFinal = now - since >= settlingMilliseconds;
+			// Further crashes of other calls must not release a call that has been found harmful, unless one of them explains all.
+			const isKept = harmful.has(fingerprint) || (isFinal && !verdicts.isSuperseded(fingerprint));
+			if (!isKept && expiresAt > now) {
 				this._quarantined.delete(fingerprint);
 				this._listener.onChange({
 					kind: 'cleared', fingerprint, crashes, wasQuarantined: true, cause: 'evidence',
@@ -322,7 +339,7 @@
 			}
 		}
 
-		for (const [fingerprint, crashes] of verdicts) {
+		for (const [fingerprint, crashes] of harmful) {
 			if (!this._quarantined.has(fingerprint)) {
 				this._quarantined.set(fingerprint, {crashes, since: now, expiresAt: now + this._retentionMilliseconds});
 				this._listener.onChange({kind: 'quarantined', fingerprint, crashes});
--- a/src/common/calls/poison-verdicts.ts
+++ b/src/common/calls/poison-verdicts.ts
@@ -1,52 +1,76 @@
 /** Decides which calls crash backend servers, from the calls that were in flight at each crash. */
+import {isOfAnyCaller, keysOf} from './fingerprint-keys.ts';
 
-import {isOfAnyCaller} from './fingerprint-keys.ts';
+/** Numbers of the crashes at which a key was in flight. */
+type CrashNumbers = ReadonlySet<number>;
 
-/** Result: each harmful key with the number of its crashes. */
-export type Verdicts = ReadonlyMap<string, number>;
+/** Number of crashes of a call that is at fault: of one caller, and of any caller. */
+export type MinCrashes = {readonly own: number; readonly common: number};
 
 /**
- * Finds the fewest calls that explain the crashes: the call that was in flight at most of them is at fault, its crashes
- * say nothing about other calls, and so on, down to `minCrashes`. Two calls that were in flight at the same crashes cannot
- * be told apart, and neither is at fault until another crash decides; of a call of one caller and the same call of any caller
- * it is the former. The result does not depend on the order of the
- * crashes or of their suspects, so that VMs with the same evidence agree.
+ * Compares the crashes of all suspects. The results do not depend on the order of the crashes or of their suspects, so that
+ * VMs with the same evidence agree.
  */
-export function findHarmful(crashes: ReadonlyArray<ReadonlySet<string>>, minCrashes: number): Verdicts {
-	const verdicts = new Map<string, number>();
-	let unexplained = [...crashes];
-	const undecidable = new Set<string>();
-	for (;;) {
-		const [worst] = countSuspects(unexplained, undecidable);
-		if (worst === undefined || worst.count < minCrashes) {
-			return verdicts;
-		}
+export class PoisonVerdicts {
+	private readonly _crashes: ReadonlyArray<ReadonlySet<string>>;
+	private readonly _minCrashes: MinCrashes;
+	private readonly _crashesByKey = new Map<string, Set<number>>();
 
-		const own = unexplained.filter(suspects => suspects.has(worst.fingerprint));
-		const alike = [...own[0]!].filter(fingerprint => !undecidable.has(fingerprint) && own.every(suspects => suspects.has(fingerprint)));
-		const specific = alike.filter(key => !isOfAnyCaller(key));
-		const [harmful = worst.fingerprint] = specific;
-		if (specific.length > 1 || (specific.length === 0 && alike.length > 1)) {
-			for (const fingerprint of alike) {
-				undecidable.add(fingerprint);
+	/** `crashes` = keys that were in flight at each. */
+	constructor(crashes: ReadonlyArray<ReadonlySet<string>>, minCrashes: MinCrashes) {
+		this._crashes = crashes;
+		this._minCrashes = minCrashes;
+		for (const [number, suspects] of crashes.entries()) {
+			for (const key of suspects) {
+				const numbers = this._crashesByKey.get(key) ?? new Set();
+				numbers.add(number);
+				this._crashesByKey.set(key, numbers);
 			}
-		} else {
-			verdicts.set(harmful, worst.count);
-			unexplained = unexplained.filter(suspects => !suspects.has(harmful));
 		}
 	}
-}
 
-/** Suspects with the number of their crashes, most first; those with the same number by name. */
-function countSuspects(crashes: ReadonlyArray<ReadonlySet<string>>, excluded: ReadonlySet<string>): Array<{readonly fingerprint: string; readonly count: number}> {
-	const counts = new Map<string, number>();
-	for (const suspects of crashes) {
-		for (const fingerprint of suspects) {
-			if (!excluded.has(fingerprint)) {
-				counts.set(fingerprint, (counts.get(fingerprint) ?? 0) + 1);
-			}
-		}
+	/** Keys at fault, with the number of their crashes. */
+	harmful(): Map<string, number> {
+		const harmful = [...this._crashesByKey].filter(([key, own]) => own.size >= this._minCrashesOf(key) && !this._isCovered(key, own, false) && this._unexplained(key, own) >= this._minCrashesOf(key));
+		return new Map(harmful.map(([key, own]) => [key, own.size]));
+	}
+
+	/** Whether another call was in flight at all crashes of this one, and at more. */
+	isSuperseded(key: string): boolean {
+		const own = this._crashesByKey.get(key);
+		return own !== undefined && this._isCovered(key, own, true);
+	}
+
+	/**
+	 * Whether another call was in flight at all crashes of this one. Two calls with the same crashes cannot be told apart, so
+	 * that each covers the other, unless `isStrict`; but a call of any caller never covers one of a caller by the same crashes.
+	 */
+	private _isCovered(key: string, own: CrashNumbers, isStrict: boolean): boolean {
+		return this._companions(own).some(other => {
+			const isLarger = this._crashesByKey.get(other)!.size > own.size;
+			return other !== key && (isLarger || (!isStrict && !isCommonKeyOf(other, key)));
+		});
 	}
 
-	return Array.from(counts, ([fingerprint, count]) => ({fingerprint, count})).toSorted((one, other) => other.count - one.count || (one.fingerprint < other.fingerprint ? -1 : 1));
+	private _minCrashesOf(key: string): number {
+		return isOfAnyCaller(key) ? this._minCrashes.common : this._minCrashes.own;
+	}
+
+	/** Keys that were in flight at all of these crashes. */
+	private _companions(numbers: CrashNumbers): string[] {
+		const [first, ...others] = numbers;
+		return first === undefined ? [] : [...this._crashes[first]!].filter(key => others.every(number => this._crashes[number]!.has(key)));
+	}
+
+	/** Number of crashes that no other call explains, which by itself, without the crashes of this one, is at fault. */
+	private _unexplained(key: string, own: CrashNumbers): number {
+		const isOther = (other: string) => other !== key && !isCommonKeyOf(other, key) && !isCommonKeyOf(key, other);
+		const explainsOthers = (other: string) => [...this._crashesByKey.get(other)!].filter(number => !own.has(number)).length >= this._minCrashesOf(other);
+		return [...own].filter(number => ![...this._crashes[number]!].some(other => isOther(other) && explainsOthers(other))).length;
+	}
+}
+
+/** Whether the first key stands for the same call as the second one, of any caller. */
+function isCommonKeyOf(common: string, key: string): boolean {
+	return isOfAnyCaller(common) && common !== key && keysOf(key).includes(common);
 }
--- a/src/common/fleet/types.ts
+++ b/src/common/fleet/types.ts
@@ -130,8 +130,8 @@
 		| {readonly type: 'peer-unreachable'; readonly to: PeerAddress}
 	/** A frame of the registry feed from the VM that this VM follows: the state of the store as that VM has read it. */
 		| {readonly type: 'feed-frame'; readonly source: PeerAddress; readonly frame: FeedFrame}
-	/** Updates of call engines that another VM has sent directly. */
-		| {readonly type: 'updates-received'; readonly updates: readonly LoadUpdate[]}
+	/** Updates of call engines that another VM has sent directly. `replyTo` = it asks for the crashes known here. */
+		| {readonly type: 'updates-received'; readonly updates: readonly LoadUpdate[]; readonly replyTo?: PeerAddress | undefined}
 	/** The registry feed of the followed VM has ended, or that VM could not be reached. */
 		| {readonly type: 'feed-closed'; readonly source: PeerAddress}
 	/** A VM that follows this VM's feed announces its identity, or that it is leaving. */
@@ -178,8 +178,8 @@
 		| {readonly type: 'follow-feed'; readonly source: PeerAddress | undefined}
 	/** Send the frame to the VMs that follow this VM's feed. */
 		| {readonly type: 'publish-feed'; readonly frame: FeedFrame}
-	/** Send updates of call engines directly to these VMs. */
-		| {readonly type: 'send-updates'; readonly to: readonly PeerAddress[]; readonly updates: readonly LoadUpdate[]}
+	/** Send updates of call engines directly to these VMs. `replyTo` = address of this VM, to which they send the crashes they know. */
+		| {readonly type: 'send-updates'; readonly to: readonly PeerAddress[]; readonly updates: readonly LoadUpdate[]; readonly replyTo?: PeerAddress}
 	/** Announce this VM to the VM whose feed it follows. */
 		| {readonly type: 'announce'; readonly announcement: MemberAnnouncement}
 	/** Probe this process directly for whether it accepts calls; the result arrives as `vm-probed`. */
--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -301,6 +301,10 @@
 
 			case 'updates-received': {
 				this._updates.addReceived(event.updates);
+				if (event.replyTo !== undefined) {
+					this._updates.sendCrashesTo([event.replyTo]);
+				}
+
 				break;
 			}
 		}
@@ -461,7 +465,13 @@
 
 		if (key.startsWith(layout.vmPrefix)) {
 			const isOwn = key === this._ownKey;
+			const isNew = !isOwn && !this._vms.has(key);
 			const isChange = isOwn ? this._log.revisionOf(key) !== entry.revision : this._vms.put(entry);
+			const peerAddress = isNew ? this._vms.peerAddressOf(key) : undefined;
+			if (peerAddress !== undefined) {
+				this._updates.onPeerJoined(peerAddress);
+			}
+
 			this._log.put(entry, isChange);
 			if (isOwn) {
 				this._setRegistered(true);
--- a/src/common/registry/update-exchange.ts
+++ b/src/common/registry/update-exchange.ts
@@ -10,8 +10,8 @@
  */
 const rounds: ReadonlyArray<{readonly delayMilliseconds: Milliseconds; readonly targets: number}> = [
 	{delayMilliseconds: 5, targets: 4},
-	{delayMilliseconds: 500, targets: 3},
-	{delayMilliseconds: 3000, targets: 3},
+	{delayMilliseconds: 500, targets: 2},
+	{delayMilliseconds: 3000, targets: 1},
 ];
 
 /**
@@ -23,6 +23,14 @@
 /** Later rounds of all updates are done together, at multiples of this time. */
 const laterRoundsMilliseconds: Milliseconds = 1000;
 
+/** Delays after a VM first knows others at which it asks some for the crashes they know; some may be gone, or have just started. */
+const requestDelaysMilliseconds: readonly Milliseconds[] = [10, 1000];
+const requestTargets = 6;
+
+/** Number of VMs that send their crashes to one that has joined, and the delay after which they serve all that join together. */
+const sendersToNewcomer = 3;
+const newcomerDelayMilliseconds: Milliseconds = 50;
+
 /** Time for which crashes are kept for VMs that start later, as long as call engines use them. */
 const crashRetentionMilliseconds: Milliseconds = 600_000;
 
@@ -57,6 +65,8 @@
 	private readonly _peers: () => readonly PeerAddress[];
 	private readonly _entries = new Map<string, Entry>();
 	private _sentAt: Instant = Number.NEGATIVE_INFINITY;
+	private readonly _newcomers = new Set<PeerAddress>();
+	private _hasAsked = false;
 
 	constructor(context: RegistryContext, {random, peers}: UpdateExchangeOptions) {
 		this._context = context;
@@ -87,6 +97,46 @@
 		this._addNew(updates, rounds.length);
 	}
 
+	/** Sends the crashes known here to these VMs. */
+	sendCrashesTo(to: readonly PeerAddress[]): void {
+		const updates = this.crashes.slice(-maxUpdatesPerMessage);
+		if (updates.length > 0) {
+			this._context.emit({type: 'send-updates', to, updates});
+		}
+	}
+
+	/**
+	 * Called when another VM becomes known, which may have started without the feed of another VM. A few VMs, chosen by
+	 * chance, send it the crashes: those that leave, and are no longer named, do so too. On the first occasion this VM asks
+	 * for crashes itself, as so far it could tell none of what it has seen.
+	 */
+	onPeerJoined(address: PeerAddress): void {
+		if (this._random.next() * this._peers().length < sendersToNewcomer) {
+			this._newcomers.add(address);
+			this._context.timers.set('updates-newcomers', this._context.now + newcomerDelayMilliseconds, () => {
+				this.sendCrashesTo([...this._newcomers]);
+				this._newcomers.clear();
+			});
+		}
+
+		if (!this._hasAsked) {
+			this._hasAsked = true;
+			this._scheduleRequest(0);
+		}
+	}
+
+	private _scheduleRequest(index: number): void {
+		const delay = requestDelaysMilliseconds[index];
+		if (delay !== undefined) {
+			this._context.timers.set('updates-request', this._context.now + delay, () => {
+				this._context.emit({
+					type: 'send-updates', to: this._sample(requestTargets), updates: this.crashes.slice(-maxUpdatesPerMessage), replyTo: this._context.settings.own.peerAddress,
+				});
+				this._scheduleRequest(index + 1);
+			});
+		}
+	}
+
 	private _addNew(updates: readonly LoadUpdate[], round: number): void {
 		const added = updates.filter(update => this._add(update, round));
 		if (added.length > 0) {
@@ -116,7 +166,7 @@
 		}
 
 		if (update.cleared !== undefined) {
-			this._removeCleared(new Set(update.cleared));
+			this._removeCleared(new Set(update.cleared), madeAt);
 		}
 
 		return true;
@@ -135,11 +185,19 @@
 		}
 	}
 
-	/** Crashes whose suspects are all cleared are of no use to VMs that start later. */
-	private _removeCleared(cleared: ReadonlySet<string>): void {
-		for (const [key, {update}] of this._entries) {
-			if (update.crash !== undefined && update.suspects.every(fingerprint => cleared.has(fingerprint))) {
+	/** VMs that start later must not take cleared calls for suspects; a crash without suspects is of no use to them. */
+	private _removeCleared(cleared: ReadonlySet<string>, clearedAt: Instant): void {
+		for (const [key, entry] of this._entries) {
+			const {update, madeAt} = entry;
+			if (update.crash === undefined || madeAt > clearedAt) {
+				continue;
+			}
+
+			const suspects = update.suspects.filter(fingerprint => !cleared.has(fingerprint));
+			if (suspects.length === 0) {
 				this._entries.delete(key);
+			} else if (suspects.length < update.suspects.length) {
+				this._entries.set(key, {...entry, update: {...update, suspects}});
 			}
 		}
 	}
--- a/src/common/registry/vm-directory.ts
+++ b/src/common/registry/vm-directory.ts
@@ -174,6 +174,11 @@
 		return true;
 	}
 
+	/** Peer address of a known VM; undefined = not known, or its entry is invalid. */
+	peerAddressOf(key: string): PeerAddress | undefined {
+		return this._entries.get(key)?.entry.peerAddress;
+	}
+
 	has(key: string): boolean {
 		return this._entries.has(key);
 	}
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -172,7 +172,7 @@
 			}
 
 			case 'send-updates': {
-				updateClient.send(effect.to, effect.updates);
+				updateClient.send(effect);
 				break;
 			}
 
--- a/src/node/fleet/feed-server.ts
+++ b/src/node/fleet/feed-server.ts
@@ -12,7 +12,7 @@
 import {type Metrics} from '../metrics/types.ts';
 import {LineReader} from './line-reader.ts';
 import {decodeAnnouncement, encodeFrame, feedPath} from './feed-frame.ts';
-import {decodeUpdates, updatesPath} from './update-codec.ts';
+import {decodeUpdates, replyToHeader, updatesPath} from './update-codec.ts';
 import {probePathPrefix} from './vm-probe-client.ts';
 
 /** Maximum number of bytes buffered for one subscriber, so that a frozen or disconnected one does not fill this VM's memory. */
@@ -107,7 +107,8 @@
 			outgoing.writeHead(updates.isOk() ? statusReceived : statusInvalid).end();
 			this._metrics.peerTraffic('in', 1, length);
 			if (updates.isOk()) {
-				this._sink.feed({type: 'updates-received', updates: updates.value});
+				const replyTo = incoming.headers[replyToHeader];
+				this._sink.feed({type: 'updates-received', updates: updates.value, replyTo: typeof replyTo === 'string' ? replyTo : undefined});
 			}
 		});
 		incoming.on('error', () => {
--- a/src/node/fleet/update-client.ts
+++ b/src/node/fleet/update-client.ts
@@ -1,12 +1,11 @@
 /** Sends updates of the call engine to other VMs. */
 import {Client, type Dispatcher} from 'undici';
-import {type LoadUpdate} from '../../common/calls/types.ts';
-import {type PeerAddress} from '../../common/fleet/types.ts';
+import {type FleetEffect, type PeerAddress} from '../../common/fleet/types.ts';
 import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 import {type Logger} from '../logging/types.ts';
 import {type Metrics} from '../metrics/types.ts';
-import {encodeUpdates, updatesPath} from './update-codec.ts';
+import {encodeUpdates, replyToHeader, updatesPath} from './update-codec.ts';
 
 /** Connect time-out. Other VMs pass the same updates on, so that a lost message is no loss. */
 const connectTimeoutMilliseconds: Milliseconds = 300;
@@ -22,6 +21,8 @@
 
 const maxSuccessStatus = 299;
 
+type SendEffect = FleetEffect & {type: 'send-updates'};
+
 /** undici dispatch handler of one message; the bundle contains no higher-level API of undici. */
 class SendHandler implements Dispatcher.DispatchHandler {
 	private readonly _onEnd: (problem: string | undefined) => void;
@@ -71,18 +72,18 @@
 		}));
 	}
 
-	send(to: readonly PeerAddress[], updates: readonly LoadUpdate[]): void {
+	send({to, updates, replyTo}: SendEffect): void {
 		const body = encodeUpdates(updates);
 		this._metrics.peerTraffic('out', to.length, body.length * to.length);
 		for (const address of to) {
-			this._sendTo(address, body);
+			this._sendTo(address, body, replyTo);
 		}
 	}
 
-	private _sendTo(address: PeerAddress, body: string): void {
+	private _sendTo(address: PeerAddress, body: string, replyTo: PeerAddress | undefined): void {
 		const client = this._clientOf(address);
 		client.dispatch({
-			method: 'POST', path: updatesPath, body, headers: ['content-type', 'application/json'],
+			method: 'POST', path: updatesPath, body, headers: ['content-type', 'application/json', ...(replyTo === undefined ? [] : [replyToHeader, replyTo])],
 		}, new SendHandler(problem => {
 			if (problem !== undefined) {
 				this._logger.debug('updates were not delivered to a VM', {address, problem});
--- a/src/node/fleet/update-codec.ts
+++ b/src/node/fleet/update-codec.ts
@@ -7,6 +7,9 @@
 /** Path for updates on a VM's peers endpoint. Earlier builds answer 404. */
 export const updatesPath = '/updates';
 
+/** Header with the peers address of a sender that asks for the crashes known to the receiver. */
+export const replyToHeader = 'jaydale-reply-to';
+
 const fingerprintSchema = z.string().max(128);
 
 const reportSchema = z.object({
