Keep checks of a crashed backend server from spreading between VMs

A relay that was refused started a check of its own link, which asked another relay, which was refused as well, and so on: one crash kept all VMs checking until its entry was gone. Now a relay doubts its link only if it reaches no other backend server either.

--- a/src/node/fleet/tunnel-server.ts
+++ b/src/node/fleet/tunnel-server.ts
@@ -128,15 +128,7 @@
 		const socket = await open(target);
 		this._pendingTunnels--;
 		if (typeof socket !== 'object') {
-			this._context.onDirectFailed(identity);
-		}
-
-		if (socket === undefined) {
-			this._refuse(outgoing, tunnelStatus.timedOut, identity);
-		} else if (socket === 'refused') {
-			// A VM that has just lost its links is refused by backend servers that are alive.
-			const isWitness = await this._reachesAnother(identity);
-			this._refuse(outgoing, isWitness ? tunnelStatus.refused : tunnelStatus.noLink, identity);
+			await this._refuseUnopened(outgoing, identity, socket);
 		} else if (outgoing.destroyed) {
 			socket.destroy();
 		} else {
@@ -176,6 +168,17 @@
 		});
 	}
 
+	/** A VM that has just lost its links is refused by backend servers that are alive; only then it has to check them. */
+	private async _refuseUnopened(outgoing: ServerResponse, identity: BackendServerIdentity, result: 'refused' | undefined): Promise<void> {
+		if (await this._reachesAnother(identity)) {
+			this._refuse(outgoing, result === 'refused' ? tunnelStatus.refused : tunnelStatus.timedOut, identity);
+			return;
+		}
+
+		this._context.onDirectFailed(identity);
+		this._refuse(outgoing, result === 'refused' ? tunnelStatus.noLink : tunnelStatus.timedOut, identity);
+	}
+
 	private async _reachesAnother(refusing: BackendServerIdentity): Promise<boolean> {
 		const others = [...this._targets].filter(([identity]) => identity !== refusing && this._context.hasLinkTo(identity));
 		const start = this._nextWitness++ % Math.max(1, others.length);
--- a/src/node/fleet/tunnel.test.ts
+++ b/src/node/fleet/tunnel.test.ts
@@ -31,11 +31,12 @@
 
 	/** A relay before a backend server; `onSocket` answers each connection. */
 	async function start(onSocket: (socket: Socket) => void, hasLink = true) {
+		const failed: string[] = [];
 		const backend = createServer(onSocket);
 		const port = await listen(backend);
 		const other = createServer();
 		const otherPort = await listen(other);
-		const tunnels = new TunnelServer({hasLinkTo: () => hasLink, relayTo: () => 'vm-9:1', onDirectFailed: () => undefined}, noMetrics);
+		const tunnels = new TunnelServer({hasLinkTo: () => hasLink, relayTo: () => 'vm-9:1', onDirectFailed: identity => failed.push(identity)}, noMetrics);
 		tunnels.configure(new Map([['i-1', {address: '127.0.0.1', port}], ['i-2', {address: '127.0.0.1', port: 1}], ['i-3', {address: '127.0.0.1', port: otherPort}]]));
 		const relay = createHttpServer((incoming, outgoing) => {
 			void tunnels.forward(incoming, outgoing);
@@ -54,7 +55,7 @@
 			}),
 		});
 		return {
-			relay, relayPort, other, tunnels, clientOf,
+			relay, relayPort, other, tunnels, clientOf, failed,
 		};
 	}
 
@@ -153,6 +154,17 @@
 		]);
 	});
 
+	// Guards against checks that spread from VM to VM when a backend server crashes, as each relay that is refused asks another one.
+	it('make a relay doubt its own link only if it reaches no other backend server', async () => {
+		const {clientOf, failed, tunnels} = await start(() => undefined);
+		const send = async () => clientOf('i-2').request({method: 'GET', path: '/'}).catch(() => undefined);
+		await send();
+		const doubtsAsWitness = failed.length;
+		tunnels.configure(new Map([['i-2', {address: '127.0.0.1', port: 1}]]));
+		await send();
+		expect([doubtsAsWitness, failed]).toEqual([0, ['i-2']]);
+	});
+
 	// Guards against a request with a malformed identity, which would end the process.
 	it('are refused for a malformed identity', async () => {
 		const {relayPort} = await start(() => undefined);
