Sort the call engine's modules into folders by what they decide

Cause: src/common/calls held 44 modules side by side, so that a newcomer could not find the code of a decision. Change: folders for admission, placement, probing, attempts, estimates, health, poison requests and the rates of backend servers; only imports and the table of guards follow.

--- a/benchmark/warm-up/admissions.ts
+++ b/benchmark/warm-up/admissions.ts
@@ -1,6 +1,6 @@
 /** Strategies to divide the rate limit of a warming backend server among VMs that do not coordinate. */
 import {type FleetMembers} from '../../src/common/calls/types.ts';
-import {OwnerRateQuota, type SharedServer} from '../../src/common/calls/rate-quota.ts';
+import {OwnerRateQuota, type SharedServer} from '../../src/common/calls/backend-rates/rate-quota.ts';
 import {type Instant, type RandomSource} from '../../src/common/model/units.ts';
 
 const millisecondsPerSecond = 1000;
--- a/benchmark/warm-up/warm-up-run.ts
+++ b/benchmark/warm-up/warm-up-run.ts
@@ -1,5 +1,5 @@
 /** Simulates a burst of calls in which the backend servers of one data centre are cold, and many VMs send them calls without coordination. */
-import {type SharedServer} from '../../src/common/calls/rate-quota.ts';
+import {type SharedServer} from '../../src/common/calls/backend-rates/rate-quota.ts';
 import {type Instant, type RandomSource} from '../../src/common/model/units.ts';
 import {seededRandom} from '../../src/common/random/random.ts';
 import {type WarmUpAdmission} from './admissions.ts';
--- a/src/common/calls/admission.ts
+++ b/src/common/calls/admission/admission.ts
@@ -1,12 +1,12 @@
 /** Decides whether a call starts, waits or is refused. */
-import {type Instant, type Milliseconds} from '../model/units.ts';
-import {type AttemptRunner} from './attempt-runner.ts';
-import {type Call, objectiveOf} from './call.ts';
-import {type CallCompletion} from './call-completion.ts';
-import {isWaitOver} from './demand-placer.ts';
-import {type EngineContext} from './engine-context.ts';
-import {nextAllowedAt} from './placer.ts';
-import {type ServiceState} from './service-state.ts';
+import {type Instant, type Milliseconds} from '../../model/units.ts';
+import {type AttemptRunner} from '../attempts/attempt-runner.ts';
+import {type Call, objectiveOf} from '../call.ts';
+import {type CallCompletion} from '../call-completion.ts';
+import {isWaitOver} from '../placement/demand-placer.ts';
+import {type EngineContext} from '../engine-context.ts';
+import {nextAllowedAt} from '../placement/placer.ts';
+import {type ServiceState} from '../service-state.ts';
 
 /**
  * On-demand probing: maximum wait as a fraction of the call's objective. A caller that is refused within a third of its
--- a/src/common/calls/caller-queue.ts
+++ b/src/common/calls/admission/caller-queue.ts
@@ -1,5 +1,5 @@
 /** Queue of the calls of one service that wait on this VM, fair to callers. */
-import {type Call} from './call.ts';
+import {type Call} from '../call.ts';
 
 /** Queue discipline for waiting calls. */
 export type CallQueue = {
--- a/src/common/calls/concurrency-limit.ts
+++ b/src/common/calls/admission/concurrency-limit.ts
@@ -1,5 +1,5 @@
 /** Limit on the number of attempts of one service that this VM has in flight at once. */
-import {type Instant, type Milliseconds} from '../model/units.ts';
+import {type Instant, type Milliseconds} from '../../model/units.ts';
 
 /** Input of the limit for each answer: calls in flight, and the queue at the backend server. */
 export type LimitSample = {
--- a/src/common/calls/late-calls.test.ts
+++ b/src/common/calls/admission/late-calls.test.ts
@@ -2,8 +2,8 @@
 import {expect} from 'earl';
 import {
 	answerLoadProbes, configurationOf, EngineDriver, linesOf, loadProbesIn, reportOf, requestOf, type Start, startIn,
-} from './engine-driver.test.ts';
-import {type CallEffect, type CallRequest, type CallRule} from './types.ts';
+} from '../engine-driver.test.ts';
+import {type CallEffect, type CallRequest, type CallRule} from '../types.ts';
 
 const rule: CallRule = {
 	route: 'reads', isIdempotent: true, timeoutMilliseconds: 8000, objectiveMilliseconds: 2500, attemptLimit: 3, priority: 0,
--- a/src/common/calls/retrying-callers.test.ts
+++ b/src/common/calls/admission/retrying-callers.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'earl';
+import {type CallRule} from '../types.ts';
 import {RetryingCallers} from './retrying-callers.ts';
-import {type CallRule} from './types.ts';
 
 const rule: CallRule = {
 	route: 'reads', isIdempotent: true, timeoutMilliseconds: 1200, objectiveMilliseconds: 300, attemptLimit: 3, priority: 0,
--- a/src/common/calls/retrying-callers.ts
+++ b/src/common/calls/admission/retrying-callers.ts
@@ -1,6 +1,6 @@
 /** Detects retrying callers by their remaining timeout, which is shorter than that of callers on their first try. */
-import {type Milliseconds} from '../model/units.ts';
-import {type CallRule} from './types.ts';
+import {type Milliseconds} from '../../model/units.ts';
+import {type CallRule} from '../types.ts';
 
 /** Number of latest timeouts that are kept for each rule. */
 const maxSamples = 31;
--- a/src/common/calls/attempt-runner.ts
+++ b/src/common/calls/attempts/attempt-runner.ts
@@ -1,24 +1,24 @@
 /** Starts attempts and handles their results: retries, hedges and resumed downloads. */
-import {type Instant} from '../model/units.ts';
-import {type BackendServerState} from './backend-server-state.ts';
+import {type Instant} from '../../model/units.ts';
+import {type BackendServerState} from '../backend-server-state.ts';
 import {
 	type Attempt, type AttemptPurpose, type Call, isBodiless, outcomeSoFar,
-} from './call.ts';
-import {type CallCompletion} from './call-completion.ts';
-import {learnFromAnswer} from './answer-learning.ts';
-import {type EngineContext, vmCountOf} from './engine-context.ts';
-import {type OutlierDetector} from './outlier-detector.ts';
-import {Hedging, defaultAttemptLimit} from './hedging.ts';
-import {type DemandPlacer} from './demand-placer.ts';
+} from '../call.ts';
+import {type CallCompletion} from '../call-completion.ts';
+import {learnFromAnswer} from '../estimates/answer-learning.ts';
+import {type EngineContext, vmCountOf} from '../engine-context.ts';
+import {type OutlierDetector} from '../health/outlier-detector.ts';
+import {type DemandPlacer} from '../placement/demand-placer.ts';
 import {
 	type Placement, type Placer, connectionLimit, rateLimitShare,
-} from './placer.ts';
-import {suspectReason} from './suspect-reason.ts';
-import {type ProcessEndJudge} from './process-end.ts';
-import {LoadProber, type PendingProbes} from './load-prober.ts';
+} from '../placement/placer.ts';
+import {suspectReason} from '../poison-requests/suspect-reason.ts';
+import {type ProcessEndJudge} from '../health/process-end.ts';
+import {LoadProber, type PendingProbes} from '../probing/load-prober.ts';
 import {
 	type AttemptFailure, type AttemptId, type AttemptRecord, type CallEvent, type CallOutcome, type LoadReport, type RateLimitNotice, type RefusalReason,
-} from './types.ts';
+} from '../types.ts';
+import {Hedging, defaultAttemptLimit} from './hedging.ts';
 
 /** Maximum number of attempts of one call that end in a connection reset. With more, one call could crash one backend server after another. */
 const maxResets = 2;
--- a/src/common/calls/hedging.ts
+++ b/src/common/calls/attempts/hedging.ts
@@ -1,9 +1,9 @@
 /** Hedging: second attempts beside a first one that is slow. Plans when a hedge is due and decides whether it is sent. */
-import {type Instant, type Milliseconds} from '../model/units.ts';
+import {type Instant, type Milliseconds} from '../../model/units.ts';
 import {
 	type Attempt, type Call, isBodiless, workEstimate,
-} from './call.ts';
-import {type EngineContext} from './engine-context.ts';
+} from '../call.ts';
+import {type EngineContext} from '../engine-context.ts';
 
 /**
  * Maximum attempts of one call, independent of the retry budget: three backend servers that fail the same call are no
--- a/src/common/calls/rate-limit.test.ts
+++ b/src/common/calls/backend-rates/rate-limit.test.ts
@@ -1,11 +1,11 @@
 import {expect} from 'earl';
-import {testHash} from '../fleet/test-utilities.test.ts';
-import {type Instant, type Milliseconds} from '../model/units.ts';
-import {seededRandom} from '../random/random.ts';
+import {testHash} from '../../fleet/test-utilities.test.ts';
+import {type Instant, type Milliseconds} from '../../model/units.ts';
+import {seededRandom} from '../../random/random.ts';
 import {
 	answerLoadProbes, configurationOf, EngineDriver, linesOf, loadProbesIn, reportOf, requestOf, type Start, startIn,
-} from './engine-driver.test.ts';
-import {type CallEffect, type CallEvent, type RateLimitNotice} from './types.ts';
+} from '../engine-driver.test.ts';
+import {type CallEffect, type CallEvent, type RateLimitNotice} from '../types.ts';
 import {OwnerRateQuota} from './rate-quota.ts';
 
 const rule = {
--- a/src/common/calls/rate-limit.ts
+++ b/src/common/calls/backend-rates/rate-limit.ts
@@ -1,7 +1,7 @@
 /** Rate limit that a backend server announces in its answers, as far as it applies to this VM. */
-import {type Instant} from '../model/units.ts';
+import {type Instant} from '../../model/units.ts';
+import {type RateLimitNotice} from '../types.ts';
 import {type RateShare} from './rate-quota.ts';
-import {type RateLimitNotice} from './types.ts';
 
 /**
  * Tokens for one attempt, and the minimum capacity of the bucket: in a smaller one, a VM with a small share could never
--- a/src/common/calls/rate-quota.test.ts
+++ b/src/common/calls/backend-rates/rate-quota.test.ts
@@ -1,8 +1,8 @@
 import {expect} from 'earl';
-import {type RandomSource} from '../model/units.ts';
-import {seededRandom} from '../random/random.ts';
-import {testHash} from '../fleet/test-utilities.test.ts';
-import {type FleetMembers} from './types.ts';
+import {type RandomSource} from '../../model/units.ts';
+import {seededRandom} from '../../random/random.ts';
+import {testHash} from '../../fleet/test-utilities.test.ts';
+import {type FleetMembers} from '../types.ts';
 import {OwnerRateQuota} from './rate-quota.ts';
 
 const rate = 6.15;
--- a/src/common/calls/rate-quota.ts
+++ b/src/common/calls/backend-rates/rate-quota.ts
@@ -2,9 +2,9 @@
  * Divides a rate that all VMs share, on a backend server that warms up or announces a rate limit, and gives this VM's
  * share.
  */
-import {chooseByRank} from '../fleet/membership/rendezvous.ts';
-import {type Instant, type Milliseconds} from '../model/units.ts';
-import {type BackendServerIdentity, type FleetMembers} from './types.ts';
+import {chooseByRank} from '../../fleet/membership/rendezvous.ts';
+import {type Instant, type Milliseconds} from '../../model/units.ts';
+import {type BackendServerIdentity, type FleetMembers} from '../types.ts';
 
 /**
  * Number of VMs that share a warming backend server's rate: more than one, so that the warm-up continues when a VM fails.
--- a/src/common/calls/warm-up.test.ts
+++ b/src/common/calls/backend-rates/warm-up.test.ts
@@ -1,12 +1,12 @@
 import {expect} from 'earl';
-import {testHash} from '../fleet/test-utilities.test.ts';
-import {seededRandom} from '../random/random.ts';
+import {testHash} from '../../fleet/test-utilities.test.ts';
+import {seededRandom} from '../../random/random.ts';
 import {
 	answerLoadProbes, configurationOf, EngineDriver, linesOf, loadProbesIn, reportOf, requestOf, startIn,
-} from './engine-driver.test.ts';
+} from '../engine-driver.test.ts';
 import {
 	type CallConfiguration, type CallEffect, type CallEvent, type LoadReport,
-} from './types.ts';
+} from '../types.ts';
 import {OwnerRateQuota} from './rate-quota.ts';
 
 const rule = {
--- a/src/common/calls/warm-up.ts
+++ b/src/common/calls/backend-rates/warm-up.ts
@@ -1,5 +1,5 @@
 /** Warm-up state of one backend server, from its registry entry and its health answers. */
-import {type Instant, type Milliseconds} from '../model/units.ts';
+import {type Instant, type Milliseconds} from '../../model/units.ts';
 
 /**
  * Age up to which a reported warm-up state counts as current. Calls are counted over a second; a busy backend server that
--- a/src/common/calls/backend-server-state.ts
+++ b/src/common/calls/backend-server-state.ts
@@ -3,14 +3,14 @@
 import {type Attempt} from './call.ts';
 import {
 	type Health, type HealthEvent, initialHealth, nextHealth,
-} from './health-chart.ts';
-import {DemandAllowance} from './demand-allowance.ts';
-import {LoadProbeSchedule} from './load-probe-schedule.ts';
-import {ProcessHistory} from './process-history.ts';
+} from './health/health-chart.ts';
+import {DemandAllowance} from './probing/demand-allowance.ts';
+import {LoadProbeSchedule} from './probing/load-probe-schedule.ts';
+import {ProcessHistory} from './health/process-history.ts';
 import {type TimerEntry} from './timer-queue.ts';
 import {type CallTuning} from './tuning.ts';
-import {RateLimit} from './rate-limit.ts';
-import {WarmUp} from './warm-up.ts';
+import {RateLimit} from './backend-rates/rate-limit.ts';
+import {WarmUp} from './backend-rates/warm-up.ts';
 import {type BackendServerIdentity, type BackendServerInForce, type LoadReport} from './types.ts';
 
 /** Weight of a new answer time in the moving average: fluctuations are gone after a few calls. */
--- a/src/common/calls/call-completion.ts
+++ b/src/common/calls/call-completion.ts
@@ -4,7 +4,7 @@
 	type Attempt, type Call, objectiveOf, outcomeSoFar,
 } from './call.ts';
 import {type EngineContext} from './engine-context.ts';
-import {nextAllowedAt} from './placer.ts';
+import {nextAllowedAt} from './placement/placer.ts';
 import {
 	type CallId, type CallOutcome, type CallRequest, type RefusalReason,
 } from './types.ts';
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -2,25 +2,25 @@
 import {BackendLinks} from '../links/backend-links.ts';
 import {type LinkChange} from '../links/types.ts';
 import {type Instant, type RandomSource} from '../model/units.ts';
-import {Admission} from './admission.ts';
-import {AttemptRunner} from './attempt-runner.ts';
+import {Admission} from './admission/admission.ts';
+import {AttemptRunner} from './attempts/attempt-runner.ts';
 import {
 	type Attempt, type Call, newCall, outcomeSoFar,
 } from './call.ts';
 import {CallCompletion} from './call-completion.ts';
-import {PoisonRequestDetector} from './poison-request-detector.ts';
+import {PoisonRequestDetector} from './poison-requests/poison-request-detector.ts';
 import {
 	type CallEngineSettings, type EngineContext, type Timer, isTimerLive,
 } from './engine-context.ts';
-import {DemandPlacer} from './demand-placer.ts';
-import {suspectReason} from './suspect-reason.ts';
-import {ProcessEndJudge} from './process-end.ts';
-import {OutlierDetector} from './outlier-detector.ts';
-import {ExpectedTimePlacer} from './placer.ts';
+import {DemandPlacer} from './placement/demand-placer.ts';
+import {suspectReason} from './poison-requests/suspect-reason.ts';
+import {ProcessEndJudge} from './health/process-end.ts';
+import {OutlierDetector} from './health/outlier-detector.ts';
+import {ExpectedTimePlacer} from './placement/placer.ts';
 import {ServiceDirectory} from './service-directory.ts';
 import {TimerQueue} from './timer-queue.ts';
 import {type CallTuning, defaultTuning} from './tuning.ts';
-import {type RateQuota, SingleVmRateQuota} from './rate-quota.ts';
+import {type RateQuota, SingleVmRateQuota} from './backend-rates/rate-quota.ts';
 import {
 	type AttemptId, type BackendServerIdentity, type CallEffect, type CallEngine, type CallEngineStatus, type CallLoad, type CallEvent, type CallId, type CallRequest, type KeyClaim, type LoadUpdate, type PoisonRequestChange,
 } from './types.ts';
--- a/src/common/calls/call.ts
+++ b/src/common/calls/call.ts
@@ -2,10 +2,10 @@
 import {type RelayAddress} from '../links/types.ts';
 import {type Service} from '../model/resources.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
-import {type LoadSnapshot} from './answer-time-model.ts';
+import {type LoadSnapshot} from './estimates/answer-time-model.ts';
 import {type BackendServerState} from './backend-server-state.ts';
-import {type CallClass} from './call-classes.ts';
-import {type PendingProbes} from './load-prober.ts';
+import {type CallClass} from './estimates/call-classes.ts';
+import {type PendingProbes} from './probing/load-prober.ts';
 import {type ServiceState} from './service-state.ts';
 import {type TimerEntry} from './timer-queue.ts';
 import {
--- a/src/common/calls/engine-context.ts
+++ b/src/common/calls/engine-context.ts
@@ -3,12 +3,12 @@
 import {type BackendLinks} from '../links/backend-links.ts';
 import {type BackendServerState} from './backend-server-state.ts';
 import {type Attempt, type Call} from './call.ts';
-import {type PoisonRequestDetector} from './poison-request-detector.ts';
-import {type PendingProbes} from './load-prober.ts';
+import {type PoisonRequestDetector} from './poison-requests/poison-request-detector.ts';
+import {type PendingProbes} from './probing/load-prober.ts';
 import {type ServiceState} from './service-state.ts';
 import {type TimerQueue} from './timer-queue.ts';
 import {type CallTuning} from './tuning.ts';
-import {type RateQuota} from './rate-quota.ts';
+import {type RateQuota} from './backend-rates/rate-quota.ts';
 import {type CallEffect, type FleetShares} from './types.ts';
 
 /** Settings of the engine that are not part of the declared resources. */
--- a/src/common/calls/engine-driver.test.ts
+++ b/src/common/calls/engine-driver.test.ts
@@ -4,7 +4,7 @@
 import {DefaultCallEngine} from './call-engine.ts';
 import {type CallEngineSettings} from './engine-context.ts';
 import {type CallTuning} from './tuning.ts';
-import {type RateQuota} from './rate-quota.ts';
+import {type RateQuota} from './backend-rates/rate-quota.ts';
 import {
 	type AttemptFailure, type CallConfiguration, type CallEffect, type CallEvent, type CallRequest, type LoadReport,
 } from './types.ts';
--- a/src/common/calls/answer-learning.ts
+++ b/src/common/calls/estimates/answer-learning.ts
@@ -1,8 +1,8 @@
 /** Updates what is learnt about the backend server, the class of the call and the service when an attempt is answered. */
-import {type Instant} from '../model/units.ts';
-import {type Attempt} from './call.ts';
+import {type Instant} from '../../model/units.ts';
+import {type Attempt} from '../call.ts';
+import {type LoadReport} from '../types.ts';
 import {lightLoadFraction} from './load-levels.ts';
-import {type LoadReport} from './types.ts';
 
 /** Work time, relative to the usual one, up to which a backend server's VM counts as quiet. */
 const maxQuietWorkTimeFactor = 1.2;
--- a/src/common/calls/answer-time-model.test.ts
+++ b/src/common/calls/estimates/answer-time-model.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'earl';
-import {seededRandom} from '../random/random.ts';
+import {seededRandom} from '../../random/random.ts';
 import {AnswerTimeModel, type LoadSnapshot} from './answer-time-model.ts';
 import {Headroom} from './headroom.ts';
 
--- a/src/common/calls/answer-time-model.ts
+++ b/src/common/calls/estimates/answer-time-model.ts
@@ -2,7 +2,7 @@
  * Answer time model of a service, learnt from its answers: the effect of load and of neighbours, and how long a load
  * report stays valid.
  */
-import {type Milliseconds} from '../model/units.ts';
+import {type Milliseconds} from '../../model/units.ts';
 import {MovingAverage} from './moving-average.ts';
 import {lightLoadFraction, slowWorkTimeFactor} from './load-levels.ts';
 
--- a/src/common/calls/call-classes.ts
+++ b/src/common/calls/estimates/call-classes.ts
@@ -2,9 +2,9 @@
  * Cost of calls, learnt by class: a service's calls with the same method and route, or without a route the same path
  * pattern, form a class.
  */
-import {type Milliseconds} from '../model/units.ts';
+import {type Milliseconds} from '../../model/units.ts';
+import {type CallRequest} from '../types.ts';
 import {DecayingHistogram} from './decaying-histogram.ts';
-import {type CallRequest} from './types.ts';
 
 /** Maximum number of paths whose pattern is cached. */
 const maxCachedPaths = 512;
--- a/src/common/calls/decaying-histogram.ts
+++ b/src/common/calls/estimates/decaying-histogram.ts
@@ -1,5 +1,5 @@
 /** Quantiles of answer times with exponentially decaying weights. */
-import {type Milliseconds} from '../model/units.ts';
+import {type Milliseconds} from '../../model/units.ts';
 
 /** Ratio of the widths of neighbouring buckets: quantiles are accurate to within 10%. */
 const bucketGrowth = 1.1;
--- a/src/common/calls/headroom.ts
+++ b/src/common/calls/estimates/headroom.ts
@@ -1,7 +1,7 @@
 /** Estimates from the latest load reports how likely a backend server is to have room. */
+import {type LoadReport} from '../types.ts';
 import {MovingAverage} from './moving-average.ts';
 import {lightLoadFraction, slowWorkTimeFactor} from './load-levels.ts';
-import {type LoadReport} from './types.ts';
 
 /** Fraction assumed before any report, and its weight in reports. */
 const initialRoomFraction = 0.3;
--- a/src/common/calls/health-chart.test.ts
+++ b/src/common/calls/health/health-chart.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'earl';
 import {createMachine, transition} from 'xstate';
-import chart from '../../../charts/backend-server-health.json' with {type: 'json'};
+import chart from '../../../../charts/backend-server-health.json' with {type: 'json'};
 import {
 	type Health, type HealthEvent, initialHealth, nextHealth,
 } from './health-chart.ts';
--- a/src/common/calls/health-chart.ts
+++ b/src/common/calls/health/health-chart.ts
@@ -2,7 +2,7 @@
  * State machine for the health of a backend server. The state chart is a JSON file; it is converted to a table, since
  * one call of xstate's pure `transition` costs more than placing a call.
  */
-import chart from '../../../charts/backend-server-health.json' with {type: 'json'};
+import chart from '../../../../charts/backend-server-health.json' with {type: 'json'};
 
 export type Health = keyof typeof chart.states;
 
--- a/src/common/calls/outlier-detector.ts
+++ b/src/common/calls/health/outlier-detector.ts
@@ -1,10 +1,10 @@
 /** Outlier detection: attributes failures to the backend server, the connection or the call, and ejects backend servers. */
-import {type Instant} from '../model/units.ts';
-import {type BackendServerState} from './backend-server-state.ts';
-import {type Attempt, type Call} from './call.ts';
-import {type EngineContext} from './engine-context.ts';
+import {type Instant} from '../../model/units.ts';
+import {type BackendServerState} from '../backend-server-state.ts';
+import {type Attempt, type Call} from '../call.ts';
+import {type EngineContext} from '../engine-context.ts';
+import {type AttemptFailure} from '../types.ts';
 import {type ProcessEndJudge} from './process-end.ts';
-import {type AttemptFailure} from './types.ts';
 
 /** An attempt cancelled before this many mean answer times does not count as silent. */
 const silenceFactor = 10;
--- a/src/common/calls/process-end.ts
+++ b/src/common/calls/health/process-end.ts
@@ -1,10 +1,10 @@
 /** Judges whether the process of a backend server has ended. */
-import {type RelayAddress} from '../links/types.ts';
-import {type Instant} from '../model/units.ts';
-import {type BackendServerState} from './backend-server-state.ts';
-import {type Attempt} from './call.ts';
-import {type EngineContext} from './engine-context.ts';
-import {type ProcessEndSign} from './types.ts';
+import {type RelayAddress} from '../../links/types.ts';
+import {type Instant} from '../../model/units.ts';
+import {type BackendServerState} from '../backend-server-state.ts';
+import {type Attempt} from '../call.ts';
+import {type EngineContext} from '../engine-context.ts';
+import {type ProcessEndSign} from '../types.ts';
 
 /**
  * Identity of a process, the same on every VM: by its start if the backend server's entry has one, else by the instance
--- a/src/common/calls/process-history.ts
+++ b/src/common/calls/health/process-history.ts
@@ -1,5 +1,5 @@
 /** Determines whether a report or a leaving sign concerns the current process of a backend server, a previous one or a new one. */
-import {type Instant, type Milliseconds} from '../model/units.ts';
+import {type Instant, type Milliseconds} from '../../model/units.ts';
 
 /** Number of previous processes that are stored, so that a late answer or leaving sign of one does not count as a change. */
 const maxGoneInstances = 4;
--- a/src/common/calls/process-restart.test.ts
+++ b/src/common/calls/health/process-restart.test.ts
@@ -1,8 +1,8 @@
 import {expect} from 'earl';
 import {
 	configurationOf, EngineDriver, reportOf, requestOf,
-} from './engine-driver.test.ts';
-import {type CallConfiguration} from './types.ts';
+} from '../engine-driver.test.ts';
+import {type CallConfiguration} from '../types.ts';
 
 /** A configuration with one backend server whose process started at this time. */
 function configurationStartedAt(processStartedAt: number, version: number, changes: {readonly isLeaving?: boolean} = {}): CallConfiguration {
--- a/src/common/calls/demand-placer.ts
+++ b/src/common/calls/placement/demand-placer.ts
@@ -2,18 +2,18 @@
  * Placement for on-demand probing: selects the backend servers to probe, and among those with a report the one with the
  * highest expected utility.
  */
-import {type Instant, type Milliseconds, type RandomSource} from '../model/units.ts';
-import {type LoadSnapshot} from './answer-time-model.ts';
-import {type BackendServerState} from './backend-server-state.ts';
+import {type Instant, type Milliseconds, type RandomSource} from '../../model/units.ts';
+import {type LoadSnapshot} from '../estimates/answer-time-model.ts';
+import {type BackendServerState} from '../backend-server-state.ts';
 import {
 	type AttemptPurpose, type Call, objectiveOf, workEstimate,
-} from './call.ts';
-import {type EngineContext} from './engine-context.ts';
-import {lightLoadFraction} from './load-levels.ts';
+} from '../call.ts';
+import {type EngineContext} from '../engine-context.ts';
+import {lightLoadFraction} from '../estimates/load-levels.ts';
+import {type PlacingChoice, type PlacingGrounds} from '../types.ts';
 import {
 	type Placement, type Placer, connectionLimit, isRateLimited, isThrottled, isThrottledByWarmUp,
 } from './placer.ts';
-import {type PlacingChoice, type PlacingGrounds} from './types.ts';
 
 /**
  * Width of the random jitter on candidate scores, so that VMs with similar data do not all probe the same few backend
--- a/src/common/calls/demand-placing.test.ts
+++ b/src/common/calls/placement/demand-placing.test.ts
@@ -1,10 +1,10 @@
 import {expect} from 'earl';
-import {seededRandom} from '../random/random.ts';
+import {seededRandom} from '../../random/random.ts';
 import {
 	answerLoadProbes as answer, configurationOf, EngineDriver, linesOf, type LoadProbeStart, loadProbesIn, reportOf, requestOf, type Start, startIn,
-} from './engine-driver.test.ts';
-import {DefaultCallEngine} from './call-engine.ts';
-import {type CallEffect, type CallRule} from './types.ts';
+} from '../engine-driver.test.ts';
+import {DefaultCallEngine} from '../call-engine.ts';
+import {type CallEffect, type CallRule} from '../types.ts';
 
 const rule: CallRule = {
 	route: 'reads', isIdempotent: true, timeoutMilliseconds: 1200, objectiveMilliseconds: 300, attemptLimit: 3, priority: 0,
--- a/src/common/calls/evacuation.test.ts
+++ b/src/common/calls/placement/evacuation.test.ts
@@ -1,8 +1,8 @@
 import {expect} from 'earl';
 import {
 	answerLoadProbes, configurationOf, EngineDriver, linesOf, loadProbesIn, reportOf, requestOf, startIn,
-} from './engine-driver.test.ts';
-import {type CallConfiguration, type CallEffect} from './types.ts';
+} from '../engine-driver.test.ts';
+import {type CallConfiguration, type CallEffect} from '../types.ts';
 
 const rule = {
 	route: 'reads', isIdempotent: true, timeoutMilliseconds: 1200, objectiveMilliseconds: 300, attemptLimit: 3, priority: 0,
--- a/src/common/calls/placer.ts
+++ b/src/common/calls/placement/placer.ts
@@ -1,11 +1,11 @@
 /** Chooses the backend server for an attempt where probing is paced, and checks the limits that all placement obeys. */
-import {type BackendServer} from '../model/resources.ts';
-import {type Instant, type Milliseconds} from '../model/units.ts';
-import {type BackendServerState} from './backend-server-state.ts';
-import {type AttemptPurpose, type Call, isBodiless} from './call.ts';
-import {type EngineContext, vmCountOf} from './engine-context.ts';
-import {type ServiceState} from './service-state.ts';
-import {type RateShare} from './rate-quota.ts';
+import {type BackendServer} from '../../model/resources.ts';
+import {type Instant, type Milliseconds} from '../../model/units.ts';
+import {type BackendServerState} from '../backend-server-state.ts';
+import {type AttemptPurpose, type Call, isBodiless} from '../call.ts';
+import {type EngineContext, vmCountOf} from '../engine-context.ts';
+import {type ServiceState} from '../service-state.ts';
+import {type RateShare} from '../backend-rates/rate-quota.ts';
 
 /** A chosen backend server. */
 export type Placement = {
--- a/src/common/calls/answered-calls.ts
+++ b/src/common/calls/poison-requests/answered-calls.ts
@@ -1,5 +1,5 @@
 /** Calls that were answered lately, as far as this VM knows. */
-import {type Instant, type Milliseconds} from '../model/units.ts';
+import {type Instant, type Milliseconds} from '../../model/units.ts';
 
 /** Bounded, since callers determine the fingerprints. */
 const maxFingerprints = 4096;
--- a/src/common/calls/poison-request-detector.test.ts
+++ b/src/common/calls/poison-requests/poison-request-detector.test.ts
@@ -1,10 +1,10 @@
 import {expect} from 'earl';
-import {seededRandom} from '../random/random.ts';
-import {PoisonRequestDetector, type PoisonRequestListener} from './poison-request-detector.ts';
+import {seededRandom} from '../../random/random.ts';
 import {
 	EngineDriver, configurationOf, linesOf, reportOf, requestOf,
-} from './engine-driver.test.ts';
-import {type CallEffect, type LoadUpdate} from './types.ts';
+} from '../engine-driver.test.ts';
+import {type CallEffect, type LoadUpdate} from '../types.ts';
+import {PoisonRequestDetector, type PoisonRequestListener} from './poison-request-detector.ts';
 
 function updatesIn(effects: readonly CallEffect[]): LoadUpdate[] {
 	return effects.filter(effect => effect.type === 'tell-peers').map(effect => effect.update);
--- a/src/common/calls/poison-request-detector.ts
+++ b/src/common/calls/poison-requests/poison-request-detector.ts
@@ -1,9 +1,9 @@
 /** Identifies calls that crash backend servers by the crashes that they have in common, and quarantines them. */
-import {type Instant, type Milliseconds} from '../model/units.ts';
+import {type Instant, type Milliseconds} from '../../model/units.ts';
+import {type BackendServerIdentity, type PoisonRequestChange, type ProcessEndSign} from '../types.ts';
 import {AnsweredCalls} from './answered-calls.ts';
 import {isOfAnyCaller, keysOf} from './fingerprint-keys.ts';
 import {findHarmful} from './poison-verdicts.ts';
-import {type BackendServerIdentity, type PoisonRequestChange, type ProcessEndSign} from './types.ts';
 
 /** Maximum number of stored crashes. Bounded, since callers determine the fingerprints. */
 const maxCrashes = 256;
--- a/src/common/calls/suspect-reason.ts
+++ b/src/common/calls/poison-requests/suspect-reason.ts
@@ -1,8 +1,8 @@
 /** Why a call is refused that is quarantined or held back. */
-import {type Instant} from '../model/units.ts';
-import {type Call} from './call.ts';
+import {type Instant} from '../../model/units.ts';
+import {type Call} from '../call.ts';
+import {type RefusalReason} from '../types.ts';
 import {type PoisonRequestDetector} from './poison-request-detector.ts';
-import {type RefusalReason} from './types.ts';
 
 /**
  * A final verdict ends the caller's retries. Before it is final the caller may try again, unless the call has run: the
--- a/src/common/calls/demand-allowance.ts
+++ b/src/common/calls/probing/demand-allowance.ts
@@ -1,5 +1,5 @@
 /** Limit on how often this VM may probe one backend server on demand. */
-import {type Instant} from '../model/units.ts';
+import {type Instant} from '../../model/units.ts';
 import {type MeasuringBudget} from './load-probe-schedule.ts';
 
 /**
--- a/src/common/calls/load-probe-schedule.test.ts
+++ b/src/common/calls/probing/load-probe-schedule.test.ts
@@ -1,10 +1,10 @@
 import {expect} from 'earl';
 import fc from 'fast-check';
-import {backendServerSchema, serviceSchema} from '../model/resources.ts';
-import {seededRandom} from '../random/random.ts';
-import {DefaultCallEngine} from './call-engine.ts';
+import {backendServerSchema, serviceSchema} from '../../model/resources.ts';
+import {seededRandom} from '../../random/random.ts';
+import {DefaultCallEngine} from '../call-engine.ts';
+import {type CallConfiguration, type FleetShares} from '../types.ts';
 import {LoadProbeSchedule} from './load-probe-schedule.ts';
-import {type CallConfiguration, type FleetShares} from './types.ts';
 
 const seed = 20_261_203;
 const windowMilliseconds = 1000;
--- a/src/common/calls/load-probe-schedule.ts
+++ b/src/common/calls/probing/load-probe-schedule.ts
@@ -1,6 +1,6 @@
 /** Schedule of this VM's paced load probes to one backend server. */
-import {type Instant, type Milliseconds} from '../model/units.ts';
-import {type FleetShares} from './types.ts';
+import {type Instant, type Milliseconds} from '../../model/units.ts';
+import {type FleetShares} from '../types.ts';
 
 /** Measuring budget that an operator sets for a backend server, for all VMs together. */
 export type MeasuringBudget = {
--- a/src/common/calls/load-prober.ts
+++ b/src/common/calls/probing/load-prober.ts
@@ -1,10 +1,10 @@
 /** Probes the load of a few candidates right before an attempt is placed. */
-import {type Instant} from '../model/units.ts';
-import {type AttemptPurpose, type Call} from './call.ts';
-import {type BackendServerState} from './backend-server-state.ts';
-import {type DemandPlacer} from './demand-placer.ts';
-import {type EngineContext, vmCountOf} from './engine-context.ts';
-import {type RefusalReason} from './types.ts';
+import {type Instant} from '../../model/units.ts';
+import {type AttemptPurpose, type Call} from '../call.ts';
+import {type BackendServerState} from '../backend-server-state.ts';
+import {type DemandPlacer} from '../placement/demand-placer.ts';
+import {type EngineContext, vmCountOf} from '../engine-context.ts';
+import {type RefusalReason} from '../types.ts';
 
 /** Load probes that one attempt waits for. */
 export type PendingProbes = {
--- a/src/common/calls/service-directory.test.ts
+++ b/src/common/calls/service-directory.test.ts
@@ -3,12 +3,12 @@
 import {serviceSchema, sharingRuleSchema} from '../model/resources.ts';
 import {seededRandom} from '../random/random.ts';
 import {type EngineContext} from './engine-context.ts';
-import {ProcessEndJudge} from './process-end.ts';
-import {PoisonRequestDetector} from './poison-request-detector.ts';
+import {ProcessEndJudge} from './health/process-end.ts';
+import {PoisonRequestDetector} from './poison-requests/poison-request-detector.ts';
 import {ServiceDirectory} from './service-directory.ts';
 import {TimerQueue} from './timer-queue.ts';
 import {defaultTuning} from './tuning.ts';
-import {SingleVmRateQuota} from './rate-quota.ts';
+import {SingleVmRateQuota} from './backend-rates/rate-quota.ts';
 
 function noLinks(): BackendLinks {
 	return new BackendLinks({
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -2,10 +2,10 @@
 import {type LinkState, type RelayAddress} from '../links/types.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {BackendServerState} from './backend-server-state.ts';
-import {type ProcessEndJudge} from './process-end.ts';
+import {type ProcessEndJudge} from './health/process-end.ts';
 import {type EngineContext, vmCountOf} from './engine-context.ts';
-import {LoadProbeSchedule, loadProbeTimeoutMilliseconds} from './load-probe-schedule.ts';
-import {type RateLimitChange} from './rate-limit.ts';
+import {LoadProbeSchedule, loadProbeTimeoutMilliseconds} from './probing/load-probe-schedule.ts';
+import {type RateLimitChange} from './backend-rates/rate-limit.ts';
 import {defaultSharing, ServiceState} from './service-state.ts';
 import {TimerQueue} from './timer-queue.ts';
 import {
--- a/src/common/calls/service-state.ts
+++ b/src/common/calls/service-state.ts
@@ -1,16 +1,16 @@
 /** State of one service on this VM. */
 import {type Service, type SharingRule} from '../model/resources.ts';
 import {type Instant} from '../model/units.ts';
-import {MovingAverage} from './moving-average.ts';
-import {AnswerTimeModel} from './answer-time-model.ts';
+import {MovingAverage} from './estimates/moving-average.ts';
+import {AnswerTimeModel} from './estimates/answer-time-model.ts';
 import {type BackendServerState} from './backend-server-state.ts';
-import {CallClasses} from './call-classes.ts';
-import {ArrivalOrderQueue, type CallQueue, FairCallQueue} from './caller-queue.ts';
-import {AdaptiveConcurrencyLimit, type ConcurrencyLimit} from './concurrency-limit.ts';
-import {ReportConfidence} from './report-confidence.ts';
-import {RetryBudget} from './retry-budget.ts';
-import {RetryingCallers} from './retrying-callers.ts';
-import {Headroom} from './headroom.ts';
+import {CallClasses} from './estimates/call-classes.ts';
+import {ArrivalOrderQueue, type CallQueue, FairCallQueue} from './admission/caller-queue.ts';
+import {AdaptiveConcurrencyLimit, type ConcurrencyLimit} from './admission/concurrency-limit.ts';
+import {ReportConfidence} from './estimates/report-confidence.ts';
+import {RetryBudget} from './attempts/retry-budget.ts';
+import {RetryingCallers} from './admission/retrying-callers.ts';
+import {Headroom} from './estimates/headroom.ts';
 import {type CallTuning} from './tuning.ts';
 import {type WarmUpLimit} from './types.ts';
 
--- a/src/common/registry/poison-harness.test.ts
+++ b/src/common/registry/poison-harness.test.ts
@@ -4,7 +4,7 @@
  */
 import {ok} from 'neverthrow';
 import {DefaultCallEngine} from '../calls/call-engine.ts';
-import {OwnerRateQuota} from '../calls/rate-quota.ts';
+import {OwnerRateQuota} from '../calls/backend-rates/rate-quota.ts';
 import {type CallEngine, type CallRequest, type LoadReport} from '../calls/types.ts';
 import {type ExternalCallEffect} from '../entry-vm/types.ts';
 import {serviceSchema} from '../model/resources.ts';
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -4,7 +4,7 @@
  * gRPC nor the resource API nor membership.
  */
 import {DefaultCallEngine} from '../common/calls/call-engine.ts';
-import {OwnerRateQuota} from '../common/calls/rate-quota.ts';
+import {OwnerRateQuota} from '../common/calls/backend-rates/rate-quota.ts';
 import {EntryVm, isCallEffect} from '../common/entry-vm/entry-vm.ts';
 import {type EntryVmEffect, type EntryVmEvent} from '../common/entry-vm/types.ts';
 import {DisposableStore} from '../common/lifecycle/disposable.ts';
--- a/src/daemon/quarantine-pages.ts
+++ b/src/daemon/quarantine-pages.ts
@@ -1,5 +1,5 @@
 /** Pages that list the quarantined calls of a VM and lift a quarantine, for `jaydale quarantine`. */
-import {type Quarantined} from '../common/calls/poison-request-detector.ts';
+import {type Quarantined} from '../common/calls/poison-requests/poison-request-detector.ts';
 import {type Page, type PageHandlers} from '../node/front/page-server.ts';
 
 const listPath = '/v1/quarantine';
--- a/src/proof/guards/guards.ts
+++ b/src/proof/guards/guards.ts
@@ -13,21 +13,21 @@
 const calls = 'src/common/calls';
 const fleet = 'src/common/fleet';
 const registry = 'src/common/registry';
-const callTests = [`${calls}/{backend,call,load-probe,poison,wake}*.test.ts`, 'src/proof/fuzz/call-fuzz.test.ts'];
+const callTests = [`${calls}/**/{backend,call,load-probe,poison,wake}*.test.ts`, 'src/proof/fuzz/call-fuzz.test.ts'];
 const fleetTests = [`${fleet}/**/*.test.ts`, 'src/proof/fuzz/fleet-fuzz.test.ts'];
 const frontTests = ['src/node/front/*.test.ts', 'src/proof/bad-input.test.ts'];
 
 export const guards: readonly Guard[] = [
 	{
 		name: 'a non-idempotent call that may have run is retried',
-		file: `${calls}/attempt-runner.ts`,
+		file: `${calls}/attempts/attempt-runner.ts`,
 		text: 'const isSafe = call.isIdempotent || !call.mayHaveRun;',
 		replacement: 'const isSafe = true;',
 		tests: callTests,
 	},
 	{
 		name: 'a call whose attempt was reset counts as not run',
-		file: `${calls}/attempt-runner.ts`,
+		file: `${calls}/attempts/attempt-runner.ts`,
 		text: 'call.mayHaveRun ||= !isProvenNotRun;',
 		replacement: '',
 		tests: callTests,
@@ -41,7 +41,7 @@
 	},
 	{
 		name: 'late events of an ended attempt change the state of the call',
-		file: `${calls}/attempt-runner.ts`,
+		file: `${calls}/attempts/attempt-runner.ts`,
 		text: `		call.attempts.delete(attempt);
 		server.attempts.delete(attempt);`,
 		replacement: '',
@@ -49,28 +49,28 @@
 	},
 	{
 		name: 'a resumed download mixes two versions of the content',
-		file: `${calls}/attempt-runner.ts`,
+		file: `${calls}/attempts/attempt-runner.ts`,
 		text: 'event.status !== partialContentStatus || event.validator !== forwarded.validator',
 		replacement: 'false',
 		tests: callTests,
 	},
 	{
 		name: 'a call is retried although its request body was not kept',
-		file: `${calls}/attempt-runner.ts`,
+		file: `${calls}/attempts/attempt-runner.ts`,
 		text: 'return isReplayable && call.request.mayRetry',
 		replacement: 'return call.request.mayRetry',
 		tests: callTests,
 	},
 	{
 		name: 'a call is retried at several levels',
-		file: `${calls}/attempt-runner.ts`,
+		file: `${calls}/attempts/attempt-runner.ts`,
 		text: 'return isReplayable && call.request.mayRetry && ',
 		replacement: 'return isReplayable && ',
 		tests: callTests,
 	},
 	{
 		name: 'retries exceed the retry budget',
-		file: `${calls}/attempt-runner.ts`,
+		file: `${calls}/attempts/attempt-runner.ts`,
 		text: `
 			&& call.serviceState.retryBudget.tryTake();`,
 		replacement: ';',
@@ -78,21 +78,21 @@
 	},
 	{
 		name: 'load probes continue after the lease of the share has expired',
-		file: `${calls}/load-probe-schedule.ts`,
+		file: `${calls}/probing/load-probe-schedule.ts`,
 		text: 'shares === undefined || now < shares.loadProbesFrom || now >= shares.loadProbesUntil',
 		replacement: 'shares === undefined',
 		tests: callTests,
 	},
 	{
 		name: 'load probes requested for several reasons exceed the budget',
-		file: `${calls}/load-probe-schedule.ts`,
+		file: `${calls}/probing/load-probe-schedule.ts`,
 		text: 'allowed === 0 || now < this._lastSentAt + ((budget.windowMilliseconds + loadProbeTimeoutMilliseconds) / allowed)',
 		replacement: 'allowed === 0',
 		tests: callTests,
 	},
 	{
 		name: 'a sign of leaving is ignored because its process has not been seen yet',
-		file: `${calls}/process-history.ts`,
+		file: `${calls}/health/process-history.ts`,
 		text: 'if (instance !== undefined && this._goneInstances.includes(instance)) {\n\t\t\treturn false;',
 		replacement: 'if (instance !== undefined && this._currentInstance !== undefined && instance !== this._currentInstance) {\n\t\t\treturn false;',
 		tests: callTests,
@@ -373,17 +373,17 @@
 	},
 	{
 		name: 'a VM ignores the rate limit that a backend server announced',
-		file: `${calls}/placer.ts`,
+		file: `${calls}/placement/placer.ts`,
 		text: ' || isRateLimited(context, server, now)',
 		replacement: '',
-		tests: [`${calls}/rate-limit.test.ts`],
+		tests: [`${calls}/backend-rates/rate-limit.test.ts`],
 	},
 	{
 		name: 'an answer to an attempt that started before the announcement of a rate limit ends the limit',
-		file: `${calls}/rate-limit.ts`,
+		file: `${calls}/backend-rates/rate-limit.ts`,
 		text: 'notice === undefined && startedAt <= this._announcedAt ? \'none\' : ',
 		replacement: '',
-		tests: [`${calls}/rate-limit.test.ts`],
+		tests: [`${calls}/backend-rates/rate-limit.test.ts`],
 	},
 	{
 		name: 'the daemon does not stop when its terminal closes',
