--- a/src/common/calls/call-completion.ts
+++ b/src/common/calls/call-completion.ts
@@ -25,6 +25,9 @@
 	suspected: 503,
 	'not-ready': 503,
 	stopping: 503,
+	unauthorized: 401,
+	'over-limit': 429,
+	'limits-unavailable': 503,
 };
 
 /** Status of a call whose attempts have all failed before they were sent: unlike 502, callers may repeat any call after it. */
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -7,6 +7,7 @@
 } from '../links/types.ts';
 import {type BackendServer, type Service, type SharingRule} from '../model/resources.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
+import {type OrganisationInForce} from '../organisations/types.ts';
 import {type Routing} from '../routing/types.ts';
 import {type CallSummary} from './call-summary.ts';
 
@@ -88,6 +89,10 @@
 	readonly mayRetry: boolean;
 	/** Rules of the matching route; undefined = the rules of the service apply. */
 	readonly rule?: CallRule;
+	/** Organisation that the caller's key identifies; undefined = none. */
+	readonly organisation?: string;
+	/** Priority of the organisation, else of the route; 0 = most urgent; undefined = neither has one. */
+	readonly priority?: number;
 };
 
 /** Why an attempt ended without a complete answer. */
@@ -212,6 +217,8 @@
 	readonly warmUpLimits?: ReadonlyMap<string, WarmUpLimit>;
 	/** Data centres whose backend servers get no new attempts; calls already running there finish. Undefined = none. */
 	readonly evacuatedDataCentres?: ReadonlySet<string>;
+	/** Organisations by name; undefined if the operators declare none, so that callers need no key. */
+	readonly organisations?: ReadonlyMap<string, OrganisationInForce>;
 	/** Routes by host and path; undefined if the operators declare none. */
 	readonly routing?: Routing;
 };
@@ -291,7 +298,13 @@
 		| 'quarantined'
 		| 'suspected'
 		| 'not-ready'
-		| 'stopping';
+		| 'stopping'
+	/** The call carries no key of an organisation. */
+		| 'unauthorized'
+	/** The rate limit of the call's organisation is used up. */
+		| 'over-limit'
+	/** No holder of the organisation's rate limit can be reached. */
+		| 'limits-unavailable';
 
 /** Effects that the adapter executes, in order. */
 export type CallEffect
