Run pipelined idempotent calls of one connection side by side

Cause: calls of a connection were handled one after the other, so that one slow read delayed all reads behind it; pipelined reads were the worst kind of call of a deployment whose callers pipeline (99th percentile 2.1 s of an objective of 0.33 s). Change: the listener starts up to eight calls of a connection at once if they are idempotent and have no body, and only while all calls ahead of them are such calls as well. node:http keeps the answers in order. Calls behind an answer that closes the connection, or behind a caller that disconnects, are aborted. Ruled out: running non-idempotent calls ahead, since callers send calls behind a closing answer again.

--- a/src/node/front/graceful-server.ts
+++ b/src/node/front/graceful-server.ts
@@ -24,10 +24,20 @@
 /** Error codes which mean that the caller has disconnected, during a call or between two calls. */
 const disconnectCodes = new Set(['ECONNRESET', 'EPIPE', 'HPE_INVALID_EOF_STATE']);
 
+/**
+ * Maximum number of calls of one connection that run at the same time. It bounds the answers that wait in this process
+ * behind a slow one.
+ */
+const maxConcurrentCalls = 8;
+
 /** A request on a connection, and its response. */
 type Exchange = {
 	readonly incoming: IncomingMessage;
 	readonly outgoing: ServerResponse;
+	/** The call may run before the answers of the calls ahead of it are complete. */
+	readonly isConcurrent: boolean;
+	/** The call was passed to the handler. */
+	isStarted: boolean;
 	/** The kernel has accepted the whole answer, or the answer was reported as cut. */
 	isSettled: boolean;
 };
@@ -46,10 +56,11 @@
 /** State of one connection. */
 type Connection = {
 	readonly socket: Socket;
-	/** The call that is being answered; undefined once the kernel has accepted the last byte of the answer. */
-	current: Exchange | undefined;
-	/** Pipelined calls: received before the previous answer was complete. */
-	readonly pipelined: Exchange[];
+	/**
+	 * Calls whose answers are not complete, in the order of arrival; the first one is being answered. It is removed once the
+	 * kernel has accepted the last byte of its answer. Those behind it are pipelined.
+	 */
+	readonly exchanges: Exchange[];
 	/** This side is closed, or closes after its last bytes; no further call is accepted. */
 	isClosing: boolean;
 	/** The latest input could not be parsed; the connection closes after the answers in progress. */
@@ -71,6 +82,20 @@
 	});
 }
 
+/**
+ * Ends the calls behind the one that is being answered, since the connection closes before their turn. node:http emits
+ * `close` only on the response that holds the socket.
+ */
+function abortPipelined({exchanges}: Connection): void {
+	for (const {incoming, outgoing, isStarted} of exchanges.splice(1)) {
+		incoming.resume();
+		if (isStarted) {
+			outgoing.destroy();
+			outgoing.emit('close');
+		}
+	}
+}
+
 /** Returns the status for a request that HTTP requires a server to reject (RFC 9112, 3.2, and RFC 9110, 10.1.1). */
 function rejectionStatus({httpVersion, headers}: IncomingMessage): number | undefined {
 	if (httpVersion === '1.1' && headers.host === undefined) {
@@ -88,7 +113,8 @@
  *
  * Three other ways to lose answers at a close are prevented as well:
  * - Calls of one connection are handled one after the other, so that closing the connection after one answer leaves no
- *   later call running unanswered.
+ *   later call running unanswered. Only calls that `mayRunConcurrently` accepts are handled beside those ahead of them;
+ *   they are aborted if the connection closes before their turn.
  * - A connection closes its own side first and keeps reading, because closing a socket with unread bytes resets the
  *   connection, and a reset discards the bytes that the kernel holds for the caller.
  * - Input that cannot be parsed closes the connection after the answers in progress; node:http would close it at once.
@@ -96,6 +122,7 @@
 export class GracefulServer extends Server implements DisposableLike {
 	private readonly _callerConnections = new Map<Socket, Connection>();
 	private readonly _handleCall: (incoming: IncomingMessage, outgoing: ServerResponse) => void;
+	private readonly _mayRunConcurrently: (incoming: IncomingMessage) => boolean;
 	private readonly _onCut = new Emitter<CutAnswer>();
 	private _isKeepAliveDisabled = false;
 	private _closesIdleConnections = false;
@@ -104,19 +131,28 @@
 	/** Fires if an answer was cut, either because its caller disconnected or because this side closed the connection. */
 	readonly onCut = this._onCut.event;
 
-	/** `handleCall` is invoked for every call; for calls of the same connection, only after the previous answer is complete. */
-	constructor(options: ServerOptions, handleCall: (incoming: IncomingMessage, outgoing: ServerResponse) => void) {
+	/**
+	 * `handleCall` is invoked for every call; for calls of the same connection, only after the previous answer is complete,
+	 * unless `mayRunConcurrently` accepts this call and all incomplete ones ahead of it. A caller sends a call again that was
+	 * behind an answer which closed the connection, so only idempotent calls may be accepted.
+	 */
+	constructor(
+		options: ServerOptions,
+		handleCall: (incoming: IncomingMessage, outgoing: ServerResponse) => void,
+		mayRunConcurrently: (incoming: IncomingMessage) => boolean = () => false,
+	) {
 		// Node would answer a request without a host out of order with pipelined calls; `rejectionStatus` handles it instead.
 		super({...options, requireHostHeader: false});
 		this._handleCall = handleCall;
+		this._mayRunConcurrently = mayRunConcurrently;
 		this.on('connection', (socket: Socket) => {
 			this._trackConnection(socket);
 		});
 		this.on('request', (incoming: IncomingMessage, outgoing: ServerResponse) => {
-			this._enqueue({incoming, outgoing, isSettled: false});
+			this._enqueue(incoming, outgoing);
 		});
 		this.on('checkExpectation', (incoming: IncomingMessage, outgoing: ServerResponse) => {
-			this._enqueue({incoming, outgoing, isSettled: false});
+			this._enqueue(incoming, outgoing);
 		});
 		this.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 			this._handleParseError(error, socket);
@@ -165,8 +201,9 @@
 	destroyConnections(): void {
 		for (const connection of this._callerConnections.values()) {
 			connection.socket.destroy();
-			if (connection.current !== undefined) {
-				this._reportIfCut(connection, connection.current);
+			const [current] = connection.exchanges;
+			if (current !== undefined) {
+				this._reportIfCut(connection, current);
 			}
 		}
 	}
@@ -179,7 +216,7 @@
 
 	private _trackConnection(socket: Socket): void {
 		const connection: Connection = {
-			socket, current: undefined, pipelined: [], isClosing: false, hasParseError: false, bytesReadWhenIdle: 0, bytesLeft: 0,
+			socket, exchanges: [], isClosing: false, hasParseError: false, bytesReadWhenIdle: 0, bytesLeft: 0,
 		};
 		this._callerConnections.set(socket, connection);
 		// Saves `writableLength`, which a destroyed socket no longer reports.
@@ -196,31 +233,53 @@
 
 		socket.once('close', () => {
 			this._callerConnections.delete(socket);
+			abortPipelined(connection);
 			if (connection.isClosing) {
 				this._unfinishedAnswers--;
 			}
 		});
 	}
 
-	private _enqueue(exchange: Exchange): void {
-		const connection = this._callerConnections.get(exchange.incoming.socket);
+	private _enqueue(incoming: IncomingMessage, outgoing: ServerResponse): void {
+		const connection = this._callerConnections.get(incoming.socket);
 		if (connection === undefined || connection.isClosing || connection.hasParseError) {
 			// This call arrived after the last one that the connection serves: it is dropped, so it never runs.
-			exchange.incoming.resume();
+			incoming.resume();
 			return;
 		}
 
-		if (connection.current === undefined) {
-			this._startExchange(connection, exchange);
-			return;
+		const {exchanges} = connection;
+		const previous = exchanges.at(-1);
+		exchanges.push({
+			incoming, outgoing, isConcurrent: this._mayRunConcurrently(incoming), isStarted: false, isSettled: false,
+		});
+		if (previous !== undefined) {
+			this._removeCloseHeader(previous);
 		}
 
-		connection.pipelined.push(exchange);
-		this._removeCloseHeader(connection.current);
+		this._startExchanges(connection);
+	}
+
+	/** Starts the first call of a connection, and the calls behind it that may run beside it. */
+	private _startExchanges(connection: Connection): void {
+		// A copy, since a call that is refused at once may end within this loop.
+		for (const [index, exchange] of connection.exchanges.slice(0, maxConcurrentCalls).entries()) {
+			if (index > 0 && !exchange.isConcurrent) {
+				return;
+			}
+
+			if (!exchange.isStarted) {
+				this._startExchange(connection, exchange);
+			}
+
+			if (!exchange.isConcurrent) {
+				return;
+			}
+		}
 	}
 
 	private _startExchange(connection: Connection, exchange: Exchange): void {
-		connection.current = exchange;
+		exchange.isStarted = true;
 		this._unfinishedAnswers++;
 		exchange.outgoing.once('finish', () => {
 			// A destroyed or failed socket also emits 'finish' for bytes that it discards.
@@ -228,7 +287,7 @@
 			exchange.isSettled ||= !destroyed && errored === null;
 		});
 		exchange.outgoing.once('close', () => {
-			this._finishExchange(connection);
+			this._finishExchange(connection, exchange);
 			this._reportIfCut(connection, exchange);
 		});
 		this._setCloseHeader(connection);
@@ -253,7 +312,7 @@
 			return;
 		}
 
-		const {current, isClosing} = connection;
+		const {isClosing, exchanges: [current]} = connection;
 		const refusal = `HTTP/1.1 ${parseErrorStatuses[error.code ?? ''] ?? '400 Bad Request'}\r\nConnection: close\r\n\r\n`;
 		connection.hasParseError = true;
 		if (current?.incoming.complete === false) {
@@ -270,17 +329,20 @@
 		}
 	}
 
-	private _finishExchange(connection: Connection): void {
+	private _finishExchange(connection: Connection, exchange: Exchange): void {
 		this._unfinishedAnswers--;
-		connection.current = undefined;
+		const index = connection.exchanges.indexOf(exchange);
+		if (index !== -1) {
+			connection.exchanges.splice(index, 1);
+		}
+
 		connection.bytesReadWhenIdle = connection.socket.bytesRead;
 		if (connection.isClosing || connection.socket.destroyed) {
 			return;
 		}
 
-		const next = connection.pipelined.shift();
-		if (next !== undefined) {
-			this._startExchange(connection, next);
+		if (connection.exchanges.length > 0) {
+			this._startExchanges(connection);
 		} else if (connection.hasParseError) {
 			this._closeGracefully(connection);
 		} else if (this._closesIdleConnections) {
@@ -291,16 +353,17 @@
 	}
 
 	private _closeIfIdle(connection: Connection): void {
-		const {current, bytesReadWhenIdle, socket} = connection;
-		if (current === undefined && bytesReadWhenIdle > 0 && socket.bytesRead === bytesReadWhenIdle) {
+		const {exchanges, bytesReadWhenIdle, socket} = connection;
+		if (exchanges.length === 0 && bytesReadWhenIdle > 0 && socket.bytesRead === bytesReadWhenIdle) {
 			this._closeGracefully(connection);
 		}
 	}
 
 	/** Adds `connection: close` to the last answer of a connection, if its head is not sent yet. */
-	private _setCloseHeader({current, pipelined, hasParseError}: Connection): void {
-		if ((this._isKeepAliveDisabled || hasParseError) && current !== undefined && pipelined.length === 0 && !current.outgoing.headersSent) {
-			current.outgoing.setHeader('connection', 'close');
+	private _setCloseHeader({exchanges, hasParseError}: Connection): void {
+		const last = exchanges.at(-1);
+		if ((this._isKeepAliveDisabled || hasParseError) && last !== undefined && !last.outgoing.headersSent) {
+			last.outgoing.setHeader('connection', 'close');
 		}
 	}
 
@@ -319,6 +382,7 @@
 		}
 
 		connection.isClosing = true;
+		abortPipelined(connection);
 		this._unfinishedAnswers++;
 		socket.end(() => {
 			const timer = setTimeout(() => {
--- a/src/node/front/open-listener.test.ts
+++ b/src/node/front/open-listener.test.ts
@@ -1,6 +1,6 @@
 /** Helpers for tests of GracefulServer: a started server, callers on raw sockets, and raw requests. */
 import {once} from 'node:events';
-import {type ServerOptions, type ServerResponse} from 'node:http';
+import {type IncomingMessage, type ServerOptions, type ServerResponse} from 'node:http';
 import {type AddressInfo, connect, type Socket} from 'node:net';
 import {type DisposableStore, toDisposable} from '../../common/lifecycle/disposable.ts';
 import {type CutAnswer, GracefulServer} from './graceful-server.ts';
@@ -42,7 +42,9 @@
 export async function startTestListener(
 	store: DisposableStore,
 	handleCall: (path: string, outgoing: ServerResponse) => void,
-	{options = {}, allowHalfOpen = false}: {readonly options?: ServerOptions; readonly allowHalfOpen?: boolean} = {},
+	{options = {}, allowHalfOpen = false, mayRunConcurrently = () => false}: {
+		readonly options?: ServerOptions; readonly allowHalfOpen?: boolean; readonly mayRunConcurrently?: (incoming: IncomingMessage) => boolean;
+	} = {},
 ): Promise<TestListener> {
 	const handledPaths: string[] = [];
 	const cutAnswers: CutAnswer[] = [];
@@ -50,7 +52,7 @@
 		incoming.resume();
 		handledPaths.push(incoming.url!);
 		handleCall(incoming.url!, outgoing);
-	}));
+	}, mayRunConcurrently));
 	server.onCut(cut => cutAnswers.push(cut));
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -104,7 +104,7 @@
 			noDelay: true,
 		}, (incoming, outgoing) => {
 			this._handleRequest(incoming, outgoing);
-		}));
+		}, incoming => this._mayRunConcurrently(incoming)));
 		this._server.maxConnections = limits.connections;
 		this._register(this._server.onCut(({incoming, ...cut}) => {
 			this._onAnswerCut.fire({...cut, traceId: dependencies.dialect.parseRequestHead(incoming.headers).traceId, stage: this._stage});
@@ -153,6 +153,12 @@
 		this._server.destroyConnections();
 	}
 
+	/** Pipelined calls run side by side if they are idempotent and have no body. */
+	private _mayRunConcurrently({headers, url = ''}: IncomingMessage): boolean {
+		const hasBody = headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
+		return !hasBody && this._dependencies.routes.routeOf(headers.host ?? '', url)?.rule.isIdempotent === true;
+	}
+
 	private _handleRequest(incoming: IncomingMessage, outgoing: ServerResponse): void {
 		if (refusingStages.has(this._stage)) {
 			this._refuseStopping(incoming, outgoing);
