Answer 503 for calls that reached no backend server

Cause: a call whose deadline passed before anything was sent was answered 504, so that its caller could not repeat a non-idempotent call, although it was proven not to have run. Change: if the outcome is `not-run`, the status of `deadline-exceeded` is 503 like that of `backend-server-failed`. Its Retry-After follows from the backlog; it is omitted if the time that the caller has stated is over.

--- a/src/common/calls/call-completion.ts
+++ b/src/common/calls/call-completion.ts
@@ -30,9 +30,15 @@
 	'limits-unavailable': 503,
 };
 
-/** Status of a call whose attempts have all failed before they were sent: unlike 502, callers may repeat any call after it. */
+/**
+ * Status of a call that reached no backend server, where the reason alone would give 502 or 504: callers may repeat a
+ * non-idempotent call only after a 503.
+ */
 const notRunStatus = 503;
 
+/** Refusals whose status is `notRunStatus` if the call is proven not to have run. */
+const failureReasons = new Set<RefusalReason>(['deadline-exceeded', 'backend-server-failed']);
+
 /** Refusals for lack of capacity: the retry delay follows from the backlog. */
 const backlogReasons = new Set<RefusalReason>(['queue-full', 'overloaded']);
 
@@ -94,10 +100,10 @@
 		this._context.effects.push({
 			type: 'refuse',
 			callId: call.request.callId,
-			status: reason === 'backend-server-failed' && finalOutcome === 'not-run' ? notRunStatus : refusalStatus[reason],
+			status: failureReasons.has(reason) && finalOutcome === 'not-run' ? notRunStatus : refusalStatus[reason],
 			reason,
 			outcome: finalOutcome,
-			retryAfterMilliseconds: this._retryAfter(call, reason, now),
+			retryAfterMilliseconds: this._retryAfter(call, reason, finalOutcome, now),
 		});
 		this.end(call, finalOutcome, reason, now);
 	}
@@ -168,8 +174,13 @@
 		}
 	}
 
-	private _retryAfter(call: Call, reason: RefusalReason, now: Instant): Milliseconds | undefined {
-		if (backlogReasons.has(reason)) {
+	private _retryAfter(call: Call, reason: RefusalReason, outcome: CallOutcome, now: Instant): Milliseconds | undefined {
+		const isExpired = reason === 'deadline-exceeded';
+		if (isExpired && (outcome !== 'not-run' || hasUsedUpTime(call, now))) {
+			return undefined;
+		}
+
+		if (isExpired || backlogReasons.has(reason)) {
 			const service = call.serviceState;
 			if (call.wasShedWithFreeSlot && service.queue.size === 0) {
 				return this._addJitter(shedRetryAfterMilliseconds);
@@ -191,3 +202,8 @@
 		return time * (1 + this._context.random.next());
 	}
 }
+
+/** Whether the time that the caller has stated is over, so that a retry within it is impossible. */
+function hasUsedUpTime({request: {timeoutMilliseconds}, arrivedAt}: Call, now: Instant): boolean {
+	return timeoutMilliseconds !== undefined && now >= arrivedAt + timeoutMilliseconds;
+}
