Take queued calls by priority, round-robin by caller within each

Cause: the queue of a service did not know priorities, and a full queue refused the newest call of the caller with the most calls, however urgent. Change: a call has the priority of its request, else of its route, else 0 as in the platform's documents. The queue takes the most urgent call first; a full one refuses the newest call of the largest caller of the least urgent priority. The share of the concurrency that one caller may hold decides only within a priority. With a single priority the order is as before.

--- a/src/common/calls/admission/admission.ts
+++ b/src/common/calls/admission/admission.ts
@@ -66,7 +66,7 @@
 		let remainingStarts = service.isMeasuredOnDemand ? callsPerQueueCheck : Infinity;
 		while (service.queue.size > 0 && hasFreeConcurrency(service) && remainingStarts > 0) {
 			remainingStarts--;
-			const call = service.queue.take(caller => this._mayStart(service, caller)) ?? service.queue.take(() => true);
+			const call = service.queue.take(caller => this._mayStart(service, caller));
 			if (call === undefined) {
 				break;
 			}
@@ -140,7 +140,7 @@
 		service.queueNonEmptySince ??= now;
 		this._scheduleQueueCheck(service, now);
 		if (service.queue.size > service.declared.queueLimit) {
-			this._completion.refuse(service.queue.newestOfLargestCaller()!, 'queue-full', now);
+			this._completion.refuse(service.queue.newestOfLeastUrgent()!, 'queue-full', now);
 		}
 
 		if (call.state === 'queued') {
@@ -163,7 +163,7 @@
 			return service.queue.size >= callsPerQueueCheck * (latestStart(call) - now) / queueCheckMilliseconds;
 		}
 
-		const wait = service.estimateWait(service.queue.aheadOf(call.request.caller) + 1);
+		const wait = service.estimateWait(service.queue.aheadOf(call.priority, call.request.caller) + 1);
 		return wait > this._acceptableWait(call, call.deadline - now, now);
 	}
 
--- a/src/common/calls/admission/caller-queue.ts
+++ b/src/common/calls/admission/caller-queue.ts
@@ -1,39 +1,37 @@
-/** Queue of the calls of one service that wait on this VM, fair to callers. */
+/** Queue of the calls of one service that wait on this VM: the most urgent first, fair to callers within a priority. */
 import {type Call} from '../call.ts';
 
 /** Queue discipline for waiting calls. */
 export type CallQueue = {
 	readonly size: number;
-	/** Number of calls that would be taken before a new one of this caller. */
-	aheadOf(caller: string): number;
+	/** Number of calls that would be taken before a new one of this priority and caller. */
+	aheadOf(priority: number, caller: string): number;
 	add(call: Call): void;
-	/** Removes and returns the next call whose caller may start one. */
-	take(mayStart: (caller: string) => boolean): Call | undefined;
+	/** Removes and returns the next call; among those of the same priority, one of a preferred caller if there is any. */
+	take(isPreferred: (caller: string) => boolean): Call | undefined;
 	/** Removes a call that ended while it waited. */
 	remove(call: Call): void;
-	/** The call to refuse when the queue is full: the newest of the caller with the most waiting calls. */
-	newestOfLargestCaller(): Call | undefined;
+	/** The call to refuse when the queue is full: the newest of the largest caller of the least urgent priority. */
+	newestOfLeastUrgent(): Call | undefined;
+	/** Whether any waiting call fulfils the predicate. */
+	some(predicate: (call: Call) => boolean): boolean;
 };
 
 /**
- * Round-robin over callers, one call each. In order of arrival, a single caller that sends as much as all others together
- * would make everybody wait for its backlog. A turn counts calls and not their cost, since the cost is known only after
- * the call has run.
+ * Round-robin over the callers of one priority, one call each. In order of arrival, a single caller that sends as much as
+ * all others together would make everybody wait for its backlog. A turn counts calls and not their cost, since the cost is
+ * known only after the call has run.
  */
-export class FairCallQueue implements CallQueue {
-	private readonly _queues = new Map<string, Call[]>();
+class CallerRotation {
+	readonly queues = new Map<string, Call[]>();
+	size = 0;
 	/** Callers with waiting calls; the first one is next. */
 	private _callerOrder: string[] = [];
-	private _size = 0;
-
-	get size(): number {
-		return this._size;
-	}
 
 	aheadOf(caller: string): number {
-		const own = this._queues.get(caller)?.length ?? 0;
+		const own = this.queues.get(caller)?.length ?? 0;
 		let ahead = 0;
-		for (const queue of this._queues.values()) {
+		for (const queue of this.queues.values()) {
 			ahead += Math.min(queue.length, own + 1);
 		}
 
@@ -42,10 +40,10 @@
 
 	add(call: Call): void {
 		const {caller} = call.request;
-		const queue = this._queues.get(caller);
-		this._size++;
+		const queue = this.queues.get(caller);
+		this.size++;
 		if (queue === undefined) {
-			this._queues.set(caller, [call]);
+			this.queues.set(caller, [call]);
 			this._callerOrder.push(caller);
 			return;
 		}
@@ -53,18 +51,13 @@
 		queue.push(call);
 	}
 
-	take(mayStart: (caller: string) => boolean): Call | undefined {
-		const index = this._callerOrder.findIndex(caller => mayStart(caller));
-		if (index === -1) {
-			return undefined;
-		}
-
-		const [caller] = this._callerOrder.splice(index, 1);
-		const queue = this._queues.get(caller!)!;
+	take(isPreferred: (caller: string) => boolean): Call {
+		const [caller] = this._callerOrder.splice(Math.max(0, this._callerOrder.findIndex(one => isPreferred(one))), 1);
+		const queue = this.queues.get(caller!)!;
 		const call = queue.shift()!;
-		this._size--;
+		this.size--;
 		if (queue.length === 0) {
-			this._queues.delete(caller!);
+			this.queues.delete(caller!);
 		} else {
 			this._callerOrder.push(caller!);
 		}
@@ -74,23 +67,23 @@
 
 	remove(call: Call): void {
 		const {caller} = call.request;
-		const queue = this._queues.get(caller);
+		const queue = this.queues.get(caller);
 		const index = queue?.indexOf(call) ?? -1;
 		if (queue === undefined || index === -1) {
 			return;
 		}
 
 		queue.splice(index, 1);
-		this._size--;
+		this.size--;
 		if (queue.length === 0) {
-			this._queues.delete(caller);
+			this.queues.delete(caller);
 			this._callerOrder = this._callerOrder.filter(one => one !== caller);
 		}
 	}
 
 	newestOfLargestCaller(): Call | undefined {
 		let largest: Call[] | undefined;
-		for (const queue of this._queues.values()) {
+		for (const queue of this.queues.values()) {
 			if (largest === undefined || queue.length > largest.length) {
 				largest = queue;
 			}
@@ -100,6 +93,72 @@
 	}
 }
 
+/** Strict priorities, and round-robin by caller within each. */
+export class FairCallQueue implements CallQueue {
+	/** Priorities with waiting calls, most urgent first. */
+	private _rotations: Array<{readonly priority: number; readonly rotation: CallerRotation}> = [];
+
+	get size(): number {
+		let size = 0;
+		for (const {rotation} of this._rotations) {
+			size += rotation.size;
+		}
+
+		return size;
+	}
+
+	aheadOf(priority: number, caller: string): number {
+		let ahead = 0;
+		for (const one of this._rotations) {
+			if (one.priority < priority) {
+				ahead += one.rotation.size;
+			} else if (one.priority === priority) {
+				ahead += one.rotation.aheadOf(caller);
+			}
+		}
+
+		return ahead;
+	}
+
+	add(call: Call): void {
+		const existing = this._rotations.find(one => one.priority === call.priority);
+		if (existing !== undefined) {
+			existing.rotation.add(call);
+			return;
+		}
+
+		const rotation = new CallerRotation();
+		rotation.add(call);
+		this._rotations.push({priority: call.priority, rotation});
+		this._rotations.sort((one, other) => one.priority - other.priority);
+	}
+
+	take(isPreferred: (caller: string) => boolean): Call | undefined {
+		const call = this._rotations[0]?.rotation.take(isPreferred);
+		this._dropEmpty();
+		return call;
+	}
+
+	remove(call: Call): void {
+		this._rotations.find(one => one.priority === call.priority)?.rotation.remove(call);
+		this._dropEmpty();
+	}
+
+	newestOfLeastUrgent(): Call | undefined {
+		return this._rotations.at(-1)?.rotation.newestOfLargestCaller();
+	}
+
+	some(predicate: (call: Call) => boolean): boolean {
+		return this._rotations.some(({rotation}) => [...rotation.queues.values()].some(queue => queue.some(call => predicate(call))));
+	}
+
+	private _dropEmpty(): void {
+		if (this._rotations.some(({rotation}) => rotation.size === 0)) {
+			this._rotations = this._rotations.filter(({rotation}) => rotation.size > 0);
+		}
+	}
+}
+
 /** Queue in order of arrival, as a baseline for the fair order. */
 export class ArrivalOrderQueue implements CallQueue {
 	private readonly _calls: Call[] = [];
@@ -127,7 +186,11 @@
 		}
 	}
 
-	newestOfLargestCaller(): Call | undefined {
+	newestOfLeastUrgent(): Call | undefined {
 		return this._calls.at(-1);
 	}
+
+	some(predicate: (call: Call) => boolean): boolean {
+		return this._calls.some(call => predicate(call));
+	}
 }
--- a/src/common/calls/call.ts
+++ b/src/common/calls/call.ts
@@ -69,6 +69,8 @@
 	/** Time at which the call is refused if no head of an answer has arrived. */
 	readonly deadline: Instant;
 	readonly isIdempotent: boolean;
+	/** Priority among the calls of the service; 0 = most urgent. */
+	readonly priority: number;
 	state: CallState;
 	/** Pending timers of the call, removed from the timer queue when it ends. */
 	readonly timers: Array<TimerEntry<unknown>>;
@@ -95,6 +97,9 @@
 	resetCount: number;
 };
 
+/** Priority of a call whose organisation and route have none; the platform's documents have the same default for routes. */
+const defaultPriority = 0;
+
 /** Creates the record of a new call. */
 export function newCall(request: CallRequest, serviceState: ServiceState, now: Instant): Call {
 	const {declared} = serviceState;
@@ -111,6 +116,7 @@
 		objectiveAt: now + objective - serviceState.retryingCallers.timeSpentBefore(request.timeoutMilliseconds, rule),
 		deadline: now + timeout,
 		isIdempotent: rule?.isIdempotent ?? declared.idempotentMethods.includes(request.method),
+		priority: request.priority ?? rule?.priority ?? defaultPriority,
 		state: 'queued',
 		timers: [],
 		hasKey: false,
