--- a/src/common/calls/admission/late-calls.test.ts
+++ b/src/common/calls/admission/late-calls.test.ts
@@ -3,7 +3,9 @@
 import {
 	answerLoadProbes, configurationOf, EngineDriver, linesOf, loadProbesIn, reportOf, requestOf, type Start, startIn,
 } from '../engine-driver.test.ts';
-import {type CallEffect, type CallRequest, type CallRule} from '../types.ts';
+import {
+	type CallEffect, type CallRequest, type CallRule, type LoadReport,
+} from '../types.ts';
 
 const rule: CallRule = {
 	route: 'reads', isIdempotent: true, timeoutMilliseconds: 8000, objectiveMilliseconds: 2500, attemptLimit: 3, priority: 0,
@@ -33,14 +35,14 @@
 }
 
 /**
- * The first attempt and the refusals of a call within a third of a second, while every backend server is quiet and empty.
+ * The first attempt and the refusals of a call within a third of a second; by default every backend server is quiet and empty.
  */
-function runCall(driver: EngineDriver, request: CallRequest): {start: Start | undefined; lines: string[]} {
+function runCall(driver: EngineDriver, request: CallRequest, reportFor: (identity: string) => LoadReport = quiet): {start: Start | undefined; lines: string[]} {
 	const effects: CallEffect[] = [];
 	let newEffects: readonly CallEffect[] = driver.handle({type: 'call-arrived', request});
 	for (let step = 0; step < 70; step++) {
 		effects.push(...newEffects);
-		newEffects = [...answerLoadProbes(driver, loadProbesIn(newEffects), quiet), ...driver.passTime(5)];
+		newEffects = [...answerLoadProbes(driver, loadProbesIn(newEffects), reportFor), ...driver.passTime(5)];
 	}
 
 	return {start: startIn(effects), lines: linesOf(effects).filter(line => line.startsWith('refuse'))};
@@ -53,6 +55,18 @@
 		expect([start === undefined, lines]).toEqual([false, []]);
 	});
 
+	// Guards a route whose work has a tail: its first answer took seven times as long as usual, and a quarter of the backend servers are idle.
+	it('is served at once after a first answer that took unusually long', () => {
+		const driver = new EngineDriver(configurationOf(8, {retryShare: 1, measuring: {mode: 'on-demand', callsPerWindow: 10_000}}));
+		const changes = {route: 'lookups', timeoutMilliseconds: 1200, objectiveMilliseconds: 332};
+		const first = startIn(answerLoadProbes(driver, loadProbesIn(driver.handle({type: 'call-arrived', request: readOf(1, changes, 2700)})), quiet))!;
+		driver.now += 980;
+		driver.answer(first.attemptId, quiet());
+		const mostlyBusy = (identity: string) => reportOf('p', {workTimeFactor: 1, inFlight: identity === 'identity-0' || identity === 'identity-1' ? 0 : 6});
+		const {lines} = runCall(driver, readOf(2, changes, 2700), mostlyBusy);
+		expect([lines, runCall(driver, readOf(3, changes, 2700), mostlyBusy).start === undefined]).toEqual([[], false]);
+	});
+
 	// Guards late calls against being refused while backend servers are half empty.
 	it('is served late if backend servers are half empty', () => {
 		const {start, lines} = runCall(trainedDriver(), readOf(1, {}, 1200));
