Let each VM use a subset of the backend servers of its data centre first

Cause: a VM of a large fleet has 2.5 to 7 calls per second and probes any of up to 97 backend servers of its data centre. Most of its keep-alive connections are idle for longer than backend servers keep them open, so each probe opens one.

Change: ServerSubset chooses backend servers by rendezvous hashing over VM and server, balanced over the VMs of the data centre, and its size by the rate of probes (six at least; none in data centres with up to nine backend servers, without known members, or for a VM that keeps 80 percent of the connections in use). Two rounds of probes go to the subset, a third to all others if no fresh report shows a free slot and an answer in time. Each subset being covered by few VMs, half of the probe budget of a backend server is for the VMs that have it in their subset.

A second round outside the subset was tried: with two slots per backend server every fifth call has no idle one among four, and each such round opens up to four connections.

The demand benchmark now models keep-alive connections and prints new connections per call and the highest load ratio.

--- a/benchmark/demand/demand-run.ts
+++ b/benchmark/demand/demand-run.ts
@@ -14,8 +14,8 @@
 const remoteLatencyMilliseconds: Milliseconds = 1.4;
 const callerLatencyMilliseconds: Milliseconds = 3;
 
-/** Slots of each backend server. */
-const slots = 6;
+/** Slots of each backend server where the scenario states none. */
+const defaultSlots = 6;
 
 /** Calls sent before this instant are not counted, since the engines start without load data. */
 const warmUpMilliseconds: Milliseconds = 1500;
@@ -45,7 +45,7 @@
 	answeredAt: Instant | undefined;
 };
 
-/** Figures of a run: fractions from 0 to 1, except the last three (two counts per call, and p99 in milliseconds). */
+/** Figures of a run: fractions from 0 to 1, except the last five. */
 export type DemandFigures = {
 	/** Users' score: weighted sum of `earned`, `worstWindows` and `served`. */
 	readonly worth: number;
@@ -57,7 +57,12 @@
 	readonly refusedAgain: number;
 	readonly attemptsACall: number;
 	readonly measuringsACall: number;
+	/** Milliseconds. */
 	readonly p99: number;
+	/** New connections to backend servers for each call in the second half of the run; at the start each VM opens its first ones. */
+	readonly connectionsACall: number;
+	/** Calls of the backend server with the most, as a multiple of the mean of its service and data centre; the highest of all. */
+	readonly maxLoadRatio: number;
 };
 
 type PlacedServer = {readonly server: ModelServer; readonly declared: BackendServer; readonly dataCentre: string};
@@ -74,9 +79,12 @@
 	private _loadProbes = 0;
 	private _attempts = 0;
 	private _lastCallId = 0;
+	private readonly _memberHash: ((text: string) => number) | undefined;
 
-	constructor(scenario: DemandScenario, tuning: Partial<CallTuning>, seed: number) {
+	/** `memberHash` undefined = the VMs use no subsets. */
+	constructor(scenario: DemandScenario, tuning: Partial<CallTuning>, seed: number, memberHash?: (text: string) => number) {
 		this._scenario = scenario;
+		this._memberHash = memberHash;
 		this._seed = seed;
 		this._retryRandom = seededRandom(seed + 7);
 		this._addServers();
@@ -95,6 +103,7 @@
 	}
 
 	private _addServers(): void {
+		const {slots = defaultSlots} = this._scenario;
 		for (const service of this._scenario.services) {
 			for (let index = 0; index < service.servers; index++) {
 				const name = `${service.name}-${index}`;
@@ -132,7 +141,7 @@
 	private _makeVm(index: number, tuning: Partial<CallTuning>, seed: number): ModelVm {
 		const dataCentre = `hall-${index % this._scenario.dataCentres}`;
 		const vm = new ModelVm(new DefaultCallEngine({
-			random: seededRandom((seed * 1000) + index), settings: {dataCentre, notRunStatuses: new Set([503])}, tuning,
+			random: seededRandom((seed * 1000) + index), settings: {dataCentre, notRunStatuses: new Set([503])}, tuning, ...(this._memberHash === undefined ? {} : {memberHash: this._memberHash}),
 		}), {
 			time: this._time,
 			serverOf: identity => this._servers.get(identity)!.server,
@@ -150,7 +159,7 @@
 		});
 		vm.handle({
 			type: 'shares', shares: {
-				loadProbeFraction: 0, loadProbesFrom: 0, loadProbesUntil: 0, connectionFraction: Math.min(1, 2 / this._scenario.vms), vmCount: this._scenario.vms,
+				loadProbeFraction: 0, loadProbesFrom: 0, loadProbesUntil: 0, connectionFraction: Math.min(1, 2 / this._scenario.vms), vmCount: this._scenario.vms, members: {own: `vm-${index}`, byDataCentre: this._vmsByDataCentre()},
 			},
 		});
 		vm.handle({
@@ -168,6 +177,36 @@
 		return vm;
 	}
 
+	private _connectionsACall(): number {
+		const from = this._scenario.milliseconds / 2;
+		const opened = this._vms.reduce((sum, vm) => sum + vm.connections.openedAt.filter(at => at >= from).length, 0);
+		return opened / this._requests.filter(({sentAt}) => sentAt >= from).length;
+	}
+
+	private _vmsByDataCentre(): Map<string, string[]> {
+		const names = Array.from({length: this._scenario.vms}, (_, index) => index);
+		const {dataCentres} = this._scenario;
+		return new Map(Array.from({length: dataCentres}, (_, hall) => [
+			`hall-${hall}`, names.filter(index => index % dataCentres === hall).map(index => `vm-${index}`),
+		]));
+	}
+
+	private _maxLoadRatio(): number {
+		let ratio = 0;
+		const groups = new Map<string, number[]>();
+		for (const {server, declared} of this._servers.values()) {
+			const group = `${declared.service} ${declared.dataCentre}`;
+			groups.set(group, [...groups.get(group) ?? [], server.arrivals]);
+		}
+
+		for (const arrivals of groups.values()) {
+			const mean = arrivals.reduce((sum, one) => sum + one, 0) / arrivals.length;
+			ratio = Math.max(ratio, Math.max(...arrivals) / Math.max(1, mean));
+		}
+
+		return ratio;
+	}
+
 	private _planArrivals(kind: DemandKind, random: RandomSource): void {
 		const maxFactor = 3;
 		const rate = kind.callsPerSecond * maxFactor / 1000;
@@ -243,6 +282,8 @@
 			refusedAgain: fractionOf(request => request.answeredAt === undefined && request.refusals > 0 && request.retries > 0),
 			attemptsACall: this._attempts / this._requests.length,
 			measuringsACall: this._loadProbes / this._requests.length,
+			connectionsACall: this._connectionsACall(),
+			maxLoadRatio: this._maxLoadRatio(),
 			p99: latencies[Math.floor(latencies.length * 0.99)] ?? Infinity,
 		};
 	}
--- a/benchmark/demand/main.ts
+++ b/benchmark/demand/main.ts
@@ -21,7 +21,7 @@
 	}));
 }
 
-const columns = ['worth', 'earned', 'worstWindows', 'served', 'late', 'refused', 'refusedAgain', 'attemptsACall', 'measuringsACall', 'p99'] as const;
+const columns = ['worth', 'earned', 'worstWindows', 'served', 'late', 'refused', 'refusedAgain', 'attemptsACall', 'measuringsACall', 'p99', 'connectionsACall', 'maxLoadRatio'] as const;
 console.log(['scenario'.padEnd(12), ...columns.map(column => column.padStart(15))].join(''));
 for (const scenario of demandScenarios) {
 	if (values.only !== undefined && !scenario.name.startsWith(values.only)) {
--- a/benchmark/demand/scenarios.ts
+++ b/benchmark/demand/scenarios.ts
@@ -24,6 +24,8 @@
 	readonly dataCentres: number;
 	readonly services: ReadonlyArray<{readonly name: string; readonly servers: number}>;
 	readonly kinds: readonly DemandKind[];
+	/** Slots of each backend server; 6 if undefined. */
+	readonly slots?: number;
 	readonly behaviour: ServerBehaviour;
 	/** Neighbours: during a fraction `share` of the time, in phases of `milliseconds` on average, work takes `slowdown` times as long. */
 	readonly neighbours: {readonly share: number; readonly slowdown: number; readonly milliseconds: Milliseconds};
--- a/benchmark/policy/model-vm.ts
+++ b/benchmark/policy/model-vm.ts
@@ -6,6 +6,7 @@
 import {
 	type ModelServer, type VirtualTime, type WorkItem, type WorkOutcome,
 } from './model-server.ts';
+import {ConnectionModel} from './connection-model.ts';
 import {type CallRecord} from './types.ts';
 
 /** Interface of a VM to the rest of the model. */
@@ -20,7 +21,7 @@
 	readonly onWastedWork: (spent: Milliseconds) => void;
 };
 
-type RunningAttempt = {readonly callId: number; readonly server: ModelServer; readonly latency: Milliseconds; readonly work: WorkItem};
+type RunningAttempt = {readonly callId: number; readonly identity: string; readonly server: ModelServer; readonly latency: Milliseconds; readonly work: WorkItem};
 
 /** Effects that the model leaves out. */
 const ignoredEffects = {
@@ -38,6 +39,7 @@
 }
 
 export class ModelVm {
+	readonly connections = new ConnectionModel();
 	private readonly _engine: CallEngine;
 	private readonly _environment: VmEnvironment;
 	private readonly _records = new Map<number, CallRecord>();
@@ -172,8 +174,9 @@
 			},
 		};
 		this._attempts.set(effect.attemptId, {
-			callId: effect.callId, server, latency, work,
+			callId: effect.callId, identity: effect.identity, server, latency, work,
 		});
+		this.connections.acquire(effect.identity, now);
 		this._handleLater({type: 'attempt-sent', attemptId: effect.attemptId}, now);
 		time.at(now + latency, () => {
 			if (!work.isOver) {
@@ -211,6 +214,10 @@
 		}
 
 		this._attempts.delete(attemptId);
+		if (end !== 'refused' && end !== 'reset') {
+			this.connections.release(running.identity, this._environment.time.now);
+		}
+
 		if (end === 'refused' || end === 'reset') {
 			this._environment.onWastedWork(running.work.spent);
 			this.handle({
@@ -240,10 +247,12 @@
 	private _sendLoadProbe(effect: CallEffect & {type: 'measure'}, now: Instant): void {
 		const {time} = this._environment;
 		const latency = this._environment.latencyTo(effect.identity);
+		this.connections.acquire(effect.identity, now);
 		time.at(now + latency, () => {
 			this._environment.onLoadProbe(effect.identity, time.now);
 			const report = this._environment.serverOf(effect.identity).report();
 			time.at(time.now + latency, () => {
+				this.connections.release(effect.identity, time.now);
 				this.handle({type: 'measured', loadProbeId: effect.loadProbeId, report});
 			});
 		});
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -55,6 +55,11 @@
 	readonly tuning?: Partial<CallTuning>;
 	/** Divides the call rate of a warming backend server among the VMs; undefined = this VM may use all of it. */
 	readonly rateQuota?: RateQuota;
+	/**
+	 * Hash function that all VMs share, for the choice of backend servers that each VM uses first; undefined = each uses
+	 * all of them.
+	 */
+	readonly memberHash?: (text: string) => number;
 };
 
 export class DefaultCallEngine implements CallEngine {
@@ -98,6 +103,7 @@
 			replacedServers: [],
 			isPlacingHeld: false,
 			rateQuota: options.rateQuota ?? new SingleVmRateQuota(),
+			memberHash: options.memberHash,
 			links: this._createLinks(options),
 			shares: undefined,
 			effects: [],
--- a/src/common/calls/engine-context.ts
+++ b/src/common/calls/engine-context.ts
@@ -51,6 +51,8 @@
 	/** Records of processes that were replaced by a new one in this event; their attempts are still open. */
 	readonly replacedServers: BackendServerState[];
 	readonly rateQuota: RateQuota;
+	/** Hash function that all VMs share; undefined = this VM uses all backend servers of its data centre. */
+	readonly memberHash?: ((text: string) => number) | undefined;
 	/** Paths to the backend servers. */
 	readonly links: BackendLinks;
 	shares: FleetShares | undefined;
--- a/src/common/calls/placement/demand-placer.ts
+++ b/src/common/calls/placement/demand-placer.ts
@@ -8,7 +8,7 @@
 import {
 	type AttemptPurpose, type Call, objectiveOf, workEstimate,
 } from '../call.ts';
-import {type EngineContext} from '../engine-context.ts';
+import {type EngineContext, vmCountOf} from '../engine-context.ts';
 import {lightLoadFraction} from '../estimates/load-levels.ts';
 import {type PlacingChoice, type PlacingGrounds} from '../types.ts';
 import {
@@ -27,6 +27,9 @@
  */
 const maxScoredServers = 24;
 
+/** The subset is not used for a round of probes if fewer of its backend servers can be probed. */
+const minSubsetCandidates = 2;
+
 /**
  * Number of consecutive load probes without a report after which a backend server counts as silent and is probed by few
  * calls only.
@@ -139,18 +142,60 @@
 	}
 
 	/**
-	 * Backend servers to probe for an attempt of this call, without those in `probed`: the best scored of the local data
-	 * centre, or of all if none of those is left. Probes of other data centres are charged by the byte.
+	 * Backend servers to probe for an attempt of this call, without those in `probed`: the best scored of the VM's subset of
+	 * the local data centre, of all local ones if `isWide` or the subset has too few left, or of all if none of those is
+	 * left. Probes of other data centres are charged by the byte.
 	 */
-	candidates(call: Call, now: Instant, probed: ReadonlySet<BackendServerState>): BackendServerState[] {
+	candidates(call: Call, now: Instant, probed: ReadonlySet<BackendServerState>, isWide = false): BackendServerState[] {
 		const isSelectable = (server: BackendServerState) => !probed.has(server) && this._isCandidate(server, call, now) && !this._isProbeSkipped(server);
+		const {serviceState} = call;
 		const {random, settings: {dataCentre}} = this._context;
-		const localServers = sample(call.serviceState.serversIn(dataCentre), maxScoredServers, isSelectable, random);
-		const scored = (localServers.length > 0 ? localServers : sample(call.serviceState.servers, maxScoredServers, isSelectable, random)).map(server => ({
+		const count = serviceState.headroom.probeCount(this._context.tuning.maxProbeCandidates);
+		const localServers = serviceState.serversIn(dataCentre);
+		const subset = isWide ? undefined : serviceState.subset?.select(localServers, this._context.shares?.members, dataCentre, now);
+		let selectable = subset === undefined ? [] : sample([...subset], maxScoredServers, isSelectable, random);
+		const isInSubset = selectable.length >= Math.min(count, minSubsetCandidates);
+		if (!isInSubset) {
+			selectable = sample(localServers, maxScoredServers, isSelectable, random);
+		}
+
+		if (selectable.length === 0) {
+			selectable = sample(serviceState.servers, maxScoredServers, isSelectable, random);
+		}
+
+		const scored = selectable.map(server => ({
 			server, score: this._expectedOutcome(server, call, now, 1).utility + ((this._context.random.next() - 0.5) * scoreJitter),
 		}));
 		scored.sort((one, other) => other.score - one.score);
-		return scored.slice(0, call.serviceState.headroom.probeCount(this._context.tuning.maxProbeCandidates)).map(({server}) => server);
+		const chosen = scored.slice(0, count).map(({server}) => server);
+		if (isInSubset || probed.size === 0) {
+			serviceState.subset?.recordUses(chosen.length, now);
+		}
+
+		return chosen;
+	}
+
+	/**
+	 * Whether fresh reports show a backend server with a free slot that is likely enough to answer in time. Then the subset
+	 * has capacity, and no backend server outside it is probed.
+	 */
+	hasFreeServer(call: Call, now: Instant): boolean {
+		return this._hasServer(call, now, hasFreeSlot);
+	}
+
+	/**
+	 * Number of VMs among which the load probes of a backend server are divided. Where VMs have subsets, half of them is for
+	 * the VMs that have it in their subset and probe it often, the other half for all.
+	 */
+	probingVms({serviceState: {subset}}: Call, server: BackendServerState): number {
+		const vmCount = vmCountOf(this._context);
+		const isIncluded = subset?.includes(server);
+		if (subset === undefined || isIncluded === undefined) {
+			return vmCount;
+		}
+
+		const localVms = this._context.shares?.members?.byDataCentre.get(this._context.settings.dataCentre)?.length ?? vmCount;
+		return isIncluded ? Math.min(vmCount, 2 * Math.max(1, localVms * subset.fraction)) : 2 * vmCount;
 	}
 
 	/**
@@ -158,11 +203,7 @@
 	 * more probes would have no effect.
 	 */
 	hasSuitableServer(call: Call, now: Instant): boolean {
-		const {reportFreshMilliseconds, maxProbeWaitMilliseconds} = this._context.tuning;
-		const {servers} = call.serviceState;
-		const bestAcceptance = bestAcceptanceRate(servers, now);
-		return servers.some(server => this._isEligible(server, call, now) && now - server.reportedAt <= reportFreshMilliseconds + maxProbeWaitMilliseconds
-			&& isLightlyLoaded(server) && this._expectedOutcome(server, call, now, bestAcceptance).withinObjective >= minOnTimeProbability);
+		return this._hasServer(call, now, isLightlyLoaded);
 	}
 
 	place(call: Call, now: Instant, purpose: AttemptPurpose = 'first'): Placement | undefined {
@@ -188,6 +229,19 @@
 		};
 	}
 
+	private _hasServer(call: Call, now: Instant, hasRoom: (server: BackendServerState) => boolean): boolean {
+		const {reportFreshMilliseconds, maxProbeWaitMilliseconds} = this._context.tuning;
+		const {servers} = call.serviceState;
+		const maxAge = reportFreshMilliseconds + maxProbeWaitMilliseconds;
+		const candidates = servers.filter(server => now - server.reportedAt <= maxAge && hasRoom(server) && this._isEligible(server, call, now));
+		if (candidates.length === 0) {
+			return false;
+		}
+
+		const bestAcceptance = bestAcceptanceRate(servers, now);
+		return candidates.some(server => this._expectedOutcome(server, call, now, bestAcceptance).withinObjective >= minOnTimeProbability);
+	}
+
 	/** The best backend server for each kind of placement, and the grounds to record. */
 	private _bestServers(call: Call, now: Instant, requiredProbability: number): Record<Exclude<PlacingChoice, 'none'>, BestServer> & {readonly grounds: Omit<PlacingGrounds, 'choice'>} {
 		const best = {
@@ -381,6 +435,10 @@
 	return Math.max(0.01, ...servers.map(server => server.takesNewAttempts ? acceptanceRate(server, now) : 0));
 }
 
+function hasFreeSlot(server: BackendServerState): boolean {
+	return server.reportedLoad + 1 <= server.declared.slots;
+}
+
 /** Whether one more call would not be slowed down by the calls already there. */
 function isLightlyLoaded(server: BackendServerState): boolean {
 	return server.reportedLoad + 1 <= lightLoadFraction * server.declared.slots;
--- a/src/common/calls/probing/load-prober.ts
+++ b/src/common/calls/probing/load-prober.ts
@@ -3,7 +3,7 @@
 import {type AttemptPurpose, type Call} from '../call.ts';
 import {type BackendServerState} from '../backend-server-state.ts';
 import {type DemandPlacer} from '../placement/demand-placer.ts';
-import {type EngineContext, vmCountOf} from '../engine-context.ts';
+import {type EngineContext} from '../engine-context.ts';
 import {type RefusalReason} from '../types.ts';
 
 /** Load probes that one attempt waits for. */
@@ -28,6 +28,12 @@
  */
 const maxRounds = 3;
 
+/**
+ * Rounds of probes in the VM's subset. A single round often finds no idle one of a few backend servers with two slots
+ * although the subset has capacity, and each backend server outside it costs a new connection.
+ */
+const subsetRounds = 2;
+
 /** What an attempt is planned for. */
 export type ProbingPlan = Pick<PendingProbes, 'purpose' | 'reason'>;
 
@@ -91,7 +97,7 @@
 	}
 
 	private _start(call: Call, {purpose, reason}: ProbingPlan, {round, probed, startedAt}: Pick<PendingProbes, 'round' | 'probed' | 'startedAt'>, now: Instant): void {
-		const candidates = this._placer.candidates(call, now, probed);
+		const candidates = this._placer.candidates(call, now, probed, round > subsetRounds && !this._placer.hasFreeServer(call, now));
 		const probing: PendingProbes = {
 			purpose, reason, candidates, awaited: new Set(), probed: new Set([...probed, ...candidates]), round, startedAt,
 		};
@@ -126,7 +132,7 @@
 			return true;
 		}
 
-		if (!server.demandAllowance.tryTake(call.service.measuring, vmCountOf(this._context), now)) {
+		if (!server.demandAllowance.tryTake(call.service.measuring, this._placer.probingVms(call, server), now)) {
 			return false;
 		}
 
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -78,7 +78,7 @@
 		const servers = this._serversByService();
 		const rules = new Map(configuration.sharingRules.map(rule => [rule.service, rule]));
 		for (const [name, declared] of configuration.services) {
-			const service = this._services.get(name) ?? new ServiceState(declared, this._context.tuning);
+			const service = this._services.get(name) ?? new ServiceState(declared, this._context.tuning, this._context.memberHash);
 			service.updateDeclaration(declared);
 			// A deleted rule no longer applies.
 			service.sharing = rules.get(name) ?? defaultSharing;
--- a/src/common/calls/service-state.ts
+++ b/src/common/calls/service-state.ts
@@ -11,6 +11,7 @@
 import {RetryBudget} from './attempts/retry-budget.ts';
 import {RetryingCallers} from './admission/retrying-callers.ts';
 import {Headroom} from './estimates/headroom.ts';
+import {ServerSubset} from './placement/server-subset.ts';
 import {type CallTuning} from './tuning.ts';
 import {type WarmUpLimit} from './types.ts';
 
@@ -57,6 +58,8 @@
 	readonly retryBudget = new RetryBudget();
 	readonly limit: ConcurrencyLimit;
 	readonly queue: CallQueue;
+	/** Backend servers of the own data centre that are used first; undefined = all of them are. */
+	readonly subset: ServerSubset<BackendServerState> | undefined;
 	/** Attempts in flight. */
 	inFlight = 0;
 	/** Time since which the queue has not been empty; undefined while it is empty. */
@@ -73,12 +76,13 @@
 	private _answerCount = 0;
 	private readonly _tuning: CallTuning;
 
-	constructor(declared: Service, tuning: CallTuning) {
+	constructor(declared: Service, tuning: CallTuning, memberHash?: (text: string) => number) {
 		this.declared = declared;
 		this._tuning = tuning;
 		this.classes = new CallClasses(initialAnswerTimeMilliseconds, tuning.maxCallClasses);
 		this.limit = new AdaptiveConcurrencyLimit(this._targetQueuedPerSlot());
 		this.queue = tuning.isFairQueue ? new FairCallQueue() : new ArrivalOrderQueue();
+		this.subset = memberHash === undefined ? undefined : new ServerSubset(memberHash);
 	}
 
 	/** True if load probes are sent before each attempt and not on a schedule. */
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -116,6 +116,7 @@
 	owned.add(platform.store);
 	const calls = new DefaultCallEngine({
 		rateQuota: new OwnerRateQuota(hashes.hash32),
+		memberHash: hashes.hash32,
 		random,
 		settings: {dataCentre: settings.vm.dataCentre, notRunStatuses: platform.notRunStatuses, retryBurst: settings.calls.retryBurst},
 	});
