Add the messages and types of rate limits of organisations

The holders of limit slots come from the registry, the datagrams pass through a socket, and the entry VM decides; all three need the same types. Adds the schema of the datagrams, the effect 'limit-slots' of the fleet engine, and the event 'datagram' and effect 'send-datagram' of the entry VM. Nothing uses them yet: the entry VM ignores them.

--- a/src/common/entry-vm/entry-vm.ts
+++ b/src/common/entry-vm/entry-vm.ts
@@ -88,6 +88,10 @@
 	}
 
 	private _route(event: EntryVmEvent, now: Instant): void {
+		if (event.type === 'datagram') {
+			return;
+		}
+
 		if (event.type === 'tick') {
 			this._tick(now);
 		} else if (event.type === 'utilisation') {
@@ -184,6 +188,10 @@
 				break;
 			}
 
+			case 'limit-slots': {
+				break;
+			}
+
 			default: {
 				this._effects.push(effect);
 			}
--- a/src/common/entry-vm/types.ts
+++ b/src/common/entry-vm/types.ts
@@ -4,12 +4,13 @@
  */
 import {type CallEffect, type CallEvent} from '../calls/types.ts';
 import {type FleetEffect, type FleetEvent} from '../fleet/types.ts';
+import {type DatagramEvent, type SendDatagramEffect} from '../limits/types.ts';
 import {type Instant} from '../model/units.ts';
 
 /** Events and effects that the two engines exchange; none leaves the entry VM. */
 type InternalCallEvent = 'configured' | 'shares' | 'peer-updates' | 'backend-server-leaving' | 'cut-off' | 'placing-held' | 'tick';
 type InternalFleetEvent = 'load-update' | 'leaving-sign' | 'own-load' | 'tick';
-type InternalFleetEffect = 'shares' | 'peer-updates' | 'backend-server-leaving';
+type InternalFleetEffect = 'shares' | 'peer-updates' | 'backend-server-leaving' | 'limit-slots';
 
 /** Events for the call engine from outside the entry VM. */
 export type ExternalCallEvent = Exclude<CallEvent, {type: InternalCallEvent}>;
@@ -21,6 +22,7 @@
 export type EntryVmEvent
 	= | ExternalCallEvent
 		| ExternalFleetEvent
+		| DatagramEvent
 	/** Share of recent time (0 to 1) for which the VM was busy; sent about twice a second. */
 		| {readonly type: 'utilisation'; readonly utilisation: number}
 	/** The instant returned by `nextWakeUp` has been reached. */
@@ -33,7 +35,7 @@
 export type ExternalFleetEffect = Exclude<FleetEffect, {type: InternalFleetEffect}>;
 
 /** Any effect that an entry VM returns. */
-export type EntryVmEffect = ExternalCallEffect | ExternalFleetEffect;
+export type EntryVmEffect = ExternalCallEffect | ExternalFleetEffect | SendDatagramEffect;
 
 /** A state machine that handles one event at a time and returns the instant at which it needs a `tick`. */
 export type Decider<Event, Effect> = {
--- a/src/common/fleet/types.ts
+++ b/src/common/fleet/types.ts
@@ -7,6 +7,7 @@
 	type BackendServerIdentity, type CallConfiguration, type FleetShares, type LoadUpdate,
 } from '../calls/types.ts';
 import {type Failure} from '../errors/failure.ts';
+import {type LimitSlotsEffect} from '../limits/types.ts';
 import {type Resource, type ResourceKey, type StoredResource} from '../model/resources.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type StoreEra} from '../platform/store-position.ts';
@@ -188,6 +189,8 @@
 		| {readonly type: 'configured'; readonly configuration: CallConfiguration}
 		| {readonly type: 'shares'; readonly shares: FleetShares}
 		| {readonly type: 'peer-updates'; readonly updates: readonly LoadUpdate[]}
+	/** The holders of the limit slots have changed, or this VM's right to one was renewed. */
+		| LimitSlotsEffect
 	/** The call engine must assign no new calls to this process of the backend server. */
 		| {readonly type: 'backend-server-leaving'; readonly sign: LeavingSign}
 		| {readonly type: 'operator-answer'; readonly requestId: number; readonly answer: OperatorAnswer}
--- a/src/common/registry/fleet-model.test.ts
+++ b/src/common/registry/fleet-model.test.ts
@@ -107,7 +107,7 @@
 		for (const effect of this.entryVm.handle(event, this._model.timeline.now)) {
 			if (isCallEffect(effect)) {
 				this._model.calls?.execute(this, effect);
-			} else {
+			} else if (effect.type !== 'send-datagram') {
 				this._execute(effect);
 			}
 		}
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -193,6 +193,10 @@
 				break;
 			}
 
+			case 'send-datagram': {
+				break;
+			}
+
 			case 'announce': {
 				feedClient.announce(effect.announcement);
 				break;
--- a/src/daemon/wiring.ts
+++ b/src/daemon/wiring.ts
@@ -242,7 +242,8 @@
 	deciders.loop.setExecutor(effect => {
 		if (isCallEffect(effect)) {
 			callPath.callEffectExecutor.execute(effect);
-		} else {
+		} else if (effect.type !== 'send-datagram') {
+			// Limit slots are leases in the store of the platform; a fleet that coordinates itself has none.
 			fleetEffectExecutor.execute(effect);
 		}
 	});
