Admit calls of organisations with a rate limit only with a token

A limit applies to all VMs together, also while they cannot reach each other, so each call of such an organisation needs a token from one of three slots. EntryVm holds calls of organisations with a limit until they have a token; a token of a call that did not run is used for the next call or returned. A holder ignores repeated requests, and a client uses an answer once, so that a datagram that is delivered twice adds no token.

Without an endpoint for datagrams, which is the default of EntryVm, calls of organisations with a limit are refused, and an error is logged once per version.

--- a/src/common/calls/call-summary.ts
+++ b/src/common/calls/call-summary.ts
@@ -1,4 +1,5 @@
 /** Summary of an ended call: its outcome, its attempts, and the data behind each choice of a backend server. */
+import {type LimitRecord} from '../limits/types.ts';
 import {type Milliseconds} from '../model/units.ts';
 import {
 	type AttemptFailure, type BackendServerIdentity, type CallOutcome, type RefusalReason,
@@ -66,6 +67,8 @@
 	readonly grounds?: PlacingGrounds;
 	/** Why the call is suspected of crashing backend servers; undefined unless it was refused for that. */
 	readonly suspicion?: {readonly fingerprint: string; readonly crashes: number};
+	/** How the call got the token of its organisation's rate limit, or why it got none; undefined if it needed none. */
+	readonly limit?: LimitRecord;
 	readonly service: string;
 	readonly outcome: CallOutcome;
 	readonly reason: RefusalReason | undefined;
--- a/src/common/entry-vm/entry-vm.ts
+++ b/src/common/entry-vm/entry-vm.ts
@@ -3,9 +3,11 @@
 	type CallEffect, type CallEngine, type CallEvent, type LoadUpdate,
 } from '../calls/types.ts';
 import {type FleetEffect, type FleetEngine, type FleetEvent} from '../fleet/types.ts';
+import {Limits} from '../limits/limits.ts';
 import {type Instant} from '../model/units.ts';
+import {LimitedCalls} from './limited-calls.ts';
 import {
-	type Decider, type EntryVmEffect, type EntryVmEvent, type ExternalCallEffect, type ExternalFleetEvent,
+	type Decider, type EntryVmEffect, type EntryVmEvent, type ExternalCallEffect, type ExternalCallEvent, type ExternalFleetEvent,
 } from './types.ts';
 
 /** A record rather than a set, so that a missing event type fails to compile: the event would go to the call engine, which does not handle it. */
@@ -55,12 +57,22 @@
 export class EntryVm<Fleet extends FleetDecider = FleetEngine> implements Decider<EntryVmEvent, EntryVmEffect> {
 	readonly calls: CallEngine;
 	readonly fleet: Fleet;
+	private readonly _limitedCalls: LimitedCalls;
 	private readonly _internalEvents: InternalEvent[] = [];
 	private _effects: EntryVmEffect[] = [];
 
-	constructor(calls: CallEngine, fleet: Fleet) {
+	/** @param limits rate limits of organisations; by default, calls of an organisation with a limit are refused, as the VM has no endpoint for datagrams */
+	constructor(calls: CallEngine, fleet: Fleet, limits: Limits = new Limits()) {
 		this.calls = calls;
 		this.fleet = fleet;
+		this._limitedCalls = new LimitedCalls(limits, {
+			onAllowed: request => {
+				this._internalEvents.push({to: 'calls', event: {type: 'call-arrived', request}});
+			},
+			onEffect: effect => {
+				this._effects.push(effect);
+			},
+		});
 	}
 
 	handle(event: EntryVmEvent, now: Instant): readonly EntryVmEffect[] {
@@ -78,29 +90,63 @@
 	}
 
 	nextWakeUp(): Instant | undefined {
-		const calls = this.calls.nextWakeUp();
-		const fleet = this.fleet.nextWakeUp();
-		if (calls === undefined || fleet === undefined) {
-			return calls ?? fleet;
-		}
-
-		return Math.min(calls, fleet);
+		const earliest = Math.min(
+			this.calls.nextWakeUp() ?? Number.POSITIVE_INFINITY,
+			this.fleet.nextWakeUp() ?? Number.POSITIVE_INFINITY,
+			this._limitedCalls.nextWakeUp() ?? Number.POSITIVE_INFINITY,
+		);
+		return earliest === Number.POSITIVE_INFINITY ? undefined : earliest;
 	}
 
 	private _route(event: EntryVmEvent, now: Instant): void {
-		if (event.type === 'datagram') {
+		switch (event.type) {
+			case 'tick': {
+				this._tick(now);
+				break;
+			}
+
+			case 'utilisation': {
+				this._sendToFleetEngine({type: 'own-load', utilisation: event.utilisation, services: this.calls.load().inFlightOfServices}, now);
+				break;
+			}
+
+			case 'datagram': {
+				this._limitedCalls.handle(event, now);
+				break;
+			}
+
+			case 'woke': {
+				// First, so that no right from before the pause is used in this event.
+				this._limitedCalls.handle({type: 'woke'}, now);
+				this._sendToFleetEngine(event, now);
+				break;
+			}
+
+			default: {
+				if (isFleetEvent(event)) {
+					this._sendToFleetEngine(event, now);
+				} else {
+					this._routeToCallEngine(event, now);
+				}
+			}
+		}
+	}
+
+	/** Passes an external event to the call engine, except for calls that wait for a token of their organisation's limit. */
+	private _routeToCallEngine(event: ExternalCallEvent, now: Instant): void {
+		if (event.type === 'call-arrived' && this._limitedCalls.take(event.request, now)) {
 			return;
 		}
 
-		if (event.type === 'tick') {
-			this._tick(now);
-		} else if (event.type === 'utilisation') {
-			this._sendToFleetEngine({type: 'own-load', utilisation: event.utilisation, services: this.calls.load().inFlightOfServices}, now);
-		} else if (isFleetEvent(event)) {
-			this._sendToFleetEngine(event, now);
-		} else {
-			this._sendToCallEngine(event, now);
+		if (event.type === 'caller-gone' && this._limitedCalls.abandon(event.callId, now)) {
+			return;
+		}
+
+		if (event.type === 'process-ending') {
+			this._limitedCalls.refuseAll(now);
 		}
+
+		this._sendToCallEngine(event, now);
 	}
 
 	/** Sends a tick only to engines whose wake-up is due. With many calls, a tick to the fleet engine would otherwise run every millisecond. */
@@ -112,17 +158,23 @@
 		if ((this.calls.nextWakeUp() ?? Number.POSITIVE_INFINITY) <= now) {
 			this._sendToCallEngine({type: 'tick'}, now);
 		}
+
+		if ((this._limitedCalls.nextWakeUp() ?? Number.POSITIVE_INFINITY) <= now) {
+			this._limitedCalls.handle({type: 'tick'}, now);
+		}
 	}
 
 	private _sendToCallEngine(event: CallEvent, now: Instant): void {
 		for (const effect of this.calls.handle(event, now)) {
-			this._handleCallEffect(effect);
+			this._handleCallEffect(effect, now);
 		}
 	}
 
-	private _handleCallEffect(effect: CallEffect): void {
+	private _handleCallEffect(effect: CallEffect, now: Instant): void {
 		if (effect.type === 'tell-peers') {
 			this._forwardLoadUpdate(effect.update);
+		} else if (effect.type === 'call-ended') {
+			this._effects.push(this._limitedCalls.onCallEnded(effect, now));
 		} else {
 			this._effects.push(effect);
 		}
@@ -145,11 +197,11 @@
 
 	private _sendToFleetEngine(event: FleetEvent, now: Instant): void {
 		for (const effect of this.fleet.handle(event, now)) {
-			this._handleFleetEffect(effect);
+			this._handleFleetEffect(effect, now);
 		}
 	}
 
-	private _handleFleetEffect(effect: FleetEffect): void {
+	private _handleFleetEffect(effect: FleetEffect, now: Instant): void {
 		switch (effect.type) {
 			case 'shares': {
 				this._internalEvents.push({to: 'calls', event: {type: 'shares', shares: effect.shares}});
@@ -169,6 +221,7 @@
 
 			case 'stage': {
 				if (effect.stage === 'refusing' || effect.stage === 'ended') {
+					this._limitedCalls.refuseAll(now);
 					this._internalEvents.push({to: 'calls', event: {type: 'process-ending', isOver: effect.stage === 'ended'}});
 				}
 
@@ -178,6 +231,7 @@
 
 			case 'configured': {
 				this._internalEvents.push({to: 'calls', event: {type: 'configured', configuration: effect.configuration}});
+				this._limitedCalls.configure(effect.configuration, now);
 				this._effects.push(effect);
 				break;
 			}
@@ -189,6 +243,7 @@
 			}
 
 			case 'limit-slots': {
+				this._limitedCalls.handle(effect, now);
 				break;
 			}
 
--- /dev/null
+++ b/src/common/limits/limit-holder.ts
@@ -0,0 +1,148 @@
+/** Token buckets of one limit slot, by which its holder grants the calls of organisations. */
+import {type Instant, type Milliseconds} from '../model/units.ts';
+import {type OrganisationLimit} from '../organisations/types.ts';
+import {type Ask, type Grant, limitSlotCount} from './messages.ts';
+
+/** Rounding errors of levels that are computed from fractional instants; far below one token. */
+const tokenEpsilon = 1e-9;
+
+/** Rounding errors of retry delays, which are rounded up to whole milliseconds. */
+const retryEpsilonMilliseconds: Milliseconds = 1e-3;
+
+/** Retry delay for an organisation that the holder's configuration does not limit: the VMs have different versions for a moment. */
+const unknownRetryMilliseconds: Milliseconds = 500;
+
+/** Maximum retry delay. Further refused calls would only wait for tokens that other callers take before. */
+const maxRetryMilliseconds: Milliseconds = 10_000;
+
+/** A VM that asked nothing for this long is forgotten; far longer than a datagram stays in a network. */
+const askerMilliseconds: Milliseconds = 10_000;
+
+/** Ids up to this far below the last one of a VM are repeated or late. A restarted process begins at a random id far away. */
+const lateIds = 1000;
+
+/** Tokens of one organisation in one slot. */
+class TokenBucket {
+	private _level = 0;
+	private _updatedAt: Instant;
+	private _ratePerMillisecond = 0;
+	private _capacity = 0;
+	/** Time at which the last refused call may expect its token. */
+	private _promisedUntil: Instant = Number.NEGATIVE_INFINITY;
+
+	/** The bucket is empty at `now`, since a previous holder may have granted all tokens up to then. */
+	constructor(limit: OrganisationLimit, now: Instant) {
+		this._updatedAt = now;
+		this.configure(limit, now);
+	}
+
+	/** A lower capacity truncates the level; a higher one is filled at the new rate. */
+	configure({callsPerSecond, burst}: OrganisationLimit, now: Instant): void {
+		this._refill(now);
+		this._ratePerMillisecond = callsPerSecond / limitSlotCount / 1000;
+		this._capacity = Math.max(1, burst / limitSlotCount);
+		this._level = Math.min(this._level, this._capacity);
+	}
+
+	take(wanted: number, now: Instant): number {
+		this._refill(now);
+		const granted = Math.min(wanted, Math.floor(this._level + tokenEpsilon));
+		this._level = Math.max(0, this._level - granted);
+		return granted;
+	}
+
+	giveBack(count: number, now: Instant): void {
+		this._refill(now);
+		this._level = Math.min(this._capacity, this._level + count);
+	}
+
+	/**
+	 * Time until a token for the first of `refused` calls is expected. The expectations of refused calls are spaced by the
+	 * rate of the whole limit, since each of them asks all holders when it is repeated.
+	 */
+	promise(refused: number, now: Instant): Milliseconds {
+		if (this._ratePerMillisecond <= 0) {
+			return maxRetryMilliseconds;
+		}
+
+		const spacing = 1 / (this._ratePerMillisecond * limitSlotCount);
+		const nextTokenAt = now + (Math.max(0, 1 - this._level) / this._ratePerMillisecond);
+		const first = Math.max(nextTokenAt, this._promisedUntil + spacing);
+		this._promisedUntil = Math.min(first + ((refused - 1) * spacing), now + maxRetryMilliseconds);
+		return Math.max(1, Math.min(maxRetryMilliseconds, Math.ceil(first - now - retryEpsilonMilliseconds)));
+	}
+
+	private _refill(now: Instant): void {
+		this._level = Math.min(this._capacity, this._level + (Math.max(0, now - this._updatedAt) * this._ratePerMillisecond));
+		this._updatedAt = Math.max(this._updatedAt, now);
+	}
+}
+
+/** Grants the tokens of one slot. The caller checks the right to grant before every ask. */
+export class LimitHolder {
+	readonly slot: number;
+	private readonly _buckets = new Map<string, TokenBucket>();
+	/** Last id of each VM that asked, oldest ask first. */
+	private readonly _askers = new Map<string, {readonly id: number; readonly at: Instant}>();
+
+	constructor(slot: number, limits: ReadonlyMap<string, OrganisationLimit>, now: Instant) {
+		this.slot = slot;
+		this.configure(limits, now);
+	}
+
+	configure(limits: ReadonlyMap<string, OrganisationLimit>, now: Instant): void {
+		for (const name of this._buckets.keys()) {
+			if (!limits.has(name)) {
+				this._buckets.delete(name);
+			}
+		}
+
+		for (const [name, limit] of limits) {
+			const bucket = this._buckets.get(name);
+			if (bucket === undefined) {
+				this._buckets.set(name, new TokenBucket(limit, now));
+			} else {
+				bucket.configure(limit, now);
+			}
+		}
+	}
+
+	/**
+	 * Takes tokens for an ask of the VM at `from`. Returns undefined for a datagram that was delivered twice or too late:
+	 * its returned tokens must not be counted twice, and the VM no longer waits for its answer.
+	 */
+	ask({id, wants}: Ask, from: string, now: Instant): Grant | undefined {
+		const last = this._askers.get(from);
+		if (last !== undefined && id <= last.id && id > last.id - lateIds) {
+			return undefined;
+		}
+
+		this._askers.delete(from);
+		this._askers.set(from, {id, at: now});
+		this._forgetAskers(now);
+		return {
+			kind: 'grant', id, slot: this.slot, grants: wants.map(([name, wanted, returned]) => this._grant(name, wanted, returned, now)),
+		};
+	}
+
+	private _grant(name: string, wanted: number, returned: number, now: Instant): Grant['grants'][number] {
+		const bucket = this._buckets.get(name);
+		if (bucket === undefined) {
+			return [name, 0, wanted === 0 ? 0 : unknownRetryMilliseconds];
+		}
+
+		bucket.giveBack(returned, now);
+		const granted = bucket.take(wanted, now);
+		return [name, granted, granted === wanted ? 0 : bucket.promise(wanted - granted, now)];
+	}
+
+	private _forgetAskers(now: Instant): void {
+		for (const [from, {at}] of this._askers) {
+			if (now - at < askerMilliseconds) {
+				return;
+			}
+
+			this._askers.delete(from);
+		}
+	}
+}
--- /dev/null
+++ b/src/common/limits/limits.ts
@@ -0,0 +1,291 @@
+/** Decides on the rate limits of organisations in one VM: as a client of the holders, and as the holder of the slots it has a right to. */
+import {type Instant, type RandomSource} from '../model/units.ts';
+import {type OrganisationLimit} from '../organisations/types.ts';
+import {LimitClient} from './limit-client.ts';
+import {LimitHolder} from './limit-holder.ts';
+import {type Ask, type LimitMessage} from './messages.ts';
+import {
+	type DatagramEvent, type LimitEffect, type LimitEvent, type LimitRight, type LimitSlotHolder, type LimitSlotsEffect,
+} from './types.ts';
+
+/** Name of this VM as an asker at its own slots; no endpoint looks like it. */
+const ownAsker = 'own';
+
+const unavailableRetryMilliseconds = 1000;
+
+export type LimitsOptions = {
+	readonly dataCentre: string;
+	readonly random: RandomSource;
+};
+
+/** A slot that this VM holds. */
+type HeldSlot = {holder: LimitHolder; right: LimitRight};
+
+/**
+ * The rate limits of one VM.
+ *
+ * A token is granted only within a right to the slot, which is checked at every grant, and each grant is used at most once:
+ * holders ignore repeated requests, and clients ignore answers that they do not expect.
+ */
+export class Limits {
+	private readonly _client: LimitClient | undefined;
+	private readonly _held = new Map<number, HeldSlot>();
+	/** Ends of the rights that a pause voided. Only a right that ends later was renewed after the pause. */
+	private readonly _voidedUntil = new Map<number, Instant>();
+	/** Calls that have a token. */
+	private readonly _tokens = new Map<number, {readonly organisation: string; readonly slot: number}>();
+	/** Asks to this VM's own slots that are not handled yet. */
+	private readonly _ownAsks: Ask[] = [];
+	private _limits: ReadonlyMap<string, OrganisationLimit> = new Map();
+	private readonly _waiting = new Map<number, string>();
+	private _loggedVersion: number | undefined;
+	private _effects: LimitEffect[] = [];
+
+	/** @param options undefined = the VM has no endpoint for datagrams, so that it refuses all calls of organisations with a limit */
+	constructor(options?: LimitsOptions) {
+		if (options !== undefined) {
+			this._client = new LimitClient({
+				...options,
+				send: (holder, ask, now) => {
+					this._send(holder, ask, now);
+				},
+				onEffect: effect => {
+					this._onClientEffect(effect);
+				},
+			});
+		}
+	}
+
+	/** Number of calls that wait for a token. */
+	get waitingCalls(): number {
+		return this._waiting.size;
+	}
+
+	handle(event: LimitEvent, now: Instant): readonly LimitEffect[] {
+		this._effects = [];
+		this._dispatch(event, now);
+		this._answerOwnAsks(now);
+		return this._effects;
+	}
+
+	nextWakeUp(): Instant | undefined {
+		return this._client?.nextWakeUp();
+	}
+
+	private _dispatch(event: LimitEvent, now: Instant): void {
+		switch (event.type) {
+			case 'configured': {
+				this._configure(event, now);
+				break;
+			}
+
+			case 'limit-slots': {
+				this._setSlots(event, now);
+				break;
+			}
+
+			case 'datagram': {
+				this._onDatagram(event, now);
+				break;
+			}
+
+			case 'woke': {
+				this._onWoke(now);
+				break;
+			}
+
+			case 'token-wanted': {
+				this._onTokenWanted(event, now);
+				break;
+			}
+
+			case 'caller-gone': {
+				this._onCallerGone(event.callId, now);
+				break;
+			}
+
+			case 'call-ended': {
+				this._onCallEnded(event, now);
+				break;
+			}
+
+			case 'tick': {
+				this._client?.tick(now);
+				break;
+			}
+		}
+	}
+
+	/** Voids all rights: the lease of a slot may have ended while the monotonic clock stood still. */
+	private _onWoke(now: Instant): void {
+		for (const [slot, {right}] of this._held) {
+			this._voidedUntil.set(slot, right.until);
+		}
+
+		this._held.clear();
+		this._client?.onWoke(now);
+	}
+
+	private _onCallerGone(callId: number, now: Instant): void {
+		this._waiting.delete(callId);
+		const record = this._client?.cancel(callId, now);
+		if (record !== undefined) {
+			this._effects.push({type: 'call-cancelled', callId, record});
+		}
+	}
+
+	private _onCallEnded({callId, hasRun}: Extract<LimitEvent, {type: 'call-ended'}>, now: Instant): void {
+		const token = this._tokens.get(callId);
+		this._tokens.delete(callId);
+		if (token !== undefined && !hasRun) {
+			this._client?.reuse(token.organisation, token.slot, now);
+		}
+	}
+
+	private _configure({version, organisations}: Extract<LimitEvent, {type: 'configured'}>, now: Instant): void {
+		const limits = new Map<string, OrganisationLimit>();
+		for (const [name, {limit}] of organisations ?? []) {
+			if (limit !== undefined) {
+				limits.set(name, limit);
+			}
+		}
+
+		if (this._client === undefined && limits.size > 0 && version !== this._loggedVersion) {
+			this._loggedVersion = version;
+			this._effects.push({
+				type: 'log', level: 'error', message: 'organisations have rate limits but this VM has no listen.limits, so their calls are refused', details: {version, organisations: limits.size},
+			});
+		}
+
+		for (const [callId, name] of this._waiting) {
+			if (!limits.has(name)) {
+				this._settleUnlimited(callId, organisations === undefined || organisations.has(name), now);
+			}
+		}
+
+		this._limits = limits;
+		for (const {holder} of this._held.values()) {
+			holder.configure(limits, now);
+		}
+
+		this._client?.configure(limits);
+	}
+
+	/** A waiting call whose limit was removed runs without a token; one whose organisation was removed is refused. */
+	private _settleUnlimited(callId: number, isOrganisationKnown: boolean, now: Instant): void {
+		this._waiting.delete(callId);
+		const record = this._client?.cancel(callId, now) ?? {
+			waitedMilliseconds: 0, slot: undefined, refusedBy: [], unansweredBy: [],
+		};
+		this._effects.push(isOrganisationKnown
+			? {type: 'call-allowed', callId, record}
+			: {
+				type: 'call-refused', callId, reason: 'limits-unavailable', retryAfterMilliseconds: unavailableRetryMilliseconds, record,
+			});
+	}
+
+	private _setSlots({slots, own}: LimitSlotsEffect, now: Instant): void {
+		const rights = new Map(own.map(right => [right.slot, right]));
+		for (const slot of this._held.keys()) {
+			if (!rights.has(slot)) {
+				this._held.delete(slot);
+			}
+		}
+
+		for (const [slot, right] of rights) {
+			const voidedUntil = this._voidedUntil.get(slot);
+			if (voidedUntil !== undefined && right.until <= voidedUntil) {
+				continue;
+			}
+
+			this._voidedUntil.delete(slot);
+			const held = this._held.get(slot);
+			// Another VM may have held the slot between two rights that do not adjoin, and granted what its buckets had.
+			if (held !== undefined && right.from <= held.right.until && now < held.right.until) {
+				held.right = right;
+			} else {
+				this._held.set(slot, {holder: new LimitHolder(slot, this._limits, Math.max(now, right.from)), right});
+			}
+		}
+
+		this._client?.setHolders(slots, now);
+	}
+
+	private _onDatagram({from, message}: DatagramEvent, now: Instant): void {
+		switch (message.kind) {
+			case 'ask': {
+				const {id, slot} = message;
+				const held = this._heldSlot(slot, now);
+				const answer: LimitMessage | undefined = held === undefined
+					? {kind: 'not-holder', id, slot}
+					: held.holder.ask(message, from, now);
+				if (answer !== undefined) {
+					this._effects.push({type: 'send-datagram', to: from, message: answer});
+				}
+
+				break;
+			}
+
+			case 'grant': {
+				this._client?.onGrant(message, now);
+				break;
+			}
+
+			case 'not-holder': {
+				this._client?.onNotHolder(message.id, message.slot, now);
+				break;
+			}
+		}
+	}
+
+	private _onTokenWanted({callId, organisation, withinMilliseconds}: Extract<LimitEvent, {type: 'token-wanted'}>, now: Instant): void {
+		this._waiting.set(callId, organisation);
+		if (this._client !== undefined && this._limits.has(organisation)) {
+			this._client.want(callId, organisation, withinMilliseconds, now);
+			return;
+		}
+
+		this._settleUnlimited(callId, false, now);
+	}
+
+	/** The slot, if this VM has the right to grant its tokens at `now`. */
+	private _heldSlot(slot: number, now: Instant): HeldSlot | undefined {
+		const held = this._held.get(slot);
+		return held !== undefined && held.right.from <= now && now < held.right.until ? held : undefined;
+	}
+
+	private _send(holder: LimitSlotHolder, ask: Ask, now: Instant): void {
+		if (this._heldSlot(holder.slot, now) === undefined) {
+			this._effects.push({type: 'send-datagram', to: holder.address, message: ask});
+		} else {
+			this._ownAsks.push(ask);
+		}
+	}
+
+	/** Answers the asks to own slots without a datagram. Handled in a loop, as an answer may cause further asks. */
+	private _answerOwnAsks(now: Instant): void {
+		for (let ask = this._ownAsks.shift(); ask !== undefined; ask = this._ownAsks.shift()) {
+			const grant = this._heldSlot(ask.slot, now)?.holder.ask(ask, ownAsker, now);
+			if (grant === undefined) {
+				this._client?.onNotHolder(ask.id, ask.slot, now);
+			} else {
+				this._client?.onGrant(grant, now);
+			}
+		}
+	}
+
+	private _onClientEffect(effect: LimitEffect): void {
+		if (effect.type === 'call-allowed') {
+			const organisation = this._waiting.get(effect.callId);
+			if (organisation !== undefined && effect.record.slot !== undefined) {
+				this._tokens.set(effect.callId, {organisation, slot: effect.record.slot});
+			}
+		}
+
+		if (effect.type === 'call-allowed' || effect.type === 'call-refused') {
+			this._waiting.delete(effect.callId);
+		}
+
+		this._effects.push(effect);
+	}
+}
--- a/src/common/limits/types.ts
+++ b/src/common/limits/types.ts
@@ -69,4 +69,6 @@
 			readonly retryAfterMilliseconds: Milliseconds;
 			readonly record: LimitRecord;
 		}
+	/** The call left before it had a token. */
+		| {readonly type: 'call-cancelled'; readonly callId: number; readonly record: LimitRecord}
 		| {readonly type: 'log'; readonly level: 'error'; readonly message: string; readonly details: Readonly<Record<string, string | number | boolean>>};
