Read organisations and public routes from the platform's configuration

Cause: the list `tenants` and the field `public` of routes had no effect, and like any unknown field they were ignored silently. Fields that the schema does not know are logged with their paths in at most eleven lines per version.

--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -7,7 +7,7 @@
 } from '../links/types.ts';
 import {type BackendServer, type Service, type SharingRule} from '../model/resources.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
-import {type OrganisationInForce} from '../organisations/types.ts';
+import {type KeyOwners, type OrganisationInForce} from '../organisations/types.ts';
 import {type Routing} from '../routing/types.ts';
 import {type CallSummary} from './call-summary.ts';
 
@@ -219,6 +219,8 @@
 	readonly evacuatedDataCentres?: ReadonlySet<string>;
 	/** Organisations by name; undefined if the operators declare none, so that callers need no key. */
 	readonly organisations?: ReadonlyMap<string, OrganisationInForce>;
+	/** The organisations' keys; undefined if the operators declare no organisations. */
+	readonly keyOwners?: KeyOwners;
 	/** Routes by host and path; undefined if the operators declare none. */
 	readonly routing?: Routing;
 };
--- a/src/common/organisations/types.ts
+++ b/src/common/organisations/types.ts
@@ -7,6 +7,12 @@
 	readonly burst: number;
 };
 
+/** Name of the organisation that owns a key, by the key's SHA-256 digest in lower-case hex. */
+export type KeyOwners = ReadonlyMap<string, string>;
+
+/** Returns the SHA-256 digest of a key in lower-case hex; `encoding` = how the characters of the text stand for bytes. */
+export type KeyDigestFunction = (key: string, encoding: 'utf8' | 'latin1') => string;
+
 /** What the call path needs to know of an organisation. */
 export type OrganisationInForce = {
 	readonly name: string;
--- a/src/common/registry/configuration-registry.ts
+++ b/src/common/registry/configuration-registry.ts
@@ -7,6 +7,12 @@
 /** Longest call duration assumed before any route is configured. */
 const defaultLongestCallMilliseconds: Milliseconds = 2000;
 
+/** Each field has a line of its own up to this number; one event writes at most ten lines with the same message. */
+const maxUnknownFieldLines = 10;
+
+/** The further fields share one line of this length, so that a field unknown in each of hundreds of routes cannot flood the logs of a fleet. */
+const maxUnknownFieldCharacters = 1000;
+
 export class ConfigurationRegistry {
 	private readonly _context: RegistryContext;
 	private readonly _documents: DocumentCodec;
@@ -44,13 +50,29 @@
 			return false;
 		}
 
-		const {version, routing} = read.value;
+		const {version, routing, organisations, unknownFields = []} = read.value;
 		if (version <= this.version) {
 			return false;
 		}
 
-		this._context.log('info', 'configuration adopted', {version, replaced: this.version, routes: routing.routes.length});
+		this._context.log('info', 'configuration adopted', {
+			version, replaced: this.version, routes: routing.routes.length, ...(organisations === undefined ? {} : {organisations: organisations.size}),
+		});
+		this._logUnknownFields(version, unknownFields);
 		this._inForce = read.value;
 		return true;
 	}
+
+	private _logUnknownFields(version: number, paths: readonly string[]): void {
+		for (const field of paths.slice(0, maxUnknownFieldLines)) {
+			this._context.log('warn', 'field of the configuration is not understood and has no effect', {version, field: field.slice(0, maxUnknownFieldCharacters)});
+		}
+
+		const further = paths.slice(maxUnknownFieldLines);
+		if (further.length > 0) {
+			this._context.log('warn', 'further fields of the configuration are not understood and have no effect', {
+				version, count: further.length, fields: further.join(', ').slice(0, maxUnknownFieldCharacters),
+			});
+		}
+	}
 }
--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -537,7 +537,7 @@
 			return;
 		}
 
-		const {version, services, routing, connectionLimits, warmUpLimits} = inForce;
+		const {version, services, routing, connectionLimits, warmUpLimits, organisations, keyOwners} = inForce;
 		const configuration: CallConfiguration = {
 			version,
 			services: new Map(services.map(service => [service.name, service])),
@@ -545,6 +545,8 @@
 			...(warmUpLimits === undefined ? {} : {warmUpLimits}),
 			evacuatedDataCentres: this._evacuations.dataCentres,
 			sharingRules: [],
+			...(organisations === undefined ? {} : {organisations}),
+			...(keyOwners === undefined ? {} : {keyOwners}),
 			routing,
 		};
 		this._context.emit({type: 'configured', configuration});
--- a/src/common/registry/types.ts
+++ b/src/common/registry/types.ts
@@ -11,6 +11,7 @@
 import {type PeerAddress} from '../fleet/types.ts';
 import {type Service} from '../model/resources.ts';
 import {type Milliseconds} from '../model/units.ts';
+import {type KeyOwners, type OrganisationInForce} from '../organisations/types.ts';
 import {type StoreEntry} from '../platform/types.ts';
 import {type StorePosition} from '../platform/store-position.ts';
 import {type Routing} from '../routing/types.ts';
@@ -25,6 +26,12 @@
 	/** Load that one backend server of a service accepts from all VMs together during its warm-up, by service. */
 	readonly warmUpLimits?: ReadonlyMap<string, WarmUpLimit>;
 	readonly routing: Routing;
+	/** Organisations by name; undefined if the document declares none, so that callers need no key. */
+	readonly organisations?: ReadonlyMap<string, OrganisationInForce>;
+	/** The organisations' keys; undefined if and only if `organisations` is. */
+	readonly keyOwners?: KeyOwners;
+	/** Paths of fields that the product does not understand. */
+	readonly unknownFields?: readonly string[];
 };
 
 /** The store entry of a backend server. */
--- a/src/common/routing/types.ts
+++ b/src/common/routing/types.ts
@@ -18,6 +18,8 @@
 	/** One service, or several that receive the calls in proportion to their weights. */
 	readonly parts: readonly SplitPart[];
 	readonly rule: CallRule;
+	/** True if its calls need no key of an organisation; undefined = false. */
+	readonly isPublic?: boolean;
 };
 
 /** Size and time limits for requests of callers. */
