Check the keys of organisations before routing a call

Cause: a deployment with organisations needs calls without a valid key refused before any other decision, and backend servers need a name that callers cannot forge. Change: RoutedServer checks the key when it handles a call and, if the configuration changed meanwhile, again once its body was read. The fingerprint of a call contains the organisation instead of the address: a repeated call is recognised from any address of its organisation. Before a configuration is known and while the VM stops, calls get 503 as before, since a 401 would be final for a caller whose key this VM does not know yet.

--- a/src/common/protocol/dialect.ts
+++ b/src/common/protocol/dialect.ts
@@ -14,6 +14,11 @@
 	readonly identity: BackendServerIdentity;
 	/** W3C trace context to forward; undefined if the dialect does not use it. */
 	readonly traceparent: string | undefined;
+	/**
+	 * The organisation that the caller's key identified, `undefined` for a call without a valid key. The field is absent if no
+	 * organisations were in force when the call was admitted; the caller's headers are then forwarded unchanged.
+	 */
+	readonly identified?: {readonly organisation: string | undefined};
 };
 
 /** Values parsed from the head of a backend server's answer. */
--- a/src/common/routing/route-table.ts
+++ b/src/common/routing/route-table.ts
@@ -42,6 +42,16 @@
 
 	/** Returns the route and the service for the next call of it, or undefined if no route matches. */
 	match(host: string, url: string): RoutedCall | undefined {
+		const entry = this._find(host, url);
+		return entry === undefined ? undefined : {route: entry.route, service: entry.split.next()};
+	}
+
+	/** Returns the route without choosing a service, so that no call is counted in its weighted split. */
+	findRoute(host: string, url: string): Route | undefined {
+		return this._find(host, url)?.route;
+	}
+
+	private _find(host: string, url: string): RouteEntry | undefined {
 		const prefixes = this._hosts.get(normalizedHost(host));
 		if (prefixes === undefined) {
 			return undefined;
@@ -52,7 +62,7 @@
 		for (let end = path.lastIndexOf('/'); end >= 0; end = end === 0 ? -1 : path.lastIndexOf('/', end - 1)) {
 			const entry = prefixes.get(path.slice(0, end + 1));
 			if (entry !== undefined) {
-				return {route: entry.route, service: entry.split.next()};
+				return entry;
 			}
 		}
 
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -164,7 +164,7 @@
 				tunnelServer.configure(effect.configuration.backendServers);
 				metrics.evacuations(effect.configuration.evacuatedDataCentres?.size ?? 0);
 				if (effect.configuration.routing !== undefined) {
-					routedServer.configure(effect.configuration.routing);
+					routedServer.configure(effect.configuration.routing, effect.configuration);
 				}
 
 				break;
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -8,6 +8,7 @@
 import {EntryVm, isCallEffect} from '../common/entry-vm/entry-vm.ts';
 import {type EntryVmEffect, type EntryVmEvent} from '../common/entry-vm/types.ts';
 import {DisposableStore} from '../common/lifecycle/disposable.ts';
+import {OrganisationDirectory} from '../common/organisations/organisation-directory.ts';
 import {type RoutedDialect} from '../common/protocol/dialect.ts';
 import {seededRandom} from '../common/random/random.ts';
 import {RegistryFleet} from '../common/registry/registry-fleet.ts';
@@ -32,6 +33,7 @@
 import {type Page, PageServer} from '../node/front/page-server.ts';
 import {RoutedServer} from '../node/front/routed-server.ts';
 import {ReadinessGate} from '../node/front/readiness-gate.ts';
+import {keyDigest} from '../node/key-digest.ts';
 import {type Logging} from '../node/logging/logging.ts';
 import {CountedLoadProbeClient, CountedPlatformClient} from '../node/metrics/counted-clients.ts';
 import {PageMetrics} from '../node/metrics/page-metrics.ts';
@@ -147,7 +149,14 @@
 	const callEffectExecutor = owned.add(new CallEffectExecutor(loop, new CountedLoadProbeClient(new HttpLoadProbeClient(connections, platform.dialect), metrics), noKeyClaimer));
 	const readinessGate = owned.add(new ReadinessGate());
 	const routedServer = owned.add(new RoutedServer({
-		sink: loop, calls: callEffectExecutor, connections, dialect: platform.dialect, routes: new RouteTable(random), fingerprint: hashes.fingerprint, readinessGate,
+		sink: loop,
+		calls: callEffectExecutor,
+		connections,
+		dialect: platform.dialect,
+		routes: new RouteTable(random),
+		organisations: new OrganisationDirectory(keyDigest),
+		fingerprint: hashes.fingerprint,
+		readinessGate,
 	}, {
 		keptBodyBytes: settings.calls.replayBytes, connections: settings.calls.connections, stallMilliseconds,
 	}));
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -7,6 +7,8 @@
 import {Disposable} from '../../common/lifecycle/disposable.ts';
 import {Emitter} from '../../common/lifecycle/emitter.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
+import {type DeclaredOrganisations, type OrganisationDirectory} from '../../common/organisations/organisation-directory.ts';
+import {type OrganisationInForce} from '../../common/organisations/types.ts';
 import {type RoutedDialect} from '../../common/protocol/dialect.ts';
 import {type RoutedCall, type RouteTable} from '../../common/routing/route-table.ts';
 import {type CallerLimits, type Routing} from '../../common/routing/types.ts';
@@ -29,6 +31,7 @@
 	readonly connections: BackendConnections;
 	readonly dialect: RoutedDialect;
 	readonly routes: RouteTable;
+	readonly organisations: OrganisationDirectory;
 	/** Returns a 64-bit digest of a call's method, path and buffered start of the body. */
 	readonly fingerprint: FingerprintFunction;
 	/** Delays calls that arrive before the first routes are configured. */
@@ -74,15 +77,43 @@
 /** Answer to a call that arrives too late to complete before the process exits. */
 const stoppingAnswer: EarlyAnswer = {status: 503, reason: 'stopping', retryAfterMilliseconds: stoppingRetryMilliseconds};
 
+/** Answer to a call without the key of an organisation on a route that is not public. */
+const unauthorizedAnswer: EarlyAnswer = {status: 401, reason: 'unauthorized'};
+
+/** A call that was refused because it has no valid key. */
+export type KeyRefusal = {
+	/** Address of the caller. */
+	readonly address: string;
+	/** True if the call has one key, which belongs to no organisation; false if it has no key, another scheme or several headers. */
+	readonly isKeySent: boolean;
+	/** The call's route; undefined if none matches. */
+	readonly route: string | undefined;
+};
+
+/** A call that the key check admits: the organisation is undefined on public routes and where no key is required. */
+type KeyAdmission = {
+	readonly isKeyChecked: boolean;
+	readonly organisation: OrganisationInForce | undefined;
+	/** Revision of the configuration against which the key was checked. */
+	readonly revision: number;
+};
+
+type RoutedCallWithKey = {readonly routed: RoutedCall; readonly key: KeyAdmission};
+
+/** A call whose body was read, completely or up to the limit of buffered bodies. */
+type ReadCall = RoutedCallWithKey & {readonly body: RequestBody; readonly arrivedAt: number};
+
 export class RoutedServer extends Disposable {
 	private readonly _dependencies: RoutedServerDependencies;
 	private readonly _limits: RoutedServerLimits;
 	private readonly _server: GracefulServer;
 	private readonly _onAnswerCut = this._register(new Emitter<CutAnswerReport>());
 	private readonly _onCallRefusedAtStop = this._register(new Emitter<void>());
+	private readonly _onKeyRefused = this._register(new Emitter<KeyRefusal>());
 	private _callerLimits = initialCallerLimits;
 	private _stage: FleetStage = 'starting';
-	private _hasRoutes = false;
+	/** Number of configurations applied so far; 0 = none is known. */
+	private _revision = 0;
 	private readonly _incompleteCalls = new IncompleteCalls();
 	private _lastCallId = 0;
 
@@ -92,6 +123,9 @@
 	/** Fires if a call is refused because the VM is stopping. */
 	readonly onCallRefusedAtStop = this._onCallRefusedAtStop.event;
 
+	/** Fires if a call is refused because it has no valid key. */
+	readonly onKeyRefused = this._onKeyRefused.event;
+
 	constructor(dependencies: RoutedServerDependencies, limits: RoutedServerLimits) {
 		super();
 		this._dependencies = dependencies;
@@ -121,13 +155,14 @@
 		return listenOn(this._server, port, address, {backlog: listenBacklog, early});
 	}
 
-	/** Applies routes and limits to all calls that arrive from now on. */
-	configure({routes, limits}: Routing): void {
+	/** Applies routes and limits to all calls that arrive from now on, and organisations also to calls whose body is being read. */
+	configure({routes, limits}: Routing, declared: DeclaredOrganisations): void {
 		this._dependencies.routes.replace(routes);
+		this._dependencies.organisations.configure(declared);
 		this._callerLimits = limits;
 		this._server.headersTimeout = limits.headMilliseconds;
 		this._server.keepAliveTimeout = limits.idleMilliseconds;
-		this._hasRoutes = true;
+		this._revision++;
 	}
 
 	/**
@@ -167,21 +202,51 @@
 	}
 
 	private _route(incoming: IncomingMessage, outgoing: ServerResponse): void {
-		if (!this._hasRoutes) {
+		if (this._revision === 0) {
 			this._answerEarly(incoming, outgoing, {status: 503, reason: 'not-ready', retryAfterMilliseconds: notReadyRetryMilliseconds});
 			return;
 		}
 
+		const key = this._checkKey(incoming, outgoing);
+		if (key === undefined) {
+			return;
+		}
+
 		const routed = this._dependencies.routes.match(incoming.headers.host ?? '', incoming.url ?? '');
 		if (routed === undefined) {
 			this._answerEarly(incoming, outgoing, {status: 404, reason: 'unknown-service'});
 			return;
 		}
 
-		this._readBody(incoming, outgoing, routed);
+		this._readBody(incoming, outgoing, {routed, key});
 	}
 
-	private _readBody(incoming: IncomingMessage, outgoing: ServerResponse, routed: RoutedCall): void {
+	/**
+	 * Checks the key against the organisations in force. Returns undefined if the call was refused, which happens before any
+	 * other decision so that a caller without a key learns nothing, not even which routes exist.
+	 */
+	private _checkKey(incoming: IncomingMessage, outgoing: ServerResponse): KeyAdmission | undefined {
+		const {organisations, routes} = this._dependencies;
+		const check = organisations.check(incoming.rawHeaders);
+		if (check.type === 'not-required') {
+			return {isKeyChecked: false, organisation: undefined, revision: this._revision};
+		}
+
+		if (check.type === 'identified') {
+			return {isKeyChecked: true, organisation: check.organisation, revision: this._revision};
+		}
+
+		const route = routes.findRoute(incoming.headers.host ?? '', incoming.url ?? '');
+		if (route?.isPublic === true) {
+			return {isKeyChecked: true, organisation: undefined, revision: this._revision};
+		}
+
+		this._onKeyRefused.fire({address: incoming.socket.remoteAddress ?? '', isKeySent: check.isKeySent, route: route?.name});
+		this._answerEarly(incoming, outgoing, unauthorizedAnswer);
+		return undefined;
+	}
+
+	private _readBody(incoming: IncomingMessage, outgoing: ServerResponse, routedCall: RoutedCallWithKey): void {
 		const body = new RequestBody(incoming, {bodyBytes: this._callerLimits.bodyBytes, keptBodyBytes: this._limits.keptBodyBytes});
 		if (body.isTooLarge) {
 			outgoing.setHeader('connection', 'close');
@@ -201,36 +266,45 @@
 			if (outgoing.writableEnded) {
 				body.discard();
 			} else if (!outgoing.destroyed) {
-				this._admit(incoming, outgoing, {routed, body, arrivedAt});
+				this._admit(incoming, outgoing, {...routedCall, body, arrivedAt});
 			}
 		});
 	}
 
-	private _admit(incoming: IncomingMessage, outgoing: ServerResponse, {routed, body, arrivedAt}: {routed: RoutedCall; body: RequestBody; arrivedAt: number}): void {
+	private _admit(incoming: IncomingMessage, outgoing: ServerResponse, {routed, body, key, arrivedAt}: ReadCall): void {
+		// A key that was revoked while the body was read must not be used any more.
+		const admission = key.revision === this._revision ? key : this._checkKey(incoming, outgoing);
+		if (admission === undefined) {
+			return;
+		}
+
+		const {isKeyChecked, organisation} = admission;
 		const {dialect, sink, connections, calls, fingerprint} = this._dependencies;
 		this._lastCallId += 1;
 		const method = incoming.method!;
 		const path = incoming.url!;
-		const caller = incoming.socket.remoteAddress ?? '';
+		const address = incoming.socket.remoteAddress ?? '';
 		const {traceId, timeoutMilliseconds} = dialect.parseRequestHead(incoming.headers);
 		const readMilliseconds = performance.now() - arrivedAt;
 		const request: CallRequest = {
 			callId: this._lastCallId,
 			service: routed.service,
-			caller,
+			caller: organisation?.name ?? address,
 			method,
 			path,
 			fingerprint: fingerprint({
-				caller, host: incoming.headers.host ?? '', method, path,
+				caller: organisation?.name ?? address, host: incoming.headers.host ?? '', method, path,
 			}, body.buffered),
 			timeoutMilliseconds: timeoutMilliseconds === undefined ? undefined : Math.max(1, timeoutMilliseconds - readMilliseconds),
 			bodyBytes: body.isReplayable ? body.buffered.length : undefined,
 			idempotencyKey: undefined,
 			mayRetry: true,
 			rule: routed.route.rule,
+			...(organisation === undefined ? {} : {organisation: organisation.name}),
+			priority: organisation?.priority ?? routed.route.rule.priority,
 		};
 		const call = new LiveCall(request, {
-			incoming, outgoing, path, body, traceId, dialect, stallMilliseconds: this._limits.stallMilliseconds,
+			incoming, outgoing, path, body, traceId, dialect, isKeyChecked, stallMilliseconds: this._limits.stallMilliseconds,
 		}, sink, connections);
 		calls.admit(call, {type: 'call-arrived', request});
 	}
