--- a/src/common/routing/route-table.ts
+++ b/src/common/routing/route-table.ts
@@ -46,8 +46,8 @@
 		return entry === undefined ? undefined : {route: entry.route, service: entry.split.next()};
 	}
 
-	/** Returns the route of a call without choosing a service for it, or undefined if no route matches. */
-	routeOf(host: string, url: string): Route | undefined {
+	/** Returns the route without choosing a service, so that no call is counted in its weighted split. */
+	findRoute(host: string, url: string): Route | undefined {
 		return this._find(host, url)?.route;
 	}
 
