Reuse the connection of a probe for the call that follows it

Cause: undici gives a connection back one cycle of the event loop after its answer has ended. The engine reacts to a load report at once, so the call to the backend server just probed found the connection busy and opened a second one; so did a queued call that was started at the end of another. On loopback 20 probes, each followed by a call, used two connections, of which the second was idle until the next such call. Besides, a load probe that timed out after 250 ms closed its connection, also where the answer had arrived while the VM itself was busy, since timers run before socket events.

Change: BackendConnections.dispatch delays a request by one or two cycles while all open connections of its pool are in use. The timeout of a probe is handled after the socket events of that cycle, and its connection stays open for a late answer for two more seconds.

--- a/src/node/front/backend-attempt.ts
+++ b/src/node/front/backend-attempt.ts
@@ -67,16 +67,25 @@
 		return this._receivedBytes;
 	}
 
+	/** False once the attempt was cancelled or has ended. */
+	get isNeeded(): boolean {
+		return !this._isEnded;
+	}
+
 	start(dispatcher: Dispatcher, request: AttemptRequest): void {
-		dispatcher.dispatch({
-			method: request.method,
-			path: request.path,
-			headers: request.headers,
-			body: request.body,
+		dispatcher.dispatch(BackendAttempt.dispatchOptions(request), this);
+	}
+
+	static dispatchOptions({method, path, headers, body}: AttemptRequest): Dispatcher.DispatchOptions {
+		return {
+			method,
+			path,
+			headers,
+			body,
 			// Prevents undici from retrying the call on its own.
 			idempotent: false,
 			blocking: true,
-		}, this);
+		};
 	}
 
 	/**
--- a/src/node/front/backend-connections.ts
+++ b/src/node/front/backend-connections.ts
@@ -2,7 +2,9 @@
  * Connection pools for backend servers. The pools have no limit of their own: the call engine limits the calls in flight,
  * and each call uses one connection. Idle connections close after `idleMilliseconds`.
  */
-import {buildConnector, Client, Pool} from 'undici';
+import {
+	buildConnector, Client, type Dispatcher, Pool,
+} from 'undici';
 import {type BackendServerIdentity, type CallEffect} from '../../common/calls/types.ts';
 import {NoRelayError, tunnelConnector} from '../fleet/tunnel-client.ts';
 import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
@@ -13,6 +15,12 @@
 /** Connections to one process of a backend server on one path. */
 type ProcessPool = {readonly pool: Pool; readonly origin: string; readonly processStartedAt: number | undefined; readonly via: string | undefined};
 
+/** A request for a shared pool. */
+type PooledRequest = {readonly options: Dispatcher.DispatchOptions; readonly handler: Dispatcher.DispatchHandler; readonly isNeeded: () => boolean};
+
+/** A request that is made from within the end of an answer comes before undici's own step of that cycle. */
+const maxDelayCycles = 2;
+
 export type ConnectionSettings = {
 	readonly connectMilliseconds: Milliseconds;
 	readonly idleMilliseconds: Milliseconds;
@@ -116,6 +124,16 @@
 		return pool;
 	}
 
+	/**
+	 * Sends a request on the shared pool: at once, or one or two cycles of the event loop later if all its open connections
+	 * are in use. undici gives a connection back one cycle after its answer has ended, while the engine reacts to a report or
+	 * an answer at once. Without the delay, a call would open a second connection beside the one of its own probe.
+	 * `isNeeded` is asked before a delayed request is sent.
+	 */
+	dispatch(target: Target, options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler, isNeeded: () => boolean): void {
+		this._dispatchSoon(this.pool(target), {options, handler, isNeeded}, maxDelayCycles);
+	}
+
 	/** Returns a client with a new connection for a single attempt; the caller closes it. */
 	createDedicatedClient(target: Target): Client {
 		return new Client(originUrl(target.address, target.port), this._options(target));
@@ -136,6 +154,20 @@
 		}
 	}
 
+	private _dispatchSoon(pool: Pool, request: PooledRequest, cyclesLeft: number): void {
+		const {connected, free} = pool.stats;
+		if (cyclesLeft === 0 || connected === 0 || free > 0) {
+			pool.dispatch(request.options, request.handler);
+			return;
+		}
+
+		setImmediate(() => {
+			if (request.isNeeded()) {
+				this._dispatchSoon(pool, request, cyclesLeft - 1);
+			}
+		});
+	}
+
 	private _options({identity, via}: Target): Client.Options {
 		return {
 			// No pipelining: a call queued behind a slow one would wait without the call engine's knowledge, and undici would
--- a/src/node/front/http-load-probe-client.ts
+++ b/src/node/front/http-load-probe-client.ts
@@ -14,6 +14,12 @@
 /** A load report is a single line; a longer body is not treated as one. */
 const maxLoadBodyBytes = 4096;
 
+/**
+ * Time after the timeout of a load probe for which its answer is still read. A VM with a fifth of a core or a busy backend
+ * server is often late by some hundred milliseconds, and closing the connection costs a new one for the next probe.
+ */
+const lateAnswerMilliseconds = 2000;
+
 /** Reason passed to undici if a load probe times out. */
 class LoadProbeTimeout extends Error {
 	override readonly name = 'LoadProbeTimeout';
@@ -23,26 +29,34 @@
 class LoadProbe implements Dispatcher.DispatchHandler {
 	private readonly _parse: (status: number, headers: IncomingHttpHeaders, body: string) => LoadReport | undefined;
 	private readonly _onDone: (report: LoadReport | undefined, isRefused: boolean) => void;
-	private readonly _timer: NodeJS.Timeout;
+	private _timer: NodeJS.Timeout;
 	private readonly _chunks: Uint8Array[] = [];
 	private _controller: Dispatcher.DispatchController | undefined;
 	private _status = 0;
 	private _headers: IncomingHttpHeaders = {};
 	private _receivedBytes = 0;
 	private _isDone = false;
+	private _isOver = false;
 
 	constructor(timeoutMilliseconds: number, parse: LoadProbe['_parse'], onDone: LoadProbe['_onDone']) {
 		this._parse = parse;
 		this._onDone = onDone;
 		this._timer = setTimeout(() => {
-			this._finish(undefined);
-			this._controller?.abort(new LoadProbeTimeout());
+			// An answer that arrived while this process was paused or busy is handled first.
+			setImmediate(() => {
+				this._onTimeout();
+			});
 		}, timeoutMilliseconds);
 	}
 
+	/** Whether its result was reported. */
+	get isDone(): boolean {
+		return this._isDone;
+	}
+
 	onRequestStart(controller: Dispatcher.DispatchController): void {
 		this._controller = controller;
-		if (this._isDone) {
+		if (this._isOver) {
 			controller.abort(new LoadProbeTimeout());
 		}
 	}
@@ -61,11 +75,32 @@
 
 	onResponseEnd(): void {
 		this._finish(this._parseReport());
+		this._end();
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
 		// Refused, reset or timed out: the engine receives no report and counts the failed probe.
 		this._finish(undefined, 'code' in error && error.code === 'ECONNREFUSED');
+		this._end();
+	}
+
+	private _onTimeout(): void {
+		if (this._isOver) {
+			return;
+		}
+
+		this._finish(undefined);
+		this._timer = setTimeout(() => {
+			this._end();
+			this._controller?.abort(new LoadProbeTimeout());
+		}, lateAnswerMilliseconds);
+		this._timer.unref();
+	}
+
+	/** The request has ended, or its answer is not read any more. */
+	private _end(): void {
+		this._isOver = true;
+		clearTimeout(this._timer);
 	}
 
 	private _parseReport(): LoadReport | undefined {
@@ -84,7 +119,6 @@
 	private _finish(report: LoadReport | undefined, isRefused = false): void {
 		if (!this._isDone) {
 			this._isDone = true;
-			clearTimeout(this._timer);
 			this._onDone(report, isRefused);
 		}
 	}
@@ -140,9 +174,9 @@
 				type: 'measured', loadProbeId, report, isRefused,
 			});
 		});
-		this._connections.pool(effect).dispatch({
+		this._connections.dispatch(effect, {
 			method: 'GET', path, headers: [], idempotent: false,
-		}, loadProbe);
+		}, loadProbe, () => !loadProbe.isDone);
 	}
 
 	check({check}: CallEffect & {type: 'check-link'}, sink: CallEventSink): void {
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -108,17 +108,21 @@
 		this._startedAttempts.push(effect.attemptId);
 		const attempt = new BackendAttempt(effect.attemptId, this);
 		this._attempts.set(effect.attemptId, attempt);
-		const dispatcher = effect.needsFreshConnection ? this._connections.createDedicatedClient(effect) : this._connections.pool(effect);
-		attempt.start(dispatcher, {
+		const request = {
 			method: this._request.method,
 			path: this._path,
 			headers: this._requestHeaders(effect),
 			body: this._body.toSend(),
-		});
-		if (effect.needsFreshConnection) {
-			// undici completes the attempt in flight before it closes the connection.
-			void dispatcher.close();
+		};
+		if (!effect.needsFreshConnection) {
+			this._connections.dispatch(effect, BackendAttempt.dispatchOptions(request), attempt, () => attempt.isNeeded);
+			return;
 		}
+
+		const client = this._connections.createDedicatedClient(effect);
+		attempt.start(client, request);
+		// undici completes the attempt in flight before it closes the connection.
+		void client.close();
 	}
 
 	cancelAttempt(attemptId: number): void {
