Log and count refused keys, and show the organisation of a call

Cause: operators could not see why an organisation is refused, nor which organisation a call belongs to. Change: a line for each refused call, at most five a second because anyone can cause them, without key or digest; a counter of refusals; the calls of the last minute of the ten largest organisations, the rest together, as a gauge, since a counter that joins or leaves the ten would look like a reset.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -165,16 +165,21 @@
 		}
 	}
 
-	private _recordCall({summary, traceId}: EndedCall): void {
+	private _recordCall({summary, traceId, organisation}: EndedCall): void {
 		const {ledger, metrics, logger, clock} = this._parts;
 		this._stopReport.recordCall(summary);
 		ledger.count(summary.service, summary.isGood, clock.now());
 		metrics.callEnded(summary);
+		if (organisation !== undefined) {
+			metrics.organisationCallEnded(organisation, summary.isGood);
+		}
+
 		const level = summary.isGood ? 'trace' : 'debug';
 		if (logger.isEnabled(level)) {
 			logger[level]('call ended', {
 				traceId,
 				service: summary.service,
+				...(organisation === undefined ? {} : {organisation}),
 				outcome: summary.outcome,
 				reason: summary.reason,
 				attempts: summary.attempts,
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -26,6 +26,7 @@
 import {type LogControl, type Logger} from '../node/logging/types.ts';
 import {type Metrics} from '../node/metrics/types.ts';
 import {describeAttempt, describeGrounds} from './describe-call.ts';
+import {KeyRefusalLog} from './key-refusal-log.ts';
 import {LinkLog} from './link-log.ts';
 import {reportPoisonRequestChange} from './poison-request-log.ts';
 import {StopReport} from './stop-report.ts';
@@ -77,6 +78,7 @@
 	private readonly _badCallLines = new LineBudget(maxBadCallLinesPerSecond);
 	private readonly _stopReport = new StopReport();
 	private readonly _linkLog: LinkLog;
+	private readonly _keyRefusalLog: KeyRefusalLog;
 
 	/** Fires when the planned stop is over and the process may exit. */
 	readonly onEnded = this._onEnded.event;
@@ -85,6 +87,7 @@
 		super();
 		this._parts = parts;
 		this._linkLog = new LinkLog(parts.logger, parts.metrics);
+		this._keyRefusalLog = new KeyRefusalLog(parts.logger, parts.metrics);
 		this._register(owned);
 		this._register(parts.storeEffectExecutor.onEffect(effect => {
 			this._handleEffect(effect);
@@ -104,6 +107,9 @@
 		this._register(parts.routedServer.onAnswerCut(cut => {
 			this._logCutAnswer(cut);
 		}));
+		this._register(parts.routedServer.onKeyRefused(refusal => {
+			this._keyRefusalLog.record(refusal, parts.clock.now());
+		}));
 		this._register(parts.routedServer.onCallRefusedAtStop(() => {
 			this._stopReport.recordRefusal();
 		}));
@@ -226,9 +232,13 @@
 	}
 
 	/** Logs a completed call. Good calls and bad calls each have a budget of lines per second; the next line written states how many were omitted. */
-	private _logCall({summary, traceId}: EndedCall): void {
+	private _logCall({summary, traceId, organisation}: EndedCall): void {
 		const {logger, clock, metrics} = this._parts;
 		metrics.callEnded(summary);
+		if (organisation !== undefined) {
+			metrics.organisationCallEnded(organisation, summary.isGood);
+		}
+
 		for (const {via} of summary.trail ?? []) {
 			metrics.attemptStarted(via === undefined ? 'direct' : 'relayed');
 		}
@@ -244,6 +254,7 @@
 		logger.info('call ended', {
 			traceId,
 			service,
+			...(organisation === undefined ? {} : {organisation}),
 			outcome,
 			reason,
 			attempts,
--- a/src/node/front/call-effect-executor.ts
+++ b/src/node/front/call-effect-executor.ts
@@ -21,8 +21,8 @@
 	release(effect: CallEffect & {type: 'release-key'}): Promise<void>;
 };
 
-/** Summary of a completed call, and the trace identifier for its log line. */
-export type EndedCall = {readonly summary: CallSummary; readonly traceId: string | undefined};
+/** Summary of a completed call, and the trace identifier and organisation for its log line. */
+export type EndedCall = {readonly summary: CallSummary; readonly traceId: string | undefined; readonly organisation: string | undefined};
 
 /** A backend server announced a new rate limit, or removed its rate limit. */
 export type RateLimitChanged = CallEffect & {type: 'rate-limit-changed'};
@@ -102,7 +102,8 @@
 			}
 
 			case 'call-ended': {
-				this._onCallEnded.fire({summary: effect.summary, traceId: this._calls.get(effect.callId)?.traceId});
+				const call = this._calls.get(effect.callId);
+				this._onCallEnded.fire({summary: effect.summary, traceId: call?.traceId, organisation: call?.organisation});
 				this._removeCall(effect.callId);
 				break;
 			}
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -99,6 +99,11 @@
 		});
 	}
 
+	/** Organisation that the caller's key identified. */
+	get organisation(): string | undefined {
+		return this._request.organisation;
+	}
+
 	get callId(): CallId {
 		return this._request.callId;
 	}
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -22,7 +22,7 @@
 import {LiveCall} from './live-call.ts';
 import {RequestBody} from './request-body.ts';
 import {type ReadinessGate} from './readiness-gate.ts';
-import {type CallEventSink, type FingerprintFunction} from './types.ts';
+import {type CallEventSink, type FingerprintFunction, type KeyRefusal} from './types.ts';
 
 /** Dependencies of the listener. */
 export type RoutedServerDependencies = {
@@ -80,16 +80,6 @@
 /** Answer to a call without the key of an organisation on a route that is not public. */
 const unauthorizedAnswer: EarlyAnswer = {status: 401, reason: 'unauthorized'};
 
-/** A call that was refused because it has no valid key. */
-export type KeyRefusal = {
-	/** Address of the caller. */
-	readonly address: string;
-	/** True if the call has one key, which belongs to no organisation; false if it has no key, another scheme or several headers. */
-	readonly isKeySent: boolean;
-	/** The call's route; undefined if none matches. */
-	readonly route: string | undefined;
-};
-
 /** A call that the key check admits: the organisation is undefined on public routes and where no key is required. */
 type KeyAdmission = {
 	readonly isKeyChecked: boolean;
@@ -226,7 +216,7 @@
 	 * other decision so that a caller without a key learns nothing, not even which routes exist.
 	 */
 	private _checkKey(incoming: IncomingMessage, outgoing: ServerResponse): KeyAdmission | undefined {
-		const {organisations, routes} = this._dependencies;
+		const {organisations, routes, dialect} = this._dependencies;
 		const check = organisations.check(incoming.rawHeaders);
 		if (check.type === 'not-required') {
 			return {isKeyChecked: false, organisation: undefined, revision: this._revision};
@@ -241,7 +231,9 @@
 			return {isKeyChecked: true, organisation: undefined, revision: this._revision};
 		}
 
-		this._onKeyRefused.fire({address: incoming.socket.remoteAddress ?? '', isKeySent: check.isKeySent, route: route?.name});
+		this._onKeyRefused.fire({
+			address: incoming.socket.remoteAddress ?? '', isKeySent: check.isKeySent, traceId: dialect.parseRequestHead(incoming.headers).traceId, route: route?.name,
+		});
 		this._answerEarly(incoming, outgoing, unauthorizedAnswer);
 		return undefined;
 	}
--- a/src/node/front/types.ts
+++ b/src/node/front/types.ts
@@ -21,6 +21,17 @@
 /** Digest of a call and its caller, `CALL.CALLER`; `body` = the buffered start of its body. */
 export type FingerprintFunction = (call: CallIdentity, body: Uint8Array) => string;
 
+/** A call that was refused because it has no valid key. It contains neither the key nor its digest, so that neither can reach a log line. */
+export type KeyRefusal = {
+	/** Address of the caller. */
+	readonly address: string;
+	/** True if the call has one key, which belongs to no organisation; false if it has no key, another scheme or several headers. */
+	readonly isKeySent: boolean;
+	readonly traceId: string;
+	/** The call's route or service; undefined if there is none. */
+	readonly route: string | undefined;
+};
+
 /** Status and headers of a backend server's answer. */
 export type AnswerHead = {
 	readonly status: number;
--- a/src/node/metrics/catalogue.ts
+++ b/src/node/metrics/catalogue.ts
@@ -23,6 +23,12 @@
 	'calls.milliseconds': {type: 'timing', tags: ['service'], describe: 'From a call\'s arrival to the end of its answer. One in ten calls is sampled.'},
 	'calls.queued_milliseconds': {type: 'timing', tags: ['service'], describe: 'Time a call waited for a backend server. One in ten calls is sampled.'},
 	'calls.further_attempts': {type: 'counter', tags: ['service'], describe: 'Attempts beyond the first: retries and hedges.'},
+	'organisations.calls': {
+		type: 'counter',
+		tags: ['organisation', 'good'],
+		describe: 'Calls of organisations that ended; the ten with the most in the minute before have their names, all others are (others).',
+	},
+	'organisations.refused_keys': {type: 'counter', tags: ['reason'], describe: 'Calls refused because they had no key of an organisation: `reason` is unknown-key or no-key.'},
 	'answers.cut': {type: 'counter', tags: ['closed_by'], describe: 'Answers whose connection ended before the system had all of them. `closed_by` is caller, or here: this VM broke it off.'},
 	'calls.in_flight': {type: 'gauge', tags: [], describe: 'Calls that have not ended.'},
 	'calls.queued': {type: 'gauge', tags: [], describe: 'Calls that wait for a backend server.'},
--- a/src/node/metrics/metrics.test.ts
+++ b/src/node/metrics/metrics.test.ts
@@ -60,6 +60,8 @@
 		const summary = {
 			service: 'ordering', outcome: 'ran', reason: undefined, attempts: 2, milliseconds: 12, queuedMilliseconds: 3, isGood: true, grounds: limitedGrounds,
 		} as const;
+		metrics.organisationCallEnded('one', true);
+		metrics.keyRefused(true);
 		metrics.answerCut('here');
 		metrics.evacuations(1);
 		metrics.storeEra(2, true);
--- a/src/node/metrics/no-metrics.ts
+++ b/src/node/metrics/no-metrics.ts
@@ -8,6 +8,8 @@
 /** An implementation of `Metrics` without effects. */
 export const noMetrics: Metrics = {
 	callEnded: ignore,
+	organisationCallEnded: ignore,
+	keyRefused: ignore,
 	answerCut: ignore,
 	evacuations: ignore,
 	storeEra: ignore,
--- a/src/node/metrics/page-metrics.test.ts
+++ b/src/node/metrics/page-metrics.test.ts
@@ -10,6 +10,7 @@
 			});
 		}
 
+		metrics.keyRefused(false);
 		metrics.answerCut('caller');
 		metrics.evacuations(1);
 		metrics.storeEra(2, true);
--- a/src/node/metrics/page-metrics.ts
+++ b/src/node/metrics/page-metrics.ts
@@ -8,7 +8,8 @@
 import {type CallSummary, type PoisonRequestChange} from '../../common/calls/types.ts';
 import {type LinkState} from '../../common/links/types.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
-import {type Metrics, type VmGauges} from './types.ts';
+import {OrganisationTally} from './organisation-tally.ts';
+import {keyRefusalReason, type Metrics, type VmGauges} from './types.ts';
 
 /** Upper bounds of the histogram buckets in milliseconds, from 50 ms to 10 s in steps of a factor of about two or less; narrower around the usual objectives. */
 const buckets: Milliseconds[] = [50, 100, 150, 200, 300, 400, 600, 800, 1200, 2500, 5000, 10_000];
@@ -16,6 +17,15 @@
 export class PageMetrics implements Metrics {
 	private readonly _registry = new Registry();
 	private readonly _calls = this._counter('jaydale_calls_total', 'Calls that have ended.', ['service', 'outcome', 'reason', 'good']);
+	private readonly _organisationTally = new OrganisationTally();
+	private readonly _organisationCalls = new Gauge({
+		name: 'jaydale_organisation_calls',
+		help: 'Calls that ended in the last complete minute, of the ten organisations with the most on this VM and of all others together.',
+		labelNames: ['organisation', 'good'],
+		registers: [this._registry],
+	});
+
+	private readonly _refusedKeys = this._counter('jaydale_refused_keys_total', 'Calls refused because they had no key of an organisation.', ['reason']);
 	private readonly _cutAnswers = this._counter('jaydale_cut_answers_total', 'Answers whose connection ended before they were out.', ['closed_by']);
 	private readonly _attempts = this._counter('jaydale_attempts_total', 'Attempts at backend servers.', ['service']);
 	private readonly _evacuations = new Gauge({name: 'jaydale_evacuated_data_centres', help: 'Data centres that this VM sends no new calls to.', registers: [this._registry]});
@@ -53,6 +63,14 @@
 		this._queueTimes.observe({service}, queuedMilliseconds);
 	}
 
+	organisationCallEnded(organisation: string, isGood: boolean): void {
+		this._organisationTally.record(organisation, isGood, performance.now());
+	}
+
+	keyRefused(isKeySent: boolean): void {
+		this._refusedKeys.inc({reason: keyRefusalReason(isKeySent)});
+	}
+
 	answerCut(closedBy: 'caller' | 'here'): void {
 		this._cutAnswers.inc({closed_by: closedBy});
 	}
@@ -125,6 +143,13 @@
 
 	/** Returns the page in the Prometheus text format. */
 	async text(): Promise<string> {
+		// A gauge and not a counter, since an organisation may leave or join the ten largest.
+		this._organisationCalls.reset();
+		for (const {organisation, good, bad} of this._organisationTally.largest(performance.now())) {
+			this._organisationCalls.set({organisation, good: 'true'}, good);
+			this._organisationCalls.set({organisation, good: 'false'}, bad);
+		}
+
 		return this._registry.metrics();
 	}
 
--- a/src/node/metrics/statsd-metrics.ts
+++ b/src/node/metrics/statsd-metrics.ts
@@ -6,7 +6,8 @@
 import {type Milliseconds} from '../../common/model/units.ts';
 import {type Settings} from '../../common/settings/settings.ts';
 import {type MetricNameOf, type TagsOf} from './catalogue.ts';
-import {type Metrics, type VmGauges} from './types.ts';
+import {OrganisationTally} from './organisation-tally.ts';
+import {keyRefusalReason, type Metrics, type VmGauges} from './types.ts';
 
 /** Maximum size of a datagram; fits an Ethernet frame with room for the headers of tunnels. */
 const datagramBytes = 1400;
@@ -27,6 +28,7 @@
 	private readonly _client: StatsD;
 	/** Aggregated here, because the StatsD client takes 3 µs for each increment with tags. */
 	private readonly _tallies = new Map<string, CallTally>();
+	private readonly _organisationTally = new OrganisationTally();
 	private _calls = 0;
 
 	/**
@@ -78,6 +80,16 @@
 		}
 	}
 
+	organisationCallEnded(organisation: string, isGood: boolean): void {
+		const now = performance.now();
+		this._organisationTally.record(organisation, isGood, now);
+		this._count('organisations.calls', 1, {organisation: this._organisationTally.seriesOf(organisation, now), good: String(isGood)});
+	}
+
+	keyRefused(isKeySent: boolean): void {
+		this._count('organisations.refused_keys', 1, {reason: keyRefusalReason(isKeySent)});
+	}
+
 	answerCut(closedBy: 'caller' | 'here'): void {
 		this._count('answers.cut', 1, {closed_by: closedBy});
 	}
--- a/src/node/metrics/types.ts
+++ b/src/node/metrics/types.ts
@@ -15,10 +15,19 @@
 	readonly measuringPart: number;
 };
 
+/** Value of the tag `reason` of a refused key. */
+export function keyRefusalReason(isKeySent: boolean): 'unknown-key' | 'no-key' {
+	return isKeySent ? 'unknown-key' : 'no-key';
+}
+
 /** Reports events to the operators' metrics system. Never throws and never blocks. */
 export type Metrics = {
 	/** A call has ended. */
 	callEnded(summary: CallSummary): void;
+	/** A call of an organisation has ended. */
+	organisationCallEnded(organisation: string, isGood: boolean): void;
+	/** A call was refused because it has no valid key; `isKeySent` = it has one that belongs to no organisation. */
+	keyRefused(isKeySent: boolean): void;
 	/** A connection was closed before the operating system had accepted the complete answer. */
 	answerCut(closedBy: 'caller' | 'here'): void;
 	/** Number of data centres that are evacuated according to this VM's configuration. */
