Add organisations to the resource model

Cause: fleets that coordinate themselves had no way to declare customers and their keys. Change: the kind `organisation` with digests of keys, priority and limit. A change in which two organisations have the same key is refused with the path of the digest; so is a limit, since such a fleet has no limit holders. The API, `get`, `edit`, `apply` and `delete` know the kind; the configuration for calls carries the organisations.

--- a/src/cli/commands/get.ts
+++ b/src/cli/commands/get.ts
@@ -95,7 +95,7 @@
 		return [items.map(item => formatResource(item.resource)).join('\n\n')];
 	}
 
-	const tables = [serviceTable(items), backendServerTable(items), sharingRuleTable(items)].filter(table => table.length > 0);
+	const tables = [serviceTable(items), backendServerTable(items), sharingRuleTable(items), organisationTable(items)].filter(table => table.length > 0);
 	return tables.length === 0 ? ['nothing is declared'] : tables.flatMap((table, index) => index === 0 ? table : ['', ...table]);
 }
 
@@ -147,3 +147,12 @@
 	return rows.length === 0 ? [] : formatTable(['SHARING RULE', 'SERVICE', 'CALLER SHARE', 'OVERFLOW AT', 'VERSION'], rows);
 }
 
+function organisationTable(items: readonly StoredResource[]): string[] {
+	const rows = filterByKind(items, 'organisation').map(({resource, version}) => [
+		resource.name,
+		String(resource.keyDigests.length),
+		resource.priority === undefined ? 'none' : String(resource.priority),
+		version,
+	]);
+	return rows.length === 0 ? [] : formatTable(['ORGANISATION', 'KEYS', 'PRIORITY', 'VERSION'], rows);
+}
--- a/src/cli/resource-files.ts
+++ b/src/cli/resource-files.ts
@@ -1,4 +1,4 @@
-/** Parses and formats resources as TOML with `[[service]]`, `[[backend-server]]` and `[[sharing-rule]]` tables. */
+/** Parses and formats resources as TOML with `[[service]]`, `[[backend-server]]`, `[[sharing-rule]]` and `[[organisation]]` tables. */
 import {
 	err, ok, ResultAsync, type Result,
 } from 'neverthrow';
@@ -6,7 +6,7 @@
 import {z} from 'zod';
 import {failure, type Failure} from '../common/errors/failure.ts';
 import {
-	backendServerSchema, resourceKey, serviceSchema, sharingRuleSchema, type Resource,
+	backendServerSchema, organisationSchema, resourceKey, serviceSchema, sharingRuleSchema, type Resource,
 } from '../common/model/resources.ts';
 import {inputFailures} from '../common/settings/schema-failures.ts';
 import {parseToml} from '../node/settings/load-settings.ts';
@@ -17,6 +17,7 @@
 	service: z.array(serviceSchema.omit({kind: true})).default([]),
 	'backend-server': z.array(backendServerSchema.omit({kind: true})).default([]),
 	'sharing-rule': z.array(sharingRuleSchema.omit({kind: true})).default([]),
+	organisation: z.array(organisationSchema.omit({kind: true})).default([]),
 });
 
 export type FileFailure = Failure<'wrong-file'>;
@@ -48,11 +49,12 @@
 		return err(inputFailures(parsed.error, input, fileSchema).map(fault => inFile(path, fault)));
 	}
 
-	const {service, 'backend-server': backendServers, 'sharing-rule': sharingRules} = parsed.data;
+	const {service, 'backend-server': backendServers, 'sharing-rule': sharingRules, organisation: organisations} = parsed.data;
 	return ok([
 		...service.map(fields => ({kind: 'service' as const, ...fields})),
 		...backendServers.map(fields => ({kind: 'backend-server' as const, ...fields})),
 		...sharingRules.map(fields => ({kind: 'sharing-rule' as const, ...fields})),
+		...organisations.map(fields => ({kind: 'organisation' as const, ...fields})),
 	]);
 }
 
--- a/src/cli/run.test.ts
+++ b/src/cli/run.test.ts
@@ -142,6 +142,19 @@
 		expect(user.transcript).toMatchSnapshot(this);
 	});
 
+	it('applies, shows, edits and deletes an organisation', async function () {
+		user.files.set('organisations.toml', `[[organisation]]\nname = "gull"\nkeyDigests = ["${'a'.repeat(64)}"]\npriority = 1\n`);
+		user.files.set('wrong.toml', '[[organisation]]\nname = "gull"\nkeyDigests = ["the-key"]\n');
+		await user.run('apply', '-f', 'wrong.toml');
+		await user.run('apply', '-f', 'organisations.toml');
+		await user.run('get');
+		await user.run('get', 'organisation', 'gull');
+		await user.run('edit', 'organisation', 'gull', '--set', 'keyDigests=[]');
+		await user.run('get', 'organisations');
+		await user.run('delete', 'organisation', 'gull');
+		expect(user.transcript).toMatchSnapshot(this);
+	});
+
 	it('shows the VMs and services, and controls drain, quarantine and log level', async function () {
 		await user.run('status');
 		await user.run('vm', 'list');
--- a/src/common/fleet/configuration/configuration-state.ts
+++ b/src/common/fleet/configuration/configuration-state.ts
@@ -1,8 +1,9 @@
 /** The configuration in force on this VM. Its version only increases, and each change is applied atomically. */
 import {type CallConfiguration} from '../../calls/types.ts';
 import {
-	type BackendServer, type ResourceKey, resourceKey, type Service, type SharingRule, type StoredResource,
+	type BackendServer, type Organisation, type ResourceKey, resourceKey, type Service, type SharingRule, type StoredResource,
 } from '../../model/resources.ts';
+import {type OrganisationInForce} from '../../organisations/types.ts';
 import {type ChangeRecord} from '../peer-messages.ts';
 import {type ConfigurationVersion} from '../types.ts';
 import {maxHistoryRecords} from './head.ts';
@@ -12,6 +13,12 @@
 	return mutation.type === 'put' ? resourceKey(mutation.resource) : resourceKey(mutation);
 }
 
+function toOrganisationInForce({name, priority, callsPerSecond, burst = 0}: Organisation): OrganisationInForce {
+	return {
+		name, ...(priority === undefined ? {} : {priority}), ...(callsPerSecond === undefined ? {} : {limit: {callsPerSecond, burst}}),
+	};
+}
+
 /** Applies a record's mutations to a map of resources. */
 export function applyMutations(resources: Map<ResourceKey, StoredResource>, record: ChangeRecord): void {
 	for (const mutation of record.mutations) {
@@ -98,18 +105,39 @@
 		const services = new Map<string, Service>();
 		const backendServers = new Map<string, BackendServer>();
 		const sharingRules: SharingRule[] = [];
+		const organisations = new Map<string, OrganisationInForce>();
+		const keyOwners = new Map<string, string>();
 		for (const {resource, metadata} of this._resources.values()) {
-			if (resource.kind === 'service') {
-				services.set(resource.name, resource);
-			} else if (resource.kind === 'backend-server') {
-				backendServers.set(metadata.identity, resource);
-			} else {
-				sharingRules.push(resource);
+			switch (resource.kind) {
+				case 'service': {
+					services.set(resource.name, resource);
+
+					break;
+				}
+
+				case 'backend-server': {
+					backendServers.set(metadata.identity, resource);
+
+					break;
+				}
+
+				case 'sharing-rule': {
+					sharingRules.push(resource);
+
+					break;
+				}
+
+				default: {
+					organisations.set(resource.name, toOrganisationInForce(resource));
+					for (const digest of resource.keyDigests) {
+						keyOwners.set(digest, resource.name);
+					}
+				}
 			}
 		}
 
 		return {
-			version: this._version, services, backendServers, sharingRules,
+			version: this._version, services, backendServers, sharingRules, ...(organisations.size === 0 ? {} : {organisations, keyOwners}),
 		};
 	}
 }
--- a/src/common/fleet/configuration/plan-change.ts
+++ b/src/common/fleet/configuration/plan-change.ts
@@ -1,7 +1,9 @@
 /** Validates an operator's change against a configuration and computes the record that the change adds. */
 import {err, ok, type Result} from 'neverthrow';
 import {failure} from '../../errors/failure.ts';
-import {type ResourceKey, resourceKey, type StoredResource} from '../../model/resources.ts';
+import {
+	type Resource, type ResourceKey, resourceKey, type StoredResource,
+} from '../../model/resources.ts';
 import {type ChangeRecord} from '../peer-messages.ts';
 import {
 	type ChangeFailureKind, type ConfigurationVersion, type OperatorAnswer, type OperatorChange, type ResourceMutation,
@@ -15,6 +17,8 @@
 	readonly records: readonly ChangeRecord[];
 };
 
+type Resources = ReadonlyMap<ResourceKey, StoredResource>;
+
 function refused(kind: ChangeFailureKind, message: string, field?: string): OperatorAnswer {
 	return {type: 'refused', failure: failure(kind, message, {field})};
 }
@@ -67,13 +71,49 @@
 	return ok({type: 'delete', kind: current.resource.kind, name: current.resource.name});
 }
 
+/** The service to which a resource refers. */
+function requiredService(resource: Resource): string | undefined {
+	return resource.kind === 'backend-server' || resource.kind === 'sharing-rule' ? resource.service : undefined;
+}
+
+/**
+ * Checks the organisations of the change. A key of two organisations could be attributed to either. A limit would not be
+ * enforced, since a fleet that coordinates itself has no limit holders.
+ */
+function checkOrganisations(after: Resources, record: ChangeRecord): OperatorAnswer | undefined {
+	const changed = record.mutations.flatMap(mutation => mutation.type === 'put' && mutation.resource.kind === 'organisation' ? [mutation.resource] : []);
+	if (changed.length === 0) {
+		return undefined;
+	}
+
+	const owners = new Map<string, Set<string>>();
+	for (const {resource} of after.values()) {
+		for (const digest of resource.kind === 'organisation' ? resource.keyDigests : []) {
+			owners.set(digest, (owners.get(digest) ?? new Set<string>()).add(resource.name));
+		}
+	}
+
+	for (const organisation of changed) {
+		const key = resourceKey(organisation);
+		const shared = organisation.keyDigests.findIndex(digest => owners.get(digest)!.size > 1);
+		if (shared !== -1) {
+			return refused('shared-key', 'Another organisation has the same key; give each organisation keys of its own.', `${key}.keyDigests.${shared}`);
+		}
+
+		if (organisation.callsPerSecond !== undefined || organisation.burst !== undefined) {
+			const field = organisation.callsPerSecond === undefined ? 'burst' : 'callsPerSecond';
+			return refused('limit-not-enforceable', 'A fleet that coordinates itself cannot limit the calls of an organisation; leave the field out.', `${key}.${field}`);
+		}
+	}
+
+	return undefined;
+}
+
 /** Checks references after the change: every backend server and sharing rule needs its service. */
-function checkReferences(view: ConfigurationView, record: ChangeRecord): OperatorAnswer | undefined {
-	const after = new Map(view.resources);
-	applyMutations(after, record);
+function checkReferences(after: Resources, record: ChangeRecord): OperatorAnswer | undefined {
 	for (const mutation of record.mutations) {
-		if (mutation.type === 'put' && mutation.resource.kind !== 'service' && !after.has(`service/${mutation.resource.service}`)) {
-			const {service} = mutation.resource;
+		const service = mutation.type === 'put' ? requiredService(mutation.resource) : undefined;
+		if (service !== undefined && !after.has(`service/${service}`)) {
 			return refused('unknown-service', `The service "${service}" is not declared; declare it first or in the same change.`, `${mutationKey(mutation)}.service`);
 		}
 	}
@@ -85,9 +125,10 @@
 	}
 
 	for (const {resource} of after.values()) {
-		if (resource.kind !== 'service' && deletedServices.has(`service/${resource.service}`)) {
-			const blocker = `The service "${resource.service}" still has the ${resource.kind} "${resource.name}"`;
-			return refused('service-in-use', `${blocker}; delete that first or in the same change.`, `service/${resource.service}`);
+		const service = requiredService(resource);
+		if (service !== undefined && deletedServices.has(`service/${service}`)) {
+			const blocker = `The service "${service}" still has the ${resource.kind} "${resource.name}"`;
+			return refused('service-in-use', `${blocker}; delete that first or in the same change.`, `service/${service}`);
 		}
 	}
 
@@ -118,6 +159,8 @@
 	const record: ChangeRecord = {
 		version: view.version + 1, operationId: change.operationId, who: change.who, when: change.when, note: change.note, mutations,
 	};
-	const referenceError = checkReferences(view, record);
-	return referenceError ? err(referenceError) : ok(record);
+	const after = new Map(view.resources);
+	applyMutations(after, record);
+	const refusal = checkReferences(after, record) ?? checkOrganisations(after, record);
+	return refusal ? err(refusal) : ok(record);
 }
--- a/src/common/fleet/peer-messages.ts
+++ b/src/common/fleet/peer-messages.ts
@@ -3,7 +3,9 @@
  * are durations, never clock readings, so the VMs' clocks need not agree.
  */
 import {z} from 'zod';
-import {resourceSchema, resourceMetadataSchema, storedResourceSchema} from '../model/resources.ts';
+import {
+	resourceKinds, resourceSchema, resourceMetadataSchema, storedResourceSchema,
+} from '../model/resources.ts';
 
 const identitySchema = z.string().min(1).max(64);
 const addressSchema = z.string().min(1).max(64);
@@ -72,7 +74,7 @@
 	isInSnapshotOnly: z.literal(true).optional(),
 	mutations: z.array(z.discriminatedUnion('type', [
 		z.strictObject({type: z.literal('put'), resource: resourceSchema, metadata: resourceMetadataSchema}),
-		z.strictObject({type: z.literal('delete'), kind: z.enum(['service', 'backend-server', 'sharing-rule']), name: z.string().max(63)}),
+		z.strictObject({type: z.literal('delete'), kind: z.enum(resourceKinds), name: z.string().max(63)}),
 	])),
 });
 export type ChangeRecord = z.infer<typeof changeRecordSchema>;
--- a/src/common/fleet/types.ts
+++ b/src/common/fleet/types.ts
@@ -79,6 +79,10 @@
 		| 'not-ready'
 		| 'unknown-service'
 		| 'service-in-use'
+	/** Two organisations have the same key. */
+		| 'shared-key'
+	/** The change declares a rate limit, which a fleet that coordinates itself cannot enforce. */
+		| 'limit-not-enforceable'
 		| 'not-found'
 		| 'too-large'
 		| 'empty-change'
--- a/src/common/model/resources.ts
+++ b/src/common/model/resources.ts
@@ -86,14 +86,35 @@
 	overflowAt: z.number().min(0).max(1).default(0.8),
 });
 
-export const resourceSchema = z.discriminatedUnion('kind', [serviceSchema, backendServerSchema, sharingRuleSchema]);
+/**
+ * An organisation: a customer that identifies itself by a key. If any organisation is declared, calls without the key of one
+ * are refused.
+ */
+export const organisationSchema = z.strictObject({
+	kind: z.literal('organisation'),
+	name: nameSchema,
+	/** SHA-256 digests of its keys in lower-case hex. Keys themselves are not stored. */
+	keyDigests: z.array(z.string().regex(/^[\da-f]{64}$/v, 'a SHA-256 digest: 64 digits of lower-case hex')).max(100).default([]),
+	/** Priority of its calls; 0 = most urgent; undefined = none of its own. */
+	priority: z.int().min(0).max(9).optional(),
+	/** Calls per second of all VMs together; undefined = no limit. Rejected in a fleet that coordinates itself, which cannot enforce it. */
+	callsPerSecond: z.number().positive().max(1_000_000).optional(),
+	/** Calls beyond the rate that may come at once; only with `callsPerSecond`, where undefined means 0. */
+	burst: z.number().min(0).max(1_000_000).optional(),
+});
+
+export const resourceSchema = z.discriminatedUnion('kind', [serviceSchema, backendServerSchema, sharingRuleSchema, organisationSchema]);
 
 export type Service = z.infer<typeof serviceSchema>;
 export type BackendServer = z.infer<typeof backendServerSchema>;
 export type SharingRule = z.infer<typeof sharingRuleSchema>;
+export type Organisation = z.infer<typeof organisationSchema>;
 export type Resource = z.infer<typeof resourceSchema>;
 export type ResourceKind = Resource['kind'];
 
+/** All kinds of resources. */
+export const resourceKinds = ['service', 'backend-server', 'sharing-rule', 'organisation'] as const satisfies readonly ResourceKind[];
+
 /** Unique key of a resource: `KIND/NAME`. */
 export type ResourceKey = `${ResourceKind}/${string}`;
 
--- a/src/index.ts
+++ b/src/index.ts
@@ -25,7 +25,7 @@
 
 /** Resources that operators declare. */
 export {
-	backendServerSchema, resourceSchema, serviceSchema, sharingRuleSchema, type BackendServer, type Resource, type Service, type SharingRule,
+	backendServerSchema, organisationSchema, resourceSchema, serviceSchema, sharingRuleSchema, type BackendServer, type Organisation, type Resource, type Service, type SharingRule,
 } from './common/model/resources.ts';
 
 /** Operations and replies of the platform's store. A client other than the HTTP client must implement these. */
--- a/src/node/api/resource-routes.ts
+++ b/src/node/api/resource-routes.ts
@@ -85,7 +85,12 @@
 	return {version, items, next: null};
 }
 
-function serviceOf(resource: Resource): string {
+/** The service that a resource belongs to; undefined for organisations. */
+function serviceOf(resource: Resource): string | undefined {
+	if (resource.kind === 'organisation') {
+		return undefined;
+	}
+
 	return resource.kind === 'service' ? resource.name : resource.service;
 }
 
--- a/src/node/api/types.ts
+++ b/src/node/api/types.ts
@@ -8,13 +8,13 @@
 import {type BurnReport} from '../../common/burn/types.ts';
 import {type Failure} from '../../common/errors/failure.ts';
 import {
-	resourceSchema, storedResourceSchema, type ResourceKey, type ResourceKind, type StoredResource,
+	resourceKinds, resourceSchema, storedResourceSchema, type ResourceKey, type ResourceKind, type StoredResource,
 } from '../../common/model/resources.ts';
 import {type InputFailure} from '../../common/settings/schema-failures.ts';
 import {settingsSchema, type LogLevel} from '../../common/settings/settings.ts';
 
 /** Kinds of resources as written in paths, keys and files. */
-export const resourceKindSchema = z.enum(['service', 'backend-server', 'sharing-rule']);
+export const resourceKindSchema = z.enum(resourceKinds);
 
 /** Idempotency key of a change: a repeated request with the same identity is recognised and not applied again. */
 export const operationSchema = z.string().regex(/^[\w\-]{8,64}$/v, '8 to 64 letters, digits, dashes and underscores');
