Check the keys of organisations at the listener of services

Cause: with declared organisations, calls of the product's own dialect ran without a key. Change: CallerServer checks the key before it looks at any field of a call, and again after the body if the configuration changed. Backend servers get the name in `jaydale-organisation`; the key is not forwarded. A name in `jaydale-caller` does not count for calls of an organisation. Malformed keys joined the tests of bad input.

--- a/benchmark/path/front-only.ts
+++ b/benchmark/path/front-only.ts
@@ -7,6 +7,7 @@
 import {DefaultCallEngine} from '../../src/common/calls/call-engine.ts';
 import {describeFailure} from '../../src/common/errors/failure.ts';
 import {type BackendServer, serviceSchema, backendServerSchema} from '../../src/common/model/resources.ts';
+import {OrganisationDirectory} from '../../src/common/organisations/organisation-directory.ts';
 import {JaydaleDialect} from '../../src/common/protocol/jaydale-dialect.ts';
 import {seededRandom} from '../../src/common/random/random.ts';
 import {loadHashes} from '../../src/daemon/identity.ts';
@@ -16,6 +17,7 @@
 import {CallEffectExecutor} from '../../src/node/front/call-effect-executor.ts';
 import {CallerServer} from '../../src/node/front/caller-server.ts';
 import {HttpLoadProbeClient} from '../../src/node/front/http-load-probe-client.ts';
+import {keyDigest} from '../../src/node/key-digest.ts';
 
 type Options = {readonly 'backend-servers': string};
 
@@ -62,7 +64,7 @@
 		},
 	});
 	const server = new CallerServer({
-		sink: loop, calls, connections, addresses: () => undefined, fingerprint: hashes.fingerprint,
+		sink: loop, calls, connections, addresses: () => undefined, fingerprint: hashes.fingerprint, organisations: new OrganisationDirectory(keyDigest),
 	}, {
 		headBytes: 16_384, headMilliseconds: 10_000, stallMilliseconds: 120_000, idleMilliseconds: 60_000, keptBodyBytes: 65_536, bodyBytes: 1_073_741_824, connections: 10_000,
 	});
--- a/src/common/protocol/headers.ts
+++ b/src/common/protocol/headers.ts
@@ -15,6 +15,9 @@
 /** Request: the caller's name, for fair sharing between callers; the default is the caller's address. */
 export const callerHeader = 'jaydale-caller';
 
+/** Call to a backend server: name of the organisation whose key the caller sent; absent if organisations are not declared. */
+export const organisationHeader = 'jaydale-organisation';
+
 /** Request and call to a backend server: `none` if a client further up the call chain does the retries itself. */
 export const retryHeader = 'jaydale-retries';
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -24,6 +24,7 @@
 import {type Metrics} from '../node/metrics/types.ts';
 import {type BurnExchange} from '../node/peers/burn-exchange.ts';
 import {type GrpcPeerTransport, type PeerTraffic} from '../node/peers/grpc-peer-transport.ts';
+import {KeyRefusalLog} from './key-refusal-log.ts';
 import {type PauseDetector} from './pause-detector.ts';
 import {reportPoisonRequestChange} from './poison-request-log.ts';
 import {StopReport} from './stop-report.ts';
@@ -94,6 +95,10 @@
 				});
 			}
 		}));
+		const keyRefusalLog = new KeyRefusalLog(parts.logger, parts.metrics);
+		this._register(parts.callerServer.onKeyRefused(refusal => {
+			keyRefusalLog.record(refusal, parts.clock.now());
+		}));
 		this._register(parts.pauseDetector.onWoke(milliseconds => {
 			parts.loop.feed({type: 'woke', milliseconds});
 		}));
@@ -134,6 +139,7 @@
 		switch (effect.type) {
 			case 'configured': {
 				connections.retain(new Set(effect.configuration.backendServers.keys()));
+				this._parts.callerServer.configure(effect.configuration);
 				this._parts.ledger.retain(new Set(effect.configuration.services.keys()));
 				break;
 			}
--- a/src/daemon/wiring.ts
+++ b/src/daemon/wiring.ts
@@ -11,6 +11,7 @@
 import {type AddressAnswer as FleetAnswer, type FleetSettings} from '../common/fleet/types.ts';
 import {DisposableStore} from '../common/lifecycle/disposable.ts';
 import {JaydaleDialect} from '../common/protocol/jaydale-dialect.ts';
+import {OrganisationDirectory} from '../common/organisations/organisation-directory.ts';
 import {seededRandom} from '../common/random/random.ts';
 import {type OperatorToken, type Settings} from '../common/settings/settings.ts';
 import {OperatorDirectory} from '../node/api/operator-directory.ts';
@@ -25,6 +26,7 @@
 import {type AddressList, CallerServer} from '../node/front/caller-server.ts';
 import {HttpLoadProbeClient} from '../node/front/http-load-probe-client.ts';
 import {StoreKeyClaimer} from '../node/front/store-key-claimer.ts';
+import {keyDigest} from '../node/key-digest.ts';
 import {type Logging} from '../node/logging/logging.ts';
 import {type Logger} from '../node/logging/types.ts';
 import {CountedLoadProbeClient, CountedPlatformClient} from '../node/metrics/counted-clients.ts';
@@ -170,6 +172,7 @@
 		connections,
 		addresses: service => toAddressList(entryVm.fleet.addresses(service, clock.now())),
 		fingerprint: hashes.fingerprint,
+		organisations: new OrganisationDirectory(keyDigest),
 	}, {
 		headBytes: settings.limits.headBytes,
 		headMilliseconds,
--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -7,11 +7,13 @@
 import {type CallRequest} from '../../common/calls/types.ts';
 import {failure, type Failure} from '../../common/errors/failure.ts';
 import {Disposable} from '../../common/lifecycle/disposable.ts';
-import {type Event} from '../../common/lifecycle/emitter.ts';
+import {Emitter, type Event} from '../../common/lifecycle/emitter.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
+import {type DeclaredOrganisations, type OrganisationDirectory} from '../../common/organisations/organisation-directory.ts';
 import {
 	addressesPath, callPathPrefix, callerHeader, idempotencyKeyHeader, outcomeHeader, problemTypePrefix, retryHeader, timeoutHeader, traceHeader,
 } from '../../common/protocol/headers.ts';
+import {type Refusal} from '../../common/protocol/dialect.ts';
 import {JaydaleDialect} from '../../common/protocol/jaydale-dialect.ts';
 import {continueTrace} from '../logging/trace-context.ts';
 import {type BackendConnections} from './backend-connections.ts';
@@ -20,7 +22,9 @@
 import {IncompleteCalls} from './incomplete-calls.ts';
 import {LiveCall} from './live-call.ts';
 import {type BodyLimits, RequestBody} from './request-body.ts';
-import {type CallEventSink, type FingerprintFunction} from './types.ts';
+import {
+	type CallEventSink, type FingerprintFunction, type KeyAdmission, type KeyRefusal,
+} from './types.ts';
 
 /** The VMs that callers of a service should use, with weights relative to each other. */
 export type AddressList = {
@@ -37,6 +41,7 @@
 	readonly addresses: (service: string) => AddressList | undefined;
 	/** Returns a 64-bit digest of a call's method, path and buffered start of the body. */
 	readonly fingerprint: FingerprintFunction;
+	readonly organisations: OrganisationDirectory;
 };
 
 /** Limits of the listener; each prevents a single caller from exhausting a shared resource. */
@@ -82,11 +87,17 @@
 	private readonly _dialect = new JaydaleDialect();
 	private readonly _server: GracefulServer;
 	private readonly _incompleteCalls = new IncompleteCalls();
+	private readonly _onKeyRefused = this._register(new Emitter<KeyRefusal>());
 	private _lastCallId = 0;
+	/** Number of configurations applied so far. */
+	private _revision = 0;
 
 	/** Fires if a connection is closed before the kernel has accepted all bytes of an answer. */
 	readonly onAnswerCut: Event<CutAnswer>;
 
+	/** Fires if a call is refused because it has no valid key. */
+	readonly onKeyRefused = this._onKeyRefused.event;
+
 	constructor(dependencies: CallerServerDependencies, limits: CallerServerLimits) {
 		super();
 		this._dependencies = dependencies;
@@ -106,6 +117,12 @@
 		this.onAnswerCut = this._server.onCut;
 	}
 
+	/** Applies the declared organisations, also to calls whose body is being read. */
+	configure(declared: DeclaredOrganisations): void {
+		this._dependencies.organisations.configure(declared);
+		this._revision++;
+	}
+
 	/** Starts listening; resolves with the bound port. */
 	async listen(port: number, address: string): Promise<Result<number, Failure<'cannot-listen'>>> {
 		return new Promise(resolve => {
@@ -178,6 +195,11 @@
 		const slash = url.indexOf('/', callPathPrefix.length);
 		const service = url.slice(callPathPrefix.length, slash);
 		const path = url.slice(slash);
+		const keyAtArrival = this._checkKey(incoming, outgoing, service);
+		if (keyAtArrival === undefined) {
+			return;
+		}
+
 		const timeoutMilliseconds = parseTimeout(singleValue(incoming.headers[timeoutHeader]));
 		if (timeoutMilliseconds === false) {
 			this._refuseInvalidField(outgoing, 400, timeoutHeader);
@@ -199,12 +221,9 @@
 
 		if (body.isAnnounced) {
 			this._incompleteCalls.add(outgoing, () => {
-				incoming.resume();
-				const {headers, body: text} = this._dialect.refusal({
+				this._refuse(incoming, outgoing, {
 					status: 503, reason: 'stopping', outcome: 'not-run', retryAfterMilliseconds: stoppingRetryMilliseconds,
 				});
-				outgoing.writeHead(503, {...headers, 'content-length': Buffer.byteLength(text)});
-				outgoing.end(text);
 			});
 		}
 
@@ -215,8 +234,15 @@
 				return;
 			}
 
+			// A key that was revoked while the body was read must not be used any more.
+			const admission = keyAtArrival.revision === this._revision ? keyAtArrival : this._checkKey(incoming, outgoing, service);
+			if (admission === undefined) {
+				return;
+			}
+
+			const {isKeyChecked, organisation} = admission;
 			this._lastCallId += 1;
-			const caller = singleValue(incoming.headers[callerHeader])?.slice(0, maxCallerNameLength) ?? incoming.socket.remoteAddress ?? '';
+			const caller = organisation?.name ?? singleValue(incoming.headers[callerHeader])?.slice(0, maxCallerNameLength) ?? incoming.socket.remoteAddress ?? '';
 			const request: CallRequest = {
 				callId: this._lastCallId,
 				service,
@@ -230,16 +256,44 @@
 				bodyBytes: body.isReplayable ? body.buffered.length : undefined,
 				idempotencyKey: key,
 				mayRetry: incoming.headers[retryHeader] !== 'none',
+				...(organisation === undefined ? {} : {organisation: organisation.name}),
+				...(organisation?.priority === undefined ? {} : {priority: organisation.priority}),
 			};
 			const {traceId, traceparent} = continueTrace(singleValue(incoming.headers[traceHeader]));
 			const {stallMilliseconds, completeAnswerStallMilliseconds} = this._limits;
 			const call = new LiveCall(request, {
-				incoming, outgoing, path, body, traceId, traceparent, dialect: this._dialect, stallMilliseconds, completeAnswerStallMilliseconds,
+				incoming, outgoing, path, body, traceId, traceparent, dialect: this._dialect, isKeyChecked, stallMilliseconds, completeAnswerStallMilliseconds,
 			}, this._dependencies.sink, this._dependencies.connections);
 			this._dependencies.calls.admit(call, {type: 'call-arrived', request});
 		});
 	}
 
+	/** Checks the key against the organisations in force. Returns undefined if the call was refused. */
+	private _checkKey(incoming: IncomingMessage, outgoing: ServerResponse, service: string): KeyAdmission | undefined {
+		const check = this._dependencies.organisations.check(incoming.rawHeaders);
+		if (check.type !== 'anonymous') {
+			return {
+				isKeyChecked: check.type === 'identified', organisation: check.type === 'identified' ? check.organisation : undefined, revision: this._revision,
+			};
+		}
+
+		const {traceId} = continueTrace(singleValue(incoming.headers[traceHeader]));
+		this._onKeyRefused.fire({
+			address: incoming.socket.remoteAddress ?? '', isKeySent: check.isKeySent, traceId, route: service.slice(0, maxCallerNameLength),
+		});
+		this._refuse(incoming, outgoing, {
+			status: 401, reason: 'unauthorized', outcome: 'not-run', retryAfterMilliseconds: undefined,
+		});
+		return undefined;
+	}
+
+	private _refuse(incoming: IncomingMessage, outgoing: ServerResponse, refusal: Refusal): void {
+		incoming.resume();
+		const {headers, body} = this._dialect.refusal(refusal);
+		outgoing.writeHead(refusal.status, {...headers, 'content-length': Buffer.byteLength(body)});
+		outgoing.end(body);
+	}
+
 	/** Refuses invalid input. The answer names the invalid field and states that nothing ran. */
 	private _refuseInvalidField(outgoing: ServerResponse, status: number, field: string): void {
 		const body = JSON.stringify({
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -8,7 +8,6 @@
 import {Emitter} from '../../common/lifecycle/emitter.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 import {type DeclaredOrganisations, type OrganisationDirectory} from '../../common/organisations/organisation-directory.ts';
-import {type OrganisationInForce} from '../../common/organisations/types.ts';
 import {type RoutedDialect} from '../../common/protocol/dialect.ts';
 import {type RoutedCall, type RouteTable} from '../../common/routing/route-table.ts';
 import {type CallerLimits, type Routing} from '../../common/routing/types.ts';
@@ -22,7 +21,9 @@
 import {LiveCall} from './live-call.ts';
 import {RequestBody} from './request-body.ts';
 import {type ReadinessGate} from './readiness-gate.ts';
-import {type CallEventSink, type FingerprintFunction, type KeyRefusal} from './types.ts';
+import {
+	type CallEventSink, type FingerprintFunction, type KeyAdmission, type KeyRefusal,
+} from './types.ts';
 
 /** Dependencies of the listener. */
 export type RoutedServerDependencies = {
@@ -80,14 +81,6 @@
 /** Answer to a call without the key of an organisation on a route that is not public. */
 const unauthorizedAnswer: EarlyAnswer = {status: 401, reason: 'unauthorized'};
 
-/** A call that the key check admits: the organisation is undefined on public routes and where no key is required. */
-type KeyAdmission = {
-	readonly isKeyChecked: boolean;
-	readonly organisation: OrganisationInForce | undefined;
-	/** Revision of the configuration against which the key was checked. */
-	readonly revision: number;
-};
-
 type RoutedCallWithKey = {readonly routed: RoutedCall; readonly key: KeyAdmission};
 
 /** A call whose body was read, completely or up to the limit of buffered bodies. */
--- a/src/node/front/test-utilities.test.ts
+++ b/src/node/front/test-utilities.test.ts
@@ -4,11 +4,13 @@
 import {type CallSummary} from '../../common/calls/types.ts';
 import {type DisposableStore, toDisposable} from '../../common/lifecycle/disposable.ts';
 import {backendServerSchema, serviceSchema} from '../../common/model/resources.ts';
+import {OrganisationDirectory} from '../../common/organisations/organisation-directory.ts';
 import {JaydaleDialect} from '../../common/protocol/jaydale-dialect.ts';
 import {seededRandom} from '../../common/random/random.ts';
 import {type BackendServerStandIn} from '../../stand-ins/backend-server/backend-server-stand-in.ts';
 import {ProcessClock} from '../clock.ts';
 import {DeciderLoop} from '../decider-loop.ts';
+import {keyDigest} from '../key-digest.ts';
 import {BackendConnections} from './backend-connections.ts';
 import {CallEffectExecutor} from './call-effect-executor.ts';
 import {CallerServer, type CallerServerLimits} from './caller-server.ts';
@@ -40,6 +42,7 @@
 		connections,
 		addresses: () => undefined,
 		fingerprint: ({method, path}) => `${method} ${path}`,
+		organisations: new OrganisationDirectory(keyDigest),
 	}, {...limits, ...limitOverrides}));
 	const ended: CallSummary[] = [];
 	store.add(calls.onCallEnded(({summary}) => ended.push(summary)));
--- a/src/node/front/types.ts
+++ b/src/node/front/types.ts
@@ -2,6 +2,7 @@
 import {type IncomingHttpHeaders} from 'node:http';
 import {type AttemptFailure} from '../../common/calls/types.ts';
 import {type ExternalCallEvent} from '../../common/entry-vm/types.ts';
+import {type OrganisationInForce} from '../../common/organisations/types.ts';
 import {type EventSink} from '../decider-loop.ts';
 import {type BackendAttempt} from './backend-attempt.ts';
 
@@ -32,6 +33,14 @@
 	readonly route: string | undefined;
 };
 
+/** A call that the key check admits: the organisation is undefined on public routes and where no key is required. */
+export type KeyAdmission = {
+	readonly isKeyChecked: boolean;
+	readonly organisation: OrganisationInForce | undefined;
+	/** Revision of the configuration against which the key was checked. */
+	readonly revision: number;
+};
+
 /** Status and headers of a backend server's answer. */
 export type AnswerHead = {
 	readonly status: number;
--- a/src/proof/bad-input.test.ts
+++ b/src/proof/bad-input.test.ts
@@ -8,6 +8,8 @@
 import {DisposableStore, toDisposable} from '../common/lifecycle/disposable.ts';
 import {backendServerSchema, serviceSchema} from '../common/model/resources.ts';
 import {forwardedHeaders} from '../common/protocol/forwarding.ts';
+import {bearerKey} from '../common/organisations/bearer-key.ts';
+import {type DeclaredOrganisations, OrganisationDirectory} from '../common/organisations/organisation-directory.ts';
 import {JaydaleDialect} from '../common/protocol/jaydale-dialect.ts';
 import {parseLoadBody, parseLoadHeader} from '../common/protocol/load-report.ts';
 import {seededRandom} from '../common/random/random.ts';
@@ -17,6 +19,7 @@
 import {CallEffectExecutor} from '../node/front/call-effect-executor.ts';
 import {CallerServer} from '../node/front/caller-server.ts';
 import {HttpLoadProbeClient} from '../node/front/http-load-probe-client.ts';
+import {keyDigest} from '../node/key-digest.ts';
 import {reportFromWire} from '../node/peers/burn-codec.ts';
 import {fromWire} from '../node/peers/peer-codec.ts';
 import {parseToml} from '../node/settings/load-settings.ts';
@@ -48,7 +51,7 @@
 }
 
 /** A listener for callers with one backend server, which sends these bytes as its answer to every request. */
-async function openListener(store: DisposableStore, answer: () => string): Promise<{readonly port: number; readonly heads: string[]}> {
+async function openListener(store: DisposableStore, answer: () => string, declared: DeclaredOrganisations = {}): Promise<{readonly port: number; readonly heads: string[]}> {
 	const heads: string[] = [];
 	const backendPort = await listen(store, socket => {
 		socket.on('data', (bytes: Uint8Array) => {
@@ -65,8 +68,14 @@
 		}
 	});
 	const listener = store.add(new CallerServer({
-		sink: loop, calls, connections, addresses: () => undefined, fingerprint: ({method, path}) => `${method} ${path}`,
+		sink: loop,
+		calls,
+		connections,
+		addresses: () => undefined,
+		fingerprint: ({method, path}) => `${method} ${path}`,
+		organisations: new OrganisationDirectory(keyDigest),
 	}, limits));
+	listener.configure(declared);
 	loop.feed({
 		type: 'configured',
 		configuration: {
@@ -143,6 +152,7 @@
 			decodeHead(words);
 			decodeShard(words);
 			parseToml(words);
+			bearerKey(['authorization', words]);
 			fromWire(anything);
 			reportFromWire(anything);
 		}), {seed, numRuns: 2000});
@@ -176,6 +186,42 @@
 		expect({...answers, next}).toMatchSnapshot(this);
 	});
 
+	// Guards against a malformed key that identifies an organisation, or that ends the listener.
+	it('as a key is refused before anything else is read, and the next call is served', async () => {
+		const key = 'the-key';
+		const {port, heads} = await openListener(store, () => goodAnswer, {
+			organisations: new Map([['one', {name: 'one'}]]), keyOwners: new Map([[keyDigest(key, 'utf8'), 'one']]),
+		});
+		const line = 'POST /services/reads/x HTTP/1.1\r\nhost: a\r\n';
+		const malformed = [
+			'',
+			'authorization:\r\n',
+			'authorization: Bearer\r\n',
+			`authorization: ${key}\r\n`,
+			`authorization: Bearer${key}\r\n`,
+			`authorization: Basic ${key}\r\n`,
+			`authorization: Bearer "${key}"\r\n`,
+			`authorization: Bearer ${key}=\r\n`,
+			`authorization: Bearer ${key}, Bearer ${key}\r\n`,
+			`authorization: Bearer\t${key}\r\n`,
+			`authorization: Bearer ${key}\r\nAuthorization: Bearer ${key}\r\n`,
+			`authorization: Bearer \u00FF\u00FE${key}\r\n`,
+			`authorization: Bearer ${'k'.repeat(7000)}\r\n`,
+			`x-authorization: Bearer ${key}\r\n`,
+			'jaydale-organisation: one\r\n',
+		];
+		for (const header of malformed) {
+			expect(await sendRaw(port, `${line}${header}content-length: ${limits.bodyBytes + 1}\r\n\r\n`)).toEqual('HTTP/1.1 401 Unauthorized');
+		}
+
+		// Bytes that HTTP forbids in a header value are refused by the parser.
+		expect(await sendRaw(port, `${line}authorization: Bearer \u0000${key}\r\ncontent-length: 0\r\n\r\n`)).toEqual('HTTP/1.1 400 Bad Request');
+		expect(heads).toEqual([]);
+		expect(await sendRaw(port, `${line}authorization: Bearer ${key}\r\njaydale-organisation: two\r\ncontent-length: 0\r\n\r\n`)).toEqual('HTTP/1.1 200 OK');
+		const head = heads.at(-1)!;
+		expect([head.includes(key), head.includes('jaydale-organisation: one'), head.includes('jaydale-organisation: two')]).toEqual([false, true, false]);
+	});
+
 	it('from a backend server affects only its own call', async function () {
 		const bad = {
 			'two different lengths': 'HTTP/1.1 200 OK\r\ncontent-length: 4\r\ncontent-length: 5\r\n\r\nabcde',
