Report how calls got their tokens in logs and metrics

A call refused for its organisation's limit has no attempts, so that its log line gave no reason. The line now names the wait, the slot that granted the token, and the slots that refused or did not answer; a counter gives the answers of holders by outcome.

--- a/src/daemon/describe-call.test.ts
+++ b/src/daemon/describe-call.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'earl';
 import {type PlacingGrounds} from '../common/calls/types.ts';
-import {describeAttempt, describeGrounds} from './describe-call.ts';
+import {describeAttempt, describeGrounds, describeLimit} from './describe-call.ts';
 
 const grounds: PlacingGrounds = {
 	choice: 'none',
@@ -46,6 +46,16 @@
 		expect([describeGrounds({...grounds, isWorkLearnt: false}).includes('work 1159 ms assumed'), describeGrounds(undefined)]).toEqual([true, 'no place was looked for']);
 	});
 
+	// Guards operators against a refused call whose log line does not show which holders were asked.
+	it('describes how a call got its token, and why it got none', () => {
+		expect(describeLimit({
+			waitedMilliseconds: 3.2, slot: 2, refusedBy: [0], unansweredBy: [],
+		})).toEqual('token of slot 2, waited 3 ms, refused by slots 0');
+		expect(describeLimit({
+			waitedMilliseconds: 61, slot: undefined, refusedBy: [0, 1], unansweredBy: [2],
+		})).toEqual('no token, waited 61 ms, refused by slots 0, 1, no answer from slots 2');
+	});
+
 	it('describes an attempt', () => {
 		expect(describeAttempt({
 			backendServer: 'i-1', purpose: 'first', atMilliseconds: 2, load: 0, slots: 6, workTimeFactor: 1, reportAgeMilliseconds: 0, grounds: {...grounds, choice: 'free'},
--- a/src/daemon/describe-call.ts
+++ b/src/daemon/describe-call.ts
@@ -1,5 +1,6 @@
 /** Formats the decisions on a call for the fields `trail` and `grounds` of its log line. */
 import {type AttemptRecord, type PlacingGrounds} from '../common/calls/types.ts';
+import {type LimitRecord} from '../common/limits/types.ts';
 import {type Milliseconds} from '../common/model/units.ts';
 
 function formatTime(milliseconds: Milliseconds): string {
@@ -19,6 +20,20 @@
 	return `${purpose} at ${formatTime(atMilliseconds)} to ${backendServer}: ${load}/${slots} calls, work time ${workTimeFactor ?? '?'}, ${age}${choice}${way}${ending}`;
 }
 
+function formatSlots(text: string, slots: readonly number[]): string[] {
+	return slots.length === 0 ? [] : [`${text} ${slots.join(', ')}`];
+}
+
+/** Formats how a call got the token of its organisation's rate limit: its wait, the slot that granted it, and the slots that did not. */
+export function describeLimit({waitedMilliseconds, slot, refusedBy, unansweredBy}: LimitRecord): string {
+	return [
+		slot === undefined ? 'no token' : `token of slot ${slot}`,
+		`waited ${formatTime(waitedMilliseconds)}`,
+		...formatSlots('refused by slots', refusedBy),
+		...formatSlots('no answer from slots', unansweredBy),
+	].join(', ');
+}
+
 /** Formats the latest search for a backend server: the candidates, the time left and the required probability. States if there was no search. */
 export function describeGrounds(grounds: PlacingGrounds | undefined): string {
 	if (grounds === undefined) {
--- a/src/node/metrics/catalogue.ts
+++ b/src/node/metrics/catalogue.ts
@@ -33,6 +33,7 @@
 	'rate_limits.in_force': {type: 'gauge', tags: [], describe: 'Backend servers that name a rate limit now, as far as this VM knows.'},
 	'rate_limits.unreadable': {type: 'counter', tags: ['service'], describe: 'Backend servers that began to name a rate limit which cannot be read; calls go there as before.'},
 	'rate_limits.withheld': {type: 'counter', tags: ['service'], describe: 'Calls that were placed elsewhere or refused while the VM\'s share of some backend server\'s rate limit was spent.'},
+	'organisation_limits.asks': {type: 'counter', tags: ['outcome'], describe: 'Requests for tokens of organisations\' rate limits, by call and slot: `outcome` is granted, refused, or unanswered: the holder gave no answer in time.'},
 	'links.changes': {type: 'counter', tags: ['state'], describe: 'Changes of the path to a backend server: `state` is direct, relayed or unreachable.'},
 	'links.lost': {type: 'gauge', tags: [], describe: 'Backend servers that this VM has no direct link to.'},
 	'links.attempts': {type: 'counter', tags: ['path'], describe: 'Attempts by the path of their connection: direct or relayed through another VM.'},
--- a/src/node/metrics/metrics.test.ts
+++ b/src/node/metrics/metrics.test.ts
@@ -59,6 +59,9 @@
 		});
 		const summary = {
 			service: 'ordering', outcome: 'ran', reason: undefined, attempts: 2, milliseconds: 12, queuedMilliseconds: 3, isGood: true, grounds: limitedGrounds,
+			limit: {
+				waitedMilliseconds: 2, slot: 1, refusedBy: [0, 2], unansweredBy: [],
+			},
 		} as const;
 		metrics.answerCut('here');
 		metrics.evacuations(1);
--- a/src/node/metrics/page-metrics.ts
+++ b/src/node/metrics/page-metrics.ts
@@ -6,6 +6,7 @@
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import {type CallSummary, type PoisonRequestChange} from '../../common/calls/types.ts';
+import {askOutcomes} from '../../common/limits/ask-outcomes.ts';
 import {type LinkState} from '../../common/links/types.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 import {type Metrics, type VmGauges} from './types.ts';
@@ -24,6 +25,7 @@
 	private readonly _limitedServers = new Gauge({name: 'jaydale_rate_limited_backend_servers', help: 'Backend servers that name a rate limit.', registers: [this._registry]});
 	private readonly _unreadableLimits = this._counter('jaydale_unreadable_rate_limits_total', 'Backend servers that began to name a rate limit which cannot be read.', ['service']);
 	private readonly _withheld = this._counter('jaydale_rate_limit_withheld_total', 'Calls kept from a backend server by its rate limit.', ['service']);
+	private readonly _limitAsks = this._counter('jaydale_organisation_limit_asks_total', 'Requests for tokens of rate limits of organisations, by call and slot.', ['outcome']);
 	private readonly _poisonRequestChanges = this._counter('jaydale_poison_request_changes_total', 'Crashes with calls in flight, and calls quarantined or cleared of suspicion.', ['change']);
 	private readonly _quarantined = new Gauge({name: 'jaydale_quarantined_calls', help: 'Calls that are refused because backend servers crashed while running them.', registers: [this._registry]});
 	private readonly _lostLinks = new Gauge({name: 'jaydale_lost_links', help: 'Backend servers that this VM has no direct link to.', registers: [this._registry]});
@@ -40,7 +42,11 @@
 	private readonly _storeTimes = this._histogram('jaydale_store_milliseconds', 'Requests to the store.', ['operation']);
 	private readonly _gauges = new Map<string, Gauge>();
 
-	callEnded({service, outcome, reason, attempts, milliseconds, queuedMilliseconds, isGood, grounds}: CallSummary): void {
+	callEnded({service, outcome, reason, attempts, milliseconds, queuedMilliseconds, isGood, grounds, limit}: CallSummary): void {
+		for (const [outcome, asks] of askOutcomes(limit)) {
+			this._limitAsks.inc({outcome}, asks);
+		}
+
 		if ((grounds?.rateLimited ?? 0) > 0) {
 			this._withheld.inc({service});
 		}
--- a/src/node/metrics/statsd-metrics.ts
+++ b/src/node/metrics/statsd-metrics.ts
@@ -2,6 +2,7 @@
 import {StatsD, type ClientOptions} from 'hot-shots';
 import {type CallSummary, type PoisonRequestChange} from '../../common/calls/types.ts';
 import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
+import {askOutcomes} from '../../common/limits/ask-outcomes.ts';
 import {type LinkState} from '../../common/links/types.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 import {type Settings} from '../../common/settings/settings.ts';
@@ -73,6 +74,10 @@
 			this._count('rate_limits.withheld', 1, {service});
 		}
 
+		for (const [outcome, asks] of askOutcomes(summary.limit)) {
+			this._count('organisation_limits.asks', asks, {outcome});
+		}
+
 		if (summary.attempts > 1) {
 			this._count('calls.further_attempts', summary.attempts - 1, {service});
 		}
