Claim, renew and watch the slots of the rate limits in the store

Cause: rate limits apply to all VMs together; one VM at a time may grant for each of three slots.

Change: LimitSlots claims the keys of the slots under leases, renews them and reports holders and the own right by the effect limit-slots. Entries name the era of the store, so that outdated ones of a restored store prove nothing. A slot is given up by deleting the key at its revision, since a restored store may have granted the same lease to another VM. The registry feed carries the entries. Deployments without a limit make no additional store call. The store model of the tests now executes deletes, answers conflicts with positions and can deliver requests late.

--- a/src/common/entry-vm/entry-vm.ts
+++ b/src/common/entry-vm/entry-vm.ts
@@ -27,6 +27,7 @@
 	traffic: true,
 	'stop-requested': true,
 	woke: true,
+	'limits-socket': true,
 };
 
 function isFleetEvent(event: EntryVmEvent): event is ExternalFleetEvent {
@@ -184,6 +185,10 @@
 				break;
 			}
 
+			case 'limit-slots': {
+				break;
+			}
+
 			default: {
 				this._effects.push(effect);
 			}
--- a/src/common/entry-vm/types.ts
+++ b/src/common/entry-vm/types.ts
@@ -9,7 +9,7 @@
 /** Events and effects that the two engines exchange; none leaves the entry VM. */
 type InternalCallEvent = 'configured' | 'shares' | 'peer-updates' | 'backend-server-leaving' | 'cut-off' | 'placing-held' | 'tick';
 type InternalFleetEvent = 'load-update' | 'leaving-sign' | 'own-load' | 'tick';
-type InternalFleetEffect = 'shares' | 'peer-updates' | 'backend-server-leaving';
+type InternalFleetEffect = 'shares' | 'peer-updates' | 'backend-server-leaving' | 'limit-slots';
 
 /** Events for the call engine from outside the entry VM. */
 export type ExternalCallEvent = Exclude<CallEvent, {type: InternalCallEvent}>;
--- a/src/common/fleet/fleet-coordinator.ts
+++ b/src/common/fleet/fleet-coordinator.ts
@@ -49,6 +49,7 @@
 	'member-announced': true,
 	'member-ended': true,
 	'vm-probed': true,
+	'limits-socket': true,
 } as const satisfies Partial<Record<FleetEvent['type'], true>>;
 
 type HandledEvent = Exclude<FleetEvent, {type: keyof typeof ignoredEvents | 'tick'}>;
--- a/src/common/fleet/types.ts
+++ b/src/common/fleet/types.ts
@@ -156,6 +156,8 @@
 		| {readonly type: 'stop-requested'; readonly by: 'signal' | 'operator' | 'platform'}
 	/** The process did not run for `milliseconds` while its monotonic clock stood still, because the VM was suspended from outside. */
 		| {readonly type: 'woke'; readonly milliseconds: Milliseconds}
+	/** The datagram socket of the rate limits was opened or closed. */
+		| {readonly type: 'limits-socket'; readonly isOpen: boolean}
 		| {readonly type: 'tick'};
 
 /**
@@ -187,6 +189,15 @@
 	/** Sets the configuration that the call engine uses from now on. `version` only increases. */
 		| {readonly type: 'configured'; readonly configuration: CallConfiguration}
 		| {readonly type: 'shares'; readonly shares: FleetShares}
+	/**
+	 * The VMs that hold the slots of the rate limits, with their endpoints for datagrams, and the slots for which this VM
+	 * may grant. Emitted when holders change, and when the own right is renewed or ends.
+	 */
+		| {
+			readonly type: 'limit-slots';
+			readonly slots: ReadonlyArray<{slot: number; address: string; dataCentre: string}>;
+			readonly own: ReadonlyArray<{slot: number; from: Instant; until: Instant}>;
+		}
 		| {readonly type: 'peer-updates'; readonly updates: readonly LoadUpdate[]}
 	/** The call engine must assign no new calls to this process of the backend server. */
 		| {readonly type: 'backend-server-leaving'; readonly sign: LeavingSign}
--- a/src/common/registry/fleet-model.test.ts
+++ b/src/common/registry/fleet-model.test.ts
@@ -1,8 +1,9 @@
 /** A whole fleet in virtual time: its state machines, the store, and the registry feeds between VMs. */
 import {Timeline} from '../../proof/fuzz/timeline.ts';
 import {type CallEngine, type LoadUpdate} from '../calls/types.ts';
-import {EntryVm, isCallEffect} from '../entry-vm/entry-vm.ts';
+import {EntryVm, type FleetDecider, isCallEffect} from '../entry-vm/entry-vm.ts';
 import {type EntryVmEvent, type ExternalCallEffect, type ExternalFleetEffect} from '../entry-vm/types.ts';
+import {type FleetEffect} from '../fleet/types.ts';
 import {type Instant, type Milliseconds, type RandomSource} from '../model/units.ts';
 import {seededRandom} from '../random/random.ts';
 import {documents, settings} from './registry-driver.test.ts';
@@ -26,6 +27,10 @@
 	/** Call engines and backend servers; without them the model has fleets alone. */
 	readonly calls?: CallModel;
 	readonly documents?: DocumentCodec;
+	/** The configuration has an organisation with a limit, and all VMs have a datagram socket. */
+	readonly hasLimits?: boolean;
+	/** Rate of the clock of each process, beside that of the store. */
+	readonly clockRate?: () => number;
 };
 
 /** The calls of a model: creates the call engine of each process and executes its effects. */
@@ -47,7 +52,7 @@
 /** One process of a VM; a restart creates another one. */
 export class ModelProcess {
 	readonly fleet: RegistryFleet;
-	readonly entryVm: EntryVm<RegistryFleet>;
+	readonly entryVm: EntryVm<FleetDecider>;
 	readonly address: string;
 	readonly identity: string;
 	isAlive = true;
@@ -65,6 +70,12 @@
 	readonly followers = new Set<ModelProcess>();
 	source: ModelProcess | undefined;
 	readonly logged = new Map<string, number>();
+	/** The last report of the rate limits' slots. */
+	limitSlots: (FleetEffect & {type: 'limit-slots'}) | undefined;
+	private readonly _clockRate: number;
+	/** Time for which this process's clock stood still. */
+	private _stoodStill: Milliseconds = 0;
+	private _suspendedAt: Instant | undefined;
 	private readonly _model: FleetModel;
 	private _wakeAt: Instant | undefined;
 	private _connectionCount = 0;
@@ -75,6 +86,7 @@
 	constructor(model: FleetModel, identity: string, address: string, random: RandomSource, options: FleetModelOptions) {
 		this._model = model;
 		this.startedAt = model.timeline.now;
+		this._clockRate = options.clockRate?.() ?? 1;
 		this.identity = identity;
 		this.address = address;
 		const {convergeMilliseconds = 3000, leaseMilliseconds = defaultLeaseMilliseconds} = options;
@@ -85,13 +97,40 @@
 			own: {
 				callAddress: address, peerAddress: address, dataCentre, linkMegabits: 100,
 			},
+			...(options.hasLimits === true ? {limitsAddress: model.limitsAddressOf(address)} : {}),
 			convergeMilliseconds,
 			watchPauseMilliseconds: 0.4 * convergeMilliseconds,
 			leaseMilliseconds,
 			memberHeartbeatMilliseconds: defaultMemberHeartbeatMilliseconds,
 			seeds: model.seeds,
 		}, options.documents ?? documents, random);
-		this.entryVm = new EntryVm(options.calls?.createEngine(random, dataCentre) ?? idleCallEngine, this.fleet);
+		const {fleet} = this;
+		const observed: FleetDecider = {
+			handle: (event, now) => {
+				const effects = fleet.handle(event, now);
+				this.limitSlots = effects.findLast(effect => effect.type === 'limit-slots') ?? this.limitSlots;
+				return effects;
+			},
+			nextWakeUp: () => fleet.nextWakeUp(),
+		};
+		this.entryVm = new EntryVm(options.calls?.createEngine(random, dataCentre) ?? idleCallEngine, observed);
+	}
+
+	/** This process's monotonic clock. */
+	get now(): Instant {
+		return ((this._suspendedAt ?? this._model.timeline.now) - this._stoodStill) * this._clockRate;
+	}
+
+	/** Slots for which this process grants now. */
+	get grantedSlots(): number[] {
+		const isRunning = this.isAlive && !this.isFrozen;
+		return isRunning ? (this.limitSlots?.own ?? []).filter(({from, until}) => from <= this.now && this.now < until).map(({slot}) => slot) : [];
+	}
+
+	/** The VM is suspended: its clock stands still. */
+	suspend(): void {
+		this.isFrozen = true;
+		this._suspendedAt ??= this._model.timeline.now;
 	}
 
 	handle(event: EntryVmEvent): void {
@@ -104,7 +143,7 @@
 			return;
 		}
 
-		for (const effect of this.entryVm.handle(event, this._model.timeline.now)) {
+		for (const effect of this.entryVm.handle(event, this.now)) {
 			if (isCallEffect(effect)) {
 				this._model.calls?.execute(this, effect);
 			} else {
@@ -117,6 +156,13 @@
 
 	wake(): void {
 		this.isFrozen = false;
+		if (this._suspendedAt !== undefined) {
+			const milliseconds = this._model.timeline.now - this._suspendedAt;
+			this._stoodStill += milliseconds;
+			this._suspendedAt = undefined;
+			this.handle({type: 'woke', milliseconds});
+		}
+
 		for (const event of this._deferredEvents.splice(0)) {
 			this.handle(event);
 		}
@@ -270,7 +316,7 @@
 
 			if (!target.isFrozen) {
 				this._model.snapshotCount += 1;
-				target._deliver(this, target.fleet.feed(this._model.timeline.now));
+				target._deliver(this, target.fleet.feed(target.now));
 			}
 		});
 	}
@@ -308,7 +354,9 @@
 		}
 
 		this._wakeAt = next;
-		this._model.timeline.after(next - this._model.timeline.now, () => {
+		// Rounding must not let a tick come before its time, which would repeat it without end.
+		const isOwnClock = this._clockRate !== 1 || this._stoodStill > 0;
+		this._model.timeline.after(((next - this.now) / this._clockRate) + (isOwnClock ? 0.001 : 0), () => {
 			if (this._wakeAt === next) {
 				this._wakeAt = undefined;
 				this.handle({type: 'tick'});
@@ -337,7 +385,7 @@
 		this._options = options;
 		this.random = seededRandom(options.seed);
 		this.seeds = [0, 1, 2].map(index => this.addressOf(index));
-		this.store.put('configuration', '1');
+		this.store.put('configuration', options.hasLimits === true ? '1 100' : '1');
 		for (let server = 0; server < options.serverCount; server++) {
 			this.store.put(`servers/s${server}`, `orders 10.9.${Math.floor(server / 200)}.${server % 200} ready`);
 		}
@@ -359,6 +407,10 @@
 		return `10.${vm % dataCentreCount}.0.${Math.floor(vm / dataCentreCount)}:90`;
 	}
 
+	limitsAddressOf(address: string): string {
+		return address.replace(':90', ':70');
+	}
+
 	/** The latest process at this address, running or not. */
 	latestAt(address: string): ModelProcess | undefined {
 		return this._processes.get(address);
@@ -376,6 +428,9 @@
 			const process = new ModelProcess(this, `process-${this._starts}`, this.addressOf(vm), this.random, this._options);
 			this._processes.set(process.address, process);
 			process.handle({type: 'started'});
+			if (this._options.hasLimits === true) {
+				process.handle({type: 'limits-socket', isOpen: true});
+			}
 		});
 	}
 
--- a/src/common/registry/registry-driver.test.ts
+++ b/src/common/registry/registry-driver.test.ts
@@ -21,7 +21,7 @@
 		callAddress: '10.0.0.1:80', peerAddress: '10.0.0.1:90', dataCentre: 'north', linkMegabits: 100,
 	},
 	layout: {
-		configurationKey: 'configuration', serverPrefix: 'servers/', vmPrefix: 'vms/', evacuationPrefix: 'evacuations/', commonPrefix: '',
+		configurationKey: 'configuration', serverPrefix: 'servers/', vmPrefix: 'vms/', evacuationPrefix: 'evacuations/', limitPrefix: 'limits/', commonPrefix: '',
 	},
 	leaseMilliseconds: 3000,
 	memberHeartbeatMilliseconds: 1500,
@@ -33,16 +33,17 @@
 	graceMilliseconds: 6000,
 };
 
-/** Documents in a test format: `version`, `service address state [start [warming]]`, or `address [link]`. */
+/** Documents in a test format: `version [calls per second of an organisation]`, `service address state [start [warming]]`, or `address [link]`. */
 export const documents: DocumentCodec = {
 	configuration(value) {
-		const version = Number(value);
+		const [version = Number.NaN, limit] = value.split(' ').map(Number);
 		return Number.isNaN(version)
 			? err(failure('invalid-document', 'no version'))
 			: ok({
 				version,
 				services: [serviceSchema.parse({kind: 'service', name: 'orders'})],
 				connectionLimits: new Map([['orders', 240]]),
+				...(limit === undefined ? {} : {organisations: new Map([['acme', {name: 'acme', limit: {callsPerSecond: limit, burst: limit}}]])}),
 				routing: {
 					routes: [{
 						name: 'all', host: 'one', prefix: '/', parts: [{service: 'orders', weight: 1}],
--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -14,6 +14,7 @@
 import {BoundedStop} from './bounded-stop.ts';
 import {Evacuations} from './evacuations.ts';
 import {MemberRegistrar} from './member-registrar.ts';
+import {type LimitRights, LimitSlots} from './limit-slots.ts';
 import {ChangeLog} from './change-log.ts';
 import {ConfigurationRegistry} from './configuration-registry.ts';
 import {FeedFrames, frameInEra} from './feed-frames.ts';
@@ -39,7 +40,6 @@
 	'leaving-sign': 'the load update that follows contains the same report',
 	returned: 'the load update that follows contains the same report',
 	'own-load': 'callers choose among all VMs alike',
-	woke: 'all deadlines are compared with the present time',
 	'peer-message': 'of a fleet that coordinates itself',
 	'peer-unreachable': 'of a fleet that coordinates itself',
 	'vm-list': 'of a fleet that coordinates itself',
@@ -90,6 +90,7 @@
 	private _restoredAt: Instant = Number.NEGATIVE_INFINITY;
 	private readonly _shares: FleetSharesSource;
 	private readonly _updates: UpdateExchange;
+	private readonly _limitSlots: LimitSlots;
 
 	constructor(settings: RegistrySettings, documents: DocumentCodec, random: RandomSource) {
 		this._context = new RegistryContext(settings);
@@ -126,6 +127,18 @@
 		this._vms = new VmDirectory(this._context, documents, {random, prober: this._prober, listener: {onRemoved, isReading, hasMembers: () => this._registrar.hasMembers}});
 		this._shares = new FleetSharesSource(this._context, this._vms);
 		this._updates = new UpdateExchange(this._context, {random, peers: () => this._vms.peerAddresses()});
+		this._limitSlots = new LimitSlots(this._context, {
+			random,
+			isStoreAvailable: () => this._mirror.isWatching,
+			isRegistered: () => this._isRegistered,
+			claimRank: () => this._vms.claimRank(),
+			onWritten: entry => {
+				this._applyChanges({entries: [entry], deleted: [], isWhole: false}, 'certain');
+			},
+			onRemoved: key => {
+				this._applyChanges({entries: [], deleted: [key], isWhole: false}, 'certain');
+			},
+		});
 		this._snapshotFilter = new SnapshotFilter(this._context, {
 			documents, log: this._log, servers: this._servers, vms: this._vms, evacuations: this._evacuations, prober: this._prober, revertedRemovals: this._revertedRemovals,
 			onServing: entry => {
@@ -165,6 +178,7 @@
 				this._publisher.onStoreRead();
 				this._feedSelector.onStoreRead();
 				this._registrar.onRead();
+				this._limitSlots.onStoreRead();
 			},
 			isReader: () => this._vms.ranks.isReader,
 			isFollowing: () => this._feedSelector.source !== undefined,
@@ -198,6 +212,7 @@
 
 		this._ownEntry.setRole({source: this._feedSelector.freshSource, isReader: this._vms.ranks.isReader});
 		this._shares.update(this._lifecycle.stage === 'serving');
+		this._limitSlots.update();
 		this._publisher.publish();
 		return this._context.takeEffects();
 	}
@@ -230,6 +245,11 @@
 		};
 	}
 
+	/** The slots of the rate limits for which this VM may grant. */
+	limitRights(now: Instant): LimitRights {
+		return this._limitSlots.rights(now);
+	}
+
 	/** Whether this VM is the process with that identity and accepts calls. */
 	isServing(identity: string): boolean {
 		return identity === this._context.settings.identity && this._lifecycle.stage === 'serving';
@@ -289,6 +309,16 @@
 				break;
 			}
 
+			case 'woke': {
+				this._limitSlots.onWoke();
+				break;
+			}
+
+			case 'limits-socket': {
+				this._limitSlots.setSocketOpen(event.isOpen);
+				break;
+			}
+
 			case 'tick': {
 				this._context.timers.run(now);
 				break;
@@ -420,6 +450,10 @@
 			isChanged = this._applyDeleted(key, certainty) || isChanged;
 		}
 
+		for (const key of this._limitSlots.keys.filter(key => !keys.has(key))) {
+			this._applyDeleted(key, certainty);
+		}
+
 		return isChanged;
 	}
 
@@ -459,6 +493,14 @@
 			return hasBegun;
 		}
 
+		if (this._limitSlots.isKey(key)) {
+			if (this._limitSlots.put(entry)) {
+				this._log.put(entry, true);
+			}
+
+			return false;
+		}
+
 		if (key.startsWith(layout.vmPrefix)) {
 			const isOwn = key === this._ownKey;
 			const isChange = isOwn ? this._log.revisionOf(key) !== entry.revision : this._vms.put(entry);
@@ -504,6 +546,11 @@
 			this._log.publishRemoval(key);
 		}
 
+		if (this._limitSlots.isKey(key)) {
+			this._handleLimitSlotRemoved(key, certainty);
+			return false;
+		}
+
 		if (key.startsWith(layout.vmPrefix)) {
 			this._registrar.onRemoved(key);
 		}
@@ -531,28 +578,44 @@
 		return false;
 	}
 
+	/**
+	 * A reply to a read may have been on its way while this VM's own write was confirmed: a removal that it reports, or a
+	 * key that its list lacks, is then older than the entry known here.
+	 */
+	private _handleLimitSlotRemoved(key: string, certainty: RemovalCertainty): void {
+		const revision = this._limitSlots.revisionOf(key);
+		const isOlder = certainty !== 'certain' && revision !== undefined && !this._context.isOutdated(eraOf(revision)) && isLater(revision, this._mirror.revision ?? 0);
+		if (!isOlder) {
+			this._log.remove(key);
+			this._limitSlots.remove(key);
+		}
+	}
+
 	private _configure(): void {
 		const {inForce} = this._configuration;
 		if (inForce === undefined) {
 			return;
 		}
 
-		const {version, services, routing, connectionLimits, warmUpLimits} = inForce;
+		const {version, services, routing, connectionLimits, warmUpLimits, organisations} = inForce;
 		const configuration: CallConfiguration = {
 			version,
 			services: new Map(services.map(service => [service.name, service])),
 			backendServers: this._servers.declared(connectionLimits),
 			...(warmUpLimits === undefined ? {} : {warmUpLimits}),
+			...(organisations === undefined ? {} : {organisations}),
 			evacuatedDataCentres: this._evacuations.dataCentres,
 			sharingRules: [],
 			routing,
 		};
 		this._context.emit({type: 'configured', configuration});
+		this._limitSlots.setHasLimits([...organisations?.values() ?? []].some(({limit}) => limit !== undefined));
 		this._lifecycle.onConfigured();
 	}
 
 	private _onStage(stage: FleetStage): void {
 		this._context.emit({type: 'stage', stage});
+		this._limitSlots.setServing(stage === 'serving');
 		if (stage === 'serving') {
 			this._ownEntry.publish();
 		} else if (this._lifecycle.isStopping) {
--- a/src/common/registry/store-model.test.ts
+++ b/src/common/registry/store-model.test.ts
@@ -69,6 +69,10 @@
 			};
 		}
 
+		case 'conflict': {
+			return {...reply, entry: reply.entry === undefined ? undefined : entryOf(reply.entry), era};
+		}
+
 		case 'written': {
 			return {...reply, revision: storePosition(era, reply.revision), era};
 		}
@@ -90,6 +94,8 @@
 	isSilentTo: (vm: string) => boolean = () => false;
 	/** Time for a request and its reply. */
 	replyMilliseconds: Milliseconds = defaultReplyMilliseconds;
+	/** Time until a request of this VM reaches the store, and the same again for its reply; undefined = the default. */
+	transitMilliseconds: (vm: string) => Milliseconds | undefined = () => undefined;
 	/** No lease ends, as in a store that keeps its leases during an outage. */
 	areLeasesPaused = false;
 	private readonly _timeline: Timeline;
@@ -179,6 +185,12 @@
 			return;
 		}
 
+		const transit = this.transitMilliseconds(vm);
+		if (transit !== undefined) {
+			this._executeLate(operation, transit, onReply);
+			return;
+		}
+
 		this._timeline.after(this.replyMilliseconds / 2, () => {
 			this._execute(withRevisions(operation), reply => {
 				const positioned = withPositions(reply, this._era);
@@ -189,6 +201,29 @@
 		});
 	}
 
+	/** Executes a request that is on its way for long. The client gives up before a late reply, though the request was executed. */
+	private _executeLate(operation: StoreOperation, transit: Milliseconds, onReply: OnReply): void {
+		let isOver = false;
+		const end = (reply: StoreReply) => {
+			if (!isOver) {
+				isOver = true;
+				onReply(reply);
+			}
+		};
+
+		this._timeline.after(replyTimeoutMilliseconds, () => {
+			end({type: operation.type === 'watch' || operation.type === 'list' ? 'unavailable' : 'unknown'});
+		});
+		this._timeline.after(transit, () => {
+			this._execute(withRevisions(operation), reply => {
+				const positioned = withPositions(reply, this._era);
+				this._timeline.after(transit, () => {
+					end(positioned);
+				});
+			});
+		});
+	}
+
 	private _charge(operation: StoreOperation): void {
 		const pages = operation.type === 'list' ? Math.max(1, Math.ceil(this._entries.size / pageEntries)) : 1;
 		const isReduced = operation.type === 'keep-lease' || (operation.type === 'list' && operation.allowsStale === true);
@@ -217,6 +252,11 @@
 				break;
 			}
 
+			case 'delete': {
+				onReply(this._delete(operation));
+				break;
+			}
+
 			case 'grant-lease': {
 				this._lastLease += 1;
 				const leaseId = String(this._lastLease);
@@ -301,6 +341,16 @@
 		return {type: 'written', revision: this.put(key, value, leaseId)};
 	}
 
+	private _delete({key, expected}: StoreOperation & {type: 'delete'}): StoreReply {
+		const known = this._entries.get(key);
+		if (known?.revision !== expected) {
+			return {type: 'conflict', entry: known};
+		}
+
+		this.remove(key);
+		return {type: 'written', revision: this._revision};
+	}
+
 	private _writeAll({writes, leaseId}: StoreOperation & {type: 'write-all'}): StoreReply {
 		if (2 * writes.length > maxTransactionEntries) {
 			return {type: 'unknown'};
--- a/src/common/registry/types.ts
+++ b/src/common/registry/types.ts
@@ -11,6 +11,7 @@
 import {type PeerAddress} from '../fleet/types.ts';
 import {type Service} from '../model/resources.ts';
 import {type Milliseconds} from '../model/units.ts';
+import {type OrganisationInForce} from '../organisations/types.ts';
 import {type StoreEntry} from '../platform/types.ts';
 import {type StorePosition} from '../platform/store-position.ts';
 import {type Routing} from '../routing/types.ts';
@@ -25,6 +26,8 @@
 	/** Load that one backend server of a service accepts from all VMs together during its warm-up, by service. */
 	readonly warmUpLimits?: ReadonlyMap<string, WarmUpLimit>;
 	readonly routing: Routing;
+	/** Organisations by name; undefined if the document declares none. */
+	readonly organisations?: ReadonlyMap<string, OrganisationInForce>;
 };
 
 /** The store entry of a backend server. */
@@ -71,6 +74,8 @@
 	readonly vmPrefix: string;
 	/** Followed by the name of the evacuated data centre. */
 	readonly evacuationPrefix: string;
+	/** Followed by the number of a slot of the rate limits. */
+	readonly limitPrefix: string;
 	/** Common prefix of all keys above. */
 	readonly commonPrefix: string;
 };
@@ -79,6 +84,8 @@
 export type RegistrySettings = {
 	readonly identity: string;
 	readonly own: VmEntry;
+	/** Endpoint of this VM's datagram socket, `IP:PORT`; undefined = this VM grants no rate limits. */
+	readonly limitsAddress?: string;
 	readonly layout: StoreLayout;
 	/** Term of the leases on VM entries. */
 	readonly leaseMilliseconds: Milliseconds;
--- a/src/common/registry/vm-directory.ts
+++ b/src/common/registry/vm-directory.ts
@@ -8,6 +8,7 @@
 import {isLater, type StorePosition} from '../platform/store-position.ts';
 import {type LapseOutcome, LapsedVms} from './lapsed-vms.ts';
 import {type RegistryContext} from './registry-context.ts';
+import {type ClaimRank} from './limit-slots.ts';
 import {type RemovalCertainty} from './removal-grace-period.ts';
 import {type RegistryListener} from './server-registry.ts';
 import {type DocumentCodec, type VmEntry} from './types.ts';
@@ -141,6 +142,19 @@
 		return this._ranks;
 	}
 
+	/** This VM's place among the VMs that may claim a slot of the rate limits, computed anew on each access. */
+	claimRank(): ClaimRank {
+		const {own} = this._context.settings;
+		const named = this._named();
+		const near = named.filter(({entry}) => entry.dataCentre === own.dataCentre);
+		const ownVm = this._ownVm(this._ownCreatedAt ?? Number.POSITIVE_INFINITY);
+		return {
+			place: near.filter(vm => byRank(vm, ownVm) < 0).length,
+			size: near.length + 1,
+			dataCentres: [...new Set([own.dataCentre, ...named.map(({entry}) => entry.dataCentre)])].toSorted(),
+		};
+	}
+
 	/** Sets the revision at which this VM's own entry was created; undefined = it is not in the store. */
 	setOwn(createdAt: StorePosition | undefined): void {
 		if (this._ownCreatedAt !== createdAt) {
