--- a/src/common/fleet/types.ts
+++ b/src/common/fleet/types.ts
@@ -7,6 +7,7 @@
 	type BackendServerIdentity, type CallConfiguration, type FleetShares, type LoadUpdate,
 } from '../calls/types.ts';
 import {type Failure} from '../errors/failure.ts';
+import {type LimitSlotsEffect} from '../limits/types.ts';
 import {type Resource, type ResourceKey, type StoredResource} from '../model/resources.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type StoreEra} from '../platform/store-position.ts';
@@ -189,16 +190,9 @@
 	/** Sets the configuration that the call engine uses from now on. `version` only increases. */
 		| {readonly type: 'configured'; readonly configuration: CallConfiguration}
 		| {readonly type: 'shares'; readonly shares: FleetShares}
-	/**
-	 * The VMs that hold the slots of the rate limits, with their endpoints for datagrams, and the slots for which this VM
-	 * may grant. Emitted when holders change, and when the own right is renewed or ends.
-	 */
-		| {
-			readonly type: 'limit-slots';
-			readonly slots: ReadonlyArray<{slot: number; address: string; dataCentre: string}>;
-			readonly own: ReadonlyArray<{slot: number; from: Instant; until: Instant}>;
-		}
 		| {readonly type: 'peer-updates'; readonly updates: readonly LoadUpdate[]}
+	/** The holders of the limit slots have changed, or this VM's right to one was renewed. */
+		| LimitSlotsEffect
 	/** The call engine must assign no new calls to this process of the backend server. */
 		| {readonly type: 'backend-server-leaving'; readonly sign: LeavingSign}
 		| {readonly type: 'operator-answer'; readonly requestId: number; readonly answer: OperatorAnswer}
--- a/src/common/registry/limit-slots-harness.test.ts
+++ b/src/common/registry/limit-slots-harness.test.ts
@@ -1,7 +1,7 @@
 /** Shared by the tests of the rate limits' slots: a fleet in virtual time whose holders are observed at every step. */
+import {limitSlotCount} from '../limits/messages.ts';
 import {type Milliseconds} from '../model/units.ts';
 import {FleetModel, type ModelProcess} from './fleet-model.test.ts';
-import {limitSlotCount} from './limit-slots.ts';
 
 const stepMilliseconds: Milliseconds = 20;
 const convergeMilliseconds: Milliseconds = 2500;
--- a/src/common/registry/limit-slots.ts
+++ b/src/common/registry/limit-slots.ts
@@ -12,6 +12,7 @@
  *   slot until every right from before the restore has ended.
  */
 import * as z from 'zod';
+import {limitSlotCount} from '../limits/messages.ts';
 import {type Instant, type Milliseconds, type RandomSource} from '../model/units.ts';
 import {
 	eraOf, isLater, type StoreEra, type StorePosition,
@@ -19,9 +20,6 @@
 import {type StoreEntry, type StoreReply} from '../platform/types.ts';
 import {type RegistryContext} from './registry-context.ts';
 
-/** Number of slots that divide every rate limit; the same on all VMs. */
-export const limitSlotCount = 3;
-
 /** Term of the lease on a slot. A holder that crashes is missing for this long. */
 export const limitLeaseMilliseconds: Milliseconds = 10_000;
 
