Exchange datagrams about rate limits through a UDP socket

Cause: VMs ask the holders of limit slots for tokens; nothing carried the messages, and a suspended VM did not notice it.

Change: LimitSocket sends and receives the messages at listen.limits (optional), drops and counts malformed ones, and opens itself again after an error. Such VMs compare the clocks before each event and report a suspension of 250 ms or more. New metrics: datagrams by result, held slots, age of the right.

--- a/src/common/settings/entry-settings.ts
+++ b/src/common/settings/entry-settings.ts
@@ -24,6 +24,7 @@
 	directory: endpointSchema.describe('Where callers ask which VMs to use.'),
 	peers: endpointSchema.describe('Where other VMs learn from this one what the store holds.'),
 	metrics: endpointSchema.describe('The page of counters.'),
+	limits: endpointSchema.optional().describe('Where VMs exchange datagrams about rate limits of organisations (UDP, the same port on all VMs). Without it, calls of organisations with a limit are refused here.'),
 });
 
 const storeSchema = z.strictObject({
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -22,6 +22,7 @@
 import {type PageServer} from '../node/front/page-server.ts';
 import {type ReadinessGate} from '../node/front/readiness-gate.ts';
 import {type CutAnswerReport, type RoutedServer} from '../node/front/routed-server.ts';
+import {type LimitSocket} from '../node/limits/limit-socket.ts';
 import {LineBudget} from '../node/logging/line-budget.ts';
 import {type LogControl, type Logger} from '../node/logging/types.ts';
 import {type Metrics} from '../node/metrics/types.ts';
@@ -48,6 +49,8 @@
 	readonly readinessGate: ReadinessGate;
 	readonly directoryServer: PageServer;
 	readonly feedServer: FeedServer;
+	/** Undefined = this VM has no endpoint for datagrams about rate limits. */
+	readonly limitSocket: LimitSocket | undefined;
 	readonly tunnelServer: TunnelServer;
 	readonly metricsServer: PageServer;
 	/** Listeners opened before the program was loaded, by endpoint. */
@@ -111,7 +114,12 @@
 
 	/** Starts reading the store and opens the listeners at the same time. Resolves with a failure if a listener cannot be opened. */
 	async start(): Promise<Failure<'cannot-listen'> | undefined> {
-		const {settings, loop, routedServer, readinessServer, directoryServer, feedServer, metricsServer, listeners: earlyListeners} = this._parts;
+		const {settings, loop, routedServer, readinessServer, directoryServer, feedServer, limitSocket, metricsServer, listeners: earlyListeners} = this._parts;
+		if (settings.listen.limits !== undefined) {
+			const {address, port} = splitEndpoint(settings.listen.limits);
+			limitSocket?.open(port, address);
+		}
+
 		loop.feed({type: 'started'});
 		const listeners = [
 			[routedServer, settings.listen.callers],
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -8,6 +8,7 @@
 import {EntryVm, isCallEffect} from '../common/entry-vm/entry-vm.ts';
 import {type EntryVmEffect, type EntryVmEvent} from '../common/entry-vm/types.ts';
 import {DisposableStore} from '../common/lifecycle/disposable.ts';
+import {Limits} from '../common/limits/limits.ts';
 import {type RoutedDialect} from '../common/protocol/dialect.ts';
 import {seededRandom} from '../common/random/random.ts';
 import {RegistryFleet} from '../common/registry/registry-fleet.ts';
@@ -26,6 +27,7 @@
 import {UpdateClient} from '../node/fleet/update-client.ts';
 import {VmProbeClient} from '../node/fleet/vm-probe-client.ts';
 import {type PlatformClient} from '../node/fleet/types.ts';
+import {LimitSocket} from '../node/limits/limit-socket.ts';
 import {BackendConnections} from '../node/front/backend-connections.ts';
 import {CallEffectExecutor} from '../node/front/call-effect-executor.ts';
 import {HttpLoadProbeClient} from '../node/front/http-load-probe-client.ts';
@@ -37,6 +39,7 @@
 import {PageMetrics} from '../node/metrics/page-metrics.ts';
 import {EntryDaemon} from './entry-daemon.ts';
 import {newIdentity, type Hashes} from './identity.ts';
+import {PauseDetector} from './pause-detector.ts';
 import {quarantinePages} from './quarantine-pages.ts';
 
 /** A connection opens within about 1 ms, or 3 ms to another data centre. One that hangs until this timeout costs a tenth of a call's time. */
@@ -54,6 +57,12 @@
 /** Idle connections to the directory are kept for as long as callers wait between two requests. */
 const pageIdleTimeoutMilliseconds = 6000;
 
+/**
+ * A pause of the VM of this length, in which its clock stands still, ends its rights to grant rate limits. The margin of a
+ * lease covers shorter ones.
+ */
+const minPauseMilliseconds = 250;
+
 const metricsPath = '/metrics';
 
 /** Addresses of the VMs that a caller may use, and how long it may cache them. */
@@ -94,6 +103,7 @@
 		own: {
 			callAddress: settings.listen.callers, peerAddress: settings.listen.peers, dataCentre: settings.vm.dataCentre, linkMegabits: settings.vm.linkMegabits,
 		},
+		...(settings.listen.limits === undefined ? {} : {limitsAddress: settings.listen.limits}),
 		layout,
 		leaseMilliseconds: settings.store.leaseSeconds * 1000,
 		memberHeartbeatMilliseconds: defaultMemberHeartbeatMilliseconds,
@@ -120,7 +130,8 @@
 		settings: {dataCentre: settings.vm.dataCentre, notRunStatuses: platform.notRunStatuses, retryBurst: settings.calls.retryBurst},
 	});
 	const fleet = new RegistryFleet(registrySettings(settings, platform.layout), platform.documents, random);
-	const entryVm = new EntryVm(calls, fleet);
+	const limits = settings.listen.limits === undefined ? new Limits() : new Limits({dataCentre: settings.vm.dataCentre, random});
+	const entryVm = new EntryVm(calls, fleet, limits);
 	const loop = owned.add(new DeciderLoop<EntryVmEvent, EntryVmEffect>(entryVm, clock));
 	const storeEffectExecutor = owned.add(new StoreEffectExecutor(loop, new CountedPlatformClient(platform.store, clock, metrics)));
 	const feedClient = owned.add(new FeedClient(loop, logger));
@@ -165,7 +176,32 @@
 			logger.info('quarantine lifted by an operator', {fingerprint});
 			loop.feed({type: 'quarantine-lifted', fingerprint});
 		},
-	}, async url => url === metricsPath ? metricsPage(metrics) : undefined), pageIdleTimeoutMilliseconds));
+	}, async url => {
+		if (settings.listen.limits !== undefined) {
+			const {heldSlots, ageMilliseconds = 0} = fleet.limitRights(clock.now());
+			metrics.limitRights(heldSlots, ageMilliseconds);
+		}
+
+		return url === metricsPath ? metricsPage(metrics) : undefined;
+	}), pageIdleTimeoutMilliseconds));
+	const limitSocket = settings.listen.limits === undefined
+		? undefined
+		: owned.add(new LimitSocket({
+			sink: loop, clock, logger, metrics,
+		}));
+	if (limitSocket !== undefined) {
+		// Each event could grant tokens by a right that has ended during a pause.
+		const pauseDetector = owned.add(new PauseDetector(clock, () => Date.now(), minPauseMilliseconds));
+		pauseDetector.onWoke(milliseconds => {
+			logger.warn('the VM was suspended', {milliseconds: Math.round(milliseconds)});
+			loop.feed({type: 'woke', milliseconds});
+		});
+		pauseDetector.start();
+		loop.setBeforeEvent(() => {
+			pauseDetector.check();
+		});
+	}
+
 	loop.setExecutor(effect => {
 		if (isCallEffect(effect)) {
 			callEffectExecutor.execute(effect);
@@ -194,6 +230,7 @@
 			}
 
 			case 'send-datagram': {
+				limitSocket?.send(effect.to, effect.message);
 				break;
 			}
 
@@ -223,6 +260,7 @@
 		directoryServer,
 		readinessGate,
 		feedServer,
+		limitSocket,
 		tunnelServer,
 		metricsServer,
 		listeners: platform.listeners ?? new Map(),
--- a/src/daemon/pause-detector.ts
+++ b/src/daemon/pause-detector.ts
@@ -19,21 +19,23 @@
 	private readonly _wallClock: () => number;
 	private readonly _timer = this._register(new MutableDisposable<DisposableLike>());
 	private readonly _onWoke = this._register(new Emitter<Milliseconds>());
+	private readonly _minPause: Milliseconds;
 	private _lastMonotonic = 0;
 	private _lastWall = 0;
 
 	/** Fires with the approximate length of a pause in milliseconds. */
 	readonly onWoke = this._onWoke.event;
 
-	constructor(clock: Clock, wallClock: () => number) {
+	/** `minPause` = shorter differences between the clocks are ignored. */
+	constructor(clock: Clock, wallClock: () => number, minPause = minPauseMilliseconds) {
 		super();
+		this._minPause = minPause;
 		this._clock = clock;
 		this._wallClock = wallClock;
 	}
 
 	start(): void {
-		this._lastMonotonic = this._clock.now();
-		this._lastWall = this._wallClock();
+		this._readClocks();
 		this._timer.value = this._clock.after(checkIntervalMilliseconds, () => {
 			this.check();
 			this.start();
@@ -43,8 +45,14 @@
 	/** Compares the progress of the two clocks since the last check. */
 	check(): void {
 		const gap = this._wallClock() - this._lastWall - (this._clock.now() - this._lastMonotonic);
-		if (gap >= minPauseMilliseconds) {
+		this._readClocks();
+		if (gap >= this._minPause) {
 			this._onWoke.fire(gap);
 		}
 	}
+
+	private _readClocks(): void {
+		this._lastMonotonic = this._clock.now();
+		this._lastWall = this._wallClock();
+	}
 }
--- a/src/node/decider-loop.ts
+++ b/src/node/decider-loop.ts
@@ -19,6 +19,7 @@
 	private readonly _pending: Array<Event | {readonly type: 'tick'}> = [];
 	private readonly _timer = this._register(new MutableDisposable<DisposableLike>());
 	private _executor: EffectExecutor<Effect> | undefined;
+	private _beforeEvent: (() => void) | undefined;
 	private _isRunning = false;
 	private _isDisposed = false;
 	private _wakeUpAt: Instant | undefined;
@@ -34,6 +35,11 @@
 		this._executor = executor;
 	}
 
+	/** Sets a function that is called before each event is queued; events that it feeds come first. */
+	setBeforeEvent(beforeEvent: () => void): void {
+		this._beforeEvent = beforeEvent;
+	}
+
 	override dispose(): void {
 		this._isDisposed = true;
 		super.dispose();
@@ -44,6 +50,7 @@
 	 * refused connection or a disconnected caller, and the decider must not be re-entered.
 	 */
 	feed(event: Event | {readonly type: 'tick'}): void {
+		this._beforeEvent?.();
 		this._pending.push(event);
 		if (this._isRunning || this._isDisposed) {
 			return;
--- a/src/node/metrics/metrics.test.ts
+++ b/src/node/metrics/metrics.test.ts
@@ -68,6 +68,8 @@
 		metrics.linkChanged('relayed', 3);
 		metrics.attemptStarted('relayed');
 		metrics.tunnelRequested('open');
+		metrics.limitDatagram('malformed');
+		metrics.limitRights(2, 400);
 		metrics.poisonRequests('quarantined', 1);
 		metrics.configurationRejected('reads');
 		metrics.loadProbeSent('ordering');
--- a/src/node/metrics/no-metrics.ts
+++ b/src/node/metrics/no-metrics.ts
@@ -22,5 +22,7 @@
 	platformCalled: ignore,
 	peerTraffic: ignore,
 	operatorAnswered: ignore,
+	limitDatagram: ignore,
+	limitRights: ignore,
 	gauges: ignore,
 };
--- a/src/node/metrics/page-metrics.ts
+++ b/src/node/metrics/page-metrics.ts
@@ -35,6 +35,9 @@
 	private readonly _storeCalls = this._counter('jaydale_store_calls_total', 'Requests to the store.', ['operation', 'reply']);
 	private readonly _peerBytes = this._counter('jaydale_peer_bytes_total', 'Bytes between VMs.', ['direction']);
 	private readonly _operatorAnswers = this._counter('jaydale_operator_answers_total', 'Answers to operators.', ['method', 'status']);
+	private readonly _limitDatagrams = this._counter('jaydale_limit_datagrams_total', 'Datagrams about rate limits of organisations.', ['result']);
+	private readonly _heldLimitSlots = new Gauge({name: 'jaydale_held_limit_slots', help: 'Slots of the rate limits for which this VM may grant.', registers: [this._registry]});
+	private readonly _limitRightAge = new Gauge({name: 'jaydale_limit_right_age_milliseconds', help: 'Time since the oldest renewal of these slots was sent; 0 if there is none.', registers: [this._registry]});
 	private readonly _callTimes = this._histogram('jaydale_call_milliseconds', 'From the arrival of a call to its end.', ['service']);
 	private readonly _queueTimes = this._histogram('jaydale_queued_milliseconds', 'From the arrival of a call to its first attempt.', ['service']);
 	private readonly _storeTimes = this._histogram('jaydale_store_milliseconds', 'Requests to the store.', ['operation']);
@@ -115,6 +118,15 @@
 		this._operatorAnswers.inc({method, status: String(status)});
 	}
 
+	limitDatagram(result: 'sent' | 'received' | 'failed' | 'malformed'): void {
+		this._limitDatagrams.inc({result});
+	}
+
+	limitRights(heldSlots: number, age: Milliseconds): void {
+		this._heldLimitSlots.set(heldSlots);
+		this._limitRightAge.set(age);
+	}
+
 	gauges(values: VmGauges): void {
 		for (const [name, value] of Object.entries(values)) {
 			const gauge = this._gauges.get(name) ?? new Gauge({name: `jaydale_${name}`, help: name, registers: [this._registry]});
--- a/src/node/metrics/statsd-metrics.ts
+++ b/src/node/metrics/statsd-metrics.ts
@@ -119,6 +119,15 @@
 		this._count('links.tunnels', 1, {result});
 	}
 
+	limitDatagram(result: 'sent' | 'received' | 'failed' | 'malformed'): void {
+		this._count('limits.datagrams', 1, {result});
+	}
+
+	limitRights(heldSlots: number, age: Milliseconds): void {
+		this._gauge('limits.held_slots', heldSlots);
+		this._gauge('limits.right_age_milliseconds', age);
+	}
+
 	configurationRejected(route: string | undefined): void {
 		this._count('configurations.rejected', 1, {route: route ?? 'none'});
 	}
--- a/src/node/metrics/types.ts
+++ b/src/node/metrics/types.ts
@@ -47,6 +47,10 @@
 	peerTraffic(direction: 'in' | 'out', messages: number, bytes: number): void;
 	/** A request of an operator was answered. */
 	operatorAnswered(method: string, status: number): void;
+	/** A datagram about rate limits was sent or received, could not be sent, or was malformed. */
+	limitDatagram(result: 'sent' | 'received' | 'failed' | 'malformed'): void;
+	/** Slots of the rate limits for which this VM may grant, and the time since their oldest renewal; 0 if there is none. */
+	limitRights(heldSlots: number, age: Milliseconds): void;
 	/** Current state of the VM. */
 	gauges(values: VmGauges): void;
 };
