--- a/src/common/entry-vm/entry-vm.ts
+++ b/src/common/entry-vm/entry-vm.ts
@@ -29,6 +29,7 @@
 	traffic: true,
 	'stop-requested': true,
 	woke: true,
+	'limits-socket': true,
 };
 
 function isFleetEvent(event: EntryVmEvent): event is ExternalFleetEvent {
--- a/src/common/fleet/types.ts
+++ b/src/common/fleet/types.ts
@@ -161,6 +161,8 @@
 		| {readonly type: 'stop-requested'; readonly by: 'signal' | 'operator' | 'platform'}
 	/** The process did not run for `milliseconds` while its monotonic clock stood still, because the VM was suspended from outside. */
 		| {readonly type: 'woke'; readonly milliseconds: Milliseconds}
+	/** The datagram socket of the rate limits was opened or closed. */
+		| {readonly type: 'limits-socket'; readonly isOpen: boolean}
 		| {readonly type: 'tick'};
 
 /**
--- a/src/common/registry/types.ts
+++ b/src/common/registry/types.ts
@@ -78,6 +78,8 @@
 	readonly vmPrefix: string;
 	/** Followed by the name of the evacuated data centre. */
 	readonly evacuationPrefix: string;
+	/** Followed by the number of a slot of the rate limits. */
+	readonly limitPrefix: string;
 	/** Common prefix of all keys above. */
 	readonly commonPrefix: string;
 };
@@ -86,6 +88,8 @@
 export type RegistrySettings = {
 	readonly identity: string;
 	readonly own: VmEntry;
+	/** Endpoint of this VM's datagram socket, `IP:PORT`; undefined = this VM grants no rate limits. */
+	readonly limitsAddress?: string;
 	readonly layout: StoreLayout;
 	/** Term of the leases on VM entries. */
 	readonly leaseMilliseconds: Milliseconds;
--- a/src/node/metrics/no-metrics.ts
+++ b/src/node/metrics/no-metrics.ts
@@ -24,5 +24,7 @@
 	platformCalled: ignore,
 	peerTraffic: ignore,
 	operatorAnswered: ignore,
+	limitDatagram: ignore,
+	limitRights: ignore,
 	gauges: ignore,
 };
