--- a/src/node/front/caller-organisations.test.ts
+++ b/src/node/front/caller-organisations.test.ts
@@ -1,3 +1,5 @@
+import {Readable} from 'node:stream';
+import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'earl';
 import {request} from 'undici';
 import {DisposableStore} from '../../common/lifecycle/disposable.ts';
@@ -39,7 +41,7 @@
 		};
 
 		return {
-			server, heads, refusals, call,
+			server, heads, refusals, call, url,
 		};
 	}
 
@@ -68,4 +70,21 @@
 		server.configure({...declared, keyOwners: new Map()});
 		expect(await call('/x', {authorization: 'Bearer k'})).toEqual([401, 'Bearer', 'not-run']);
 	});
+
+	// Guards against a call that begins with a valid key, sends its body slowly and runs after the key was revoked.
+	it('checks the key again after the body was read', async () => {
+		const {server, heads, url} = await start();
+		server.configure(declared);
+		const answer = request(url + '/x', {
+			method: 'POST', headers: {authorization: 'Bearer k'}, body: Readable.from((async function * () {
+				yield 'first';
+				await delay(100);
+				server.configure({...declared, keyOwners: new Map()});
+				yield 'second';
+			})()),
+		});
+		const {statusCode, body} = await answer;
+		await body.text();
+		expect([statusCode, heads]).toEqual([401, []]);
+	});
 });
--- a/src/proof/guards/guards.ts
+++ b/src/proof/guards/guards.ts
@@ -18,6 +18,34 @@
 const frontTests = ['src/node/front/*.test.ts', 'src/proof/bad-input.test.ts'];
 
 export const guards: readonly Guard[] = [
+	{
+		name: 'the first of several keys of a call identifies its organisation',
+		file: 'src/common/organisations/bearer-key.ts',
+		text: 'if (credentials !== undefined) {',
+		replacement: 'if (credentials === \'\') {',
+		tests: ['src/common/organisations/*.test.ts'],
+	},
+	{
+		name: 'a key that was revoked while the body was read is still used',
+		file: 'src/node/front/caller-server.ts',
+		text: 'keyAtArrival.revision === this._revision ? keyAtArrival : this._checkKey(incoming, outgoing, service)',
+		replacement: 'keyAtArrival',
+		tests: ['src/node/front/caller-organisations.test.ts'],
+	},
+	{
+		name: 'a key reaches a backend server',
+		file: 'src/common/protocol/jaydale-dialect.ts',
+		text: '{...callerHeaders, authorization: undefined}',
+		replacement: 'callerHeaders',
+		tests: ['src/node/front/caller-organisations.test.ts'],
+	},
+	{
+		name: 'two organisations have the same key',
+		file: `${fleet}/configuration/plan-change.ts`,
+		text: 'owners.get(digest)!.size > 1',
+		replacement: 'owners.get(digest)!.size < 1',
+		tests: [`${fleet}/configuration/organisations.test.ts`],
+	},
 	{
 		name: 'a non-idempotent call that may have run is retried',
 		file: `${calls}/attempts/attempt-runner.ts`,
