--- a/src/common/limits/limit-holder.ts
+++ b/src/common/limits/limit-holder.ts
@@ -3,6 +3,13 @@
 import {type OrganisationLimit} from '../organisations/types.ts';
 import {type Ask, type Grant, limitSlotCount} from './messages.ts';
 
+/**
+ * A token is granted from this level on, and the rest is owed. If the three buckets have a whole token together, one of them
+ * has this much; if each waited for a whole one, small organisations would be refused with up to three tokens left.
+ * Over all slots at most two calls more than the limit are granted.
+ */
+const leastLevel = 1 / limitSlotCount;
+
 /** Rounding errors of levels that are computed from fractional instants; far below one token. */
 const tokenEpsilon = 1e-9;
 
@@ -40,14 +47,14 @@
 	configure({callsPerSecond, burst}: OrganisationLimit, now: Instant): void {
 		this._refill(now);
 		this._ratePerMillisecond = callsPerSecond / limitSlotCount / 1000;
-		this._capacity = Math.max(1, burst / limitSlotCount);
+		this._capacity = Math.max(1, burst) / limitSlotCount;
 		this._level = Math.min(this._level, this._capacity);
 	}
 
 	take(wanted: number, now: Instant): number {
 		this._refill(now);
-		const granted = Math.min(wanted, Math.floor(this._level + tokenEpsilon));
-		this._level = Math.max(0, this._level - granted);
+		const granted = Math.min(wanted, Math.max(0, Math.floor(this._level + 1 - leastLevel + tokenEpsilon)));
+		this._level -= granted;
 		return granted;
 	}
 
@@ -66,7 +73,7 @@
 		}
 
 		const spacing = 1 / (this._ratePerMillisecond * limitSlotCount);
-		const nextTokenAt = now + (Math.max(0, 1 - this._level) / this._ratePerMillisecond);
+		const nextTokenAt = now + (Math.max(0, leastLevel - this._level) / this._ratePerMillisecond);
 		const first = Math.max(nextTokenAt, this._promisedUntil + spacing);
 		this._promisedUntil = Math.min(first + ((refused - 1) * spacing), now + maxRetryMilliseconds);
 		return Math.max(1, Math.min(maxRetryMilliseconds, Math.ceil(first - now - retryEpsilonMilliseconds)));
--- a/src/common/limits/limits-fleet.test.ts
+++ b/src/common/limits/limits-fleet.test.ts
@@ -13,6 +13,15 @@
 const renewalMilliseconds = 2000;
 const windowMilliseconds = 5000;
 
+/** Organisations whose sizes follow a power law by rank, 627 calls per second in total; each limit is 1.6 times the rate, the burst one second of it. */
+export const usualRates = new Map<string, number>();
+const weights = Array.from({length: 83}, (_, rank) => (rank + 1) ** -1.2);
+const weightSum = weights.reduce((sum, weight) => sum + weight, 0);
+for (const [rank, weight] of weights.entries()) {
+	usualRates.set(`o${rank + 1}`, 627 * weight / weightSum);
+}
+
+export const usualLimits: ReadonlyMap<string, OrganisationLimit> = new Map([...usualRates].map(([name, rate]) => [name, {callsPerSecond: rate * 1.6, burst: Math.max(1, Math.round(rate * 1.6))}]));
 type Lease = {vm: FleetVm; since: Instant; until: Instant};
 
 export type CallResult = {readonly organisation: string; readonly arrivedAt: Instant; readonly endedAt: Instant; readonly isAllowed: boolean};
@@ -55,6 +64,7 @@
 	faults = {lost: 0, repeated: 0, late: 0};
 	messages = 0;
 	bytes = 0;
+	messagesBetweenDataCentres = 0;
 	private readonly _queue = new TimerQueue<() => void>();
 	private readonly _leases = new Map<number, Lease>();
 	private _nextCall = 0;
@@ -260,6 +270,7 @@
 		const to = this.vms.find(vm => vm.address === address)!;
 		this.messages += 1;
 		this.bytes += JSON.stringify(message).length;
+		this.messagesBetweenDataCentres += from.dataCentre === to.dataCentre ? 0 : 1;
 		const {lost, repeated, late} = this.faults;
 		for (let copy = this.random.next() < repeated ? 2 : 1; copy > 0; copy -= 1) {
 			const delay = (from.dataCentre === to.dataCentre ? 0.4 : 4) + (this.random.next() < late ? 3000 * this.random.next() : this.random.next());
