--- a/benchmark/demand/demand-run.ts
+++ b/benchmark/demand/demand-run.ts
@@ -1,21 +1,28 @@
 /** Simulates the call engines of many VMs in virtual time: neighbours slow the backend servers down, and callers retry at most once. */
 import {DefaultCallEngine} from '../../src/common/calls/call-engine.ts';
+import {mergeDemand} from '../../src/common/calls/admission/room-sharing.ts';
 import {type CallTuning} from '../../src/common/calls/tuning.ts';
 import {type BackendServer, backendServerSchema, serviceSchema} from '../../src/common/model/resources.ts';
 import {type Instant, type Milliseconds, type RandomSource} from '../../src/common/model/units.ts';
 import {seededRandom} from '../../src/common/random/random.ts';
 import {ModelServer, VirtualTime} from '../policy/model-server.ts';
-import {ModelVm} from '../policy/model-vm.ts';
+import {type DemandReport, ModelVm} from '../policy/model-vm.ts';
 import {type CallRecord, type PlannedCall} from '../policy/types.ts';
-import {type DemandKind, type DemandScenario} from './scenarios.ts';
+import {
+	type CallerRequest, type DemandFigures, earnedFraction, isInTime, worstWindows,
+} from './demand-figures.ts';
+import {type DemandControl, type DemandKind, type DemandScenario} from './scenarios.ts';
 
 /** One-way latencies: within a data centre, between data centres, and between a caller and a VM. */
 const localLatencyMilliseconds: Milliseconds = 0.1;
 const remoteLatencyMilliseconds: Milliseconds = 1.4;
 const callerLatencyMilliseconds: Milliseconds = 3;
 
-/** Slots of each backend server. */
-const slots = 6;
+/** Slots of each backend server unless the scenario sets them. */
+const defaultSlots = 6;
+
+/** Interval at which the holder of the merged figures sends them to the VMs, as the answer to a report would. */
+const summaryMilliseconds: Milliseconds = 200;
 
 /** Calls sent before this instant are not counted, since the engines start without load data. */
 const warmUpMilliseconds: Milliseconds = 1500;
@@ -23,9 +30,6 @@
 /** Maximum delay of a caller's retry, as a fraction of the time left until the call's timeout. */
 const maxRetryDelayFraction = 1 / 3;
 
-/** Length of the windows of which the worst tenth is scored separately. */
-const windowMilliseconds: Milliseconds = 1000;
-
 /** Weights in the users' score: value earned over the whole run, value earned in its worst windows, and fraction of calls answered at all. */
 const earnedWeight = 0.4;
 const worstWindowsWeight = 0.4;
@@ -34,32 +38,6 @@
 /** Sigma of the log-normal work of a kind of call. */
 const workSigma = 0.3;
 
-/** State and outcome of one caller's call, including its retry. */
-type CallerRequest = {
-	readonly kind: DemandKind;
-	readonly vm: number;
-	readonly work: Milliseconds;
-	readonly sentAt: Instant;
-	retries: number;
-	refusals: number;
-	answeredAt: Instant | undefined;
-};
-
-/** Figures of a run: fractions from 0 to 1, except the last three (two counts per call, and p99 in milliseconds). */
-export type DemandFigures = {
-	/** Users' score: weighted sum of `earned`, `worstWindows` and `served`. */
-	readonly worth: number;
-	readonly earned: number;
-	readonly worstWindows: number;
-	readonly served: number;
-	readonly late: number;
-	readonly refused: number;
-	readonly refusedAgain: number;
-	readonly attemptsACall: number;
-	readonly measuringsACall: number;
-	readonly p99: number;
-};
-
 type PlacedServer = {readonly server: ModelServer; readonly declared: BackendServer; readonly dataCentre: string};
 
 export class DemandRun {
@@ -70,6 +48,11 @@
 	private readonly _time = new VirtualTime();
 	private readonly _servers = new Map<string, PlacedServer>();
 	private readonly _vms: ModelVm[] = [];
+	/** Latest report of each VM. */
+	private readonly _reports = new Map<number, {readonly at: Instant; readonly report: DemandReport}>();
+	private readonly _priorities = new Map<string, number>();
+	private readonly _evacuated = new Set<string>();
+	private _version = 1;
 	private readonly _requests: CallerRequest[] = [];
 	private _loadProbes = 0;
 	private _attempts = 0;
@@ -90,6 +73,16 @@
 			this._planArrivals(kind, seededRandom((this._seed * 100) + index));
 		}
 
+		for (const {at, act} of this._scenario.actions ?? []) {
+			this._time.at(at, () => {
+				act(this._control());
+			});
+		}
+
+		if (this._scenario.summaries !== undefined) {
+			this._sendSummaries();
+		}
+
 		this._time.run(this._scenario.milliseconds + (2 * Math.max(...this._scenario.kinds.map(kind => kind.timeout))));
 		return this._figures();
 	}
@@ -99,10 +92,10 @@
 			for (let index = 0; index < service.servers; index++) {
 				const name = `${service.name}-${index}`;
 				const dataCentre = `hall-${index % this._scenario.dataCentres}`;
-				const server = new ModelServer(this._time, name, slots, 0, this._scenario.behaviour);
+				const server = new ModelServer(this._time, name, this._slots, 0, this._scenario.behaviour);
 				this._servers.set(name, {
 					server, dataCentre, declared: backendServerSchema.parse({
-						kind: 'backend-server', name, service: service.name, address: '127.0.0.1', port: 10_000 + this._servers.size, dataCentre, slots, connectionLimit: 240,
+						kind: 'backend-server', name, service: service.name, address: '127.0.0.1', port: 10_000 + this._servers.size, dataCentre, slots: this._slots, connectionLimit: 240,
 					}),
 				});
 				this._scheduleNeighbours(server, seededRandom((this._seed * 10_000) + this._servers.size));
@@ -132,7 +125,7 @@
 	private _makeVm(index: number, tuning: Partial<CallTuning>, seed: number): ModelVm {
 		const dataCentre = `hall-${index % this._scenario.dataCentres}`;
 		const vm = new ModelVm(new DefaultCallEngine({
-			random: seededRandom((seed * 1000) + index), settings: {dataCentre, notRunStatuses: new Set([503])}, tuning,
+			random: seededRandom((seed * 1000) + index), settings: {dataCentre, notRunStatuses: new Set([503])}, tuning, reportsDemand: this._scenario.summaries !== undefined,
 		}), {
 			time: this._time,
 			serverOf: identity => this._servers.get(identity)!.server,
@@ -144,6 +137,9 @@
 			onLoadUpdate() {
 				// VMs on the platform exchange no load updates.
 			},
+			onDemandReport: report => {
+				this._reports.set(index, {at: this._time.now, report});
+			},
 			onWastedWork() {
 				// The number of attempts is counted instead.
 			},
@@ -153,9 +149,19 @@
 				loadProbeFraction: 0, loadProbesFrom: 0, loadProbesUntil: 0, connectionFraction: Math.min(1, 2 / this._scenario.vms), vmCount: this._scenario.vms,
 			},
 		});
+		this._configure(vm);
+		return vm;
+	}
+
+	private get _slots(): number {
+		return this._scenario.slots ?? defaultSlots;
+	}
+
+	private _configure(vm: ModelVm): void {
 		vm.handle({
 			type: 'configured', configuration: {
-				version: 1,
+				version: this._version,
+				evacuatedDataCentres: this._evacuated,
 				services: new Map(this._scenario.services.map(({name}) => [name, serviceSchema.parse({
 					kind: 'service', name, retryShare: 0.2, measuring: {
 						callsPerWindow: 600, windowMilliseconds: 10_000, mode: 'on-demand', path: '/load', tailWeight: 1,
@@ -165,7 +171,61 @@
 				sharingRules: [],
 			},
 		});
-		return vm;
+	}
+
+	private _control(): DemandControl {
+		return {
+			killVms: isChosen => {
+				for (const [index, vm] of this._vms.entries()) {
+					if (isChosen(index)) {
+						vm.kill();
+					}
+				}
+			},
+			evacuate: dataCentre => {
+				this._evacuated.add(dataCentre);
+				this._version++;
+				for (const vm of this._vms) {
+					this._configure(vm);
+				}
+			},
+			setPriority: (caller, priority) => {
+				this._priorities.set(caller, priority);
+			},
+			restartServers: (speed, milliseconds) => {
+				for (const {server} of this._servers.values()) {
+					server.crash();
+					server.restart();
+					server.setSpeed(speed);
+					this._time.at(this._time.now + milliseconds, () => {
+						server.setSpeed(1);
+					});
+				}
+			},
+		};
+	}
+
+	/** Sends the sums of the latest reports of all VMs, as long as those are less than a second old. */
+	private _sendSummaries(): void {
+		const {delay, reach} = this._scenario.summaries!;
+		const {now} = this._time;
+		const parts = [...this._reports.values()].filter(({at}) => now - at < 1000).flatMap(({report}) => report.services);
+		const services = this._scenario.services.flatMap(({name}) => {
+			const ofService = parts.filter(({service}) => service === name);
+			return ofService.some(({isShort}) => isShort) ? [{service: name, ...mergeDemand(ofService)}] : [];
+		});
+		this._time.at(now + delay, () => {
+			for (const [index, vm] of this._vms.entries()) {
+				if (services.length > 0 && reach(index, now)) {
+					vm.handle({type: 'demand-summary', ageMilliseconds: delay, services});
+				}
+			}
+		});
+		if (now < this._scenario.milliseconds) {
+			this._time.at(now + summaryMilliseconds, () => {
+				this._sendSummaries();
+			});
+		}
 	}
 
 	private _planArrivals(kind: DemandKind, random: RandomSource): void {
@@ -176,7 +236,7 @@
 				const normal = Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
 				const request: CallerRequest = {
 					kind,
-					vm: Math.floor(random.next() * this._vms.length),
+					vm: this._chooseVm(kind, random),
 					work: kind.work * Math.exp((workSigma * normal) - (workSigma * workSigma / 2)),
 					sentAt: at,
 					retries: 0,
@@ -191,11 +251,22 @@
 		}
 	}
 
+	private _chooseVm(kind: DemandKind, random: RandomSource): number {
+		const chosen = Math.floor(random.next() * this._vms.length);
+		return kind.arrivesAt?.(chosen) === false ? this._chooseVm(kind, random) : chosen;
+	}
+
 	private _send(request: CallerRequest, vm: number): void {
 		const {kind} = request;
+		if (this._vms[vm]!.isDead) {
+			this._send(request, this._chooseVm(kind, this._retryRandom));
+			return;
+		}
+
+		const priority = this._priorities.get(kind.caller ?? '') ?? kind.priority;
 		const planned: PlannedCall = {
-			at: this._time.now, service: kind.service, caller: 'all', vm, method: kind.method, path: kind.path, work: request.work,
-			timeout: kind.timeout - (this._time.now - request.sentAt), rule: kind.rule,
+			at: this._time.now, service: kind.service, caller: kind.caller ?? 'all', vm, method: kind.method, path: kind.path, work: request.work,
+			timeout: kind.timeout - (this._time.now - request.sentAt), rule: kind.rule, ...(priority === undefined ? {} : {priority}),
 		};
 		const record: CallRecord = {
 			planned, endedAt: undefined, isGood: false, isRefused: false, starts: 0,
@@ -221,22 +292,28 @@
 		if (request.retries === 0 && remainingMilliseconds > 0 && (hasRetryAfter || request.kind.rule.isIdempotent)) {
 			request.retries++;
 			this._time.at(now + (2 * callerLatencyMilliseconds) + Math.min(record.retryAfterMilliseconds ?? 0, remainingMilliseconds * maxRetryDelayFraction), () => {
-				this._send(request, Math.floor(this._retryRandom.next() * this._vms.length));
+				this._send(request, this._chooseVm(request.kind, this._retryRandom));
 			});
 		}
 	}
 
+	/** Calls sent from `from` to `until` of the accepted kinds: number sent, and fraction answered within the objective. */
+	outcomes(accept: (kind: DemandKind) => boolean, from: Instant, until: Instant): {readonly sent: number; readonly inTime: number} {
+		const requests = this._requests.filter(request => accept(request.kind) && request.sentAt >= from && request.sentAt < until);
+		return {sent: requests.length, inTime: requests.filter(request => isInTime(request)).length / requests.length};
+	}
+
 	private _figures(): DemandFigures {
 		const requests = this._requests.filter(request => request.sentAt >= warmUpMilliseconds);
 		const fractionOf = (predicate: (request: CallerRequest) => boolean) => requests.filter(predicate).length / requests.length;
 		const latencies = requests.filter(request => request.answeredAt !== undefined).map(request => request.answeredAt! - request.sentAt).toSorted((a, b) => a - b);
 		const earned = earnedFraction(requests);
-		const worstWindows = this._worstWindows(requests);
+		const worst = worstWindows(requests);
 		const served = fractionOf(request => request.answeredAt !== undefined);
 		return {
-			worth: (earnedWeight * earned) + (worstWindowsWeight * worstWindows) + (servedWeight * served),
+			worth: (earnedWeight * earned) + (worstWindowsWeight * worst) + (servedWeight * served),
 			earned,
-			worstWindows,
+			worstWindows: worst,
 			served,
 			late: fractionOf(request => request.answeredAt !== undefined && !isInTime(request)),
 			refused: fractionOf(request => request.answeredAt === undefined && request.refusals > 0),
@@ -246,33 +323,4 @@
 			p99: latencies[Math.floor(latencies.length * 0.99)] ?? Infinity,
 		};
 	}
-
-	private _worstWindows(requests: readonly CallerRequest[]): number {
-		const windows = new Map<number, CallerRequest[]>();
-		for (const request of requests) {
-			const index = Math.floor(request.sentAt / windowMilliseconds);
-			windows.set(index, [...windows.get(index) ?? [], request]);
-		}
-
-		const windowFractions = Array.from(windows.values(), ofWindow => earnedFraction(ofWindow)).toSorted((a, b) => a - b);
-		const worst = windowFractions.slice(0, Math.max(1, Math.round(windowFractions.length / 10)));
-		return worst.reduce((sum, one) => sum + one, 0) / worst.length;
-	}
-}
-
-function isInTime(request: CallerRequest): boolean {
-	return request.answeredAt !== undefined && request.answeredAt - request.sentAt <= request.kind.rule.objectiveMilliseconds;
-}
-
-function earnedFraction(requests: readonly CallerRequest[]): number {
-	let earned = 0;
-	let attainable = 0;
-	for (const request of requests) {
-		attainable += request.kind.value;
-		if (request.answeredAt !== undefined) {
-			earned += isInTime(request) ? request.kind.value : request.kind.lateValue;
-		}
-	}
-
-	return earned / attainable;
 }
--- a/benchmark/demand/scenarios.ts
+++ b/benchmark/demand/scenarios.ts
@@ -16,6 +16,24 @@
 	/** Value of an answer within the objective, and of a later one. */
 	readonly value: number;
 	readonly lateValue: number;
+	/** Organisation or address; undefined = one caller for all kinds. */
+	readonly caller?: string;
+	/** Priority of the organisation; undefined = that of the route. */
+	readonly priority?: number;
+	/** Whether calls of this kind arrive at the VM with this index; undefined = at every VM. */
+	readonly arrivesAt?: (vm: number) => boolean;
+};
+
+/** Changes that an action may cause during a run. */
+export type DemandControl = {
+	/** Ends VMs without notice. */
+	killVms(isChosen: (vm: number) => boolean): void;
+	/** Evacuates a data centre on all VMs. */
+	evacuate(dataCentre: string): void;
+	/** Sets the priority of the kinds' organisations, as a new version of the configuration does. */
+	setPriority(caller: string, priority: number): void;
+	/** Replaces the processes of all backend servers; each runs at this speed until it has been warm for the given time. */
+	restartServers(speed: number, milliseconds: Milliseconds): void;
 };
 
 export type DemandScenario = {
@@ -30,6 +48,11 @@
 	/** Factor on `callsPerSecond` at an instant; at most 3. */
 	readonly loadFactorAt: (instant: Instant) => number;
 	readonly milliseconds: Milliseconds;
+	/** Slots of each backend server; undefined = 6. */
+	readonly slots?: number;
+	/** Delay of the merged figures of demand from reports to all VMs for which the predicate holds; undefined = none are sent. */
+	readonly summaries?: {readonly delay: Milliseconds; readonly reach: (vm: number, at: Instant) => boolean};
+	readonly actions?: ReadonlyArray<{readonly at: Instant; readonly act: (control: DemandControl) => void}>;
 };
 
 const read = {
--- a/benchmark/path/front-only.ts
+++ b/benchmark/path/front-only.ts
@@ -42,7 +42,7 @@
 		release: async () => undefined,
 	});
 	loop.setExecutor(effect => {
-		if (effect.type !== 'tell-peers') {
+		if (effect.type !== 'tell-peers' && effect.type !== 'demand-report') {
 			calls.execute(effect);
 		}
 	});
--- a/benchmark/policy/model-vm.ts
+++ b/benchmark/policy/model-vm.ts
@@ -16,10 +16,14 @@
 	readonly hasReportsOnAnswers: boolean;
 	readonly onLoadProbe: (identity: string, at: Instant) => void;
 	readonly onLoadUpdate: (update: LoadUpdate) => void;
+	readonly onDemandReport?: (report: DemandReport) => void;
 	/** Receives slot time of work whose answer reached no caller. */
 	readonly onWastedWork: (spent: Milliseconds) => void;
 };
 
+/** The effect that reports the demand of an overloaded service to the fleet. */
+export type DemandReport = Extract<CallEffect, {type: 'demand-report'}>;
+
 type RunningAttempt = {readonly callId: number; readonly server: ModelServer; readonly latency: Milliseconds; readonly work: WorkItem};
 
 /** Effects that the model leaves out. */
@@ -45,6 +49,7 @@
 	private readonly _attempts = new Map<number, RunningAttempt>();
 	private readonly _answers = new Map<number, {attemptId: number; isGood: boolean}>();
 	private _wakeUpAt: Instant | undefined;
+	private _isDead = false;
 
 	constructor(engine: CallEngine, environment: VmEnvironment) {
 		this._engine = engine;
@@ -73,11 +78,33 @@
 				idempotencyKey: undefined,
 				mayRetry: true,
 				...(planned.rule === undefined ? {} : {rule: planned.rule}),
+				...(planned.priority === undefined ? {} : {priority: planned.priority}),
 			},
 		});
 	}
 
+	/** Ends the VM without notice: its calls fail, and its connections to backend servers close. */
+	kill(): void {
+		this._isDead = true;
+		for (const {server, work} of this._attempts.values()) {
+			server.cancel(work);
+		}
+
+		this._attempts.clear();
+		for (const callId of this._records.keys()) {
+			this._end(callId, this._environment.time.now);
+		}
+	}
+
+	get isDead(): boolean {
+		return this._isDead;
+	}
+
 	handle(event: CallEvent): void {
+		if (this._isDead) {
+			return;
+		}
+
 		const {now} = this._environment.time;
 		for (const effect of this._engine.handle(event, now)) {
 			this._execute(effect, now);
@@ -133,6 +160,11 @@
 				break;
 			}
 
+			case 'demand-report': {
+				this._environment.onDemandReport?.(effect);
+				break;
+			}
+
 			case 'tell-peers': {
 				this._environment.onLoadUpdate(effect.update);
 				break;
--- a/benchmark/policy/types.ts
+++ b/benchmark/policy/types.ts
@@ -16,6 +16,8 @@
 	readonly timeout: Milliseconds;
 	/** Rule of the call's route; undefined if the settings of the service apply. */
 	readonly rule?: CallRule;
+	/** Priority of the caller's organisation; undefined = that of the route. */
+	readonly priority?: number;
 };
 
 /** Outcome of one call. */
--- a/src/common/calls/admission/admission.ts
+++ b/src/common/calls/admission/admission.ts
@@ -1,9 +1,9 @@
 /** Decides whether a call starts, waits or is refused. */
 import {type Instant, type Milliseconds} from '../../model/units.ts';
 import {type AttemptRunner} from '../attempts/attempt-runner.ts';
-import {type Call, objectiveOf} from '../call.ts';
+import {type Call, canBeInTime, objectiveOf} from '../call.ts';
 import {type CallCompletion} from '../call-completion.ts';
-import {isWaitOver} from '../placement/demand-placer.ts';
+import {isWaitOver} from '../placement/placing-rules.ts';
 import {type EngineContext} from '../engine-context.ts';
 import {nextAllowedAt} from '../placement/placer.ts';
 import {type ServiceState} from '../service-state.ts';
@@ -49,6 +49,14 @@
 			return;
 		}
 
+		// With scheduled probes the learnt concurrency limit shows the capacity, and the order of the queue is enough.
+		call.sharing = service.isMeasuredOnDemand ? service.overload.decide(call.priority, call.request.caller, now) : undefined;
+		if (call.sharing !== undefined && call.sharing.admittedFraction < 1 && this._context.random.next() >= call.sharing.admittedFraction) {
+			call.isWithheld = true;
+			this._completion.refuse(call, 'overloaded', now);
+			return;
+		}
+
 		service.retryBudget.deposit(service.declared.retryShare);
 		if (service.queue.size === 0 && hasFreeConcurrency(service) && this._runner.start(call, 'first', now)) {
 			return;
@@ -118,6 +126,12 @@
 			return;
 		}
 
+		// A call that is too late shows nothing about the capacity.
+		if (canBeInTime(call, now)) {
+			service.overload.recordShortage(now);
+			this._context.demandReports.include(service);
+		}
+
 		// The rate limits allow no attempt before the latest start, so waiting would only cost the caller time.
 		if (nextAllowedAt(this._context, service, now) > Math.max(now, latestStart(call))) {
 			this._runner.noteGrounds(call, now);
--- a/src/common/calls/admission/outcomes-under-load.test.ts
+++ b/src/common/calls/admission/outcomes-under-load.test.ts
@@ -1,6 +1,7 @@
 /** Results of callers under load: the engines of 16 VMs run against the benchmark's model in virtual time. */
 import {expect} from 'earl';
-import {DemandRun, type DemandFigures} from '../../../../benchmark/demand/demand-run.ts';
+import {type DemandFigures} from '../../../../benchmark/demand/demand-figures.ts';
+import {DemandRun} from '../../../../benchmark/demand/demand-run.ts';
 import {type DemandScenario, demandScenarios} from '../../../../benchmark/demand/scenarios.ts';
 import {selectPolicies} from '../../../../benchmark/policy/policies.ts';
 import {scenarios} from '../../../../benchmark/policy/scenarios.ts';
--- a/src/common/calls/call-completion.ts
+++ b/src/common/calls/call-completion.ts
@@ -1,7 +1,7 @@
 /** Ends calls. Each call ends exactly once, with an outcome that is proven or `unknown`. */
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {
-	type Attempt, type Call, objectiveOf, outcomeSoFar,
+	type Attempt, type Call, canBeInTime, objectiveOf, outcomeSoFar,
 } from './call.ts';
 import {type EngineContext} from './engine-context.ts';
 import {nextAllowedAt} from './placement/placer.ts';
@@ -42,6 +42,9 @@
 /** Refusals for lack of capacity: the retry delay follows from the backlog. */
 const backlogReasons = new Set<RefusalReason>(['queue-full', 'overloaded']);
 
+/** Ends of calls that count as demand which was not served. */
+const unservedReasons = new Set<RefusalReason>(['queue-full', 'overloaded', 'deadline-exceeded']);
+
 /** Refusals for a fault outside the call: the caller can retry after a fixed delay. */
 const faultReasons = new Set<RefusalReason>(['no-backend-server', 'key-unavailable', 'not-ready', 'stopping', 'backend-server-failed']);
 
@@ -133,6 +136,7 @@
 
 		call.timers.length = 0;
 		this._calls.delete(call.request.callId);
+		this._recordDemand(call, outcome, reason, now);
 		const milliseconds = now - call.arrivedAt;
 		const {fingerprint} = call.request;
 		const isCompleteAnswer = outcome === 'ran' && reason === undefined;
@@ -148,12 +152,22 @@
 				queuedMilliseconds: (call.firstStartedAt ?? now) - call.arrivedAt,
 				...(call.trail === undefined ? {} : {trail: call.trail}),
 				...(call.grounds === undefined ? {} : {grounds: call.grounds}),
+				...(call.sharing === undefined ? {} : {sharing: call.sharing}),
 				...(reason !== undefined && suspicionReasons.has(reason) ? {suspicion: {fingerprint, crashes: this._context.poisonRequests.crashCount(fingerprint)}} : {}),
 				isGood: isCompleteAnswer && milliseconds <= objectiveOf(call),
 			},
 		});
 	}
 
+	/** Counts the call in the demand of its service, unless it ended for another reason than an answer or lack of capacity. */
+	private _recordDemand(call: Call, outcome: CallOutcome, reason: RefusalReason | undefined, now: Instant): void {
+		const isServed = outcome === 'ran' && reason === undefined;
+		// A call that arrived too late is refused whatever the capacity.
+		if (isServed || (canBeInTime(call, call.arrivedAt) && reason !== undefined && unservedReasons.has(reason))) {
+			call.serviceState.overload.recordEnd(call.priority, call.request.caller, isServed ? 'served' : (call.isWithheld ? 'withheld' : 'unserved'), now);
+		}
+	}
+
 	/** Cancels all attempts except the winner, also on their backend servers. */
 	cancelAttempts(call: Call, winner?: Attempt): void {
 		for (const attempt of call.attempts) {
@@ -187,6 +201,10 @@
 			}
 
 			const untilLimitAllows = Math.min(faultRetryAfterMilliseconds, nextAllowedAt(this._context, service, now) - now);
+			if (call.sharing !== undefined) {
+				return this._addJitter(Math.max(untilLimitAllows, call.sharing.retryAfterMilliseconds));
+			}
+
 			return this._addJitter(Math.max(minRetryAfterMilliseconds, untilLimitAllows, service.estimateWait(service.queue.size + 1)));
 		}
 
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -1,8 +1,7 @@
 /** The call engine of one VM: dispatches events and due timers to the parts that decide on calls. */
-import {BackendLinks} from '../links/backend-links.ts';
-import {type LinkChange} from '../links/types.ts';
-import {type Instant, type RandomSource} from '../model/units.ts';
+import {type Instant} from '../model/units.ts';
 import {Admission} from './admission/admission.ts';
+import {DemandReports} from './admission/demand-reports.ts';
 import {AttemptRunner} from './attempts/attempt-runner.ts';
 import {
 	type Attempt, type Call, newCall, outcomeSoFar,
@@ -10,8 +9,13 @@
 import {CallCompletion} from './call-completion.ts';
 import {PoisonRequestDetector} from './poison-requests/poison-request-detector.ts';
 import {
-	type CallEngineSettings, type EngineContext, type Timer, isTimerLive,
+	type EngineContext, type Timer, isTimerLive,
 } from './engine-context.ts';
+import {type CallEngineOptions} from './engine-options.ts';
+import {createLinks} from './engine-links.ts';
+import {KeyClaims} from './key-claims.ts';
+import {StateUpdates, isStateUpdate} from './state-updates.ts';
+import {TimerActions} from './timer-actions.ts';
 import {DemandPlacer} from './placement/demand-placer.ts';
 import {suspectReason} from './poison-requests/suspect-reason.ts';
 import {ProcessEndJudge} from './health/process-end.ts';
@@ -19,58 +23,28 @@
 import {ExpectedTimePlacer} from './placement/placer.ts';
 import {ServiceDirectory} from './service-directory.ts';
 import {TimerQueue} from './timer-queue.ts';
-import {type CallTuning, defaultTuning} from './tuning.ts';
-import {type RateQuota, SingleVmRateQuota} from './backend-rates/rate-quota.ts';
+import {defaultTuning} from './tuning.ts';
+import {SingleVmRateQuota} from './backend-rates/rate-quota.ts';
 import {
-	type AttemptId, type BackendServerIdentity, type CallEffect, type CallEngine, type CallEngineStatus, type CallLoad, type CallEvent, type CallId, type CallRequest, type KeyClaim, type LoadUpdate, type PoisonRequestChange,
+	type AttemptId, type BackendServerIdentity, type CallEffect, type CallEngine, type CallEngineStatus, type CallLoad, type CallEvent, type CallId, type CallRequest, type LoadUpdate, type PoisonRequestChange,
 } from './types.ts';
 
-/** Events that update the engine's state and belong to no call. */
-const stateUpdateTypes = {
-	configured: true,
-	shares: true,
-	'cut-off': true,
-	'peer-updates': true,
-	'backend-server-leaving': true,
-	measured: true,
-	'link-failed': true,
-	'link-checked': true,
-	'quarantine-lifted': true,
-} as const satisfies Partial<Record<CallEvent['type'], true>>;
-
-type StateUpdateEvent = Extract<CallEvent, {type: keyof typeof stateUpdateTypes}>;
-
-function isStateUpdate(event: CallEvent): event is StateUpdateEvent {
-	return Object.hasOwn(stateUpdateTypes, event.type);
-}
-
 /** Names no backend server in updates that only clear calls, as the field cannot be empty. */
 const clearingIdentity = 'none';
 
-/** Parts and settings of an engine. */
-export type CallEngineOptions = {
-	readonly random: RandomSource;
-	readonly settings: CallEngineSettings;
-	/** Values that replace those of `defaultTuning`. */
-	readonly tuning?: Partial<CallTuning>;
-	/** Divides the call rate of a warming backend server among the VMs; undefined = this VM may use all of it. */
-	readonly rateQuota?: RateQuota;
-};
-
 export class DefaultCallEngine implements CallEngine {
 	private readonly _context: EngineContext;
 	private readonly _calls = new Map<CallId, Call>();
 	private readonly _attempts = new Map<AttemptId, Attempt>();
-	/** Calls whose idempotency key claim is pending; some of them may have ended already. */
-	private readonly _pendingKeyClaims = new Map<CallId, Call>();
 	private readonly _directory: ServiceDirectory;
-	private readonly _outlierDetector: OutlierDetector;
 	private readonly _processEnds: ProcessEndJudge;
 	private readonly _runner: AttemptRunner;
 	private readonly _completion: CallCompletion;
 	private readonly _admission: Admission;
 	private readonly _newlyQuarantined = new Set<string>();
-	private _isCutOff = false;
+	private readonly _keyClaims: KeyClaims;
+	private readonly _stateUpdates: StateUpdates;
+	private readonly _timerActions: TimerActions;
 
 	constructor(options: CallEngineOptions) {
 		const tuning = {...defaultTuning, ...options.tuning};
@@ -97,15 +71,18 @@
 			servicesToDrain: new Set(),
 			replacedServers: [],
 			isPlacingHeld: false,
+			demandReports: new DemandReports(options.reportsDemand ?? false),
 			rateQuota: options.rateQuota ?? new SingleVmRateQuota(),
-			links: this._createLinks(options),
+			links: createLinks(options.random, options.settings.dataCentre, () => ({
+				context: this._context, directory: this._directory, processEnds: this._processEnds, runner: this._runner,
+			})),
 			shares: undefined,
 			effects: [],
 		};
 		const processEnds = new ProcessEndJudge(this._context);
 		this._processEnds = processEnds;
 		this._directory = new ServiceDirectory(this._context, processEnds);
-		this._outlierDetector = new OutlierDetector(this._context, processEnds);
+		const outlierDetector = new OutlierDetector(this._context, processEnds);
 		this._runner = new AttemptRunner({
 			context: this._context,
 			attempts: this._attempts,
@@ -118,7 +95,7 @@
 				this._directory.verifyProcess(server, now);
 			},
 			processEnds,
-			outlierDetector: this._outlierDetector,
+			outlierDetector,
 			onReport: (server, report, now) => {
 				this._directory.applyAnswerReport(server, report, now);
 			},
@@ -131,6 +108,11 @@
 		});
 		this._runner.setCompletion(this._completion);
 		this._admission = new Admission(this._context, this._runner, this._completion);
+		this._keyClaims = new KeyClaims(this._context, this._admission, this._completion);
+		this._stateUpdates = new StateUpdates(this._context, this._directory, this._runner);
+		this._timerActions = new TimerActions({
+			context: this._context, admission: this._admission, completion: this._completion, runner: this._runner, outlierDetector,
+		});
 	}
 
 	handle(event: CallEvent, now: Instant): readonly CallEffect[] {
@@ -142,6 +124,7 @@
 		}
 
 		this._context.servicesToDrain.clear();
+		this._context.effects.push(...this._context.demandReports.takeDue(now));
 		return this._context.effects;
 	}
 
@@ -203,7 +186,7 @@
 		}
 
 		if (isStateUpdate(event)) {
-			this._applyStateUpdate(event, now);
+			this._stateUpdates.apply(event, now);
 			return;
 		}
 
@@ -229,7 +212,7 @@
 			}
 
 			case 'key-claimed': {
-				this._onKeyClaimed(event.callId, event.claim, now);
+				this._keyClaims.onClaimed(event.callId, event.claim, now);
 				break;
 			}
 
@@ -240,67 +223,6 @@
 		}
 	}
 
-	private _applyStateUpdate(event: StateUpdateEvent, now: Instant): void {
-		switch (event.type) {
-			case 'configured': {
-				this._directory.configure(event.configuration, now);
-				for (const server of this._context.replacedServers.splice(0)) {
-					this._runner.onReplaced(server, now);
-				}
-
-				break;
-			}
-
-			case 'shares': {
-				this._directory.setShares(event.shares, now);
-				break;
-			}
-
-			case 'cut-off': {
-				this._isCutOff = event.isCutOff;
-				break;
-			}
-
-			case 'peer-updates': {
-				this._directory.applyPeerUpdates(event.updates, now);
-				break;
-			}
-
-			case 'backend-server-leaving': {
-				this._directory.applyLeavingSign(event.identity, event.instance, now);
-				break;
-			}
-
-			case 'measured': {
-				const server = this._directory.onLoadProbeEnded(event, now);
-				if (server !== undefined) {
-					this._runner.prober.onProbeEnded(server, now);
-					// The probe may have been sent before the reset that it has to explain.
-					if (event.report !== undefined) {
-						this._directory.verifyProcess(server, now);
-					}
-				}
-
-				break;
-			}
-
-			case 'link-failed': {
-				this._context.links.onTrouble(event.identity, now);
-				break;
-			}
-
-			case 'link-checked': {
-				this._context.links.onChecked(event.checkId, event.result, event.hint, now);
-				break;
-			}
-
-			case 'quarantine-lifted': {
-				this._context.poisonRequests.liftQuarantine(event.fingerprint, now);
-				break;
-			}
-		}
-	}
-
 	private _onAttemptEvent(event: Extract<CallEvent, {attemptId: AttemptId}>, now: Instant): void {
 		// The attempt is missing if it was cancelled: its late events are ignored.
 		const attempt = this._attempts.get(event.attemptId);
@@ -348,17 +270,13 @@
 		}
 
 		// With an outdated configuration, a non-idempotent call could run on a backend server that no longer belongs to the service.
-		if (this._isCutOff && !call.isIdempotent) {
+		if (this._stateUpdates.isCutOff && !call.isIdempotent) {
 			this._completion.refuse(call, 'not-ready', now);
 			return;
 		}
 
 		if (service.declared.claimsIdempotencyKeys && request.idempotencyKey !== undefined) {
-			call.state = 'claiming';
-			this._pendingKeyClaims.set(request.callId, call);
-			this._context.effects.push({
-				type: 'claim-key', callId: request.callId, service: service.declared.name, key: request.idempotencyKey,
-			});
+			this._keyClaims.claim(call, request.idempotencyKey);
 			return;
 		}
 
@@ -418,120 +336,15 @@
 		}
 	}
 
-	private _onKeyClaimed(callId: CallId, claim: KeyClaim, now: Instant): void {
-		const call = this._pendingKeyClaims.get(callId);
-		this._pendingKeyClaims.delete(callId);
-		if (call === undefined) {
-			return;
-		}
-
-		if (call.state !== 'claiming') {
-			// The call ended while the claim was pending and will not use the key.
-			if (claim.type === 'granted') {
-				this._context.effects.push({type: 'release-key', service: call.service.name, key: call.request.idempotencyKey!});
-			}
-
-			return;
-		}
-
-		if (claim.type === 'granted') {
-			call.hasKey = true;
-			this._admission.admit(call, now);
-			return;
-		}
-
-		// The key identifies the operation, not this request: an earlier request with the same key may have run.
-		this._completion.refuse(call, claim.type === 'taken' ? 'key-taken' : 'key-unavailable', now, 'unknown');
-	}
-
 	private _onTick(now: Instant): void {
 		const {timers} = this._context;
 		for (let timer = timers.takeDue(now); timer !== undefined; timer = timers.takeDue(now)) {
 			if (isTimerLive(timer)) {
-				this._onTimer(timer, now);
+				this._timerActions.run(timer, now);
 			}
 		}
 
 		this._directory.startDueLoadProbes(now);
 		this._context.links.runDue(now);
 	}
-
-	private _createLinks({random, settings}: CallEngineOptions): BackendLinks {
-		return new BackendLinks({
-			random,
-			dataCentre: settings.dataCentre,
-			targets: () => this._directory.allServers(),
-			find: identity => this._directory.server(identity),
-			takeProbe: (identity, now) => this._directory.tryTakeProbe(identity, now),
-			loadPathOf: service => this._directory.loadPathOf(service),
-			onCheck: check => {
-				this._context.effects.push({type: 'check-link', check});
-			},
-			onChanged: (change, now) => {
-				this._onLinkChanged(change, now);
-			},
-			onEnded: (identity, now) => {
-				const server = this._directory.server(identity);
-				if (server !== undefined) {
-					this._processEnds.onSign(server, server.report?.instance, 'connection-refused', now);
-				}
-			},
-		});
-	}
-
-	private _onLinkChanged(change: LinkChange, now: Instant): void {
-		this._context.effects.push({type: 'link-changed', change});
-		const server = this._directory.server(change.identity);
-		if (server === undefined) {
-			return;
-		}
-
-		this._directory.applyLinkState(server, change.state, now);
-		if (change.state === 'relayed') {
-			// Connections without a response may stay so; a retry on the new path gets an answer.
-			this._runner.onReplaced(server, now);
-		}
-	}
-
-	private _onTimer(timer: Timer, now: Instant): void {
-		switch (timer.type) {
-			case 'deadline': {
-				for (const attempt of timer.call.attempts) {
-					this._outlierDetector.onAttemptAbandoned(attempt, now);
-				}
-
-				// While the claim is pending, an earlier request with the same key may have run.
-				this._completion.refuse(timer.call, 'deadline-exceeded', now, timer.call.state === 'claiming' ? 'unknown' : undefined);
-				break;
-			}
-
-			case 'latest-start': {
-				this._admission.expire(timer.call, now);
-				break;
-			}
-
-			case 'probing': {
-				this._runner.prober.expire(timer.call, timer.probing, now);
-				break;
-			}
-
-			case 'queue-look': {
-				timer.service.isQueueCheckScheduled = false;
-				this._context.servicesToDrain.add(timer.service);
-				break;
-			}
-
-			case 'hedge': {
-				this._runner.hedging.tryNow(timer.attempt, now);
-				break;
-			}
-
-			case 'resume': {
-				this._outlierDetector.onAttemptAbandoned(timer.attempt, now);
-				this._completion.cancelAttempts(timer.attempt.call);
-				this._completion.abortAnswer(timer.attempt.call, now);
-				break;
-			}
-		}
-	}
 }
--- a/src/common/calls/call-summary.ts
+++ b/src/common/calls/call-summary.ts
@@ -1,5 +1,6 @@
 /** Summary of an ended call: its outcome, its attempts, and the data behind each choice of a backend server. */
 import {type Milliseconds} from '../model/units.ts';
+import {type SharingDecision} from './admission/service-overload.ts';
 import {
 	type AttemptFailure, type BackendServerIdentity, type CallOutcome, type RefusalReason,
 } from './types.ts';
@@ -66,6 +67,8 @@
 	readonly grounds?: PlacingGrounds;
 	/** Why the call is suspected of crashing backend servers; undefined unless it was refused for that. */
 	readonly suspicion?: {readonly fingerprint: string; readonly crashes: number};
+	/** Share of the service's capacity that such calls had; undefined if the service was not short when the call arrived. */
+	readonly sharing?: SharingDecision;
 	readonly service: string;
 	readonly outcome: CallOutcome;
 	readonly reason: RefusalReason | undefined;
--- a/src/common/calls/call.ts
+++ b/src/common/calls/call.ts
@@ -5,6 +5,7 @@
 import {type LoadSnapshot} from './estimates/answer-time-model.ts';
 import {type BackendServerState} from './backend-server-state.ts';
 import {type CallClass} from './estimates/call-classes.ts';
+import {type SharingDecision} from './admission/service-overload.ts';
 import {type PendingProbes} from './probing/load-prober.ts';
 import {type ServiceState} from './service-state.ts';
 import {type TimerEntry} from './timer-queue.ts';
@@ -89,6 +90,10 @@
 	readonly trail: AttemptRecord[] | undefined;
 	/** Data behind the latest choice of a backend server. */
 	grounds: PlacingGrounds | undefined;
+	/** Share of the capacity that such calls had when this one arrived; undefined = the service was not short of capacity. */
+	sharing: SharingDecision | undefined;
+	/** True if the call was refused by the sharing of capacity. */
+	isWithheld: boolean;
 	/** Pending load probes for its next attempt. */
 	probing: PendingProbes | undefined;
 	/** True if a backend server with a free slot shed the call, which indicates a fault and not a full server. */
@@ -128,6 +133,8 @@
 		failedServers: new Set(),
 		trail: serviceState.isMeasuredOnDemand ? [] : undefined,
 		grounds: undefined,
+		sharing: undefined,
+		isWithheld: false,
 		probing: undefined,
 		wasShedWithFreeSlot: false,
 		resetCount: 0,
@@ -156,6 +163,11 @@
 	return call.class.hasWork ? call.class.workMean : assumedWorkFraction * objectiveOf(call);
 }
 
+/** Whether a call that started at this time could still be answered within its objective. */
+export function canBeInTime(call: Call, startedAt: Instant): boolean {
+	return startedAt + workEstimate(call) <= call.objectiveAt;
+}
+
 /** Whether a call has no body that needs buffering for a retry. */
 export function isBodiless(request: CallRequest): boolean {
 	return request.method === 'GET' || request.method === 'HEAD' || request.bodyBytes === 0;
--- a/src/common/calls/engine-context.ts
+++ b/src/common/calls/engine-context.ts
@@ -1,6 +1,7 @@
 /** State that the parts of one engine share. */
 import {type Instant, type RandomSource} from '../model/units.ts';
 import {type BackendLinks} from '../links/backend-links.ts';
+import {type DemandReports} from './admission/demand-reports.ts';
 import {type BackendServerState} from './backend-server-state.ts';
 import {type Attempt, type Call} from './call.ts';
 import {type PoisonRequestDetector} from './poison-requests/poison-request-detector.ts';
@@ -51,6 +52,7 @@
 	/** Records of processes that were replaced by a new one in this event; their attempts are still open. */
 	readonly replacedServers: BackendServerState[];
 	readonly rateQuota: RateQuota;
+	readonly demandReports: DemandReports;
 	/** Paths to the backend servers. */
 	readonly links: BackendLinks;
 	shares: FleetShares | undefined;
--- /dev/null
+++ b/src/common/calls/peer-updates.ts
@@ -0,0 +1,19 @@
+/** What VMs tell each other of backend servers. */
+import {type Milliseconds} from '../model/units.ts';
+import {type BackendServerIdentity, type LoadReport} from './types.ts';
+
+/** Information on one backend server that a VM sends to its peers. */
+export type LoadUpdate = {
+	readonly identity: BackendServerIdentity;
+	readonly report: LoadReport | undefined;
+	/** Age of the report when the update was sent. */
+	readonly ageMilliseconds: Milliseconds;
+	/** Fingerprints of the calls that were in flight when the backend server crashed; empty without a crash. */
+	readonly suspects: readonly string[];
+	/** Identity of the crash that the suspects belong to, so that a crash reported twice counts once. */
+	readonly crash: string | undefined;
+	/** True if the process has certainly ended. Absent in updates of earlier builds, which also report single resets. */
+	readonly isCrashCertain?: boolean;
+	/** Fingerprints of suspects that are not at fault: they were answered, or an operator has lifted their quarantine. */
+	readonly cleared?: readonly string[];
+};
--- a/src/common/calls/placement/demand-placer.ts
+++ b/src/common/calls/placement/demand-placer.ts
@@ -11,6 +11,9 @@
 import {type EngineContext} from '../engine-context.ts';
 import {lightLoadFraction} from '../estimates/load-levels.ts';
 import {type PlacingChoice, type PlacingGrounds} from '../types.ts';
+import {
+	acceptableChoices, BestServer, isWaitOver, minOnTimeProbability, minOnTimeProbabilityAfterWait, minOnTimeProbabilityWithoutReports,
+} from './placing-rules.ts';
 import {
 	type Placement, type Placer, connectionLimit, isRateLimited, isThrottled, isThrottledByWarmUp,
 } from './placer.ts';
@@ -60,26 +63,6 @@
  */
 const limitConfirmationMilliseconds: Milliseconds = 1000;
 
-/**
- * Fraction of its objective that a call waits for a backend server that is likely to answer in time. A refusal after a
- * longer wait would leave its caller no time to retry within the objective.
- */
-const maxWaitFraction = 0.25;
-
-/**
- * Probability of an answer in time below which a call that can still wait does so: the next check is as likely to find a
- * better backend server.
- */
-const minOnTimeProbability = 0.77;
-
-/** Required probability once the call has waited as long as allowed: the alternative is a refusal. */
-const minOnTimeProbabilityAfterWait = 0.72;
-
-/**
- * Required probability where no backend server has a fresh report, so that waiting for a better one would have no effect.
- */
-const minOnTimeProbabilityWithoutReports = 0.5;
-
 /**
  * Backend servers where a new call's probability of an answer in time is below this value are used for late calls only.
  */
@@ -103,13 +86,6 @@
 
 const kilobyte = 1024;
 
-/**
- * Kinds of placement for a call that can still wait, and for one that has waited as long as allowed, in order of
- * preference.
- */
-const waitingChoices = ['free'] as const;
-const finalChoices = ['free', 'queued', 'slow', 'idle'] as const;
-
 /** Expected result of an attempt on one backend server. */
 type ExpectedOutcome = {
 	/**
@@ -168,7 +144,7 @@
 	place(call: Call, now: Instant, purpose: AttemptPurpose = 'first'): Placement | undefined {
 		const canWait = purpose === 'hedge' || (purpose === 'first' && !isWaitOver(call, now));
 		const best = this._bestServers(call, now, canWait ? minOnTimeProbability : minOnTimeProbabilityAfterWait);
-		const choice = (canWait ? waitingChoices : finalChoices).find(one => best[one].server !== undefined);
+		const choice = acceptableChoices(call, canWait, purpose === 'first').find(one => best[one].server !== undefined);
 		call.grounds = {...best.grounds, choice: choice ?? 'none'};
 		return choice === undefined ? undefined : {server: best[choice].server!, isTrial: false};
 	}
@@ -343,24 +319,6 @@
 	return chosen;
 }
 
-/** Keeps the backend server with the highest utility of those offered. */
-class BestServer {
-	server: BackendServerState | undefined;
-	private _utility = -Infinity;
-
-	offer(server: BackendServerState, utility: number): void {
-		if (utility > this._utility) {
-			this._utility = utility;
-			this.server = server;
-		}
-	}
-}
-
-/** Whether the call has waited as long as allowed for a backend server that answers within its objective. */
-export function isWaitOver(call: Call, now: Instant): boolean {
-	return now >= Math.min(call.arrivedAt + (maxWaitFraction * objectiveOf(call)), call.objectiveAt - workEstimate(call));
-}
-
 /** Whether the backend server's load probes report its rate limit and the last report is old. */
 function isLimitUnconfirmed({rateLimit, reportedAt}: BackendServerState, now: Instant): boolean {
 	return rateLimit.isAnnouncedByProbes && now - reportedAt > limitConfirmationMilliseconds;
--- a/src/common/calls/service-directory.test.ts
+++ b/src/common/calls/service-directory.test.ts
@@ -5,6 +5,7 @@
 import {type EngineContext} from './engine-context.ts';
 import {ProcessEndJudge} from './health/process-end.ts';
 import {PoisonRequestDetector} from './poison-requests/poison-request-detector.ts';
+import {DemandReports} from './admission/demand-reports.ts';
 import {ServiceDirectory} from './service-directory.ts';
 import {TimerQueue} from './timer-queue.ts';
 import {defaultTuning} from './tuning.ts';
@@ -32,7 +33,7 @@
 
 			poisonRequests: new PoisonRequestDetector(1000, {onChange: () => undefined, onCrashEvidence: () => undefined, onCleared: () => undefined}),
 			servicesToDrain: new Set(), replacedServers: [], shares: undefined,
-			isPlacingHeld: false, rateQuota: new SingleVmRateQuota(), links: noLinks(), effects: [],
+			isPlacingHeld: false, rateQuota: new SingleVmRateQuota(), demandReports: new DemandReports(false), links: noLinks(), effects: [],
 		};
 		const directory = new ServiceDirectory(context, new ProcessEndJudge(context));
 		const services = new Map([['dues', serviceSchema.parse({kind: 'service', name: 'dues'})]]);
--- a/src/common/calls/service-state.ts
+++ b/src/common/calls/service-state.ts
@@ -10,6 +10,7 @@
 import {ReportConfidence} from './estimates/report-confidence.ts';
 import {RetryBudget} from './attempts/retry-budget.ts';
 import {RetryingCallers} from './admission/retrying-callers.ts';
+import {ServiceOverload} from './admission/service-overload.ts';
 import {Headroom} from './estimates/headroom.ts';
 import {type CallTuning} from './tuning.ts';
 import {type WarmUpLimit} from './types.ts';
@@ -53,6 +54,7 @@
 	/** Model of its answer times, learnt from answers and reports; used only with on-demand load probes. */
 	readonly answerTimes = new AnswerTimeModel();
 	readonly headroom = new Headroom();
+	readonly overload = new ServiceOverload();
 	readonly retryingCallers = new RetryingCallers();
 	readonly retryBudget = new RetryBudget();
 	readonly limit: ConcurrencyLimit;
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -9,8 +9,19 @@
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type OrganisationInForce} from '../organisations/types.ts';
 import {type Routing} from '../routing/types.ts';
+import {type ServiceDemand} from './admission/room-sharing.ts';
 import {type CallSummary} from './call-summary.ts';
+import {type LoadUpdate} from './peer-updates.ts';
+import {type CallEngineStatus, type CallLoad} from './engine-status.ts';
+import {
+	type AttemptFailure, type CallOutcome, type PoisonRequestChange, type RefusalReason,
+} from './outcomes.ts';
 
+export type {
+	AttemptFailure, CallOutcome, PoisonRequestChange, ProcessEndSign, RefusalReason,
+} from './outcomes.ts';
+export type {LoadUpdate} from './peer-updates.ts';
+export type {BackendServerStatus, CallEngineStatus, CallLoad} from './engine-status.ts';
 export type {
 	AttemptRecord, CallSummary, PlacingChoice, PlacingGrounds,
 } from './call-summary.ts';
@@ -27,9 +38,6 @@
 /** Identity of a backend server resource. A resource that is deleted and declared again gets a new one. */
 export type BackendServerIdentity = string;
 
-/** Whether a call ran on a backend server, as far as the VM can determine. Sent to the caller in the `jaydale-outcome` header. */
-export type CallOutcome = 'ran' | 'not-run' | 'unknown';
-
 /** Load that a backend server reports, either in the headers of an answer or at its load endpoint. */
 export type LoadReport = {
 	/** Number of calls running when the report was made. */
@@ -95,25 +103,6 @@
 	readonly priority?: number;
 };
 
-/** Why an attempt ended without a complete answer. */
-export type AttemptFailure
-	/** The backend server refused the connection. Proves that the call did not run. */
-	= | 'connection-refused'
-	/** No connection was established in time. Proves that the call did not run, but not that the backend server has ended. */
-		| 'unreachable'
-	/** No byte of the call was sent. Proves that the call did not run. */
-		| 'not-sent'
-	/** The connection broke after the first byte was sent and before the head of the answer. The call may have run. */
-		| 'reset-after-sending'
-	/** The connection broke after the head of the answer. The call ran; its answer is truncated. */
-		| 'reset-during-answer'
-	/** The VM through which the connection was to go has no link either, or cannot be reached. Proves that the call did not run. */
-		| 'no-relay'
-	/** Nothing arrived on the connection within the time limit of the attempt. */
-		| 'silent'
-	/** The response belongs to another call, or lacks the proof that it belongs to this one. The call may have run. */
-		| 'wrong-answer';
-
 /** Events that the call engine handles. */
 export type CallEvent
 	= | {readonly type: 'call-arrived'; readonly request: CallRequest}
@@ -168,6 +157,11 @@
 	 * not run (`not-ready`).
 	 */
 		| {readonly type: 'cut-off'; readonly isCutOff: boolean}
+	/**
+	 * Demand and capacity of services, summed over the VMs of the fleet. For a second from the time of the figures they
+	 * replace the own ones. Sent only for services that are short on at least one VM.
+	 */
+		| {readonly type: 'demand-summary'; readonly ageMilliseconds: Milliseconds; readonly services: ReadonlyArray<ServiceDemand & {readonly service: string}>}
 	/** An operator lifted the quarantine of a fingerprint. */
 		| {readonly type: 'quarantine-lifted'; readonly fingerprint: string}
 	/** While placing is held, no new attempt is started: after a pause of the VM, until the pending events have been handled. */
@@ -250,62 +244,6 @@
 	readonly relays?: readonly Relay[];
 };
 
-/** Information on one backend server that a VM sends to its peers. */
-export type LoadUpdate = {
-	readonly identity: BackendServerIdentity;
-	readonly report: LoadReport | undefined;
-	/** Age of the report when the update was sent. */
-	readonly ageMilliseconds: Milliseconds;
-	/** Fingerprints of the calls that were in flight when the backend server crashed; empty without a crash. */
-	readonly suspects: readonly string[];
-	/** Identity of the crash that the suspects belong to, so that a crash reported twice counts once. */
-	readonly crash: string | undefined;
-	/** True if the process has certainly ended. Absent in updates of earlier builds, which also report single resets. */
-	readonly isCrashCertain?: boolean;
-	/** Fingerprints of suspects that are not at fault: they were answered, or an operator has lifted their quarantine. */
-	readonly cleared?: readonly string[];
-};
-
-/**
- * Signs that prove the end of a backend server's process. Not among them: a reset connection, even if all connections are
- * reset, since the network can do that; a connection that times out; and a broken or missing answer.
- */
-export type ProcessEndSign = 'connection-refused' | 'load-probe-refused' | 'process-replaced' | 'entry-removed';
-
-/** A change of what this VM knows of calls that crash backend servers, for logs and metrics. */
-export type PoisonRequestChange
-	/** The process of a backend server has ended while calls were in flight there. `suspects` = those seen by this VM. */
-	= | {readonly kind: 'crash'; readonly crash: string; readonly suspects: readonly string[]; readonly sign: ProcessEndSign | 'peer'}
-	/** A call is refused from now on, since `crashes` processes have ended while it was in flight. */
-		| {readonly kind: 'quarantined'; readonly fingerprint: string; readonly crashes: number}
-	/**
-	 * A call under suspicion is not at fault: it was answered, here or through another VM, an operator has lifted its
-	 * quarantine, or later evidence points to another call.
-	 */
-		| {readonly kind: 'cleared'; readonly fingerprint: string; readonly crashes: number; readonly wasQuarantined: boolean; readonly cause: 'answer' | 'peer' | 'operator' | 'evidence'};
-
-/** Why a call was refused. The `type` of the problem body is `urn:jaydale:problem:` followed by this reason. */
-export type RefusalReason
-	= | 'unknown-service'
-		| 'no-backend-server'
-		| 'queue-full'
-		| 'deadline-exceeded'
-		| 'overloaded'
-		| 'backend-server-failed'
-		| 'outcome-unknown'
-		| 'key-taken'
-		| 'key-unavailable'
-		| 'quarantined'
-		| 'suspected'
-		| 'not-ready'
-		| 'stopping'
-	/** The call carries no key of an organisation. */
-		| 'unauthorized'
-	/** The rate limit of the call's organisation is used up. */
-		| 'over-limit'
-	/** No holder of the organisation's rate limit can be reached. */
-		| 'limits-unavailable';
-
 /** Effects that the adapter executes, in order. */
 export type CallEffect
 	= | {
@@ -375,6 +313,11 @@
 	| {readonly type: 'release-key'; readonly service: string; readonly key: string}
 	/** Send this update to the other VMs soon. */
 	| {readonly type: 'tell-peers'; readonly update: LoadUpdate}
+	/**
+	 * Demand and capacity of the last second as this VM has seen them, for services that are short here (`isShort`) or on
+	 * other VMs; at most five times a second.
+	 */
+	| {readonly type: 'demand-report'; readonly services: ReadonlyArray<ServiceDemand & {readonly service: string; readonly isShort: boolean}>}
 	/** The rate limit of a backend server was set, changed or removed, or became unreadable. */
 	| {
 		readonly type: 'rate-limit-changed';
@@ -401,34 +344,3 @@
 	/** State and counts for status pages. The cost grows with the number of backend servers. */
 	status(now: Instant): CallEngineStatus;
 };
-
-/** Counts of calls that have not ended. */
-export type CallLoad = {
-	readonly callsInFlight: number;
-	readonly callsQueued: number;
-	/** Calls in flight by service name; services without any are left out. */
-	readonly inFlightOfServices: ReadonlyMap<string, number>;
-};
-
-/** State of the engine for a status page. */
-export type CallEngineStatus = {
-	readonly configurationVersion: number;
-	readonly callsInFlight: number;
-	readonly callsQueued: number;
-	readonly backendServers: readonly BackendServerStatus[];
-	readonly quarantined: ReadonlyArray<{readonly fingerprint: string; readonly crashes: number; readonly remainingMilliseconds: Milliseconds}>;
-};
-
-/** State of one backend server for a status page. */
-export type BackendServerStatus = {
-	readonly identity: BackendServerIdentity;
-	readonly name: string;
-	readonly service: string;
-	readonly state: 'warming' | 'active' | 'ejected' | 'leaving';
-	readonly inFlight: number;
-	readonly reportedInFlight: number | undefined;
-	readonly reportAgeMilliseconds: Milliseconds | undefined;
-	/** Load probes that this VM sent in the current window, and the number that it may send per window. */
-	readonly measuringSpent: number;
-	readonly measuringAllowed: number;
-};
--- a/src/common/entry-vm/entry-vm.ts
+++ b/src/common/entry-vm/entry-vm.ts
@@ -119,7 +119,8 @@
 	private _handleCallEffect(effect: CallEffect): void {
 		if (effect.type === 'tell-peers') {
 			this._forwardLoadUpdate(effect.update);
-		} else {
+		} else if (effect.type !== 'demand-report') {
+			// Engines are not constructed to report demand until a transport sends the reports to other VMs.
 			this._effects.push(effect);
 		}
 	}
--- a/src/index.ts
+++ b/src/index.ts
@@ -11,7 +11,8 @@
 export type {Decider, EntryVmEffect, EntryVmEvent} from './common/entry-vm/types.ts';
 
 /** The call engine, and its wrapper for VMs that may be suspended. */
-export {DefaultCallEngine, type CallEngineOptions} from './common/calls/call-engine.ts';
+export {DefaultCallEngine} from './common/calls/call-engine.ts';
+export type {CallEngineOptions} from './common/calls/engine-options.ts';
 export {WakeGuard} from './common/calls/wake-guard.ts';
 export type {
 	CallConfiguration, CallEffect, CallEngine, CallEngineStatus, CallEvent, CallOutcome, CallRequest, CallSummary, FleetShares, LoadUpdate, LoadReport, RefusalReason,
--- a/src/proof/bad-input.test.ts
+++ b/src/proof/bad-input.test.ts
@@ -60,7 +60,7 @@
 	const loop = store.add(new DeciderLoop(new DefaultCallEngine({random: seededRandom(1), settings: {dataCentre: 'north'}}), new ProcessClock()));
 	const calls = store.add(new CallEffectExecutor(loop, new HttpLoadProbeClient(connections, new JaydaleDialect()), {claim: () => undefined, release: async () => undefined}));
 	loop.setExecutor(effect => {
-		if (effect.type !== 'tell-peers') {
+		if (effect.type !== 'tell-peers' && effect.type !== 'demand-report') {
 			calls.execute(effect);
 		}
 	});
--- a/src/proof/fuzz/call-vm.ts
+++ b/src/proof/fuzz/call-vm.ts
@@ -16,6 +16,20 @@
 /** Adding the clock offset rounds times differently, so that a timer may fire slightly before its due time. */
 const roundingToleranceMilliseconds = 1e-6;
 
+/** Effects that the world leaves out. */
+const ignoredEffects = {
+	'demand-report': true,
+	'rate-limit-changed': true,
+	'poison-request-changed': true,
+	'check-link': true,
+	'link-changed': true,
+	'call-ended': true,
+} as const satisfies Partial<Record<CallEffect['type'], true>>;
+
+function isIgnored(effect: CallEffect): effect is Extract<CallEffect, {type: keyof typeof ignoredEffects}> {
+	return Object.hasOwn(ignoredEffects, effect.type);
+}
+
 export class CallVm implements VmHost {
 	readonly name: string;
 	readonly engine: CallEngine;
@@ -155,6 +169,10 @@
 	}
 
 	private _execute(effect: CallEffect): void {
+		if (isIgnored(effect)) {
+			return;
+		}
+
 		switch (effect.type) {
 			case 'start-attempt': {
 				this.attempts.start(effect);
@@ -204,14 +222,6 @@
 				this._environment.sendToPeers(this, effect.update);
 				break;
 			}
-
-			case 'rate-limit-changed':
-			case 'poison-request-changed':
-			case 'check-link':
-			case 'link-changed':
-			case 'call-ended': {
-				break;
-			}
 		}
 	}
 
