Refuse a queued call once it can no longer be in time while others can

Cause: with on-demand probing, a queued call was noticed to be too late only when its turn came, or at its latest start a third of its objective after it arrived; it could take a turn from a call that can still be in time. Change: when a waiting call can no longer be in time and another one that waits can, it is refused at once, by a timer or at its turn. If no such call waits, late calls are placed on slow or half-empty backend servers as before. The guard table follows the renamed member of the call engine. Result: the new test in late-calls.test.ts saw the refusal after 400 instead of 250 ms without the change; the tests of placement, admission and the call engine passed (75).

--- a/src/common/calls/admission/admission.ts
+++ b/src/common/calls/admission/admission.ts
@@ -1,7 +1,9 @@
 /** Decides whether a call starts, waits or is refused. */
 import {type Instant, type Milliseconds} from '../../model/units.ts';
 import {type AttemptRunner} from '../attempts/attempt-runner.ts';
-import {type Call, canBeInTime, objectiveOf} from '../call.ts';
+import {
+	type Call, canBeInTime, objectiveOf, workEstimate,
+} from '../call.ts';
 import {type CallCompletion} from '../call-completion.ts';
 import {isWaitOver} from '../placement/placing-rules.ts';
 import {type EngineContext} from '../engine-context.ts';
@@ -79,6 +81,12 @@
 				break;
 			}
 
+			if (service.isMeasuredOnDemand && this._mustGiveWay(call, now)) {
+				this._completion.refuse(call, 'overloaded', now);
+				remainingStarts++;
+				continue;
+			}
+
 			if (!this._runner.start(call, 'first', now)) {
 				service.queue.add(call);
 				break;
@@ -105,11 +113,21 @@
 	}
 
 	/**
-	 * Called when the latest start of a queued call has passed. In on-demand mode the call may still start without a probe;
-	 * otherwise it is refused, since its answer would come too late.
+	 * Called when the latest start of a queued call has passed, or in on-demand mode when it can no longer be in time. It is
+	 * refused if a call that can still be in time waits too. Otherwise, in on-demand mode, it may still start without a probe
+	 * at its latest start; else it is refused, since its answer would come too late.
 	 */
 	expire(call: Call, now: Instant): void {
 		if (call.serviceState.isMeasuredOnDemand) {
+			if (this._mustGiveWay(call, now)) {
+				this._completion.refuse(call, 'overloaded', now);
+				return;
+			}
+
+			if (now < latestStart(call)) {
+				return;
+			}
+
 			call.serviceState.queue.remove(call);
 			if (this._runner.startUnprobed(call, now)) {
 				return;
@@ -159,6 +177,11 @@
 
 		if (call.state === 'queued') {
 			call.timers.push(this._context.timers.add(Math.max(now, latestStart(call)), {type: 'latest-start', call}));
+			const lateAt = call.objectiveAt - workEstimate(call);
+			if (service.isMeasuredOnDemand && lateAt < latestStart(call)) {
+				// A call that starts exactly then is still in time.
+				call.timers.push(this._context.timers.add(Math.max(now, lateAt) + 1, {type: 'latest-start', call}));
+			}
 		}
 	}
 
@@ -188,6 +211,11 @@
 		return (remaining - call.class.answerMean) * (isStanding ? standingQueueWaitFraction : 1);
 	}
 
+	/** Whether a call can no longer be in time while another one that waits can. */
+	private _mustGiveWay(call: Call, now: Instant): boolean {
+		return !canBeInTime(call, now) && call.serviceState.queue.some(other => other !== call && canBeInTime(other, now));
+	}
+
 	/** While other callers wait, one caller may not hold more than its share of the concurrency limit. */
 	private _mayStart(service: ServiceState, caller: string): boolean {
 		return service.callerInFlight(caller) < Math.max(1, service.sharing.callerShare * service.limit.value);
--- a/src/common/calls/admission/late-calls.test.ts
+++ b/src/common/calls/admission/late-calls.test.ts
@@ -46,6 +46,37 @@
 	return {start: startIn(effects), lines: linesOf(effects).filter(line => line.startsWith('refuse'))};
 }
 
+describe('a queued call that can no longer be in time', () => {
+	/** Refusals of calls that arrive at once while all backend servers are full, with the time to the nearest 50 ms. */
+	function refusals(...calls: CallRequest[]): string[] {
+		const driver = trainedDriver();
+		const full = () => reportOf('p', {workTimeFactor: 1, inFlight: 100, queued: 10});
+		let effects = calls.flatMap(request => driver.handle({type: 'call-arrived', request}));
+		const start = driver.now;
+		const seen: string[] = [];
+		for (let step = 0; step < 200; step++) {
+			for (const effect of effects) {
+				if (effect.type === 'refuse') {
+					seen.push(`${effect.callId} ${effect.reason} after ${Math.round((driver.now - start) / 50) * 50}`);
+				}
+			}
+
+			effects = [...answerLoadProbes(driver, loadProbesIn(effects), full), ...driver.passTime(5)];
+		}
+
+		return seen;
+	}
+
+	// Guards calls that can be in time against late ones that take a place before them, and callers against a useless wait.
+	it('is refused as soon as that is known while calls that can be in time wait', () => {
+		// The work takes 950 ms. With an objective of 1,200 ms, the late call can be in time until 250 ms after its arrival. The
+		// urgent calls before it keep it from being tried.
+		const urgent = Array.from({length: 60}, (_, index) => ({...readOf(index + 1), priority: 0}));
+		const late = {...readOf(99, {objectiveMilliseconds: 1200}), priority: 1};
+		expect(refusals(...urgent, late).find(line => line.startsWith('99'))).toEqual('99 overloaded after 250');
+	});
+});
+
 describe('a call that will hardly meet its objective', () => {
 	// Guards calls of a new route against estimates from the other routes of its service.
 	it('is served at once on a route without any samples', () => {
--- a/src/proof/guards/guards.ts
+++ b/src/proof/guards/guards.ts
@@ -107,8 +107,8 @@
 	{
 		name: 'a VM that is cut off accepts non-idempotent calls',
 		file: `${calls}/call-engine.ts`,
-		text: 'this._isCutOff && !call.isIdempotent',
-		replacement: 'this._isCutOff && call === undefined',
+		text: 'this._stateUpdates.isCutOff && !call.isIdempotent',
+		replacement: 'this._stateUpdates.isCutOff && call === undefined',
 		tests: callTests,
 	},
 	{
