--- a/src/common/calls/call-summary.ts
+++ b/src/common/calls/call-summary.ts
@@ -1,6 +1,7 @@
 /** Summary of an ended call: its outcome, its attempts, and the data behind each choice of a backend server. */
 import {type LimitRecord} from '../limits/types.ts';
 import {type Milliseconds} from '../model/units.ts';
+import {type SharingDecision} from './admission/service-overload.ts';
 import {
 	type AttemptFailure, type BackendServerIdentity, type CallOutcome, type RefusalReason,
 } from './types.ts';
@@ -69,6 +70,10 @@
 	readonly suspicion?: {readonly fingerprint: string; readonly crashes: number};
 	/** How the call got the token of its organisation's rate limit, or why it got none; undefined if it needed none. */
 	readonly limit?: LimitRecord;
+	/** Share of the service's capacity that such calls had; undefined if the service was not short when the call arrived. */
+	readonly sharing?: SharingDecision;
+	/** Priority of the call (0 = most urgent). Undefined for a call that was refused before its service was known. */
+	readonly priority?: number;
 	readonly service: string;
 	readonly outcome: CallOutcome;
 	readonly reason: RefusalReason | undefined;
--- a/src/common/calls/engine-context.ts
+++ b/src/common/calls/engine-context.ts
@@ -1,6 +1,7 @@
 /** State that the parts of one engine share. */
 import {type Instant, type RandomSource} from '../model/units.ts';
 import {type BackendLinks} from '../links/backend-links.ts';
+import {type DemandReports} from './admission/demand-reports.ts';
 import {type BackendServerState} from './backend-server-state.ts';
 import {type Attempt, type Call} from './call.ts';
 import {type PoisonRequestDetector} from './poison-requests/poison-request-detector.ts';
@@ -53,6 +54,7 @@
 	readonly rateQuota: RateQuota;
 	/** Hash function that all VMs share; undefined = this VM uses all backend servers of its data centre. */
 	readonly memberHash?: ((text: string) => number) | undefined;
+	readonly demandReports: DemandReports;
 	/** Paths to the backend servers. */
 	readonly links: BackendLinks;
 	shares: FleetShares | undefined;
--- a/src/common/entry-vm/entry-vm.ts
+++ b/src/common/entry-vm/entry-vm.ts
@@ -176,7 +176,8 @@
 			this._forwardLoadUpdate(effect.update);
 		} else if (effect.type === 'call-ended') {
 			this._effects.push(this._limitedCalls.onCallEnded(effect, now));
-		} else {
+		} else if (effect.type !== 'demand-report') {
+			// Engines are not constructed to report demand until a transport sends the reports to other VMs.
 			this._effects.push(effect);
 		}
 	}
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -26,7 +26,9 @@
 import {LineBudget} from '../node/logging/line-budget.ts';
 import {type LogControl, type Logger} from '../node/logging/types.ts';
 import {type Metrics} from '../node/metrics/types.ts';
-import {describeAttempt, describeGrounds, describeLimit} from './describe-call.ts';
+import {
+	describeAttempt, describeGrounds, describeLimit, describeSharing,
+} from './describe-call.ts';
 import {KeyRefusalLog} from './key-refusal-log.ts';
 import {LinkLog} from './link-log.ts';
 import {reportPoisonRequestChange} from './poison-request-log.ts';
@@ -258,7 +260,7 @@
 			return;
 		}
 
-		const {service, outcome, reason, attempts, milliseconds, queuedMilliseconds, grounds, suspicion, limit, trail = []} = summary;
+		const {service, outcome, reason, attempts, milliseconds, queuedMilliseconds, priority, sharing, grounds, suspicion, limit, trail = []} = summary;
 		logger.info('call ended', {
 			traceId,
 			service,
@@ -269,7 +271,7 @@
 			milliseconds: Math.round(milliseconds),
 			queuedMilliseconds: Math.round(queuedMilliseconds),
 			trail: trail.map(record => describeAttempt(record)).join('; '),
-			...(reason === undefined ? {} : {grounds: describeGrounds(grounds)}),
+			...(reason === undefined ? {} : {priority, grounds: [...(sharing === undefined ? [] : [describeSharing(sharing)]), describeGrounds(grounds)].join('; ')}),
 			...(limit === undefined ? {} : {limit: describeLimit(limit)}),
 			...suspicion,
 			...(leftOut === 0 ? {} : {leftOut}),
--- a/src/node/metrics/page-metrics.ts
+++ b/src/node/metrics/page-metrics.ts
@@ -27,6 +27,7 @@
 	});
 
 	private readonly _refusedKeys = this._counter('jaydale_refused_keys_total', 'Calls refused because they had no key of an organisation.', ['reason']);
+	private readonly _callsByPriority = this._counter('jaydale_calls_by_priority_total', 'Calls that have ended, by priority; 0 is the most urgent.', ['service', 'priority', 'reason']);
 	private readonly _cutAnswers = this._counter('jaydale_cut_answers_total', 'Answers whose connection ended before they were out.', ['closed_by']);
 	private readonly _attempts = this._counter('jaydale_attempts_total', 'Attempts at backend servers.', ['service']);
 	private readonly _evacuations = new Gauge({name: 'jaydale_evacuated_data_centres', help: 'Data centres that this VM sends no new calls to.', registers: [this._registry]});
@@ -55,7 +56,11 @@
 	private readonly _storeTimes = this._histogram('jaydale_store_milliseconds', 'Requests to the store.', ['operation']);
 	private readonly _gauges = new Map<string, Gauge>();
 
-	callEnded({service, outcome, reason, attempts, milliseconds, queuedMilliseconds, isGood, grounds, limit}: CallSummary): void {
+	callEnded({service, outcome, reason, attempts, milliseconds, queuedMilliseconds, isGood, grounds, limit, priority}: CallSummary): void {
+		if (priority !== undefined) {
+			this._callsByPriority.inc({service, priority, reason: reason ?? ''});
+		}
+
 		for (const [outcome, asks] of askOutcomes(limit)) {
 			this._limitAsks.inc({outcome}, asks);
 		}
