Spend less processor time on placing a call among hundreds of backend servers

Cause: for each placement a VM checked all backend servers of the service for eligibility, filtered them three times for the grounds of the decision, and made a closure for each probability. The ranking for the subset looked at all backend servers in each step.

Change: the time of the report is compared first, and only backend servers with a fresh one are checked further; those that may take the call are all counted only where none is chosen, since only the log of a refused call shows the number. One loop counts the others. The ranking tracks the least taken backend servers, and is long enough for a subset of 32.

--- a/src/common/calls/call-summary.ts
+++ b/src/common/calls/call-summary.ts
@@ -39,7 +39,10 @@
 	readonly warmingUp: number;
 	/** Number of those with a rate limit of which this VM has used up its share. */
 	readonly rateLimited: number;
-	/** Number of those that may take the call: not leaving, with free capacity, and without a failed attempt of this call. */
+	/**
+	 * Number of those that may take the call: not leaving, with free capacity, and without a failed attempt of this call.
+	 * Where the call was placed, only those with a recent report are counted, if there are any.
+	 */
 	readonly able: number;
 	/** Number of those that were compared: only those with a recent report, if there are any. */
 	readonly weighed: number;
--- a/src/common/calls/estimates/answer-time-model.ts
+++ b/src/common/calls/estimates/answer-time-model.ts
@@ -110,13 +110,12 @@
 
 		const base = work * this._slowdowns[loadLevelOf(snapshot)].value * this._queueingFactor(snapshot);
 		const reportedFactor = snapshot.workTimeFactor;
-		const unreported = () => ((1 - this.slowFraction) * this._lognormalProbability(base, within)) + (this.slowFraction * this._lognormalProbability(base * this._slowFactor.value, within));
 		if (reportedFactor === undefined) {
-			return unreported();
+			return this._unreportedProbability(base, within);
 		}
 
 		const confidence = this._reportConfidence(snapshot.reportAge);
-		return (confidence * this._lognormalProbability(base * reportedFactor, within)) + (confidence > 0.99 ? 0 : (1 - confidence) * unreported());
+		return (confidence * this._lognormalProbability(base * reportedFactor, within)) + (confidence > 0.99 ? 0 : (1 - confidence) * this._unreportedProbability(base, within));
 	}
 
 	/** Mean answer time. */
@@ -175,6 +174,11 @@
 		return 1 / (gap * Math.max(0.1, 2 * this.slowFraction * (1 - this.slowFraction)));
 	}
 
+	/** Probability of an answer in time where it is unknown whether the backend server is slow. */
+	private _unreportedProbability(base: Milliseconds, within: Milliseconds): number {
+		return ((1 - this.slowFraction) * this._lognormalProbability(base, within)) + (this.slowFraction * this._lognormalProbability(base * this._slowFactor.value, within));
+	}
+
 	private _reportConfidence(reportAge: Milliseconds): number {
 		return Math.exp(-Math.max(0, reportAge) * this._changeRate.value);
 	}
--- a/src/common/calls/placement/demand-placer.ts
+++ b/src/common/calls/placement/demand-placer.ts
@@ -210,13 +210,14 @@
 		const canWait = purpose === 'hedge' || (purpose === 'first' && !isWaitOver(call, now));
 		const best = this._bestServers(call, now, canWait ? minOnTimeProbability : minOnTimeProbabilityAfterWait);
 		const choice = (canWait ? waitingChoices : finalChoices).find(one => best[one].server !== undefined);
-		call.grounds = {...best.grounds, choice: choice ?? 'none'};
+		// The log shows `able` for calls that are refused; counting costs as much as the rest where there are hundreds.
+		call.grounds = {...best.grounds, ...(choice === undefined ? {able: this._countEligible(call, now)} : {}), choice: choice ?? 'none'};
 		return choice === undefined ? undefined : {server: best[choice].server!, isTrial: false};
 	}
 
 	/** Records the state of the service's backend servers for a call that is refused without a search for one. */
 	recordGrounds(call: Call, now: Instant): void {
-		call.grounds = {...this._bestServers(call, now, minOnTimeProbabilityAfterWait).grounds, choice: 'none'};
+		call.grounds = {...this._bestServers(call, now, minOnTimeProbabilityAfterWait).grounds, able: this._countEligible(call, now), choice: 'none'};
 	}
 
 	/** Load of a backend server with one more call, as input for the answer time model. */
@@ -251,6 +252,7 @@
 		let bestWithinObjective = 0;
 		let bestBeforeDeadline = 0;
 		const considered = this._consideredServers(call, now);
+		const counts = this._countLimitedServers(call, now);
 		const lateThreshold = call.serviceState.headroom.isPlentiful ? minLateProbabilityWithRoom : minLateProbability;
 		const threshold = considered.hasFreshReports ? requiredProbability : minOnTimeProbabilityWithoutReports;
 		const bestAcceptance = bestAcceptanceRate(considered.servers, now);
@@ -280,10 +282,8 @@
 			...best,
 			grounds: {
 				known: call.serviceState.servers.length,
-				warmingUp: call.serviceState.servers.filter(server => server.takesNewAttempts && isThrottledByWarmUp(this._context, server, call, now)).length,
-				rateLimited: call.serviceState.servers.filter(server => server.takesNewAttempts && isRateLimited(this._context, server, now)).length,
-				evacuated: call.serviceState.servers.filter(server => server.isEvacuated).length,
-				able: considered.eligible,
+				...counts,
+				able: considered.servers.length,
 				weighed: considered.servers.length,
 				withFreeSlot,
 				inTime: bestWithinObjective,
@@ -297,16 +297,37 @@
 		};
 	}
 
+	private _countLimitedServers(call: Call, now: Instant): Pick<PlacingGrounds, 'warmingUp' | 'rateLimited' | 'evacuated'> {
+		let warmingUp = 0;
+		let rateLimited = 0;
+		let evacuated = 0;
+		for (const server of call.serviceState.servers) {
+			evacuated += server.isEvacuated ? 1 : 0;
+			if (server.takesNewAttempts) {
+				warmingUp += isThrottledByWarmUp(this._context, server, call, now) ? 1 : 0;
+				rateLimited += isRateLimited(this._context, server, now) ? 1 : 0;
+			}
+		}
+
+		return {warmingUp, rateLimited, evacuated};
+	}
+
 	/**
 	 * Eligible backend servers with capacity and a fresh report. In a large fleet each VM probes a few of many backend
 	 * servers, and an old report of the others would look better than the fresh reports of full ones. Where no report is
 	 * fresh, since no probe was allowed or none was answered, all eligible ones are returned.
 	 */
-	private _consideredServers(call: Call, now: Instant): {readonly servers: readonly BackendServerState[]; readonly hasFreshReports: boolean; readonly eligible: number} {
-		const eligible = call.serviceState.servers.filter(server => this._isEligible(server, call, now) && hasCapacity(server));
-		const fresh = eligible.filter(server => now - server.reportedAt <= freshReportMilliseconds);
+	private _consideredServers(call: Call, now: Instant): {readonly servers: readonly BackendServerState[]; readonly hasFreshReports: boolean} {
+		const isEligible = (server: BackendServerState) => hasCapacity(server) && this._isEligible(server, call, now);
+		// Few backend servers of a large service have a fresh report, so the time is compared first.
+		const fresh = call.serviceState.servers.filter(server => now - server.reportedAt <= freshReportMilliseconds && isEligible(server));
 		const hasFreshReports = fresh.length > 0;
-		return {servers: hasFreshReports ? fresh : eligible, hasFreshReports, eligible: eligible.length};
+		return {servers: hasFreshReports ? fresh : call.serviceState.servers.filter(server => isEligible(server)), hasFreshReports};
+	}
+
+	/** Number of eligible backend servers with capacity, whatever the age of their reports. */
+	private _countEligible(call: Call, now: Instant): number {
+		return call.serviceState.servers.filter(server => hasCapacity(server) && this._isEligible(server, call, now)).length;
 	}
 
 	/** Whether neighbours slow it down so much that a new call would hardly be answered there within its objective. */
@@ -432,7 +453,12 @@
 
 /** Highest acceptance rate of these backend servers; above 0, since it is used as a divisor. */
 function bestAcceptanceRate(servers: readonly BackendServerState[], now: Instant): number {
-	return Math.max(0.01, ...servers.map(server => server.takesNewAttempts ? acceptanceRate(server, now) : 0));
+	let best = 0.01;
+	for (const server of servers) {
+		best = Math.max(best, server.takesNewAttempts ? acceptanceRate(server, now) : 0);
+	}
+
+	return best;
 }
 
 function hasFreeSlot(server: BackendServerState): boolean {
--- a/src/common/calls/placement/server-subset.ts
+++ b/src/common/calls/placement/server-subset.ts
@@ -38,6 +38,9 @@
 /** All backend servers are used from this fraction of them. */
 const allFraction = 0.8;
 
+/** Minimum length of a ranking: while the rate of uses becomes known, the subset grows without a new one. */
+const minRankedServers = 32;
+
 /** Minimum interval between two rankings for changed members: when a fleet starts, its members change many times a second. */
 const rankingMilliseconds: Milliseconds = 3000;
 
@@ -65,14 +68,21 @@
 		preferences: sortedServers.map((server, index): Preference => ({index, rank: hash(`${name} ${server}`)})).toSorted((one, other) => other.rank - one.rank || one.index - other.index),
 	}));
 	const taken = sortedServers.map(() => 0);
+	/** Lowest value in `taken`, and the number of backend servers that have it. */
+	let least = 0;
+	let leastCount = taken.length;
 	const order: string[] = [];
 	for (let round = 1; round <= Math.min(count, servers.length); round++) {
 		const maxTaken = Math.ceil(vms.length * round / servers.length);
 		for (const {name, preferences} of vms) {
-			const limit = Math.min(maxTaken, maxTakenSpread + Math.min(...preferences.map(({index}) => taken[index]!)));
+			const limit = Math.min(maxTaken, least + maxTakenSpread);
 			const preferred = preferences.findIndex(({index}) => taken[index]! < limit);
 			const [choice] = preferences.splice(Math.max(0, preferred), 1);
-			taken[choice!.index]!++;
+			if (taken[choice!.index]!++ === least && --leastCount === 0) {
+				least++;
+				leastCount = countOf(taken, least);
+			}
+
 			if (name === own) {
 				order.push(sortedServers[choice!.index]!);
 			}
@@ -82,6 +92,10 @@
 	return order;
 }
 
+function countOf(values: readonly number[], value: number): number {
+	return values.filter(one => one === value).length;
+}
+
 /** Chooses the subset and its size by the VM's recent rate of uses. */
 export class ServerSubset<Server extends RankedServer> {
 	private readonly _hash: (text: string) => number;
@@ -169,7 +183,7 @@
 			return;
 		}
 
-		this._order = balancedOrder(members.own, names, identities, {count: this._size * 2, hash: this._hash});
+		this._order = balancedOrder(members.own, names, identities, {count: Math.max(minRankedServers, this._size * 2), hash: this._hash});
 		this._rankedFor = inputs;
 		this._rankedAt = now;
 	}
