Probe other data centres only where no local backend server has a free slot

Cause: a VM probed other data centres as soon as no local backend server was idle. With two slots and a few local backend servers that is the case for many calls at half load. Each of these probes crosses data centres, whose traffic is charged, and opens a connection that is hardly used again.

Change: later rounds leave the data centre only if no fresh report shows a local backend server with a free slot and a probable answer in time.

--- a/src/common/calls/placement/demand-placer.ts
+++ b/src/common/calls/placement/demand-placer.ts
@@ -144,7 +144,8 @@
 	/**
 	 * Backend servers to probe for an attempt of this call, without those in `probed`: the best scored of the VM's subset of
 	 * the local data centre, of all local ones if `isWide` or the subset has too few left, or of all if none of those is
-	 * left. Probes of other data centres are charged by the byte.
+	 * left. Probes of other data centres are charged by the byte, so none is sent in later rounds while a local backend
+	 * server has a free slot.
 	 */
 	candidates(call: Call, now: Instant, probed: ReadonlySet<BackendServerState>, isWide = false): BackendServerState[] {
 		const isSelectable = (server: BackendServerState) => !probed.has(server) && this._isCandidate(server, call, now) && !this._isProbeSkipped(server);
@@ -159,7 +160,7 @@
 			selectable = sample(localServers, maxScoredServers, isSelectable, random);
 		}
 
-		if (selectable.length === 0) {
+		if (selectable.length === 0 && (probed.size === 0 || !this.hasFreeServer(call, now))) {
 			selectable = sample(serviceState.servers, maxScoredServers, isSelectable, random);
 		}
 
