--- a/src/common/registry/limit-slots.test.ts
+++ b/src/common/registry/limit-slots.test.ts
@@ -1,6 +1,8 @@
 import {expect} from 'earl';
+import {type StoreOperation} from '../platform/types.ts';
 import {FleetModel} from './fleet-model.test.ts';
 import {LimitRun} from './limit-slots-harness.test.ts';
+import {type StoreModel} from './store-model.test.ts';
 
 /** Term of the lease, and the time for others to learn that it has ended and to claim. */
 const takeoverMilliseconds = 10_000 + 3500;
@@ -100,6 +102,35 @@
 		expect([during, run.grantedCount, run.violations.size]).toEqual([0, 3, 0]);
 	});
 
+	// Guards against a right that is counted from the answer of a slow store, so that it outlasts the lease.
+	it('are granted for 9.5 s at most after the renewal was sent, however late its answer is', () => {
+		const counts = [0, 300, 600, 900, 1200].map(offset => {
+			const run = new LimitRun().settle();
+			run.model.store.replyMilliseconds = 1000;
+			run.advance(4000 + offset);
+			run.model.store.isSilentTo = () => true;
+			run.advance(9520);
+			return run.grantedCount;
+		});
+		expect(counts).toEqual([0, 0, 0, 0, 0]);
+	});
+
+	it('are granted for 9.5 s at most after the lease was requested, however late the claim is confirmed', () => {
+		const run = new LimitRun({vmCount: 1});
+		const {store} = run.model;
+		run.model.startAll();
+		store.replyMilliseconds = 1000;
+		while (!store.costs.has('compare-and-swap')) {
+			run.advance(20);
+		}
+
+		store.isSilentTo = () => true;
+		run.advance(1100);
+		const during = run.grantedCount;
+		run.advance(9500 - 1000 - 1100 + 20);
+		expect([during, run.grantedCount]).toEqual([1, 0]);
+	});
+
 	for (const isSuspended of [false, true]) {
 		// Guards against a holder that wakes with a right whose lease has ended, also if its clock stood still.
 		it(`are lost by a holder whose lease ends during a pause (clock stands still: ${isSuspended})`, () => {
@@ -161,6 +192,54 @@
 		});
 	}
 
+	/** A run of one VM whose store is restored just before it executes the first operation that is due, with its state of that moment. */
+	function restoredBefore(isDue: (operation: StoreOperation, store: StoreModel) => boolean): LimitRun {
+		const run = new LimitRun({vmCount: 1});
+		const {store} = run.model;
+		const execute = store.execute.bind(store);
+		let isDone = false;
+		store.execute = (vm, operation, onReply) => {
+			if (!isDone && isDue(operation, store)) {
+				isDone = true;
+				store.restore(store.backUp());
+				execute(vm, operation, onReply);
+				store.isSilentTo = () => true;
+			} else {
+				execute(vm, operation, onReply);
+			}
+		};
+
+		run.model.startAll();
+		return run;
+	}
+
+	// Guards against a claim that a restored store has accepted, though its entries are outdated and another VM may still grant.
+	it('are not granted by a claim that was confirmed after a restore', () => {
+		const run = restoredBefore(({type}) => type === 'compare-and-swap');
+		run.advance(4000);
+		expect([run.model.store.keys('limits/').length, run.grantedCount]).toEqual([1, 0]);
+	});
+
+	// Guards against a right that is prolonged by a lease of the restored store, which may be another VM's with the same identifier.
+	it('are not prolonged by a renewal that was answered after a restore', () => {
+		const renewal = {isDue: false, hasRun: false};
+		const run = restoredBefore((operation, store) => {
+			renewal.hasRun = renewal.isDue && operation.type === 'keep-lease' && operation.leaseId === store.backUp().entries.get('limits/0')?.leaseId;
+			return renewal.hasRun;
+		});
+		run.advance(8000);
+		const ends = () => new Map(run.model.running[0]!.limitSlots!.own.map(({slot, until}) => [slot, until]));
+		let before = ends().get(0);
+		renewal.isDue = true;
+		for (let step = 0; step < 3000 && !renewal.hasRun; step++) {
+			before = ends().get(0);
+			run.advance(1);
+		}
+
+		run.advance(500);
+		expect([renewal.hasRun, ends().get(0)]).toEqual([true, before]);
+	});
+
 	// Guards against a VM that starts after a restore and takes a slot as vacant whose holder the backup does not have.
 	it('are not claimed at once by a VM that starts after a restore', () => {
 		const run = new LimitRun({vmCount: 2});
