Let the VMs of a small fleet claim all slots at once

Cause: the delay of a claim grows with the slots that a VM holds, so that a single VM had only two of three slots after 8 s. Change: the delay counts no more ranks than there are other VMs.

--- a/src/common/registry/limit-slots.test.ts
+++ b/src/common/registry/limit-slots.test.ts
@@ -19,6 +19,13 @@
 		expect([run.grantedCount, holders.size, run.violations.size, (costs.get('compare-and-swap') ?? 0) <= 8]).toEqual([3, 3, 0, true]);
 	});
 
+	// Guards small fleets against a slot that waits for VMs that do not exist.
+	it('are all claimed by a single VM at once', () => {
+		const run = new LimitRun({vmCount: 1});
+		run.settle(2000);
+		expect(run.grantedCount).toEqual(3);
+	});
+
 	it('cost a tenth of a call for each renewal, every 1.5 s', () => {
 		const run = new LimitRun().settle();
 		const before = run.model.store.costs.get('compare-and-swap');
--- a/src/common/registry/limit-slots.ts
+++ b/src/common/registry/limit-slots.ts
@@ -103,6 +103,8 @@
 	readonly place: number;
 	/** Number of VMs in the data centre, this one included. */
 	readonly size: number;
+	/** Number of VMs in all data centres, this one included. */
+	readonly vmCount: number;
 	/** Names of all data centres in ascending order, the own one included. */
 	readonly dataCentres: readonly string[];
 };
@@ -513,13 +515,14 @@
 	 */
 	private _claimDelay(slot: number): Milliseconds {
 		const {watchPauseMilliseconds, own} = this._context.settings;
-		const {place, size, dataCentres} = this._options.claimRank();
+		const {place, size, vmCount, dataCentres} = this._options.claimRank();
 		const count = dataCentres.length;
 		const ordinal = Math.floor(slot / count);
 		const preferred = slot % count;
 		const distance = (dataCentres.indexOf(own.dataCentre) - preferred + count) % count;
 		const ranks = (place >= ordinal ? place - ordinal : size - ordinal + place) + (distance * otherDataCentreRanks) + (this._held.size * holderRanks);
-		return Math.max(0, ranks) * (watchPauseMilliseconds + noticeMilliseconds);
+		// In a small fleet nobody else would claim in the meantime.
+		return Math.min(ranks, vmCount - 1) * (watchPauseMilliseconds + noticeMilliseconds);
 	}
 
 	private _requestLease(slot: number): void {
--- a/src/common/registry/vm-directory.ts
+++ b/src/common/registry/vm-directory.ts
@@ -151,6 +151,7 @@
 		return {
 			place: near.filter(vm => byRank(vm, ownVm) < 0).length,
 			size: near.length + 1,
+			vmCount: named.length + 1,
 			dataCentres: [...new Set([own.dataCentre, ...named.map(({entry}) => entry.dataCentre)])].toSorted(),
 		};
 	}
