Test that rate limits are used again after faults

Tokens or holders that stay lost after a fault would refuse calls below the limit. The random runs now share one function, and a second property checks that 0.9 of the large organisation's limit is used in the last 3 s, with faults until 18 s.

--- a/src/common/limits/limits.property.test.ts
+++ b/src/common/limits/limits.property.test.ts
@@ -1,6 +1,5 @@
 import {expect} from 'earl';
 import fc from 'fast-check';
-import {type OrganisationLimit} from '../organisations/types.ts';
 import {
 	type FleetVm, LimitsFleet, usualLimits, usualRates,
 } from './limits-fleet.test.ts';
@@ -20,11 +19,12 @@
 
 const all = new Set(usualRates.keys());
 
+const few = new Map([['large', {callsPerSecond: 60, burst: 60}], ['middle', {callsPerSecond: 12, burst: 3}], ['small', {callsPerSecond: 1.5, burst: 1}]]);
+
 type Fault = {
 	readonly fleet: LimitsFleet;
 	/** VM that gets half of all calls. */
 	readonly favourite: {index: number};
-	readonly few: ReadonlyMap<string, OrganisationLimit>;
 	readonly pick: number;
 	readonly milliseconds: number;
 };
@@ -63,7 +63,7 @@
 		vm.hasStore = false;
 		favourite.index = fleet.vms.indexOf(vm);
 	},
-	change({fleet, few, pick}) {
+	change({fleet, pick}) {
 		const factor = (1 + (pick % 3)) / 2;
 		fleet.change(new Map([...few].map(([name, {callsPerSecond, burst}]) => [name, {callsPerSecond: callsPerSecond * factor, burst: burst * factor}])));
 	},
@@ -75,6 +75,38 @@
 	},
 };
 
+type Command = {readonly at: number; readonly kind: (typeof kinds)[number]; readonly pick: number; readonly milliseconds: number};
+
+function faultsUntil(latest: number, chosen: ReadonlyArray<(typeof kinds)[number]>): fc.Arbitrary<Command[]> {
+	return fc.array(fc.record({
+		at: fc.integer({min: 0, max: latest}), kind: fc.constantFrom(...chosen), pick: fc.nat(100), milliseconds: fc.integer({min: 100, max: 16_000}),
+	}), {maxLength: 14});
+}
+
+/** Runs 12 VMs for 40 s with four times the calls that the limits allow, half of them at one VM. */
+function playFaults(seed: number, faults: LimitsFleet['faults'], commands: readonly Command[]): LimitsFleet {
+	const fleet = new LimitsFleet(12, few, seed);
+	fleet.faults = faults;
+	const favourite = {index: 0};
+	for (const [name, {callsPerSecond}] of few) {
+		fleet.load(name, callsPerSecond * 4, 40_000, () => fleet.random.next() < 0.5 ? fleet.vms[favourite.index]! : fleet.anyVm());
+	}
+
+	for (const {at, kind, pick, milliseconds} of commands) {
+		fleet.at(at, () => {
+			const vm = kind.endsWith('holder') ? fleet.holder(pick % 3) : fleet.vms[pick % fleet.vms.length];
+			if (vm !== undefined) {
+				actions[kind]({
+					fleet, favourite, pick, milliseconds,
+				}, vm);
+			}
+		});
+	}
+
+	fleet.runUntil(40_000);
+	return fleet;
+}
+
 describe('rate limits of a fleet', function () {
 	this.timeout(160_000);
 
@@ -143,35 +175,19 @@
 
 	// Guards against calls above the limit from tokens that are granted twice, by two holders, or outside a right.
 	it('never exceeds the limits under random kills, restarts, cuts, suspensions, lost, repeated and late datagrams, and changed limits, with 12 VMs far above their limits', () => {
-		const fault = fc.record({
-			at: fc.integer({min: 0, max: 35_000}),
-			kind: fc.constantFrom(...kinds),
-			pick: fc.nat(100),
-			milliseconds: fc.integer({min: 100, max: 16_000}),
-		});
 		const loss = fc.record({lost: fc.constantFrom(0, 0.02, 0.3), repeated: fc.constantFrom(0, 0.2), late: fc.constantFrom(0, 0.1)});
-		fc.assert(fc.property(fc.nat(1_000_000), loss, fc.array(fault, {maxLength: 14}), (seed, faults, commands) => {
-			const few = new Map([['large', {callsPerSecond: 60, burst: 60}], ['middle', {callsPerSecond: 12, burst: 3}], ['small', {callsPerSecond: 1.5, burst: 1}]]);
-			const fleet = new LimitsFleet(12, few, seed);
-			fleet.faults = faults;
-			const favourite = {index: 0};
-			for (const [name, {callsPerSecond}] of few) {
-				fleet.load(name, callsPerSecond * 4, 40_000, () => fleet.random.next() < 0.5 ? fleet.vms[favourite.index]! : fleet.anyVm());
-			}
-
-			for (const {at, kind, pick, milliseconds} of commands) {
-				fleet.at(at, () => {
-					const vm = kind.endsWith('holder') ? fleet.holder(pick % 3) : fleet.vms[pick % fleet.vms.length];
-					if (vm !== undefined) {
-						actions[kind]({
-							fleet, favourite, few, pick, milliseconds,
-						}, vm);
-					}
-				});
-			}
-
-			fleet.runUntil(40_000);
-			expect(fleet.violations()).toEqual([]);
+		fc.assert(fc.property(fc.nat(1_000_000), loss, faultsUntil(35_000, kinds), (seed, faults, commands) => {
+			expect(playFaults(seed, faults, commands).violations()).toEqual([]);
 		}), {seed: 20_261_204, numRuns: 60});
 	});
+
+	// Guards against tokens or holders that stay lost after a fault.
+	it('uses the limits again after random kills, restarts, suspensions and moved demand, with 12 VMs far above their limits and all holders alive', () => {
+		fc.assert(fc.property(fc.nat(1_000_000), faultsUntil(18_000, ['kill', 'kill-holder', 'restart', 'suspend-holder', 'orphan-holder', 'double', 'move']), (seed, commands) => {
+			const fleet = playFaults(seed, {lost: 0.02, repeated: 0, late: 0}, commands);
+			// With many kills, a data centre may have no VM left, whose slot then has no holder in this model.
+			const isWhole = [0, 1, 2].every(slot => fleet.holder(slot)?.isAlive === true && fleet.holder(slot)?.hasStore === true);
+			expect(!isWhole || fleet.used('large', 37_000, 40_000) >= 0.9).toEqual(true);
+		}), {seed: 20_261_204, numRuns: 30});
+	});
 });
