Log and count who is refused while a service is short of capacity

Cause: a refusal by priority or organisation looked like one for want of backend servers, and no counter had either. Change: the summary of a call has its priority, its organisation and the sharing decision; the grounds of a refusal begin with the admitted fraction and whether own or merged figures decided.

--- a/src/common/calls/call-completion.ts
+++ b/src/common/calls/call-completion.ts
@@ -145,6 +145,8 @@
 			callId: call.request.callId,
 			summary: {
 				service: call.service.name,
+				priority: call.priority,
+				...(call.request.organisation === undefined ? {} : {organisation: call.request.organisation}),
 				outcome,
 				reason,
 				attempts: call.attemptCount,
--- a/src/common/calls/call-summary.ts
+++ b/src/common/calls/call-summary.ts
@@ -69,6 +69,9 @@
 	readonly suspicion?: {readonly fingerprint: string; readonly crashes: number};
 	/** Share of the service's capacity that such calls had; undefined if the service was not short when the call arrived. */
 	readonly sharing?: SharingDecision;
+	/** Priority of the call (0 = most urgent), and the organisation that its key identified. Undefined for a call that was refused before its service was known. */
+	readonly priority?: number;
+	readonly organisation?: string;
 	readonly service: string;
 	readonly outcome: CallOutcome;
 	readonly reason: RefusalReason | undefined;
--- a/src/daemon/describe-call.test.ts
+++ b/src/daemon/describe-call.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'earl';
 import {type PlacingGrounds} from '../common/calls/types.ts';
-import {describeAttempt, describeGrounds} from './describe-call.ts';
+import {describeAttempt, describeGrounds, describeSharing} from './describe-call.ts';
 
 const grounds: PlacingGrounds = {
 	choice: 'none',
@@ -21,6 +21,17 @@
 };
 
 describe('the log text on the decisions about a call', () => {
+	// Guards operators against a refusal by priority that looks like one for want of backend servers.
+	it('names priority, admitted fraction and the deciding figures of a call at a service short of capacity', () => {
+		const sharing = {
+			priority: 3, admittedFraction: 0.538, isPreferred: false, retryAfterMilliseconds: 600,
+		};
+		expect([describeSharing({...sharing, figures: 'own'}), describeSharing({...sharing, figures: 'merged'})]).toEqual([
+			'service short of capacity: 54% of such calls with priority 3 admitted, by the figures of this VM',
+			'service short of capacity: 54% of such calls with priority 3 admitted, by merged figures of the fleet',
+		]);
+	});
+
 	// Guards operators against the log line of a refusal that gives no reason.
 	it('describes the search for a backend server of a refusal without an attempt', () => {
 		expect(describeGrounds(grounds).split('; ')).toEqual([
--- a/src/daemon/describe-call.ts
+++ b/src/daemon/describe-call.ts
@@ -1,4 +1,5 @@
 /** Formats the decisions on a call for the fields `trail` and `grounds` of its log line. */
+import {type SharingDecision} from '../common/calls/admission/service-overload.ts';
 import {type AttemptRecord, type PlacingGrounds} from '../common/calls/types.ts';
 import {type Milliseconds} from '../common/model/units.ts';
 
@@ -19,6 +20,11 @@
 	return `${purpose} at ${formatTime(atMilliseconds)} to ${backendServer}: ${load}/${slots} calls, work time ${workTimeFactor ?? '?'}, ${age}${choice}${way}${ending}`;
 }
 
+/** Formats the share of a short capacity that the call had: its priority, the admitted fraction and whose figures decided. */
+export function describeSharing({priority, admittedFraction, figures}: SharingDecision): string {
+	return `service short of capacity: ${formatPercent(admittedFraction)} of such calls with priority ${priority} admitted, by ${figures === 'own' ? 'the figures of this VM' : 'merged figures of the fleet'}`;
+}
+
 /** Formats the latest search for a backend server: the candidates, the time left and the required probability. States if there was no search. */
 export function describeGrounds(grounds: PlacingGrounds | undefined): string {
 	if (grounds === undefined) {
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -25,7 +25,7 @@
 import {LineBudget} from '../node/logging/line-budget.ts';
 import {type LogControl, type Logger} from '../node/logging/types.ts';
 import {type Metrics} from '../node/metrics/types.ts';
-import {describeAttempt, describeGrounds} from './describe-call.ts';
+import {describeAttempt, describeGrounds, describeSharing} from './describe-call.ts';
 import {LinkLog} from './link-log.ts';
 import {reportPoisonRequestChange} from './poison-request-log.ts';
 import {StopReport} from './stop-report.ts';
@@ -240,7 +240,7 @@
 			return;
 		}
 
-		const {service, outcome, reason, attempts, milliseconds, queuedMilliseconds, grounds, suspicion, trail = []} = summary;
+		const {service, outcome, reason, attempts, milliseconds, queuedMilliseconds, priority, sharing, grounds, suspicion, trail = []} = summary;
 		logger.info('call ended', {
 			traceId,
 			service,
@@ -250,7 +250,7 @@
 			milliseconds: Math.round(milliseconds),
 			queuedMilliseconds: Math.round(queuedMilliseconds),
 			trail: trail.map(record => describeAttempt(record)).join('; '),
-			...(reason === undefined ? {} : {grounds: describeGrounds(grounds)}),
+			...(reason === undefined ? {} : {priority, grounds: [...(sharing === undefined ? [] : [describeSharing(sharing)]), describeGrounds(grounds)].join('; ')}),
 			...suspicion,
 			...(leftOut === 0 ? {} : {leftOut}),
 		});
--- a/src/node/metrics/page-metrics.test.ts
+++ b/src/node/metrics/page-metrics.test.ts
@@ -24,4 +24,16 @@
 		metrics.platformCalled('watch', 'changes', 12);
 		expect(await metrics.text()).toMatchSnapshot(this);
 	});
+
+	// Guards operators against an overload in which they cannot see who was refused.
+	it('counts calls by priority and by organisation', async () => {
+		const metrics = new PageMetrics();
+		metrics.callEnded({
+			service: 'orders', outcome: 'not-run', reason: 'overloaded', attempts: 0, milliseconds: 0, queuedMilliseconds: 0, isGood: false, priority: 3, organisation: 'north',
+		});
+		const text = await metrics.text();
+		const lines = text.split('\n');
+		expect(lines).toInclude('jaydale_calls_by_priority_total{service="orders",priority="3",reason="overloaded"} 1');
+		expect(lines).toInclude('jaydale_calls_by_organisation_total{organisation="north",reason="overloaded"} 1');
+	});
 });
--- a/src/node/metrics/page-metrics.ts
+++ b/src/node/metrics/page-metrics.ts
@@ -8,6 +8,7 @@
 import {type CallSummary, type PoisonRequestChange} from '../../common/calls/types.ts';
 import {type LinkState} from '../../common/links/types.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
+import {OrganisationSeries} from './organisation-series.ts';
 import {type Metrics, type VmGauges} from './types.ts';
 
 /** Upper bounds of the histogram buckets in milliseconds, from 50 ms to 10 s in steps of a factor of about two or less; narrower around the usual objectives. */
@@ -16,6 +17,9 @@
 export class PageMetrics implements Metrics {
 	private readonly _registry = new Registry();
 	private readonly _calls = this._counter('jaydale_calls_total', 'Calls that have ended.', ['service', 'outcome', 'reason', 'good']);
+	private readonly _callsByPriority = this._counter('jaydale_calls_by_priority_total', 'Calls that have ended, by priority; 0 is the most urgent.', ['service', 'priority', 'reason']);
+	private readonly _callsByOrganisation = this._counter('jaydale_calls_by_organisation_total', 'Calls that have ended, for the largest organisations.', ['organisation', 'reason']);
+	private readonly _organisations = new OrganisationSeries();
 	private readonly _cutAnswers = this._counter('jaydale_cut_answers_total', 'Answers whose connection ended before they were out.', ['closed_by']);
 	private readonly _attempts = this._counter('jaydale_attempts_total', 'Attempts at backend servers.', ['service']);
 	private readonly _evacuations = new Gauge({name: 'jaydale_evacuated_data_centres', help: 'Data centres that this VM sends no new calls to.', registers: [this._registry]});
@@ -40,7 +44,15 @@
 	private readonly _storeTimes = this._histogram('jaydale_store_milliseconds', 'Requests to the store.', ['operation']);
 	private readonly _gauges = new Map<string, Gauge>();
 
-	callEnded({service, outcome, reason, attempts, milliseconds, queuedMilliseconds, isGood, grounds}: CallSummary): void {
+	callEnded({service, outcome, reason, attempts, milliseconds, queuedMilliseconds, isGood, grounds, priority, organisation}: CallSummary): void {
+		if (priority !== undefined) {
+			this._callsByPriority.inc({service, priority, reason: reason ?? ''});
+		}
+
+		if (organisation !== undefined) {
+			this._callsByOrganisation.inc({organisation: this._organisations.nameFor(organisation), reason: reason ?? ''});
+		}
+
 		if ((grounds?.rateLimited ?? 0) > 0) {
 			this._withheld.inc({service});
 		}
