--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -26,7 +26,7 @@
 import {LineBudget} from '../node/logging/line-budget.ts';
 import {type LogControl, type Logger} from '../node/logging/types.ts';
 import {type Metrics} from '../node/metrics/types.ts';
-import {describeAttempt, describeGrounds} from './describe-call.ts';
+import {describeAttempt, describeGrounds, describeLimit} from './describe-call.ts';
 import {LinkLog} from './link-log.ts';
 import {reportPoisonRequestChange} from './poison-request-log.ts';
 import {StopReport} from './stop-report.ts';
@@ -248,7 +248,7 @@
 			return;
 		}
 
-		const {service, outcome, reason, attempts, milliseconds, queuedMilliseconds, grounds, suspicion, trail = []} = summary;
+		const {service, outcome, reason, attempts, milliseconds, queuedMilliseconds, grounds, suspicion, limit, trail = []} = summary;
 		logger.info('call ended', {
 			traceId,
 			service,
@@ -259,6 +259,7 @@
 			queuedMilliseconds: Math.round(queuedMilliseconds),
 			trail: trail.map(record => describeAttempt(record)).join('; '),
 			...(reason === undefined ? {} : {grounds: describeGrounds(grounds)}),
+			...(limit === undefined ? {} : {limit: describeLimit(limit)}),
 			...suspicion,
 			...(leftOut === 0 ? {} : {leftOut}),
 		});
