--- a/src/node/metrics/statsd-metrics.ts
+++ b/src/node/metrics/statsd-metrics.ts
@@ -137,12 +137,12 @@
 	}
 
 	limitDatagram(result: 'sent' | 'received' | 'failed' | 'malformed'): void {
-		this._count('limits.datagrams', 1, {result});
+		this._count('organisation_limits.datagrams', 1, {result});
 	}
 
 	limitRights(heldSlots: number, age: Milliseconds): void {
-		this._gauge('limits.held_slots', heldSlots);
-		this._gauge('limits.right_age_milliseconds', age);
+		this._gauge('organisation_limits.held_slots', heldSlots);
+		this._gauge('organisation_limits.right_age_milliseconds', age);
 	}
 
 	configurationRejected(route: string | undefined): void {
