Bound the assumed work of a class by its objective instead of its samples

Change: samples count in full again; the estimate that decides is at most 0.7 of the call's objective. Ruled out: 0.8 of the objective, which fails two tests of 1.3 times the capacity; 0.6, with no advantage.

--- a/src/common/calls/call.ts
+++ b/src/common/calls/call.ts
@@ -158,9 +158,17 @@
 /** Work time as a fraction of the objective, assumed until the first answer of the call's class. */
 const assumedWorkFraction = 0.35;
 
+/**
+ * Highest work time that is assumed, as a fraction of the objective. A few calls in a hundred may take several times as long
+ * as usual. One of them among the first samples of a class would make all its calls look too long for their objective, so
+ * that they were refused beside idle backend servers and nothing more was learnt.
+ */
+const maxWorkFraction = 0.7;
+
 /** Estimated work time of a call on a backend server that is not slowed down. */
 export function workEstimate(call: Call): Milliseconds {
-	return call.class.hasWork ? call.class.workMean : assumedWorkFraction * objectiveOf(call);
+	const objective = objectiveOf(call);
+	return call.class.hasWork ? Math.min(call.class.workMean, maxWorkFraction * objective) : assumedWorkFraction * objective;
 }
 
 /** Whether a call that started at this time could still be answered within its objective. */
--- a/src/common/calls/estimates/answer-learning.ts
+++ b/src/common/calls/estimates/answer-learning.ts
@@ -1,6 +1,6 @@
 /** Updates what is learnt about the backend server, the class of the call and the service when an attempt is answered. */
 import {type Instant} from '../../model/units.ts';
-import {type Attempt, workEstimate} from '../call.ts';
+import {type Attempt} from '../call.ts';
 import {type LoadReport} from '../types.ts';
 import {lightLoadFraction} from './load-levels.ts';
 
@@ -30,7 +30,7 @@
 
 	call.class.addAnswer(time);
 	if (report !== undefined && isQuiet(report) && !isWarmUp) {
-		call.class.addWork(time, workEstimate(call));
+		call.class.addWork(time);
 	}
 
 	call.serviceState.classes.all.addAnswer(time);
--- a/src/common/calls/estimates/call-classes.ts
+++ b/src/common/calls/estimates/call-classes.ts
@@ -12,16 +12,6 @@
 /** Samples over which means and quantiles are taken. */
 const memorySamples = 500;
 
-/**
- * A sample counts at most as this multiple of the present work time. A few calls in a hundred may take several times as
- * long as usual; one of them among the first samples would make a whole class look too long for its objective, so that its
- * calls were refused and nothing more was learnt.
- */
-const maxWorkRatio = 2.5;
-
-/** The same for the first sample, relative to the work time assumed before it. */
-const maxFirstWorkRatio = 1.5;
-
 /** Path segments that identify a single item: with a digit, or at least 24 characters long. */
 const identifierPattern = /^(?:.*\d.*|.{24,})$/v;
 
@@ -55,11 +45,10 @@
 		this.answerTimes.add(time);
 	}
 
-	/** Adds an answer of a backend server with free slots on a quiet VM; `assumed` = the work time before any sample. */
-	addWork(time: Milliseconds, assumed: Milliseconds): void {
-		const bound = this.hasWork ? maxWorkRatio * this.workMean : maxFirstWorkRatio * assumed;
+	/** Adds an answer of a backend server with free slots on a quiet VM. */
+	addWork(time: Milliseconds): void {
 		this._workCount++;
-		this.workMean += (Math.min(time, bound) - this.workMean) / Math.min(this._workCount, memorySamples);
+		this.workMean += (time - this.workMean) / Math.min(this._workCount, memorySamples);
 	}
 
 	/** Whether the work time has been measured. */
