Keep less urgent calls in the queue from refusing urgent ones, and rank subsets again in time

Change: the backlog of a call counts the calls that are at least as urgent. A postponed ranking is made once the interval is over. Fractions of callers are looked up in a map.

--- a/src/common/calls/admission/admission.ts
+++ b/src/common/calls/admission/admission.ts
@@ -189,7 +189,7 @@
 	private _scheduleQueueCheck(service: ServiceState, now: Instant): void {
 		if (service.isMeasuredOnDemand && !service.isQueueCheckScheduled) {
 			service.isQueueCheckScheduled = true;
-			this._context.timers.add(now + queueCheckMilliseconds, {type: 'queue-look', service});
+			this._context.timers.add(now + queueCheckMilliseconds, {type: 'queue-check', service});
 		}
 	}
 
@@ -197,7 +197,8 @@
 	private _isBacklogTooLong(call: Call, now: Instant): boolean {
 		const service = call.serviceState;
 		if (service.isMeasuredOnDemand) {
-			return service.queue.size >= callsPerQueueCheck * (latestStart(call) - now) / queueCheckMilliseconds;
+			// Less urgent calls that wait don't delay this one.
+			return service.queue.sizeUpTo(call.priority) >= callsPerQueueCheck * (latestStart(call) - now) / queueCheckMilliseconds;
 		}
 
 		const wait = service.estimateWait(service.queue.aheadOf(call.priority, call.request.caller) + 1);
--- a/src/common/calls/admission/caller-queue.test.ts
+++ b/src/common/calls/admission/caller-queue.test.ts
@@ -51,6 +51,12 @@
 		expect([0, 1, 2, 3].map(priority => queue.aheadOf(priority, 'new'))).toEqual([1, 3, 5, 5]);
 	});
 
+	// Guards an urgent call against being refused because less urgent ones wait.
+	it('counts the calls that are at least as urgent', () => {
+		const queue = queueOf('a 0', 'a 1', 'b 1', 'a 2');
+		expect([0, 1, 2].map(priority => queue.sizeUpTo(priority))).toEqual([1, 3, 4]);
+	});
+
 	it('removes calls that ended while they waited', () => {
 		const queue = new FairCallQueue();
 		const calls = [callOf({callId: 1, priority: 0}), callOf({callId: 2, priority: 1})];
--- a/src/common/calls/admission/caller-queue.ts
+++ b/src/common/calls/admission/caller-queue.ts
@@ -4,6 +4,8 @@
 /** Queue discipline for waiting calls. */
 export type CallQueue = {
 	readonly size: number;
+	/** Number of waiting calls that are at least as urgent as this priority. */
+	sizeUpTo(priority: number): number;
 	/** Number of calls that would be taken before a new one of this priority and caller. */
 	aheadOf(priority: number, caller: string): number;
 	add(call: Call): void;
@@ -107,6 +109,15 @@
 		return size;
 	}
 
+	sizeUpTo(priority: number): number {
+		let size = 0;
+		for (const one of this._rotations) {
+			size += one.priority <= priority ? one.rotation.size : 0;
+		}
+
+		return size;
+	}
+
 	aheadOf(priority: number, caller: string): number {
 		let ahead = 0;
 		for (const one of this._rotations) {
@@ -167,6 +178,10 @@
 		return this._calls.length;
 	}
 
+	sizeUpTo(): number {
+		return this._calls.length;
+	}
+
 	aheadOf(): number {
 		return this._calls.length;
 	}
--- a/src/common/calls/admission/room-sharing.ts
+++ b/src/common/calls/admission/room-sharing.ts
@@ -63,6 +63,8 @@
 	/** Calls per second that each caller of the boundary priority may send. */
 	private readonly _level: number;
 	private readonly _figures: readonly DemandFigure[];
+	/** The same by caller. */
+	private readonly _figuresByCaller: ReadonlyMap<string | undefined, DemandFigure>;
 
 	constructor({demand, admittedPerSecond, servedPerSecond}: ServiceDemand) {
 		const total = sumOf(demand);
@@ -73,6 +75,7 @@
 		const needs = (boundary: number) => sumOf(demand.filter(({priority}) => priority <= boundary)) + (this._floor * sumOf(demand.filter(({priority}) => priority > boundary)));
 		this._boundary = priorities.find(priority => needs(priority) > this._capacity) ?? Infinity;
 		this._figures = demand.filter(({priority}) => priority === this._boundary);
+		this._figuresByCaller = new Map(this._figures.map(figure => [figure.caller, figure]));
 		this._leastUrgent = priorities.at(-1) ?? 0;
 		this._dominant = dominantCallers(this._boundary === Infinity ? demand.filter(({priority}) => priority === this._leastUrgent) : this._figures);
 		this.isActive = servedPerSecond > 0 && (priorities.length > 1 || this._dominant.size > 0);
@@ -89,7 +92,7 @@
 			return this._floor;
 		}
 
-		const figure = this._figures.find(one => one.caller === caller) ?? this._figures.find(one => one.caller === undefined);
+		const figure = this._figuresByCaller.get(caller) ?? this._figuresByCaller.get(undefined);
 		const rate = figure === undefined ? 0 : figure.callsPerSecond / figure.callers;
 		return rate <= this._level ? 1 : Math.max(this._floor, this._level / rate);
 	}
--- a/src/common/calls/attempts/attempt-runner.ts
+++ b/src/common/calls/attempts/attempt-runner.ts
@@ -102,7 +102,7 @@
 		});
 	}
 
-	/** Set after construction, since `CallEndings` and `AttemptRunner` depend on each other. */
+	/** Set after construction, since `CallCompletion` and `AttemptRunner` depend on each other. */
 	setCompletion(completion: CallCompletion): void {
 		this._completion = completion;
 	}
--- a/src/common/calls/engine-context.ts
+++ b/src/common/calls/engine-context.ts
@@ -37,7 +37,7 @@
 	/** End of the wait for load probes. */
 		| {readonly type: 'probing'; readonly call: Call; readonly probing: PendingProbes}
 	/** Next check of the queue: backend servers may have regained capacity without an event on this VM. */
-		| {readonly type: 'queue-look'; readonly service: ServiceState}
+		| {readonly type: 'queue-check'; readonly service: ServiceState}
 	/** Time limit for the head of a resumed download. */
 		| {readonly type: 'resume'; readonly attempt: Attempt};
 
@@ -78,7 +78,7 @@
 			return timer.call.probing === timer.probing;
 		}
 
-		case 'queue-look': {
+		case 'queue-check': {
 			return true;
 		}
 
--- a/src/common/calls/placement/server-subset.test.ts
+++ b/src/common/calls/placement/server-subset.test.ts
@@ -19,6 +19,19 @@
 };
 
 describe('the subset of backend servers that a VM uses first', () => {
+	// Guards backend servers that join shortly after a ranking against getting no calls until the next change.
+	it('includes changed backend servers once the interval between two rankings is over', () => {
+		const members = membersOf(vmNames[0]!);
+		const subset = new ServerSubset(hash);
+		const before = subset.select(serversOf(10), members, 'north', 0);
+		const servers = serversOf(97);
+		const postponed = subset.select(servers, members, 'north', 1000);
+		const after = subset.select(servers, members, 'north', 3100);
+		const fresh = new ServerSubset(hash).select(servers, members, 'north', 3100);
+		const identities = (chosen: ReadonlySet<{readonly identity: string}> | undefined) => [...chosen ?? []].map(({identity}) => identity);
+		expect([identities(postponed), identities(after)]).toEqual([identities(before), identities(fresh)]);
+	});
+
 	for (const serverCount of [26, 37, 80]) {
 		// Guards backend servers against more calls than others get, and against getting none.
 		it(`covers ${serverCount} backend servers evenly over 43 VMs`, () => {
--- a/src/common/calls/placement/server-subset.ts
+++ b/src/common/calls/placement/server-subset.ts
@@ -108,6 +108,8 @@
 	private _members: FleetMembers | undefined;
 	private _rankedAt: Instant = -Infinity;
 	private _rankedFor = '';
+	/** The ranking is for earlier members or backend servers, since the one before it is too recent. */
+	private _isRankingPostponed = false;
 	private _order: string[] = [];
 	private _subset: ReadonlySet<Server> | undefined;
 
@@ -138,7 +140,8 @@
 		}
 
 		const isRanked = this._order.length >= Math.min(this._size, servers.length);
-		if (this._subset !== undefined && isRanked && this._servers === servers && this._members === members && this._subset.size === this._size) {
+		const isRankingDue = this._isRankingPostponed && now - this._rankedAt >= rankingMilliseconds;
+		if (this._subset !== undefined && isRanked && !isRankingDue && this._servers === servers && this._members === members && this._subset.size === this._size) {
 			return this._subset;
 		}
 
@@ -179,7 +182,8 @@
 		const identities = servers.map(({identity}) => identity);
 		const inputs = JSON.stringify([names, identities]);
 		const isLongEnough = this._order.length >= Math.min(this._size, servers.length);
-		if (isLongEnough && (inputs === this._rankedFor || now - this._rankedAt < rankingMilliseconds)) {
+		this._isRankingPostponed = isLongEnough && inputs !== this._rankedFor && now - this._rankedAt < rankingMilliseconds;
+		if (this._isRankingPostponed || (isLongEnough && inputs === this._rankedFor)) {
 			return;
 		}
 
--- a/src/common/calls/probing/load-prober.ts
+++ b/src/common/calls/probing/load-prober.ts
@@ -23,8 +23,7 @@
 };
 
 /**
- * Maximum rounds of probes for one attempt: the local data centre, the others, and once more, since those probed so far
- * may all be slow or full, or affected by a fault.
+ * Maximum rounds of probes for one attempt, since those probed so far may all be slow or full, or affected by a fault.
  */
 const maxRounds = 3;
 
--- a/src/common/calls/timer-actions.ts
+++ b/src/common/calls/timer-actions.ts
@@ -52,7 +52,7 @@
 				break;
 			}
 
-			case 'queue-look': {
+			case 'queue-check': {
 				timer.service.isQueueCheckScheduled = false;
 				this._context.servicesToDrain.add(timer.service);
 				break;
