Mend what a review of keys and rate limits found

Cause and change: - A caller without a key reached a private path through a public route (/open/../a), if the backend server resolves dot segments: such a path is never public. - A fractional port in a slot's entry threw out of the event loop: it is refused like other invalid endpoints. - With a wildcard in listen.limits all VMs took each other for their predecessors: the setting rejects it. - A token of a call that did not run was renewed with each call: it keeps the time of its grant, and an old one goes back to its holder. Tokens from before a pause are dropped, late answers are checked by age also before a tick, and retry delays are bounded. - A call admitted before the first version with organisations forwarded its key in a later attempt: attempts look at the organisations in force. - Senders with forged addresses could fill the memory of a holder: the number of remembered ones is bounded. The class for sharing a service's capacity is called CapacitySharing.

--- a/benchmark/demand/demand-run.ts
+++ b/benchmark/demand/demand-run.ts
@@ -1,6 +1,6 @@
 /** Simulates the call engines of many VMs in virtual time: neighbours slow the backend servers down, and callers retry at most once. */
 import {DefaultCallEngine} from '../../src/common/calls/call-engine.ts';
-import {mergeDemand} from '../../src/common/calls/admission/room-sharing.ts';
+import {mergeDemand} from '../../src/common/calls/admission/capacity-sharing.ts';
 import {type CallTuning} from '../../src/common/calls/tuning.ts';
 import {type BackendServer, backendServerSchema, serviceSchema} from '../../src/common/model/resources.ts';
 import {type Instant, type Milliseconds, type RandomSource} from '../../src/common/model/units.ts';
--- a/src/common/calls/admission/room-sharing.test.ts
+++ b/src/common/calls/admission/capacity-sharing.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'earl';
-import {type DemandFigure, mergeDemand, RoomSharing} from './room-sharing.ts';
+import {type DemandFigure, mergeDemand, CapacitySharing} from './capacity-sharing.ts';
 
 function figure(priority: number, caller: string | undefined, callsPerSecond: number, callers = 1): DemandFigure {
 	return {
@@ -8,13 +8,13 @@
 }
 
 /** Sharing of a service that answered 300 of 400 admitted calls per second, so that 5 percent more than 300 are admitted. */
-function sharingOf(...demand: DemandFigure[]): RoomSharing {
-	return new RoomSharing({demand, admittedPerSecond: 400, servedPerSecond: 300});
+function sharingOf(...demand: DemandFigure[]): CapacitySharing {
+	return new CapacitySharing({demand, admittedPerSecond: 400, servedPerSecond: 300});
 }
 
 const capacity = 315;
 
-describe('RoomSharing', () => {
+describe('CapacitySharing', () => {
 	it('gives the capacity to the priorities in order', () => {
 		const sharing = sharingOf(figure(0, 'a', 90), figure(1, 'b', 390));
 		expect([sharing.fractionOf(0, 'a'), sharing.fractionOf(0, 'unknown')]).toEqual([1, 1]);
@@ -46,7 +46,7 @@
 
 	// Guards a recovering service: where nothing is answered, the cause is not a lack of capacity.
 	it('refuses nothing if nothing was answered', () => {
-		expect(new RoomSharing({demand: [figure(0, 'a', 9), figure(1, 'b', 9)], admittedPerSecond: 18, servedPerSecond: 0}).fractionOf(1, 'b')).toEqual(1);
+		expect(new CapacitySharing({demand: [figure(0, 'a', 9), figure(1, 'b', 9)], admittedPerSecond: 18, servedPerSecond: 0}).fractionOf(1, 'b')).toEqual(1);
 	});
 
 	it('asks the most urgent callers back first', () => {
--- a/src/common/calls/admission/room-sharing.ts
+++ b/src/common/calls/admission/capacity-sharing.ts
@@ -1,6 +1,6 @@
 /**
  * Shares the capacity of an overloaded service among priorities and callers: which fraction of the calls of each is
- * admitted. A pure function of the demand and the capacity of the last second.
+ * admitted. Computed from the demand and the capacity of the last second only.
  */
 import {type Milliseconds} from '../../model/units.ts';
 
@@ -29,8 +29,7 @@
 
 /**
  * Calls admitted beyond those served, as a fraction of the latter: at most `maxHeadroom`, and less by `headroomStep` for
- * each admitted call that was not served. Without it, the capacity could never be seen to grow. Under steady load about
- * 7 percent more calls are admitted than served.
+ * each admitted call that was not served. Without it, the capacity could never be seen to grow.
  */
 const maxHeadroom = 0.4;
 const minHeadroom = 0.05;
@@ -50,7 +49,7 @@
 /** Steps of the bisection for the level; each halves the error. */
 const levelSteps = 40;
 
-export class RoomSharing {
+export class CapacitySharing {
 	/** False if the figures give no reason to treat one call differently from another. */
 	readonly isActive: boolean;
 	private readonly _capacity: number;
--- a/src/common/calls/admission/demand-meter.ts
+++ b/src/common/calls/admission/demand-meter.ts
@@ -1,6 +1,6 @@
 /** Counts the calls of one service on this VM that ended within the last second, by priority and caller. */
 import {type Instant, type Milliseconds} from '../../model/units.ts';
-import {type DemandFigure, type ServiceDemand} from './room-sharing.ts';
+import {type DemandFigure, type ServiceDemand} from './capacity-sharing.ts';
 
 /** How a call ended: answered, not answered for lack of capacity, or refused by the sharing of capacity. */
 export type DemandResult = 'served' | 'unserved' | 'withheld';
--- a/src/common/calls/admission/service-overload.test.ts
+++ b/src/common/calls/admission/service-overload.test.ts
@@ -3,7 +3,7 @@
 import {DefaultCallEngine} from '../call-engine.ts';
 import {seededRandom} from '../../random/random.ts';
 import {ServiceOverload} from './service-overload.ts';
-import {type ServiceDemand} from './room-sharing.ts';
+import {type ServiceDemand} from './capacity-sharing.ts';
 
 /** Counts per second: of 480 calls, of which 90 are urgent, 300 are answered. */
 const fleetDemand: ServiceDemand = {
--- a/src/common/calls/admission/service-overload.ts
+++ b/src/common/calls/admission/service-overload.ts
@@ -1,7 +1,7 @@
 /** Whether one service is short of capacity, and which of its calls this VM admits meanwhile. */
 import {type Instant, type Milliseconds} from '../../model/units.ts';
 import {DemandMeter, type DemandResult} from './demand-meter.ts';
-import {RoomSharing, type ServiceDemand} from './room-sharing.ts';
+import {CapacitySharing, type ServiceDemand} from './capacity-sharing.ts';
 
 /** Decision on a call while its service is short of capacity; recorded in the summary of the call. */
 export type SharingDecision = {
@@ -39,7 +39,7 @@
 /** Figures by name for decisions on this VM. */
 const maxOwnFigures = 256;
 
-type Sharing = {readonly sharing: RoomSharing; readonly demand: ServiceDemand};
+type Sharing = {readonly sharing: CapacitySharing; readonly demand: ServiceDemand};
 
 export class ServiceOverload {
 	private readonly _meter = new DemandMeter();
@@ -64,7 +64,7 @@
 
 	/** Applies merged figures of the fleet, which were up to date `ageMilliseconds` ago. */
 	applySummary(demand: ServiceDemand, ageMilliseconds: Milliseconds, now: Instant): void {
-		this._merged = {sharing: new RoomSharing(demand), demand, until: now + maxSummaryAgeMilliseconds - Math.max(0, ageMilliseconds)};
+		this._merged = {sharing: new CapacitySharing(demand), demand, until: now + maxSummaryAgeMilliseconds - Math.max(0, ageMilliseconds)};
 	}
 
 	/** Whether merged figures are in force; they come only while the service is short on some VM. */
@@ -97,7 +97,7 @@
 	private _refreshOwn(now: Instant): Sharing | undefined {
 		if (this._own === undefined || now - this._own.at >= refreshMilliseconds) {
 			const demand = this._meter.figures(maxOwnFigures, now);
-			this._own = {sharing: new RoomSharing(demand), demand, at: now};
+			this._own = {sharing: new CapacitySharing(demand), demand, at: now};
 		}
 
 		const calls = this._own.demand.demand.reduce((sum, {callsPerSecond}) => sum + callsPerSecond, 0);
--- a/src/common/calls/placement/server-subset.ts
+++ b/src/common/calls/placement/server-subset.ts
@@ -19,7 +19,7 @@
 
 /**
  * Expected uses of a connection within that time. Some of them coincide with calls that are still running, and a call that
- * leaves the subset opens further connections: with 8, all VMs together opened fewest in the demand model.
+ * leaves the subset opens further connections.
  */
 const usesPerReuseTime = 8;
 
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -9,7 +9,7 @@
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type KeyOwners, type OrganisationInForce} from '../organisations/types.ts';
 import {type Routing} from '../routing/types.ts';
-import {type ServiceDemand} from './admission/room-sharing.ts';
+import {type ServiceDemand} from './admission/capacity-sharing.ts';
 import {type CallSummary} from './call-summary.ts';
 import {type LoadUpdate} from './peer-updates.ts';
 import {type CallEngineStatus, type CallLoad} from './engine-status.ts';
--- a/src/common/limits/limit-client.ts
+++ b/src/common/limits/limit-client.ts
@@ -38,6 +38,9 @@
 /** Retry delay if no holder can be reached; a random part of the same length is added, so that callers do not retry together. */
 const unavailableRetryMilliseconds: Milliseconds = 500;
 
+/** Maximum retry delay, as of the holders. */
+const maxRetryMilliseconds: Milliseconds = 10_000;
+
 /** Bytes of an ask besides its wants, and of a want besides the name; generous, so that the answer fits too. */
 const messageBytes = 100;
 const wantBytes = 24;
@@ -59,7 +62,7 @@
 };
 
 /** Tokens in stock that one slot granted at one time. */
-type Stock = {readonly slot: number; readonly expiresAt: Instant; count: number};
+type Stock = {readonly slot: number; readonly grantedAt: Instant; count: number};
 
 type OrganisationState = {
 	readonly name: string;
@@ -199,17 +202,26 @@
 		return this._record(call, undefined, now);
 	}
 
-	/** Takes back the token of a call that did not run, for the next call of the organisation. */
-	reuse(name: string, slot: number, now: Instant): void {
-		if (this._limits.has(name)) {
-			this._addTokens(this._organisation(name, now), slot, 1, now);
+	/**
+	 * Takes back the token of a call that did not run, for the next call of the organisation. An older token is returned to
+	 * its holder, whose bucket bounds how many of them can be used at once.
+	 */
+	reuse(name: string, slot: number, grantedAt: Instant, now: Instant): void {
+		if (!this._limits.has(name)) {
+			return;
+		}
+
+		if (now - grantedAt < tokenMilliseconds) {
+			this._addTokens(this._organisation(name, now), {slot, count: 1, grantedAt}, now);
+		} else {
+			this._returnTokens(name, slot, 1);
 		}
 	}
 
 	onGrant({id, slot, grants}: Grant, now: Instant): void {
 		const state = this._holders.get(slot);
 		const pending = state?.pending;
-		if (state === undefined || pending?.id !== id) {
+		if (state === undefined || pending?.id !== id || now - pending.sentAt > maxWaitMilliseconds) {
 			this._onLateGrant(id, grants, now);
 			return;
 		}
@@ -273,7 +285,7 @@
 		}
 
 		for (const {stock} of this._organisations.values()) {
-			next = Math.min(next, stock[0]?.expiresAt ?? next);
+			next = Math.min(next, stock[0] === undefined ? next : stock[0].grantedAt + tokenMilliseconds);
 		}
 
 		return next === Number.POSITIVE_INFINITY ? undefined : next;
@@ -357,9 +369,10 @@
 		});
 	}
 
-	private _addTokens(organisation: OrganisationState, slot: number, count: number, now: Instant): void {
-		if (count > 0) {
-			organisation.stock.push({slot, expiresAt: now + tokenMilliseconds, count});
+	private _addTokens(organisation: OrganisationState, tokens: Stock, now: Instant): void {
+		if (tokens.count > 0) {
+			organisation.stock.push(tokens);
+			organisation.stock.sort((one, other) => one.grantedAt - other.grantedAt);
 			this._serve(organisation, now);
 		}
 	}
@@ -379,18 +392,24 @@
 			}
 
 			this._remove(call);
-			this._options.onEffect({type: 'call-allowed', callId: call.callId, record: this._record(call, first.slot, now)});
+			this._options.onEffect({
+				type: 'call-allowed', callId: call.callId, record: this._record(call, first.slot, now), grantedAt: first.grantedAt,
+			});
 		}
 	}
 
 	private _expireStock({name, stock}: OrganisationState, now: Instant): void {
-		while (stock[0] !== undefined && stock[0].expiresAt <= now) {
+		while (stock[0] !== undefined && stock[0].grantedAt + tokenMilliseconds <= now) {
 			const {slot, count} = stock.shift()!;
-			const state = this._holders.get(slot);
-			state?.returns.set(name, (state.returns.get(name) ?? 0) + count);
+			this._returnTokens(name, slot, count);
 		}
 	}
 
+	private _returnTokens(name: string, slot: number, count: number): void {
+		const state = this._holders.get(slot);
+		state?.returns.set(name, (state.returns.get(name) ?? 0) + count);
+	}
+
 	/** Adds granted tokens to the stock. Returns the retry delay of each organisation that got fewer than it wanted. */
 	private _takeGrants(slot: number, wanted: ReadonlyMap<string, number>, grants: Grant['grants'], now: Instant): Map<string, Milliseconds> {
 		const retries = new Map<string, Milliseconds>();
@@ -398,7 +417,7 @@
 			const most = wanted.get(name);
 			if (most !== undefined && this._limits.has(name) && !retries.has(name)) {
 				retries.set(name, retryAfter);
-				this._addTokens(this._organisation(name, now), slot, Math.min(count, most), now);
+				this._addTokens(this._organisation(name, now), {slot, count: Math.min(count, most), grantedAt: now}, now);
 			}
 		}
 
@@ -494,7 +513,7 @@
 
 	/** Retry delay of the next refused call: later for each, by the rate of the limit. */
 	private _nextRetry(organisation: OrganisationState, now: Instant): Milliseconds {
-		const retry = Math.max(1, organisation.retryAt - now);
+		const retry = Math.min(maxRetryMilliseconds, Math.max(1, organisation.retryAt - now));
 		organisation.retryAt += 1000 / Math.max(0.1, this._limits.get(organisation.name)?.callsPerSecond ?? 0);
 		return retry;
 	}
--- a/src/common/limits/limit-holder.ts
+++ b/src/common/limits/limit-holder.ts
@@ -25,6 +25,9 @@
 /** A VM that asked nothing for this long is forgotten; far longer than a datagram stays in a network. */
 const askerMilliseconds: Milliseconds = 10_000;
 
+/** VMs that are remembered, several times the largest fleet: senders with forged addresses must not fill the memory. */
+const maxAskers = 4096;
+
 /** Ids up to this far below the last one of a VM are repeated or late. A restarted process begins at a random id far away. */
 const lateIds = 1000;
 
@@ -119,14 +122,18 @@
 	 * its returned tokens must not be counted twice, and the VM no longer waits for its answer.
 	 */
 	ask({id, wants}: Ask, from: string, now: Instant): Grant | undefined {
+		this._forgetAskers(now);
 		const last = this._askers.get(from);
+		if (last === undefined && this._askers.size >= maxAskers) {
+			return undefined;
+		}
+
 		if (last !== undefined && id <= last.id && id > last.id - lateIds) {
 			return undefined;
 		}
 
 		this._askers.delete(from);
 		this._askers.set(from, {id, at: now});
-		this._forgetAskers(now);
 		return {
 			kind: 'grant', id, slot: this.slot, grants: wants.map(([name, wanted, returned]) => this._grant(name, wanted, returned, now)),
 		};
--- a/src/common/limits/limits.ts
+++ b/src/common/limits/limits.ts
@@ -33,7 +33,7 @@
 	/** Ends of the rights that a pause voided. Only a right that ends later was renewed after the pause. */
 	private readonly _voidedUntil = new Map<number, Instant>();
 	/** Calls that have a token. */
-	private readonly _tokens = new Map<number, {readonly organisation: string; readonly slot: number}>();
+	private readonly _tokens = new Map<number, {readonly organisation: string; readonly slot: number; readonly grantedAt: Instant}>();
 	/** Asks to this VM's own slots that are not handled yet. */
 	private readonly _ownAsks: Ask[] = [];
 	private _limits: ReadonlyMap<string, OrganisationLimit> = new Map();
@@ -123,6 +123,7 @@
 		}
 
 		this._held.clear();
+		this._tokens.clear();
 		this._client?.onWoke(now);
 	}
 
@@ -138,7 +139,7 @@
 		const token = this._tokens.get(callId);
 		this._tokens.delete(callId);
 		if (token !== undefined && !hasRun) {
-			this._client?.reuse(token.organisation, token.slot, now);
+			this._client?.reuse(token.organisation, token.slot, token.grantedAt, now);
 		}
 	}
 
@@ -277,8 +278,9 @@
 	private _onClientEffect(effect: LimitEffect): void {
 		if (effect.type === 'call-allowed') {
 			const organisation = this._waiting.get(effect.callId);
-			if (organisation !== undefined && effect.record.slot !== undefined) {
-				this._tokens.set(effect.callId, {organisation, slot: effect.record.slot});
+			const {record: {slot}, grantedAt} = effect;
+			if (organisation !== undefined && slot !== undefined && grantedAt !== undefined) {
+				this._tokens.set(effect.callId, {organisation, slot, grantedAt});
 			}
 		}
 
--- a/src/common/limits/types.ts
+++ b/src/common/limits/types.ts
@@ -60,8 +60,8 @@
 /** Effects of `Limits`, in order. */
 export type LimitEffect
 	= | SendDatagramEffect
-	/** The call has its token and may run. */
-		| {readonly type: 'call-allowed'; readonly callId: number; readonly record: LimitRecord}
+	/** The call has its token and may run; `grantedAt` is undefined if it needs none. */
+		| {readonly type: 'call-allowed'; readonly callId: number; readonly record: LimitRecord; readonly grantedAt?: Instant}
 		| {
 			readonly type: 'call-refused';
 			readonly callId: number;
--- a/src/common/organisations/organisation-directory.ts
+++ b/src/common/organisations/organisation-directory.ts
@@ -33,6 +33,11 @@
 		this._declared = organisations === undefined ? {} : {organisations, keyOwners: keyOwners ?? new Map()};
 	}
 
+	/** Whether the operators declare organisations. */
+	get isRequired(): boolean {
+		return this._declared.organisations !== undefined;
+	}
+
 	/** Returns the organisation that owns the key with this digest. */
 	identify(digest: string): OrganisationInForce | undefined {
 		const name = this._declared.keyOwners?.get(digest);
--- a/src/common/routing/route-table.ts
+++ b/src/common/routing/route-table.ts
@@ -8,6 +8,18 @@
 
 type RouteEntry = {readonly route: Route; readonly split: WeightedSplit};
 
+/**
+ * A path segment `.` or `..`, also percent-encoded. Backend servers that resolve such segments run the call under another path
+ * than the one that was matched.
+ */
+const dotSegmentPattern = /(?:^|[\/\\]|%2f|%5c)(?:\.|%2e){1,2}(?:$|[\/\\;]|%2f|%5c)/iv;
+
+/** Whether the path of a URL has a segment `.` or `..`. */
+export function hasDotSegment(url: string): boolean {
+	const query = url.indexOf('?');
+	return dotSegmentPattern.test(query === -1 ? url : url.slice(0, query));
+}
+
 /** Returns the host in lower case and without its port: routes are configured by host name only. */
 function normalizedHost(host: string): string {
 	const colon = host.lastIndexOf(':');
--- a/src/common/routing/routing.test.ts
+++ b/src/common/routing/routing.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'earl';
 import fc from 'fast-check';
 import {seededRandom} from '../random/random.ts';
-import {RouteTable} from './route-table.ts';
+import {hasDotSegment, RouteTable} from './route-table.ts';
 import {type Route, type SplitPart} from './types.ts';
 import {WeightedSplit} from './weighted-split.ts';
 
@@ -19,6 +19,17 @@
 	return table;
 }
 
+describe('hasDotSegment', () => {
+	// Guards private paths of a backend server that resolves dot segments against callers of a public route.
+	for (const [url, expected] of Object.entries({
+		'/a/../b': true, '/a/.': true, '/a/%2e%2E/b': true, '/a/.%2e/b': true, '/a%2f..%2fb': true, '/a\\..\\b': true, '/a/..;x/b': true, '/a/.b/..c/d...': false, '/a/b?x=/../c': false,
+	})) {
+		it(`is ${expected} for ${url}`, () => {
+			expect(hasDotSegment(url)).toEqual(expected);
+		});
+	}
+});
+
 describe('RouteTable', () => {
 	const table = tableOf(route('one', '/'), route('one', '/a/'), route('one', '/a/b/'), route('two', '/a/'));
 	const cases: ReadonlyArray<readonly [string, string, string | undefined]> = [
--- a/src/common/settings/entry-settings.ts
+++ b/src/common/settings/entry-settings.ts
@@ -9,6 +9,9 @@
 	/^(?:(?:\d{1,3}\.){3}\d{1,3}|\[[\da-f:]+\]):\d{1,5}$/v,
 	'an IP number and port such as 10.0.0.2:7003 or [fd00::2]:7003',
 );
+/** Addresses that stand for all interfaces. Holders of limit slots are told apart by their endpoints. */
+const unspecifiedAddressPattern = /^(?:0+\.0+\.0+\.0+|\[[0:]+\]):/v;
+
 const textSchema = z.string().min(1).max(255);
 const secondsSchema = z.number().positive().max(86_400);
 
@@ -24,7 +27,7 @@
 	directory: endpointSchema.describe('Where callers ask which VMs to use.'),
 	peers: endpointSchema.describe('Where other VMs learn from this one what the store holds.'),
 	metrics: endpointSchema.describe('The page of counters.'),
-	limits: endpointSchema.optional().describe('Where VMs exchange datagrams about rate limits of organisations (UDP, the same port on all VMs). Without it, calls of organisations with a limit are refused here.'),
+	limits: endpointSchema.refine(endpoint => !unspecifiedAddressPattern.test(endpoint), 'the address of this VM, by which others reach it').optional().describe('Where VMs exchange datagrams about rate limits of organisations (UDP, the same port on all VMs). Without it, calls of organisations with a limit are refused here.'),
 });
 
 const storeSchema = z.strictObject({
--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -262,7 +262,7 @@
 			const {traceId, traceparent} = continueTrace(singleValue(incoming.headers[traceHeader]));
 			const {stallMilliseconds, completeAnswerStallMilliseconds} = this._limits;
 			const call = new LiveCall(request, {
-				incoming, outgoing, path, body, traceId, traceparent, dialect: this._dialect, isKeyChecked, stallMilliseconds, completeAnswerStallMilliseconds,
+				incoming, outgoing, path, body, traceId, traceparent, dialect: this._dialect, hidesKey: () => isKeyChecked, stallMilliseconds, completeAnswerStallMilliseconds,
 			}, this._dependencies.sink, this._dependencies.connections);
 			this._dependencies.calls.admit(call, {type: 'call-arrived', request});
 		});
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -42,8 +42,8 @@
 	/** W3C trace context to forward, if the dialect uses it. */
 	readonly traceparent?: string;
 	readonly dialect: Dialect;
-	/** True if organisations were in force when the call was admitted, so that the caller's key must not be forwarded. */
-	readonly isKeyChecked?: boolean;
+	/** Whether organisations were in force when the call was admitted, or are now, so that the caller's key must not be forwarded. */
+	readonly hidesKey?: () => boolean;
 	/** Time without progress on a blocked write after which the caller's connection is closed. */
 	readonly stallMilliseconds: Milliseconds;
 	/** The same timeout once the backend server's answer has been received completely. */
@@ -60,7 +60,7 @@
 	private readonly _path: string;
 	private readonly _traceparent: string | undefined;
 	private readonly _dialect: Dialect;
-	private readonly _isKeyChecked: boolean;
+	private readonly _hidesKey: () => boolean;
 	private readonly _stallMilliseconds: Milliseconds;
 	private readonly _completeAnswerStallMilliseconds: Milliseconds;
 	private readonly _sink: CallEventSink;
@@ -87,7 +87,7 @@
 		this._path = exchange.path;
 		this._traceparent = exchange.traceparent;
 		this._dialect = exchange.dialect;
-		this._isKeyChecked = exchange.isKeyChecked ?? false;
+		this._hidesKey = exchange.hidesKey ?? (() => false);
 		this.traceId = exchange.traceId;
 		this._stallMilliseconds = exchange.stallMilliseconds;
 		this._completeAnswerStallMilliseconds = exchange.completeAnswerStallMilliseconds ?? defaultCompleteAnswerStallMilliseconds;
@@ -359,7 +359,7 @@
 			timeoutMilliseconds: effect.timeoutMilliseconds,
 			identity: effect.identity,
 			traceparent: this._traceparent,
-			...(this._isKeyChecked ? {identified: {organisation: this._request.organisation}} : {}),
+			...(this._hidesKey() ? {identified: {organisation: this._request.organisation}} : {}),
 		});
 		if (effect.resume !== undefined) {
 			this._resumeOffsets.set(effect.attemptId, effect.resume.offset);
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -9,7 +9,7 @@
 import {type Milliseconds} from '../../common/model/units.ts';
 import {type DeclaredOrganisations, type OrganisationDirectory} from '../../common/organisations/organisation-directory.ts';
 import {type RoutedDialect} from '../../common/protocol/dialect.ts';
-import {type RoutedCall, type RouteTable} from '../../common/routing/route-table.ts';
+import {hasDotSegment, type RoutedCall, type RouteTable} from '../../common/routing/route-table.ts';
 import {type CallerLimits, type Routing} from '../../common/routing/types.ts';
 import {type EarlyListener} from '../early-listener.ts';
 import {listenOn} from '../listening.ts';
@@ -226,7 +226,7 @@
 		}
 
 		const route = routes.findRoute(incoming.headers.host ?? '', incoming.url ?? '');
-		if (route?.isPublic === true) {
+		if (route?.isPublic === true && !hasDotSegment(incoming.url ?? '')) {
 			return {isKeyChecked: true, organisation: undefined, revision: this._revision};
 		}
 
@@ -295,7 +295,14 @@
 			priority: organisation?.priority ?? routed.route.rule.priority,
 		};
 		const call = new LiveCall(request, {
-			incoming, outgoing, path, body, traceId, dialect, isKeyChecked, stallMilliseconds: this._limits.stallMilliseconds,
+			incoming,
+			outgoing,
+			path,
+			body,
+			traceId,
+			dialect,
+			hidesKey: () => isKeyChecked || this._dependencies.organisations.isRequired,
+			stallMilliseconds: this._limits.stallMilliseconds,
 		}, sink, connections);
 		calls.admit(call, {type: 'call-arrived', request});
 	}
--- a/src/node/limits/limit-socket.test.ts
+++ b/src/node/limits/limit-socket.test.ts
@@ -112,13 +112,13 @@
 		const long: LimitMessage = {
 			kind: 'ask', id: 1, slot: 0, wants: [['x'.repeat(maxDatagramBytes - 1), 1, 0]],
 		};
-		for (const to of ['', 'name.example:70', '127.0.0.1:0', '127.0.0.1:70000', '[::1', '127.0.0.1:nothing']) {
+		for (const to of ['', 'name.example:70', '127.0.0.1:0', '127.0.0.1:70000', '127.0.0.1:1.5', '[::1', '127.0.0.1:nothing']) {
 			recorded.socket.send(to, ask);
 		}
 
 		recorded.socket.send('127.0.0.1:70', long);
 		const page = await recorded.metrics.text();
-		expect([recorded.lines.length, page.includes('jaydale_limit_datagrams_total{result="failed"} 7')]).toEqual([2, true]);
+		expect([recorded.lines.length, page.includes('jaydale_limit_datagrams_total{result="failed"} 8')]).toEqual([2, true]);
 	});
 
 	// Guards against two processes that grant for one slot: a second one must not report an open endpoint while the first has it.
--- a/src/node/limits/limit-socket.ts
+++ b/src/node/limits/limit-socket.ts
@@ -83,7 +83,7 @@
 			this._fail(to, 'the socket is not open');
 		} else if (bytes.length > maxDatagramBytes) {
 			this._fail(to, `message of ${bytes.length} bytes`);
-		} else if (isIP(address) === 0 || !(port > 0 && port <= maxPort)) {
+		} else if (isIP(address) === 0 || !(Number.isInteger(port) && port > 0 && port <= maxPort)) {
 			// A name would cost a lookup, and the entry of a slot may contain anything.
 			this._fail(to, 'not an IP number and port');
 		} else {
