--- a/src/common/limits/limit-client.ts
+++ b/src/common/limits/limit-client.ts
@@ -15,7 +15,7 @@
 const skipMilliseconds: Milliseconds = 500;
 
 /** A holder that left this many requests in a row unanswered is not asked at all while it is skipped; one may have been lost. */
-const failuresOfDeadHolder = 2;
+const failuresUntilIgnored = 2;
 
 /** Maximum wait of a call for its token. */
 const maxWaitMilliseconds: Milliseconds = 250;
@@ -249,7 +249,7 @@
 	onNotHolder(id: number, slot: number, now: Instant): void {
 		const state = this._holders.get(slot);
 		if (state?.pending?.id === id) {
-			state.failures = Math.max(state.failures, failuresOfDeadHolder - 1);
+			state.failures = Math.max(state.failures, failuresUntilIgnored - 1);
 			this._onUnanswered(state, now);
 			this._dispatch(now);
 		}
@@ -481,7 +481,7 @@
 
 		const left = [...this._holders.values()].filter(({holder}) => !call.refusedBy.has(holder.slot));
 		const usable = left.filter(({holder, failures, skippedUntil}) =>
-			!call.unansweredBy.has(holder.slot) && (skippedUntil <= now || failures < failuresOfDeadHolder));
+			!call.unansweredBy.has(holder.slot) && (skippedUntil <= now || failures < failuresUntilIgnored));
 		if (usable.length === 0 && call.refusedBy.size > 0) {
 			this._onAllRefused(call, now);
 			return;
--- a/src/common/limits/limit-holder.ts
+++ b/src/common/limits/limit-holder.ts
@@ -4,7 +4,7 @@
 import {type Ask, type Grant, limitSlotCount} from './messages.ts';
 
 /**
- * A token is granted from this level on, and the rest is owed. If the three buckets have a whole token together, one of them
+ * A token is granted from this level on, and the level falls below zero by the rest. If the three buckets have a whole token together, one of them
  * has this much; if each waited for a whole one, small organisations would be refused with up to three tokens left.
  * Over all slots at most two calls more than the limit are granted.
  */
@@ -38,7 +38,7 @@
 	private _ratePerMillisecond = 0;
 	private _capacity = 0;
 	/** Time at which the last refused call may expect its token. */
-	private _promisedUntil: Instant = Number.NEGATIVE_INFINITY;
+	private _expectedUntil: Instant = Number.NEGATIVE_INFINITY;
 
 	/** The bucket is empty at `now`, since a previous holder may have granted all tokens up to then. */
 	constructor(limit: OrganisationLimit, now: Instant) {
@@ -70,15 +70,15 @@
 	 * Time until a token for the first of `refused` calls is expected. The expectations of refused calls are spaced by the
 	 * rate of the whole limit, since each of them asks all holders when it is repeated.
 	 */
-	promise(refused: number, now: Instant): Milliseconds {
+	expectedDelay(refused: number, now: Instant): Milliseconds {
 		if (this._ratePerMillisecond <= 0) {
 			return maxRetryMilliseconds;
 		}
 
 		const spacing = 1 / (this._ratePerMillisecond * limitSlotCount);
 		const nextTokenAt = now + (Math.max(0, leastLevel - this._level) / this._ratePerMillisecond);
-		const first = Math.max(nextTokenAt, this._promisedUntil + spacing);
-		this._promisedUntil = Math.min(first + ((refused - 1) * spacing), now + maxRetryMilliseconds);
+		const first = Math.max(nextTokenAt, this._expectedUntil + spacing);
+		this._expectedUntil = Math.min(first + ((refused - 1) * spacing), now + maxRetryMilliseconds);
 		return Math.max(1, Math.min(maxRetryMilliseconds, Math.ceil(first - now - retryEpsilonMilliseconds)));
 	}
 
@@ -147,7 +147,7 @@
 
 		bucket.giveBack(returned, now);
 		const granted = bucket.take(wanted, now);
-		return [name, granted, granted === wanted ? 0 : bucket.promise(wanted - granted, now)];
+		return [name, granted, granted === wanted ? 0 : bucket.expectedDelay(wanted - granted, now)];
 	}
 
 	private _forgetAskers(now: Instant): void {
--- a/src/common/limits/limits.ts
+++ b/src/common/limits/limits.ts
@@ -160,7 +160,7 @@
 
 		for (const [callId, name] of this._waiting) {
 			if (!limits.has(name)) {
-				this._settleUnlimited(callId, organisations === undefined || organisations.has(name), now);
+				this._settleWithoutToken(callId, organisations === undefined || organisations.has(name), now);
 			}
 		}
 
@@ -173,7 +173,7 @@
 	}
 
 	/** A waiting call whose limit was removed runs without a token; one whose organisation was removed is refused. */
-	private _settleUnlimited(callId: number, isOrganisationKnown: boolean, now: Instant): void {
+	private _settleWithoutToken(callId: number, isOrganisationKnown: boolean, now: Instant): void {
 		this._waiting.delete(callId);
 		const record = this._client?.cancel(callId, now) ?? {
 			waitedMilliseconds: 0, slot: undefined, refusedBy: [], unansweredBy: [],
@@ -246,7 +246,7 @@
 			return;
 		}
 
-		this._settleUnlimited(callId, false, now);
+		this._settleWithoutToken(callId, false, now);
 	}
 
 	/** The slot, if this VM has the right to grant its tokens at `now`. */
--- a/src/common/limits/types.ts
+++ b/src/common/limits/types.ts
@@ -47,7 +47,7 @@
 	= | {readonly type: 'configured'; readonly version: number; readonly organisations: ReadonlyMap<string, OrganisationInForce> | undefined}
 		| LimitSlotsEffect
 		| DatagramEvent
-	/** The process did not run for a while, possibly without its monotonic clock showing it. */
+	/** The VM was suspended, which its monotonic clock does not show. */
 		| {readonly type: 'woke'}
 	/** A call of an organisation with a limit needs a token within this time. */
 		| {readonly type: 'token-wanted'; readonly callId: number; readonly organisation: string; readonly withinMilliseconds: Milliseconds}
--- a/src/common/registry/limit-slots.ts
+++ b/src/common/registry/limit-slots.ts
@@ -473,11 +473,11 @@
 		const held = this._held.get(slot);
 		const retryAt = this._retryAt.get(slot) ?? Number.NEGATIVE_INFINITY;
 		if (held !== undefined) {
-			return this._isOutdated(held) && this._expectedBySuccession(slot) !== undefined ? retryAt : Number.POSITIVE_INFINITY;
+			return this._isOutdated(held) && this._replaceableRevision(slot) !== undefined ? retryAt : Number.POSITIVE_INFINITY;
 		}
 
 		if (this._known.has(slot)) {
-			return this._expectedBySuccession(slot) === undefined ? Number.POSITIVE_INFINITY : retryAt;
+			return this._replaceableRevision(slot) === undefined ? Number.POSITIVE_INFINITY : retryAt;
 		}
 
 		const vacancy = this._vacancies.get(slot);
@@ -491,7 +491,7 @@
 	 * or of its predecessor, or after a restore any outdated one while this VM's right runs; 0 = the key must not exist,
 	 * undefined = there is none.
 	 */
-	private _expectedBySuccession(slot: number): StorePosition | undefined {
+	private _replaceableRevision(slot: number): StorePosition | undefined {
 		const known = this._known.get(slot);
 		const hasRight = this._held.get(slot)?.right !== undefined;
 		const isCurrent = known !== undefined && eraOf(known.revision) === this._era;
@@ -547,7 +547,7 @@
 		const value = JSON.stringify({
 			address: limitsAddress!, holder: identity, dataCentre: own.dataCentre, era,
 		} satisfies SlotEntry);
-		const expected = this._expectedBySuccession(slot) ?? 0;
+		const expected = this._replaceableRevision(slot) ?? 0;
 		this._context.request({
 			type: 'compare-and-swap', key, expected, value, leaseId,
 		}, reply => {
@@ -601,7 +601,7 @@
 		}
 
 		this._endRightsInTime();
-		if (this._expectedBySuccession(slot) !== undefined) {
+		if (this._replaceableRevision(slot) !== undefined) {
 			this._retryAt.delete(slot);
 		}
 	}
--- a/src/node/decider-loop.ts
+++ b/src/node/decider-loop.ts
@@ -35,7 +35,7 @@
 		this._executor = executor;
 	}
 
-	/** Sets a function that is called before each event is queued; events that it feeds come first. */
+	/** Sets a function that is called before each event is queued; events that it feeds come before this one, and after those already queued. */
 	setBeforeEvent(beforeEvent: () => void): void {
 		this._beforeEvent = beforeEvent;
 	}
