Resolve a call's priority in one place, and explain the new parts to a reader

Change: the listener passes only the priority of the organisation, and newCall falls back to that of the route, as it did for calls of the other listener.

--- a/src/common/calls/admission/capacity-sharing.ts
+++ b/src/common/calls/admission/capacity-sharing.ts
@@ -36,8 +36,8 @@
 const headroomStep = 5;
 
 /**
- * A caller is dominant if it sends more than this many times as much as the others on average, beyond the variation of
- * small numbers: the standard deviation of the count of random arrivals is its square root.
+ * A caller is dominant if its calls exceed `dominanceFactor` times the mean of the others by more than `dominanceDeviations`
+ * standard deviations. The counts are taken as Poisson-distributed, so that the standard deviation is the root of the mean.
  */
 const dominanceFactor = 2;
 const dominanceDeviations = 6;
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -99,7 +99,7 @@
 	readonly rule?: CallRule;
 	/** Organisation that the caller's key identifies; undefined = none. */
 	readonly organisation?: string;
-	/** Priority of the organisation, else of the route; 0 = most urgent; undefined = neither has one. */
+	/** Priority of the organisation, which takes precedence over that of the route; 0 = most urgent; undefined = it has none. */
 	readonly priority?: number;
 };
 
--- a/src/common/entry-vm/limited-calls.test.ts
+++ b/src/common/entry-vm/limited-calls.test.ts
@@ -153,7 +153,7 @@
 		expect(described(vm.call(2, 'bank'))).toEqual(['2 429 over-limit not-run retry', '2 ended not-run after 0 ms']);
 	});
 
-	// Guards against calls that run although their caller left, and against waits that outlast the process.
+	// Guards against a call that runs after its caller has disconnected, and against one that still waits for a token when the process ends.
 	it('ends the wait when the caller leaves and when the process ends', () => {
 		const vm = newVm();
 		vm.fromFleet(remote);
--- a/src/common/limits/limit-client.ts
+++ b/src/common/limits/limit-client.ts
@@ -377,7 +377,7 @@
 		}
 	}
 
-	/** Gives the tokens in stock to the waiting calls, oldest first. */
+	/** Gives the unused tokens of this VM to the waiting calls; the call that has waited longest comes first. */
 	private _serve(organisation: OrganisationState, now: Instant): void {
 		this._expireStock(organisation, now);
 		for (const call of organisation.waiting) {
--- a/src/common/registry/limit-slots.test.ts
+++ b/src/common/registry/limit-slots.test.ts
@@ -4,7 +4,7 @@
 import {LimitRun} from './limit-slots-harness.test.ts';
 import {type StoreModel} from './store-model.test.ts';
 
-/** Term of the lease, and the time for others to learn that it has ended and to claim. */
+/** Longest time until another VM holds the slot of a lost one: the lease, the interval between two reads of the store, and the claim. */
 const takeoverMilliseconds = 10_000 + 3500;
 
 describe('slots of the rate limits', function () {
--- a/src/common/registry/vm-directory.ts
+++ b/src/common/registry/vm-directory.ts
@@ -142,7 +142,7 @@
 		return this._ranks;
 	}
 
-	/** This VM's place among the VMs that may claim a slot of the rate limits, computed anew on each access. */
+	/** This VM's rank among the VMs that may claim a slot of the rate limits; not cached. */
 	claimRank(): ClaimRank {
 		const {own} = this._context.settings;
 		const named = this._named();
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -292,7 +292,7 @@
 			mayRetry: true,
 			rule: routed.route.rule,
 			...(organisation === undefined ? {} : {organisation: organisation.name}),
-			priority: organisation?.priority ?? routed.route.rule.priority,
+			...(organisation?.priority === undefined ? {} : {priority: organisation.priority}),
 		};
 		const call = new LiveCall(request, {
 			incoming,
