Move the entry of a limit slot and the delay of its claim out of LimitSlots

Result: no change of behaviour; 44 tests of slots, their properties, a whole VM with limits and layering pass.

--- a/src/common/registry/limit-slots.ts
+++ b/src/common/registry/limit-slots.ts
@@ -11,13 +11,14 @@
  *   were written, and those of an earlier era prove nothing. Except for the VM whose right still runs, nobody claims a
  *   slot until every right from before the restore has ended.
  */
-import * as z from 'zod';
 import {limitSlotCount} from '../limits/messages.ts';
 import {type Instant, type Milliseconds, type RandomSource} from '../model/units.ts';
 import {
 	eraOf, isLater, type StoreEra, type StorePosition,
 } from '../platform/store-position.ts';
 import {type StoreEntry, type StoreReply} from '../platform/types.ts';
+import {type ClaimRank, claimDelay} from './limit-claim-delay.ts';
+import {parseSlotEntry, type SlotEntry} from './limit-slot-entry.ts';
 import {type RegistryContext} from './registry-context.ts';
 
 /** Term of the lease on a slot. A holder that crashes is missing for this long. */
@@ -47,13 +48,6 @@
 /** Largest random part of the delay of a claim. */
 const claimJitterMilliseconds: Milliseconds = 100;
 
-/** Time from a claim until the other VMs know of it, in addition to the pause between two watches. */
-const noticeMilliseconds: Milliseconds = 300;
-
-/** Additional ranks by which a VM of another data centre, or one that already holds a slot, claims later. */
-const otherDataCentreRanks = 2;
-const holderRanks = 3;
-
 /** Requests to remove the entry of a slot that is given up, in case their answers are lost. */
 const maxRemovalAttempts = 3;
 
@@ -63,19 +57,6 @@
  */
 const firstEra: StoreEra = 1;
 
-const slotEntrySchema = z.object({
-	/** Endpoint for datagrams: `IP:PORT`. */
-	address: z.string(),
-	/** Identity of the process. */
-	holder: z.string(),
-	dataCentre: z.string(),
-	/** Era of the store for which the entry was written. */
-	era: z.int().min(0),
-});
-
-/** The store entry of a slot. */
-type SlotEntry = z.infer<typeof slotEntrySchema>;
-
 /** A key as last read; `entry` is undefined if the value is invalid. */
 type KnownSlot = {readonly revision: StorePosition; readonly entry: SlotEntry | undefined};
 
@@ -97,18 +78,6 @@
 /** A claim in progress. */
 type Claim = {readonly slot: number; readonly era: StoreEra; readonly sentAt: Instant};
 
-/** This VM's place among the VMs that may claim a slot. */
-export type ClaimRank = {
-	/** Number of VMs of the same data centre that rank before this one. */
-	readonly place: number;
-	/** Number of VMs in the data centre, this one included. */
-	readonly size: number;
-	/** Number of VMs in all data centres, this one included. */
-	readonly vmCount: number;
-	/** Names of all data centres in ascending order, the own one included. */
-	readonly dataCentres: readonly string[];
-};
-
 /** Dependencies of the slots. */
 export type LimitSlotsOptions = {
 	readonly random: RandomSource;
@@ -236,7 +205,7 @@
 			return false;
 		}
 
-		const entry = parseEntry(value);
+		const entry = parseSlotEntry(value);
 		if (entry === undefined) {
 			this._context.log('warn', 'entry of a limit slot is invalid; the slot cannot be claimed until it is removed', {key});
 		}
@@ -509,20 +478,11 @@
 		return mayReplace ? revision : undefined;
 	}
 
-	/**
-	 * Spreads the claims so that usually one VM sends one and the others have learned of it before their turn. Slot K
-	 * prefers the K-th data centre, and there the first VM without a slot.
-	 */
 	private _claimDelay(slot: number): Milliseconds {
 		const {watchPauseMilliseconds, own} = this._context.settings;
-		const {place, size, vmCount, dataCentres} = this._options.claimRank();
-		const count = dataCentres.length;
-		const ordinal = Math.floor(slot / count);
-		const preferred = slot % count;
-		const distance = (dataCentres.indexOf(own.dataCentre) - preferred + count) % count;
-		const ranks = (place >= ordinal ? place - ordinal : size - ordinal + place) + (distance * otherDataCentreRanks) + (this._held.size * holderRanks);
-		// In a small fleet nobody else would claim in the meantime.
-		return Math.min(ranks, vmCount - 1) * (watchPauseMilliseconds + noticeMilliseconds);
+		return claimDelay(slot, this._options.claimRank(), {
+			dataCentre: own.dataCentre, heldSlots: this._held.size, watchPauseMilliseconds,
+		});
 	}
 
 	private _requestLease(slot: number): void {
@@ -657,11 +617,3 @@
 function rightEnd(sentAt: Instant, leaseMilliseconds: Milliseconds): Instant {
 	return sentAt + (Math.min(leaseMilliseconds, limitLeaseMilliseconds) * (1 - clockDriftMargin));
 }
-
-function parseEntry(value: string): SlotEntry | undefined {
-	try {
-		return slotEntrySchema.safeParse(JSON.parse(value)).data;
-	} catch {
-		return undefined;
-	}
-}
--- a/src/common/registry/vm-directory.ts
+++ b/src/common/registry/vm-directory.ts
@@ -8,7 +8,7 @@
 import {isLater, type StorePosition} from '../platform/store-position.ts';
 import {type LapseOutcome, LapsedVms} from './lapsed-vms.ts';
 import {type RegistryContext} from './registry-context.ts';
-import {type ClaimRank} from './limit-slots.ts';
+import {type ClaimRank} from './limit-claim-delay.ts';
 import {type RemovalCertainty} from './removal-grace-period.ts';
 import {type RegistryListener} from './server-registry.ts';
 import {type DocumentCodec, type VmEntry} from './types.ts';
