--- a/src/common/calls/poison-requests/poison-request-detector.test.ts
+++ b/src/common/calls/poison-requests/poison-request-detector.test.ts
@@ -182,6 +182,32 @@
 		expect([suspects.isQuarantined('call.9', 5), suspects.isQuarantined('other-1.7', 5)]).toEqual([true, false]);
 	});
 
+	// Guards against a caller with several addresses, whose calls would run beside one another on one VM.
+	it('holds back the same call of another caller while one that is likely harmful runs', () => {
+		const suspects = detectorOf(100_000);
+		for (const caller of [1, 2]) {
+			suspects.applyPeerCrash({crash: `crash-${caller}`, server: 'server', suspects: [`call.${caller}`]}, caller, caller);
+		}
+
+		suspects.recordStart('call.3');
+		expect([suspects.isHeld('call.4', 1000), suspects.isHeld('other.4', 1000)]).toEqual([true, false]);
+		suspects.recordEnd('call.3');
+		expect(suspects.isHeld('call.4', 1000)).toEqual(false);
+	});
+
+	// Guards against calls that wait in vain, since only the same call of any caller is quarantined and not that of their own.
+	it('refuses waiting calls at once when the same call of any caller is quarantined', () => {
+		const driver = new EngineDriver(configurationOf(3));
+		driver.handle({type: 'placing-held', isHeld: true});
+		driver.handle({type: 'call-arrived', request: requestOf(1, {fingerprint: 'call.4'})});
+		const effects = driver.handle({
+			type: 'peer-updates', updates: [1, 2, 3].map(caller => ({
+				identity: `gone-${caller}`, report: undefined, ageMilliseconds: 0, suspects: [`call.${caller}`], crash: `gone-${caller}`, isCrashCertain: true,
+			})),
+		});
+		expect(linesOf(effects).filter(line => line.startsWith('refuse'))).toEqual(['refuse suspected not-run 503']);
+	});
+
 	// Guards against a harmless call that is refused, or clears the harmful one, since another caller sends the same.
 	it('tells callers apart once the same call of another caller was answered', () => {
 		const suspects = detectorOf(100_000);
--- a/src/common/registry/poison-harness.test.ts
+++ b/src/common/registry/poison-harness.test.ts
@@ -43,6 +43,8 @@
 	readonly areOrders?: boolean;
 	/** The callers of harmful calls send them to one VM only. */
 	readonly isSentToOneVm?: boolean;
+	/** VMs to which harmful calls are sent; all by default. */
+	readonly receivesHarmful?: (process: ModelProcess) => boolean;
 	readonly milliseconds?: Milliseconds;
 	/** Time between two harmless calls of all callers together. */
 	readonly harmlessIntervalMilliseconds?: Milliseconds;
@@ -126,6 +128,13 @@
 
 	/** Sends harmful and harmless calls for the time of the options, and lets the open ones end. */
 	run(): PoisonResult {
+		this.play();
+		this.fleet.timeline.advance(3000);
+		return this.result;
+	}
+
+	/** Sends harmful and harmless calls for the time of the options. */
+	play(): void {
 		const {milliseconds = 13_000, harmfulCount = 1, harmlessIntervalMilliseconds = 10} = this._options;
 		const {timeline} = this.fleet;
 		for (let at = 0; at < milliseconds; at += harmfulIntervalMilliseconds) {
@@ -153,14 +162,19 @@
 			});
 		}
 
-		timeline.advance(milliseconds + 3000);
-		return this.result;
+		timeline.advance(milliseconds);
+	}
+
+	/** Running VMs that refuse no harmful call as quarantined. */
+	get unawareVms(): ModelProcess[] {
+		return this.fleet.running.filter(process => !process.entryVm.calls.status(process.now).quarantined.some(({fingerprint}) => fingerprint.startsWith('harmful-0.')));
 	}
 
 	/** Sends one call through a random running VM. */
 	send(fingerprint: string, isHarmful: boolean, isRetry = false): void {
-		const {running} = this.fleet;
-		const process = isHarmful && this._options.isSentToOneVm === true ? running[0] : running[Math.floor(this._random.next() * running.length)];
+		const {receivesHarmful = () => true, isSentToOneVm = false} = this._options;
+		const running = this.fleet.running.filter(process => !isHarmful || receivesHarmful(process));
+		const process = isHarmful && isSentToOneVm ? running[0] : running[Math.floor(this._random.next() * running.length)];
 		if (process === undefined) {
 			return;
 		}
