Send crashes of backend servers to other VMs within 20 ms of other updates

Callers saw: three different calls that crash backend servers, sent at once, took up to 9 in 100 harmless calls with them. Cause: a crash waited with all other updates until 100 ms after the last message. Meanwhile each VM could send the same call to two more backend servers. Updates of cleared calls, which follow each crash, made that wait the usual case. Now a crash waits for 20 ms only; other updates wait as before, or go with it. Evidence: the new test of the exchange fails without the change.

--- a/src/common/registry/update-exchange.test.ts
+++ b/src/common/registry/update-exchange.test.ts
@@ -9,6 +9,10 @@
 	identity: 'none', report: undefined, ageMilliseconds: 0, suspects: [], crash: undefined, cleared: ['a'],
 };
 
+const crash: LoadUpdate = {
+	identity: 'server', report: undefined, ageMilliseconds: 0, suspects: ['a'], crash: 'server', isCrashCertain: true,
+};
+
 /** An exchange with ten peers, and what it emits. */
 class ExchangeDriver {
 	readonly context = new RegistryContext(settings);
@@ -40,6 +44,16 @@
 		expect(driver.context.takeEffects().some(({type}) => type === 'peer-updates')).toEqual(true);
 	});
 
+	// Guards against a crash that other VMs learn of late, while they send the same call to further backend servers.
+	it('sends a crash soon after other updates', () => {
+		const driver = new ExchangeDriver();
+		const sent = [clearing, clearing, crash].map((update, index) => {
+			driver.exchange.addOwn({...update, cleared: update.cleared?.map(name => name + index)});
+			return driver.passTime(25);
+		});
+		expect(sent).toEqual([[4], [], [4]]);
+	});
+
 	// Guards against a message for each update, which would keep a small VM from its calls.
 	it('sends one first round in 100 ms, and ends after three rounds', () => {
 		const driver = new ExchangeDriver();
--- a/src/common/registry/update-exchange.ts
+++ b/src/common/registry/update-exchange.ts
@@ -16,9 +16,10 @@
 
 /**
  * Minimum time between two first rounds. Updates come in bursts when backend servers crash, and a message for each would keep
- * a small VM from its calls.
+ * a small VM from its calls. Crashes wait less: until they are known, other VMs send the same call to further backend servers.
  */
 const sendIntervalMilliseconds: Milliseconds = 100;
+const crashIntervalMilliseconds: Milliseconds = 20;
 
 /** Later rounds of all updates are done together, at multiples of this time. */
 const laterRoundsMilliseconds: Milliseconds = 1000;
@@ -105,7 +106,7 @@
 
 		this._entries.delete(key);
 		this._entries.set(key, {
-			update, madeAt, round, dueAt: this._dueAt(round),
+			update, madeAt, round, dueAt: this._dueAt(round, update.crash === undefined ? sendIntervalMilliseconds : crashIntervalMilliseconds),
 		});
 		if (this._entries.size > maxUpdates) {
 			this._entries.delete(this._entries.keys().next().value!);
@@ -174,9 +175,9 @@
 		this._schedule();
 	}
 
-	private _dueAt(round: number): Instant {
+	private _dueAt(round: number, intervalMilliseconds = sendIntervalMilliseconds): Instant {
 		const at = this._context.now + (rounds[round]?.delayMilliseconds ?? Infinity);
-		return round === 0 ? Math.max(at, this._sentAt + sendIntervalMilliseconds) : Math.ceil(at / laterRoundsMilliseconds) * laterRoundsMilliseconds;
+		return round === 0 ? Math.max(at, this._sentAt + intervalMilliseconds) : Math.ceil(at / laterRoundsMilliseconds) * laterRoundsMilliseconds;
 	}
 
 	private _sample(count: number): PeerAddress[] {
