Hold back a call of any caller while the same call runs elsewhere on the VM

Callers saw: more backend servers than needed ended under a call whose caller has several addresses, as a proxy has. Cause: a call with two crashes runs one at a time on a VM. Its attempts were counted by the exact fingerprint, which has the caller in it, while its crashes count for the same call of any caller. Now attempts are counted under both keys.

--- a/src/common/calls/poison-requests/poison-request-detector.ts
+++ b/src/common/calls/poison-requests/poison-request-detector.ts
@@ -80,7 +80,7 @@
 	private readonly _crashes = new Map<string, Crash>();
 	private readonly _crashesByFingerprint = new Map<string, Set<string>>();
 	private readonly _quarantined = new Map<string, {readonly crashes: number; readonly since: Instant; readonly expiresAt: Instant}>();
-	/** Number of attempts in flight on this VM, by fingerprint. */
+	/** Number of attempts in flight on this VM, by key. */
 	private readonly _running = new Map<string, number>();
 
 	constructor(retentionMilliseconds: Milliseconds, listener: PoisonRequestListener) {
@@ -207,20 +207,24 @@
 		}
 
 		const isRecent = crashes.some(crash => crash.isConfirmed && now - crash.detectedAt <= isolationMilliseconds);
-		return this.isLikelyHarmful(fingerprint) && (isRecent || this._running.has(fingerprint));
+		return this.isLikelyHarmful(fingerprint) && (isRecent || keysOf(fingerprint).some(key => this._running.has(key)));
 	}
 
 	/** Counts an attempt in flight. */
 	recordStart(fingerprint: string): void {
-		this._running.set(fingerprint, (this._running.get(fingerprint) ?? 0) + 1);
+		for (const key of keysOf(fingerprint)) {
+			this._running.set(key, (this._running.get(key) ?? 0) + 1);
+		}
 	}
 
 	recordEnd(fingerprint: string): void {
-		const left = (this._running.get(fingerprint) ?? 1) - 1;
-		if (left === 0) {
-			this._running.delete(fingerprint);
-		} else {
-			this._running.set(fingerprint, left);
+		for (const key of keysOf(fingerprint)) {
+			const left = (this._running.get(key) ?? 1) - 1;
+			if (left === 0) {
+				this._running.delete(key);
+			} else {
+				this._running.set(key, left);
+			}
 		}
 	}
 
