Refuse waiting calls once the same call of any caller is quarantined

Callers saw: a call that waited for a backend server was refused only when one became free or its time was over, although it was quarantined by then. Cause: the calls that wait were searched for the quarantined key. A quarantine of any caller has a key of its own, which no call has as its fingerprint. Now both keys of a call are compared. The test fails without the change.

--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -17,6 +17,7 @@
 import {StateUpdates, isStateUpdate} from './state-updates.ts';
 import {TimerActions} from './timer-actions.ts';
 import {DemandPlacer} from './placement/demand-placer.ts';
+import {keysOf} from './poison-requests/fingerprint-keys.ts';
 import {suspectReason} from './poison-requests/suspect-reason.ts';
 import {ProcessEndJudge} from './health/process-end.ts';
 import {OutlierDetector} from './health/outlier-detector.ts';
@@ -298,7 +299,8 @@
 	/** Refuses the open calls that were quarantined in this event. Attempts in flight go on: an answer clears the call. */
 	private _refuseQuarantined(now: Instant): void {
 		for (const call of this._newlyQuarantined.size === 0 ? [] : [...this._calls.values()]) {
-			if (this._newlyQuarantined.has(call.request.fingerprint) && call.attempts.size === 0 && call.state !== 'claiming') {
+			const isAffected = keysOf(call.request.fingerprint).some(key => this._newlyQuarantined.has(key));
+			if (isAffected && call.attempts.size === 0 && call.state !== 'claiming') {
 				this._completion.refuse(call, suspectReason(this._context.poisonRequests, call, now), now);
 			}
 		}
