Add a failing test of a crashing call that other callers send without harm

A call whose caller has changing addresses is recognised by its host, method, path and body alone, and any answer to the same call clears it. A second test guards popular calls of many callers against being refused because four backend servers end at once; it passes.

--- a/src/common/registry/poison-harness.test.ts
+++ b/src/common/registry/poison-harness.test.ts
@@ -151,7 +151,6 @@
 			// Half of them are calls of their own, the others come again and again.
 			const name = sent % 2 === 0 ? `harmless-${sent}.${sent % 7}` : `harmless-often-${sent % 20}.${sent % 3}`;
 			timeline.after(at, () => {
-				this.result.harmless.sent++;
 				this.send(name, false);
 			});
 		}
@@ -193,6 +192,7 @@
 				route: 'main', isIdempotent, timeoutMilliseconds: 1500, objectiveMilliseconds: 500, attemptLimit: 2, priority: 0,
 			},
 		};
+		this.result.harmless.sent += isHarmful || isRetry ? 0 : 1;
 		const callId = this._nextCallId++;
 		this._calls.set(`${process.identity} ${callId}`, {
 			fingerprint, isHarmful, isRetry, request,
--- a/src/common/registry/poison-requests.test.ts
+++ b/src/common/registry/poison-requests.test.ts
@@ -1,5 +1,6 @@
 /** Calls that crash each backend server that runs them, on a fleet that is coordinated through the store. */
 import {expect} from 'earl';
+import {type Milliseconds} from '../model/units.ts';
 import {
 	type PoisonOptions, type PoisonResult, PoisonModel, maxLateSends, servedShare,
 } from './poison-harness.test.ts';
@@ -27,6 +28,15 @@
 	}));
 }
 
+/** Sends harmless calls through random VMs from now on, for longer than a run. */
+function sendPeriodically(model: PoisonModel, intervalMilliseconds: Milliseconds, fingerprintOf: (index: number) => string): void {
+	for (let index = 0; index * intervalMilliseconds < 20_000; index++) {
+		model.fleet.timeline.after(index * intervalMilliseconds, () => {
+			model.send(fingerprintOf(index), false);
+		});
+	}
+}
+
 const sixVms = {vmCount: 6, serverCount: 18};
 
 describe('calls that crash backend servers, before a fleet coordinated through the store,', function () {
@@ -59,6 +69,14 @@
 		expect(play({...sixVms, harmfulCallers: 1000})).toEqual([]);
 	});
 
+	// Guards against a harmful caller with changing addresses that is cleared by the answers to others which send the same call.
+	it('are contained if each comes from an address of its own and other callers of the same call are answered', () => {
+		expect(play({...sixVms, harmfulCallers: 1000}, model => {
+			sendPeriodically(model, 300, index => `harmful-0.answered-${index % 5}`);
+			model.fleet.timeline.advance(5000);
+		})).toEqual([]);
+	});
+
 	// Guards against a call that cannot be retried by the VM, whose crashes are each seen by another VM.
 	it('are contained if they must not run twice', () => {
 		expect(play({...sixVms, areOrders: true})).toEqual([]);
@@ -128,6 +146,24 @@
 		expect(results.filter(({lateSends, refusedAsHarmful}) => refusedAsHarmful > 0 || lateSends.some(sends => sends > maxLateSends))).toEqual([]);
 	});
 
+	// Guards against the refusal of a popular call because several backend servers that run it end at once, as in a rack.
+	it('are not assumed to be at fault if four backend servers end at once under a call of many callers', () => {
+		const refused = seeds.map(seed => {
+			const model = new PoisonModel({...sixVms, seed, harmfulCount: 0});
+			sendPeriodically(model, 20, index => `popular.${index}`);
+			for (const at of [1000, 4500, 8000, 11_500]) {
+				model.fleet.timeline.after(at, () => {
+					for (const server of [...model.servers.values()].filter(({isAlive}) => isAlive).slice(0, 4)) {
+						model.crash(server);
+					}
+				});
+			}
+
+			return model.run().harmless.refusedAsHarmful;
+		});
+		expect(refused).toEqual(seeds.map(() => 0));
+	});
+
 	// Guards against convictions of calls that were in flight when backend servers were killed or connections reset.
 	for (const [name, faults] of [['are killed from outside', {killIntervalMilliseconds: 250}], ['reset connections', {resetChance: 0.1}]] as const) {
 		it(`are not assumed to be at fault if backend servers ${name}`, () => {
