Contain a crashing call although other callers of the same call are answered

Callers saw: a call that crashes backend servers and whose caller has changing addresses was quarantined for some hundred milliseconds at a time, in groups of crashes for as long as it came. Cause: such a call is known by host, method, path and body alone (CALL.*), and any answer to any caller of the same call cleared that. With other callers of the same call nothing was left that stood for the harmful ones. Class: one piece of evidence used for two questions, whether this caller's call is harmless and whether the call is harmless for all. Now an answer clears the call of its own caller. CALL.* counts the crashes of callers that were never answered; a quarantine of CALL.* does not apply to callers that were. Before it is reached the VMs send one another a few callers that they have answered. A popular call, first answered to more than ten callers and to more than it has crashes within 3 s, is cleared for all: it is in flight wherever backend servers end. Evidence: the test failed before and passes. Not contained for certain: harmful calls beside as many new callers that are answered.

--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -1,5 +1,5 @@
 /** The call engine of one VM: dispatches events and due timers to the parts that decide on calls. */
-import {type Instant} from '../model/units.ts';
+import {type Instant, type Milliseconds} from '../model/units.ts';
 import {Admission} from './admission/admission.ts';
 import {DemandReports} from './admission/demand-reports.ts';
 import {AttemptRunner} from './attempts/attempt-runner.ts';
@@ -63,10 +63,10 @@
 						identity: server, suspects, crash, isCrashCertain: true,
 					});
 				},
-				onCleared: fingerprint => {
+				onCleared: (key, ageMilliseconds) => {
 					this._tellPeers({
-						identity: clearingIdentity, suspects: [], crash: undefined, cleared: [fingerprint],
-					});
+						identity: clearingIdentity, suspects: [], crash: undefined, cleared: [key],
+					}, ageMilliseconds);
 				},
 			}),
 			servicesToDrain: new Set(),
@@ -292,8 +292,8 @@
 		}
 	}
 
-	private _tellPeers(update: Omit<LoadUpdate, 'report' | 'ageMilliseconds'>): void {
-		this._context.effects.push({type: 'tell-peers', update: {...update, report: undefined, ageMilliseconds: 0}});
+	private _tellPeers(update: Omit<LoadUpdate, 'report' | 'ageMilliseconds'>, ageMilliseconds: Milliseconds = 0): void {
+		this._context.effects.push({type: 'tell-peers', update: {...update, report: undefined, ageMilliseconds}});
 	}
 
 	/** Refuses the open calls that were quarantined in this event. Attempts in flight go on: an answer clears the call. */
--- a/src/common/calls/poison-requests/poison-request-detector.ts
+++ b/src/common/calls/poison-requests/poison-request-detector.ts
@@ -23,9 +23,18 @@
 /** Time after a reset within which the end of the process confirms a crash. A later end may have another cause. */
 const confirmationMilliseconds: Milliseconds = 10_000;
 
+/** Answered callers of one call that a VM sends to the others while that call may be harmful. */
+const maxSentCallers = 8;
+
 /** Time after which a verdict is final: until then other VMs may report more calls in flight at the same crashes. */
 const settlingMilliseconds: Milliseconds = 300;
 
+/** Time before the crashes of a call of any caller in which answers to callers that are new show that it is popular. */
+const popularityMilliseconds: Milliseconds = 3000;
+
+/** Number of new callers above which a call is popular: it is in flight on several backend servers at any time. */
+const minNewCallers = 10;
+
 /**
  * Resets whose cause is still unknown after which a call is held back, and the time for which each of them counts. Lost
  * packets can delay the proof that a process has ended.
@@ -60,8 +69,8 @@
 	onChange(change: PoisonRequestChange): void;
 	/** This VM has seen calls in flight at a confirmed crash; all VMs must know. */
 	onCrashEvidence(evidence: CrashEvidence): void;
-	/** A suspect was answered through this VM, or an operator lifted its quarantine here; all VMs must know. */
-	onCleared(fingerprint: string): void;
+	/** A suspect was answered through this VM this long ago, or an operator lifted its quarantine here; all VMs must know. */
+	onCleared(key: string, ageMilliseconds: Milliseconds): void;
 };
 
 /**
@@ -71,7 +80,8 @@
  * A fingerprint is quarantined if it was in flight at three confirmed crashes that no other call explains, and has not been
  * answered. A frequent harmless call is soon cleared by an answer. A rare one is not in flight at three crashes of the
  * harmful call, since a suspect is never placed beside another one. The same call of several callers is quarantined for all
- * callers if it was answered to none of them.
+ * callers to which it was never answered. It is not if many new callers were answered about that time, and more than it has
+ * crashes: a popular call is in flight wherever a backend server ends.
  */
 export class PoisonRequestDetector {
 	private readonly _retentionMilliseconds: Milliseconds;
@@ -80,6 +90,8 @@
 	private readonly _crashes = new Map<string, Crash>();
 	private readonly _crashesByFingerprint = new Map<string, Set<string>>();
 	private readonly _quarantined = new Map<string, {readonly crashes: number; readonly since: Instant; readonly expiresAt: Instant}>();
+	/** Number of answered callers sent to other VMs, by the key of the call of any caller. */
+	private readonly _sentCallers = new Map<string, number>();
 	/** Number of attempts in flight on this VM, by key. */
 	private readonly _running = new Map<string, number>();
 
@@ -105,7 +117,7 @@
 		}
 
 		const crash = this._getOrCreateCrash(crashIdentity, server, now);
-		if (this._addSuspect(crashIdentity, crash, fingerprint) && crash.isConfirmed) {
+		if (this._addSuspect(crashIdentity, crash, fingerprint, now) && crash.isConfirmed) {
 			this._listener.onCrashEvidence({crash: crashIdentity, server, suspects: [fingerprint]});
 			this._update(now);
 		}
@@ -138,7 +150,7 @@
 		const unanswered = suspects.filter(fingerprint => {
 			const isCleared = this._answered.clears(fingerprint, detectedAt);
 			if (isCleared) {
-				this._listener.onCleared(fingerprint);
+				this._listener.onCleared(fingerprint, now - this._answered.answeredAt(fingerprint)!);
 			}
 
 			return !isCleared;
@@ -149,7 +161,7 @@
 		}
 
 		for (const fingerprint of unanswered) {
-			this._addSuspect(crashIdentity, crash, fingerprint);
+			this._addSuspect(crashIdentity, crash, fingerprint, now);
 		}
 
 		this._update(now);
@@ -157,10 +169,11 @@
 
 	/** A call was answered through this VM, which proves that it is harmless. */
 	recordAnswer(fingerprint: string, now: Instant): void {
-		const isSuspect = this.isSuspect(fingerprint);
+		const isSuspect = this._crashesByFingerprint.has(fingerprint);
+		const mustBeSent = isSuspect || (!this._answered.has(fingerprint) && keysOf(fingerprint).some(key => this._countAnsweredCaller(key)));
 		this._applyAnswer(fingerprint, {answeredAt: now, cause: 'answer'}, now);
-		if (isSuspect) {
-			this._listener.onCleared(fingerprint);
+		if (mustBeSent) {
+			this._listener.onCleared(fingerprint, 0);
 		}
 	}
 
@@ -173,15 +186,15 @@
 	liftQuarantine(fingerprint: string, now: Instant): void {
 		if (this.isSuspect(fingerprint)) {
 			for (const key of keysOf(fingerprint)) {
-				this._clear(key, now, 'operator');
+				this._answered.add(key, now);
+				this._clear(key, 'operator', now);
+				this._listener.onCleared(key, 0);
 			}
-
-			this._listener.onCleared(fingerprint);
 		}
 	}
 
 	isSuspect(fingerprint: string): boolean {
-		return keysOf(fingerprint).some(key => this._crashesByFingerprint.has(key));
+		return this._suspectKeysOf(fingerprint).some(key => this._crashesByFingerprint.has(key));
 	}
 
 	/** Number of confirmed crashes at which the call was in flight. */
@@ -207,7 +220,7 @@
 		}
 
 		const isRecent = crashes.some(crash => crash.isConfirmed && now - crash.detectedAt <= isolationMilliseconds);
-		return this.isLikelyHarmful(fingerprint) && (isRecent || keysOf(fingerprint).some(key => this._running.has(key)));
+		return this.isLikelyHarmful(fingerprint) && (isRecent || this._suspectKeysOf(fingerprint).some(key => this._running.has(key)));
 	}
 
 	/** Counts an attempt in flight. */
@@ -229,7 +242,7 @@
 	}
 
 	isQuarantined(fingerprint: string, now: Instant): boolean {
-		for (const key of keysOf(fingerprint)) {
+		for (const key of this._suspectKeysOf(fingerprint)) {
 			const entry = this._quarantined.get(key);
 			if (entry !== undefined && entry.expiresAt > now) {
 				return true;
@@ -243,7 +256,7 @@
 
 	/** Whether a quarantine is so recent that the evidence of other VMs may still end it. */
 	isSettling(fingerprint: string, now: Instant): boolean {
-		return keysOf(fingerprint).every(key => now - (this._quarantined.get(key)?.since ?? now) < settlingMilliseconds);
+		return this._suspectKeysOf(fingerprint).every(key => now - (this._quarantined.get(key)?.since ?? now) < settlingMilliseconds);
 	}
 
 	quarantined(now: Instant): Quarantined[] {
@@ -263,17 +276,18 @@
 	}
 
 	/** Returns true if the fingerprint is new for this crash. */
-	private _addSuspect(crashIdentity: string, crash: Crash, fingerprint: string): boolean {
+	private _addSuspect(crashIdentity: string, crash: Crash, fingerprint: string, now: Instant): boolean {
 		if (crash.suspects.has(fingerprint) || crash.suspects.size >= maxKeysPerCrash) {
 			return false;
 		}
 
-		for (const key of keysOf(fingerprint)) {
-			if (!this._answered.clears(key, crash.detectedAt)) {
-				crash.suspects.add(key);
-				const crashes = this._crashesByFingerprint.get(key) ?? new Set();
-				crashes.add(crashIdentity);
-				this._crashesByFingerprint.set(key, crashes);
+		for (const key of this._suspectKeysOf(fingerprint).filter(key => !this._answered.clears(key, crash.detectedAt))) {
+			crash.suspects.add(key);
+			const crashes = this._crashesByFingerprint.get(key) ?? new Set();
+			crashes.add(crashIdentity);
+			this._crashesByFingerprint.set(key, crashes);
+			if (isOfAnyCaller(key) && crashes.size === crashesToIsolate) {
+				this._sendAnsweredCallers(key, now);
 			}
 		}
 
@@ -281,25 +295,57 @@
 	}
 
 	private _applyAnswer(fingerprint: string, {answeredAt, cause}: {readonly answeredAt: Instant; readonly cause: 'answer' | 'peer'}, now: Instant): void {
-		for (const key of keysOf(fingerprint)) {
-			this._answered.add(key, answeredAt);
-			this._clear(key, now, cause);
+		const isNew = !this._answered.has(fingerprint);
+		this._answered.add(fingerprint, answeredAt);
+		this._clear(fingerprint, cause, now);
+		if (isNew && keysOf(fingerprint).some(key => this._crashesByFingerprint.has(key))) {
+			this._update(now);
+		}
+	}
+
+	/** Lets all VMs know to which callers the call was answered, before it is quarantined for all others. */
+	private _sendAnsweredCallers(anyCallerKey: string, now: Instant): void {
+		const answered = this._answered.sameCalls(anyCallerKey).slice(-maxSentCallers);
+		this._sentCallers.set(anyCallerKey, answered.length);
+		for (const {fingerprint, firstAnsweredAt} of answered) {
+			this._listener.onCleared(fingerprint, now - firstAnsweredAt);
 		}
 	}
 
-	private _clear(key: string, now: Instant, cause: 'answer' | 'operator' | 'peer'): void {
-		const identities = this._crashesByFingerprint.get(key);
-		if (identities === undefined) {
+	/** Counts an answer to another caller of a call that may be harmful; true = the other VMs need to know of it. */
+	private _countAnsweredCaller(anyCallerKey: string): boolean {
+		const sent = this._sentCallers.get(anyCallerKey);
+		if (sent === undefined || sent >= maxSentCallers) {
+			return false;
+		}
+
+		this._sentCallers.set(anyCallerKey, sent + 1);
+		return true;
+	}
+
+	/** Keys under which a call counts as suspect: one that was answered to its caller, only by its own crashes since. */
+	private _suspectKeysOf(fingerprint: string): string[] {
+		return this._answered.has(fingerprint) ? [fingerprint] : keysOf(fingerprint);
+	}
+
+	/** Removes a call from the crashes that its answer explains; a call of one caller also as one of any, where no other caller is suspect. */
+	private _clear(key: string, cause: 'answer' | 'operator' | 'peer', now: Instant): void {
+		const identities = [...this._crashesByFingerprint.get(key) ?? []].filter(identity => this._answered.clears(key, this._crashes.get(identity)!.detectedAt));
+		if (identities.length === 0) {
 			return;
 		}
 
-		const crashes = Array.from(identities, identity => this._crashes.get(identity)!);
-		const wasQuarantined = this._quarantined.delete(key);
-		this._crashesByFingerprint.delete(key);
-		for (const crash of crashes) {
-			crash.suspects.delete(key);
+		const crashes = identities.map(identity => this._crashes.get(identity)!);
+		for (const identity of identities) {
+			this._removeSuspect(identity, key);
+			const [, anyCallerKey] = keysOf(key);
+			const {suspects} = this._crashes.get(identity)!;
+			if (anyCallerKey !== undefined && ![...suspects].some(suspect => suspect !== anyCallerKey && keysOf(suspect).includes(anyCallerKey))) {
+				this._removeSuspect(identity, anyCallerKey);
+			}
 		}
 
+		const wasQuarantined = !this._crashesByFingerprint.has(key) && this._quarantined.delete(key);
 		if (crashes.some(({isConfirmed}) => isConfirmed)) {
 			this._listener.onChange({
 				kind: 'cleared', fingerprint: key, crashes: crashes.length, wasQuarantined, cause,
@@ -309,13 +355,30 @@
 		this._update(now);
 	}
 
+	private _removeSuspect(crashIdentity: string, key: string): void {
+		this._crashes.get(crashIdentity)?.suspects.delete(key);
+		const crashes = this._crashesByFingerprint.get(key);
+		crashes?.delete(crashIdentity);
+		if (crashes?.size === 0) {
+			this._crashesByFingerprint.delete(key);
+			this._sentCallers.delete(key);
+		}
+	}
+
 	/** Begins and ends quarantines as the present evidence requires. */
 	private _update(now: Instant): void {
-		if (this._quarantined.size === 0 && ![...this._crashesByFingerprint.values()].some(({size}) => size >= crashesToQuarantine)) {
+		if (this._quarantined.size === 0 && ![...this._crashesByFingerprint.values()].some(({size}) => size >= crashesToIsolate)) {
 			return;
 		}
 
 		const confirmed = [...this._crashes.values()].filter(({isConfirmed, expiresAt}) => isConfirmed && expiresAt > now);
+		const popular = [...this._crashesByFingerprint.keys()].find(key => this._isPopular(key, confirmed, now));
+		if (popular !== undefined) {
+			// Begins again without this call.
+			this._clearPopular(popular, confirmed, now);
+			return;
+		}
+
 		const verdicts = findHarmful(confirmed.map(({suspects}) => suspects), crashesToQuarantine);
 		for (const [fingerprint, {crashes, expiresAt}] of this._quarantined) {
 			if (!verdicts.has(fingerprint) && expiresAt > now) {
@@ -334,9 +397,29 @@
 		}
 	}
 
+	/** Whether many callers, and more than it has crashes, got their first answer to this call shortly before and while these happened. */
+	private _isPopular(key: string, confirmed: readonly Crash[], now: Instant): boolean {
+		const quarantine = this._quarantined.get(key);
+		const isFinal = quarantine !== undefined && now - quarantine.since >= settlingMilliseconds;
+		const times = isOfAnyCaller(key) && !isFinal ? timesOf(key, confirmed) : [];
+		if (times.length < crashesToIsolate) {
+			return false;
+		}
+
+		const [from, until] = [Math.min(...times) - popularityMilliseconds, Math.max(...times) + settlingMilliseconds];
+		const newCallers = this._answered.sameCalls(key).filter(({firstAnsweredAt}) => firstAnsweredAt >= from && firstAnsweredAt <= until);
+		return newCallers.length > Math.max(times.length, minNewCallers);
+	}
+
+	private _clearPopular(key: string, confirmed: readonly Crash[], now: Instant): void {
+		const answeredAt = Math.max(...timesOf(key, confirmed));
+		this._listener.onCleared(key, now - answeredAt);
+		this._applyAnswer(key, {answeredAt, cause: 'answer'}, now);
+	}
+
 	/** Crashes of the call, also by other callers. */
 	private _crashesOf(fingerprint: string): Crash[] {
-		const identities = new Set(keysOf(fingerprint).flatMap(key => [...this._crashesByFingerprint.get(key) ?? []]));
+		const identities = new Set(this._suspectKeysOf(fingerprint).flatMap(key => [...this._crashesByFingerprint.get(key) ?? []]));
 		return Array.from(identities, identity => this._crashes.get(identity)!);
 	}
 
@@ -373,12 +456,13 @@
 	private _removeCrash(identity: string): void {
 		const crash = this._crashes.get(identity);
 		this._crashes.delete(identity);
-		for (const fingerprint of crash?.suspects ?? []) {
-			const crashes = this._crashesByFingerprint.get(fingerprint);
-			crashes?.delete(identity);
-			if (crashes?.size === 0) {
-				this._crashesByFingerprint.delete(fingerprint);
-			}
+		for (const key of crash?.suspects ?? []) {
+			this._removeSuspect(identity, key);
 		}
 	}
 }
+
+/** When the crashes with this suspect happened. */
+function timesOf(key: string, crashes: readonly Crash[]): Instant[] {
+	return crashes.filter(({suspects}) => suspects.has(key)).map(({detectedAt}) => detectedAt);
+}
--- a/src/common/registry/evidence-store.test.ts
+++ b/src/common/registry/evidence-store.test.ts
@@ -63,7 +63,7 @@
 	// Guards against evidence that makes room for crashes without any meaning.
 	it('keeps the crashes of a recurring call when many others follow', () => {
 		const store = storeOf([crashOf('c-1', ['call.1']), crashOf('c-2', ['call.1']), ...Array.from({length: 600}, (_, index) => crashOf(`other-${index}`, [`print-${index}.1`]))]);
-		expect([store.keys.toSorted(), store.crashes(0).length]).toEqual([['c-1 call.1', 'c-2 call.1'], 256]);
+		expect([store.keys.toSorted(), store.snapshot(0).length]).toEqual([['c-1 call.1', 'c-2 call.1'], 256]);
 	});
 
 	// Guards against a harmless call that stays suspected on VMs that missed its answer.
@@ -71,11 +71,11 @@
 		const crashes = [crashOf('c-1', ['call.1']), crashOf('c-2', ['call.1'])];
 		const [late, cleared] = [storeOf(crashes), storeOf([...crashes, clearingOf('call.1')])] as const;
 		compare(late, cleared, 5);
-		expect([late.keys, late.crashes(5)]).toEqual([[], []]);
+		expect([late.keys, late.snapshot(5)]).toEqual([[], []]);
 	});
 
 	it('forgets crashes after ten minutes', () => {
 		const store = storeOf([crashOf('c-1', ['call.1']), crashOf('c-2', ['call.1'])]);
-		expect([store.crashes(599_999).length, store.crashes(600_001), store.hasEvidence, store.add(crashOf('c-3', ['call.1'], 600_001), 700_000)]).toEqual([2, [], false, false]);
+		expect([store.snapshot(599_999).length, store.snapshot(600_001), store.hasEvidence, store.add(crashOf('c-3', ['call.1'], 600_001), 700_000)]).toEqual([2, [], false, false]);
 	});
 });
--- a/src/common/registry/evidence-store.ts
+++ b/src/common/registry/evidence-store.ts
@@ -1,6 +1,6 @@
 /** Evidence of calls that crash backend servers, as far as this VM has it from its own call engine and other VMs. */
 import {AnsweredCalls} from '../calls/poison-requests/answered-calls.ts';
-import {keysOf} from '../calls/poison-requests/fingerprint-keys.ts';
+import {isOfAnyCaller, keysOf} from '../calls/poison-requests/fingerprint-keys.ts';
 import {type BackendServerIdentity, type LoadUpdate} from '../calls/types.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type EvidenceKey, type EvidenceReply} from './types.ts';
@@ -17,6 +17,9 @@
 /** Maximum number of keys that VMs compare, those of the latest crashes first. */
 const maxCompared = 64;
 
+/** Maximum number of callers of one call in a message, the latest. */
+const maxAnsweredCallers = 64;
+
 /** Difference in age from which a clearing of the same call is another one. Ages grow a little less than time on their way. */
 const anotherClearingMilliseconds: Milliseconds = 500;
 
@@ -52,7 +55,7 @@
 		const at = now - update.ageMilliseconds;
 		const isCrashNew = update.crash !== undefined && update.isCrashCertain === true && now - at <= retentionMilliseconds && this._addCrash(update.crash, update, at);
 		const newlyCleared = (update.cleared ?? []).filter(fingerprint => at - (this._cleared.answeredAt(fingerprint) ?? -Infinity) >= anotherClearingMilliseconds);
-		for (const key of newlyCleared.flatMap(fingerprint => keysOf(fingerprint))) {
+		for (const key of newlyCleared) {
 			this._cleared.add(key, at);
 		}
 
@@ -62,13 +65,14 @@
 		return isCrashNew || newlyCleared.length > 0;
 	}
 
-	/** The crashes with suspects that are not cleared, with their age at `now`. */
-	crashes(now: Instant): LoadUpdate[] {
+	/** The crashes with suspects that are not cleared, and the callers to which recurring ones were answered, with their age at `now`. */
+	snapshot(now: Instant): LoadUpdate[] {
 		this._removeExpired(now);
-		return [...this._crashes].flatMap(([crash, details]) => {
-			const suspects = [...details.suspects].filter(fingerprint => !this._cleared.clears(fingerprint, details.at));
+		const crashes = [...this._crashes].flatMap(([crash, details]) => {
+			const suspects = [...details.suspects].filter(fingerprint => this._suspectKeysOf(fingerprint, details.at).length > 0);
 			return suspects.length === 0 ? [] : [updateOf(crash, details, suspects.slice(0, maxSuspects), now)];
 		});
+		return [...crashes, ...this._answeredCallers(this.keys, now)];
 	}
 
 	/** The evidence of these keys, as far as it is known here. */
@@ -83,8 +87,9 @@
 	compare(known: readonly EvidenceKey[], now: Instant): EvidenceReply {
 		this._removeExpired(now);
 		const lacking = this.keys.filter(key => !known.includes(key));
+		const answered = this._answeredCallers(lacking, now);
 		const clearings = known.filter(key => !this._selected().has(key)).flatMap(key => this._clearingsOf(key, now));
-		return {updates: [...this.select(lacking, now), ...clearings], missing: known.filter(key => this._find(key) === undefined).slice(0, maxCompared)};
+		return {updates: [...this.select(lacking, now), ...answered, ...clearings], missing: known.filter(key => this._find(key) === undefined).slice(0, maxCompared)};
 	}
 
 	/**
@@ -94,7 +99,7 @@
 	private _selected(): ReadonlyMap<EvidenceKey, Evidence> {
 		if (this._selection === undefined) {
 			const suspected = [...this._crashes].flatMap(([crash, {at, suspects}]) => Array.from(suspects, fingerprint => ({
-				crash, at, fingerprint, key: keyOf(crash, fingerprint), suspectedAs: keysOf(fingerprint).filter(key => !this._cleared.clears(key, at)),
+				crash, at, fingerprint, key: keyOf(crash, fingerprint), suspectedAs: this._suspectKeysOf(fingerprint, at),
 			})));
 			const crashesOf = new Map<string, Set<string>>();
 			for (const {crash, suspectedAs} of suspected) {
@@ -110,6 +115,12 @@
 		return this._selection;
 	}
 
+	/** Keys under which a call is suspect of a crash at this time, as in a call engine. */
+	private _suspectKeysOf(fingerprint: string, crashedAt: Instant): string[] {
+		const keys = this._cleared.has(fingerprint) ? [fingerprint] : keysOf(fingerprint);
+		return keys.filter(key => !this._cleared.clears(key, crashedAt));
+	}
+
 	/** Whether the call, of its caller or of any, is part of the evidence that VMs compare. */
 	private _isSelected(cleared: string): boolean {
 		const keys = new Set(keysOf(cleared));
@@ -148,17 +159,21 @@
 		}
 	}
 
+	/** Callers to which the calls of this evidence were answered: a quarantine of any caller does not apply to them. */
+	private _answeredCallers(keys: readonly EvidenceKey[], now: Instant): LoadUpdate[] {
+		const anyCallerKeys = new Set(keys.flatMap(key => keysOf(this._selected().get(key)!.fingerprint).filter(isOfAnyCaller)));
+		return [...anyCallerKeys].flatMap(key => this._cleared.sameCalls(key).slice(-maxAnsweredCallers).map(({fingerprint, firstAnsweredAt}) => clearingOf(fingerprint, now - firstAnsweredAt)));
+	}
+
 	/** What clears a call that is evidence for another VM, by its own caller or any; empty if nothing does. */
 	private _clearingsOf(key: EvidenceKey, now: Instant): LoadUpdate[] {
 		const found = this._find(key);
 		return found === undefined
 			? []
-			: keysOf(found.fingerprint).filter(fingerprint => this._cleared.clears(fingerprint, found.at)).map(fingerprint => ({
-				identity: found.server, report: undefined, ageMilliseconds: Math.max(0, now - this._cleared.answeredAt(fingerprint)!), suspects: [], crash: undefined, cleared: [fingerprint],
-			}));
+			: keysOf(found.fingerprint).filter(cleared => this._cleared.clears(cleared, found.at)).map(cleared => clearingOf(cleared, now - this._cleared.answeredAt(cleared)!));
 	}
 
-	private _find(key: EvidenceKey): {readonly fingerprint: string; readonly at: Instant; readonly server: BackendServerIdentity} | undefined {
+	private _find(key: EvidenceKey): {readonly fingerprint: string; readonly at: Instant} | undefined {
 		const [crash = '', fingerprint = ''] = key.split(separator);
 		const details = this._crashes.get(crash);
 		return details?.suspects.has(fingerprint) === true ? {fingerprint, ...details} : undefined;
@@ -172,6 +187,12 @@
 	return crash + separator + fingerprint;
 }
 
+function clearingOf(key: string, ageMilliseconds: Milliseconds): LoadUpdate {
+	return {
+		identity: 'none', report: undefined, ageMilliseconds: Math.max(0, ageMilliseconds), suspects: [], crash: undefined, cleared: [key],
+	};
+}
+
 function updateOf(crash: string, {server, at}: Crash, suspects: readonly string[], now: Instant): LoadUpdate {
 	return {
 		identity: server, report: undefined, ageMilliseconds: Math.max(0, now - at), suspects, crash, isCrashCertain: true,
--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -266,7 +266,7 @@
 
 	/** A snapshot of all entries for another VM. */
 	feed(now: Instant): FeedFrame {
-		return {...this._publisher.snapshot(now), updates: this._evidence.crashes(now)};
+		return {...this._publisher.snapshot(now), updates: this._evidence.snapshot(now)};
 	}
 
 	/** Compares the evidence of crashes with that of another VM, which has the evidence of these keys. */
