Count crashes of callers that were answered before, and popularity by all answers

Now an answer proves a caller until its next crash; then the call counts for CALL.* as well. A call is popular by all callers that were answered in the 3 s before its crashes, not only by new ones, so that a call of few callers with many calls each is safe as well. Evidence: the new test of the detector fails without the change.

--- a/src/common/calls/poison-requests/poison-request-detector.test.ts
+++ b/src/common/calls/poison-requests/poison-request-detector.test.ts
@@ -219,6 +219,20 @@
 		expect([suspects.isQuarantined('call.harmful', 6500), suspects.isQuarantined('call.harmless', 6500)]).toEqual([true, false]);
 	});
 
+	// Guards against a call that is harmful only since a release: all its callers were answered before.
+	it('quarantines a call for all callers although it was answered to them before its crashes', () => {
+		const suspects = detectorOf(100_000);
+		for (const caller of [1, 2, 3, 4]) {
+			suspects.recordAnswer(`call.${caller}`, 0);
+		}
+
+		for (const caller of [1, 2, 3]) {
+			suspects.applyPeerCrash({crash: `crash-${caller}`, server: 'server', suspects: [`call.${caller}`]}, 5000, 5000);
+		}
+
+		expect([1, 2, 3, 4, 5].map(caller => suspects.isQuarantined(`call.${caller}`, 5001))).toEqual([true, true, true, false, true]);
+	});
+
 	// Guards against a reset that counts as a crash although the backend server goes on.
 	it('forgets a reset once its backend server responds to something sent later', () => {
 		const suspects = detectorOf(1000);
--- a/src/common/calls/poison-requests/poison-request-detector.ts
+++ b/src/common/calls/poison-requests/poison-request-detector.ts
@@ -29,11 +29,11 @@
 /** Time after which a verdict is final: until then other VMs may report more calls in flight at the same crashes. */
 const settlingMilliseconds: Milliseconds = 300;
 
-/** Time before the crashes of a call of any caller in which answers to callers that are new show that it is popular. */
+/** Time before the crashes of a call of any caller in which answers show that it is popular. */
 const popularityMilliseconds: Milliseconds = 3000;
 
-/** Number of new callers above which a call is popular: it is in flight on several backend servers at any time. */
-const minNewCallers = 10;
+/** Number of answered callers above which a call is popular: it is in flight on several backend servers at any time. */
+const minAnsweredCallers = 10;
 
 /**
  * Resets whose cause is still unknown after which a call is held back, and the time for which each of them counts. Lost
@@ -80,8 +80,8 @@
  * A fingerprint is quarantined if it was in flight at three confirmed crashes that no other call explains, and has not been
  * answered. A frequent harmless call is soon cleared by an answer. A rare one is not in flight at three crashes of the
  * harmful call, since a suspect is never placed beside another one. The same call of several callers is quarantined for all
- * callers to which it was never answered. It is not if many new callers were answered about that time, and more than it has
- * crashes: a popular call is in flight wherever a backend server ends.
+ * callers but those that were answered and have no crash since. It is not if many callers were answered about that time, and
+ * more than it has crashes: a popular call is in flight wherever a backend server ends.
  */
 export class PoisonRequestDetector {
 	private readonly _retentionMilliseconds: Milliseconds;
@@ -281,7 +281,11 @@
 			return false;
 		}
 
-		for (const key of this._suspectKeysOf(fingerprint).filter(key => !this._answered.clears(key, crash.detectedAt))) {
+		if (this._answered.clears(fingerprint, crash.detectedAt)) {
+			return true;
+		}
+
+		for (const key of keysOf(fingerprint).filter(key => !this._answered.clears(key, crash.detectedAt))) {
 			crash.suspects.add(key);
 			const crashes = this._crashesByFingerprint.get(key) ?? new Set();
 			crashes.add(crashIdentity);
@@ -307,8 +311,8 @@
 	private _sendAnsweredCallers(anyCallerKey: string, now: Instant): void {
 		const answered = this._answered.sameCalls(anyCallerKey).slice(-maxSentCallers);
 		this._sentCallers.set(anyCallerKey, answered.length);
-		for (const {fingerprint, firstAnsweredAt} of answered) {
-			this._listener.onCleared(fingerprint, now - firstAnsweredAt);
+		for (const {fingerprint, answeredAt} of answered) {
+			this._listener.onCleared(fingerprint, now - answeredAt);
 		}
 	}
 
@@ -323,9 +327,10 @@
 		return true;
 	}
 
-	/** Keys under which a call counts as suspect: one that was answered to its caller, only by its own crashes since. */
+	/** Keys under which a call counts as suspect: not as one of any caller if it was answered to its own and has no crash since. */
 	private _suspectKeysOf(fingerprint: string): string[] {
-		return this._answered.has(fingerprint) ? [fingerprint] : keysOf(fingerprint);
+		const isProven = this._answered.has(fingerprint) && !this._crashesByFingerprint.has(fingerprint);
+		return isProven ? [fingerprint] : keysOf(fingerprint);
 	}
 
 	/** Removes a call from the crashes that its answer explains; a call of one caller also as one of any, where no other caller is suspect. */
@@ -367,12 +372,13 @@
 
 	/** Begins and ends quarantines as the present evidence requires. */
 	private _update(now: Instant): void {
-		if (this._quarantined.size === 0 && ![...this._crashesByFingerprint.values()].some(({size}) => size >= crashesToIsolate)) {
+		const recurring = [...this._crashesByFingerprint.keys()].filter(key => this._isRecurring(key));
+		if (this._quarantined.size === 0 && recurring.length === 0) {
 			return;
 		}
 
 		const confirmed = [...this._crashes.values()].filter(({isConfirmed, expiresAt}) => isConfirmed && expiresAt > now);
-		const popular = [...this._crashesByFingerprint.keys()].find(key => this._isPopular(key, confirmed, now));
+		const popular = recurring.find(key => this._isPopular(key, confirmed, now));
 		if (popular !== undefined) {
 			// Begins again without this call.
 			this._clearPopular(popular, confirmed, now);
@@ -397,18 +403,26 @@
 		}
 	}
 
-	/** Whether many callers, and more than it has crashes, got their first answer to this call shortly before and while these happened. */
+	/** Whether this call of any caller was answered to many callers, and to more than it has crashes, shortly before and while these happened. */
 	private _isPopular(key: string, confirmed: readonly Crash[], now: Instant): boolean {
 		const quarantine = this._quarantined.get(key);
 		const isFinal = quarantine !== undefined && now - quarantine.since >= settlingMilliseconds;
-		const times = isOfAnyCaller(key) && !isFinal ? timesOf(key, confirmed) : [];
+		if (!isOfAnyCaller(key) || isFinal) {
+			return false;
+		}
+
+		const times = timesOf(key, confirmed);
 		if (times.length < crashesToIsolate) {
 			return false;
 		}
 
 		const [from, until] = [Math.min(...times) - popularityMilliseconds, Math.max(...times) + settlingMilliseconds];
-		const newCallers = this._answered.sameCalls(key).filter(({firstAnsweredAt}) => firstAnsweredAt >= from && firstAnsweredAt <= until);
-		return newCallers.length > Math.max(times.length, minNewCallers);
+		const answered = this._answered.sameCalls(key).filter(({answeredAt}) => answeredAt >= from && answeredAt <= until);
+		return answered.length > Math.max(times.length, minAnsweredCallers);
+	}
+
+	private _isRecurring(key: string): boolean {
+		return (this._crashesByFingerprint.get(key)?.size ?? 0) >= crashesToIsolate;
 	}
 
 	private _clearPopular(key: string, confirmed: readonly Crash[], now: Instant): void {
--- a/src/common/registry/evidence-store.ts
+++ b/src/common/registry/evidence-store.ts
@@ -5,6 +5,9 @@
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type EvidenceKey, type EvidenceReply} from './types.ts';
 
+/** Between the identity of a process and a fingerprint in a key; neither has a space. */
+const separator = ' ';
+
 /** Time for which crashes are kept, as long as call engines use them. */
 const retentionMilliseconds: Milliseconds = 600_000;
 
@@ -117,8 +120,7 @@
 
 	/** Keys under which a call is suspect of a crash at this time, as in a call engine. */
 	private _suspectKeysOf(fingerprint: string, crashedAt: Instant): string[] {
-		const keys = this._cleared.has(fingerprint) ? [fingerprint] : keysOf(fingerprint);
-		return keys.filter(key => !this._cleared.clears(key, crashedAt));
+		return this._cleared.clears(fingerprint, crashedAt) ? [] : keysOf(fingerprint).filter(key => !this._cleared.clears(key, crashedAt));
 	}
 
 	/** Whether the call, of its caller or of any, is part of the evidence that VMs compare. */
@@ -162,7 +164,7 @@
 	/** Callers to which the calls of this evidence were answered: a quarantine of any caller does not apply to them. */
 	private _answeredCallers(keys: readonly EvidenceKey[], now: Instant): LoadUpdate[] {
 		const anyCallerKeys = new Set(keys.flatMap(key => keysOf(this._selected().get(key)!.fingerprint).filter(isOfAnyCaller)));
-		return [...anyCallerKeys].flatMap(key => this._cleared.sameCalls(key).slice(-maxAnsweredCallers).map(({fingerprint, firstAnsweredAt}) => clearingOf(fingerprint, now - firstAnsweredAt)));
+		return [...anyCallerKeys].flatMap(key => this._cleared.sameCalls(key).slice(-maxAnsweredCallers).map(({fingerprint, answeredAt}) => clearingOf(fingerprint, now - answeredAt)));
 	}
 
 	/** What clears a call that is evidence for another VM, by its own caller or any; empty if nothing does. */
@@ -180,9 +182,6 @@
 	}
 }
 
-const separator = ' ';
-
-/** A fingerprint has no space, and neither has the identity of a process. */
 function keyOf(crash: string, fingerprint: string): EvidenceKey {
 	return crash + separator + fingerprint;
 }
