--- a/src/common/calls/poison-requests/poison-request-detector.ts
+++ b/src/common/calls/poison-requests/poison-request-detector.ts
@@ -79,9 +79,10 @@
  * ones and withdraw them when the evidence changes.
  * A fingerprint is quarantined if it was in flight at three confirmed crashes that no other call explains, and has not been
  * answered. A frequent harmless call is soon cleared by an answer. A rare one is not in flight at three crashes of the
- * harmful call, since a suspect is never placed beside another one. The same call of several callers is quarantined for all
- * callers but those that were answered and have no crash since. It is not if many callers were answered about that time, and
- * more than it has crashes: a popular call is in flight wherever a backend server ends.
+ * harmful call, since a suspect is never placed beside another one.
+ * The same call of several callers is quarantined for all callers, except those that were answered and have no crash since.
+ * Popular calls are exempt, as they are in flight wherever a backend server ends: those answered to many callers, and to
+ * more than they have crashes, about the time of these.
  */
 export class PoisonRequestDetector {
 	private readonly _retentionMilliseconds: Milliseconds;
