--- a/src/common/calls/poison-requests/poison-request-detector.ts
+++ b/src/common/calls/poison-requests/poison-request-detector.ts
@@ -69,7 +69,10 @@
 	onChange(change: PoisonRequestChange): void;
 	/** This VM has seen calls in flight at a confirmed crash; all VMs must know. */
 	onCrashEvidence(evidence: CrashEvidence): void;
-	/** A suspect was answered through this VM this long ago, or an operator lifted its quarantine here; all VMs must know. */
+	/**
+	 * All VMs must know that a call is cleared: this VM has forwarded an answer to it, or an operator has lifted its quarantine
+	 * here. `ageMilliseconds` = time since then.
+	 */
 	onCleared(key: string, ageMilliseconds: Milliseconds): void;
 };
 
@@ -317,7 +320,7 @@
 		}
 	}
 
-	/** Counts an answer to another caller of a call that may be harmful; true = the other VMs need to know of it. */
+	/** Counts a first answer to one more caller of a call that may be harmful; true = it is to be sent to the other VMs. */
 	private _countAnsweredCaller(anyCallerKey: string): boolean {
 		const sent = this._sentCallers.get(anyCallerKey);
 		if (sent === undefined || sent >= maxSentCallers) {
--- a/src/common/registry/crash-evidence.test.ts
+++ b/src/common/registry/crash-evidence.test.ts
@@ -1,4 +1,4 @@
-/** Evidence of calls that crash backend servers, in fleets some of whose VMs missed it. */
+/** Fleets in which some VMs missed the evidence of a call that crashes backend servers. */
 import {expect} from 'earl';
 import {type Milliseconds} from '../model/units.ts';
 import {PoisonModel, containmentMilliseconds} from './poison-harness.test.ts';
--- a/src/common/registry/evidence-store.ts
+++ b/src/common/registry/evidence-store.ts
@@ -37,7 +37,7 @@
 type Evidence = {readonly key: EvidenceKey; readonly crash: string; readonly fingerprint: string};
 
 export class EvidenceStore {
-	/** By identity, in the order in which they became known. */
+	/** Confirmed crashes by the identity of the process, the one known longest first. */
 	private readonly _crashes = new Map<string, Crash>();
 	private readonly _cleared = new AnsweredCalls();
 	/** Selection of the evidence that VMs compare; undefined = to be made again. */
