--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -15,8 +15,8 @@
 /** The fault lasts five seconds, and comes again after five seconds. */
 const faultMilliseconds = 5000;
 const pauseMilliseconds = 5000;
-const playedMilliseconds = 60_000;
-const callers = 12;
+const playedMilliseconds = 90_000;
+const callers = 20;
 const minBytes = 300_000;
 const maxBytes = 540_000;
 const pieceMilliseconds = 10;
