--- a/review/stand-ins/script.mjs
+++ b/review/stand-ins/script.mjs
@@ -68,6 +68,10 @@
 
 	/** `body` resolves with the breaches found, as texts. */
 	async run(body) {
+		for (const signal of ['SIGINT', 'SIGTERM']) {
+			process.once(signal, async () => this.#end(2));
+		}
+
 		let code = 2;
 		const limit = setTimeout(async () => {
 			this.record('result: not finished in time');
