Log what ends a rate limit of a backend server, and the VM's share of it

The hypotheses on the exceeded named limit could not be told apart: a limit that was dropped with the record of its backend server left no line, the line of its end did not say which answer ended it, and the share in force was not logged. The effect and its log line now have the status of the answer, the source entry-removed, and the share. No decision changes.

--- a/src/common/calls/attempts/attempt-runner.ts
+++ b/src/common/calls/attempts/attempt-runner.ts
@@ -15,8 +15,9 @@
 import {suspectReason} from '../poison-requests/suspect-reason.ts';
 import {type ProcessEndJudge} from '../health/process-end.ts';
 import {LoadProber, type PendingProbes} from '../probing/load-prober.ts';
+import {type AnswerRateLimit} from '../service-directory.ts';
 import {
-	type AttemptFailure, type AttemptId, type AttemptRecord, type CallEvent, type CallOutcome, type LoadReport, type RateLimitNotice, type RefusalReason,
+	type AttemptFailure, type AttemptId, type AttemptRecord, type CallEvent, type CallOutcome, type LoadReport, type RefusalReason,
 } from '../types.ts';
 import {Hedging, defaultAttemptLimit} from './hedging.ts';
 
@@ -53,7 +54,7 @@
 	/** Applies a load report and sends a changed process or the beginning of leaving to the other VMs. */
 	readonly onReport: (server: BackendServerState, report: LoadReport, now: Instant) => void;
 	/** Applies the rate limit in the answer to an attempt, or its absence. */
-	readonly onRateLimit: (attempt: Attempt, rateLimit: RateLimitNotice | undefined, now: Instant) => void;
+	readonly onRateLimit: (attempt: Attempt, answer: AnswerRateLimit, now: Instant) => void;
 	/** Chooses backend servers for services with on-demand load probes. */
 	readonly demandPlacer: DemandPlacer;
 	/** Sends a load probe. */
@@ -228,7 +229,7 @@
 
 		// A response that sheds the call may lack the rate limit header of a regular answer, so its absence means nothing.
 		if (event.rateLimit !== undefined || !event.isDeclaredNotRun) {
-			this._onRateLimit(attempt, event.rateLimit, now);
+			this._onRateLimit(attempt, {rateLimit: event.rateLimit, status: event.status}, now);
 		}
 
 		if (event.isDeclaredNotRun) {
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -101,8 +101,8 @@
 			onReport: (server, report, now) => {
 				this._directory.applyAnswerReport(server, report, now);
 			},
-			onRateLimit: ({server, startedAt}, rateLimit, now) => {
-				this._directory.applyAnswerRateLimit(server, rateLimit, startedAt, now);
+			onRateLimit: ({server, startedAt}, answer, now) => {
+				this._directory.applyAnswerRateLimit(server, answer, startedAt, now);
 			},
 		});
 		this._completion = new CallCompletion(this._context, this._calls, attempt => {
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -7,9 +7,10 @@
 import {LoadProbeSchedule, loadProbeTimeoutMilliseconds} from './probing/load-probe-schedule.ts';
 import {type RateLimitChange} from './backend-rates/rate-limit.ts';
 import {defaultSharing, ServiceState} from './service-state.ts';
+import {rateLimitShare} from './placement/placer.ts';
 import {TimerQueue} from './timer-queue.ts';
 import {
-	type BackendServerIdentity, type BackendServerInForce, type BackendServerStatus, type CallConfiguration, type CallEvent, type FleetShares, type LoadUpdate, type LoadReport, type LoadProbeId, type RateLimitNotice,
+	type BackendServerIdentity, type BackendServerInForce, type BackendServerStatus, type CallConfiguration, type CallEvent, type FleetShares, type LoadUpdate, type LoadReport, type LoadProbeId, type RateLimitNotice, type RateLimitSource,
 } from './types.ts';
 
 /** Check interval while no load probe can be scheduled, because the VM holds no share of the budget or the service is unknown. */
@@ -24,6 +25,12 @@
 /** A service without a call for this long is idle on this VM. The time is longer than the interval at which a portal polls. */
 const idleAfterMilliseconds = 5000;
 
+/** Rate limit in an answer, undefined = it has none, and the status of the answer. */
+export type AnswerRateLimit = {readonly rateLimit: RateLimitNotice | undefined; readonly status: number};
+
+/** Why a rate limit changes. */
+type RateLimitCause = {readonly source: RateLimitSource; readonly status?: number; readonly rateLimit: RateLimitNotice | undefined};
+
 /** Holds the state of all services and backend servers of the VM. */
 export class ServiceDirectory {
 	private readonly _context: EngineContext;
@@ -136,8 +143,8 @@
 	}
 
 	/** Applies the rate limit in the answer to an attempt, or its absence. */
-	applyAnswerRateLimit(server: BackendServerState, rateLimit: RateLimitNotice | undefined, startedAt: Instant, now: Instant): void {
-		this._notifyRateLimitChange(server, server.rateLimit.applyAnswer(rateLimit, startedAt, now), 'answer', rateLimit);
+	applyAnswerRateLimit(server: BackendServerState, {rateLimit, status}: AnswerRateLimit, startedAt: Instant, now: Instant): void {
+		this._notifyRateLimitChange(server, server.rateLimit.applyAnswer(rateLimit, startedAt, now), {source: 'answer', status, rateLimit}, now);
 	}
 
 	/** Handles the result of a load probe; `report` is undefined without an answer. Returns the probed backend server, or undefined for an unknown id. */
@@ -163,7 +170,7 @@
 
 		server.unansweredProbes = 0;
 		this.applyAnswerReport(server, report, now);
-		this._notifyRateLimitChange(server, server.rateLimit.applyProbe(report.rateLimit, now), 'load-probe', report.rateLimit);
+		this._notifyRateLimitChange(server, server.rateLimit.applyProbe(report.rateLimit, now), {source: 'load-probe', rateLimit: report.rateLimit}, now);
 		if (server.health === 'doubted') {
 			server.applyHealthEvent('ANSWERED', now);
 		}
@@ -267,17 +274,18 @@
 		}
 	}
 
-	private _notifyRateLimitChange(server: BackendServerState, change: RateLimitChange, source: 'answer' | 'load-probe', rateLimit: RateLimitNotice | undefined): void {
+	private _notifyRateLimitChange(server: BackendServerState, change: RateLimitChange, cause: RateLimitCause, now: Instant): void {
 		if (change === 'none') {
 			return;
 		}
 
+		const share = rateLimitShare(server, this._context, now);
 		this._context.effects.push({
 			type: 'rate-limit-changed',
 			identity: server.identity,
 			service: server.declared.service,
-			rateLimit,
-			source,
+			...cause,
+			...(share === undefined ? {} : {share: share.callsPerSecond}),
 			limitedServers: [...this._servers.values()].filter(one => one.rateLimit.callsPerSecond !== undefined).length,
 		});
 	}
@@ -323,6 +331,9 @@
 				}
 
 				this._servers.delete(identity);
+				if (server.rateLimit.callsPerSecond !== undefined) {
+					this._notifyRateLimitChange(server, 'ended', {source: 'entry-removed', rateLimit: undefined}, now);
+				}
 			}
 		}
 
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -61,6 +61,9 @@
 /** Calls per second that a backend server accepts from all VMs together. A limit applies until a later answer has none. */
 export type RateLimitNotice = number | 'unreadable';
 
+/** What changed a rate limit as this VM knows it; 'entry-removed' = it was dropped with the backend server's record. */
+export type RateLimitSource = 'answer' | 'load-probe' | 'entry-removed';
+
 /** Rules that a route sets for its calls. They take precedence over the rules of the service. */
 export type CallRule = {
 	/** Name of the route. Work times are learnt separately for each route. */
@@ -326,7 +329,11 @@
 		readonly identity: BackendServerIdentity;
 		readonly service: string;
 		readonly rateLimit: RateLimitNotice | undefined;
-		readonly source: 'answer' | 'load-probe';
+		readonly source: RateLimitSource;
+		/** Status of the answer that changed it. */
+		readonly status?: number;
+		/** Calls per second of this VM's share of a limit that is in force. */
+		readonly share?: number;
 		/** Number of backend servers with a rate limit known to this VM. */
 		readonly limitedServers: number;
 	}
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -278,17 +278,19 @@
 		});
 	}
 
-	private _logRateLimit({identity, service, rateLimit, source, limitedServers}: RateLimitChanged): void {
+	private _logRateLimit({identity, service, rateLimit, source, status, share, limitedServers}: RateLimitChanged): void {
 		const {logger, metrics} = this._parts;
 		metrics.rateLimits(limitedServers);
 		if (rateLimit === 'unreadable') {
 			metrics.rateLimitUnreadable(service);
 			logger.warn('backend server announced an unreadable rate limit', {backendServer: identity, service, source});
 		} else if (rateLimit === undefined) {
-			logger.info('backend server no longer announces a rate limit', {backendServer: identity, service, source});
+			logger.info('backend server no longer announces a rate limit', {
+				backendServer: identity, service, source, ...(status === undefined ? {} : {status}),
+			});
 		} else {
 			logger.info('backend server announced a rate limit', {
-				backendServer: identity, service, callsPerSecond: rateLimit, source,
+				backendServer: identity, service, callsPerSecond: rateLimit, source, share,
 			});
 		}
 	}
