Add failing tests of a named rate limit in a fleet of 126 VMs

A model of whole entry VMs before the store: 126 VMs, 24 backend servers, 300 calls a second of 430 ms, one server that names a limit.

--- a/src/common/registry/fleet-model.test.ts
+++ b/src/common/registry/fleet-model.test.ts
@@ -4,6 +4,8 @@
 import {EntryVm, type FleetDecider, isCallEffect} from '../entry-vm/entry-vm.ts';
 import {type EntryVmEvent, type ExternalCallEffect, type ExternalFleetEffect} from '../entry-vm/types.ts';
 import {type FleetEffect} from '../fleet/types.ts';
+import {Limits} from '../limits/limits.ts';
+import {type SendDatagramEffect} from '../limits/types.ts';
 import {type Instant, type Milliseconds, type RandomSource} from '../model/units.ts';
 import {seededRandom} from '../random/random.ts';
 import {documents, settings} from './registry-driver.test.ts';
@@ -29,6 +31,8 @@
 	readonly documents?: DocumentCodec;
 	/** The configuration has an organisation with a limit, and all VMs have a datagram socket. */
 	readonly hasLimits?: boolean;
+	/** Replaces effects of the fleet engines before they are executed, such as shares by a wrong list of VMs. */
+	readonly alterEffect?: (process: ModelProcess, effect: FleetEffect) => FleetEffect;
 	/** Rate of the clock of each process, beside that of the store. */
 	readonly clockRate?: () => number;
 };
@@ -107,13 +111,15 @@
 		const {fleet} = this;
 		const observed: FleetDecider = {
 			handle: (event, now) => {
-				const effects = fleet.handle(event, now);
+				const {alterEffect} = options;
+				const effects = alterEffect === undefined ? fleet.handle(event, now) : fleet.handle(event, now).map(effect => alterEffect(this, effect));
 				this.limitSlots = effects.findLast(effect => effect.type === 'limit-slots') ?? this.limitSlots;
 				return effects;
 			},
 			nextWakeUp: () => fleet.nextWakeUp(),
 		};
-		this.entryVm = new EntryVm(options.calls?.createEngine(random, dataCentre) ?? idleCallEngine, observed);
+		const limits = options.hasLimits === true ? new Limits({dataCentre, random}) : undefined;
+		this.entryVm = new EntryVm(options.calls?.createEngine(random, dataCentre) ?? idleCallEngine, observed, limits);
 	}
 
 	/** This process's monotonic clock. */
@@ -146,7 +152,9 @@
 		for (const effect of this.entryVm.handle(event, this.now)) {
 			if (isCallEffect(effect)) {
 				this._model.calls?.execute(this, effect);
-			} else if (effect.type !== 'send-datagram') {
+			} else if (effect.type === 'send-datagram') {
+				this._sendDatagram(effect);
+			} else {
 				this._execute(effect);
 			}
 		}
@@ -267,6 +275,15 @@
 		}
 	}
 
+	private _sendDatagram({to, message}: SendDatagramEffect): void {
+		const address = this._model.callAddressOf(to);
+		this._model.timeline.after(transferMilliseconds, () => {
+			if (!this._model.isCut(this.address, address)) {
+				this._model.runningAt(address)?.handle({type: 'datagram', from: this._model.limitsAddressOf(this.address), message});
+			}
+		});
+	}
+
 	private _sendUpdates(to: readonly string[], updates: readonly LoadUpdate[]): void {
 		this._model.updateMessages += to.length;
 		this._model.updateBytes += to.length * JSON.stringify(updates).length;
@@ -433,6 +450,10 @@
 		return address.replace(':90', ':70');
 	}
 
+	callAddressOf(limitsAddress: string): string {
+		return limitsAddress.replace(':70', ':90');
+	}
+
 	/** The latest process at this address, running or not. */
 	latestAt(address: string): ModelProcess | undefined {
 		return this._processes.get(address);
--- /dev/null
+++ b/src/common/registry/named-limits.test.ts
@@ -0,0 +1,64 @@
+import {expect} from 'earl';
+import {testHash} from '../fleet/test-utilities.test.ts';
+import {type FleetEffect} from '../fleet/types.ts';
+import {type ModelProcess} from './fleet-model.test.ts';
+import {NamedLimitModel, type NamedLimitOptions} from './named-limits-harness.test.ts';
+
+const limitFrom = 3000;
+const runMilliseconds = 16_000;
+
+/** The first backend server announces this limit after some seconds. */
+function firstServerNames(limit: number): NamedLimitOptions['limitOf'] {
+	return (server, at) => server === 0 && at > limitFrom ? limit : undefined;
+}
+
+function modelOf(options: Partial<NamedLimitOptions> & Pick<NamedLimitOptions, 'limitOf'>): NamedLimitModel {
+	return new NamedLimitModel({
+		vmCount: 126, serverCount: 24, callsPerSecond: 300, seed: 9101, ...options,
+	});
+}
+
+/** Each VM lists another eighth of the others. */
+function withEighthOfMembers(process: ModelProcess, effect: FleetEffect): FleetEffect {
+	if (effect.type !== 'shares' || effect.shares.members === undefined) {
+		return effect;
+	}
+
+	const {members} = effect.shares;
+	const isListed = (name: string) => name === members.own || testHash(`${process.identity} ${name}`) % 8 === 0;
+	const byDataCentre = new Map(Array.from(members.byDataCentre, ([dataCentre, names]) => [dataCentre, names.filter(name => isListed(name))]));
+	return {...effect, shares: {...effect.shares, vmCount: [...byDataCentre.values()].flat().length, members: {...members, byDataCentre}}};
+}
+
+describe('a rate limit that a backend server announces to a large fleet', function () {
+	this.timeout(120_000);
+
+	// Guards a backend server in need against VMs that forget its limit together with its entry.
+	it('holds when its entry is missing for some seconds while its process lives on', () => {
+		const model = modelOf({limitOf: firstServerNames(1.3)});
+		model.fleet.timeline.after(9000, () => {
+			model.loseEntry(0, 2500);
+		});
+		expect(model.run(runMilliseconds).worstExcess).toBeLessThanOrEqual(0);
+	});
+
+	// Guards a backend server in need against many VMs that each take themselves for owners of its limit.
+	it('holds when each VM lists an eighth of the others', () => {
+		const excesses = [1.3, 6].map(limit => modelOf({limitOf: firstServerNames(limit), alterEffect: withEighthOfMembers}).run(runMilliseconds).worstExcess);
+		expect(Math.max(...excesses)).toBeLessThanOrEqual(0);
+	});
+
+	// Guards a backend server in need against errors without the header, which would end its limit.
+	it('holds when many answers are errors without the limit', () => {
+		const model = modelOf({limitOf: firstServerNames(1.3), errorFraction: 0.4});
+		expect(model.run(runMilliseconds).worstExcess).toBeLessThanOrEqual(0);
+	});
+
+	// Guards against limits so strict that callers are refused although the backend servers would take their calls.
+	it('is used to nine tenths by waiting calls', () => {
+		const limit = 6;
+		const model = modelOf({limitOf: () => limit}).run(runMilliseconds);
+		const used = model.servers.map(({index}) => model.arrivalsBetween(index, 8000, runMilliseconds));
+		expect([used.reduce((sum, count) => sum + count, 0) / (model.servers.length * limit * 8) >= 0.9, model.worstExcess <= 0]).toEqual([true, true]);
+	});
+});
