Keep what a backend server's process has announced while its entry is missing

Callers saw a backend server in need that got far more calls than it had asked for, and then failed. Its entry lapsed and came back (an outage of the store, a late heartbeat) although its process lived on. The record of a backend server was dropped with its entry and made anew, so that every VM forgot the announced rate limit at the same moment, and each sent calls without a bound until its next answer, which takes as long as the work.

The record is now kept with the process: a backend server that is declared again with the same start gets its former record, one with another start a new one. The same cause lost the calls in flight (the connection limit counted from zero), the probe budget, the starts of the last second of a warm-up, ejections and failure rates; all of them are kept as well.

--- a/src/common/calls/backend-rates/rate-limit.test.ts
+++ b/src/common/calls/backend-rates/rate-limit.test.ts
@@ -195,6 +195,14 @@
 	return counts;
 }
 
+/** The configuration of `singleVmDriver(1)` with a backend server whose process started at this time. */
+function startedAt(processStartedAt: number) {
+	const all = configurationOf(1, {retryShare: 1, measuring: {mode: 'on-demand', callsPerWindow: 10_000}});
+	return {
+		...all, version: processStartedAt, backendServers: new Map(Array.from(all.backendServers, ([identity, server]) => [identity, {...server, processStartedAt}])),
+	};
+}
+
 /** A call arrives and its load probes are answered; returns the attempt that it starts. */
 function begin(driver: EngineDriver, callId: number): Start {
 	const effects = driver.handle(readOf(callId));
@@ -273,13 +281,25 @@
 
 	it('does not apply to a later process of the same identity', () => {
 		const driver = singleVmDriver(1);
-		const all = configurationOf(1, {retryShare: 1, measuring: {mode: 'on-demand', callsPerWindow: 10_000}});
-		const startedAt = (processStartedAt: number) => ({
-			...all, version: processStartedAt, backendServers: new Map(Array.from(all.backendServers, ([identity, server]) => [identity, {...server, processStartedAt}])),
-		});
 		driver.handle({type: 'configured', configuration: startedAt(4)});
 		serve(driver, 500, () => ({rateLimit: 0.5}));
 		driver.handle({type: 'configured', configuration: startedAt(5)});
 		expect(serve(driver, 1000, noneAnnounces).get('identity-0')!).toBeGreaterThan(20);
 	});
+
+	for (const [name, startOfReturned, isKept] of [['the same process', 4, true], ['a later one', 5, false]] as const) {
+		// Guards what a process has announced, and the count of its calls, against an entry that lapses while it lives on.
+		it(`is ${isKept ? 'kept' : 'forgotten'} with the calls in flight if the entry is removed and comes back for ${name}`, () => {
+			const driver = singleVmDriver(1);
+			driver.handle({type: 'configured', configuration: startedAt(4)});
+			serve(driver, 500, () => ({rateLimit: 2}));
+			driver.passTime(3000);
+			begin(driver, 1_000_001);
+			driver.handle({type: 'configured', configuration: {...startedAt(4), backendServers: new Map()}});
+			driver.passTime(500);
+			const effects = driver.handle({type: 'configured', configuration: {...startedAt(startOfReturned), version: 6}});
+			const changes = effects.map(effect => effect.type === 'rate-limit-changed' ? [effect.source, effect.rateLimit] : [effect.type]);
+			expect([changes, driver.engine.status(driver.now).backendServers.map(({inFlight}) => inFlight)]).toEqual(isKept ? [[['entry-returned', 2]], [1]] : [[], [0]]);
+		});
+	}
 });
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -6,6 +6,7 @@
 import {type EngineContext, vmCountOf} from './engine-context.ts';
 import {LoadProbeSchedule, loadProbeTimeoutMilliseconds} from './probing/load-probe-schedule.ts';
 import {type RateLimitChange} from './backend-rates/rate-limit.ts';
+import {RemovedServers} from './removed-servers.ts';
 import {defaultSharing, ServiceState} from './service-state.ts';
 import {rateLimitShare} from './placement/placer.ts';
 import {TimerQueue} from './timer-queue.ts';
@@ -36,6 +37,7 @@
 	private readonly _context: EngineContext;
 	private readonly _services = new Map<string, ServiceState>();
 	private readonly _servers = new Map<BackendServerIdentity, BackendServerState>();
+	private readonly _removed = new RemovedServers();
 	private readonly _processEnds: ProcessEndJudge;
 	private readonly _pendingLoadProbes = new Map<LoadProbeId, {readonly server: BackendServerState; readonly sentAt: Instant; readonly via: RelayAddress | undefined}>();
 	private readonly _loadProbeChecks = new TimerQueue<BackendServerState>();
@@ -316,7 +318,7 @@
 		for (const [identity, declared] of configuration.backendServers) {
 			const existing = this._servers.get(identity);
 			if (existing === undefined) {
-				this._add(identity, declared, now, isFirst);
+				this._addOrRestore(identity, declared, now, isFirst);
 			} else if (isLaterProcess(existing.declared, declared)) {
 				this._replaceProcess(existing, declared, now);
 			} else {
@@ -331,6 +333,7 @@
 				}
 
 				this._servers.delete(identity);
+				this._removed.keep(server, configuration.backendServers.size);
 				if (server.rateLimit.callsPerSecond !== undefined) {
 					this._notifyRateLimitChange(server, 'ended', {source: 'entry-removed', rateLimit: undefined}, now);
 				}
@@ -353,10 +356,29 @@
 		server.isEvacuated = isEvacuated;
 	}
 
+	/** Uses the record of before if the entry of a process was missing for a while. */
+	private _addOrRestore(identity: BackendServerIdentity, declared: BackendServerInForce, now: Instant, isWarm: boolean): void {
+		const server = this._removed.take(identity, declared);
+		if (server === undefined) {
+			this._add(identity, declared, now, isWarm);
+			return;
+		}
+
+		this._register(server, now);
+		updateDeclaration(server, declared, now);
+		const {callsPerSecond} = server.rateLimit;
+		if (callsPerSecond !== undefined) {
+			this._notifyRateLimitChange(server, 'named', {source: 'entry-returned', rateLimit: callsPerSecond}, now);
+		}
+	}
+
 	private _add(identity: BackendServerIdentity, declared: BackendServerInForce, now: Instant, isWarm: boolean): void {
-		const server = new BackendServerState(identity, declared, this._context.tuning, now, isWarm);
-		server.isUnreachable = this._context.links.pathTo(identity).state === 'unreachable';
-		this._servers.set(identity, server);
+		this._register(new BackendServerState(identity, declared, this._context.tuning, now, isWarm), now);
+	}
+
+	private _register(server: BackendServerState, now: Instant): void {
+		server.isUnreachable = this._context.links.pathTo(server.identity).state === 'unreachable';
+		this._servers.set(server.identity, server);
 		server.loadProbeSchedule.start(now, this._context.random.next());
 		this._scheduleLoadProbeCheck(server, now);
 	}
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -61,8 +61,8 @@
 /** Calls per second that a backend server accepts from all VMs together. A limit applies until a later answer has none. */
 export type RateLimitNotice = number | 'unreadable';
 
-/** What changed a rate limit as this VM knows it; 'entry-removed' = it was dropped with the backend server's record. */
-export type RateLimitSource = 'answer' | 'load-probe' | 'entry-removed';
+/** What changed a rate limit that is in force on this VM; while the entry of its backend server is missing, it is kept but not in force. */
+export type RateLimitSource = 'answer' | 'load-probe' | 'entry-removed' | 'entry-returned';
 
 /** Rules that a route sets for its calls. They take precedence over the rules of the service. */
 export type CallRule = {
