Start the call of the test of a missing entry before the limit is announced

The test that came with the last commit was red: its call was never placed, as it began while the single backend server's share was spent. It now begins two calls, and the answer to the first announces the limit.

--- a/src/common/calls/backend-rates/rate-limit.test.ts
+++ b/src/common/calls/backend-rates/rate-limit.test.ts
@@ -292,9 +292,9 @@
 		it(`is ${isKept ? 'kept' : 'forgotten'} with the calls in flight if the entry is removed and comes back for ${name}`, () => {
 			const driver = singleVmDriver(1);
 			driver.handle({type: 'configured', configuration: startedAt(4)});
-			serve(driver, 500, () => ({rateLimit: 2}));
-			driver.passTime(3000);
-			begin(driver, 1_000_001);
+			const [answered] = [1, 2].map(call => begin(driver, call));
+			driver.head(answered!.attemptId, {rateLimit: 2});
+			driver.handle({type: 'attempt-done', attemptId: answered!.attemptId});
 			driver.handle({type: 'configured', configuration: {...startedAt(4), backendServers: new Map()}});
 			driver.passTime(500);
 			const effects = driver.handle({type: 'configured', configuration: {...startedAt(startOfReturned), version: 6}});
