End a rate limit only by a regular answer that is newer than its last announcement

A VM took any answer without the header for the end of the limit, and sent calls without a bound until the next answer named it again: errors of the backend server (500, 504), which may lack the headers of its answers; an answer that was older than an announcement which had arrived meanwhile; a load probe that was sent before the last announcement.

The limit now ends by an answer below status 500 to an attempt that started after the last announcement, or by a probe sent after it. Two tests failed before.

--- a/src/common/calls/backend-rates/rate-limit.test.ts
+++ b/src/common/calls/backend-rates/rate-limit.test.ts
@@ -244,6 +244,32 @@
 		expect(linesOf(effects).includes('rate-limit-changed')).toEqual(false);
 	});
 
+	// Guards a limit that was announced again after an end which the VM did not see.
+	it('is not ended by the answer to an attempt that started before the last announcement', () => {
+		const driver = singleVmDriver(1);
+		const announce = (attemptId: number) => {
+			driver.head(attemptId, {rateLimit: 50});
+			driver.handle({type: 'attempt-done', attemptId});
+			driver.passTime(100);
+		};
+
+		announce(begin(driver, 1).attemptId);
+		const [late, next] = [2, 3].map(call => begin(driver, call).attemptId);
+		announce(next!);
+		expect(linesOf(driver.head(late!)).includes('rate-limit-changed')).toEqual(false);
+	});
+
+	// Guards a limit against errors, which a backend server in need writes without the headers of its answers.
+	it('is not ended by an error', () => {
+		const driver = singleVmDriver(1);
+		const {attemptId} = begin(driver, 1);
+		driver.head(attemptId, {rateLimit: 1});
+		driver.handle({type: 'attempt-done', attemptId});
+		driver.passTime(2000);
+		const effects = driver.head(begin(driver, 2).attemptId, {status: 500});
+		expect(linesOf(effects).includes('rate-limit-changed')).toEqual(false);
+	});
+
 	// Guards calls against a malformed header of a backend server.
 	it('is not changed by an unreadable one, which is reported once', () => {
 		const driver = singleVmDriver(1);
--- a/src/common/calls/backend-rates/rate-limit.ts
+++ b/src/common/calls/backend-rates/rate-limit.ts
@@ -23,6 +23,7 @@
  */
 export class RateLimit {
 	private _callsPerSecond: number | undefined;
+	/** When the limit was last announced to this VM. */
 	private _announcedAt: Instant = -Infinity;
 	private _isUnreadable = false;
 	/**
@@ -44,16 +45,16 @@
 	}
 
 	/**
-	 * Applies the answer to an attempt. One without a limit is ignored if the attempt started before the limit was
-	 * announced, since the answer may be older than the announcement.
+	 * Applies the answer to an attempt. One without a limit ends it only if it is no error, which may lack the headers of
+	 * a regular answer, and if the attempt started after the last announcement, since the answer may be older otherwise.
 	 */
-	applyAnswer(notice: RateLimitNotice | undefined, startedAt: Instant, now: Instant): RateLimitChange {
-		return notice === undefined && startedAt <= this._announcedAt ? 'none' : this._apply(notice, now);
+	applyAnswer({notice, isError, startedAt}: {readonly notice: RateLimitNotice | undefined; readonly isError: boolean; readonly startedAt: Instant}, now: Instant): RateLimitChange {
+		return notice === undefined && (isError || startedAt <= this._announcedAt) ? 'none' : this._apply(notice, now);
 	}
 
-	/** Applies the response to a load probe. */
-	applyProbe(notice: RateLimitNotice | undefined, now: Instant): RateLimitChange {
-		if (notice === undefined && !this._isAnnouncedByProbes) {
+	/** Applies the response to a load probe that was sent at `sentAt`. */
+	applyProbe(notice: RateLimitNotice | undefined, sentAt: Instant, now: Instant): RateLimitChange {
+		if (notice === undefined && (!this._isAnnouncedByProbes || sentAt <= this._announcedAt)) {
 			return 'none';
 		}
 
@@ -95,8 +96,8 @@
 			return previous === undefined ? 'none' : 'ended';
 		}
 
+		this._announcedAt = now;
 		if (previous === undefined) {
-			this._announcedAt = now;
 			return 'named';
 		}
 
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -23,6 +23,9 @@
  */
 const onDemandProbeTimeoutMilliseconds: Milliseconds = 250;
 
+/** Errors of a backend server have this status or a higher one. */
+const minServerErrorStatus = 500;
+
 /** A service without a call for this long is idle on this VM. The time is longer than the interval at which a portal polls. */
 const idleAfterMilliseconds = 5000;
 
@@ -146,7 +149,7 @@
 
 	/** Applies the rate limit in the answer to an attempt, or its absence. */
 	applyAnswerRateLimit(server: BackendServerState, {rateLimit, status}: AnswerRateLimit, startedAt: Instant, now: Instant): void {
-		this._notifyRateLimitChange(server, server.rateLimit.applyAnswer(rateLimit, startedAt, now), {source: 'answer', status, rateLimit}, now);
+		this._notifyRateLimitChange(server, server.rateLimit.applyAnswer({notice: rateLimit, isError: status >= minServerErrorStatus, startedAt}, now), {source: 'answer', status, rateLimit}, now);
 	}
 
 	/** Handles the result of a load probe; `report` is undefined without an answer. Returns the probed backend server, or undefined for an unknown id. */
@@ -172,7 +175,7 @@
 
 		server.unansweredProbes = 0;
 		this.applyAnswerReport(server, report, now);
-		this._notifyRateLimitChange(server, server.rateLimit.applyProbe(report.rateLimit, now), {source: 'load-probe', rateLimit: report.rateLimit}, now);
+		this._notifyRateLimitChange(server, server.rateLimit.applyProbe(report.rateLimit, sentAt, now), {source: 'load-probe', rateLimit: report.rateLimit}, now);
 		if (server.health === 'doubted') {
 			server.applyHealthEvent('ANSWERED', now);
 		}
