--- a/benchmark/path/front-only.ts
+++ b/benchmark/path/front-only.ts
@@ -44,7 +44,7 @@
 		release: async () => undefined,
 	});
 	loop.setExecutor(effect => {
-		if (effect.type !== 'tell-peers' && effect.type !== 'demand-report') {
+		if (effect.type !== 'tell-peers' && effect.type !== 'demand-report' && effect.type !== 'server-tokens-wanted') {
 			calls.execute(effect);
 		}
 	});
--- a/src/common/calls/admission/admission.ts
+++ b/src/common/calls/admission/admission.ts
@@ -60,6 +60,7 @@
 		}
 
 		service.retryBudget.deposit(service.declared.retryShare);
+		this._requestTokens(service, now);
 		if (service.queue.size === 0 && hasFreeConcurrency(service) && this._runner.start(call, 'first', now)) {
 			return;
 		}
@@ -73,6 +74,7 @@
 			this._refuseAll(service, now);
 		}
 
+		this._refuseThrottled(service, now);
 		let remainingStarts = service.isMeasuredOnDemand ? callsPerQueueCheck : Infinity;
 		while (service.queue.size > 0 && hasFreeConcurrency(service) && remainingStarts > 0) {
 			remainingStarts--;
@@ -96,10 +98,42 @@
 		if (service.queue.size === 0) {
 			service.queueNonEmptySince = undefined;
 		} else {
+			this._requestTokens(service, now);
 			this._scheduleQueueCheck(service, now);
 		}
 	}
 
+	/** Refuses the waiting calls that no rate limit allows to start in time; a holder may have said so only now. */
+	private _refuseThrottled(service: ServiceState, now: Instant): void {
+		if (service.queue.size === 0 || service.limitedServers.size === 0) {
+			return;
+		}
+
+		const allowedAt = nextAllowedAt(this._context, service, now);
+		const throttled: Call[] = [];
+		for (const call of allowedAt > now ? service.queue.calls() : []) {
+			if (latestStart(call) < allowedAt) {
+				throttled.push(call);
+			}
+		}
+
+		for (const call of throttled) {
+			service.queue.remove(call);
+			this._refuseAsThrottled(call, now);
+		}
+	}
+
+	private _refuseAsThrottled(call: Call, now: Instant): void {
+		this._runner.noteGrounds(call, now);
+		this._completion.refuse(call, 'overloaded', now);
+	}
+
+	private _requestTokens(service: ServiceState, now: Instant): void {
+		if (service.limitedServers.size > 0) {
+			this._context.rateLimiter.request(service.limitedServers, service.queue.size, now);
+		}
+	}
+
 	/** No usable backend server is left, so waiting would only cost callers their time. */
 	private _refuseAll(service: ServiceState, now: Instant): void {
 		for (let call = service.queue.take(() => true); call !== undefined; call = service.queue.take(() => true)) {
@@ -152,8 +186,7 @@
 
 		// The rate limits allow no attempt before the latest start, so waiting would only cost the caller time.
 		if (nextAllowedAt(this._context, service, now) > Math.max(now, latestStart(call))) {
-			this._runner.noteGrounds(call, now);
-			this._completion.refuse(call, 'overloaded', now);
+			this._refuseAsThrottled(call, now);
 			return;
 		}
 
--- a/src/common/calls/admission/caller-queue.ts
+++ b/src/common/calls/admission/caller-queue.ts
@@ -17,6 +17,8 @@
 	newestOfLeastUrgent(): Call | undefined;
 	/** Whether any waiting call fulfils the predicate. */
 	some(predicate: (call: Call) => boolean): boolean;
+	/** All waiting calls. */
+	calls(): Call[];
 };
 
 /**
@@ -163,6 +165,10 @@
 		return this._rotations.some(({rotation}) => [...rotation.queues.values()].some(queue => queue.some(call => predicate(call))));
 	}
 
+	calls(): Call[] {
+		return this._rotations.flatMap(({rotation}) => [...rotation.queues.values()].flat());
+	}
+
 	private _dropEmpty(): void {
 		if (this._rotations.some(({rotation}) => rotation.size === 0)) {
 			this._rotations = this._rotations.filter(({rotation}) => rotation.size > 0);
@@ -208,4 +214,8 @@
 	some(predicate: (call: Call) => boolean): boolean {
 		return this._calls.some(call => predicate(call));
 	}
+
+	calls(): Call[] {
+		return [...this._calls];
+	}
 }
--- a/src/common/calls/attempts/attempt-runner.ts
+++ b/src/common/calls/attempts/attempt-runner.ts
@@ -10,7 +10,7 @@
 import {type OutlierDetector} from '../health/outlier-detector.ts';
 import {type DemandPlacer} from '../placement/demand-placer.ts';
 import {
-	type Placement, type Placer, connectionLimit, rateLimitShare,
+	type Placement, type Placer, connectionLimit,
 } from '../placement/placer.ts';
 import {suspectReason} from '../poison-requests/suspect-reason.ts';
 import {type ProcessEndJudge} from '../health/process-end.ts';
@@ -373,9 +373,8 @@
 			server.recordStart(now);
 		}
 
-		const share = rateLimitShare(server, this._context, now);
-		if (share !== undefined) {
-			server.rateLimit.take(share, now);
+		if (server.rateLimit.callsPerSecond !== undefined) {
+			this._context.rateLimiter.take(server, now);
 		}
 
 		call.serviceState.recordAttemptStart(call.request.caller);
--- a/src/common/calls/backend-rates/rate-limit.ts
+++ b/src/common/calls/backend-rates/rate-limit.ts
@@ -1,6 +1,7 @@
 /** Rate limit that a backend server announces in its answers, as far as it applies to this VM. */
 import {type Instant} from '../../model/units.ts';
 import {type RateLimitNotice} from '../types.ts';
+import {GrantedTokens} from './granted-tokens.ts';
 import {type RateShare} from './rate-quota.ts';
 
 /**
@@ -18,12 +19,14 @@
 export type RateLimitChange = 'named' | 'changed' | 'ended' | 'unreadable' | 'none';
 
 /**
- * Token bucket with this VM's share of the limit. The backend server announces one limit for all VMs together; it holds
- * until an answer comes without one.
+ * The backend server announces one limit for all VMs together; it holds until an answer comes without one. `RateLimiter`
+ * decides whether attempts use the granted tokens, or the bucket with this VM's share.
  */
 export class RateLimit {
+	readonly tokens = new GrantedTokens();
+	/** Time of the next attempt while no holder of the limit answers; undefined = to be drawn. */
+	nextStartAt: Instant | undefined;
 	private _callsPerSecond: number | undefined;
-	/** When the limit was last announced to this VM. */
 	private _announcedAt: Instant = -Infinity;
 	private _isUnreadable = false;
 	/**
@@ -39,6 +42,11 @@
 		return this._callsPerSecond;
 	}
 
+	/** When the limit was last announced to this VM. */
+	get announcedAt(): Instant {
+		return this._announcedAt;
+	}
+
 	/** Whether load probes show when the limit ends. */
 	get isAnnouncedByProbes(): boolean {
 		return this._isAnnouncedByProbes;
--- /dev/null
+++ b/src/common/calls/backend-rates/rate-limiter.ts
@@ -0,0 +1,155 @@
+/** Decides when this VM may start attempts on backend servers that have announced a rate limit. */
+import {type ServerTokenRequest, type ServerTokenResult} from '../../limits/types.ts';
+import {type Instant, type Milliseconds, type RandomSource} from '../../model/units.ts';
+import {type BackendServerState} from '../backend-server-state.ts';
+import {processIdentityOf} from '../health/process-identity.ts';
+import {type RateQuota, type RateShare} from './rate-quota.ts';
+
+const millisecondsPerSecond = 1000;
+
+/** Fraction of a limit that all VMs use together while no holder of its slot answers; lists of VMs may differ then. */
+const unavailableFraction = 0.25;
+
+/** While no holder answers, the time for an attempt that no call has used ends after this. */
+const unusedMilliseconds: Milliseconds = 1000;
+
+/** The lists of VMs of a fleet that starts together are complete after this time. */
+const settlingMilliseconds: Milliseconds = 3000;
+
+/** Maximum number of tokens in one request. */
+const maxWanted = 8;
+
+/** Limits the attempts on backend servers with a rate limit; all methods but `request` take servers that have one. */
+export type RateLimiter = {
+	/** When the next attempt may start: `now` = at once. */
+	availableAt(server: BackendServerState, now: Instant): Instant;
+	/** Whether an attempt may start now. */
+	isAllowed(server: BackendServerState, now: Instant): boolean;
+	/** Counts an attempt that starts. */
+	take(server: BackendServerState, now: Instant): void;
+	/** Prepares for calls of a service with these limited backend servers, of which `waiting` are in the queue. */
+	request(servers: Iterable<BackendServerState>, waiting: number, now: Instant): void;
+	/** Applies the outcome of a request for a process's tokens. Returns its backend server; undefined = nothing was requested. */
+	onTokens(process: string, result: ServerTokenResult, now: Instant): BackendServerState | undefined;
+};
+
+/** Each VM has a share that follows from its list of VMs. For fleets without the store, whose VMs keep one list. */
+export class DividedRateLimiter implements RateLimiter {
+	private readonly _quota: () => RateQuota;
+
+	constructor(quota: () => RateQuota) {
+		this._quota = quota;
+	}
+
+	availableAt(server: BackendServerState, now: Instant): Instant {
+		return server.rateLimit.availableAt(this._shareOf(server, now), now);
+	}
+
+	isAllowed(server: BackendServerState, now: Instant): boolean {
+		return !server.rateLimit.isSpent(this._shareOf(server, now), now);
+	}
+
+	take(server: BackendServerState, now: Instant): void {
+		server.rateLimit.take(this._shareOf(server, now), now);
+	}
+
+	request(): void {
+		// A share needs no request.
+	}
+
+	onTokens(): undefined {
+		return undefined;
+	}
+
+	private _shareOf({identity, rateLimit, declared: {dataCentre}}: BackendServerState, now: Instant): RateShare {
+		return this._quota().limitShareOf({identity, dataCentre}, rateLimit.callsPerSecond!, now);
+	}
+}
+
+export type GrantedRateLimiterOptions = {
+	readonly random: RandomSource;
+	/** Number of VMs that serve, this one included; undefined = not known yet. */
+	readonly vmCount: () => number | undefined;
+	readonly send: (request: ServerTokenRequest) => void;
+};
+
+/**
+ * Each attempt needs a token of the holder of the limit, so that the sum over all VMs is bounded whichever VMs each of
+ * them knows. While no holder answers, each VM starts attempts at random times, at a small part of the limit.
+ */
+export class GrantedRateLimiter implements RateLimiter {
+	private readonly _options: GrantedRateLimiterOptions;
+	/** Backend servers with a request in flight, by process. */
+	private readonly _requested = new Map<string, BackendServerState>();
+	private _settledAt: Instant | undefined;
+
+	constructor(options: GrantedRateLimiterOptions) {
+		this._options = options;
+	}
+
+	availableAt(server: BackendServerState, now: Instant): Instant {
+		const {tokens} = server.rateLimit;
+		return tokens.isUnavailable && !tokens.has(now) ? this._randomStartAt(server, now) : tokens.availableAt(now);
+	}
+
+	isAllowed(server: BackendServerState, now: Instant): boolean {
+		const {tokens} = server.rateLimit;
+		return tokens.has(now) || (tokens.isUnavailable && this._randomStartAt(server, now) <= now);
+	}
+
+	take(server: BackendServerState, now: Instant): void {
+		const {rateLimit} = server;
+		if (rateLimit.tokens.has(now)) {
+			rateLimit.tokens.take();
+		} else {
+			rateLimit.nextStartAt = now + this._randomGap(server);
+		}
+	}
+
+	request(servers: Iterable<BackendServerState>, waiting: number, now: Instant): void {
+		const open = [...servers].filter(({takesNewAttempts, rateLimit}) => takesNewAttempts && rateLimit.callsPerSecond !== undefined && rateLimit.tokens.mayRequest(now));
+		const wanted = Math.max(1, Math.min(maxWanted, Math.ceil(waiting / Math.max(1, open.length))));
+		for (let left = Math.max(1, waiting); left > 0 && open.length > 0; left -= wanted) {
+			const [server] = open.splice(Math.floor(this._options.random.next() * open.length), 1);
+			this._send(server!, wanted);
+		}
+	}
+
+	onTokens(process: string, result: ServerTokenResult, now: Instant): BackendServerState | undefined {
+		const server = this._requested.get(process);
+		this._requested.delete(process);
+		server?.rateLimit.tokens.onResult(result, now);
+		return server;
+	}
+
+	private _send(server: BackendServerState, wanted: number): void {
+		const {rateLimit} = server;
+		const process = processIdentityOf(server, undefined);
+		rateLimit.tokens.onRequested();
+		this._requested.set(process, server);
+		this._options.send({
+			server: process, callsPerSecond: rateLimit.callsPerSecond!, announcedAt: rateLimit.announcedAt, wanted,
+		});
+	}
+
+	/** Time of the next attempt while no holder answers. A time that no call has used is replaced, not saved. */
+	private _randomStartAt(server: BackendServerState, now: Instant): Instant {
+		const {rateLimit} = server;
+		this._settledAt ??= this._options.vmCount() === undefined ? undefined : now + settlingMilliseconds;
+		if (this._settledAt === undefined || now < this._settledAt) {
+			return this._settledAt ?? Infinity;
+		}
+
+		rateLimit.nextStartAt ??= now + this._randomGap(server);
+		while (rateLimit.nextStartAt + unusedMilliseconds < now) {
+			rateLimit.nextStartAt += this._randomGap(server);
+		}
+
+		return Math.max(now, rateLimit.nextStartAt);
+	}
+
+	private _randomGap({rateLimit}: BackendServerState): Milliseconds {
+		const callsPerSecond = unavailableFraction * rateLimit.callsPerSecond! / Math.max(1, this._options.vmCount() ?? 1);
+		return -Math.log(1 - this._options.random.next()) * millisecondsPerSecond / callsPerSecond;
+	}
+}
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -25,6 +25,7 @@
 import {ServiceDirectory} from './service-directory.ts';
 import {TimerQueue} from './timer-queue.ts';
 import {defaultTuning} from './tuning.ts';
+import {DividedRateLimiter, GrantedRateLimiter} from './backend-rates/rate-limiter.ts';
 import {SingleVmRateQuota} from './backend-rates/rate-quota.ts';
 import {
 	type AttemptId, type BackendServerIdentity, type CallEffect, type CallEngine, type CallEngineStatus, type CallLoad, type CallEvent, type CallId, type CallRequest, type LoadUpdate, type PoisonRequestChange,
@@ -74,6 +75,15 @@
 			isPlacingHeld: false,
 			demandReports: new DemandReports(options.reportsDemand ?? false),
 			rateQuota: options.rateQuota ?? new SingleVmRateQuota(),
+			rateLimiter: options.rateLimits === 'granted'
+				? new GrantedRateLimiter({
+					random: options.random,
+					vmCount: () => this._context.shares?.vmCount,
+					send: request => {
+						this._context.effects.push({type: 'server-tokens-wanted', request});
+					},
+				})
+				: new DividedRateLimiter(() => this._context.rateQuota),
 			memberHash: options.memberHash,
 			links: createLinks(options.random, options.settings.dataCentre, () => ({
 				context: this._context, directory: this._directory, processEnds: this._processEnds, runner: this._runner,
--- a/src/common/calls/engine-context.ts
+++ b/src/common/calls/engine-context.ts
@@ -9,6 +9,7 @@
 import {type ServiceState} from './service-state.ts';
 import {type TimerQueue} from './timer-queue.ts';
 import {type CallTuning} from './tuning.ts';
+import {type RateLimiter} from './backend-rates/rate-limiter.ts';
 import {type RateQuota} from './backend-rates/rate-quota.ts';
 import {type CallEffect, type FleetShares} from './types.ts';
 
@@ -52,6 +53,7 @@
 	/** Records of processes that were replaced by a new one in this event; their attempts are still open. */
 	readonly replacedServers: BackendServerState[];
 	readonly rateQuota: RateQuota;
+	readonly rateLimiter: RateLimiter;
 	/** Hash function that all VMs share; undefined = this VM uses all backend servers of its data centre. */
 	readonly memberHash?: ((text: string) => number) | undefined;
 	readonly demandReports: DemandReports;
--- a/src/common/calls/engine-options.ts
+++ b/src/common/calls/engine-options.ts
@@ -11,6 +11,11 @@
 	readonly tuning?: Partial<CallTuning>;
 	/** Divides the call rate of a warming backend server among the VMs; undefined = this VM may use all of it. */
 	readonly rateQuota?: RateQuota;
+	/**
+	 * Who limits attempts on backend servers that announce a rate limit: each VM by its share of the fleet, or holders that
+	 * answer `server-tokens-wanted` effects; undefined = divided.
+	 */
+	readonly rateLimits?: 'divided' | 'granted';
 	/**
 	 * Hash function that all VMs share, for the choice of backend servers that each VM uses first; undefined = each uses
 	 * all of them.
--- a/src/common/calls/health/process-end.ts
+++ b/src/common/calls/health/process-end.ts
@@ -5,18 +5,7 @@
 import {type Attempt} from '../call.ts';
 import {type EngineContext} from '../engine-context.ts';
 import {type ProcessEndSign} from '../types.ts';
-
-/**
- * Identity of a process, the same on every VM: by its start if the backend server's entry has one, else by the instance
- * that it reports. An instance that repeats the identity of the backend server adds nothing, as not all responses name it.
- */
-export function processIdentityOf({identity, declared: {processStartedAt}}: Pick<BackendServerState, 'identity' | 'declared'>, instance: string | undefined): string {
-	if (processStartedAt !== undefined) {
-		return `${identity}@${processStartedAt}`;
-	}
-
-	return instance === undefined || instance === identity ? identity : `${identity}/${instance}`;
-}
+import {processIdentityOf} from './process-identity.ts';
 
 function processIdentityOfAttempt({server, instance}: Attempt): string {
 	return processIdentityOf(server, instance ?? server.report?.instance);
--- a/src/common/calls/placement/placer.ts
+++ b/src/common/calls/placement/placer.ts
@@ -5,7 +5,6 @@
 import {type AttemptPurpose, type Call, isBodiless} from '../call.ts';
 import {type EngineContext, vmCountOf} from '../engine-context.ts';
 import {type ServiceState} from '../service-state.ts';
-import {type RateShare} from '../backend-rates/rate-quota.ts';
 
 /** A chosen backend server. */
 export type Placement = {
@@ -47,30 +46,25 @@
 	return isThrottledByWarmUp(context, server, call, now) || isRateLimited(context, server, now);
 }
 
-/** This VM's share of the rate limit that a backend server has announced; undefined = none announced. */
-export function rateLimitShare({rateLimit, identity, declared: {dataCentre}}: BackendServerState, context: EngineContext, now: Instant): RateShare | undefined {
-	return rateLimit.callsPerSecond === undefined ? undefined : context.rateQuota.limitShareOf({identity, dataCentre}, rateLimit.callsPerSecond, now);
-}
-
-/** Whether this VM's share of the backend server's rate limit is spent for now. */
-export function isRateLimited(context: EngineContext, server: BackendServerState, now: Instant): boolean {
-	const share = rateLimitShare(server, context, now);
-	return share !== undefined && server.rateLimit.isSpent(share, now);
+/** Whether the rate limit of a backend server forbids another attempt of this VM for now. */
+export function isRateLimited({rateLimiter}: EngineContext, server: BackendServerState, now: Instant): boolean {
+	return server.rateLimit.callsPerSecond !== undefined && !rateLimiter.isAllowed(server, now);
 }
 
 /**
  * Earliest time at which rate limits allow an attempt of this VM on one of the service's backend servers: now if one of
- * them has no rate limit or an unspent share.
+ * them has no rate limit, or its limit may allow one.
  */
-export function nextAllowedAt(context: EngineContext, service: ServiceState, now: Instant): Instant {
+export function nextAllowedAt({rateLimiter}: EngineContext, service: ServiceState, now: Instant): Instant {
 	let earliest = Infinity;
 	for (const server of service.servers) {
-		const share = server.takesNewAttempts ? rateLimitShare(server, context, now) : undefined;
-		if (server.takesNewAttempts && share === undefined) {
-			return now;
+		if (server.takesNewAttempts) {
+			earliest = Math.min(earliest, server.rateLimit.callsPerSecond === undefined ? now : rateLimiter.availableAt(server, now));
 		}
 
-		earliest = Math.min(earliest, share === undefined ? Infinity : server.rateLimit.availableAt(share, now));
+		if (earliest <= now) {
+			return now;
+		}
 	}
 
 	return earliest;
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -8,7 +8,6 @@
 import {type RateLimitChange} from './backend-rates/rate-limit.ts';
 import {RemovedServers} from './removed-servers.ts';
 import {defaultSharing, ServiceState} from './service-state.ts';
-import {rateLimitShare} from './placement/placer.ts';
 import {TimerQueue} from './timer-queue.ts';
 import {
 	type BackendServerIdentity, type BackendServerInForce, type BackendServerStatus, type CallConfiguration, type CallEvent, type FleetShares, type LoadUpdate, type LoadReport, type LoadProbeId, type RateLimitNotice, type RateLimitSource,
@@ -149,7 +148,16 @@
 
 	/** Applies the rate limit in the answer to an attempt, or its absence. */
 	applyAnswerRateLimit(server: BackendServerState, {rateLimit, status}: AnswerRateLimit, startedAt: Instant, now: Instant): void {
-		this._notifyRateLimitChange(server, server.rateLimit.applyAnswer({notice: rateLimit, isError: status >= minServerErrorStatus, startedAt}, now), {source: 'answer', status, rateLimit}, now);
+		this._notifyRateLimitChange(server, server.rateLimit.applyAnswer({notice: rateLimit, isError: status >= minServerErrorStatus, startedAt}, now), {source: 'answer', status, rateLimit});
+	}
+
+	/** Applies the outcome of a request for tokens of a backend server's limit; waiting calls may start, or be refused. */
+	applyTokens({server: process, result}: CallEvent & {type: 'server-tokens'}, now: Instant): void {
+		const server = this._context.rateLimiter.onTokens(process, result, now);
+		const service = server === undefined ? undefined : this._services.get(server.declared.service);
+		if (service !== undefined) {
+			this._context.servicesToDrain.add(service);
+		}
 	}
 
 	/** Handles the result of a load probe; `report` is undefined without an answer. Returns the probed backend server, or undefined for an unknown id. */
@@ -175,7 +183,7 @@
 
 		server.unansweredProbes = 0;
 		this.applyAnswerReport(server, report, now);
-		this._notifyRateLimitChange(server, server.rateLimit.applyProbe(report.rateLimit, sentAt, now), {source: 'load-probe', rateLimit: report.rateLimit}, now);
+		this._notifyRateLimitChange(server, server.rateLimit.applyProbe(report.rateLimit, sentAt, now), {source: 'load-probe', rateLimit: report.rateLimit});
 		if (server.health === 'doubted') {
 			server.applyHealthEvent('ANSWERED', now);
 		}
@@ -279,18 +287,23 @@
 		}
 	}
 
-	private _notifyRateLimitChange(server: BackendServerState, change: RateLimitChange, cause: RateLimitCause, now: Instant): void {
+	private _notifyRateLimitChange(server: BackendServerState, change: RateLimitChange, cause: RateLimitCause): void {
 		if (change === 'none') {
 			return;
 		}
 
-		const share = rateLimitShare(server, this._context, now);
+		const limited = this._services.get(server.declared.service)?.limitedServers;
+		if (server.rateLimit.callsPerSecond === undefined || cause.source === 'entry-removed') {
+			limited?.delete(server);
+		} else {
+			limited?.add(server);
+		}
+
 		this._context.effects.push({
 			type: 'rate-limit-changed',
 			identity: server.identity,
 			service: server.declared.service,
 			...cause,
-			...(share === undefined ? {} : {share: share.callsPerSecond}),
 			limitedServers: [...this._servers.values()].filter(one => one.rateLimit.callsPerSecond !== undefined).length,
 		});
 	}
@@ -338,7 +351,7 @@
 				this._servers.delete(identity);
 				this._removed.keep(server, configuration.backendServers.size);
 				if (server.rateLimit.callsPerSecond !== undefined) {
-					this._notifyRateLimitChange(server, 'ended', {source: 'entry-removed', rateLimit: undefined}, now);
+					this._notifyRateLimitChange(server, 'ended', {source: 'entry-removed', rateLimit: undefined});
 				}
 			}
 		}
@@ -371,7 +384,7 @@
 		updateDeclaration(server, declared, now);
 		const {callsPerSecond} = server.rateLimit;
 		if (callsPerSecond !== undefined) {
-			this._notifyRateLimitChange(server, 'named', {source: 'entry-returned', rateLimit: callsPerSecond}, now);
+			this._notifyRateLimitChange(server, 'named', {source: 'entry-returned', rateLimit: callsPerSecond});
 		}
 	}
 
--- a/src/common/calls/service-state.ts
+++ b/src/common/calls/service-state.ts
@@ -46,6 +46,8 @@
 	declared: Service;
 	sharing: Pick<SharingRule, 'callerShare' | 'overflowAt'> = defaultSharing;
 	servers: readonly BackendServerState[] = [];
+	/** Those that have announced a rate limit. */
+	readonly limitedServers = new Set<BackendServerState>();
 	/** Load that its backend servers can take while they warm up; undefined = unknown. */
 	warmUp: WarmUpLimit | undefined;
 	/** Time of the latest call of this service on this VM. */
--- a/src/common/calls/state-updates.ts
+++ b/src/common/calls/state-updates.ts
@@ -17,6 +17,7 @@
 	'link-checked': true,
 	'quarantine-lifted': true,
 	'demand-summary': true,
+	'server-tokens': true,
 } as const satisfies Partial<Record<CallEvent['type'], true>>;
 
 export type StateUpdateEvent = Extract<CallEvent, {type: keyof typeof stateUpdateTypes}>;
@@ -98,6 +99,11 @@
 				break;
 			}
 
+			case 'server-tokens': {
+				this._directory.applyTokens(event, now);
+				break;
+			}
+
 			case 'demand-summary': {
 				this._applyDemandSummary(event, now);
 				break;
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -5,6 +5,7 @@
 import {
 	type LinkChange, type LinkCheck, type LinkCheckId, type LinkCheckResult, type Relay, type RelayAddress,
 } from '../links/types.ts';
+import {type ServerTokenRequest, type ServerTokensEffect} from '../limits/types.ts';
 import {type BackendServer, type Service, type SharingRule} from '../model/resources.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type KeyOwners, type OrganisationInForce} from '../organisations/types.ts';
@@ -165,6 +166,8 @@
 	 * replace the own ones. Sent only for services that are short on at least one VM.
 	 */
 		| {readonly type: 'demand-summary'; readonly ageMilliseconds: Milliseconds; readonly services: ReadonlyArray<ServiceDemand & {readonly service: string}>}
+	/** Outcome of a `server-tokens-wanted`. */
+		| ServerTokensEffect
 	/** An operator lifted the quarantine of a fingerprint. */
 		| {readonly type: 'quarantine-lifted'; readonly fingerprint: string}
 	/** While placing is held, no new attempt is started: after a pause of the VM, until the pending events have been handled. */
@@ -332,11 +335,11 @@
 		readonly source: RateLimitSource;
 		/** Status of the answer that changed it. */
 		readonly status?: number;
-		/** Calls per second of this VM's share of a limit that is in force. */
-		readonly share?: number;
 		/** Number of backend servers with a rate limit known to this VM. */
 		readonly limitedServers: number;
 	}
+	/** Ask the holder of a backend server's rate limit for tokens; the event `server-tokens` has its answer. */
+	| {readonly type: 'server-tokens-wanted'; readonly request: ServerTokenRequest}
 	/** What this VM knows of calls that crash backend servers has changed; `quarantined` = number of refused fingerprints. */
 	| {readonly type: 'poison-request-changed'; readonly change: PoisonRequestChange; readonly quarantined: number}
 	/** A call has ended; for metrics, the burn rate and logs. */
--- a/src/common/entry-vm/entry-vm.ts
+++ b/src/common/entry-vm/entry-vm.ts
@@ -71,6 +71,9 @@
 			onAllowed: request => {
 				this._internalEvents.push({to: 'calls', event: {type: 'call-arrived', request}});
 			},
+			onServerTokens: effect => {
+				this._internalEvents.push({to: 'calls', event: effect});
+			},
 			onEffect: effect => {
 				this._effects.push(effect);
 			},
@@ -173,13 +176,30 @@
 	}
 
 	private _handleCallEffect(effect: CallEffect, now: Instant): void {
-		if (effect.type === 'tell-peers') {
-			this._forwardLoadUpdate(effect.update);
-		} else if (effect.type === 'call-ended') {
-			this._effects.push(this._limitedCalls.onCallEnded(effect, now));
-		} else if (effect.type !== 'demand-report') {
-			// Engines are not constructed to report demand until a transport sends the reports to other VMs.
-			this._effects.push(effect);
+		switch (effect.type) {
+			case 'tell-peers': {
+				this._forwardLoadUpdate(effect.update);
+				break;
+			}
+
+			case 'call-ended': {
+				this._effects.push(this._limitedCalls.onCallEnded(effect, now));
+				break;
+			}
+
+			case 'server-tokens-wanted': {
+				this._limitedCalls.handle(effect, now);
+				break;
+			}
+
+			case 'demand-report': {
+				// Engines are not constructed to report demand until a transport sends the reports to other VMs.
+				break;
+			}
+
+			default: {
+				this._effects.push(effect);
+			}
 		}
 	}
 
--- a/src/common/entry-vm/limited-calls.test.ts
+++ b/src/common/entry-vm/limited-calls.test.ts
@@ -4,6 +4,7 @@
 import {type FleetEffect, type FleetEvent} from '../fleet/types.ts';
 import {Limits} from '../limits/limits.ts';
 import {backendServerSchema, serviceSchema} from '../model/resources.ts';
+import {testHash} from '../fleet/test-utilities.test.ts';
 import {seededRandom} from '../random/random.ts';
 import {EntryVm, type FleetDecider} from './entry-vm.ts';
 import {type EntryVmEffect} from './types.ts';
@@ -84,7 +85,7 @@
 }
 
 function newVm(): TestVm {
-	return new TestVm(new Limits({dataCentre: 'north', random: seededRandom(6)}));
+	return new TestVm(new Limits({dataCentre: 'north', random: seededRandom(6), hash: testHash}));
 }
 
 const remote: FleetEffect = {type: 'limit-slots', slots: [{slot: 0, address: '10.0.0.2:9', dataCentre: 'north'}], own: []};
--- a/src/common/entry-vm/limited-calls.ts
+++ b/src/common/entry-vm/limited-calls.ts
@@ -4,7 +4,7 @@
 } from '../calls/types.ts';
 import {type Limits} from '../limits/limits.ts';
 import {
-	type DatagramEvent, type LimitEffect, type LimitEvent, type LimitRecord, type LimitSlotsEffect,
+	type DatagramEvent, type LimitEffect, type LimitEvent, type LimitRecord, type LimitSlotsEffect, type ServerTokensEffect,
 } from '../limits/types.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type EntryVmEffect} from './types.ts';
@@ -27,6 +27,7 @@
 export type LimitedCallsOutput = {
 	/** The call has its token: pass it to the call engine. */
 	onAllowed(request: CallRequest): void;
+	onServerTokens(effect: ServerTokensEffect): void;
 	onEffect(effect: EntryVmEffect): void;
 };
 
@@ -46,7 +47,7 @@
 		return this._limits.nextWakeUp();
 	}
 
-	handle(event: LimitSlotsEffect | DatagramEvent | Extract<LimitEvent, {type: 'woke' | 'tick'}>, now: Instant): void {
+	handle(event: LimitSlotsEffect | DatagramEvent | Extract<LimitEvent, {type: 'woke' | 'tick' | 'server-tokens-wanted'}>, now: Instant): void {
 		this._apply(event, now);
 	}
 
@@ -142,6 +143,11 @@
 				break;
 			}
 
+			case 'server-tokens': {
+				this._output.onServerTokens(effect);
+				break;
+			}
+
 			case 'call-cancelled': {
 				break;
 			}
--- a/src/common/entry-vm/types.ts
+++ b/src/common/entry-vm/types.ts
@@ -8,7 +8,7 @@
 import {type Instant} from '../model/units.ts';
 
 /** Events and effects that the two engines exchange; none leaves the entry VM. */
-type InternalCallEvent = 'configured' | 'shares' | 'peer-updates' | 'backend-server-leaving' | 'cut-off' | 'placing-held' | 'demand-summary' | 'tick';
+type InternalCallEvent = 'configured' | 'shares' | 'peer-updates' | 'backend-server-leaving' | 'cut-off' | 'placing-held' | 'demand-summary' | 'server-tokens' | 'tick';
 type InternalFleetEvent = 'load-update' | 'leaving-sign' | 'own-load' | 'tick';
 type InternalFleetEffect = 'shares' | 'peer-updates' | 'backend-server-leaving' | 'limit-slots';
 
@@ -29,7 +29,7 @@
 		| {readonly type: 'tick'};
 
 /** Effects of the call engine that the adapter executes. */
-export type ExternalCallEffect = Exclude<CallEffect, {type: 'tell-peers' | 'demand-report'}>;
+export type ExternalCallEffect = Exclude<CallEffect, {type: 'tell-peers' | 'demand-report' | 'server-tokens-wanted'}>;
 
 /** Effects of the fleet engine that the adapter executes. */
 export type ExternalFleetEffect = Exclude<FleetEffect, {type: InternalFleetEffect}>;
--- a/src/common/limits/limit-holder.ts
+++ b/src/common/limits/limit-holder.ts
@@ -2,6 +2,7 @@
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type OrganisationLimit} from '../organisations/types.ts';
 import {type Ask, type Grant, limitSlotCount} from './messages.ts';
+import {type BucketSize, TokenBucket} from './token-bucket.ts';
 
 /**
  * A token is granted from this level on, and the level falls below zero by the rest. If the three buckets have a whole token together, one of them
@@ -10,18 +11,9 @@
  */
 const leastLevel = 1 / limitSlotCount;
 
-/** Rounding errors of levels that are computed from fractional instants; far below one token. */
-const tokenEpsilon = 1e-9;
-
-/** Rounding errors of retry delays, which are rounded up to whole milliseconds. */
-const retryEpsilonMilliseconds: Milliseconds = 1e-3;
-
 /** Retry delay for an organisation that the holder's configuration does not limit: the VMs have different versions for a moment. */
 const unknownRetryMilliseconds: Milliseconds = 500;
 
-/** Maximum retry delay. Further refused calls would only wait for tokens that other callers take before. */
-const maxRetryMilliseconds: Milliseconds = 10_000;
-
 /** A VM that asked nothing for this long is forgotten; far longer than a datagram stays in a network. */
 const askerMilliseconds: Milliseconds = 10_000;
 
@@ -31,61 +23,11 @@
 /** Ids up to this far below the last one of a VM are repeated or late. A restarted process begins at a random id far away. */
 const lateIds = 1000;
 
-/** Tokens of one organisation in one slot. */
-class TokenBucket {
-	private _level = 0;
-	private _updatedAt: Instant;
-	private _ratePerMillisecond = 0;
-	private _capacity = 0;
-	/** Time at which the last refused call may expect its token. */
-	private _expectedUntil: Instant = Number.NEGATIVE_INFINITY;
-
-	/** The bucket is empty at `now`, since a previous holder may have granted all tokens up to then. */
-	constructor(limit: OrganisationLimit, now: Instant) {
-		this._updatedAt = now;
-		this.configure(limit, now);
-	}
-
-	/** A lower capacity truncates the level; a higher one is filled at the new rate. */
-	configure({callsPerSecond, burst}: OrganisationLimit, now: Instant): void {
-		this._refill(now);
-		this._ratePerMillisecond = callsPerSecond / limitSlotCount / 1000;
-		this._capacity = Math.max(1, burst) / limitSlotCount;
-		this._level = Math.min(this._level, this._capacity);
-	}
-
-	take(wanted: number, now: Instant): number {
-		this._refill(now);
-		const granted = Math.min(wanted, Math.max(0, Math.floor(this._level + 1 - leastLevel + tokenEpsilon)));
-		this._level -= granted;
-		return granted;
-	}
-
-	giveBack(count: number, now: Instant): void {
-		this._refill(now);
-		this._level = Math.min(this._capacity, this._level + count);
-	}
-
-	/**
-	 * Time until a token for the first of `refused` calls is expected. The expectations of refused calls are spaced by the
-	 * rate of the whole limit, since each of them asks all holders when it is repeated.
-	 */
-	expectedDelay(refused: number, now: Instant): Milliseconds {
-		if (this._ratePerMillisecond <= 0) {
-			return maxRetryMilliseconds;
-		}
-
-		const spacing = 1 / (this._ratePerMillisecond * limitSlotCount);
-		const nextTokenAt = now + (Math.max(0, leastLevel - this._level) / this._ratePerMillisecond);
-		const first = Math.max(nextTokenAt, this._expectedUntil + spacing);
-		this._expectedUntil = Math.min(first + ((refused - 1) * spacing), now + maxRetryMilliseconds);
-		return Math.max(1, Math.min(maxRetryMilliseconds, Math.ceil(first - now - retryEpsilonMilliseconds)));
-	}
-
-	private _refill(now: Instant): void {
-		this._level = Math.min(this._capacity, this._level + (Math.max(0, now - this._updatedAt) * this._ratePerMillisecond));
-		this._updatedAt = Math.max(this._updatedAt, now);
-	}
+/** Size of an organisation's bucket in one slot. */
+function bucketSizeOf({callsPerSecond, burst}: OrganisationLimit): BucketSize {
+	return {
+		callsPerSecond: callsPerSecond / limitSlotCount, capacity: Math.max(1, burst) / limitSlotCount, leastLevel, totalCallsPerSecond: callsPerSecond,
+	};
 }
 
 /** Grants the tokens of one slot. The caller checks the right to grant before every ask. */
@@ -110,9 +52,9 @@
 		for (const [name, limit] of limits) {
 			const bucket = this._buckets.get(name);
 			if (bucket === undefined) {
-				this._buckets.set(name, new TokenBucket(limit, now));
+				this._buckets.set(name, new TokenBucket(bucketSizeOf(limit), now));
 			} else {
-				bucket.configure(limit, now);
+				bucket.configure(bucketSizeOf(limit), now);
 			}
 		}
 	}
--- a/src/common/limits/limits-fleet.test.ts
+++ b/src/common/limits/limits-fleet.test.ts
@@ -2,6 +2,7 @@
 import {TimerQueue} from '../calls/timer-queue.ts';
 import {type Instant, type Milliseconds, type RandomSource} from '../model/units.ts';
 import {type OrganisationInForce, type OrganisationLimit} from '../organisations/types.ts';
+import {testHash} from '../fleet/test-utilities.test.ts';
 import {seededRandom} from '../random/random.ts';
 import {Limits} from './limits.ts';
 import {type LimitMessage, limitSlotCount} from './messages.ts';
@@ -48,7 +49,7 @@
 	}
 
 	start(seed: number): Limits {
-		this.limits = new Limits({dataCentre: this.dataCentre, random: seededRandom(seed)});
+		this.limits = new Limits({dataCentre: this.dataCentre, random: seededRandom(seed), hash: testHash});
 		return this.limits;
 	}
 }
--- a/src/common/limits/limits.test.ts
+++ b/src/common/limits/limits.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'earl';
 import {type OrganisationInForce} from '../organisations/types.ts';
+import {testHash} from '../fleet/test-utilities.test.ts';
 import {seededRandom} from '../random/random.ts';
 import {Limits} from './limits.ts';
 import {type LimitMessage} from './messages.ts';
@@ -14,7 +15,7 @@
 class Vm {
 	now = 0;
 	private _nextCall = 0;
-	private readonly _limits = new Limits({dataCentre: 'dc-1', random: seededRandom(3)});
+	private readonly _limits = new Limits({dataCentre: 'dc-1', random: seededRandom(3), hash: testHash});
 
 	constructor() {
 		this.handle({type: 'configured', version: 1, organisations});
--- a/src/common/limits/limits.ts
+++ b/src/common/limits/limits.ts
@@ -1,11 +1,13 @@
-/** Decides on the rate limits of organisations in one VM: as a client of the holders, and as the holder of the slots it has a right to. */
+/** Decides on the rate limits of organisations and backend servers in one VM: as a client of the holders, and as the holder of the slots it has a right to. */
 import {type Instant, type RandomSource} from '../model/units.ts';
 import {type OrganisationLimit} from '../organisations/types.ts';
 import {LimitClient} from './limit-client.ts';
 import {LimitHolder} from './limit-holder.ts';
-import {type Ask, type LimitMessage} from './messages.ts';
+import {type Ask, type LimitMessage, type ServerAsk} from './messages.ts';
+import {ServerLimitClient} from './server-limit-client.ts';
+import {ServerLimitHolder} from './server-limit-holder.ts';
 import {
-	type DatagramEvent, type LimitEffect, type LimitEvent, type LimitRight, type LimitSlotHolder, type LimitSlotsEffect,
+	type DatagramEvent, type LimitEffect, type LimitEvent, type LimitRight, type LimitSlotHolder, type LimitSlotsEffect, type ServerTokenRequest,
 } from './types.ts';
 
 /** Name of this VM as an asker at its own slots; no endpoint looks like it. */
@@ -16,10 +18,12 @@
 export type LimitsOptions = {
 	readonly dataCentre: string;
 	readonly random: RandomSource;
+	/** Hash function that all VMs share; it chooses the slot of each backend server. */
+	readonly hash: (text: string) => number;
 };
 
 /** A slot that this VM holds. */
-type HeldSlot = {holder: LimitHolder; right: LimitRight};
+type HeldSlot = {readonly holder: LimitHolder; readonly servers: ServerLimitHolder; right: LimitRight};
 
 /**
  * The rate limits of one VM.
@@ -29,13 +33,14 @@
  */
 export class Limits {
 	private readonly _client: LimitClient | undefined;
+	private readonly _serverClient: ServerLimitClient | undefined;
 	private readonly _held = new Map<number, HeldSlot>();
 	/** Ends of the rights that a pause voided. Only a right that ends later was renewed after the pause. */
 	private readonly _voidedUntil = new Map<number, Instant>();
 	/** Calls that have a token. */
 	private readonly _tokens = new Map<number, {readonly organisation: string; readonly slot: number; readonly grantedAt: Instant}>();
 	/** Asks to this VM's own slots that are not handled yet. */
-	private readonly _ownAsks: Ask[] = [];
+	private readonly _ownAsks: Array<Ask | ServerAsk> = [];
 	private _limits: ReadonlyMap<string, OrganisationLimit> = new Map();
 	private readonly _waiting = new Map<number, string>();
 	private _loggedVersion: number | undefined;
@@ -53,6 +58,16 @@
 					this._onClientEffect(effect);
 				},
 			});
+			this._serverClient = new ServerLimitClient({
+				hash: options.hash,
+				random: options.random,
+				send: (holder, ask, now) => {
+					this._send(holder, ask, now);
+				},
+				onEffect: effect => {
+					this._effects.push(effect);
+				},
+			});
 		}
 	}
 
@@ -69,7 +84,8 @@
 	}
 
 	nextWakeUp(): Instant | undefined {
-		return this._client?.nextWakeUp();
+		const earliest = Math.min(this._client?.nextWakeUp() ?? Number.POSITIVE_INFINITY, this._serverClient?.nextWakeUp() ?? Number.POSITIVE_INFINITY);
+		return earliest === Number.POSITIVE_INFINITY ? undefined : earliest;
 	}
 
 	private _dispatch(event: LimitEvent, now: Instant): void {
@@ -109,8 +125,14 @@
 				break;
 			}
 
+			case 'server-tokens-wanted': {
+				this._onServerTokensWanted(event.request, now);
+				break;
+			}
+
 			case 'tick': {
 				this._client?.tick(now);
+				this._serverClient?.tick(now);
 				break;
 			}
 		}
@@ -125,6 +147,15 @@
 		this._held.clear();
 		this._tokens.clear();
 		this._client?.onWoke(now);
+		this._serverClient?.onWoke();
+	}
+
+	private _onServerTokensWanted(request: ServerTokenRequest, now: Instant): void {
+		if (this._serverClient === undefined) {
+			this._effects.push({type: 'server-tokens', server: request.server, result: {kind: 'unavailable'}});
+		} else {
+			this._serverClient.want(request, now);
+		}
 	}
 
 	private _onCallerGone(callId: number, now: Instant): void {
@@ -205,21 +236,19 @@
 			if (held !== undefined && right.from <= held.right.until && now < held.right.until) {
 				held.right = right;
 			} else {
-				this._held.set(slot, {holder: new LimitHolder(slot, this._limits, Math.max(now, right.from)), right});
+				this._held.set(slot, {holder: new LimitHolder(slot, this._limits, Math.max(now, right.from)), servers: new ServerLimitHolder(), right});
 			}
 		}
 
+		this._serverClient?.setHolders(slots);
 		this._client?.setHolders(slots, now);
 	}
 
 	private _onDatagram({from, message}: DatagramEvent, now: Instant): void {
 		switch (message.kind) {
-			case 'ask': {
-				const {id, slot} = message;
-				const held = this._heldSlot(slot, now);
-				const answer: LimitMessage | undefined = held === undefined
-					? {kind: 'not-holder', id, slot}
-					: held.holder.ask(message, from, now);
+			case 'ask':
+			case 'server-ask': {
+				const answer = this._answer(message, from, now);
 				if (answer !== undefined) {
 					this._effects.push({type: 'send-datagram', to: from, message: answer});
 				}
@@ -232,13 +261,29 @@
 				break;
 			}
 
+			case 'server-grant': {
+				this._serverClient?.onGrant(message);
+				break;
+			}
+
 			case 'not-holder': {
 				this._client?.onNotHolder(message.id, message.slot, now);
+				this._serverClient?.onNotHolder(message.id);
 				break;
 			}
 		}
 	}
 
+	/** The answer to an ask; undefined = it is a repeated one. */
+	private _answer(ask: Ask | ServerAsk, from: string, now: Instant): LimitMessage | undefined {
+		const held = this._heldSlot(ask.slot, now);
+		if (held === undefined) {
+			return {kind: 'not-holder', id: ask.id, slot: ask.slot};
+		}
+
+		return ask.kind === 'ask' ? held.holder.ask(ask, from, now) : held.servers.ask(ask, now);
+	}
+
 	private _onTokenWanted({callId, organisation, withinMilliseconds}: Extract<LimitEvent, {type: 'token-wanted'}>, now: Instant): void {
 		this._waiting.set(callId, organisation);
 		if (this._client !== undefined && this._limits.has(organisation)) {
@@ -255,7 +300,7 @@
 		return held !== undefined && held.right.from <= now && now < held.right.until ? held : undefined;
 	}
 
-	private _send(holder: LimitSlotHolder, ask: Ask, now: Instant): void {
+	private _send(holder: LimitSlotHolder, ask: Ask | ServerAsk, now: Instant): void {
 		if (this._heldSlot(holder.slot, now) === undefined) {
 			this._effects.push({type: 'send-datagram', to: holder.address, message: ask});
 		} else {
@@ -266,12 +311,8 @@
 	/** Answers the asks to own slots without a datagram. Handled in a loop, as an answer may cause further asks. */
 	private _answerOwnAsks(now: Instant): void {
 		for (let ask = this._ownAsks.shift(); ask !== undefined; ask = this._ownAsks.shift()) {
-			const grant = this._heldSlot(ask.slot, now)?.holder.ask(ask, ownAsker, now);
-			if (grant === undefined) {
-				this._client?.onNotHolder(ask.id, ask.slot, now);
-			} else {
-				this._client?.onGrant(grant, now);
-			}
+			const answer = this._answer(ask, ownAsker, now) ?? {kind: 'not-holder', id: ask.id, slot: ask.slot};
+			this._onDatagram({type: 'datagram', from: ownAsker, message: answer}, now);
 		}
 	}
 
--- a/src/common/limits/messages.ts
+++ b/src/common/limits/messages.ts
@@ -1,4 +1,4 @@
-/** Datagrams that VMs exchange about the rate limits of organisations: JSON, one message per datagram. */
+/** Datagrams that VMs exchange about the rate limits of organisations and of backend servers: JSON, one message per datagram. */
 import * as z from 'zod';
 
 /** Number of slots that every limit is divided among. Fixed, so that the sum of all slots never depends on the size of the fleet. */
@@ -37,10 +37,31 @@
 /** Answer of a VM that has no right to grant tokens of the slot. Nothing was granted or taken back. */
 const notHolderSchema = z.object({kind: z.literal('not-holder'), id: idSchema, slot: slotSchema});
 
+/** A process of a backend server: its identity, and its start where that is known. */
+const serverSchema = z.string().min(1).max(maxDatagramBytes / 4);
+
+/** A VM asks for tokens of the limit that a backend server has announced to it `ageMilliseconds` ago. */
+const serverAskSchema = z.object({
+	kind: z.literal('server-ask'),
+	id: idSchema,
+	slot: slotSchema,
+	server: serverSchema,
+	callsPerSecond: z.number().positive(),
+	ageMilliseconds: z.number().min(0),
+	wanted: countSchema,
+});
+
+/** Answer of the holder; `retryAfter` = milliseconds until a token is expected, 0 if some were granted. */
+const serverGrantSchema = z.object({
+	kind: z.literal('server-grant'), id: idSchema, slot: slotSchema, granted: countSchema, retryAfter: z.int().min(0),
+});
+
 /** Schema of all messages, told apart by `kind`. */
-export const limitMessageSchema = z.discriminatedUnion('kind', [askSchema, grantSchema, notHolderSchema]);
+export const limitMessageSchema = z.discriminatedUnion('kind', [askSchema, grantSchema, notHolderSchema, serverAskSchema, serverGrantSchema]);
 
 export type LimitMessage = z.infer<typeof limitMessageSchema>;
 export type Ask = z.infer<typeof askSchema>;
 export type Grant = z.infer<typeof grantSchema>;
 export type NotHolder = z.infer<typeof notHolderSchema>;
+export type ServerAsk = z.infer<typeof serverAskSchema>;
+export type ServerGrant = z.infer<typeof serverGrantSchema>;
--- a/src/common/limits/types.ts
+++ b/src/common/limits/types.ts
@@ -1,4 +1,4 @@
-/** Interface of the decider on rate limits of organisations (`Limits`): its events and effects. */
+/** Interface of the decider on rate limits of organisations and backend servers (`Limits`): its events and effects. */
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type OrganisationInForce} from '../organisations/types.ts';
 import {type LimitMessage} from './messages.ts';
@@ -39,6 +39,24 @@
 	readonly unansweredBy: readonly number[];
 };
 
+/** Tokens that this VM needs for calls to a backend server with a rate limit. */
+export type ServerTokenRequest = {
+	/** Process of the backend server, named alike on all VMs. */
+	readonly server: string;
+	readonly callsPerSecond: number;
+	/** When the limit was last announced to this VM. */
+	readonly announcedAt: Instant;
+	readonly wanted: number;
+};
+
+/** Outcome of a request; 'unavailable' = no holder answered. */
+export type ServerTokenResult
+	= | {readonly kind: 'granted'; readonly count: number}
+		| {readonly kind: 'refused'; readonly retryAfterMilliseconds: Milliseconds}
+		| {readonly kind: 'unavailable'};
+
+export type ServerTokensEffect = {readonly type: 'server-tokens'; readonly server: string; readonly result: ServerTokenResult};
+
 export type LimitRefusalReason = 'over-limit' | 'limits-unavailable';
 
 /** Events that `Limits` handles. */
@@ -55,11 +73,14 @@
 		| {readonly type: 'caller-gone'; readonly callId: number}
 	/** A call that had a token ended. If it did not run, its token is used again. */
 		| {readonly type: 'call-ended'; readonly callId: number; readonly hasRun: boolean}
+	/** Calls need tokens of a backend server's limit; answered by `server-tokens`. */
+		| {readonly type: 'server-tokens-wanted'; readonly request: ServerTokenRequest}
 		| {readonly type: 'tick'};
 
 /** Effects of `Limits`, in order. */
 export type LimitEffect
 	= | SendDatagramEffect
+		| ServerTokensEffect
 	/** The call has its token and may run; `grantedAt` is undefined if it needs none. */
 		| {readonly type: 'call-allowed'; readonly callId: number; readonly record: LimitRecord; readonly grantedAt?: Instant}
 		| {
@@ -71,4 +92,4 @@
 		}
 	/** The call left before it had a token. */
 		| {readonly type: 'call-cancelled'; readonly callId: number; readonly record: LimitRecord}
-		| {readonly type: 'log'; readonly level: 'error'; readonly message: string; readonly details: Readonly<Record<string, string | number | boolean>>};
+		| {readonly type: 'log'; readonly level: 'info' | 'error'; readonly message: string; readonly details: Readonly<Record<string, string | number | boolean>>};
--- a/src/common/registry/fleet-model.test.ts
+++ b/src/common/registry/fleet-model.test.ts
@@ -3,6 +3,7 @@
 import {type CallEngine, type LoadUpdate} from '../calls/types.ts';
 import {EntryVm, type FleetDecider, isCallEffect} from '../entry-vm/entry-vm.ts';
 import {type EntryVmEvent, type ExternalCallEffect, type ExternalFleetEffect} from '../entry-vm/types.ts';
+import {testHash} from '../fleet/test-utilities.test.ts';
 import {type FleetEffect} from '../fleet/types.ts';
 import {Limits} from '../limits/limits.ts';
 import {type SendDatagramEffect} from '../limits/types.ts';
@@ -118,7 +119,7 @@
 			},
 			nextWakeUp: () => fleet.nextWakeUp(),
 		};
-		const limits = options.hasLimits === true ? new Limits({dataCentre, random}) : undefined;
+		const limits = options.hasLimits === true ? new Limits({dataCentre, random, hash: testHash}) : undefined;
 		this.entryVm = new EntryVm(options.calls?.createEngine(random, dataCentre) ?? idleCallEngine, observed, limits);
 	}
 
--- a/src/common/registry/limit-slots.test.ts
+++ b/src/common/registry/limit-slots.test.ts
@@ -33,14 +33,24 @@
 		expect([run.longestGap, run.model.store.costs.get('compare-and-swap')]).toEqual([0, before]);
 	});
 
-	// Guards deployments without organisations against additional store calls.
-	it('cause no call to the store without an organisation that has a limit', () => {
+	// Guards the store against calls of VMs that could not grant.
+	it('cause no call to the store on VMs without an endpoint for datagrams', () => {
 		const model = new FleetModel({vmCount: 6, serverCount: 4, seed: 1});
 		model.startAll();
 		model.timeline.advance(10_000);
 		expect([model.store.costs.get('compare-and-swap'), model.store.keys('limits/'), model.running.some(({limitSlots}) => limitSlots !== undefined)]).toEqual([undefined, [], false]);
 	});
 
+	// Guards limits of backend servers, which they announce at any moment, against slots that nobody holds until then.
+	it('are held without further claims while no organisation has a limit', () => {
+		const run = new LimitRun().settle();
+		run.model.store.put('configuration', '2');
+		run.advance(3000);
+		const claims = run.model.store.costs.get('compare-and-swap');
+		run.advance(9000);
+		expect([run.grantedCount, run.model.store.costs.get('compare-and-swap') === claims, run.longestGap]).toEqual([3, true, 0]);
+	});
+
 	// Guards against VMs that do not know whom to ask.
 	it('are known to all VMs', () => {
 		const run = new LimitRun().settle();
--- a/src/common/registry/limit-slots.ts
+++ b/src/common/registry/limit-slots.ts
@@ -109,7 +109,7 @@
 	/** Earliest time of the next claim of a slot. */
 	private readonly _retryAt = new Map<number, Instant>();
 	private _claim: Claim | undefined;
-	private _hasLimits = false;
+	private _isConfigured = false;
 	private _isSocketOpen = false;
 	private _isServing = false;
 	private _era: StoreEra | undefined;
@@ -140,17 +140,14 @@
 		return {heldSlots: held.length, ageMilliseconds: held.length === 0 ? undefined : now - Math.min(...held.map(({renewedAt}) => renewedAt))};
 	}
 
-	/** Sets whether an organisation of the configuration in force has a limit. */
-	setHasLimits(hasLimits: boolean): void {
-		if (this._hasLimits === hasLimits) {
-			return;
-		}
-
-		this._hasLimits = hasLimits;
-		this._vacancies.clear();
-		this._mustEmit = true;
-		if (!hasLimits) {
-			this._giveUpAll();
+	/**
+	 * A configuration is in force, so that calls may need tokens. The slots are held at all times, as a backend server can
+	 * announce a rate limit at any moment.
+	 */
+	onConfigured(): void {
+		if (!this._isConfigured && this._context.settings.limitsAddress !== undefined) {
+			this._isConfigured = true;
+			this._mustEmit = true;
 		}
 	}
 
@@ -232,7 +229,7 @@
 			this._lose(slot, 'entry-removed');
 		}
 
-		if (known !== undefined && this._hasLimits) {
+		if (known !== undefined && this._isConfigured) {
 			this._mustEmit = true;
 			this._context.log('info', 'limit slot is vacant', {slot, holder: known.entry?.address ?? ''});
 		}
@@ -246,7 +243,7 @@
 	/** Sends the requests that are due and emits changed holders and rights; called after each event. */
 	update(): void {
 		this._noteEra();
-		if (!this._hasLimits && !this._mustEmit) {
+		if (!this._isConfigured && !this._mustEmit) {
 			return;
 		}
 
@@ -261,7 +258,7 @@
 	}
 
 	private get _isActive(): boolean {
-		return this._hasLimits && this._isSocketOpen && this._isServing && this._context.settings.limitsAddress !== undefined;
+		return this._isConfigured && this._isSocketOpen && this._isServing && this._context.settings.limitsAddress !== undefined;
 	}
 
 	private _keyOf(slot: number): string {
@@ -601,12 +598,12 @@
 		}
 
 		this._mustEmit = false;
-		const slots = this._hasLimits
+		const slots = this._isConfigured
 			? [...this._known].toSorted(([one], [other]) => one - other).flatMap(([slot, {entry}]) => entry === undefined ? [] : [{slot, address: entry.address, dataCentre: entry.dataCentre}])
 			: [];
 		const own = [...this._held.values()].flatMap(({slot, right}) => right === undefined ? [] : [{slot, ...right}]);
 		// A VM that never had a configuration with limits reports nothing.
-		if (this._hasLimits || this._hasEmitted) {
+		if (this._isConfigured || this._hasEmitted) {
 			this._hasEmitted = true;
 			this._context.emit({type: 'limit-slots', slots, own});
 		}
--- a/src/common/registry/named-limits-harness.test.ts
+++ b/src/common/registry/named-limits-harness.test.ts
@@ -91,7 +91,7 @@
 
 	createEngine(random: RandomSource, dataCentre: string): CallEngine {
 		return new DefaultCallEngine({
-			random, rateQuota: new OwnerRateQuota(testHash), memberHash: testHash, settings: {dataCentre, retryBurst: 60},
+			random, rateQuota: new OwnerRateQuota(testHash), memberHash: testHash, rateLimits: 'granted', settings: {dataCentre, retryBurst: 60},
 		});
 	}
 
--- a/src/common/registry/registry-fleet.ts
+++ b/src/common/registry/registry-fleet.ts
@@ -642,7 +642,7 @@
 			routing,
 		};
 		this._context.emit({type: 'configured', configuration});
-		this._limitSlots.setHasLimits([...organisations?.values() ?? []].some(({limit}) => limit !== undefined));
+		this._limitSlots.onConfigured();
 		this._lifecycle.onConfigured();
 	}
 
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -278,7 +278,7 @@
 		});
 	}
 
-	private _logRateLimit({identity, service, rateLimit, source, status, share, limitedServers}: RateLimitChanged): void {
+	private _logRateLimit({identity, service, rateLimit, source, status, limitedServers}: RateLimitChanged): void {
 		const {logger, metrics} = this._parts;
 		metrics.rateLimits(limitedServers);
 		if (rateLimit === 'unreadable') {
@@ -290,7 +290,7 @@
 			});
 		} else {
 			logger.info('backend server announced a rate limit', {
-				backendServer: identity, service, callsPerSecond: rateLimit, source, share,
+				backendServer: identity, service, callsPerSecond: rateLimit, source,
 			});
 		}
 	}
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -129,11 +129,12 @@
 	const calls = new DefaultCallEngine({
 		rateQuota: new OwnerRateQuota(hashes.hash32),
 		memberHash: hashes.hash32,
+		rateLimits: 'granted',
 		random,
 		settings: {dataCentre: settings.vm.dataCentre, notRunStatuses: platform.notRunStatuses, retryBurst: settings.calls.retryBurst},
 	});
 	const fleet = new RegistryFleet(registrySettings(settings, platform.layout), platform.documents, random);
-	const limits = settings.listen.limits === undefined ? new Limits() : new Limits({dataCentre: settings.vm.dataCentre, random});
+	const limits = settings.listen.limits === undefined ? new Limits() : new Limits({dataCentre: settings.vm.dataCentre, random, hash: hashes.hash32});
 	const entryVm = new EntryVm(calls, fleet, limits);
 	const loop = owned.add(new DeciderLoop<EntryVmEvent, EntryVmEffect>(entryVm, clock));
 	const storeEffectExecutor = owned.add(new StoreEffectExecutor(loop, new CountedPlatformClient(platform.store, clock, metrics)));
--- a/src/node/front/test-utilities.test.ts
+++ b/src/node/front/test-utilities.test.ts
@@ -32,7 +32,7 @@
 	const loop = store.add(new DeciderLoop(engine, new ProcessClock()));
 	const calls = store.add(new CallEffectExecutor(loop, new HttpLoadProbeClient(connections, new JaydaleDialect()), unusedKeyClaimer));
 	loop.setExecutor(effect => {
-		if (effect.type !== 'tell-peers' && effect.type !== 'demand-report') {
+		if (effect.type !== 'tell-peers' && effect.type !== 'demand-report' && effect.type !== 'server-tokens-wanted') {
 			calls.execute(effect);
 		}
 	});
--- a/src/proof/bad-input.test.ts
+++ b/src/proof/bad-input.test.ts
@@ -63,7 +63,7 @@
 	const loop = store.add(new DeciderLoop(new DefaultCallEngine({random: seededRandom(1), settings: {dataCentre: 'north'}}), new ProcessClock()));
 	const calls = store.add(new CallEffectExecutor(loop, new HttpLoadProbeClient(connections, new JaydaleDialect()), {claim: () => undefined, release: async () => undefined}));
 	loop.setExecutor(effect => {
-		if (effect.type !== 'tell-peers' && effect.type !== 'demand-report') {
+		if (effect.type !== 'tell-peers' && effect.type !== 'demand-report' && effect.type !== 'server-tokens-wanted') {
 			calls.execute(effect);
 		}
 	});
