Test a named rate limit under lost entries, restarts, cuts and an outage of the store

Runs of 126 and 311 VMs with three servers that name 1.3 or 6 calls a second, one in ten answers an error, one in twenty datagrams lost, a restart each 300 ms and 12 s without the store, and one with limits that change between 3 and 12.

--- a/src/common/registry/fleet-model.test.ts
+++ b/src/common/registry/fleet-model.test.ts
@@ -34,6 +34,8 @@
 	readonly hasLimits?: boolean;
 	/** Replaces effects of the fleet engines before they are executed, such as shares by a wrong list of VMs. */
 	readonly alterEffect?: (process: ModelProcess, effect: FleetEffect) => FleetEffect;
+	/** Chance that a datagram is lost. */
+	readonly datagramLossChance?: number;
 	/** Rate of the clock of each process, beside that of the store. */
 	readonly clockRate?: () => number;
 };
@@ -278,6 +280,10 @@
 
 	private _sendDatagram({to, message}: SendDatagramEffect): void {
 		const address = this._model.callAddressOf(to);
+		if (this._model.isDatagramLost()) {
+			return;
+		}
+
 		this._model.timeline.after(transferMilliseconds, () => {
 			if (!this._model.isCut(this.address, address)) {
 				this._model.runningAt(address)?.handle({type: 'datagram', from: this._model.limitsAddressOf(this.address), message});
@@ -451,6 +457,11 @@
 		return address.replace(':90', ':70');
 	}
 
+	isDatagramLost(): boolean {
+		const {datagramLossChance = 0} = this._options;
+		return datagramLossChance > 0 && this.random.next() < datagramLossChance;
+	}
+
 	callAddressOf(limitsAddress: string): string {
 		return limitsAddress.replace(':70', ':90');
 	}
--- a/src/common/registry/named-limits-harness.test.ts
+++ b/src/common/registry/named-limits-harness.test.ts
@@ -35,6 +35,7 @@
 	readonly isAnnouncedByProbes?: boolean;
 	/** Fraction of the answers that are errors without the header. */
 	readonly errorFraction?: number;
+	readonly datagramLossChance?: number;
 	readonly alterEffect?: (process: ModelProcess, effect: FleetEffect) => FleetEffect;
 };
 
@@ -74,7 +75,7 @@
 		this._options = options;
 		this.fleet = new FleetModel({
 			vmCount: options.vmCount, serverCount: options.serverCount, seed: options.seed, calls: this, documents: onDemandDocuments, hasLimits: true,
-			...(options.alterEffect === undefined ? {} : {alterEffect: options.alterEffect}),
+			datagramLossChance: options.datagramLossChance ?? 0, ...(options.alterEffect === undefined ? {} : {alterEffect: options.alterEffect}),
 		});
 		this.servers = Array.from({length: options.serverCount}, (_, index) => ({
 			index, identity: `s${index}`, inFlight: 0, arrivals: [], informedAt: new Map(),
--- a/src/common/registry/named-limits.test.ts
+++ b/src/common/registry/named-limits.test.ts
@@ -54,6 +54,46 @@
 		expect(model.run(runMilliseconds).worstExcess).toBeLessThanOrEqual(0);
 	});
 
+	// Guards a backend server in need against VMs that go on at a limit which has become lower.
+	it('holds when it changes', () => {
+		const limitOf: NamedLimitOptions['limitOf'] = (server, at) => server < 3 && at > limitFrom ? [12, 3, 6][Math.floor((at + (server * 1000)) / 4000) % 3] : undefined;
+		expect(modelOf({limitOf}).run(runMilliseconds).worstExcess).toBeLessThanOrEqual(0);
+	});
+
+	for (const [vmCount, limit, seed] of [[126, 1.3, 1], [126, 6, 2], [311, 1.3, 3]] as const) {
+		// Guards backend servers in need against faults that make VMs forget limits, lose holders or use stale tokens, all at once.
+		it(`of ${limit} calls per second holds on ${vmCount} VMs through lost entries, restarts, cuts, lost datagrams and an outage of the store, seed ${seed}`, () => {
+			const model = modelOf({
+				vmCount, seed, limitOf: (server, at) => server < 3 && at > limitFrom ? limit : undefined, errorFraction: 0.1, datagramLossChance: 0.05,
+			});
+			const {fleet} = model;
+			const randomVm = () => fleet.running[Math.floor(fleet.random.next() * fleet.running.length)]!;
+			for (const [at, isAway] of [[7000, true], [19_000, false]] as const) {
+				fleet.timeline.after(at, () => {
+					fleet.store.isSilentTo = () => isAway;
+				});
+			}
+
+			model.repeat(5000, () => {
+				model.loseEntry(0, 2500);
+			});
+			model.repeat(300, () => {
+				const victim = randomVm();
+				victim.kill();
+				fleet.start(fleet.vmIndexOf(victim.address));
+			});
+			model.repeat(3000, () => {
+				const {address} = randomVm();
+				fleet.cutVms.add(address);
+				model.excused.add(address);
+				fleet.timeline.after(1500, () => {
+					fleet.cutVms.delete(address);
+				});
+			});
+			expect(model.run(24_000).worstExcess).toBeLessThanOrEqual(0);
+		});
+	}
+
 	// Guards against limits so strict that callers are refused although the backend servers would take their calls.
 	it('is used to nine tenths by waiting calls', () => {
 		const limit = 6;
