Bound the memory of answers that cannot be paused

A backend server that sends an answer without a length, or one before it closes, faster than its caller reads it, filled the memory of the VM: such an answer is not paused, since undici fails an assertion if its connection closes meanwhile, and nothing bounded its buffer. All calls of the VM were lost with the process.

--- a/src/node/front/backend-attempt.ts
+++ b/src/node/front/backend-attempt.ts
@@ -25,7 +25,7 @@
 /**
  * True if the connection stays open after the answer. Otherwise the answer must not be paused: undici fails an assertion if the
  * connection closes while the answer is paused, and that terminates the whole process. Such an answer is read as it arrives
- * and buffered in memory for its caller; only the size of the backend server's answer bounds the buffer.
+ * and buffered in memory for its caller; `UnpausedAnswers` bounds the buffers.
  */
 function keepsConnectionOpen({connection = '', ...headers}: IncomingHttpHeaders): boolean {
 	const hasLength = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
@@ -67,6 +67,11 @@
 		return this._receivedBytes;
 	}
 
+	/** Whether `pause` has an effect. */
+	get canPause(): boolean {
+		return this._canPause;
+	}
+
 	/** False once the attempt was cancelled or has ended. */
 	get isNeeded(): boolean {
 		return !this._isEnded;
--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -22,6 +22,7 @@
 import {IncompleteCalls} from './incomplete-calls.ts';
 import {LiveCall} from './live-call.ts';
 import {type BodyLimits, RequestBody} from './request-body.ts';
+import {UnpausedAnswers} from './unpaused-answers.ts';
 import {
 	type CallEventSink, type FingerprintFunction, type KeyAdmission, type KeyRefusal,
 } from './types.ts';
@@ -87,6 +88,7 @@
 	private readonly _dialect = new JaydaleDialect();
 	private readonly _server: GracefulServer;
 	private readonly _incompleteCalls = new IncompleteCalls();
+	private readonly _unpausedAnswers = new UnpausedAnswers();
 	private readonly _onKeyRefused = this._register(new Emitter<KeyRefusal>());
 	private _lastCallId = 0;
 	/** Number of configurations applied so far. */
@@ -262,7 +264,7 @@
 			const {traceId, traceparent} = continueTrace(singleValue(incoming.headers[traceHeader]));
 			const {stallMilliseconds, completeAnswerStallMilliseconds} = this._limits;
 			const call = new LiveCall(request, {
-				incoming, outgoing, path, body, traceId, traceparent, dialect: this._dialect, hidesKey: () => isKeyChecked, stallMilliseconds, completeAnswerStallMilliseconds,
+				incoming, outgoing, path, body, traceId, traceparent, dialect: this._dialect, hidesKey: () => isKeyChecked, stallMilliseconds, completeAnswerStallMilliseconds, unpausedAnswers: this._unpausedAnswers,
 			}, this._dependencies.sink, this._dependencies.connections);
 			this._dependencies.calls.admit(call, {type: 'call-arrived', request});
 		});
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -10,6 +10,7 @@
 import {HeldAnswer} from './held-answer.ts';
 import {type RequestBody} from './request-body.ts';
 import {type AnswerHead, type AttemptListener, type CallEventSink} from './types.ts';
+import {type UnpausedAnswer, type UnpausedAnswers} from './unpaused-answers.ts';
 
 type StartAttempt = CallEffect & {type: 'start-attempt'};
 type RefusalEffect = CallEffect & {type: 'refuse'};
@@ -46,12 +47,14 @@
 	readonly hidesKey?: () => boolean;
 	/** Time without progress on a blocked write after which the caller's connection is closed. */
 	readonly stallMilliseconds: Milliseconds;
+	/** Bounds the memory of answers that cannot be paused. */
+	readonly unpausedAnswers: UnpausedAnswers;
 	/** The same timeout once the backend server's answer has been received completely. */
 	readonly completeAnswerStallMilliseconds?: Milliseconds | undefined;
 };
 
 /** A call with its attempts. Completes when the answer is written or the caller disconnects. */
-export class LiveCall implements AttemptListener {
+export class LiveCall implements AttemptListener, UnpausedAnswer {
 	readonly traceId: string;
 	private readonly _request: CallRequest;
 	private readonly _incoming: IncomingMessage;
@@ -63,6 +66,7 @@
 	private readonly _hidesKey: () => boolean;
 	private readonly _stallMilliseconds: Milliseconds;
 	private readonly _completeAnswerStallMilliseconds: Milliseconds;
+	private readonly _unpausedAnswers: UnpausedAnswers;
 	private readonly _sink: CallEventSink;
 	private readonly _connections: BackendConnections;
 	private readonly _attempts = new Map<number, BackendAttempt>();
@@ -91,6 +95,7 @@
 		this.traceId = exchange.traceId;
 		this._stallMilliseconds = exchange.stallMilliseconds;
 		this._completeAnswerStallMilliseconds = exchange.completeAnswerStallMilliseconds ?? defaultCompleteAnswerStallMilliseconds;
+		this._unpausedAnswers = exchange.unpausedAnswers;
 		this._body = exchange.body;
 		this._sink = sink;
 		this._connections = connections;
@@ -234,9 +239,18 @@
 		}
 
 		this._armStallTimer();
+		if (!attempt.canPause) {
+			this._unpausedAnswers.set(this, this._outgoing.writableLength);
+		}
+
 		return false;
 	}
 
+	/** Ends an answer whose backlog is too large. */
+	cut(): void {
+		this._outgoing.destroy();
+	}
+
 	onEnd(attempt: BackendAttempt): void {
 		const held = this._heldAnswers.get(attempt.id);
 		if (held !== undefined && attempt !== this._forwardedAttempt) {
@@ -291,6 +305,7 @@
 
 		const onDrained = () => {
 			this._isStallTimerArmed = false;
+			this._unpausedAnswers.set(this, 0);
 			this._outgoing.off('drain', onDrained);
 			this._outgoing.off('finish', onDrained);
 			this._outgoing.off('timeout', onStall);
@@ -376,6 +391,7 @@
 	}
 
 	private _onCallerClosed(): void {
+		this._unpausedAnswers.set(this, 0);
 		if (!this._isAnswered) {
 			this._isAnswered = true;
 			this._sink.feed({type: 'caller-gone', callId: this.callId});
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -24,6 +24,7 @@
 import {
 	type CallEventSink, type FingerprintFunction, type KeyAdmission, type KeyRefusal,
 } from './types.ts';
+import {UnpausedAnswers} from './unpaused-answers.ts';
 
 /** Dependencies of the listener. */
 export type RoutedServerDependencies = {
@@ -98,6 +99,7 @@
 	/** Number of configurations applied so far; 0 = none is known. */
 	private _revision = 0;
 	private readonly _incompleteCalls = new IncompleteCalls();
+	private readonly _unpausedAnswers = new UnpausedAnswers();
 	private _lastCallId = 0;
 
 	/** Fires if a connection is closed before the kernel has accepted all bytes of an answer. */
@@ -303,6 +305,7 @@
 			dialect,
 			hidesKey: () => isKeyChecked || this._dependencies.organisations.isRequired,
 			stallMilliseconds: this._limits.stallMilliseconds,
+			unpausedAnswers: this._unpausedAnswers,
 		}, sink, connections);
 		calls.admit(call, {type: 'call-arrived', request});
 	}
