Reset the connection of an answer without a length that ends in the middle

Callers got 200, the signature, a shorter body and a regular end of the connection: a truncated document that by HTTP/1.1 is complete. The backend server had reset its connection past the bytes that a VM buffers. That was detected, but the connection of the caller was closed in the regular way, which for an answer without a length or chunks is its end.

Every end of an answer after its head now goes through `cutAnswer`: a failed attempt, a refusal after the head, a caller that does not read, a backlog that is too large, and the connections that are destroyed at the end of the process. It resets the connection if only its end tells, and closes it otherwise, where missing bytes or chunks tell.

A process that is killed can't reset: its kernel closes the connection in the regular way. That remains.

--- /dev/null
+++ b/src/node/front/cut-answer.ts
@@ -0,0 +1,22 @@
+/** Ends answers that have failed after their head was sent. */
+import {type ServerResponse} from 'node:http';
+
+/** Answers that end with their connection, since they have neither a length nor chunks. */
+const closeDelimited = new WeakSet<ServerResponse>();
+
+/** Remembers that only the end of the connection tells the caller whether this answer is complete. */
+export function markCloseDelimited(outgoing: ServerResponse): void {
+	closeDelimited.add(outgoing);
+}
+
+/**
+ * Closes the connection in the middle of an answer so that its caller can tell. A missing last chunk or missing bytes of
+ * the content length show it; an answer without either needs a reset, as a regular close would be its regular end.
+ */
+export function cutAnswer(outgoing: ServerResponse): void {
+	if (closeDelimited.has(outgoing) && outgoing.socket !== null) {
+		outgoing.socket.resetAndDestroy();
+	} else {
+		outgoing.destroy();
+	}
+}
--- a/src/node/front/graceful-server.ts
+++ b/src/node/front/graceful-server.ts
@@ -6,6 +6,7 @@
 import {type DisposableLike} from '../../common/lifecycle/disposable.ts';
 import {Emitter} from '../../common/lifecycle/emitter.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
+import {cutAnswer} from './cut-answer.ts';
 
 /**
  * Time for which a half-closed connection keeps reading until the caller closes its side (lingering close). A caller in
@@ -200,8 +201,12 @@
 	/** Destroys all connections at the end of the process, and reports each answer that is cut by it. */
 	destroyConnections(): void {
 		for (const connection of this._callerConnections.values()) {
-			connection.socket.destroy();
 			const [current] = connection.exchanges;
+			if (current?.outgoing.headersSent === true && !current.outgoing.writableFinished) {
+				cutAnswer(current.outgoing);
+			}
+
+			connection.socket.destroy();
 			if (current !== undefined) {
 				this._reportIfCut(connection, current);
 			}
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -7,6 +7,7 @@
 import {type ParsedAnswerHead, type Dialect} from '../../common/protocol/dialect.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {BackendAttempt} from './backend-attempt.ts';
+import {cutAnswer, markCloseDelimited} from './cut-answer.ts';
 import {HeldAnswer} from './held-answer.ts';
 import {type RequestBody} from './request-body.ts';
 import {type AnswerHead, type AttemptListener, type CallEventSink} from './types.ts';
@@ -31,6 +32,11 @@
 	return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined && !bodilessStatuses.has(status);
 }
 
+/** Whether a flat list of header names and values has a content length. */
+function hasLength(headers: readonly string[]): boolean {
+	return headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length');
+}
+
 /** The caller's request and response, and how to serve them. */
 export type CallerExchange = {
 	readonly incoming: IncomingMessage;
@@ -155,12 +161,12 @@
 		}
 
 		this._forwardedAttempt = attempt;
+		const held = this._heldAnswers.get(attemptId);
 		if (this._outgoing.headersSent) {
 			// A resumed download: the head was already sent for the first attempt.
 			return;
 		}
 
-		const held = this._heldAnswers.get(attemptId);
 		const headers = this._dialect.answerHeaders(head.headers, outcome);
 		if (isCloseDelimited(head)) {
 			this._makeCloseDelimited(headers);
@@ -169,18 +175,19 @@
 		}
 
 		this._outgoing.writeHead(head.status, headers);
+		if (!hasLength(headers) && !this._outgoing.chunkedEncoding) {
+			markCloseDelimited(this._outgoing);
+		}
+
 		if (held !== undefined) {
 			this._forwardHeldAnswer(attempt, held);
 		}
 	}
 
-	/**
-	 * Closes the caller's connection in the middle of the answer. The caller detects the truncation by the missing last chunk,
-	 * or by fewer bytes than the content length.
-	 */
+	/** Closes the caller's connection in the middle of the answer, so that the answer does not look complete. */
 	abortAnswer(): void {
 		this._isAnswered = true;
-		this._outgoing.destroy();
+		cutAnswer(this._outgoing);
 	}
 
 	/** Sends the final answer of a refused call in the form of its dialect, or closes the connection if a head was already sent. */
@@ -188,7 +195,7 @@
 		this._isAnswered = true;
 		this._body.discard();
 		if (this._outgoing.headersSent) {
-			this._outgoing.destroy();
+			cutAnswer(this._outgoing);
 			return;
 		}
 
@@ -248,7 +255,7 @@
 
 	/** Ends an answer whose backlog is too large. */
 	cut(): void {
-		this._outgoing.destroy();
+		cutAnswer(this._outgoing);
 	}
 
 	onEnd(attempt: BackendAttempt): void {
@@ -300,7 +307,7 @@
 
 		this._isStallTimerArmed = true;
 		const onStall = () => {
-			this._outgoing.destroy();
+			cutAnswer(this._outgoing);
 		};
 
 		const onDrained = () => {
