Pass the buffered part of a resumed download on

A download with a strong ETag that its backend server reset past the buffered part was fetched on from another backend server, and the caller never got the rest: it hung with a length, and ended early in chunks. The head of the resumed answer is reported only once its buffer is full or complete, and passing it on returned before that buffer was written, as the head was already sent.

The buffer is now written for a resumed answer as well. Both framings failed in a test through a whole VM before (no end within 15 s), and arrive whole after.

--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -164,6 +164,10 @@
 		const held = this._heldAnswers.get(attemptId);
 		if (this._outgoing.headersSent) {
 			// A resumed download: the head was already sent for the first attempt.
+			if (held !== undefined) {
+				this._forwardHeldAnswer(attempt, held);
+			}
+
 			return;
 		}
 
