Stop using a connection after an answer without an id that says a call has not run

An order ran on two backend servers, or ran and was answered 503. A load probe was rejected by a full backend server with 503 and Not-Executed, without an id, as the probe had none. A faulty backend server sent that rejection once more, late, as the first bytes after the next call on the connection. It names no call, so it was taken for the rejection of that order, which was sent elsewhere while it ran.

Such an answer, to a probe or a call, now ends the use of its connection as soon as its head arrives, so that no copy of it can meet another call. An answer without an id is thus believed only on a connection on which no such answer came before. Other answers name their call, or are taken for a wrong answer, after which the call may have run. Weighed besides: connections of their own for probes, which double the connections of each VM and leave the copies of rejected calls; and ids for probes, which help only where rejections echo them. The cost is a new connection after each rejection without an id.

--- a/src/common/protocol/dialect.ts
+++ b/src/common/protocol/dialect.ts
@@ -58,6 +58,11 @@
 	attemptHeaders(callerHeaders: HeaderMap, metadata: AttemptMetadata): string[];
 	/** Parses the head of an answer; `callerHeaders` are the headers of the call that it answers. */
 	parseAnswerHead(status: number, headers: HeaderMap, callerHeaders: HeaderMap): ParsedAnswerHead;
+	/**
+	 * Whether the connection must not be used after this answer, since a copy of it that arrives late would be taken for the
+	 * answer to the next call: it says that a call has not run, and not which one.
+	 */
+	endsConnection(status: number, headers: HeaderMap): boolean;
 	/** Returns the headers to send to the caller, given those of the backend server's answer. */
 	answerHeaders(headers: HeaderMap, outcome: CallOutcome): string[];
 	/** Returns the answer to a refused call. */
--- a/src/common/protocol/jaydale-dialect.ts
+++ b/src/common/protocol/jaydale-dialect.ts
@@ -40,6 +40,10 @@
 		};
 	}
 
+	endsConnection(): boolean {
+		return false;
+	}
+
 	answerHeaders(headers: HeaderMap, outcome: CallOutcome): string[] {
 		const forwarded = forwardedHeaders(headers);
 		forwarded.push(outcomeHeader, outcome);
--- a/src/node/front/cut-answers.test.ts
+++ b/src/node/front/cut-answers.test.ts
@@ -79,8 +79,8 @@
 			markCloseDelimited(outgoing);
 			outgoing.write(part);
 		}, () => false));
-		const port = (await listenOn(server, 0, '127.0.0.1'))._unsafeUnwrap();
-		const outcome = await readUntilClosed(`http://127.0.0.1:${port}/film`, () => {
+		const port = await listenOn(server, 0, '127.0.0.1');
+		const outcome = await readUntilClosed(`http://127.0.0.1:${port._unsafeUnwrap()}/film`, () => {
 			server.destroyConnections();
 		});
 		store.dispose();
--- a/src/node/front/http-load-probe-client.ts
+++ b/src/node/front/http-load-probe-client.ts
@@ -25,9 +25,15 @@
 	override readonly name = 'LoadProbeTimeout';
 }
 
+/** Reason passed to undici if an answer ends the use of its connection. */
+class ConnectionEnded extends Error {
+	override readonly name = 'ConnectionEnded';
+}
+
 /** One load probe. A plain undici dispatch handler, without streams or an abort signal, to keep latency low: calls wait for the result. */
 class LoadProbe implements Dispatcher.DispatchHandler {
 	private readonly _parse: (status: number, headers: IncomingHttpHeaders, body: string) => LoadReport | undefined;
+	private readonly _endsConnection: (status: number, headers: IncomingHttpHeaders) => boolean;
 	private readonly _onDone: (report: LoadReport | undefined, isRefused: boolean) => void;
 	private _timer: NodeJS.Timeout;
 	private readonly _chunks: Uint8Array[] = [];
@@ -38,8 +44,9 @@
 	private _isDone = false;
 	private _isOver = false;
 
-	constructor(timeoutMilliseconds: number, parse: LoadProbe['_parse'], onDone: LoadProbe['_onDone']) {
+	constructor(timeoutMilliseconds: number, {parse, endsConnection}: {readonly parse: LoadProbe['_parse']; readonly endsConnection: LoadProbe['_endsConnection']}, onDone: LoadProbe['_onDone']) {
 		this._parse = parse;
+		this._endsConnection = endsConnection;
 		this._onDone = onDone;
 		this._timer = setTimeout(() => {
 			// An answer that arrived while this process was paused or busy is handled first.
@@ -61,9 +68,12 @@
 		}
 	}
 
-	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
 		this._status = status;
 		this._headers = headers;
+		if (this._endsConnection(status, headers)) {
+			controller.abort(new ConnectionEnded());
+		}
 	}
 
 	onResponseData(_controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
@@ -169,7 +179,10 @@
 
 	probe(effect: ProbeEffect, sink: CallEventSink): void {
 		const {loadProbeId, identity, path, timeoutMilliseconds} = effect;
-		const loadProbe = new LoadProbe(Math.ceil(timeoutMilliseconds), (status, headers, body) => this._dialect.parseLoadProbe(identity, status, headers, body), (report, isRefused) => {
+		const loadProbe = new LoadProbe(Math.ceil(timeoutMilliseconds), {
+			parse: (status, headers, body) => this._dialect.parseLoadProbe(identity, status, headers, body),
+			endsConnection: (status, headers) => this._dialect.endsConnection(status, headers),
+		}, (report, isRefused) => {
 			sink.feed({
 				type: 'measured', loadProbeId, report, isRefused,
 			});
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -222,6 +222,12 @@
 		}
 
 		this._heads.set(attempt.id, head);
+		if (this._dialect.endsConnection(head.status, head.headers)) {
+			attempt.cancel();
+			this._reportHead(attempt, head, parsedHead);
+			return;
+		}
+
 		if (this._dialect.heldAnswerBytes > 0) {
 			this._heldAnswers.set(attempt.id, new HeldAnswer(this._dialect.heldAnswerBytes, parsedHead));
 			return;
