--- a/src/common/calls/backend-rates/granted-tokens.ts
+++ b/src/common/calls/backend-rates/granted-tokens.ts
@@ -28,16 +28,21 @@
 
 	/** When the next attempt may start: `now` while a token is in stock, or may come at any moment. */
 	availableAt(now: Instant): Instant {
-		return this._has(now) || this._isRequested ? now : Math.max(now, this._retryAt);
+		return this.has(now) || this._isRequested ? now : Math.max(now, this._retryAt);
 	}
 
-	/** Whether an attempt may start now. */
+	/** Whether a token is in stock. One that no call has used in time is dropped. */
 	has(now: Instant): boolean {
-		return this._has(now);
+		if (this._count > 0 && now >= this._usableUntil) {
+			this._count = 0;
+			this._retryAt = this._usableUntil + unusedPauseMilliseconds;
+		}
+
+		return this._count > 0;
 	}
 
 	mayRequest(now: Instant): boolean {
-		return !this._isRequested && !this._has(now) && now >= this._retryAt;
+		return !this._isRequested && !this.has(now) && now >= this._retryAt;
 	}
 
 	onRequested(): void {
@@ -69,13 +74,4 @@
 			}
 		}
 	}
-
-	private _has(now: Instant): boolean {
-		if (this._count > 0 && now >= this._usableUntil) {
-			this._count = 0;
-			this._retryAt = this._usableUntil + unusedPauseMilliseconds;
-		}
-
-		return this._count > 0;
-	}
 }
