Discard the rest of a body that is no longer needed, so that its connection goes on

After an upload over a kept connection was interrupted (its backend server crashed, or answered before it had read the body), the caller got its answer, sent the rest of the body and its next call, and never got an answer to that. A streamed body was read by an async iterator. Its listener stays on the request until the next chunk after the reader has dropped the stream, and with it resuming the request has no effect, so that the parser stayed in the middle of the body.

The body is now piped, and unpiped with its reader; at the end of the call the rest is discarded, as many bytes as a body may have and for ten seconds at most, and then the connection is closed. Three cases through a whole VM (a reset, 200 and 503 before the body was read) had no answer to the next call within 15 s before, and have one after.

--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -340,6 +340,7 @@
 	/** Ends the response. A caller that never reads the remaining bytes must not hold the connection forever. */
 	private _endAnswer(): void {
 		this._isAnswered = true;
+		this._body.discard();
 		this._outgoing.end();
 		if (this._outgoing.writableLength > 0) {
 			this._armStallTimer();
--- a/src/node/front/request-body.ts
+++ b/src/node/front/request-body.ts
@@ -1,6 +1,7 @@
 /** Reads a caller's request body and buffers small ones, so that a call that provably has not run can be sent again. */
 import {type IncomingMessage} from 'node:http';
-import {Readable} from 'node:stream';
+import {PassThrough, type Readable} from 'node:stream';
+import {type Milliseconds} from '../../common/model/units.ts';
 
 /** Limits of request bodies, in bytes. */
 export type BodyLimits = {
@@ -18,6 +19,14 @@
 	override readonly name = 'BodyTooLarge';
 }
 
+/** The caller's connection closed before the end of the body. */
+class BodyIncomplete extends Error {
+	override readonly name = 'BodyIncomplete';
+}
+
+/** Time in which a caller must send the rest of a body that is no longer needed; after that its connection is closed. */
+const maxDiscardMilliseconds: Milliseconds = 10_000;
+
 /** A request body, buffered completely or in its first part. */
 export class RequestBody {
 	private readonly _incoming: IncomingMessage;
@@ -25,6 +34,7 @@
 	private readonly _chunks: Uint8Array[] = [];
 	private _bytes = 0;
 	private _isComplete = false;
+	private _isDiscarding = false;
 
 	constructor(incoming: IncomingMessage, limits: BodyLimits) {
 		this._incoming = incoming;
@@ -91,25 +101,61 @@
 			return this._bytes === 0 ? undefined : this.buffered;
 		}
 
-		return Readable.from(this._stream(), {objectMode: false});
+		return this._openStream();
 	}
 
-	/** Discards the rest of the body, so that the connection can be used for the next call. */
+	/**
+	 * Discards the rest of the body, so that the connection can be used for the next call. The connection of a caller that
+	 * sends more than the limit, or takes too long, is closed.
+	 */
 	discard(): void {
-		this._incoming.resume();
+		const {_incoming: incoming} = this;
+		if (incoming.complete || this._isDiscarding) {
+			incoming.resume();
+			return;
+		}
+
+		this._isDiscarding = true;
+		const timer = setTimeout(() => {
+			incoming.socket.destroy();
+		}, maxDiscardMilliseconds);
+		timer.unref();
+		incoming.once('close', () => {
+			clearTimeout(timer);
+		});
+		incoming.once('end', () => {
+			clearTimeout(timer);
+		});
+		let discardedBytes = 0;
+		incoming.on('data', (chunk: Uint8Array) => {
+			discardedBytes += chunk.length;
+			if (discardedBytes > this._limits.bodyBytes) {
+				incoming.socket.destroy();
+			}
+		});
+		incoming.unpipe();
+		incoming.resume();
 	}
 
-	private async * _stream(): AsyncGenerator<Uint8Array> {
-		yield this.buffered;
+	/** The body as a stream. If its reader drops it, the rest stays in the caller's connection until `discard`. */
+	private _openStream(): Readable {
+		const stream = new PassThrough();
+		stream.write(this.buffered);
 		this._chunks.length = 0;
-		const remaining: AsyncIterable<Uint8Array> = this._incoming;
-		for await (const chunk of remaining) {
+		this._incoming.on('data', (chunk: Uint8Array) => {
 			this._bytes += chunk.length;
 			if (this._bytes > this._limits.bodyBytes) {
-				throw new BodyTooLarge();
+				stream.destroy(new BodyTooLarge());
 			}
-
-			yield chunk;
-		}
+		});
+		this._incoming.once('close', () => {
+			if (!this._incoming.complete) {
+				stream.destroy(new BodyIncomplete());
+			}
+		});
+		// Without a listener, an error of a stream that was dropped would end the process.
+		stream.on('error', () => undefined);
+		this._incoming.pipe(stream);
+		return stream;
 	}
 }
