Tell a reset from a regular end when it arrives together with the last bytes

With the connections of cut answers reset, 2 of 17 downloads without a length that broke just past the buffer still looked complete. Node's event loop reports a reset that is read together with the last bytes as a regular end: in a trial with two sockets and a busy reader, 1, 3, 1 and 3 of 20 resets. So a VM took the answer for complete, and a caller with such an event loop did the same with the VM's reset.

At the end of a connection in an answer without a length, the VM now asks for the address of the peer, which is gone after a reset (in all of the resets above that came as an end) and known after a regular end (20 of 20). A VM resets a caller's connection 50 ms after the attempt failed, so that the last bytes are read first.

A test in which the last byte and the reset are sent at once ended as complete in all runs before, and by a reset in 20 of 20 calls after, in two runs.

--- a/src/node/front/backend-connections.ts
+++ b/src/node/front/backend-connections.ts
@@ -2,6 +2,7 @@
  * Connection pools for backend servers. The pools have no limit of their own: the call engine limits the calls in flight,
  * and each call uses one connection. Idle connections close after `idleMilliseconds`.
  */
+import process from 'node:process';
 import {
 	buildConnector, Client, type Dispatcher, Pool,
 } from 'undici';
@@ -48,10 +49,14 @@
  * `ECONNRESET` as the regular end of such an answer, so a truncated body of a crashed backend server would look complete. It
  * treats any other error code as a failure.
  */
-function withDistinctResetCode(connect: buildConnector.connector): buildConnector.connector {
+function withDistinctResetCode(connect: buildConnector.connector, onEnd: (isReset: boolean) => void): buildConnector.connector {
 	return (options, callback) => {
 		connect(options, (...result) => {
 			const [, socket] = result;
+			// A reset that is read together with the last bytes is reported as a regular end. Only then has the peer gone.
+			socket?.prependListener('end', () => {
+				onEnd(socket.remoteAddress === undefined);
+			});
 			socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
 				if (error.code === 'ECONNRESET') {
 					error.code = resetCode;
@@ -84,11 +89,17 @@
 	private readonly _pools = new Map<BackendServerIdentity, ProcessPool>();
 	private readonly _settings: ConnectionSettings;
 	private readonly _connect: buildConnector.connector;
+	private _isEndReset = false;
 
 	constructor(settings: ConnectionSettings) {
 		super();
 		this._settings = settings;
-		this._connect = withDistinctResetCode(buildConnector({timeout: settings.connectMilliseconds}));
+		this._connect = withDistinctResetCode(buildConnector({timeout: settings.connectMilliseconds}), isReset => {
+			this._isEndReset = isReset;
+			process.nextTick(() => {
+				this._isEndReset = false;
+			});
+		});
 		this._register(toDisposable(() => {
 			for (const {pool} of this._pools.values()) {
 				void pool.destroy();
@@ -98,6 +109,11 @@
 		}));
 	}
 
+	/** While the end of a connection is handled: whether the connection was reset. */
+	get isEndReset(): boolean {
+		return this._isEndReset;
+	}
+
 	/** Sets the relays for connections that fail directly. A setter, since the engine that chooses them is created later. */
 	setRelays(relays: RelaySource): void {
 		this._relays = relays;
--- a/src/node/front/cut-answer.ts
+++ b/src/node/front/cut-answer.ts
@@ -1,5 +1,9 @@
 /** Ends answers that have failed after their head was sent. */
 import {type ServerResponse} from 'node:http';
+import {type Milliseconds} from '../../common/model/units.ts';
+
+/** Time in which a caller has usually read the bytes that were sent last. */
+const resetPauseMilliseconds: Milliseconds = 50;
 
 /** Answers that end with their connection, since they have neither a length nor chunks. */
 const closeDelimited = new WeakSet<ServerResponse>();
@@ -20,3 +24,17 @@
 		outgoing.destroy();
 	}
 }
+
+/**
+ * The same, after a pause if a reset is needed: some event loops report a reset that arrives together with the last bytes
+ * as a regular end.
+ */
+export function cutAnswerSoon(outgoing: ServerResponse): void {
+	if (closeDelimited.has(outgoing)) {
+		setTimeout(() => {
+			cutAnswer(outgoing);
+		}, resetPauseMilliseconds);
+	} else {
+		outgoing.destroy();
+	}
+}
--- a/src/node/front/cut-answers.test.ts
+++ b/src/node/front/cut-answers.test.ts
@@ -69,6 +69,29 @@
 		});
 	}
 
+	// The same if the reset arrives together with the last bytes, which the event loop reports as a regular end.
+	it('does not look complete when its last bytes and the reset arrive together: without a length', async () => {
+		const store = new DisposableStore();
+		const port = await startRawServer(store, socket => {
+			socket.once('data', () => {
+				socket.write(framings['without a length'].framing.slice(0, -1), () => {
+					setTimeout(() => {
+						socket.write('f');
+						socket.resetAndDestroy();
+					}, 30);
+				});
+			});
+		});
+		const front = await startFrontend(store, [port]);
+		const ends = new Set<string>();
+		for (let call = 0; call < 20; call++) {
+			ends.add(await readUntilClosed(`${front.url}/film`, () => undefined));
+		}
+
+		store.dispose();
+		expect([...ends]).toEqual(['reset']);
+	});
+
 	// The same for answers that are still being sent when the process ends.
 	it('does not look complete when the VM closes all connections: without a length', async () => {
 		const store = new DisposableStore();
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -7,7 +7,7 @@
 import {type ParsedAnswerHead, type Dialect} from '../../common/protocol/dialect.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {BackendAttempt} from './backend-attempt.ts';
-import {cutAnswer, markCloseDelimited} from './cut-answer.ts';
+import {cutAnswer, cutAnswerSoon, markCloseDelimited} from './cut-answer.ts';
 import {HeldAnswer} from './held-answer.ts';
 import {type RequestBody} from './request-body.ts';
 import {type AnswerHead, type AttemptListener, type CallEventSink} from './types.ts';
@@ -191,7 +191,7 @@
 	/** Closes the caller's connection in the middle of the answer, so that the answer does not look complete. */
 	abortAnswer(): void {
 		this._isAnswered = true;
-		cutAnswer(this._outgoing);
+		cutAnswerSoon(this._outgoing);
 	}
 
 	/** Sends the final answer of a refused call in the form of its dialect, or closes the connection if a head was already sent. */
@@ -269,6 +269,12 @@
 	}
 
 	onEnd(attempt: BackendAttempt): void {
+		const head = this._heads.get(attempt.id);
+		if (head !== undefined && isCloseDelimited(head) && this._connections.isEndReset) {
+			this.onFailure(attempt, 'reset-during-answer');
+			return;
+		}
+
 		const held = this._heldAnswers.get(attempt.id);
 		if (held !== undefined && attempt !== this._forwardedAttempt) {
 			held.isComplete = true;
