Forget the limit of a replaced process, and draw the next start without a loop

The record of a replaced process stayed among the limited backend servers of its service, so that tokens were requested for it for good. And while no holder answers, the time of the next attempt was advanced in steps of the mean gap until now, which for a very high limit after a long pause takes millions of steps; gaps are memoryless, so one is drawn from now.

--- a/src/common/calls/backend-rates/rate-limiter.ts
+++ b/src/common/calls/backend-rates/rate-limiter.ts
@@ -140,9 +140,8 @@
 			return this._settledAt ?? Infinity;
 		}
 
-		rateLimit.nextStartAt ??= now + this._randomGap(server);
-		while (rateLimit.nextStartAt + unusedMilliseconds < now) {
-			rateLimit.nextStartAt += this._randomGap(server);
+		if (rateLimit.nextStartAt === undefined || rateLimit.nextStartAt + unusedMilliseconds < now) {
+			rateLimit.nextStartAt = now + this._randomGap(server);
 		}
 
 		return Math.max(now, rateLimit.nextStartAt);
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -410,6 +410,7 @@
 			this._loadProbeChecks.remove(previous.loadProbeTimer);
 		}
 
+		this._services.get(previous.declared.service)?.limitedServers.delete(previous);
 		this._add(previous.identity, declared, now, false);
 		this._context.replacedServers.push(previous);
 	}
