--- a/benchmark/policy/baseline-engine.ts
+++ b/benchmark/policy/baseline-engine.ts
@@ -82,6 +82,7 @@
 	'link-failed': true,
 	'quarantine-lifted': true,
 	'demand-summary': true,
+	'server-tokens': true,
 } as const satisfies Partial<Record<CallEvent['type'], true>>;
 
 type IgnoredEvent = Extract<CallEvent, {type: keyof typeof ignoredEvents}>;
--- a/benchmark/policy/model-vm.ts
+++ b/benchmark/policy/model-vm.ts
@@ -29,6 +29,7 @@
 
 /** Effects that the model leaves out. */
 const ignoredEffects = {
+	'server-tokens-wanted': true,
 	'break-off': true,
 	'rate-limit-changed': true,
 	'poison-request-changed': true,
--- a/src/proof/fuzz/call-vm.ts
+++ b/src/proof/fuzz/call-vm.ts
@@ -19,6 +19,7 @@
 /** Effects that the world leaves out. */
 const ignoredEffects = {
 	'demand-report': true,
+	'server-tokens-wanted': true,
 	'rate-limit-changed': true,
 	'poison-request-changed': true,
 	'check-link': true,
