Pass a reset on through a tunnel when it arrives together with the last bytes

The same cause as in the VM that takes the call: Node reports a reset that it reads together with the last bytes as a regular end. A relay then ended its stream in the regular way, so that a truncated answer without a length looked complete to the VM behind it and to the caller. Both now ask one function whether the connection was reset.

--- a/src/node/fleet/tunnel-server.ts
+++ b/src/node/fleet/tunnel-server.ts
@@ -6,6 +6,7 @@
 import {type PeerAddress} from '../../common/fleet/types.ts';
 import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
 import {type Instant, type Milliseconds} from '../../common/model/units.ts';
+import {wasReset} from '../connection-reset.ts';
 import {type Metrics} from '../metrics/types.ts';
 import {relayHintHeader, tunnelPathPrefix, tunnelStatus} from './tunnel-client.ts';
 
@@ -145,6 +146,11 @@
 		this._metrics.tunnelRequested('open');
 		outgoing.writeHead(tunnelStatus.open);
 		outgoing.flushHeaders();
+		socket.once('end', () => {
+			if (wasReset(socket)) {
+				outgoing.destroy();
+			}
+		});
 		// A lost stream destroys the other one, which the VM that asked sees as a reset.
 		pipeline(incoming, socket, error => {
 			if (error) {
--- a/src/node/fleet/tunnel.test.ts
+++ b/src/node/fleet/tunnel.test.ts
@@ -69,6 +69,27 @@
 		expect(await answer.body.text()).toEqual('the answer');
 	});
 
+	// Guards callers against a truncated answer that looks complete, if the reset reaches the relay with the last bytes.
+	it('report a reset that arrives together with the last bytes of an answer without a length', async () => {
+		const {clientOf} = await start(socket => {
+			socket.once('data', () => {
+				socket.write(`${closeDelimitedHead}half`);
+				socket.resetAndDestroy();
+			});
+		});
+		const ends = new Set<string>();
+		for (let call = 0; call < 10; call++) {
+			try {
+				const answer = await clientOf('i-1').request({method: 'GET', path: '/'});
+				ends.add(`complete: ${await answer.body.text()}`);
+			} catch {
+				ends.add('failed');
+			}
+		}
+
+		expect([...ends]).toEqual(['failed']);
+	});
+
 	// Guards against bytes that are lost or reordered, and against a body that is buffered whole in the relay.
 	it('carry large bodies in both directions, with back-pressure', async () => {
 		const bytes = 8_000_000;
--- a/src/node/front/backend-connections.ts
+++ b/src/node/front/backend-connections.ts
@@ -7,6 +7,7 @@
 	buildConnector, Client, type Dispatcher, Pool,
 } from 'undici';
 import {type BackendServerIdentity, type CallEffect} from '../../common/calls/types.ts';
+import {wasReset} from '../connection-reset.ts';
 import {NoRelayError, tunnelConnector} from '../fleet/tunnel-client.ts';
 import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
@@ -53,9 +54,8 @@
 	return (options, callback) => {
 		connect(options, (...result) => {
 			const [, socket] = result;
-			// A reset that is read together with the last bytes is reported as a regular end. Only then has the peer gone.
 			socket?.prependListener('end', () => {
-				onEnd(socket.remoteAddress === undefined);
+				onEnd(wasReset(socket));
 			});
 			socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
 				if (error.code === 'ECONNRESET') {
