Derive a service's limited backend servers from those in force

A service that was removed by one version and declared again by a later one did not know that its backend servers had announced limits. No tokens were requested for them, so that they got no call any more until a load probe named the end of the limit.

It is now derived whenever the backend servers of the service are set, or one of them announces a limit or its end. A test with one backend server had no request for a token before, and has one after.

--- a/src/common/calls/backend-rates/rate-limit.test.ts
+++ b/src/common/calls/backend-rates/rate-limit.test.ts
@@ -314,6 +314,18 @@
 		expect(serve(driver, 1000, noneAnnounces).get('identity-0')!).toBeGreaterThan(20);
 	});
 
+	// Guards a backend server in need against idleness: without requests for tokens it would get no call any more.
+	it('is known to a service that is declared again', () => {
+		const configuration = configurationOf(1, {retryShare: 1, measuring: {mode: 'on-demand', callsPerWindow: 10_000}});
+		const driver = new EngineDriver(configuration, {}, 1, {}, undefined, 'granted');
+		const {attemptId} = begin(driver, 1);
+		driver.head(attemptId, {rateLimit: 2});
+		driver.handle({type: 'attempt-done', attemptId});
+		driver.handle({type: 'configured', configuration: {...configuration, version: 2, services: new Map()}});
+		driver.handle({type: 'configured', configuration: {...configuration, version: 3}});
+		expect(linesOf(driver.handle(readOf(2))).includes('server-tokens-wanted')).toEqual(true);
+	});
+
 	for (const [name, startOfReturned, isKept] of [['the same process', 4, true], ['a later one', 5, false]] as const) {
 		// Guards what a process has announced, and the count of its calls, against an entry that lapses while it lives on.
 		it(`is ${isKept ? 'kept' : 'forgotten'} with the calls in flight if the entry is removed and comes back for ${name}`, () => {
--- a/src/common/calls/engine-driver.test.ts
+++ b/src/common/calls/engine-driver.test.ts
@@ -3,6 +3,7 @@
 import {seededRandom} from '../random/random.ts';
 import {DefaultCallEngine} from './call-engine.ts';
 import {type CallEngineSettings} from './engine-context.ts';
+import {type CallEngineOptions} from './engine-options.ts';
 import {type CallTuning} from './tuning.ts';
 import {type RateQuota} from './backend-rates/rate-quota.ts';
 import {
@@ -58,9 +59,9 @@
 	readonly engine: DefaultCallEngine;
 	now = 0;
 
-	constructor(configuration: CallConfiguration, tuning: Partial<CallTuning> = {}, seed = 1, settings: Partial<CallEngineSettings> = {}, rateQuota?: RateQuota) {
+	constructor(configuration: CallConfiguration, tuning: Partial<CallTuning> = {}, seed = 1, settings: Partial<CallEngineSettings> = {}, rateQuota?: RateQuota, rateLimits: CallEngineOptions['rateLimits'] = 'divided') {
 		this.engine = new DefaultCallEngine({
-			random: seededRandom(seed), settings: {dataCentre: 'north', ...settings}, tuning, ...(rateQuota === undefined ? {} : {rateQuota}),
+			random: seededRandom(seed), settings: {dataCentre: 'north', ...settings}, tuning, rateLimits, ...(rateQuota === undefined ? {} : {rateQuota}),
 		});
 		this.handle({
 			type: 'shares', shares: {
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -292,13 +292,7 @@
 			return;
 		}
 
-		const limited = this._services.get(server.declared.service)?.limitedServers;
-		if (server.rateLimit.callsPerSecond === undefined || cause.source === 'entry-removed') {
-			limited?.delete(server);
-		} else {
-			limited?.add(server);
-		}
-
+		this._services.get(server.declared.service)?.updateLimitedServers();
 		this._context.effects.push({
 			type: 'rate-limit-changed',
 			identity: server.identity,
@@ -410,7 +404,6 @@
 			this._loadProbeChecks.remove(previous.loadProbeTimer);
 		}
 
-		this._services.get(previous.declared.service)?.limitedServers.delete(previous);
 		this._add(previous.identity, declared, now, false);
 		this._context.replacedServers.push(previous);
 	}
--- a/src/common/calls/service-state.ts
+++ b/src/common/calls/service-state.ts
@@ -47,7 +47,7 @@
 	sharing: Pick<SharingRule, 'callerShare' | 'overflowAt'> = defaultSharing;
 	servers: readonly BackendServerState[] = [];
 	/** Those that have announced a rate limit. */
-	readonly limitedServers = new Set<BackendServerState>();
+	limitedServers: ReadonlySet<BackendServerState> = new Set();
 	/** Load that its backend servers can take while they warm up; undefined = unknown. */
 	warmUp: WarmUpLimit | undefined;
 	/** Time of the latest call of this service on this VM. */
@@ -116,9 +116,15 @@
 		return this._failureRate;
 	}
 
+	/** Called when a backend server has announced a rate limit, or its end. */
+	updateLimitedServers(): void {
+		this.limitedServers = new Set(this.servers.filter(({rateLimit}) => rateLimit.callsPerSecond !== undefined));
+	}
+
 	/** Sets the backend servers of the configuration in force. */
 	setServers(servers: BackendServerState[], vmCount: number): void {
 		this.servers = servers;
+		this.updateLimitedServers();
 		this._serversByDataCentre = new Map();
 		for (const server of servers) {
 			const {dataCentre} = server.declared;
