Separate the announced limit, the ways to share it, and the reports of its changes

RateLimit held the announcement, a token bucket, the granted tokens and a random start, and ServiceDirectory had five methods on rate limits. The bucket and the random starts are classes of their own, RateLimitUpdates applies what is said of limits and reports it, and the status from which an answer is an error stands once instead of twice.

--- a/src/common/calls/attempts/attempt-runner.ts
+++ b/src/common/calls/attempts/attempt-runner.ts
@@ -6,16 +6,17 @@
 } from '../call.ts';
 import {type CallCompletion} from '../call-completion.ts';
 import {learnFromAnswer} from '../estimates/answer-learning.ts';
+import {type AnswerRateLimit} from '../backend-rates/rate-limit.ts';
 import {type EngineContext, vmCountOf} from '../engine-context.ts';
 import {type OutlierDetector} from '../health/outlier-detector.ts';
 import {type DemandPlacer} from '../placement/demand-placer.ts';
 import {
 	type Placement, type Placer, connectionLimit,
 } from '../placement/placer.ts';
+import {minServerErrorStatus} from '../outcomes.ts';
 import {suspectReason} from '../poison-requests/suspect-reason.ts';
 import {type ProcessEndJudge} from '../health/process-end.ts';
 import {LoadProber, type PendingProbes} from '../probing/load-prober.ts';
-import {type AnswerRateLimit} from '../service-directory.ts';
 import {
 	type AttemptFailure, type AttemptId, type AttemptRecord, type CallEvent, type CallOutcome, type LoadReport, type RefusalReason,
 } from '../types.ts';
@@ -24,9 +25,6 @@
 /** Maximum number of attempts of one call that end in a connection reset. With more, one call could crash one backend server after another. */
 const maxResets = 2;
 
-/** Answers with this status or a higher one do not show whether the call ran. */
-const minServerErrorStatus = 500;
-
 /** Statuses for which the backend server is assumed to be at fault, and not the call. */
 const retryableStatuses = new Set([502, 503, 504]);
 
@@ -54,7 +52,7 @@
 	/** Applies a load report and sends a changed process or the beginning of leaving to the other VMs. */
 	readonly onReport: (server: BackendServerState, report: LoadReport, now: Instant) => void;
 	/** Applies the rate limit in the answer to an attempt, or its absence. */
-	readonly onRateLimit: (attempt: Attempt, answer: AnswerRateLimit, now: Instant) => void;
+	readonly onRateLimit: (server: BackendServerState, answer: AnswerRateLimit, now: Instant) => void;
 	/** Chooses backend servers for services with on-demand load probes. */
 	readonly demandPlacer: DemandPlacer;
 	/** Sends a load probe. */
@@ -229,7 +227,7 @@
 
 		// A response that sheds the call may lack the rate limit header of a regular answer, so its absence means nothing.
 		if (event.rateLimit !== undefined || !event.isDeclaredNotRun) {
-			this._onRateLimit(attempt, {rateLimit: event.rateLimit, status: event.status}, now);
+			this._onRateLimit(server, {notice: event.rateLimit, status: event.status, startedAt: attempt.startedAt}, now);
 		}
 
 		if (event.isDeclaredNotRun) {
--- /dev/null
+++ b/src/common/calls/backend-rates/rate-limit-updates.ts
@@ -0,0 +1,77 @@
+/** Applies what answers, load probes and the registry say of rate limits, and reports each change. */
+import {type Instant} from '../../model/units.ts';
+import {type BackendServerState} from '../backend-server-state.ts';
+import {type EngineContext} from '../engine-context.ts';
+import {type ServiceState} from '../service-state.ts';
+import {type CallEvent, type RateLimitNotice, type RateLimitSource} from '../types.ts';
+import {type AnswerRateLimit, type RateLimitChange} from './rate-limit.ts';
+
+/** The services and backend servers in force. */
+export type LimitedServices = {
+	service(name: string): ServiceState | undefined;
+	allServers(): Iterable<BackendServerState>;
+};
+
+/** What changed a rate limit; `status` = of the answer. */
+type RateLimitCause = {readonly source: RateLimitSource; readonly status?: number; readonly rateLimit: RateLimitNotice | undefined};
+
+export class RateLimitUpdates {
+	private readonly _context: EngineContext;
+	private readonly _services: LimitedServices;
+
+	constructor(context: EngineContext, services: LimitedServices) {
+		this._context = context;
+		this._services = services;
+	}
+
+	/** Applies the rate limit in the answer to an attempt, or its absence. */
+	applyAnswer(server: BackendServerState, answer: AnswerRateLimit, now: Instant): void {
+		const {status, notice: rateLimit} = answer;
+		this._report(server, server.rateLimit.applyAnswer(answer, now), {source: 'answer', status, rateLimit});
+	}
+
+	/** Applies the rate limit in the response to a load probe that was sent at `sentAt`, or its absence. */
+	applyProbe(server: BackendServerState, rateLimit: RateLimitNotice | undefined, sentAt: Instant, now: Instant): void {
+		this._report(server, server.rateLimit.applyProbe(rateLimit, sentAt, now), {source: 'load-probe', rateLimit});
+	}
+
+	/** Applies the outcome of a request for tokens of a backend server's limit; waiting calls may start, or be refused. */
+	applyTokens({server: process, result}: CallEvent & {type: 'server-tokens'}, now: Instant): void {
+		const server = this._context.rateLimiter.onTokens(process, result, now);
+		const service = server === undefined ? undefined : this._services.service(server.declared.service);
+		if (service !== undefined) {
+			this._context.servicesToDrain.add(service);
+		}
+	}
+
+	/** The entry of a backend server was removed; its limit is kept with its process. */
+	onRemoved(server: BackendServerState): void {
+		if (server.rateLimit.callsPerSecond !== undefined) {
+			this._report(server, 'ended', {source: 'entry-removed', rateLimit: undefined});
+		}
+	}
+
+	/** The entry of a process came back. */
+	onReturned(server: BackendServerState): void {
+		const {callsPerSecond} = server.rateLimit;
+		if (callsPerSecond !== undefined) {
+			this._report(server, 'named', {source: 'entry-returned', rateLimit: callsPerSecond});
+		}
+	}
+
+	private _report(server: BackendServerState, change: RateLimitChange, cause: RateLimitCause): void {
+		if (change === 'none') {
+			return;
+		}
+
+		const {service} = server.declared;
+		this._services.service(service)?.updateLimitedServers();
+		this._context.effects.push({
+			type: 'rate-limit-changed',
+			identity: server.identity,
+			service,
+			...cause,
+			limitedServers: [...this._services.allServers()].filter(one => one.rateLimit.callsPerSecond !== undefined).length,
+		});
+	}
+}
--- a/src/common/calls/backend-rates/rate-limit.test.ts
+++ b/src/common/calls/backend-rates/rate-limit.test.ts
@@ -60,7 +60,7 @@
 		const names = Array.from({length: scenario.vmCount}, (_, index) => `10.0.0.${index}:80`);
 		const declared = configurationOf(scenario.serverCount, {retryShare: 1, measuring: {mode: 'on-demand', callsPerWindow: 10_000}});
 		this._drivers = names.map((own, index) => {
-			const driver = new EngineDriver(declared, {}, (scenario.seed * 1000) + index, {}, new OwnerRateQuota(testHash));
+			const driver = new EngineDriver(declared, {}, (scenario.seed * 1000) + index, {}, {rateQuota: new OwnerRateQuota(testHash)});
 			driver.handle({
 				type: 'shares', shares: {
 					loadProbeFraction: 0, loadProbesFrom: 0, loadProbesUntil: 0, connectionFraction: 0.5, vmCount: names.length, members: {own, byDataCentre: new Map([['north', names]])},
@@ -317,7 +317,7 @@
 	// Guards a backend server in need against idleness: without requests for tokens it would get no call any more.
 	it('is known to a service that is declared again', () => {
 		const configuration = configurationOf(1, {retryShare: 1, measuring: {mode: 'on-demand', callsPerWindow: 10_000}});
-		const driver = new EngineDriver(configuration, {}, 1, {}, undefined, 'granted');
+		const driver = new EngineDriver(configuration, {}, 1, {}, {rateLimits: 'granted'});
 		const {attemptId} = begin(driver, 1);
 		driver.head(attemptId, {rateLimit: 2});
 		driver.handle({type: 'attempt-done', attemptId});
--- a/src/common/calls/backend-rates/rate-limiter.ts
+++ b/src/common/calls/backend-rates/rate-limiter.ts
@@ -5,14 +5,9 @@
 import {processIdentityOf} from '../health/process-identity.ts';
 import {type RateQuota, type RateShare} from './rate-quota.ts';
 
-const millisecondsPerSecond = 1000;
-
 /** Fraction of a limit that all VMs use together while no holder of its slot answers; lists of VMs may differ then. */
 const unavailableFraction = 0.25;
 
-/** While no holder answers, the time for an attempt that no call has used ends after this. */
-const unusedMilliseconds: Milliseconds = 1000;
-
 /** The lists of VMs of a fleet that starts together are complete after this time. */
 const settlingMilliseconds: Milliseconds = 3000;
 
@@ -35,22 +30,22 @@
 
 /** Each VM has a share that follows from its list of VMs. For fleets without the store, whose VMs keep one list. */
 export class DividedRateLimiter implements RateLimiter {
-	private readonly _quota: () => RateQuota;
+	private readonly _quota: RateQuota;
 
-	constructor(quota: () => RateQuota) {
+	constructor(quota: RateQuota) {
 		this._quota = quota;
 	}
 
 	availableAt(server: BackendServerState, now: Instant): Instant {
-		return server.rateLimit.availableAt(this._shareOf(server, now), now);
+		return server.rateLimit.share.availableAt(this._shareOf(server, now), now);
 	}
 
 	isAllowed(server: BackendServerState, now: Instant): boolean {
-		return !server.rateLimit.isSpent(this._shareOf(server, now), now);
+		return !server.rateLimit.share.isSpent(this._shareOf(server, now), now);
 	}
 
 	take(server: BackendServerState, now: Instant): void {
-		server.rateLimit.take(this._shareOf(server, now), now);
+		server.rateLimit.share.take(this._shareOf(server, now), now);
 	}
 
 	request(): void {
@@ -62,7 +57,7 @@
 	}
 
 	private _shareOf({identity, rateLimit, declared: {dataCentre}}: BackendServerState, now: Instant): RateShare {
-		return this._quota().limitShareOf({identity, dataCentre}, rateLimit.callsPerSecond!, now);
+		return this._quota.limitShareOf({identity, dataCentre}, rateLimit.callsPerSecond!, now);
 	}
 }
 
@@ -102,7 +97,7 @@
 		if (rateLimit.tokens.has(now)) {
 			rateLimit.tokens.take();
 		} else {
-			rateLimit.nextStartAt = now + this._randomGap(server);
+			rateLimit.randomStarts.take(this._unavailableRate(server), this._options.random, now);
 		}
 	}
 
@@ -132,23 +127,18 @@
 		});
 	}
 
-	/** Time of the next attempt while no holder answers. A time that no call has used is replaced, not saved. */
+	/** Time of the next attempt while no holder answers. */
 	private _randomStartAt(server: BackendServerState, now: Instant): Instant {
-		const {rateLimit} = server;
 		this._settledAt ??= this._options.vmCount() === undefined ? undefined : now + settlingMilliseconds;
 		if (this._settledAt === undefined || now < this._settledAt) {
 			return this._settledAt ?? Infinity;
 		}
 
-		if (rateLimit.nextStartAt === undefined || rateLimit.nextStartAt + unusedMilliseconds < now) {
-			rateLimit.nextStartAt = now + this._randomGap(server);
-		}
-
-		return Math.max(now, rateLimit.nextStartAt);
+		return server.rateLimit.randomStarts.nextAt(this._unavailableRate(server), this._options.random, now);
 	}
 
-	private _randomGap({rateLimit}: BackendServerState): Milliseconds {
-		const callsPerSecond = unavailableFraction * rateLimit.callsPerSecond! / Math.max(1, this._options.vmCount() ?? 1);
-		return -Math.log(1 - this._options.random.next()) * millisecondsPerSecond / callsPerSecond;
+	/** Calls per second of this VM while no holder answers. */
+	private _unavailableRate({rateLimit}: BackendServerState): number {
+		return unavailableFraction * rateLimit.callsPerSecond! / Math.max(1, this._options.vmCount() ?? 1);
 	}
 }
--- a/src/common/calls/backend-rates/warm-up.test.ts
+++ b/src/common/calls/backend-rates/warm-up.test.ts
@@ -205,7 +205,7 @@
 		const random = seededRandom(seed);
 		const declared = {...configuration(Array.from({length: serverCount}, () => 0)), warmUpLimits: new Map([['orders', {callsPerSecond: 6, milliseconds: 3000}]])};
 		const drivers = vmNames.map((own, index) => {
-			const driver = new EngineDriver(declared, {}, seed + index, {}, new OwnerRateQuota(testHash));
+			const driver = new EngineDriver(declared, {}, seed + index, {}, {rateQuota: new OwnerRateQuota(testHash)});
 			driver.handle({
 				type: 'shares', shares: {
 					loadProbeFraction: 0, loadProbesFrom: 0, loadProbesUntil: 0, connectionFraction: 0.2, vmCount: vmNames.length, members: {own, byDataCentre: new Map([['north', vmNames]])},
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -50,6 +50,7 @@
 
 	constructor(options: CallEngineOptions) {
 		const tuning = {...defaultTuning, ...options.tuning};
+		const rateQuota = options.rateQuota ?? new SingleVmRateQuota();
 		this._context = {
 			random: options.random,
 			tuning,
@@ -74,7 +75,7 @@
 			replacedServers: [],
 			isPlacingHeld: false,
 			demandReports: new DemandReports(options.reportsDemand ?? false),
-			rateQuota: options.rateQuota ?? new SingleVmRateQuota(),
+			rateQuota,
 			rateLimiter: options.rateLimits === 'granted'
 				? new GrantedRateLimiter({
 					random: options.random,
@@ -83,7 +84,7 @@
 						this._context.effects.push({type: 'server-tokens-wanted', request});
 					},
 				})
-				: new DividedRateLimiter(() => this._context.rateQuota),
+				: new DividedRateLimiter(rateQuota),
 			memberHash: options.memberHash,
 			links: createLinks(options.random, options.settings.dataCentre, () => ({
 				context: this._context, directory: this._directory, processEnds: this._processEnds, runner: this._runner,
@@ -111,8 +112,8 @@
 			onReport: (server, report, now) => {
 				this._directory.applyAnswerReport(server, report, now);
 			},
-			onRateLimit: ({server, startedAt}, answer, now) => {
-				this._directory.applyAnswerRateLimit(server, answer, startedAt, now);
+			onRateLimit: (server, answer, now) => {
+				this._directory.rateLimits.applyAnswer(server, answer, now);
 			},
 		});
 		this._completion = new CallCompletion(this._context, this._calls, attempt => {
--- a/src/common/calls/engine-driver.test.ts
+++ b/src/common/calls/engine-driver.test.ts
@@ -5,7 +5,6 @@
 import {type CallEngineSettings} from './engine-context.ts';
 import {type CallEngineOptions} from './engine-options.ts';
 import {type CallTuning} from './tuning.ts';
-import {type RateQuota} from './backend-rates/rate-quota.ts';
 import {
 	type AttemptFailure, type CallConfiguration, type CallEffect, type CallEvent, type CallRequest, type LoadReport,
 } from './types.ts';
@@ -59,9 +58,9 @@
 	readonly engine: DefaultCallEngine;
 	now = 0;
 
-	constructor(configuration: CallConfiguration, tuning: Partial<CallTuning> = {}, seed = 1, settings: Partial<CallEngineSettings> = {}, rateQuota?: RateQuota, rateLimits: CallEngineOptions['rateLimits'] = 'divided') {
+	constructor(configuration: CallConfiguration, tuning: Partial<CallTuning> = {}, seed = 1, settings: Partial<CallEngineSettings> = {}, parts: Pick<CallEngineOptions, 'rateQuota' | 'rateLimits'> = {}) {
 		this.engine = new DefaultCallEngine({
-			random: seededRandom(seed), settings: {dataCentre: 'north', ...settings}, tuning, rateLimits, ...(rateQuota === undefined ? {} : {rateQuota}),
+			random: seededRandom(seed), settings: {dataCentre: 'north', ...settings}, tuning, ...parts,
 		});
 		this.handle({
 			type: 'shares', shares: {
--- a/src/common/calls/outcomes.ts
+++ b/src/common/calls/outcomes.ts
@@ -1,5 +1,8 @@
 /** How calls and attempts end, and what is learnt from crashes of backend servers. */
 
+/** Status of the errors of a backend server, or a higher one. Such an answer does not show whether the call ran. */
+export const minServerErrorStatus = 500;
+
 /** Whether a call ran on a backend server, as far as the VM can determine. Sent to the caller in the `jaydale-outcome` header. */
 export type CallOutcome = 'ran' | 'not-run' | 'unknown';
 
--- a/src/common/calls/service-directory.test.ts
+++ b/src/common/calls/service-directory.test.ts
@@ -34,7 +34,7 @@
 
 			poisonRequests: new PoisonRequestDetector(1000, {onChange: () => undefined, onCrashEvidence: () => undefined, onCleared: () => undefined}),
 			servicesToDrain: new Set(), replacedServers: [], shares: undefined,
-			isPlacingHeld: false, rateQuota: new SingleVmRateQuota(), rateLimiter: new DividedRateLimiter(() => new SingleVmRateQuota()), demandReports: new DemandReports(false), links: noLinks(), effects: [],
+			isPlacingHeld: false, rateQuota: new SingleVmRateQuota(), rateLimiter: new DividedRateLimiter(new SingleVmRateQuota()), demandReports: new DemandReports(false), links: noLinks(), effects: [],
 		};
 		const directory = new ServiceDirectory(context, new ProcessEndJudge(context));
 		const services = new Map([['dues', serviceSchema.parse({kind: 'service', name: 'dues'})]]);
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -5,12 +5,12 @@
 import {type ProcessEndJudge} from './health/process-end.ts';
 import {type EngineContext, vmCountOf} from './engine-context.ts';
 import {LoadProbeSchedule, loadProbeTimeoutMilliseconds} from './probing/load-probe-schedule.ts';
-import {type RateLimitChange} from './backend-rates/rate-limit.ts';
+import {RateLimitUpdates} from './backend-rates/rate-limit-updates.ts';
 import {RemovedServers} from './removed-servers.ts';
 import {defaultSharing, ServiceState} from './service-state.ts';
 import {TimerQueue} from './timer-queue.ts';
 import {
-	type BackendServerIdentity, type BackendServerInForce, type BackendServerStatus, type CallConfiguration, type CallEvent, type FleetShares, type LoadUpdate, type LoadReport, type LoadProbeId, type RateLimitNotice, type RateLimitSource,
+	type BackendServerIdentity, type BackendServerInForce, type BackendServerStatus, type CallConfiguration, type CallEvent, type FleetShares, type LoadUpdate, type LoadReport, type LoadProbeId,
 } from './types.ts';
 
 /** Check interval while no load probe can be scheduled, because the VM holds no share of the budget or the service is unknown. */
@@ -22,20 +22,12 @@
  */
 const onDemandProbeTimeoutMilliseconds: Milliseconds = 250;
 
-/** Errors of a backend server have this status or a higher one. */
-const minServerErrorStatus = 500;
-
 /** A service without a call for this long is idle on this VM. The time is longer than the interval at which a portal polls. */
 const idleAfterMilliseconds = 5000;
 
-/** Rate limit in an answer, undefined = it has none, and the status of the answer. */
-export type AnswerRateLimit = {readonly rateLimit: RateLimitNotice | undefined; readonly status: number};
-
-/** Why a rate limit changes. */
-type RateLimitCause = {readonly source: RateLimitSource; readonly status?: number; readonly rateLimit: RateLimitNotice | undefined};
-
 /** Holds the state of all services and backend servers of the VM. */
 export class ServiceDirectory {
+	readonly rateLimits: RateLimitUpdates;
 	private readonly _context: EngineContext;
 	private readonly _services = new Map<string, ServiceState>();
 	private readonly _servers = new Map<BackendServerIdentity, BackendServerState>();
@@ -49,6 +41,7 @@
 	constructor(context: EngineContext, processEnds: ProcessEndJudge) {
 		this._context = context;
 		this._processEnds = processEnds;
+		this.rateLimits = new RateLimitUpdates(context, this);
 	}
 
 	/** Version of the configuration in force; undefined before the first one. */
@@ -146,20 +139,6 @@
 		}
 	}
 
-	/** Applies the rate limit in the answer to an attempt, or its absence. */
-	applyAnswerRateLimit(server: BackendServerState, {rateLimit, status}: AnswerRateLimit, startedAt: Instant, now: Instant): void {
-		this._notifyRateLimitChange(server, server.rateLimit.applyAnswer({notice: rateLimit, isError: status >= minServerErrorStatus, startedAt}, now), {source: 'answer', status, rateLimit});
-	}
-
-	/** Applies the outcome of a request for tokens of a backend server's limit; waiting calls may start, or be refused. */
-	applyTokens({server: process, result}: CallEvent & {type: 'server-tokens'}, now: Instant): void {
-		const server = this._context.rateLimiter.onTokens(process, result, now);
-		const service = server === undefined ? undefined : this._services.get(server.declared.service);
-		if (service !== undefined) {
-			this._context.servicesToDrain.add(service);
-		}
-	}
-
 	/** Handles the result of a load probe; `report` is undefined without an answer. Returns the probed backend server, or undefined for an unknown id. */
 	onLoadProbeEnded({loadProbeId, report, isRefused = false}: CallEvent & {type: 'measured'}, now: Instant): BackendServerState | undefined {
 		const pending = this._pendingLoadProbes.get(loadProbeId);
@@ -183,7 +162,7 @@
 
 		server.unansweredProbes = 0;
 		this.applyAnswerReport(server, report, now);
-		this._notifyRateLimitChange(server, server.rateLimit.applyProbe(report.rateLimit, sentAt, now), {source: 'load-probe', rateLimit: report.rateLimit});
+		this.rateLimits.applyProbe(server, report.rateLimit, sentAt, now);
 		if (server.health === 'doubted') {
 			server.applyHealthEvent('ANSWERED', now);
 		}
@@ -287,21 +266,6 @@
 		}
 	}
 
-	private _notifyRateLimitChange(server: BackendServerState, change: RateLimitChange, cause: RateLimitCause): void {
-		if (change === 'none') {
-			return;
-		}
-
-		this._services.get(server.declared.service)?.updateLimitedServers();
-		this._context.effects.push({
-			type: 'rate-limit-changed',
-			identity: server.identity,
-			service: server.declared.service,
-			...cause,
-			limitedServers: [...this._servers.values()].filter(one => one.rateLimit.callsPerSecond !== undefined).length,
-		});
-	}
-
 	private _setRetryBurstShare(service: ServiceState): void {
 		const {retryBurst} = this._context.settings;
 		if (retryBurst !== undefined) {
@@ -344,9 +308,7 @@
 
 				this._servers.delete(identity);
 				this._removed.keep(server, configuration.backendServers.size);
-				if (server.rateLimit.callsPerSecond !== undefined) {
-					this._notifyRateLimitChange(server, 'ended', {source: 'entry-removed', rateLimit: undefined});
-				}
+				this.rateLimits.onRemoved(server);
 			}
 		}
 
@@ -376,10 +338,7 @@
 
 		this._register(server, now);
 		updateDeclaration(server, declared, now);
-		const {callsPerSecond} = server.rateLimit;
-		if (callsPerSecond !== undefined) {
-			this._notifyRateLimitChange(server, 'named', {source: 'entry-returned', rateLimit: callsPerSecond});
-		}
+		this.rateLimits.onReturned(server);
 	}
 
 	private _add(identity: BackendServerIdentity, declared: BackendServerInForce, now: Instant, isWarm: boolean): void {
--- a/src/common/calls/state-updates.ts
+++ b/src/common/calls/state-updates.ts
@@ -100,7 +100,7 @@
 			}
 
 			case 'server-tokens': {
-				this._directory.applyTokens(event, now);
+				this._directory.rateLimits.applyTokens(event, now);
 				break;
 			}
 
