Tell the effects that an adapter executes in one place

Three adapters for a call engine alone listed the effects that they leave out, and each new effect between the engines had to be added to all of them. They now use the test that the whole VM's adapter uses.

--- a/benchmark/path/front-only.ts
+++ b/benchmark/path/front-only.ts
@@ -5,6 +5,7 @@
 import process from 'node:process';
 import sade from 'sade';
 import {DefaultCallEngine} from '../../src/common/calls/call-engine.ts';
+import {isCallEffect} from '../../src/common/entry-vm/entry-vm.ts';
 import {describeFailure} from '../../src/common/errors/failure.ts';
 import {type BackendServer, serviceSchema, backendServerSchema} from '../../src/common/model/resources.ts';
 import {OrganisationDirectory} from '../../src/common/organisations/organisation-directory.ts';
@@ -44,7 +45,7 @@
 		release: async () => undefined,
 	});
 	loop.setExecutor(effect => {
-		if (effect.type !== 'tell-peers' && effect.type !== 'demand-report' && effect.type !== 'server-tokens-wanted') {
+		if (isCallEffect(effect)) {
 			calls.execute(effect);
 		}
 	});
--- a/src/common/entry-vm/entry-vm.ts
+++ b/src/common/entry-vm/entry-vm.ts
@@ -37,12 +37,12 @@
 	return Object.hasOwn(fleetEventTypes, event.type);
 }
 
-const callEffectTypes: ReadonlySet<EntryVmEffect['type']> = new Set<ExternalCallEffect['type']>([
+const callEffectTypes: ReadonlySet<string> = new Set<ExternalCallEffect['type']>([
 	'start-attempt', 'cancel-attempt', 'pass-on', 'break-off', 'refuse', 'measure', 'claim-key', 'release-key', 'rate-limit-changed', 'poison-request-changed', 'check-link', 'link-changed', 'call-ended',
 ]);
 
-/** Returns true for effects of the call engine; all others are effects of the fleet engine. */
-export function isCallEffect(effect: EntryVmEffect): effect is ExternalCallEffect {
+/** Whether an adapter executes the effect for a call engine; the others are the fleet engine's, or exchanged between the engines. */
+export function isCallEffect(effect: EntryVmEffect | CallEffect): effect is ExternalCallEffect {
 	return callEffectTypes.has(effect.type);
 }
 
--- a/src/node/front/test-utilities.test.ts
+++ b/src/node/front/test-utilities.test.ts
@@ -1,6 +1,7 @@
 /** Helpers for tests of the callers' listener: a listener with a real call engine, and backend servers on raw sockets. */
 import {createServer, type Server, type Socket} from 'node:net';
 import {DefaultCallEngine} from '../../common/calls/call-engine.ts';
+import {isCallEffect} from '../../common/entry-vm/entry-vm.ts';
 import {type CallSummary} from '../../common/calls/types.ts';
 import {type DisposableStore, toDisposable} from '../../common/lifecycle/disposable.ts';
 import {backendServerSchema, serviceSchema} from '../../common/model/resources.ts';
@@ -32,7 +33,7 @@
 	const loop = store.add(new DeciderLoop(engine, new ProcessClock()));
 	const calls = store.add(new CallEffectExecutor(loop, new HttpLoadProbeClient(connections, new JaydaleDialect()), unusedKeyClaimer));
 	loop.setExecutor(effect => {
-		if (effect.type !== 'tell-peers' && effect.type !== 'demand-report' && effect.type !== 'server-tokens-wanted') {
+		if (isCallEffect(effect)) {
 			calls.execute(effect);
 		}
 	});
--- a/src/proof/bad-input.test.ts
+++ b/src/proof/bad-input.test.ts
@@ -4,6 +4,7 @@
 import fc from 'fast-check';
 import {request} from 'undici';
 import {DefaultCallEngine} from '../common/calls/call-engine.ts';
+import {isCallEffect} from '../common/entry-vm/entry-vm.ts';
 import {decodeHead, decodeShard} from '../common/fleet/configuration/head.ts';
 import {DisposableStore, toDisposable} from '../common/lifecycle/disposable.ts';
 import {backendServerSchema, serviceSchema} from '../common/model/resources.ts';
@@ -63,7 +64,7 @@
 	const loop = store.add(new DeciderLoop(new DefaultCallEngine({random: seededRandom(1), settings: {dataCentre: 'north'}}), new ProcessClock()));
 	const calls = store.add(new CallEffectExecutor(loop, new HttpLoadProbeClient(connections, new JaydaleDialect()), {claim: () => undefined, release: async () => undefined}));
 	loop.setExecutor(effect => {
-		if (effect.type !== 'tell-peers' && effect.type !== 'demand-report' && effect.type !== 'server-tokens-wanted') {
+		if (isCallEffect(effect)) {
 			calls.execute(effect);
 		}
 	});
