Give a lost and a returned entry of a limited backend server log lines of their own

The line said that the backend server no longer announces a limit, although it was the entry that had gone and the limit was kept.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -284,6 +284,10 @@
 		if (rateLimit === 'unreadable') {
 			metrics.rateLimitUnreadable(service);
 			logger.warn('backend server announced an unreadable rate limit', {backendServer: identity, service, source});
+		} else if (source === 'entry-removed') {
+			logger.info('backend server with a rate limit left the registry; its process keeps the limit', {backendServer: identity, service});
+		} else if (source === 'entry-returned') {
+			logger.info('backend server with a rate limit returned to the registry', {backendServer: identity, service, callsPerSecond: rateLimit});
 		} else if (rateLimit === undefined) {
 			logger.info('backend server no longer announces a rate limit', {
 				backendServer: identity, service, source, ...(status === undefined ? {} : {status}),
