--- a/src/common/calls/backend-rates/rate-limiter.ts
+++ b/src/common/calls/backend-rates/rate-limiter.ts
@@ -5,7 +5,7 @@
 import {processIdentityOf} from '../health/process-identity.ts';
 import {type RateQuota, type RateShare} from './rate-quota.ts';
 
-/** Fraction of a limit that all VMs use together while no holder of its slot answers; lists of VMs may differ then. */
+/** Fraction of a limit that all VMs use together while its holder does not answer: their lists of VMs, by which they share it, may differ. */
 const unavailableFraction = 0.25;
 
 /** The lists of VMs of a fleet that starts together are complete after this time. */
@@ -14,15 +14,15 @@
 /** Maximum number of tokens in one request. */
 const maxWanted = 8;
 
-/** Limits the attempts on backend servers with a rate limit; all methods but `request` take servers that have one. */
+/** Limits the attempts on backend servers that have announced a rate limit; the methods take no others. */
 export type RateLimiter = {
-	/** When the next attempt may start: `now` = at once. */
+	/** Earliest start of the next attempt, as far as is known; `now` = it may start at once. */
 	availableAt(server: BackendServerState, now: Instant): Instant;
 	/** Whether an attempt may start now. */
 	isAllowed(server: BackendServerState, now: Instant): boolean;
 	/** Counts an attempt that starts. */
 	take(server: BackendServerState, now: Instant): void;
-	/** Prepares for calls of a service with these limited backend servers, of which `waiting` are in the queue. */
+	/** Prepares for a call of a service with these limited backend servers; `waiting` = number of its queued calls. */
 	request(servers: Iterable<BackendServerState>, waiting: number, now: Instant): void;
 	/** Applies the outcome of a request for a process's tokens. Returns its backend server; undefined = nothing was requested. */
 	onTokens(process: string, result: ServerTokenResult, now: Instant): BackendServerState | undefined;
--- a/src/common/calls/health/process-identity.ts
+++ b/src/common/calls/health/process-identity.ts
@@ -1,4 +1,4 @@
-/** Names the processes of backend servers. */
+/** Identities of the processes of backend servers, by which VMs refer to them in messages. */
 import {type BackendServerState} from '../backend-server-state.ts';
 
 /**
--- a/src/common/calls/removed-servers.ts
+++ b/src/common/calls/removed-servers.ts
@@ -2,8 +2,8 @@
 import {type BackendServerState} from './backend-server-state.ts';
 import {type BackendServerIdentity, type BackendServerInForce} from './types.ts';
 
-/** Minimum number of records that are kept; as many more as there are backend servers in force, so that all can lapse at once. */
-const minKeptRecords = 256;
+/** Records that are kept besides as many as there are backend servers in force: all of them can lapse at the same time. */
+const spareRecords = 256;
 
 /**
  * Keeps what is known of a process for as long as the process may live: its entry can be missing for a while, and what the
@@ -21,7 +21,7 @@
 		this._records.delete(server.identity);
 		this._records.set(server.identity, server);
 		for (const identity of this._records.keys()) {
-			if (this._records.size <= minKeptRecords + inForceCount) {
+			if (this._records.size <= spareRecords + inForceCount) {
 				return;
 			}
 
--- a/src/common/limits/limits.ts
+++ b/src/common/limits/limits.ts
@@ -18,7 +18,7 @@
 export type LimitsOptions = {
 	readonly dataCentre: string;
 	readonly random: RandomSource;
-	/** Hash function that all VMs share; it chooses the slot of each backend server. */
+	/** Hash function that all VMs share: they must agree on the slot that grants the tokens of a backend server. */
 	readonly hash: (text: string) => number;
 };
 
@@ -274,7 +274,7 @@
 		}
 	}
 
-	/** The answer to an ask; undefined = it is a repeated one. */
+	/** Answers a request for tokens; undefined = the network has delivered it twice, and it was answered before. */
 	private _answer(ask: Ask | ServerAsk, from: string, now: Instant): LimitMessage | undefined {
 		const held = this._heldSlot(ask.slot, now);
 		if (held === undefined) {
--- a/src/common/limits/messages.ts
+++ b/src/common/limits/messages.ts
@@ -37,10 +37,13 @@
 /** Answer of a VM that has no right to grant tokens of the slot. Nothing was granted or taken back. */
 const notHolderSchema = z.object({kind: z.literal('not-holder'), id: idSchema, slot: slotSchema});
 
-/** A process of a backend server: its identity, and its start where that is known. */
+/** Identity of a process of a backend server, as `processIdentityOf` forms it. */
 const serverSchema = z.string().min(1).max(maxDatagramBytes / 4);
 
-/** A VM asks for tokens of the limit that a backend server has announced to it `ageMilliseconds` ago. */
+/**
+ * A VM asks the holder of a slot for tokens of a backend server's rate limit. It names the limit as it was announced to this
+ * VM, and the age of the announcement, so that the holder can go by the latest one.
+ */
 const serverAskSchema = z.object({
 	kind: z.literal('server-ask'),
 	id: idSchema,
@@ -51,7 +54,7 @@
 	wanted: countSchema,
 });
 
-/** Answer of the holder; `retryAfter` = milliseconds until a token is expected, 0 if some were granted. */
+/** Answer to a `server-ask`: tokens granted; if there are none, the milliseconds until one is expected, else 0. */
 const serverGrantSchema = z.object({
 	kind: z.literal('server-grant'), id: idSchema, slot: slotSchema, granted: countSchema, retryAfter: z.int().min(0),
 });
--- a/src/common/limits/server-limit-client.ts
+++ b/src/common/limits/server-limit-client.ts
@@ -11,7 +11,7 @@
 /** Backend servers whose holder is remembered, so that only a change of it is logged. */
 const maxLoggedServers = 4096;
 
-/** Requests that are sent until a holder counts as unavailable; one may have been lost. */
+/** Requests without an answer after which the holder counts as unavailable; one datagram may have been lost. */
 const maxTries = 2;
 
 type PendingAsk = {readonly request: ServerTokenRequest; readonly slot: number; readonly sentAt: Instant; readonly tries: number};
@@ -24,7 +24,7 @@
 	readonly onEffect: (effect: LimitEffect) => void;
 };
 
-/** Asks the holder of the slot that a backend server's process belongs to. A late or repeated answer is ignored. */
+/** Each process belongs to one slot, whose holder is asked. Late and repeated answers are ignored. */
 export class ServerLimitClient {
 	private readonly _options: ServerLimitClientOptions;
 	private readonly _pending = new Map<number, PendingAsk>();
--- a/src/common/limits/server-limit-holder.ts
+++ b/src/common/limits/server-limit-holder.ts
@@ -1,13 +1,13 @@
-/** Token buckets of the limits that backend servers announce, for those whose bucket is in one slot. */
+/** Grants tokens of backend servers' rate limits, at the VM that holds a limit slot. */
 import {type Instant} from '../model/units.ts';
 import {type ServerAsk, type ServerGrant} from './messages.ts';
 import {type BucketSize, TokenBucket} from './token-bucket.ts';
 
-/** A bucket that fills for this long without a call is full; a small one holds a few tokens, since few VMs ask at the same time. */
+/** Capacity of a bucket: seconds of its limit, and a minimum in tokens. It bounds the calls of a burst after a pause. */
 const capacitySeconds = 0.5;
 const minCapacity = 3;
 
-/** Buckets that are kept: several times the backend servers that are in need at a time. A forgotten one begins empty. */
+/** Maximum number of buckets. Beyond it the one that was used least recently is dropped, and begins empty if it is used again. */
 const maxBuckets = 4096;
 
 type AnnouncedBucket = {readonly bucket: TokenBucket; callsPerSecond: number; announcedAt: Instant};
@@ -23,7 +23,7 @@
  * depend on which VMs each VM knows. The caller checks the right to grant before every ask.
  */
 export class ServerLimitHolder {
-	/** By process of the backend server; the one that was asked for last comes last. */
+	/** By process of the backend server, least recently used first. */
 	private readonly _buckets = new Map<string, AnnouncedBucket>();
 
 	ask({id, slot, server, callsPerSecond, ageMilliseconds, wanted}: ServerAsk, now: Instant): ServerGrant {
@@ -34,7 +34,7 @@
 		};
 	}
 
-	/** The bucket, at the rate that was announced last to any VM that asked. */
+	/** The bucket of a process, set to the latest announcement that any VM has passed on. */
 	private _bucketOf(server: string, callsPerSecond: number, announcedAt: Instant, now: Instant): AnnouncedBucket {
 		const known = this._buckets.get(server) ?? {bucket: new TokenBucket(bucketSizeOf(callsPerSecond), now), callsPerSecond, announcedAt};
 		if (announcedAt > known.announcedAt) {
--- a/src/node/front/cut-answer.ts
+++ b/src/node/front/cut-answer.ts
@@ -2,7 +2,7 @@
 import {type ServerResponse} from 'node:http';
 import {type Milliseconds} from '../../common/model/units.ts';
 
-/** Time in which a caller has usually read the bytes that were sent last. */
+/** Time for a caller to read the bytes that were sent last before the reset arrives. */
 const resetPauseMilliseconds: Milliseconds = 50;
 
 /** Answers that end with their connection, since they have neither a length nor chunks. */
--- a/src/node/front/http-load-probe-client.ts
+++ b/src/node/front/http-load-probe-client.ts
@@ -25,7 +25,7 @@
 	override readonly name = 'LoadProbeTimeout';
 }
 
-/** Reason passed to undici if an answer ends the use of its connection. */
+/** Reason passed to undici to close the connection of a load probe, since a copy of its answer could follow on it. */
 class ConnectionEnded extends Error {
 	override readonly name = 'ConnectionEnded';
 }
--- a/src/node/front/request-body.ts
+++ b/src/node/front/request-body.ts
@@ -105,8 +105,8 @@
 	}
 
 	/**
-	 * Discards the rest of the body, so that the connection can be used for the next call. The connection of a caller that
-	 * sends more than the limit, or takes too long, is closed.
+	 * Discards the rest of a body that no backend server reads, so that the connection can carry the next call. If the rest
+	 * is larger than a body may be, or takes too long to arrive, the connection is closed instead.
 	 */
 	discard(): void {
 		const {_incoming: incoming} = this;
--- a/src/node/front/unpaused-answers.ts
+++ b/src/node/front/unpaused-answers.ts
@@ -6,7 +6,7 @@
 	cut(): void;
 };
 
-/** Default bound for all such answers of a process together: a sixth of the memory of the smallest VMs. */
+/** Default bound for all such answers of a process together. */
 export const defaultUnpausedBytes = 32 * 1024 * 1024;
 
 /**
