Announce the close of a connection only in its last answer

Cause: an answer that waits behind another one gets its connection: close when the VM is stopped, and its head may be written long before its turn. A call that arrives meanwhile is accepted and run, and then cut by the close that was announced ahead of it. The same happened to a call that arrived after the head of the answer in progress.

The close is now announced only by an answer that has no other ahead of it; a later call is answered after those that wait. A call that arrives after an announced close is dropped before it runs, so that its caller may send it again.

--- a/src/node/front/graceful-server.test.ts
+++ b/src/node/front/graceful-server.test.ts
@@ -7,6 +7,12 @@
 	connectTo, getCall, largeBytes, startTestListener, postHead, readAll, parseStatuses,
 } from './open-listener.test.ts';
 
+async function waitForCount(items: readonly unknown[], count: number): Promise<void> {
+	while (items.length < count) {
+		await delay(1);
+	}
+}
+
 describe('GracefulServer', () => {
 	let store: DisposableStore;
 	beforeEach(() => {
@@ -55,6 +61,46 @@
 		expect([handledPaths, text.endsWith('first')]).toEqual([['/1'], true]);
 	});
 
+	// The same for a call that may run beside the one whose answer announced the close: it would run and then be cut.
+	it('never handles a concurrent call that arrives after an answer with connection: close', async () => {
+		const answers: ServerResponse[] = [];
+		const {server, caller, handledPaths} = await startTestListener(store, (_path, outgoing) => {
+			answers.push(outgoing);
+		}, {mayRunConcurrently: () => true});
+		server.disableKeepAlive();
+		caller.write(getCall('/1'));
+		await waitForCount(answers, 1);
+		answers[0]!.writeHead(200, {'content-length': 5});
+		answers[0]!.write('fi');
+		await once(caller, 'readable');
+		caller.write(getCall('/2'));
+		await delay(20);
+		answers[0]!.end('rst');
+		const text = await readAll(caller);
+		expect([handledPaths, text.endsWith('first')]).toEqual([['/1'], true]);
+	});
+
+	// Guards pipelined calls that have run against a close that was announced while later answers still waited.
+	it('answers a concurrent call that arrives while a complete answer waits behind another one', async () => {
+		const answers: ServerResponse[] = [];
+		const {server, caller, handledPaths} = await startTestListener(store, (_path, outgoing) => {
+			answers.push(outgoing);
+		}, {mayRunConcurrently: () => true});
+		caller.write(getCall('/1'));
+		await waitForCount(answers, 1);
+		server.disableKeepAlive();
+		caller.write(getCall('/2'));
+		await waitForCount(answers, 2);
+		answers[1]!.end('second');
+		caller.write(getCall('/3'));
+		await waitForCount(answers, 3);
+		answers[0]!.end('first');
+		answers[2]!.end('third');
+		server.closeIdleConnections();
+		const text = await readAll(caller);
+		expect([handledPaths, parseStatuses(text), text.endsWith('third')]).toEqual([['/1', '/2', '/3'], ['200', '200', '200'], true]);
+	});
+
 	// Closing a socket with unread bytes resets the connection, which would discard the refusal.
 	it('delivers a refusal while its caller is still sending', async () => {
 		const {server, caller} = await startTestListener(store, (_path, outgoing) => {
--- a/src/node/front/graceful-server.ts
+++ b/src/node/front/graceful-server.ts
@@ -97,6 +97,12 @@
 	}
 }
 
+/** Whether the head of this answer, which has been written, tells the caller that the connection closes after it. */
+function announcesClose(exchange: Exchange | undefined): boolean {
+	const outgoing = exchange?.outgoing;
+	return outgoing?.headersSent === true && (!outgoing.shouldKeepAlive || outgoing.getHeader('connection') === 'close');
+}
+
 /** Returns the status for a request that HTTP requires a server to reject (RFC 9112, 3.2, and RFC 9110, 10.1.1). */
 function rejectionStatus({httpVersion, headers}: IncomingMessage): number | undefined {
 	if (httpVersion === '1.1' && headers.host === undefined) {
@@ -247,7 +253,7 @@
 
 	private _enqueue(incoming: IncomingMessage, outgoing: ServerResponse): void {
 		const connection = this._callerConnections.get(incoming.socket);
-		if (connection === undefined || connection.isClosing || connection.hasParseError) {
+		if (connection === undefined || connection.isClosing || connection.hasParseError || announcesClose(connection.exchanges.at(-1))) {
 			// This call arrived after the last one that the connection serves: it is dropped, so it never runs.
 			incoming.resume();
 			return;
@@ -303,7 +309,7 @@
 		}
 
 		exchange.incoming.resume();
-		exchange.outgoing.writeHead(refusal, {connection: 'close'}).end();
+		exchange.outgoing.setHeader('connection', 'close').writeHead(refusal).end();
 	}
 
 	/**
@@ -347,6 +353,7 @@
 		}
 
 		if (connection.exchanges.length > 0) {
+			this._setCloseHeader(connection);
 			this._startExchanges(connection);
 		} else if (connection.hasParseError) {
 			this._closeGracefully(connection);
@@ -364,10 +371,14 @@
 		}
 	}
 
-	/** Adds `connection: close` to the last answer of a connection, if its head is not sent yet. */
+	/**
+	 * Adds `connection: close` to the only answer of a connection, if its head is not sent yet. An answer that waits behind
+	 * another one gets it once its turn comes: its head may be written long before, and a call that follows it meanwhile would be cut.
+	 */
 	private _setCloseHeader({exchanges, hasParseError}: Connection): void {
 		const last = exchanges.at(-1);
-		if ((this._isKeepAliveDisabled || hasParseError) && last !== undefined && !last.outgoing.headersSent) {
+		const isLastCall = hasParseError || (this._isKeepAliveDisabled && exchanges.length === 1);
+		if (isLastCall && last !== undefined && !last.outgoing.headersSent) {
 			last.outgoing.setHeader('connection', 'close');
 		}
 	}
