Let an answer fail that makes no progress after the time limit of its call

Callers waited up to ten seconds for a large download whose backend server had stopped sending: 10.4 s on a route with a limit of 2 s.

Cause: the time limit applied only up to the head of an answer, or to its buffered part. Once it was being passed on, only the timeout of a silent connection was left, which is the same for all routes.

The engine now states the time left when it has an answer passed on. It then ends like any other failed answer: resumed on another backend server if it has a strong validator, cut visibly otherwise.

--- a/src/common/calls/attempts/attempt-runner.ts
+++ b/src/common/calls/attempts/attempt-runner.ts
@@ -408,7 +408,7 @@
 			attempt, status: event.status, outcome, validator: event.validator,
 		};
 		this._context.effects.push({
-			type: 'pass-on', callId: call.request.callId, attemptId: attempt.id, outcome,
+			type: 'pass-on', callId: call.request.callId, attemptId: attempt.id, outcome, timeLeftMilliseconds: call.deadline - now,
 		});
 	}
 
@@ -497,7 +497,7 @@
 		attempt.server.lastAnswerAt = now;
 		call.forwardedAnswer = {...forwarded, attempt};
 		this._context.effects.push({
-			type: 'pass-on', callId: call.request.callId, attemptId: attempt.id, outcome: forwarded.outcome,
+			type: 'pass-on', callId: call.request.callId, attemptId: attempt.id, outcome: forwarded.outcome, timeLeftMilliseconds: call.deadline - now,
 		});
 	}
 
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -283,6 +283,8 @@
 		readonly attemptId: AttemptId;
 		/** Value of the `jaydale-outcome` header, since a 5xx status alone does not show whether the call ran. */
 		readonly outcome: CallOutcome;
+		/** Time until the time limit of the call, negative if it has passed. From then on the answer fails once its backend server stops sending. */
+		readonly timeLeftMilliseconds: Milliseconds;
 	}
 	/** Abort a partly forwarded answer so that the caller detects the truncation. */
 	| {readonly type: 'break-off'; readonly callId: CallId}
--- a/src/node/front/backend-connections.ts
+++ b/src/node/front/backend-connections.ts
@@ -31,9 +31,9 @@
 };
 
 /**
- * Default for `silenceMilliseconds`. No deadline applies once an answer has begun, so without this timeout a caller would wait
- * forever on a connection that went silent in the middle of an answer. Time during which the answer is paused for a slow caller
- * does not count. Ten seconds tolerate a pause of the backend server; an answer that fails midway may be resumed on another one.
+ * Default for `silenceMilliseconds`, for a connection that goes silent in the middle of an answer before the time limit of its
+ * call; after that `AnswerSilence` applies. Time during which the answer is paused for a slow caller does not count. Ten seconds
+ * tolerate a pause of the backend server; an answer that fails midway may be resumed on another one.
  */
 const defaultSilenceMilliseconds: Milliseconds = 10_000;
 
--- a/src/node/front/call-effect-executor.ts
+++ b/src/node/front/call-effect-executor.ts
@@ -87,7 +87,7 @@
 			}
 
 			case 'pass-on': {
-				this._calls.get(effect.callId)?.forwardAnswer(effect.attemptId, effect.outcome);
+				this._calls.get(effect.callId)?.forwardAnswer(effect);
 				break;
 			}
 
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -1,10 +1,12 @@
 /** One call on this VM: executes the call engine's decisions on sockets and reports events to the engine. */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
-	type AttemptFailure, type CallEffect, type CallId, type CallOutcome, type CallRequest,
+	type AttemptFailure, type CallEffect, type CallId, type CallRequest,
 } from '../../common/calls/types.ts';
+import {MutableDisposable} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 import {type ParsedAnswerHead, type Dialect} from '../../common/protocol/dialect.ts';
+import {AnswerSilence} from './answer-silence.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {BackendAttempt} from './backend-attempt.ts';
 import {cutAnswer, cutAnswerSoon, markCloseDelimited} from './cut-answer.ts';
@@ -14,6 +16,7 @@
 import {type UnpausedAnswer, type UnpausedAnswers} from './unpaused-answers.ts';
 
 type StartAttempt = CallEffect & {type: 'start-attempt'};
+type PassOn = CallEffect & {type: 'pass-on'};
 type RefusalEffect = CallEffect & {type: 'refuse'};
 
 /**
@@ -79,6 +82,7 @@
 	private _forwardedBytes = 0;
 	private _isAnswered = false;
 	private _isStallTimerArmed = false;
+	private readonly _silence = new MutableDisposable<AnswerSilence>();
 
 	constructor(
 		request: CallRequest,
@@ -148,7 +152,7 @@
 	}
 
 	/** Forwards the head of the attempt's answer to the caller; `onData` forwards the body as it arrives. */
-	forwardAnswer(attemptId: number, outcome: CallOutcome): void {
+	forwardAnswer({attemptId, outcome, timeLeftMilliseconds}: PassOn): void {
 		const head = this._heads.get(attemptId);
 		const attempt = this._attempts.get(attemptId);
 		if (head === undefined || attempt === undefined) {
@@ -156,6 +160,7 @@
 		}
 
 		this._forwardedAttempt = attempt;
+		this._limitSilence(attempt, timeLeftMilliseconds);
 		const held = this._heldAnswers.get(attemptId);
 		if (this._outgoing.headersSent) {
 			// A resumed download: the head was already sent for the first attempt.
@@ -186,6 +191,7 @@
 	/** Closes the caller's connection in the middle of the answer, so that the answer does not look complete. */
 	abortAnswer(): void {
 		this._isAnswered = true;
+		this._silence.dispose();
 		cutAnswerSoon(this._outgoing);
 	}
 
@@ -283,6 +289,7 @@
 	}
 
 	onFailure(attempt: BackendAttempt, failure: AttemptFailure): void {
+		this._silence.value = undefined;
 		this._removeAttempt(attempt.id);
 		if (this._forwardedAttempt === attempt) {
 			this._forwardedAttempt = undefined;
@@ -338,9 +345,23 @@
 		this._outgoing.prependOnceListener('finish', onDrained);
 	}
 
+	/** Lets the attempt fail if its answer makes no progress after the time limit of the call. */
+	private _limitSilence(attempt: BackendAttempt, timeLeftMilliseconds: Milliseconds): void {
+		this._silence.value = new AnswerSilence({
+			timeLeftMilliseconds,
+			receivedBytes: () => attempt.receivedBytes,
+			isPaused: () => this._isStallTimerArmed,
+			onSilent: () => {
+				attempt.cancel();
+				this.onFailure(attempt, 'silent');
+			},
+		});
+	}
+
 	/** Ends the response. A caller that never reads the remaining bytes must not hold the connection forever. */
 	private _endAnswer(): void {
 		this._isAnswered = true;
+		this._silence.dispose();
 		this._body.discard();
 		this._outgoing.end();
 		if (this._outgoing.writableLength > 0) {
@@ -404,6 +425,7 @@
 	}
 
 	private _onCallerClosed(): void {
+		this._silence.dispose();
 		this._unpausedAnswers.set(this, 0);
 		if (!this._isAnswered) {
 			this._isAnswered = true;
