Limit what is read of a body after an early refusal

A caller that was refused before its body was read (no route, no key, a VM that is stopping) could go on sending for good: the rest was read without a limit in bytes or time. A slow caller of a call that had ended was cut after ten seconds in total, although its bytes kept arriving.

Refusals now discard the body by the same function as calls that have ended.

--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -18,6 +18,7 @@
 import {continueTrace} from '../logging/trace-context.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {type CallEffectExecutor} from './call-effect-executor.ts';
+import {discardBody} from './discarded-body.ts';
 import {type CutAnswer, GracefulServer} from './graceful-server.ts';
 import {IncompleteCalls} from './incomplete-calls.ts';
 import {LiveCall} from './live-call.ts';
@@ -290,7 +291,7 @@
 	}
 
 	private _refuse(incoming: IncomingMessage, outgoing: ServerResponse, refusal: Refusal): void {
-		incoming.resume();
+		discardBody(incoming, this._limits.bodyBytes);
 		const {headers, body} = this._dialect.refusal(refusal);
 		outgoing.writeHead(refusal.status, {...headers, 'content-length': Buffer.byteLength(body)});
 		outgoing.end(body);
@@ -298,6 +299,7 @@
 
 	/** Refuses invalid input. The answer names the invalid field and states that nothing ran. */
 	private _refuseInvalidField(outgoing: ServerResponse, status: number, field: string): void {
+		discardBody(outgoing.req, this._limits.bodyBytes);
 		const body = JSON.stringify({
 			type: `${problemTypePrefix}invalid-field`, title: 'invalid field', status, field, outcome: 'not-run',
 		});
--- a/src/node/front/request-body.ts
+++ b/src/node/front/request-body.ts
@@ -1,7 +1,7 @@
 /** Reads a caller's request body and buffers small ones, so that a call that provably has not run can be sent again. */
 import {type IncomingMessage} from 'node:http';
 import {PassThrough, type Readable} from 'node:stream';
-import {type Milliseconds} from '../../common/model/units.ts';
+import {discardBody} from './discarded-body.ts';
 
 /** Limits of request bodies, in bytes. */
 export type BodyLimits = {
@@ -24,9 +24,6 @@
 	override readonly name = 'BodyIncomplete';
 }
 
-/** Time in which a caller must send the rest of a body that is no longer needed; after that its connection is closed. */
-const maxDiscardMilliseconds: Milliseconds = 10_000;
-
 /** A request body, buffered completely or in its first part. */
 export class RequestBody {
 	private readonly _incoming: IncomingMessage;
@@ -34,7 +31,6 @@
 	private readonly _chunks: Uint8Array[] = [];
 	private _bytes = 0;
 	private _isComplete = false;
-	private _isDiscarding = false;
 
 	constructor(incoming: IncomingMessage, limits: BodyLimits) {
 		this._incoming = incoming;
@@ -104,37 +100,9 @@
 		return this._openStream();
 	}
 
-	/**
-	 * Discards the rest of a body that no backend server reads, so that the connection can carry the next call. If the rest
-	 * is larger than a body may be, or takes too long to arrive, the connection is closed instead.
-	 */
+	/** Discards the rest of a body that no backend server reads, so that the connection can carry the next call. */
 	discard(): void {
-		const {_incoming: incoming} = this;
-		if (incoming.complete || this._isDiscarding) {
-			incoming.resume();
-			return;
-		}
-
-		this._isDiscarding = true;
-		const timer = setTimeout(() => {
-			incoming.socket.destroy();
-		}, maxDiscardMilliseconds);
-		timer.unref();
-		incoming.once('close', () => {
-			clearTimeout(timer);
-		});
-		incoming.once('end', () => {
-			clearTimeout(timer);
-		});
-		let discardedBytes = 0;
-		incoming.on('data', (chunk: Uint8Array) => {
-			discardedBytes += chunk.length;
-			if (discardedBytes > this._limits.bodyBytes) {
-				incoming.socket.destroy();
-			}
-		});
-		incoming.unpipe();
-		incoming.resume();
+		discardBody(this._incoming, this._limits.bodyBytes);
 	}
 
 	/** The body as a stream. If its reader drops it, the rest stays in the caller's connection until `discard`. */
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -16,6 +16,7 @@
 import {type BackendConnections} from './backend-connections.ts';
 import {type CallEffectExecutor} from './call-effect-executor.ts';
 import {closeListener} from './close-listener.ts';
+import {discardBody} from './discarded-body.ts';
 import {type CutAnswer, GracefulServer} from './graceful-server.ts';
 import {IncompleteCalls} from './incomplete-calls.ts';
 import {LiveCall} from './live-call.ts';
@@ -316,7 +317,7 @@
 	}
 
 	private _answerEarly(incoming: IncomingMessage, outgoing: ServerResponse, {status, reason, retryAfterMilliseconds}: EarlyAnswer): void {
-		incoming.resume();
+		discardBody(incoming, this._callerLimits.bodyBytes);
 		const {headers, body} = this._dependencies.dialect.refusal({
 			status, reason, outcome: 'not-run', retryAfterMilliseconds,
 		});
