Close the connection of a body that is too large to discard after its answer

The connection now closes its own side first and keeps reading for a moment, like any other connection that ends after an answer.

--- a/src/node/front/discarded-body.ts
+++ b/src/node/front/discarded-body.ts
@@ -21,8 +21,9 @@
 	}
 
 	discarded.add(incoming);
+	// After the answer, which a reset would discard if the caller has not read it.
 	const close = () => {
-		incoming.socket.destroy();
+		incoming.socket.destroySoon();
 	};
 
 	const silence = setTimeout(close, maxSilenceMilliseconds);
