--- a/src/node/front/answer-framing.property.test.ts
+++ b/src/node/front/answer-framing.property.test.ts
@@ -12,6 +12,8 @@
 	readonly pieces: readonly number[];
 	readonly sentBytes: number;
 	readonly end: 'close' | 'reset';
+	/** Time for which the caller pauses after each read. */
+	readonly pauseMilliseconds: number;
 };
 
 const seed = 20_261_204;
@@ -72,13 +74,19 @@
 	}
 }
 
-async function readAnswer(url: string): Promise<string> {
+async function readAnswer(url: string, pauseMilliseconds: number): Promise<string> {
 	const {port, pathname} = new URL(url);
 	return new Promise(resolve => {
 		const caller = connect(Number(port), '127.0.0.1');
 		let text = '';
 		caller.on('data', chunk => {
 			text += chunk.toString('latin1');
+			if (pauseMilliseconds > 0) {
+				caller.pause();
+				setTimeout(() => {
+					caller.resume();
+				}, pauseMilliseconds);
+			}
 		});
 		caller.on('error', () => undefined);
 		caller.on('close', () => {
@@ -90,8 +98,9 @@
 
 const plannedAnswers: fc.Arbitrary<PlannedAnswer> = fc.record({
 	framing: fc.constantFrom<Framing>('length', 'chunked', 'close'),
-	pieces: fc.array(fc.integer({min: 1, max: 2000}), {minLength: 1, maxLength: 6}),
+	pieces: fc.array(fc.oneof(fc.integer({min: 1, max: 2000}), fc.integer({min: 2000, max: 150_000})), {minLength: 1, maxLength: 6}),
 	end: fc.constantFrom<'close' | 'reset'>('close', 'reset'),
+	pauseMilliseconds: fc.constantFrom(0, 0, 20),
 	sentShare: fc.double({min: 0, max: 1, noNaN: true}),
 }).map(({sentShare, ...rest}) => ({...rest, sentBytes: Math.round(sentShare * rest.pieces.reduce((sum, size) => sum + size, 0))}));
 
@@ -116,7 +125,7 @@
 		const front = await startFrontend(store, [port]);
 		await fc.assert(fc.asyncProperty(plannedAnswers, async answer => {
 			planned = answer;
-			const text = await readAnswer(front.url);
+			const text = await readAnswer(front.url, answer.pauseMilliseconds);
 			const whole = bodyOf(answer);
 			const isEnded = answer.end === 'close' && (answer.framing === 'close' || answer.sentBytes === whole.length);
 			const received = text.startsWith('HTTP/1.1 200') ? completeBody(text) : undefined;
