Reopen relays of tests on ports that no other listener gets

Cause: the relay, which closes and listens again on its port, had one of the ephemeral range, from which the system gives ports to listeners on port 0 of any process.

--- a/src/stand-ins/free-ports.ts
+++ b/src/stand-ins/free-ports.ts
@@ -2,13 +2,18 @@
 import {randomInt} from 'node:crypto';
 import {createServer, type Server} from 'node:net';
 
+/** Ports from `min` up to, but not including, `max`. */
+export type PortRange = {readonly min: number; readonly max: number};
+
 /**
  * These ports lie below the ephemeral range (from 32768 on Linux), from which the system assigns ports to outgoing connections
  * and to listeners on port 0. On a busy machine, another connection may take a free port of that range before the daemon
  * listens on it.
  */
-const minPort = 20_000;
-const maxPort = 32_000;
+const daemonPorts: PortRange = {min: 20_000, max: 32_000};
+
+/** For listeners that close and listen again on the same port. Apart from the daemons' ports, which are chosen before they are used. */
+export const reopenedPorts: PortRange = {min: 12_000, max: 20_000};
 
 async function tryListen(port: number): Promise<Server | undefined> {
 	return new Promise(resolve => {
@@ -22,9 +27,9 @@
 	});
 }
 
-async function listenOnRandomPort(): Promise<{server: Server; port: number}> {
+async function listenOnRandomPort({min, max}: PortRange): Promise<{server: Server; port: number}> {
 	for (;;) {
-		const port = randomInt(minPort, maxPort);
+		const port = randomInt(min, max);
 		const server = await tryListen(port);
 		if (server !== undefined) {
 			return {server, port};
@@ -33,8 +38,8 @@
 }
 
 /** Returns ports that were free during the call. Listens on all of them at once, so that no port is returned twice. */
-export async function freePorts(count: number): Promise<number[]> {
-	const listeners = await Promise.all(Array.from({length: count}, async () => listenOnRandomPort()));
+export async function freePorts(count: number, range = daemonPorts): Promise<number[]> {
+	const listeners = await Promise.all(Array.from({length: count}, async () => listenOnRandomPort(range)));
 	await Promise.all(listeners.map(async ({server}) => new Promise(resolve => {
 		server.close(resolve);
 	})));
