Give the test of back-pressure a time limit that is longer than its waits

The upload that a backend server does not read got a 504 once, beside 24 busy processes. Cause: the service of the test has a time limit of 2 s, which the caller's header cannot extend, and the wait for a stable count takes longer on a busy machine. Trial: with a pause of 2.5 s before the backend server reads, the 504 comes each time. The service of this test now has the limit that its caller asks for.

--- a/src/node/front/back-pressure.test.ts
+++ b/src/node/front/back-pressure.test.ts
@@ -7,8 +7,8 @@
 const bodyBytes = 200_000_000;
 /** Upper bound for the bytes in the socket buffers of both hops on Linux, with a margin; far less than the body. */
 const maxBufferedBytes = 64_000_000;
-/** Longer than the test, so that no stall timeout fires. */
-const longStallMilliseconds = 60_000;
+/** Longer than the test, so that neither a stall timeout nor the time limit of a call ends it. */
+const longMilliseconds = 60_000;
 const chunk = Buffer.alloc(65_536, 'f');
 const requiredStablePolls = 25;
 const pollMilliseconds = 20;
@@ -95,7 +95,7 @@
 				writer = writeBody(socket);
 			});
 		});
-		const front = await startFrontend(store, [port], {stallMilliseconds: longStallMilliseconds});
+		const front = await startFrontend(store, [port], {stallMilliseconds: longMilliseconds});
 		const {socket, path} = connectTo(store, front.url);
 		socket.write(`GET ${path}/film HTTP/1.1\r\nhost: test\r\n\r\n`);
 		const head = await firstBytes(socket);
@@ -123,9 +123,9 @@
 				socket.pause();
 			});
 		});
-		const front = await startFrontend(store, [port], {bodyBytes, stallMilliseconds: longStallMilliseconds});
+		const front = await startFrontend(store, [port], {bodyBytes, stallMilliseconds: longMilliseconds}, longMilliseconds);
 		const {socket, path} = connectTo(store, front.url);
-		socket.write(`PUT ${path}/film HTTP/1.1\r\nhost: test\r\njaydale-timeout-milliseconds: 60000\r\ncontent-length: ${bodyBytes}\r\n\r\n`);
+		socket.write(`PUT ${path}/film HTTP/1.1\r\nhost: test\r\njaydale-timeout-milliseconds: ${longMilliseconds}\r\ncontent-length: ${bodyBytes}\r\n\r\n`);
 		const writer = writeBody(socket);
 		expect(await waitUntilStable(() => writer.sent())).toBeLessThan(maxBufferedBytes);
 		backend!.resume();
--- a/src/node/front/test-utilities.test.ts
+++ b/src/node/front/test-utilities.test.ts
@@ -26,8 +26,11 @@
 
 export type Frontend = {readonly url: string; readonly ended: CallSummary[]; readonly server: CallerServer};
 
-/** Starts the callers' listener with a real engine and one backend server on each of the given ports. */
-export async function startFrontend(store: DisposableStore, ports: readonly number[], limitOverrides: Partial<CallerServerLimits> = {}): Promise<Frontend> {
+/**
+ * Starts the callers' listener with a real engine and one backend server on each of the given ports. `timeoutMilliseconds`
+ * = time limit of its service, which callers can only shorten.
+ */
+export async function startFrontend(store: DisposableStore, ports: readonly number[], limitOverrides: Partial<CallerServerLimits> = {}, timeoutMilliseconds = 2000): Promise<Frontend> {
 	const connections = store.add(new BackendConnections({connectMilliseconds: 1000, idleMilliseconds: 5000}));
 	const engine = new DefaultCallEngine({random: seededRandom(1), settings: {dataCentre: 'north'}});
 	const loop = store.add(new DeciderLoop(engine, new ProcessClock()));
@@ -48,7 +51,7 @@
 	const ended: CallSummary[] = [];
 	store.add(calls.onCallEnded(({summary}) => ended.push(summary)));
 	const service = serviceSchema.parse({
-		kind: 'service', name: 'orders', timeoutMilliseconds: 2000, retryShare: 1,
+		kind: 'service', name: 'orders', timeoutMilliseconds, retryShare: 1,
 	});
 	const servers = ports.map((port, index) => backendServerSchema.parse({
 		kind: 'backend-server', name: `orders-${index}`, service: 'orders', address: '127.0.0.1', port, dataCentre: 'north',
