Announce the close in every last answer once idle connections close

At the last stage of a stop a pipelined call behind one in progress was refused without connection: close, and its connection closed later without a sign (stop-moments, stage "draining", each time since the close is announced only by an answer that has none ahead of it).

Cause: that rule counts on a later answer to announce the close. Once idle connections close there may be none, so that the last answer announces it then, also while it waits. A call that follows it is dropped before it runs.

--- a/src/node/front/graceful-server.ts
+++ b/src/node/front/graceful-server.ts
@@ -372,12 +372,13 @@
 	}
 
 	/**
-	 * Adds `connection: close` to the only answer of a connection, if its head is not sent yet. An answer that waits behind
+	 * Adds `connection: close` to the last answer of a connection, if its head is not sent yet. An answer that waits behind
 	 * another one gets it once its turn comes: its head may be written long before, and a call that follows it meanwhile would be cut.
+	 * Once idle connections close, no later answer is left to announce the close.
 	 */
 	private _setCloseHeader({exchanges, hasParseError}: Connection): void {
 		const last = exchanges.at(-1);
-		const isLastCall = hasParseError || (this._isKeepAliveDisabled && exchanges.length === 1);
+		const isLastCall = hasParseError || (this._isKeepAliveDisabled && (exchanges.length === 1 || this._closesIdleConnections));
 		if (isLastCall && last !== undefined && !last.outgoing.headersSent) {
 			last.outgoing.setHeader('connection', 'close');
 		}
