--- a/src/node/front/answer-silence.test.ts
+++ b/src/node/front/answer-silence.test.ts
@@ -13,7 +13,10 @@
 /** Longer than the time limit and the checks for silence, shorter than the timeout of a silent connection. */
 const lateMilliseconds = 3000;
 
-/** Calls a backend server that answers by `answer`; resolves with the bytes of the body once the connection has ended. */
+/**
+ * Makes one call to a backend server that writes its answer by `answer`. Resolves with the number of bytes of the body that
+ * the caller has received when its connection closes. `onPart` runs when the first bytes arrive.
+ */
 async function bytesOfAnswer(answer: (socket: Socket) => Promise<void>, onPart: (caller: Socket) => Promise<void> = async () => undefined): Promise<number> {
 	const store = new DisposableStore();
 	const port = await startRawServer(store, socket => {
--- a/src/node/front/answer-silence.ts
+++ b/src/node/front/answer-silence.ts
@@ -2,10 +2,13 @@
 import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 
-/** Interval of the checks; longer than a retransmission after one lost packet. */
+/** Interval between checks for new bytes; longer than the retransmission of one lost packet usually takes. */
 const checkMilliseconds: Milliseconds = 200;
 
-/** Consecutive checks without a byte; the second one is the first after the time limit. With one, the first check after a pause of the process would not count bytes that are still unread. */
+/**
+ * Consecutive checks without new bytes after which the answer counts as silent. A single check is not enough: right after a
+ * pause of this process, bytes that have arrived are still unread.
+ */
 const maxSilentChecks = 2;
 
 export type AnswerSilenceOptions = {
@@ -20,8 +23,8 @@
 };
 
 /**
- * Waits for the time limit of a call, and then until its answer makes no progress. The time limit does not cut an answer
- * whose bytes keep arriving, but nobody should wait longer than that for a backend server that sends nothing.
+ * Reports an answer whose backend server sends nothing more, from the time limit of its call on. An answer whose bytes keep
+ * arriving may last longer than the limit.
  */
 export class AnswerSilence extends Disposable {
 	private readonly _options: AnswerSilenceOptions;
@@ -32,6 +35,7 @@
 	constructor(options: AnswerSilenceOptions) {
 		super();
 		this._options = options;
+		// The first check only records the number of bytes, so that the second one, at the limit, can compare.
 		this._timer = this._checkIn(Math.max(0, options.timeLeftMilliseconds - checkMilliseconds));
 		this._register(toDisposable(() => {
 			clearTimeout(this._timer);
--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -18,7 +18,7 @@
 import {continueTrace} from '../logging/trace-context.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {type CallEffectExecutor} from './call-effect-executor.ts';
-import {discardBody} from './discarded-body.ts';
+import {discardBody} from './discard-body.ts';
 import {type CutAnswer, GracefulServer} from './graceful-server.ts';
 import {IncompleteCalls} from './incomplete-calls.ts';
 import {LiveCall} from './live-call.ts';
--- a/src/node/front/discarded-body.test.ts
+++ b/src/node/front/discard-body.test.ts
@@ -3,7 +3,7 @@
 import {setImmediate} from 'node:timers/promises';
 import {expect} from 'earl';
 import {DisposableStore} from '../../common/lifecycle/disposable.ts';
-import {discardBody} from './discarded-body.ts';
+import {discardBody} from './discard-body.ts';
 import {GracefulServer} from './graceful-server.ts';
 
 const maxBytes = 200_000;
--- a/src/node/front/discarded-body.ts
+++ b/src/node/front/discard-body.ts
@@ -2,10 +2,10 @@
 import {type IncomingMessage} from 'node:http';
 import {type Milliseconds} from '../../common/model/units.ts';
 
-/** Longest pause between two parts of a discarded body. */
+/** Maximum time without a byte while a body is discarded. */
 const maxSilenceMilliseconds: Milliseconds = 10_000;
 
-/** Longest time for a whole discarded body. */
+/** Maximum time from the start of discarding to the end of the body. */
 const maxDurationMilliseconds: Milliseconds = 60_000;
 
 const discarded = new WeakSet<IncomingMessage>();
@@ -21,7 +21,7 @@
 	}
 
 	discarded.add(incoming);
-	// After the answer, which a reset would discard if the caller has not read it.
+	// Destroying the socket would reset the connection, and the caller could lose an answer that it has not read yet.
 	const close = () => {
 		incoming.socket.destroySoon();
 	};
--- a/src/node/front/graceful-server.test.ts
+++ b/src/node/front/graceful-server.test.ts
@@ -80,7 +80,7 @@
 		expect([handledPaths, text.endsWith('first')]).toEqual([['/1'], true]);
 	});
 
-	// Guards pipelined calls that have run against a close that was announced while later answers still waited.
+	// Guards pipelined calls that have run against a connection that closes before their answers.
 	it('answers a concurrent call that arrives while a complete answer waits behind another one', async () => {
 		const answers: ServerResponse[] = [];
 		const {server, caller, handledPaths} = await startTestListener(store, (_path, outgoing) => {
--- a/src/node/front/graceful-server.ts
+++ b/src/node/front/graceful-server.ts
@@ -372,9 +372,10 @@
 	}
 
 	/**
-	 * Adds `connection: close` to the last answer of a connection, if its head is not sent yet. An answer that waits behind
-	 * another one gets it once its turn comes: its head may be written long before, and a call that follows it meanwhile would be cut.
-	 * Once idle connections close, no later answer is left to announce the close.
+	 * Adds `connection: close` to the last answer of a connection, if its head is not written yet. An answer that waits behind
+	 * another one gets the header only when it is the first: it may wait for long, and a call that arrives after a written
+	 * `connection: close` is dropped. While idle connections are closed, the header is added at once, since the connection
+	 * closes after this answer in any case.
 	 */
 	private _setCloseHeader({exchanges, hasParseError}: Connection): void {
 		const last = exchanges.at(-1);
--- a/src/node/front/request-body.ts
+++ b/src/node/front/request-body.ts
@@ -1,7 +1,7 @@
 /** Reads a caller's request body and buffers small ones, so that a call that provably has not run can be sent again. */
 import {type IncomingMessage} from 'node:http';
 import {PassThrough, type Readable} from 'node:stream';
-import {discardBody} from './discarded-body.ts';
+import {discardBody} from './discard-body.ts';
 
 /** Limits of request bodies, in bytes. */
 export type BodyLimits = {
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -16,7 +16,7 @@
 import {type BackendConnections} from './backend-connections.ts';
 import {type CallEffectExecutor} from './call-effect-executor.ts';
 import {closeListener} from './close-listener.ts';
-import {discardBody} from './discarded-body.ts';
+import {discardBody} from './discard-body.ts';
 import {type CutAnswer, GracefulServer} from './graceful-server.ts';
 import {IncompleteCalls} from './incomplete-calls.ts';
 import {LiveCall} from './live-call.ts';
--- a/src/node/front/test-utilities.test.ts
+++ b/src/node/front/test-utilities.test.ts
@@ -27,8 +27,8 @@
 export type Frontend = {readonly url: string; readonly ended: CallSummary[]; readonly server: CallerServer};
 
 /**
- * Starts the callers' listener with a real engine and one backend server on each of the given ports. `timeoutMilliseconds`
- * = time limit of its service, which callers can only shorten.
+ * Starts the callers' listener with a real engine and one backend server on each of the given ports. `timeoutMilliseconds` is
+ * the time limit of the service; a caller's header can lower it but not raise it.
  */
 export async function startFrontend(store: DisposableStore, ports: readonly number[], limitOverrides: Partial<CallerServerLimits> = {}, timeoutMilliseconds = 2000): Promise<Frontend> {
 	const connections = store.add(new BackendConnections({connectMilliseconds: 1000, idleMilliseconds: 5000}));
--- a/src/stand-ins/free-ports.ts
+++ b/src/stand-ins/free-ports.ts
@@ -2,7 +2,7 @@
 import {randomInt} from 'node:crypto';
 import {createServer, type Server} from 'node:net';
 
-/** Ports from `min` up to, but not including, `max`. */
+/** A range of ports: `min` is included, `max` is not. */
 export type PortRange = {readonly min: number; readonly max: number};
 
 /**
@@ -12,7 +12,10 @@
  */
 const daemonPorts: PortRange = {min: 20_000, max: 32_000};
 
-/** For listeners that close and listen again on the same port. Apart from the daemons' ports, which are chosen before they are used. */
+/**
+ * Ports for listeners that close and later listen again on the same port. The range does not overlap with the daemons' ports,
+ * which are chosen some time before a daemon listens on them.
+ */
 export const reopenedPorts: PortRange = {min: 12_000, max: 20_000};
 
 async function tryListen(port: number): Promise<Server | undefined> {
