Watch for silence only in answers that are not complete yet

An answer that was buffered whole started a timer that ended in the same turn. No change of behaviour; the tests of cut, silent, close-delimited and resumed answers pass.

--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -160,8 +160,12 @@
 		}
 
 		this._forwardedAttempt = attempt;
-		this._limitSilence(attempt, timeLeftMilliseconds);
 		const held = this._heldAnswers.get(attemptId);
+		const isComplete = held?.isComplete === true;
+		if (!isComplete) {
+			this._limitSilence(attempt, timeLeftMilliseconds);
+		}
+
 		if (this._outgoing.headersSent) {
 			// A resumed download: the head was already sent for the first attempt.
 			if (held !== undefined) {
@@ -173,13 +177,13 @@
 
 		const headers = this._dialect.answerHeaders(head.headers, outcome);
 		const needsLength = head.headers['content-length'] === undefined && this._hasBody(head);
-		if (needsLength && held?.isComplete === true) {
+		if (needsLength && isComplete) {
 			headers.push('content-length', String(held.bytes));
 		}
 
 		// node:http sends an answer without a length in chunks, and closes the connection of a caller of HTTP/1.0 after it.
 		this._outgoing.writeHead(head.status, headers);
-		if (needsLength && held?.isComplete !== true && !this._outgoing.chunkedEncoding) {
+		if (needsLength && !isComplete && !this._outgoing.chunkedEncoding) {
 			markCloseDelimited(this._outgoing);
 		}
 
@@ -345,7 +349,7 @@
 		this._outgoing.prependOnceListener('finish', onDrained);
 	}
 
-	/** Lets the attempt fail if its answer makes no progress after the time limit of the call. */
+	/** From the time limit of the call on, fails the attempt when its backend server sends nothing more. */
 	private _limitSilence(attempt: BackendAttempt, timeLeftMilliseconds: Milliseconds): void {
 		this._silence.value = new AnswerSilence({
 			timeLeftMilliseconds,
