--- a/src/node/front/cut-answer.ts
+++ b/src/node/front/cut-answer.ts
@@ -2,10 +2,10 @@
 import {type ServerResponse} from 'node:http';
 import {type Milliseconds} from '../../common/model/units.ts';
 
-/** Time for a caller to read the bytes that were sent last before the reset arrives. */
+/** Delay of a reset, in which the caller can read the bytes that were sent last. */
 const resetPauseMilliseconds: Milliseconds = 50;
 
-/** Answers that end with their connection, since they have neither a length nor chunks. */
+/** Answers that end with their connection, since they have neither a length nor chunks: those to callers of HTTP/1.0. */
 const closeDelimited = new WeakSet<ServerResponse>();
 
 /** Remembers that only the end of the connection tells the caller whether this answer is complete. */
--- a/src/node/front/cut-answers.test.ts
+++ b/src/node/front/cut-answers.test.ts
@@ -94,15 +94,15 @@
 			});
 		});
 		const front = await startFrontend(store, [port]);
-		const signs: Array<{readonly resetOfFirst: boolean; readonly framingOfSecond: string}> = [];
+		const signs = new Set<string>();
 		for (let call = 0; call < 20; call++) {
 			const first = await readUntilClosed(`${front.url}/film`, '1.0', () => undefined);
 			const second = await readUntilClosed(`${front.url}/film`, '1.1', () => undefined);
-			signs.push({resetOfFirst: first.isReset, framingOfSecond: second.framed});
+			signs.add(`HTTP/1.0: ${first.isReset ? 'reset' : 'closed'}, HTTP/1.1: ${second.framed}`);
 		}
 
 		store.dispose();
-		expect(signs).toEqual(signs.map(() => ({resetOfFirst: true, framingOfSecond: 'incomplete'})));
+		expect([...signs]).toEqual(['HTTP/1.0: reset, HTTP/1.1: incomplete']);
 	});
 
 	// The same for answers that are still being sent when the process ends.
--- a/src/node/front/graceful-server.test.ts
+++ b/src/node/front/graceful-server.test.ts
@@ -29,18 +29,14 @@
 			answers.push(outgoing);
 		});
 		caller.write(postHead('/1'));
-		while (answers.length === 0) {
-			await delay(1);
-		}
+		await waitForCount(answers, 1);
 
 		server.disableKeepAlive();
 		caller.write(postHead('/2'));
 		await delay(20);
 		expect(handledPaths).toEqual(['/1']);
 		answers[0]!.end('first');
-		while (answers.length === 1) {
-			await delay(1);
-		}
+		await waitForCount(answers, 2);
 
 		answers[1]!.end('second');
 		const text = await readAll(caller);
@@ -145,14 +141,10 @@
 		});
 		const other = await connectTo(store, server);
 		caller.write(postHead('/1'));
-		while (answers.length === 0) {
-			await delay(1);
-		}
+		await waitForCount(answers, 1);
 
 		other.write(postHead('/2'));
-		while (answers.length === 1) {
-			await delay(1);
-		}
+		await waitForCount(answers, 2);
 
 		caller.resetAndDestroy();
 		while (cutAnswers.length === 0) {
