Add failing tests of a limit that VMs learn only by answers of their own

The model now counts a VM as told also after its process was replaced, as the rule speaks of machines, with 3 s of grace after a restart; calls count only while a limit is named. New: the same bound for the calls of all VMs from 2 s after the first announcement, as the owner of the server sees it.

--- a/src/common/registry/named-limits-harness.test.ts
+++ b/src/common/registry/named-limits-harness.test.ts
@@ -21,9 +21,13 @@
 const tolerance = 1.5;
 const allowance = 5;
 
-/** The limit binds this long after it was first announced, and each VM this long after it got it. */
+/** The limit binds this long after it was announced, each VM this long after it got it, and a VM that restarted this long after its start. */
 const fleetGraceMilliseconds: Milliseconds = 3000;
 const vmGraceMilliseconds: Milliseconds = 500;
+const restartGraceMilliseconds: Milliseconds = 3000;
+
+/** From this time after a limit was first announced on, an owner expects it to hold for the calls of all VMs. */
+const ownerGraceMilliseconds: Milliseconds = 2000;
 
 export type NamedLimitOptions = {
 	readonly vmCount: number;
@@ -33,8 +37,9 @@
 	/** Calls per second that a backend server (by index) announces at this time since the calls began; undefined = none. */
 	readonly limitOf: (server: number, at: Instant) => number | undefined;
 	readonly isAnnouncedByProbes?: boolean;
-	/** Fraction of the answers that are errors without the header. */
+	/** Fraction of the answers that are errors without the header, and their status. */
 	readonly errorFraction?: number;
+	readonly errorStatus?: number;
 	readonly datagramLossChance?: number;
 	readonly alterEffect?: (process: ModelProcess, effect: FleetEffect) => FleetEffect;
 };
@@ -46,8 +51,8 @@
 	readonly identity: string;
 	inFlight: number;
 	readonly arrivals: Arrival[];
-	/** Processes that have passed on an answer with a limit, and since when. */
-	readonly informedAt: Map<ModelProcess, Instant>;
+	/** VMs, by call address, that have passed on an answer with a limit, and since when; a later process of a VM counts as told. */
+	readonly informedAt: Map<string, Instant>;
 };
 
 const onDemandDocuments: DocumentCodec = {
@@ -171,16 +176,32 @@
 		}
 	}
 
-	private _worstExcessOf({index, arrivals, informedAt}: LimitedServer): number {
-		const namedFrom = Math.min(...informedAt.values());
-		const counted = arrivals.filter(({process, at}) => at >= (informedAt.get(process) ?? Infinity) + vmGraceMilliseconds && !this.excused.has(process.address));
-		const excesses = counted.map(({at}) => {
-			const until = at + spanMilliseconds;
-			const limits = Array.from({length: (spanMilliseconds + fleetGraceMilliseconds) / 100}, (_, step) => this._options.limitOf(index, until - (step * 100)) ?? Infinity);
-			const allowed = (tolerance * Math.max(...limits) * spanMilliseconds / 1000) + allowance;
-			return until < namedFrom + fleetGraceMilliseconds ? -Infinity : counted.filter(other => other.at >= at && other.at < until).length - allowed;
-		});
-		return Math.max(-Infinity, ...excesses);
+	/** The same for calls from all VMs, as the owner of the backend server counts them. */
+	get worstOwnerExcess(): number {
+		return Math.max(...this.servers.map(server => {
+			const namedAt = Math.min(...server.informedAt.values());
+			const arrivals = server.arrivals.filter(({at}) => at >= namedAt + ownerGraceMilliseconds).map(({at}) => at);
+			return Math.max(-Infinity, ...arrivals.map(at => this._excessOf(server.index, arrivals, at + spanMilliseconds)));
+		}));
+	}
+
+	private _worstExcessOf(server: LimitedServer): number {
+		const {index, arrivals, informedAt} = server;
+		const startsAt = this._startsAt;
+		const counted = arrivals
+			.filter(({process, at}) => at >= (informedAt.get(process.address) ?? Infinity) + vmGraceMilliseconds)
+			.filter(({process, at}) => !this.excused.has(process.address) && at + startsAt >= process.startedAt + restartGraceMilliseconds)
+			.map(({at}) => at);
+		return Math.max(-Infinity, ...counted.map(at => this._excessOf(index, counted, at + spanMilliseconds)));
+	}
+
+	/** Excess of the calls within the span that ends at `until`; of those, only calls that arrived while a limit was announced count. */
+	private _excessOf(index: number, arrivals: readonly Instant[], until: Instant): number {
+		const limitAt = (at: Instant) => this._options.limitOf(index, at);
+		const steps = Array.from({length: (spanMilliseconds + fleetGraceMilliseconds) / 100}, (_, step) => limitAt(until - (step * 100)));
+		const hasBound = steps.slice(0, fleetGraceMilliseconds / 100).every(limit => limit !== undefined);
+		const allowed = (tolerance * Math.max(...steps.map(limit => limit ?? 0)) * spanMilliseconds / 1000) + allowance;
+		return hasBound ? arrivals.filter(at => at >= until - spanMilliseconds && at < until && limitAt(at) !== undefined).length - allowed : -Infinity;
 	}
 
 	private _serverOf(identity: string): LimitedServer {
@@ -225,12 +246,12 @@
 
 			const isError = random.next() < (this._options.errorFraction ?? 0);
 			const rateLimit = isError ? undefined : this._options.limitOf(server.index, this.elapsed);
-			if (rateLimit !== undefined && !server.informedAt.has(process)) {
-				server.informedAt.set(process, this.elapsed);
+			if (rateLimit !== undefined && !server.informedAt.has(process.address)) {
+				server.informedAt.set(process.address, this.elapsed);
 			}
 
 			process.handle({
-				type: 'attempt-head', attemptId, status: isError ? 500 : 200, report: this._reportOf(server, false), isDeclaredNotRun: false, validator: undefined, isReplayable: true,
+				type: 'attempt-head', attemptId, status: isError ? this._options.errorStatus ?? 500 : 200, report: this._reportOf(server, false), isDeclaredNotRun: false, validator: undefined, isReplayable: true,
 				...(rateLimit === undefined ? {} : {rateLimit}),
 			});
 			process.handle({type: 'attempt-done', attemptId, bytesPassedOn: 100});
--- a/src/common/registry/named-limits.test.ts
+++ b/src/common/registry/named-limits.test.ts
@@ -18,6 +18,9 @@
 	});
 }
 
+/** Calls per second and backend servers like those of a large service, 3.5 calls per second for each. */
+const largeService = {serverCount: 60, callsPerSecond: 210};
+
 /** Each VM lists another eighth of the others. */
 function withEighthOfMembers(process: ModelProcess, effect: FleetEffect): FleetEffect {
 	if (effect.type !== 'shares' || effect.shares.members === undefined) {
@@ -94,6 +97,34 @@
 		});
 	}
 
+	// Guards a backend server in need against VMs whose process is replaced, and begins without the limits that the VM was told.
+	it('holds for VMs that were told it before most of their processes were killed at once', () => {
+		const model = modelOf({
+			...largeService, callsPerSecond: 420, limitOf: firstServerNames(1), seed: 1,
+		});
+		model.fleet.timeline.after(16_000, () => {
+			for (const victim of model.fleet.running.filter((_, index) => index % 5 > 0)) {
+				victim.kill();
+				model.fleet.start(model.fleet.vmIndexOf(victim.address));
+			}
+		});
+		expect(model.run(26_000).worstExcess).toBeLessThanOrEqual(0);
+	});
+
+	for (const [vmCount, limit] of [[126, 0.7], [126, 6], [311, 1]] as const) {
+		// Guards a backend server in need against VMs that learn its limit only by an answer of their own.
+		it(`of ${limit} calls per second holds for the calls of all ${vmCount} VMs two seconds after it was first announced`, () => {
+			expect(modelOf({vmCount, limitOf: firstServerNames(limit)}).run(runMilliseconds).worstOwnerExcess).toBeLessThanOrEqual(0);
+		});
+	}
+
+	// Guards a backend server in need against VMs that know only of the end of its first limit.
+	it('holds for the calls of all VMs when it ends and is announced again', () => {
+		const limitOf: NamedLimitOptions['limitOf'] = (server, at) => server === 0 && at > limitFrom && !(at > 10_000 && at < 14_000) ? 1 : undefined;
+		const model = modelOf({...largeService, limitOf}).run(26_000);
+		expect([model.worstExcess, model.worstOwnerExcess].map(excess => excess <= 0)).toEqual([true, true]);
+	});
+
 	// Guards against limits so strict that callers are refused although the backend servers would take their calls.
 	it('is used to nine tenths by waiting calls', () => {
 		const limit = 6;
