Pass a limit that a backend server announces on to all VMs

What callers and owners saw: a backend server that had named a limit got up to 20 calls in 4 s for 11 allowed from VMs that it had told, after most of their processes had been replaced, and 49 for 9.2 from all VMs together, until each of the 126 had got an answer of its own.

Cause: what a backend server had announced was known to the process that got the answer, and to no other. A VM learnt it from its first answer, which a VM of a large fleet gets half a minute later, and its next process began from nothing. Class: knowledge that binds the fleet, kept by each process for itself.

Change: a VM states a limit, its change and its end to the others over the exchange that spreads evidence of crashes: at once by four hops, in the first frame of a feed, and by the comparison on the ring for VMs that missed it. Statements are numbered, so that a late one replaces no later one; a server that changes its limit with each answer is stated once a second. Statements are kept ten minutes, and a limit that holds is stated again each minute.

--- a/src/cli/call-trace.ts
+++ b/src/cli/call-trace.ts
@@ -22,7 +22,7 @@
 	'backend server crashed with calls in flight',
 	'call quarantined: it is the only one that was in flight at all of these crashes',
 	'call no longer suspected of crashes',
-	'obtained evidence of crashes that this VM had missed',
+	'obtained evidence that this VM had missed',
 	'quarantine ended',
 	'quarantine lifted by an operator',
 	'reads the store itself',
--- a/src/common/calls/backend-rates/rate-limit-updates.ts
+++ b/src/common/calls/backend-rates/rate-limit-updates.ts
@@ -3,21 +3,30 @@
 import {type BackendServerState} from '../backend-server-state.ts';
 import {type EngineContext} from '../engine-context.ts';
 import {type ServiceState} from '../service-state.ts';
-import {type CallEvent, type RateLimitNotice, type RateLimitSource} from '../types.ts';
+import {processIdentityOf} from '../health/process-identity.ts';
+import {
+	type BackendServerIdentity, type CallEvent, type LoadUpdate, type RateLimitNotice, type RateLimitSource, type RateLimitStatement,
+} from '../types.ts';
 import {type AnswerRateLimit, type RateLimitChange} from './rate-limit.ts';
 
 /** The services and backend servers in force. */
 export type LimitedServices = {
 	service(name: string): ServiceState | undefined;
+	server(identity: BackendServerIdentity): BackendServerState | undefined;
 	allServers(): Iterable<BackendServerState>;
 };
 
 /** What changed a rate limit; `status` = of the answer. */
 type RateLimitCause = {readonly source: RateLimitSource; readonly status?: number; readonly rateLimit: RateLimitNotice | undefined};
 
+/** Maximum number of processes whose statements are kept for the time when their entry comes, or comes back. */
+const maxStatements = 4096;
+
 export class RateLimitUpdates {
 	private readonly _context: EngineContext;
 	private readonly _services: LimitedServices;
+	/** Last statement of other VMs on each process, the one stated first at the beginning. */
+	private readonly _statements = new Map<string, {readonly statement: RateLimitStatement; readonly at: Instant}>();
 
 	constructor(context: EngineContext, services: LimitedServices) {
 		this._context = context;
@@ -28,11 +37,40 @@
 	applyAnswer(server: BackendServerState, answer: AnswerRateLimit, now: Instant): void {
 		const {status, notice: rateLimit} = answer;
 		this._report(server, server.rateLimit.applyAnswer(answer, now), {source: 'answer', status, rateLimit});
+		this._tellPeers(server, now);
 	}
 
 	/** Applies the rate limit in the response to a load probe that was sent at `sentAt`, or its absence. */
 	applyProbe(server: BackendServerState, rateLimit: RateLimitNotice | undefined, sentAt: Instant, now: Instant): void {
 		this._report(server, server.rateLimit.applyProbe(rateLimit, sentAt, now), {source: 'load-probe', rateLimit});
+		this._tellPeers(server, now);
+	}
+
+	/** Applies what another VM has stated. */
+	applyPeerUpdate({identity, rateLimit: statement, ageMilliseconds}: LoadUpdate, now: Instant): void {
+		if (statement === undefined) {
+			return;
+		}
+
+		const at = now - Math.max(0, ageMilliseconds);
+		this._statements.delete(statement.process);
+		this._statements.set(statement.process, {statement, at});
+		if (this._statements.size > maxStatements) {
+			this._statements.delete(this._statements.keys().next().value!);
+		}
+
+		const server = this._services.server(identity);
+		if (server !== undefined && processIdentityOf(server, undefined) === statement.process) {
+			this._applyStatement(server, statement, at);
+		}
+	}
+
+	/** Applies what other VMs have stated on a process whose entry was not there yet. */
+	onRegistered(server: BackendServerState): void {
+		const known = this._statements.get(processIdentityOf(server, undefined));
+		if (known !== undefined) {
+			this._applyStatement(server, known.statement, known.at);
+		}
 	}
 
 	/** Applies the outcome of a request for tokens of a backend server's limit; waiting calls may start, or be refused. */
@@ -59,6 +97,23 @@
 		}
 	}
 
+	private _applyStatement(server: BackendServerState, statement: RateLimitStatement, at: Instant): void {
+		this._report(server, server.rateLimit.applyStatement(statement, at), {source: 'peer', rateLimit: statement.callsPerSecond});
+	}
+
+	/** States a limit, its change or its end to the other VMs, so that they need no answer of their own. */
+	private _tellPeers(server: BackendServerState, now: Instant): void {
+		const statement = server.rateLimit.takeStatement(now);
+		if (statement !== undefined) {
+			this._context.effects.push({
+				type: 'tell-peers',
+				update: {
+					identity: server.identity, report: undefined, ageMilliseconds: 0, suspects: [], crash: undefined, rateLimit: {process: processIdentityOf(server, undefined), ...statement},
+				},
+			});
+		}
+	}
+
 	private _report(server: BackendServerState, change: RateLimitChange, cause: RateLimitCause): void {
 		if (change === 'none') {
 			return;
--- a/src/common/calls/backend-rates/rate-limit.test.ts
+++ b/src/common/calls/backend-rates/rate-limit.test.ts
@@ -326,6 +326,20 @@
 		expect(linesOf(driver.handle(readOf(2))).includes('server-tokens-wanted')).toEqual(true);
 	});
 
+	// Guards a backend server in need against the first call of a VM that other VMs have told of its limit.
+	it('is known from another VM, also before the entry of the backend server, and not to a later process', () => {
+		const update = (process: string) => ({
+			identity: 'identity-0', report: undefined, ageMilliseconds: 0, suspects: [], crash: undefined, rateLimit: {process, callsPerSecond: 0.001, sequence: 1},
+		});
+		const changes = [['identity-0@4', true], ['identity-0@4', false], ['identity-0@3', true]].map(([process, isDeclared]) => {
+			const driver = singleVmDriver(1);
+			driver.handle({type: 'configured', configuration: {...startedAt(4), ...(isDeclared === true ? {} : {backendServers: new Map()})}});
+			const effects = [...driver.handle({type: 'peer-updates', updates: [update(String(process))]}), ...driver.handle({type: 'configured', configuration: {...startedAt(4), version: 5}})];
+			return effects.flatMap(effect => effect.type === 'rate-limit-changed' ? [`${effect.source} ${String(effect.rateLimit)}`] : []);
+		});
+		expect(changes).toEqual([['peer 0.001'], ['peer 0.001'], []]);
+	});
+
 	for (const [name, startOfReturned, isKept] of [['the same process', 4, true], ['a later one', 5, false]] as const) {
 		// Guards what a process has announced, and the count of its calls, against an entry that lapses while it lives on.
 		it(`is ${isKept ? 'kept' : 'forgotten'} with the calls in flight if the entry is removed and comes back for ${name}`, () => {
--- a/src/common/calls/backend-rates/rate-limit.ts
+++ b/src/common/calls/backend-rates/rate-limit.ts
@@ -1,10 +1,11 @@
 /** Rate limit that a backend server announces in its answers, as far as it applies to this VM. */
 import {type Instant} from '../../model/units.ts';
 import {minServerErrorStatus} from '../outcomes.ts';
-import {type RateLimitNotice} from '../types.ts';
+import {type RateLimitNotice, type RateLimitStatement} from '../types.ts';
 import {GrantedTokens} from './granted-tokens.ts';
 import {RandomStarts} from './random-starts.ts';
 import {ShareBucket} from './share-bucket.ts';
+import {StatedLimit} from './stated-limit.ts';
 
 /** Rate limit in the answer to an attempt that started at `startedAt`; `notice` undefined = it has none. */
 export type AnswerRateLimit = {readonly notice: RateLimitNotice | undefined; readonly status: number; readonly startedAt: Instant};
@@ -13,14 +14,16 @@
 export type RateLimitChange = 'named' | 'changed' | 'ended' | 'unreadable' | 'none';
 
 /**
- * Rate limit that one backend server has announced. It is one limit for all VMs together, and holds until an answer comes
- * without one.
+ * Rate limit that one backend server has announced to this or another VM. It is one limit for all VMs together, and holds
+ * until an answer comes without one.
  */
 export class RateLimit {
 	/** This VM's attempts, for each way of sharing the limit; `RateLimiter` chooses one. */
 	readonly share = new ShareBucket();
 	readonly tokens = new GrantedTokens();
 	readonly randomStarts = new RandomStarts();
+	/** What VMs have told each other. */
+	private readonly _stated = new StatedLimit();
 	private _callsPerSecond: number | undefined;
 	private _announcedAt: Instant = -Infinity;
 	private _isUnreadable = false;
@@ -35,7 +38,7 @@
 		return this._callsPerSecond;
 	}
 
-	/** When the limit was last announced to this VM. */
+	/** When the limit was last announced, as far as this VM knows. */
 	get announcedAt(): Instant {
 		return this._announcedAt;
 	}
@@ -64,6 +67,16 @@
 		return change;
 	}
 
+	/** Applies what another VM has stated at `at`. */
+	applyStatement(statement: Omit<RateLimitStatement, 'process'>, at: Instant): RateLimitChange {
+		return this._stated.apply(statement, at) ? this._set(statement.callsPerSecond, at) : 'none';
+	}
+
+	/** What this VM has to state to the others now; undefined = nothing. */
+	takeStatement(now: Instant): Omit<RateLimitStatement, 'process'> | undefined {
+		return this._stated.take(this._callsPerSecond, now);
+	}
+
 	private _apply(notice: RateLimitNotice | undefined, now: Instant): RateLimitChange {
 		if (notice === 'unreadable') {
 			const isNew = !this._isUnreadable;
@@ -71,19 +84,23 @@
 			return isNew ? 'unreadable' : 'none';
 		}
 
-		const previous = this._callsPerSecond;
 		this._isUnreadable = false;
-		this._callsPerSecond = notice;
-		if (notice === undefined) {
+		return this._set(notice, now);
+	}
+
+	private _set(callsPerSecond: number | undefined, at: Instant): RateLimitChange {
+		const previous = this._callsPerSecond;
+		this._callsPerSecond = callsPerSecond;
+		if (callsPerSecond === undefined) {
 			this._isAnnouncedByProbes = false;
 			return previous === undefined ? 'none' : 'ended';
 		}
 
-		this._announcedAt = now;
+		this._announcedAt = Math.max(this._announcedAt, at);
 		if (previous === undefined) {
 			return 'named';
 		}
 
-		return previous === notice ? 'none' : 'changed';
+		return previous === callsPerSecond ? 'none' : 'changed';
 	}
 }
--- a/src/common/calls/peer-updates.ts
+++ b/src/common/calls/peer-updates.ts
@@ -2,6 +2,16 @@
 import {type Milliseconds} from '../model/units.ts';
 import {type BackendServerIdentity, type LoadReport} from './types.ts';
 
+/** What a process of a backend server has last announced of its rate limit, as one VM tells others. */
+export type RateLimitStatement = {
+	/** Identity of the process. */
+	readonly process: string;
+	/** Calls per second that it accepts from all VMs together; undefined = it no longer announces a limit. */
+	readonly callsPerSecond: number | undefined;
+	/** Higher for a later statement on the same process, whichever VM made it. */
+	readonly sequence: number;
+};
+
 /** Information on one backend server that a VM sends to its peers. */
 export type LoadUpdate = {
 	readonly identity: BackendServerIdentity;
@@ -16,4 +26,6 @@
 	readonly isCrashCertain?: boolean;
 	/** Fingerprints of suspects that are not at fault: they were answered, or an operator has lifted their quarantine. */
 	readonly cleared?: readonly string[];
+	/** Rate limit of the backend server. */
+	readonly rateLimit?: RateLimitStatement;
 };
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -127,6 +127,7 @@
 			}
 
 			this._applyEvidence(update, now);
+			this.rateLimits.applyPeerUpdate(update, now);
 		}
 	}
 
@@ -339,10 +340,13 @@
 		this._register(server, now);
 		updateDeclaration(server, declared, now);
 		this.rateLimits.onReturned(server);
+		this.rateLimits.onRegistered(server);
 	}
 
 	private _add(identity: BackendServerIdentity, declared: BackendServerInForce, now: Instant, isWarm: boolean): void {
-		this._register(new BackendServerState(identity, declared, this._context.tuning, now, isWarm), now);
+		const server = new BackendServerState(identity, declared, this._context.tuning, now, isWarm);
+		this._register(server, now);
+		this.rateLimits.onRegistered(server);
 	}
 
 	private _register(server: BackendServerState, now: Instant): void {
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -21,7 +21,7 @@
 export type {
 	AttemptFailure, CallOutcome, PoisonRequestChange, ProcessEndSign, RefusalReason,
 } from './outcomes.ts';
-export type {LoadUpdate} from './peer-updates.ts';
+export type {LoadUpdate, RateLimitStatement} from './peer-updates.ts';
 export type {BackendServerStatus, CallEngineStatus, CallLoad} from './engine-status.ts';
 export type {
 	AttemptRecord, CallSummary, PlacingChoice, PlacingGrounds,
@@ -63,7 +63,7 @@
 export type RateLimitNotice = number | 'unreadable';
 
 /** What changed a rate limit that is in force on this VM; while the entry of its backend server is missing, it is kept but not in force. */
-export type RateLimitSource = 'answer' | 'load-probe' | 'entry-removed' | 'entry-returned';
+export type RateLimitSource = 'answer' | 'load-probe' | 'peer' | 'entry-removed' | 'entry-returned';
 
 /** Rules that a route sets for its calls. They take precedence over the rules of the service. */
 export type CallRule = {
--- a/src/common/registry/evidence-comparison.ts
+++ b/src/common/registry/evidence-comparison.ts
@@ -68,7 +68,7 @@
 		this._hasReply = true;
 		const obtained = this._options.exchange.addKnownToAll(updates);
 		if (obtained.length > 0) {
-			this._context.log('info', 'obtained evidence of crashes that this VM had missed', {
+			this._context.log('info', 'obtained evidence that this VM had missed', {
 				from, updates: obtained.length, oldestMilliseconds: Math.round(Math.max(...obtained.map(({ageMilliseconds}) => ageMilliseconds))),
 			});
 		}
--- a/src/common/registry/evidence-store.test.ts
+++ b/src/common/registry/evidence-store.test.ts
@@ -15,6 +15,16 @@
 	};
 }
 
+function limitOf(callsPerSecond: number | undefined, sequence: number, ageMilliseconds = 0): LoadUpdate {
+	return {
+		identity: 'server', report: undefined, ageMilliseconds, suspects: [], crash: undefined, rateLimit: {process: 'server@1', callsPerSecond, sequence},
+	};
+}
+
+function limitsIn(store: EvidenceStore, now: number): Array<readonly [number | undefined, number]> {
+	return store.snapshot(now).flatMap(({rateLimit, ageMilliseconds}) => rateLimit === undefined ? [] : [[rateLimit.callsPerSecond, ageMilliseconds] as const]);
+}
+
 function storeOf(updates: readonly LoadUpdate[], now = 0): EvidenceStore {
 	const store = new EvidenceStore();
 	for (const update of updates) {
@@ -74,6 +84,24 @@
 		expect([late.keys, late.snapshot(5)]).toEqual([[], []]);
 	});
 
+	// Guards a backend server in need against VMs that missed its limit, or an earlier one's end.
+	it('has the last rate limit of a process on both VMs after a comparison, whichever of them began it', () => {
+		const seen = [[limitOf(2, 3, 50), limitOf(undefined, 2)], [limitOf(undefined, 2), limitOf(2, 3, 50)], [limitOf(2, 3, 50)], [limitOf(undefined, 4), limitOf(2, 3, 50)], [limitOf(8, 3), limitOf(2, 3, 50)]]
+			.map(([first, second]) => [storeOf([first!]), storeOf(second === undefined ? [] : [second])] as const)
+			.map(([first, second]) => {
+				compare(second, first, 5);
+				return [limitsIn(first, 5), limitsIn(second, 5)];
+			});
+		const limited = [[2, 55]];
+		const ended = [[undefined, 5]];
+		expect(seen).toLooseEqual([[limited, limited], [limited, limited], [limited, limited], [ended, ended], [limited, limited]]);
+	});
+
+	it('counts a rate limit that is stated again as new after 30 s, and forgets it after ten minutes', () => {
+		const store = storeOf([limitOf(2, 1)]);
+		expect([store.add(limitOf(2, 1), 29_999), store.add(limitOf(2, 1), 30_000), limitsIn(store, 630_000).length, limitsIn(store, 630_001).length]).toEqual([false, true, 1, 0]);
+	});
+
 	it('forgets crashes after ten minutes', () => {
 		const store = storeOf([crashOf('c-1', ['call.1']), crashOf('c-2', ['call.1'])]);
 		expect([store.snapshot(599_999).length, store.snapshot(600_001), store.hasEvidence, store.add(crashOf('c-3', ['call.1'], 600_001), 700_000)]).toEqual([2, [], false, false]);
--- a/src/common/registry/evidence-store.ts
+++ b/src/common/registry/evidence-store.ts
@@ -1,8 +1,9 @@
-/** Evidence of calls that crash backend servers, as far as this VM has it from its own call engine and other VMs. */
+/** Evidence of calls that crash backend servers, and of rate limits, as far as this VM has it from its own call engine and other VMs. */
 import {AnsweredCalls} from '../calls/poison-requests/answered-calls.ts';
 import {isOfAnyCaller, keysOf} from '../calls/poison-requests/fingerprint-keys.ts';
 import {type BackendServerIdentity, type LoadUpdate} from '../calls/types.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
+import {StatedLimits} from './stated-limits.ts';
 import {type EvidenceKey, type EvidenceReply} from './types.ts';
 
 /** Between the identity of a process and a fingerprint in a key; neither has a space. */
@@ -40,21 +41,23 @@
 	/** Confirmed crashes by the identity of the process, the one known longest first. */
 	private readonly _crashes = new Map<string, Crash>();
 	private readonly _cleared = new AnsweredCalls();
+	private readonly _limits = new StatedLimits();
 	/** Selection of the evidence that VMs compare; undefined = to be made again. */
 	private _selection: ReadonlyMap<EvidenceKey, Evidence> | undefined;
 
 	/** Whether this VM has evidence that other VMs need. */
 	get hasEvidence(): boolean {
-		return this._selected().size > 0;
+		return this._selected().size > 0 || this._limits.keys.length > 0;
 	}
 
 	/** Keys of the evidence that VMs compare. */
 	get keys(): EvidenceKey[] {
-		return [...this._selected().keys()];
+		return [...this._selected().keys(), ...this._limits.keys];
 	}
 
-	/** Adds a confirmed crash or cleared calls; returns false if all of it is known already. */
+	/** Adds a confirmed crash, cleared calls or a rate limit; returns false if all of it is known already. */
 	add(update: LoadUpdate, now: Instant): boolean {
+		const isLimitNew = this._limits.add(update, now);
 		const at = now - update.ageMilliseconds;
 		const isCrashNew = update.crash !== undefined && update.isCrashCertain === true && now - at <= retentionMilliseconds && this._addCrash(update.crash, update, at);
 		const newlyCleared = (update.cleared ?? []).filter(fingerprint => at - (this._cleared.answeredAt(fingerprint) ?? -Infinity) >= anotherClearingMilliseconds);
@@ -65,34 +68,37 @@
 		// Most calls that are cleared are no evidence: the selection stays as it is.
 		const isSelectionChanged = isCrashNew || newlyCleared.some(fingerprint => this._isSelected(fingerprint));
 		this._selection = isSelectionChanged ? undefined : this._selection;
-		return isCrashNew || newlyCleared.length > 0;
+		return isCrashNew || newlyCleared.length > 0 || isLimitNew;
 	}
 
-	/** The crashes with suspects that are not cleared, and the callers to which recurring ones were answered, with their age at `now`. */
+	/** The crashes with suspects that are not cleared, the callers to which recurring ones were answered, and the rate limits, with their age at `now`. */
 	snapshot(now: Instant): LoadUpdate[] {
 		this._removeExpired(now);
 		const crashes = [...this._crashes].flatMap(([crash, details]) => {
 			const suspects = [...details.suspects].filter(fingerprint => this._suspectKeysOf(fingerprint, details.at).length > 0);
 			return suspects.length === 0 ? [] : [updateOf(crash, details, suspects.slice(0, maxSuspects), now)];
 		});
-		return [...crashes, ...this._answeredCallers(this.keys, now)];
+		return [...crashes, ...this._answeredCallers([...this._selected().keys()], now), ...this._limits.select(undefined, now)];
 	}
 
 	/** The evidence of these keys, as far as it is known here. */
 	select(keys: readonly EvidenceKey[], now: Instant): LoadUpdate[] {
-		return keys.flatMap(key => {
+		const crashes = keys.flatMap(key => {
 			const evidence = this._selected().get(key);
 			return evidence === undefined ? [] : [updateOf(evidence.crash, this._crashes.get(evidence.crash)!, [evidence.fingerprint], now)];
 		});
+		return [...crashes, ...this._limits.select(keys, now)];
 	}
 
 	/** Compares the evidence known here with that of another VM, whose keys are `known`. */
 	compare(known: readonly EvidenceKey[], now: Instant): EvidenceReply {
 		this._removeExpired(now);
 		const lacking = this.keys.filter(key => !known.includes(key));
-		const answered = this._answeredCallers(lacking, now);
+		const answered = this._answeredCallers(lacking.filter(key => !StatedLimits.isKey(key)), now);
 		const clearings = known.filter(key => !this._selected().has(key)).flatMap(key => this._clearingsOf(key, now));
-		return {updates: [...this.select(lacking, now), ...answered, ...clearings], missing: known.filter(key => this._find(key) === undefined).slice(0, maxCompared)};
+		const limitKeys = new Set(this._limits.keys);
+		const missing = known.filter(key => StatedLimits.isKey(key) ? !limitKeys.has(key) : this._find(key) === undefined);
+		return {updates: [...this.select(lacking, now), ...answered, ...clearings], missing: missing.slice(0, maxCompared)};
 	}
 
 	/**
--- a/src/common/registry/update-exchange.ts
+++ b/src/common/registry/update-exchange.ts
@@ -17,10 +17,11 @@
 
 /**
  * Minimum time between two first rounds. Updates come in bursts when backend servers crash, and a message for each would keep
- * a small VM from its calls. Crashes wait less: until they are known, other VMs send the same call to further backend servers.
+ * a small VM from its calls. Crashes and rate limits wait less: until they are known, other VMs send the same call to further
+ * backend servers, or too many calls to a limited one.
  */
 const sendIntervalMilliseconds: Milliseconds = 100;
-const crashIntervalMilliseconds: Milliseconds = 20;
+const urgentIntervalMilliseconds: Milliseconds = 20;
 
 /** Later rounds of all updates are done together, at multiples of this time. */
 const laterRoundsMilliseconds: Milliseconds = 1000;
@@ -41,7 +42,7 @@
 	readonly random: RandomSource;
 	/** Addresses of all other VMs. */
 	readonly peers: () => readonly PeerAddress[];
-	/** Keeps the crashes and cleared calls of all updates. */
+	/** Keeps the crashes, cleared calls and rate limits of all updates. */
 	readonly evidence: EvidenceStore;
 };
 
@@ -100,7 +101,7 @@
 
 		this._entries.delete(key);
 		this._entries.set(key, {
-			update, madeAt: this._context.now - update.ageMilliseconds, round, dueAt: this._dueAt(round, update.crash === undefined ? sendIntervalMilliseconds : crashIntervalMilliseconds),
+			update, madeAt: this._context.now - update.ageMilliseconds, round, dueAt: this._dueAt(round, isUrgent(update) ? urgentIntervalMilliseconds : sendIntervalMilliseconds),
 		});
 		if (this._entries.size > maxUpdates) {
 			this._entries.delete(this._entries.keys().next().value!);
@@ -168,11 +169,16 @@
 	}
 }
 
-/** Whether the update is kept as evidence of crashes. */
-function isEvidence({crash, isCrashCertain, cleared}: LoadUpdate): boolean {
-	return (crash !== undefined && isCrashCertain === true) || cleared !== undefined;
+/** Whether the update is kept as evidence. */
+function isEvidence({crash, isCrashCertain, cleared, rateLimit}: LoadUpdate): boolean {
+	return (crash !== undefined && isCrashCertain === true) || cleared !== undefined || rateLimit !== undefined;
 }
 
-function keyOf({identity, report, crash, suspects, cleared}: LoadUpdate): string {
-	return JSON.stringify([identity, report?.instance, report?.isLeaving, crash, suspects, cleared]);
+function isUrgent({crash, rateLimit}: LoadUpdate): boolean {
+	return crash !== undefined || rateLimit !== undefined;
+}
+
+/** A later statement on the rate limit of a process replaces an earlier one that is not sent yet. */
+function keyOf({identity, report, crash, suspects, cleared, rateLimit}: LoadUpdate): string {
+	return JSON.stringify([identity, report?.instance, report?.isLeaving, crash, suspects, cleared, rateLimit?.process]);
 }
--- a/src/node/fleet/update-codec.test.ts
+++ b/src/node/fleet/update-codec.test.ts
@@ -12,6 +12,9 @@
 	{
 		identity: 'none', report: undefined, ageMilliseconds: 0, suspects: [], crash: undefined, cleared: ['a'],
 	},
+	...[2.5, undefined].map((callsPerSecond, index) => ({
+		identity: 'i-1', report: undefined, ageMilliseconds: 5, suspects: [], crash: undefined, rateLimit: {process: 'i-1@5', callsPerSecond, sequence: index + 1},
+	})),
 	{
 		identity: 'i-2', report: {
 			inFlight: 1, queued: 0, slots: 6, instance: undefined, isLeaving: true,
--- a/src/node/fleet/update-codec.ts
+++ b/src/node/fleet/update-codec.ts
@@ -24,6 +24,9 @@
 	isLeaving: z.boolean(),
 });
 
+/** `callsPerSecond` is absent once the limit has ended. */
+const rateLimitSchema = z.object({process: z.string().min(1).max(256), callsPerSecond: z.number().positive().optional(), sequence: z.int().min(1)});
+
 /** Schema of one update. Suspects of a crash are limited as in the call engine. */
 export const updateSchema = z.object({
 	identity: z.string().min(1).max(128),
@@ -33,6 +36,7 @@
 	crash: z.string().max(256).optional(),
 	isCrashCertain: z.boolean().optional(),
 	cleared: z.array(fingerprintSchema).max(64).optional(),
+	rateLimit: rateLimitSchema.optional(),
 });
 
 const updatesSchema = z.array(updateSchema).max(1000);
@@ -44,19 +48,20 @@
 
 export type EncodedUpdate = z.input<typeof updateSchema>;
 
-export function toWire({identity, report, ageMilliseconds, suspects, crash, isCrashCertain, cleared}: LoadUpdate): EncodedUpdate {
+export function toWire({identity, report, ageMilliseconds, suspects, crash, isCrashCertain, cleared, rateLimit}: LoadUpdate): EncodedUpdate {
 	return {
-		identity, report, ageMilliseconds: Math.round(ageMilliseconds), suspects: [...suspects], crash, isCrashCertain, cleared: cleared === undefined ? undefined : [...cleared],
+		identity, report, ageMilliseconds: Math.round(ageMilliseconds), suspects: [...suspects], crash, isCrashCertain, cleared: cleared === undefined ? undefined : [...cleared], rateLimit,
 	};
 }
 
-export function fromWire({report, crash, isCrashCertain, cleared, ...update}: z.output<typeof updateSchema>): LoadUpdate {
+export function fromWire({report, crash, isCrashCertain, cleared, rateLimit, ...update}: z.output<typeof updateSchema>): LoadUpdate {
 	return {
 		...update,
 		report: report === undefined ? undefined : {...report, instance: report.instance},
 		crash,
 		...(isCrashCertain === undefined ? {} : {isCrashCertain}),
 		...(cleared === undefined ? {} : {cleared}),
+		...(rateLimit === undefined ? {} : {rateLimit: {...rateLimit, callsPerSecond: rateLimit.callsPerSecond}}),
 	};
 }
 
