Use the tokens of a limited backend server while others have room

What owners saw: once all VMs know a limit, a backend server that names 1.3 or 6 a second got 0.15 of it in the model where other servers had room, and VMs learnt late that a limit had ended. Cause: a VM asks for a token as a call arrives, but placing chose among all servers at random, so that the token expired.

Change: a backend server with a token is among those that the next call probes; tokens expire after 500 ms instead of 250; without waiting calls a VM asks for limited servers of its own data centre only. In 4 s a limit then gives at most 5 N, or 4.5 N + 3, calls by tokens, for 6 N + 5 allowed.

--- a/src/common/calls/admission/admission.ts
+++ b/src/common/calls/admission/admission.ts
@@ -128,10 +128,16 @@
 		this._completion.refuse(call, 'overloaded', now);
 	}
 
+	/** Requests tokens of limited backend servers, of other data centres only if calls wait or none is local. */
 	private _requestTokens(service: ServiceState, now: Instant): void {
-		if (service.limitedServers.size > 0) {
-			this._context.rateLimiter.request(service.limitedServers, service.queue.size, now);
+		const {limitedServers, queue} = service;
+		if (limitedServers.size === 0) {
+			return;
 		}
+
+		const {dataCentre} = this._context.settings;
+		const isWide = queue.size > 0 || service.serversIn(dataCentre).length === 0;
+		this._context.rateLimiter.request(isWide ? limitedServers : [...limitedServers].filter(({declared}) => declared.dataCentre === dataCentre), queue.size, now);
 	}
 
 	/** No usable backend server is left, so waiting would only cost callers their time. */
--- a/src/common/calls/backend-rates/granted-tokens.ts
+++ b/src/common/calls/backend-rates/granted-tokens.ts
@@ -3,7 +3,7 @@
 import {type ServerTokenResult} from '../../limits/types.ts';
 
 /** A token is used within this time, so that an attempt does not start in a later span than the one it was granted for. */
-const tokenMilliseconds: Milliseconds = 250;
+const tokenMilliseconds: Milliseconds = 500;
 
 /** Pause after a token that no call has used. */
 const unusedPauseMilliseconds: Milliseconds = 1000;
--- a/src/common/calls/placement/demand-placer.ts
+++ b/src/common/calls/placement/demand-placer.ts
@@ -144,7 +144,9 @@
 			server, score: this._expectedOutcome(server, call, now, 1).utility + ((this._context.random.next() - 0.5) * scoreJitter),
 		}));
 		scored.sort((one, other) => other.score - one.score);
-		const chosen = scored.slice(0, count).map(({server}) => server);
+		// A token of a rate limit soon expires, and a random choice among many backend servers would rarely use it.
+		const granted = serviceState.limitedServers.size === 0 ? [] : [...serviceState.limitedServers].filter(server => isSelectable(server)).slice(0, 1);
+		const chosen = [...new Set([...granted, ...scored.map(({server}) => server)])].slice(0, count);
 		if (isInSubset || probed.size === 0) {
 			serviceState.subset?.recordUses(chosen.length, now);
 		}
--- a/src/common/registry/named-limits.test.ts
+++ b/src/common/registry/named-limits.test.ts
@@ -125,6 +125,12 @@
 		expect([model.worstExcess, model.worstOwnerExcess].map(excess => excess <= 0)).toEqual([true, true]);
 	});
 
+	// Guards the capacity of a backend server in need: what it still takes must not be left to calls that have to wait.
+	it('is used at least by half where other backend servers have room', () => {
+		const used = [1.3, 6].map(limit => modelOf({limitOf: firstServerNames(limit)}).run(runMilliseconds).arrivalsBetween(0, 6000, runMilliseconds) / (limit * 10));
+		expect(Math.min(...used)).toBeGreaterThanOrEqual(0.5);
+	});
+
 	// Guards against limits so strict that callers are refused although the backend servers would take their calls.
 	it('is used to nine tenths by waiting calls', () => {
 		const limit = 6;
