Let no error end the limit of a backend server

What owners would see: a backend server in need that turns calls away with 429 or another status from 400 to 499, without the headers of its answers, ended its limit, now for all VMs at once. Cause: only errors from 500 on were excluded. Class: the absence of a header taken for a statement; the rest of the paths (load probes, answers older than the announcement, answers declared not run) were excluded before.

--- a/src/common/calls/backend-rates/rate-limit.test.ts
+++ b/src/common/calls/backend-rates/rate-limit.test.ts
@@ -260,16 +260,18 @@
 		expect(linesOf(driver.head(late)).includes('rate-limit-changed')).toEqual(false);
 	});
 
+	for (const status of [404, 429, 500]) {
 	// Guards a limit against errors, which a backend server in need writes without the headers of its answers.
-	it('is not ended by an error', () => {
-		const driver = singleVmDriver(1);
-		const {attemptId} = begin(driver, 1);
-		driver.head(attemptId, {rateLimit: 1});
-		driver.handle({type: 'attempt-done', attemptId});
-		driver.passTime(2000);
-		const effects = driver.head(begin(driver, 2).attemptId, {status: 500});
-		expect(linesOf(effects).includes('rate-limit-changed')).toEqual(false);
-	});
+		it(`is not ended by an error ${status}`, () => {
+			const driver = singleVmDriver(1);
+			const {attemptId} = begin(driver, 1);
+			driver.head(attemptId, {rateLimit: 1});
+			driver.handle({type: 'attempt-done', attemptId});
+			driver.passTime(2000);
+			const effects = driver.head(begin(driver, 2).attemptId, {status});
+			expect(linesOf(effects).includes('rate-limit-changed')).toEqual(false);
+		});
+	}
 
 	// Guards calls against a malformed header of a backend server.
 	it('is not changed by an unreadable one, which is reported once', () => {
--- a/src/common/calls/backend-rates/rate-limit.ts
+++ b/src/common/calls/backend-rates/rate-limit.ts
@@ -1,6 +1,6 @@
 /** Rate limit that a backend server announces in its answers, as far as it applies to this VM. */
 import {type Instant} from '../../model/units.ts';
-import {minServerErrorStatus} from '../outcomes.ts';
+import {minErrorStatus} from '../outcomes.ts';
 import {type RateLimitNotice, type RateLimitStatement} from '../types.ts';
 import {GrantedTokens} from './granted-tokens.ts';
 import {RandomStarts} from './random-starts.ts';
@@ -53,7 +53,7 @@
 	 * a regular answer, and if the attempt started after the last announcement, since the answer may be older otherwise.
 	 */
 	applyAnswer({notice, status, startedAt}: AnswerRateLimit, now: Instant): RateLimitChange {
-		return notice === undefined && (status >= minServerErrorStatus || startedAt <= this._announcedAt) ? 'none' : this._apply(notice, now);
+		return notice === undefined && (status >= minErrorStatus || startedAt <= this._announcedAt) ? 'none' : this._apply(notice, now);
 	}
 
 	/** Applies the response to a load probe that was sent at `sentAt`. */
