--- a/src/common/calls/backend-rates/rate-limit.test.ts
+++ b/src/common/calls/backend-rates/rate-limit.test.ts
@@ -286,6 +286,15 @@
 		expect(changes.map(effect => effect.type === 'rate-limit-changed' ? [effect.rateLimit, effect.limitedServers] : [])).toEqual([['unreadable', 0]]);
 	});
 
+	// Guards a backend server that takes no calls for a while against all of them.
+	it('of 0 lets a call through every ten seconds, which shows when it ends', () => {
+		const driver = singleVmDriver(1);
+		serve(driver, 500, firstServerAnnounces(0));
+		const counts = [10_000, 10_000].map(milliseconds => serve(driver, milliseconds, firstServerAnnounces(0)).get('identity-0'));
+		serve(driver, 11_000, noneAnnounces);
+		expect([counts, serve(driver, 1000, noneAnnounces).get('identity-0')! > 10]).toEqual([[1, 1], true]);
+	});
+
 	it('refuses a call at once if no backend server may get it in time, with a retry delay', () => {
 		const driver = singleVmDriver(1);
 		serve(driver, 1500, () => ({rateLimit: 0.5}));
--- a/src/common/calls/backend-rates/rate-limit.ts
+++ b/src/common/calls/backend-rates/rate-limit.ts
@@ -10,6 +10,9 @@
 /** Rate limit in the answer to an attempt that started at `startedAt`; `notice` undefined = it has none. */
 export type AnswerRateLimit = {readonly notice: RateLimitNotice | undefined; readonly status: number; readonly startedAt: Instant};
 
+/** Minimum limit that is applied: a backend server that takes no calls, or hardly any, still gets one from time to time, whose answer can end the limit. */
+const minCallsPerSecond = 0.1;
+
 /** Effect of an answer on the rate limit. */
 export type RateLimitChange = 'named' | 'changed' | 'ended' | 'unreadable' | 'none';
 
@@ -85,7 +88,7 @@
 		}
 
 		this._isUnreadable = false;
-		return this._set(notice, now);
+		return this._set(notice === undefined ? undefined : Math.max(minCallsPerSecond, notice), now);
 	}
 
 	private _set(callsPerSecond: number | undefined, at: Instant): RateLimitChange {
