Divide the part of a limit that no holder grants by the VMs of the last minute

What owners would see: while no holder of a limit answers, each VM starts attempts at a quarter of the limit divided by its own list of VMs. In an outage in which leases end, holders and lists go at the same time, and VMs that each know one other would use the whole limit many times over.

Change: the largest number of VMs known in the last minute divides the quarter.

--- a/src/common/calls/backend-rates/rate-limit.test.ts
+++ b/src/common/calls/backend-rates/rate-limit.test.ts
@@ -317,6 +317,31 @@
 		expect(counts.get('identity-0')!).toBeLessThanOrEqual(9);
 	});
 
+	// Guards a backend server in need against VMs that each take themselves for nearly alone while no holder answers.
+	it('is divided by the VMs of the last minute while no holder answers, also if the list is short', () => {
+		const configuration = configurationOf(1, {retryShare: 1, measuring: {mode: 'on-demand', callsPerWindow: 10_000}});
+		const driver = new EngineDriver(configuration, {}, 1, {}, {rateLimits: 'granted'});
+		const shareAmong = (vmCount: number) => driver.handle({
+			type: 'shares', shares: {
+				loadProbeFraction: 0, loadProbesFrom: 0, loadProbesUntil: 0, connectionFraction: 1, vmCount,
+			},
+		});
+		shareAmong(120);
+		driver.passTime(4000);
+		const {attemptId} = begin(driver, 1);
+		driver.head(attemptId, {rateLimit: 48});
+		driver.handle({type: 'attempt-done', attemptId});
+		shareAmong(2);
+		const startsIn = (milliseconds: Milliseconds) => Array.from({length: milliseconds / 100}, (_, index) => {
+			const effects = [...driver.passTime(100), ...driver.handle(readOf(1000 + index))];
+			const answers = effects.flatMap(effect => effect.type === 'server-tokens-wanted' ? [...driver.handle({type: 'server-tokens', server: effect.request.server, result: {kind: 'unavailable'}})] : []);
+			const started = [...effects, ...answers];
+			return [...started, ...answerLoadProbes(driver, loadProbesIn(started), () => reportOf('p', {workTimeFactor: 1}))].filter(({type}) => type === 'start-attempt').length;
+		}).reduce((sum, count) => sum + count, 0);
+		// 0.1 and, after a minute, 6 calls per second.
+		expect([startsIn(50_000) <= 15, startsIn(40_000) >= 30]).toEqual([true, true]);
+	});
+
 	it('does not apply to a later process of the same identity', () => {
 		const driver = singleVmDriver(1);
 		driver.handle({type: 'configured', configuration: startedAt(4)});
--- a/src/common/calls/backend-rates/rate-limiter.ts
+++ b/src/common/calls/backend-rates/rate-limiter.ts
@@ -4,10 +4,14 @@
 import {type BackendServerState} from '../backend-server-state.ts';
 import {processIdentityOf} from '../health/process-identity.ts';
 import {type RateQuota, type RateShare} from './rate-quota.ts';
+import {RecentMaximum} from './recent-maximum.ts';
 
 /** Fraction of a limit that all VMs use together while its holder does not answer: their lists of VMs, by which they share it, may differ. */
 const unavailableFraction = 0.25;
 
+/** The lists of VMs are short for a while when leases end in an outage, which is also when no holder answers. */
+const vmCountMilliseconds: Milliseconds = 60_000;
+
 /** The lists of VMs of a fleet that starts together are complete after this time. */
 const settlingMilliseconds: Milliseconds = 3000;
 
@@ -22,6 +26,8 @@
 	isAllowed(server: BackendServerState, now: Instant): boolean;
 	/** Counts an attempt that starts. */
 	take(server: BackendServerState, now: Instant): void;
+	/** Sets the number of VMs that serve, as far as this VM knows, itself included. */
+	setVmCount(count: number, now: Instant): void;
 	/** Prepares for a call of a service with these limited backend servers; `waiting` = number of its queued calls. */
 	request(servers: Iterable<BackendServerState>, waiting: number, now: Instant): void;
 	/** Applies the outcome of a request for a process's tokens. Returns its backend server; undefined = nothing was requested. */
@@ -48,6 +54,10 @@
 		server.rateLimit.share.take(this._shareOf(server, now), now);
 	}
 
+	setVmCount(): void {
+		// The shares have a list of their own.
+	}
+
 	request(): void {
 		// A share needs no request.
 	}
@@ -63,8 +73,6 @@
 
 export type GrantedRateLimiterOptions = {
 	readonly random: RandomSource;
-	/** Number of VMs that serve, this one included; undefined = not known yet. */
-	readonly vmCount: () => number | undefined;
 	readonly send: (request: ServerTokenRequest) => void;
 };
 
@@ -76,12 +84,19 @@
 	private readonly _options: GrantedRateLimiterOptions;
 	/** Backend servers with a request in flight, by process. */
 	private readonly _requested = new Map<string, BackendServerState>();
-	private _settledAt: Instant | undefined;
+	private readonly _vmCount = new RecentMaximum(vmCountMilliseconds);
+	/** When the list of VMs is complete. */
+	private _settledAt: Instant = Infinity;
 
 	constructor(options: GrantedRateLimiterOptions) {
 		this._options = options;
 	}
 
+	setVmCount(count: number, now: Instant): void {
+		this._vmCount.set(count, now);
+		this._settledAt = Math.min(this._settledAt, now + settlingMilliseconds);
+	}
+
 	availableAt(server: BackendServerState, now: Instant): Instant {
 		const {tokens} = server.rateLimit;
 		return tokens.isUnavailable && !tokens.has(now) ? this._randomStartAt(server, now) : tokens.availableAt(now);
@@ -97,7 +112,7 @@
 		if (rateLimit.tokens.has(now)) {
 			rateLimit.tokens.take();
 		} else {
-			rateLimit.randomStarts.take(this._unavailableRate(server), this._options.random, now);
+			rateLimit.randomStarts.take(this._unavailableRate(server, now), this._options.random, now);
 		}
 	}
 
@@ -129,16 +144,11 @@
 
 	/** Time of the next attempt while no holder answers. */
 	private _randomStartAt(server: BackendServerState, now: Instant): Instant {
-		this._settledAt ??= this._options.vmCount() === undefined ? undefined : now + settlingMilliseconds;
-		if (this._settledAt === undefined || now < this._settledAt) {
-			return this._settledAt ?? Infinity;
-		}
-
-		return server.rateLimit.randomStarts.nextAt(this._unavailableRate(server), this._options.random, now);
+		return now < this._settledAt ? this._settledAt : server.rateLimit.randomStarts.nextAt(this._unavailableRate(server, now), this._options.random, now);
 	}
 
 	/** Calls per second of this VM while no holder answers. */
-	private _unavailableRate({rateLimit}: BackendServerState): number {
-		return unavailableFraction * rateLimit.callsPerSecond! / Math.max(1, this._options.vmCount() ?? 1);
+	private _unavailableRate({rateLimit}: BackendServerState, now: Instant): number {
+		return unavailableFraction * rateLimit.callsPerSecond! / Math.max(1, this._vmCount.get(now) ?? 1);
 	}
 }
--- a/src/common/calls/call-engine.ts
+++ b/src/common/calls/call-engine.ts
@@ -79,7 +79,6 @@
 			rateLimiter: options.rateLimits === 'granted'
 				? new GrantedRateLimiter({
 					random: options.random,
-					vmCount: () => this._context.shares?.vmCount,
 					send: request => {
 						this._context.effects.push({type: 'server-tokens-wanted', request});
 					},
--- a/src/common/calls/service-directory.ts
+++ b/src/common/calls/service-directory.ts
@@ -108,6 +108,7 @@
 		}
 
 		this._context.shares = shares;
+		this._context.rateLimiter.setVmCount(shares.vmCount, now);
 		this._context.links.setRelays(shares.relays ?? [], now);
 		for (const service of this._services.values()) {
 			service.setVmCount(vmCountOf(this._context));
