Pass announced limits on in fleets that lead themselves too

The class of the fault in the store-led fleet, on the other transport: the peers' messages carry an update's fields by a schema of their own, so that a statement on a limit was left out, and its update would have replaced a load report that was not sent yet. The message and the schema have the statement now, and it is passed on like a crash, by every VM. Builds before this one ignore the field. The round trip over gRPC is in the test of the transport; how fast it reaches such a fleet was not measured.

--- a/src/common/calls/peer-updates.ts
+++ b/src/common/calls/peer-updates.ts
@@ -7,7 +7,7 @@
 	/** Identity of the process. */
 	readonly process: string;
 	/** Calls per second that it accepts from all VMs together; undefined = it no longer announces a limit. */
-	readonly callsPerSecond: number | undefined;
+	readonly callsPerSecond?: number | undefined;
 	/** Higher for a later statement on the same process, whichever VM made it. */
 	readonly sequence: number;
 };
--- a/src/common/fleet/leaving/load-update-exchange.ts
+++ b/src/common/fleet/leaving/load-update-exchange.ts
@@ -1,4 +1,4 @@
-/** Spreads load reports and crashes of backend servers among the VMs, so that many VMs use one measurement. Bounded in bytes and sends. */
+/** Spreads load reports, crashes and rate limits of backend servers among the VMs, so that many VMs use one measurement. Bounded in bytes and sends. */
 import {type LoadUpdate} from '../../calls/types.ts';
 import {type Instant, type Milliseconds} from '../../model/units.ts';
 import {type FleetContext} from '../fleet-context.ts';
@@ -16,9 +16,9 @@
 
 type Entry = {readonly update: LoadUpdate; readonly madeAt: Instant; readonly maxSends: number; sendCount: number};
 
-/** Whether the update is about calls that crash backend servers, which all VMs must know. */
-function isEvidence({crash, cleared}: LoadUpdate): boolean {
-	return crash !== undefined || cleared !== undefined;
+/** Whether the update is about calls that crash backend servers, or a rate limit, which all VMs must know. */
+function isEvidence({crash, cleared, rateLimit}: LoadUpdate): boolean {
+	return crash !== undefined || cleared !== undefined || rateLimit !== undefined;
 }
 
 export class LoadUpdateExchange {
@@ -39,7 +39,7 @@
 		this._store(update, isEvidence(update) ? maxCrashSends : maxReportSends);
 	}
 
-	/** Handles updates from a peer: crashes are passed on to other VMs, reports are not. */
+	/** Handles updates from a peer: crashes and rate limits are passed on to other VMs, reports are not. */
 	handlePeerUpdates(update: readonly LoadUpdate[]): void {
 		const newUpdates = update.filter(entry => !this._entries.has(this._key(entry)) || !isEvidence(entry));
 		for (const entry of newUpdates) {
@@ -74,7 +74,11 @@
 	}
 
 	private _key(update: LoadUpdate): string {
-		const {identity, crash, isCrashCertain = false, suspects, cleared = []} = update;
+		const {identity, crash, isCrashCertain = false, suspects, cleared = [], rateLimit} = update;
+		if (rateLimit !== undefined) {
+			return `rate limit ${rateLimit.process} ${rateLimit.sequence} ${rateLimit.callsPerSecond}`;
+		}
+
 		// Several VMs report different suspects of one crash.
 		return isEvidence(update) ? `evidence ${identity} ${crash} ${isCrashCertain} ${suspects.join(' ')} ${cleared.join(' ')}` : `report ${identity}`;
 	}
--- a/src/common/fleet/peer-messages.ts
+++ b/src/common/fleet/peer-messages.ts
@@ -61,6 +61,8 @@
 	/** Absent in messages of earlier builds. */
 	isCrashCertain: z.boolean().optional(),
 	cleared: z.array(z.string().max(128)).max(64).readonly().optional(),
+	/** `callsPerSecond` is absent once the limit has ended. */
+	rateLimit: z.strictObject({process: z.string().max(256), callsPerSecond: z.number().positive().optional(), sequence: z.int().min(1)}).optional(),
 });
 
 /** An accepted configuration change, as stored in the platform's service and passed from VM to VM. */
--- a/src/node/fleet/update-codec.ts
+++ b/src/node/fleet/update-codec.ts
@@ -61,7 +61,7 @@
 		crash,
 		...(isCrashCertain === undefined ? {} : {isCrashCertain}),
 		...(cleared === undefined ? {} : {cleared}),
-		...(rateLimit === undefined ? {} : {rateLimit: {...rateLimit, callsPerSecond: rateLimit.callsPerSecond}}),
+		...(rateLimit === undefined ? {} : {rateLimit}),
 	};
 }
 
--- a/src/node/peers/grpc-peer-transport.test.ts
+++ b/src/node/peers/grpc-peer-transport.test.ts
@@ -78,6 +78,12 @@
 		{
 			identity: 'server', ageMilliseconds: 5, suspects: [], cleared: ['f1', 'f2'],
 		},
+		{
+			identity: 'server', ageMilliseconds: 5, suspects: [], rateLimit: {process: 'server@1', callsPerSecond: 2.5, sequence: 3},
+		},
+		{
+			identity: 'server', ageMilliseconds: 5, suspects: [], rateLimit: {process: 'server@1', sequence: 4},
+		},
 		{
 			identity: 'server', ageMilliseconds: 5, suspects: [], report: {
 				inFlight: 1, queued: 2, slots: 6, isLeaving: false,
--- a/src/node/peers/peer-codec.ts
+++ b/src/node/peers/peer-codec.ts
@@ -89,7 +89,13 @@
 		update.cleared = cleared;
 	}
 
-	return update.report === undefined ? update : {...update, report: withoutPresenceFlags(update.report)};
+	for (const part of ['report', 'rateLimit'] as const) {
+		if (update[part] !== undefined) {
+			update[part] = withoutPresenceFlags(update[part]);
+		}
+	}
+
+	return update;
 }
 
 function messageFromWire(wire: Record<string, unknown>): unknown {
