Let the last holder of a slot grant a part of limits while nobody has the right to

What owners would see: with the store out of reach for longer than the leases of the slots, each VM started calls by a quarter of the limit over its own list of VMs. With lists of one in sixteen of 126 VMs the rule breaks for every limit tried.

Change: a VM whose right to a slot ends while the store, as far as it is known, still names it, grants three tenths of the limits of backend servers from empty buckets, until it hears of another holder or pauses; tokens of organisations are not granted. Where that VM is gone too, the random starts are divided by 64 VMs at least, so that in a small fleet hardly any is left: a limited server then waits for the store, or for the next holder.

--- a/src/common/calls/backend-rates/rate-limiter.ts
+++ b/src/common/calls/backend-rates/rate-limiter.ts
@@ -9,6 +9,9 @@
 /** Fraction of a limit that all VMs use together while its holder does not answer: their lists of VMs, by which they share it, may differ. */
 const unavailableFraction = 0.25;
 
+/** Number of VMs by which it is divided at least: a short list must not let each VM use most of it. */
+const minVmCount = 64;
+
 /** The lists of VMs are short for a while when leases end in an outage, which is also when no holder answers. */
 const vmCountMilliseconds: Milliseconds = 60_000;
 
@@ -149,6 +152,6 @@
 
 	/** Calls per second of this VM while no holder answers. */
 	private _unavailableRate({rateLimit}: BackendServerState, now: Instant): number {
-		return unavailableFraction * rateLimit.callsPerSecond! / Math.max(1, this._vmCount.get(now) ?? 1);
+		return unavailableFraction * rateLimit.callsPerSecond! / Math.max(minVmCount, this._vmCount.get(now) ?? 0);
 	}
 }
--- a/src/common/limits/limits.ts
+++ b/src/common/limits/limits.ts
@@ -22,8 +22,17 @@
 	readonly hash: (text: string) => number;
 };
 
-/** A slot that this VM holds. */
-type HeldSlot = {readonly holder: LimitHolder; readonly servers: ServerLimitHolder; right: LimitRight};
+/**
+ * Part of the limits of backend servers that the last holder of a slot grants while nobody has the right to. Beside a new holder of which it does not know yet,
+ * the sum stays within what a backend server tolerates.
+ */
+const lapsedFraction = 0.3;
+
+/** A slot that this VM holds; `address` = its own, as the store has it. */
+type HeldSlot = {readonly holder: LimitHolder; readonly servers: ServerLimitHolder; right: LimitRight; address: string | undefined};
+
+/** A slot whose right has ended while the store, as far as this VM knows, has no other holder. */
+type LapsedSlot = {readonly address: string; readonly servers: ServerLimitHolder};
 
 /**
  * The rate limits of one VM.
@@ -35,6 +44,7 @@
 	private readonly _client: LimitClient | undefined;
 	private readonly _serverClient: ServerLimitClient | undefined;
 	private readonly _held = new Map<number, HeldSlot>();
+	private readonly _lapsed = new Map<number, LapsedSlot>();
 	/** Ends of the rights that a pause voided. Only a right that ends later was renewed after the pause. */
 	private readonly _voidedUntil = new Map<number, Instant>();
 	/** Calls that have a token. */
@@ -145,6 +155,7 @@
 		}
 
 		this._held.clear();
+		this._lapsed.clear();
 		this._tokens.clear();
 		this._client?.onWoke(now);
 		this._serverClient?.onWoke();
@@ -218,9 +229,17 @@
 
 	private _setSlots({slots, own}: LimitSlotsEffect, now: Instant): void {
 		const rights = new Map(own.map(right => [right.slot, right]));
-		for (const slot of this._held.keys()) {
+		const addresses = new Map(slots.map(({slot, address}) => [slot, address]));
+		for (const [slot, {address}] of this._lapsed) {
+			if (rights.has(slot) || addresses.get(slot) !== address) {
+				this._lapsed.delete(slot);
+			}
+		}
+
+		for (const [slot, {address}] of this._held) {
 			if (!rights.has(slot)) {
 				this._held.delete(slot);
+				this._lapse(slot, address, addresses.get(slot));
 			}
 		}
 
@@ -235,8 +254,11 @@
 			// Another VM may have held the slot between two rights that do not adjoin, and granted what its buckets had.
 			if (held !== undefined && right.from <= held.right.until && now < held.right.until) {
 				held.right = right;
+				held.address = addresses.get(slot);
 			} else {
-				this._held.set(slot, {holder: new LimitHolder(slot, this._limits, Math.max(now, right.from)), servers: new ServerLimitHolder(), right});
+				this._held.set(slot, {
+					holder: new LimitHolder(slot, this._limits, Math.max(now, right.from)), servers: new ServerLimitHolder(), right, address: addresses.get(slot),
+				});
 			}
 		}
 
@@ -244,6 +266,19 @@
 		this._client?.setHolders(slots, now);
 	}
 
+	/**
+	 * Grants a part of the limits of backend servers from now on, if the store still names this VM: while it is out of reach, no other VM can
+	 * obtain the right, and what each VM might start by itself could only be bounded by its own list of VMs.
+	 */
+	private _lapse(slot: number, ownAddress: string | undefined, address: string | undefined): void {
+		if (ownAddress !== undefined && ownAddress === address) {
+			this._lapsed.set(slot, {address, servers: new ServerLimitHolder(lapsedFraction)});
+			this._effects.push({
+				type: 'log', level: 'info', message: 'limit slot has no holder; this VM grants a part of the limits of backend servers', details: {slot},
+			});
+		}
+	}
+
 	private _onDatagram({from, message}: DatagramEvent, now: Instant): void {
 		switch (message.kind) {
 			case 'ask':
@@ -277,11 +312,12 @@
 	/** Answers a request for tokens; undefined = the network has delivered it twice, and it was answered before. */
 	private _answer(ask: Ask | ServerAsk, from: string, now: Instant): LimitMessage | undefined {
 		const held = this._heldSlot(ask.slot, now);
-		if (held === undefined) {
-			return {kind: 'not-holder', id: ask.id, slot: ask.slot};
+		if (ask.kind === 'ask') {
+			return held === undefined ? {kind: 'not-holder', id: ask.id, slot: ask.slot} : held.holder.ask(ask, from, now);
 		}
 
-		return ask.kind === 'ask' ? held.holder.ask(ask, from, now) : held.servers.ask(ask, now);
+		const {servers} = held ?? this._lapsed.get(ask.slot) ?? {};
+		return servers?.ask(ask, now) ?? {kind: 'not-holder', id: ask.id, slot: ask.slot};
 	}
 
 	private _onTokenWanted({callId, organisation, withinMilliseconds}: Extract<LimitEvent, {type: 'token-wanted'}>, now: Instant): void {
@@ -301,7 +337,7 @@
 	}
 
 	private _send(holder: LimitSlotHolder, ask: Ask | ServerAsk, now: Instant): void {
-		if (this._heldSlot(holder.slot, now) === undefined) {
+		if (this._heldSlot(holder.slot, now) === undefined && (ask.kind === 'ask' || !this._lapsed.has(holder.slot))) {
 			this._effects.push({type: 'send-datagram', to: holder.address, message: ask});
 		} else {
 			this._ownAsks.push(ask);
--- a/src/common/limits/server-limit-holder.ts
+++ b/src/common/limits/server-limit-holder.ts
@@ -12,11 +12,6 @@
 
 type AnnouncedBucket = {readonly bucket: TokenBucket; callsPerSecond: number; announcedAt: Instant};
 
-function bucketSizeOf(callsPerSecond: number): BucketSize {
-	return {
-		callsPerSecond, capacity: Math.max(minCapacity, capacitySeconds * callsPerSecond), leastLevel: 1, totalCallsPerSecond: callsPerSecond,
-	};
-}
 
 /**
  * Grants the tokens of backend servers' limits. All tokens of a limit come from one bucket, so that their sum does not
@@ -25,6 +20,12 @@
 export class ServerLimitHolder {
 	/** By process of the backend server, least recently used first. */
 	private readonly _buckets = new Map<string, AnnouncedBucket>();
+	private readonly _fraction: number;
+
+	/** @param fraction part of each limit that this holder grants */
+	constructor(fraction = 1) {
+		this._fraction = fraction;
+	}
 
 	ask({id, slot, server, callsPerSecond, ageMilliseconds, wanted}: ServerAsk, now: Instant): ServerGrant {
 		const {bucket} = this._bucketOf(server, callsPerSecond, now - ageMilliseconds, now);
@@ -34,14 +35,21 @@
 		};
 	}
 
+	private _bucketSizeOf(limit: number): BucketSize {
+		const callsPerSecond = this._fraction * limit;
+		return {
+			callsPerSecond, capacity: Math.max(1, this._fraction * minCapacity, capacitySeconds * callsPerSecond), leastLevel: 1, totalCallsPerSecond: callsPerSecond,
+		};
+	}
+
 	/** The bucket of a process, set to the latest announcement that any VM has passed on. */
 	private _bucketOf(server: string, callsPerSecond: number, announcedAt: Instant, now: Instant): AnnouncedBucket {
-		const known = this._buckets.get(server) ?? {bucket: new TokenBucket(bucketSizeOf(callsPerSecond), now), callsPerSecond, announcedAt};
+		const known = this._buckets.get(server) ?? {bucket: new TokenBucket(this._bucketSizeOf(callsPerSecond), now), callsPerSecond, announcedAt};
 		if (announcedAt > known.announcedAt) {
 			known.announcedAt = announcedAt;
 			if (callsPerSecond !== known.callsPerSecond) {
 				known.callsPerSecond = callsPerSecond;
-				known.bucket.configure(bucketSizeOf(callsPerSecond), now);
+				known.bucket.configure(this._bucketSizeOf(callsPerSecond), now);
 			}
 		}
 
