State a lower limit to the other VMs at once

Change: only a higher limit and the end of one wait a second. Falling limits can't repeat without end, and a rise in between waits.

--- a/src/common/calls/backend-rates/stated-limit.ts
+++ b/src/common/calls/backend-rates/stated-limit.ts
@@ -2,7 +2,7 @@
 import {type Instant, type Milliseconds} from '../../model/units.ts';
 import {type RateLimitStatement} from '../types.ts';
 
-/** Minimum time between two statements of which neither names the first limit, for servers that change it with each answer. */
+/** Minimum time until a higher limit, or the end of one, is stated, for servers that change it with each answer. A lower one is stated at once. */
 const intervalMilliseconds: Milliseconds = 1000;
 
 /** Time after which a limit that still holds is stated again, so that VMs do not drop the statement. */
@@ -10,8 +10,8 @@
 
 type Statement = Pick<RateLimitStatement, 'callsPerSecond' | 'sequence'>;
 
-/** The limit of two statements; the end of a limit is the higher one. */
-function limitOf({callsPerSecond = Infinity}: Statement): number {
+/** The limit, for comparison; none is the highest. */
+function limitOf({callsPerSecond = Infinity}: Pick<Statement, 'callsPerSecond'>): number {
 	return callsPerSecond;
 }
 
@@ -53,6 +53,6 @@
 			return callsPerSecond !== undefined && age >= refreshMilliseconds;
 		}
 
-		return this._last.callsPerSecond === undefined || age >= intervalMilliseconds;
+		return limitOf({callsPerSecond}) < limitOf(this._last) || age >= intervalMilliseconds;
 	}
 }
