--- a/src/common/registry/named-limits-harness.test.ts
+++ b/src/common/registry/named-limits-harness.test.ts
@@ -90,6 +90,10 @@
 		this._startsAt = this.fleet.timeline.now;
 	}
 
+	get vmCount(): number {
+		return this._options.vmCount;
+	}
+
 	/** Time since the calls began. */
 	get elapsed(): Milliseconds {
 		return this.fleet.timeline.now - this._startsAt;
