Keep the latest statement on a limit for an entry that comes later

In a fleet that leads itself statements may arrive in any order, and an earlier one replaced a later one in the record for entries that come back.

--- a/src/common/calls/backend-rates/rate-limit-updates.ts
+++ b/src/common/calls/backend-rates/rate-limit-updates.ts
@@ -8,6 +8,7 @@
 	type BackendServerIdentity, type CallEvent, type LoadUpdate, type RateLimitNotice, type RateLimitSource, type RateLimitStatement,
 } from '../types.ts';
 import {type AnswerRateLimit, type RateLimitChange} from './rate-limit.ts';
+import {supersedes} from './stated-limit.ts';
 
 /** The services and backend servers in force. */
 export type LimitedServices = {
@@ -53,10 +54,9 @@
 		}
 
 		const at = now - Math.max(0, ageMilliseconds);
-		this._statements.delete(statement.process);
-		this._statements.set(statement.process, {statement, at});
-		if (this._statements.size > maxStatements) {
-			this._statements.delete(this._statements.keys().next().value!);
+		const known = this._statements.get(statement.process)?.statement;
+		if (known === undefined || supersedes(statement, known)) {
+			this._keepStatement(statement, at);
 		}
 
 		const server = this._services.server(identity);
@@ -101,6 +101,14 @@
 		this._report(server, server.rateLimit.applyStatement(statement, at), {source: 'peer', rateLimit: statement.callsPerSecond});
 	}
 
+	private _keepStatement(statement: RateLimitStatement, at: Instant): void {
+		this._statements.delete(statement.process);
+		this._statements.set(statement.process, {statement, at});
+		if (this._statements.size > maxStatements) {
+			this._statements.delete(this._statements.keys().next().value!);
+		}
+	}
+
 	/** States a limit, its change or its end to the other VMs, so that they need no answer of their own. */
 	private _tellPeers(server: BackendServerState, now: Instant): void {
 		const statement = server.rateLimit.takeStatement(now);
--- a/src/common/registry/evidence-store.ts
+++ b/src/common/registry/evidence-store.ts
@@ -47,7 +47,7 @@
 
 	/** Whether this VM has evidence that other VMs need. */
 	get hasEvidence(): boolean {
-		return this._selected().size > 0 || this._limits.keys.length > 0;
+		return this._selected().size > 0 || !this._limits.isEmpty;
 	}
 
 	/** Keys of the evidence that VMs compare. */
--- a/src/common/registry/stated-limits.ts
+++ b/src/common/registry/stated-limits.ts
@@ -22,6 +22,10 @@
 	/** By process, the one that was stated first at the beginning. */
 	private readonly _known = new Map<string, Known>();
 
+	get isEmpty(): boolean {
+		return this._known.size === 0;
+	}
+
 	get keys(): EvidenceKey[] {
 		return Array.from(this._known.values(), ({statement}) => keyOf(statement));
 	}
