--- a/src/common/limits/server-limit-holder.ts
+++ b/src/common/limits/server-limit-holder.ts
@@ -12,7 +12,6 @@
 
 type AnnouncedBucket = {readonly bucket: TokenBucket; callsPerSecond: number; announcedAt: Instant};
 
-
 /**
  * Grants the tokens of backend servers' limits. All tokens of a limit come from one bucket, so that their sum does not
  * depend on which VMs each VM knows. The caller checks the right to grant before every ask.
