--- a/src/common/calls/backend-rates/rate-limit-updates.ts
+++ b/src/common/calls/backend-rates/rate-limit-updates.ts
@@ -20,13 +20,13 @@
 /** What changed a rate limit; `status` = of the answer. */
 type RateLimitCause = {readonly source: RateLimitSource; readonly status?: number; readonly rateLimit: RateLimitNotice | undefined};
 
-/** Maximum number of processes whose statements are kept for the time when their entry comes, or comes back. */
+/** Maximum number of processes whose rate limits are kept until they are in the configuration. */
 const maxStatements = 4096;
 
 export class RateLimitUpdates {
 	private readonly _context: EngineContext;
 	private readonly _services: LimitedServices;
-	/** Last statement of other VMs on each process, the one stated first at the beginning. */
+	/** Rate limits that other VMs have sent, by process, the oldest first. */
 	private readonly _statements = new Map<string, {readonly statement: RateLimitStatement; readonly at: Instant}>();
 
 	constructor(context: EngineContext, services: LimitedServices) {
@@ -47,7 +47,7 @@
 		this._tellPeers(server, now);
 	}
 
-	/** Applies what another VM has stated. */
+	/** Applies a rate limit that another VM has sent. */
 	applyPeerUpdate({identity, rateLimit: statement, ageMilliseconds}: LoadUpdate, now: Instant): void {
 		if (statement === undefined) {
 			return;
@@ -65,7 +65,7 @@
 		}
 	}
 
-	/** Applies what other VMs have stated on a process whose entry was not there yet. */
+	/** Applies the rate limit that other VMs sent before this backend server was in the configuration. */
 	onRegistered(server: BackendServerState): void {
 		const known = this._statements.get(processIdentityOf(server, undefined));
 		if (known !== undefined) {
@@ -109,7 +109,7 @@
 		}
 	}
 
-	/** States a limit, its change or its end to the other VMs, so that they need no answer of their own. */
+	/** Sends a new, changed or ended rate limit to the other VMs. */
 	private _tellPeers(server: BackendServerState, now: Instant): void {
 		const statement = server.rateLimit.takeStatement(now);
 		if (statement !== undefined) {
--- a/src/common/calls/backend-rates/rate-limit.ts
+++ b/src/common/calls/backend-rates/rate-limit.ts
@@ -10,7 +10,7 @@
 /** Rate limit in the answer to an attempt that started at `startedAt`; `notice` undefined = it has none. */
 export type AnswerRateLimit = {readonly notice: RateLimitNotice | undefined; readonly status: number; readonly startedAt: Instant};
 
-/** Minimum limit that is applied: a backend server that takes no calls, or hardly any, still gets one from time to time, whose answer can end the limit. */
+/** Lowest rate that is applied, also if a backend server announces less, or 0: only the answer to a call shows that the limit has ended. */
 const minCallsPerSecond = 0.1;
 
 /** Effect of an answer on the rate limit. */
@@ -25,7 +25,7 @@
 	readonly share = new ShareBucket();
 	readonly tokens = new GrantedTokens();
 	readonly randomStarts = new RandomStarts();
-	/** What VMs have told each other. */
+	/** The rate limit as VMs have last sent it to each other. */
 	private readonly _stated = new StatedLimit();
 	private _callsPerSecond: number | undefined;
 	private _announcedAt: Instant = -Infinity;
@@ -70,12 +70,12 @@
 		return change;
 	}
 
-	/** Applies what another VM has stated at `at`. */
+	/** Applies a rate limit that another VM has sent; it was announced at `at`. */
 	applyStatement(statement: Omit<RateLimitStatement, 'process'>, at: Instant): RateLimitChange {
 		return this._stated.apply(statement, at) ? this._set(statement.callsPerSecond, at) : 'none';
 	}
 
-	/** What this VM has to state to the others now; undefined = nothing. */
+	/** The rate limit to send to the other VMs now; undefined = they need no message. */
 	takeStatement(now: Instant): Omit<RateLimitStatement, 'process'> | undefined {
 		return this._stated.take(this._callsPerSecond, now);
 	}
--- a/src/common/calls/backend-rates/rate-limiter.ts
+++ b/src/common/calls/backend-rates/rate-limiter.ts
@@ -29,7 +29,7 @@
 	isAllowed(server: BackendServerState, now: Instant): boolean;
 	/** Counts an attempt that starts. */
 	take(server: BackendServerState, now: Instant): void;
-	/** Sets the number of VMs that serve, as far as this VM knows, itself included. */
+	/** Sets the number of serving VMs in this VM's list, itself included. */
 	setVmCount(count: number, now: Instant): void;
 	/** Prepares for a call of a service with these limited backend servers; `waiting` = number of its queued calls. */
 	request(servers: Iterable<BackendServerState>, waiting: number, now: Instant): void;
--- a/src/common/calls/backend-rates/recent-maximum.ts
+++ b/src/common/calls/backend-rates/recent-maximum.ts
@@ -3,7 +3,7 @@
 
 export class RecentMaximum {
 	private readonly _milliseconds: Milliseconds;
-	/** Values that no later one has reached, with the time until which each is in force, the largest first; the last one is the present value. */
+	/** The present value, at the end, and before it the larger values of the recent past, with the time until which each counts. */
 	private readonly _values: Array<{readonly value: number; until: Instant}> = [];
 
 	/** @param milliseconds time for which a value counts after a lower one has replaced it */
--- a/src/common/calls/backend-rates/stated-limit.ts
+++ b/src/common/calls/backend-rates/stated-limit.ts
@@ -1,11 +1,11 @@
-/** Last statement on the rate limit of a backend server's process that VMs have made to each other. */
+/** The rate limit of one backend server as VMs have last sent it to each other: which message replaces which, and when to send one. */
 import {type Instant, type Milliseconds} from '../../model/units.ts';
 import {type RateLimitStatement} from '../types.ts';
 
-/** Minimum time until a higher limit, or the end of one, is stated, for servers that change it with each answer. A lower one is stated at once. */
+/** Minimum time between a message and one that raises or ends the limit, as a backend server may change it with each answer. A lower limit is sent at once. */
 const intervalMilliseconds: Milliseconds = 1000;
 
-/** Time after which a limit that still holds is stated again, so that VMs do not drop the statement. */
+/** Time after which an unchanged limit is sent again, before the other VMs drop it. */
 const refreshMilliseconds: Milliseconds = 60_000;
 
 type Statement = Pick<RateLimitStatement, 'callsPerSecond' | 'sequence'>;
--- a/src/common/limits/limits.ts
+++ b/src/common/limits/limits.ts
@@ -23,15 +23,15 @@
 };
 
 /**
- * Part of the limits of backend servers that the last holder of a slot grants while nobody has the right to. Beside a new holder of which it does not know yet,
- * the sum stays within what a backend server tolerates.
+ * Fraction of a backend server's rate limit that the last holder of a slot grants after its right has ended. The sum with a new holder, which it may not know
+ * yet, is still tolerated.
  */
 const lapsedFraction = 0.3;
 
 /** A slot that this VM holds; `address` = its own, as the store has it. */
 type HeldSlot = {readonly holder: LimitHolder; readonly servers: ServerLimitHolder; right: LimitRight; address: string | undefined};
 
-/** A slot whose right has ended while the store, as far as this VM knows, has no other holder. */
+/** A slot that this VM held last: its right has ended, and no later holder is known. */
 type LapsedSlot = {readonly address: string; readonly servers: ServerLimitHolder};
 
 /**
@@ -267,8 +267,8 @@
 	}
 
 	/**
-	 * Grants a part of the limits of backend servers from now on, if the store still names this VM: while it is out of reach, no other VM can
-	 * obtain the right, and what each VM might start by itself could only be bounded by its own list of VMs.
+	 * Goes on with a fraction of the rate limits if no later holder is known. While the store is out of reach no VM can obtain the right, and the
+	 * sum of what VMs start without a holder depends on their lists of VMs, which may differ.
 	 */
 	private _lapse(slot: number, ownAddress: string | undefined, address: string | undefined): void {
 		if (ownAddress !== undefined && ownAddress === address) {
--- a/src/common/registry/evidence-store.ts
+++ b/src/common/registry/evidence-store.ts
@@ -1,4 +1,4 @@
-/** Evidence of calls that crash backend servers, and of rate limits, as far as this VM has it from its own call engine and other VMs. */
+/** What all VMs must know: crashes of backend servers and the calls in flight there, calls cleared of suspicion, and announced rate limits. */
 import {AnsweredCalls} from '../calls/poison-requests/answered-calls.ts';
 import {isOfAnyCaller, keysOf} from '../calls/poison-requests/fingerprint-keys.ts';
 import {type BackendServerIdentity, type LoadUpdate} from '../calls/types.ts';
--- a/src/common/registry/stated-limits.ts
+++ b/src/common/registry/stated-limits.ts
@@ -1,4 +1,4 @@
-/** What VMs have stated of the rate limits of backend servers, kept for VMs that missed it. */
+/** The last message about the rate limit of each backend server, kept for VMs that missed it. */
 import {supersedes} from '../calls/backend-rates/stated-limit.ts';
 import {type BackendServerIdentity, type LoadUpdate, type RateLimitStatement} from '../calls/types.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
@@ -7,19 +7,19 @@
 /** Begins the keys of limits; those of crashes begin with the identity of a process. */
 const keyPrefix = 'rate-limit ';
 
-/** Time for which a statement is kept after it was last made. */
+/** Time after which a rate limit that no VM has sent again is dropped. */
 const retentionMilliseconds: Milliseconds = 600_000;
 
-/** Difference in age from which a statement that is made again counts as new. Ages grow a little less than time on their way. */
+/** An unchanged rate limit counts as sent again, and is passed on, if it is this much newer. Smaller differences come from the transfer of one message. */
 const repeatMilliseconds: Milliseconds = 30_000;
 
-/** Maximum number of statements that are kept, and compared. Beyond it the one that was made first is dropped. */
+/** Maximum number of rate limits; beyond it the oldest is dropped. */
 const maxStatements = 256;
 
 type Known = {readonly identity: BackendServerIdentity; readonly statement: RateLimitStatement; readonly at: Instant};
 
 export class StatedLimits {
-	/** By process, the one that was stated first at the beginning. */
+	/** By process, the oldest first. */
 	private readonly _known = new Map<string, Known>();
 
 	get isEmpty(): boolean {
--- a/src/common/registry/update-exchange.ts
+++ b/src/common/registry/update-exchange.ts
@@ -42,7 +42,7 @@
 	readonly random: RandomSource;
 	/** Addresses of all other VMs. */
 	readonly peers: () => readonly PeerAddress[];
-	/** Keeps the crashes, cleared calls and rate limits of all updates. */
+	/** Stores updates that VMs may have missed. */
 	readonly evidence: EvidenceStore;
 };
 
