--- a/src/common/registry/fleet-model.test.ts
+++ b/src/common/registry/fleet-model.test.ts
@@ -279,6 +279,7 @@
 	}
 
 	private _sendDatagram({to, message}: SendDatagramEffect): void {
+		this._model.datagrams += 1;
 		const address = this._model.callAddressOf(to);
 		if (this._model.isDatagramLost()) {
 			return;
@@ -423,6 +424,8 @@
 	/** Messages with updates between VMs, and their bytes without heads. */
 	updateMessages = 0;
 	updateBytes = 0;
+	/** Datagrams about rate limits. */
+	datagrams = 0;
 	private readonly _options: FleetModelOptions;
 	private readonly _processes = new Map<string, ModelProcess>();
 	private _starts = 0;
