Announce the close from the first step of a listener's stop

Callers: at the last stage of a planned stop, a call that was pipelined behind one in progress was refused with 503 and no `connection: close`; then the connection closed. A call sent meanwhile on that connection was lost to its caller, who was not told that it never ran.

Cause: an answer that waits behind another announces the close only once idle connections are being closed. The platform's listener closes them two rounds of the event loop after the stage begins, so that connections in the accept queue are taken first. A refusal whose head was written in between announced nothing, and no later answer did. The class: an answer written before the flag that says that connections close, although the stop has begun. Two more paths shared it: calls with incomplete bodies were refused before the flag was set (both listeners), and answers that already waited when it was set were not looked at again until the one ahead had ended.

The flag is now set when the stop begins, and the waiting answers get the header at the same time. A call that arrives after it has been written is dropped before it runs, which the caller knows by the header (RFC 9112, 9.6).

--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -170,8 +170,8 @@
 	 * bodies are still incomplete are refused.
 	 */
 	stopListening(): void {
-		this._incompleteCalls.refuseAll();
 		this.closeIdle();
+		this._incompleteCalls.refuseAll();
 		this._server.close();
 	}
 
--- a/src/node/front/graceful-server.ts
+++ b/src/node/front/graceful-server.ts
@@ -180,10 +180,12 @@
 	}
 
 	/**
-	 * Stops listening once pending connections are accepted, because closing the listener resets connections in the accept
-	 * queue together with the calls on them. The kernel refuses later connections, which proves to callers that nothing ran.
+	 * Closes connections once they are idle, and stops listening once pending connections are accepted, because closing the
+	 * listener resets connections in the accept queue together with the calls on them. The kernel refuses later connections,
+	 * which proves to callers that nothing ran.
 	 */
 	stopListening(): void {
+		this._closeAfterLastAnswers();
 		afterPendingReads(() => {
 			this.close();
 		});
@@ -194,7 +196,7 @@
 	 * a call so far stays open, because its first call may be in transit.
 	 */
 	override closeIdleConnections(): void {
-		this._closesIdleConnections = true;
+		this._closeAfterLastAnswers();
 		// Connections that are accepted from here on are excluded: their first call may be unread.
 		const existing = [...this._callerConnections.values()];
 		afterPendingReads(() => {
@@ -225,6 +227,14 @@
 		this._onCut.dispose();
 	}
 
+	/** From now on a connection closes once it is idle, so that its last answer announces the close, also while it waits. */
+	private _closeAfterLastAnswers(): void {
+		this._closesIdleConnections = true;
+		for (const connection of this._callerConnections.values()) {
+			this._setCloseHeader(connection);
+		}
+	}
+
 	private _trackConnection(socket: Socket): void {
 		const connection: Connection = {
 			socket, exchanges: [], isClosing: false, hasParseError: false, bytesReadWhenIdle: 0, bytesLeft: 0,
--- a/src/node/front/pipelined-calls.test.ts
+++ b/src/node/front/pipelined-calls.test.ts
@@ -85,6 +85,32 @@
 		expect([closedPaths.toSorted(), listener.server.unfinishedAnswers]).toEqual([['/1', '/2', '/3'], 0]);
 	});
 
+	// A caller whose last answer announces no close may lose a call that it sends while its connection closes.
+	it('announces the close in the last answer if a call arrives just before the listener closes', async () => {
+		listener.caller.write(getCall('/1'));
+		await handled(1);
+		listener.server.disableKeepAlive();
+		listener.caller.write(getCall('/2'));
+		listener.server.stopListening();
+		await handled(2);
+		answers.get('/2')!.end('second');
+		answers.get('/1')!.end('first');
+		const text = await readAll(listener.caller);
+		expect(text.match(/first|second|connection: close/giv)).toEqual(['first', 'connection: close', 'second']);
+	});
+
+	// The same for an answer that waits when the listener closes.
+	it('announces the close in a waiting answer whose head is written after the listener has closed', async () => {
+		listener.caller.write(getCall('/1') + getCall('/2'));
+		await handled(2);
+		listener.server.disableKeepAlive();
+		listener.server.stopListening();
+		answers.get('/2')!.end('second');
+		answers.get('/1')!.end('first');
+		const text = await readAll(listener.caller);
+		expect(text.match(/first|second|connection: close/giv)).toEqual(['first', 'connection: close', 'second']);
+	});
+
 	// Bytes of a later answer behind one that ends with its connection would look like a part of that answer.
 	it('aborts the calls behind an answer that closes the connection', async () => {
 		listener.caller.write(getCall('/1') + getCall('/2'));
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -163,8 +163,8 @@
 		}
 
 		if (stage === 'draining') {
-			this._incompleteCalls.refuseAll();
 			this._server.stopListening();
+			this._incompleteCalls.refuseAll();
 		}
 	}
 
