Return no port twice to tests that start several programs

Tests: 1 and 2 of 36 runs of stop-moments, three at a time, failed by EADDRINUSE at the start of a VM.

Cause: a port looks free from the end of freePorts until its program listens.

A process now keeps the ports that it has returned, until half of the range is used up. Two processes may still choose the same port.

--- a/src/stand-ins/free-ports.ts
+++ b/src/stand-ins/free-ports.ts
@@ -18,6 +18,9 @@
  */
 export const reopenedPorts: PortRange = {min: 12_000, max: 20_000};
 
+/** Ports that this process has returned. Their programs may not listen yet, so that they still look free. */
+const returnedPorts = new Set<number>();
+
 async function tryListen(port: number): Promise<Server | undefined> {
 	return new Promise(resolve => {
 		const server = createServer();
@@ -33,16 +36,24 @@
 async function listenOnRandomPort({min, max}: PortRange): Promise<{server: Server; port: number}> {
 	for (;;) {
 		const port = randomInt(min, max);
-		const server = await tryListen(port);
+		const server = returnedPorts.has(port) ? undefined : await tryListen(port);
 		if (server !== undefined) {
 			return {server, port};
 		}
 	}
 }
 
-/** Returns ports that were free during the call. Listens on all of them at once, so that no port is returned twice. */
+/** Returns ports that were free during the call, each of them once until half of the range has been returned. */
 export async function freePorts(count: number, range = daemonPorts): Promise<number[]> {
+	if (returnedPorts.size > (range.max - range.min) / 2) {
+		returnedPorts.clear();
+	}
+
 	const listeners = await Promise.all(Array.from({length: count}, async () => listenOnRandomPort(range)));
+	for (const {port} of listeners) {
+		returnedPorts.add(port);
+	}
+
 	await Promise.all(listeners.map(async ({server}) => new Promise(resolve => {
 		server.close(resolve);
 	})));
