--- a/src/common/calls/backend-rates/rate-limit.test.ts
+++ b/src/common/calls/backend-rates/rate-limit.test.ts
@@ -2,6 +2,7 @@
 import {testHash} from '../../fleet/test-utilities.test.ts';
 import {type Instant, type Milliseconds} from '../../model/units.ts';
 import {seededRandom} from '../../random/random.ts';
+import {countedMilliseconds, toleratedCalls} from '../../../stand-ins/rate-limit-rule.ts';
 import {
 	answerLoadProbes, configurationOf, EngineDriver, linesOf, loadProbesIn, reportOf, requestOf, type Start, startIn,
 } from '../engine-driver.test.ts';
@@ -20,11 +21,6 @@
 	};
 }
 
-/** Calls that a backend server tolerates within a span: this multiple of its rate over the span, and some more. */
-const spanMilliseconds: Milliseconds = 4000;
-const tolerance = 1.5;
-const allowance = 5;
-
 /** The limit applies this long after it was first announced, and to each VM this long after the VM received it. */
 const fleetGraceMilliseconds: Milliseconds = 3000;
 const vmGraceMilliseconds: Milliseconds = 500;
@@ -93,8 +89,8 @@
 	/** Calls of informed VMs in the worst span since the limit applies. */
 	worstSpan(): number {
 		const counted = this.starts.filter(({vm, at}) => at >= (this.informedAt.get(vm) ?? Infinity) + vmGraceMilliseconds);
-		const isBound = (at: Instant) => at + spanMilliseconds >= limitStartsAt + fleetGraceMilliseconds;
-		return Math.max(0, ...counted.map(({at}) => counted.filter(other => isBound(at) && other.at >= at && other.at < at + spanMilliseconds).length));
+		const isBound = (at: Instant) => at + countedMilliseconds >= limitStartsAt + fleetGraceMilliseconds;
+		return Math.max(0, ...counted.map(({at}) => counted.filter(other => isBound(at) && other.at >= at && other.at < at + countedMilliseconds).length));
 	}
 
 	private _rateLimitOf(identity: string, now: Instant): {rateLimit?: number} {
@@ -158,7 +154,7 @@
 				const worst = [1, 2].map(seed => new LimitedFleet({
 					vmCount: 16, serverCount: 6, callsPerSecond: 90, limit, isAnnouncedByProbes, seed,
 				}).run().worstSpan());
-				expect(Math.max(...worst)).toBeLessThanOrEqual((tolerance * limit * spanMilliseconds / 1000) + allowance);
+				expect(Math.max(...worst)).toBeLessThanOrEqual(toleratedCalls(limit));
 			});
 		}
 	}
--- a/src/common/registry/named-limits-harness.test.ts
+++ b/src/common/registry/named-limits-harness.test.ts
@@ -8,6 +8,7 @@
 import {testHash} from '../fleet/test-utilities.test.ts';
 import {serviceSchema} from '../model/resources.ts';
 import {type Instant, type Milliseconds, type RandomSource} from '../model/units.ts';
+import {countedMilliseconds, toleratedCalls} from '../../stand-ins/rate-limit-rule.ts';
 import {FleetModel, type CallModel, type ModelProcess} from './fleet-model.test.ts';
 import {documents} from './registry-driver.test.ts';
 import {type DocumentCodec} from './types.ts';
@@ -16,11 +17,6 @@
 const networkMilliseconds: Milliseconds = 1;
 const slotsPerServer = 6;
 
-/** What a backend server tolerates within a span: this multiple of what its limit allows, and some more. */
-const spanMilliseconds: Milliseconds = 4000;
-const tolerance = 1.5;
-const allowance = 5;
-
 /** The limit binds this long after it was announced, each VM this long after it got it, and a VM that restarted this long after its start. */
 const fleetGraceMilliseconds: Milliseconds = 3000;
 const vmGraceMilliseconds: Milliseconds = 500;
@@ -185,7 +181,7 @@
 		return Math.max(...this.servers.map(server => {
 			const namedAt = Math.min(...server.informedAt.values());
 			const arrivals = server.arrivals.filter(({at}) => at >= namedAt + ownerGraceMilliseconds).map(({at}) => at);
-			return Math.max(-Infinity, ...arrivals.map(at => this._excessOf(server.index, arrivals, at + spanMilliseconds)));
+			return Math.max(-Infinity, ...arrivals.map(at => this._excessOf(server.index, arrivals, at + countedMilliseconds)));
 		}));
 	}
 
@@ -196,16 +192,16 @@
 			.filter(({process, at}) => at >= (informedAt.get(process.address) ?? Infinity) + vmGraceMilliseconds)
 			.filter(({process, at}) => !this.excused.has(process.address) && at + startsAt >= process.startedAt + restartGraceMilliseconds)
 			.map(({at}) => at);
-		return Math.max(-Infinity, ...counted.map(at => this._excessOf(index, counted, at + spanMilliseconds)));
+		return Math.max(-Infinity, ...counted.map(at => this._excessOf(index, counted, at + countedMilliseconds)));
 	}
 
 	/** Excess of the calls within the span that ends at `until`; of those, only calls that arrived while a limit was announced count. */
 	private _excessOf(index: number, arrivals: readonly Instant[], until: Instant): number {
 		const limitAt = (at: Instant) => this._options.limitOf(index, at);
-		const steps = Array.from({length: (spanMilliseconds + fleetGraceMilliseconds) / 100}, (_, step) => limitAt(until - (step * 100)));
+		const steps = Array.from({length: (countedMilliseconds + fleetGraceMilliseconds) / 100}, (_, step) => limitAt(until - (step * 100)));
 		const hasBound = steps.slice(0, fleetGraceMilliseconds / 100).every(limit => limit !== undefined);
-		const allowed = (tolerance * Math.max(...steps.map(limit => limit ?? 0)) * spanMilliseconds / 1000) + allowance;
-		return hasBound ? arrivals.filter(at => at >= until - spanMilliseconds && at < until && limitAt(at) !== undefined).length - allowed : -Infinity;
+		const allowed = toleratedCalls(Math.max(...steps.map(limit => limit ?? 0)));
+		return hasBound ? arrivals.filter(at => at >= until - countedMilliseconds && at < until && limitAt(at) !== undefined).length - allowed : -Infinity;
 	}
 
 	private _serverOf(identity: string): LimitedServer {
