Name the messages about announced limits advertisements

They carry a sequence number, are sent on by every VM and compared between VMs, as a routing protocol's advertisements are; "statement" and "stated" said none of this. Names, files and comments only; the messages' field numbers are unchanged.

--- a/src/common/calls/backend-rates/rate-limit-updates.ts
+++ b/src/common/calls/backend-rates/rate-limit-updates.ts
@@ -5,10 +5,10 @@
 import {type ServiceState} from '../service-state.ts';
 import {processIdentityOf} from '../health/process-identity.ts';
 import {
-	type BackendServerIdentity, type CallEvent, type LoadUpdate, type RateLimitNotice, type RateLimitSource, type RateLimitStatement,
+	type BackendServerIdentity, type CallEvent, type LoadUpdate, type RateLimitNotice, type RateLimitSource, type RateLimitAdvertisement,
 } from '../types.ts';
 import {type AnswerRateLimit, type RateLimitChange} from './rate-limit.ts';
-import {supersedes} from './stated-limit.ts';
+import {supersedes} from './advertised-rate-limit.ts';
 
 /** The services and backend servers in force. */
 export type LimitedServices = {
@@ -21,13 +21,13 @@
 type RateLimitCause = {readonly source: RateLimitSource; readonly status?: number; readonly rateLimit: RateLimitNotice | undefined};
 
 /** Maximum number of processes whose rate limits are kept until they are in the configuration. */
-const maxStatements = 4096;
+const maxAdvertisements = 4096;
 
 export class RateLimitUpdates {
 	private readonly _context: EngineContext;
 	private readonly _services: LimitedServices;
 	/** Rate limits that other VMs have sent, by process, the oldest first. */
-	private readonly _statements = new Map<string, {readonly statement: RateLimitStatement; readonly at: Instant}>();
+	private readonly _advertisements = new Map<string, {readonly advertisement: RateLimitAdvertisement; readonly at: Instant}>();
 
 	constructor(context: EngineContext, services: LimitedServices) {
 		this._context = context;
@@ -48,28 +48,28 @@
 	}
 
 	/** Applies a rate limit that another VM has sent. */
-	applyPeerUpdate({identity, rateLimit: statement, ageMilliseconds}: LoadUpdate, now: Instant): void {
-		if (statement === undefined) {
+	applyPeerUpdate({identity, rateLimit: advertisement, ageMilliseconds}: LoadUpdate, now: Instant): void {
+		if (advertisement === undefined) {
 			return;
 		}
 
 		const at = now - Math.max(0, ageMilliseconds);
-		const known = this._statements.get(statement.process)?.statement;
-		if (known === undefined || supersedes(statement, known)) {
-			this._keepStatement(statement, at);
+		const known = this._advertisements.get(advertisement.process)?.advertisement;
+		if (known === undefined || supersedes(advertisement, known)) {
+			this._keepAdvertisement(advertisement, at);
 		}
 
 		const server = this._services.server(identity);
-		if (server !== undefined && processIdentityOf(server, undefined) === statement.process) {
-			this._applyStatement(server, statement, at);
+		if (server !== undefined && processIdentityOf(server, undefined) === advertisement.process) {
+			this._applyAdvertisement(server, advertisement, at);
 		}
 	}
 
 	/** Applies the rate limit that other VMs sent before this backend server was in the configuration. */
 	onRegistered(server: BackendServerState): void {
-		const known = this._statements.get(processIdentityOf(server, undefined));
+		const known = this._advertisements.get(processIdentityOf(server, undefined));
 		if (known !== undefined) {
-			this._applyStatement(server, known.statement, known.at);
+			this._applyAdvertisement(server, known.advertisement, known.at);
 		}
 	}
 
@@ -97,26 +97,26 @@
 		}
 	}
 
-	private _applyStatement(server: BackendServerState, statement: RateLimitStatement, at: Instant): void {
-		this._report(server, server.rateLimit.applyStatement(statement, at), {source: 'peer', rateLimit: statement.callsPerSecond});
+	private _applyAdvertisement(server: BackendServerState, advertisement: RateLimitAdvertisement, at: Instant): void {
+		this._report(server, server.rateLimit.applyAdvertisement(advertisement, at), {source: 'peer', rateLimit: advertisement.callsPerSecond});
 	}
 
-	private _keepStatement(statement: RateLimitStatement, at: Instant): void {
-		this._statements.delete(statement.process);
-		this._statements.set(statement.process, {statement, at});
-		if (this._statements.size > maxStatements) {
-			this._statements.delete(this._statements.keys().next().value!);
+	private _keepAdvertisement(advertisement: RateLimitAdvertisement, at: Instant): void {
+		this._advertisements.delete(advertisement.process);
+		this._advertisements.set(advertisement.process, {advertisement, at});
+		if (this._advertisements.size > maxAdvertisements) {
+			this._advertisements.delete(this._advertisements.keys().next().value!);
 		}
 	}
 
 	/** Sends a new, changed or ended rate limit to the other VMs. */
 	private _tellPeers(server: BackendServerState, now: Instant): void {
-		const statement = server.rateLimit.takeStatement(now);
-		if (statement !== undefined) {
+		const advertisement = server.rateLimit.takeAdvertisement(now);
+		if (advertisement !== undefined) {
 			this._context.effects.push({
 				type: 'tell-peers',
 				update: {
-					identity: server.identity, report: undefined, ageMilliseconds: 0, suspects: [], crash: undefined, rateLimit: {process: processIdentityOf(server, undefined), ...statement},
+					identity: server.identity, report: undefined, ageMilliseconds: 0, suspects: [], crash: undefined, rateLimit: {process: processIdentityOf(server, undefined), ...advertisement},
 				},
 			});
 		}
--- a/src/common/calls/backend-rates/rate-limit.ts
+++ b/src/common/calls/backend-rates/rate-limit.ts
@@ -1,11 +1,11 @@
 /** Rate limit that a backend server announces in its answers, as far as it applies to this VM. */
 import {type Instant} from '../../model/units.ts';
 import {minErrorStatus} from '../outcomes.ts';
-import {type RateLimitNotice, type RateLimitStatement} from '../types.ts';
+import {type RateLimitNotice, type RateLimitAdvertisement} from '../types.ts';
 import {GrantedTokens} from './granted-tokens.ts';
 import {RandomStarts} from './random-starts.ts';
 import {ShareBucket} from './share-bucket.ts';
-import {StatedLimit} from './stated-limit.ts';
+import {AdvertisedRateLimit} from './advertised-rate-limit.ts';
 
 /** Rate limit in the answer to an attempt that started at `startedAt`; `notice` undefined = it has none. */
 export type AnswerRateLimit = {readonly notice: RateLimitNotice | undefined; readonly status: number; readonly startedAt: Instant};
@@ -26,7 +26,7 @@
 	readonly tokens = new GrantedTokens();
 	readonly randomStarts = new RandomStarts();
 	/** The rate limit as VMs have last sent it to each other. */
-	private readonly _stated = new StatedLimit();
+	private readonly _advertised = new AdvertisedRateLimit();
 	private _callsPerSecond: number | undefined;
 	private _announcedAt: Instant = -Infinity;
 	private _isUnreadable = false;
@@ -71,13 +71,13 @@
 	}
 
 	/** Applies a rate limit that another VM has sent; it was announced at `at`. */
-	applyStatement(statement: Omit<RateLimitStatement, 'process'>, at: Instant): RateLimitChange {
-		return this._stated.apply(statement, at) ? this._set(statement.callsPerSecond, at) : 'none';
+	applyAdvertisement(advertisement: Omit<RateLimitAdvertisement, 'process'>, at: Instant): RateLimitChange {
+		return this._advertised.apply(advertisement, at) ? this._set(advertisement.callsPerSecond, at) : 'none';
 	}
 
 	/** The rate limit to send to the other VMs now; undefined = they need no message. */
-	takeStatement(now: Instant): Omit<RateLimitStatement, 'process'> | undefined {
-		return this._stated.take(this._callsPerSecond, now);
+	takeAdvertisement(now: Instant): Omit<RateLimitAdvertisement, 'process'> | undefined {
+		return this._advertised.take(this._callsPerSecond, now);
 	}
 
 	private _apply(notice: RateLimitNotice | undefined, now: Instant): RateLimitChange {
--- a/src/common/calls/peer-updates.ts
+++ b/src/common/calls/peer-updates.ts
@@ -3,12 +3,12 @@
 import {type BackendServerIdentity, type LoadReport} from './types.ts';
 
 /** What a process of a backend server has last announced of its rate limit, as one VM tells others. */
-export type RateLimitStatement = {
+export type RateLimitAdvertisement = {
 	/** Identity of the process. */
 	readonly process: string;
 	/** Calls per second that it accepts from all VMs together; undefined = it no longer announces a limit. */
 	readonly callsPerSecond?: number | undefined;
-	/** Higher for a later statement on the same process, whichever VM made it. */
+	/** Higher for a later advertisement on the same process, whichever VM made it. */
 	readonly sequence: number;
 };
 
@@ -27,5 +27,5 @@
 	/** Fingerprints of suspects that are not at fault: they were answered, or an operator has lifted their quarantine. */
 	readonly cleared?: readonly string[];
 	/** Rate limit of the backend server. */
-	readonly rateLimit?: RateLimitStatement;
+	readonly rateLimit?: RateLimitAdvertisement;
 };
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -21,7 +21,7 @@
 export type {
 	AttemptFailure, CallOutcome, PoisonRequestChange, ProcessEndSign, RefusalReason,
 } from './outcomes.ts';
-export type {LoadUpdate, RateLimitStatement} from './peer-updates.ts';
+export type {LoadUpdate, RateLimitAdvertisement} from './peer-updates.ts';
 export type {BackendServerStatus, CallEngineStatus, CallLoad} from './engine-status.ts';
 export type {
 	AttemptRecord, CallSummary, PlacingChoice, PlacingGrounds,
--- a/src/common/registry/evidence-store.test.ts
+++ b/src/common/registry/evidence-store.test.ts
@@ -97,7 +97,7 @@
 		expect(seen).toLooseEqual([[limited, limited], [limited, limited], [limited, limited], [ended, ended], [limited, limited]]);
 	});
 
-	it('counts a rate limit that is stated again as new after 30 s, and forgets it after ten minutes', () => {
+	it('counts a rate limit that is advertised again as new after 30 s, and forgets it after ten minutes', () => {
 		const store = storeOf([limitOf(2, 1)]);
 		expect([store.add(limitOf(2, 1), 29_999), store.add(limitOf(2, 1), 30_000), limitsIn(store, 630_000).length, limitsIn(store, 630_001).length]).toEqual([false, true, 1, 0]);
 	});
--- a/src/common/registry/evidence-store.ts
+++ b/src/common/registry/evidence-store.ts
@@ -3,7 +3,7 @@
 import {isOfAnyCaller, keysOf} from '../calls/poison-requests/fingerprint-keys.ts';
 import {type BackendServerIdentity, type LoadUpdate} from '../calls/types.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
-import {StatedLimits} from './stated-limits.ts';
+import {RateLimitAdvertisements} from './rate-limit-advertisements.ts';
 import {type EvidenceKey, type EvidenceReply} from './types.ts';
 
 /** Between the identity of a process and a fingerprint in a key; neither has a space. */
@@ -41,7 +41,7 @@
 	/** Confirmed crashes by the identity of the process, the one known longest first. */
 	private readonly _crashes = new Map<string, Crash>();
 	private readonly _cleared = new AnsweredCalls();
-	private readonly _limits = new StatedLimits();
+	private readonly _limits = new RateLimitAdvertisements();
 	/** Selection of the evidence that VMs compare; undefined = to be made again. */
 	private _selection: ReadonlyMap<EvidenceKey, Evidence> | undefined;
 
@@ -94,10 +94,10 @@
 	compare(known: readonly EvidenceKey[], now: Instant): EvidenceReply {
 		this._removeExpired(now);
 		const lacking = this.keys.filter(key => !known.includes(key));
-		const answered = this._answeredCallers(lacking.filter(key => !StatedLimits.isKey(key)), now);
+		const answered = this._answeredCallers(lacking.filter(key => !RateLimitAdvertisements.isKey(key)), now);
 		const clearings = known.filter(key => !this._selected().has(key)).flatMap(key => this._clearingsOf(key, now));
 		const limitKeys = new Set(this._limits.keys);
-		const missing = known.filter(key => StatedLimits.isKey(key) ? !limitKeys.has(key) : this._find(key) === undefined);
+		const missing = known.filter(key => RateLimitAdvertisements.isKey(key) ? !limitKeys.has(key) : this._find(key) === undefined);
 		return {updates: [...this.select(lacking, now), ...answered, ...clearings], missing: missing.slice(0, maxCompared)};
 	}
 
--- a/src/common/registry/stated-limits.ts
+++ b/src/common/registry/rate-limit-advertisements.ts
@@ -1,6 +1,6 @@
 /** The last message about the rate limit of each backend server, kept for VMs that missed it. */
-import {supersedes} from '../calls/backend-rates/stated-limit.ts';
-import {type BackendServerIdentity, type LoadUpdate, type RateLimitStatement} from '../calls/types.ts';
+import {supersedes} from '../calls/backend-rates/advertised-rate-limit.ts';
+import {type BackendServerIdentity, type LoadUpdate, type RateLimitAdvertisement} from '../calls/types.ts';
 import {type Instant, type Milliseconds} from '../model/units.ts';
 import {type EvidenceKey} from './types.ts';
 
@@ -14,11 +14,11 @@
 const repeatMilliseconds: Milliseconds = 30_000;
 
 /** Maximum number of rate limits; beyond it the oldest is dropped. */
-const maxStatements = 256;
+const maxAdvertisements = 256;
 
-type Known = {readonly identity: BackendServerIdentity; readonly statement: RateLimitStatement; readonly at: Instant};
+type Known = {readonly identity: BackendServerIdentity; readonly advertisement: RateLimitAdvertisement; readonly at: Instant};
 
-export class StatedLimits {
+export class RateLimitAdvertisements {
 	/** By process, the oldest first. */
 	private readonly _known = new Map<string, Known>();
 
@@ -27,7 +27,7 @@
 	}
 
 	get keys(): EvidenceKey[] {
-		return Array.from(this._known.values(), ({statement}) => keyOf(statement));
+		return Array.from(this._known.values(), ({advertisement}) => keyOf(advertisement));
 	}
 
 	/** Whether a key is one of a limit. */
@@ -35,34 +35,34 @@
 		return key.startsWith(keyPrefix);
 	}
 
-	/** Adds a statement; returns false if it, or a later one, is known already. */
-	add({identity, rateLimit: statement, ageMilliseconds}: LoadUpdate, now: Instant): boolean {
+	/** Adds an advertisement; returns false if it, or a later one, is known already. */
+	add({identity, rateLimit: advertisement, ageMilliseconds}: LoadUpdate, now: Instant): boolean {
 		this._removeExpired(now);
 		const at = now - Math.max(0, ageMilliseconds);
-		if (statement === undefined || now - at > retentionMilliseconds) {
+		if (advertisement === undefined || now - at > retentionMilliseconds) {
 			return false;
 		}
 
-		const known = this._known.get(statement.process);
-		const isRepeated = known?.statement.sequence === statement.sequence && known.statement.callsPerSecond === statement.callsPerSecond && at - known.at >= repeatMilliseconds;
-		if (known !== undefined && !isRepeated && !supersedes(statement, known.statement)) {
+		const known = this._known.get(advertisement.process);
+		const isRepeated = known?.advertisement.sequence === advertisement.sequence && known.advertisement.callsPerSecond === advertisement.callsPerSecond && at - known.at >= repeatMilliseconds;
+		if (known !== undefined && !isRepeated && !supersedes(advertisement, known.advertisement)) {
 			return false;
 		}
 
-		this._known.delete(statement.process);
-		this._known.set(statement.process, {identity, statement, at});
-		if (this._known.size > maxStatements) {
+		this._known.delete(advertisement.process);
+		this._known.set(advertisement.process, {identity, advertisement, at});
+		if (this._known.size > maxAdvertisements) {
 			this._known.delete(this._known.keys().next().value!);
 		}
 
 		return true;
 	}
 
-	/** The statements of these keys, with their age at `now`; all of them if `keys` is undefined. */
+	/** The advertisements of these keys, with their age at `now`; all of them if `keys` is undefined. */
 	select(keys: readonly EvidenceKey[] | undefined, now: Instant): LoadUpdate[] {
 		this._removeExpired(now);
-		return [...this._known.values()].filter(({statement}) => keys?.includes(keyOf(statement)) ?? true).map(({identity, statement, at}) => ({
-			identity, report: undefined, ageMilliseconds: Math.max(0, now - at), suspects: [], crash: undefined, rateLimit: statement,
+		return [...this._known.values()].filter(({advertisement}) => keys?.includes(keyOf(advertisement)) ?? true).map(({identity, advertisement, at}) => ({
+			identity, report: undefined, ageMilliseconds: Math.max(0, now - at), suspects: [], crash: undefined, rateLimit: advertisement,
 		}));
 	}
 
@@ -75,6 +75,6 @@
 	}
 }
 
-function keyOf({process, callsPerSecond, sequence}: RateLimitStatement): EvidenceKey {
+function keyOf({process, callsPerSecond, sequence}: RateLimitAdvertisement): EvidenceKey {
 	return `${keyPrefix}${process} ${sequence} ${callsPerSecond ?? 'none'}`;
 }
--- a/src/common/registry/update-exchange.ts
+++ b/src/common/registry/update-exchange.ts
@@ -178,7 +178,7 @@
 	return crash !== undefined || rateLimit !== undefined;
 }
 
-/** A later statement on the rate limit of a process replaces an earlier one that is not sent yet. */
+/** A later advertisement on the rate limit of a process replaces an earlier one that is not sent yet. */
 function keyOf({identity, report, crash, suspects, cleared, rateLimit}: LoadUpdate): string {
 	return JSON.stringify([identity, report?.instance, report?.isLeaving, crash, suspects, cleared, rateLimit?.process]);
 }
