Keep the same announced limits on all VMs when there are more than 256

Callers: nothing shown; found by reading. A VM keeps the limits of 256 processes for comparison and dropped the oldest beyond that, which is another one on each VM. VMs then sent each other, once a second and for good, what the other had just dropped, and each passed it on to the fleet.

The process that is last by its identity is dropped now, so that all VMs end with the same 256.

Measured: three VMs, each with four fifths of 600 limits, still sent each other limits after ten rounds of comparisons; now none after ten. The test failed before.

--- a/src/common/registry/evidence-store.test.ts
+++ b/src/common/registry/evidence-store.test.ts
@@ -15,9 +15,9 @@
 	};
 }
 
-function limitOf(callsPerSecond: number | undefined, sequence: number, ageMilliseconds = 0): LoadUpdate {
+function limitOf(callsPerSecond: number | undefined, sequence: number, ageMilliseconds = 0, process = 'server@1'): LoadUpdate {
 	return {
-		identity: 'server', report: undefined, ageMilliseconds, suspects: [], crash: undefined, rateLimit: {process: 'server@1', callsPerSecond, sequence},
+		identity: 'server', report: undefined, ageMilliseconds, suspects: [], crash: undefined, rateLimit: {process, callsPerSecond, sequence},
 	};
 }
 
@@ -97,6 +97,21 @@
 		expect(seen).toLooseEqual([[limited, limited], [limited, limited], [limited, limited], [ended, ended], [limited, limited]]);
 	});
 
+	// Guards against VMs that send each other what the other has just dropped, once a second for good.
+	it('is the same on all VMs if more processes have rate limits than a VM keeps', () => {
+		const random = seededRandom(1);
+		const limits = Array.from({length: 600}, (_, index) => limitOf(2, 1, 0, `server-${index}@1`));
+		const storeOfMost = () => storeOf(limits.filter(() => random.next() < 0.8));
+		const [first, second, third] = [storeOfMost(), storeOfMost(), storeOfMost()];
+		for (let now = 0; now < 10; now++) {
+			compare(first, second, now);
+			compare(second, third, now);
+			compare(third, first, now);
+		}
+
+		expect([first.keys.length, first.compare(second.keys, 10), second.compare(third.keys, 10)]).toEqual([256, {updates: [], missing: []}, {updates: [], missing: []}]);
+	});
+
 	it('counts a rate limit that is advertised again as new after 30 s, and forgets it after ten minutes', () => {
 		const store = storeOf([limitOf(2, 1)]);
 		expect([store.add(limitOf(2, 1), 29_999), store.add(limitOf(2, 1), 30_000), limitsIn(store, 630_000).length, limitsIn(store, 630_001).length]).toEqual([false, true, 1, 0]);
--- a/src/common/registry/rate-limit-advertisements.ts
+++ b/src/common/registry/rate-limit-advertisements.ts
@@ -13,13 +13,13 @@
 /** An unchanged rate limit counts as sent again, and is passed on, if it is this much newer. Smaller differences come from the transfer of one message. */
 const repeatMilliseconds: Milliseconds = 30_000;
 
-/** Maximum number of rate limits; beyond it the oldest is dropped. */
+/** Maximum number of rate limits. Beyond it the process last by its identity is dropped, so that all VMs keep the same. */
 const maxAdvertisements = 256;
 
 type Known = {readonly identity: BackendServerIdentity; readonly advertisement: RateLimitAdvertisement; readonly at: Instant};
 
 export class RateLimitAdvertisements {
-	/** By process, the oldest first. */
+	/** By process. */
 	private readonly _known = new Map<string, Known>();
 
 	get isEmpty(): boolean {
@@ -49,10 +49,9 @@
 			return false;
 		}
 
-		this._known.delete(advertisement.process);
 		this._known.set(advertisement.process, {identity, advertisement, at});
 		if (this._known.size > maxAdvertisements) {
-			this._known.delete(this._known.keys().next().value!);
+			this._known.delete([...this._known.keys()].toSorted().at(-1)!);
 		}
 
 		return true;
