--- a/src/proof/guards/guards.ts
+++ b/src/proof/guards/guards.ts
@@ -15,7 +15,7 @@
 const registry = 'src/common/registry';
 const callTests = [`${calls}/**/{backend,call,load-probe,poison,wake}*.test.ts`, 'src/proof/fuzz/call-fuzz.test.ts'];
 const fleetTests = [`${fleet}/**/*.test.ts`, 'src/proof/fuzz/fleet-fuzz.test.ts'];
-const frontTests = ['src/node/front/*.test.ts', 'src/proof/bad-input.test.ts'];
+const frontTests = ['src/node/front/*.test.ts', 'src/proof/bad-input.test.ts', 'src/proof/fuzz/framing-fuzz.test.ts'];
 
 export const guards: readonly Guard[] = [
 	{
