--- a/src/common/calls/backend-rates/advertised-rate-limit.ts
+++ b/src/common/calls/backend-rates/advertised-rate-limit.ts
@@ -15,7 +15,7 @@
 	return callsPerSecond;
 }
 
-/** Whether one advertisement replaces another. Of two that VMs made at the same time, the lower limit does. */
+/** Whether `one` replaces `other`. Two VMs may use a sequence number at the same time; the lower limit then wins. */
 export function supersedes(one: Advertisement, other: Advertisement): boolean {
 	return one.sequence === other.sequence ? limitOf(one) < limitOf(other) : one.sequence > other.sequence;
 }
--- a/src/common/calls/backend-rates/rate-limiter.ts
+++ b/src/common/calls/backend-rates/rate-limiter.ts
@@ -12,7 +12,7 @@
 /** Number of VMs by which it is divided at least: a short list must not let each VM use most of it. */
 const minVmCount = 64;
 
-/** The lists of VMs are short for a while when leases end in an outage, which is also when no holder answers. */
+/** Period over which the largest number of VMs counts. An outage of the store removes VMs from the lists when their leases end, and holders at the same time. */
 const vmCountMilliseconds: Milliseconds = 60_000;
 
 /** The lists of VMs of a fleet that starts together are complete after this time. */
@@ -58,7 +58,7 @@
 	}
 
 	setVmCount(): void {
-		// The shares have a list of their own.
+		// Shares are computed from the members of the fleet.
 	}
 
 	request(): void {
--- a/src/common/calls/outcomes.ts
+++ b/src/common/calls/outcomes.ts
@@ -1,6 +1,6 @@
 /** How calls and attempts end, and what is learnt from crashes of backend servers. */
 
-/** Lowest status of errors, those of the caller included. */
+/** Lowest HTTP status of an error; client errors are included. */
 export const minErrorStatus = 400;
 
 /** Status of the errors of a backend server, or a higher one. Such an answer does not show whether the call ran. */
--- a/src/common/limits/limits.ts
+++ b/src/common/limits/limits.ts
@@ -28,7 +28,7 @@
  */
 const lapsedFraction = 0.3;
 
-/** A slot that this VM holds; `address` = its own, as the store has it. */
+/** A slot that this VM holds; `address` = address of the holder in the list of slots from the store, undefined if it has none. */
 type HeldSlot = {readonly holder: LimitHolder; readonly servers: ServerLimitHolder; right: LimitRight; address: string | undefined};
 
 /** A slot that this VM held last: its right has ended, and no later holder is known. */
--- a/src/common/registry/named-limits-harness.test.ts
+++ b/src/common/registry/named-limits-harness.test.ts
@@ -17,9 +17,13 @@
 const networkMilliseconds: Milliseconds = 1;
 const slotsPerServer = 6;
 
-/** The limit binds this long after it was announced, each VM this long after it got it, and a VM that restarted this long after its start. */
+/** The limit applies from this time after its announcement on. */
 const fleetGraceMilliseconds: Milliseconds = 3000;
+
+/** Calls of a VM count from this time after it received the limit on. */
 const vmGraceMilliseconds: Milliseconds = 500;
+
+/** Calls of a restarted VM count from this time after its start on. */
 const restartGraceMilliseconds: Milliseconds = 3000;
 
 /** From this time after a limit was first announced on, an owner expects it to hold for the calls of all VMs. */
--- a/src/proof/fuzz/framing-fuzz.ts
+++ b/src/proof/fuzz/framing-fuzz.ts
@@ -119,8 +119,9 @@
 }).map(({sentShare, ...rest}) => ({...rest, sentBytes: Math.round(sentShare * rest.pieces.reduce((sum, size) => sum + size, 0))}));
 
 /**
- * What a caller may take for the whole body. A reset may discard the end of an answer that was sent whole. A caller of
- * HTTP/1.0 that pauses may see a reset as a regular end, so that an answer without a length may look complete to it.
+ * Returns the bodies that a caller may accept as complete; undefined = it may also notice that the answer is incomplete. A
+ * reset may discard the end of an answer that was sent completely. A caller of HTTP/1.0 that pauses may read a reset as a
+ * regular end; it then accepts the beginning of an answer without a length.
  */
 function allowedBodies(answer: PlannedAnswer, received: string | undefined): ReadonlyArray<string | undefined> {
 	const {framing, sentBytes, end, callerVersion, pauseMilliseconds} = answer;
--- a/src/proof/fuzz/main.ts
+++ b/src/proof/fuzz/main.ts
@@ -1,7 +1,7 @@
 /**
  * Runs the fuzz tests for a given time: `node --import=tsx src/proof/fuzz/main.ts --seconds N --seed S [--only calls|fleet|framings]`.
- * Prints the first seed, the numbers of histories and commands and the fault coverage, or the number of answers; for a failure
- * the seed and the shrunk commands or answer.
+ * Prints the first seed; for calls and the fleet also the numbers of histories and commands and the fault coverage, for framings
+ * the number of answers. After a failure it prints the seed and the shrunk commands or answer.
  */
 import process from 'node:process';
 import fc from 'fast-check';
--- a/src/stand-ins/free-ports.ts
+++ b/src/stand-ins/free-ports.ts
@@ -18,7 +18,7 @@
  */
 export const reopenedPorts: PortRange = {min: 12_000, max: 20_000};
 
-/** Ports that this process has returned. Their programs may not listen yet, so that they still look free. */
+/** Ports that this process has returned. A program that is still starting has not bound its port yet. */
 const returnedPorts = new Set<number>();
 
 async function tryListen(port: number): Promise<Server | undefined> {
