Open a listener again whose port is in use, and keep it after errors

What callers saw: a VM that did not start, or again and again. A port in use at the start ended the process with exit code 1 ("cannot start"), whichever of the five listeners it belonged to, even the metrics' one.

Cause: a step of the start was done once, and a condition that lasts for a moment ended the process: the previous process still holds the port, or the kernel has assigned it to an outgoing connection of any program. The same class in the self-coordinated daemon, whose three listeners are covered as well. An error of an open listener, such as a connection that could not be accepted, had no handler either, and Node throws such an event.

A VM reads the store, registers itself and becomes ready once callers, directory and peers are open; readiness and metrics may open later. Errors of open listeners are logged. The listeners of callers and operators use listenOn, which repeated its code.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,6 +1,6 @@
 /** Lifecycle of a daemon: opens the listeners, runs the engines, and ends when the fleet engine enters the stage `ended`. */
 import {type EventLoopUtilization, performance} from 'node:perf_hooks';
-import {err, ok, type Result} from 'neverthrow';
+import {err, type Result} from 'neverthrow';
 import {describeFailure, failure, type Failure} from '../common/errors/failure.ts';
 import {type BurnLedger} from '../common/burn/burn-ledger.ts';
 import {type EntryVm} from '../common/entry-vm/entry-vm.ts';
@@ -15,6 +15,7 @@
 import {type Settings} from '../common/settings/settings.ts';
 import {type OperatorServer} from '../node/api/operator-server.ts';
 import {type Clock} from '../node/clock.ts';
+import {ListenerOpener} from '../node/listener-opener.ts';
 import {type DeciderLoop} from '../node/decider-loop.ts';
 import {type FleetEffectExecutor, type DaemonEffect} from '../node/fleet/fleet-effect-executor.ts';
 import {type BackendConnections} from '../node/front/backend-connections.ts';
@@ -68,6 +69,7 @@
 	private _lastUtilisation = 0;
 	private _reportedTraffic: PeerTraffic;
 	private readonly _stopReport = new StopReport();
+	private readonly _opener: ListenerOpener;
 
 	/** Fires when the planned stop is over and the process may exit. */
 	readonly onEnded = this._onEnded.event;
@@ -76,6 +78,7 @@
 		super();
 		this._parts = parts;
 		this._reportedTraffic = parts.peers.traffic;
+		this._opener = this._register(new ListenerOpener(parts.clock, parts.logger));
 		this._register(owned);
 		this._register(parts.fleetEffectExecutor.onEffect(effect => {
 			this._handleEffect(effect);
@@ -104,29 +107,26 @@
 		}));
 	}
 
-	/** Opens the listeners. The callers' listener is the last, so that peers and operators can already supply a configuration. */
+	/**
+	 * Opens the listeners; one whose port is in use is tried again until it is open. The callers' listener is the last, so that peers and
+	 * operators can already supply a configuration.
+	 */
 	async start(): Promise<Result<DaemonPorts, StartFailure>> {
 		const {settings, fleetEffectExecutor, callerServer, operatorServer, pauseDetector} = this._parts;
-		const peers = await this._parts.peers.listen();
+		const peers = await this._opener.open('peers', async () => this._parts.peers.listen());
 		if (peers.isErr()) {
 			return err(failure('cannot-listen', describeFailure(peers.error), {field: 'peers', cause: peers.error}));
 		}
 
-		const operators = await operatorServer.listen(settings.operators.address, settings.operators.port);
-		if (operators.isErr()) {
-			return err(operators.error);
-		}
-
-		const callers = await callerServer.listen(settings.callers.port, settings.callers.address);
-		if (callers.isErr()) {
-			return err(callers.error);
-		}
+		const operators = await this._opener.open('operators', async onError => operatorServer.listen(settings.operators.address, settings.operators.port, {onError}));
+		const callers = await this._opener.open('callers', async onError => callerServer.listen(settings.callers.port, settings.callers.address, {onError}));
 
 		pauseDetector.start();
 		this._parts.burnExchange.start();
 		fleetEffectExecutor.start(settings.platform.pollMilliseconds);
 		this._reportLoad();
-		return ok({callers: callers.value, operators: operators.value, peers: peers.value});
+		return operators.andThen(operatorsPort => callers.map(callersPort => ({callers: callersPort, operators: operatorsPort, peers: peers.value})))
+			.mapErr(cause => failure('cannot-listen', cause.message, {cause}));
 	}
 
 	/** Begins the planned stop; `onEnded` fires when it is over. */
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -14,6 +14,7 @@
 import {type Clock} from '../node/clock.ts';
 import {type DeciderLoop} from '../node/decider-loop.ts';
 import {type EarlyListeners} from '../node/early-listener.ts';
+import {ListenerOpener} from '../node/listener-opener.ts';
 import {type FeedServer} from '../node/fleet/feed-server.ts';
 import {type TunnelServer} from '../node/fleet/tunnel-server.ts';
 import {type OutwardEffect, type StoreEffectExecutor} from '../node/fleet/store-effect-executor.ts';
@@ -83,6 +84,7 @@
 	private readonly _badCallLines = new LineBudget(maxBadCallLinesPerSecond);
 	private readonly _stopReport = new StopReport();
 	private readonly _linkLog: LinkLog;
+	private readonly _opener: ListenerOpener;
 	private readonly _keyRefusalLog: KeyRefusalLog;
 
 	/** Fires when the planned stop is over and the process may exit. */
@@ -92,6 +94,7 @@
 		super();
 		this._parts = parts;
 		this._linkLog = new LinkLog(parts.logger, parts.metrics);
+		this._opener = this._register(new ListenerOpener(parts.clock, parts.logger));
 		this._keyRefusalLog = new KeyRefusalLog(parts.logger, parts.metrics);
 		this._register(owned);
 		this._register(parts.storeEffectExecutor.onEffect(effect => {
@@ -120,33 +123,28 @@
 		}));
 	}
 
-	/** Starts reading the store and opens the listeners at the same time. Resolves with a failure if a listener cannot be opened. */
-	async start(): Promise<Failure<'cannot-listen'> | undefined> {
-		const {settings, loop, routedServer, readinessServer, directoryServer, feedServer, limitSocket, metricsServer, listeners: earlyListeners} = this._parts;
+	/**
+	 * Opens the listeners; resolves when all are open. The VM begins to read the store, registers itself and becomes ready once callers
+	 * and other VMs can connect; the listeners for readiness and metrics may open later.
+	 */
+	async start(): Promise<void> {
+		const {settings, loop, routedServer, readinessServer, directoryServer, feedServer, limitSocket, metricsServer} = this._parts;
 		if (settings.listen.limits !== undefined) {
 			const {address, port} = splitEndpoint(settings.listen.limits);
 			limitSocket?.open(port, address);
 		}
 
+		const pagesOpened = Promise.all([this._open(readinessServer, 'readiness'), this._open(metricsServer, 'metrics')]);
+		await Promise.all([this._open(routedServer, 'callers'), this._open(directoryServer, 'directory'), this._open(feedServer, 'peers')]);
 		loop.feed({type: 'started'});
-		const listeners = [
-			[routedServer, settings.listen.callers],
-			[readinessServer, settings.listen.readiness],
-			[directoryServer, settings.listen.directory],
-			[feedServer, settings.listen.peers],
-			[metricsServer, settings.listen.metrics],
-		] as const;
-		const opened = await Promise.all(listeners.map(async ([listener, endpoint]) => {
-			const {address, port} = splitEndpoint(endpoint);
-			return listener.listen(port, address, earlyListeners.get(endpoint));
-		}));
-		for (const result of opened) {
-			if (result.isErr()) {
-				return result.error;
-			}
-		}
+		await pagesOpened;
+	}
 
-		return undefined;
+	private async _open(listener: PageServer | RoutedServer | FeedServer, name: keyof EntrySettings['listen'] & string): Promise<void> {
+		const endpoint = this._parts.settings.listen[name]!;
+		const {address, port} = splitEndpoint(endpoint);
+		const early = this._parts.listeners.get(endpoint);
+		await this._opener.open(name, async onError => listener.listen(port, address, {early, onError}));
 	}
 
 	/** Begins the planned stop; `onEnded` fires when it is over. */
--- a/src/daemon/serve.ts
+++ b/src/daemon/serve.ts
@@ -3,6 +3,7 @@
 import {describeFailure} from '../common/errors/failure.ts';
 import {Disposable, toDisposable} from '../common/lifecycle/disposable.ts';
 import {Emitter} from '../common/lifecycle/emitter.ts';
+import {type Milliseconds} from '../common/model/units.ts';
 import {type OperatorToken, type Settings} from '../common/settings/settings.ts';
 import {Logging} from '../node/logging/logging.ts';
 import {loadHashes} from './identity.ts';
@@ -10,6 +11,9 @@
 
 const failedExitCode = 1;
 
+/** After a stop signal, time that a start in progress may take before it is given up; it lasts longer only if a port is in use. */
+const maxStartMilliseconds: Milliseconds = 1000;
+
 /** Sent by a supervisor, from the keyboard, and when the terminal closes in which the process was started. */
 const stopSignals = ['SIGTERM', 'SIGINT', 'SIGHUP'] as const;
 
@@ -65,7 +69,17 @@
 	}
 
 	const daemon = wired.value;
-	const started = await daemon.start();
+	const unstarted = new Promise<'unstarted'>(resolve => {
+		stopSignalListener.subscribe(() => {
+			setTimeout(resolve, maxStartMilliseconds, 'unstarted').unref();
+		});
+	});
+	const started = await Promise.race([daemon.start(), unstarted]);
+	if (started === 'unstarted') {
+		daemon.dispose();
+		return 0;
+	}
+
 	if (started.isErr()) {
 		logging.logger.error('cannot start', {failure: describeFailure(started.error)});
 		daemon.dispose();
--- a/src/node/api/operator-server.ts
+++ b/src/node/api/operator-server.ts
@@ -1,13 +1,12 @@
 /** HTTP server of the resource API. */
 import {getRequestListener} from '@hono/node-server';
-import {
-	err, ok, ResultAsync, type Result,
-} from 'neverthrow';
-import {failure, type Failure} from '../../common/errors/failure.ts';
+import {ResultAsync} from 'neverthrow';
+import {type Failure} from '../../common/errors/failure.ts';
 import {Disposable} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 import {closeListener} from '../front/close-listener.ts';
 import {GracefulServer} from '../front/graceful-server.ts';
+import {type ListenOptions, listenOn} from '../listening.ts';
 import {type ResourceApi} from './resource-api.ts';
 
 /**
@@ -41,28 +40,12 @@
 	}
 
 	/** Starts to listen and resolves with the port; the system chooses it if `port` is 0. */
-	listen(address: string, port: number): ResultAsync<number, OperatorServerFailure> {
-		return new ResultAsync(this._listen(address, port));
+	listen(address: string, port: number, options?: ListenOptions): ResultAsync<number, OperatorServerFailure> {
+		return new ResultAsync(listenOn(this._server, port, address, options));
 	}
 
 	/** Closes the listener at the end of the process; resolves when all responses in progress are sent or the time limit is reached. */
 	async end(): Promise<void> {
 		return closeListener(this._server, maxEndMilliseconds);
 	}
-
-	private async _listen(address: string, port: number): Promise<Result<number, OperatorServerFailure>> {
-		const server = this._server;
-		return new Promise(resolve => {
-			const onError = (error: Error) => {
-				resolve(err(failure('cannot-listen', `${address}:${port} cannot be listened on: ${error.message}`, {field: 'operators.port'})));
-			};
-
-			server.once('error', onError);
-			server.listen(port, address, () => {
-				server.off('error', onError);
-				const bound = server.address();
-				resolve(ok(bound !== null && typeof bound === 'object' ? bound.port : port));
-			});
-		});
-	}
 }
--- a/src/node/early-listener.test.ts
+++ b/src/node/early-listener.test.ts
@@ -73,3 +73,23 @@
 		gate.dispose();
 	});
 });
+
+describe('an open listener', () => {
+	// Guards a process against an exception from a connection that could not be accepted, for example without free descriptors.
+	it('reports a failed connection and stays open', async () => {
+		const server = createServer((_incoming, outgoing) => {
+			outgoing.end();
+		});
+		const errors: string[] = [];
+		const port = await listenOn(server, 0, '127.0.0.1', {
+			onError({message}) {
+				errors.push(message);
+			},
+		});
+		server.emit('error', new Error('accept EMFILE'));
+		const {statusCode, body} = await request(`http://127.0.0.1:${port._unsafeUnwrap()}/`, {reset: true});
+		await body.dump();
+		server.close();
+		expect([errors, statusCode]).toEqual([['accept EMFILE'], 200]);
+	});
+});
--- a/src/node/early-listener.ts
+++ b/src/node/early-listener.ts
@@ -1,5 +1,4 @@
 /** Listeners that open before the main program has loaded. */
-import {type Server as HttpServer} from 'node:http';
 import {createServer, type Server, type Socket} from 'node:net';
 
 /**
@@ -23,7 +22,7 @@
 	}
 
 	/** Transfers the listener and its waiting connections to the server. Returns false if the listener is not open. */
-	transferTo(server: HttpServer, backlog: number | undefined, onListening: () => void): boolean {
+	transferTo(server: Server, backlog: number | undefined): boolean {
 		if (!this._listener.listening) {
 			return false;
 		}
@@ -33,8 +32,6 @@
 				server.emit('connection', socket);
 				socket.resume();
 			}
-
-			onListening();
 		});
 		return true;
 	}
--- a/src/node/fleet/feed-server.ts
+++ b/src/node/fleet/feed-server.ts
@@ -8,7 +8,7 @@
 import {type FleetEvent} from '../../common/fleet/types.ts';
 import {type EvidenceKey, type EvidenceReply, type FeedFrame} from '../../common/registry/types.ts';
 import {type EventSink} from '../decider-loop.ts';
-import {listenOn} from '../listening.ts';
+import {type ListenOptions, listenOn} from '../listening.ts';
 import {type Metrics} from '../metrics/types.ts';
 import {LineReader} from './line-reader.ts';
 import {decodeAnnouncement, encodeFrame, feedPath} from './feed-frame.ts';
@@ -81,8 +81,8 @@
 		}));
 	}
 
-	async listen(port: number, address: string): Promise<Result<number, Failure<'cannot-listen'>>> {
-		return listenOn(this._server, port, address);
+	async listen(port: number, address: string, options?: ListenOptions): Promise<Result<number, Failure<'cannot-listen'>>> {
+		return listenOn(this._server, port, address, options);
 	}
 
 	/** Sends a frame to all subscribers. */
--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -3,9 +3,9 @@
 import {getRequestListener, type HttpBindings} from '@hono/node-server';
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import {Hono} from 'hono';
-import {err, ok, type Result} from 'neverthrow';
+import {type Result} from 'neverthrow';
 import {type CallRequest} from '../../common/calls/types.ts';
-import {failure, type Failure} from '../../common/errors/failure.ts';
+import {type Failure} from '../../common/errors/failure.ts';
 import {Disposable} from '../../common/lifecycle/disposable.ts';
 import {Emitter, type Event} from '../../common/lifecycle/emitter.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
@@ -15,6 +15,7 @@
 } from '../../common/protocol/headers.ts';
 import {type Refusal} from '../../common/protocol/dialect.ts';
 import {JaydaleDialect} from '../../common/protocol/jaydale-dialect.ts';
+import {type ListenOptions, listenOn} from '../listening.ts';
 import {continueTrace} from '../logging/trace-context.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {type CallEffectExecutor} from './call-effect-executor.ts';
@@ -127,19 +128,8 @@
 	}
 
 	/** Starts listening; resolves with the bound port. */
-	async listen(port: number, address: string): Promise<Result<number, Failure<'cannot-listen'>>> {
-		return new Promise(resolve => {
-			const onError = (error: Error) => {
-				resolve(err(failure('cannot-listen', `${address}:${port} cannot be listened on: ${error.message}`, {field: 'callers.port'})));
-			};
-
-			this._server.once('error', onError);
-			this._server.listen(port, address, () => {
-				this._server.off('error', onError);
-				const bound = this._server.address();
-				resolve(ok(typeof bound === 'object' && bound !== null ? bound.port : port));
-			});
-		});
+	async listen(port: number, address: string, options?: ListenOptions): Promise<Result<number, Failure<'cannot-listen'>>> {
+		return listenOn(this._server, port, address, options);
 	}
 
 	/**
--- a/src/node/front/page-server.ts
+++ b/src/node/front/page-server.ts
@@ -4,8 +4,7 @@
 import {type Failure} from '../../common/errors/failure.ts';
 import {Disposable} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
-import {type EarlyListener} from '../early-listener.ts';
-import {listenOn} from '../listening.ts';
+import {type ListenOptions, listenOn} from '../listening.ts';
 import {closeListener} from './close-listener.ts';
 import {GracefulServer} from './graceful-server.ts';
 
@@ -42,8 +41,8 @@
 		}));
 	}
 
-	async listen(port: number, address: string, early?: EarlyListener): Promise<Result<number, Failure<'cannot-listen'>>> {
-		return listenOn(this._server, port, address, {early});
+	async listen(port: number, address: string, options?: ListenOptions): Promise<Result<number, Failure<'cannot-listen'>>> {
+		return listenOn(this._server, port, address, options);
 	}
 
 	/** Closes each connection after its current answer, so that no connection is idle when the process exits. */
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -11,8 +11,7 @@
 import {type RoutedDialect} from '../../common/protocol/dialect.ts';
 import {hasDotSegment, type RoutedCall, type RouteTable} from '../../common/routing/route-table.ts';
 import {type CallerLimits, type Routing} from '../../common/routing/types.ts';
-import {type EarlyListener} from '../early-listener.ts';
-import {listenOn} from '../listening.ts';
+import {type ListenOptions, listenOn} from '../listening.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {type CallEffectExecutor} from './call-effect-executor.ts';
 import {closeListener} from './close-listener.ts';
@@ -137,8 +136,8 @@
 	}
 
 	/** Starts listening; resolves with the bound port. */
-	async listen(port: number, address: string, early?: EarlyListener): Promise<Result<number, Failure<'cannot-listen'>>> {
-		return listenOn(this._server, port, address, {backlog: listenBacklog, early});
+	async listen(port: number, address: string, options: Omit<ListenOptions, 'backlog'> = {}): Promise<Result<number, Failure<'cannot-listen'>>> {
+		return listenOn(this._server, port, address, {...options, backlog: listenBacklog});
 	}
 
 	/** Applies routes and limits to all calls that arrive from now on, and organisations also to calls whose body is being read. */
--- a/src/node/peers/grpc-peer-transport.ts
+++ b/src/node/peers/grpc-peer-transport.ts
@@ -71,6 +71,8 @@
 	private readonly _clients = this._register(new DisposableStore());
 	private readonly _deliver: DeliverMethod;
 	private readonly _additionalServices: AdditionalService[] = [];
+	/** Created by the first `listen`. */
+	private _server: Server | undefined;
 	private _messagesOut = 0;
 	private _bytesOut = 0;
 	private _messagesIn = 0;
@@ -113,32 +115,15 @@
 		});
 	}
 
-	/** Opens the listener; resolves with its port. */
+	/** Opens the listener; resolves with its port. May be called again after `cannot-listen`. */
 	async listen(): Promise<Result<number, Failure<PeerTransportFailureKind>>> {
 		const checked = this._credentials.check();
 		if (checked.isErr()) {
 			return err(checked.error);
 		}
 
-		this._checkFilesPeriodically();
-		const server = new Server({'grpc.max_receive_message_length': maxMessageBytes});
-		this._register(toDisposable(() => {
-			server.forceShutdown();
-		}));
-		const requestDeserialize = (bytes: Buffer): WireMessage => {
-			this._bytesIn += bytes.length;
-			return this._deliver.requestDeserialize(bytes);
-		};
-
-		server.addService({Deliver: {...this._deliver, requestDeserialize}}, {
-			Deliver: (call: ServerUnaryCall<WireMessage, WireMessage>, answer: sendUnaryData<WireMessage>) => {
-				this._handleMessage(call, answer);
-			},
-		});
-		for (const {definition, implementation} of this._additionalServices) {
-			server.addService(definition, implementation);
-		}
-
+		this._server ??= this._createServer();
+		const server = this._server;
 		return new Promise(resolve => {
 			server.bindAsync(this._listenAddress, this._credentials.server, (error, port) => {
 				resolve(error ? err(failure('cannot-listen', `Can't listen on ${this._listenAddress}: ${error.message}`)) : ok(port));
@@ -164,6 +149,29 @@
 		});
 	}
 
+	private _createServer(): Server {
+		this._checkFilesPeriodically();
+		const server = new Server({'grpc.max_receive_message_length': maxMessageBytes});
+		this._register(toDisposable(() => {
+			server.forceShutdown();
+		}));
+		const requestDeserialize = (bytes: Buffer): WireMessage => {
+			this._bytesIn += bytes.length;
+			return this._deliver.requestDeserialize(bytes);
+		};
+
+		server.addService({Deliver: {...this._deliver, requestDeserialize}}, {
+			Deliver: (call: ServerUnaryCall<WireMessage, WireMessage>, answer: sendUnaryData<WireMessage>) => {
+				this._handleMessage(call, answer);
+			},
+		});
+		for (const {definition, implementation} of this._additionalServices) {
+			server.addService(definition, implementation);
+		}
+
+		return server;
+	}
+
 	/** Checks periodically whether the own certificate has expired, and reports it: other VMs only drop the connection. */
 	private _checkFilesPeriodically(): void {
 		const timer = setInterval(() => {
