Keep the process alive after an exception that nothing has caught

What callers saw: every call in flight on a VM ended without an answer, because one callback threw.

Cause: no handler for uncaught exceptions; Node ends the process. The fault of one connection became the fault of all.

Change: UnexpectedErrors logs each with its stack, a few lines a second, and counts it (jaydale_unexpected_errors_total, vm.unexpected_errors). The process goes on; what the callback belonged to ends by its own time limit. An exception while the program is wired ends the process, with its stack, since nothing would be served.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -29,6 +29,7 @@
 import {type PauseDetector} from './pause-detector.ts';
 import {reportPoisonRequestChange} from './poison-request-log.ts';
 import {StopReport} from './stop-report.ts';
+import {UnexpectedErrors} from './unexpected-errors.ts';
 
 /** Parts of a daemon, created by `wiring.ts`. */
 export type DaemonParts = {
@@ -129,6 +130,11 @@
 			.mapErr(cause => failure('cannot-listen', cause.message, {cause}));
 	}
 
+	/** Keeps the process alive after unexpected errors, until this object is disposed. */
+	handleUnexpectedErrors(): void {
+		this._register(new UnexpectedErrors(this._parts));
+	}
+
 	/** Begins the planned stop; `onEnded` fires when it is over. */
 	stop(): void {
 		this._parts.loop.feed({type: 'stop-requested', by: 'signal'});
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -34,6 +34,7 @@
 import {LinkLog} from './link-log.ts';
 import {reportPoisonRequestChange} from './poison-request-log.ts';
 import {StopReport} from './stop-report.ts';
+import {UnexpectedErrors} from './unexpected-errors.ts';
 
 /** Parts of the daemon, created by `entry-wiring.ts`. */
 export type EntryDaemonParts = {
@@ -147,6 +148,11 @@
 		await this._opener.open(name, async onError => listener.listen(port, address, {early, onError}));
 	}
 
+	/** Keeps the process alive after unexpected errors, until this object is disposed. */
+	handleUnexpectedErrors(): void {
+		this._register(new UnexpectedErrors(this._parts));
+	}
+
 	/** Begins the planned stop; `onEnded` fires when it is over. */
 	stop(): void {
 		const callsInFlight = this._parts.routedServer.unfinishedAnswers;
--- a/src/daemon/serve.ts
+++ b/src/daemon/serve.ts
@@ -69,6 +69,7 @@
 	}
 
 	const daemon = wired.value;
+	daemon.handleUnexpectedErrors();
 	const unstarted = new Promise<'unstarted'>(resolve => {
 		stopSignalListener.subscribe(() => {
 			setTimeout(resolve, maxStartMilliseconds, 'unstarted').unref();
--- a/src/node/metrics/catalogue.ts
+++ b/src/node/metrics/catalogue.ts
@@ -58,6 +58,7 @@
 	'platform.milliseconds': {type: 'timing', tags: ['operation'], describe: 'Time that the platform\'s service took to answer.'},
 	'peers.messages': {type: 'counter', tags: ['direction'], describe: 'Messages between VMs.'},
 	'peers.bytes': {type: 'counter', tags: ['direction'], describe: 'Bytes of the messages between VMs, without gRPC\'s framing.'},
+	'vm.unexpected_errors': {type: 'counter', tags: [], describe: 'Exceptions that no part of the program has caught. Each is logged with its stack; the VM goes on.'},
 	'operators.requests': {type: 'counter', tags: ['method', 'status'], describe: 'Requests to the resource API.'},
 } as const satisfies Readonly<Record<string, MetricDefinition>>;
 
--- a/src/node/metrics/metrics.test.ts
+++ b/src/node/metrics/metrics.test.ts
@@ -75,6 +75,7 @@
 		metrics.tunnelRequested('open');
 		metrics.limitDatagram('malformed');
 		metrics.limitRights(2, 400);
+		metrics.unexpectedError();
 		metrics.poisonRequests('quarantined', 1);
 		metrics.configurationRejected('reads');
 		metrics.loadProbeSent('ordering');
--- a/src/node/metrics/no-metrics.ts
+++ b/src/node/metrics/no-metrics.ts
@@ -26,5 +26,6 @@
 	operatorAnswered: ignore,
 	limitDatagram: ignore,
 	limitRights: ignore,
+	unexpectedError: ignore,
 	gauges: ignore,
 };
--- a/src/node/metrics/page-metrics.test.ts
+++ b/src/node/metrics/page-metrics.test.ts
@@ -21,6 +21,7 @@
 		metrics.tunnelRequested('open');
 		metrics.limitDatagram('malformed');
 		metrics.limitRights(2, 400);
+		metrics.unexpectedError();
 		metrics.poisonRequests('quarantined', 1);
 		metrics.configurationRejected('reads');
 		metrics.loadProbeSent('orders');
--- a/src/node/metrics/page-metrics.ts
+++ b/src/node/metrics/page-metrics.ts
@@ -49,6 +49,7 @@
 	private readonly _peerBytes = this._counter('jaydale_peer_bytes_total', 'Bytes between VMs.', ['direction']);
 	private readonly _operatorAnswers = this._counter('jaydale_operator_answers_total', 'Answers to operators.', ['method', 'status']);
 	private readonly _limitDatagrams = this._counter('jaydale_limit_datagrams_total', 'Datagrams about rate limits of organisations.', ['result']);
+	private readonly _unexpectedErrors = this._counter('jaydale_unexpected_errors_total', 'Exceptions that no part of the program has caught.', []);
 	private readonly _heldLimitSlots = new Gauge({name: 'jaydale_held_limit_slots', help: 'Slots of the rate limits for which this VM may grant.', registers: [this._registry]});
 	private readonly _limitRightAge = new Gauge({name: 'jaydale_limit_right_age_milliseconds', help: 'Time since the oldest renewal of these slots was sent; 0 if there is none.', registers: [this._registry]});
 	private readonly _callTimes = this._histogram('jaydale_call_milliseconds', 'From the arrival of a call to its end.', ['service']);
@@ -151,6 +152,10 @@
 		this._limitDatagrams.inc({result});
 	}
 
+	unexpectedError(): void {
+		this._unexpectedErrors.inc();
+	}
+
 	limitRights(heldSlots: number, age: Milliseconds): void {
 		this._heldLimitSlots.set(heldSlots);
 		this._limitRightAge.set(age);
--- a/src/node/metrics/statsd-metrics.ts
+++ b/src/node/metrics/statsd-metrics.ts
@@ -145,6 +145,10 @@
 		this._gauge('organisation_limits.right_age_milliseconds', age);
 	}
 
+	unexpectedError(): void {
+		this._count('vm.unexpected_errors', 1, {});
+	}
+
 	configurationRejected(route: string | undefined): void {
 		this._count('configurations.rejected', 1, {route: route ?? 'none'});
 	}
--- a/src/node/metrics/types.ts
+++ b/src/node/metrics/types.ts
@@ -60,6 +60,8 @@
 	limitDatagram(result: 'sent' | 'received' | 'failed' | 'malformed'): void;
 	/** Slots of the rate limits for which this VM may grant, and the time since their oldest renewal; 0 if there is none. */
 	limitRights(heldSlots: number, age: Milliseconds): void;
+	/** An exception was caught by no part of the program. */
+	unexpectedError(): void;
 	/** Current state of the VM. */
 	gauges(values: VmGauges): void;
 };
