Start without bounds that the platform leaves out

The schema also refused a share of retries over 1, a grace time of 0 and a link of 0 Mbit/s. Now each bound, the link and the convergence time stand in a section of the template and have a default in the schema (measuring calls and share of retries: those of a service's document). The three values are accepted: more retries than calls is a budget like any other, without a grace time the VM ends at once, and the width of the link only decides which VMs read the store. Positions that every settings file has (addresses, data centre, heartbeat) stay required, and a convergence time or heartbeat of 0 and a tolerance of warm-ups under 0.1 are refused.

--- a/src/common/settings/entry-settings.ts
+++ b/src/common/settings/entry-settings.ts
@@ -18,7 +18,7 @@
 const vmSchema = z.strictObject({
 	name: textSchema.describe('Name of this VM in logs.'),
 	dataCentre: textSchema.describe('Data centre of this VM; calls stay in it while it has room.'),
-	linkMegabits: z.number().positive().default(1000).describe('Width of its link; the VMs with the widest read the store for the others.'),
+	linkMegabits: z.number().min(0).default(1000).describe('Width of its link; the VMs with the widest read the store for the others.'),
 });
 
 const listenSchema = z.strictObject({
@@ -41,9 +41,9 @@
 });
 
 const callsSchema = z.strictObject({
-	measuringPerSecond: z.number().min(0).max(100_000).describe('Measuring calls that one backend server may get a second, from all VMs together.'),
+	measuringPerSecond: z.number().min(0).max(100_000).default(24).describe('Measuring calls that one backend server may get a second, from all VMs together.'),
 	tailWeight: z.number().min(0).max(1).default(1).describe('0 = measure as little as possible, 1 = spend the budget for the best tail latency.'),
-	retryShare: z.number().min(0).max(1).describe('Retries and hedges allowed as a share of a service\'s calls, for all VMs together.'),
+	retryShare: z.number().min(0).max(1000).default(0.1).describe('Retries and hedges allowed as a share of a service\'s calls, for all VMs together.'),
 	retryBurst: z.number().min(0).max(1_000_000).default(60)
 		.describe('Retries and hedges of a service beyond that share which all VMs together may make at once.'),
 	warmUpTolerance: z.number().min(0.1).max(100).default(1)
@@ -59,7 +59,7 @@
 });
 
 const stopSchema = z.strictObject({
-	graceSeconds: secondsSchema.describe('Time from the order to stop until the process is killed.'),
+	graceSeconds: z.number().min(0).max(86_400).default(5).describe('Time from the order to stop until the process is killed; 0 = the VM ends at once.'),
 });
 
 const logSchema = z.strictObject({
@@ -72,9 +72,9 @@
 	listen: listenSchema,
 	seeds: z.array(endpointSchema).default([]).describe('Peers endpoints of VMs to learn from at the start, until others are known. May be out of date.'),
 	store: storeSchema,
-	calls: callsSchema,
+	calls: callsSchema.prefault({}),
 	directory: directorySchema.prefault({}),
-	stop: stopSchema,
+	stop: stopSchema.prefault({}),
 	log: logSchema.prefault({}),
 });
 
