Keep the end of a backend connection from ending the process

A VM ended by itself (exit code 1) while callers read large answers slowly, if their backend server answered with HTTP/1.0 and a length, or with "Proxy-Connection: close", and closed the connection after the answer.

undici emits the last bytes of a body, is paused, and then gets the end of the connection although its parser has yet to report the end of the answer. If the connection was to close after the answer, it asserts that the parser is not paused; nobody catches this exception in a listener of the socket. Otherwise it takes the answer for incomplete, and the caller is cut. Which answers were never paused was told by the headers of HTTP/1.1 alone. Two Connection headers, which undici returns as a list, failed the call.

The client of a connection now tells its attempt of the end before undici learns of it. The attempt reads what is left, which is no more than the parser holds, and pauses no more. It finds the attempt by the options of the request, as undici wraps the handler.

--- /dev/null
+++ b/src/node/front/attempt-client.ts
@@ -0,0 +1,37 @@
+/** The HTTP client of one connection to a backend server. */
+import {type buildConnector, Client, type Dispatcher} from 'undici';
+import {type AttemptDispatchOptions, type BackendAttempt} from './backend-attempt.ts';
+
+/** Options of an `AttemptClient`: its connector is a function. */
+export type AttemptClientOptions = Omit<Client.Options, 'connect'> & {readonly connect: buildConnector.connector};
+
+/**
+ * Resumes a paused answer when its connection ends. undici itself takes such an end for the end of an incomplete answer, although
+ * only its parser has yet to report the last byte, and fails an assertion if the connection was to close after the answer. An
+ * exception in that listener of the socket would end the process. Without pipelining, at most one attempt uses the connection.
+ */
+export class AttemptClient extends Client {
+	private readonly _current: {attempt?: BackendAttempt | undefined};
+
+	constructor(origin: string | URL, {connect, ...options}: AttemptClientOptions) {
+		const current: {attempt?: BackendAttempt | undefined} = {};
+		super(origin, {
+			...options,
+			connect(connectOptions, callback) {
+				connect(connectOptions, (...result) => {
+					// Comes before the listener that undici adds in the callback.
+					result[1]?.on('end', () => {
+						current.attempt?.onConnectionEnd();
+					});
+					callback(...result);
+				});
+			},
+		});
+		this._current = current;
+	}
+
+	override dispatch(options: AttemptDispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
+		this._current.attempt = options.attempt;
+		return super.dispatch(options, handler);
+	}
+}
--- a/src/node/front/backend-attempt.ts
+++ b/src/node/front/backend-attempt.ts
@@ -27,8 +27,10 @@
  * connection closes while the answer is paused, and that terminates the whole process. Such an answer is read as it arrives
  * and buffered in memory for its caller; `UnpausedAnswers` bounds the buffers.
  */
-function keepsConnectionOpen({connection = '', ...headers}: IncomingHttpHeaders): boolean {
+function keepsConnectionOpen(headers: IncomingHttpHeaders): boolean {
 	const hasLength = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+	// undici returns a list if a header occurs more than once.
+	const connection = [headers.connection ?? ''].flat().join(',');
 	return hasLength && !connection.toLowerCase().includes('close');
 }
 
@@ -40,6 +42,9 @@
 	readonly body: Uint8Array | Readable | undefined;
 };
 
+/** Options of undici, with the attempt that they start: undici wraps the handler itself before a client receives it. */
+export type AttemptDispatchOptions = Dispatcher.DispatchOptions & {readonly attempt?: BackendAttempt};
+
 /**
  * Calls exactly one of `onEnd` and `onFailure`, or neither after `cancel`. undici calls `onRequestStart` right before it writes
  * the first byte, so a failure before that call proves that nothing was sent and nothing ran.
@@ -78,11 +83,12 @@
 	}
 
 	start(dispatcher: Dispatcher, request: AttemptRequest): void {
-		dispatcher.dispatch(BackendAttempt.dispatchOptions(request), this);
+		dispatcher.dispatch(this.dispatchOptions(request), this);
 	}
 
-	static dispatchOptions({method, path, headers, body}: AttemptRequest): Dispatcher.DispatchOptions {
+	dispatchOptions({method, path, headers, body}: AttemptRequest): AttemptDispatchOptions {
 		return {
+			attempt: this,
 			method,
 			path,
 			headers,
@@ -122,6 +128,14 @@
 		this._controller?.resume();
 	}
 
+	/** The connection has ended: reads what is left of the answer, and pauses no more. */
+	onConnectionEnd(): void {
+		if (this._controller !== undefined) {
+			this._canPause = false;
+			this._controller.resume();
+		}
+	}
+
 	onRequestStart(controller: Dispatcher.DispatchController): void {
 		// undici calls this a second time if it retries a call after a lost connection. The retry must not reach the wire,
 		// because a call may run at most once.
--- a/src/node/front/backend-connections.ts
+++ b/src/node/front/backend-connections.ts
@@ -4,13 +4,14 @@
  */
 import process from 'node:process';
 import {
-	buildConnector, Client, type Dispatcher, Pool,
+	buildConnector, type Client, type Dispatcher, Pool,
 } from 'undici';
 import {type BackendServerIdentity, type CallEffect} from '../../common/calls/types.ts';
 import {wasReset} from '../connection-reset.ts';
 import {NoRelayError, tunnelConnector} from '../fleet/tunnel-client.ts';
 import {Disposable, toDisposable} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
+import {AttemptClient, type AttemptClientOptions} from './attempt-client.ts';
 
 type Target = Pick<CallEffect & {type: 'start-attempt'}, 'identity' | 'address' | 'port' | 'processStartedAt' | 'via'>;
 
@@ -133,7 +134,11 @@
 		}
 
 		void existing?.pool.close();
-		const pool = new Pool(origin, this._options(target));
+		const pool = new Pool(origin, {
+			...this._options(target),
+			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- the pool passes on the options above.
+			factory: (clientOrigin, options) => new AttemptClient(clientOrigin, options as AttemptClientOptions),
+		});
 		this._pools.set(identity, {
 			pool, origin, processStartedAt, via,
 		});
@@ -152,12 +157,12 @@
 
 	/** Returns a client with a new connection for a single attempt; the caller closes it. */
 	createDedicatedClient(target: Target): Client {
-		return new Client(originUrl(target.address, target.port), this._options(target));
+		return new AttemptClient(originUrl(target.address, target.port), this._options(target));
 	}
 
 	/** Returns a client that opens a connection by exactly this path; the caller closes it. */
 	createCheckClient(target: Target): Client {
-		return new Client(originUrl(target.address, target.port), {...this._options(target), ...(target.via === undefined ? {connect: this._connect} : {})});
+		return new AttemptClient(originUrl(target.address, target.port), {...this._options(target), ...(target.via === undefined ? {connect: this._connect} : {})});
 	}
 
 	/** Closes the pools of backend servers that are not in `identities`, once their calls in flight have completed. */
@@ -184,7 +189,7 @@
 		});
 	}
 
-	private _options({identity, via}: Target): Client.Options {
+	private _options({identity, via}: Target): AttemptClientOptions {
 		return {
 			// No pipelining: a call queued behind a slow one would wait without the call engine's knowledge, and undici would
 			// resend it on its own after a reset.
--- a/src/node/front/probe-connections.test.ts
+++ b/src/node/front/probe-connections.test.ts
@@ -108,7 +108,7 @@
 						throw new Error('unexpected failure');
 					},
 				});
-				connections.dispatch(target, BackendAttempt.dispatchOptions({
+				connections.dispatch(target, attempt.dispatchOptions({
 					method: 'GET', path: `/services/orders/${index}`, headers: [], body: undefined,
 				}), attempt, () => attempt.isNeeded);
 			});
