Bound the memory of bodies that are buffered before placement

Callers lost all calls in flight on a VM when its process ended: 400 connections that each sent a body of 4,000 chunks of 16 bytes, without an end, were enough. Each chunk stayed a Buffer in the JavaScript heap, which is limited to 64 MB. 3,000 connections with 65,000 of 70,000 bytes of a body took 289 MB, since nothing bounded the buffered bodies of a process together.

Pieces are now copied into few blocks, so that the heap no longer depends on their number, and the blocks of all bodies count towards one budget until their calls are over. A call whose body finds no room is refused at once with 503 and Retry-After as not run. Bodies that are incomplete and made no progress for a second are refused first; otherwise senders that stop in the middle of a body could refuse all others. Larger bodies are streamed with back-pressure as before. Refusals are counted and logged at a limited rate.

--- a/benchmark/path/front-only.ts
+++ b/benchmark/path/front-only.ts
@@ -19,6 +19,7 @@
 import {CallerServer} from '../../src/node/front/caller-server.ts';
 import {HttpLoadProbeClient} from '../../src/node/front/http-load-probe-client.ts';
 import {keyDigest} from '../../src/node/key-digest.ts';
+import {HeldMemory} from '../../src/node/memory/held-memory.ts';
 
 type Options = {readonly 'backend-servers': string};
 
@@ -66,6 +67,7 @@
 	});
 	const server = new CallerServer({
 		sink: loop, calls, connections, addresses: () => undefined, fingerprint: hashes.fingerprint, organisations: new OrganisationDirectory(keyDigest),
+		heldMemory: new HeldMemory(),
 	}, {
 		headBytes: 16_384, headMilliseconds: 10_000, stallMilliseconds: 120_000, idleMilliseconds: 60_000, keptBodyBytes: 65_536, bodyBytes: 1_073_741_824, connections: 10_000,
 	});
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -37,9 +37,11 @@
 import {ReadinessGate} from '../node/front/readiness-gate.ts';
 import {keyDigest} from '../node/key-digest.ts';
 import {type Logging} from '../node/logging/logging.ts';
+import {HeldMemory} from '../node/memory/held-memory.ts';
 import {CountedLoadProbeClient, CountedPlatformClient} from '../node/metrics/counted-clients.ts';
 import {PageMetrics} from '../node/metrics/page-metrics.ts';
 import {EntryDaemon} from './entry-daemon.ts';
+import {HeldMemoryLog} from './held-memory-log.ts';
 import {newIdentity, type Hashes} from './identity.ts';
 import {PauseDetector} from './pause-detector.ts';
 import {quarantinePages} from './quarantine-pages.ts';
@@ -148,6 +150,8 @@
 			loop.feed({type: 'link-failed', identity});
 		},
 	}, metrics));
+	const heldMemory = owned.add(new HeldMemory());
+	owned.add(new HeldMemoryLog(heldMemory, clock, logger, metrics));
 	const feedServer = owned.add(new FeedServer(metrics, {
 		fullFrame: () => fleet.feed(clock.now()), isServing: identity => fleet.isServing(identity), compareEvidence: known => fleet.compareEvidence(known, clock.now()),
 	}, loop, tunnelServer));
@@ -172,6 +176,7 @@
 		organisations: new OrganisationDirectory(keyDigest),
 		fingerprint: hashes.fingerprint,
 		readinessGate,
+		heldMemory,
 	}, {
 		keptBodyBytes: settings.calls.replayBytes, connections: settings.calls.connections, stallMilliseconds,
 	}));
--- a/src/daemon/wiring.ts
+++ b/src/daemon/wiring.ts
@@ -29,6 +29,7 @@
 import {keyDigest} from '../node/key-digest.ts';
 import {type Logging} from '../node/logging/logging.ts';
 import {type Logger} from '../node/logging/types.ts';
+import {HeldMemory} from '../node/memory/held-memory.ts';
 import {CountedLoadProbeClient, CountedPlatformClient} from '../node/metrics/counted-clients.ts';
 import {noMetrics} from '../node/metrics/no-metrics.ts';
 import {StatsdMetrics} from '../node/metrics/statsd-metrics.ts';
@@ -41,6 +42,7 @@
 import {QuarantineExchange} from '../node/peers/quarantine-exchange.ts';
 import {HttpPlatformClient} from '../node/platform/http-platform-client.ts';
 import {BurnReporter} from './burn-reporter.ts';
+import {HeldMemoryLog} from './held-memory-log.ts';
 import {Daemon} from './daemon.ts';
 import {FleetGateway} from './fleet-gateway.ts';
 import {newIdentity, type Hashes} from './identity.ts';
@@ -161,11 +163,13 @@
 type Clients = ReturnType<typeof makeClients>;
 
 /** Creates the parts that a call passes: the callers' listener, attempts, load probes, and claims of idempotency keys. */
-function makeCallPath({settings, owned, clock, hashes, metrics, identity}: SharedParts, {entryVm, loop}: Deciders, {platform}: Clients) {
+function makeCallPath({settings, owned, clock, logger, hashes, metrics, identity}: SharedParts, {entryVm, loop}: Deciders, {platform}: Clients) {
 	const connections = owned.add(new BackendConnections({connectMilliseconds, idleMilliseconds: backendIdleTimeoutMilliseconds}));
 	const loadProbeClient = new CountedLoadProbeClient(new HttpLoadProbeClient(connections, new JaydaleDialect()), metrics);
 	const keyClaimer = new StoreKeyClaimer(platform, clock, identity, hashes.digest);
 	const callEffectExecutor = owned.add(new CallEffectExecutor(loop, loadProbeClient, keyClaimer));
+	const heldMemory = owned.add(new HeldMemory());
+	owned.add(new HeldMemoryLog(heldMemory, clock, logger, metrics));
 	const callerServer = owned.add(new CallerServer({
 		sink: loop,
 		calls: callEffectExecutor,
@@ -173,6 +177,7 @@
 		addresses: service => toAddressList(entryVm.fleet.addresses(service, clock.now())),
 		fingerprint: hashes.fingerprint,
 		organisations: new OrganisationDirectory(keyDigest),
+		heldMemory,
 	}, {
 		headBytes: settings.limits.headBytes,
 		headMilliseconds,
--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -17,6 +17,7 @@
 import {JaydaleDialect} from '../../common/protocol/jaydale-dialect.ts';
 import {type ListenOptions, listenOn} from '../listening.ts';
 import {continueTrace} from '../logging/trace-context.ts';
+import {type HeldMemory} from '../memory/held-memory.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {type CallEffectExecutor} from './call-effect-executor.ts';
 import {discardBody} from './discard-body.ts';
@@ -45,6 +46,8 @@
 	/** Returns a 64-bit digest of a call's method, path and buffered start of the body. */
 	readonly fingerprint: FingerprintFunction;
 	readonly organisations: OrganisationDirectory;
+	/** Bounds the memory of buffered bodies and answers. */
+	readonly heldMemory: HeldMemory;
 };
 
 /** Limits of the listener; each prevents a single caller from exhausting a shared resource. */
@@ -66,6 +69,9 @@
 /** Retry delay for callers that a stopping VM has refused: almost immediate, since they retry on another VM. */
 const stoppingRetryMilliseconds: Milliseconds = 20;
 
+/** Retry delay for callers whose bodies find no room in memory. Other VMs may have room, and incomplete bodies soon give way here. */
+const noRoomRetryMilliseconds: Milliseconds = 200;
+
 const maxTimeoutMilliseconds = 86_400_000;
 const maxCallerNameLength = 128;
 const maxIdempotencyKeyLength = 255;
@@ -205,7 +211,7 @@
 			return;
 		}
 
-		const body = new RequestBody(incoming, this._limits);
+		const body = new RequestBody(incoming, this._limits, this._dependencies.heldMemory.bodies);
 		if (body.isTooLarge) {
 			outgoing.setHeader('connection', 'close');
 			this._refuseInvalidField(outgoing, 413, 'content-length');
@@ -218,6 +224,9 @@
 					status: 503, reason: 'stopping', outcome: 'not-run', retryAfterMilliseconds: stoppingRetryMilliseconds,
 				});
 			});
+			outgoing.once('close', () => {
+				body.release();
+			});
 		}
 
 		body.read(() => {
@@ -258,6 +267,13 @@
 				incoming, outgoing, path, body, traceId, traceparent, dialect: this._dialect, hidesKey: () => isKeyChecked, stallMilliseconds, completeAnswerStallMilliseconds, unpausedAnswers: this._unpausedAnswers,
 			}, this._dependencies.sink, this._dependencies.connections);
 			this._dependencies.calls.admit(call, {type: 'call-arrived', request});
+		}, () => {
+			this._incompleteCalls.remove(outgoing);
+			if (!outgoing.writableEnded && !outgoing.destroyed) {
+				this._refuse(incoming, outgoing, {
+					status: 503, reason: 'overloaded', outcome: 'not-run', retryAfterMilliseconds: noRoomRetryMilliseconds,
+				});
+			}
 		});
 	}
 
--- a/src/node/front/request-body.ts
+++ b/src/node/front/request-body.ts
@@ -1,6 +1,8 @@
 /** Reads a caller's request body and buffers small ones, so that a call that provably has not run can be sent again. */
 import {type IncomingMessage} from 'node:http';
 import {PassThrough, type Readable} from 'node:stream';
+import {HeldBytes} from '../memory/held-bytes.ts';
+import {type MemoryBudget} from '../memory/memory-budget.ts';
 import {discardBody} from './discard-body.ts';
 
 /** Limits of request bodies, in bytes. */
@@ -28,13 +30,19 @@
 export class RequestBody {
 	private readonly _incoming: IncomingMessage;
 	private readonly _limits: BodyLimits;
-	private readonly _chunks: Uint8Array[] = [];
+	private readonly _held: HeldBytes;
 	private _bytes = 0;
 	private _isComplete = false;
+	/** Set while the body is read. */
+	private _onNoRoom: (() => void) | undefined;
 
-	constructor(incoming: IncomingMessage, limits: BodyLimits) {
+	/** `budget` = bound for all buffered bodies together. */
+	constructor(incoming: IncomingMessage, limits: BodyLimits, budget: MemoryBudget) {
 		this._incoming = incoming;
 		this._limits = limits;
+		this._held = new HeldBytes(budget, () => {
+			this._onNoRoom?.();
+		});
 	}
 
 	/** True if the declared content length exceeds the limit. */
@@ -55,11 +63,14 @@
 
 	/** The buffered bytes: the complete body, or its first part. */
 	get buffered(): Uint8Array {
-		return this._chunks.length === 1 ? this._chunks[0]! : Buffer.concat(this._chunks);
+		return this._held.contents;
 	}
 
-	/** Reads up to the end of the body or the buffer limit, then calls `onReady` once. Never calls it if the caller disconnects. */
-	read(onReady: () => void): void {
+	/**
+	 * Reads up to the end of the body or the buffer limit, then calls `onReady` once; or `onNoRoom` if the budget of buffered
+	 * bodies has no room for it. Calls neither if the caller disconnects.
+	 */
+	read(onReady: () => void, onNoRoom: () => void): void {
 		if (!this.isAnnounced) {
 			this._isComplete = true;
 			onReady();
@@ -67,7 +78,11 @@
 		}
 
 		const onData = (chunk: Uint8Array) => {
-			this._chunks.push(chunk);
+			if (!this._held.append(chunk)) {
+				this._onNoRoom?.();
+				return;
+			}
+
 			this._bytes += chunk.length;
 			if (this._bytes > this._limits.keptBodyBytes) {
 				stop();
@@ -85,6 +100,14 @@
 		const stop = () => {
 			this._incoming.off('data', onData);
 			this._incoming.off('end', onEnd);
+			this._held.complete();
+			this._onNoRoom = undefined;
+		};
+
+		this._onNoRoom = () => {
+			stop();
+			this._held.discard();
+			onNoRoom();
 		};
 
 		this._incoming.on('data', onData);
@@ -100,6 +123,12 @@
 		return this._openStream();
 	}
 
+	/** Frees the room in the budget of buffered bodies once the call is over. */
+	release(): void {
+		this._onNoRoom = undefined;
+		this._held.release();
+	}
+
 	/** Discards the rest of a body that no backend server reads, so that the connection can carry the next call. */
 	discard(): void {
 		discardBody(this._incoming, this._limits.bodyBytes);
@@ -108,8 +137,7 @@
 	/** The body as a stream. If its reader drops it, the rest stays in the caller's connection until `discard`. */
 	private _openStream(): Readable {
 		const stream = new PassThrough();
-		stream.write(this.buffered);
-		this._chunks.length = 0;
+		stream.write(this._held.take());
 		this._incoming.on('data', (chunk: Uint8Array) => {
 			this._bytes += chunk.length;
 			if (this._bytes > this._limits.bodyBytes) {
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -12,6 +12,7 @@
 import {hasDotSegment, type RoutedCall, type RouteTable} from '../../common/routing/route-table.ts';
 import {type CallerLimits, type Routing} from '../../common/routing/types.ts';
 import {type ListenOptions, listenOn} from '../listening.ts';
+import {type HeldMemory} from '../memory/held-memory.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {type CallEffectExecutor} from './call-effect-executor.ts';
 import {closeListener} from './close-listener.ts';
@@ -38,6 +39,8 @@
 	readonly fingerprint: FingerprintFunction;
 	/** Delays calls that arrive before the first routes are configured. */
 	readonly readinessGate: ReadinessGate;
+	/** Bounds the memory of buffered bodies and answers. */
+	readonly heldMemory: HeldMemory;
 };
 
 /** Limits that are not part of the operators' routing configuration. */
@@ -61,6 +64,9 @@
 /** Retry delay for callers that a stopping VM has refused: almost immediate, since they retry on another VM. */
 const stoppingRetryMilliseconds: Milliseconds = 20;
 
+/** Retry delay for callers whose bodies find no room in memory. Other VMs may have room, and incomplete bodies soon give way here. */
+const noRoomRetryMilliseconds: Milliseconds = 200;
+
 /** Connections that may wait to be accepted. A full backlog costs a caller one second, and bursts bring hundreds of connections. */
 const listenBacklog = 1024;
 
@@ -79,6 +85,9 @@
 /** Answer to a call that arrives too late to complete before the process exits. */
 const stoppingAnswer: EarlyAnswer = {status: 503, reason: 'stopping', retryAfterMilliseconds: stoppingRetryMilliseconds};
 
+/** Answer to a call whose body finds no room in memory. */
+const noRoomAnswer: EarlyAnswer = {status: 503, reason: 'overloaded', retryAfterMilliseconds: noRoomRetryMilliseconds};
+
 /** Answer to a call without the key of an organisation on a route that is not public. */
 const unauthorizedAnswer: EarlyAnswer = {status: 401, reason: 'unauthorized'};
 
@@ -240,7 +249,8 @@
 	}
 
 	private _readBody(incoming: IncomingMessage, outgoing: ServerResponse, routedCall: RoutedCallWithKey): void {
-		const body = new RequestBody(incoming, {bodyBytes: this._callerLimits.bodyBytes, keptBodyBytes: this._limits.keptBodyBytes});
+		const limits = {bodyBytes: this._callerLimits.bodyBytes, keptBodyBytes: this._limits.keptBodyBytes};
+		const body = new RequestBody(incoming, limits, this._dependencies.heldMemory.bodies);
 		if (body.isTooLarge) {
 			outgoing.setHeader('connection', 'close');
 			this._answerEarly(incoming, outgoing, {status: 413, reason: 'unknown-service'});
@@ -252,6 +262,9 @@
 			this._incompleteCalls.add(outgoing, () => {
 				this._refuseStopping(incoming, outgoing);
 			});
+			outgoing.once('close', () => {
+				body.release();
+			});
 		}
 
 		body.read(() => {
@@ -261,6 +274,11 @@
 			} else if (!outgoing.destroyed) {
 				this._admit(incoming, outgoing, {...routedCall, body, arrivedAt});
 			}
+		}, () => {
+			this._incompleteCalls.remove(outgoing);
+			if (!outgoing.writableEnded && !outgoing.destroyed) {
+				this._answerEarly(incoming, outgoing, noRoomAnswer);
+			}
 		});
 	}
 
--- a/src/node/metrics/catalogue.ts
+++ b/src/node/metrics/catalogue.ts
@@ -52,6 +52,7 @@
 	'measuring.calls': {type: 'counter', tags: ['service'], describe: 'Calls made only to learn a backend server\'s load; each is paid from the service\'s budget.'},
 	'measuring.part': {type: 'gauge', tags: [], describe: 'Part of the fleet\'s measuring budgets that this VM may spend, 0 to 1.'},
 	'configuration.version': {type: 'gauge', tags: [], describe: 'Configuration version in force. VMs that differ for more than some seconds are worth a look.'},
+	'memory.refusals': {type: 'counter', tags: ['kind'], describe: 'What found no room in memory: `kind` is body (its call was refused), peer-message (refused) or answer (forwarded early).'},
 	'connections.callers': {type: 'gauge', tags: [], describe: 'Open connections of callers.'},
 	'vm.utilisation': {type: 'gauge', tags: [], describe: 'Part of the time that the event loop was busy, 0 to 1.'},
 	'platform.calls': {type: 'counter', tags: ['operation', 'reply'], describe: 'Requests to the platform\'s service.'},
--- a/src/node/metrics/metrics.test.ts
+++ b/src/node/metrics/metrics.test.ts
@@ -76,6 +76,7 @@
 		metrics.limitDatagram('malformed');
 		metrics.limitRights(2, 400);
 		metrics.unexpectedError();
+		metrics.memoryRefused('bodies');
 		metrics.poisonRequests('quarantined', 1);
 		metrics.configurationRejected('reads');
 		metrics.loadProbeSent('ordering');
--- a/src/node/metrics/no-metrics.ts
+++ b/src/node/metrics/no-metrics.ts
@@ -27,5 +27,6 @@
 	limitDatagram: ignore,
 	limitRights: ignore,
 	unexpectedError: ignore,
+	memoryRefused: ignore,
 	gauges: ignore,
 };
--- a/src/node/metrics/page-metrics.test.ts
+++ b/src/node/metrics/page-metrics.test.ts
@@ -22,6 +22,7 @@
 		metrics.limitDatagram('malformed');
 		metrics.limitRights(2, 400);
 		metrics.unexpectedError();
+		metrics.memoryRefused('peerMessages');
 		metrics.poisonRequests('quarantined', 1);
 		metrics.configurationRejected('reads');
 		metrics.loadProbeSent('orders');
--- a/src/node/metrics/page-metrics.ts
+++ b/src/node/metrics/page-metrics.ts
@@ -9,8 +9,11 @@
 import {askOutcomes} from '../../common/limits/ask-outcomes.ts';
 import {type LinkState} from '../../common/links/types.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
+import {type HeldKind} from '../memory/held-memory.ts';
 import {OrganisationTally} from './organisation-tally.ts';
-import {keyRefusalReason, type Metrics, type VmGauges} from './types.ts';
+import {
+	heldKindName, keyRefusalReason, type Metrics, type VmGauges,
+} from './types.ts';
 
 /** Upper bounds of the histogram buckets in milliseconds, from 50 ms to 10 s in steps of a factor of about two or less; narrower around the usual objectives. */
 const buckets: Milliseconds[] = [50, 100, 150, 200, 300, 400, 600, 800, 1200, 2500, 5000, 10_000];
@@ -52,6 +55,7 @@
 	private readonly _unexpectedErrors = this._counter('jaydale_unexpected_errors_total', 'Exceptions that no part of the program has caught.', []);
 	private readonly _heldLimitSlots = new Gauge({name: 'jaydale_held_limit_slots', help: 'Slots of the rate limits for which this VM may grant.', registers: [this._registry]});
 	private readonly _limitRightAge = new Gauge({name: 'jaydale_limit_right_age_milliseconds', help: 'Time since the oldest renewal of these slots was sent; 0 if there is none.', registers: [this._registry]});
+	private readonly _memoryRefusals = this._counter('jaydale_memory_refusals_total', 'What found no room in memory.', ['kind']);
 	private readonly _callTimes = this._histogram('jaydale_call_milliseconds', 'From the arrival of a call to its end.', ['service']);
 	private readonly _queueTimes = this._histogram('jaydale_queued_milliseconds', 'From the arrival of a call to its first attempt.', ['service']);
 	private readonly _storeTimes = this._histogram('jaydale_store_milliseconds', 'Requests to the store.', ['operation']);
@@ -161,6 +165,10 @@
 		this._limitRightAge.set(age);
 	}
 
+	memoryRefused(kind: HeldKind): void {
+		this._memoryRefusals.inc({kind: heldKindName[kind]});
+	}
+
 	gauges(values: VmGauges): void {
 		for (const [name, value] of Object.entries(values)) {
 			const gauge = this._gauges.get(name) ?? new Gauge({name: `jaydale_${name}`, help: name, registers: [this._registry]});
--- a/src/node/metrics/statsd-metrics.ts
+++ b/src/node/metrics/statsd-metrics.ts
@@ -6,9 +6,12 @@
 import {type LinkState} from '../../common/links/types.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 import {type Settings} from '../../common/settings/settings.ts';
+import {type HeldKind} from '../memory/held-memory.ts';
 import {type MetricNameOf, type TagsOf} from './catalogue.ts';
 import {OrganisationTally} from './organisation-tally.ts';
-import {keyRefusalReason, type Metrics, type VmGauges} from './types.ts';
+import {
+	heldKindName, keyRefusalReason, type Metrics, type VmGauges,
+} from './types.ts';
 
 /** Maximum size of a datagram; fits an Ethernet frame with room for the headers of tunnels. */
 const datagramBytes = 1400;
@@ -149,6 +152,10 @@
 		this._count('vm.unexpected_errors', 1, {});
 	}
 
+	memoryRefused(kind: HeldKind): void {
+		this._count('memory.refusals', 1, {kind: heldKindName[kind]});
+	}
+
 	configurationRejected(route: string | undefined): void {
 		this._count('configurations.rejected', 1, {route: route ?? 'none'});
 	}
--- a/src/node/metrics/types.ts
+++ b/src/node/metrics/types.ts
@@ -2,6 +2,7 @@
 import {type CallSummary, type PoisonRequestChange} from '../../common/calls/types.ts';
 import {type LinkState} from '../../common/links/types.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
+import {type HeldKind} from '../memory/held-memory.ts';
 
 /** State of a VM that is sampled periodically. */
 export type VmGauges = {
@@ -15,6 +16,9 @@
 	readonly measuringPart: number;
 };
 
+/** Values of the tag `kind` of memory that found no room. */
+export const heldKindName: Readonly<Record<HeldKind, string>> = {bodies: 'body', peerMessages: 'peer-message', answers: 'answer'};
+
 /** Value of the tag `reason` of a refused key. */
 export function keyRefusalReason(isKeySent: boolean): 'unknown-key' | 'no-key' {
 	return isKeySent ? 'unknown-key' : 'no-key';
@@ -62,6 +66,8 @@
 	limitRights(heldSlots: number, age: Milliseconds): void;
 	/** An exception was caught by no part of the program. */
 	unexpectedError(): void;
+	/** A body, a message of another VM or a buffered answer found no room in memory. */
+	memoryRefused(kind: HeldKind): void;
 	/** Current state of the VM. */
 	gauges(values: VmGauges): void;
 };
--- a/src/proof/bad-input.test.ts
+++ b/src/proof/bad-input.test.ts
@@ -21,6 +21,7 @@
 import {CallerServer} from '../node/front/caller-server.ts';
 import {HttpLoadProbeClient} from '../node/front/http-load-probe-client.ts';
 import {keyDigest} from '../node/key-digest.ts';
+import {HeldMemory} from '../node/memory/held-memory.ts';
 import {reportFromWire} from '../node/peers/burn-codec.ts';
 import {fromWire} from '../node/peers/peer-codec.ts';
 import {parseToml} from '../node/settings/load-settings.ts';
@@ -75,6 +76,7 @@
 		addresses: () => undefined,
 		fingerprint: ({method, path}) => `${method} ${path}`,
 		organisations: new OrganisationDirectory(keyDigest),
+		heldMemory: store.add(new HeldMemory()),
 	}, limits));
 	listener.configure(declared);
 	loop.feed({
--- a/src/proof/local-frontend.ts
+++ b/src/proof/local-frontend.ts
@@ -15,6 +15,7 @@
 import {CallerServer, type CallerServerLimits} from '../node/front/caller-server.ts';
 import {HttpLoadProbeClient} from '../node/front/http-load-probe-client.ts';
 import {keyDigest} from '../node/key-digest.ts';
+import {HeldMemory} from '../node/memory/held-memory.ts';
 
 export const limits = {
 	headBytes: 16_384, headMilliseconds: 5000, stallMilliseconds: 300, idleMilliseconds: 5000, bodyBytes: 200_000, keptBodyBytes: 65_536, connections: 100,
@@ -46,6 +47,7 @@
 		addresses: () => undefined,
 		fingerprint: ({method, path}) => `${method} ${path}`,
 		organisations: new OrganisationDirectory(keyDigest),
+		heldMemory: store.add(new HeldMemory()),
 	}, {...limits, ...limitOverrides}));
 	const ended: CallSummary[] = [];
 	store.add(calls.onCallEnded(({summary}) => {
