Bound the memory of incomplete messages between VMs

3,000 connections to the peers' listener, each with 150 KB of a message of up to 1 MB and no end, took 535 MB, and the platform ends a process that exceeds the memory of its machine: its calls in flight then get no answer. Each connection had its own bound, and there was none for all together. An incomplete line of an announcement was a part of a string of up to one read, and kept that string in the JavaScript heap.

Incomplete messages and lines now count towards a budget of their own, so that they take no room from the calls, and calls none from them. VMs send the same content again or by way of others.

--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -154,7 +154,7 @@
 	owned.add(new HeldMemoryLog(heldMemory, clock, logger, metrics));
 	const feedServer = owned.add(new FeedServer(metrics, {
 		fullFrame: () => fleet.feed(clock.now()), isServing: identity => fleet.isServing(identity), compareEvidence: known => fleet.compareEvidence(known, clock.now()),
-	}, loop, tunnelServer));
+	}, loop, tunnelServer, heldMemory.peerMessages));
 	const connections = owned.add(new BackendConnections({connectMilliseconds, idleMilliseconds: backendIdleTimeoutMilliseconds}));
 	connections.setRelays({
 		nextRelay: (identity, tried) => calls.nextRelay(identity, tried, clock.now()),
--- a/src/node/fleet/feed-client.ts
+++ b/src/node/fleet/feed-client.ts
@@ -14,8 +14,8 @@
 /** Connect time-out; a round trip to another data centre takes 3 ms. After a time-out another VM is tried. */
 const connectTimeoutMilliseconds: Milliseconds = 300;
 
-/** Maximum length of an incomplete line, in characters; a longer one does not come from a VM of this fleet. */
-const maxLineCharacters = 16_777_216;
+/** Maximum length of an incomplete line, in bytes; a longer one does not come from a VM of this fleet. */
+const maxLineBytes = 16_777_216;
 
 /** Delay before the connection is destroyed, so that the last announcement is sent. */
 const closeDelayMilliseconds: Milliseconds = 100;
@@ -84,7 +84,7 @@
 	private readonly _source: PeerAddress;
 	private readonly _sink: FeedSink;
 	private readonly _logger: Logger;
-	private readonly _lines = new LineReader(maxLineCharacters);
+	private readonly _lines = new LineReader(maxLineBytes);
 
 	constructor(source: PeerAddress, sink: FeedSink, logger: Logger) {
 		this._source = source;
--- a/src/node/fleet/feed-server.ts
+++ b/src/node/fleet/feed-server.ts
@@ -9,6 +9,8 @@
 import {type EvidenceKey, type EvidenceReply, type FeedFrame} from '../../common/registry/types.ts';
 import {type EventSink} from '../decider-loop.ts';
 import {type ListenOptions, listenOn} from '../listening.ts';
+import {HeldBytes} from '../memory/held-bytes.ts';
+import {type MemoryBudget} from '../memory/memory-budget.ts';
 import {type Metrics} from '../metrics/types.ts';
 import {LineReader} from './line-reader.ts';
 import {decodeAnnouncement, encodeFrame, feedPath} from './feed-frame.ts';
@@ -20,14 +22,15 @@
 /** Maximum number of bytes buffered for one subscriber, so that a frozen or disconnected one does not fill this VM's memory. */
 const maxBufferedBytes = 1_000_000;
 
-/** Maximum length of an announcement in characters; a longer one does not come from a VM of this fleet. */
-const maxAnnouncementCharacters = 10_000;
+/** Maximum length of an announcement in bytes; a longer one does not come from a VM of this fleet. */
+const maxAnnouncementBytes = 10_000;
 
 const statusServing = 200;
 const statusNotServing = 404;
 
 const statusReceived = 204;
 const statusInvalid = 400;
+const statusNoRoom = 503;
 
 type MemberSink = EventSink<Extract<FleetEvent, {type: 'member-announced' | 'member-ended' | 'updates-received'}>>;
 
@@ -51,13 +54,16 @@
 	private readonly _metrics: Metrics;
 	private readonly _content: FeedContent;
 	private readonly _sink: MemberSink;
+	private readonly _budget: MemoryBudget;
 	/** The latest stream of each VM that sent an announcement, by identity. The end of an earlier stream is ignored. */
 	private readonly _streams = new Map<string, ServerResponse>();
 	private readonly _server: Server;
 	private readonly _subscribers = new Set<ServerResponse>();
 
-	constructor(metrics: Metrics, content: FeedContent, sink: MemberSink, tunnels: TunnelRequestHandler) {
+	/** `budget` = bound for the incomplete messages of all VMs together. */
+	constructor(metrics: Metrics, content: FeedContent, sink: MemberSink, tunnels: TunnelRequestHandler, budget: MemoryBudget) {
 		super();
+		this._budget = budget;
 		this._sink = sink;
 		this._metrics = metrics;
 		this._content = content;
@@ -129,18 +135,32 @@
 
 	/** Reads a message of bounded length from another VM. */
 	private _readMessage(incoming: IncomingMessage, outgoing: ServerResponse, onText: (text: string) => void): void {
-		const chunks: Buffer[] = [];
-		let length = 0;
-		incoming.on('data', (chunk: Buffer) => {
-			length += chunk.length;
-			chunks.push(chunk);
-			if (length > maxUpdatesCharacters) {
+		const refuse = () => {
+			held.discard();
+			incoming.off('data', collect);
+			incoming.off('end', finish);
+			incoming.resume();
+			outgoing.writeHead(statusNoRoom, {connection: 'close'}).end();
+		};
+
+		const held = new HeldBytes(this._budget, refuse);
+		const collect = (chunk: Buffer) => {
+			if (held.bytes + chunk.length > maxUpdatesCharacters) {
 				outgoing.destroy();
+			} else if (!held.append(chunk)) {
+				refuse();
 			}
-		});
-		incoming.on('end', () => {
-			this._metrics.peerTraffic('in', 1, length);
-			onText(Buffer.concat(chunks).toString());
+		};
+
+		const finish = () => {
+			this._metrics.peerTraffic('in', 1, held.bytes);
+			onText(held.take().toString());
+		};
+
+		incoming.on('data', collect);
+		incoming.on('end', finish);
+		outgoing.once('close', () => {
+			held.discard();
 		});
 		incoming.on('error', () => {
 			// The sender has closed the connection; the same content comes by way of other VMs.
@@ -154,7 +174,9 @@
 
 	/** Reads the request body, in which the VM sends one announcement per line. */
 	private _readAnnouncements(incoming: IncomingMessage, outgoing: ServerResponse): void {
-		const lines = new LineReader(maxAnnouncementCharacters);
+		const lines = new LineReader(maxAnnouncementBytes, this._budget, () => {
+			outgoing.destroy();
+		});
 		incoming.on('data', (chunk: Buffer) => {
 			const read = lines.read(chunk);
 			if (read === undefined) {
@@ -166,6 +188,9 @@
 				this._handleLine(line, outgoing);
 			}
 		});
+		outgoing.once('close', () => {
+			lines.discard();
+		});
 		incoming.on('error', () => {
 			// The response's `close` event then reports the end of the stream.
 			outgoing.destroy();
--- a/src/node/fleet/feed-stream.test.ts
+++ b/src/node/fleet/feed-stream.test.ts
@@ -4,6 +4,7 @@
 import {type FleetEvent} from '../../common/fleet/types.ts';
 import {DisposableStore} from '../../common/lifecycle/disposable.ts';
 import {type FeedFrame} from '../../common/registry/types.ts';
+import {MemoryBudget} from '../memory/memory-budget.ts';
 import {noMetrics} from '../metrics/no-metrics.ts';
 import {type Logger} from '../logging/types.ts';
 import {FeedClient} from './feed-client.ts';
@@ -39,7 +40,7 @@
 		feed: event => {
 			this.serverEvents.push(event);
 		},
-	}, noTunnels));
+	}, noTunnels, this.owned.add(new MemoryBudget(1_000_000))));
 
 	readonly client = this.owned.add(new FeedClient({
 		feed: event => {
--- a/src/node/fleet/update-client.test.ts
+++ b/src/node/fleet/update-client.test.ts
@@ -5,6 +5,7 @@
 import {DisposableStore} from '../../common/lifecycle/disposable.ts';
 import {type EvidenceReply} from '../../common/registry/types.ts';
 import {type Logger} from '../logging/types.ts';
+import {MemoryBudget} from '../memory/memory-budget.ts';
 import {noMetrics} from '../metrics/no-metrics.ts';
 import {FeedServer} from './feed-server.ts';
 import {UpdateClient} from './update-client.ts';
@@ -39,7 +40,7 @@
 				received.push(known);
 				return reply;
 			},
-		}, {feed: ignore}, {accepts: () => false, forward: async () => undefined}));
+		}, {feed: ignore}, {accepts: () => false, forward: async () => undefined}, owned.add(new MemoryBudget(1_000_000))));
 		const listening = await server.listen(0, '127.0.0.1');
 		const address = `127.0.0.1:${listening._unsafeUnwrap()}`;
 		const client = owned.add(new UpdateClient({
--- a/src/node/fleet/vm-probe-client.test.ts
+++ b/src/node/fleet/vm-probe-client.test.ts
@@ -4,6 +4,7 @@
 import {type FleetEvent} from '../../common/fleet/types.ts';
 import {DisposableStore, toDisposable} from '../../common/lifecycle/disposable.ts';
 import {listenOn} from '../listening.ts';
+import {MemoryBudget} from '../memory/memory-budget.ts';
 import {noMetrics} from '../metrics/no-metrics.ts';
 import {FeedServer} from './feed-server.ts';
 import {VmProbeClient} from './vm-probe-client.ts';
@@ -47,7 +48,7 @@
 			feed() {
 				// There are no subscribers.
 			},
-		}, noTunnels));
+		}, noTunnels, owned.add(new MemoryBudget(1_000_000))));
 		const port = await server.listen(0, '127.0.0.1');
 		const address = `127.0.0.1:${port._unsafeUnwrap()}`;
 		client.probe('now-here', address);
