Join the chunks of buffered answers and bound them together

60 calls whose backend servers answered 240,000 bytes in chunks of 8 bytes ended the process of a VM, and with it all calls in flight: each chunk of an answer that is buffered before it is forwarded stayed an object in the JavaScript heap of 64 MB. There was a bound for each answer and none for all together.

Chunks are now copied into few blocks, which count towards one budget for all buffered answers. An answer that finds no room is forwarded at once with back-pressure, as one that exceeds its own buffer is.

--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -265,6 +265,7 @@
 			const {stallMilliseconds, completeAnswerStallMilliseconds} = this._limits;
 			const call = new LiveCall(request, {
 				incoming, outgoing, path, body, traceId, traceparent, dialect: this._dialect, hidesKey: () => isKeyChecked, stallMilliseconds, completeAnswerStallMilliseconds, unpausedAnswers: this._unpausedAnswers,
+				answerBudget: this._dependencies.heldMemory.answers,
 			}, this._dependencies.sink, this._dependencies.connections);
 			this._dependencies.calls.admit(call, {type: 'call-arrived', request});
 		}, () => {
--- a/src/node/front/held-answer.ts
+++ b/src/node/front/held-answer.ts
@@ -1,5 +1,7 @@
 /** Buffers an answer until it is complete or exceeds the buffer limit. */
 import {type ParsedAnswerHead} from '../../common/protocol/dialect.ts';
+import {HeldBytes} from '../memory/held-bytes.ts';
+import {type MemoryBudget} from '../memory/memory-budget.ts';
 
 /**
  * Protects callers from truncated answers. Once the head is sent to the caller, a failure of the backend server can only
@@ -10,30 +12,43 @@
 	/** The last byte has been received. */
 	isComplete = false;
 	private readonly _maxBytes: number;
-	private _chunks: Uint8Array[] = [];
-	private _bytes = 0;
+	private readonly _held: HeldBytes;
+	/** Chunks that arrived after the buffer was full, and before the answer is forwarded. */
+	private _overflow: Uint8Array[] = [];
+	private _overflowBytes = 0;
 
-	/** `maxBytes`: size of the buffer. */
-	constructor(maxBytes: number, parsedHead: ParsedAnswerHead) {
+	/** `maxBytes`: size of the buffer; `budget`: bound for the buffers of all answers together. */
+	constructor(maxBytes: number, parsedHead: ParsedAnswerHead, budget: MemoryBudget) {
 		this._maxBytes = maxBytes;
 		this.parsedHead = parsedHead;
+		this._held = new HeldBytes(budget);
 	}
 
 	get bytes(): number {
-		return this._bytes;
+		return this._held.bytes + this._overflowBytes;
 	}
 
-	/** Adds a chunk; returns false if the answer now exceeds the buffer limit. */
+	/** Adds a chunk; returns false if the answer now exceeds the buffer limit or the budget, and must be forwarded. */
 	add(chunk: Uint8Array): boolean {
-		this._chunks.push(chunk);
-		this._bytes += chunk.length;
-		return this._bytes <= this._maxBytes;
+		if (this._overflowBytes === 0 && this._held.append(chunk)) {
+			return this._held.bytes <= this._maxBytes;
+		}
+
+		this._overflow.push(chunk);
+		this._overflowBytes += chunk.length;
+		return false;
 	}
 
 	/** Removes and returns all buffered chunks. */
 	take(): readonly Uint8Array[] {
-		const chunks = this._chunks;
-		this._chunks = [];
+		const chunks = [this._held.take(), ...this._overflow].filter(({length}) => length > 0);
+		this._overflow = [];
+		this._overflowBytes = 0;
 		return chunks;
 	}
+
+	/** Frees the room in the budget once the answer is not needed any more. */
+	release(): void {
+		this._held.release();
+	}
 }
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -6,6 +6,7 @@
 import {MutableDisposable} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
 import {type ParsedAnswerHead, type Dialect} from '../../common/protocol/dialect.ts';
+import {type MemoryBudget} from '../memory/memory-budget.ts';
 import {AnswerSilence} from './answer-silence.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {BackendAttempt} from './backend-attempt.ts';
@@ -53,6 +54,8 @@
 	readonly stallMilliseconds: Milliseconds;
 	/** Bounds the memory of answers that cannot be paused. */
 	readonly unpausedAnswers: UnpausedAnswers;
+	/** Bounds the memory of answers that are buffered before they are forwarded. */
+	readonly answerBudget: MemoryBudget;
 	/** The same timeout once the backend server's answer has been received completely. */
 	readonly completeAnswerStallMilliseconds?: Milliseconds | undefined;
 };
@@ -71,6 +74,7 @@
 	private readonly _stallMilliseconds: Milliseconds;
 	private readonly _completeAnswerStallMilliseconds: Milliseconds;
 	private readonly _unpausedAnswers: UnpausedAnswers;
+	private readonly _answerBudget: MemoryBudget;
 	private readonly _sink: CallEventSink;
 	private readonly _connections: BackendConnections;
 	private readonly _attempts = new Map<number, BackendAttempt>();
@@ -101,6 +105,7 @@
 		this._stallMilliseconds = exchange.stallMilliseconds;
 		this._completeAnswerStallMilliseconds = exchange.completeAnswerStallMilliseconds ?? defaultCompleteAnswerStallMilliseconds;
 		this._unpausedAnswers = exchange.unpausedAnswers;
+		this._answerBudget = exchange.answerBudget;
 		this._body = exchange.body;
 		this._sink = sink;
 		this._connections = connections;
@@ -234,7 +239,7 @@
 		}
 
 		if (this._dialect.heldAnswerBytes > 0) {
-			this._heldAnswers.set(attempt.id, new HeldAnswer(this._dialect.heldAnswerBytes, parsedHead));
+			this._heldAnswers.set(attempt.id, new HeldAnswer(this._dialect.heldAnswerBytes, parsedHead, this._answerBudget));
 			return;
 		}
 
@@ -425,6 +430,7 @@
 	private _removeAttempt(attemptId: number): void {
 		this._attempts.delete(attemptId);
 		this._heads.delete(attemptId);
+		this._heldAnswers.get(attemptId)?.release();
 		this._heldAnswers.delete(attemptId);
 	}
 
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -324,6 +324,7 @@
 			hidesKey: () => isKeyChecked || this._dependencies.organisations.isRequired,
 			stallMilliseconds: this._limits.stallMilliseconds,
 			unpausedAnswers: this._unpausedAnswers,
+			answerBudget: this._dependencies.heldMemory.answers,
 		}, sink, connections);
 		calls.admit(call, {type: 'call-arrived', request});
 	}
