End a call with an answer when an exception occurs in it

An exception in the code that carries a call either ended the process or left its caller without an answer. It ended the process if it came up as the attempt was started. In a callback of an answer undici caught it and took it for a failed answer: the call engine had already chosen that answer, so the caller's connection was closed without one. Effects of the same event for other calls were not executed, the timer of the event loop was not set, and nothing was logged.

An exception in a callback of an attempt, or in an effect of the call engine, now ends its call with 502, or cuts an answer that has begun, and is logged with the stack. The other effects are executed. The event loop sets its timer even if the decider throws.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -104,6 +104,9 @@
 		this._register(parts.callEffectExecutor.onCallEnded(call => {
 			this._logCall(call);
 		}));
+		this._register(parts.callEffectExecutor.onException(({traceId, error}) => {
+			parts.logger.error('exception in a call', {traceId, failure: error instanceof Error ? error.stack : String(error)});
+		}));
 		this._register(parts.callEffectExecutor.onPoisonRequestChanged(effect => {
 			reportPoisonRequestChange(effect, parts.logger, parts.metrics);
 		}));
--- a/src/node/decider-loop.ts
+++ b/src/node/decider-loop.ts
@@ -65,9 +65,8 @@
 			}
 		} finally {
 			this._isRunning = false;
+			this._schedule();
 		}
-
-		this._schedule();
 	}
 
 	/**
--- a/src/node/front/call-effect-executor.ts
+++ b/src/node/front/call-effect-executor.ts
@@ -24,6 +24,9 @@
 /** Summary of a completed call, and the trace identifier and organisation for its log line. */
 export type EndedCall = {readonly summary: CallSummary; readonly traceId: string | undefined; readonly organisation: string | undefined};
 
+/** An exception in a call; the trace identifier is undefined if the call is not known. */
+export type CallException = {readonly traceId: string | undefined; readonly error: unknown};
+
 /** A backend server announced a new rate limit, or removed its rate limit. */
 export type RateLimitChanged = CallEffect & {type: 'rate-limit-changed'};
 
@@ -48,6 +51,10 @@
 
 	private readonly _onLinkChanged = this._register(new Emitter<LinkChanged>());
 
+	private readonly _onException = this._register(new Emitter<CallException>());
+
+	/** Fires if an exception has ended a call, or has occurred in an effect that concerns no call. */
+	readonly onException = this._onException.event;
 	/** Fires once for each call, when it has completed. */
 	readonly onCallEnded = this._onCallEnded.event;
 	/** Fires if a backend server announces a new rate limit or removes its rate limit. */
@@ -68,11 +75,27 @@
 	/** Registers a call and submits its arrival to the engine. */
 	admit(call: LiveCall, event: CallEvent & {type: 'call-arrived'}): void {
 		this._calls.set(call.callId, call);
+		call.setExceptionListener(error => {
+			this._onException.fire({traceId: call.traceId, error});
+		});
 		this._sink.feed(event);
 	}
 
-	/** Executes one effect of the call engine. */
+	/** Executes one effect of the call engine. An exception ends the call of the effect and leaves the other effects to be executed. */
 	execute(effect: ExternalCallEffect): void {
+		try {
+			this._execute(effect);
+		} catch (error) {
+			const call = 'callId' in effect ? this._calls.get(effect.callId) : undefined;
+			if (call === undefined) {
+				this._onException.fire({traceId: undefined, error});
+			} else {
+				call.onException(error);
+			}
+		}
+	}
+
+	private _execute(effect: ExternalCallEffect): void {
 		switch (effect.type) {
 			case 'start-attempt': {
 				this._callIdByAttemptId.set(effect.attemptId, effect.callId);
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -5,7 +5,7 @@
 } from '../../common/calls/types.ts';
 import {MutableDisposable} from '../../common/lifecycle/disposable.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
-import {type ParsedAnswerHead, type Dialect} from '../../common/protocol/dialect.ts';
+import {type ParsedAnswerHead, type Dialect, type Refusal} from '../../common/protocol/dialect.ts';
 import {type MemoryBudget} from '../memory/memory-budget.ts';
 import {AnswerSilence} from './answer-silence.ts';
 import {type BackendConnections} from './backend-connections.ts';
@@ -31,6 +31,11 @@
 /** Statuses whose answers have no body, and therefore need no length. */
 const bodilessStatuses = new Set([204, 304]);
 
+/** Answer to a call that ends by an exception. It may have run. */
+const exceptionRefusal: Refusal = {
+	status: 502, reason: 'outcome-unknown', outcome: 'unknown', retryAfterMilliseconds: undefined,
+};
+
 /** True if the answer's body has no declared length and ends when the connection closes (RFC 9112, 6.3). */
 function isCloseDelimited({status, headers}: AnswerHead): boolean {
 	return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined && !bodilessStatuses.has(status);
@@ -86,6 +91,7 @@
 	private _forwardedBytes = 0;
 	private _isAnswered = false;
 	private _isStallTimerArmed = false;
+	private _exceptionListener: ((error: unknown) => void) | undefined;
 	private readonly _silence = new MutableDisposable<AnswerSilence>();
 
 	constructor(
@@ -218,16 +224,81 @@
 		this._outgoing.end(body);
 	}
 
+	/** Sets the listener for exceptions in this call, each of which ends the call. */
+	setExceptionListener(listener: (error: unknown) => void): void {
+		this._exceptionListener = listener;
+	}
+
 	onSent(attempt: BackendAttempt): void {
-		this._sink.feed({type: 'attempt-sent', attemptId: attempt.id});
+		this._guard(() => {
+			this._sink.feed({type: 'attempt-sent', attemptId: attempt.id});
+		});
 	}
 
 	onHead(attempt: BackendAttempt, head: AnswerHead): void {
+		this._guard(() => {
+			this._handleHead(attempt, head);
+		});
+	}
+
+	onData(attempt: BackendAttempt, chunk: Uint8Array): boolean {
+		let isDrained = true;
+		this._guard(() => {
+			isDrained = this._handleData(attempt, chunk);
+		});
+		return isDrained;
+	}
+
+	onEnd(attempt: BackendAttempt): void {
+		this._guard(() => {
+			this._handleEnd(attempt);
+		});
+	}
+
+	onFailure(attempt: BackendAttempt, failure: AttemptFailure): void {
+		this._guard(() => {
+			this._handleFailure(attempt, failure);
+		});
+	}
+
+	/** Ends the call after an exception: with an answer, or by cutting the one that has begun. */
+	onException(error: unknown): void {
+		this._exceptionListener?.(error);
+		this._silence.dispose();
+		if (!this._outgoing.headersSent && !this._outgoing.destroyed) {
+			this._isAnswered = true;
+			this._body.discard();
+			const {headers, body} = this._dialect.refusal(exceptionRefusal);
+			this._outgoing.writeHead(exceptionRefusal.status, {...headers, 'content-length': Buffer.byteLength(body)});
+			this._outgoing.end(body);
+		} else if (!this._outgoing.writableEnded) {
+			this._isAnswered = true;
+			cutAnswer(this._outgoing);
+		}
+
+		this._sink.feed({type: 'caller-gone', callId: this.callId});
+	}
+
+	/** Ends an answer whose backlog is too large. */
+	cut(): void {
+		cutAnswer(this._outgoing);
+	}
+
+	/** undici drops an exception in the handler of an answer, or ends the attempt; the call could stay open without an answer. */
+	private _guard(act: () => void): void {
+		try {
+			act();
+		} catch (error) {
+			this.onException(error);
+		}
+	}
+
+	private _handleHead(attempt: BackendAttempt, head: AnswerHead): void {
 		const parsedHead = this._dialect.parseAnswerHead(head.status, head.headers, this._incoming.headers);
 		if (!parsedHead.isForThisCall) {
 			// Closes the connection as well: further bytes on it may belong to any other call.
 			attempt.cancel();
-			this.onFailure(attempt, 'wrong-answer');
+			this._handleFailure(attempt, 'wrong-answer');
 			return;
 		}
 
@@ -246,7 +317,7 @@
 		this._reportHead(attempt, head, parsedHead);
 	}
 
-	onData(attempt: BackendAttempt, chunk: Uint8Array): boolean {
+	private _handleData(attempt: BackendAttempt, chunk: Uint8Array): boolean {
 		const held = this._heldAnswers.get(attempt.id);
 		if (held !== undefined && attempt !== this._forwardedAttempt) {
 			if (!held.add(chunk)) {
@@ -273,15 +344,10 @@
 		return false;
 	}
 
-	/** Ends an answer whose backlog is too large. */
-	cut(): void {
-		cutAnswer(this._outgoing);
-	}
-
-	onEnd(attempt: BackendAttempt): void {
+	private _handleEnd(attempt: BackendAttempt): void {
 		const head = this._heads.get(attempt.id);
 		if (head !== undefined && isCloseDelimited(head) && this._connections.isEndReset) {
-			this.onFailure(attempt, 'reset-during-answer');
+			this._handleFailure(attempt, 'reset-during-answer');
 			return;
 		}
 
@@ -297,7 +363,7 @@
 		this._sink.feed({type: 'attempt-done', attemptId: attempt.id, bytesPassedOn: this._forwardedBytes});
 	}
 
-	onFailure(attempt: BackendAttempt, failure: AttemptFailure): void {
+	private _handleFailure(attempt: BackendAttempt, failure: AttemptFailure): void {
 		this._silence.value = undefined;
 		this._removeAttempt(attempt.id);
 		if (this._forwardedAttempt === attempt) {
