--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -88,6 +88,7 @@
 			this._recordCall(call);
 		}));
 		this._register(parts.callEffectExecutor.onException(({traceId, error}) => {
+			parts.metrics.unexpectedError();
 			parts.logger.error('exception in a call', {traceId, failure: error instanceof Error ? error.stack : String(error)});
 		}));
 		this._register(parts.callEffectExecutor.onPoisonRequestChanged(effect => {
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -105,6 +105,7 @@
 			this._logCall(call);
 		}));
 		this._register(parts.callEffectExecutor.onException(({traceId, error}) => {
+			parts.metrics.unexpectedError();
 			parts.logger.error('exception in a call', {traceId, failure: error instanceof Error ? error.stack : String(error)});
 		}));
 		this._register(parts.callEffectExecutor.onPoisonRequestChanged(effect => {
