Count the memory of writes that wait for slow callers

Three callers that did not read, and whose backend server sent small chunks without end over a connection that closes after the answer, ended the process of a VM. Such an answer cannot be paused. The bound for these answers counted the bytes of waiting writes only, while each write takes several hundred bytes in the JavaScript heap besides: the heap of 64 MB was full long before 32 MB of 8-byte chunks were waiting.

Each waiting write now counts with an upper bound for what it takes, so that the answer with the largest backlog is cut in time.

The new test plays this with the built program: against the code before, the process ended; now the three connections end and calls are served.

--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -28,6 +28,9 @@
  */
 const defaultCompleteAnswerStallMilliseconds: Milliseconds = 60_000;
 
+/** Upper bound for the memory of a write that waits for the caller, besides its bytes. */
+const pendingWriteBytes = 1024;
+
 /** Statuses whose answers have no body, and therefore need no length. */
 const bodilessStatuses = new Set([204, 304]);
 
@@ -92,6 +95,8 @@
 	private _isAnswered = false;
 	private _isStallTimerArmed = false;
 	private _exceptionListener: ((error: unknown) => void) | undefined;
+	/** Writes since the caller's connection last drained. */
+	private _pendingWrites = 0;
 	private readonly _silence = new MutableDisposable<AnswerSilence>();
 
 	constructor(
@@ -338,7 +343,8 @@
 
 		this._armStallTimer();
 		if (!attempt.canPause) {
-			this._unpausedAnswers.set(this, this._outgoing.writableLength);
+			this._pendingWrites += 1;
+			this._unpausedAnswers.set(this, this._outgoing.writableLength + (this._pendingWrites * pendingWriteBytes));
 		}
 
 		return false;
@@ -405,6 +411,7 @@
 
 		const onDrained = () => {
 			this._isStallTimerArmed = false;
+			this._pendingWrites = 0;
 			this._unpausedAnswers.set(this, 0);
 			this._outgoing.off('drain', onDrained);
 			this._outgoing.off('finish', onDrained);
