Accept all waiting connections before a listener closes

Callers that connected just before a planned stop were reset without an answer: of 40 callers whose connections waited to be accepted, 2 were answered after stopListening, and none after closeListener. A VM that is told to stop while it starts, or whose event loop is busy, has such connections, and all of them are reset at once.

stopListening waited for one complete poll phase, in the belief that libuv accepts all waiting connections there. Since 1.45 libuv accepts one in each cycle of the event loop; Node 20 has 1.46. closeListener did not wait at all.

The listener now closes after a cycle in which no connection was accepted, or after 250 ms if more and more arrive. closeListener and the listener of callers of a fleet that coordinates itself close in the same way.

--- /dev/null
+++ b/src/node/front/accept-queue.test.ts
@@ -0,0 +1,57 @@
+import {connect} from 'node:net';
+import {expect} from 'earl';
+import {DisposableStore} from '../../common/lifecycle/disposable.ts';
+import {listenOn} from '../listening.ts';
+import {closeListener} from './close-listener.ts';
+import {GracefulServer} from './graceful-server.ts';
+import {getCall, parseStatuses} from './open-listener.test.ts';
+
+const connections = 40;
+const maxCloseMilliseconds = 1000;
+
+/** Sends a call on a new connection; resolves with the statuses of its answers. */
+async function call(port: number): Promise<string[]> {
+	return new Promise(resolve => {
+		const caller = connect(port, '127.0.0.1');
+		let received = '';
+		caller.on('data', chunk => {
+			received += chunk.toString('latin1');
+		});
+		caller.on('error', () => undefined);
+		caller.on('close', () => {
+			resolve(parseStatuses(received));
+		});
+		caller.write(getCall('/1'));
+	});
+}
+
+describe('a listener that closes while connections wait to be accepted', () => {
+	// Guards callers at a planned stop against a reset without an answer: libuv accepts one connection in each cycle.
+	const steps: Readonly<Record<string, (server: GracefulServer) => void>> = {
+		stopListening(server) {
+			server.stopListening();
+		},
+		closeListener(server) {
+			void closeListener(server, maxCloseMilliseconds);
+		},
+		'stopListening and closeListener'(server) {
+			server.stopListening();
+			void closeListener(server, maxCloseMilliseconds);
+		},
+	};
+	for (const [name, close] of Object.entries(steps)) {
+		it(`accepts them and answers their calls: ${name}`, async () => {
+			const store = new DisposableStore();
+			const server = store.add(new GracefulServer({}, (_incoming, outgoing) => {
+				outgoing.end('served');
+			}));
+			const port = await listenOn(server, 0, '127.0.0.1');
+			server.disableKeepAlive();
+			const answers = Array.from({length: connections}, async () => call(port._unsafeUnwrap()));
+			close(server);
+			const statuses = await Promise.all(answers);
+			store.dispose();
+			expect(statuses.flat().length).toEqual(connections);
+		});
+	}
+});
--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -168,7 +168,7 @@
 	stopListening(): void {
 		this.closeIdle();
 		this._incompleteCalls.refuseAll();
-		this._server.close();
+		this._server.stopListening();
 	}
 
 	private _createApplication(): Hono<{Bindings: HttpBindings}> {
--- a/src/node/front/close-listener.ts
+++ b/src/node/front/close-listener.ts
@@ -11,10 +11,10 @@
 	server.disableKeepAlive();
 	return new Promise(resolve => {
 		const timer = setTimeout(resolve, maxMilliseconds);
-		server.close(() => {
-			// `close` fails only if the server was not listening, and then there are no answers in progress.
+		server.once('close', () => {
 			clearTimeout(timer);
 			resolve();
 		});
+		server.stopListening();
 	});
 }
--- a/src/node/front/graceful-server.ts
+++ b/src/node/front/graceful-server.ts
@@ -15,6 +15,9 @@
  */
 const maxLingerMilliseconds: Milliseconds = 1000;
 
+/** Maximum time for which connections are still accepted after `stopListening`, if more and more arrive. */
+const maxAcceptMilliseconds: Milliseconds = 250;
+
 /** Statuses for requests that cannot be parsed, by Node's error code; the default is 400. */
 const parseErrorStatuses: Readonly<Record<string, string>> = {
 	HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -134,6 +137,8 @@
 	private _isKeepAliveDisabled = false;
 	private _closesIdleConnections = false;
 	private _unfinishedAnswers = 0;
+	/** Connections that were accepted, also those closed at once since there were too many. */
+	private _acceptedConnections = 0;
 
 	/** Fires if an answer was cut, either because its caller disconnected or because this side closed the connection. */
 	readonly onCut = this._onCut.event;
@@ -153,8 +158,12 @@
 		this._handleCall = handleCall;
 		this._mayRunConcurrently = mayRunConcurrently;
 		this.on('connection', (socket: Socket) => {
+			this._acceptedConnections++;
 			this._trackConnection(socket);
 		});
+		this.on('drop', () => {
+			this._acceptedConnections++;
+		});
 		this.on('request', (incoming: IncomingMessage, outgoing: ServerResponse) => {
 			this._enqueue(incoming, outgoing);
 		});
@@ -186,9 +195,7 @@
 	 */
 	stopListening(): void {
 		this._closeAfterLastAnswers();
-		afterPendingReads(() => {
-			this.close();
-		});
+		this._closeOnceAccepted(performance.now() + maxAcceptMilliseconds);
 	}
 
 	/**
@@ -227,6 +234,18 @@
 		this._onCut.dispose();
 	}
 
+	/** Closes the listener after a cycle of the event loop in which no connection waited, since libuv accepts one in each cycle. */
+	private _closeOnceAccepted(end: Milliseconds): void {
+		const accepted = this._acceptedConnections;
+		afterPendingReads(() => {
+			if (accepted === this._acceptedConnections || performance.now() > end) {
+				this.close();
+			} else {
+				this._closeOnceAccepted(end);
+			}
+		});
+	}
+
 	/** From now on a connection closes once it is idle, so that its last answer announces the close, also while it waits. */
 	private _closeAfterLastAnswers(): void {
 		this._closesIdleConnections = true;
