Bound what connections hold before their calls are handled

A VM ended with "Reached heap limit" (SIGABRT), and all calls in flight on it ended without an answer, when strangers without a key sent 3,800 request heads of 14 KB without an end to any of its five listeners, or 500 connections with 400 pipelined calls each behind an answer that was not complete.

Cause: nothing bounded incomplete heads, connections and parsed calls over the process. A byte of a head with short fields takes 4.9 bytes of heap (measured: 1,000 heads of 14 KB, 71 MB), and node:http keeps about 1.6 KB for every pipelined call, also for one that is dropped. Heads with one long field do not fill the heap: they are kept outside of it.

One class, ConnectionBudget, now watches all five listeners. Incomplete heads beyond the bound get 408, the largest first. Beyond the bound on connections, the one that has been idle for longest is closed, once no call of it is unread. Calls that wait behind an answer beyond the bound are not parsed at all, and the last accepted answer announces the close. Calls in progress are never cut. Reads are noticed through the timer that node:http refreshes at each of them, because a listener for data would take the parser off its fast path.

A metric and a log line report what was closed.

--- a/src/common/settings/entry-settings.ts
+++ b/src/common/settings/entry-settings.ts
@@ -19,6 +19,8 @@
 	name: textSchema.describe('Name of this VM in logs.'),
 	dataCentre: textSchema.describe('Data centre of this VM; calls stay in it while it has room.'),
 	linkMegabits: z.number().min(0).default(1000).describe('Width of its link; the VMs with the widest read the store for the others.'),
+	memoryMegabytes: z.number().min(0).default(256).describe('Memory that the process may use; bounds what connections hold before their calls are handled. 0 = no limit.'),
+	descriptors: z.number().min(0).default(4096).describe('Descriptors that the process may use; bounds the connections to all its listeners. 0 = no limit.'),
 });
 
 const listenSchema = z.strictObject({
@@ -51,7 +53,7 @@
 	heldAnswerBytes: z.int().min(0).max(16_777_216).default(262_144)
 		.describe('Answers up to this size are held until they are whole, so that one that breaks off can be had elsewhere.'),
 	replayBytes: z.int().min(0).max(16_777_216).default(65_536).describe('A body up to this size is kept so that the call can be sent again.'),
-	connections: z.int().min(1).max(1_000_000).default(3000).describe('Most connections of callers to this VM.'),
+	connections: z.int().min(1).max(1_000_000).default(3000).describe('Most connections of callers to this VM; beyond it, idle ones are closed.'),
 });
 
 const directorySchema = z.strictObject({
--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -3,6 +3,7 @@
  * `wiring.ts`, for the VM of a self-coordinated fleet, because each import costs start time and memory: this VM needs neither
  * gRPC nor the resource API nor membership.
  */
+import {getHeapStatistics} from 'node:v8';
 import {DefaultCallEngine} from '../common/calls/call-engine.ts';
 import {OwnerRateQuota} from '../common/calls/backend-rates/rate-quota.ts';
 import {EntryVm, isCallEffect} from '../common/entry-vm/entry-vm.ts';
@@ -31,6 +32,8 @@
 import {LimitSocket} from '../node/limits/limit-socket.ts';
 import {BackendConnections} from '../node/front/backend-connections.ts';
 import {CallEffectExecutor} from '../node/front/call-effect-executor.ts';
+import {ConnectionBudget} from '../node/front/connection-budget.ts';
+import {connectionLimits, limitOrInfinity} from '../node/front/connection-limits.ts';
 import {HttpLoadProbeClient} from '../node/front/http-load-probe-client.ts';
 import {type Page, PageServer} from '../node/front/page-server.ts';
 import {RoutedServer} from '../node/front/routed-server.ts';
@@ -45,6 +48,7 @@
 import {newIdentity, type Hashes} from './identity.ts';
 import {PauseDetector} from './pause-detector.ts';
 import {quarantinePages} from './quarantine-pages.ts';
+import {RoomLog} from './room-log.ts';
 
 /** A connection opens within about 1 ms, or 3 ms to another data centre. One that hangs until this timeout costs a tenth of a call's time. */
 const connectMilliseconds = 300;
@@ -67,6 +71,14 @@
  */
 const minPauseMilliseconds = 250;
 
+/**
+ * Maximum connections to a listener, as a share of the descriptors. Each other VM has a connection for the feed and others for
+ * tunnels to the listener for peers.
+ */
+const listenerShares = {
+	directory: 1 / 4, readiness: 1 / 16, peers: 1 / 2, metrics: 1 / 16,
+} as const;
+
 const metricsPath = '/metrics';
 
 /** Addresses of the VMs that a caller may use, and how long it may cache them. */
@@ -143,6 +155,13 @@
 	const feedClient = owned.add(new FeedClient(loop, logger));
 	const vmProbeClient = owned.add(new VmProbeClient(loop));
 	const updateClient = owned.add(new UpdateClient(loop, logger, metrics));
+	const {memoryMegabytes, descriptors} = settings.vm;
+	const connectionBudget = owned.add(new ConnectionBudget(connectionLimits({memoryMegabytes, descriptors, heapBytes: getHeapStatistics().heap_size_limit})));
+	const roomLog = new RoomLog(logger, metrics);
+	owned.add(connectionBudget.onClosedForRoom(closed => {
+		roomLog.record(closed, clock.now());
+	}));
+	const boundsOf = (name: keyof typeof listenerShares) => ({budget: connectionBudget, name, maxConnections: Math.ceil(limitOrInfinity(descriptors) * listenerShares[name])});
 	const tunnelServer = owned.add(new TunnelServer({
 		hasLinkTo: identity => calls.hasLinkTo(identity),
 		relayTo: identity => calls.relayTo(identity),
@@ -154,7 +173,7 @@
 	owned.add(new HeldMemoryLog(heldMemory, clock, logger, metrics));
 	const feedServer = owned.add(new FeedServer(metrics, {
 		fullFrame: () => fleet.feed(clock.now()), isServing: identity => fleet.isServing(identity), compareEvidence: known => fleet.compareEvidence(known, clock.now()),
-	}, loop, tunnelServer, heldMemory.peerMessages));
+	}, loop, tunnelServer, {budget: heldMemory.peerMessages, bounds: boundsOf('peers')}));
 	const connections = owned.add(new BackendConnections({connectMilliseconds, idleMilliseconds: backendIdleTimeoutMilliseconds}));
 	connections.setRelays({
 		nextRelay: (identity, tried) => calls.nextRelay(identity, tried, clock.now()),
@@ -177,17 +196,18 @@
 		fingerprint: hashes.fingerprint,
 		readinessGate,
 		heldMemory,
+		connectionBudget,
 	}, {
 		keptBodyBytes: settings.calls.replayBytes, connections: settings.calls.connections, stallMilliseconds,
 	}));
 	const readinessServer = owned.add(new PageServer(url => {
 		const isReady = fleet.status(clock.now()).stage === 'serving';
 		return url === platform.readinessPath ? {status: isReady ? 200 : 503} : undefined;
-	}, pageIdleTimeoutMilliseconds));
+	}, pageIdleTimeoutMilliseconds, {bounds: boundsOf('readiness')}));
 	const directoryServer = owned.add(new PageServer(async url => answerWhenReady(readinessGate, () => platform.directoryPage(url, (service, dataCentre) => {
 		const {addresses, keepForMilliseconds} = fleet.addresses(service, dataCentre);
 		return {addresses: addresses.map(({address}) => address), keepForMilliseconds};
-	})), pageIdleTimeoutMilliseconds));
+	})), pageIdleTimeoutMilliseconds, {bounds: boundsOf('directory')}));
 	const metricsServer = owned.add(new PageServer(quarantinePages({
 		entries: () => calls.status(clock.now()).quarantined,
 		lift(fingerprint) {
@@ -201,7 +221,7 @@
 		}
 
 		return url === metricsPath ? metricsPage(metrics) : undefined;
-	}), pageIdleTimeoutMilliseconds));
+	}), pageIdleTimeoutMilliseconds, {bounds: boundsOf('metrics')}));
 	const limitSocket = settings.listen.limits === undefined
 		? undefined
 		: owned.add(new LimitSocket({
--- a/src/node/fleet/feed-server.ts
+++ b/src/node/fleet/feed-server.ts
@@ -8,6 +8,7 @@
 import {type FleetEvent} from '../../common/fleet/types.ts';
 import {type EvidenceKey, type EvidenceReply, type FeedFrame} from '../../common/registry/types.ts';
 import {type EventSink} from '../decider-loop.ts';
+import {type ListenerBudget} from '../front/connection-budget.ts';
 import {type ListenOptions, listenOn} from '../listening.ts';
 import {HeldBytes} from '../memory/held-bytes.ts';
 import {type MemoryBudget} from '../memory/memory-budget.ts';
@@ -50,6 +51,14 @@
 	forward(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void>;
 };
 
+/** Bounds of the server. */
+export type FeedServerLimits = {
+	/** Bound for the incomplete messages of all VMs together. */
+	readonly budget: MemoryBudget;
+	/** Limits the connections; undefined = no limit. */
+	readonly bounds?: ListenerBudget;
+};
+
 export class FeedServer extends Disposable {
 	private readonly _metrics: Metrics;
 	private readonly _content: FeedContent;
@@ -60,8 +69,7 @@
 	private readonly _server: Server;
 	private readonly _subscribers = new Set<ServerResponse>();
 
-	/** `budget` = bound for the incomplete messages of all VMs together. */
-	constructor(metrics: Metrics, content: FeedContent, sink: MemberSink, tunnels: TunnelRequestHandler, budget: MemoryBudget) {
+	constructor(metrics: Metrics, content: FeedContent, sink: MemberSink, tunnels: TunnelRequestHandler, {budget, bounds}: FeedServerLimits) {
 		super();
 		this._budget = budget;
 		this._sink = sink;
@@ -81,6 +89,12 @@
 				outgoing.writeHead(this._isServing(incoming.url ?? '') ? statusServing : statusNotServing, {connection: 'close'}).end();
 			}
 		});
+		bounds?.budget.watch(this._server, bounds, {
+			onFull(socket) {
+				// Other VMs send no call before the answer to the one ahead of it.
+				socket.destroy();
+			},
+		});
 		this._register(toDisposable(() => {
 			this._server.close();
 			this._server.closeAllConnections();
--- a/src/node/fleet/feed-stream.test.ts
+++ b/src/node/fleet/feed-stream.test.ts
@@ -40,7 +40,7 @@
 		feed: event => {
 			this.serverEvents.push(event);
 		},
-	}, noTunnels, this.owned.add(new MemoryBudget(1_000_000))));
+	}, noTunnels, {budget: this.owned.add(new MemoryBudget(1_000_000))}));
 
 	readonly client = this.owned.add(new FeedClient({
 		feed: event => {
--- a/src/node/fleet/update-client.test.ts
+++ b/src/node/fleet/update-client.test.ts
@@ -40,7 +40,7 @@
 				received.push(known);
 				return reply;
 			},
-		}, {feed: ignore}, {accepts: () => false, forward: async () => undefined}, owned.add(new MemoryBudget(1_000_000))));
+		}, {feed: ignore}, {accepts: () => false, forward: async () => undefined}, {budget: owned.add(new MemoryBudget(1_000_000))}));
 		const listening = await server.listen(0, '127.0.0.1');
 		const address = `127.0.0.1:${listening._unsafeUnwrap()}`;
 		const client = owned.add(new UpdateClient({
--- a/src/node/fleet/vm-probe-client.test.ts
+++ b/src/node/fleet/vm-probe-client.test.ts
@@ -48,7 +48,7 @@
 			feed() {
 				// There are no subscribers.
 			},
-		}, noTunnels, owned.add(new MemoryBudget(1_000_000))));
+		}, noTunnels, {budget: owned.add(new MemoryBudget(1_000_000))}));
 		const port = await server.listen(0, '127.0.0.1');
 		const address = `127.0.0.1:${port._unsafeUnwrap()}`;
 		client.probe('now-here', address);
--- a/src/node/front/graceful-server.ts
+++ b/src/node/front/graceful-server.ts
@@ -6,6 +6,8 @@
 import {type DisposableLike} from '../../common/lifecycle/disposable.ts';
 import {Emitter} from '../../common/lifecycle/emitter.ts';
 import {type Milliseconds} from '../../common/model/units.ts';
+import {afterPendingReads} from './after-pending-reads.ts';
+import {type ListenerBudget} from './connection-budget.ts';
 import {cutAnswer} from './cut-answer.ts';
 
 /**
@@ -67,25 +69,14 @@
 	readonly exchanges: Exchange[];
 	/** This side is closed, or closes after its last bytes; no further call is accepted. */
 	isClosing: boolean;
-	/** The latest input could not be parsed; the connection closes after the answers in progress. */
-	hasParseError: boolean;
+	/** Input is no longer used, because it could not be parsed or exceeds a bound; the connection closes after the answers in progress. */
+	isInputEnded: boolean;
 	/** `bytesRead` when the connection last became idle; a larger value now means that a call has begun to arrive. */
 	bytesReadWhenIdle: number;
 	/** Bytes that the kernel had not accepted when the connection was closed. */
 	bytesLeft: number;
 };
 
-/**
- * Runs a continuation once this thread has read all bytes that the kernel holds for it now. A connection whose next call is
- * still unread looks idle, and closing it would lose that call. The first immediate runs after the poll phase in progress;
- * the second one, scheduled from there, runs after the next complete poll phase.
- */
-function afterPendingReads(continuation: () => void): void {
-	setImmediate(() => {
-		setImmediate(continuation);
-	});
-}
-
 /**
  * Ends the calls behind the one that is being answered, since the connection closes before their turn. node:http emits
  * `close` only on the response that holds the socket.
@@ -146,12 +137,13 @@
 	/**
 	 * `handleCall` is invoked for every call; for calls of the same connection, only after the previous answer is complete,
 	 * unless `mayRunConcurrently` accepts this call and all incomplete ones ahead of it. A caller sends a call again that was
-	 * behind an answer which closed the connection, so only idempotent calls may be accepted.
+	 * behind an answer which closed the connection, so only idempotent calls may be accepted. `bounds` limits the connections.
 	 */
 	constructor(
 		options: ServerOptions,
 		handleCall: (incoming: IncomingMessage, outgoing: ServerResponse) => void,
 		mayRunConcurrently: (incoming: IncomingMessage) => boolean = () => false,
+		bounds?: ListenerBudget,
 	) {
 		// Node would answer a request without a host out of order with pipelined calls; `rejectionStatus` handles it instead.
 		super({...options, requireHostHeader: false});
@@ -173,6 +165,11 @@
 		this.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 			this._handleParseError(error, socket);
 		});
+		bounds?.budget.watch(this, bounds, {
+			onFull: socket => {
+				this._endInput(socket);
+			},
+		});
 	}
 
 	/** Number of answers that the kernel has not completely accepted, plus connections that wait for the caller to close its side. */
@@ -256,7 +253,7 @@
 
 	private _trackConnection(socket: Socket): void {
 		const connection: Connection = {
-			socket, exchanges: [], isClosing: false, hasParseError: false, bytesReadWhenIdle: 0, bytesLeft: 0,
+			socket, exchanges: [], isClosing: false, isInputEnded: false, bytesReadWhenIdle: 0, bytesLeft: 0,
 		};
 		this._callerConnections.set(socket, connection);
 		// Saves `writableLength`, which a destroyed socket no longer reports.
@@ -282,7 +279,7 @@
 
 	private _enqueue(incoming: IncomingMessage, outgoing: ServerResponse): void {
 		const connection = this._callerConnections.get(incoming.socket);
-		if (connection === undefined || connection.isClosing || connection.hasParseError || announcesClose(connection.exchanges.at(-1))) {
+		if (connection === undefined || connection.isClosing || connection.isInputEnded || announcesClose(connection.exchanges.at(-1))) {
 			// This call arrived after the last one that the connection serves: it is dropped, so it never runs.
 			incoming.resume();
 			return;
@@ -354,7 +351,7 @@
 
 		const {isClosing, exchanges: [current]} = connection;
 		const refusal = `HTTP/1.1 ${parseErrorStatuses[error.code ?? ''] ?? '400 Bad Request'}\r\nConnection: close\r\n\r\n`;
-		connection.hasParseError = true;
+		connection.isInputEnded = true;
 		if (current?.incoming.complete === false) {
 			if (!current.outgoing.headersSent) {
 				socket.write(refusal);
@@ -369,6 +366,21 @@
 		}
 	}
 
+	/** Closes the connection after the calls that it has accepted, since the ones behind them are dropped. */
+	private _endInput(socket: Socket): void {
+		const connection = this._callerConnections.get(socket);
+		if (connection === undefined) {
+			return;
+		}
+
+		connection.isInputEnded = true;
+		if (connection.exchanges.length === 0) {
+			this._closeGracefully(connection);
+		} else {
+			this._setCloseHeader(connection);
+		}
+	}
+
 	private _finishExchange(connection: Connection, exchange: Exchange): void {
 		this._unfinishedAnswers--;
 		const index = connection.exchanges.indexOf(exchange);
@@ -384,7 +396,7 @@
 		if (connection.exchanges.length > 0) {
 			this._setCloseHeader(connection);
 			this._startExchanges(connection);
-		} else if (connection.hasParseError) {
+		} else if (connection.isInputEnded) {
 			this._closeGracefully(connection);
 		} else if (this._closesIdleConnections) {
 			afterPendingReads(() => {
@@ -406,9 +418,9 @@
 	 * `connection: close` is dropped. While idle connections are closed, the header is added at once, since the connection
 	 * closes after this answer in any case.
 	 */
-	private _setCloseHeader({exchanges, hasParseError}: Connection): void {
+	private _setCloseHeader({exchanges, isInputEnded}: Connection): void {
 		const last = exchanges.at(-1);
-		const isLastCall = hasParseError || (this._isKeepAliveDisabled && (exchanges.length === 1 || this._closesIdleConnections));
+		const isLastCall = isInputEnded || (this._isKeepAliveDisabled && (exchanges.length === 1 || this._closesIdleConnections));
 		if (isLastCall && last !== undefined && !last.outgoing.headersSent) {
 			last.outgoing.setHeader('connection', 'close');
 		}
--- a/src/node/front/page-server.test.ts
+++ b/src/node/front/page-server.test.ts
@@ -11,7 +11,7 @@
 	// The end of the VM must not truncate a page that is being sent.
 	it('completes a page that is in progress when the VM ends', async () => {
 		const owned = new DisposableStore();
-		const server = owned.add(new PageServer(() => ({status: 200, body: 'a'.repeat(pageBytes)}), 1000, 5000));
+		const server = owned.add(new PageServer(() => ({status: 200, body: 'a'.repeat(pageBytes)}), 1000, {maxCloseMilliseconds: 5000}));
 		const port = await server.listen(0, '127.0.0.1');
 		const reader = connect(port._unsafeUnwrap(), '127.0.0.1');
 		owned.add(toDisposable(() => reader.destroy()));
--- a/src/node/front/page-server.ts
+++ b/src/node/front/page-server.ts
@@ -6,6 +6,7 @@
 import {type Milliseconds} from '../../common/model/units.ts';
 import {type ListenOptions, listenOn} from '../listening.ts';
 import {closeListener} from './close-listener.ts';
+import {type ListenerBudget} from './connection-budget.ts';
 import {GracefulServer} from './graceful-server.ts';
 
 /** Maximum wait of the process for pages in progress: less than half of the time that a bounded stop reserves for its last steps. */
@@ -32,13 +33,17 @@
 	private readonly _server: GracefulServer;
 	private readonly _maxCloseMilliseconds: Milliseconds;
 
-	/** `maxCloseMilliseconds`: maximum time that `end` waits for pages in progress. */
-	constructor(handlers: PageHandler | PageHandlers, idleMilliseconds: number, maxCloseMilliseconds: Milliseconds = defaultMaxCloseMilliseconds) {
+	/** `maxCloseMilliseconds`: maximum time that `end` waits for pages in progress. `bounds` limits the connections. */
+	constructor(
+		handlers: PageHandler | PageHandlers,
+		idleMilliseconds: number,
+		{maxCloseMilliseconds = defaultMaxCloseMilliseconds, bounds}: {readonly maxCloseMilliseconds?: Milliseconds; readonly bounds?: ListenerBudget} = {},
+	) {
 		super();
 		this._maxCloseMilliseconds = maxCloseMilliseconds;
 		this._server = this._register(new GracefulServer({keepAliveTimeout: idleMilliseconds, noDelay: true}, (incoming, outgoing) => {
 			void respond(typeof handlers === 'function' ? {get: handlers} : handlers, incoming, outgoing);
-		}));
+		}, undefined, bounds));
 	}
 
 	async listen(port: number, address: string, options?: ListenOptions): Promise<Result<number, Failure<'cannot-listen'>>> {
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -16,6 +16,7 @@
 import {type BackendConnections} from './backend-connections.ts';
 import {type CallEffectExecutor} from './call-effect-executor.ts';
 import {closeListener} from './close-listener.ts';
+import {type ConnectionBudget} from './connection-budget.ts';
 import {discardBody} from './discard-body.ts';
 import {type CutAnswer, GracefulServer} from './graceful-server.ts';
 import {IncompleteCalls} from './incomplete-calls.ts';
@@ -41,13 +42,14 @@
 	readonly readinessGate: ReadinessGate;
 	/** Bounds the memory of buffered bodies and answers. */
 	readonly heldMemory: HeldMemory;
+	readonly connectionBudget: ConnectionBudget;
 };
 
 /** Limits that are not part of the operators' routing configuration. */
 export type RoutedServerLimits = {
 	/** Bodies of up to this size are read completely before the call is placed, and can be sent again. */
 	readonly keptBodyBytes: number;
-	/** Maximum number of open connections; any further one is closed at once. */
+	/** Maximum number of open connections; beyond it, idle ones are closed. */
 	readonly connections: number;
 	/** Time without progress on a blocked write after which a caller's connection is closed. */
 	readonly stallMilliseconds: Milliseconds;
@@ -132,8 +134,7 @@
 			noDelay: true,
 		}, (incoming, outgoing) => {
 			this._handleRequest(incoming, outgoing);
-		}, incoming => this._mayRunConcurrently(incoming)));
-		this._server.maxConnections = limits.connections;
+		}, incoming => this._mayRunConcurrently(incoming), {budget: dependencies.connectionBudget, name: 'callers', maxConnections: limits.connections}));
 		this._register(this._server.onCut(({incoming, ...cut}) => {
 			this._onAnswerCut.fire({...cut, traceId: dependencies.dialect.parseRequestHead(incoming.headers).traceId, stage: this._stage});
 		}));
--- a/src/node/metrics/catalogue.ts
+++ b/src/node/metrics/catalogue.ts
@@ -54,6 +54,11 @@
 	'configuration.version': {type: 'gauge', tags: [], describe: 'Configuration version in force. VMs that differ for more than some seconds are worth a look.'},
 	'memory.refusals': {type: 'counter', tags: ['kind'], describe: 'What found no room in memory: `kind` is body (its call was refused), peer-message (refused) or answer (forwarded early).'},
 	'connections.callers': {type: 'gauge', tags: [], describe: 'Open connections of callers.'},
+	'connections.closed_for_room': {
+		type: 'counter',
+		tags: ['listener', 'reason'],
+		describe: 'Connections closed or refused so that others have room. `reason` is heads (bytes of incomplete ones), connections, or waiting-calls (dropped unread).',
+	},
 	'vm.utilisation': {type: 'gauge', tags: [], describe: 'Part of the time that the event loop was busy, 0 to 1.'},
 	'platform.calls': {type: 'counter', tags: ['operation', 'reply'], describe: 'Requests to the platform\'s service.'},
 	'platform.milliseconds': {type: 'timing', tags: ['operation'], describe: 'Time that the platform\'s service took to answer.'},
--- a/src/node/metrics/metrics.test.ts
+++ b/src/node/metrics/metrics.test.ts
@@ -66,6 +66,7 @@
 		metrics.organisationCallEnded('one', true);
 		metrics.keyRefused(true);
 		metrics.answerCut('here');
+		metrics.connectionClosedForRoom('callers', 'heads');
 		metrics.evacuations(1);
 		metrics.storeEra(2, true);
 		metrics.rateLimits(2);
--- a/src/node/metrics/no-metrics.ts
+++ b/src/node/metrics/no-metrics.ts
@@ -11,6 +11,7 @@
 	organisationCallEnded: ignore,
 	keyRefused: ignore,
 	answerCut: ignore,
+	connectionClosedForRoom: ignore,
 	evacuations: ignore,
 	storeEra: ignore,
 	rateLimits: ignore,
--- a/src/node/metrics/page-metrics.test.ts
+++ b/src/node/metrics/page-metrics.test.ts
@@ -12,6 +12,7 @@
 
 		metrics.keyRefused(false);
 		metrics.answerCut('caller');
+		metrics.connectionClosedForRoom('callers', 'heads');
 		metrics.evacuations(1);
 		metrics.storeEra(2, true);
 		metrics.rateLimits(2);
--- a/src/node/metrics/page-metrics.ts
+++ b/src/node/metrics/page-metrics.ts
@@ -12,7 +12,7 @@
 import {type HeldKind} from '../memory/held-memory.ts';
 import {OrganisationTally} from './organisation-tally.ts';
 import {
-	heldKindName, keyRefusalReason, type Metrics, type VmGauges,
+	heldKindName, keyRefusalReason, type Metrics, type RoomReason, type VmGauges,
 } from './types.ts';
 
 /** Upper bounds of the histogram buckets in milliseconds, from 50 ms to 10 s in steps of a factor of about two or less; narrower around the usual objectives. */
@@ -32,6 +32,7 @@
 	private readonly _refusedKeys = this._counter('jaydale_refused_keys_total', 'Calls refused because they had no key of an organisation.', ['reason']);
 	private readonly _callsByPriority = this._counter('jaydale_calls_by_priority_total', 'Calls that have ended, by priority; 0 is the most urgent.', ['service', 'priority', 'reason']);
 	private readonly _cutAnswers = this._counter('jaydale_cut_answers_total', 'Answers whose connection ended before they were out.', ['closed_by']);
+	private readonly _connectionsClosedForRoom = this._counter('jaydale_connections_closed_for_room_total', 'Connections closed so that others have room.', ['listener', 'reason']);
 	private readonly _attempts = this._counter('jaydale_attempts_total', 'Attempts at backend servers.', ['service']);
 	private readonly _evacuations = new Gauge({name: 'jaydale_evacuated_data_centres', help: 'Data centres that this VM sends no new calls to.', registers: [this._registry]});
 	private readonly _storeEra = new Gauge({name: 'jaydale_store_era', help: 'Era of the store; it rises when the store is restored from a backup.', registers: [this._registry]});
@@ -94,6 +95,10 @@
 		this._cutAnswers.inc({closed_by: closedBy});
 	}
 
+	connectionClosedForRoom(listener: string, reason: RoomReason): void {
+		this._connectionsClosedForRoom.inc({listener, reason});
+	}
+
 	evacuations(dataCentres: number): void {
 		this._evacuations.set(dataCentres);
 	}
--- a/src/node/metrics/statsd-metrics.ts
+++ b/src/node/metrics/statsd-metrics.ts
@@ -10,7 +10,7 @@
 import {type MetricNameOf, type TagsOf} from './catalogue.ts';
 import {OrganisationTally} from './organisation-tally.ts';
 import {
-	heldKindName, keyRefusalReason, type Metrics, type VmGauges,
+	heldKindName, keyRefusalReason, type Metrics, type RoomReason, type VmGauges,
 } from './types.ts';
 
 /** Maximum size of a datagram; fits an Ethernet frame with room for the headers of tunnels. */
@@ -102,6 +102,10 @@
 		this._count('answers.cut', 1, {closed_by: closedBy});
 	}
 
+	connectionClosedForRoom(listener: string, reason: RoomReason): void {
+		this._count('connections.closed_for_room', 1, {listener, reason});
+	}
+
 	evacuations(dataCentres: number): void {
 		this._gauge('evacuations.in_force', dataCentres);
 	}
--- a/src/node/metrics/types.ts
+++ b/src/node/metrics/types.ts
@@ -4,6 +4,9 @@
 import {type Milliseconds} from '../../common/model/units.ts';
 import {type HeldKind} from '../memory/held-memory.ts';
 
+/** Resource that ran out: bytes of incomplete request heads, connections, or calls that wait behind an answer of their connection. */
+export type RoomReason = 'heads' | 'connections' | 'waiting-calls';
+
 /** State of a VM that is sampled periodically. */
 export type VmGauges = {
 	readonly callsInFlight: number;
@@ -34,6 +37,8 @@
 	keyRefused(isKeySent: boolean): void;
 	/** A connection was closed before the operating system had accepted the complete answer. */
 	answerCut(closedBy: 'caller' | 'here'): void;
+	/** A connection of a listener was closed or refused so that others have room. */
+	connectionClosedForRoom(listener: string, reason: RoomReason): void;
 	/** Number of data centres that are evacuated according to this VM's configuration. */
 	evacuations(dataCentres: number): void;
 	/** The store's era; `isRestored` = it has just changed, because the store was restored from a backup. */
