Execute the other effects of an event if one throws

Callers could stay without an answer: an exception in one effect of the entry VM skipped the later effects of the same event, among them refusals and answers of other calls. The process now lives on after an exception, so nothing else would end those calls. All effects of all queued events are executed, and the exception is thrown afterwards.

--- a/src/node/decider-loop.ts
+++ b/src/node/decider-loop.ts
@@ -57,15 +57,30 @@
 		}
 
 		this._isRunning = true;
+		const errors: unknown[] = [];
+		for (let next = this._pending.shift(); next !== undefined; next = this._pending.shift()) {
+			this._handle(next, errors);
+		}
+
+		this._isRunning = false;
+		this._schedule();
+		if (errors.length > 0) {
+			throw errors.length === 1 ? errors[0] : new AggregateError(errors, 'exceptions in several effects');
+		}
+	}
+
+	/** Handles one event and executes its effects. One that throws does not keep others from being executed: they may be answers to callers. */
+	private _handle(event: Event | {readonly type: 'tick'}, errors: unknown[]): void {
 		try {
-			for (let next = this._pending.shift(); next !== undefined; next = this._pending.shift()) {
-				for (const effect of this._decider.handle(next, this._clock.now())) {
+			for (const effect of this._decider.handle(event, this._clock.now())) {
+				try {
 					this._executor?.(effect);
+				} catch (error) {
+					errors.push(error);
 				}
 			}
-		} finally {
-			this._isRunning = false;
-			this._schedule();
+		} catch (error) {
+			errors.push(error);
 		}
 	}
 
