Answer a call or a request for a page whose handler throws

Its caller got no answer and an open connection, which a planned stop waited for, since the process survives the exception now. It is answered with 500 and the connection closes; the exception is thrown on, so that it is logged and counted.

--- a/src/node/front/graceful-server.ts
+++ b/src/node/front/graceful-server.ts
@@ -330,7 +330,7 @@
 		this._setCloseHeader(connection);
 		const refusal = rejectionStatus(exchange.incoming);
 		if (refusal === undefined) {
-			this._handleCall(exchange.incoming, exchange.outgoing);
+			this._invokeHandler(exchange);
 			return;
 		}
 
@@ -338,6 +338,22 @@
 		exchange.outgoing.setHeader('connection', 'close').writeHead(refusal).end();
 	}
 
+	/** An exception in the handler of a call ends that call with an answer before it is thrown on. */
+	private _invokeHandler({incoming, outgoing}: Exchange): void {
+		try {
+			this._handleCall(incoming, outgoing);
+		} catch (error) {
+			incoming.resume();
+			if (outgoing.headersSent) {
+				cutAnswer(outgoing);
+			} else {
+				outgoing.setHeader('connection', 'close').writeHead(500).end();
+			}
+
+			throw error;
+		}
+	}
+
 	/**
 	 * Handles input that cannot be parsed, and a request head that timed out. Answers in progress are completed before the
 	 * connection closes; without one, the input is refused. A parse error inside a request body terminates that call.
--- a/src/node/front/page-server.test.ts
+++ b/src/node/front/page-server.test.ts
@@ -1,6 +1,9 @@
+import {once} from 'node:events';
 import {connect} from 'node:net';
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'earl';
+import {request} from 'undici';
 import {DisposableStore, toDisposable} from '../../common/lifecycle/disposable.ts';
 import {PageServer} from './page-server.ts';
 
@@ -31,4 +34,25 @@
 		expect(received).toBeGreaterThan(pageBytes);
 		owned.dispose();
 	});
+
+	// Guards callers against connections without an answer, and a planned stop against waiting for them.
+	it('answers with 500 if a page cannot be made, and throws the exception on', async () => {
+		const owned = new DisposableStore();
+		const server = owned.add(new PageServer(() => {
+			throw new TypeError('page');
+		}, 1000));
+		const port = await server.listen(0, '127.0.0.1');
+		const handlers = process.listeners('unhandledRejection');
+		process.removeAllListeners('unhandledRejection');
+		const thrown = once(process, 'unhandledRejection');
+		const {statusCode, body} = await request(`http://127.0.0.1:${port._unsafeUnwrap()}/`, {reset: true});
+		await body.dump();
+		const rejection: unknown[] = await thrown;
+		for (const handler of handlers) {
+			process.on('unhandledRejection', handler);
+		}
+
+		owned.dispose();
+		expect([statusCode, String(rejection[0])]).toEqual([500, 'TypeError: page']);
+	});
 });
--- a/src/node/front/page-server.ts
+++ b/src/node/front/page-server.ts
@@ -42,7 +42,10 @@
 		super();
 		this._maxCloseMilliseconds = maxCloseMilliseconds;
 		this._server = this._register(new GracefulServer({keepAliveTimeout: idleMilliseconds, noDelay: true}, (incoming, outgoing) => {
-			void respond(typeof handlers === 'function' ? {get: handlers} : handlers, incoming, outgoing);
+			void respond(typeof handlers === 'function' ? {get: handlers} : handlers, incoming, outgoing).catch((error: unknown) => {
+				outgoing.setHeader('connection', 'close').writeHead(500).end();
+				throw error;
+			});
 		}, undefined, bounds));
 	}
 
