Count each byte of an incomplete message as progress

A body whose bytes still arrived could give way to others: progress was recorded only when a new block of up to 16 KB was allocated, so that senders below 16 KB a second lost their room first. The new test failed before.

--- a/src/node/memory/held-bytes.ts
+++ b/src/node/memory/held-bytes.ts
@@ -59,6 +59,8 @@
 			this._blocks.push(block);
 			this._allocatedBytes += blockBytes;
 			this._usedBytes = restBytes;
+		} else {
+			this._budget.recordProgress(this);
 		}
 
 		return true;
--- a/src/node/memory/memory-budget.test.ts
+++ b/src/node/memory/memory-budget.test.ts
@@ -48,6 +48,19 @@
 		expect(new HeldBytes(budget).append(Buffer.alloc(1))).toEqual(false);
 		expect([evicted, budget.heldBytes]).toEqual([['idle'], 4096]);
 	});
+
+	// Guards slow callers, whose bytes rarely need a new block, against eviction while they send.
+	it('takes no room from a message whose bytes still arrive', () => {
+		const evicted: string[] = [];
+		const slow = hold(1000, () => {
+			evicted.push('slow');
+		});
+		now = 900;
+		slow.append(Buffer.alloc(1));
+		now = 1800;
+		expect(new HeldBytes(budget).append(Buffer.alloc(3500))).toEqual(false);
+		expect(evicted).toEqual([]);
+	});
 });
 
 describe('HeldBytes', () => {
--- a/src/node/memory/memory-budget.ts
+++ b/src/node/memory/memory-budget.ts
@@ -54,13 +54,20 @@
 		this._heldBytes += bytes;
 		this._bytes.set(claim, (this._bytes.get(claim) ?? 0) + bytes);
 		if (claim.onEvicted !== undefined) {
-			this._progress.delete(claim);
-			this._progress.set(claim, this._now());
+			this._progress.set(claim, 0);
+			this.recordProgress(claim);
 		}
 
 		return true;
 	}
 
+	/** Records that bytes of the claim's message have arrived, unless it is complete. */
+	recordProgress(claim: MemoryClaim): void {
+		if (this._progress.delete(claim)) {
+			this._progress.set(claim, this._now());
+		}
+	}
+
 	/** Marks the claim's message as complete, so that it does not give way any more. */
 	complete(claim: MemoryClaim): void {
 		this._progress.delete(claim);
