Derive the room for bodies and answers from the memory of the process

1,000 uploads of 60 KB at once got up to 321 refusals that were answered before: the bound was the same on each machine. It is three tenths of the memory that the platform allows: 105 MB instead of 72 on one with 350 MB, 61 MB on the smallest with 202 MB.

--- a/src/daemon/entry-wiring.ts
+++ b/src/daemon/entry-wiring.ts
@@ -40,7 +40,7 @@
 import {ReadinessGate} from '../node/front/readiness-gate.ts';
 import {keyDigest} from '../node/key-digest.ts';
 import {type Logging} from '../node/logging/logging.ts';
-import {HeldMemory} from '../node/memory/held-memory.ts';
+import {heldBytesOf, HeldMemory} from '../node/memory/held-memory.ts';
 import {CountedLoadProbeClient, CountedPlatformClient} from '../node/metrics/counted-clients.ts';
 import {PageMetrics} from '../node/metrics/page-metrics.ts';
 import {EntryDaemon} from './entry-daemon.ts';
@@ -169,7 +169,7 @@
 			loop.feed({type: 'link-failed', identity});
 		},
 	}, metrics));
-	const heldMemory = owned.add(new HeldMemory());
+	const heldMemory = owned.add(new HeldMemory(heldBytesOf(settings.vm.memoryMegabytes)));
 	owned.add(new HeldMemoryLog(heldMemory, clock, logger, metrics));
 	const feedServer = owned.add(new FeedServer(metrics, {
 		fullFrame: () => fleet.feed(clock.now()), isServing: identity => fleet.isServing(identity), compareEvidence: known => fleet.compareEvidence(known, clock.now()),
--- a/src/node/memory/held-memory.ts
+++ b/src/node/memory/held-memory.ts
@@ -5,6 +5,16 @@
 /** Default bound for all kinds together, in bytes. */
 export const defaultHeldBytes = 72 * 1024 * 1024;
 
+/** Share of the process's memory; the rest is for the heap, code and sockets. */
+const memoryShare = 0.3;
+
+const bytesPerMegabyte = 1_048_576;
+
+/** Returns the bound for all kinds together, in bytes, for the memory that the platform allows; 0 MB = no limit is stated. */
+export function heldBytesOf(memoryMegabytes: number): number {
+	return memoryMegabytes === 0 ? defaultHeldBytes : memoryMegabytes * bytesPerMegabyte * memoryShare;
+}
+
 /** Share of each kind. */
 const shares = {bodies: 0.5, peerMessages: 0.125, answers: 0.375} as const;
 
