Free the last call of an idle backend connection

The client of a connection kept its latest attempt, and with it the call and its body, for as long as the connection idled. The reference is weak now.

--- a/src/node/front/attempt-client.ts
+++ b/src/node/front/attempt-client.ts
@@ -11,17 +11,18 @@
  * exception in that listener of the socket would end the process. Without pipelining, at most one attempt uses the connection.
  */
 export class AttemptClient extends Client {
-	private readonly _current: {attempt?: BackendAttempt | undefined};
+	/** Weak, so that an idle connection does not keep its last call in memory. */
+	private readonly _current: {attempt?: WeakRef<BackendAttempt> | undefined};
 
 	constructor(origin: string | URL, {connect, ...options}: AttemptClientOptions) {
-		const current: {attempt?: BackendAttempt | undefined} = {};
+		const current: {attempt?: WeakRef<BackendAttempt> | undefined} = {};
 		super(origin, {
 			...options,
 			connect(connectOptions, callback) {
 				connect(connectOptions, (...result) => {
 					// Comes before the listener that undici adds in the callback.
 					result[1]?.on('end', () => {
-						current.attempt?.onConnectionEnd();
+						current.attempt?.deref()?.onConnectionEnd();
 					});
 					callback(...result);
 				});
@@ -31,7 +32,7 @@
 	}
 
 	override dispatch(options: AttemptDispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-		this._current.attempt = options.attempt;
+		this._current.attempt = options.attempt === undefined ? undefined : new WeakRef(options.attempt);
 		return super.dispatch(options, handler);
 	}
 }
