Bound the bodies of calls that wait behind an answer

A pipelined call with a chunked body ended the process at 101 connections: its call is not started, so that its chunks stay in the request of Node.js, each of them an object in the heap. Such a call counts with what these chunks may take, and the calls that wait may take a sixteenth of the heap.

--- a/src/node/front/connection-budget.ts
+++ b/src/node/front/connection-budget.ts
@@ -25,6 +25,9 @@
 const heapBytesPerCall = 8000;
 const heapBytesPerField = 48;
 
+/** Heap that the unread part of a body in small chunks takes: Node.js reads one segment of the connection, and each chunk is an object. */
+const heapBytesPerChunkedBody = 524_288;
+
 /** When the incomplete heads exceed their bound, they are reduced to this share of it, so that the largest ones are seldom looked for. */
 const reducedShare = 3 / 4;
 
@@ -76,8 +79,9 @@
 	readonly idle: Set<Connection>;
 };
 
-function heapBytesOf({rawHeaders, url = ''}: IncomingMessage): number {
-	let bytes = heapBytesPerCall + url.length + (rawHeaders.length * heapBytesPerField);
+function heapBytesOf({rawHeaders, headers, url = ''}: IncomingMessage): number {
+	const bodyBytes = headers['transfer-encoding'] === undefined ? 0 : heapBytesPerChunkedBody;
+	let bytes = heapBytesPerCall + bodyBytes + url.length + (rawHeaders.length * heapBytesPerField);
 	for (const text of rawHeaders) {
 		bytes += text.length;
 	}
--- a/src/node/front/connection-limits.ts
+++ b/src/node/front/connection-limits.ts
@@ -35,7 +35,7 @@
 const closingShare = 1 / 16;
 
 /** Parts of the heap. A byte of an incomplete head of short fields takes about 5 bytes of it, because each field becomes two strings. */
-const heapShare = {connections: 1 / 4, heads: 1 / 24, waiting: 1 / 64} as const;
+const heapShare = {connections: 1 / 4, heads: 1 / 24, waiting: 1 / 16} as const;
 
 const waitingCallsPerConnection = 16;
 
