Keep a stopping VM until the waiting connections are accepted

A VM that was told to stop while it started ended before it had accepted the connections that waited at its listener.

Calls that wait there are not known to the process, so that it had no call in flight and ended; and a stop that was requested before the listener was open closed it as soon as it opened.

The listener now counts as busy until it is open and its waiting connections are accepted, for a second at most (250 ms before).

The new test failed before: the closing listener did not count as busy.

--- a/src/node/front/accept-queue.test.ts
+++ b/src/node/front/accept-queue.test.ts
@@ -54,4 +54,19 @@
 			expect(statuses.flat().length).toEqual(connections);
 		});
 	}
+
+	// Guards callers that wait in an early listener against a stop that is requested before the program opens its listeners.
+	it('accepts them if it is told to close before it is open, and counts as busy meanwhile', async () => {
+		const store = new DisposableStore();
+		const server = store.add(new GracefulServer({}, (_incoming, outgoing) => {
+			outgoing.end('served');
+		}));
+		server.disableKeepAlive();
+		server.stopListening();
+		const busy = server.unfinishedAnswers;
+		const port = await listenOn(server, 0, '127.0.0.1');
+		const statuses = await Promise.all(Array.from({length: connections}, async () => call(port._unsafeUnwrap())));
+		expect([busy, statuses.flat().length]).toEqual([1, connections]);
+		store.dispose();
+	});
 });
--- a/src/node/front/graceful-server.ts
+++ b/src/node/front/graceful-server.ts
@@ -17,8 +17,8 @@
  */
 const maxLingerMilliseconds: Milliseconds = 1000;
 
-/** Maximum time for which connections are still accepted after `stopListening`, if more and more arrive. */
-const maxAcceptMilliseconds: Milliseconds = 250;
+/** Maximum time after `stopListening` until the listener is open, if it is being opened, and all waiting connections are accepted. */
+const maxAcceptMilliseconds: Milliseconds = 1000;
 
 /** Statuses for requests that cannot be parsed, by Node's error code; the default is 400. */
 const parseErrorStatuses: Readonly<Record<string, string>> = {
@@ -130,6 +130,8 @@
 	private _unfinishedAnswers = 0;
 	/** Connections that were accepted, also those closed at once since there were too many. */
 	private _acceptedConnections = 0;
+	/** Whether the listener was closed by `stopListening`, or still accepts the connections that wait. */
+	private _closing: 'none' | 'accepting' | 'closed' = 'none';
 
 	/** Fires if an answer was cut, either because its caller disconnected or because this side closed the connection. */
 	readonly onCut = this._onCut.event;
@@ -172,9 +174,12 @@
 		});
 	}
 
-	/** Number of answers that the kernel has not completely accepted, plus connections that wait for the caller to close its side. */
+	/**
+	 * Number of answers that the kernel has not completely accepted, plus connections that wait for the caller to close its side,
+	 * plus one while the connections that wait at a closing listener are accepted, as their calls are not known yet.
+	 */
 	get unfinishedAnswers(): number {
-		return this._unfinishedAnswers;
+		return this._unfinishedAnswers + (this._closing === 'accepting' ? 1 : 0);
 	}
 
 	/** Closes each connection after its current answer; an idle connection stays open for one more call. */
@@ -192,7 +197,12 @@
 	 */
 	stopListening(): void {
 		this._closeAfterLastAnswers();
-		this._closeOnceAccepted(performance.now() + maxAcceptMilliseconds);
+		if (this._closing === 'none') {
+			this._closing = 'accepting';
+			this._closeOnceAccepted(performance.now() + maxAcceptMilliseconds);
+		} else if (this._closing === 'closed') {
+			this.close();
+		}
 	}
 
 	/**
@@ -235,7 +245,8 @@
 	private _closeOnceAccepted(end: Milliseconds): void {
 		const accepted = this._acceptedConnections;
 		afterPendingReads(() => {
-			if (accepted === this._acceptedConnections || performance.now() > end) {
+			if ((this.listening && accepted === this._acceptedConnections) || performance.now() > end) {
+				this._closing = 'closed';
 				this.close();
 			} else {
 				this._closeOnceAccepted(end);
