--- a/src/node/front/backend-attempt.ts
+++ b/src/node/front/backend-attempt.ts
@@ -24,8 +24,8 @@
 
 /**
  * True if the connection stays open after the answer. Otherwise the answer must not be paused: undici fails an assertion if the
- * connection closes while the answer is paused, and that terminates the whole process. Such an answer is read as it arrives
- * and buffered in memory for its caller; `UnpausedAnswers` bounds the buffers.
+ * connection closes while the answer is paused. Such an answer is read as it arrives and buffered in memory for its caller;
+ * `UnpausedAnswers` bounds the buffers.
  */
 function keepsConnectionOpen(headers: IncomingHttpHeaders): boolean {
 	const hasLength = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
--- a/src/node/listener-opener.ts
+++ b/src/node/listener-opener.ts
@@ -34,7 +34,7 @@
 		this._logger = logger;
 	}
 
-	/** Resolves with the port once the listener `name` is open, or with a failure other than `cannot-listen`; never after `dispose`. */
+	/** Resolves with the port once the listener `name` is open, or with a failure other than `cannot-listen`. The promise stays pending after `dispose`. */
 	async open(name: string, listen: Listen): Promise<Result<number, Failure<string>>> {
 		for (let delay = firstDelayMilliseconds; ; delay = Math.min(2 * delay, maxDelayMilliseconds)) {
 			const opened = await listen(error => {
