Accept connections also where Node.js has no hook for reads

The bounds on incomplete heads follow the reads of a socket by a method of Node.js that its types do not declare. Without it, each connection would have failed by an exception; heads are then bounded one by one only.

--- a/src/node/front/connection-budget.ts
+++ b/src/node/front/connection-budget.ts
@@ -14,7 +14,7 @@
 /** Parts of node:http that are not in its types. */
 type HttpSocket = Socket & {
 	/** Node calls it after each read and write, and for reads also while the parser reads the socket without `data` events. */
-	_unrefTimer(): void;
+	_unrefTimer?: () => void;
 	readonly parser?: {onIncoming(incoming: IncomingMessage, shouldKeepAlive: boolean): number};
 };
 
@@ -176,7 +176,12 @@
 	/** A listener for `data` would make node:http pass all bytes through JavaScript, which costs every call. */
 	private _watchReads(connection: Connection): void {
 		const {socket} = connection;
-		const unrefTimer = socket._unrefTimer.bind(socket);
+		const unrefTimer = socket._unrefTimer?.bind(socket);
+		if (unrefTimer === undefined) {
+			// A version of Node.js without it: incomplete heads are bounded one by one only.
+			return;
+		}
+
 		socket._unrefTimer = () => {
 			unrefTimer();
 			if (socket.bytesRead !== connection.bytesRead) {
