--- a/src/node/fleet/feed-server.ts
+++ b/src/node/fleet/feed-server.ts
@@ -16,7 +16,7 @@
 import {LineReader} from './line-reader.ts';
 import {decodeAnnouncement, encodeFrame, feedPath} from './feed-frame.ts';
 import {
-	decodeEvidenceKeys, decodeUpdates, encodeEvidenceReply, evidencePath, maxUpdatesCharacters, updatesPath,
+	decodeEvidenceKeys, decodeUpdates, encodeEvidenceReply, evidencePath, maxUpdatesBytes, updatesPath,
 } from './update-codec.ts';
 import {probePathPrefix} from './vm-probe-client.ts';
 
@@ -159,7 +159,7 @@
 
 		const held = new HeldBytes(this._budget, refuse);
 		const collect = (chunk: Buffer) => {
-			if (held.bytes + chunk.length > maxUpdatesCharacters) {
+			if (held.bytes + chunk.length > maxUpdatesBytes) {
 				outgoing.destroy();
 			} else if (!held.append(chunk)) {
 				refuse();
--- a/src/node/fleet/update-client.ts
+++ b/src/node/fleet/update-client.ts
@@ -9,7 +9,7 @@
 import {type Logger} from '../logging/types.ts';
 import {type Metrics} from '../metrics/types.ts';
 import {
-	decodeEvidenceReply, encodeEvidenceKeys, encodeUpdates, evidencePath, maxUpdatesCharacters, updatesPath,
+	decodeEvidenceReply, encodeEvidenceKeys, encodeUpdates, evidencePath, maxUpdatesBytes, updatesPath,
 } from './update-codec.ts';
 
 /** Connect time-out. Other VMs pass the same updates on, so that a lost message is no loss. */
@@ -51,7 +51,7 @@
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
 		this._length += chunk.length;
 		this._chunks.push(chunk);
-		if (this._length > maxUpdatesCharacters) {
+		if (this._length > maxUpdatesBytes) {
 			controller.abort(new Error('the response is longer than any of this fleet'));
 		}
 	}
--- a/src/node/fleet/update-codec.ts
+++ b/src/node/fleet/update-codec.ts
@@ -11,8 +11,8 @@
 /** Path on a VM's peers endpoint for comparing evidence of crashes. Earlier builds answer 404. */
 export const evidencePath = '/evidence';
 
-/** Maximum length of a message with updates or evidence in characters; a longer one does not come from a VM of this fleet. */
-export const maxUpdatesCharacters = 1_000_000;
+/** Maximum length of a message with updates or evidence in bytes; a longer one does not come from a VM of this fleet. */
+export const maxUpdatesBytes = 1_000_000;
 
 const fingerprintSchema = z.string().max(128);
 
--- a/src/node/settings/load-entry-settings.test.ts
+++ b/src/node/settings/load-entry-settings.test.ts
@@ -2,7 +2,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {expect} from 'earl';
-import {loadWrittenEntrySettings} from './load-entry-settings.ts';
+import {loadCompleteEntrySettings} from './load-entry-settings.ts';
 
 const completeSettings = `
 [vm]
@@ -39,7 +39,7 @@
 	/** Loads the settings; `onIncomplete` may write the file between two readings. */
 	async function load(onIncomplete: (readings: number) => void = () => undefined): Promise<{isLoaded: boolean; readings: number; kinds: string[]}> {
 		let readings = 1;
-		const loaded = await loadWrittenEntrySettings(path, () => {
+		const loaded = await loadCompleteEntrySettings(path, () => {
 			onIncomplete(readings);
 			readings++;
 		});
--- a/src/node/settings/load-entry-settings.ts
+++ b/src/node/settings/load-entry-settings.ts
@@ -21,7 +21,7 @@
  * Like `loadEntrySettings`, but reads a missing or incomplete file again for a second: it may be being written. `onIncomplete`
  * is called before each repetition.
  */
-export async function loadWrittenEntrySettings(path: string, onIncomplete: (failures: readonly SettingsFailure[]) => void): Promise<Result<EntrySettings, SettingsFailure[]>> {
+export async function loadCompleteEntrySettings(path: string, onIncomplete: (failures: readonly SettingsFailure[]) => void): Promise<Result<EntrySettings, SettingsFailure[]>> {
 	for (let repeat = 0; repeat < maxRepeats; repeat++) {
 		const loaded = loadEntrySettings(path);
 		if (loaded.isOk() || !loaded.error.some(problem => incompleteKinds.has(problem.kind))) {
