Require the tables calls and stop in the settings of an entry VM

A file cut before its table stop was accepted as a whole one, with defaults the operators had not chosen, since both tables had become optional together with their fields. The fields keep their defaults; a missing table tells that the file is incomplete, and it is read again.

--- a/src/common/settings/entry-settings.ts
+++ b/src/common/settings/entry-settings.ts
@@ -74,9 +74,9 @@
 	listen: listenSchema,
 	seeds: z.array(endpointSchema).default([]).describe('Peers endpoints of VMs to learn from at the start, until others are known. May be out of date.'),
 	store: storeSchema,
-	calls: callsSchema.prefault({}),
+	calls: callsSchema,
 	directory: directorySchema.prefault({}),
-	stop: stopSchema.prefault({}),
+	stop: stopSchema,
 	log: logSchema.prefault({}),
 });
 
