--- a/src/node/front/connection-budget.ts
+++ b/src/node/front/connection-budget.ts
@@ -339,7 +339,7 @@
 		}
 	}
 
-	/** Keeps a connection on which a call has begun to arrive. */
+	/** Leaves a connection open that was chosen to be closed, because a call has begun to arrive on it. */
 	private _keep(connection: Connection): void {
 		const {socket, listener} = connection;
 		if (socket.destroyed) {
--- a/src/node/listener-opener.ts
+++ b/src/node/listener-opener.ts
@@ -9,7 +9,7 @@
 
 const firstDelayMilliseconds: Milliseconds = 100;
 
-/** Callers of a VM whose port is free again wait for no longer than this. */
+/** Maximum delay between two tries. */
 const maxDelayMilliseconds: Milliseconds = 1000;
 
 /** Log lines per second about connections that could not be accepted; without descriptors, each of them fails. */
--- a/src/node/memory/held-bytes.ts
+++ b/src/node/memory/held-bytes.ts
@@ -66,7 +66,7 @@
 		return true;
 	}
 
-	/** Marks the message as complete, so that it does not give way to others. */
+	/** Marks the message as complete; from then on it is never evicted. */
 	complete(): void {
 		this._budget.complete(this);
 	}
