Report exceptions in calls, and the retry delay for bodies without room, in one place

Both daemons had the same log line and metric, and both listeners of callers the same delay with the same comment. No change of behaviour; 17 tests of these files pass.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -25,6 +25,7 @@
 import {type Metrics} from '../node/metrics/types.ts';
 import {type BurnExchange} from '../node/peers/burn-exchange.ts';
 import {type GrpcPeerTransport, type PeerTraffic} from '../node/peers/grpc-peer-transport.ts';
+import {reportCallException} from './call-exception-log.ts';
 import {KeyRefusalLog} from './key-refusal-log.ts';
 import {type PauseDetector} from './pause-detector.ts';
 import {reportPoisonRequestChange} from './poison-request-log.ts';
@@ -87,9 +88,8 @@
 		this._register(parts.callEffectExecutor.onCallEnded(call => {
 			this._recordCall(call);
 		}));
-		this._register(parts.callEffectExecutor.onException(({traceId, error}) => {
-			parts.metrics.unexpectedError();
-			parts.logger.error('exception in a call', {traceId, failure: error instanceof Error ? error.stack : String(error)});
+		this._register(parts.callEffectExecutor.onException(exception => {
+			reportCallException(exception, parts.logger, parts.metrics);
 		}));
 		this._register(parts.callEffectExecutor.onPoisonRequestChanged(effect => {
 			reportPoisonRequestChange(effect, parts.logger, parts.metrics);
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -27,6 +27,7 @@
 import {LineBudget} from '../node/logging/line-budget.ts';
 import {type LogControl, type Logger} from '../node/logging/types.ts';
 import {type Metrics} from '../node/metrics/types.ts';
+import {reportCallException} from './call-exception-log.ts';
 import {
 	describeAttempt, describeGrounds, describeLimit, describeSharing,
 } from './describe-call.ts';
@@ -104,9 +105,8 @@
 		this._register(parts.callEffectExecutor.onCallEnded(call => {
 			this._logCall(call);
 		}));
-		this._register(parts.callEffectExecutor.onException(({traceId, error}) => {
-			parts.metrics.unexpectedError();
-			parts.logger.error('exception in a call', {traceId, failure: error instanceof Error ? error.stack : String(error)});
+		this._register(parts.callEffectExecutor.onException(exception => {
+			reportCallException(exception, parts.logger, parts.metrics);
 		}));
 		this._register(parts.callEffectExecutor.onPoisonRequestChanged(effect => {
 			reportPoisonRequestChange(effect, parts.logger, parts.metrics);
--- a/src/node/front/caller-server.ts
+++ b/src/node/front/caller-server.ts
@@ -24,7 +24,7 @@
 import {type CutAnswer, GracefulServer} from './graceful-server.ts';
 import {IncompleteCalls} from './incomplete-calls.ts';
 import {LiveCall} from './live-call.ts';
-import {type BodyLimits, RequestBody} from './request-body.ts';
+import {type BodyLimits, noRoomRetryMilliseconds, RequestBody} from './request-body.ts';
 import {UnpausedAnswers} from './unpaused-answers.ts';
 import {
 	type CallEventSink, type FingerprintFunction, type KeyAdmission, type KeyRefusal,
@@ -69,9 +69,6 @@
 /** Retry delay for callers that a stopping VM has refused: almost immediate, since they retry on another VM. */
 const stoppingRetryMilliseconds: Milliseconds = 20;
 
-/** Retry delay for callers whose bodies find no room in memory. Other VMs may have room, and incomplete bodies soon give way here. */
-const noRoomRetryMilliseconds: Milliseconds = 200;
-
 const maxTimeoutMilliseconds = 86_400_000;
 const maxCallerNameLength = 128;
 const maxIdempotencyKeyLength = 255;
--- a/src/node/front/request-body.ts
+++ b/src/node/front/request-body.ts
@@ -1,10 +1,14 @@
 /** Reads a caller's request body and buffers small ones, so that a call that provably has not run can be sent again. */
 import {type IncomingMessage} from 'node:http';
 import {PassThrough, type Readable} from 'node:stream';
+import {type Milliseconds} from '../../common/model/units.ts';
 import {HeldBytes} from '../memory/held-bytes.ts';
 import {type MemoryBudget} from '../memory/memory-budget.ts';
 import {discardBody} from './discard-body.ts';
 
+/** Retry delay for callers whose bodies find no room in memory. Other VMs may have room, and incomplete bodies soon give way here. */
+export const noRoomRetryMilliseconds: Milliseconds = 200;
+
 /** Limits of request bodies, in bytes. */
 export type BodyLimits = {
 	/**
--- a/src/node/front/routed-server.ts
+++ b/src/node/front/routed-server.ts
@@ -21,7 +21,7 @@
 import {type CutAnswer, GracefulServer} from './graceful-server.ts';
 import {IncompleteCalls} from './incomplete-calls.ts';
 import {LiveCall} from './live-call.ts';
-import {RequestBody} from './request-body.ts';
+import {noRoomRetryMilliseconds, RequestBody} from './request-body.ts';
 import {type ReadinessGate} from './readiness-gate.ts';
 import {
 	type CallEventSink, type FingerprintFunction, type KeyAdmission, type KeyRefusal,
@@ -66,9 +66,6 @@
 /** Retry delay for callers that a stopping VM has refused: almost immediate, since they retry on another VM. */
 const stoppingRetryMilliseconds: Milliseconds = 20;
 
-/** Retry delay for callers whose bodies find no room in memory. Other VMs may have room, and incomplete bodies soon give way here. */
-const noRoomRetryMilliseconds: Milliseconds = 200;
-
 /** Connections that may wait to be accepted. A full backlog costs a caller one second, and bursts bring hundreds of connections. */
 const listenBacklog = 1024;
 
