--- a/src/node/front/accept-queue.test.ts
+++ b/src/node/front/accept-queue.test.ts
@@ -1,30 +1,13 @@
-import {connect} from 'node:net';
 import {expect} from 'earl';
 import {DisposableStore} from '../../common/lifecycle/disposable.ts';
 import {listenOn} from '../listening.ts';
 import {closeListener} from './close-listener.ts';
 import {GracefulServer} from './graceful-server.ts';
-import {getCall, parseStatuses} from './open-listener.test.ts';
+import {exchange, getCall, parseStatuses} from './open-listener.test.ts';
 
 const connections = 40;
 const maxCloseMilliseconds = 1000;
 
-/** Sends a call on a new connection; resolves with the statuses of its answers. */
-async function call(port: number): Promise<string[]> {
-	return new Promise(resolve => {
-		const caller = connect(port, '127.0.0.1');
-		let received = '';
-		caller.on('data', chunk => {
-			received += chunk.toString('latin1');
-		});
-		caller.on('error', () => undefined);
-		caller.on('close', () => {
-			resolve(parseStatuses(received));
-		});
-		caller.write(getCall('/1'));
-	});
-}
-
 describe('a listener that closes while connections wait to be accepted', () => {
 	// Guards callers at a planned stop against a reset without an answer: libuv accepts one connection in each cycle.
 	const steps: Readonly<Record<string, (server: GracefulServer) => void>> = {
@@ -47,7 +30,7 @@
 			}));
 			const port = await listenOn(server, 0, '127.0.0.1');
 			server.disableKeepAlive();
-			const answers = Array.from({length: connections}, async () => call(port._unsafeUnwrap()));
+			const answers = Array.from({length: connections}, async () => parseStatuses(await exchange(port._unsafeUnwrap(), getCall('/1'))));
 			close(server);
 			const statuses = await Promise.all(answers);
 			store.dispose();
@@ -65,7 +48,7 @@
 		server.stopListening();
 		const busy = server.unfinishedAnswers;
 		const port = await listenOn(server, 0, '127.0.0.1');
-		const statuses = await Promise.all(Array.from({length: connections}, async () => call(port._unsafeUnwrap())));
+		const statuses = await Promise.all(Array.from({length: connections}, async () => parseStatuses(await exchange(port._unsafeUnwrap(), getCall('/1')))));
 		expect([busy, statuses.flat().length]).toEqual([1, connections]);
 		store.dispose();
 	});
--- a/src/node/front/call-exceptions.test.ts
+++ b/src/node/front/call-exceptions.test.ts
@@ -1,5 +1,4 @@
 import {createServer, type Server} from 'node:http';
-import {connect} from 'node:net';
 import {expect} from 'earl';
 import {DefaultCallEngine} from '../../common/calls/call-engine.ts';
 import {isCallEffect} from '../../common/entry-vm/entry-vm.ts';
@@ -16,6 +15,7 @@
 import {HttpLoadProbeClient} from './http-load-probe-client.ts';
 import {LiveCall} from './live-call.ts';
 import {RequestBody} from './request-body.ts';
+import {exchange} from './open-listener.test.ts';
 import {limits, startRawServer} from './test-utilities.test.ts';
 import {UnpausedAnswers} from './unpaused-answers.ts';
 
@@ -88,18 +88,7 @@
 			});
 			const exceptions: string[] = [];
 			const port = await startListener(owned, backendPort, step, exceptions);
-			const answer = await new Promise<string>(resolve => {
-				const caller = connect(port, '127.0.0.1');
-				let received = '';
-				caller.on('data', chunk => {
-					received += chunk.toString('latin1');
-				});
-				caller.on('error', () => undefined);
-				caller.on('close', () => {
-					resolve(received);
-				});
-				caller.write('GET / HTTP/1.1\r\nhost: one.example\r\nconnection: close\r\n\r\n');
-			});
+			const answer = await exchange(port, 'GET / HTTP/1.1\r\nhost: one.example\r\nconnection: close\r\n\r\n');
 			expect([answer.split('\r\n')[0], exceptions]).toEqual(['HTTP/1.1 502 Bad Gateway', [`TypeError: ${step}`]]);
 		});
 	}
--- a/src/node/front/open-listener.test.ts
+++ b/src/node/front/open-listener.test.ts
@@ -74,6 +74,23 @@
 	return text;
 }
 
+/** Sends the bytes on a new connection; resolves with all bytes received until it is closed or fails. */
+export async function exchange(port: number, bytes: string): Promise<string> {
+	const caller = connect(port, '127.0.0.1');
+	caller.write(bytes);
+	let text = '';
+	return new Promise(resolve => {
+		caller.on('data', (chunk: Buffer) => {
+			text += chunk.toString('latin1');
+		});
+		// `close` follows.
+		caller.on('error', () => undefined);
+		caller.on('close', () => {
+			resolve(text);
+		});
+	});
+}
+
 /** Returns the statuses of all answers in the text. */
 export function parseStatuses(text: string): string[] {
 	return Array.from(text.matchAll(/HTTP\/1\.1 (?<status>\d{3}) /gv), match => match.groups!.status!);
