--- a/src/common/settings/entry-settings.ts
+++ b/src/common/settings/entry-settings.ts
@@ -19,7 +19,7 @@
 	name: textSchema.describe('Name of this VM in logs.'),
 	dataCentre: textSchema.describe('Data centre of this VM; calls stay in it while it has room.'),
 	linkMegabits: z.number().min(0).default(1000).describe('Width of its link; the VMs with the widest read the store for the others.'),
-	memoryMegabytes: z.number().min(0).default(256).describe('Memory that the process may use; bounds what connections hold before their calls are handled. 0 = no limit.'),
+	memoryMegabytes: z.number().min(0).default(256).describe('Memory that the process may use; bounds what connections, bodies, messages of other VMs and buffered answers take. 0 = no limit is known: the bounds are those of the heap, and 72 MB.'),
 	descriptors: z.number().min(0).default(4096).describe('Descriptors that the process may use; bounds the connections to all its listeners. 0 = no limit.'),
 });
 
--- a/src/node/memory/held-memory.ts
+++ b/src/node/memory/held-memory.ts
@@ -2,14 +2,14 @@
 import {DisposableStore} from '../../common/lifecycle/disposable.ts';
 import {MemoryBudget} from './memory-budget.ts';
 
-/** Default bound for all kinds together, in bytes. */
-export const defaultHeldBytes = 72 * 1024 * 1024;
-
 /** Share of the process's memory; the rest is for the heap, code and sockets. */
 const memoryShare = 0.3;
 
 const bytesPerMegabyte = 1_048_576;
 
+/** Default bound for all kinds together, in bytes. */
+export const defaultHeldBytes = 72 * bytesPerMegabyte;
+
 /** Returns the bound for all kinds together, in bytes, for the memory that the platform allows; 0 MB = no limit is stated. */
 export function heldBytesOf(memoryMegabytes: number): number {
 	return memoryMegabytes === 0 ? defaultHeldBytes : memoryMegabytes * bytesPerMegabyte * memoryShare;
