--- a/review/5/drive.mjs
+++ b/review/5/drive.mjs
@@ -19,7 +19,9 @@
 const startedAt = performance.now();
 
 const write = fields => {
-	record.write(`${JSON.stringify({ms: Math.round(performance.now() - startedAt), ...fields})}\n`);
+	if (!record.writableEnded) {
+		record.write(`${JSON.stringify({ms: Math.round(performance.now() - startedAt), ...fields})}\n`);
+	}
 };
 
 const sleep = async milliseconds => new Promise(resolve => {
--- a/review/stand-ins-2/vm.mjs
+++ b/review/stand-ins-2/vm.mjs
@@ -72,6 +72,15 @@
 		this._folder = mkdtempSync(path.join(tmpdir(), 'review-2-'));
 		this._seeds = [];
 		this.list = [];
+		// A fault of the script itself is no broken rule, and must leave no process behind.
+		process.on('uncaughtException', error => {
+			console.error(error);
+			for (const {child} of this.list) {
+				child?.kill('SIGKILL');
+			}
+
+			process.exit(2);
+		});
 	}
 
 	/** Chooses the ports of a VM; the first three are the seeds. */
