Close the connection of a load probe that gets the answer to a call

Cause: the late copy of a call's answer was taken for the answer to the load probe that followed on its connection, and the connection was given back. The probe's own rejection, which names no call, then met the next call and was taken for its rejection.

An answer to a load probe bears no id, so one with an id, or of another instance, belongs to something else, and the probe's own is still to come. The connection is closed, and no load report is taken from it.

--- a/src/common/protocol/dialect.ts
+++ b/src/common/protocol/dialect.ts
@@ -63,6 +63,11 @@
 	 * answer to the next call: it says that a call has not run, and not which one.
 	 */
 	endsConnection(status: number, headers: HeaderMap): boolean;
+	/**
+	 * Whether the connection must not be used after this answer to a load probe of this backend server: it is the late copy of
+	 * another answer, so the probe's own answer is still to come, or `endsConnection` applies.
+	 */
+	endsProbeConnection(identity: BackendServerIdentity, status: number, headers: HeaderMap): boolean;
 	/** Returns the headers to send to the caller, given those of the backend server's answer. */
 	answerHeaders(headers: HeaderMap, outcome: CallOutcome): string[];
 	/** Returns the answer to a refused call. */
--- a/src/common/protocol/jaydale-dialect.ts
+++ b/src/common/protocol/jaydale-dialect.ts
@@ -44,6 +44,10 @@
 		return false;
 	}
 
+	endsProbeConnection(): boolean {
+		return false;
+	}
+
 	answerHeaders(headers: HeaderMap, outcome: CallOutcome): string[] {
 		const forwarded = forwardedHeaders(headers);
 		forwarded.push(outcomeHeader, outcome);
--- a/src/node/front/http-load-probe-client.ts
+++ b/src/node/front/http-load-probe-client.ts
@@ -25,7 +25,7 @@
 	override readonly name = 'LoadProbeTimeout';
 }
 
-/** Reason passed to undici to close the connection of a load probe, since a copy of its answer could follow on it. */
+/** Reason passed to undici to close the connection of a load probe, since another answer could follow on it. */
 class ConnectionEnded extends Error {
 	override readonly name = 'ConnectionEnded';
 }
@@ -181,7 +181,7 @@
 		const {loadProbeId, identity, path, timeoutMilliseconds} = effect;
 		const loadProbe = new LoadProbe(Math.ceil(timeoutMilliseconds), {
 			parse: (status, headers, body) => this._dialect.parseLoadProbe(identity, status, headers, body),
-			endsConnection: (status, headers) => this._dialect.endsConnection(status, headers),
+			endsConnection: (status, headers) => this._dialect.endsProbeConnection(identity, status, headers),
 		}, (report, isRefused) => {
 			sink.feed({
 				type: 'measured', loadProbeId, report, isRefused,
