Send load probes on connections that carry no calls

Callers would see the same as with the copy of a call's answer: a non-idempotent call that runs twice, or is answered 503 and runs.

Cause: answers to load probes bear no id, so the late copy of one can't be told from the answer to the next probe. Its own answer then follows on a connection that seems free; a rejection among them, which names no call, was taken for the rejection of the call that was sent on it.

Load probes now have a pool of connections of their own for each backend server. On a connection of calls each answer bears an id or is followed by a close, so that a rejection without an id can only belong to the call under way.

--- a/src/node/front/backend-connections.ts
+++ b/src/node/front/backend-connections.ts
@@ -18,6 +18,12 @@
 /** Connections to one process of a backend server on one path. */
 type ProcessPool = {readonly pool: Pool; readonly origin: string; readonly processStartedAt: number | undefined; readonly via: string | undefined};
 
+/**
+ * What connections carry. Load probes have connections of their own: an answer without an id on a connection of calls is then
+ * the answer to its call, and never the delayed answer to a load probe.
+ */
+export type ConnectionUse = 'calls' | 'load-probes';
+
 /** A request for a shared pool. */
 type PooledRequest = {readonly options: Dispatcher.DispatchOptions; readonly handler: Dispatcher.DispatchHandler; readonly isNeeded: () => boolean};
 
@@ -84,10 +90,10 @@
 /** Relays that are asked for one connection; a VM that has no link either says so within a round trip. */
 const maxRelaysPerConnection = 4;
 
-/** One connection pool for each backend server. */
+/** Two connection pools for each backend server: one for calls, one for load probes. */
 export class BackendConnections extends Disposable {
 	private _relays: RelaySource | undefined;
-	private readonly _pools = new Map<BackendServerIdentity, ProcessPool>();
+	private readonly _pools: Readonly<Record<ConnectionUse, Map<BackendServerIdentity, ProcessPool>>> = {calls: new Map(), 'load-probes': new Map()};
 	private readonly _settings: ConnectionSettings;
 	private readonly _connect: buildConnector.connector;
 	private _isEndReset = false;
@@ -102,11 +108,13 @@
 			});
 		});
 		this._register(toDisposable(() => {
-			for (const {pool} of this._pools.values()) {
-				void pool.destroy();
-			}
+			for (const pools of Object.values(this._pools)) {
+				for (const {pool} of pools.values()) {
+					void pool.destroy();
+				}
 
-			this._pools.clear();
+				pools.clear();
+			}
 		}));
 	}
 
@@ -125,10 +133,11 @@
 	 * has changed under the same identity: earlier connections may stay silent forever, or lead to an address that now belongs
 	 * to another backend server.
 	 */
-	pool(target: Target): Pool {
+	pool(target: Target, use: ConnectionUse = 'calls'): Pool {
 		const {identity, address, port, processStartedAt, via} = target;
 		const origin = originUrl(address, port);
-		const existing = this._pools.get(identity);
+		const pools = this._pools[use];
+		const existing = pools.get(identity);
 		if (existing?.origin === origin && existing.processStartedAt === processStartedAt && existing.via === via) {
 			return existing.pool;
 		}
@@ -139,7 +148,7 @@
 			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- the pool passes on the options above.
 			factory: (clientOrigin, options) => new AttemptClient(clientOrigin, options as AttemptClientOptions),
 		});
-		this._pools.set(identity, {
+		pools.set(identity, {
 			pool, origin, processStartedAt, via,
 		});
 		return pool;
@@ -148,11 +157,11 @@
 	/**
 	 * Sends a request on the shared pool: at once, or one or two cycles of the event loop later if all its open connections
 	 * are in use. undici gives a connection back one cycle after its answer has ended, while the engine reacts to a report or
-	 * an answer at once. Without the delay, a call would open a second connection beside the one of its own probe.
+	 * an answer at once. Without the delay, a call that waited for such an answer would open a second connection.
 	 * `isNeeded` is asked before a delayed request is sent.
 	 */
-	dispatch(target: Target, options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler, isNeeded: () => boolean): void {
-		this._dispatchSoon(this.pool(target), {options, handler, isNeeded}, maxDelayCycles);
+	dispatch(target: Target, use: ConnectionUse, request: PooledRequest): void {
+		this._dispatchSoon(this.pool(target, use), request, maxDelayCycles);
 	}
 
 	/** Returns a client with a new connection for a single attempt; the caller closes it. */
@@ -167,10 +176,12 @@
 
 	/** Closes the pools of backend servers that are not in `identities`, once their calls in flight have completed. */
 	retain(identities: ReadonlySet<BackendServerIdentity>): void {
-		for (const [identity, {pool}] of this._pools) {
-			if (!identities.has(identity)) {
-				this._pools.delete(identity);
-				void pool.close();
+		for (const pools of Object.values(this._pools)) {
+			for (const [identity, {pool}] of pools) {
+				if (!identities.has(identity)) {
+					pools.delete(identity);
+					void pool.close();
+				}
 			}
 		}
 	}
--- a/src/node/front/http-load-probe-client.ts
+++ b/src/node/front/http-load-probe-client.ts
@@ -167,7 +167,7 @@
 	}
 }
 
-/** Sends load probes on the connection pools that calls use, so that no further connections are needed. */
+/** Sends load probes on connections that carry no calls. */
 export class HttpLoadProbeClient implements LoadProbeClient {
 	private readonly _connections: BackendConnections;
 	private readonly _dialect: Dialect;
@@ -187,9 +187,13 @@
 				type: 'measured', loadProbeId, report, isRefused,
 			});
 		});
-		this._connections.dispatch(effect, {
-			method: 'GET', path, headers: [], idempotent: false,
-		}, loadProbe, () => !loadProbe.isDone);
+		this._connections.dispatch(effect, 'load-probes', {
+			options: {
+				method: 'GET', path, headers: [], idempotent: false,
+			},
+			handler: loadProbe,
+			isNeeded: () => !loadProbe.isDone,
+		});
 	}
 
 	check({check}: CallEffect & {type: 'check-link'}, sink: CallEventSink): void {
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -150,7 +150,7 @@
 			body: this._body.toSend(),
 		};
 		if (!effect.needsFreshConnection) {
-			this._connections.dispatch(effect, attempt.dispatchOptions(request), attempt, () => attempt.isNeeded);
+			this._connections.dispatch(effect, 'calls', {options: attempt.dispatchOptions(request), handler: attempt, isNeeded: () => attempt.isNeeded});
 			return;
 		}
 
