Cut answers that outlast the time limit of their route

Cause: the time limit of a call ended with the head of its answer; after that only silence was a failure, so a byte in 400 ms kept an answer open. At full speed the answer counted as paused for its caller and had no end either. A download that broke off after its limit was resumed with the time of a new call.

Limits of services, which by their contract bound the wait for more bytes, stay.

--- a/benchmark/policy/baseline-engine.ts
+++ b/benchmark/policy/baseline-engine.ts
@@ -256,7 +256,7 @@
 
 		call.isPassedOn = true;
 		this._effects.push({
-			type: 'pass-on', callId: call.request.callId, attemptId: call.attemptId, outcome: event.status < 500 ? 'ran' : 'unknown', timeLeftMilliseconds: 0,
+			type: 'pass-on', callId: call.request.callId, attemptId: call.attemptId, outcome: event.status < 500 ? 'ran' : 'unknown', timeLeftMilliseconds: 0, timeLimitScope: 'progress',
 		});
 	}
 
--- a/src/common/calls/attempts/attempt-runner.ts
+++ b/src/common/calls/attempts/attempt-runner.ts
@@ -2,7 +2,7 @@
 import {type Instant} from '../../model/units.ts';
 import {type BackendServerState} from '../backend-server-state.ts';
 import {
-	type Attempt, type AttemptPurpose, type Call, isBodiless, outcomeSoFar,
+	type Attempt, type AttemptPurpose, type Call, isBodiless, outcomeSoFar, resumeMilliseconds, timeLimitScope,
 } from '../call.ts';
 import {type CallCompletion} from '../call-completion.ts';
 import {learnFromAnswer} from '../estimates/answer-learning.ts';
@@ -187,7 +187,7 @@
 			port: server.declared.port,
 			processStartedAt: server.declared.processStartedAt,
 			via: attempt.via,
-			timeoutMilliseconds: purpose === 'resume' ? call.deadline - call.arrivedAt : Math.max(1, call.deadline - now),
+			timeoutMilliseconds: purpose === 'resume' ? resumeMilliseconds(call, now) : Math.max(1, call.deadline - now),
 			needsFreshConnection: server.health === 'doubted',
 			connectionLimit: connectionLimit(this._context, server.declared),
 			resume,
@@ -386,7 +386,7 @@
 	 */
 	private _setResumeTimeout(attempt: Attempt, now: Instant): void {
 		const {call} = attempt;
-		call.timers.push(this._context.timers.add(now + call.deadline - call.arrivedAt, {type: 'resume', attempt}));
+		call.timers.push(this._context.timers.add(now + resumeMilliseconds(call, now), {type: 'resume', attempt}));
 	}
 
 	private _recordAnswer(attempt: Attempt, hasFailed: boolean, report: LoadReport | undefined, now: Instant): void {
@@ -408,7 +408,7 @@
 			attempt, status: event.status, outcome, validator: event.validator,
 		};
 		this._context.effects.push({
-			type: 'pass-on', callId: call.request.callId, attemptId: attempt.id, outcome, timeLeftMilliseconds: call.deadline - now,
+			type: 'pass-on', callId: call.request.callId, attemptId: attempt.id, outcome, timeLeftMilliseconds: call.deadline - now, timeLimitScope: timeLimitScope(call),
 		});
 	}
 
@@ -474,7 +474,7 @@
 	private _resumeOrBreakOff(call: Call, event: FailedEvent, now: Instant): void {
 		const {forwardedAnswer} = call;
 		const isResumable = forwardedAnswer?.status === 200 && forwardedAnswer.validator !== undefined && call.isIdempotent && call.request.method === 'GET';
-		if (isResumable && this._mayRetry(call, true)) {
+		if (isResumable && resumeMilliseconds(call, now) > 0 && this._mayRetry(call, true)) {
 			const resume = {offset: event.bytesPassedOn, validator: forwardedAnswer.validator};
 			if (this._launch(call, 'resume', now, resume)) {
 				return;
@@ -497,7 +497,12 @@
 		attempt.server.lastAnswerAt = now;
 		call.forwardedAnswer = {...forwarded, attempt};
 		this._context.effects.push({
-			type: 'pass-on', callId: call.request.callId, attemptId: attempt.id, outcome: forwarded.outcome, timeLeftMilliseconds: call.deadline - now,
+			type: 'pass-on',
+			callId: call.request.callId,
+			attemptId: attempt.id,
+			outcome: forwarded.outcome,
+			timeLeftMilliseconds: call.deadline - now,
+			timeLimitScope: timeLimitScope(call),
 		});
 	}
 
--- a/src/common/calls/call.ts
+++ b/src/common/calls/call.ts
@@ -105,6 +105,16 @@
 /** Priority of a call whose organisation and route have none; the platform's documents have the same default for routes. */
 const defaultPriority = 0;
 
+/** What the time limit of a call applies to once its answer is forwarded: a route limits the whole answer, a service the wait for more of it. */
+export function timeLimitScope({request}: Pick<Call, 'request'>): 'whole' | 'progress' {
+	return request.rule === undefined ? 'progress' : 'whole';
+}
+
+/** Time that a resumed download has to get its head; not positive if the time limit forbids it. */
+export function resumeMilliseconds(call: Call, now: Instant): Milliseconds {
+	return call.deadline - (timeLimitScope(call) === 'whole' ? now : call.arrivedAt);
+}
+
 /** Creates the record of a new call. */
 export function newCall(request: CallRequest, serviceState: ServiceState, now: Instant): Call {
 	const {declared} = serviceState;
--- a/src/common/calls/health/outlier-detector.ts
+++ b/src/common/calls/health/outlier-detector.ts
@@ -19,7 +19,7 @@
 	}
 
 	onAttemptFailed(attempt: Attempt, failure: AttemptFailure, now: Instant): void {
-		if (failure !== 'wrong-answer') {
+		if (failure !== 'wrong-answer' && failure !== 'late') {
 			this._context.links.onTrouble(attempt.server.identity, now);
 		}
 
@@ -46,6 +46,7 @@
 			}
 
 			case 'unreachable':
+			case 'late':
 			case 'wrong-answer': {
 				this._recordFailure(attempt, now);
 				break;
--- a/src/common/calls/outcomes.ts
+++ b/src/common/calls/outcomes.ts
@@ -25,6 +25,8 @@
 		| 'no-relay'
 	/** Nothing arrived on the connection within the time limit of the attempt. */
 		| 'silent'
+	/** The answer was still incomplete at the time limit of its call, although its bytes kept arriving. The call ran. */
+		| 'late'
 	/** The response belongs to another call, or lacks the proof that it belongs to this one. The call may have run. */
 		| 'wrong-answer';
 
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -71,7 +71,7 @@
 	readonly route: string;
 	/** True if the call may run more than once. */
 	readonly isIdempotent: boolean;
-	/** Maximum time until the caller gets an answer or a refusal. */
+	/** Maximum time until the caller has its whole answer or a refusal. */
 	readonly timeoutMilliseconds: Milliseconds;
 	/** Latency objective: answers within this time count as good. */
 	readonly objectiveMilliseconds: Milliseconds;
@@ -283,8 +283,13 @@
 		readonly attemptId: AttemptId;
 		/** Value of the `jaydale-outcome` header, since a 5xx status alone does not show whether the call ran. */
 		readonly outcome: CallOutcome;
-		/** Time until the time limit of the call, negative if it has passed. From then on the answer fails once its backend server stops sending. */
+		/** Time until the time limit of the call, negative if it has passed. */
 		readonly timeLeftMilliseconds: Milliseconds;
+		/**
+		 * What the time limit applies to. `whole`: the answer fails if it is not complete then, unless its caller is slow and its end
+		 * is foreseeable. `progress`: it fails once its backend server stops sending after the limit.
+		 */
+		readonly timeLimitScope: 'whole' | 'progress';
 	}
 	/** Abort a partly forwarded answer so that the caller detects the truncation. */
 	| {readonly type: 'break-off'; readonly callId: CallId}
--- a/src/node/front/live-call.ts
+++ b/src/node/front/live-call.ts
@@ -8,6 +8,7 @@
 import {type ParsedAnswerHead, type Dialect, type Refusal} from '../../common/protocol/dialect.ts';
 import {type MemoryBudget} from '../memory/memory-budget.ts';
 import {AnswerSilence} from './answer-silence.ts';
+import {AnswerTimeLimit} from './answer-time-limit.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {BackendAttempt} from './backend-attempt.ts';
 import {cutAnswer, cutAnswerSoon, markCloseDelimited} from './cut-answer.ts';
@@ -93,11 +94,14 @@
 	private _forwardedAttempt: BackendAttempt | undefined;
 	private _forwardedBytes = 0;
 	private _isAnswered = false;
-	private _isStallTimerArmed = false;
+	/** When the answer began to wait for its caller; undefined = it does not wait. */
+	private _pausedAt: number | undefined;
+	/** Duration of all earlier waits for the caller. */
+	private _pausedMilliseconds: Milliseconds = 0;
 	private _exceptionListener: ((error: unknown) => void) | undefined;
 	/** Writes since the caller's connection last drained. */
 	private _pendingWrites = 0;
-	private readonly _silence = new MutableDisposable<AnswerSilence>();
+	private readonly _answerLimit = new MutableDisposable<AnswerSilence | AnswerTimeLimit>();
 
 	constructor(
 		request: CallRequest,
@@ -168,7 +172,7 @@
 	}
 
 	/** Forwards the head of the attempt's answer to the caller; `onData` forwards the body as it arrives. */
-	forwardAnswer({attemptId, outcome, timeLeftMilliseconds}: PassOn): void {
+	forwardAnswer({attemptId, outcome, timeLeftMilliseconds, timeLimitScope}: PassOn): void {
 		const head = this._heads.get(attemptId);
 		const attempt = this._attempts.get(attemptId);
 		if (head === undefined || attempt === undefined) {
@@ -179,7 +183,7 @@
 		const held = this._heldAnswers.get(attemptId);
 		const isComplete = held?.isComplete === true;
 		if (!isComplete) {
-			this._limitSilence(attempt, timeLeftMilliseconds);
+			this._answerLimit.value = timeLimitScope === 'whole' ? this._limitTime(attempt, head, timeLeftMilliseconds) : this._limitSilence(attempt, timeLeftMilliseconds);
 		}
 
 		if (this._outgoing.headersSent) {
@@ -211,7 +215,7 @@
 	/** Closes the caller's connection in the middle of the answer, so that the answer does not look complete. */
 	abortAnswer(): void {
 		this._isAnswered = true;
-		this._silence.dispose();
+		this._answerLimit.dispose();
 		cutAnswerSoon(this._outgoing);
 	}
 
@@ -269,7 +273,7 @@
 	/** Ends the call after an exception: with an answer, or by cutting the one that has begun. */
 	onException(error: unknown): void {
 		this._exceptionListener?.(error);
-		this._silence.dispose();
+		this._answerLimit.dispose();
 		if (!this._outgoing.headersSent && !this._outgoing.destroyed) {
 			this._isAnswered = true;
 			this._body.discard();
@@ -370,7 +374,7 @@
 	}
 
 	private _handleFailure(attempt: BackendAttempt, failure: AttemptFailure): void {
-		this._silence.value = undefined;
+		this._answerLimit.value = undefined;
 		this._removeAttempt(attempt.id);
 		if (this._forwardedAttempt === attempt) {
 			this._forwardedAttempt = undefined;
@@ -400,17 +404,19 @@
 	 * Every byte that the caller reads resets the timeout, so a slow caller is not disconnected.
 	 */
 	private _armStallTimer(): void {
-		if (this._isStallTimerArmed) {
+		if (this._pausedAt !== undefined) {
 			return;
 		}
 
-		this._isStallTimerArmed = true;
+		const pausedAt = performance.now();
+		this._pausedAt = pausedAt;
 		const onStall = () => {
 			cutAnswer(this._outgoing);
 		};
 
 		const onDrained = () => {
-			this._isStallTimerArmed = false;
+			this._pausedAt = undefined;
+			this._pausedMilliseconds += performance.now() - pausedAt;
 			this._pendingWrites = 0;
 			this._unpausedAnswers.set(this, 0);
 			this._outgoing.off('drain', onDrained);
@@ -428,11 +434,11 @@
 	}
 
 	/** From the time limit of the call on, fails the attempt when its backend server sends nothing more. */
-	private _limitSilence(attempt: BackendAttempt, timeLeftMilliseconds: Milliseconds): void {
-		this._silence.value = new AnswerSilence({
+	private _limitSilence(attempt: BackendAttempt, timeLeftMilliseconds: Milliseconds): AnswerSilence {
+		return new AnswerSilence({
 			timeLeftMilliseconds,
 			receivedBytes: () => attempt.receivedBytes,
-			isPaused: () => this._isStallTimerArmed,
+			isPaused: () => this._pausedAt !== undefined,
 			onSilent: () => {
 				attempt.cancel();
 				this.onFailure(attempt, 'silent');
@@ -440,10 +446,29 @@
 		});
 	}
 
+	/** At the time limit of the call, fails the attempt, or cuts the answer if its caller is the slow one. */
+	private _limitTime(attempt: BackendAttempt, {headers}: AnswerHead, timeLeftMilliseconds: Milliseconds): AnswerTimeLimit {
+		const length = Number(headers['content-length'] ?? Number.NaN);
+		return new AnswerTimeLimit({
+			timeLeftMilliseconds,
+			answerBytes: Number.isNaN(length) ? undefined : length,
+			receivedBytes: () => attempt.receivedBytes,
+			pausedMilliseconds: () => this._pausedMilliseconds + (this._pausedAt === undefined ? 0 : performance.now() - this._pausedAt),
+			onExpired: isCallerSlow => {
+				if (isCallerSlow) {
+					cutAnswer(this._outgoing);
+				} else {
+					attempt.cancel();
+					this.onFailure(attempt, 'late');
+				}
+			},
+		});
+	}
+
 	/** Ends the response. A caller that never reads the remaining bytes must not hold the connection forever. */
 	private _endAnswer(): void {
 		this._isAnswered = true;
-		this._silence.dispose();
+		this._answerLimit.dispose();
 		this._body.discard();
 		this._outgoing.end();
 		if (this._outgoing.writableLength > 0) {
@@ -508,7 +533,7 @@
 	}
 
 	private _onCallerClosed(): void {
-		this._silence.dispose();
+		this._answerLimit.dispose();
 		this._unpausedAnswers.set(this, 0);
 		if (!this._isAnswered) {
 			this._isAnswered = true;
