Refuse answers with a status that HTTP does not define

Callers got the statuses 600 and 999 of a faulty backend server as they were; 000 and 099 were refused already.

Cause: only the parser looked at the number, and it has no upper bound but its three digits. Whatever is no success is passed on as the failure of the backend server.

An answer outside 100 to 599 (RFC 9110, 15) now closes its connection, and the attempt fails as one with a wrong answer: the call is tried elsewhere if that is allowed, else answered 502.

--- a/src/common/calls/outcomes.ts
+++ b/src/common/calls/outcomes.ts
@@ -27,7 +27,7 @@
 		| 'silent'
 	/** The answer was still incomplete at the time limit of its call, although its bytes kept arriving. The call ran. */
 		| 'late'
-	/** The response belongs to another call, or lacks the proof that it belongs to this one. The call may have run. */
+	/** The response belongs to another call, lacks the proof that it belongs to this one, or is none in HTTP. The call may have run. */
 		| 'wrong-answer';
 
 /** Why a call was refused. The `type` of the problem body is `urn:jaydale:problem:` followed by this reason. */
--- a/src/node/front/backend-attempt.ts
+++ b/src/node/front/backend-attempt.ts
@@ -17,6 +17,13 @@
  */
 const defaultStartTimeoutMilliseconds: Milliseconds = 3000;
 
+/** Statuses that HTTP defines (RFC 9110, 15). Callers' libraries take others for errors of their own, or for a success. */
+const minStatus = 100;
+const maxStatus = 599;
+
+/** Lowest status that is not informational. */
+const minFinalStatus = 200;
+
 /** Reason passed to undici if this side aborts an attempt. */
 class AttemptCancelled extends Error {
 	override readonly name = 'AttemptCancelled';
@@ -156,8 +163,19 @@
 		this._listener.onSent(this);
 	}
 
-	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
-		if (status < 200 || this._isEnded) {
+	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+		if (this._isEnded) {
+			return;
+		}
+
+		if (status < minStatus || status > maxStatus) {
+			this._isEnded = true;
+			controller.abort(new AttemptCancelled());
+			this._listener.onFailure(this, 'wrong-answer');
+			return;
+		}
+
+		if (status < minFinalStatus) {
 			return;
 		}
 
