Bound informational answers and the bodies of load probes

Other callers of a VM lost time while a backend server answered with informational answers without end: its event loop handled each of them until the call's time limit. Load probes read such answers, and bodies without end, until two seconds after their timeout.

Informational answers were neither counted nor bounded, and a load probe only stopped keeping its body, not reading it. After 16 informational answers, an attempt fails as one with a wrong answer, and a load probe ends; so does a load probe whose body exceeds 64 KB. The connection is closed.

--- a/src/node/front/backend-attempt.ts
+++ b/src/node/front/backend-attempt.ts
@@ -22,7 +22,10 @@
 const maxStatus = 599;
 
 /** Lowest status that is not informational. */
-const minFinalStatus = 200;
+export const minFinalStatus = 200;
+
+/** Informational answers before the final one; a faulty backend server may send them without end. */
+export const maxInformationalAnswers = 16;
 
 /** Reason passed to undici if this side aborts an attempt. */
 class AttemptCancelled extends Error {
@@ -67,6 +70,7 @@
 	private _isDiscarding = false;
 	private _canPause = true;
 	private _receivedBytes = 0;
+	private _informationalCount = 0;
 
 	constructor(id: AttemptId, listener: AttemptListener, startTimeoutMilliseconds: Milliseconds = defaultStartTimeoutMilliseconds) {
 		this.id = id;
@@ -168,7 +172,11 @@
 			return;
 		}
 
-		if (status < minStatus || status > maxStatus) {
+		if (status < minFinalStatus) {
+			this._informationalCount += 1;
+		}
+
+		if (status < minStatus || status > maxStatus || this._informationalCount > maxInformationalAnswers) {
 			this._isEnded = true;
 			controller.abort(new AttemptCancelled());
 			this._listener.onFailure(this, 'wrong-answer');
--- a/src/node/front/http-load-probe-client.ts
+++ b/src/node/front/http-load-probe-client.ts
@@ -5,6 +5,7 @@
 import {type LinkCheckResult} from '../../common/links/types.ts';
 import {type Dialect} from '../../common/protocol/dialect.ts';
 import {NoRelayError} from '../fleet/tunnel-client.ts';
+import {maxInformationalAnswers, minFinalStatus} from './backend-attempt.ts';
 import {type BackendConnections} from './backend-connections.ts';
 import {type LoadProbeClient} from './call-effect-executor.ts';
 import {type CallEventSink} from './types.ts';
@@ -14,6 +15,9 @@
 /** A load report is a single line; a longer body is not treated as one. */
 const maxLoadBodyBytes = 4096;
 
+/** A longer body is read to its end up to this size, so that the connection can be reused. */
+const maxDiscardedBodyBytes = 65_536;
+
 /**
  * Time after the timeout of a load probe for which its answer is still read. A VM with a fifth of a core or a busy backend
  * server is often late by some hundred milliseconds, and closing the connection costs a new one for the next probe.
@@ -25,7 +29,7 @@
 	override readonly name = 'LoadProbeTimeout';
 }
 
-/** Reason passed to undici to close the connection of a load probe, since another answer could follow on it. */
+/** Reason passed to undici to close the connection of a load probe: another answer could follow on it, or its answer has no end. */
 class ConnectionEnded extends Error {
 	override readonly name = 'ConnectionEnded';
 }
@@ -41,6 +45,7 @@
 	private _status = 0;
 	private _headers: IncomingHttpHeaders = {};
 	private _receivedBytes = 0;
+	private _informationalCount = 0;
 	private _isDone = false;
 	private _isOver = false;
 
@@ -69,6 +74,15 @@
 	}
 
 	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+		if (status < minFinalStatus) {
+			this._informationalCount += 1;
+			if (this._informationalCount > maxInformationalAnswers) {
+				controller.abort(new ConnectionEnded());
+			}
+
+			return;
+		}
+
 		this._status = status;
 		this._headers = headers;
 		if (this._endsConnection(status, headers)) {
@@ -76,10 +90,12 @@
 		}
 	}
 
-	onResponseData(_controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
+	onResponseData(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
 		this._receivedBytes += chunk.length;
 		if (this._receivedBytes <= maxLoadBodyBytes) {
 			this._chunks.push(chunk);
+		} else if (this._receivedBytes > maxDiscardedBodyBytes) {
+			controller.abort(new ConnectionEnded());
 		}
 	}
 
