Limit the time that reading from one connection takes in a turn

Other callers of a VM were refused or waited for seconds while a backend server answered in chunks of one byte: five such calls with Connection: close, 57 of 80 other calls refused, the readiness page up to 1,680 ms.

Cause: all bytes that have arrived on a connection were processed at once, and chunks of a few bytes cost as much each as large ones. The next read of each connection to a backend server is now sized so that it takes about a millisecond, by the cost of the read before; once a turn has taken that long, the rest is read after the other connections have been served. Bytes that are cheap to process are read at once as before.

Ruled out: pausing in the handler by the number of chunks, which answers that close their connection do not allow.

--- a/src/node/front/attempt-client.ts
+++ b/src/node/front/attempt-client.ts
@@ -1,6 +1,7 @@
 /** The HTTP client of one connection to a backend server. */
 import {type buildConnector, Client, type Dispatcher} from 'undici';
 import {type AttemptDispatchOptions, type BackendAttempt} from './backend-attempt.ts';
+import {ReadPacer} from './read-pacer.ts';
 
 /** Options of an `AttemptClient`: its connector is a function. */
 export type AttemptClientOptions = Omit<Client.Options, 'connect'> & {readonly connect: buildConnector.connector};
@@ -20,6 +21,12 @@
 			...options,
 			connect(connectOptions, callback) {
 				connect(connectOptions, (...result) => {
+					const [, socket] = result;
+					if (result[0] === null && socket !== null) {
+						// eslint-disable-next-line no-new -- the pacer replaces a method of the socket.
+						new ReadPacer(socket);
+					}
+
 					// Comes before the listener that undici adds in the callback.
 					result[1]?.on('end', () => {
 						current.attempt?.deref()?.onConnectionEnd();
