Accept calls that may outlast a planned stop for less than 3 s

A call that may last longer than the rest of the grace time was accepted for half of it: 3 s of 6 s, 5 s of 10 s. At the end its caller got a 502 in place of the answer, also if it had sent the call more than 3 s after the stop request, because the request reaches the process later than it was sent, or because the grace time is longer.

Such calls are now accepted for 2.75 s at most, however long the grace time is, and refused as not run (503) afterwards. Calls whose time limit fits into the rest of the grace time are accepted as before.

--- a/src/common/registry/bounded-stop.ts
+++ b/src/common/registry/bounded-stop.ts
@@ -22,10 +22,14 @@
 const refusalMarginMilliseconds: Milliseconds = 500;
 
 /**
- * Fraction of the grace time in which calls are always accepted, however long they may last, since callers use cached
- * addresses.
+ * Fraction of the grace time in which calls are accepted however long they may last, since callers use cached addresses, and
+ * the bound of that time: a call that is sent later than this after the stop request must not be cut.
  */
 const minAcceptFraction = 0.5;
+const maxUncertainMilliseconds: Milliseconds = 3000;
+
+/** The stop request, and a call's last bytes, may reach this process later than they were sent. */
+const deliveryMarginMilliseconds: Milliseconds = 250;
 
 /** Fraction of the grace time after which no call is accepted, however short it may be. */
 const maxAcceptFraction = 0.8;
@@ -82,7 +86,7 @@
 		const {timers, graceMilliseconds} = this._options;
 		const acceptMilliseconds = Math.min(
 			maxAcceptFraction * graceMilliseconds,
-			Math.max(minAcceptFraction * graceMilliseconds, graceMilliseconds - endMarginMilliseconds - this._options.longestCallMilliseconds()),
+			Math.max(Math.min(minAcceptFraction * graceMilliseconds, maxUncertainMilliseconds) - deliveryMarginMilliseconds, graceMilliseconds - endMarginMilliseconds - this._options.longestCallMilliseconds()),
 		);
 		timers.set('too-late', now + acceptMilliseconds, () => {
 			this._send('TOO_LATE');
