Empty the accept queue of a closing listener while callers keep coming

A reset does not tell a caller that its call has not run.

Cause: the listener closes when a cycle of the event loop has accepted no connection, or after a second. One connection is accepted in each cycle, so under more arrivals the queue never empties, and closing resets all that wait in it.

After half a second the backlog is set to 0. Those that wait are accepted and answered; the kernels of later callers try again after a second and are refused, which proves that nothing ran. Below that rate nothing changes.

accept-queue.test.ts failed before (36 resets of 40 callers, fewer than 3 now). Ruled out: a backlog of 0 from the start, which delayed 39 of 40 callers of the existing test by a second.

--- a/src/node/front/graceful-server.ts
+++ b/src/node/front/graceful-server.ts
@@ -20,6 +20,9 @@
 /** Maximum time after `stopListening` until the listener is open, if it is being opened, and all waiting connections are accepted. */
 const maxAcceptMilliseconds: Milliseconds = 1000;
 
+/** Part of that time in which further connections may join those that wait. */
+const maxQueueingMilliseconds: Milliseconds = 500;
+
 /** Statuses for requests that cannot be parsed, by Node's error code; the default is 400. */
 const parseErrorStatuses: Readonly<Record<string, string>> = {
 	HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -59,6 +62,10 @@
 	readonly closedBy: 'caller' | 'here';
 };
 
+function isListenerHandle(handle: unknown): handle is {listen(backlog: number): number} {
+	return typeof handle === 'object' && handle !== null && 'listen' in handle && typeof handle.listen === 'function';
+}
+
 /** State of one connection. */
 type Connection = {
 	readonly socket: Socket;
@@ -131,6 +138,7 @@
 	/** Connections that were accepted, also those closed at once since there were too many. */
 	private _acceptedConnections = 0;
 	/** Progress of `stopListening`: not called, accepting the connections that already wait, or closed. */
+	private _isQueueing = true;
 	private _closing: 'none' | 'accepting' | 'closed' = 'none';
 
 	/** Fires if an answer was cut, either because its caller disconnected or because this side closed the connection. */
@@ -243,6 +251,10 @@
 
 	/** Closes the listener after a cycle of the event loop in which no connection waited, since libuv accepts one in each cycle. */
 	private _closeOnceAccepted(end: Milliseconds): void {
+		if (performance.now() > end - maxAcceptMilliseconds + maxQueueingMilliseconds) {
+			this._stopQueueing();
+		}
+
 		const accepted = this._acceptedConnections;
 		afterPendingReads(() => {
 			if ((this.listening && accepted === this._acceptedConnections) || performance.now() > end) {
@@ -254,6 +266,22 @@
 		});
 	}
 
+	/**
+	 * Tells the kernel to queue no further connections, so that the queue empties although more arrive than are accepted. Their
+	 * kernels try again after a second and are refused then; a connection in the queue of a closed listener would be reset with
+	 * its call.
+	 */
+	private _stopQueueing(): void {
+		if (this._isQueueing && this.listening) {
+			this._isQueueing = false;
+			// Node has no public method to change the backlog of an open listener.
+			const handle: unknown = Reflect.get(this, '_handle');
+			if (isListenerHandle(handle)) {
+				handle.listen(0);
+			}
+		}
+	}
+
 	/** From now on a connection closes once it is idle, so that its last answer announces the close, also while it waits. */
 	private _closeAfterLastAnswers(): void {
 		this._closesIdleConnections = true;
