Count only the waits of the present attempt against a slow caller

The share of time that an answer has waited for its caller was taken over all attempts of the call, but the time itself only since the present one was forwarded: a download that was resumed could pass for one whose caller is slow, and outlast its limit.

--- a/src/node/front/answer-time-limit.ts
+++ b/src/node/front/answer-time-limit.ts
@@ -18,7 +18,7 @@
 	readonly answerBytes: number | undefined;
 	/** Bytes of the body received so far. */
 	readonly receivedBytes: () => number;
-	/** Time for which the answer has waited for its caller so far. */
+	/** Time for which the call has waited for its caller to read so far, also during an earlier attempt. */
 	readonly pausedMilliseconds: () => Milliseconds;
 	/** Called at most once. */
 	readonly onExpired: (isCallerSlow: boolean) => void;
@@ -32,12 +32,14 @@
 export class AnswerTimeLimit extends Disposable {
 	private readonly _options: AnswerTimeLimitOptions;
 	private readonly _startedAt = performance.now();
+	private readonly _pausedBefore: Milliseconds;
 	private _timer: NodeJS.Timeout;
 	private _checks = 0;
 
 	constructor(options: AnswerTimeLimitOptions) {
 		super();
 		this._options = options;
+		this._pausedBefore = options.pausedMilliseconds();
 		this._timer = this._checkIn(Math.max(0, options.timeLeftMilliseconds) + checkMilliseconds);
 		this._register(toDisposable(() => {
 			clearTimeout(this._timer);
@@ -53,7 +55,7 @@
 	private _check(): void {
 		this._checks += 1;
 		const elapsed = performance.now() - this._startedAt;
-		const isCallerSlow = this._options.pausedMilliseconds() > elapsed / 2;
+		const isCallerSlow = this._options.pausedMilliseconds() - this._pausedBefore > elapsed / 2;
 		if (this._checks < checksBeforeExpiry || (isCallerSlow && this._isEndForeseeable(elapsed))) {
 			this._timer = this._checkIn(checkMilliseconds);
 		} else {
--- a/src/node/front/graceful-server.ts
+++ b/src/node/front/graceful-server.ts
@@ -137,8 +137,9 @@
 	private _unfinishedAnswers = 0;
 	/** Connections that were accepted, also those closed at once since there were too many. */
 	private _acceptedConnections = 0;
-	/** Progress of `stopListening`: not called, accepting the connections that already wait, or closed. */
+	/** Whether the kernel queues connections beyond those that already wait. */
 	private _isQueueing = true;
+	/** Progress of `stopListening`: not called, accepting the connections that already wait, or closed. */
 	private _closing: 'none' | 'accepting' | 'closed' = 'none';
 
 	/** Fires if an answer was cut, either because its caller disconnected or because this side closed the connection. */
